--- /dev/null
+++ b/eslint.format.js
@@ -0,0 +1,12 @@
+import neostandard from 'neostandard'
+
+// The formatter: only the style rules of the linter's own rule set, so that the two cannot disagree.
+const isStyleRule = name => name.startsWith('@stylistic/')
+
+const onlyStyle = ({ rules, ...rest }) => rules === undefined
+  ? rest
+  : { ...rest, rules: Object.fromEntries(Object.entries(rules).filter(([name]) => isStyleRule(name))) }
+
+export default neostandard({ ts: true, ignores: ['**/dist/**', 'report/**'] })
+  .map(onlyStyle)
+  .concat({ linterOptions: { reportUnusedDisableDirectives: 'off' } })
--- /dev/null
+++ b/packages/environment/src/index.ts
@@ -0,0 +1,2 @@
+/** The environment document. */
+export * from './document.js'
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,7 @@
+/** Values that every other package shares. */
+export * from './digest.js'
+export * from './errors.js'
+export * from './ids.js'
+export * from './request.js'
+export * from './shape.js'
+export * from './state.js'
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,2 @@
+/** The scheduling decisions. */
+export * from './scheduler.js'
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+/** Events, logs and metrics. */
+export * from './event.js'
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,2 @@
+/** The inner protocol between daemons. */
+export * from './message.js'
