Add the request ledger and its transitions

A ledger that refuses any transition that would break a promise keeps the rule in one place: a second intent for non-idempotent work needs a proof that the first never started, and so does 'not-run' after an intent.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** Embeddable coordination parts. */
+export * from './ledger.js'
+export * from './transition.js'
--- /dev/null
+++ b/packages/coordination/src/ledger.ts
@@ -0,0 +1,128 @@
+/**
+ * The request ledger of one cell: an immutable map of requests by id, changed only
+ * by applying a transition. It refuses every transition that would break a promise,
+ * so that no mistake above it can start non-idempotent work twice or call a
+ * request not run that may have run.
+ */
+import { CornelgaugeError, isFinal, requestId, type RequestId, type RequestRecord, type RequestState } from '@cornelgauge/model'
+import { Map as ImmutableMap } from 'immutable'
+import type { Proof, RecordTransition, Transition } from './transition.js'
+
+/** Requests by id. */
+export type Ledger = ImmutableMap<RequestId, RequestRecord>
+
+/**
+ * A ledger without requests.
+ *
+ * @example
+ * emptyLedger().size // 0
+ */
+export function emptyLedger (): Ledger {
+  return ImmutableMap()
+}
+
+/** True of a request whose record never changes again. */
+export function hasEnded (record: RequestRecord): boolean {
+  return record.endedAt !== undefined
+}
+
+/**
+ * Applies a transition.
+ *
+ * @example
+ * const ledger = applyTransition(emptyLedger(), { type: 'accepted', submission, at: 0 })
+ * ledger.get(requestId(submission.workspace, submission.key))?.state // 'pending'
+ * @throws CornelgaugeError `internal` where the transition is not allowed in the request's state
+ */
+export function applyTransition (ledger: Ledger, transition: Transition): Ledger {
+  if (transition.type === 'accepted') return accept(ledger, transition)
+  if (transition.type === 'forgotten') return ledger.deleteAll(transition.ids)
+  const record = ledger.get(transition.id)
+  if (record === undefined) throw illegal(transition, undefined)
+  const apply = APPLY[transition.type] as (record: RequestRecord, transition: RecordTransition) => RequestRecord
+  return ledger.set(transition.id, apply(record, transition))
+}
+
+/**
+ * Applies transitions in their order.
+ *
+ * @example
+ * applyTransitions(emptyLedger(), []).size // 0
+ */
+export function applyTransitions (ledger: Ledger, transitions: readonly Transition[]): Ledger {
+  return transitions.reduce(applyTransition, ledger)
+}
+
+/** The ledger as JSON for a snapshot, in the order of ids. */
+export function ledgerToJson (ledger: Ledger): readonly RequestRecord[] {
+  return [...ledger.values()].sort((one, other) => one.id < other.id ? -1 : 1)
+}
+
+/** The ledger from a snapshot's JSON. */
+export function ledgerFromJson (records: readonly RequestRecord[]): Ledger {
+  return ImmutableMap(records.map(record => [record.id, record] as const))
+}
+
+type Apply<Type extends RecordTransition['type']> =
+  (record: RequestRecord, transition: Extract<RecordTransition, { type: Type }>) => RequestRecord
+
+const APPLY: { readonly [Type in RecordTransition['type']]: Apply<Type> } = {
+  intent (record, transition) {
+    requireState(record, transition, ['pending'])
+    return { ...record, state: 'running', assignment: transition.assignment, attempts: record.attempts + 1 }
+  },
+
+  returned (record, transition) {
+    requireState(record, transition, ['running', 'unknown'])
+    requireProof(record, transition, transition.proof)
+    const checkpoint = transition.checkpoint ?? record.checkpoint
+    return { ...record, state: 'pending', assignment: undefined, reason: undefined, checkpoint }
+  },
+
+  'cancel-requested' (record, transition) {
+    requireState(record, transition, ['pending', 'running', 'unknown'])
+    return { ...record, cancelRequested: true }
+  },
+
+  doubted (record, transition) {
+    requireState(record, transition, ['running'])
+    return { ...record, state: 'unknown', reason: transition.reason }
+  },
+
+  ended (record, transition) {
+    requireState(record, transition, END_FROM[transition.state])
+    if (transition.state === 'not-run' && record.state !== 'pending') requireProof(record, transition, transition.proof)
+    return { ...record, state: transition.state, answer: transition.answer, reason: transition.reason, endedAt: transition.at }
+  }
+}
+
+type EndState = Extract<Transition, { type: 'ended' }>['state']
+
+const END_FROM: Readonly<Record<EndState, readonly RequestState[]>> = {
+  finished: ['running', 'unknown'],
+  failed: ['running', 'unknown'],
+  cancelled: ['pending', 'running', 'unknown'],
+  'not-run': ['pending', 'running', 'unknown'],
+  unknown: ['running', 'unknown']
+}
+
+function accept (ledger: Ledger, transition: Extract<Transition, { type: 'accepted' }>): Ledger {
+  const { submission, at } = transition
+  const id = requestId(submission.workspace, submission.key)
+  if (ledger.has(id)) throw illegal(transition, ledger.get(id))
+  return ledger.set(id, { id, submission, state: 'pending', acceptedAt: at, attempts: 0, cancelRequested: false })
+}
+
+function requireState (record: RequestRecord, transition: Transition, states: readonly RequestState[]): void {
+  if (hasEnded(record) || isFinal(record.state) || !states.includes(record.state)) throw illegal(transition, record)
+}
+
+function requireProof (record: RequestRecord, transition: Transition, proof: Proof | undefined): void {
+  if (proof === undefined) throw illegal(transition, record)
+  if (proof === 'idempotent' && !record.submission.idempotent) throw illegal(transition, record)
+}
+
+function illegal (transition: Transition, record: RequestRecord | undefined): CornelgaugeError {
+  const from = record?.state ?? 'absent'
+  return new CornelgaugeError('internal', { detail: `the transition ${transition.type} is not allowed from ${from}`, members: { transition, from } })
+}
--- /dev/null
+++ b/packages/coordination/src/transition.ts
@@ -0,0 +1,35 @@
+/**
+ * The transitions of the request ledger. A journal row is a list of them, and the
+ * ledger changes only by applying one.
+ */
+import type { AnswerReference, Assignment, EndReason, RequestId, Submission } from '@cornelgauge/model'
+
+/**
+ * Why a running request may go back, or be said not to have run:
+ * - `fenced`: its backend servers promised that this attempt never started and never will;
+ * - `not-sent`: this owner never sent the start, and nobody else can under its epoch;
+ * - `idempotent`: running it again does no harm.
+ */
+export type Proof = 'fenced' | 'not-sent' | 'idempotent'
+
+/** One change of the ledger. `at` is in milliseconds since 1970, by the owner's clock. */
+export type Transition =
+  | { readonly type: 'accepted', readonly submission: Submission, readonly at: number }
+  | { readonly type: 'intent', readonly id: RequestId, readonly assignment: Assignment, readonly at: number }
+  | { readonly type: 'returned', readonly id: RequestId, readonly proof: Proof, readonly checkpoint?: string, readonly at: number }
+  | { readonly type: 'cancel-requested', readonly id: RequestId, readonly at: number }
+  | { readonly type: 'doubted', readonly id: RequestId, readonly reason: EndReason, readonly at: number }
+  | {
+    readonly type: 'ended'
+    readonly id: RequestId
+    readonly state: 'finished' | 'failed' | 'cancelled' | 'not-run' | 'unknown'
+    readonly answer?: AnswerReference
+    readonly reason?: EndReason
+    /** Needed where a request that had an intent is said not to have run. */
+    readonly proof?: Proof
+    readonly at: number
+  }
+  | { readonly type: 'forgotten', readonly ids: readonly RequestId[] }
+
+/** The transitions that concern one request that is already in the ledger. */
+export type RecordTransition = Exclude<Transition, { type: 'accepted' | 'forgotten' }>
--- a/packages/model/src/request.ts
+++ b/packages/model/src/request.ts
@@ -51,6 +51,8 @@
   /** Intents to start so far. */
   readonly attempts: number
   readonly cancelRequested: boolean
+  /** Newest checkpoint of earlier attempts. */
+  readonly checkpoint?: string
   readonly answer?: AnswerReference
   /** Why it ended as it did, as a code with a sentence. */
   readonly reason?: EndReason
@@ -66,7 +68,7 @@
 /** The code of an end reason. */
 export type EndReasonCode =
   | 'cancelled-by-caller' | 'deadline-passed' | 'task-failed' | 'server-lost' | 'impossible'
-  | 'never-started' | 'attempts-spent' | 'refused-by-policy'
+  | 'never-started' | 'attempts-spent' | 'refused-by-policy' | 'lease-lapsed'
 
 /** A request as its caller sees it. */
 export interface RequestView {
--- a/packages/model/src/shape.ts
+++ b/packages/model/src/shape.ts
@@ -1,3 +1,5 @@
+import type { BackendServerName } from './ids.js'
+
 /**
  * What a task needs of backend servers. A shape asks for slots, or for
  * accelerators that stand together.
@@ -16,9 +18,11 @@
 
 /** One member of a placement: the part that one backend server gives. */
 export interface Member {
-  readonly server: string
+  readonly server: BackendServerName
   readonly slots: number
   readonly accelerators: number
+  /** Which life of the backend server this is; it forgets its executions when it restarts. */
+  readonly incarnation?: string
 }
 
 /**
--- a/packages/platform/src/backend-server.ts
+++ b/packages/platform/src/backend-server.ts
@@ -39,6 +39,8 @@
   /** Newest checkpoint. */
   readonly checkpoint?: string
   readonly detail?: string
+  /** Which life of the backend server speaks; a promise about an earlier life is worth nothing. */
+  readonly incarnation?: string
 }
 
 /** Who asks. */
@@ -54,6 +56,8 @@
   /** To be handed in as `after` next time. */
   readonly cursor: number
   readonly leaving: boolean
+  /** Changes each time the backend server starts with an empty memory. */
+  readonly incarnation: string
   /** Use as of a while ago; it lags. */
   readonly usage: { readonly slots: number, readonly accelerators: number, readonly measuredAt: number }
 }
