--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -34,6 +34,8 @@
   readonly workspaces: readonly WorkspaceSettings[]
   readonly reclaimMilliseconds: number
   readonly seed: number
+  /** The backend servers that the document declares for the cell; what they cannot hold is refused for good. */
+  readonly declaredServers?: readonly ServerDescription[]
 }
 
 /** A backend server of the cell. */
@@ -94,6 +96,8 @@
 export interface Plan {
   readonly state: PolicyState
   readonly decisions: readonly Decision[]
+  /** When `decide` is to be called again even if nothing changes, in milliseconds since 1970. */
+  readonly wakeAt?: number
 }
 
 /** The state of the policy. Only the functions of this package look inside. */
