Add the cell owner as one pure step over ledger and policy

State changes only through a transaction; effects name what is to be done, and their outcomes come back as events. Callers are told only of committed records, and a start leaves only after its intent is committed.

--- a/packages/coordination/src/ledger.ts
+++ b/packages/coordination/src/ledger.ts
@@ -69,14 +69,17 @@
 const APPLY: { readonly [Type in RecordTransition['type']]: Apply<Type> } = {
   intent (record, transition) {
     requireState(record, transition, ['pending'])
-    return { ...record, state: 'running', assignment: transition.assignment, attempts: record.attempts + 1 }
+    const attempts = Math.max(record.attempts + 1, transition.assignment.attempt)
+    return { ...record, state: 'running', assignment: transition.assignment, attempts }
   },
 
   returned (record, transition) {
     requireState(record, transition, ['running', 'unknown'])
     requireProof(record, transition, transition.proof)
     const checkpoint = transition.checkpoint ?? record.checkpoint
-    return { ...record, state: 'pending', assignment: undefined, reason: undefined, checkpoint }
+    const faults = record.faults + (transition.fault ? 1 : 0)
+    const mayHaveRun = record.mayHaveRun || transition.proof === 'idempotent'
+    return { ...record, state: 'pending', assignment: undefined, reason: undefined, checkpoint, faults, mayHaveRun }
   },
 
   'cancel-requested' (record, transition) {
@@ -91,7 +94,7 @@
 
   ended (record, transition) {
     requireState(record, transition, END_FROM[transition.state])
-    if (transition.state === 'not-run' && record.state !== 'pending') requireProof(record, transition, transition.proof)
+    if (transition.state === 'not-run') requireNotRun(record, transition)
     return { ...record, state: transition.state, answer: transition.answer, reason: transition.reason, endedAt: transition.at }
   }
 }
@@ -100,7 +103,7 @@
 
 const END_FROM: Readonly<Record<EndState, readonly RequestState[]>> = {
   finished: ['running', 'unknown'],
-  failed: ['running', 'unknown'],
+  failed: ['pending', 'running', 'unknown'],
   cancelled: ['pending', 'running', 'unknown'],
   'not-run': ['pending', 'running', 'unknown'],
   unknown: ['running', 'unknown']
@@ -110,7 +113,7 @@
   const { submission, at } = transition
   const id = requestId(submission.workspace, submission.key)
   if (ledger.has(id)) throw illegal(transition, ledger.get(id))
-  return ledger.set(id, { id, submission, state: 'pending', acceptedAt: at, attempts: 0, cancelRequested: false })
+  return ledger.set(id, { id, submission, state: 'pending', acceptedAt: at, attempts: 0, faults: 0, mayHaveRun: false, cancelRequested: false })
 }
 
 function requireState (record: RequestRecord, transition: Transition, states: readonly RequestState[]): void {
@@ -122,6 +125,12 @@
   if (proof === 'idempotent' && !record.submission.idempotent) throw illegal(transition, record)
 }
 
+function requireNotRun (record: RequestRecord, transition: Extract<Transition, { type: 'ended' }>): void {
+  if (record.mayHaveRun) throw illegal(transition, record)
+  if (record.state === 'pending') return
+  if (transition.proof !== 'fenced' && transition.proof !== 'not-sent') throw illegal(transition, record)
+}
+
 function illegal (transition: Transition, record: RequestRecord | undefined): CornelgaugeError {
   const from = record?.state ?? 'absent'
   return new CornelgaugeError('internal', { detail: `the transition ${transition.type} is not allowed from ${from}`, members: { transition, from } })
--- a/packages/coordination/src/transition.ts
+++ b/packages/coordination/src/transition.ts
@@ -16,7 +16,7 @@
 export type Transition =
   | { readonly type: 'accepted', readonly submission: Submission, readonly at: number }
   | { readonly type: 'intent', readonly id: RequestId, readonly assignment: Assignment, readonly at: number }
-  | { readonly type: 'returned', readonly id: RequestId, readonly proof: Proof, readonly checkpoint?: string, readonly at: number }
+  | { readonly type: 'returned', readonly id: RequestId, readonly proof: Proof, readonly fault: boolean, readonly checkpoint?: string, readonly at: number }
   | { readonly type: 'cancel-requested', readonly id: RequestId, readonly at: number }
   | { readonly type: 'doubted', readonly id: RequestId, readonly reason: EndReason, readonly at: number }
   | {
@@ -29,7 +29,8 @@
     readonly proof?: Proof
     readonly at: number
   }
-  | { readonly type: 'forgotten', readonly ids: readonly RequestId[] }
+  /** Stored answers go with their requests. */
+  | { readonly type: 'forgotten', readonly ids: readonly RequestId[], readonly objects: readonly string[] }
 
 /** The transitions that concern one request that is already in the ledger. */
 export type RecordTransition = Exclude<Transition, { type: 'accepted' | 'forgotten' }>
--- a/packages/model/src/request.ts
+++ b/packages/model/src/request.ts
@@ -48,8 +48,12 @@
   /** Milliseconds since 1970, by the clock of the accepting owner. */
   readonly acceptedAt: number
   readonly assignment?: Assignment
-  /** Intents to start so far. */
+  /** Number of the newest attempt that had an intent to start; 0 before the first. */
   readonly attempts: number
+  /** Attempts that a failing task or backend server ended. */
+  readonly faults: number
+  /** True once an attempt may have run without finishing; then it is never said not to have run. */
+  readonly mayHaveRun: boolean
   readonly cancelRequested: boolean
   /** Newest checkpoint of earlier attempts. */
   readonly checkpoint?: string
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -3,12 +3,12 @@
  * on `Spot`s, the room that each backend server has for the job in question, so
  * the same search serves free capacity, guaranteed capacity and empty backend servers.
  */
-import type { Adjacency, Member, Shape } from '@cornelgauge/model'
+import type { Adjacency, BackendServerName, Member, Shape } from '@cornelgauge/model'
 import type { Amount, Capacity, Server } from './capacity.js'
 
 /** Room on one backend server. */
 export interface Spot extends Amount {
-  readonly server: string
+  readonly server: BackendServerName
 }
 
 /** The spots of one rack. */
--- /dev/null
+++ b/packages/scheduler/src/calls.ts
@@ -0,0 +1,145 @@
+/**
+ * What callers ask of the owner: submit, read and cancel. A caller is told only of
+ * what is committed.
+ */
+import { hasEnded } from '@cornelgauge/coordination'
+import { CornelgaugeError, requestId, type RequestId, type RequestRecord, type Submission } from '@cornelgauge/model'
+import { admit } from '@cornelgauge/policy'
+import { List } from 'immutable'
+import type { CallId, OwnerEvent } from './event.js'
+import { jobOf } from './job.js'
+import { COMMIT_PATIENCE_MILLISECONDS } from './limits.js'
+import { stopRun } from './runs.js'
+import type { Waiter } from './state.js'
+import type { Transaction } from './transaction.js'
+import { arrive, endPending } from './waiting.js'
+
+type Event<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
+
+/** Accepts a request, joins it to an earlier one with the same key, or refuses it. */
+export function submit (transaction: Transaction, event: Event<'submit'>): void {
+  const { submission, call } = event
+  if (transaction.state.draining) return transaction.refuse(call, new CornelgaugeError('not-owner'))
+  const id = requestId(submission.workspace, submission.key)
+  const earlier = transaction.record(id)
+  if (earlier !== undefined) return join(transaction, event, earlier)
+  const failure = refusal(transaction, submission)
+  if (failure !== undefined) {
+    transaction.log('request-refused', id, { code: failure.code })
+    return transaction.refuse(call, failure)
+  }
+  accept(transaction, submission)
+  wait(transaction, id, waiterOf(transaction, event))
+}
+
+/** Tells of a request at once, or when it ends, or when the wait is over. */
+export function read (transaction: Transaction, event: Event<'read'>): void {
+  const record = transaction.state.committed.get(event.id)
+  if (record === undefined && !transaction.state.ledger.has(event.id)) {
+    return transaction.refuse(event.call, new CornelgaugeError('unknown-request'))
+  }
+  if (record !== undefined && (isTold(record) || event.waitUntil <= transaction.at.monotonic)) {
+    return transaction.tell(event.call, record)
+  }
+  wait(transaction, event.id, { call: event.call, until: event.waitUntil, commitBy: transaction.at.monotonic + COMMIT_PATIENCE_MILLISECONDS })
+}
+
+/** Cancels a request that waits, or asks for a running one to be stopped. */
+export function cancel (transaction: Transaction, event: Event<'cancel'>): void {
+  const record = transaction.record(event.id)
+  if (record === undefined) return transaction.refuse(event.call, new CornelgaugeError('unknown-request'))
+  if (!hasEnded(record) && !record.cancelRequested) requestCancel(transaction, record)
+  const until = transaction.at.monotonic
+  wait(transaction, event.id, { call: event.call, until, commitBy: until + COMMIT_PATIENCE_MILLISECONDS })
+}
+
+/** Answers every waiter whose request is settled or whose time has come. */
+export function answerWaiters (transaction: Transaction, ids: Iterable<RequestId>): void {
+  for (const id of ids) {
+    const waiters = transaction.state.waiters.get(id)
+    if (waiters === undefined) continue
+    const left = waiters.filterNot(waiter => answerWaiter(transaction, id, waiter))
+    setWaiters(transaction, id, left)
+  }
+}
+
+/** Refuses every waiter, where this VM no longer owns the cell. */
+export function refuseAllWaiters (transaction: Transaction): void {
+  for (const waiters of transaction.state.waiters.values()) {
+    waiters.forEach(waiter => { transaction.refuse(waiter.call, new CornelgaugeError('not-owner')) })
+  }
+  transaction.set({ waiters: transaction.state.waiters.clear() })
+}
+
+/** True of a request whose caller has nothing more to wait for. */
+export function isTold (record: RequestRecord): boolean {
+  return hasEnded(record) || record.state === 'unknown'
+}
+
+function join (transaction: Transaction, event: Event<'submit'>, earlier: RequestRecord): void {
+  if (earlier.submission.bodyDigest !== event.submission.bodyDigest) {
+    return transaction.refuse(event.call, new CornelgaugeError('key-reused', { state: transaction.state.committed.get(earlier.id)?.state }))
+  }
+  wait(transaction, earlier.id, waiterOf(transaction, event))
+  answerWaiters(transaction, [earlier.id])
+}
+
+function refusal (transaction: Transaction, submission: Submission): CornelgaugeError | undefined {
+  const { wall } = transaction.at
+  if (submission.deadline <= wall) return new CornelgaugeError('deadline-past', { state: 'not-run' })
+  const candidate = { id: requestId(submission.workspace, submission.key), submission, state: 'pending', acceptedAt: wall, attempts: 0, faults: 0, mayHaveRun: false, cancelRequested: false } as const
+  const admission = admit(transaction.state.policy, jobOf(candidate), wall)
+  if (admission.admitted) return undefined
+  const { code, rule, retryAfterMilliseconds } = admission
+  return new CornelgaugeError(code, { detail: rule, state: 'not-run', members: { rule, retryAfterMilliseconds } })
+}
+
+function accept (transaction: Transaction, submission: Submission): void {
+  transaction.stage({ type: 'accepted', submission, at: transaction.at.wall })
+  const id = requestId(submission.workspace, submission.key)
+  transaction.log('request-accepted', id, { kind: submission.kind })
+  arrive(transaction, transaction.record(id)!)
+}
+
+function requestCancel (transaction: Transaction, record: RequestRecord): void {
+  transaction.log('request-cancel-requested', record.id)
+  const run = transaction.state.runs.get(record.id)
+  if (run === undefined) {
+    return endPending(transaction, record.id, 'cancelled', { code: 'cancelled-by-caller', detail: 'Cancelled while it waited.' })
+  }
+  transaction.stage({ type: 'cancel-requested', id: record.id, at: transaction.at.wall })
+  stopRun(transaction, run, 'cancelled')
+}
+
+function waiterOf (transaction: Transaction, event: Event<'submit'>): Waiter {
+  const { monotonic, wall } = transaction.at
+  const patience = Math.min(COMMIT_PATIENCE_MILLISECONDS, event.submission.deadline - wall)
+  return { call: event.call, until: event.waitUntil, commitBy: monotonic + Math.max(patience, 0) }
+}
+
+function wait (transaction: Transaction, id: RequestId, waiter: Waiter): void {
+  const waiters = transaction.state.waiters.get(id) ?? List<Waiter>()
+  setWaiters(transaction, id, waiters.push(waiter))
+  transaction.emit({ type: 'wake', at: Math.max(waiter.until, transaction.at.monotonic) })
+}
+
+function setWaiters (transaction: Transaction, id: RequestId, waiters: List<Waiter>): void {
+  const all = transaction.state.waiters
+  transaction.set({ waiters: waiters.isEmpty() ? all.delete(id) : all.set(id, waiters) })
+}
+
+/** True where the waiter was answered. A change that is staged is waited for, so that no call is told less than it caused. */
+function answerWaiter (transaction: Transaction, id: RequestId, waiter: Waiter): boolean {
+  const { committed, ledger } = transaction.state
+  const record = committed.get(id)
+  const due = waiter.until <= transaction.at.monotonic
+  if (record === undefined) return ledger.has(id) ? false : refuseUnknown(transaction, waiter.call)
+  const settled = isTold(record) || (due && ledger.get(id) === record) || waiter.commitBy <= transaction.at.monotonic
+  if (settled) transaction.tell(waiter.call, record)
+  return settled
+}
+
+function refuseUnknown (transaction: Transaction, call: CallId): true {
+  transaction.refuse(call, new CornelgaugeError('unknown-request'))
+  return true
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+/** The owner of a cell. */
+export * from './effect.js'
+export * from './event.js'
+export * from './limits.js'
+export * from './policy-settings.js'
+export * from './state.js'
+export * from './step.js'
--- /dev/null
+++ b/packages/scheduler/src/job.ts
@@ -0,0 +1,18 @@
+/** Requests as the policy sees them. */
+import type { RequestRecord } from '@cornelgauge/model'
+import type { Job } from '@cornelgauge/policy'
+
+/** The policy's view of a request in the ledger. */
+export function jobOf (record: RequestRecord): Job {
+  const { submission } = record
+  return {
+    id: record.id,
+    workspace: submission.workspace,
+    kind: submission.kind,
+    shape: submission.shape,
+    arrivedAt: record.acceptedAt,
+    deadline: submission.deadline,
+    declaredMilliseconds: submission.declaredMilliseconds,
+    attempts: record.attempts
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/servers.ts
@@ -0,0 +1,257 @@
+/**
+ * Backend servers: found through the VM list, followed by long polls, suspected at
+ * the first silence, and given up after a longer one.
+ */
+import type { BackendServerName, RequestId } from '@cornelgauge/model'
+import type { ExecutionReport } from '@cornelgauge/platform'
+import { List } from 'immutable'
+import type { ListedServer, OwnerEvent } from './event.js'
+import { jobOf } from './job.js'
+import { INQUIRY_INTERVAL_MILLISECONDS, SERVER_LOST_MILLISECONDS, WATCH_RETRY_MILLISECONDS, WATCH_WAIT_MILLISECONDS } from './limits.js'
+import { acknowledge, executionOf, isLive, releaseGang } from './runs.js'
+import { giveUpDoubted, memberLost, memberReported } from './settlement.js'
+import type { Run, ServerState } from './state.js'
+import type { Transaction } from './transaction.js'
+
+type Event<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
+
+/** Takes in the VM list: new backend servers, leaving ones, and those no longer listed. */
+export function serversListed (transaction: Transaction, event: Event<'servers'>): void {
+  for (const listed of event.servers) listServer(transaction, listed)
+  const names = new Set(event.servers.map(listed => listed.description.name))
+  for (const server of transaction.state.servers.values()) {
+    if (!names.has(server.description.name) && server.listed) transaction.setServer({ ...server, listed: false })
+  }
+}
+
+/** Takes in what a watch brought, and watches again. */
+export function watched (transaction: Transaction, event: Event<'watched'>): void {
+  const before = transaction.state.servers.get(event.server)
+  if (before === undefined) return
+  const { answer } = event
+  if (before.incarnation !== undefined && before.incarnation !== answer.incarnation) forgetIncarnation(transaction, event.server)
+  const status = answer.leaving ? 'leaving' : 'live'
+  const server: ServerState = { ...before, status, incarnation: answer.incarnation, cursor: answer.cursor, heardAt: transaction.at.monotonic, watchAt: undefined }
+  transaction.setServer(server)
+  if (status !== before.status) STATUS_CHANGES[status](transaction, server, before)
+  takeReports(transaction, event.server, answer.reports)
+  if (before.incarnation !== answer.incarnation) reconcile(transaction, event.server)
+  watch(transaction, event.server)
+}
+
+/** Takes in that a watch failed: no new work there until it is heard again. */
+export function watchFailed (transaction: Transaction, event: Event<'watch-failed'>): void {
+  const server = transaction.state.servers.get(event.server)
+  if (server === undefined) return
+  const watchAt = transaction.at.monotonic + WATCH_RETRY_MILLISECONDS
+  transaction.setServer({ ...server, status: server.status === 'live' ? 'suspect' : server.status, watchAt })
+  transaction.emit({ type: 'wake', at: watchAt })
+  if (server.status !== 'live') return
+  transaction.log('server-suspected', undefined, { server: event.server, code: event.code })
+  transaction.tellPolicy({ type: 'server-leaving', server: event.server, at: transaction.at.wall })
+}
+
+/** Takes in reports that answer a command. */
+export function reported (transaction: Transaction, event: Event<'reports'>): void {
+  takeReports(transaction, event.server, event.reports)
+}
+
+/** Takes in that a command had no good answer: what it did is not known, so the members are fenced. */
+export function commandFailed (transaction: Transaction, event: Event<'command-failed'>): void {
+  for (const execution of event.executions) {
+    const run = transaction.state.runs.get(execution.request)
+    if (run === undefined || run.attempt !== execution.attempt) continue
+    if (run.phase === 'preparing') releaseGang(transaction, run)
+    else if (event.command === 'prepare' || event.command === 'go') inquire(transaction, run)
+  }
+}
+
+/** Watches again where a pause is over, gives up silent backend servers, and asks again about runs that hang. */
+export function followServers (transaction: Transaction): void {
+  for (const server of transaction.state.servers.values()) followServer(transaction, server)
+  for (const run of transaction.state.runs.values()) followRun(transaction, run)
+}
+
+function listServer (transaction: Transaction, listed: ListedServer): void {
+  const { name } = listed.description
+  const known = transaction.state.servers.get(name)
+  if (known === undefined) return addServer(transaction, listed)
+  if (!known.listed) transaction.setServer({ ...known, listed: true })
+  if (listed.leaving && known.status === 'live') {
+    transaction.setServer({ ...known, status: 'leaving' })
+    markLeaving(transaction, known)
+  }
+}
+
+function addServer (transaction: Transaction, listed: ListedServer): void {
+  transaction.setServer({
+    description: listed.description,
+    status: 'new',
+    listed: true,
+    incarnation: undefined,
+    cursor: 0,
+    heardAt: transaction.at.monotonic,
+    acknowledge: List(),
+    watchAt: undefined
+  })
+  watch(transaction, listed.description.name)
+}
+
+function markLeaving (transaction: Transaction, server: ServerState): void {
+  transaction.log('server-leaving', undefined, { server: server.description.name })
+  transaction.tellPolicy({ type: 'server-leaving', server: server.description.name, at: transaction.at.wall })
+}
+
+type StatusChange = (transaction: Transaction, server: ServerState, before: ServerState) => void
+
+const STATUS_CHANGES: Readonly<Record<'live' | 'leaving', StatusChange>> = {
+  live (transaction, server) {
+    transaction.log('server-joined', undefined, { server: server.description.name })
+    transaction.tellPolicy({ type: 'server-joined', server: server.description, at: transaction.at.wall })
+    countRecoveredRuns(transaction)
+  },
+  leaving (transaction, server, before) {
+    if (before.status === 'new') transaction.tellPolicy({ type: 'server-joined', server: server.description, at: transaction.at.wall })
+    markLeaving(transaction, server)
+    countRecoveredRuns(transaction)
+  }
+}
+
+/** Tells the policy of recovered runs once all their backend servers are known. */
+function countRecoveredRuns (transaction: Transaction): void {
+  for (const run of transaction.state.runs.values()) {
+    const record = transaction.record(run.id)
+    const members = record?.assignment?.members
+    if (run.inPolicy || members === undefined || !['starting', 'running', 'stopping'].includes(run.phase)) continue
+    if (!members.every(member => isJoined(transaction, member.server))) continue
+    transaction.tellPolicy({ type: 'job-started', job: jobOf(record!), members, at: transaction.at.wall })
+    transaction.setRun({ ...run, inPolicy: true })
+  }
+}
+
+function isJoined (transaction: Transaction, name: BackendServerName): boolean {
+  const status = transaction.state.servers.get(name)?.status
+  return status === 'live' || status === 'leaving'
+}
+
+function takeReports (transaction: Transaction, server: BackendServerName, reports: readonly ExecutionReport[]): void {
+  for (const report of reports) {
+    const run = transaction.state.runs.get(report.request)
+    if (run !== undefined && run.attempt === report.attempt) memberReported(transaction, run, server, report)
+    else takeOrphan(transaction, server, report)
+  }
+}
+
+type OrphanRule = (transaction: Transaction, server: BackendServerName, report: ExecutionReport) => void
+
+const acknowledgeOrphan: OrphanRule = (transaction, server, report) => {
+  acknowledge(transaction, server, { request: report.request, attempt: report.attempt })
+}
+
+const stopOrphan: OrphanRule = (transaction, server, report) => {
+  transaction.log('execution-orphaned', report.request, { server, attempt: report.attempt, state: report.state })
+  transaction.command(server, { name: report.state === 'running' ? 'stop' : 'fence', executions: [{ request: report.request, attempt: report.attempt }] })
+}
+
+/** What to do about an execution that no run of this owner follows. */
+const ORPHANS: Readonly<Record<ExecutionReport['state'], OrphanRule>> = {
+  prepared: stopOrphan,
+  running: stopOrphan,
+  finished: acknowledgeOrphan,
+  failed: acknowledgeOrphan,
+  stopped: acknowledgeOrphan,
+  lapsed: acknowledgeOrphan,
+  'never-started': () => {}
+}
+
+function takeOrphan (transaction: Transaction, server: BackendServerName, report: ExecutionReport): void {
+  ORPHANS[report.state](transaction, server, report)
+}
+
+/** After the first word of a backend server's life: asks about members it did not name, and gives up those of an earlier life. */
+function reconcile (transaction: Transaction, name: BackendServerName): void {
+  const incarnation = transaction.state.servers.get(name)!.incarnation
+  for (const run of transaction.state.runs.values()) {
+    const member = run.members.get(name)
+    if (member === undefined || (!isLive(member) && member.state !== 'lost')) continue
+    const started = transaction.record(run.id)?.assignment?.members.find(candidate => candidate.server === name)
+    const earlierLife = started?.incarnation !== undefined && started.incarnation !== incarnation
+    if (earlierLife) memberLost(transaction, run, name)
+    else if (member.state !== 'running') transaction.command(name, { name: 'fence', executions: [executionOf(run)] })
+  }
+}
+
+/** A backend server that has restarted knows nothing of what ran there before. */
+function forgetIncarnation (transaction: Transaction, name: BackendServerName): void {
+  loseMembers(transaction, name)
+  transaction.tellPolicy({ type: 'server-lost', server: name, at: transaction.at.wall })
+  const server = transaction.state.servers.get(name)!
+  transaction.setServer({ ...server, status: 'new', cursor: 0, acknowledge: List() })
+}
+
+function loseMembers (transaction: Transaction, name: BackendServerName): void {
+  for (const id of runsOn(transaction, name)) {
+    const run = transaction.state.runs.get(id)
+    if (run !== undefined) memberLost(transaction, run, name)
+  }
+}
+
+function runsOn (transaction: Transaction, name: BackendServerName): readonly RequestId[] {
+  return transaction.state.runs.filter(run => run.members.has(name)).keySeq().toArray()
+}
+
+function watch (transaction: Transaction, name: BackendServerName): void {
+  const server = transaction.state.servers.get(name)!
+  transaction.setServer({ ...server, acknowledge: List(), watchAt: undefined })
+  transaction.emit({
+    type: 'watch',
+    server: name,
+    after: server.cursor,
+    waitMilliseconds: server.status === 'new' ? 0 : WATCH_WAIT_MILLISECONDS,
+    leaseMilliseconds: transaction.state.document.times.taskLeaseMilliseconds,
+    acknowledged: server.acknowledge.toArray()
+  })
+}
+
+function followServer (transaction: Transaction, server: ServerState): void {
+  const { name } = server.description
+  const { monotonic } = transaction.at
+  const silent = monotonic - server.heardAt >= SERVER_LOST_MILLISECONDS
+  if (silent && server.status !== 'lost') loseServer(transaction, server)
+  if (!server.listed && transaction.state.servers.get(name)?.status === 'lost') return removeServer(transaction, name)
+  if (server.watchAt !== undefined && server.watchAt <= monotonic) watch(transaction, name)
+}
+
+function loseServer (transaction: Transaction, server: ServerState): void {
+  transaction.log('server-lost', undefined, { server: server.description.name })
+  transaction.setServer({ ...server, status: 'lost' })
+  loseMembers(transaction, server.description.name)
+  transaction.tellPolicy({ type: 'server-lost', server: server.description.name, at: transaction.at.wall })
+}
+
+/** A backend server that is gone for good takes its secrets with it. */
+function removeServer (transaction: Transaction, name: BackendServerName): void {
+  for (const id of runsOn(transaction, name)) {
+    const run = transaction.state.runs.get(id)!
+    if (transaction.record(id)?.state === 'unknown') giveUpDoubted(transaction, run)
+  }
+  transaction.set({ servers: transaction.state.servers.delete(name) })
+}
+
+function followRun (transaction: Transaction, run: Run): void {
+  const due = run.inquiredAt + INQUIRY_INTERVAL_MILLISECONDS <= transaction.at.monotonic
+  if (!due) return
+  const hanging = run.phase === 'starting' || run.phase === 'stopping' || run.members.some(member => member.state === 'asked')
+  if (hanging && ['starting', 'running', 'stopping'].includes(run.phase)) inquire(transaction, run)
+  if (run.phase === 'preparing') releaseGang(transaction, run)
+}
+
+/** Asks the backend servers of members that may still run: one that has not started is fenced, one to be stopped is stopped. */
+function inquire (transaction: Transaction, run: Run): void {
+  transaction.setRun({ ...run, inquiredAt: transaction.at.monotonic })
+  for (const [server, member] of run.members) {
+    if (!isLive(member) || !transaction.state.servers.has(server)) continue
+    const stop = run.phase === 'stopping' && member.state === 'running'
+    if (stop || member.state !== 'running') transaction.command(server, { name: stop ? 'stop' : 'fence', executions: [executionOf(run)] })
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/state.ts
@@ -0,0 +1,179 @@
+/**
+ * The state of the owner of a cell: one immutable value.
+ */
+import { emptyLedger, hasEnded, type Ledger, type Transition } from '@cornelgauge/coordination'
+import type { EnvironmentDocument } from '@cornelgauge/environment'
+import type { BackendServerName, CellName, DocumentVersion, Epoch, Member, RequestId, RequestRecord, SequenceNumber, VmName } from '@cornelgauge/model'
+import type { ExecutionId, ExecutionReport } from '@cornelgauge/platform'
+import { createPolicy, type PolicyState, type ServerDescription } from '@cornelgauge/policy'
+import { List, Map as ImmutableMap } from 'immutable'
+import type { CallId } from './event.js'
+import { policySettings } from './policy-settings.js'
+
+/** A transition that waits for its commit. */
+export interface Staged {
+  readonly transition: Transition
+}
+
+/** The journal row that is being written. */
+export interface Batch {
+  readonly sequence: SequenceNumber
+  readonly transitions: readonly Transition[]
+  /** The ledger once the row is committed. */
+  readonly ledger: Ledger
+  /** True once the table service failed to answer. */
+  readonly delayed: boolean
+}
+
+/** A call that waits on a request. Times are monotonic. */
+export interface Waiter {
+  readonly call: CallId
+  /** When it is told whatever is committed. */
+  readonly until: number
+  /** When a submission that is still not committed is given up. */
+  readonly commitBy: number
+}
+
+/** Where one member of a run stands. */
+export interface MemberState {
+  readonly state: 'asked' | 'prepared' | 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'never-started' | 'lost'
+  readonly report?: ExecutionReport
+}
+
+/** Phases of a run, in the order in which they come. */
+export type RunPhase = 'preparing' | 'committing' | 'starting' | 'running' | 'stopping' | 'storing' | 'ending'
+
+/** Why a run is being stopped. */
+export type StopReason = 'cancelled' | 'preempted' | 'member-lost' | 'member-failed' | 'member-never-started'
+
+/** One attempt of a request, as this owner follows it. */
+export interface Run {
+  readonly id: RequestId
+  readonly attempt: number
+  readonly phase: RunPhase
+  readonly members: ImmutableMap<BackendServerName, MemberState>
+  readonly stopReason?: StopReason
+  /** False for a run that was recovered and whose servers have not all joined yet. */
+  readonly inPolicy: boolean
+  /** Monotonic time of the last inquiry, so that inquiries are spaced. */
+  readonly inquiredAt: number
+}
+
+/** What the owner knows of a backend server. Times are monotonic. */
+export interface ServerState {
+  readonly description: ServerDescription
+  readonly status: 'new' | 'live' | 'suspect' | 'leaving' | 'lost'
+  readonly listed: boolean
+  readonly incarnation: string | undefined
+  readonly cursor: number
+  readonly heardAt: number
+  readonly acknowledge: List<ExecutionId>
+  /** When to watch again after a failure; undefined while a watch is under way. */
+  readonly watchAt: number | undefined
+}
+
+/** The state of the owner. */
+export interface OwnerState {
+  readonly cell: CellName
+  readonly vm: VmName
+  readonly epoch: Epoch
+  readonly document: EnvironmentDocument
+  readonly documentVersion: DocumentVersion
+  /** What the journal holds; callers are told only of this. */
+  readonly committed: Ledger
+  /** `committed` with the batch and all staged transitions applied; decisions are made on this. */
+  readonly ledger: Ledger
+  readonly batch: Batch | undefined
+  readonly staged: List<Staged>
+  readonly nextSequence: SequenceNumber
+  readonly lastCommitAt: number
+  readonly snapshotSequence: SequenceNumber
+  readonly snapshotUnderWay: boolean
+  readonly policy: PolicyState
+  readonly policyChanged: boolean
+  /** Requests that wait, by id, with their deadline. */
+  readonly waiting: ImmutableMap<RequestId, number>
+  /** Requests that wait for their backoff to pass before the policy sees them again, with that time. */
+  readonly held: ImmutableMap<RequestId, number>
+  /** Attempt numbers used so far, where they are ahead of the ledger's. */
+  readonly tries: ImmutableMap<RequestId, number>
+  /** Members of runs under way, as the policy chose them. */
+  readonly plans: ImmutableMap<RequestId, readonly Member[]>
+  readonly ended: List<RequestId>
+  readonly waiters: ImmutableMap<RequestId, List<Waiter>>
+  readonly runs: ImmutableMap<RequestId, Run>
+  readonly servers: ImmutableMap<BackendServerName, ServerState>
+  readonly startedAt: number
+  readonly leaseValidUntil: number
+  readonly draining: boolean
+  /** True once this owner has given the cell up or lost it. */
+  readonly over: boolean
+}
+
+/** What a new owner starts from. */
+export interface OwnerStart {
+  readonly cell: CellName
+  readonly vm: VmName
+  readonly epoch: Epoch
+  readonly document: EnvironmentDocument
+  readonly documentVersion: DocumentVersion
+  readonly ledger: Ledger
+  readonly nextSequence: SequenceNumber
+  readonly snapshotSequence: SequenceNumber
+  readonly monotonic: number
+  readonly leaseValidUntil: number
+}
+
+/**
+ * The state of an owner that has just recovered its cell. Pending requests wait
+ * again; running ones are followed up with their backend servers.
+ *
+ * @example
+ * const state = createOwner({ ...start, ledger: emptyLedger() })
+ */
+export function createOwner (start: OwnerStart): OwnerState {
+  const records = [...start.ledger.values()]
+  const open = records.filter(record => !hasEnded(record))
+  const pending = open.filter(record => record.state === 'pending')
+  const running = open.filter(record => record.state !== 'pending')
+  const { monotonic, ledger, ...rest } = start
+  return {
+    ...rest,
+    committed: ledger,
+    ledger,
+    batch: undefined,
+    staged: List(),
+    lastCommitAt: -Infinity,
+    snapshotUnderWay: false,
+    policy: createPolicy(policySettings(start.document, start.cell)),
+    policyChanged: true,
+    waiting: ImmutableMap(pending.map(record => [record.id, record.submission.deadline])),
+    held: ImmutableMap(pending.map(record => [record.id, monotonic])),
+    tries: ImmutableMap(running.map(record => [record.id, record.assignment!.attempt])),
+    plans: ImmutableMap(),
+    ended: List(records.filter(hasEnded).sort((one, other) => one.endedAt! - other.endedAt!).map(record => record.id)),
+    waiters: ImmutableMap(),
+    runs: ImmutableMap(running.map(record => [record.id, recoveredRun(record)])),
+    servers: ImmutableMap(),
+    startedAt: monotonic,
+    draining: false,
+    over: false
+  }
+}
+
+/** A state without requests, for tests and examples. */
+export const noRequests = emptyLedger
+
+function recoveredRun (record: RequestRecord): Run {
+  const assignment = record.assignment!
+  const members = assignment.members.map(member => [member.server, { state: 'asked' } as MemberState] as const)
+  return {
+    id: record.id,
+    attempt: assignment.attempt,
+    phase: record.cancelRequested ? 'stopping' : 'running',
+    stopReason: record.cancelRequested ? 'cancelled' : undefined,
+    members: ImmutableMap(members),
+    inPolicy: false,
+    inquiredAt: -Infinity
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/step.ts
@@ -0,0 +1,98 @@
+/**
+ * The owner of a cell as one pure step: (state, event, instant) to (state,
+ * effects). It reads no clock and does no I/O, so every step can be repeated.
+ */
+import { answerWaiters, cancel, read, refuseAllWaiters, submit } from './calls.js'
+import { commitDelayed, commitStaged, committed, dropExpiredSubmissions, snapshotTaken } from './commits.js'
+import type { OwnerEffect } from './effect.js'
+import type { Instant, OwnerEvent } from './event.js'
+import { plan } from './planning.js'
+import { policySettings } from './policy-settings.js'
+import { forgetEnded } from './retention.js'
+import { commandFailed, followServers, reported, serversListed, watched, watchFailed } from './servers.js'
+import { answerStored } from './settlement.js'
+import type { OwnerState } from './state.js'
+import { Transaction } from './transaction.js'
+import { endOverdue, releaseHeld } from './waiting.js'
+
+/** A new state and what is to be done. */
+export interface StepResult {
+  readonly state: OwnerState
+  readonly effects: readonly OwnerEffect[]
+}
+
+/**
+ * Takes one event.
+ *
+ * @example
+ * const { state, effects } = step(before, { type: 'tick' }, { wall: Date.now(), monotonic: performance.now() })
+ */
+export function step (state: OwnerState, event: OwnerEvent, at: Instant): StepResult {
+  if (state.over) return { state, effects: [] }
+  const transaction = new Transaction(state, at)
+  const handle = HANDLERS[event.type] as (transaction: Transaction, event: OwnerEvent) => void
+  handle(transaction, event)
+  if (!transaction.state.over) finishStep(transaction)
+  return transaction.result()
+}
+
+function finishStep (transaction: Transaction): void {
+  plan(transaction)
+  commitStaged(transaction)
+  finishDrain(transaction)
+}
+
+type Handler<Type extends OwnerEvent['type']> = (transaction: Transaction, event: Extract<OwnerEvent, { type: Type }>) => void
+
+const HANDLERS: { readonly [Type in OwnerEvent['type']]: Handler<Type> } = {
+  submit,
+  read,
+  cancel,
+  committed,
+  'commit-delayed': commitDelayed,
+  fenced: stepDown,
+  lease: (transaction, event) => { transaction.set({ leaseValidUntil: event.validUntil }) },
+  reports: reported,
+  'command-failed': commandFailed,
+  watched,
+  'watch-failed': watchFailed,
+  servers: serversListed,
+  'answer-stored': answerStored,
+  document: adoptDocument,
+  'snapshot-taken': snapshotTaken,
+  'snapshot-failed': transaction => { transaction.set({ snapshotUnderWay: false }) },
+  drain: transaction => { transaction.set({ draining: true }) },
+  tick
+}
+
+function tick (transaction: Transaction): void {
+  releaseHeld(transaction)
+  endOverdue(transaction)
+  followServers(transaction)
+  dropExpiredSubmissions(transaction)
+  answerWaiters(transaction, [...transaction.state.waiters.keys()])
+  forgetEnded(transaction)
+  transaction.set({ policyChanged: true })
+}
+
+function adoptDocument (transaction: Transaction, event: Extract<OwnerEvent, { type: 'document' }>): void {
+  if (event.version <= transaction.state.documentVersion) return
+  transaction.set({ document: event.document, documentVersion: event.version })
+  const settings = policySettings(event.document, transaction.state.cell)
+  transaction.tellPolicy({ type: 'settings', settings, at: transaction.at.wall })
+}
+
+function stepDown (transaction: Transaction): void {
+  refuseAllWaiters(transaction)
+  transaction.set({ over: true })
+  transaction.emit({ type: 'stepped-down' })
+}
+
+/** Gives the cell up once nothing waits for its commit. */
+function finishDrain (transaction: Transaction): void {
+  const { draining, batch, staged } = transaction.state
+  if (!draining || batch !== undefined || !staged.isEmpty()) return
+  refuseAllWaiters(transaction)
+  transaction.set({ over: true })
+  transaction.emit({ type: 'drained' })
+}
