Add the environment document: parsing, checks, homes, difference and promotion

A document is read from YAML or JSON and refused with every fault at once, each with its path, rule, line and column. Checks between members run for those that fit the schema, so one faulty member hides no fault elsewhere.

--- a/packages/environment/src/index.ts
+++ b/packages/environment/src/index.ts
@@ -1,2 +1,10 @@
 /** The environment document. */
+export { shapeFitsAnywhere, shapeFitsCell } from './capacity.js'
+export * from './difference.js'
 export * from './document.js'
+export * from './entity-tag.js'
+export { formatFault, type DocumentFault } from './fault.js'
+export * from './home.js'
+export * from './parse.js'
+export * from './promotion.js'
+export * from './succession.js'
--- /dev/null
+++ b/packages/environment/src/parse.ts
@@ -0,0 +1,121 @@
+/**
+ * From the text of an environment document (YAML, or JSON, which YAML holds) to
+ * the typed document, or to every fault at once.
+ */
+import { CornelgaugeError, digestOf, type Digest } from '@cornelgauge/model'
+import { LineCounter, parseDocument as parseYaml, type Document, type Node, type YAMLError } from 'yaml'
+import { checkDocument } from './check.js'
+import type { EnvironmentDocument } from './document.js'
+import { invalidDocument, type DocumentFault } from './fault.js'
+import { cellsOf, documentSchema, SECTION_SCHEMAS, type SectionName, type WrittenDocument } from './schema.js'
+import { asDocumentFault, faultsOfIssue, type LocatedFault } from './schema-fault.js'
+
+/** Longest text that is read. */
+export const MAXIMUM_DOCUMENT_BYTES = 1024 * 1024
+
+const BYTE_ORDER_MARK = '\uFEFF'
+const SECTION_NAMES = Object.keys(SECTION_SCHEMAS) as readonly SectionName[]
+
+/** A document with the text that it came from. */
+export interface ParsedDocument {
+  readonly document: EnvironmentDocument
+  /** SHA-256 of the text's very bytes. */
+  readonly digest: Digest
+  readonly text: string
+}
+
+interface SourceText {
+  readonly tree: Document
+  readonly lines: LineCounter
+  readonly value: unknown
+}
+
+function textFaults (text: string): readonly DocumentFault[] {
+  if (Buffer.byteLength(text) > MAXIMUM_DOCUMENT_BYTES) {
+    return [{ path: '', rule: 'size', detail: `The text is over ${MAXIMUM_DOCUMENT_BYTES} bytes.` }]
+  }
+  if (text.startsWith(BYTE_ORDER_MARK)) {
+    return [{ path: '', rule: 'byte-order-mark', detail: 'The text starts with a byte order mark; save it as plain UTF-8.', line: 1, column: 1 }]
+  }
+  return []
+}
+
+function syntaxFault (problem: YAMLError, lines: LineCounter): DocumentFault {
+  const { line, col } = lines.linePos(problem.pos[0])
+  const rule = problem.code === 'DUPLICATE_KEY' ? 'duplicate-member' : 'syntax'
+  return { path: '', rule, detail: `${problem.message}.`, line, column: col }
+}
+
+/** The position of the nearest part of the text that the path leads to. */
+function positionOf (source: SourceText, path: LocatedFault['path']): { readonly line?: number, readonly column?: number } {
+  for (let length = path.length; length > 0; length -= 1) {
+    const node = source.tree.getIn(path.slice(0, length), true) as Node | undefined
+    if (node?.range != null) {
+      const { line, col } = source.lines.linePos(node.range[0])
+      return { line, column: col }
+    }
+  }
+  return {}
+}
+
+function readTree (text: string): SourceText {
+  const lines = new LineCounter()
+  const tree = parseYaml(text, { lineCounter: lines, prettyErrors: false, uniqueKeys: true })
+  const faults = [...tree.errors, ...tree.warnings].map(problem => syntaxFault(problem, lines))
+  if (faults.length > 0) throw invalidDocument(faults)
+  return { tree, lines, value: tree.toJS() }
+}
+
+/** Reads the text; what the library throws of aliases and depth becomes a fault like any other. */
+function readSource (text: string): SourceText {
+  try {
+    return readTree(text)
+  } catch (thrown) {
+    if (thrown instanceof CornelgaugeError) throw thrown
+    const detail = thrown instanceof Error ? thrown.message : String(thrown)
+    throw invalidDocument([{ path: '', rule: 'syntax', detail: `${detail}.` }])
+  }
+}
+
+/** Each top member that fits its schema, with its value. */
+function soundSections (value: unknown): Partial<WrittenDocument> {
+  if (typeof value !== 'object' || value === null) return {}
+  const members = value as Readonly<Record<string, unknown>>
+  const entries = SECTION_NAMES.flatMap(name => {
+    const result = SECTION_SCHEMAS[name].safeParse(members[name])
+    return result.success ? [[name, result.data]] : []
+  })
+  return Object.fromEntries(entries) as Partial<WrittenDocument>
+}
+
+function complete (written: WrittenDocument): EnvironmentDocument {
+  const workspaces = written.workspaces.map(workspace => ({ ...workspace, cells: cellsOf(workspace, written.cells) }))
+  return { ...written, workspaces }
+}
+
+function faultsOf (value: unknown): readonly LocatedFault[] {
+  const result = documentSchema.safeParse(value, { reportInput: true })
+  const schemaFaults = result.error?.issues.flatMap(faultsOfIssue) ?? []
+  const sections = soundSections(value)
+  const sound = new Set(Object.keys(sections) as SectionName[])
+  return [...schemaFaults, ...checkDocument(sections as WrittenDocument, sound)]
+}
+
+/**
+ * Reads, completes and checks a document.
+ *
+ * @throws CornelgaugeError `invalid-document` with each fault, its path, its rule
+ * and its line in the member `faults`
+ * @example
+ * const { document, digest } = parseDocument(await readFile('hlidka.yaml', 'utf8'))
+ */
+export function parseDocument (text: string): ParsedDocument {
+  const unreadable = textFaults(text)
+  if (unreadable.length > 0) throw invalidDocument(unreadable)
+  const source = readSource(text)
+  const faults = faultsOf(source.value)
+  if (faults.length > 0) {
+    throw invalidDocument(faults.map(fault => ({ ...asDocumentFault(fault), ...positionOf(source, fault.path) })))
+  }
+  return { document: complete(documentSchema.parse(source.value)), digest: digestOf(text), text }
+}
--- /dev/null
+++ b/packages/environment/src/schema.ts
@@ -0,0 +1,105 @@
+/**
+ * The schema of the environment document's text. It is strict: a member that it
+ * does not name is a fault, so that a misspelt one is never passed over.
+ */
+import {
+  cellName, failureDomainName, kindName, rackName, regionName, workspaceName, type CellName
+} from '@cornelgauge/model'
+import { z } from 'zod'
+
+const NAME_PATTERN = /^[a-z][a-z0-9]*(-[a-z0-9]+)*$/
+const MAXIMUM_NAME_LENGTH = 63
+const MAXIMUM_SERVERS_PER_RACK = 1000
+const MAXIMUM_GUARANTEE_COUNT = 10_000
+const MAXIMUM_MILLISECONDS = 30 * 24 * 60 * 60 * 1000
+
+const DEFAULT_RECLAIM_MILLISECONDS = 5_000
+const DEFAULT_RETENTION_MILLISECONDS = 3_600_000
+const DEFAULT_TASK_LEASE_MILLISECONDS = 30_000
+const DEFAULT_MAXIMUM_PENDING = 10_000
+const DEFAULT_MAXIMUM_ATTEMPTS = 3
+const SINGLE_ATTEMPT = 1
+
+const name = z.string().max(MAXIMUM_NAME_LENGTH).regex(NAME_PATTERN)
+const count = z.int().min(1)
+const milliseconds = z.int().min(1).max(MAXIMUM_MILLISECONDS)
+
+const shape = z.strictObject({
+  slots: count.default(1),
+  accelerators: z.int().min(0).default(0),
+  adjacency: z.enum(['server', 'rack', 'neighbouring-racks']).default('server')
+})
+
+const rack = z.strictObject({
+  name: name.transform(rackName),
+  servers: count.max(MAXIMUM_SERVERS_PER_RACK),
+  slotsPerServer: count,
+  acceleratorsPerServer: z.int().min(0).default(0)
+})
+
+const cell = z.strictObject({
+  name: name.transform(cellName),
+  region: name.transform(regionName),
+  failureDomain: name.transform(failureDomainName),
+  racks: z.array(rack).min(1)
+})
+
+const kind = z.strictObject({
+  name: name.transform(kindName),
+  idempotent: z.boolean(),
+  urgent: z.boolean().default(false),
+  checkpointable: z.boolean().default(false),
+  minimumShare: z.number().min(0).max(1).default(0),
+  shape: shape.prefault({}),
+  declaredMilliseconds: milliseconds,
+  maximumAttempts: count.optional()
+}).transform(declared => ({
+  ...declared,
+  maximumAttempts: declared.maximumAttempts ?? (declared.idempotent ? DEFAULT_MAXIMUM_ATTEMPTS : SINGLE_ATTEMPT)
+}))
+
+const guarantee = z.strictObject({
+  shape: shape.prefault({}),
+  count: count.max(MAXIMUM_GUARANTEE_COUNT).default(1)
+})
+
+const workspace = z.strictObject({
+  name: name.transform(workspaceName),
+  weight: z.number().gt(0).default(1),
+  cells: z.array(name.transform(cellName)).min(1).optional(),
+  guarantees: z.array(guarantee).default([]),
+  maximumPending: count.default(DEFAULT_MAXIMUM_PENDING)
+})
+
+const times = z.strictObject({
+  reclaimMilliseconds: milliseconds.default(DEFAULT_RECLAIM_MILLISECONDS),
+  retentionMilliseconds: milliseconds.default(DEFAULT_RETENTION_MILLISECONDS),
+  taskLeaseMilliseconds: milliseconds.default(DEFAULT_TASK_LEASE_MILLISECONDS)
+})
+
+/** The schema of each top member, so that the sound ones can be checked beside faulty ones. */
+export const SECTION_SCHEMAS = {
+  name,
+  generation: count,
+  cells: z.array(cell).min(1),
+  kinds: z.array(kind).min(1),
+  workspaces: z.array(workspace).min(1),
+  times: times.prefault({})
+}
+
+/** Name of a top member of the document. */
+export type SectionName = keyof typeof SECTION_SCHEMAS
+
+/** The schema of the whole document. */
+export const documentSchema = z.strictObject(SECTION_SCHEMAS)
+
+/** A document as its text gives it: a workspace may leave out its cells. */
+export type WrittenDocument = z.output<typeof documentSchema>
+
+/** A workspace as the text gives it. */
+export type WrittenWorkspace = z.output<typeof workspace>
+
+/** Fills in a workspace's cells where the text names none: all cells. */
+export function cellsOf (written: WrittenWorkspace, cells: readonly { readonly name: CellName }[]): readonly CellName[] {
+  return written.cells ?? cells.map(declared => declared.name)
+}
