--- a/packages/platform/src/backend-server.ts
+++ b/packages/platform/src/backend-server.ts
@@ -28,7 +28,11 @@
   readonly checkpoint?: string
 }
 
-/** The states of an execution on its backend server. `never-started` is a promise that it never will. */
+/**
+ * The states of an execution on its backend server. `never-started` is a promise
+ * that it never will; a prepared one whose lease lapses gets it too. `lapsed` is
+ * one whose lease lapsed while it ran, and which was ended for that.
+ */
 export type ExecutionState = 'prepared' | 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'never-started'
 
 /** What a backend server says of one execution. */
@@ -71,6 +75,8 @@
 /**
  * What a backend server does. All calls are idempotent by execution id: a
  * repeated `prepare` of a known one gives its present report and starts nothing.
+ * A batch of preparations is held as a whole or not at all. A call that names an
+ * execution that was never prepared gets `never-started`, and it never will be.
  *
  * Failures: `stale-epoch`, `capacity-taken`, `server-leaving` (for `prepare`), and
  * `unavailable` or `timeout` where no answer came and the effect is not known.
