--- a/packages/platform/src/memory-backend-server.ts
+++ b/packages/platform/src/memory-backend-server.ts
@@ -1,6 +1,7 @@
 /**
  * A backend server in memory, which runs tasks by the clock that is handed in.
  */
+import { randomUUID } from 'node:crypto'
 import { CornelgaugeError, type CellName, type Epoch } from '@cornelgauge/model'
 import type {
   BackendServer, ExecutionId, ExecutionReport, ExecutionState, OwnerClaim, Preparation, WatchAnswer, WatchRequest
@@ -29,6 +30,8 @@
   /** Lease of an execution until the first watch of its cell sets another. */
   readonly leaseMilliseconds?: number
   readonly usageLagMilliseconds?: number
+  /** Tells this life of the backend server from earlier ones. */
+  readonly incarnation?: string
 }
 
 /** The timers of a live execution. */
@@ -59,12 +62,14 @@
   readonly #log = new ExecutionLog()
   readonly #usage: UsageHistory
   readonly #watches: WatchQueue
+  readonly #incarnation: string
   #revision = 0
 
   constructor (options: BackendServerOptions) {
     this.#clock = options.clock ?? systemClock
     this.#capacity = { slots: options.slots, accelerators: options.accelerators }
     this.#defaultLeaseMilliseconds = options.leaseMilliseconds ?? DEFAULT_LEASE_MILLISECONDS
+    this.#incarnation = options.incarnation ?? randomUUID()
     this.#usage = new UsageHistory(options.usageLagMilliseconds ?? DEFAULT_USAGE_LAG_MILLISECONDS)
     this.#watches = new WatchQueue(this.#clock)
     this.faults = new FaultSwitch(this.#clock)
@@ -274,6 +279,7 @@
       reports: this.#changedSince(cell, after).map(reportOf),
       cursor: this.#revision,
       leaving: this.faults.mode === 'leaving',
+      incarnation: this.#incarnation,
       usage: this.#usage.lagging(this.#clock.now())
     }
   }
