--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,15 @@
-export {}
+/** Embeddable coordination parts. */
+export * from './backoff.js'
+export * from './clock.js'
+export * from './document-follower.js'
+export * from './group-committer.js'
+export * from './journal.js'
+export * from './lease.js'
+export * from './owner-row.js'
+export * from './owner-row-change.js'
+export * from './ownership.js'
+export * from './ownership-choice.js'
+export * from './recover.js'
+export * from './retry-budget.js'
+export * from './snapshot.js'
+export * from './store-call.js'
--- /dev/null
+++ b/packages/coordination/src/owner-row.ts
@@ -0,0 +1,165 @@
+/**
+ * The owner row of a cell: one row of the table `cells`, which says who owns the
+ * cell and where its journal begins. It is the only thing that VMs have to agree
+ * on, and the table service's conditional write is what settles it.
+ */
+import { cellName, CornelgaugeError, epoch, sequenceNumber, vmName, type CellName, type Epoch, type SequenceNumber, type VmName } from '@cornelgauge/model'
+import type { Condition, Json, Operation, Row, RowValue, TableService } from '@cornelgauge/platform'
+
+/** The table that holds the owner rows, by cell. */
+export const CELLS_TABLE = 'cells'
+
+/** Who owns a cell, and where its journal begins. */
+export interface OwnerRow {
+  readonly cell: CellName
+  /** The owning VM; null once it has given the cell back. */
+  readonly holder: VmName | null
+  /** `ip:port` where peers reach the holder over the inner protocol. */
+  readonly address: string | null
+  /** Rises by one with each claim. */
+  readonly epoch: Epoch
+  /** Rises by one with each renewal. */
+  readonly renewal: number
+  /** Drawn anew for each claim, so that a claimant can tell its own from another's. */
+  readonly nonce: string
+  /** Object that holds the newest snapshot. */
+  readonly snapshot: string | null
+  /** Sequence of the last journal row in that snapshot; 0 where there is none. */
+  readonly snapshotSequence: SequenceNumber
+  /** First sequence of the journal that the snapshot does not hold. */
+  readonly tail: SequenceNumber
+  /** True once the holder has given the cell back, after its last commit. */
+  readonly released: boolean
+}
+
+/** An owner row with the version that a conditional write names. */
+export interface StoredOwnerRow {
+  readonly row: OwnerRow
+  readonly version: number
+}
+
+/** A cell held under one epoch; what each write of its owner is conditional on. */
+export interface CellClaim {
+  readonly cell: CellName
+  readonly holder: VmName
+  readonly epoch: Epoch
+}
+
+const isText = (value: Json | undefined) => typeof value === 'string'
+const isTextOrNull = (value: Json | undefined) => value === null || isText(value)
+const isCount = (value: Json | undefined) => Number.isSafeInteger(value) && (value as number) >= 0
+const isPosition = (value: Json | undefined) => isCount(value) && (value as number) >= 1
+
+const FIELD_CHECKS: Readonly<Record<keyof OwnerRow, (value: Json | undefined) => boolean>> = {
+  cell: isText,
+  holder: isTextOrNull,
+  address: isTextOrNull,
+  epoch: isPosition,
+  renewal: isCount,
+  nonce: isText,
+  snapshot: isTextOrNull,
+  snapshotSequence: isCount,
+  tail: isPosition,
+  released: value => typeof value === 'boolean'
+}
+
+/**
+ * Reads an owner row, checking each field. Fails with `record-damaged`.
+ *
+ * @example
+ * parseOwnerRow(serializeOwnerRow(row)).epoch === row.epoch // true
+ */
+export function parseOwnerRow (value: RowValue): OwnerRow {
+  const fields = Object.entries(FIELD_CHECKS)
+  const faults = fields.filter(([name, check]) => !check(value[name])).map(([name]) => name)
+  if (faults.length > 0) {
+    throw new CornelgaugeError('record-damaged', { detail: `Owner row with bad fields: ${faults.join(', ')}`, members: { faults } })
+  }
+  return {
+    cell: cellName(value.cell as string),
+    holder: value.holder === null ? null : vmName(value.holder as string),
+    address: value.address as string | null,
+    epoch: epoch(value.epoch as number),
+    renewal: value.renewal as number,
+    nonce: value.nonce as string,
+    snapshot: value.snapshot as string | null,
+    snapshotSequence: sequenceNumber(value.snapshotSequence as number),
+    tail: sequenceNumber(value.tail as number),
+    released: value.released as boolean
+  }
+}
+
+/**
+ * An owner row as the table service keeps it.
+ *
+ * @example
+ * serializeOwnerRow(row).holder // 'praha-1'
+ */
+export function serializeOwnerRow (row: OwnerRow): RowValue {
+  return { ...row }
+}
+
+/**
+ * Reads the owner row of a cell; undefined where nobody ever claimed it.
+ *
+ * @example
+ * const stored = await readOwnerRow(table, cellName('praha'))
+ */
+export async function readOwnerRow (table: TableService, cell: CellName): Promise<StoredOwnerRow | undefined> {
+  const found = await table.read(CELLS_TABLE, cell)
+  return found === undefined ? undefined : storedOwnerRow(found)
+}
+
+/**
+ * Turns a row as read from the table `cells` into an owner row. Fails with `record-damaged`.
+ *
+ * @example
+ * const rows = (await table.range({ table: CELLS_TABLE })).map(storedOwnerRow)
+ */
+export function storedOwnerRow (found: Row): StoredOwnerRow {
+  const row = parseOwnerRow(found.value)
+  if (row.cell !== found.key) throw new CornelgaugeError('record-damaged', { detail: `Owner row of ${row.cell} under key ${found.key}` })
+  return { row, version: found.version }
+}
+
+/**
+ * True while the claim is the one in force. Once false it is false for ever,
+ * because the epoch never falls and a released epoch gets no holder again.
+ *
+ * @example
+ * isInForce({ cell, holder, epoch }, stored.row)
+ */
+export function isInForce (claim: CellClaim, row: OwnerRow | undefined): boolean {
+  return row !== undefined && row.epoch === claim.epoch && row.holder === claim.holder
+}
+
+/**
+ * The condition that fences an owner's writes: they take effect only while its claim is in force.
+ *
+ * @example
+ * await table.write({ conditions: [claimInForce(claim)], operations })
+ */
+export function claimInForce (claim: CellClaim): Condition {
+  return { type: 'fields', table: CELLS_TABLE, key: claim.cell, fields: { epoch: claim.epoch, holder: claim.holder } }
+}
+
+/**
+ * The condition that the owner row is still the one that was read.
+ *
+ * @example
+ * unchangedSince(cell, undefined).type // 'absent'
+ */
+export function unchangedSince (cell: CellName, stored: StoredOwnerRow | undefined): Condition {
+  if (stored === undefined) return { type: 'absent', table: CELLS_TABLE, key: cell }
+  return { type: 'version', table: CELLS_TABLE, key: cell, version: stored.version }
+}
+
+/**
+ * The write of an owner row.
+ *
+ * @example
+ * await table.write({ conditions: [unchangedSince(cell, stored)], operations: [putOwnerRow(next)] })
+ */
+export function putOwnerRow (row: OwnerRow): Operation {
+  return { type: 'put', table: CELLS_TABLE, key: row.cell, value: serializeOwnerRow(row) }
+}
--- /dev/null
+++ b/packages/coordination/src/ownership.ts
@@ -0,0 +1,116 @@
+/**
+ * Claiming, renewing and giving back a cell. The table service's conditional
+ * write settles every race; a claim raises the epoch, and with that fences every
+ * write of the owner before.
+ */
+import { asFailure, epoch, sequenceNumber, type CellName, type VmName } from '@cornelgauge/model'
+import type { TableService } from '@cornelgauge/platform'
+import { changeOwnerRow, type ChangeOutcome } from './owner-row-change.js'
+import { isInForce, putOwnerRow, readOwnerRow, unchangedSince, type CellClaim, type OwnerRow, type StoredOwnerRow } from './owner-row.js'
+import { StoreCaller, type StoreCallOptions } from './store-call.js'
+
+/** Who claims. */
+export interface Claimant {
+  readonly vm: VmName
+  /** `ip:port` where peers reach it over the inner protocol. */
+  readonly address: string
+  /** Never used for another claim. */
+  readonly nonce: string
+}
+
+/** How a claim ended. After `unsettled` it may still take effect; the row then stands unrenewed until it expires. */
+export type ClaimOutcome =
+  | { readonly type: 'claimed', readonly claim: CellClaim, readonly row: OwnerRow, readonly sentAt: number }
+  | { readonly type: 'lost', readonly stored: StoredOwnerRow | undefined }
+  | { readonly type: 'unsettled' }
+
+/** How a renewal ended. `unknown` extends nothing; the next renewal settles it. */
+export type RenewalOutcome =
+  | { readonly type: 'renewed', readonly sentAt: number }
+  | { readonly type: 'lost', readonly row: OwnerRow | undefined }
+  | { readonly type: 'unknown' }
+
+const RENEWAL_TRIES = 3
+
+/**
+ * Claims a cell that is free, on condition that its owner row is still `seen`.
+ * A lost answer is settled by reading back: the row holds the claim's nonce, or
+ * is still as it was (then the same write goes again), or has gone to another.
+ *
+ * @example
+ * const outcome = await claimCell(table, cell, watch.stored, { vm, address, nonce }, options)
+ */
+export async function claimCell (table: TableService, cell: CellName, seen: StoredOwnerRow | undefined, claimant: Claimant, options: StoreCallOptions): Promise<ClaimOutcome> {
+  const caller = new StoreCaller(options)
+  const row = claimedRow(cell, seen?.row, claimant)
+  const claim = { cell, holder: claimant.vm, epoch: row.epoch }
+  const claimed: ClaimOutcome = { type: 'claimed', claim, row, sentAt: options.clock.now() }
+  const transaction = { conditions: [unchangedSince(cell, seen)], operations: [putOwnerRow(row)] }
+  try {
+    while (true) {
+      if (await caller.write(table, transaction) === 'done') return claimed
+      const stored = await caller.persist(() => readOwnerRow(table, cell))
+      if (stored?.row.nonce === claimant.nonce && isInForce(claim, stored.row)) return claimed
+      if (stored?.version !== seen?.version) return { type: 'lost', stored }
+      await caller.backOff()
+    }
+  } catch (failure) {
+    if (caller.aborted) return { type: 'unsettled' }
+    throw failure
+  }
+}
+
+function claimedRow (cell: CellName, before: OwnerRow | undefined, claimant: Claimant): OwnerRow {
+  return {
+    cell,
+    holder: claimant.vm,
+    address: claimant.address,
+    epoch: epoch((before?.epoch ?? 0) + 1),
+    renewal: 0,
+    nonce: claimant.nonce,
+    snapshot: before?.snapshot ?? null,
+    snapshotSequence: before?.snapshotSequence ?? sequenceNumber(0),
+    tail: before?.tail ?? sequenceNumber(1),
+    released: false
+  }
+}
+
+/**
+ * Renews the lease on a cell once. It does not wait out an outage: the next
+ * renewal is as good as this one.
+ *
+ * @example
+ * const outcome = await renewCell(table, claim, clock)
+ * if (outcome.type === 'renewed') lease = confirmRenewal(lease, outcome.sentAt)
+ */
+export async function renewCell (table: TableService, claim: CellClaim, now: () => number): Promise<RenewalOutcome> {
+  for (let tries = 0; tries < RENEWAL_TRIES; tries++) {
+    const sentAt = now()
+    try {
+      const stored = await readOwnerRow(table, claim.cell)
+      if (stored === undefined || !isInForce(claim, stored.row)) return { type: 'lost', row: stored?.row }
+      const row = { ...stored.row, renewal: stored.row.renewal + 1 }
+      await table.write({ conditions: [unchangedSince(claim.cell, stored)], operations: [putOwnerRow(row)] })
+      return { type: 'renewed', sentAt }
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      if (failure.code === 'record-damaged') throw failure
+      if (failure.code !== 'conflict') return { type: 'unknown' }
+    }
+  }
+  return { type: 'unknown' }
+}
+
+/**
+ * Gives a cell back, so that another VM can claim it without waiting for the
+ * lease to expire. Call it after the last commit: from then on the claim is
+ * fenced like that of any former owner.
+ *
+ * @example
+ * await committer.drain()
+ * await releaseCell(table, claim, options)
+ */
+export function releaseCell (table: TableService, claim: CellClaim, options: StoreCallOptions): Promise<ChangeOutcome> {
+  const apply = (row: OwnerRow): OwnerRow => ({ ...row, holder: null, address: null, released: true })
+  return changeOwnerRow(table, claim, { apply, isMade: row => row.released }, options)
+}
--- /dev/null
+++ b/packages/coordination/src/recover.ts
@@ -0,0 +1,83 @@
+/**
+ * Recovery of a cell after a claim: the snapshot that the owner row points at, and
+ * all journal rows from the tail on.
+ *
+ * The claim raised the epoch before anything is read here. Every journal write is
+ * conditional on its owner's epoch, so none of an earlier owner's can land any
+ * more, and what is read is the whole and final history: each write that an
+ * earlier owner left unsettled is either here or will never be.
+ */
+import { CornelgaugeError, sequenceNumber, type SequenceNumber } from '@cornelgauge/model'
+import type { Json } from '@cornelgauge/platform'
+import { journalRange, parseJournalRow, type JournalRow } from './journal.js'
+import { isInForce, readOwnerRow, type CellClaim, type OwnerRow } from './owner-row.js'
+import { decodeSnapshot, type Snapshot, type Stores } from './snapshot.js'
+import { StoreCaller, type StoreCallOptions } from './store-call.js'
+
+/** Journal rows read by one call. */
+export const RECOVERY_PAGE_ROWS = 64
+
+/** What a cell's new owner starts from. */
+export interface Recovery<Content, Entry> {
+  readonly snapshot: Snapshot<Content> | undefined
+  /** Rows after the snapshot, in order. */
+  readonly rows: readonly JournalRow<Entry>[]
+  /** Sequence of the first row that the new owner commits. */
+  readonly nextSequence: SequenceNumber
+}
+
+/**
+ * Recovers a cell under a claim that has taken effect. Fails with `stale-epoch`
+ * where the claim is no longer in force, with `record-damaged` where a row or the
+ * snapshot is missing or malformed, and with `unavailable` once the signal aborts.
+ *
+ * @example
+ * const { snapshot, rows, nextSequence } = await recover({ table, objects }, claim, options)
+ */
+export async function recover<Content extends Json, Entry extends Json> (stores: Stores, claim: CellClaim, options: StoreCallOptions): Promise<Recovery<Content, Entry>> {
+  const caller = new StoreCaller(options)
+  const row = await readOwnRow(stores, claim, caller)
+  try {
+    const snapshot = await readSnapshot<Content>(stores, row, caller)
+    const rows = await readRows<Entry>(stores, row, caller)
+    return { snapshot, rows, nextSequence: sequenceNumber(row.tail + rows.length) }
+  } finally {
+    // A newer owner trims what is being read: then that is the failure to tell, and no damage.
+    if (!caller.aborted) await readOwnRow(stores, claim, caller)
+  }
+}
+
+async function readOwnRow ({ table }: Stores, claim: CellClaim, caller: StoreCaller): Promise<OwnerRow> {
+  const stored = await caller.persist(() => readOwnerRow(table, claim.cell))
+  if (stored === undefined || !isInForce(claim, stored.row)) throw new CornelgaugeError('stale-epoch', { detail: `The claim on ${claim.cell} is no longer in force` })
+  return stored.row
+}
+
+async function readSnapshot<Content extends Json> ({ objects }: Stores, row: OwnerRow, caller: StoreCaller): Promise<Snapshot<Content> | undefined> {
+  const name = row.snapshot
+  if (name === null) return undefined
+  const bytes = await caller.persist(() => objects.get(name))
+  if (bytes === undefined) throw damaged(`Snapshot ${name} is missing`)
+  const snapshot = decodeSnapshot<Content>(bytes)
+  if (snapshot.cell !== row.cell || snapshot.sequence !== row.snapshotSequence) throw damaged(`Snapshot ${name} is another one`)
+  return snapshot
+}
+
+async function readRows<Entry extends Json> ({ table }: Stores, { cell, tail }: OwnerRow, caller: StoreCaller): Promise<readonly JournalRow<Entry>[]> {
+  const rows: JournalRow<Entry>[] = []
+  while (true) {
+    const from = sequenceNumber(tail + rows.length)
+    const page = await caller.persist(() => table.range(journalRange(cell, { from, limit: RECOVERY_PAGE_ROWS })))
+    page.forEach((found, index) => rows.push(checkedRow(parseJournalRow<Entry>(found), from + index)))
+    if (page.length < RECOVERY_PAGE_ROWS) return rows
+  }
+}
+
+function checkedRow<Entry> (row: JournalRow<Entry>, sequence: number): JournalRow<Entry> {
+  if (row.sequence !== sequence) throw damaged(`Journal of ${row.cell} has ${row.sequence} where ${sequence} was expected`)
+  return row
+}
+
+function damaged (detail: string): CornelgaugeError {
+  return new CornelgaugeError('record-damaged', { detail })
+}
