--- /dev/null
+++ b/packages/daemon/src/caller-routes.ts
@@ -0,0 +1,101 @@
+/**
+ * The routes of callers: submit, read and cancel requests of their own workspace.
+ */
+import { hasEnded } from '@cornelgauge/coordination'
+import type { EnvironmentDocument } from '@cornelgauge/environment'
+import { CornelgaugeError, isFinal, type RequestView, type WorkspaceName } from '@cornelgauge/model'
+import { MAXIMUM_BODY_BYTES, type HttpAnswer, type HttpRequest, type Route } from './http-server.js'
+import type { Router, Told } from './router.js'
+import { checkKey, checkWorkspace, parseSubmission } from './submission.js'
+import type { Tokens } from './tokens.js'
+
+const LONGEST_WAIT_MILLISECONDS = 60_000
+const REQUESTS_PATH = '/v1/workspaces/{workspace}/requests'
+
+/** What the routes need. */
+export interface CallerRouteOptions {
+  readonly router: Router
+  readonly tokens: Tokens
+  readonly document: () => EnvironmentDocument
+  readonly wall: () => number
+}
+
+/**
+ * The routes of callers.
+ *
+ * @example
+ * const server = new HttpServer(callerRoutes(options))
+ */
+export function callerRoutes (options: CallerRouteOptions): readonly Route[] {
+  return [
+    { method: 'POST', path: REQUESTS_PATH, answer: request => submit(options, request) },
+    { method: 'GET', path: `${REQUESTS_PATH}/{key}`, answer: request => read(options, request) },
+    { method: 'DELETE', path: `${REQUESTS_PATH}/{key}`, answer: request => cancel(options, request) }
+  ]
+}
+
+async function submit (options: CallerRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
+  const workspace = authorize(options, request)
+  const wait = waitOf(request)
+  const key = checkKey(request.header('idempotency-key'))
+  const text = await request.body(MAXIMUM_BODY_BYTES).catch(withState)
+  const submission = parseSubmission(options.document(), workspace, key, text, options.wall())
+  return answerOf(options, await options.router.submit(submission, wait))
+}
+
+async function read (options: CallerRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
+  const workspace = authorize(options, request)
+  const key = checkKey(request.parameters.key)
+  return answerOf(options, await options.router.read(workspace, key, waitOf(request)))
+}
+
+async function cancel (options: CallerRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
+  const workspace = authorize(options, request)
+  const key = checkKey(request.parameters.key)
+  return answerOf(options, await options.router.cancel(workspace, key))
+}
+
+/** A stranger learns nothing of which workspaces there are. */
+function authorize ({ tokens, document }: CallerRouteOptions, request: HttpRequest): WorkspaceName {
+  const name = request.parameters.workspace!
+  tokens.requireWorkspace(request.header('authorization'), name as WorkspaceName)
+  return checkWorkspace(document(), name)
+}
+
+function withState (thrown: unknown): never {
+  if (thrown instanceof CornelgaugeError) throw new CornelgaugeError(thrown.code, { detail: thrown.message, state: 'not-run', members: thrown.members })
+  throw thrown
+}
+
+function waitOf (request: HttpRequest): number {
+  const text = request.query.get('waitMilliseconds')
+  if (text === null) return 0
+  const wait = Number(text)
+  if (!Number.isInteger(wait) || wait < 0) throw new CornelgaugeError('invalid-request', { detail: 'waitMilliseconds must be a whole number of 0 or more', state: 'not-run' })
+  return Math.min(wait, LONGEST_WAIT_MILLISECONDS)
+}
+
+async function answerOf ({ router }: CallerRouteOptions, told: Told): Promise<HttpAnswer> {
+  const { record } = told
+  const text = await router.answer(told)
+  const isOver = isFinal(record.state) || hasEnded(record)
+  return { status: isOver ? 200 : 202, body: viewOf(told, text) }
+}
+
+function viewOf ({ cell, record, asOf }: Told, answer: string | undefined): RequestView {
+  const { submission } = record
+  return {
+    workspace: submission.workspace,
+    key: submission.key,
+    kind: submission.kind,
+    state: record.state,
+    cell,
+    acceptedAt: new Date(record.acceptedAt).toISOString(),
+    deadline: new Date(submission.deadline).toISOString(),
+    attempts: record.attempts,
+    ...(answer === undefined ? {} : { answer: JSON.parse(answer) as unknown, answerDigest: record.answer!.digest, answerLengthBytes: record.answer!.lengthBytes }),
+    ...(record.reason === undefined ? {} : { reason: record.reason }),
+    ...(record.endedAt === undefined ? {} : { endedAt: new Date(record.endedAt).toISOString() }),
+    ...(asOf === undefined ? {} : { asOf: new Date(asOf).toISOString() })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/cell-host.ts
@@ -0,0 +1,290 @@
+/**
+ * The cells of this VM: watches the owner rows, claims, recovers, renews and hands
+ * over cells, and runs the owners.
+ */
+import {
+  applyTransitions, chooseActions, claimCell, confirmRenewal, emptyLedger, leaseEndsAt, ledgerFromJson, observe, openLease, recover, releaseCell,
+  renewCell, storedOwnerRow, tryRenewal, CELLS_TABLE,
+  type Clock, type OwnershipAction, type Random, type RowWatch, type StoreCallOptions, type Stores, type Transition
+} from '@cornelgauge/coordination'
+import { asFailure, type CellName, type FailureDomainName, type RequestRecord, type SequenceNumber, type VmName } from '@cornelgauge/model'
+import type { Json } from '@cornelgauge/platform'
+import type { Instant, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
+import type { BackendServers } from './backend-servers.js'
+import { CellLoop, type CellEffects } from './cell-loop.js'
+import type { DocumentInForce } from './documents.js'
+import { performEffect, type CellContext } from './effects.js'
+import type { EmitEvent } from './event-sink.js'
+import { OwnedCell } from './owned-cell.js'
+import type { Replies } from './replies.js'
+import type { VmDirectory } from './vm-directory.js'
+
+/** Time between two reads of the owner rows. */
+export const OWNERSHIP_POLL_MILLISECONDS = 500
+
+/** What the host needs. */
+export interface CellHostOptions {
+  readonly vm: VmName
+  readonly failureDomain: FailureDomainName
+  readonly wireAddress: string
+  readonly stores: Stores
+  readonly clock: Clock
+  readonly wall: () => number
+  readonly random: Random
+  readonly nonce: () => string
+  readonly directory: VmDirectory
+  readonly servers: BackendServers
+  readonly replies: Replies
+  readonly emit: EmitEvent
+  readonly documentInForce: () => DocumentInForce | undefined
+  /** Tells a peer that a cell was given up for it. */
+  readonly onReleased: (cell: CellName, to: VmName | null) => void
+}
+
+/** Who owns a cell, as far as this VM knows. */
+export interface KnownOwner {
+  readonly vm: VmName
+  readonly address: string
+  readonly isSelf: boolean
+}
+
+/** Holds the cells of this VM. */
+export class CellHost {
+  readonly #options: CellHostOptions
+  readonly #loop: CellLoop
+  readonly #watches = new Map<CellName, RowWatch>()
+  readonly #owned = new Map<CellName, OwnedCell>()
+  readonly #busy = new Set<CellName>()
+  #leaving = false
+
+  constructor (options: CellHostOptions) {
+    this.#options = options
+    this.#loop = new CellLoop(() => this.#instant(), effects => { this.#perform(effects) })
+  }
+
+  /** The states of the cells that this VM owns. */
+  get states (): readonly OwnerState[] {
+    return [...this.#loop.cells.values()]
+  }
+
+  /** The owner of a cell as last seen; undefined where there is none. */
+  ownerOf (cell: CellName): KnownOwner | undefined {
+    if (this.#owned.get(cell)?.isServing === true) return { vm: this.#options.vm, address: this.#options.wireAddress, isSelf: true }
+    const row = this.#watches.get(cell)?.stored?.row
+    if (row === undefined || row.holder === null || row.address === null || row.holder === this.#options.vm) return undefined
+    return { vm: row.holder, address: row.address, isSelf: false }
+  }
+
+  /** The owner rows as last seen. */
+  get rows (): ReadonlyMap<CellName, RowWatch> {
+    return this.#watches
+  }
+
+  /** Puts an event into the loop of an owned cell; false where this VM does not own it. */
+  put (cell: CellName, event: OwnerEvent): boolean {
+    const owned = this.#owned.get(cell)
+    if (owned?.isServing !== true) return false
+    owned.put(event)
+    return true
+  }
+
+  /** Reads the owner rows, and does what is due. */
+  async refresh (): Promise<void> {
+    const { stores, clock, emit } = this.#options
+    try {
+      const rows = await stores.table.range({ table: CELLS_TABLE })
+      const found = new Map(rows.map(row => [row.key, storedOwnerRow(row)]))
+      for (const { name } of this.#cells()) this.#watches.set(name, observe(this.#watches.get(name), found.get(name), clock.now()))
+    } catch (thrown) {
+      emit('owner-rows-unreadable', { details: { code: asFailure(thrown).code } })
+    }
+  }
+
+  /** Claims, renews and hands over what is due now. */
+  act (): void {
+    const now = this.#options.clock.now()
+    for (const action of chooseActions(this.#view(), now)) this.#actOn(action)
+    for (const owned of this.#owned.values()) this.#listServers(owned)
+  }
+
+  /** Hands the new document to the owned cells. */
+  adopt ({ document, version }: DocumentInForce): void {
+    for (const owned of this.#owned.values()) owned.put({ type: 'document', document, version })
+  }
+
+  /** Begins a planned stop; resolves once no cell is owned. */
+  async leave (): Promise<void> {
+    this.#leaving = true
+    this.act()
+    while (this.#owned.size > 0 || this.#busy.size > 0) {
+      await new Promise<void>(resolve => { this.#options.clock.after(20, resolve) })
+      this.act()
+    }
+  }
+
+  /** Gives up everything at once. */
+  stop (): void {
+    for (const owned of this.#owned.values()) owned.stop()
+  }
+
+  #cells (): readonly { readonly name: CellName, readonly failureDomain: FailureDomainName }[] {
+    return this.#options.documentInForce()?.document.cells ?? []
+  }
+
+  #view (): Parameters<typeof chooseActions>[0] {
+    const { vm, failureDomain, directory } = this.#options
+    const held = new Map([...this.#owned].map(([cell, owned]) => [cell, owned.lease] as const))
+    const cells = this.#cells().map(cell => ({ cell: cell.name, failureDomain: cell.failureDomain }))
+    return { vm, failureDomain, leaving: this.#leaving, cells, watches: this.#watches, candidates: directory.candidates, held, busy: this.#busy }
+  }
+
+  #actOn (action: OwnershipAction): void {
+    this.#busy.add(action.cell)
+    const act = ACTIONS[action.type] as (host: HostActions, action: OwnershipAction) => Promise<void>
+    act(this.#actions, action)
+      .catch(thrown => { this.#options.emit('ownership-failed', { cell: action.cell, details: { action: action.type, code: asFailure(thrown).code, detail: asFailure(thrown).message } }) })
+      .finally(() => { this.#busy.delete(action.cell) })
+  }
+
+  readonly #actions: HostActions = {
+    claim: async ({ cell, watch }) => { await this.#claim(cell, watch) },
+    renew: async ({ cell }) => { await this.#renew(cell) },
+    handOver: async ({ cell, to }) => { await this.#handOver(cell, to) }
+  }
+
+  async #claim (cell: CellName, watch: RowWatch): Promise<void> {
+    const { vm, wireAddress, nonce, stores, emit } = this.#options
+    const abort = new AbortController()
+    const outcome = await claimCell(stores.table, cell, watch.stored, { vm, address: wireAddress, nonce: nonce() }, this.#storeOptions(abort.signal))
+    if (outcome.type !== 'claimed') return emit('cell-claim-lost', { cell, details: { outcome: outcome.type } })
+    emit('cell-claimed', { cell, details: { epoch: outcome.claim.epoch } })
+    const owned = new OwnedCell(outcome.claim, openLease(outcome.sentAt), abort, this.#options.clock, event => {
+      this.#loop.put({ type: 'cell', cell, epoch: outcome.claim.epoch, event })
+    })
+    this.#owned.set(cell, owned)
+    await this.#recover(owned)
+  }
+
+  async #recover (owned: OwnedCell): Promise<void> {
+    const { stores, clock, emit, vm, documentInForce } = this.#options
+    const { cell, epoch } = owned.claim
+    const startedAt = clock.now()
+    try {
+      const { snapshot, rows, nextSequence } = await recover<Json, Json>(stores, owned.claim, this.#storeOptions(owned.signal))
+      const base = snapshot === undefined ? emptyLedger() : ledgerFromJson(snapshot.content as unknown as readonly RequestRecord[])
+      const ledger = applyTransitions(base, rows.flatMap(row => row.entries) as unknown as readonly Transition[])
+      const { document, version } = documentInForce()!
+      const snapshotSequence = (snapshot?.sequence ?? 0) as SequenceNumber
+      const leaseValidUntil = leaseEndsAt(owned.lease)
+      this.#loop.put({ type: 'own', start: { cell, vm, epoch, document, documentVersion: version, ledger, nextSequence, snapshotSequence, monotonic: clock.now(), leaseValidUntil } })
+      owned.serve()
+      emit('cell-recovered', { cell, details: { epoch, rows: rows.length, requests: ledger.size, milliseconds: Math.round(clock.now() - startedAt) } })
+      this.#listServers(owned)
+    } catch (thrown) {
+      emit('cell-recovery-failed', { cell, details: { epoch, code: asFailure(thrown).code, detail: asFailure(thrown).message } })
+      this.#forget(owned)
+    }
+  }
+
+  async #renew (cell: CellName): Promise<void> {
+    const { stores, clock, emit } = this.#options
+    const owned = this.#owned.get(cell)
+    if (owned === undefined) return
+    owned.lease = tryRenewal(owned.lease, clock.now())
+    const outcome = await renewCell(stores.table, owned.claim, () => clock.now())
+    if (outcome.type === 'renewed') {
+      owned.lease = confirmRenewal(owned.lease, outcome.sentAt)
+      owned.put({ type: 'lease', validUntil: leaseEndsAt(owned.lease) })
+    }
+    if (outcome.type === 'unknown') emit('lease-renewal-unknown', { cell })
+    if (outcome.type === 'lost') this.#lose(owned)
+  }
+
+  #lose (owned: OwnedCell): void {
+    this.#options.emit('lease-lost', { cell: owned.claim.cell, details: { epoch: owned.claim.epoch } })
+    owned.put({ type: 'fenced' })
+    if (!owned.isServing) this.#forget(owned)
+  }
+
+  /** Drains the cell, so that nothing staged is lost, and releases its row. */
+  async #handOver (cell: CellName, to: VmName | null): Promise<void> {
+    const { stores, emit, clock, onReleased } = this.#options
+    const owned = this.#owned.get(cell)
+    if (owned === undefined) return
+    const startedAt = clock.now()
+    if (await owned.drain() !== 'drained') return
+    const outcome = await releaseCell(stores.table, owned.claim, this.#storeOptions(owned.signal))
+    emit('cell-released', { cell, details: { epoch: owned.claim.epoch, outcome: outcome.type, to, milliseconds: Math.round(clock.now() - startedAt) } })
+    this.#forget(owned)
+    onReleased(cell, to)
+  }
+
+  #perform ({ cell, epoch, effects, failure }: CellEffects): void {
+    const owned = this.#owned.get(cell)
+    if (owned === undefined || owned.claim.epoch !== epoch) return
+    if (failure !== undefined) this.#options.emit('cell-step-failed', { cell, details: { code: failure.code, detail: failure.message, stack: failure.stack } })
+    const context = this.#context(owned)
+    effects.forEach(effect => { performEffect(context, effect) })
+  }
+
+  #context (owned: OwnedCell): CellContext {
+    const { stores, servers, replies, emit, nonce } = this.#options
+    return {
+      claim: owned.claim,
+      stores,
+      servers,
+      replies,
+      emit,
+      nonce,
+      storeOptions: this.#storeOptions(owned.signal),
+      put: event => { owned.put(event) },
+      wake: at => { owned.wake(at) },
+      onDrained: () => { owned.drained() },
+      onSteppedDown: () => { this.#steppedDown(owned) }
+    }
+  }
+
+  #steppedDown (owned: OwnedCell): void {
+    this.#options.emit('cell-stepped-down', { cell: owned.claim.cell, details: { epoch: owned.claim.epoch } })
+    this.#forget(owned)
+  }
+
+  #forget (owned: OwnedCell): void {
+    owned.stop()
+    const { cell, epoch } = owned.claim
+    if (this.#owned.get(cell) === owned) this.#owned.delete(cell)
+    this.#loop.put({ type: 'disown', cell, epoch })
+  }
+
+  #listServers (owned: OwnedCell): void {
+    const cell = this.#cells().find(candidate => candidate.name === owned.claim.cell)
+    if (cell === undefined || !owned.isServing) return
+    const listed = this.#options.directory.serversOf(cell.failureDomain)
+    for (const { description, address } of listed) this.#options.servers.locate(description.name, address)
+    if (listed.length > 0) owned.put({ type: 'servers', servers: listed })
+  }
+
+  #storeOptions (signal: AbortSignal): StoreCallOptions {
+    const { clock, random, emit } = this.#options
+    return { clock, random, signal, onUnreachable: report => { emit('store-unreachable', { details: { failedTries: report.failedTries, code: report.failure.code } }) } }
+  }
+
+  #instant (): Instant {
+    return { wall: this.#options.wall(), monotonic: this.#options.clock.now() }
+  }
+}
+
+interface HostActions {
+  readonly claim: (action: Extract<OwnershipAction, { type: 'claim' }>) => Promise<void>
+  readonly renew: (action: Extract<OwnershipAction, { type: 'renew' }>) => Promise<void>
+  readonly handOver: (action: Extract<OwnershipAction, { type: 'hand-over' }>) => Promise<void>
+}
+
+type Act<Type extends OwnershipAction['type']> = (actions: HostActions, action: Extract<OwnershipAction, { type: Type }>) => Promise<void>
+
+const ACTIONS: { readonly [Type in OwnershipAction['type']]: Act<Type> } = {
+  claim: (actions, action) => actions.claim(action),
+  renew: (actions, action) => actions.renew(action),
+  'hand-over': (actions, action) => actions.handOver(action)
+}
+
--- /dev/null
+++ b/packages/daemon/src/cell-loop.ts
@@ -0,0 +1,81 @@
+/**
+ * The loop that all owned cells run in: one `most` stream of events, one pure step
+ * each, and the effects handed on.
+ */
+import { asFailure, type CellName, type CornelgaugeError, type Epoch } from '@cornelgauge/model'
+import { createOwner, step, type Instant, type OwnerEffect, type OwnerEvent, type OwnerStart, type OwnerState } from '@cornelgauge/scheduler'
+import { Map as ImmutableMap } from 'immutable'
+import { Inbox } from './inbox.js'
+
+/** What comes into the loop. */
+export type LoopEvent =
+  | { readonly type: 'own', readonly start: OwnerStart }
+  | { readonly type: 'cell', readonly cell: CellName, readonly epoch: Epoch, readonly event: OwnerEvent }
+  | { readonly type: 'disown', readonly cell: CellName, readonly epoch: Epoch }
+
+/** Effects of one cell. */
+export interface CellEffects {
+  readonly cell: CellName
+  readonly epoch: Epoch
+  readonly effects: readonly OwnerEffect[]
+  readonly failure?: CornelgaugeError
+}
+
+type Cells = ImmutableMap<CellName, OwnerState>
+
+interface LoopStep {
+  readonly seed: Cells
+  readonly value: CellEffects | undefined
+}
+
+/** Runs the owners of this VM's cells. */
+export class CellLoop {
+  readonly #inbox = new Inbox<LoopEvent>()
+  readonly #now: () => Instant
+  #cells: Cells = ImmutableMap()
+
+  constructor (now: () => Instant, perform: (effects: CellEffects) => void) {
+    this.#now = now
+    this.#inbox.events
+      .loop((cells: Cells, event: LoopEvent) => this.#step(cells, event), this.#cells)
+      .observe(effects => { if (effects !== undefined) perform(effects) })
+      .catch(() => {})
+  }
+
+  /** The states of all owned cells, for status and metrics. */
+  get cells (): Cells {
+    return this.#cells
+  }
+
+  /** Puts an event into the loop. */
+  put (event: LoopEvent): void {
+    this.#inbox.put(event)
+  }
+
+  #step (cells: Cells, event: LoopEvent): LoopStep {
+    const result = LOOP_HANDLERS[event.type](cells, event as never, this.#now())
+    this.#cells = result.seed
+    return result
+  }
+}
+
+type LoopHandler<Type extends LoopEvent['type']> = (cells: Cells, event: Extract<LoopEvent, { type: Type }>, at: Instant) => LoopStep
+
+const LOOP_HANDLERS: { readonly [Type in LoopEvent['type']]: LoopHandler<Type> } = {
+  own: (cells, { start }, at) => stepCell(cells.set(start.cell, createOwner(start)), start.cell, start.epoch, { type: 'tick' }, at),
+  cell: (cells, { cell, epoch, event }, at) => stepCell(cells, cell, epoch, event, at),
+  disown: (cells, { cell, epoch }) => ({ seed: cells.get(cell)?.epoch === epoch ? cells.delete(cell) : cells, value: undefined })
+}
+
+/** One step of one cell. Events meant for an earlier epoch are left out; a step that throws gives the cell up. */
+function stepCell (cells: Cells, cell: CellName, epoch: Epoch, event: OwnerEvent, at: Instant): LoopStep {
+  const state = cells.get(cell)
+  if (state === undefined || state.epoch !== epoch) return { seed: cells, value: undefined }
+  try {
+    const result = step(state, event, at)
+    return { seed: cells.set(cell, result.state), value: { cell, epoch, effects: result.effects } }
+  } catch (thrown) {
+    const failure = asFailure(thrown)
+    return { seed: cells.delete(cell), value: { cell, epoch, effects: [{ type: 'stepped-down' }], failure } }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/effects.ts
@@ -0,0 +1,145 @@
+/**
+ * Performs the effects of cell owners: a lookup table of handlers. The outcome of
+ * each comes back to the loop as an event.
+ */
+import { commitRow, ledgerToJson, takeSnapshot, type CellClaim, type StoreCallOptions, type Stores } from '@cornelgauge/coordination'
+import { asFailure, type BackendServerName } from '@cornelgauge/model'
+import type { BackendServer, ExecutionId, ExecutionReport, Json } from '@cornelgauge/platform'
+import type { Command, OwnerEffect, OwnerEvent } from '@cornelgauge/scheduler'
+import type { BackendServers } from './backend-servers.js'
+import type { EmitEvent } from './event-sink.js'
+import type { Replies } from './replies.js'
+
+const STORE_RETRY_MILLISECONDS = 1000
+
+/** One cell that this VM owns, and what its effects need. */
+export interface CellContext {
+  readonly claim: CellClaim
+  readonly stores: Stores
+  readonly servers: BackendServers
+  readonly replies: Replies
+  readonly emit: EmitEvent
+  /** Options of calls to the stores; the signal ends with the ownership. */
+  readonly storeOptions: StoreCallOptions
+  readonly nonce: () => string
+  readonly put: (event: OwnerEvent) => void
+  readonly wake: (at: number) => void
+  readonly onDrained: () => void
+  readonly onSteppedDown: () => void
+}
+
+/**
+ * Performs one effect.
+ *
+ * @example
+ * effects.forEach(effect => performEffect(context, effect))
+ */
+export function performEffect (context: CellContext, effect: OwnerEffect): void {
+  const handler = HANDLERS[effect.type] as (context: CellContext, effect: OwnerEffect) => void
+  handler(context, effect)
+}
+
+type Handler<Type extends OwnerEffect['type']> = (context: CellContext, effect: Extract<OwnerEffect, { type: Type }>) => void
+
+const HANDLERS: { readonly [Type in OwnerEffect['type']]: Handler<Type> } = {
+  reply: ({ replies }, { call, reply }) => { replies.settle(call, reply) },
+  commit: (context, effect) => { commit(context, effect) },
+  command: (context, effect) => { command(context, effect.server, effect.command) },
+  watch: (context, effect) => { watch(context, effect) },
+  'store-answer': (context, effect) => { storeAnswer(context, effect) },
+  'delete-answers': (context, effect) => { deleteAnswers(context, effect.objects) },
+  snapshot: (context, effect) => { snapshot(context, effect) },
+  wake: ({ wake }, { at }) => { wake(at) },
+  drained: ({ onDrained }) => { onDrained() },
+  'stepped-down': ({ onSteppedDown }) => { onSteppedDown() },
+  log: ({ emit, claim }, { event, request, details }) => { emit(event, { cell: claim.cell, request, details }) }
+}
+
+async function commit (context: CellContext, effect: Extract<OwnerEffect, { type: 'commit' }>): Promise<void> {
+  const { claim, stores, put, emit, storeOptions } = context
+  const { sequence, transitions } = effect
+  const onUnreachable: StoreCallOptions['onUnreachable'] = report => {
+    storeOptions.onUnreachable?.(report)
+    put({ type: 'commit-delayed', sequence })
+  }
+  const draft = { sequence, entries: transitions as unknown as readonly Json[], nonce: context.nonce() }
+  try {
+    const outcome = await commitRow(stores.table, claim, draft, { ...storeOptions, onUnreachable })
+    if (outcome === 'committed') put({ type: 'committed', sequence })
+    else put({ type: 'fenced' })
+    emit(outcome === 'committed' ? 'journal-committed' : 'journal-fenced', { cell: claim.cell, details: { sequence, transitions: transitions.length } })
+  } catch (thrown) {
+    emit('journal-failed', { cell: claim.cell, details: { sequence, code: asFailure(thrown).code } })
+    put({ type: 'fenced' })
+  }
+}
+
+const EXECUTIONS: { readonly [Name in Command['name']]: (command: Extract<Command, { name: Name }>) => readonly ExecutionId[] } = {
+  prepare: ({ preparations }) => preparations.map(({ request, attempt }) => ({ request, attempt })),
+  go: ({ executions }) => executions,
+  fence: ({ executions }) => executions,
+  stop: ({ executions }) => executions,
+  checkpoint: ({ executions }) => executions
+}
+
+async function command (context: CellContext, name: BackendServerName, wanted: Command): Promise<void> {
+  try {
+    const reports = await send(context.servers.get(name), context.claim, wanted)
+    context.put({ type: 'reports', server: name, reports })
+  } catch (thrown) {
+    const { code } = asFailure(thrown)
+    if (code === 'stale-epoch') return context.put({ type: 'fenced' })
+    const executions = EXECUTIONS[wanted.name](wanted as never)
+    context.emit('server-command-failed', { cell: context.claim.cell, request: executions[0]?.request, details: { server: name, command: wanted.name, code } })
+    context.put({ type: 'command-failed', server: name, command: wanted.name, executions, code })
+  }
+}
+
+function send (server: BackendServer, claim: CellClaim, wanted: Command): Promise<readonly ExecutionReport[]> {
+  const owner = { cell: claim.cell, epoch: claim.epoch }
+  if (wanted.name === 'prepare') return server.prepare(owner, wanted.preparations)
+  return server[wanted.name](owner, wanted.executions)
+}
+
+async function watch (context: CellContext, effect: Extract<OwnerEffect, { type: 'watch' }>): Promise<void> {
+  const { type, server, ...request } = effect
+  const { cell, epoch } = context.claim
+  try {
+    const answer = await context.servers.get(server).watch({ cell, epoch, ...request })
+    context.put({ type: 'watched', server, answer })
+  } catch (thrown) {
+    const { code } = asFailure(thrown)
+    context.put(code === 'stale-epoch' ? { type: 'fenced' } : { type: 'watch-failed', server, code })
+  }
+}
+
+/** Tries until the object stands: the caller is told only after that. */
+async function storeAnswer (context: CellContext, effect: Extract<OwnerEffect, { type: 'store-answer' }>): Promise<void> {
+  const { id, answer, text } = effect
+  const { clock, signal } = context.storeOptions
+  try {
+    await context.stores.objects.put(answer.object!, Buffer.from(text))
+    context.put({ type: 'answer-stored', id, answer })
+  } catch (thrown) {
+    if (signal.aborted) return
+    context.emit('answer-store-failed', { cell: context.claim.cell, request: id, details: { code: asFailure(thrown).code } })
+    clock.after(STORE_RETRY_MILLISECONDS, () => { storeAnswer(context, effect) })
+  }
+}
+
+async function deleteAnswers (context: CellContext, objects: readonly string[]): Promise<void> {
+  for (const object of objects) await context.stores.objects.delete(object).catch(() => {})
+}
+
+async function snapshot (context: CellContext, effect: Extract<OwnerEffect, { type: 'snapshot' }>): Promise<void> {
+  const { claim, stores, storeOptions, put, emit } = context
+  const content = ledgerToJson(effect.ledger) as unknown as Json
+  try {
+    const outcome = await takeSnapshot(stores, claim, { sequence: effect.sequence, content }, storeOptions)
+    put(outcome.type === 'made' ? { type: 'snapshot-taken', sequence: effect.sequence } : { type: 'snapshot-failed' })
+    emit(outcome.type === 'made' ? 'snapshot-taken' : 'snapshot-failed', { cell: claim.cell, details: { sequence: effect.sequence } })
+  } catch (thrown) {
+    emit('snapshot-failed', { cell: claim.cell, details: { sequence: effect.sequence, code: asFailure(thrown).code } })
+    put({ type: 'snapshot-failed' })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operator-routes.ts
@@ -0,0 +1,131 @@
+/**
+ * The routes of operators: the environment document, its promotion, status and the
+ * time line; and the health routes, which need no token.
+ */
+import { ENVIRONMENT_NAMES, formatEntityTag, parseEntityTag, type DocumentHead, type EnvironmentName } from '@cornelgauge/environment'
+import { CornelgaugeError, digest, documentVersion, type DocumentVersion } from '@cornelgauge/model'
+import { z } from 'zod'
+import type { Documents } from './documents.js'
+import { MAXIMUM_BODY_BYTES, MAXIMUM_DOCUMENT_BODY_BYTES, type HttpAnswer, type HttpRequest, type Route } from './http-server.js'
+import type { Tokens } from './tokens.js'
+
+const DOCUMENT_TYPE = 'application/yaml; charset=utf-8'
+const MAXIMUM_EVENTS = 5000
+const DEFAULT_EVENTS = 1000
+/** Stands for a tag that is none of ours, and so matches nothing. */
+const NO_VERSION = documentVersion(0)
+
+/** Which events of the time line are wanted. */
+export interface EventQuery {
+  readonly after: number
+  readonly limit: number
+  readonly request: string | undefined
+  readonly cell: string | undefined
+  readonly vm: string | undefined
+}
+
+/** What the routes need. */
+export interface OperatorRouteOptions {
+  readonly tokens: Tokens
+  readonly documents: Documents
+  readonly vm: string
+  readonly status: () => Promise<unknown>
+  readonly events: (query: EventQuery) => Promise<readonly unknown[]>
+  readonly isReady: () => boolean
+}
+
+/**
+ * The routes of operators.
+ *
+ * @example
+ * const server = new HttpServer(operatorRoutes(options))
+ */
+export function operatorRoutes (options: OperatorRouteOptions): readonly Route[] {
+  const guarded = (answer: (options: OperatorRouteOptions, request: HttpRequest) => Promise<HttpAnswer>) => async (request: HttpRequest) => {
+    options.tokens.requireOperator(request.header('authorization'))
+    return answer(options, request)
+  }
+  return [
+    { method: 'GET', path: '/v1/environment/document', answer: guarded(showDocument) },
+    { method: 'PUT', path: '/v1/environment/document', answer: guarded(applyDocument) },
+    { method: 'POST', path: '/v1/environment/promotion', answer: guarded(promoteDocument) },
+    { method: 'GET', path: '/v1/status', answer: guarded(async ({ status }) => ({ status: 200, body: await status() })) },
+    { method: 'GET', path: '/v1/events', answer: guarded(showEvents) },
+    { method: 'GET', path: '/health/live', answer: async () => ({ status: 200, body: { live: true } }) },
+    { method: 'GET', path: '/health/ready', answer: async () => ({ status: options.isReady() ? 200 : 503, body: { ready: options.isReady() } }) }
+  ]
+}
+
+async function showDocument ({ documents }: OperatorRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
+  const head = await documents.head(environmentOf(request))
+  return { status: 200, body: head.text, headers: { 'content-type': DOCUMENT_TYPE, ...headHeaders(head) } }
+}
+
+async function applyDocument ({ documents, vm }: OperatorRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
+  const environment = environmentOf(request)
+  if (environment !== 'trial') throw new CornelgaugeError('forbidden', { detail: 'Production takes only what was in force in trial: promote it' })
+  const expected = expectedVersion(request)
+  const head = await documents.apply(await request.body(MAXIMUM_DOCUMENT_BODY_BYTES), expected, operatorName(vm, request))
+  return changed(environment, head)
+}
+
+const promotionSchema = z.strictObject({ digest: z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in hexadecimal') })
+
+async function promoteDocument ({ documents, vm }: OperatorRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
+  const body = promotionSchema.safeParse(parseJson(await request.body(MAXIMUM_BODY_BYTES)))
+  if (!body.success) throw new CornelgaugeError('invalid-request', { detail: body.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ') })
+  return changed('production', await documents.promote(digest(body.data.digest), operatorName(vm, request)))
+}
+
+async function showEvents ({ events }: OperatorRouteOptions, { query }: HttpRequest): Promise<HttpAnswer> {
+  const found = await events({
+    after: countOf(query, 'after', 0),
+    limit: Math.min(countOf(query, 'limit', DEFAULT_EVENTS), MAXIMUM_EVENTS),
+    request: query.get('request') ?? undefined,
+    cell: query.get('cell') ?? undefined,
+    vm: query.get('vm') ?? undefined
+  })
+  return { status: 200, body: { events: found } }
+}
+
+function changed (environment: EnvironmentName, head: DocumentHead): HttpAnswer {
+  return { status: 200, body: { environment, version: head.version, digest: head.digest }, headers: headHeaders(head) }
+}
+
+function headHeaders (head: DocumentHead): Record<string, string> {
+  return { etag: formatEntityTag(head), 'x-document-version': String(head.version), 'x-document-digest': head.digest }
+}
+
+function environmentOf ({ query }: HttpRequest): EnvironmentName {
+  const given = query.get('environment') ?? 'trial'
+  const name = ENVIRONMENT_NAMES.find(candidate => candidate === given)
+  if (name === undefined) throw new CornelgaugeError('invalid-request', { detail: `environment must be one of ${ENVIRONMENT_NAMES.join(', ')}` })
+  return name
+}
+
+function expectedVersion (request: HttpRequest): DocumentVersion | undefined {
+  const match = request.header('if-match')
+  if (match !== undefined) return parseEntityTag(match)?.version ?? NO_VERSION
+  if (request.header('if-none-match') === '*') return undefined
+  throw new CornelgaugeError('precondition-required', { detail: 'Name the version that you changed in If-Match, or If-None-Match: * for the first' })
+}
+
+function operatorName (vm: string, request: HttpRequest): string {
+  return request.header('x-operator') ?? `an operator at ${vm}`
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (cause) {
+    throw new CornelgaugeError('malformed-json', { cause })
+  }
+}
+
+function countOf (query: URLSearchParams, name: string, fallback: number): number {
+  const text = query.get(name)
+  if (text === null) return fallback
+  const count = Number(text)
+  if (!Number.isInteger(count) || count < 0) throw new CornelgaugeError('invalid-request', { detail: `${name} must be a whole number of 0 or more` })
+  return count
+}
--- /dev/null
+++ b/packages/daemon/src/status.ts
@@ -0,0 +1,68 @@
+/**
+ * What a VM tells of itself, and what all of them tell together.
+ */
+import type { OwnerState } from '@cornelgauge/scheduler'
+import type { TableCounts } from './counted-table.js'
+
+/** A cell as its owner sees it. */
+export interface CellStatus {
+  readonly cell: string
+  readonly owner: string
+  readonly epoch: number
+  readonly state: 'serving' | 'draining'
+  readonly sequence: number
+  readonly snapshotSequence: number
+  readonly pending: number
+  readonly running: number
+  readonly requests: number
+  readonly servers: Readonly<Record<string, number>>
+}
+
+/** A VM as it sees itself. */
+export interface VmStatus {
+  readonly vm: string
+  readonly failureDomain: string
+  readonly status: 'ready' | 'not-ready' | 'stopping'
+  readonly documents: { readonly trial: number | null, readonly production: number | null }
+  readonly cells: readonly CellStatus[]
+  readonly memoryBytes: number
+  readonly processorMilliseconds: number
+  readonly uptimeMilliseconds: number
+  readonly table: TableCounts
+}
+
+/** The status of one owned cell. */
+export function cellStatus (state: OwnerState): CellStatus {
+  return {
+    cell: state.cell,
+    owner: state.vm,
+    epoch: state.epoch,
+    state: state.draining ? 'draining' : 'serving',
+    sequence: state.nextSequence - 1,
+    snapshotSequence: state.snapshotSequence,
+    pending: state.waiting.size,
+    running: state.runs.size,
+    requests: state.committed.size,
+    servers: state.servers.countBy(server => server.status).toObject()
+  }
+}
+
+/** Rates of the table service, from its own counters. */
+export interface PlatformStatus {
+  readonly tableWritesPerSecond: number | null
+  readonly tableReadsPerSecond: number | null
+}
+
+/** The status of the whole system. */
+export interface SystemStatus {
+  readonly vms: readonly VmStatus[]
+  readonly cells: readonly CellStatus[]
+  readonly platform: PlatformStatus
+}
+
+/** Puts the VMs' own words together. */
+export function systemStatus (vms: readonly VmStatus[], platform: PlatformStatus): SystemStatus {
+  const sorted = [...vms].sort((one, other) => one.vm < other.vm ? -1 : 1)
+  const cells = sorted.flatMap(vm => vm.cells).sort((one, other) => one.cell < other.cell ? -1 : 1)
+  return { vms: sorted, cells, platform }
+}
--- /dev/null
+++ b/packages/daemon/src/vm-directory.ts
@@ -0,0 +1,93 @@
+/**
+ * What the lagging VM list says: the other entry VMs, since when each is live, and
+ * the backend servers of each failure domain.
+ */
+import type { Candidate } from '@cornelgauge/coordination'
+import { asFailure, backendServerName, rackName, type FailureDomainName, type VmName } from '@cornelgauge/model'
+import type { ListedVm, VmList } from '@cornelgauge/platform'
+import type { ListedServer } from '@cornelgauge/scheduler'
+import type { EmitEvent } from './event-sink.js'
+
+/** Time between two reads of the VM list. */
+export const VM_LIST_POLL_MILLISECONDS = 1000
+
+/** Follows the VM list. */
+export class VmDirectory {
+  readonly #list: VmList
+  readonly #emit: EmitEvent
+  readonly #now: () => number
+  readonly #liveSince = new Map<VmName, number>()
+  #vms: readonly ListedVm[] = []
+  #reachable = true
+
+  constructor (list: VmList, emit: EmitEvent, now: () => number) {
+    this.#list = list
+    this.#emit = emit
+    this.#now = now
+  }
+
+  /** Reads the list once; what was read before stays where it does not answer. */
+  async refresh (): Promise<void> {
+    try {
+      this.#vms = await this.#list.list()
+      this.#noteLive()
+      this.#setReachable(true)
+    } catch (thrown) {
+      this.#setReachable(false, asFailure(thrown).code)
+    }
+  }
+
+  /** The entry VMs, this one among them. */
+  get entryVms (): readonly ListedVm[] {
+    return this.#vms.filter(vm => vm.role === 'entry')
+  }
+
+  /** Backend servers with their addresses. */
+  get backendServers (): readonly ListedVm[] {
+    return this.#vms.filter(vm => vm.role === 'backend-server')
+  }
+
+  /** The entry VMs as candidates for cells. */
+  get candidates (): readonly Candidate[] {
+    return this.entryVms.map(vm => ({
+      vm: vm.name,
+      failureDomain: vm.failureDomain,
+      leaving: vm.status === 'leaving',
+      liveSince: this.#liveSince.get(vm.name) ?? this.#now()
+    }))
+  }
+
+  /** The backend servers of a failure domain, as a cell owner takes them. */
+  serversOf (failureDomain: FailureDomainName): readonly ListedServer[] {
+    const servers = this.backendServers.filter(vm => vm.failureDomain === failureDomain)
+    const racks = [...new Set(servers.map(vm => vm.rack ?? ''))].sort(byNumber)
+    return servers.map(vm => ({
+      description: {
+        name: backendServerName(vm.name),
+        rack: rackName(vm.rack ?? ''),
+        rackPosition: racks.indexOf(vm.rack ?? ''),
+        slots: vm.slots ?? 0,
+        accelerators: vm.accelerators ?? 0
+      },
+      address: vm.address,
+      leaving: vm.status === 'leaving'
+    }))
+  }
+
+  #noteLive (): void {
+    const live = new Set(this.entryVms.filter(vm => vm.status === 'live').map(vm => vm.name))
+    for (const name of this.#liveSince.keys()) if (!live.has(name)) this.#liveSince.delete(name)
+    for (const name of live) if (!this.#liveSince.has(name)) this.#liveSince.set(name, this.#now())
+  }
+
+  #setReachable (reachable: boolean, code?: string): void {
+    if (reachable === this.#reachable) return
+    this.#reachable = reachable
+    this.#emit(reachable ? 'vm-list-reachable' : 'vm-list-unreachable', { details: { code } })
+  }
+}
+
+/** Racks are neighbours by the numbers in their names. */
+function byNumber (one: string, other: string): number {
+  return one.localeCompare(other, 'en', { numeric: true })
+}
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -133,11 +133,16 @@
   if (run.members.size > 1) transaction.log('gang-stopping', run.id, { reason })
   transaction.setRun({ ...run, phase: 'stopping', stopReason: reason, inquiredAt: transaction.at.monotonic })
   for (const [server, member] of run.members) {
-    if (reason === 'preempted') transaction.command(server, { name: 'checkpoint', executions: [executionOf(run)] })
-    if (isLive(member)) transaction.command(server, { name: member.state === 'running' ? 'stop' : 'fence', executions: [executionOf(run)] })
+    if (isLive(member)) transaction.command(server, { name: stopCommand(member, reason), executions: [executionOf(run)] })
   }
 }
 
+/** Preempted work is stopped once its checkpoint has been reported. */
+function stopCommand (member: MemberState, reason: StopReason): 'checkpoint' | 'stop' | 'fence' {
+  if (member.state !== 'running') return 'fence'
+  return reason === 'preempted' ? 'checkpoint' : 'stop'
+}
+
 /** True of a member that may still run or start. */
 export function isLive (member: MemberState): boolean {
   return member.state === 'asked' || member.state === 'prepared' || member.state === 'running'
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -8,7 +8,7 @@
 import type { ExecutionReport } from '@cornelgauge/platform'
 import type { OwnerEvent } from './event.js'
 import { MAXIMUM_ANSWER_BYTES, MAXIMUM_INLINE_ANSWER_BYTES } from './limits.js'
-import { freeCapacity, isLive, releaseGang, stageIntent, stopRun } from './runs.js'
+import { executionOf, freeCapacity, isLive, releaseGang, stageIntent, stopRun } from './runs.js'
 import type { MemberState, Run, RunPhase, StopReason } from './state.js'
 import type { Transaction } from './transaction.js'
 
@@ -63,11 +63,19 @@
   committing: () => {},
   starting: advanceStarted,
   running: advanceStarted,
-  stopping: settle,
+  stopping (transaction, run) {
+    if (run.stopReason === 'preempted') stopCheckpointed(transaction, run)
+    settle(transaction, run)
+  },
   storing: () => {},
   ending: () => {}
 }
 
+function stopCheckpointed (transaction: Transaction, run: Run): void {
+  const ready = run.members.filter(member => member.state === 'running' && member.report?.checkpoint !== undefined)
+  for (const server of ready.keys()) transaction.command(server, { name: 'stop', executions: [executionOf(run)] })
+}
+
 const STOP_REASONS: Readonly<Partial<Record<MemberState['state'], StopReason>>> = {
   failed: 'member-failed',
   lapsed: 'member-lost',
