Add the inner protocol: framed CBOR over TCP with a handshake, liveness and bounds

Daemons need to call each other over links that lose packets and connections that go silent, and a caller must learn whether a lost call may have run. So WireClient never sends anything twice and marks each failure with `sent`; WireServer refuses for load only before a handler has run.

Weighed: large messages as one frame (simple, but a small reply then waits for all of a large one) against parts of 64 KiB taken in turns; the latter is in. Resending inside the client against failing all calls in flight: only the caller knows what may be sent again, so the client fails them.

--- /dev/null
+++ b/packages/wire/src/client.ts
@@ -0,0 +1,104 @@
+/** The calling side of the inner protocol. */
+import { randomBytes } from 'node:crypto'
+import { ClientConnection } from './client-connection.js'
+import type { LogicalClock } from './clock.js'
+import { noTraffic, type TrafficCounts, type WireEventListener, type WireStatistics } from './event.js'
+import { parseAddress } from './handshake.js'
+import { DEFAULT_LIMITS, type WireLimits } from './limits.js'
+import { encodeCall } from './message-codec.js'
+import type { CallBody, PeerIdentity, ReplyBody } from './message.js'
+import { checkSecrets } from './proof.js'
+import { SYSTEM_TIMERS, type Timers } from './timers.js'
+import { connectionLost } from './violation.js'
+
+/** What a client needs. */
+export interface WireClientOptions {
+  readonly identity: PeerIdentity
+  /** The secrets to prove, in the order in which they are tried. */
+  readonly secrets: readonly string[]
+  readonly clock: LogicalClock
+  /** The address that connections leave from. */
+  readonly localAddress?: string
+  readonly onEvent?: WireEventListener
+  readonly limits?: Partial<WireLimits>
+  readonly timers?: Timers
+  readonly randomBytes?: (size: number) => Uint8Array
+}
+
+/** The options with their defaults, as the connections see them. */
+export interface ClientContext extends Required<Omit<WireClientOptions, 'limits' | 'localAddress'>> {
+  readonly localAddress: string | undefined
+  readonly limits: WireLimits
+  readonly traffic: TrafficCounts
+}
+
+/**
+ * Calls peers by their address, over one connection each. Nothing is ever sent
+ * twice: a call whose connection is lost fails, and its caller finds out what
+ * became of it.
+ *
+ * @example
+ * const client = new WireClient({ identity, secrets, clock })
+ * const reply = await client.call('127.0.0.1:7400', { type: 'vm-status' }, 1000)
+ */
+export class WireClient {
+  readonly #context: ClientContext
+  readonly #usable = new Map<string, ClientConnection>()
+  readonly #connections = new Set<ClientConnection>()
+  #isClosed = false
+
+  constructor (options: WireClientOptions) {
+    this.#context = {
+      onEvent: () => {},
+      timers: SYSTEM_TIMERS,
+      randomBytes,
+      ...options,
+      localAddress: options.localAddress,
+      secrets: checkSecrets(options.secrets),
+      limits: { ...DEFAULT_LIMITS, ...options.limits },
+      traffic: noTraffic()
+    }
+  }
+
+  /** Counts for metrics. */
+  get statistics (): WireStatistics {
+    const callsInFlight = [...this.#connections].reduce((sum, connection) => sum + connection.callsInFlight, 0)
+    return { ...this.#context.traffic, connections: this.#connections.size, callsInFlight }
+  }
+
+  /**
+   * Makes one call.
+   *
+   * @throws {CornelgaugeError} `timeout`, `connection-lost` (member `sent`: whether
+   * the peer may have got it), `overloaded`, `body-too-large`, `stranger-refused`,
+   * `protocol-violation`, or `invalid-settings` for a malformed address.
+   */
+  async call (address: string, body: CallBody, timeoutMilliseconds: number): Promise<ReplyBody> {
+    if (this.#isClosed) throw connectionLost('stopped', false)
+    const bytes = encodeCall(body)
+    return await this.#connectionTo(address).call(bytes, timeoutMilliseconds)
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  async close (): Promise<void> {
+    this.#isClosed = true
+    const connections = [...this.#connections]
+    connections.forEach(connection => connection.destroy())
+    await Promise.all(connections.map(connection => connection.closed))
+  }
+
+  #connectionTo (address: string): ClientConnection {
+    const usable = this.#usable.get(address)
+    if (usable !== undefined) return usable
+    parseAddress(address)
+    const connection: ClientConnection = new ClientConnection(address, this.#context, () => this.#retire(address, connection))
+    this.#usable.set(address, connection)
+    this.#connections.add(connection)
+    connection.closed.then(() => this.#connections.delete(connection))
+    return connection
+  }
+
+  #retire (address: string, connection: ClientConnection): void {
+    if (this.#usable.get(address) === connection) this.#usable.delete(address)
+  }
+}
--- /dev/null
+++ b/packages/wire/src/violation.ts
@@ -0,0 +1,41 @@
+/** Failures of the inner protocol, each with the reason as a member. */
+import { CornelgaugeError } from '@cornelgauge/model'
+
+/** What a peer did that the protocol forbids. */
+export type ViolationReason =
+  | 'frame-too-large' | 'empty-frame' | 'truncated-frame' | 'malformed-frame' | 'unknown-frame-type' | 'unexpected-frame'
+  | 'message-too-large' | 'part-out-of-order' | 'handshake-timeout' | 'wrong-version' | 'wrong-proof'
+
+/**
+ * A `protocol-violation` with its reason among the members.
+ *
+ * @example
+ * violation('truncated-frame').members // { reason: 'truncated-frame' }
+ */
+export function violation (reason: ViolationReason, detail?: string): CornelgaugeError {
+  return new CornelgaugeError('protocol-violation', { detail: detail ?? `The peer broke the protocol: ${reason}`, members: { reason } })
+}
+
+/** Why a connection was lost. */
+export type LossReason = 'silence' | 'closed' | 'not-connected' | 'stopped' | 'socket-failure'
+
+/**
+ * A `connection-lost`; `sent` tells whether the call may have reached the peer.
+ *
+ * @example
+ * connectionLost('silence', true).members // { reason: 'silence', sent: true }
+ */
+export function connectionLost (reason: LossReason, sent: boolean, cause?: unknown): CornelgaugeError {
+  const detail = cause instanceof Error ? `The connection was lost: ${cause.message}` : `The connection was lost: ${reason}`
+  return new CornelgaugeError('connection-lost', { detail, members: { reason, sent }, cause })
+}
+
+/**
+ * The same failure with the member `sent`: whether the call may have reached the peer.
+ *
+ * @example
+ * withSent(violation('wrong-proof'), false).members // { reason: 'wrong-proof', sent: false }
+ */
+export function withSent (failure: CornelgaugeError, sent: boolean): CornelgaugeError {
+  return new CornelgaugeError(failure.code, { detail: failure.message, state: failure.state, members: { ...failure.members, sent }, cause: failure.cause })
+}
--- /dev/null
+++ b/packages/wire/test/calls.test.ts
@@ -0,0 +1,277 @@
+import { digestOf, type CornelgaugeError, vmName } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { MAXIMUM_MESSAGE_BYTES, type CallBody, type CallHandler, type ReplyBody } from '../src/index.js'
+import { Bench, CountingClock, SECRET, settle, until, VirtualTimers } from './support.js'
+
+const CALL: CallBody = { type: 'vm-status' }
+const hint = (version: number): CallBody => ({ type: 'document-hint', environment: 'trial', version } as CallBody)
+const status = (value: unknown): ReplyBody => ({ type: 'status', status: value })
+const failureOf = (promise: Promise<unknown>): Promise<CornelgaugeError> =>
+  promise.then(() => { throw new Error('the call did not fail') }, failure => failure)
+
+/** A handler whose replies wait until the test gives them. */
+class HeldReplies {
+  readonly calls: Array<{ body: CallBody, reply: (body: ReplyBody) => void }> = []
+  readonly handle: CallHandler = (_peer, body) => new Promise(resolve => this.calls.push({ body, reply: resolve }))
+}
+
+describe('calls', () => {
+  let bench: Bench
+  beforeEach(() => { bench = new Bench() })
+  afterEach(() => bench.close())
+
+  describe('a call and its reply', () => {
+    it('reaches the handler with its peer and its time limit', async () => {
+      const server = await bench.server(async (peer, body, remaining) => status({ peer, body, remaining }), { timers: new VirtualTimers() })
+      const reply = await bench.client({ timers: new VirtualTimers() }).call(server.address, CALL, 5000)
+      expect(reply).to.deep.equal(status({ peer: { vm: vmName('vm-client') }, body: CALL, remaining: 5000 }))
+    })
+
+    it('finds its own call when replies come crossed', async () => {
+      const held = new HeldReplies()
+      const server = await bench.server(held.handle)
+      const client = bench.client()
+      const replies = [1, 2, 3, 4].map(version => client.call(server.address, hint(version), 5000))
+      await until(() => held.calls.length === 4)
+      for (const call of held.calls.reverse()) call.reply(status(call.body))
+      expect(await Promise.all(replies)).to.deep.equal([1, 2, 3, 4].map(version => status(hint(version))))
+      expect(client.statistics.connections).to.equal(1)
+    })
+
+    it('finds nobody when it comes after the timeout', async () => {
+      const held = new HeldReplies()
+      const timers = new VirtualTimers()
+      const server = await bench.server(held.handle)
+      const client = bench.client({ timers })
+      const first = failureOf(client.call(server.address, hint(1), 500))
+      await until(() => held.calls.length === 1)
+      timers.advance(500)
+      expect(await first).to.deep.include({ code: 'timeout', members: { sent: true } })
+      const second = client.call(server.address, hint(2), 500)
+      await until(() => held.calls.length === 2)
+      held.calls[0]!.reply(status('late'))
+      held.calls[1]!.reply(status('own'))
+      expect(await second).to.deep.equal(status('own'))
+      expect(bench.clientEvents.filter(event => event.type === 'late-reply')).to.have.length(1)
+    })
+
+    it('carries logical times both ways', async () => {
+      const clocks = [new CountingClock(), new CountingClock()]
+      clocks[0]!.time = 1000
+      const server = await bench.server(async () => status(clocks[1]!.time), { clock: clocks[1]! })
+      const reply = await bench.client({ clock: clocks[0]! }).call(server.address, CALL, 5000)
+      expect((reply as { status: number }).status).to.be.greaterThan(1000)
+      expect(clocks[0]!.time).to.be.greaterThan((reply as { status: number }).status)
+    })
+  })
+
+  describe('a handler that fails', () => {
+    it('yields a problem reply and leaves the connection open', async () => {
+      const server = await bench.server(async (_peer, body) => {
+        if (body.type === 'vm-status') throw new TypeError('x is undefined')
+        return status('fine')
+      })
+      const client = bench.client()
+      const reply = await client.call(server.address, CALL, 5000)
+      expect(reply).to.have.nested.property('problem.code', 'internal')
+      expect(await client.call(server.address, hint(1), 5000)).to.deep.equal(status('fine'))
+      expect(client.statistics.connections).to.equal(1)
+      expect(bench.serverEvents.map(event => event.type)).to.include('handler-failed')
+    })
+
+    it('yields a problem reply to a call of an unknown type', async () => {
+      const server = await bench.server(async () => status('fine'))
+      const reply = await bench.client().call(server.address, { type: 'elect' } as unknown as CallBody, 5000)
+      expect(reply).to.have.nested.property('problem.code', 'protocol-violation')
+    })
+  })
+
+  describe('large messages', () => {
+    const text = 'á0123456789'.repeat(700_000)
+
+    it('arrive whole, both ways, while small calls overtake them', async () => {
+      const server = await bench.server(async (_peer, body) => {
+        if (body.type === 'document') return { type: 'answer', text: body.environment }
+        return status('small')
+      })
+      const client = bench.client()
+      const order: string[] = []
+      const large = client.call(server.address, { type: 'document', environment: text }, 60_000)
+        .then(reply => { order.push('large'); return reply })
+      const small = client.call(server.address, CALL, 60_000).then(() => order.push('small'))
+      const [reply] = await Promise.all([large, small])
+      expect(digestOf((reply as { text: string }).text)).to.equal(digestOf(text))
+      expect(order).to.deep.equal(['small', 'large'])
+    })
+
+    it('fail with a typed error before anything is sent if the call is over the limit', async () => {
+      const held = new HeldReplies()
+      const server = await bench.server(held.handle)
+      const environment = 'x'.repeat(MAXIMUM_MESSAGE_BYTES)
+      const failure = await failureOf(bench.client().call(server.address, { type: 'document', environment }, 5000))
+      expect(failure.code).to.equal('body-too-large')
+      expect(failure.members.sent).to.equal(false)
+      expect(held.calls).to.have.length(0)
+    })
+
+    it('become a problem if the reply is over the limit', async () => {
+      const server = await bench.server(async () => ({ type: 'answer', text: 'x'.repeat(MAXIMUM_MESSAGE_BYTES) }))
+      const reply = await bench.client().call(server.address, CALL, 5000)
+      expect(reply).to.have.nested.property('problem.code', 'answer-too-large')
+    })
+
+    it('are refused as overloaded if the server holds too many parts, and the connection lives on', async () => {
+      const server = await bench.server(async () => status('fine'), { limits: { maximumAssemblyBytes: 100_000 } })
+      const client = bench.client()
+      const reply = await client.call(server.address, { type: 'document', environment: text }, 60_000)
+      expect(reply).to.have.nested.property('problem.code', 'overloaded')
+      expect(await client.call(server.address, CALL, 5000)).to.deep.equal(status('fine'))
+      expect(client.statistics.connections).to.equal(1)
+    })
+  })
+
+  describe('backpressure', () => {
+    it('fails a call over the client\'s bound on calls in flight', async () => {
+      const held = new HeldReplies()
+      const server = await bench.server(held.handle)
+      const client = bench.client({ limits: { maximumInFlightCalls: 2 } })
+      const replies = [1, 2].map(version => client.call(server.address, hint(version), 5000))
+      const failure = await failureOf(client.call(server.address, hint(3), 5000))
+      expect(failure).to.deep.include({ code: 'overloaded', members: { sent: false } })
+      await until(() => held.calls.length === 2)
+      held.calls.forEach(call => call.reply(status(call.body)))
+      await Promise.all(replies)
+    })
+
+    it('fails a call over the client\'s bound on buffered bytes', async () => {
+      const server = await bench.server(async () => status('fine'))
+      const client = bench.client({ limits: { maximumBufferedBytes: 1000 } })
+      const failure = await failureOf(client.call(server.address, { type: 'document', environment: 'x'.repeat(1000) }, 5000))
+      expect(failure.code).to.equal('overloaded')
+    })
+
+    it('refuses a call over the server\'s bound without running it', async () => {
+      const held = new HeldReplies()
+      const server = await bench.server(held.handle, { limits: { maximumInFlightCalls: 1 } })
+      const client = bench.client()
+      const first = client.call(server.address, hint(1), 5000)
+      const second = await client.call(server.address, hint(2), 5000)
+      expect(second).to.have.nested.property('problem.code', 'overloaded')
+      expect(held.calls).to.have.length(1)
+      held.calls[0]!.reply(status('fine'))
+      expect(await first).to.deep.equal(status('fine'))
+    })
+  })
+
+  describe('a graceful stop', () => {
+    it('answers what is in flight and takes nothing new', async () => {
+      const held = new HeldReplies()
+      const server = await bench.server(held.handle)
+      const { address } = server
+      const client = bench.client()
+      const inFlight = client.call(address, hint(1), 5000)
+      await until(() => held.calls.length === 1)
+      const closed = server.close(60_000)
+      await settle()
+      const failure = await failureOf(client.call(address, hint(2), 5000))
+      expect(failure).to.deep.include({ code: 'connection-lost', members: { reason: 'not-connected', sent: false } })
+      held.calls[0]!.reply(status('in time'))
+      expect(await inFlight).to.deep.equal(status('in time'))
+      await closed
+      expect(held.calls).to.have.length(1)
+    })
+
+    it('ends after the grace period even if a call is unanswered', async () => {
+      const held = new HeldReplies()
+      const timers = new VirtualTimers()
+      const server = await bench.server(held.handle, { timers })
+      const inFlight = failureOf(bench.client().call(server.address, CALL, 5000))
+      await until(() => held.calls.length === 1)
+      const closed = server.close(1000)
+      await settle()
+      timers.advance(1000)
+      await closed
+      expect(await inFlight).to.deep.include({ code: 'connection-lost', members: { reason: 'closed', sent: true } })
+    })
+
+    it('closes a connection without calls at once', async () => {
+      const server = await bench.server(async () => status('fine'))
+      await bench.client().call(server.address, CALL, 5000)
+      await server.close(60_000)
+      expect(server.statistics.connections).to.equal(0)
+    })
+  })
+
+  describe('an idle connection', () => {
+    it('is closed by the client, and the next call opens another', async () => {
+      const timers = new VirtualTimers()
+      const server = await bench.server(async () => status('fine'))
+      const client = bench.client({ timers, limits: { deadAfterMilliseconds: 1e9 } })
+      await client.call(server.address, CALL, 5000)
+      timers.advance(60_000)
+      await until(() => client.statistics.connections === 0 && server.statistics.connections === 0)
+      expect(await client.call(server.address, CALL, 5000)).to.deep.equal(status('fine'))
+    })
+  })
+
+  describe('secrets', () => {
+    const handle: CallHandler = async () => status('fine')
+    const cases: ReadonlyArray<readonly [string, string[], string[], boolean]> = [
+      ['before the change', ['old'], ['old'], true],
+      ['the server accepts both, the client has the old one', ['new', 'old'], ['old'], true],
+      ['the server accepts both, the client tries the new one first', ['new', 'old'], ['new', 'old'], true],
+      ['the client is ahead of the server', ['old'], ['new', 'old'], true],
+      ['after the change', ['new'], ['new'], true],
+      ['the client was forgotten', ['new'], ['old'], false],
+      ['a stranger guesses', ['new', 'old'], ['guess', 'other guess'], false]
+    ]
+    for (const [name, serverSecrets, clientSecrets, isAccepted] of cases) {
+      it(`${isAccepted ? 'are accepted' : 'are refused'}: ${name}`, async () => {
+        const server = await bench.server(handle, { secrets: serverSecrets })
+        const call = bench.client({ secrets: clientSecrets }).call(server.address, CALL, 5000)
+        if (isAccepted) {
+          expect(await call).to.deep.equal(status('fine'))
+        } else {
+          expect((await failureOf(call)).code).to.equal('stranger-refused')
+          expect(bench.serverEvents.map(event => event.type)).to.include('peer-refused')
+        }
+      })
+    }
+
+    for (const secrets of [[], ['']]) {
+      it(`${JSON.stringify(secrets)} are refused as settings`, () => {
+        expect(() => bench.client({ secrets })).to.throw().with.property('code', 'invalid-settings')
+      })
+    }
+
+    it('never appear in what is reported', async () => {
+      const server = await bench.server(handle, { secrets: ['other-secret'] })
+      await failureOf(bench.client().call(server.address, CALL, 5000))
+      const reported = JSON.stringify([bench.serverEvents, bench.clientEvents])
+      expect(reported).not.to.include(SECRET).and.not.to.include('other-secret')
+    })
+  })
+
+  describe('addresses', () => {
+    for (const address of ['', 'localhost', '127.0.0.1:', '127.0.0.1:0', '127.0.0.1:65536', ':80', '1:2:3']) {
+      it(`refuses ${JSON.stringify(address)}`, async () => {
+        expect((await failureOf(bench.client().call(address, CALL, 100))).code).to.equal('invalid-settings')
+      })
+    }
+
+    it('tells a peer that cannot be reached from one that may have got the call', async () => {
+      const server = await bench.server(async () => status('fine'))
+      const { address } = server
+      await server.close(0)
+      const failure = await failureOf(bench.client().call(address, CALL, 5000))
+      expect(failure).to.deep.include({ code: 'connection-lost' })
+      expect(failure.members.sent).to.equal(false)
+    })
+
+    it('leaves from the local address given', async () => {
+      const server = await bench.server(async () => status('fine'))
+      await bench.client({ localAddress: '127.0.0.9' }).call(server.address, CALL, 5000)
+      expect(bench.serverEvents[0]!.address).to.match(/^127\.0\.0\.9:/)
+    })
+  })
+})
--- /dev/null
+++ b/packages/wire/test/connections.test.ts
@@ -0,0 +1,337 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { vmName, type CornelgaugeError } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { encodeCbor } from '../src/cbor.js'
+import { encodeFrame, type FrameBody } from '../src/frame.js'
+import { decodeReply, encodeCall } from '../src/message-codec.js'
+import { helloProof, welcomeProof } from '../src/proof.js'
+import type { CallBody, CallHandler, ReplyBody, WireServer } from '../src/index.js'
+import { Bench, CountingClock, RawPeer, SECRET, settle, until, VirtualTimers } from './support.js'
+
+const CALL: CallBody = { type: 'vm-status' }
+const CALL_BYTES = encodeCall(CALL)
+const FINE: ReplyBody = { type: 'status', status: 'fine' }
+const fine: CallHandler = async () => FINE
+const failureOf = (promise: Promise<unknown>): Promise<CornelgaugeError> =>
+  promise.then(() => { throw new Error('the call did not fail') }, failure => failure)
+
+const framed = (content: Buffer): Buffer => {
+  const length = Buffer.alloc(4)
+  length.writeUInt32BE(content.length)
+  return Buffer.concat([length, content])
+}
+
+const call = (id: number, fields: object = {}): FrameBody =>
+  ({ type: 'call', id, timeoutMilliseconds: 1000, parts: 0, body: CALL_BYTES, ...fields }) as FrameBody
+const part = (id: number, index: number, fields: object = {}): FrameBody =>
+  ({ type: 'part', id, message: 'call', index, body: Buffer.alloc(10), ...fields }) as FrameBody
+
+describe('connections', () => {
+  let bench: Bench
+  beforeEach(() => { bench = new Bench() })
+  afterEach(() => bench.close())
+
+  const violations = (): unknown[] => bench.serverEvents
+    .flatMap(event => event.type === 'protocol-violation' ? [event.failure.members.reason] : [])
+
+  describe('a peer that breaks the protocol', () => {
+    const frames = (...bodies: FrameBody[]): Buffer => Buffer.concat(bodies.map(body => encodeFrame({ ...body, logicalTime: 1 })))
+    const beforeHello: ReadonlyArray<readonly [string, Buffer, string]> = [
+      ['an HTTP request', Buffer.from('GET / HTTP/1.1\r\nhost: a\r\n\r\n'), 'frame-too-large'],
+      ['a large frame', framed(Buffer.alloc(1025)), 'frame-too-large'],
+      ['an empty frame', Buffer.alloc(4), 'empty-frame'],
+      ['garbage', framed(Buffer.from('not cbor at all')), 'malformed-frame'],
+      ['an unknown type', framed(encodeCbor({ type: 'elect', logicalTime: 1 })), 'unknown-frame-type'],
+      ['a call', frames(call(1)), 'unexpected-frame'],
+      ['a ping', frames({ type: 'ping' }), 'unexpected-frame'],
+      ['a welcome', frames({ type: 'welcome', vm: 'a', proof: Buffer.alloc(32) }), 'unexpected-frame']
+    ]
+    const afterHello: ReadonlyArray<readonly [string, Buffer, string]> = [
+      ['a frame over the limit', framed(Buffer.alloc(70_000)), 'frame-too-large'],
+      ['garbage', framed(Buffer.from('not cbor at all')), 'malformed-frame'],
+      ['an unknown type', framed(encodeCbor({ type: 'elect', logicalTime: 1 })), 'unknown-frame-type'],
+      ['a second hello', frames({ type: 'hello', version: 1, vm: 'a', nonce: Buffer.alloc(32), proof: Buffer.alloc(32) }), 'unexpected-frame'],
+      ['a reply', frames({ type: 'reply', id: 1, parts: 0, body: CALL_BYTES }), 'unexpected-frame'],
+      ['a part of a reply', frames(part(1, 0, { message: 'reply' })), 'unexpected-frame'],
+      ['an id in use', frames(call(1), call(1)), 'unexpected-frame'],
+      ['a part out of order', frames(part(1, 1)), 'part-out-of-order'],
+      ['a part twice', frames(part(1, 0), part(1, 0)), 'part-out-of-order'],
+      ['a call whose parts are missing', frames(part(1, 0), call(1, { parts: 2 })), 'part-out-of-order'],
+      ['a message over the limit', frames(...Array.from({ length: 257 }, (_, index) => part(1, index, { body: Buffer.alloc(65536) }))), 'message-too-large']
+    ]
+
+    const expectOneClosed = async (server: WireServer, send: (peer: RawPeer) => Promise<void>, reason: string): Promise<void> => {
+      const client = bench.client()
+      await client.call(server.address, CALL, 5000)
+      const peer = await bench.raw(server.address)
+      await send(peer)
+      await until(() => peer.isClosed)
+      await until(() => violations().length > 0)
+      expect(violations()).to.deep.equal([reason])
+      expect(await client.call(server.address, CALL, 5000)).to.deep.equal(FINE)
+      expect(client.statistics.connections).to.equal(1)
+    }
+
+    for (const [name, bytes, reason] of beforeHello) {
+      it(`loses its connection and no other: ${name} before the hello`, async () => {
+        const server = await bench.server(fine)
+        await expectOneClosed(server, async peer => { peer.socket.write(bytes) }, reason)
+      })
+    }
+
+    for (const [name, bytes, reason] of afterHello) {
+      it(`loses its connection and no other: ${name} after the hello`, async () => {
+        const server = await bench.server(fine)
+        await expectOneClosed(server, async peer => {
+          await peer.hello()
+          peer.socket.write(bytes)
+        }, reason)
+      })
+    }
+
+    it('loses its connection and no other: a frame truncated by its end', async () => {
+      const server = await bench.server(fine)
+      await expectOneClosed(server, async peer => {
+        await peer.hello()
+        peer.socket.end(encodeFrame({ ...call(1), logicalTime: 1 }).subarray(0, 20))
+      }, 'truncated-frame')
+    })
+
+    it('runs nothing of a call whose last frame is truncated', async () => {
+      let runs = 0
+      const server = await bench.server(async () => { runs += 1; return FINE })
+      const peer = await bench.raw(server.address)
+      await peer.hello()
+      peer.socket.end(encodeFrame({ ...call(1), logicalTime: 1 }).subarray(0, -1))
+      await until(() => peer.isClosed && violations().length > 0)
+      expect(runs).to.equal(0)
+    })
+
+    it('leaves the logical clock alone until it is authenticated', async () => {
+      const clock = new CountingClock()
+      const server = await bench.server(fine, { clock })
+      const peer = await bench.raw(server.address)
+      await peer.receive('challenge')
+      peer.send({ type: 'hello', version: 1, vm: 'a', nonce: Buffer.alloc(32), proof: Buffer.alloc(32) }, 1_000_000)
+      await until(() => peer.isClosed)
+      expect(clock.time).to.be.below(1000)
+    })
+  })
+
+  describe('a stranger', () => {
+    const facts = (serverNonce: Uint8Array) => ({ serverNonce, clientNonce: Buffer.alloc(32, 1), clientVm: vmName('vm-raw') })
+    const cases: ReadonlyArray<readonly [string, (nonce: Uint8Array) => object, string]> = [
+      ['a proof by another secret', nonce => ({ proof: helloProof('guess', facts(nonce)) }), 'stranger-refused'],
+      ['a proof of another nonce', () => ({ proof: helloProof(SECRET, facts(Buffer.alloc(32, 9))) }), 'stranger-refused'],
+      ['a proof for another VM', nonce => ({ vm: 'vm-other', proof: helloProof(SECRET, facts(nonce)) }), 'stranger-refused'],
+      ['the server\'s kind of proof', nonce => ({ proof: welcomeProof(SECRET, facts(nonce), vmName('')) }), 'stranger-refused'],
+      ['a short proof', () => ({ proof: Buffer.alloc(5) }), 'stranger-refused'],
+      ['another version', nonce => ({ version: 2, proof: helloProof(SECRET, facts(nonce)) }), 'protocol-violation']
+    ]
+    for (const [name, fields, code] of cases) {
+      it(`is refused: ${name}`, async () => {
+        const server = await bench.server(fine)
+        const peer = await bench.raw(server.address)
+        const { nonce } = await peer.receive('challenge')
+        peer.send({ type: 'hello', version: 1, vm: 'vm-raw', nonce: Buffer.alloc(32, 1), proof: Buffer.alloc(32), ...fields(nonce) })
+        expect(await peer.receive('refused')).to.include({ code })
+        await until(() => peer.isClosed)
+        expect(bench.serverEvents.map(event => event.type)).to.include('peer-refused').and.not.to.include('connection-opened')
+      })
+    }
+
+    it('cannot pose as the server', async () => {
+      const address = await listen(bench, socket => {
+        const peer = new RawPeer(socket)
+        peer.send({ type: 'challenge', version: 1, nonce: Buffer.alloc(32) })
+        peer.receive('hello').then(() => peer.send({ type: 'welcome', vm: 'vm-server', proof: Buffer.alloc(32) }))
+      })
+      const failure = await failureOf(bench.client().call(address, CALL, 5000))
+      expect(failure.members.reason).to.equal('wrong-proof')
+    })
+  })
+
+  describe('a half-open connection', () => {
+    it('is closed when no hello comes in time', async () => {
+      const timers = new VirtualTimers()
+      const server = await bench.server(fine, { timers })
+      const peer = await bench.raw(server.address)
+      await peer.receive('challenge')
+      timers.advance(1999)
+      await settle()
+      expect(peer.isClosed).to.equal(false)
+      timers.advance(1)
+      await until(() => peer.isClosed)
+      expect(violations()).to.deep.equal(['handshake-timeout'])
+    })
+
+    it('fails its calls as not sent when the server never greets', async () => {
+      const timers = new VirtualTimers()
+      const sockets: Socket[] = []
+      const address = await listen(bench, socket => sockets.push(socket))
+      const reply = failureOf(bench.client({ timers }).call(address, CALL, 5000))
+      await until(() => sockets.length === 1)
+      timers.advance(2000)
+      expect(await reply).to.deep.include({ code: 'connection-lost', members: { reason: 'not-connected', sent: false } })
+    })
+  })
+
+  describe('the connection limit', () => {
+    it('refuses the one too many and serves the others', async () => {
+      const server = await bench.server(fine, { limits: { maximumConnections: 1 } })
+      const client = bench.client()
+      await client.call(server.address, CALL, 5000)
+      expect((await failureOf(bench.client().call(server.address, CALL, 5000))).code).to.equal('overloaded')
+      expect(await client.call(server.address, CALL, 5000)).to.deep.equal(FINE)
+    })
+  })
+
+  describe('silence', () => {
+    it('is broken by pings for as long as the peer answers', async () => {
+      const timers = new VirtualTimers()
+      const server = await bench.server(fine)
+      const client = bench.client({ timers })
+      await client.call(server.address, CALL, 5000)
+      for (let second = 0; second < 10; second += 1) {
+        const { framesReceived } = client.statistics
+        timers.advance(1000)
+        await until(() => client.statistics.framesReceived > framesReceived)
+      }
+      expect(client.statistics.connections).to.equal(1)
+    })
+
+    it('ends the connection and fails every call in flight; a later call opens a fresh one', async () => {
+      const timers = new VirtualTimers()
+      const held: CallBody[] = []
+      const server = await bench.server((_peer, body) => {
+        held.push(body)
+        return held.length > 2 ? fine({ vm: vmName('a') }, body, 0) : new Promise(() => {})
+      })
+      const relay = await silentRelay(bench, server)
+      const client = bench.client({ timers })
+      const failures = [1, 2].map(() => failureOf(client.call(relay.address, CALL, 60_000)))
+      await until(() => held.length === 2)
+      relay.isSilent = true
+      timers.advance(1000)
+      await settle()
+      timers.advance(1999)
+      await settle()
+      expect(client.statistics.callsInFlight).to.equal(2)
+      timers.advance(1)
+      for (const failure of await Promise.all(failures)) {
+        expect(failure).to.deep.include({ code: 'connection-lost', members: { reason: 'silence', sent: true } })
+      }
+      expect(bench.clientEvents.map(event => event.type)).to.include('connection-silent')
+      relay.isSilent = false
+      expect(await client.call(relay.address, CALL, 5000)).to.deep.equal(FINE)
+      expect(held).to.have.length(3)
+    })
+
+    it('tells a call that never left from one that may have arrived', async () => {
+      const timers = new VirtualTimers()
+      const server = await bench.server(() => new Promise(() => {}))
+      const relay = await silentRelay(bench, server)
+      const client = bench.client({ timers })
+      const small = failureOf(client.call(relay.address, CALL, 60_000))
+      await until(() => server.statistics.callsInFlight === 1)
+      relay.isSilent = true
+      relay.pause()
+      const large = failureOf(client.call(relay.address, { type: 'document', environment: 'x'.repeat(16_000_000) }, 60_000))
+      await settle()
+      timers.advance(1000)
+      timers.advance(2000)
+      expect((await small).members.sent).to.equal(true)
+      expect((await large).members.sent).to.equal(false)
+    })
+
+    it('ends the connection at the server too', async () => {
+      const timers = new VirtualTimers()
+      const server = await bench.server(fine, { timers })
+      const peer = await bench.raw(server.address)
+      await peer.hello()
+      timers.advance(1000)
+      await peer.receive('ping')
+      timers.advance(2000)
+      await until(() => peer.isClosed)
+      expect(bench.serverEvents.map(event => event.type)).to.include('connection-silent')
+    })
+  })
+
+  describe('a call withdrawn at its timeout', () => {
+    it('is abandoned by the client, and the server forgets its parts', async () => {
+      const server = await bench.server(fine)
+      const peer = await bench.raw(server.address)
+      await peer.hello()
+      peer.send(part(1, 0))
+      peer.send({ type: 'abandon', id: 1 })
+      peer.send(part(1, 0))
+      peer.send(call(1, { parts: 1, body: Buffer.alloc(0) }))
+      const reply = await peer.receive('reply')
+      expect(decodeReply(Buffer.from(reply.body))).to.have.nested.property('problem.code', 'protocol-violation')
+    })
+  })
+
+  describe('a reply that nobody asked for', () => {
+    it('ends the connection', async () => {
+      const address = await listen(bench, socket => {
+        const peer = new RawPeer(socket)
+        const serverNonce = Buffer.alloc(32)
+        peer.send({ type: 'challenge', version: 1, nonce: serverNonce })
+        peer.receive('hello').then(hello => {
+          const facts = { serverNonce, clientNonce: hello.nonce, clientVm: vmName(hello.vm) }
+          peer.send({ type: 'welcome', vm: 'vm-raw', proof: welcomeProof(SECRET, facts, vmName('vm-raw')) })
+          peer.send({ type: 'reply', id: 99, parts: 0, body: CALL_BYTES })
+        })
+      })
+      const failure = await failureOf(bench.client().call(address, CALL, 5000))
+      expect(failure.code).to.equal('connection-lost')
+      expect(bench.clientEvents.map(event => event.type)).to.include('protocol-violation')
+    })
+  })
+})
+
+async function listen (bench: Bench, accept: (socket: Socket) => void): Promise<string> {
+  const sockets: Socket[] = []
+  const server: Server = createServer(socket => {
+    socket.on('error', () => {})
+    sockets.push(socket)
+    accept(socket)
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  bench.onClose(() => {
+    sockets.forEach(socket => socket.destroy())
+    server.close()
+  })
+  return `127.0.0.1:${(server.address() as { port: number }).port}`
+}
+
+interface Relay {
+  readonly address: string
+  /** While set, bytes from either side vanish and both connections stay open. */
+  isSilent: boolean
+  /** Stops to read what the client sends on its connections so far. */
+  pause (): void
+}
+
+async function silentRelay (bench: Bench, server: WireServer): Promise<Relay> {
+  const [host, port] = server.address.split(':')
+  const { connect } = await import('node:net')
+  const incoming: Socket[] = []
+  const address = await listen(bench, socket => {
+    const onward = connect(Number(port), host)
+    onward.on('error', () => {})
+    bench.onClose(() => onward.destroy())
+    const state = { isCut: false }
+    const forward = (to: Socket) => (bytes: Buffer): void => {
+      state.isCut ||= relay.isSilent
+      if (!state.isCut) to.write(bytes)
+    }
+    socket.on('data', forward(onward))
+    onward.on('data', forward(socket))
+    incoming.push(socket)
+  })
+  const relay: Relay = { address, isSilent: false, pause: () => incoming.forEach(socket => socket.pause()) }
+  return relay
+}
