--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -287,4 +287,3 @@
   renew: (actions, action) => actions.renew(action),
   'hand-over': (actions, action) => actions.handOver(action)
 }
-
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,237 @@
+/**
+ * The daemon: puts the parts together, and starts and stops them in order.
+ */
+import { randomUUID } from 'node:crypto'
+import { seededRandom, systemClock } from '@cornelgauge/coordination'
+import type { EnvironmentDocument, EnvironmentName } from '@cornelgauge/environment'
+import { CornelgaugeError, type CellName, type VmName } from '@cornelgauge/model'
+import { HttpObjectStore, HttpTableService, HttpVmList } from '@cornelgauge/platform'
+import { WireClient, WireServer } from '@cornelgauge/wire'
+import { BackendServers } from './backend-servers.js'
+import { callerRoutes } from './caller-routes.js'
+import { CellHost, OWNERSHIP_POLL_MILLISECONDS } from './cell-host.js'
+import { CountedTable } from './counted-table.js'
+import { Documents, type DocumentInForce } from './documents.js'
+import type { EmitEvent } from './event-sink.js'
+import { HttpServer } from './http-server.js'
+import { operatorRoutes, type EventQuery } from './operator-routes.js'
+import { peerCalls } from './peer-calls.js'
+import { Peers } from './peers.js'
+import { Replies } from './replies.js'
+import { Router } from './router.js'
+import type { Settings } from './settings.js'
+import { cellStatus, systemStatus, type VmStatus } from './status.js'
+import { Telemetry } from './telemetry.js'
+import { Tokens } from './tokens.js'
+import { VmDirectory, VM_LIST_POLL_MILLISECONDS } from './vm-directory.js'
+
+const PLATFORM_TIMEOUT_MILLISECONDS = 2000
+const OBJECT_TIMEOUT_MILLISECONDS = 10_000
+const WIRE_GRACE_MILLISECONDS = 5000
+const HIGHEST_SEED = 0x7fffffff
+
+/** One daemon of one entry VM. */
+export class Daemon {
+  readonly #settings: Settings
+  readonly #telemetry: Telemetry
+  readonly #table: CountedTable
+  readonly #tableClient: HttpTableService
+  readonly #objects: HttpObjectStore
+  readonly #vmList: HttpVmList
+  readonly #directory: VmDirectory
+  readonly #servers: BackendServers
+  readonly #replies = new Replies()
+  readonly #documents: Documents
+  readonly #host: CellHost
+  readonly #wireClient: WireClient
+  readonly #wireServer: WireServer
+  readonly #peers: Peers
+  readonly #http: HttpServer
+  readonly #timers = new Set<NodeJS.Timeout>()
+  #state: 'starting' | 'running' | 'stopping' = 'starting'
+
+  constructor (settings: Settings) {
+    this.#settings = settings
+    this.#telemetry = new Telemetry(settings)
+    const emit = this.#telemetry.emit
+    const localAddress = settings.address.host
+    const client = { timeoutMilliseconds: PLATFORM_TIMEOUT_MILLISECONDS, localAddress }
+    this.#tableClient = new HttpTableService({ ...client, address: settings.tableService })
+    this.#table = new CountedTable(this.#tableClient, () => systemClock.now())
+    this.#objects = new HttpObjectStore({ ...client, address: settings.objectStore, timeoutMilliseconds: OBJECT_TIMEOUT_MILLISECONDS })
+    this.#vmList = new HttpVmList({ ...client, address: settings.vmList })
+    this.#directory = new VmDirectory(this.#vmList, emit, () => systemClock.now())
+    this.#servers = new BackendServers(localAddress)
+    this.#wireClient = new WireClient({ identity: { vm: settings.vm }, secrets: settings.peerSecrets, clock: this.#telemetry.clock, localAddress, onEvent: this.#telemetry.wireEvent })
+    this.#peers = new Peers(settings.vm, this.#wireClient, this.#directory)
+    this.#documents = this.#makeDocuments(emit)
+    this.#host = this.#makeHost(emit)
+    this.#wireServer = this.#makeWireServer()
+    this.#http = new HttpServer(this.#routes())
+  }
+
+  /** True while callers may be sent here. */
+  get isReady (): boolean {
+    return this.#state === 'running' && this.#documents.inForce(this.#settings.environment) !== undefined
+  }
+
+  /** Listens, follows the platform, and takes part in owning cells. */
+  async start (): Promise<void> {
+    const { wireAddress, address, vm, failureDomain } = this.#settings
+    await this.#wireServer.listen(wireAddress.host, wireAddress.port)
+    await this.#directory.refresh()
+    await this.#documents.start()
+    await this.#host.refresh()
+    this.#repeat(VM_LIST_POLL_MILLISECONDS, () => this.#directory.refresh())
+    this.#repeat(OWNERSHIP_POLL_MILLISECONDS, () => this.#pollOwnership())
+    await this.#http.listen(address)
+    this.#state = 'running'
+    this.#telemetry.emit('daemon-started', { details: { vm, failureDomain } })
+  }
+
+  /**
+   * A planned stop: tells that it is not ready, hands its cells over, lets what is
+   * in flight end, and closes.
+   */
+  async stop (): Promise<void> {
+    if (this.#state === 'stopping') return
+    this.#state = 'stopping'
+    this.#telemetry.emit('daemon-stopping')
+    const lameDuck = new Promise<void>(resolve => { setTimeout(resolve, this.#settings.lameDuckMilliseconds) })
+    await Promise.all([this.#host.leave(), lameDuck])
+    await this.#http.close()
+    await this.#wireServer.close(WIRE_GRACE_MILLISECONDS)
+    await this.#closeAll()
+    this.#telemetry.emit('daemon-stopped')
+    await this.#telemetry.close()
+  }
+
+  async #closeAll (): Promise<void> {
+    for (const timer of this.#timers) clearInterval(timer)
+    this.#documents.stop()
+    this.#host.stop()
+    await this.#wireClient.close()
+    await Promise.all([this.#servers.close(), this.#tableClient.close(), this.#objects.close(), this.#vmList.close()])
+  }
+
+  #makeDocuments (emit: EmitEvent): Documents {
+    return new Documents({
+      table: this.#table,
+      clock: systemClock,
+      emit,
+      wall: Date.now,
+      fetchFromPeers: environment => this.#peers.documents(environment),
+      onAdopted: (environment, inForce) => { this.#adopted(environment, inForce) }
+    })
+  }
+
+  #makeHost (emit: EmitEvent): CellHost {
+    const { vm, failureDomain, wireAdvertise, environment } = this.#settings
+    return new CellHost({
+      vm,
+      failureDomain,
+      wireAddress: wireAdvertise,
+      stores: { table: this.#table, objects: this.#objects },
+      clock: systemClock,
+      wall: Date.now,
+      random: seededRandom(Math.floor(Math.random() * HIGHEST_SEED)),
+      nonce: randomUUID,
+      directory: this.#directory,
+      servers: this.#servers,
+      replies: this.#replies,
+      emit,
+      documentInForce: () => this.#documents.inForce(environment),
+      onReleased: (cell, to) => { this.#released(cell, to) }
+    })
+  }
+
+  #makeWireServer (): WireServer {
+    const { vm, peerSecrets } = this.#settings
+    const handle = peerCalls({
+      host: this.#host,
+      replies: this.#replies,
+      documents: this.#documents,
+      objects: this.#objects,
+      now: () => systemClock.now(),
+      vmStatus: () => this.#vmStatus(),
+      events: (after, limit) => this.#telemetry.events(after, limit),
+      onHandoverHint: () => { this.#pollOwnership() }
+    })
+    return new WireServer({ identity: { vm }, secrets: peerSecrets, clock: this.#telemetry.clock, handle, onEvent: this.#telemetry.wireEvent })
+  }
+
+  #routes (): ConstructorParameters<typeof HttpServer>[0] {
+    const { workspaceTokens, operatorTokens, vm } = this.#settings
+    const tokens = new Tokens(workspaceTokens, operatorTokens)
+    const document = () => this.#document()
+    const router = new Router({ host: this.#host, replies: this.#replies, wire: this.#wireClient, clock: systemClock, objects: this.#objects, document })
+    return [
+      ...callerRoutes({ router, tokens, document, wall: Date.now }),
+      ...operatorRoutes({
+        tokens,
+        documents: this.#documents,
+        vm,
+        status: () => this.#status(),
+        events: query => this.#events(query),
+        isReady: () => this.isReady
+      })
+    ]
+  }
+
+  #document (): EnvironmentDocument {
+    const inForce = this.#documents.inForce(this.#settings.environment)
+    if (inForce === undefined) throw new CornelgaugeError('not-ready', { detail: 'No environment document is in force yet', state: 'not-run' })
+    return inForce.document
+  }
+
+  #adopted (environment: EnvironmentName, inForce: DocumentInForce): void {
+    if (environment === this.#settings.environment) this.#host.adopt(inForce)
+    this.#peers.hintDocument(environment, inForce.version)
+  }
+
+  #released (cell: CellName, _: VmName | null): void {
+    this.#peers.hintHandover(cell)
+  }
+
+  async #pollOwnership (): Promise<void> {
+    await this.#host.refresh()
+    this.#host.act()
+  }
+
+  #repeat (milliseconds: number, action: () => Promise<void>): void {
+    let busy = false
+    const timer = setInterval(() => {
+      if (busy) return
+      busy = true
+      action().finally(() => { busy = false })
+    }, milliseconds)
+    this.#timers.add(timer)
+  }
+
+  #vmStatus (): VmStatus {
+    const { vm, failureDomain } = this.#settings
+    const usage = process.cpuUsage()
+    return {
+      vm,
+      failureDomain,
+      status: this.#state === 'stopping' ? 'stopping' : this.isReady ? 'ready' : 'not-ready',
+      documents: { trial: this.#documents.inForce('trial')?.version ?? null, production: this.#documents.inForce('production')?.version ?? null },
+      cells: this.#host.states.map(cellStatus),
+      memoryBytes: process.memoryUsage.rss(),
+      processorMilliseconds: Math.round((usage.user + usage.system) / 1000),
+      uptimeMilliseconds: Math.round(process.uptime() * 1000),
+      table: this.#table.counts
+    }
+  }
+
+  async #status (): Promise<unknown> {
+    const vms = [this.#vmStatus(), ...await this.#peers.statuses() as readonly VmStatus[]]
+    return systemStatus(vms)
+  }
+
+  async #events (query: EventQuery): Promise<readonly unknown[]> {
+    const own = this.#telemetry.events(query.after, query.limit)
+    const others = await this.#peers.events(query.after, query.limit)
+    return this.#telemetry.select([...own, ...others], query)
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** The daemon of an entry VM. */
+export { Daemon } from './daemon.js'
+export { readSettings, type Settings } from './settings.js'
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -47,10 +47,10 @@
   }
 }
 
-/** Rates of the table service, from its own counters. */
+/** What all VMs together ask of the table service. */
 export interface PlatformStatus {
-  readonly tableWritesPerSecond: number | null
-  readonly tableReadsPerSecond: number | null
+  readonly tableWritesPerSecond: number
+  readonly tableReadsPerSecond: number
 }
 
 /** The status of the whole system. */
@@ -61,8 +61,13 @@
 }
 
 /** Puts the VMs' own words together. */
-export function systemStatus (vms: readonly VmStatus[], platform: PlatformStatus): SystemStatus {
+export function systemStatus (vms: readonly VmStatus[]): SystemStatus {
   const sorted = [...vms].sort((one, other) => one.vm < other.vm ? -1 : 1)
   const cells = sorted.flatMap(vm => vm.cells).sort((one, other) => one.cell < other.cell ? -1 : 1)
+  const sum = (rate: (vm: VmStatus) => number): number => sorted.reduce((total, vm) => total + rate(vm), 0)
+  const platform = {
+    tableWritesPerSecond: sum(vm => vm.table.writesPerSecond),
+    tableReadsPerSecond: sum(vm => vm.table.readsPerSecond)
+  }
   return { vms: sorted, cells, platform }
 }
