Add the platform's stand-ins as processes

The ports' HTTP clients had nothing to talk to. Each role now runs as a process of its own with a fault switch and the propagation delay, and the contract suites run over HTTP as well. A service that is down, and one whose answer is lost, break the connection: a problem answer would tell the caller more than it can know. Connections that are open can fall silent while new ones work.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -24,6 +24,7 @@
   readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'
   readonly path: string
   readonly body?: string | Uint8Array
+  readonly headers?: Readonly<Record<string, string>>
   /** Time that the service may take on purpose, beyond the time limit. */
   readonly waitMilliseconds?: number
 }
@@ -82,10 +83,10 @@
     return this.#pool.destroy()
   }
 
-  async #exchange ({ method, path, body, waitMilliseconds }: HttpCall): Promise<HttpAnswer> {
+  async #exchange ({ method, path, body, headers: given, waitMilliseconds }: HttpCall): Promise<HttpAnswer> {
     const signal = AbortSignal.timeout(this.#timeoutMilliseconds + (waitMilliseconds ?? 0))
     try {
-      const headers = { 'content-type': typeof body === 'string' ? 'application/json' : 'application/octet-stream' }
+      const headers = { 'content-type': typeof body === 'string' ? 'application/json' : 'application/octet-stream', ...given }
       const { statusCode, body: stream } = await this.#pool.request({ method, path, body, headers, signal })
       return { status: statusCode, body: new Uint8Array(await stream.arrayBuffer()) }
     } catch (cause) {
--- a/packages/stand-in/src/index.ts
+++ b/packages/stand-in/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+/** Stand-ins of the platform's services. */
+export * from './address-plan.js'
+export * from './backend-server-server.js'
+export * from './object-store-server.js'
+export * from './process-line.js'
+export * from './roles.js'
+export * from './route.js'
+export * from './stand-in-server.js'
+export * from './table-service-server.js'
+export * from './vm-list-server.js'
--- /dev/null
+++ b/packages/stand-in/src/vm-list-server.ts
@@ -0,0 +1,31 @@
+/**
+ * The stand-in of the VM list. `PUT` and `DELETE` set the truth, which `GET` shows with a lag.
+ */
+import { CornelgaugeError, vmName } from '@cornelgauge/model'
+import type { ListedVm, MemoryVmList } from '@cornelgauge/platform'
+import { bodyOf, requireFields, type Call, type Route } from './route.js'
+import type { StandInServerOptions } from './stand-in-server.js'
+
+const isText = (value: unknown): boolean => typeof value === 'string'
+
+/**
+ * What the stand-in of the VM list serves.
+ *
+ * @example
+ * new StandInServer(vmListOptions(new MemoryVmList(2000)))
+ */
+export function vmListOptions (vms: MemoryVmList): StandInServerOptions {
+  const routes: readonly Route[] = [
+    { method: 'GET', path: '/vms', handle: () => vms.list() },
+    { method: 'PUT', path: '/vms/:name', handle: async call => vms.setVm(vmOf(call)) },
+    { method: 'DELETE', path: '/vms/:name', handle: async ({ parameters }) => vms.removeVm(vmName(parameters.name!)) }
+  ]
+  return { faults: vms.faults, routes }
+}
+
+function vmOf (call: Call): ListedVm {
+  const vm = bodyOf<ListedVm>(call)
+  requireFields(vm, { name: isText, role: isText, failureDomain: isText, address: isText, status: isText })
+  if (vm.name !== call.parameters.name) throw new CornelgaugeError('invalid-request', { detail: 'The name differs from the path' })
+  return vm
+}
