--- a/packages/daemon/src/backend-servers.ts
+++ b/packages/daemon/src/backend-servers.ts
@@ -12,8 +12,14 @@
   readonly client: HttpBackendServer
 }
 
+/** Finds the client of a backend server. */
+export interface ServerClients {
+  locate (name: BackendServerName, address: string): void
+  get (name: BackendServerName): BackendServer
+}
+
 /** Keeps a client for each backend server that the VM list names. */
-export class BackendServers {
+export class BackendServers implements ServerClients {
   readonly #localAddress: string
   readonly #addresses = new Map<BackendServerName, string>()
   readonly #clients = new Map<BackendServerName, Connected>()
--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -10,7 +10,7 @@
 import { asFailure, type CellName, type FailureDomainName, type RequestRecord, type SequenceNumber, type VmName } from '@cornelgauge/model'
 import type { Json } from '@cornelgauge/platform'
 import type { Instant, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
-import type { BackendServers } from './backend-servers.js'
+import type { ServerClients } from './backend-servers.js'
 import { CellLoop, type CellEffects } from './cell-loop.js'
 import type { DocumentInForce } from './documents.js'
 import { performEffect, type CellContext } from './effects.js'
@@ -33,7 +33,7 @@
   readonly random: Random
   readonly nonce: () => string
   readonly directory: VmDirectory
-  readonly servers: BackendServers
+  readonly servers: ServerClients
   readonly replies: Replies
   readonly emit: EmitEvent
   readonly documentInForce: () => DocumentInForce | undefined
--- a/packages/daemon/src/effects.ts
+++ b/packages/daemon/src/effects.ts
@@ -6,7 +6,7 @@
 import { asFailure, type BackendServerName } from '@cornelgauge/model'
 import type { BackendServer, ExecutionId, ExecutionReport, Json } from '@cornelgauge/platform'
 import type { Command, OwnerEffect, OwnerEvent } from '@cornelgauge/scheduler'
-import type { BackendServers } from './backend-servers.js'
+import type { ServerClients } from './backend-servers.js'
 import type { EmitEvent } from './event-sink.js'
 import type { Replies } from './replies.js'
 
@@ -16,7 +16,7 @@
 export interface CellContext {
   readonly claim: CellClaim
   readonly stores: Stores
-  readonly servers: BackendServers
+  readonly servers: ServerClients
   readonly replies: Replies
   readonly emit: EmitEvent
   /** Options of calls to the stores; the signal ends with the ownership. */
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -10,7 +10,7 @@
 } from '@cornelgauge/model'
 import type { ObjectStore } from '@cornelgauge/platform'
 import type { CallId, CallReply, OwnerEvent } from '@cornelgauge/scheduler'
-import type { CallBody, ReplyBody, WireClient } from '@cornelgauge/wire'
+import type { CallBody, ReplyBody } from '@cornelgauge/wire'
 import type { CellHost, KnownOwner } from './cell-host.js'
 import type { Replies } from './replies.js'
 
@@ -28,11 +28,16 @@
   readonly asOf?: number
 }
 
+/** Calls a peer by its address; fails as `WireClient` does. */
+export interface PeerCaller {
+  call (address: string, body: CallBody, timeoutMilliseconds: number): Promise<ReplyBody>
+}
+
 /** What the router needs. */
 export interface RouterOptions {
   readonly host: CellHost
   readonly replies: Replies
-  readonly wire: WireClient
+  readonly wire: PeerCaller
   readonly clock: Clock
   readonly objects: ObjectStore
   /** Fails with `not-ready` where no document is in force. */
--- /dev/null
+++ b/packages/daemon/test/cell.test.ts
@@ -0,0 +1,51 @@
+import { expect } from 'chai'
+import { rota, swap } from './builders.js'
+import { Rig } from './rig.js'
+
+describe('a cell over in-memory services', () => {
+  describe('on a good day', () => {
+    it('runs a swap once and gives its answer at another VM', async () => {
+      const rig = await Rig.start(3)
+      const submission = swap('swap-1', rig.clock.now())
+      const told = await rig.outcome(rig.submit(rig.entry, submission))
+      expect(told.state).to.equal('finished')
+      const read = await rig.outcome(rig.read(rig.owner!, submission))
+      expect(JSON.parse(read.answer!)).to.deep.include({ echo: { key: 'swap-1' } })
+      expect(rig.executions.map(execution => execution.requestKey)).to.deep.equal(['swap-1'])
+    })
+
+    it('starts a gang on all of its members', async () => {
+      const rig = await Rig.start(3)
+      const told = await rig.outcome(rig.submit(rig.entry, rota('rota-1', rig.clock.now())))
+      expect(told.state).to.equal('finished')
+      expect(rig.executions).to.have.length(2)
+    })
+
+    it('joins a repeated key to its first try and refuses another body', async () => {
+      const rig = await Rig.start(2)
+      const submission = swap('swap-1', rig.clock.now())
+      const [first, second] = await Promise.all([rig.outcome(rig.submit(rig.entry, submission)), rig.outcome(rig.submit(rig.owner!, submission))])
+      expect([first.state, second.state]).to.deep.equal(['finished', 'finished'])
+      const other = await rig.outcome(rig.submit(rig.entry, { ...submission, bodyDigest: 'other' as never }))
+      expect(other.code).to.equal('key-reused')
+      expect(rig.executions).to.have.length(1)
+    })
+  })
+
+  describe('when its owner is killed', () => {
+    it('is served by another VM within lease and 2 s, and nothing runs twice', async () => {
+      const rig = await Rig.start(3)
+      const submissions = Array.from({ length: 20 }, (_, index) => swap(`swap-${index}`, rig.clock.now()))
+      const entry = rig.entry
+      const calls = submissions.map(submission => rig.outcome(rig.submit(entry, submission)))
+      await rig.advance(30)
+      const killedAt = rig.clock.now()
+      rig.owner!.kill()
+      const outcomes = await Promise.all(calls)
+      const recovered = rig.events.find(event => event.name === 'cell-recovered' && event.at > killedAt)
+      expect(recovered!.at - killedAt).to.be.at.most(5000)
+      expect(outcomes.map(outcome => outcome.state)).to.deep.equal(submissions.map(() => 'finished'))
+      expect(new Set(rig.executions.map(execution => execution.requestKey)).size).to.equal(rig.executions.length)
+    })
+  })
+})
--- /dev/null
+++ b/packages/daemon/test/rig.ts
@@ -0,0 +1,283 @@
+/**
+ * Several VMs over in-memory services on one virtual clock. Each VM runs the real
+ * cell host, loop, router and peer calls; only sockets are left out.
+ */
+import { seededRandom, type CancelTimer, type Clock } from '@cornelgauge/coordination'
+import { parseDocument } from '@cornelgauge/environment'
+import {
+  asFailure, backendServerName, cellName, CornelgaugeError, documentVersion, failureDomainName, vmName,
+  type BackendServerName, type RequestKey, type Submission, type VmName, type WorkspaceName
+} from '@cornelgauge/model'
+import {
+  MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock,
+  type BackendServer, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
+} from '@cornelgauge/platform'
+import { CellHost, OWNERSHIP_POLL_MILLISECONDS } from '../src/cell-host.js'
+import type { DocumentInForce } from '../src/documents.js'
+import type { EventFacts } from '../src/event-sink.js'
+import { peerCalls } from '../src/peer-calls.js'
+import { Replies } from '../src/replies.js'
+import { Router, type Told } from '../src/router.js'
+import { VmDirectory } from '../src/vm-directory.js'
+import { DOCUMENT_TEXT } from './document-text.js'
+
+export const CELL = cellName('praha')
+const DOMAIN = failureDomainName('praha')
+const SERVER_COUNT = 4
+const POLL_FACTOR = 1
+
+/** The clock of one VM: while it is paused nothing fires and no answer comes in. */
+class VmClock implements Clock {
+  readonly #clock: VirtualClock
+  #paused = false
+  #dead = false
+  #held: (() => void)[] = []
+
+  constructor (clock: VirtualClock) {
+    this.#clock = clock
+  }
+
+  now (): number {
+    return this.#clock.now()
+  }
+
+  after (delayMilliseconds: number, action: () => void): CancelTimer {
+    let cancelled = false
+    const cancel = this.#clock.after(delayMilliseconds, () => { this.run(() => { if (!cancelled) action() }) })
+    return () => {
+      cancelled = true
+      cancel()
+    }
+  }
+
+  /** Runs now, or once the VM goes on; never once it is dead. */
+  run (action: () => void): void {
+    if (this.#dead) return
+    if (this.#paused) this.#held.push(action)
+    else action()
+  }
+
+  pause (): void {
+    this.#paused = true
+  }
+
+  resume (): void {
+    this.#paused = false
+    const held = this.#held
+    this.#held = []
+    held.forEach(action => { action() })
+  }
+
+  kill (): void {
+    this.#dead = true
+    this.#held = []
+  }
+
+  /** Lets the VM see the outcome of a call only while it runs. */
+  gate<Result> (call: Promise<Result>): Promise<Result> {
+    return new Promise((resolve, reject) => {
+      call.then(value => { this.run(() => { resolve(value) }) }, failure => { this.run(() => { reject(failure) }) })
+    })
+  }
+}
+
+/** Gates each method of a port by a VM's clock. */
+function gated<Port extends object> (clock: VmClock, port: Port): Port {
+  return new Proxy(port, {
+    get (target, name) {
+      const member = Reflect.get(target, name) as unknown
+      if (typeof member !== 'function') return member
+      return (...parameters: unknown[]) => clock.gate((member as (...all: unknown[]) => Promise<unknown>).apply(target, parameters))
+    }
+  })
+}
+
+/** An event of a VM, for assertions. */
+export interface SeenEvent extends EventFacts {
+  readonly vm: VmName
+  readonly name: string
+  readonly at: number
+}
+
+/** One entry VM. */
+export class RigVm {
+  readonly name: VmName
+  readonly clock: VmClock
+  readonly host: CellHost
+  readonly router: Router
+  readonly handle: ReturnType<typeof peerCalls>
+  readonly #directory: VmDirectory
+  #alive = true
+
+  constructor (rig: Rig, name: VmName, seed: number) {
+    this.name = name
+    this.clock = new VmClock(rig.clock)
+    const replies = new Replies()
+    const stores = { table: gated<TableService>(this.clock, rig.table), objects: gated<ObjectStore>(this.clock, rig.objects) }
+    const emit = (event: string, facts: EventFacts = {}): void => { rig.events.push({ vm: name, name: event, at: rig.clock.now(), ...facts }) }
+    this.#directory = new VmDirectory({ list: async () => rig.vmList }, emit, () => rig.clock.now())
+    let nonces = 0
+    this.host = new CellHost({
+      vm: name,
+      failureDomain: DOMAIN,
+      wireAddress: name,
+      stores,
+      clock: this.clock,
+      wall: () => rig.clock.now(),
+      random: seededRandom(seed),
+      nonce: () => `${name}-${seed}-${nonces++}`,
+      directory: this.#directory,
+      servers: { locate: () => {}, get: server => gated<BackendServer>(this.clock, rig.server(server)) },
+      replies,
+      emit,
+      documentInForce: () => rig.document,
+      onReleased: () => { rig.pollAll() }
+    })
+    const wire = { call: (address: string, body: Parameters<typeof this.handle>[1], timeout: number) => this.clock.gate(rig.call(address, body, timeout)) }
+    this.router = new Router({ host: this.host, replies, wire, clock: this.clock, objects: stores.objects, document: () => rig.document.document })
+    this.handle = peerCalls({ host: this.host, replies, documents: undefined as never, objects: stores.objects, now: () => rig.clock.now(), vmStatus: () => null, events: () => [], onHandoverHint: () => {} })
+  }
+
+  get isAlive (): boolean {
+    return this.#alive
+  }
+
+  /** Begins to poll as the daemon does. */
+  async start (): Promise<void> {
+    await this.#directory.refresh()
+    this.poll()
+    this.#repeat()
+  }
+
+  poll (): void {
+    this.clock.run(() => { this.#directory.refresh().then(() => this.host.refresh()).then(() => { this.clock.run(() => { this.host.act() }) }) })
+  }
+
+  /** SIGKILL: nothing of this VM happens any more; what it has sent is on its way. */
+  kill (): void {
+    this.#alive = false
+    this.clock.kill()
+  }
+
+  #repeat (): void {
+    this.clock.after(OWNERSHIP_POLL_MILLISECONDS * POLL_FACTOR, () => {
+      this.poll()
+      this.#repeat()
+    })
+  }
+}
+
+/** The services, the backend servers and the VMs. */
+export class Rig {
+  readonly clock = new VirtualClock(1_800_000_000_000)
+  readonly table = new MemoryTableService(this.clock)
+  readonly objects = new MemoryObjectStore(this.clock)
+  readonly events: SeenEvent[] = []
+  readonly vms: RigVm[] = []
+  readonly #servers = new Map<BackendServerName, MemoryBackendServer>()
+  document: DocumentInForce = { version: documentVersion(1), document: parseDocument(DOCUMENT_TEXT).document }
+  vmList: readonly ListedVm[] = []
+
+  constructor () {
+    for (let index = 0; index < SERVER_COUNT; index++) this.#addServer(index)
+  }
+
+  /** Starts VMs and waits until the cell is served. */
+  static async start (count: number): Promise<Rig> {
+    const rig = new Rig()
+    for (let index = 1; index <= count; index++) rig.addVm(`vm-${index}`, index)
+    await Promise.all(rig.vms.map(vm => vm.start()))
+    await rig.advance(1500)
+    return rig
+  }
+
+  addVm (name: string, seed: number): RigVm {
+    const vm = new RigVm(this, vmName(name), seed)
+    this.vms.push(vm)
+    this.vmList = [...this.vmList.filter(listed => listed.name !== vm.name), { name: vm.name, role: 'entry', failureDomain: DOMAIN, address: name, wireAddress: name, status: 'live' }]
+    return vm
+  }
+
+  server (name: BackendServerName): MemoryBackendServer {
+    return this.#servers.get(name)!
+  }
+
+  get servers (): readonly MemoryBackendServer[] {
+    return [...this.#servers.values()]
+  }
+
+  /** Every start that was ever made. */
+  get executions (): readonly LoggedExecution[] {
+    return this.servers.flatMap(server => server.executions)
+  }
+
+  /** The VM that serves the cell. */
+  get owner (): RigVm | undefined {
+    return this.vms.find(vm => vm.isAlive && vm.host.states.some(state => state.cell === CELL && !state.over))
+  }
+
+  /** Any living VM that does not own the cell. */
+  get entry (): RigVm {
+    return this.vms.find(vm => vm.isAlive && vm !== this.owner)!
+  }
+
+  advance (milliseconds: number): Promise<void> {
+    return this.clock.advance(milliseconds)
+  }
+
+  pollAll (): void {
+    this.vms.forEach(vm => { vm.poll() })
+  }
+
+  /** Lets virtual time pass until the call has its outcome. */
+  async settle<Result> (call: Promise<Result>, longestMilliseconds = 60_000): Promise<Result> {
+    let settled = false
+    call.then(() => { settled = true }, () => { settled = true })
+    for (let passed = 0; passed < longestMilliseconds && !settled; passed += 10) await this.advance(10)
+    if (!settled) throw new CornelgaugeError('timeout', { detail: 'the call was not settled in virtual time' })
+    return call
+  }
+
+  submit (vm: RigVm, submission: Submission, waitMilliseconds = 20_000): Promise<Told> {
+    return vm.router.submit(submission, waitMilliseconds)
+  }
+
+  /** What a call told: the state, or the failure's code and state. */
+  async outcome (call: Promise<Told>): Promise<Outcome> {
+    try {
+      const { record, asOf } = await this.settle(call)
+      return { state: record.state, answer: record.answer?.inline, asOf }
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      return { state: failure.state, code: failure.code }
+    }
+  }
+
+  read (vm: RigVm, submission: Submission, waitMilliseconds = 0): Promise<Told> {
+    return vm.router.read(submission.workspace as WorkspaceName, submission.key as RequestKey, waitMilliseconds)
+  }
+
+  /** A call between VMs: one to a dead VM is lost, one to a paused VM waits. */
+  call (address: string, body: Parameters<RigVm['handle']>[1], timeoutMilliseconds: number): Promise<Awaited<ReturnType<RigVm['handle']>>> {
+    const target = this.vms.find(vm => vm.name === address && vm.isAlive)
+    if (target === undefined) return Promise.reject(new CornelgaugeError('connection-lost', { members: { sent: false } }))
+    return new Promise((resolve, reject) => {
+      const lost = this.clock.after(Math.min(timeoutMilliseconds, 3000 + timeoutMilliseconds), () => { reject(new CornelgaugeError('connection-lost', { members: { sent: true } })) })
+      target.clock.run(() => { target.clock.gate(target.handle({ vm: vmName('peer') }, body)).then(resolve, reject).finally(lost) })
+    })
+  }
+
+  #addServer (index: number): void {
+    const name = backendServerName(`server-${index}`)
+    this.#servers.set(name, new MemoryBackendServer({ slots: 8, accelerators: 8, clock: this.clock, leaseMilliseconds: 30_000, incarnation: `life-${index}-1` }))
+    this.vmList = [...this.vmList, { name: vmName(name), role: 'backend-server', failureDomain: DOMAIN, rack: 'praha-rack-1', slots: 8, accelerators: 8, address: name, status: 'live' }]
+  }
+}
+
+/** What a caller was told. */
+export interface Outcome {
+  readonly state: string | undefined
+  readonly code?: string
+  readonly answer?: string
+  readonly asOf?: number
+}
--- a/scripts/check.js
+++ b/scripts/check.js
@@ -26,7 +26,7 @@
 const runTests = () => {
   const folder = mkdtempSync(join(tmpdir(), 'check-'))
   const file = join(folder, 'result.json')
-  run('npx', ['mocha', '--reporter', 'json', '--reporter-option', `output=${file}`], { stdio: ['ignore', 'ignore', 'inherit'] })
+  run('npx', ['mocha', 'packages/*/dist/test/**/*.test.js', '--reporter', 'json', '--reporter-option', `output=${file}`], { stdio: ['ignore', 'ignore', 'inherit'] })
   const result = existsSync(file) ? JSON.parse(readFileSync(file, 'utf8')) : undefined
   rmSync(folder, { recursive: true })
   return result
