Test a cell over in-memory services on a virtual clock

The rig runs the real host, loop, router and peer calls of several VMs; kills, pauses and silent links act at the interfaces.

--- a/packages/daemon/test/rig.ts
+++ b/packages/daemon/test/rig.ts
@@ -24,7 +24,8 @@
 export const CELL = cellName('praha')
 const DOMAIN = failureDomainName('praha')
 const SERVER_COUNT = 4
-const POLL_FACTOR = 1
+const HEARTBEAT_MILLISECONDS = 100
+const DEAD_AFTER_MILLISECONDS = 3000
 
 /** The clock of one VM: while it is paused nothing fires and no answer comes in. */
 class VmClock implements Clock {
@@ -50,6 +51,10 @@
     }
   }
 
+  get isPaused (): boolean {
+    return this.#paused
+  }
+
   /** Runs now, or once the VM goes on; never once it is dead. */
   run (action: () => void): void {
     if (this.#dead) return
@@ -133,7 +138,7 @@
       documentInForce: () => rig.document,
       onReleased: () => { rig.pollAll() }
     })
-    const wire = { call: (address: string, body: Parameters<typeof this.handle>[1], timeout: number) => this.clock.gate(rig.call(address, body, timeout)) }
+    const wire = { call: (address: string, body: Parameters<typeof this.handle>[1]) => this.clock.gate(rig.call(address, body)) }
     this.router = new Router({ host: this.host, replies, wire, clock: this.clock, objects: stores.objects, document: () => rig.document.document })
     this.handle = peerCalls({ host: this.host, replies, documents: undefined as never, objects: stores.objects, now: () => rig.clock.now(), vmStatus: () => null, events: () => [], onHandoverHint: () => {} })
   }
@@ -160,7 +165,7 @@
   }
 
   #repeat (): void {
-    this.clock.after(OWNERSHIP_POLL_MILLISECONDS * POLL_FACTOR, () => {
+    this.clock.after(OWNERSHIP_POLL_MILLISECONDS, () => {
       this.poll()
       this.#repeat()
     })
@@ -231,10 +236,11 @@
 
   /** Lets virtual time pass until the call has its outcome. */
   async settle<Result> (call: Promise<Result>, longestMilliseconds = 60_000): Promise<Result> {
-    let settled = false
-    call.then(() => { settled = true }, () => { settled = true })
-    for (let passed = 0; passed < longestMilliseconds && !settled; passed += 10) await this.advance(10)
-    if (!settled) throw new CornelgaugeError('timeout', { detail: 'the call was not settled in virtual time' })
+    const progress = { settled: false }
+    const finish = (): void => { progress.settled = true }
+    call.then(finish, finish)
+    for (let passed = 0; passed < longestMilliseconds && !progress.settled; passed += 10) await this.advance(10)
+    if (!progress.settled) throw new CornelgaugeError('timeout', { detail: 'the call was not settled in virtual time' })
     return call
   }
 
@@ -258,15 +264,29 @@
   }
 
   /** A call between VMs: one to a dead VM is lost, one to a paused VM waits. */
-  call (address: string, body: Parameters<RigVm['handle']>[1], timeoutMilliseconds: number): Promise<Awaited<ReturnType<RigVm['handle']>>> {
+  call (address: string, body: Parameters<RigVm['handle']>[1]): Promise<Awaited<ReturnType<RigVm['handle']>>> {
     const target = this.vms.find(vm => vm.name === address && vm.isAlive)
     if (target === undefined) return Promise.reject(new CornelgaugeError('connection-lost', { members: { sent: false } }))
     return new Promise((resolve, reject) => {
-      const lost = this.clock.after(Math.min(timeoutMilliseconds, 3000 + timeoutMilliseconds), () => { reject(new CornelgaugeError('connection-lost', { members: { sent: true } })) })
-      target.clock.run(() => { target.clock.gate(target.handle({ vm: vmName('peer') }, body)).then(resolve, reject).finally(lost) })
+      const stopWatching = this.#watchLink(target, () => { reject(new CornelgaugeError('connection-lost', { members: { sent: true } })) })
+      target.clock.run(() => { target.clock.gate(target.handle({ vm: vmName('peer') }, body)).then(resolve, reject).finally(stopWatching) })
     })
   }
 
+  /** The heartbeat of the inner protocol: tells when the target is dead, or has been silent for a whole interval. */
+  #watchLink (target: RigVm, onLost: () => void): CancelTimer {
+    let silentSince: number | undefined
+    let cancel: CancelTimer = () => {}
+    const look = (): void => {
+      silentSince = target.clock.isPaused ? silentSince ?? this.clock.now() : undefined
+      const silent = silentSince !== undefined && this.clock.now() - silentSince >= DEAD_AFTER_MILLISECONDS
+      if (!target.isAlive || silent) onLost()
+      else cancel = this.clock.after(HEARTBEAT_MILLISECONDS, look)
+    }
+    look()
+    return () => { cancel() }
+  }
+
   #addServer (index: number): void {
     const name = backendServerName(`server-${index}`)
     this.#servers.set(name, new MemoryBackendServer({ slots: 8, accelerators: 8, clock: this.clock, leaseMilliseconds: 30_000, incarnation: `life-${index}-1` }))
