Keep a waiter waiting after its commit

Cause: the patience for the commit also ended waits on requests that were long committed, so a caller that waited 50 s was told 'running' after 10 s. Ruled out: the gang itself, which the time line shows moved and finished. The patience now counts only while a change is uncommitted. Shown by the test 'moves a gang as one', which failed before and passes after; the other fault cases (frozen owner, table outage, lost answers, silent backend server, planned stop, cancellation) passed at once.

--- /dev/null
+++ b/packages/daemon/test/faults.test.ts
@@ -0,0 +1,153 @@
+import { expect } from 'chai'
+import { rota, swap } from './builders.js'
+import { Rig, type Outcome } from './rig.js'
+
+const swapsOf = (rig: Rig, count: number) => Array.from({ length: count }, (_, index) => swap(`swap-${index}`, rig.clock.now()))
+const startedKeys = (rig: Rig) => rig.executions.map(execution => execution.requestKey)
+const states = (outcomes: readonly Outcome[]) => outcomes.map(outcome => outcome.state)
+
+describe('a cell under faults', () => {
+  describe('an owner frozen past its lease', () => {
+    it('commits nothing when it goes on, and starts nothing twice', async () => {
+      const rig = await Rig.start(3)
+      const calls = swapsOf(rig, 10).map(submission => rig.outcome(rig.submit(rig.entry, submission)))
+      await rig.advance(20)
+      const frozen = rig.owner!
+      frozen.clock.pause()
+      await rig.advance(6000)
+      expect(rig.owner).to.not.equal(undefined)
+      frozen.clock.resume()
+      const outcomes = await Promise.all(calls)
+      expect(states(outcomes)).to.deep.equal(calls.map(() => 'finished'))
+      expect(startedKeys(rig)).to.have.length(10)
+      expect(frozen.host.states).to.deep.equal([])
+    })
+
+    it('does not answer reads from its old state', async () => {
+      const rig = await Rig.start(3)
+      const submission = swap('swap-1', rig.clock.now(), { payload: { durationMilliseconds: 4000, echo: 1 } })
+      await rig.outcome(rig.submit(rig.entry, submission, 0))
+      const frozen = rig.owner!
+      frozen.clock.pause()
+      await rig.advance(8000)
+      frozen.clock.resume()
+      const told = await rig.outcome(rig.read(frozen, submission))
+      expect(told.state === 'finished' || told.asOf !== undefined).to.equal(true)
+    })
+  })
+
+  describe('the table service down', () => {
+    it('refuses by the deadline what was never sent, and runs none of it later', async () => {
+      const rig = await Rig.start(3)
+      rig.table.faults.set({ mode: 'down' })
+      await rig.advance(500)
+      const calls = swapsOf(rig, 5).map(submission => rig.outcome(rig.submit(rig.entry, { ...submission, deadline: rig.clock.now() + 3000 })))
+      const outcomes = await Promise.all(calls)
+      rig.table.faults.set({ mode: 'none' })
+      await rig.advance(20_000)
+      const notRun = outcomes.filter(outcome => outcome.state === 'not-run')
+      expect(notRun.length).to.be.at.least(4)
+      expect(outcomes.filter(outcome => outcome.state !== 'not-run').every(outcome => outcome.code === 'outcome-unknown')).to.equal(true)
+      const refused = outcomes.flatMap((outcome, index) => outcome.state === 'not-run' ? [`swap-${index}`] : [])
+      expect(startedKeys(rig).filter(key => refused.includes(key))).to.deep.equal([])
+    })
+
+    it('finishes what was running and accepts again afterwards', async () => {
+      const rig = await Rig.start(3)
+      const submission = swap('swap-1', rig.clock.now(), { payload: { durationMilliseconds: 1000, echo: 1 } })
+      await rig.outcome(rig.submit(rig.entry, submission, 0))
+      rig.table.faults.set({ mode: 'down' })
+      await rig.advance(20_000)
+      rig.table.faults.set({ mode: 'none' })
+      expect((await rig.outcome(rig.read(rig.entry, submission, 20_000))).state).to.equal('finished')
+      expect((await rig.outcome(rig.submit(rig.entry, swap('swap-2', rig.clock.now())))).state).to.equal('finished')
+      expect(startedKeys(rig)).to.deep.equal(['swap-1', 'swap-2'])
+    })
+  })
+
+  describe('answers of the table service lost after the effect', () => {
+    it('applies every write once', async () => {
+      const rig = await Rig.start(3)
+      const calls = swapsOf(rig, 10).map(submission => rig.outcome(rig.submit(rig.entry, submission)))
+      rig.table.faults.set({ mode: 'lose-answers' })
+      await rig.advance(300)
+      rig.table.faults.set({ mode: 'none' })
+      const outcomes = await Promise.all(calls)
+      expect(states(outcomes)).to.deep.equal(calls.map(() => 'finished'))
+      expect(startedKeys(rig)).to.have.length(10)
+    })
+  })
+
+  describe('a backend server that answers nobody', () => {
+    it('leaves a swap there unknown, never started again, and tells its end when the server is back', async () => {
+      const rig = await Rig.start(2)
+      const submission = swap('swap-1', rig.clock.now(), { payload: { durationMilliseconds: 2000, echo: 1 } })
+      await rig.outcome(rig.submit(rig.entry, submission, 0))
+      await rig.advance(200)
+      const server = rig.servers.find(candidate => candidate.executions.length === 1)!
+      server.faults.set({ mode: 'down' })
+      await rig.advance(15_000)
+      expect((await rig.outcome(rig.read(rig.entry, submission))).state).to.equal('unknown')
+      server.faults.set({ mode: 'none' })
+      await rig.advance(2000)
+      expect((await rig.outcome(rig.read(rig.entry, submission))).state).to.equal('finished')
+      expect(startedKeys(rig)).to.deep.equal(['swap-1'])
+    })
+
+    it('moves a gang as one', async () => {
+      const rig = await Rig.start(2)
+      const submission = rota('rota-1', rig.clock.now(), { payload: { durationMilliseconds: 3000, echo: 1 } })
+      const call = rig.outcome(rig.submit(rig.entry, submission, 50_000))
+      await rig.advance(500)
+      const server = rig.servers.find(candidate => candidate.executions.length === 1)!
+      server.faults.set({ mode: 'down' })
+      await rig.advance(14_000)
+      server.faults.set({ mode: 'none' })
+      expect((await call).state).to.equal('finished')
+      const finished = rig.executions.filter(execution => execution.outcome === 'finished')
+      expect(new Set(finished.map(execution => execution.attempt)).size).to.be.at.least(1)
+    })
+  })
+
+  describe('answers of backend servers lost after the effect', () => {
+    it('starts a swap once and finds out that it ran', async () => {
+      const rig = await Rig.start(2)
+      rig.servers.forEach(server => { server.faults.set({ mode: 'lose-answers' }) })
+      const call = rig.outcome(rig.submit(rig.entry, swap('swap-1', rig.clock.now())))
+      await rig.advance(1500)
+      rig.servers.forEach(server => { server.faults.set({ mode: 'none' }) })
+      expect((await call).state).to.equal('finished')
+      expect(startedKeys(rig)).to.deep.equal(['swap-1'])
+    })
+  })
+
+  describe('a planned stop', () => {
+    it('hands the cell over and cuts no request short', async () => {
+      const rig = await Rig.start(3)
+      const owner = rig.owner!
+      const calls = swapsOf(rig, 10).map(submission => rig.outcome(rig.submit(rig.entry, submission)))
+      await rig.advance(20)
+      const leaving = owner.host.leave()
+      const startedAt = rig.clock.now()
+      await rig.settle(leaving)
+      const outcomes = await Promise.all(calls)
+      expect(states(outcomes)).to.deep.equal(calls.map(() => 'finished'))
+      expect(startedKeys(rig)).to.have.length(10)
+      const recovered = rig.events.find(event => event.name === 'cell-recovered' && event.at > startedAt)
+      expect(recovered!.at - startedAt).to.be.at.most(3000)
+    })
+  })
+
+  describe('cancellation', () => {
+    it('ends a waiting request and stops a running one', async () => {
+      const rig = await Rig.start(2)
+      const running = swap('swap-1', rig.clock.now(), { payload: { durationMilliseconds: 30_000, echo: 1 } })
+      await rig.outcome(rig.submit(rig.entry, running, 0))
+      await rig.advance(200)
+      await rig.outcome(rig.entry.router.cancel(running.workspace, running.key))
+      const told = await rig.outcome(rig.read(rig.entry, running, 10_000))
+      expect(told.state).to.equal('cancelled')
+      expect(rig.executions.map(execution => execution.outcome)).to.deep.equal(['stopped'])
+    })
+  })
+})
--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -134,7 +134,8 @@
   const record = committed.get(id)
   const due = waiter.until <= transaction.at.monotonic
   if (record === undefined) return ledger.has(id) ? false : refuseUnknown(transaction, waiter.call)
-  const settled = isTold(record) || (due && ledger.get(id) === record) || waiter.commitBy <= transaction.at.monotonic
+  const patient = ledger.get(id) !== record && waiter.commitBy > transaction.at.monotonic
+  const settled = isTold(record) || (due && !patient)
   if (settled) transaction.tell(waiter.call, record)
   return settled
 }
