Refuse documents that nest or grow without bound before building their tree

The tree is built by recursion: text of a hundred thousand open brackets ended the process with an abort inside the regular expression compiler, which cannot be caught. The text is now looked at token by token first.

--- a/packages/environment/src/capacity.ts
+++ b/packages/environment/src/capacity.ts
@@ -110,9 +110,15 @@
  */
 export function unplaceable<Demand extends ShapeDemand> (demands: readonly Demand[], cell: CellDeclaration): readonly Demand[] {
   const racks = emptyCell(cell)
+  const capacity = capacityOf(cell)
   return demands
     .toSorted((left, right) => largestFirst(left.shape, right.shape))
-    .filter(demand => !placeAll(racks, demand))
+    .filter(demand => exceeds(demand, capacity) || !placeAll(racks, demand))
+}
+
+/** True of what is more than the whole cell has; saves placing an absurd count one by one. */
+function exceeds ({ shape, count }: ShapeDemand, capacity: CapacitySum): boolean {
+  return shape.slots * count > capacity.slots || shape.accelerators * count > capacity.accelerators
 }
 
 function placeAll (racks: readonly FreeRack[], demand: ShapeDemand): boolean {
--- a/packages/environment/src/parse.ts
+++ b/packages/environment/src/parse.ts
@@ -7,13 +7,10 @@
 import { checkDocument } from './check.js'
 import type { EnvironmentDocument } from './document.js'
 import { invalidDocument, type DocumentFault } from './fault.js'
+import { textFaults } from './limits.js'
 import { cellsOf, documentSchema, SECTION_SCHEMAS, type SectionName, type WrittenDocument } from './schema.js'
 import { asDocumentFault, faultsOfIssue, type LocatedFault } from './schema-fault.js'
 
-/** Longest text that is read. */
-export const MAXIMUM_DOCUMENT_BYTES = 1024 * 1024
-
-const BYTE_ORDER_MARK = '\uFEFF'
 const SECTION_NAMES = Object.keys(SECTION_SCHEMAS) as readonly SectionName[]
 
 /** A document with the text that it came from. */
@@ -30,16 +27,6 @@
   readonly value: unknown
 }
 
-function textFaults (text: string): readonly DocumentFault[] {
-  if (Buffer.byteLength(text) > MAXIMUM_DOCUMENT_BYTES) {
-    return [{ path: '', rule: 'size', detail: `The text is over ${MAXIMUM_DOCUMENT_BYTES} bytes.` }]
-  }
-  if (text.startsWith(BYTE_ORDER_MARK)) {
-    return [{ path: '', rule: 'byte-order-mark', detail: 'The text starts with a byte order mark; save it as plain UTF-8.', line: 1, column: 1 }]
-  }
-  return []
-}
-
 function syntaxFault (problem: YAMLError, lines: LineCounter): DocumentFault {
   const { line, col } = lines.linePos(problem.pos[0])
   const rule = problem.code === 'DUPLICATE_KEY' ? 'duplicate-member' : 'syntax'
@@ -66,7 +53,7 @@
   return { tree, lines, value: tree.toJS() }
 }
 
-/** Reads the text; what the library throws of aliases and depth becomes a fault like any other. */
+/** Reads the text; what the library throws of aliases becomes a fault like any other. */
 function readSource (text: string): SourceText {
   try {
     return readTree(text)
--- a/packages/environment/test/parse.test.ts
+++ b/packages/environment/test/parse.test.ts
@@ -60,7 +60,11 @@
       { title: 'two documents', text: 'name: a\n---\nname: b\n', rule: 'syntax', line: 2 },
       { title: 'a byte order mark', text: `\uFEFF${documentText()}`, rule: 'byte-order-mark', line: 1 },
       { title: 'an alias without its anchor', text: 'name: *missing', rule: 'syntax' },
-      { title: 'lists nested without end', text: '['.repeat(100_000), rule: 'syntax' },
+      { title: 'lists nested without end', text: '['.repeat(100_000), rule: 'size', line: 1 },
+      { title: 'block lists nested without end', text: '- '.repeat(100_000), rule: 'size', line: 1 },
+      { title: 'maps nested without end', text: Array.from({ length: 100 }, (_, level) => `${' '.repeat(level)}a:`).join('\n'), rule: 'size', line: 65 },
+      { title: 'members without end', text: Array.from({ length: 50_000 }, (_, index) => `a${index}: 1`).join('\n'), rule: 'size', line: 101 },
+      { title: 'members without end on one line', text: `{${Array.from({ length: 50_000 }, (_, index) => `a${index}: 1`).join(', ')}}`, rule: 'size', line: 1 },
       { title: 'one over the size limit', text: `# ${'x'.repeat(MAXIMUM_DOCUMENT_BYTES)}`, rule: 'size' }
     ]
     for (const { title, text, rule, line } of TEXTS) {
