Add the command cornelgauge for operators and callers

Settings are declared once, for the flags, their environment variables, the checks and the help. citty reads the flags; it is told that none is required, as it would stop at the first fault, and unknown flags and surplus words are looked for beside it, as it passes over both.

--- /dev/null
+++ b/packages/command-line/src/commands.ts
@@ -0,0 +1,115 @@
+/** The commands of `cornelgauge` by name, as `citty` knows them. */
+import { defineCommand, parseArgs, type ArgsDef, type CommandDef } from 'citty'
+import { DOCUMENT_OPERATIONS } from './document-operations.js'
+import type { Operation } from './operation.js'
+import { REQUEST_OPERATIONS } from './request-operations.js'
+import { JSON_SETTING } from './setting-types.js'
+import { flagName, variableName, type SettingDefinition, type SettingDefinitions, type SettingFault } from './settings.js'
+import { statusOperation } from './status-operation.js'
+import { timelineOperation } from './timeline-operation.js'
+
+/** Name of the binary. */
+export const PROGRAM_NAME = 'cornelgauge'
+
+/** A node of the tree of commands: an operation, or a group of more. */
+export type CommandNode =
+  | { readonly type: 'operation', readonly operation: Operation }
+  | { readonly type: 'group', readonly description: string, readonly children: Readonly<Record<string, CommandNode>> }
+
+function nodesOf (operations: Readonly<Record<string, Operation>>): Readonly<Record<string, CommandNode>> {
+  return Object.fromEntries(Object.entries(operations).map(([name, operation]) => [name, { type: 'operation', operation }]))
+}
+
+/** The tree of all commands. */
+export const COMMAND_TREE: CommandNode = {
+  type: 'group',
+  description: 'Operate cornelgauge, and hand requests in',
+  children: {
+    document: { type: 'group', description: 'The environment document: first in trial, then in production', children: nodesOf(DOCUMENT_OPERATIONS) },
+    ...nodesOf({ ...REQUEST_OPERATIONS, status: statusOperation, timeline: timelineOperation })
+  }
+}
+
+/** All settings of an operation, with the switch that every command has. */
+export function settingsOf (operation: Operation): SettingDefinitions {
+  return { ...operation.settings, json: JSON_SETTING }
+}
+
+type CittyArgument = ArgsDef[string]
+
+const ARGUMENT_OF_PLACE: Readonly<Record<SettingDefinition<unknown>['place'], (name: string, definition: SettingDefinition<unknown>) => CittyArgument>> = {
+  positional: (_name, { description }) => ({ type: 'positional', description }),
+  switch: (name, { description }) => ({ type: 'boolean', description: `${description} [${variableName(name)}]` }),
+  flag: (name, { description, hint }) => ({ type: 'string', valueHint: hint, description: `${description} [${variableName(name)}]` })
+}
+
+function isRequired ({ schema }: SettingDefinition<unknown>): boolean {
+  return !schema.safeParse(undefined).success
+}
+
+function argumentName (name: string, definition: SettingDefinition<unknown>): string {
+  return definition.place === 'positional' ? name : flagName(name)
+}
+
+/** Arguments as the help shows them. */
+function argumentsOf (definitions: SettingDefinitions): ArgsDef {
+  return Object.fromEntries(Object.entries(definitions).map(([name, definition]) =>
+    [argumentName(name, definition), { ...ARGUMENT_OF_PLACE[definition.place](name, definition), required: isRequired(definition) }]))
+}
+
+/** Arguments as they are read: `citty` requires none, as it would tell the first fault only. */
+function readableArguments (definitions: SettingDefinitions): ArgsDef {
+  return Object.fromEntries(Object.entries(argumentsOf(definitions)).map(([name, argument]) => [name, { ...argument, required: false }]))
+}
+
+function commandName (path: readonly string[]): string {
+  return [PROGRAM_NAME, ...path].join(' ')
+}
+
+/** A node as a command of `citty`, for its help. */
+export function toCommand (node: CommandNode, path: readonly string[], version: string): CommandDef {
+  const name = commandName(path)
+  if (node.type === 'operation') {
+    return defineCommand({ meta: { name, version, description: node.operation.description }, args: argumentsOf(settingsOf(node.operation)) })
+  }
+  const children = Object.entries(node.children).map(([child, childNode]) => [child, toCommand(childNode, [...path, child], version)])
+  return defineCommand({ meta: { name, version, description: node.description }, subCommands: Object.fromEntries(children) as Record<string, CommandDef> })
+}
+
+/** What a command line holds for an operation. */
+export interface ParsedArguments {
+  readonly values: Readonly<Record<string, string | undefined>>
+  readonly faults: readonly SettingFault[]
+}
+
+function unknownFlags (parsed: Readonly<Record<string, unknown>>, definitions: SettingDefinitions): readonly SettingFault[] {
+  const known = new Set(Object.entries(definitions).filter(([, { place }]) => place !== 'positional').map(([name]) => flagName(name)))
+  const positional = new Set(Object.entries(definitions).filter(([, { place }]) => place === 'positional').map(([name]) => name))
+  const given = new Set(Object.keys(parsed).filter(name => name !== '_' && !positional.has(name)).map(flagName))
+  return [...given].filter(name => !known.has(name)).map(name => ({ setting: `--${name}`, detail: 'There is no such flag here.' }))
+}
+
+/** Surplus words are told by their place and not repeated, as one may be a secret behind a misspelt flag. */
+function surplusWords (words: readonly string[], definitions: SettingDefinitions): readonly SettingFault[] {
+  const room = Object.values(definitions).filter(({ place }) => place === 'positional').length
+  return words.slice(room).map((_, index) => ({ setting: `word ${room + index + 1}`, detail: 'There is no place for another word; a value belongs behind its flag.' }))
+}
+
+/**
+ * Reads the words behind an operation's name.
+ *
+ * @example
+ * parseWords(['hlidka.yaml', '--json'], operation).values // { file: 'hlidka.yaml', json: 'true' }
+ */
+export function parseWords (words: readonly string[], operation: Operation): ParsedArguments {
+  const definitions = settingsOf(operation)
+  const parsed = parseArgs([...words], readableArguments(definitions))
+  const values = Object.entries(definitions).map(([name, definition]) => {
+    const value: unknown = parsed[argumentName(name, definition)]
+    return [name, value === undefined ? undefined : String(value)]
+  })
+  return {
+    values: Object.fromEntries(values) as ParsedArguments['values'],
+    faults: [...unknownFlags(parsed, definitions), ...surplusWords(parsed._, definitions)]
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/main.ts
@@ -0,0 +1,34 @@
+#!/usr/bin/env node
+/** The binary `cornelgauge`: hands the process's own streams, files and clock to `run`. */
+import { randomUUID } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import { readFile, writeFile } from 'node:fs/promises'
+import { setTimeout as pause } from 'node:timers/promises'
+import { requestKey } from '@cornelgauge/model'
+import { createHttpPort } from './http.js'
+import type { Tools } from './operation.js'
+import { run } from './run.js'
+import type { Writer } from './terminal.js'
+import { timelineRenderer } from './timeline-renderer.js'
+
+const PACKAGE_FILE = new URL('../../package.json', import.meta.url)
+
+function writerTo (stream: NodeJS.WriteStream): Writer {
+  return { isTerminal: stream.isTTY ?? false, write: text => { stream.write(text) } }
+}
+
+const tools: Tools = {
+  variables: process.env,
+  output: writerTo(process.stdout),
+  diagnostics: writerTo(process.stderr),
+  http: createHttpPort(),
+  timeline: timelineRenderer,
+  now: () => Date.now(),
+  pause: async milliseconds => { await pause(milliseconds) },
+  createKey: () => requestKey(randomUUID()),
+  readFile: async path => await readFile(path, 'utf8'),
+  writeFile: async (path, text) => { await writeFile(path, text) }
+}
+
+const { version } = JSON.parse(readFileSync(PACKAGE_FILE, 'utf8')) as { readonly version: string }
+process.exitCode = await run(process.argv.slice(2), tools, version)
--- /dev/null
+++ b/packages/command-line/src/setting-types.ts
@@ -0,0 +1,97 @@
+/** The types of settings, and the settings that several commands share. */
+import { ENVIRONMENT_NAMES } from '@cornelgauge/environment'
+import { workspaceName, requestKey, type RequestKey, type WorkspaceName } from '@cornelgauge/model'
+import { z } from 'zod'
+import type { SettingDefinition } from './settings.js'
+
+const REQUIRED_MESSAGE = 'This setting is required.'
+const EMPTY_MESSAGE = 'Must not be empty.'
+const WHOLE_NUMBER_PATTERN = /^[0-9]{1,15}$/
+const TOKEN_PATTERN = /^[\x21-\x7e]+$/
+const SWITCH_VALUES: ReadonlyMap<string | undefined, boolean> = new Map([
+  [undefined, false], ['', true], ['true', true], ['1', true], ['false', false], ['0', false]
+])
+
+const text = z.string({ error: REQUIRED_MESSAGE }).min(1, EMPTY_MESSAGE)
+
+/** Text that must be given. */
+export const requiredText = text as z.ZodType<string, string | undefined>
+
+/** Text that must be given and match a pattern. */
+export function matchingText (pattern: RegExp, message: string): z.ZodType<string, string | undefined> {
+  return text.regex(pattern, message) as z.ZodType<string, string | undefined>
+}
+
+/** Text that may be left out. */
+export const optionalText: z.ZodType<string | undefined, string | undefined> = text.optional()
+
+/** A whole number from a least value on, with a default where there is one. */
+export function wholeNumber<Default extends number | undefined> (least: number, whereAbsent: Default): z.ZodType<number | Default, string | undefined> {
+  return z.string().optional()
+    .refine(given => given === undefined || (WHOLE_NUMBER_PATTERN.test(given) && Number(given) >= least), `Must be a whole number, at least ${least}.`)
+    .transform(given => given === undefined ? whereAbsent : Number(given))
+}
+
+/** One of some words, with a default where there is one. */
+export function choice<const Word extends string, Default extends Word | undefined> (words: readonly Word[], whereAbsent: Default): z.ZodType<Word | Default, string | undefined> {
+  return z.string().optional()
+    .refine(given => given === undefined || words.includes(given as Word), `Must be one of: ${words.join(', ')}.`)
+    .transform(given => (given as Word | undefined) ?? whereAbsent)
+}
+
+function originOf (given: string): string | undefined {
+  const text = /^https?:\/\//.test(given) ? given : `http://${given}`
+  if (!URL.canParse(text)) return undefined
+  const url = new URL(text)
+  const hasMore = url.pathname !== '/' || url.search !== '' || url.hash !== '' || url.username !== '' || url.password !== ''
+  return hasMore ? undefined : url.origin
+}
+
+const address = text
+  .refine(given => originOf(given) !== undefined, 'Must be an address such as 127.0.0.1:8080 or https://entry.example.')
+  .transform(given => originOf(given) ?? given)
+
+const switchSchema = z.string().optional()
+  .refine(given => SWITCH_VALUES.has(given), 'Must be true or false.')
+  .transform(given => SWITCH_VALUES.get(given) ?? false)
+
+/** The switch that every command has. */
+export const JSON_SETTING = {
+  description: 'Print the result as JSON',
+  place: 'switch',
+  schema: switchSchema
+} as const satisfies SettingDefinition<boolean>
+
+/** How to reach the service. */
+export const SERVICE_SETTINGS = {
+  address: { description: 'Address of any entry VM', place: 'flag', hint: 'host:port', schema: address as z.ZodType<string, string | undefined> },
+  token: {
+    description: 'Token of the operator or of the workspace; the variable keeps it out of process lists',
+    place: 'flag',
+    hint: 'token',
+    schema: matchingText(TOKEN_PATTERN, 'Must be printable ASCII characters without spaces.')
+  }
+} as const satisfies Record<string, SettingDefinition<string>>
+
+/** Which environment's document is meant. */
+export const ENVIRONMENT_SETTING = {
+  description: 'trial or production',
+  place: 'flag',
+  hint: ENVIRONMENT_NAMES.join('|'),
+  schema: choice(ENVIRONMENT_NAMES, 'trial')
+} as const satisfies SettingDefinition<string>
+
+/** Whose request is meant. */
+export const WORKSPACE_SETTING = {
+  description: 'Workspace of the request',
+  place: 'flag',
+  hint: 'name',
+  schema: requiredText.transform(workspaceName) as z.ZodType<WorkspaceName, string | undefined>
+} as const satisfies SettingDefinition<WorkspaceName>
+
+/** Which request is meant. */
+export const KEY_SETTING = {
+  description: 'Idempotency key of the request',
+  place: 'positional',
+  schema: requiredText.transform(requestKey) as z.ZodType<RequestKey, string | undefined>
+} as const satisfies SettingDefinition<RequestKey>
--- /dev/null
+++ b/packages/command-line/src/terminal.ts
@@ -0,0 +1,82 @@
+/** Text for people: tables and colours where there is a terminal, plain lines where there is none. */
+import { styleText } from 'node:util'
+
+/** Where text goes. */
+export interface Writer {
+  /** Colours and tables are written to a terminal only. */
+  readonly isTerminal: boolean
+  write (text: string): void
+}
+
+/** Meanings that have a colour. */
+export type Emphasis = 'good' | 'bad' | 'waiting' | 'heading'
+
+/** How text is dressed for one writer. */
+export interface Style {
+  readonly tables: boolean
+  readonly colours: boolean
+  emphasize (emphasis: Emphasis, text: string): string
+}
+
+type Colour = Parameters<typeof styleText>[0]
+
+const COLOURS: Readonly<Record<Emphasis, Colour>> = { good: 'green', bad: 'red', waiting: 'yellow', heading: 'bold' }
+
+/** True where the variable `NO_COLOR` is set to anything (no-color.org). */
+function refusesColour (variables: Readonly<Record<string, string | undefined>>): boolean {
+  return (variables.NO_COLOR ?? '') !== ''
+}
+
+/**
+ * The style for a writer, with respect to `NO_COLOR`.
+ *
+ * @example
+ * styleFor({ isTerminal: false, write () {} }, {}).emphasize('bad', 'failed') // 'failed'
+ */
+export function styleFor (writer: Writer, variables: Readonly<Record<string, string | undefined>>): Style {
+  const colours = writer.isTerminal && !refusesColour(variables)
+  return {
+    tables: writer.isTerminal,
+    colours,
+    emphasize: (emphasis, text) => colours ? styleText(COLOURS[emphasis], text, { validateStream: false }) : text
+  }
+}
+
+/** A column of a table. */
+export interface Column<Row> {
+  readonly title: string
+  readonly text: (row: Row) => string
+}
+
+function alignedLine (cells: readonly string[], widths: readonly number[]): string {
+  return cells.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd()
+}
+
+/**
+ * The lines of a table: aligned on a terminal, separated by tabs elsewhere.
+ *
+ * @example
+ * renderTable([{ title: 'CELL', text: row => row.cell }], [{ cell: 'praha' }], style) // ['CELL', 'praha']
+ */
+export function renderTable<Row> (columns: readonly Column<Row>[], rows: readonly Row[], style: Style): readonly string[] {
+  const titles = columns.map(column => column.title)
+  const cells = rows.map(row => columns.map(column => column.text(row)))
+  if (!style.tables) return [titles, ...cells].map(line => line.join('\t'))
+  const widths = titles.map((title, index) => Math.max(title.length, ...cells.map(line => line[index]?.length ?? 0)))
+  return [style.emphasize('heading', alignedLine(titles, widths)), ...cells.map(line => alignedLine(line, widths))]
+}
+
+/** One label with its value. */
+export type Labelled = readonly [label: string, value: string]
+
+/**
+ * Labels with their values, one on a line.
+ *
+ * @example
+ * renderLabelled([['version', '3']], style) // ['version\t3']
+ */
+export function renderLabelled (items: readonly Labelled[], style: Style): readonly string[] {
+  if (!style.tables) return items.map(item => item.join('\t'))
+  const width = Math.max(...items.map(([label]) => label.length))
+  return items.map(([label, value]) => `${label.padEnd(width)}  ${value}`)
+}
