Pack guarantees by best fit, in linear time for each shape

The scheduler lays guaranteed shapes out by best fit, the largest first; the check now does the same, so that what it accepts the scheduler can hold. Each window of racks was searched whole before, which a caller's impossible shape could have used to block the loop; now a window is summed first.

--- a/packages/environment/src/capacity.ts
+++ b/packages/environment/src/capacity.ts
@@ -18,6 +18,18 @@
   readonly accelerators: number
 }
 
+/** Servers that could give a shape together. */
+interface Group {
+  readonly servers: readonly FreeServer[]
+  readonly racks: number
+  /** Accelerators on those servers that have the slots as well. */
+  readonly accelerators: number
+  /** Slots, where the group is one server; among whole racks they decide nothing. */
+  readonly slots: number
+}
+
+type Grouping = (racks: readonly FreeRack[], shape: Shape) => readonly Group[]
+
 const STRICTNESS: Readonly<Record<Adjacency, number>> = { server: 0, rack: 1, 'neighbouring-racks': 2 }
 
 function emptyCell (cell: CellDeclaration): readonly FreeRack[] {
@@ -27,55 +39,71 @@
   })))
 }
 
-/** Runs of racks that follow each other, the shortest first. */
-function * runsOfRacks (racks: readonly FreeRack[]): Generator<readonly FreeServer[]> {
-  for (let length = 1; length <= racks.length; length += 1) {
-    for (let first = 0; first + length <= racks.length; first += 1) {
-      yield racks.slice(first, first + length).flat()
+function usableAccelerators (servers: readonly FreeServer[], shape: Shape): number {
+  return servers.reduce((sum, server) => server.slots >= shape.slots ? sum + server.accelerators : sum, 0)
+}
+
+function singleServers (racks: readonly FreeRack[], shape: Shape): readonly Group[] {
+  return racks.flat()
+    .filter(server => server.slots >= shape.slots && server.accelerators >= shape.accelerators)
+    .map(server => ({ servers: [server], racks: 1, accelerators: server.accelerators, slots: server.slots }))
+}
+
+function singleRacks (racks: readonly FreeRack[], shape: Shape): readonly Group[] {
+  return racks
+    .map(servers => ({ servers, racks: 1, accelerators: usableAccelerators(servers, shape), slots: 0 }))
+    .filter(group => group.accelerators >= shape.accelerators)
+}
+
+/** The shortest run of racks from one rack on that has enough. */
+function runFrom (first: number, racks: readonly FreeRack[], usable: readonly number[], shape: Shape): Group | undefined {
+  let accelerators = 0
+  for (let last = first; last < racks.length; last += 1) {
+    accelerators += usable[last] ?? 0
+    if (accelerators >= shape.accelerators) {
+      return { servers: racks.slice(first, last + 1).flat(), racks: last + 1 - first, accelerators, slots: 0 }
     }
   }
+  return undefined
+}
+
+function runsOfRacks (racks: readonly FreeRack[], shape: Shape): readonly Group[] {
+  const usable = racks.map(servers => usableAccelerators(servers, shape))
+  return racks.flatMap((_, first) => runFrom(first, racks, usable, shape) ?? [])
 }
 
-const GROUPS: Readonly<Record<Adjacency, (racks: readonly FreeRack[]) => Iterable<readonly FreeServer[]>>> = {
-  server: racks => racks.flat().map(server => [server]),
-  rack: racks => racks,
+const GROUPINGS: Readonly<Record<Adjacency, Grouping>> = {
+  server: singleServers,
+  rack: singleRacks,
   'neighbouring-racks': runsOfRacks
 }
 
-/** The smallest server that holds all that is left, else the one that holds most. */
-function nextServer (candidates: readonly FreeServer[], accelerators: number): FreeServer | undefined {
-  const byFree = candidates.toSorted((left, right) => left.accelerators - right.accelerators)
-  return byFree.find(server => server.accelerators >= accelerators) ?? byFree.at(-1)
+/** The tighter of two groups: fewer racks, then less left over. */
+function tighter (left: Group, right: Group): Group {
+  const difference = right.racks - left.racks || right.accelerators - left.accelerators || right.slots - left.slots
+  return difference < 0 ? right : left
 }
 
-/** What to take from each server of a group, with as few members as can be. */
-function takeFromGroup (group: readonly FreeServer[], shape: Shape): readonly Taking[] | undefined {
-  let candidates = group.filter(server => server.slots >= shape.slots && server.accelerators > 0)
-  let left = shape.accelerators
+/** Takes whole servers, the largest first, and the last part from the smallest server that has it; the group has enough. */
+function takeFrom (servers: readonly FreeServer[], shape: Shape): readonly Taking[] {
+  const candidates = servers
+    .filter(server => server.slots >= shape.slots)
+    .toSorted((left, right) => right.accelerators - left.accelerators)
   const takings: Taking[] = []
-  while (left > 0) {
-    const server = nextServer(candidates, left)
-    if (server === undefined) return undefined
-    const accelerators = Math.min(server.accelerators, left)
-    takings.push({ server, accelerators })
-    candidates = candidates.filter(candidate => candidate !== server)
-    left -= accelerators
+  let missing = shape.accelerators
+  for (const server of candidates) {
+    if (server.accelerators >= missing) break
+    takings.push({ server, accelerators: server.accelerators })
+    missing -= server.accelerators
   }
-  return takings
-}
-
-function takeSlots (racks: readonly FreeRack[], shape: Shape): readonly Taking[] | undefined {
-  const server = racks.flat().find(candidate => candidate.slots >= shape.slots)
-  return server === undefined ? undefined : [{ server, accelerators: 0 }]
+  const last = candidates.slice(takings.length).findLast(server => server.accelerators >= missing)
+  return last === undefined ? takings : [...takings, { server: last, accelerators: missing }]
 }
 
 function findTakings (racks: readonly FreeRack[], shape: Shape): readonly Taking[] | undefined {
-  if (shape.accelerators === 0) return takeSlots(racks, shape)
-  for (const group of GROUPS[shape.adjacency](racks)) {
-    const takings = takeFromGroup(group, shape)
-    if (takings !== undefined) return takings
-  }
-  return undefined
+  const adjacency = shape.accelerators === 0 ? 'server' : shape.adjacency
+  const [first, ...others] = GROUPINGS[adjacency](racks, shape)
+  return first === undefined ? undefined : takeFrom(others.reduce(tighter, first).servers, shape)
 }
 
 /** Takes the shape's capacity out of the racks; false, with nothing taken, where there is no room. */
@@ -102,7 +130,7 @@
 }
 
 /**
- * Packs demands into an empty cell, the largest shape first, each into the first
+ * Packs demands into an empty cell, the largest shape first, each into the tightest
  * place that has room, and gives back those that found no room for all their shapes.
  *
  * @example
--- a/packages/environment/src/check.ts
+++ b/packages/environment/src/check.ts
@@ -8,7 +8,7 @@
 import type { CellDeclaration } from './document.js'
 import type { DocumentPath } from './fault.js'
 import type { LocatedFault } from './schema-fault.js'
-import { cellsOf, type SectionName, type WrittenDocument } from './schema.js'
+import type { SectionName, WrittenDocument, WrittenWorkspace } from './schema.js'
 
 const SHARE_TOLERANCE = 1e-9
 
@@ -89,9 +89,13 @@
   })
 }
 
+/** Whether requests of a workspace can be homed in a cell. */
+function isHome (workspace: WrittenWorkspace, cell: CellName): boolean {
+  return workspace.cells?.includes(cell) ?? true
+}
+
 function homeCells (document: WrittenDocument): readonly CellDeclaration[] {
-  const homes = new Set(document.workspaces.flatMap(workspace => cellsOf(workspace, document.cells)))
-  return document.cells.filter(cell => homes.has(cell.name))
+  return document.cells.filter(cell => document.workspaces.some(workspace => isHome(workspace, cell.name)))
 }
 
 function shapesOfKinds (document: WrittenDocument): readonly LocatedFault[] {
@@ -119,7 +123,7 @@
 
 function demandsIn (document: WrittenDocument, cell: CellName): readonly GuaranteeDemand[] {
   return document.workspaces.flatMap((workspace, index) => {
-    if (!cellsOf(workspace, document.cells).includes(cell)) return []
+    if (!isHome(workspace, cell)) return []
     return workspace.guarantees.map((guarantee, position) => ({
       ...guarantee,
       workspace: workspace.name,
--- a/packages/environment/src/difference.ts
+++ b/packages/environment/src/difference.ts
@@ -40,8 +40,9 @@
   return typeof item.name === 'string' ? item.name : `(${describeShape(item.shape as Shape)})`
 }
 
+/** Items by their labels, without a prototype: a label such as `constructor` is a name like any other. */
 function byLabel (items: readonly Members[]): Members {
-  return Object.fromEntries(items.map(item => [labelOf(item), item]))
+  return Object.assign(Object.create(null), Object.fromEntries(items.map(item => [labelOf(item), item]))) as Members
 }
 
 function orderChange (path: string, before: readonly Members[], after: readonly Members[]): readonly DocumentChange[] {
--- a/packages/environment/src/parse.ts
+++ b/packages/environment/src/parse.ts
@@ -8,7 +8,7 @@
 import type { EnvironmentDocument } from './document.js'
 import { invalidDocument, type DocumentFault } from './fault.js'
 import { textFaults } from './limits.js'
-import { cellsOf, documentSchema, SECTION_SCHEMAS, type SectionName, type WrittenDocument } from './schema.js'
+import { documentSchema, SECTION_SCHEMAS, type SectionName, type WrittenDocument } from './schema.js'
 import { asDocumentFault, faultsOfIssue, type LocatedFault } from './schema-fault.js'
 
 const SECTION_NAMES = Object.keys(SECTION_SCHEMAS) as readonly SectionName[]
@@ -47,7 +47,7 @@
 
 function readTree (text: string): SourceText {
   const lines = new LineCounter()
-  const tree = parseYaml(text, { lineCounter: lines, prettyErrors: false, uniqueKeys: true })
+  const tree = parseYaml(text, { lineCounter: lines, prettyErrors: false, uniqueKeys: true, logLevel: 'error' })
   const faults = [...tree.errors, ...tree.warnings].map(problem => syntaxFault(problem, lines))
   if (faults.length > 0) throw invalidDocument(faults)
   return { tree, lines, value: tree.toJS() }
@@ -76,7 +76,8 @@
 }
 
 function complete (written: WrittenDocument): EnvironmentDocument {
-  const workspaces = written.workspaces.map(workspace => ({ ...workspace, cells: cellsOf(workspace, written.cells) }))
+  const allCells = written.cells.map(cell => cell.name)
+  const workspaces = written.workspaces.map(workspace => ({ ...workspace, cells: workspace.cells ?? allCells }))
   return { ...written, workspaces }
 }
 
--- a/packages/environment/src/schema.ts
+++ b/packages/environment/src/schema.ts
@@ -3,13 +3,18 @@
  * does not name is a fault, so that a misspelt one is never passed over.
  */
 import {
-  cellName, failureDomainName, kindName, rackName, regionName, workspaceName, type CellName
+  cellName, failureDomainName, kindName, rackName, regionName, workspaceName
 } from '@cornelgauge/model'
 import { z } from 'zod'
 
 const NAME_PATTERN = /^[a-z][a-z0-9]*(-[a-z0-9]+)*$/
 const MAXIMUM_NAME_LENGTH = 63
+const MAXIMUM_CELLS = 200
+const MAXIMUM_RACKS_PER_CELL = 200
 const MAXIMUM_SERVERS_PER_RACK = 1000
+const MAXIMUM_KINDS = 200
+const MAXIMUM_WORKSPACES = 5000
+const MAXIMUM_GUARANTEES_PER_WORKSPACE = 50
 const MAXIMUM_GUARANTEE_COUNT = 10_000
 const MAXIMUM_MILLISECONDS = 30 * 24 * 60 * 60 * 1000
 
@@ -41,7 +46,7 @@
   name: name.transform(cellName),
   region: name.transform(regionName),
   failureDomain: name.transform(failureDomainName),
-  racks: z.array(rack).min(1)
+  racks: z.array(rack).min(1).max(MAXIMUM_RACKS_PER_CELL)
 })
 
 const kind = z.strictObject({
@@ -66,8 +71,8 @@
 const workspace = z.strictObject({
   name: name.transform(workspaceName),
   weight: z.number().gt(0).default(1),
-  cells: z.array(name.transform(cellName)).min(1).optional(),
-  guarantees: z.array(guarantee).default([]),
+  cells: z.array(name.transform(cellName)).min(1).max(MAXIMUM_CELLS).optional(),
+  guarantees: z.array(guarantee).max(MAXIMUM_GUARANTEES_PER_WORKSPACE).default([]),
   maximumPending: count.default(DEFAULT_MAXIMUM_PENDING)
 })
 
@@ -81,9 +86,9 @@
 export const SECTION_SCHEMAS = {
   name,
   generation: count,
-  cells: z.array(cell).min(1),
-  kinds: z.array(kind).min(1),
-  workspaces: z.array(workspace).min(1),
+  cells: z.array(cell).min(1).max(MAXIMUM_CELLS),
+  kinds: z.array(kind).min(1).max(MAXIMUM_KINDS),
+  workspaces: z.array(workspace).min(1).max(MAXIMUM_WORKSPACES),
   times: times.prefault({})
 }
 
@@ -96,10 +101,5 @@
 /** A document as its text gives it: a workspace may leave out its cells. */
 export type WrittenDocument = z.output<typeof documentSchema>
 
-/** A workspace as the text gives it. */
+/** A workspace as the text gives it; where it names no cells, all are meant. */
 export type WrittenWorkspace = z.output<typeof workspace>
-
-/** Fills in a workspace's cells where the text names none: all cells. */
-export function cellsOf (written: WrittenWorkspace, cells: readonly { readonly name: CellName }[]): readonly CellName[] {
-  return written.cells ?? cells.map(declared => declared.name)
-}
--- a/packages/environment/test/difference.test.ts
+++ b/packages/environment/test/difference.test.ts
@@ -41,6 +41,10 @@
     ])
   })
 
+  it('takes a name of the object prototype as a name', () => {
+    expect(linesBetween({}, { kinds: [kind('shift-swap', { idempotent: false, urgent: true }), kind('term-rota', { checkpointable: true }), kind('constructor')] })[0]).to.match(/^\+ kinds\.constructor: /)
+  })
+
   it('tells what is removed and what is changed in times', () => {
     expect(linesBetween({ kinds: [kind('a'), kind('b', { shape: {} })] }, { kinds: [kind('a')], times: { reclaimMilliseconds: 9 } })).to.have.lengthOf(2)
       .and.to.include('~ times.reclaimMilliseconds: 5000 -> 9')
