Add telemetry: numbered events, the time line, logs and metrics

Whoever is on call needs to see what the processes did, in an order that clocks which differ can't upset. Each event and frame carries a Lamport time; the time line sorts by it, then by VM and index, and per-VM clock offsets are only estimated for display. Weighed: sorting by wall clocks corrected by the estimate, which puts an effect before its cause as soon as the estimate is off by more than a hop.

The event log is also the logical clock that the inner protocol ticks. Details are copied without secrets before they are kept.

--- /dev/null
+++ b/packages/telemetry/src/catalogue.ts
@@ -0,0 +1,73 @@
+/**
+ * The catalogue of events: each kind with its number, its level, what it says and
+ * what an operator does about it. `docs/EVENTS.md` is generated from it.
+ */
+import { CELL_EVENTS } from './catalogue-cells.js'
+import { DOCUMENT_EVENTS } from './catalogue-documents.js'
+import type { CatalogueEntry, CatalogueRows } from './catalogue-entry.js'
+import { JOURNAL_EVENTS } from './catalogue-journal.js'
+import { PLATFORM_EVENTS } from './catalogue-platform.js'
+import { POLICY_EVENTS } from './catalogue-policy.js'
+import { PROCESS_EVENTS } from './catalogue-process.js'
+import { REQUEST_EVENTS } from './catalogue-requests.js'
+import { SERVER_EVENTS } from './catalogue-servers.js'
+import { WIRE_EVENTS } from './catalogue-wire.js'
+
+/** Rows that share their hundred. */
+export interface CatalogueGroup {
+  readonly hundred: number
+  readonly title: string
+  readonly rows: CatalogueRows
+}
+
+/** The groups in the order of their numbers. */
+export const CATALOGUE_GROUPS: readonly CatalogueGroup[] = [
+  { hundred: 1, title: 'Process', rows: PROCESS_EVENTS },
+  { hundred: 2, title: 'Cells and ownership', rows: CELL_EVENTS },
+  { hundred: 3, title: 'Journal and snapshots', rows: JOURNAL_EVENTS },
+  { hundred: 4, title: 'Requests', rows: REQUEST_EVENTS },
+  { hundred: 5, title: 'Backend servers and gangs', rows: SERVER_EVENTS },
+  { hundred: 6, title: 'Environment documents', rows: DOCUMENT_EVENTS },
+  { hundred: 7, title: 'Inner protocol', rows: WIRE_EVENTS },
+  { hundred: 8, title: 'Platform faults', rows: PLATFORM_EVENTS },
+  { hundred: 9, title: 'Policy and admission', rows: POLICY_EVENTS }
+]
+
+/** Every event by its name. */
+export const EVENT_CATALOGUE = {
+  ...PROCESS_EVENTS,
+  ...CELL_EVENTS,
+  ...JOURNAL_EVENTS,
+  ...REQUEST_EVENTS,
+  ...SERVER_EVENTS,
+  ...DOCUMENT_EVENTS,
+  ...WIRE_EVENTS,
+  ...PLATFORM_EVENTS,
+  ...POLICY_EVENTS
+} as const satisfies CatalogueRows
+
+/** The name of an event. */
+export type EventName = keyof typeof EVENT_CATALOGUE
+
+/** The details that an event may carry: the fields of its row. */
+export type EventDetails<Name extends EventName> = { readonly [Field in keyof (typeof EVENT_CATALOGUE)[Name]['fields']]?: unknown }
+
+/**
+ * The row of an event.
+ *
+ * @example
+ * entryOf('request-accepted').number // 401
+ */
+export function entryOf (name: EventName): CatalogueEntry {
+  return EVENT_CATALOGUE[name]
+}
+
+/**
+ * True of a name in the catalogue.
+ *
+ * @example
+ * isEventName('request-accepted') // true
+ */
+export function isEventName (name: string): name is EventName {
+  return Object.hasOwn(EVENT_CATALOGUE, name)
+}
--- /dev/null
+++ b/packages/telemetry/test/event-log.test.ts
@@ -0,0 +1,124 @@
+import { PassThrough } from 'node:stream'
+import { cellName, CornelgaugeError, requestId, requestKey, vmName, workspaceName } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { EventLog, redact, type EventLogOptions } from '../src/index.js'
+
+const CELL = cellName('praha')
+const REQUEST = requestId(workspaceName('brno'), requestKey('swap-1'))
+
+const logWith = (options: Partial<EventLogOptions> = {}): { log: EventLog, lines: () => Array<Record<string, unknown>> } => {
+  const output = new PassThrough()
+  const log = new EventLog({ vm: vmName('vm-1'), level: 'info', output, now: () => 0, ...options })
+  const lines = () => String(output.read() ?? '').split('\n').filter(line => line !== '').map(line => JSON.parse(line))
+  return { log, lines }
+}
+
+describe('event log', () => {
+  describe('a line', () => {
+    it('is one JSON object with number, VM and logical time', () => {
+      const { log, lines } = logWith()
+      log.emit('request-accepted', { cell: CELL, request: REQUEST, details: { kind: 'shift-swap' } })
+      expect(lines()).to.deep.equal([{
+        event: 401,
+        name: 'request-accepted',
+        level: 'info',
+        message: 'The request is committed and pending.',
+        vm: 'vm-1',
+        index: 1,
+        logicalTime: 1,
+        at: '1970-01-01T00:00:00.000Z',
+        cell: 'praha',
+        request: 'brno/swap-1',
+        details: { kind: 'shift-swap' }
+      }])
+    })
+
+    it('stays one line whatever its details hold', () => {
+      const { log, lines } = logWith()
+      log.emit('unexpected-failure', { details: { where: 'a\nb\u2028c', failure: new Error('d\r\ne') } })
+      expect(lines()).to.have.length(1)
+    })
+
+    it('is left out below the level, which can be set at run time', () => {
+      const { log, lines } = logWith({ level: 'warning' })
+      log.emit('request-accepted')
+      log.emit('request-unknown')
+      log.level = 'debug'
+      log.emit('request-received')
+      expect(lines().map(line => line.event)).to.deep.equal([410, 400])
+      expect(log.after(0, 10)).to.have.length(3)
+    })
+  })
+
+  describe('the logical clock', () => {
+    it('rises with each event, each frame and each time witnessed', () => {
+      const { log } = logWith()
+      expect(log.emit('process-ready').logicalTime).to.equal(1)
+      expect(log.tick()).to.equal(2)
+      log.witness(100)
+      log.witness(50)
+      expect(log.emit('process-ready').logicalTime).to.equal(101)
+    })
+
+    it('goes on from a time known before a restart', () => {
+      expect(logWith({ logicalTime: 500 }).log.emit('process-started').logicalTime).to.equal(501)
+    })
+  })
+
+  describe('the ring', () => {
+    const cases: ReadonlyArray<readonly [number, number, number[]]> = [
+      [0, 10, [3, 4, 5, 6]],
+      [4, 10, [5, 6]],
+      [3, 2, [4, 5]],
+      [6, 10, []],
+      [99, 10, []],
+      [0, 0, []],
+      [-5, 1, [3]]
+    ]
+    for (const [index, limit, expected] of cases) {
+      it(`gives ${JSON.stringify(expected)} of 6 events in 4 places after ${index}, at most ${limit}`, () => {
+        const { log } = logWith({ capacity: 4 })
+        for (let count = 0; count < 6; count += 1) log.emit('process-ready')
+        expect(log.after(index, limit).map(event => event.index)).to.deep.equal(expected)
+      })
+    }
+  })
+
+  describe('secrets', () => {
+    it('are never in a line or an event', () => {
+      const { log, lines } = logWith({ secrets: ['hunter2', ''] })
+      const failure = new CornelgaugeError('unauthorized', { detail: 'got hunter2', members: { accessToken: 'abc', deep: ['hunter2!'] } })
+      log.emit('peer-refused', { details: { address: 'hunter2', failure } })
+      const text = JSON.stringify([lines(), log.after(0, 1)])
+      expect(text).not.to.include('hunter2').and.not.to.include('abc')
+      expect(text).to.include('[redacted]')
+    })
+
+    const circular: Record<string, unknown> = { name: 'a' }
+    circular.self = circular
+    const cases: ReadonlyArray<readonly [string, unknown, unknown]> = [
+      ['a field named like one', { peerSecret: 'a', Authorization: 'Bearer b', passwords: ['c'] }, { peerSecret: '[redacted]', Authorization: '[redacted]', passwords: '[redacted]' }],
+      ['one inside a field name', { 'x-key1': 1 }, { 'x-[redacted]': 1 }],
+      ['bytes', { body: Buffer.from('key1') }, { body: '4 bytes' }],
+      ['numbers that JSON lacks', [NaN, Infinity, 5n], ['NaN', 'Infinity', '5']],
+      ['a date', new Date(0), '1970-01-01T00:00:00.000Z'],
+      ['null', { a: null }, { a: null }],
+      ['a value without a plain form', { a: () => 1, b: Symbol('c') }, { a: undefined, b: undefined }]
+    ]
+    for (const [name, value, expected] of cases) {
+      it(`are replaced, and values made plain: ${name}`, () => {
+        expect(redact(value, ['key1'])).to.deep.equal(expected)
+      })
+    }
+
+    it('are looked for in values that hold themselves, to a bounded depth', () => {
+      expect(JSON.stringify(redact(circular, []))).to.include('"..."')
+    })
+
+    it('are looked for in long texts, which are then cut', () => {
+      const text = redact(`key1${'x'.repeat(5000)}`, ['key1']) as string
+      expect(text.length).to.be.below(2100)
+      expect(text).not.to.include('key1')
+    })
+  })
+})
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,6 +2,7 @@
 export * from './client.js'
 export * from './clock.js'
 export * from './event.js'
+export { parseAddress, type SocketAddress } from './handshake.js'
 export * from './limits.js'
 export * from './message.js'
 export * from './server.js'
--- /dev/null
+++ b/scripts/event-catalogue.js
@@ -0,0 +1,6 @@
+// Writes docs/EVENTS.md from the catalogue of events.
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { eventPage } from '@cornelgauge/telemetry'
+
+mkdirSync('docs', { recursive: true })
+writeFileSync('docs/EVENTS.md', eventPage())
--- /dev/null
+++ b/scripts/metric-catalogue.js
@@ -0,0 +1,6 @@
+// Writes docs/METRICS.md from the catalogue of metrics.
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { metricPage } from '@cornelgauge/telemetry'
+
+mkdirSync('docs', { recursive: true })
+writeFileSync('docs/METRICS.md', metricPage())
