Carry callers' payloads as JSON text and harden the inner protocol's edges

A payload with the key __proto__ or a lone surrogate came out of cbor-x changed ({"__proto__":..} as "__proto_", "\ud800" as three replacement characters), and one nested deeper than 64 was refused. Weighed: refusing such payloads at the entry VM, which answers differently by who owns the cell, and all bodies as JSON; only the payload needs it, so only the payload is text.

Also: time limits that no timer can hold are bounded before they reach a frame; a value that is no plain data fails only its own call; closing a client gives up connections that are still opening; a second close of a server waits for the first; a failure to accept is reported rather than thrown; IPv6 addresses are written in brackets.

--- a/packages/telemetry/src/catalogue-wire.ts
+++ b/packages/telemetry/src/catalogue-wire.ts
@@ -58,5 +58,12 @@
     sentence: 'A reply came after its call had ended, and was dropped.',
     fields: { peer: 'VM that replied', id: 'id of the call' },
     action: NO_ACTION
+  },
+  'accept-failed': {
+    number: 708,
+    level: 'warning',
+    sentence: 'The system refused to accept a connection.',
+    fields: { address: 'address of this VM', failure: 'code and sentence' },
+    action: 'If the reason is the number of open files, raise its limit on this VM.'
   }
 } as const satisfies CatalogueRows
--- a/packages/wire/src/client-connection.ts
+++ b/packages/wire/src/client-connection.ts
@@ -32,6 +32,9 @@
   readonly #assembler: Assembler
   #waiting: OutgoingMessage[] = []
   #waitingBytes = 0
+  /** The connection, from its first packet on. */
+  #opening: Link | undefined
+  /** The connection, once it is authenticated. */
   #link: Link | undefined
   #vm: VmName | undefined
   #lastId = 0
@@ -84,7 +87,7 @@
   destroy (): void {
     this.#isDraining = true
     this.#failCalls('stopped')
-    this.#link?.destroy()
+    this.#opening?.destroy()
   }
 
   #report (report: Report): void {
@@ -102,7 +105,11 @@
   }
 
   async #tryOpen (secret: string): Promise<CornelgaugeError | undefined> {
-    const owner: LinkOwner = { opened: opened => this.#opened(opened), closed: failure => this.#closed(failure) }
+    const owner: LinkOwner = {
+      started: link => { this.#opening = link },
+      opened: opened => this.#opened(opened),
+      closed: failure => this.#closed(failure)
+    }
     try {
       await openLink(this.#address, secret, this.#context, owner)
       return undefined
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -1,10 +1,10 @@
 /** The calling side of the inner protocol. */
 import { randomBytes } from 'node:crypto'
+import { parseAddress } from './address.js'
 import { ClientConnection } from './client-connection.js'
 import type { LogicalClock } from './clock.js'
 import { noTraffic, type TrafficCounts, type WireEventListener, type WireStatistics } from './event.js'
-import { parseAddress } from './handshake.js'
-import { DEFAULT_LIMITS, type WireLimits } from './limits.js'
+import { DEFAULT_LIMITS, MAXIMUM_TIMEOUT_MILLISECONDS, type WireLimits } from './limits.js'
 import { encodeCall } from './message-codec.js'
 import type { CallBody, PeerIdentity, ReplyBody } from './message.js'
 import { checkSecrets } from './proof.js'
@@ -76,7 +76,7 @@
   async call (address: string, body: CallBody, timeoutMilliseconds: number): Promise<ReplyBody> {
     if (this.#isClosed) throw connectionLost('stopped', false)
     const bytes = encodeCall(body)
-    return await this.#connectionTo(address).call(bytes, timeoutMilliseconds)
+    return await this.#connectionTo(address).call(bytes, boundedTimeout(timeoutMilliseconds))
   }
 
   /** Closes all connections; calls in flight fail. */
@@ -102,3 +102,8 @@
     if (this.#usable.get(address) === connection) this.#usable.delete(address)
   }
 }
+
+/** A time limit that a timer and the peer can take; none is left of one that is no number. */
+function boundedTimeout (milliseconds: number): number {
+  return Math.min(Math.max(0, milliseconds || 0), MAXIMUM_TIMEOUT_MILLISECONDS)
+}
--- a/packages/wire/src/event.ts
+++ b/packages/wire/src/event.ts
@@ -7,7 +7,7 @@
 /** The connection that an event is about. */
 export interface ConnectionFacts {
   readonly role: ConnectionRole
-  /** The peer's address, `ip:port`. */
+  /** The peer's address, `ip:port`; the server's own where no peer could be accepted. */
   readonly address: string
   /** The peer as proved at its hello. */
   readonly vm?: VmName
@@ -23,6 +23,7 @@
   | { readonly type: 'call-refused', readonly failure: CornelgaugeError }
   | { readonly type: 'handler-failed', readonly failure: CornelgaugeError }
   | { readonly type: 'late-reply', readonly id: number }
+  | { readonly type: 'accept-failed', readonly failure: CornelgaugeError }
 )
 
 /** Takes the reports. */
--- a/packages/wire/src/handshake.ts
+++ b/packages/wire/src/handshake.ts
@@ -1,6 +1,7 @@
 /** The client's side of opening a connection: TCP, then the handshake with one secret. */
 import { connect as connectSocket } from 'node:net'
 import { CornelgaugeError, ERROR_KINDS, vmName, type ErrorCode, type VmName } from '@cornelgauge/model'
+import { parseAddress } from './address.js'
 import type { ClientContext } from './client.js'
 import type { FrameOf } from './frame.js'
 import { PROTOCOL_VERSION } from './limits.js'
@@ -8,37 +9,16 @@
 import { helloProof, isSameProof, NONCE_BYTES, welcomeProof, type HandshakeFacts } from './proof.js'
 import { connectionLost, violation } from './violation.js'
 
-/** An address, taken apart. */
-export interface SocketAddress {
-  readonly host: string
-  readonly port: number
-}
-
-const ADDRESS_PATTERN = /^(?:\[(?<bracketed>[^\]]+)\]|(?<plain>[^:]+)):(?<port>\d{1,5})$/
-
-/**
- * Reads an address `ip:port` or `[ip]:port`.
- *
- * @throws {CornelgaugeError} `invalid-settings`
- * @example
- * parseAddress('127.0.0.1:7400') // { host: '127.0.0.1', port: 7400 }
- */
-export function parseAddress (address: string): SocketAddress {
-  const groups = ADDRESS_PATTERN.exec(address)?.groups
-  const host = groups?.bracketed ?? groups?.plain
-  const port = Number(groups?.port)
-  if (host !== undefined && port > 0 && port < 65536) return { host, port }
-  throw new CornelgaugeError('invalid-settings', { detail: `${JSON.stringify(address)} is no address of the form ip:port`, members: { sent: false } })
-}
-
 /** An authenticated connection. */
 export interface OpenedLink {
   readonly link: Link
   readonly vm: VmName
 }
 
-/** What happens on an opened connection. */
+/** Who wants a connection, and hears what becomes of it. */
 export interface LinkOwner {
+  /** Gives the connection before it is open, so that it can be given up. */
+  readonly started: (link: Link) => void
   /** Gives the handlers, at the moment when the peer is authenticated. */
   readonly opened: (opened: OpenedLink) => FrameHandlers
   readonly closed: (failure: CornelgaugeError | undefined) => void
@@ -69,6 +49,7 @@
     }
     const link: Link = new Link({ socket, clock, timers, limits, traffic, handlers: {}, onClosed: closed })
     const cancelDeadline = timers.after(limits.handshakeMilliseconds, () => link.destroy(connectionLost('not-connected', false)))
+    owner.started(link)
     link.expect(handshakeHandlers(link, secret, context, opened))
   })
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,8 +1,8 @@
 /** The inner protocol between daemons. */
+export * from './address.js'
 export * from './client.js'
 export * from './clock.js'
 export * from './event.js'
-export { parseAddress, type SocketAddress } from './handshake.js'
 export * from './limits.js'
 export * from './message.js'
 export * from './server.js'
--- a/packages/wire/src/limits.ts
+++ b/packages/wire/src/limits.ts
@@ -10,6 +10,8 @@
 export const MAXIMUM_FRAME_BYTES = PART_BYTES + 1024
 /** Largest call or reply, reassembled. */
 export const MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
+/** Longest time limit of a call; a longer one is shortened to it. */
+export const MAXIMUM_TIMEOUT_MILLISECONDS = 24 * 60 * 60 * 1000
 /** Highest logical time that a frame may carry. */
 export const MAXIMUM_LOGICAL_TIME = 2 ** 52
 
--- a/packages/wire/src/server-connection.ts
+++ b/packages/wire/src/server-connection.ts
@@ -1,6 +1,7 @@
 /** One connection at its server: the handshake, then calls in and replies out. */
 import type { Socket } from 'node:net'
 import { asFailure, CornelgaugeError, vmName, type VmName } from '@cornelgauge/model'
+import { formatAddress } from './address.js'
 import { Assembler } from './assembler.js'
 import type { ConnectionFacts, WireEvent } from './event.js'
 import type { FrameBodyOf, FrameOf } from './frame.js'
@@ -32,7 +33,7 @@
   constructor (socket: Socket, context: ServerContext, onClosed: (connection: ServerConnection) => void) {
     const { clock, timers, limits, traffic } = context
     this.#context = context
-    this.#address = `${socket.remoteAddress}:${socket.remotePort}`
+    this.#address = formatAddress({ host: String(socket.remoteAddress), port: Number(socket.remotePort) })
     this.#assembler = new Assembler(limits.maximumAssemblyBytes)
     this.#nonce = context.randomBytes(NONCE_BYTES)
     const handlers: FrameHandlers = { hello: frame => this.#hello(frame) }
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import { createServer, type Server, type Socket } from 'node:net'
 import { CornelgaugeError } from '@cornelgauge/model'
+import { formatAddress } from './address.js'
 import type { LogicalClock } from './clock.js'
 import { noTraffic, type TrafficCounts, type WireEventListener, type WireStatistics } from './event.js'
 import { DEFAULT_LIMITS, type WireLimits } from './limits.js'
@@ -44,6 +45,7 @@
   readonly #server: Server
   readonly #connections = new Set<ServerConnection>()
   #onEmpty: () => void = () => {}
+  #closing: Promise<void> | undefined
 
   constructor (options: WireServerOptions) {
     this.#context = {
@@ -65,6 +67,7 @@
       this.#server.once('error', refuse)
       this.#server.listen({ host, port }, () => {
         this.#server.off('error', refuse)
+        this.#server.on('error', cause => this.#reportAcceptFailure(cause))
         resolve()
       })
     })
@@ -74,7 +77,7 @@
   get address (): string {
     const address = this.#server.address()
     if (address === null || typeof address === 'string') throw new CornelgaugeError('not-ready')
-    return `${address.address}:${address.port}`
+    return formatAddress({ host: address.address, port: address.port })
   }
 
   /** Counts for metrics. */
@@ -87,7 +90,12 @@
    * Stops gracefully: no new connections or calls, and those in flight are
    * answered, but no longer than the grace period.
    */
-  async close (graceMilliseconds: number): Promise<void> {
+  close (graceMilliseconds: number): Promise<void> {
+    this.#closing ??= this.#stop(graceMilliseconds)
+    return this.#closing
+  }
+
+  async #stop (graceMilliseconds: number): Promise<void> {
     const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
     const empty = new Promise<void>(resolve => { this.#onEmpty = resolve })
     const cancel = this.#context.timers.after(graceMilliseconds, () => this.#connections.forEach(connection => connection.destroy()))
@@ -97,6 +105,11 @@
     await closed
   }
 
+  #reportAcceptFailure (cause: Error): void {
+    const failure = new CornelgaugeError('unavailable', { detail: cause.message, cause })
+    this.#context.onEvent({ type: 'accept-failed', role: 'server', address: this.address, failure })
+  }
+
   #accept (socket: Socket): void {
     const connection = new ServerConnection(socket, this.#context, closed => this.#forget(closed))
     this.#connections.add(connection)
--- a/packages/wire/src/violation.ts
+++ b/packages/wire/src/violation.ts
@@ -4,7 +4,7 @@
 /** What a peer did that the protocol forbids. */
 export type ViolationReason =
   | 'frame-too-large' | 'empty-frame' | 'truncated-frame' | 'malformed-frame' | 'unknown-frame-type' | 'unexpected-frame'
-  | 'message-too-large' | 'part-out-of-order' | 'handshake-timeout' | 'wrong-version' | 'wrong-proof'
+  | 'malformed-message' | 'message-too-large' | 'part-out-of-order' | 'handshake-timeout' | 'wrong-version' | 'wrong-proof'
 
 /**
  * A `protocol-violation` with its reason among the members.
--- a/packages/wire/test/calls.test.ts
+++ b/packages/wire/test/calls.test.ts
@@ -197,11 +197,26 @@
     it('closes a connection without calls at once', async () => {
       const server = await bench.server(async () => status('fine'))
       await bench.client().call(server.address, CALL, 5000)
-      await server.close(60_000)
+      await Promise.all([server.close(60_000), server.close(60_000)])
       expect(server.statistics.connections).to.equal(0)
     })
   })
 
+  describe('a client that closes', () => {
+    it('fails its calls in flight, and takes no more', async () => {
+      const held = new HeldReplies()
+      const server = await bench.server(held.handle)
+      const client = bench.client()
+      const inFlight = failureOf(client.call(server.address, hint(1), 5000))
+      await until(() => held.calls.length === 1)
+      const connecting = failureOf(client.call('127.0.0.1:1', hint(2), 5000))
+      await client.close()
+      expect(await inFlight).to.deep.include({ code: 'connection-lost', members: { reason: 'stopped', sent: true } })
+      expect((await connecting).members.sent).to.equal(false)
+      expect(await failureOf(client.call(server.address, CALL, 5000))).to.deep.include({ members: { reason: 'stopped', sent: false } })
+    })
+  })
+
   describe('an idle connection', () => {
     it('is closed by the client, and the next call opens another', async () => {
       const timers = new VirtualTimers()
@@ -252,6 +267,41 @@
     })
   })
 
+  describe('a caller\'s payload', () => {
+    const payloads = ['{"__proto__":{"a":1},"b":[]}', '"\\ud800x"', '{"constructor":1,"":"\\u0000"}', '1e+300', 'null', `${'['.repeat(300)}${']'.repeat(300)}`]
+    for (const text of payloads) {
+      it(`arrives and comes back unchanged: ${text.slice(0, 30)}`, async () => {
+        const server = await bench.server(async (_peer, body) => ({ type: 'record', record: body } as unknown as ReplyBody))
+        const submit = { type: 'submit', cell: 'praha', submission: { payload: JSON.parse(text) }, waitMilliseconds: 0 } as unknown as CallBody
+        const reply = await bench.client().call(server.address, submit, 5000)
+        expect(JSON.stringify((reply as unknown as { record: { submission: { payload: unknown } } }).record.submission.payload)).to.equal(text)
+      })
+    }
+
+    it('that is no plain data fails its own call, with nothing sent', async () => {
+      const server = await bench.server(async () => status('fine'))
+      const client = bench.client()
+      const failure = await failureOf(client.call(server.address, { type: 'document', environment: () => 1 } as unknown as CallBody, 5000))
+      expect(failure).to.deep.include({ code: 'internal', members: { sent: false } })
+      expect(await client.call(server.address, CALL, 5000)).to.deep.equal(status('fine'))
+    })
+  })
+
+  describe('time limits', () => {
+    for (const milliseconds of [NaN, -1, 0]) {
+      it(`of ${milliseconds} ms leave no time`, async () => {
+        const server = await bench.server(async () => status('fine'))
+        expect((await failureOf(bench.client().call(server.address, CALL, milliseconds))).code).to.equal('timeout')
+      })
+    }
+
+    it('without end are shortened to a day', async () => {
+      const server = await bench.server(async (_peer, _body, remaining) => status(remaining))
+      const client = bench.client({ timers: new VirtualTimers() })
+      expect(await client.call(server.address, CALL, Infinity)).to.deep.equal(status(86_400_000))
+    })
+  })
+
   describe('addresses', () => {
     for (const address of ['', 'localhost', '127.0.0.1:', '127.0.0.1:0', '127.0.0.1:65536', ':80', '1:2:3']) {
       it(`refuses ${JSON.stringify(address)}`, async () => {
