--- a/packages/environment/src/parse.ts
+++ b/packages/environment/src/parse.ts
@@ -7,13 +7,10 @@
 import { checkDocument } from './check.js'
 import type { EnvironmentDocument } from './document.js'
 import { invalidDocument, type DocumentFault } from './fault.js'
-import { cellsOf, documentSchema, SECTION_SCHEMAS, type SectionName, type WrittenDocument } from './schema.js'
+import { textFaults } from './limits.js'
+import { documentSchema, SECTION_SCHEMAS, type SectionName, type WrittenDocument } from './schema.js'
 import { asDocumentFault, faultsOfIssue, type LocatedFault } from './schema-fault.js'
 
-/** Longest text that is read. */
-export const MAXIMUM_DOCUMENT_BYTES = 1024 * 1024
-
-const BYTE_ORDER_MARK = '\uFEFF'
 const SECTION_NAMES = Object.keys(SECTION_SCHEMAS) as readonly SectionName[]
 
 /** A document with the text that it came from. */
@@ -30,16 +27,6 @@
   readonly value: unknown
 }
 
-function textFaults (text: string): readonly DocumentFault[] {
-  if (Buffer.byteLength(text) > MAXIMUM_DOCUMENT_BYTES) {
-    return [{ path: '', rule: 'size', detail: `The text is over ${MAXIMUM_DOCUMENT_BYTES} bytes.` }]
-  }
-  if (text.startsWith(BYTE_ORDER_MARK)) {
-    return [{ path: '', rule: 'byte-order-mark', detail: 'The text starts with a byte order mark; save it as plain UTF-8.', line: 1, column: 1 }]
-  }
-  return []
-}
-
 function syntaxFault (problem: YAMLError, lines: LineCounter): DocumentFault {
   const { line, col } = lines.linePos(problem.pos[0])
   const rule = problem.code === 'DUPLICATE_KEY' ? 'duplicate-member' : 'syntax'
@@ -60,13 +47,13 @@
 
 function readTree (text: string): SourceText {
   const lines = new LineCounter()
-  const tree = parseYaml(text, { lineCounter: lines, prettyErrors: false, uniqueKeys: true })
+  const tree = parseYaml(text, { lineCounter: lines, prettyErrors: false, uniqueKeys: true, logLevel: 'error' })
   const faults = [...tree.errors, ...tree.warnings].map(problem => syntaxFault(problem, lines))
   if (faults.length > 0) throw invalidDocument(faults)
   return { tree, lines, value: tree.toJS() }
 }
 
-/** Reads the text; what the library throws of aliases and depth becomes a fault like any other. */
+/** Reads the text; what the library throws of aliases becomes a fault like any other. */
 function readSource (text: string): SourceText {
   try {
     return readTree(text)
@@ -89,7 +76,8 @@
 }
 
 function complete (written: WrittenDocument): EnvironmentDocument {
-  const workspaces = written.workspaces.map(workspace => ({ ...workspace, cells: cellsOf(workspace, written.cells) }))
+  const allCells = written.cells.map(cell => cell.name)
+  const workspaces = written.workspaces.map(workspace => ({ ...workspace, cells: workspace.cells ?? allCells }))
   return { ...written, workspaces }
 }
 
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,4 +1,5 @@
 /** The inner protocol between daemons. */
+export * from './address.js'
 export * from './client.js'
 export * from './clock.js'
 export * from './event.js'
