Cover lease, choice of cells, group commit, recovery and documents by tests

The in-memory forms and the virtual clock are the platform package's; a wrapper decides the fate of each call, and can let a write that was heard of as failed land later.

Stopping a committer whose next row waits for its interval sent that row as unsettled, though it never left; it is refused as not owned now.

--- a/packages/coordination/src/group-committer.ts
+++ b/packages/coordination/src/group-committer.ts
@@ -67,7 +67,8 @@
   #queuedBytes = 0
   #nextSequence: SequenceNumber
   #earliestStart = -Infinity
-  #busy = false
+  #scheduled = false
+  #inFlight = false
   #draining = false
   #end: CommitterEnd | undefined
   #onEnded: (() => void)[] = []
@@ -113,14 +114,14 @@
   /** Takes no more entries, and resolves once all that were taken are settled. */
   drain (): Promise<CommitterEnd> {
     this.#draining = true
-    if (!this.#busy && this.#queue.length === 0) this.#finish('drained')
+    if (!this.#inFlight && this.#queue.length === 0) this.#finish('drained')
     return this.#ended()
   }
 
   /** Gives up at once. The row in flight, if any, is left unsettled. */
   stop (): Promise<CommitterEnd> {
     this.#abort.abort()
-    if (!this.#busy) this.#finish('stopped')
+    if (!this.#inFlight) this.#finish('stopped')
     return this.#ended()
   }
 
@@ -133,8 +134,8 @@
 
   /** Starts the next row as soon as it may: in this turn's last microtask where the interval is over. */
   #schedule (): void {
-    if (this.#busy || this.#queue.length === 0 || this.#end !== undefined) return
-    this.#busy = true
+    if (this.#scheduled || this.#inFlight || this.#queue.length === 0) return
+    this.#scheduled = true
     const { clock } = this.#options
     const delayMilliseconds = this.#earliestStart - clock.now()
     if (delayMilliseconds > 0) clock.after(delayMilliseconds, () => this.#commitNext())
@@ -142,9 +143,12 @@
   }
 
   async #commitNext (): Promise<void> {
+    this.#scheduled = false
+    if (this.#end !== undefined) return
     const batch = this.#takeBatch()
+    this.#inFlight = true
     const outcome = await this.#commit(batch)
-    this.#busy = false
+    this.#inFlight = false
     if (outcome === 'committed') this.#committed(batch)
     else this.#failed(batch, outcome)
   }
--- a/packages/coordination/src/store-call.ts
+++ b/packages/coordination/src/store-call.ts
@@ -4,9 +4,9 @@
  * refused with nothing written, or not known.
  */
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import type { TableService, Transaction } from '@cornelgauge/platform'
+import type { Clock, TableService, Transaction } from '@cornelgauge/platform'
 import { backoffDelay, type Random } from './backoff.js'
-import { pause, type Clock } from './clock.js'
+import { pause } from './pause.js'
 
 /** Tells that the platform has not answered for a while. */
 export interface StoreUnreachable {
--- a/packages/coordination/test/builders.ts
+++ b/packages/coordination/test/builders.ts
@@ -1,8 +1,8 @@
 /** A small world with one cell and some VMs. */
+import { MemoryObjectStore, MemoryTableService, VirtualClock } from '@cornelgauge/platform'
 import { cellName, failureDomainName, vmName, type SequenceNumber } from '@cornelgauge/model'
 import { claimCell, commitRow, readOwnerRow, seededRandom, type CellClaim, type ClaimOutcome, type CommitOutcome, type StoreCallOptions } from '../src/index.js'
 import { FaultyServices, type Decide } from './faulty-services.js'
-import { MemoryObjectStore, MemoryTableService, VirtualClock } from './platform.js'
 
 export const PRAHA = cellName('praha')
 export const VM_ONE = vmName('praha-1')
@@ -12,8 +12,8 @@
 
 export class World {
   readonly clock = new VirtualClock()
-  readonly truth = new MemoryTableService()
-  readonly objects = new MemoryObjectStore()
+  readonly truth = new MemoryTableService(this.clock)
+  readonly objects = new MemoryObjectStore(this.clock)
   readonly services = new FaultyServices(this.truth, this.objects)
   readonly abort = new AbortController()
   readonly options: StoreCallOptions = { clock: this.clock, random: seededRandom(1), signal: this.abort.signal }
@@ -49,3 +49,8 @@
     return promise
   }
 }
+
+/** Lets everything that is ready to run do so. */
+export function nextTurn (): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve))
+}
--- /dev/null
+++ b/packages/coordination/test/document-follower.test.ts
@@ -0,0 +1,127 @@
+import { digestOf, documentVersion } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { adopt, DOCUMENT_POLL_MILLISECONDS, DocumentFollower, DOCUMENTS_TABLE, type SeenDocument } from '../src/index.js'
+import { World } from './builders.js'
+
+const documentOf = (version: number, text = `text ${version}`): SeenDocument => ({ version: documentVersion(version), digest: digestOf(text), text })
+
+describe('document follower', () => {
+  let world: World
+  let adopted: number[]
+  let failures: string[]
+  let follower: DocumentFollower
+  const peers: SeenDocument[] = []
+
+  beforeEach(() => {
+    world = new World()
+    adopted = []
+    failures = []
+    peers.length = 0
+    follower = new DocumentFollower({
+      table: world.services.table,
+      environment: 'trial',
+      clock: world.clock,
+      onAdopted: ({ version }) => adopted.push(version),
+      onFailure: ({ code }) => failures.push(code),
+      fetchFromPeers: async () => peers
+    })
+  })
+  afterEach(() => follower.stop())
+
+  const apply = (document: SeenDocument) => world.truth.write({
+    conditions: [],
+    operations: [{ type: 'put', table: DOCUMENTS_TABLE, key: 'trial', value: { ...document, appliedBy: 'operator', appliedAt: 0 } }]
+  })
+
+  describe('at the table service', () => {
+    it('adopts each newer version within one poll', async () => {
+      await apply(documentOf(1))
+      await follower.start()
+      await apply(documentOf(3))
+      await world.clock.advance(DOCUMENT_POLL_MILLISECONDS)
+      expect(adopted).to.deep.equal([1, 3])
+    })
+
+    it('never goes back', async () => {
+      await apply(documentOf(3))
+      await follower.start()
+      await apply(documentOf(2))
+      await world.clock.advance(3 * DOCUMENT_POLL_MILLISECONDS)
+      expect(follower.current?.version).to.equal(3)
+    })
+
+    it('reads at once on the hint of a newer version', async () => {
+      await follower.start()
+      await apply(documentOf(1))
+      await follower.hint(documentVersion(1))
+      expect(adopted).to.deep.equal([1])
+    })
+
+    it('reads again where a hint comes during a read that began before the change', async () => {
+      let finishRead = () => {}
+      world.faults(() => new Promise(resolve => { finishRead = () => resolve('refused') }))
+      const started = follower.start()
+      const hinted = follower.hint(documentVersion(1))
+      await apply(documentOf(1))
+      world.faults(() => 'answered')
+      finishRead()
+      await Promise.all([started, hinted])
+      expect(adopted).to.deep.equal([1])
+    })
+
+    it('reports a damaged one and keeps its own', async () => {
+      await apply(documentOf(1))
+      await follower.start()
+      await apply({ ...documentOf(2), text: 'other' })
+      await world.clock.advance(DOCUMENT_POLL_MILLISECONDS)
+      expect([adopted, failures]).to.deep.equal([[1], ['record-damaged']])
+    })
+
+    it('stops polling when it is stopped', async () => {
+      await follower.start()
+      follower.stop()
+      await apply(documentOf(1))
+      await world.clock.advance(5 * DOCUMENT_POLL_MILLISECONDS)
+      expect(adopted).to.deep.equal([])
+    })
+  })
+
+  describe('in an outage', () => {
+    beforeEach(() => world.faults(() => 'refused'))
+
+    it('starts with the newest document of its peers', async () => {
+      peers.push(documentOf(2), documentOf(4), documentOf(3))
+      await follower.start()
+      expect(adopted).to.deep.equal([4])
+    })
+
+    it('follows a peer\'s hint, and the table again afterwards', async () => {
+      peers.push(documentOf(2))
+      await follower.start()
+      peers.push(documentOf(3))
+      await follower.hint(documentVersion(3))
+      await apply(documentOf(4))
+      world.faults(() => 'answered')
+      await world.clock.advance(DOCUMENT_POLL_MILLISECONDS)
+      expect(adopted).to.deep.equal([2, 3, 4])
+    })
+
+    it('keeps what it has, and asks nobody', async () => {
+      world.faults(() => 'answered')
+      await apply(documentOf(5))
+      await follower.start()
+      world.faults(() => 'refused')
+      peers.push(documentOf(6))
+      await world.clock.advance(3 * DOCUMENT_POLL_MILLISECONDS)
+      expect(adopted).to.deep.equal([5])
+    })
+  })
+
+  describe('adopt', () => {
+    it('takes a newer version whose digest fits, and nothing else', () => {
+      expect(adopt(documentOf(1), documentOf(2)).type).to.equal('adopted')
+      expect(adopt(documentOf(2), documentOf(2, 'other')).type).to.equal('not-newer')
+      expect(adopt(undefined, { ...documentOf(1), digest: digestOf('other') }).type).to.equal('damaged')
+    })
+  })
+})
--- /dev/null
+++ b/packages/coordination/test/ownership-choice.test.ts
@@ -0,0 +1,114 @@
+import { cellName, vmName, type CellName, type VmName } from '@cornelgauge/model'
+import { expect } from 'chai'
+import {
+  chooseActions, HANDOVER_STABILITY_MILLISECONDS, LEASE_MILLISECONDS, LONGEST_CLAIM_DELAY_MILLISECONDS, observe, openLease,
+  rankCandidates, RENEWAL_MILLISECONDS, type Candidate, type OwnershipView
+} from '../src/index.js'
+import { DOMAIN_PLZEN, DOMAIN_PRAHA, PRAHA, World } from './builders.js'
+import { readOwnerRow } from '../src/index.js'
+
+const place = { cell: PRAHA, failureDomain: DOMAIN_PRAHA }
+const candidate = (name: string, change: Partial<Candidate> = {}): Candidate =>
+  ({ vm: vmName(name), failureDomain: DOMAIN_PRAHA, leaving: false, liveSince: 0, ...change })
+const inPraha = ['praha-1', 'praha-2', 'praha-3'].map(name => candidate(name))
+const inPlzen = ['plzen-1', 'plzen-2'].map(name => candidate(name, { failureDomain: DOMAIN_PLZEN }))
+const everyone = [...inPlzen, ...inPraha]
+const ranked = rankCandidates(place, everyone)
+
+function viewOf (self: Candidate, change: Partial<OwnershipView> = {}): OwnershipView {
+  return {
+    vm: self.vm,
+    failureDomain: self.failureDomain,
+    leaving: false,
+    cells: [place],
+    watches: new Map([[PRAHA, observe(undefined, undefined, 0)]]),
+    candidates: everyone,
+    held: new Map(),
+    busy: new Set(),
+    ...change
+  }
+}
+
+const holding = (at = 0) => new Map([[PRAHA, openLease(at)]])
+
+describe('choice of cells', () => {
+  describe('preference', () => {
+    it('puts the VMs of the cell\'s failure domain first', () => {
+      expect(ranked.slice(0, 3).every(({ failureDomain }) => failureDomain === DOMAIN_PRAHA)).to.equal(true)
+    })
+
+    it('leaves out those that leave, and moves only their cells', () => {
+      const leaving = everyone.map(one => one.vm === ranked[0]!.vm ? { ...one, leaving: true } : one)
+      expect(rankCandidates(place, leaving)).to.deep.equal(ranked.slice(1))
+    })
+
+    it('spreads many cells over the VMs of a failure domain', () => {
+      const cells = Array.from({ length: 60 }, (_, number) => cellName(`cell-${number}`))
+      const shares = new Map<VmName, number>()
+      cells.map(cell => rankCandidates({ cell, failureDomain: DOMAIN_PRAHA }, everyone)[0]!.vm)
+        .forEach(vm => shares.set(vm, (shares.get(vm) ?? 0) + 1))
+      expect(shares.size).to.equal(3)
+      expect(Math.max(...shares.values())).to.be.lessThan(30)
+    })
+  })
+
+  describe('a free cell', () => {
+    it('is claimed by the preferred VM at once, by each other in its turn', () => {
+      ranked.forEach((self, rank) => {
+        const turn = Math.min(rank * 200, LONGEST_CLAIM_DELAY_MILLISECONDS)
+        if (rank > 0) expect(chooseActions(viewOf(self), turn - 1)).to.deep.equal([])
+        expect(chooseActions(viewOf(self), turn)[0]?.type).to.equal('claim')
+      })
+    })
+
+    it('is claimed by a VM that knows of no other', () => {
+      expect(chooseActions(viewOf(ranked[4]!, { candidates: [] }), 0)[0]?.type).to.equal('claim')
+    })
+
+    it('is left alone by a VM that leaves, has not read the row yet, or is busy with it', () => {
+      const self = ranked[0]!
+      expect(chooseActions(viewOf(self, { leaving: true }), 9999)).to.deep.equal([])
+      expect(chooseActions(viewOf(self, { watches: new Map() }), 9999)).to.deep.equal([])
+      expect(chooseActions(viewOf(self, { busy: new Set<CellName>([PRAHA]) }), 9999)).to.deep.equal([])
+    })
+
+    it('is one whose lease has expired', async () => {
+      const world = new World()
+      await world.claim()
+      const watches = new Map([[PRAHA, observe(undefined, await readOwnerRow(world.truth, PRAHA), 0)]])
+      expect(chooseActions(viewOf(ranked[0]!, { watches }), LEASE_MILLISECONDS - 1)).to.deep.equal([])
+      expect(chooseActions(viewOf(ranked[0]!, { watches }), LEASE_MILLISECONDS)[0]?.type).to.equal('claim')
+    })
+  })
+
+  describe('a held cell', () => {
+    it('is renewed when that is due', () => {
+      const view = viewOf(ranked[0]!, { held: holding() })
+      expect(chooseActions(view, RENEWAL_MILLISECONDS - 1)).to.deep.equal([])
+      expect(chooseActions(view, RENEWAL_MILLISECONDS)).to.deep.equal([{ type: 'renew', cell: PRAHA }])
+    })
+
+    it('goes to the preferred VM when its own leaves, or to nobody where there is none', () => {
+      const leaving = viewOf(ranked[0]!, { held: holding(), leaving: true })
+      expect(chooseActions(leaving, 1)).to.deep.equal([{ type: 'hand-over', cell: PRAHA, to: ranked[1]!.vm }])
+      expect(chooseActions({ ...leaving, candidates: [] }, 1)).to.deep.equal([{ type: 'hand-over', cell: PRAHA, to: null }])
+    })
+
+    it('stays where only the hash prefers another', () => {
+      expect(chooseActions(viewOf(ranked[2]!, { held: holding(10 ** 6) }), 10 ** 6)).to.deep.equal([])
+    })
+
+    it('goes back to its failure domain once a VM there has been stable', () => {
+      const view = viewOf(ranked[4]!, { held: holding(HANDOVER_STABILITY_MILLISECONDS) })
+      expect(chooseActions(view, HANDOVER_STABILITY_MILLISECONDS - 1)).to.deep.equal([])
+      const [action] = chooseActions(view, HANDOVER_STABILITY_MILLISECONDS)
+      expect(action).to.deep.equal({ type: 'hand-over', cell: PRAHA, to: ranked[0]!.vm })
+    })
+
+    it('does not follow a VM that comes and goes', () => {
+      const flapping = inPraha.map(one => ({ ...one, liveSince: 90_000 }))
+      const view = viewOf(ranked[4]!, { held: holding(100_000), candidates: [...inPlzen, ...flapping] })
+      expect(chooseActions(view, 100_000)).to.deep.equal([])
+    })
+  })
+})
