--- a/packages/environment/src/capacity.ts
+++ b/packages/environment/src/capacity.ts
@@ -24,11 +24,9 @@
   readonly racks: number
   /** Accelerators on those servers that have the slots as well. */
   readonly accelerators: number
-  /** Slots, where the group is one server; among whole racks they decide nothing. */
-  readonly slots: number
 }
 
-type Grouping = (racks: readonly FreeRack[], shape: Shape) => readonly Group[]
+type GroupSearch = (racks: readonly FreeRack[], shape: Shape) => Group | undefined
 
 const STRICTNESS: Readonly<Record<Adjacency, number>> = { server: 0, rack: 1, 'neighbouring-racks': 2 }
 
@@ -43,16 +41,35 @@
   return servers.reduce((sum, server) => server.slots >= shape.slots ? sum + server.accelerators : sum, 0)
 }
 
-function singleServers (racks: readonly FreeRack[], shape: Shape): readonly Group[] {
-  return racks.flat()
-    .filter(server => server.slots >= shape.slots && server.accelerators >= shape.accelerators)
-    .map(server => ({ servers: [server], racks: 1, accelerators: server.accelerators, slots: server.slots }))
+/** The tighter of two groups: fewer racks, then less left over; the first one where they are alike. */
+function tighter (first: Group | undefined, second: Group): Group {
+  if (first === undefined) return second
+  const difference = second.racks - first.racks || second.accelerators - first.accelerators
+  return difference < 0 ? second : first
+}
+
+function tightestServer (racks: readonly FreeRack[], shape: Shape): Group | undefined {
+  let best: FreeServer | undefined
+  for (const servers of racks) {
+    for (const server of servers) {
+      if (server.slots < shape.slots || server.accelerators < shape.accelerators) continue
+      if (best === undefined || leavesLess(server, best)) best = server
+    }
+  }
+  return best === undefined ? undefined : { servers: [best], racks: 1, accelerators: best.accelerators }
 }
 
-function singleRacks (racks: readonly FreeRack[], shape: Shape): readonly Group[] {
-  return racks
-    .map(servers => ({ servers, racks: 1, accelerators: usableAccelerators(servers, shape), slots: 0 }))
-    .filter(group => group.accelerators >= shape.accelerators)
+function leavesLess (server: FreeServer, other: FreeServer): boolean {
+  return server.accelerators < other.accelerators || (server.accelerators === other.accelerators && server.slots < other.slots)
+}
+
+function tightestRack (racks: readonly FreeRack[], shape: Shape): Group | undefined {
+  let best: Group | undefined
+  for (const servers of racks) {
+    const accelerators = usableAccelerators(servers, shape)
+    if (accelerators >= shape.accelerators) best = tighter(best, { servers, racks: 1, accelerators })
+  }
+  return best
 }
 
 /** The shortest run of racks from one rack on that has enough. */
@@ -61,27 +78,26 @@
   for (let last = first; last < racks.length; last += 1) {
     accelerators += usable[last] ?? 0
     if (accelerators >= shape.accelerators) {
-      return { servers: racks.slice(first, last + 1).flat(), racks: last + 1 - first, accelerators, slots: 0 }
+      return { servers: racks.slice(first, last + 1).flat(), racks: last + 1 - first, accelerators }
     }
   }
   return undefined
 }
 
-function runsOfRacks (racks: readonly FreeRack[], shape: Shape): readonly Group[] {
+function tightestRun (racks: readonly FreeRack[], shape: Shape): Group | undefined {
   const usable = racks.map(servers => usableAccelerators(servers, shape))
-  return racks.flatMap((_, first) => runFrom(first, racks, usable, shape) ?? [])
-}
-
-const GROUPINGS: Readonly<Record<Adjacency, Grouping>> = {
-  server: singleServers,
-  rack: singleRacks,
-  'neighbouring-racks': runsOfRacks
+  let best: Group | undefined
+  for (let first = 0; first < racks.length; first += 1) {
+    const run = runFrom(first, racks, usable, shape)
+    if (run !== undefined) best = tighter(best, run)
+  }
+  return best
 }
 
-/** The tighter of two groups: fewer racks, then less left over. */
-function tighter (left: Group, right: Group): Group {
-  const difference = right.racks - left.racks || right.accelerators - left.accelerators || right.slots - left.slots
-  return difference < 0 ? right : left
+const GROUP_SEARCHES: Readonly<Record<Adjacency, GroupSearch>> = {
+  server: tightestServer,
+  rack: tightestRack,
+  'neighbouring-racks': tightestRun
 }
 
 /** Takes whole servers, the largest first, and the last part from the smallest server that has it; the group has enough. */
@@ -102,8 +118,8 @@
 
 function findTakings (racks: readonly FreeRack[], shape: Shape): readonly Taking[] | undefined {
   const adjacency = shape.accelerators === 0 ? 'server' : shape.adjacency
-  const [first, ...others] = GROUPINGS[adjacency](racks, shape)
-  return first === undefined ? undefined : takeFrom(others.reduce(tighter, first).servers, shape)
+  const group = GROUP_SEARCHES[adjacency](racks, shape)
+  return group === undefined ? undefined : takeFrom(group.servers, shape)
 }
 
 /** Takes the shape's capacity out of the racks; false, with nothing taken, where there is no room. */
--- a/packages/environment/src/check.ts
+++ b/packages/environment/src/check.ts
@@ -153,7 +153,7 @@
   return `${list.join('; ')}: together at least ${slots} slots and ${accelerators} accelerators`
 }
 
-function conflictFault (unplaced: readonly GuaranteeDemand[], demands: readonly GuaranteeDemand[], cell: CellDeclaration): readonly LocatedFault[] {
+function conflictFaults (unplaced: readonly GuaranteeDemand[], demands: readonly GuaranteeDemand[], cell: CellDeclaration): readonly LocatedFault[] {
   const there = capacityOf(cell)
   return unplaced.map(demand => ({
     path: demand.path,
@@ -164,9 +164,10 @@
 
 function guaranteesOfCell (document: WrittenDocument, cell: CellDeclaration): readonly LocatedFault[] {
   const demands = demandsIn(document, cell.name)
-  const misfits = demands.filter(demand => !shapeFitsCell(demand.shape, cell))
+  const unplaced = unplaceable(demands, cell)
+  const misfits = unplaced.filter(demand => !shapeFitsCell(demand.shape, cell))
   if (misfits.length > 0) return misfits.map(demand => misfitFault(demand, cell))
-  return conflictFault(unplaceable(demands, cell), demands, cell)
+  return conflictFaults(unplaced, demands, cell)
 }
 
 const CHECKS: readonly DocumentCheck[] = [
