--- a/packages/command-line/src/document-operations.ts
+++ b/packages/command-line/src/document-operations.ts
@@ -9,7 +9,7 @@
 import { defineOperation, joinLines, type Outcome, type Tools } from './operation.js'
 import { ENVIRONMENT_SETTING, matchingText, optionalText, requiredText, SERVICE_SETTINGS } from './setting-types.js'
 import type { SettingDefinition } from './settings.js'
-import { renderLabelled, type Style } from './terminal.js'
+import { escapeControls, renderLabelled, type Style } from './terminal.js'
 import { isUncertain, withAdvice } from './uncertain.js'
 
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
@@ -40,7 +40,7 @@
   return {
     exit: 'otherwise',
     value: { valid: false, ...toProblem(failure) },
-    render: style => joinLines([style.emphasize('bad', failure.message), ...faults.map(formatFault)])
+    render: style => joinLines([style.emphasize('bad', failure.message), ...faults.map(fault => escapeControls(formatFault(fault)))])
   }
 }
 
--- a/packages/command-line/src/request-operations.ts
+++ b/packages/command-line/src/request-operations.ts
@@ -1,12 +1,12 @@
 /** The commands `submit`, `request` and `cancel`. */
-import { isFinal, requestKey, type RequestKey, type RequestView, type WorkspaceName } from '@cornelgauge/model'
+import { isFinal, type RequestKey, type RequestView, type WorkspaceName } from '@cornelgauge/model'
 import { z } from 'zod'
 import { ServiceClient, type SubmissionBody } from './client.js'
 import { EXIT_OF_CANCELLED_STATE, EXIT_OF_STATE, type ExitName } from './exit-code.js'
 import { readTextFile } from './files.js'
 import { defineOperation, joinLines, type Outcome, type Tools } from './operation.js'
 import { renderRequest } from './request-view.js'
-import { choice, KEY_SETTING, optionalText, requiredText, SERVICE_SETTINGS, wholeNumber, WORKSPACE_SETTING } from './setting-types.js'
+import { choice, KEY_SETTING, optionalKey, requiredText, SERVICE_SETTINGS, wholeNumber, WORKSPACE_SETTING } from './setting-types.js'
 import { invalidSettings, type SettingDefinition } from './settings.js'
 import { isUncertain, withAdvice } from './uncertain.js'
 import { POLL_MILLISECONDS, Progress, waitForEnd } from './waiting.js'
@@ -83,7 +83,7 @@
   settings: {
     kind: { description: 'Kind of work', place: 'positional', schema: requiredText },
     workspace: WORKSPACE_SETTING,
-    key: { description: 'Idempotency key; a new one is made, and printed first, where none is given', place: 'flag', hint: 'key', schema: optionalText },
+    key: { description: 'Idempotency key; a new one is made, and printed first, where none is given', place: 'flag', hint: 'key', schema: optionalKey },
     payload: { description: 'Payload as JSON, or @FILE. Default: {}', place: 'flag', hint: 'json', schema: payloadSchema },
     deadlineMilliseconds: { description: `Time from now in which the answer is wanted. Default: ${DEFAULT_DEADLINE_MILLISECONDS}`, place: 'flag', hint: 'milliseconds', schema: wholeNumber(1, DEFAULT_DEADLINE_MILLISECONDS) },
     slots: { description: "Slots, in place of the kind's own", place: 'flag', hint: 'count', schema: wholeNumber(1, undefined) },
@@ -99,7 +99,7 @@
   async run (settings, tools) {
     const { workspace, waitMilliseconds, kind, deadlineMilliseconds, slots, accelerators, adjacency } = settings
     const body: SubmissionBody = { kind, payload: await readPayload(settings.payload, tools), deadlineMilliseconds, shape: shapeOf({ slots, accelerators, adjacency }) }
-    const key = settings.key === undefined ? tools.createKey() : requestKey(settings.key)
+    const key = settings.key ?? tools.createKey()
     if (settings.key === undefined) tools.diagnostics.write(`key ${key}\n`)
     const client = new ServiceClient(settings.address, settings.token, tools.http)
     const until = tools.now() + waitMilliseconds
--- a/packages/command-line/src/run.ts
+++ b/packages/command-line/src/run.ts
@@ -7,7 +7,7 @@
 import { joinLines, type Operation, type Outcome, type Tools } from './operation.js'
 import { describeState } from './request-view.js'
 import { invalidSettings, readSettings, type SettingFault } from './settings.js'
-import { styleFor } from './terminal.js'
+import { escapeControls, styleFor } from './terminal.js'
 
 const HELP_WORDS: ReadonlySet<string> = new Set(['--help', '-h'])
 const VERSION_WORD = '--version'
@@ -56,8 +56,8 @@
   else {
     const style = styleFor(tools.diagnostics, tools.variables)
     const state = failure.state === undefined ? [] : [describeState(failure.state)]
-    const headline = style.emphasize('bad', `${failure.message} [${failure.code}]`)
-    tools.diagnostics.write(joinLines([headline, ...state, ...faultLines(failure)]))
+    const headline = style.emphasize('bad', escapeControls(`${failure.message} [${failure.code}]`))
+    tools.diagnostics.write(joinLines([headline, ...state, ...faultLines(failure).map(escapeControls)]))
   }
   return EXIT_CODES[exitOfFailure(failure)]
 }
--- a/packages/command-line/src/setting-types.ts
+++ b/packages/command-line/src/setting-types.ts
@@ -89,9 +89,15 @@
   schema: requiredText.transform(workspaceName) as z.ZodType<WorkspaceName, string | undefined>
 } as const satisfies SettingDefinition<WorkspaceName>
 
+const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/
+const KEY_MESSAGE = 'Must be at most 200 printable ASCII characters without spaces.'
+
+/** An idempotency key that may be left out. */
+export const optionalKey = text.regex(KEY_PATTERN, KEY_MESSAGE).transform(requestKey).optional() as z.ZodType<RequestKey | undefined, string | undefined>
+
 /** Which request is meant. */
 export const KEY_SETTING = {
   description: 'Idempotency key of the request',
   place: 'positional',
-  schema: requiredText.transform(requestKey) as z.ZodType<RequestKey, string | undefined>
+  schema: text.regex(KEY_PATTERN, KEY_MESSAGE).transform(requestKey) as z.ZodType<RequestKey, string | undefined>
 } as const satisfies SettingDefinition<RequestKey>
--- a/packages/command-line/src/terminal.ts
+++ b/packages/command-line/src/terminal.ts
@@ -48,6 +48,20 @@
   readonly text: (row: Row) => string
 }
 
+// eslint-disable-next-line no-control-regex
+const CONTROL_CHARACTERS = /[\u0000-\u0009\u000b-\u001f\u007f-\u009f\u2028\u2029\u202a-\u202e\u2066-\u2069]/g
+
+/**
+ * Text with its control characters but line ends escaped: what a caller put into a
+ * key or a payload must not move the cursor of whoever reads it.
+ *
+ * @example
+ * escapeControls('a\u001B[2J') // 'a\\u001b[2J'
+ */
+export function escapeControls (text: string): string {
+  return text.replace(CONTROL_CHARACTERS, character => `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`)
+}
+
 function alignedLine (cells: readonly string[], widths: readonly number[]): string {
   return cells.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd()
 }
@@ -60,7 +74,7 @@
  */
 export function renderTable<Row> (columns: readonly Column<Row>[], rows: readonly Row[], style: Style): readonly string[] {
   const titles = columns.map(column => column.title)
-  const cells = rows.map(row => columns.map(column => column.text(row)))
+  const cells = rows.map(row => columns.map(column => escapeControls(column.text(row))))
   if (!style.tables) return [titles, ...cells].map(line => line.join('\t'))
   const widths = titles.map((title, index) => Math.max(title.length, ...cells.map(line => line[index]?.length ?? 0)))
   return [style.emphasize('heading', alignedLine(titles, widths)), ...cells.map(line => alignedLine(line, widths))]
@@ -76,7 +90,8 @@
  * renderLabelled([['version', '3']], style) // ['version\t3']
  */
 export function renderLabelled (items: readonly Labelled[], style: Style): readonly string[] {
-  if (!style.tables) return items.map(item => item.join('\t'))
-  const width = Math.max(...items.map(([label]) => label.length))
-  return items.map(([label, value]) => `${label.padEnd(width)}  ${value}`)
+  const escaped = items.map(([label, value]) => [label, escapeControls(value)] as const)
+  if (!style.tables) return escaped.map(item => item.join('\t'))
+  const width = Math.max(...escaped.map(([label]) => label.length))
+  return escaped.map(([label, value]) => `${label.padEnd(width)}  ${value}`)
 }
--- a/packages/command-line/test/request.test.ts
+++ b/packages/command-line/test/request.test.ts
@@ -70,6 +70,17 @@
       expect(sentBody()).to.deep.equal({ kind: 'shift-swap', payload: { a: 1 }, deadlineMilliseconds: 5, shape: { accelerators: 16, adjacency: 'rack' } })
     })
 
+    it('does not let an answer or a reason move the cursor', async () => {
+      service.current.on(`POST ${COLLECTION}`, view('failed', { reason: { code: 'task-failed', detail: 'a\u001B[2Jb\u009b' } }))
+      expect((await execute(SUBMIT, { isTerminal: true, variables: { NO_COLOR: '1' } })).output).to.contain('a\\u001b[2Jb\\u009b')
+    })
+
+    for (const key of ['a b', 'č', 'k'.repeat(201)]) {
+      it(`ends with 2 for a key that no header can hold: ${key.slice(0, 5)}`, async () => {
+        expect((await execute([...SUBMIT, '--key', key])).exitCode).to.equal(2)
+      })
+    }
+
     it('leaves the shape to the kind where none is given, and reads the payload from a file', async () => {
       await execute([...SUBMIT, '--payload', '@swap.json'], { files: { 'swap.json': '[2]' } })
       expect(sentBody()).to.deep.equal({ kind: 'shift-swap', payload: [2], deadlineMilliseconds: 60_000 })
