--- a/packages/model/src/request.ts
+++ b/packages/model/src/request.ts
@@ -48,9 +48,15 @@
   /** Milliseconds since 1970, by the clock of the accepting owner. */
   readonly acceptedAt: number
   readonly assignment?: Assignment
-  /** Intents to start so far. */
+  /** Number of the newest attempt that had an intent to start; 0 before the first. */
   readonly attempts: number
+  /** Attempts that a failing task or backend server ended. */
+  readonly faults: number
+  /** True once an attempt may have run without finishing; then it is never said not to have run. */
+  readonly mayHaveRun: boolean
   readonly cancelRequested: boolean
+  /** Newest checkpoint of earlier attempts. */
+  readonly checkpoint?: string
   readonly answer?: AnswerReference
   /** Why it ended as it did, as a code with a sentence. */
   readonly reason?: EndReason
@@ -66,7 +72,7 @@
 /** The code of an end reason. */
 export type EndReasonCode =
   | 'cancelled-by-caller' | 'deadline-passed' | 'task-failed' | 'server-lost' | 'impossible'
-  | 'never-started' | 'attempts-spent' | 'refused-by-policy'
+  | 'never-started' | 'attempts-spent' | 'refused-by-policy' | 'lease-lapsed'
 
 /** A request as its caller sees it. */
 export interface RequestView {
