Decide by guarantees, reservations, minimum shares, headroom and deadlines

Guarantees have holds, places of their own; work that cannot be stopped stays out of the holds of others, so an idle hold is always reclaimable by stopping borrowers, those that lose the least work, and an idle hold moves to where that is least. Gangs that find no room reserve the members that come free first; only work that can be stopped is backfilled there, so a wrong run time delays a gang by one preemption. Kinds below their minimum share come first, then the order of the document; workspaces share by work given over weight. Headroom for urgent kinds follows measured arrivals. Admission refuses what its deadline forbids, and spreads the return of those refused.

Weighed: lending holds to unstoppable work whose predicted end is near enough. Not taken: a straggler breaks the bound, and the bound is to hold in every case.

--- a/packages/policy/src/capacity.ts
+++ b/packages/policy/src/capacity.ts
@@ -1,28 +1,54 @@
 /**
  * The capacity of a cell: its racks in order of position, the backend servers in
- * each, and what the running jobs hold of them. All values are immutable; a
- * change copies one rack and leaves the others shared.
+ * each, and what is given away of them. All values are immutable; a change copies
+ * one rack and leaves the others shared.
  */
 import type { BackendServerName, Member, RequestId } from '@cornelgauge/model'
+import { addAmount, NO_AMOUNT, sumAmounts, type Amount } from './amount.js'
 import type { ServerDescription } from './scheduler.js'
 
-/** An amount of capacity on one backend server. */
-export interface Amount {
-  readonly slots: number
-  readonly accelerators: number
-}
+/**
+ * How firmly a running job holds its capacity. `entitled`: inside a guarantee of its
+ * own workspace. `reclaimable`: can be checkpointed or stopped, and so may use
+ * guaranteed capacity of others. `pinned`: must be left to end.
+ */
+export type Grade = 'entitled' | 'pinned' | 'reclaimable'
 
 /** The part of a running job that one backend server runs. */
 export interface Task extends Amount {
   readonly id: RequestId
+  readonly grade: Grade
+  readonly startedAt: number
+  readonly expectedEnd: number
+  /** Its preemption is decided; the capacity comes free soon. */
+  readonly stopping: boolean
 }
 
+/** What is given away of a backend server. Each amount is a sum over tasks, guarantees, reservations or claims. */
+export interface Ledger {
+  readonly used: Amount
+  readonly entitled: Amount
+  readonly pinned: Amount
+  readonly reclaimable: Amount
+  readonly stopping: Amount
+  /** Set aside for guarantees, in use or not. */
+  readonly guaranteed: Amount
+  /** Set aside for gangs that wait. */
+  readonly reserved: Amount
+  /** The part of `reserved` that urgent work is kept out of as well. */
+  readonly closed: Amount
+  /** Coming free for jobs that already know their members. */
+  readonly claimed: Amount
+}
+
+/** The name of one sum in a ledger. */
+export type LedgerEntry = keyof Ledger
+
 /** A backend server and what runs there. */
-export interface Server {
+export interface Server extends Ledger {
   readonly description: ServerDescription
   /** A leaving backend server receives no new work. */
   readonly leaving: boolean
-  readonly used: Amount
   readonly tasks: readonly Task[]
 }
 
@@ -38,6 +64,8 @@
   readonly racks: readonly Rack[]
   /** Where each backend server stands in `racks`. */
   readonly locations: ReadonlyMap<string, Location>
+  /** Of all backend servers that are not leaving. */
+  readonly total: Amount
 }
 
 /** The place of a backend server in a `Capacity`. */
@@ -46,17 +74,18 @@
   readonly server: number
 }
 
-export const NO_AMOUNT: Amount = { slots: 0, accelerators: 0 }
-export const NO_CAPACITY: Capacity = { racks: [], locations: new Map() }
+export const NO_CAPACITY: Capacity = { racks: [], locations: new Map(), total: NO_AMOUNT }
 
-/**
- * The sum of two amounts, the second one taken `times` times.
- *
- * @example
- * addAmount({ slots: 1, accelerators: 8 }, { slots: 1, accelerators: 0 }, -1) // { slots: 0, accelerators: 8 }
- */
-export function addAmount (first: Amount, second: Amount, times = 1): Amount {
-  return { slots: first.slots + times * second.slots, accelerators: first.accelerators + times * second.accelerators }
+const EMPTY_LEDGER: Ledger = {
+  used: NO_AMOUNT,
+  entitled: NO_AMOUNT,
+  pinned: NO_AMOUNT,
+  reclaimable: NO_AMOUNT,
+  stopping: NO_AMOUNT,
+  guaranteed: NO_AMOUNT,
+  reserved: NO_AMOUNT,
+  closed: NO_AMOUNT,
+  claimed: NO_AMOUNT
 }
 
 /** Compares two strings by code unit. */
@@ -80,7 +109,7 @@
   servers[location.server] = change(servers[location.server] as Server)
   const racks = capacity.racks.slice()
   racks[location.rack] = { ...rack, servers }
-  return { racks, locations: capacity.locations }
+  return { ...capacity, racks }
 }
 
 /** All backend servers in order of rack position, rack name and name. */
@@ -108,12 +137,13 @@
     locations.set(server.description.name, { rack: racks.length - 1, server: rack.servers.length })
     rack.servers.push(server)
   }
-  return { racks, locations }
+  const total = sumAmounts(servers.filter(server => !server.leaving).map(server => server.description))
+  return { racks, locations, total }
 }
 
 /** An empty backend server. */
 export function emptyServer (description: ServerDescription): Server {
-  return { description, leaving: false, used: NO_AMOUNT, tasks: [] }
+  return { ...EMPTY_LEDGER, description, leaving: false, tasks: [] }
 }
 
 /** The capacity with a backend server put in place of the one of its name, or without it. */
@@ -122,29 +152,37 @@
   return arrangeServers(server === undefined ? others : [...others, server])
 }
 
-/** What is free on a backend server for new work. */
-export function freeAmount (server: Server): Amount {
-  if (server.leaving) return NO_AMOUNT
-  const { slots, accelerators } = server.description
-  return { slots: Math.max(0, slots - server.used.slots), accelerators: Math.max(0, accelerators - server.used.accelerators) }
+/** Adds each member to one sum of its backend server, `times` times. */
+export function enter (capacity: Capacity, entry: LedgerEntry, members: readonly Member[], times: number): Capacity {
+  return members.reduce((current, member) => updateServer(current, member.server, server =>
+    ({ ...server, [entry]: addAmount(server[entry], member, times) })), capacity)
 }
 
 /** The backend server with one more task. */
 export function addTask (server: Server, task: Task): Server {
-  return { ...server, used: addAmount(server.used, task), tasks: [...server.tasks, task] }
+  return bookTask({ ...server, tasks: [...server.tasks, task] }, task, 1)
 }
 
 /** The backend server without the task of this job. */
 export function removeTask (server: Server, id: RequestId): Server {
   const task = server.tasks.find(candidate => candidate.id === id)
   if (task === undefined) return server
-  return { ...server, used: addAmount(server.used, task, -1), tasks: server.tasks.filter(candidate => candidate !== task) }
+  return bookTask({ ...server, tasks: server.tasks.filter(candidate => candidate !== task) }, task, -1)
+}
+
+function bookTask (server: Server, task: Task, times: number): Server {
+  return {
+    ...server,
+    used: addAmount(server.used, task, times),
+    [task.grade]: addAmount(server[task.grade], task, times),
+    stopping: task.stopping ? addAmount(server.stopping, task, times) : server.stopping
+  }
 }
 
-/** The capacity with a job on these members. */
-export function occupy (capacity: Capacity, id: RequestId, members: readonly Member[]): Capacity {
+/** The capacity with a job's tasks on these members. */
+export function occupy (capacity: Capacity, members: readonly Member[], task: Omit<Task, keyof Amount>): Capacity {
   return members.reduce((current, { server, slots, accelerators }) =>
-    updateServer(current, server, found => addTask(found, { id, slots, accelerators })), capacity)
+    updateServer(current, server, found => addTask(found, { ...task, slots, accelerators })), capacity)
 }
 
 /** The capacity without a job that was on these members. */
--- a/packages/policy/src/change.ts
+++ b/packages/policy/src/change.ts
@@ -1,24 +1,25 @@
 /** The changes of a policy's state: one pure handler for each type of change. */
-import type { BackendServerName, Member } from '@cornelgauge/model'
-import { addTask, emptyServer, findServer, occupy, release, replaceServer, updateServer } from './capacity.js'
+import type { BackendServerName, Member, RequestId } from '@cornelgauge/model'
+import { emptyServer, findServer, replaceServer, type Server } from './capacity.js'
+import { isSameShape } from './guarantee.js'
 import { dequeue, enqueue } from './queue.js'
-import type { Job, PolicyChange, PolicyState, ServerDescription } from './scheduler.js'
-import { inside, type ScheduleState } from './state.js'
+import { dropPlans, dropPlansOn, endJob, restoreTasks, startJob } from './running.js'
+import type { Job, PolicyChange, PolicySettings, PolicyState, ServerDescription } from './scheduler.js'
+import { levelQueue } from './sharing.js'
+import { inside, makeDirectory, type ScheduleState } from './state.js'
+import { recordArrival } from './statistics.js'
 
 type Handlers = { readonly [Type in PolicyChange['type']]: (state: ScheduleState, change: Extract<PolicyChange, { type: Type }>) => ScheduleState }
 
 const HANDLERS: Handlers = {
-  settings: (state, { settings }) => ({ ...state, settings }),
+  settings: (state, { settings }) => changeSettings(state, settings),
   'server-joined': (state, { server }) => joinServer(state, server),
-  'server-leaving': (state, { server }) => ({
-    ...state,
-    capacity: updateServer(state.capacity, server, found => ({ ...found, leaving: true }))
-  }),
-  'server-lost': (state, { server }) => loseServer(state, server),
-  'job-arrived': (state, { job }) => state.running.has(job.id) ? state : { ...state, waiting: enqueue(state.waiting, job) },
-  'job-withdrawn': (state, { id }) => ({ ...state, waiting: dequeue(state.waiting, id) }),
-  'job-started': (state, { job, members, at }) => startJob(state, job, members, at),
-  'job-ended': (state, { id }) => endJob(state, id)
+  'server-leaving': (state, { server }) => changeServer(state, server, found => ({ ...found, leaving: true })),
+  'server-lost': (state, { server }) => changeServer(state, server, () => undefined),
+  'job-arrived': (state, { job }) => arriveJob(state, job),
+  'job-withdrawn': (state, { id }) => withdrawJob(state, id),
+  'job-started': (state, { job, members, at }) => confirmStart(state, job, members, at),
+  'job-ended': (state, { id, outcome, at }) => endJob(state, id, outcome, at)
 }
 
 /**
@@ -34,37 +35,69 @@
   return handler(inside(state), change)
 }
 
-/** A backend server that comes back keeps the tasks that are still counted as running there. */
+/** Gangs look for members anew, because what may be reserved depends on the guarantees. */
+function changeSettings (state: ScheduleState, settings: PolicySettings): ScheduleState {
+  const planless = [...state.reservations.keys(), ...state.claims.keys()].reduce(dropPlans, state)
+  return { ...planless, settings, directory: makeDirectory(settings), guarantees: { ...state.guarantees, stale: true } }
+}
+
 function joinServer (state: ScheduleState, description: ServerDescription): ScheduleState {
-  let server = emptyServer(description)
-  for (const [id, { members }] of state.running) {
-    for (const member of members) {
-      if (member.server === description.name) server = addTask(server, { id, slots: member.slots, accelerators: member.accelerators })
-    }
-  }
+  const found = findServer(state.capacity, description.name)
+  if (found !== undefined && !found.leaving && isSameServer(found.description, description)) return state
+  const planless = dropPlansOn(state, description.name)
+  return restoreTasks({
+    ...planless,
+    capacity: replaceServer(planless.capacity, description.name, emptyServer(description)),
+    known: planless.known.set(description.name, description),
+    guarantees: { ...planless.guarantees, stale: true }
+  }, description.name)
+}
+
+function isSameServer (first: ServerDescription, second: ServerDescription): boolean {
+  return first.rack === second.rack && first.rackPosition === second.rackPosition &&
+    first.slots === second.slots && first.accelerators === second.accelerators
+}
+
+function changeServer (state: ScheduleState, name: BackendServerName, change: (server: Server) => Server | undefined): ScheduleState {
+  const planless = dropPlansOn(state, name)
+  const found = findServer(planless.capacity, name)
+  if (found === undefined) return state
   return {
-    ...state,
-    capacity: replaceServer(state.capacity, description.name, server),
-    known: state.known.set(description.name, description)
+    ...planless,
+    capacity: replaceServer(planless.capacity, name, change(found)),
+    guarantees: { ...planless.guarantees, stale: true }
   }
 }
 
-function loseServer (state: ScheduleState, name: BackendServerName): ScheduleState {
-  if (findServer(state.capacity, name) === undefined) return state
-  return { ...state, capacity: replaceServer(state.capacity, name, undefined) }
+function arriveJob (state: ScheduleState, job: Job): ScheduleState {
+  if (state.running.has(job.id)) return state
+  const arrivals = job.attempts === 0
+    ? state.arrivals.set(job.kind, recordArrival(state.arrivals.get(job.kind), job.shape.slots, job.arrivedAt))
+    : state.arrivals
+  return { ...state, arrivals, sharing: levelQueue(state, job), waiting: enqueue(state.waiting, job) }
+}
+
+function withdrawJob (state: ScheduleState, id: RequestId): ScheduleState {
+  const planless = dropPlans(state, id)
+  return { ...planless, waiting: dequeue(planless.waiting, id) }
 }
 
 /** Counts a job as running on these members, in place of whatever was known of it before. */
-export function startJob (state: ScheduleState, job: Job, members: readonly Member[], at: number): ScheduleState {
+function confirmStart (state: ScheduleState, job: Job, members: readonly Member[], at: number): ScheduleState {
   const known = state.running.get(job.id)
   if (known !== undefined && isSamePlace(known.members, members)) return state
-  const rest = known === undefined ? state : endJob(state, job.id)
-  return {
-    ...rest,
-    waiting: dequeue(rest.waiting, job.id),
-    capacity: occupy(rest.capacity, job.id, members),
-    running: rest.running.set(job.id, { job, members, startedAt: at })
-  }
+  const rest = endJob(state, job.id, 'stopped', at)
+  return startJob(rest, job, { members, hold: idleHoldAt(rest, job, members) }, at)
+}
+
+/** The guarantee of the job's workspace that has this very shape and place, and is idle. */
+function idleHoldAt (state: ScheduleState, job: Job, members: readonly Member[]): string | undefined {
+  const ids = state.guarantees.byWorkspace.get(job.workspace) ?? []
+  return ids.find(id => {
+    const hold = state.guarantees.holds.get(id)
+    return hold !== undefined && hold.occupants.length === 0 &&
+      isSameShape(hold.shape, job.shape) && isSamePlace(hold.members, members)
+  })
 }
 
 function isSamePlace (first: readonly Member[], second: readonly Member[]): boolean {
@@ -73,9 +106,3 @@
     return member.server === other.server && member.slots === other.slots && member.accelerators === other.accelerators
   })
 }
-
-function endJob (state: ScheduleState, id: Job['id']): ScheduleState {
-  const ended = state.running.get(id)
-  if (ended === undefined) return state
-  return { ...state, capacity: release(state.capacity, id, ended.members), running: state.running.delete(id) }
-}
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,49 +1,115 @@
-/** The decisions: which waiting jobs start where, and which can never run. */
-import type { KindName } from '@cornelgauge/model'
-import { freeAmount } from './capacity.js'
-import { startJob } from './change.js'
-import { place, spotsOf } from './placement.js'
+/** The decisions: which waiting jobs start where, what is stopped for them, and which can never run. */
+import { dequeue, firstJobs, type Queue } from './queue.js'
+import { claimGuarantee, fulfilClaims, type Step } from './claim.js'
+import { freeHeadroom, mustKeepHeadroom, wantedHeadroom } from './headroom.js'
 import { forbiddingRule } from './possibility.js'
-import { arrivesBefore, dequeue, firstJobs } from './queue.js'
+import { hasReservation, needsReservation, reserve, ripenReservations } from './reservation.js'
+import { dropPlans, settleGuarantees, startJob } from './running.js'
 import type { Decision, Job, Plan, PolicyState } from './scheduler.js'
-import { inside, type ScheduleState } from './state.js'
+import { nextQueue } from './sharing.js'
+import { findSite } from './site.js'
+import { durationAt, inside, type ScheduleState } from './state.js'
+import { relieveUrgent } from './urgent.js'
 
-/** How many jobs of one queue are looked at in one decision. */
+/** How many jobs of one queue are looked at before it is passed over. */
 const QUEUE_DEPTH = 32
+/** Work is given up once even a short run would end after its deadline. */
+const SHORT_RUN_QUANTILE = 0.1
 
 /**
  * What to do now. The plan's state counts each `start` as running at once, so that
  * a later call never gives the same capacity twice; the owner confirms by
  * `job-started`, which changes nothing, or takes a start that failed back by
- * `job-ended` and `job-arrived`. A refused job is out of the queue at once.
+ * `job-ended` and `job-arrived`. A preempted job holds its capacity until its
+ * `job-ended`, and the claim it is stopped for starts by a later call. A refused
+ * job is out of the queue at once.
  *
  * @example
  * const { state, decisions } = decide(before, 1000)
  */
 export function decide (state: PolicyState, now: number): Plan {
-  let current = inside(state)
+  const steps: ReadonlyArray<(current: ScheduleState, at: number) => Step> = [fulfilClaims, ripenReservations, fulfilClaims, serveQueues, relieveUrgent]
   const decisions: Decision[] = []
-  for (const kind of current.settings.kinds) {
-    for (const job of waitingOfKind(current, kind.name)) {
-      const members = place(spotsOf(current.capacity, freeAmount), job.shape, 'best-fit')
-      if (members !== undefined) {
-        current = startJob(current, job, members, now)
-        decisions.push({ type: 'start', id: job.id, members })
-        continue
-      }
-      const rule = forbiddingRule(current, job.shape)
-      if (rule === undefined) continue
-      current = { ...current, waiting: dequeue(current.waiting, job.id) }
-      decisions.push({ type: 'refuse', id: job.id, rule })
-    }
+  let current = settleGuarantees(inside(state))
+  for (const step of steps) {
+    const result = step(current, now)
+    current = result.state
+    decisions.push(...result.decisions)
   }
-  return { state: current, decisions }
+  return { state: current, decisions, wakeAt: nextDeadline(current) }
 }
 
-function waitingOfKind (state: ScheduleState, kind: KindName): readonly Job[] {
-  const found: Job[] = []
+/** The earliest deadline at the front of an urgent queue. */
+function nextDeadline (state: ScheduleState): number | undefined {
+  let earliest: number | undefined
   for (const queue of state.waiting.queues.values()) {
-    if (queue.kind === kind) found.push(...firstJobs(state.waiting, queue, QUEUE_DEPTH))
+    if (queue.heap === undefined || state.directory.kinds.get(queue.kind)?.urgent !== true) continue
+    earliest = Math.min(earliest ?? Infinity, queue.heap.item.deadline)
+  }
+  return earliest
+}
+
+function serveQueues (state: ScheduleState, now: number): Step {
+  const passed = new Set<string>()
+  const decisions: Decision[] = []
+  let current = state
+  for (let queue = nextQueue(current, passed); queue !== undefined; queue = nextQueue(current, passed)) {
+    const result = serveQueue(current, queue, now)
+    if (result.decisions.length === 0) passed.add(queue.key)
+    current = result.state
+    decisions.push(...result.decisions)
+  }
+  return { state: current, decisions }
+}
+
+/** Serves the first job of a queue that something can be decided for. */
+function serveQueue (state: ScheduleState, queue: Queue, now: number): Step {
+  const hopeless = new Set<string>()
+  let current = state
+  for (const job of firstJobs(state.waiting, queue, QUEUE_DEPTH)) {
+    const shape = JSON.stringify(job.shape)
+    if (isLate(current, job, now)) return refuse(current, job, 'the deadline cannot be met any more')
+    if (hopeless.has(shape) || hasPlan(current, job)) continue
+    const step = serveJob(current, job, now)
+    if (step.decisions.length > 0) return step
+    current = step.state
+    hopeless.add(shape)
+  }
+  return { state: current, decisions: [] }
+}
+
+/** A gang with members of its own waits for those; urgent work takes whatever is free first. */
+function hasPlan (state: ScheduleState, job: Job): boolean {
+  if (state.reservations.has(job.id)) return true
+  return state.claims.has(job.id) && !isUrgent(state, job)
+}
+
+function isUrgent (state: ScheduleState, job: Job): boolean {
+  return state.directory.kinds.get(job.kind)?.urgent === true
+}
+
+function isLate (state: ScheduleState, job: Job, now: number): boolean {
+  return isUrgent(state, job) && now + durationAt(state, job, SHORT_RUN_QUANTILE) > job.deadline
+}
+
+function serveJob (state: ScheduleState, job: Job, now: number): Step {
+  const site = findSite(state, job)
+  if (site !== undefined) {
+    const started = startJob(state, job, site, now)
+    const isRoomy = site.hold !== undefined || !mustKeepHeadroom(state, job) || freeHeadroom(started) >= wantedHeadroom(started, now)
+    if (isRoomy) return { state: started, decisions: [{ type: 'start', id: job.id, members: site.members }] }
+    return { state, decisions: [] }
   }
-  return found.sort((first, second) => arrivesBefore(first, second) ? -1 : 1)
+  if (state.claims.has(job.id)) return { state, decisions: [] }
+  const claim = claimGuarantee(state, job, now)
+  if (claim !== undefined) return claim
+  const rule = forbiddingRule(state, job)
+  if (rule !== undefined) return refuse(state, job, rule)
+  const isReservable = needsReservation(job) && !hasReservation(state, job)
+  return { state: isReservable ? reserve(state, job, now) : state, decisions: [] }
+}
+
+function refuse (state: ScheduleState, job: Job, rule: string): Step {
+  const planless = dropPlans(state, job.id)
+  return { state: { ...planless, waiting: dequeue(planless.waiting, job.id) }, decisions: [{ type: 'refuse', id: job.id, rule }] }
 }
--- /dev/null
+++ b/packages/policy/src/headroom.ts
@@ -0,0 +1,37 @@
+/**
+ * Slots kept free for urgent work, so that it never queues behind long work. Their
+ * number follows from how unevenly urgent work has arrived and how long it runs.
+ */
+import { allServers } from './capacity.js'
+import type { Job } from './scheduler.js'
+import { urgentRoom } from './room.js'
+import { isBelowShare } from './sharing.js'
+import { usageOf, type ScheduleState } from './state.js'
+import { advanceArrivals, meanDuration, neededSlots, NO_DURATIONS } from './statistics.js'
+
+const HEADROOM_DEVIATIONS = 3
+
+/** Slots that urgent work needs beyond those it holds. */
+export function wantedHeadroom (state: ScheduleState, now: number): number {
+  let wanted = 0
+  for (const kind of state.settings.kinds) {
+    const arrivals = state.arrivals.get(kind.name)
+    if (!kind.urgent || arrivals === undefined) continue
+    const mean = meanDuration(state.durations.get(kind.name) ?? NO_DURATIONS, 0)
+    const needed = neededSlots(advanceArrivals(arrivals, now), mean, HEADROOM_DEVIATIONS)
+    wanted += Math.max(0, needed - usageOf(state, kind.name).slots)
+  }
+  return Math.ceil(wanted)
+}
+
+/** Slots that urgent work could have at once. */
+export function freeHeadroom (state: ScheduleState): number {
+  let free = 0
+  for (const server of allServers(state.capacity)) free += Math.max(0, urgentRoom(server).slots)
+  return free
+}
+
+/** Whether a job is bound to leave the headroom free: not where it is urgent itself, or owed its minimum share. */
+export function mustKeepHeadroom (state: ScheduleState, job: Job): boolean {
+  return state.directory.kinds.get(job.kind)?.urgent !== true && !isBelowShare(state, job.kind)
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 /** The scheduling decisions. */
 export * from './scheduler.js'
-export { admit } from './admission.js'
+export { admit, expectedWait } from './admission.js'
 export { applyChange } from './change.js'
 export { decide } from './decide.js'
+export { unmetGuarantees, type UnmetGuarantee } from './guarantee.js'
 export { createPolicy } from './state.js'
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -4,7 +4,8 @@
  * the same search serves free capacity, guaranteed capacity and empty backend servers.
  */
 import type { Adjacency, Member, Shape } from '@cornelgauge/model'
-import type { Amount, Capacity, Server } from './capacity.js'
+import type { Amount } from './amount.js'
+import type { Capacity, Server } from './capacity.js'
 
 /** Room on one backend server. */
 export interface Spot extends Amount {
--- a/packages/policy/src/possibility.ts
+++ b/packages/policy/src/possibility.ts
@@ -1,22 +1,34 @@
-/** Whether a shape can ever be placed, judged on empty backend servers. */
+/** Whether a job can ever be placed, judged on empty backend servers. */
 import type { Shape } from '@cornelgauge/model'
-import { arrangeServers, emptyServer, freeAmount } from './capacity.js'
+import { addAmount, type Amount } from './amount.js'
+import { arrangeServers, emptyServer, findServer, type Server } from './capacity.js'
 import { place, spotsOf } from './placement.js'
-import type { ServerDescription } from './scheduler.js'
-import type { ScheduleState } from './state.js'
+import { wholeAmount } from './room.js'
+import type { Job, ServerDescription } from './scheduler.js'
+import { holdsFor } from './site.js'
+import { isReclaimable, type ScheduleState } from './state.js'
 
 /**
- * The rule that forbids a shape for good, or `undefined` where it can be placed.
+ * The rule that forbids a job for good, or `undefined` where it can be placed.
  * Judged on the declared backend servers where the settings name them, else on
  * all that were ever seen; where neither is known, nothing is forbidden.
  */
-export function forbiddingRule (state: ScheduleState, shape: Shape): string | undefined {
-  if (!isWellFormed(shape)) return 'a shape needs whole, non-negative numbers and at least one slot or accelerator'
+export function forbiddingRule (state: ScheduleState, job: Job): string | undefined {
+  if (!isWellFormed(job.shape)) return 'a shape needs whole, non-negative numbers and at least one slot or accelerator'
   const servers = knownServers(state)
   if (servers.length === 0) return undefined
-  const spots = spotsOf(arrangeServers(servers.map(emptyServer)), freeAmount)
-  if (place(spots, shape, 'first-fit') !== undefined) return undefined
-  return 'the shape is larger than this cell can ever give at the adjacency asked for'
+  const empty = arrangeServers(servers.map(emptyServer))
+  if (place(spotsOf(empty, wholeAmount), job.shape, 'first-fit') === undefined) {
+    return 'the shape is larger than this cell can ever give at the adjacency asked for'
+  }
+  if (isReclaimable(state, job) || holdsFor(state, job).length > 0) return undefined
+  if (place(spotsOf(empty, server => outsideGuarantees(state, server)), job.shape, 'first-fit') !== undefined) return undefined
+  return 'work that cannot be stopped may not use the guarantees of other workspaces, and the rest is too small'
+}
+
+function outsideGuarantees (state: ScheduleState, server: Server): Amount {
+  const found = findServer(state.capacity, server.description.name)
+  return found === undefined ? server.description : addAmount(server.description, found.guaranteed, -1)
 }
 
 function knownServers (state: ScheduleState): readonly ServerDescription[] {
--- a/packages/policy/src/queue.ts
+++ b/packages/policy/src/queue.ts
@@ -3,18 +3,23 @@
  * arrival. A withdrawn job stays in its heap until it comes to the front, and is
  * dropped there, because it is no longer in `jobs`.
  */
-import type { KindName, RequestId, WorkspaceName } from '@cornelgauge/model'
+import type { KindName, RequestId, Shape, WorkspaceName } from '@cornelgauge/model'
 import { Map as PersistentMap } from 'immutable'
+import { addAmount, NO_AMOUNT, type Amount } from './amount.js'
 import { compareNames } from './capacity.js'
 import { pop, push, type Heap } from './heap.js'
 import type { Job } from './scheduler.js'
 
 /** The waiting jobs of one workspace and kind. */
 export interface Queue {
+  readonly key: string
   readonly kind: KindName
   readonly workspace: WorkspaceName
   readonly heap: Heap<Job>
   readonly size: number
+  /** What the jobs ask for, added up. */
+  readonly amount: Amount
+  readonly declaredMilliseconds: number
 }
 
 /** All waiting jobs. */
@@ -36,14 +41,33 @@
   return `${kind}/${workspace}`
 }
 
+/** What a shape asks for, over all members. */
+export function shapeAmount ({ slots, accelerators }: Shape): Amount {
+  return { slots, accelerators }
+}
+
+function emptyQueue (job: Job): Queue {
+  const { kind, workspace } = job
+  return { key: queueKey(kind, workspace), kind, workspace, heap: undefined, size: 0, amount: NO_AMOUNT, declaredMilliseconds: 0 }
+}
+
+function count (queue: Queue, job: Job, times: number): Queue {
+  return {
+    ...queue,
+    size: queue.size + times,
+    amount: addAmount(queue.amount, shapeAmount(job.shape), times),
+    declaredMilliseconds: queue.declaredMilliseconds + times * job.declaredMilliseconds
+  }
+}
+
 /** The waiting jobs with one more; a job of the same id is replaced. */
 export function enqueue (waiting: Waiting, job: Job): Waiting {
   const rest = dequeue(waiting, job.id)
   const key = queueKey(job.kind, job.workspace)
-  const queue = rest.queues.get(key) ?? { kind: job.kind, workspace: job.workspace, heap: undefined, size: 0 }
+  const queue = count(rest.queues.get(key) ?? emptyQueue(job), job, 1)
   return {
     jobs: rest.jobs.set(job.id, job),
-    queues: rest.queues.set(key, { ...queue, heap: push(queue.heap, job, arrivesBefore), size: queue.size + 1 })
+    queues: rest.queues.set(key, { ...queue, heap: push(queue.heap, job, arrivesBefore) })
   }
 }
 
@@ -52,10 +76,10 @@
   const job = waiting.jobs.get(id)
   if (job === undefined) return waiting
   const key = queueKey(job.kind, job.workspace)
-  const queue = waiting.queues.get(key) as Queue
+  const queue = count(waiting.queues.get(key) as Queue, job, -1)
   const jobs = waiting.jobs.delete(id)
-  if (queue.size === 1) return { jobs, queues: waiting.queues.delete(key) }
-  return { jobs, queues: waiting.queues.set(key, { ...queue, heap: dropGone(queue.heap, jobs), size: queue.size - 1 }) }
+  if (queue.size === 0) return { jobs, queues: waiting.queues.delete(key) }
+  return { jobs, queues: waiting.queues.set(key, { ...queue, heap: dropGone(queue.heap, jobs) }) }
 }
 
 function dropGone (heap: Heap<Job>, jobs: PersistentMap<RequestId, Job>): Heap<Job> {
@@ -65,12 +89,10 @@
 }
 
 /** The first jobs of a queue in order of arrival, at most `limit` of them. */
-export function firstJobs (waiting: Waiting, queue: Queue, limit: number): readonly Job[] {
-  const found: Job[] = []
+export function * firstJobs (waiting: Waiting, queue: Queue, limit: number): Generator<Job> {
   let heap = dropGone(queue.heap, waiting.jobs)
-  while (heap !== undefined && found.length < limit) {
-    found.push(heap.item)
+  for (let index = 0; heap !== undefined && index < limit; index++) {
+    yield heap.item
     heap = dropGone(pop(heap, arrivesBefore), waiting.jobs)
   }
-  return found
 }
--- /dev/null
+++ b/packages/policy/src/urgent.ts
@@ -0,0 +1,80 @@
+/**
+ * Room for urgent work that would otherwise wait longer than a preemption takes:
+ * work of later kinds that can be reclaimed is stopped, but not below the minimum
+ * share of its kind.
+ */
+import type { Member } from '@cornelgauge/model'
+import { addAmount, dominantShare, holdsAmount, sumAmounts, type Amount } from './amount.js'
+import { allServers, type Task } from './capacity.js'
+import { openClaim, type Step } from './claim.js'
+import { firstJobs } from './queue.js'
+import { pinnableAmount } from './room.js'
+import type { Decision, Job, KindSettings } from './scheduler.js'
+import { isReclaimable, orderOf, usageOf, type ScheduleState } from './state.js'
+import { meanDuration, NO_DURATIONS } from './statistics.js'
+import { chooseVictims, type Victims } from './victim.js'
+
+/** How many claims one decision makes for a kind. */
+const MOST_CLAIMS = 16
+
+/** Makes claims for urgent work until its expected wait is within the reclaim bound. */
+export function relieveUrgent (state: ScheduleState, now: number): Step {
+  const decisions: Decision[] = []
+  let current = state
+  for (const kind of state.settings.kinds) {
+    if (!kind.urgent) continue
+    for (let claims = 0; claims < MOST_CLAIMS && waitsTooLong(current, kind); claims++) {
+      const step = relieveOne(current, kind, now)
+      if (step === undefined) break
+      current = step.state
+      decisions.push(...step.decisions)
+    }
+  }
+  return { state: current, decisions }
+}
+
+function waitsTooLong (state: ScheduleState, kind: KindSettings): boolean {
+  let waiting = 0
+  for (const queue of state.waiting.queues.values()) if (queue.kind === kind.name) waiting += queue.amount.slots
+  if (waiting === 0) return false
+  const claims = [...state.claims.values()].filter(claim => claim.job.kind === kind.name)
+  const claimed = claims.reduce((sum, claim) => sum + claim.job.shape.slots, 0)
+  if (waiting <= claimed) return false
+  const mean = meanDuration(state.durations.get(kind.name) ?? NO_DURATIONS, 0)
+  const held = usageOf(state, kind.name).slots + claimed
+  return held === 0 || waiting * mean > held * state.settings.reclaimMilliseconds
+}
+
+function relieveOne (state: ScheduleState, kind: KindSettings, now: number): Step | undefined {
+  for (const queue of [...state.waiting.queues.values()].sort((first, second) => first.key < second.key ? -1 : 1)) {
+    if (queue.kind !== kind.name) continue
+    for (const job of firstJobs(state.waiting, queue, MOST_CLAIMS)) {
+      if (state.claims.has(job.id) || job.shape.accelerators > 0) continue
+      return claimSlots(state, job, now)
+    }
+  }
+  return undefined
+}
+
+function claimSlots (state: ScheduleState, job: Job, now: number): Step | undefined {
+  const order = orderOf(state, job.kind)
+  const eligible = (task: Task): boolean => mayStop(state, task, order)
+  let best: { readonly members: readonly Member[], readonly victims: Victims } | undefined
+  for (const server of allServers(state.capacity)) {
+    const members = [{ server: server.description.name, slots: job.shape.slots, accelerators: 0 }]
+    const allowed = isReclaimable(state, job) || holdsAmount(addAmount(pinnableAmount(server), server.claimed, -1), members[0] as Amount)
+    const victims = allowed ? chooseVictims(state, members, eligible, now) : undefined
+    if (victims === undefined) continue
+    if (best === undefined || victims.lostWork < best.victims.lostWork) best = { members, victims }
+  }
+  if (best === undefined) return undefined
+  return openClaim(state, job, { members: best.members, hold: undefined }, best.victims, 'urgent work would wait too long', now)
+}
+
+function mayStop (state: ScheduleState, task: Task, order: number): boolean {
+  const job = state.running.get(task.id)?.job
+  if (job === undefined || orderOf(state, job.kind) <= order) return false
+  const stopping = sumAmounts([...state.running.values()].filter(running => running.stopping && running.job.kind === job.kind).flatMap(running => running.members))
+  const left = addAmount(addAmount(usageOf(state, job.kind), stopping, -1), task, -1)
+  return dominantShare(left, state.capacity.total) >= (state.directory.kinds.get(job.kind)?.minimumShare ?? 0)
+}
--- /dev/null
+++ b/packages/policy/test/pressure.test.ts
@@ -0,0 +1,80 @@
+import { expect } from 'chai'
+import { admit, applyChange, decide, type Job, type PolicyState } from '../src/index.js'
+import { arrived, cell, CHECK, decided, gang, job, racks, ROTA, server, slots, SWAP } from './builders.js'
+
+const RUN_MILLISECONDS = 100
+
+/** Runs a cell whose urgent queue never empties; each task runs for the same time. Gives each start with its moment. */
+function pressured (first: PolicyState, low: Job, steps: number): ReadonlyMap<string, number> {
+  const starts = new Map<string, number>()
+  const ends: Array<{ readonly at: number, readonly id: Job['id'] }> = []
+  let state = arrived(first, low)
+  for (let now = 0; now < steps; now += 10) {
+    while (ends.length > 0 && ends[0]!.at <= now) {
+      state = applyChange(state, { type: 'job-ended', id: ends.shift()!.id, outcome: 'finished', at: now })
+    }
+    state = arrived(state, job(`swap-${now}`, { arrivedAt: now, deadline: 1e9, declaredMilliseconds: RUN_MILLISECONDS }),
+      job(`other-${now}`, { arrivedAt: now, deadline: 1e9, declaredMilliseconds: RUN_MILLISECONDS }))
+    const plan = decide(state, now)
+    state = plan.state
+    for (const decision of plan.decisions) {
+      if (decision.type !== 'start') continue
+      starts.set(decision.id, now)
+      ends.push({ at: now + RUN_MILLISECONDS, id: decision.id })
+    }
+  }
+  return starts
+}
+
+describe('under permanent pressure', () => {
+  const cellOf = (count: number): PolicyState => cell(racks(1, count))
+
+  it('the lowest kind starts within one run time of those before it', () => {
+    const check = job('check', { kindName: 'availability-check', arrivedAt: 0 })
+    expect(pressured(cellOf(1), check, 1000).get('brno/check')).to.be.at.most(RUN_MILLISECONDS)
+  })
+
+  it('a gang over the whole cell starts within two run times, as urgent work is kept out at last', () => {
+    const wide = job('wide', { kindName: 'term-rota', shape: { ...gang(16), slots: 8 }, arrivedAt: 0, declaredMilliseconds: RUN_MILLISECONDS })
+    expect(pressured(cellOf(2), wide, 2000).get('brno/wide')).to.be.at.most(2 * RUN_MILLISECONDS)
+  })
+})
+
+describe('headroom', () => {
+  it('keeps slots free for urgent work as its arrivals have needed', () => {
+    let state = cell([server(0, 0)], { kinds: [SWAP, { ...ROTA, minimumShare: 0 }, { ...CHECK, minimumShare: 0 }] })
+    for (let second = 0; second < 60; second++) {
+      const swap = job(`swap-${second}`, { arrivedAt: second * 1000 })
+      state = decide(arrived(state, swap), second * 1000).state
+      state = applyChange(state, { type: 'job-ended', id: swap.id, outcome: 'finished', at: second * 1000 + 900 })
+    }
+    const bulk = Array.from({ length: 8 }, (_, index) => job(`bulk-${index}`, { kindName: 'availability-check', arrivedAt: 60_000 }))
+    const started = decided(arrived(state, ...bulk), 60_000)
+    expect(started.length).to.be.within(1, 5)
+  })
+})
+
+describe('admission by deadline', () => {
+  const queued = (count: number): PolicyState => decide(arrived(cell([server(0, 0)]),
+    ...Array.from({ length: count }, (_, index) => job(`${index}`, { shape: slots(1), deadline: 1e9 }))), 0).state
+  const urgent = job('urgent', { deadline: 5000 })
+
+  it('accepts what can be answered in time', () => {
+    expect(admit(queued(24), urgent, 0)).to.deep.equal({ admitted: true })
+  })
+
+  it('refuses at once what cannot, and says when to come back', () => {
+    const refused = admit(queued(80), urgent, 0)
+    expect(refused).to.include({ admitted: false, code: 'overloaded' })
+    expect(refused).to.have.property('retryAfterMilliseconds').within(4000, 9000)
+  })
+
+  it('lets a workspace in that has nothing waiting, whatever the others have', () => {
+    expect(admit(queued(80), job('other', { workspaceName: 'praha', deadline: 5000 }), 0)).to.deep.equal({ admitted: true })
+  })
+
+  it('spreads the return of those that were refused together', () => {
+    const delays = ['a', 'b', 'c', 'd'].map(key => admit(queued(80), job(key, { deadline: 5000 }), 0)).map(admission => 'retryAfterMilliseconds' in admission ? admission.retryAfterMilliseconds : 0)
+    expect(new Set(delays).size).to.equal(4)
+  })
+})
