Queue by shape and skip full racks, so that a decision stays below 1 ms

Cause: each decision laid out the empty cell again for every job without room, looked 32 jobs deep into every queue, and built the room of each backend server from several amounts. Now queues are split by shape (only the first job counts), a shape that found no room is not tried again in the same decision, the empty cell is kept in the state, and racks with too little free are passed over.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -4,10 +4,10 @@
  * ask again; so the queues stay as short as the deadlines, and no capacity is spent
  * on answers that come too late.
  */
-import type { KindName } from '@cornelgauge/model'
+import type { KindName, WorkspaceName } from '@cornelgauge/model'
 import type { Amount } from './amount.js'
 import { forbiddingRule } from './possibility.js'
-import { queueKey, type Queue } from './queue.js'
+import { shareKey, type Queue } from './queue.js'
 import type { Admission, Job, PolicyState } from './scheduler.js'
 import { durationAt, inside, orderOf, usageOf, type ScheduleState } from './state.js'
 import { meanDuration, NO_DURATIONS } from './statistics.js'
@@ -72,27 +72,28 @@
   let ahead = 0
   let sameKind = 0
   let own = 0
-  let activeWeight = weightOf(state, job)
+  const others = new Set<WorkspaceName>()
   for (const queue of state.waiting.queues.values()) {
     if (orderOf(state, queue.kind) > order) continue
     const work = workOf(state, queue, resource)
     if (queue.kind !== job.kind) ahead += work
     else sameKind += work
-    if (queue.key === queueKey(job.kind, job.workspace)) own = work
-    else if (queue.kind === job.kind) activeWeight += weightOf(state, queue)
+    if (queue.shareKey === shareKey(job.kind, job.workspace)) own += work
+    else if (queue.kind === job.kind) others.add(queue.workspace)
   }
-  const fairShare = weightOf(state, job) / activeWeight
+  const weight = weightOf(state, job.workspace)
+  const fairShare = weight / [...others].reduce((sum, name) => sum + weightOf(state, name), weight)
   const capacity = capacityFor(state, job.kind, resource)
   if (ahead + sameKind === 0) return 0
   return (ahead + Math.min(sameKind, own / fairShare)) / capacity
 }
 
-function weightOf (state: ScheduleState, { workspace }: Pick<Job, 'workspace'>): number {
+function weightOf (state: ScheduleState, workspace: WorkspaceName): number {
   return state.directory.workspaces.get(workspace)?.weight ?? 1
 }
 
 function workOf (state: ScheduleState, queue: Queue, resource: Resource): number {
-  const durations = state.durations.get(queue.key) ?? NO_DURATIONS
+  const durations = state.durations.get(queue.shareKey) ?? NO_DURATIONS
   return meanDuration(durations, queue.declaredMilliseconds / queue.size) * queue.amount[resource]
 }
 
--- a/packages/policy/src/capacity.ts
+++ b/packages/policy/src/capacity.ts
@@ -57,6 +57,8 @@
   readonly name: string
   readonly position: number
   readonly servers: readonly Server[]
+  /** Most that is free of each resource on one backend server. */
+  readonly mostFree: Amount
 }
 
 /** All racks in order of position, then name. */
@@ -108,10 +110,21 @@
   const servers = rack.servers.slice()
   servers[location.server] = change(servers[location.server] as Server)
   const racks = capacity.racks.slice()
-  racks[location.rack] = { ...rack, servers }
+  racks[location.rack] = { ...rack, servers, mostFree: mostFreeOf(servers) }
   return { ...capacity, racks }
 }
 
+function mostFreeOf (servers: readonly Server[]): Amount {
+  let slots = 0
+  let accelerators = 0
+  for (const { description, used, leaving } of servers) {
+    if (leaving) continue
+    slots = Math.max(slots, description.slots - used.slots)
+    accelerators = Math.max(accelerators, description.accelerators - used.accelerators)
+  }
+  return { slots, accelerators }
+}
+
 /** All backend servers in order of rack position, rack name and name. */
 export function allServers (capacity: Capacity): readonly Server[] {
   return capacity.racks.flatMap(rack => rack.servers)
@@ -125,20 +138,20 @@
 
 /** Arranges backend servers into racks; the order of the list does not matter. */
 export function arrangeServers (servers: readonly Server[]): Capacity {
-  const racks: Array<{ name: string, position: number, servers: Server[] }> = []
+  const racks: Array<Rack & { servers: Server[] }> = []
   const locations = new Map<string, Location>()
   for (const server of [...servers].sort(compareServers)) {
     const { rack: name, rackPosition: position } = server.description
     let rack = racks.at(-1)
     if (rack === undefined || rack.name !== name || rack.position !== position) {
-      rack = { name, position, servers: [] }
+      rack = { name, position, servers: [], mostFree: NO_AMOUNT }
       racks.push(rack)
     }
     locations.set(server.description.name, { rack: racks.length - 1, server: rack.servers.length })
     rack.servers.push(server)
   }
   const total = sumAmounts(servers.filter(server => !server.leaving).map(server => server.description))
-  return { racks, locations, total }
+  return { racks: racks.map(rack => ({ ...rack, mostFree: mostFreeOf(rack.servers) })), locations, total }
 }
 
 /** An empty backend server. */
--- a/packages/policy/src/change.ts
+++ b/packages/policy/src/change.ts
@@ -6,7 +6,7 @@
 import { dropPlans, dropPlansOn, endJob, restoreTasks, startJob } from './running.js'
 import type { Job, PolicyChange, PolicySettings, PolicyState, ServerDescription } from './scheduler.js'
 import { levelQueue } from './sharing.js'
-import { inside, makeDirectory, type ScheduleState } from './state.js'
+import { emptyCapacity, inside, makeDirectory, type ScheduleState } from './state.js'
 import { recordArrival } from './statistics.js'
 
 type Handlers = { readonly [Type in PolicyChange['type']]: (state: ScheduleState, change: Extract<PolicyChange, { type: Type }>) => ScheduleState }
@@ -38,17 +38,19 @@
 /** Gangs look for members anew, because what may be reserved depends on the guarantees. */
 function changeSettings (state: ScheduleState, settings: PolicySettings): ScheduleState {
   const planless = [...state.reservations.keys(), ...state.claims.keys()].reduce(dropPlans, state)
-  return { ...planless, settings, directory: makeDirectory(settings), guarantees: { ...state.guarantees, stale: true } }
+  return { ...planless, settings, directory: makeDirectory(settings), empty: emptyCapacity(settings, state.known), guarantees: { ...state.guarantees, stale: true } }
 }
 
 function joinServer (state: ScheduleState, description: ServerDescription): ScheduleState {
   const found = findServer(state.capacity, description.name)
   if (found !== undefined && !found.leaving && isSameServer(found.description, description)) return state
   const planless = dropPlansOn(state, description.name)
+  const known = planless.known.set(description.name, description)
   return restoreTasks({
     ...planless,
     capacity: replaceServer(planless.capacity, description.name, emptyServer(description)),
-    known: planless.known.set(description.name, description),
+    known,
+    empty: emptyCapacity(planless.settings, known),
     guarantees: { ...planless.guarantees, stale: true }
   }, description.name)
 }
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,5 +1,6 @@
 /** The decisions: which waiting jobs start where, what is stopped for them, and which can never run. */
-import { dequeue, firstJobs, type Queue } from './queue.js'
+import { PassedQueues } from './passed.js'
+import { dequeue, queuedJobs, type Queue } from './queue.js'
 import { claimGuarantee, fulfilClaims, type Step } from './claim.js'
 import { freeHeadroom, mustKeepHeadroom, wantedHeadroom } from './headroom.js'
 import { forbiddingRule } from './possibility.js'
@@ -8,11 +9,9 @@
 import type { Decision, Job, Plan, PolicyState } from './scheduler.js'
 import { nextQueue } from './sharing.js'
 import { findSite } from './site.js'
-import { durationAt, inside, type ScheduleState } from './state.js'
+import { durationAt, inside, isReclaimable, type ScheduleState } from './state.js'
 import { relieveUrgent } from './urgent.js'
 
-/** How many jobs of one queue are looked at before it is passed over. */
-const QUEUE_DEPTH = 32
 /** Work is given up once even a short run would end after its deadline. */
 const SHORT_RUN_QUANTILE = 0.1
 
@@ -50,32 +49,26 @@
 }
 
 function serveQueues (state: ScheduleState, now: number): Step {
-  const passed = new Set<string>()
+  const passed = new PassedQueues()
   const decisions: Decision[] = []
   let current = state
-  for (let queue = nextQueue(current, passed); queue !== undefined; queue = nextQueue(current, passed)) {
-    const result = serveQueue(current, queue, now)
-    if (result.decisions.length === 0) passed.add(queue.key)
+  for (let queue = nextQueue(current, passed.keys); queue !== undefined; queue = nextQueue(current, passed.keys)) {
+    const result = serveQueue(current, queue, passed, now)
+    if (result.decisions.length === 0) passed.add(queue)
     current = result.state
     decisions.push(...result.decisions)
   }
   return { state: current, decisions }
 }
 
-/** Serves the first job of a queue that something can be decided for. */
-function serveQueue (state: ScheduleState, queue: Queue, now: number): Step {
-  const hopeless = new Set<string>()
-  let current = state
-  for (const job of firstJobs(state.waiting, queue, QUEUE_DEPTH)) {
-    const shape = JSON.stringify(job.shape)
-    if (isLate(current, job, now)) return refuse(current, job, 'the deadline cannot be met any more')
-    if (hopeless.has(shape) || hasPlan(current, job)) continue
-    const step = serveJob(current, job, now)
-    if (step.decisions.length > 0) return step
-    current = step.state
-    hopeless.add(shape)
+/** Serves the first job of a queue that does not wait for members of its own. */
+function serveQueue (state: ScheduleState, queue: Queue, passed: PassedQueues, now: number): Step {
+  for (const job of queuedJobs(state.waiting, queue)) {
+    if (isLate(state, job, now)) return refuse(state, job, 'the deadline cannot be met any more')
+    if (hasPlan(state, job)) continue
+    return passed.isKindSpent(queue) ? { state, decisions: [] } : serveJob(state, job, passed, now)
   }
-  return { state: current, decisions: [] }
+  return { state, decisions: [] }
 }
 
 /** A gang with members of its own waits for those; urgent work takes whatever is free first. */
@@ -92,18 +85,21 @@
   return isUrgent(state, job) && now + durationAt(state, job, SHORT_RUN_QUANTILE) > job.deadline
 }
 
-function serveJob (state: ScheduleState, job: Job, now: number): Step {
-  const site = findSite(state, job)
+function serveJob (state: ScheduleState, job: Job, passed: PassedQueues, now: number): Step {
+  const site = findSite(state, job, passed.isFull(job))
   if (site !== undefined) {
     const started = startJob(state, job, site, now)
     const isRoomy = site.hold !== undefined || !mustKeepHeadroom(state, job) || freeHeadroom(started) >= wantedHeadroom(started, now)
     if (isRoomy) return { state: started, decisions: [{ type: 'start', id: job.id, members: site.members }] }
+    if (site.hold === undefined) passed.markFull(job)
     return { state, decisions: [] }
   }
+  const isKnownFull = passed.isFull(job)
+  passed.markFull(job)
   if (state.claims.has(job.id)) return { state, decisions: [] }
   const claim = claimGuarantee(state, job, now)
   if (claim !== undefined) return claim
-  const rule = forbiddingRule(state, job)
+  const rule = isKnownFull && isReclaimable(state, job) ? undefined : forbiddingRule(state, job)
   if (rule !== undefined) return refuse(state, job, rule)
   const isReservable = needsReservation(job) && !hasReservation(state, job)
   return { state: isReservable ? reserve(state, job, now) : state, decisions: [] }
--- a/packages/policy/src/guarantee.ts
+++ b/packages/policy/src/guarantee.ts
@@ -7,6 +7,7 @@
 import { addAmount, type Amount } from './amount.js'
 import { allServers, arrangeServers, compareNames, emptyServer, enter, findServer, type Capacity, type Server } from './capacity.js'
 import { place, spotsOf } from './placement.js'
+import { shapeKey } from './queue.js'
 import { pinnableAmount, type Room } from './room.js'
 import type { PolicySettings, ServerDescription } from './scheduler.js'
 
@@ -49,10 +50,6 @@
   readonly id: string
 }
 
-function shapeKey ({ slots, accelerators, adjacency }: Shape): string {
-  return `${slots}/${accelerators}/${adjacency}`
-}
-
 /** True of two shapes that ask for the same. */
 export function isSameShape (first: Shape, second: Shape): boolean {
   return shapeKey(first) === shapeKey(second)
--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -2,7 +2,6 @@
  * Slots kept free for urgent work, so that it never queues behind long work. Their
  * number follows from how unevenly urgent work has arrived and how long it runs.
  */
-import { allServers } from './capacity.js'
 import type { Job } from './scheduler.js'
 import { urgentRoom } from './room.js'
 import { isBelowShare } from './sharing.js'
@@ -27,7 +26,9 @@
 /** Slots that urgent work could have at once. */
 export function freeHeadroom (state: ScheduleState): number {
   let free = 0
-  for (const server of allServers(state.capacity)) free += Math.max(0, urgentRoom(server).slots)
+  for (const rack of state.capacity.racks) {
+    for (const server of rack.servers) free += Math.max(0, urgentRoom(server).slots)
+  }
   return free
 }
 
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -4,8 +4,8 @@
  * the same search serves free capacity, guaranteed capacity and empty backend servers.
  */
 import type { Adjacency, Member, Shape } from '@cornelgauge/model'
-import type { Amount } from './amount.js'
-import type { Capacity, Server } from './capacity.js'
+import { holdsAmount, type Amount } from './amount.js'
+import type { Capacity, Rack, Server } from './capacity.js'
 
 /** Room on one backend server. */
 export interface Spot extends Amount {
@@ -23,13 +23,30 @@
 
 /** The room of each backend server, rack by rack. */
 export function spotsOf (capacity: Capacity, room: (server: Server) => Amount): readonly SpotRack[] {
-  return capacity.racks.map(rack => ({
-    position: rack.position,
-    spots: rack.servers.map(server => {
-      const { slots, accelerators } = room(server)
-      return { server: server.description.name, slots, accelerators }
-    })
-  }))
+  return capacity.racks.map(rack => spotRack(rack, room))
+}
+
+/** The same for room that is free now: a rack with too little free for one member has no spots. */
+export function freeSpotsOf (capacity: Capacity, shape: Shape, room: (server: Server) => Amount): readonly SpotRack[] {
+  const accelerators = ACCELERATORS_EACH[shape.adjacency](shape.accelerators)
+  const member = { slots: shape.slots, accelerators }
+  return capacity.racks.map(rack => holdsAmount(rack.mostFree, member) ? spotRack(rack, room) : { position: rack.position, spots: [] })
+}
+
+/** The least that one member has to give. */
+const ACCELERATORS_EACH: Readonly<Record<Adjacency, (accelerators: number) => number>> = {
+  server: accelerators => accelerators,
+  rack: accelerators => Math.min(1, accelerators),
+  'neighbouring-racks': accelerators => Math.min(1, accelerators)
+}
+
+function spotRack (rack: Rack, room: (server: Server) => Amount): SpotRack {
+  const spots: Spot[] = []
+  for (const server of rack.servers) {
+    const { slots, accelerators } = room(server)
+    spots.push({ server: server.description.name, slots, accelerators })
+  }
+  return { position: rack.position, spots }
 }
 
 /**
--- a/packages/policy/src/possibility.ts
+++ b/packages/policy/src/possibility.ts
@@ -1,10 +1,10 @@
 /** Whether a job can ever be placed, judged on empty backend servers. */
 import type { Shape } from '@cornelgauge/model'
 import { addAmount, type Amount } from './amount.js'
-import { arrangeServers, emptyServer, findServer, type Server } from './capacity.js'
+import { findServer, type Server } from './capacity.js'
 import { place, spotsOf } from './placement.js'
 import { wholeAmount } from './room.js'
-import type { Job, ServerDescription } from './scheduler.js'
+import type { Job } from './scheduler.js'
 import { holdsFor } from './site.js'
 import { isReclaimable, type ScheduleState } from './state.js'
 
@@ -15,9 +15,8 @@
  */
 export function forbiddingRule (state: ScheduleState, job: Job): string | undefined {
   if (!isWellFormed(job.shape)) return 'a shape needs whole, non-negative numbers and at least one slot or accelerator'
-  const servers = knownServers(state)
-  if (servers.length === 0) return undefined
-  const empty = arrangeServers(servers.map(emptyServer))
+  const { empty } = state
+  if (empty.racks.length === 0) return undefined
   if (place(spotsOf(empty, wholeAmount), job.shape, 'first-fit') === undefined) {
     return 'the shape is larger than this cell can ever give at the adjacency asked for'
   }
@@ -31,10 +30,6 @@
   return found === undefined ? server.description : addAmount(server.description, found.guaranteed, -1)
 }
 
-function knownServers (state: ScheduleState): readonly ServerDescription[] {
-  return state.settings.declaredServers ?? [...state.known.values()]
-}
-
 function isWellFormed (shape: Shape): boolean {
   const amounts = [shape.slots, shape.accelerators]
   return amounts.every(amount => Number.isInteger(amount) && amount >= 0) && shape.slots + shape.accelerators > 0
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -11,7 +11,7 @@
 import { openClaim, type Step } from './claim.js'
 import { freeHeadroom, mustKeepHeadroom, wantedHeadroom } from './headroom.js'
 import { place, spotsOf } from './placement.js'
-import { arrivesBefore, firstJobs, queueKey } from './queue.js'
+import { arrivesBefore, firstJob, queueKey } from './queue.js'
 import { freeAmount, pinnableAmount } from './room.js'
 import { dropReservation } from './running.js'
 import type { Job } from './scheduler.js'
@@ -105,10 +105,10 @@
 
 /** An earlier job of the same queue has come back, and goes first. */
 function isOvertaken (state: ScheduleState, { job }: Reservation): boolean {
-  const queue = state.waiting.queues.get(queueKey(job.kind, job.workspace))
+  const queue = state.waiting.queues.get(queueKey(job))
   if (queue === undefined) return false
-  const [first] = firstJobs(state.waiting, queue, 1)
-  return first !== undefined && first.id !== job.id && !state.claims.has(first.id) && arrivesBefore(first, job)
+  const first = firstJob(queue)
+  return first.id !== job.id && !state.claims.has(first.id) && arrivesBefore(first, job)
 }
 
 function ripen (state: ScheduleState, reservation: Reservation, now: number): Step {
--- a/packages/policy/src/room.ts
+++ b/packages/policy/src/room.ts
@@ -9,24 +9,35 @@
 export type Room = (server: Server) => Amount
 
 /** What no task uses. */
-export function freeAmount (server: Server): Amount {
-  return addAmount(server.description, server.used, -1)
+export function freeAmount ({ description, used }: Server): Amount {
+  return { slots: description.slots - used.slots, accelerators: description.accelerators - used.accelerators }
 }
 
 /** For anything that can be reclaimed: all that is free and not claimed already. */
-export function reclaimableRoom (server: Server): Amount {
-  return server.leaving ? NO_AMOUNT : addAmount(freeAmount(server), server.claimed, -1)
+export function reclaimableRoom ({ leaving, description, used, claimed }: Server): Amount {
+  if (leaving) return NO_AMOUNT
+  return {
+    slots: description.slots - used.slots - claimed.slots,
+    accelerators: description.accelerators - used.accelerators - claimed.accelerators
+  }
 }
 
 /** The same, but outside of idle guarantees and of reservations. */
 export function commonRoom (server: Server): Amount {
-  const idleGuarantee = addAmount(server.guaranteed, server.entitled, -1)
-  return addAmount(addAmount(reclaimableRoom(server), idleGuarantee, -1), server.reserved, -1)
+  const { guaranteed, entitled, reserved } = server
+  const room = reclaimableRoom(server)
+  return {
+    slots: room.slots - (guaranteed.slots - entitled.slots) - reserved.slots,
+    accelerators: room.accelerators - (guaranteed.accelerators - entitled.accelerators) - reserved.accelerators
+  }
 }
 
 /** What may be given to work that cannot be reclaimed, whether it is free now or not. */
-export function pinnableAmount (server: Server): Amount {
-  return addAmount(addAmount(server.description, server.guaranteed, -1), server.pinned, -1)
+export function pinnableAmount ({ description, guaranteed, pinned }: Server): Amount {
+  return {
+    slots: description.slots - guaranteed.slots - pinned.slots,
+    accelerators: description.accelerators - guaranteed.accelerators - pinned.accelerators
+  }
 }
 
 /** For urgent work that cannot be reclaimed: it passes reservations until they close. */
--- a/packages/policy/src/running.ts
+++ b/packages/policy/src/running.ts
@@ -2,9 +2,9 @@
 import type { Member, RequestId } from '@cornelgauge/model'
 import { enter, findServer, occupy, release, type Grade } from './capacity.js'
 import { layOutGuarantees, replaceHold, type Guarantees } from './guarantee.js'
-import { dequeue, queueKey } from './queue.js'
+import { dequeue, shareKey } from './queue.js'
 import type { Job, JobOutcome } from './scheduler.js'
-import { chargeStart, settleEnd } from './sharing.js'
+import { chargeStart, countStopping, settleEnd } from './sharing.js'
 import { expectedDuration, isReclaimable, type RunningJob, type ScheduleState } from './state.js'
 import { NO_DURATIONS, recordDuration } from './statistics.js'
 
@@ -69,7 +69,7 @@
 }
 
 function learn (state: ScheduleState, { job, startedAt }: RunningJob, at: number): ScheduleState['durations'] {
-  const keys: readonly string[] = [queueKey(job.kind, job.workspace), job.kind]
+  const keys: readonly string[] = [shareKey(job.kind, job.workspace), job.kind]
   return keys.reduce((durations, key) =>
     durations.set(key, recordDuration(durations.get(key) ?? NO_DURATIONS, at - startedAt)), state.durations)
 }
@@ -141,5 +141,7 @@
 /** The capacity with a job marked as stopping. */
 export function markStopping (state: ScheduleState, id: RequestId): ScheduleState {
   const running = state.running.get(id)
-  return running === undefined || running.stopping ? state : changeRunning(state, running, { stopping: true })
+  if (running === undefined || running.stopping) return state
+  const counted = { ...state, sharing: { ...state.sharing, stopping: countStopping(state, running, 1) } }
+  return changeRunning(counted, running, { stopping: true })
 }
--- a/packages/policy/src/sharing.ts
+++ b/packages/policy/src/sharing.ts
@@ -4,9 +4,9 @@
  * the least work for its weight.
  */
 import type { KindName } from '@cornelgauge/model'
-import { addAmount, dominantShare, type Amount } from './amount.js'
+import { addAmount, dominantShare, NO_AMOUNT, type Amount } from './amount.js'
 import { compareNames } from './capacity.js'
-import { queueKey, type Queue } from './queue.js'
+import { arrivesBefore, firstJob, queueKey, shareKey, type Queue } from './queue.js'
 import type { Job } from './scheduler.js'
 import { amountOf, orderOf, usageOf, type RunningJob, type ScheduleState, type Sharing } from './state.js'
 
@@ -39,7 +39,8 @@
     const orders = orderOf(state, first.kind) - orderOf(state, second.kind)
     return (orders || compareNames(first.kind, second.kind)) < 0
   }
-  const served = servedOf(state.sharing, first.key) - servedOf(state.sharing, second.key)
+  if (first.workspace === second.workspace) return arrivesBefore(firstJob(first), firstJob(second))
+  const served = servedOf(state.sharing, first.shareKey) - servedOf(state.sharing, second.shareKey)
   return (served || compareNames(first.workspace, second.workspace)) < 0
 }
 
@@ -54,8 +55,8 @@
 
 /** A queue that had nothing waiting starts level with the others, and saves up nothing while idle. */
 export function levelQueue (state: ScheduleState, job: Job): Sharing {
-  const key = queueKey(job.kind, job.workspace)
-  if (state.waiting.queues.has(key)) return state.sharing
+  const key = shareKey(job.kind, job.workspace)
+  if (state.waiting.queues.has(queueKey(job))) return state.sharing
   const level = Math.max(servedOf(state.sharing, key), state.sharing.floors.get(job.kind) ?? 0)
   return { ...state.sharing, served: state.sharing.served.set(key, level) }
 }
@@ -64,10 +65,11 @@
 export function chargeStart (state: ScheduleState, running: RunningJob): Sharing {
   const { sharing } = state
   const { job } = running
-  const key = queueKey(job.kind, job.workspace)
+  const key = shareKey(job.kind, job.workspace)
   const amount = amountOf(running.members)
   const served = servedOf(sharing, key)
   return {
+    ...sharing,
     served: sharing.served.set(key, served + workOf(state, job, amount, running.expectedMilliseconds)),
     floors: sharing.floors.set(job.kind, Math.max(sharing.floors.get(job.kind) ?? 0, served)),
     usage: sharing.usage.set(job.kind, addAmount(usageOf(state, job.kind), amount))
@@ -78,12 +80,23 @@
 export function settleEnd (state: ScheduleState, running: RunningJob, at: number): Sharing {
   const { sharing } = state
   const { job } = running
-  const key = queueKey(job.kind, job.workspace)
+  const key = shareKey(job.kind, job.workspace)
   const amount = amountOf(running.members)
   const excess = at - running.startedAt - running.expectedMilliseconds
   return {
     ...sharing,
     served: sharing.served.set(key, servedOf(sharing, key) + workOf(state, job, amount, excess)),
-    usage: sharing.usage.set(job.kind, addAmount(usageOf(state, job.kind), amount, -1))
+    usage: sharing.usage.set(job.kind, addAmount(usageOf(state, job.kind), amount, -1)),
+    stopping: running.stopping ? countStopping(state, running, -1) : sharing.stopping
   }
 }
+
+/** What is being stopped of each kind, with a job more or less. */
+export function countStopping (state: ScheduleState, { job, members }: RunningJob, times: number): Sharing['stopping'] {
+  return state.sharing.stopping.set(job.kind, addAmount(stoppingOf(state, job.kind), amountOf(members), times))
+}
+
+/** What is being stopped of a kind. */
+export function stoppingOf (state: ScheduleState, kind: KindName): Amount {
+  return state.sharing.stopping.get(kind) ?? NO_AMOUNT
+}
--- a/packages/policy/src/site.ts
+++ b/packages/policy/src/site.ts
@@ -3,7 +3,7 @@
 import { addAmount, holdsAmount, leastAmount, NO_AMOUNT, type Amount } from './amount.js'
 import { findServer, type Server } from './capacity.js'
 import { isSameShape, type Hold } from './guarantee.js'
-import { place, spotsOf, type SpotRack } from './placement.js'
+import { freeSpotsOf, place, type SpotRack } from './placement.js'
 import { commonRoom, pinnedRoom, reclaimableRoom, urgentRoom, type Room } from './room.js'
 import type { Site } from './running.js'
 import type { Job } from './scheduler.js'
@@ -12,10 +12,12 @@
 /**
  * The site where a job can start at once. In this order: an idle guarantee of the
  * very shape, capacity outside guarantees and reservations, part of an own
- * guarantee, and for what can be reclaimed any free capacity.
+ * guarantee, and for what can be reclaimed any free capacity. Where the rest is
+ * known to be full, only the guarantees are looked at.
  */
-export function findSite (state: ScheduleState, job: Job): Site | undefined {
+export function findSite (state: ScheduleState, job: Job, isFull: boolean): Site | undefined {
   const holds = holdsFor(state, job)
+  if (isFull) return exactHoldSite(state, job, holds) ?? partHoldSite(state, job, holds)
   return exactHoldSite(state, job, holds) ?? roomSite(state, job, firstRoom(state, job)) ??
     partHoldSite(state, job, holds) ?? (isReclaimable(state, job) ? roomSite(state, job, reclaimableRoom) : undefined)
 }
@@ -26,7 +28,7 @@
 }
 
 function roomSite (state: ScheduleState, job: Job, room: Room): Site | undefined {
-  const members = place(spotsOf(state.capacity, room), job.shape, 'best-fit')
+  const members = place(freeSpotsOf(state.capacity, job.shape, room), job.shape, 'best-fit')
   return members === undefined ? undefined : { members, hold: undefined }
 }
 
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -2,9 +2,9 @@
 import type { KindName, Member, RequestId, WorkspaceName } from '@cornelgauge/model'
 import { Map as PersistentMap } from 'immutable'
 import { addAmount, NO_AMOUNT, type Amount } from './amount.js'
-import { NO_CAPACITY, type Capacity, type Grade } from './capacity.js'
+import { arrangeServers, emptyServer, NO_CAPACITY, type Capacity, type Grade } from './capacity.js'
 import { NO_GUARANTEES, type Guarantees } from './guarantee.js'
-import { NOTHING_WAITING, queueKey, type Waiting } from './queue.js'
+import { NOTHING_WAITING, shareKey, type Waiting } from './queue.js'
 import type { Job, KindSettings, PolicySettings, PolicyState, ServerDescription, WorkspaceSettings } from './scheduler.js'
 import { meanDuration, NO_DURATIONS, quantileDuration, type Arrivals, type Durations } from './statistics.js'
 
@@ -49,6 +49,8 @@
   readonly floors: PersistentMap<KindName, number>
   /** What the running jobs of each kind hold. */
   readonly usage: PersistentMap<KindName, Amount>
+  /** The part of it that is being stopped. */
+  readonly stopping: PersistentMap<KindName, Amount>
 }
 
 /** Settings by name. */
@@ -61,8 +63,10 @@
 export interface ScheduleState extends PolicyState {
   readonly directory: Directory
   readonly capacity: Capacity
-  /** Each backend server ever seen, also the lost ones, to judge whether a shape is possible at all. */
+  /** Each backend server ever seen, also the lost ones. */
   readonly known: PersistentMap<string, ServerDescription>
+  /** The cell when nothing runs, to judge whether a shape is possible at all. */
+  readonly empty: Capacity
   readonly waiting: Waiting
   readonly running: PersistentMap<RequestId, RunningJob>
   readonly guarantees: Guarantees
@@ -98,18 +102,24 @@
     directory: makeDirectory(settings),
     capacity: NO_CAPACITY,
     known: PersistentMap(),
+    empty: emptyCapacity(settings, PersistentMap()),
     waiting: NOTHING_WAITING,
     running: PersistentMap(),
     guarantees: NO_GUARANTEES,
     claims: PersistentMap(),
     reservations: PersistentMap(),
-    sharing: { served: PersistentMap(), floors: PersistentMap(), usage: PersistentMap() },
+    sharing: { served: PersistentMap(), floors: PersistentMap(), usage: PersistentMap(), stopping: PersistentMap() },
     durations: PersistentMap(),
     arrivals: PersistentMap()
   }
   return state
 }
 
+/** The cell when nothing runs: the declared backend servers, or all that were ever seen. */
+export function emptyCapacity (settings: PolicySettings, known: PersistentMap<string, ServerDescription>): Capacity {
+  return arrangeServers((settings.declaredServers ?? [...known.values()]).map(emptyServer))
+}
+
 /** True of work that can be checkpointed or stopped without harm. */
 export function isReclaimable (state: ScheduleState, job: Job): boolean {
   const kind = state.directory.kinds.get(job.kind)
@@ -137,7 +147,7 @@
 }
 
 function durationsOf (state: ScheduleState, job: Job): Durations {
-  return state.durations.get(queueKey(job.kind, job.workspace)) ?? NO_DURATIONS
+  return state.durations.get(shareKey(job.kind, job.workspace)) ?? NO_DURATIONS
 }
 
 /** All that a job's members hold. */
--- a/packages/policy/src/urgent.ts
+++ b/packages/policy/src/urgent.ts
@@ -4,12 +4,13 @@
  * share of its kind.
  */
 import type { Member } from '@cornelgauge/model'
-import { addAmount, dominantShare, holdsAmount, sumAmounts, type Amount } from './amount.js'
+import { addAmount, dominantShare, holdsAmount, type Amount } from './amount.js'
 import { allServers, type Task } from './capacity.js'
 import { openClaim, type Step } from './claim.js'
-import { firstJobs } from './queue.js'
+import { queuedJobs } from './queue.js'
 import { pinnableAmount } from './room.js'
 import type { Decision, Job, KindSettings } from './scheduler.js'
+import { stoppingOf } from './sharing.js'
 import { isReclaimable, orderOf, usageOf, type ScheduleState } from './state.js'
 import { meanDuration, NO_DURATIONS } from './statistics.js'
 import { chooseVictims, type Victims } from './victim.js'
@@ -48,7 +49,7 @@
 function relieveOne (state: ScheduleState, kind: KindSettings, now: number): Step | undefined {
   for (const queue of [...state.waiting.queues.values()].sort((first, second) => first.key < second.key ? -1 : 1)) {
     if (queue.kind !== kind.name) continue
-    for (const job of firstJobs(state.waiting, queue, MOST_CLAIMS)) {
+    for (const job of queuedJobs(state.waiting, queue)) {
       if (state.claims.has(job.id) || job.shape.accelerators > 0) continue
       return claimSlots(state, job, now)
     }
@@ -74,7 +75,6 @@
 function mayStop (state: ScheduleState, task: Task, order: number): boolean {
   const job = state.running.get(task.id)?.job
   if (job === undefined || orderOf(state, job.kind) <= order) return false
-  const stopping = sumAmounts([...state.running.values()].filter(running => running.stopping && running.job.kind === job.kind).flatMap(running => running.members))
-  const left = addAmount(addAmount(usageOf(state, job.kind), stopping, -1), task, -1)
+  const left = addAmount(addAmount(usageOf(state, job.kind), stoppingOf(state, job.kind), -1), task, -1)
   return dominantShare(left, state.capacity.total) >= (state.directory.kinds.get(job.kind)?.minimumShare ?? 0)
 }
