--- a/packages/daemon/src/owned-cell.ts
+++ b/packages/daemon/src/owned-cell.ts
@@ -1,7 +1,8 @@
 /**
  * One cell that this VM owns: its claim, its lease, and the timer of its ticks.
  */
-import type { CellClaim, Clock, HeldLease } from '@cornelgauge/coordination'
+import type { CellClaim, HeldLease } from '@cornelgauge/coordination'
+import type { Clock } from '@cornelgauge/platform'
 import { TICK_MILLISECONDS, type OwnerEvent } from '@cornelgauge/scheduler'
 
 /** How a drain ended. */
