--- a/packages/daemon/test/rig.ts
+++ b/packages/daemon/test/rig.ts
@@ -180,6 +180,9 @@
   readonly events: SeenEvent[] = []
   readonly vms: RigVm[] = []
   readonly #servers = new Map<BackendServerName, MemoryBackendServer>()
+  readonly #former: MemoryBackendServer[] = []
+  readonly #restarts: { readonly server: BackendServerName, readonly at: number }[] = []
+  #lives = 1
   document: DocumentInForce = { version: documentVersion(1), document: parseDocument(DOCUMENT_TEXT).document }
   vmList: readonly ListedVm[] = []
 
@@ -213,7 +216,26 @@
 
   /** Every start that was ever made. */
   get executions (): readonly LoggedExecution[] {
-    return this.servers.flatMap(server => server.executions)
+    return [...this.#former, ...this.servers].flatMap(server => server.executions)
+  }
+
+  /** Replaces a backend server by one that has forgotten everything; what it ran before stays in the history. */
+  restartServer (index: number): void {
+    const name = backendServerName(`server-${index}`)
+    const old = this.#servers.get(name)!
+    old.faults.set({ mode: 'down' })
+    this.#former.push(old)
+    this.#restarts.push({ server: name, at: this.clock.now() })
+    this.#lives += 1
+    this.#servers.set(name, this.#makeServer(`life-${index}-${this.#lives}`))
+  }
+
+  /** Keys with an intent to start on a backend server that has restarted since. */
+  get forgottenKeys (): readonly string[] {
+    const intents = this.events.filter(event => event.name === 'request-start-intended')
+    const isForgotten = (event: SeenEvent): boolean => this.#restarts.some(restart =>
+      restart.at >= event.at && (event.details?.members as readonly string[]).includes(restart.server))
+    return intents.filter(isForgotten).map(event => event.request!.split('/')[1]!)
   }
 
   /** The VM that serves the cell. */
@@ -250,8 +272,13 @@
 
   /** What a call told: the state, or the failure's code and state. */
   async outcome (call: Promise<Told>): Promise<Outcome> {
+    return this.told(this.settle(call))
+  }
+
+  /** The same for a call that others let time pass for. */
+  async told (call: Promise<Told>): Promise<Outcome> {
     try {
-      const { record, asOf } = await this.settle(call)
+      const { record, asOf } = await call
       return { state: record.state, answer: record.answer?.inline, asOf }
     } catch (thrown) {
       const failure = asFailure(thrown)
@@ -287,9 +314,13 @@
     return () => { cancel() }
   }
 
+  #makeServer (incarnation: string): MemoryBackendServer {
+    return new MemoryBackendServer({ slots: 8, accelerators: 8, clock: this.clock, leaseMilliseconds: 30_000, incarnation })
+  }
+
   #addServer (index: number): void {
     const name = backendServerName(`server-${index}`)
-    this.#servers.set(name, new MemoryBackendServer({ slots: 8, accelerators: 8, clock: this.clock, leaseMilliseconds: 30_000, incarnation: `life-${index}-1` }))
+    this.#servers.set(name, this.#makeServer(`life-${index}-1`))
     this.vmList = [...this.vmList, { name: vmName(name), role: 'backend-server', failureDomain: DOMAIN, rack: 'praha-rack-1', slots: 8, accelerators: 8, address: name, status: 'live' }]
   }
 }
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -50,6 +50,7 @@
   if (run === undefined || record === undefined || run.phase !== 'committing') return
   if (record.cancelRequested) return endUnsent(transaction, run, 'cancelled', { code: 'cancelled-by-caller', detail: 'Cancelled before it was started.' })
   if (record.submission.deadline <= transaction.at.wall) return endUnsent(transaction, run, 'not-run', { code: 'deadline-passed', detail: 'The deadline passed before it was started.' })
+  if (run.members.some(member => member.state !== readyState(run))) return returnUnsent(transaction, run)
   if (run.members.size > 1) return goGang(transaction, run)
   const started: Run = { ...run, phase: 'starting', inquiredAt: transaction.at.monotonic }
   transaction.setRun(started)
@@ -155,8 +156,12 @@
   })
 }
 
+/** What a member must still be when its start is sent; its backend server may have been lost meanwhile. */
+function readyState (run: Run): MemberState['state'] {
+  return run.members.size > 1 ? 'prepared' : 'asked'
+}
+
 function goGang (transaction: Transaction, run: Run): void {
-  if (run.members.some(member => member.state !== 'prepared')) return returnUnsent(transaction, run)
   transaction.setRun({ ...run, phase: 'starting', inquiredAt: transaction.at.monotonic })
   for (const server of run.members.keys()) transaction.command(server, { name: 'go', executions: [executionOf(run)] })
 }
--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -9,7 +9,7 @@
 import { jobOf } from './job.js'
 import { INQUIRY_INTERVAL_MILLISECONDS, SERVER_LOST_MILLISECONDS, WATCH_RETRY_MILLISECONDS, WATCH_WAIT_MILLISECONDS } from './limits.js'
 import { acknowledge, executionOf, isLive, releaseGang } from './runs.js'
-import { giveUpDoubted, memberLost, memberReported } from './settlement.js'
+import { giveUpDoubted, memberForgotten, memberLost, memberReported } from './settlement.js'
 import type { Run, ServerState } from './state.js'
 import type { Transaction } from './transaction.js'
 
@@ -35,7 +35,7 @@
   transaction.setServer(server)
   if (status !== before.status) STATUS_CHANGES[status](transaction, server, before)
   takeReports(transaction, event.server, answer.reports)
-  if (before.incarnation !== answer.incarnation) reconcile(transaction, event.server)
+  if (before.incarnation !== answer.incarnation || before.status === 'lost') reconcile(transaction, event.server)
   watch(transaction, event.server)
 }
 
@@ -168,7 +168,7 @@
   ORPHANS[report.state](transaction, server, report)
 }
 
-/** After the first word of a backend server's life: asks about members it did not name, and gives up those of an earlier life. */
+/** After the first word of a backend server's life, or its first after it was given up: asks about members it did not name, and gives up those of an earlier life. */
 function reconcile (transaction: Transaction, name: BackendServerName): void {
   const incarnation = transaction.state.servers.get(name)!.incarnation
   for (const run of transaction.state.runs.values()) {
@@ -176,23 +176,23 @@
     if (member === undefined || (!isLive(member) && member.state !== 'lost')) continue
     const started = transaction.record(run.id)?.assignment?.members.find(candidate => candidate.server === name)
     const earlierLife = started?.incarnation !== undefined && started.incarnation !== incarnation
-    if (earlierLife) memberLost(transaction, run, name)
+    if (earlierLife) memberForgotten(transaction, run, name)
     else if (member.state !== 'running') transaction.command(name, { name: 'fence', executions: [executionOf(run)] })
   }
 }
 
 /** A backend server that has restarted knows nothing of what ran there before. */
 function forgetIncarnation (transaction: Transaction, name: BackendServerName): void {
-  loseMembers(transaction, name)
+  loseMembers(transaction, name, memberForgotten)
   transaction.tellPolicy({ type: 'server-lost', server: name, at: transaction.at.wall })
   const server = transaction.state.servers.get(name)!
   transaction.setServer({ ...server, status: 'new', cursor: 0, acknowledge: List() })
 }
 
-function loseMembers (transaction: Transaction, name: BackendServerName): void {
+function loseMembers (transaction: Transaction, name: BackendServerName, lose: typeof memberLost): void {
   for (const id of runsOn(transaction, name)) {
     const run = transaction.state.runs.get(id)
-    if (run !== undefined) memberLost(transaction, run, name)
+    if (run !== undefined) lose(transaction, run, name)
   }
 }
 
@@ -225,7 +225,7 @@
 function loseServer (transaction: Transaction, server: ServerState): void {
   transaction.log('server-lost', undefined, { server: server.description.name })
   transaction.setServer({ ...server, status: 'lost' })
-  loseMembers(transaction, server.description.name)
+  loseMembers(transaction, server.description.name, memberLost)
   transaction.tellPolicy({ type: 'server-lost', server: server.description.name, at: transaction.at.wall })
 }
 
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -22,6 +22,11 @@
   memberChanged(transaction, run, server, { state: 'lost' })
 }
 
+/** Takes in that a member's backend server has restarted and forgotten it. */
+export function memberForgotten (transaction: Transaction, run: Run, server: BackendServerName): void {
+  memberChanged(transaction, run, server, { state: 'forgotten' })
+}
+
 /** Takes in that a large answer is in the object store. */
 export function answerStored (transaction: Transaction, event: Extract<OwnerEvent, { type: 'answer-stored' }>): void {
   const run = transaction.state.runs.get(event.id)
@@ -81,6 +86,7 @@
   lapsed: 'member-lost',
   stopped: 'member-lost',
   lost: 'member-lost',
+  forgotten: 'member-lost',
   'never-started': 'member-never-started'
 }
 
@@ -124,6 +130,7 @@
   { applies: run => allMembers(run, 'finished'), settle: finish },
   { applies: run => allMembers(run, 'never-started'), settle: settleNeverStarted },
   { applies: (run, record) => hasMember(run, 'lost') && !record.submission.idempotent, settle: doubt },
+  { applies: (run, record) => hasMember(run, 'forgotten') && !record.submission.idempotent, settle: giveUpDoubted },
   {
     applies: run => run.stopReason === 'cancelled',
     settle: (transaction, run) => { endRun(transaction, run, { state: 'cancelled', reason: { code: 'cancelled-by-caller', detail: 'Stopped because its caller cancelled it.' } }) }
@@ -158,7 +165,7 @@
 
 function fail (transaction: Transaction, run: Run): void {
   const detail = run.members.valueSeq().map(member => member.report?.detail).find(text => text !== undefined)
-  const code = hasMember(run, 'failed') ? 'task-failed' : hasMember(run, 'lost') ? 'server-lost' : 'lease-lapsed'
+  const code = hasMember(run, 'failed') ? 'task-failed' : hasMember(run, 'lost') || hasMember(run, 'forgotten') ? 'server-lost' : 'lease-lapsed'
   endRun(transaction, run, { state: 'failed', reason: { code, detail: detail ?? 'The task did not finish.' } })
 }
 
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -34,9 +34,12 @@
   readonly commitBy: number
 }
 
-/** Where one member of a run stands. */
+/**
+ * Where one member of a run stands. Of a `lost` one its backend server may still
+ * tell; a `forgotten` one belonged to a life of its backend server that is over.
+ */
 export interface MemberState {
-  readonly state: 'asked' | 'prepared' | 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'never-started' | 'lost'
+  readonly state: 'asked' | 'prepared' | 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'never-started' | 'lost' | 'forgotten'
   readonly report?: ExecutionReport
 }
 
