--- a/packages/coordination/src/lease.ts
+++ b/packages/coordination/src/lease.ts
@@ -18,6 +18,8 @@
 export const LEASE_MILLISECONDS = 3000
 /** Time between two renewals. */
 export const RENEWAL_MILLISECONDS = 1000
+/** A watcher that has not read the row for longer begins to count anew: the holder may not have reached the table service either. */
+export const LONGEST_BLIND_MILLISECONDS = 1500
 /** How much earlier the holder ends its lease, for clocks that run at different speeds. */
 export const LEASE_MARGIN_MILLISECONDS = 300
 
@@ -94,6 +96,8 @@
   readonly stored: StoredOwnerRow | undefined
   /** Monotonic milliseconds by the watcher's clock. */
   readonly changedAt: number
+  /** When the row was last read. */
+  readonly seenAt: number
 }
 
 /**
@@ -104,9 +108,10 @@
  * const watch = observe(undefined, await readOwnerRow(table, cell), clock.now())
  */
 export function observe (watch: RowWatch | undefined, stored: StoredOwnerRow | undefined, now: number): RowWatch {
-  if (watch === undefined) return { stored, changedAt: now }
+  if (watch === undefined) return { stored, changedAt: now, seenAt: now }
   if (versionOf(stored) < versionOf(watch.stored)) return watch
-  return { stored, changedAt: isRenewed(watch.stored, stored) ? now : watch.changedAt }
+  const isFresh = isRenewed(watch.stored, stored) || now - watch.seenAt > LONGEST_BLIND_MILLISECONDS
+  return { stored, changedAt: isFresh ? now : watch.changedAt, seenAt: now }
 }
 
 /**
@@ -114,7 +119,7 @@
  * where it was released or never claimed, else a whole lease after the last change.
  *
  * @example
- * freeAt({ stored: undefined, changedAt: 5 }) // 5
+ * freeAt({ stored: undefined, changedAt: 5, seenAt: 5 }) // 5
  */
 export function freeAt (watch: RowWatch): number {
   const isHeld = watch.stored !== undefined && !watch.stored.row.released
@@ -125,7 +130,7 @@
  * True when the watcher may try to claim the cell.
  *
  * @example
- * isFree({ stored, changedAt: 0 }, 3000) // true
+ * isFree({ stored, changedAt: 0, seenAt: 0 }, 3000) // true
  */
 export function isFree (watch: RowWatch, now: number): boolean {
   return now >= freeAt(watch)
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -180,7 +180,7 @@
 
   #document (): EnvironmentDocument {
     const inForce = this.#documents.inForce(this.#settings.environment)
-    if (inForce === undefined) throw new CornelgaugeError('not-ready', { detail: 'No environment document is in force yet', state: 'not-run' })
+    if (inForce === undefined) throw new CornelgaugeError('not-ready', { detail: 'No environment document is in force yet', state: 'unknown' })
     return inForce.document
   }
 
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -1,7 +1,7 @@
 /**
- * Brings a call to the owner of its cell, here or on another VM. A retry with the
- * same key meets its own first try in the cell's ledger; a refusal after a try whose
- * fate is not known is never told as "not run".
+ * Brings a call to the owner of its cell, here or on another VM. A second try meets
+ * the first in the cell's ledger by its key: both are told the same, also where the
+ * first was refused. So a call whose connection was lost may be made again.
  */
 import { homeCell, type EnvironmentDocument } from '@cornelgauge/environment'
 import {
@@ -47,13 +47,13 @@
 interface RoutedCall {
   readonly cell: CellName
   readonly waitUntil: number
-  /** True where a lost try may have taken effect. */
+  /** True of a call that may change something. */
   readonly changes: boolean
   readonly event: (call: CallId) => OwnerEvent
   readonly body: (waitMilliseconds: number) => CallBody
 }
 
-/** Codes after which another try is made, and whether the failed one may have arrived. */
+/** Codes after which another try is made. */
 const TRY_AGAIN: ReadonlySet<string> = new Set(['not-owner', 'connection-lost', 'timeout', 'no-owner', 'not-ready', 'stranger-refused', 'unavailable'])
 
 /** Routes calls to cell owners. */
@@ -147,16 +147,14 @@
 
   async #route (call: RoutedCall): Promise<Told> {
     const giveUpAt = Math.max(call.waitUntil, this.#options.clock.now()) + SEARCH_PATIENCE_MILLISECONDS
-    let mayHaveArrived = false
     while (true) {
       const owner = await this.#findOwner(call.cell, giveUpAt)
-      if (owner === undefined) throw givenUp(call, mayHaveArrived)
+      if (owner === undefined) throw givenUp(call)
       try {
         return { cell: call.cell, ...await this.#ask(owner, call) }
       } catch (thrown) {
         const failure = asFailure(thrown)
-        if (!TRY_AGAIN.has(failure.code)) throw explained(failure, call, mayHaveArrived)
-        mayHaveArrived ||= mayHaveTakenEffect(failure)
+        if (!TRY_AGAIN.has(failure.code)) throw failure
       }
       await this.#pause()
     }
@@ -203,19 +201,7 @@
   return { record: reply.record, asOf: reply.asOf }
 }
 
-function mayHaveTakenEffect (failure: CornelgaugeError): boolean {
-  if (failure.code === 'timeout') return true
-  return failure.code === 'connection-lost' && failure.members.sent !== false
-}
-
-function givenUp (call: RoutedCall, mayHaveArrived: boolean): CornelgaugeError {
-  if (!call.changes) return new CornelgaugeError('no-owner')
-  if (mayHaveArrived) return new CornelgaugeError('outcome-unknown', { state: 'unknown' })
-  return new CornelgaugeError('no-owner', { state: 'not-run' })
-}
-
-/** A late first try may still be accepted after the second was refused. */
-function explained (failure: CornelgaugeError, call: RoutedCall, mayHaveArrived: boolean): CornelgaugeError {
-  if (!call.changes || !mayHaveArrived || failure.state !== 'not-run') return failure
-  return new CornelgaugeError('outcome-unknown', { state: 'unknown', detail: `A first try may still be accepted; the second was refused: ${failure.message}` })
+/** No owner was found: what became of an earlier try with this key is not known either. */
+function givenUp (call: RoutedCall): CornelgaugeError {
+  return new CornelgaugeError('no-owner', call.changes ? { state: 'unknown' } : {})
 }
--- a/packages/daemon/src/submission.ts
+++ b/packages/daemon/src/submission.ts
@@ -2,7 +2,7 @@
  * From a caller's body to a checked submission.
  */
 import { shapeFitsAnywhere, type EnvironmentDocument, type KindDeclaration } from '@cornelgauge/environment'
-import { CornelgaugeError, describeShape, digestOf, kindName, requestKey, workspaceName, type RequestKey, type Shape, type Submission, type WorkspaceName } from '@cornelgauge/model'
+import { CornelgaugeError, describeShape, digestOf, kindName, requestKey, workspaceName, type Refusal, type RequestKey, type Shape, type Submission, type WorkspaceName } from '@cornelgauge/model'
 import { z } from 'zod'
 
 /** A deadline of this size or more is a time since 1970, a smaller one counts from now. */
@@ -11,6 +11,7 @@
 export const LONGEST_DEADLINE_MILLISECONDS = 90 * 24 * 60 * 60 * 1000
 const MAXIMUM_KEY_LENGTH = 128
 const MAXIMUM_ACCELERATORS = 1024
+const NO_SHAPE: Shape = { slots: 1, accelerators: 0, adjacency: 'server' }
 
 const bodySchema = z.strictObject({
   kind: z.string(),
@@ -44,33 +45,45 @@
  */
 export function checkWorkspace (document: EnvironmentDocument, name: string): WorkspaceName {
   const found = document.workspaces.find(workspace => workspace.name === name)
-  if (found === undefined) throw new CornelgaugeError('not-found', { detail: `There is no workspace named ${name}`, state: 'not-run' })
+  if (found === undefined) throw new CornelgaugeError('not-found', { detail: `There is no workspace named ${name}`, state: 'unknown' })
   return workspaceName(name)
 }
 
 /**
- * Makes a submission of a caller's body.
+ * Makes a submission of a caller's body. What depends on the document in force or
+ * on the time does not fail here: it becomes the submission's refusal, so that the
+ * owner can first look whether an earlier try with this key was accepted.
  *
  * @param now - milliseconds since 1970
- * @throws CornelgaugeError `malformed-json`, `invalid-request`, `unknown-kind`, `impossible-shape`, `deadline-past`
+ * @throws CornelgaugeError `malformed-json`, `invalid-request`
  */
 export function parseSubmission (document: EnvironmentDocument, workspace: WorkspaceName, key: RequestKey, text: string, now: number): Submission {
   const body = parseBody(text)
   const kind = document.kinds.find(candidate => candidate.name === body.kind)
-  if (kind === undefined) throw new CornelgaugeError('unknown-kind', { state: 'not-run', members: { kinds: document.kinds.map(candidate => candidate.name) } })
+  const shape: Shape = { ...(kind?.shape ?? NO_SHAPE), ...body.shape }
+  const deadline = deadlineOf(body, now)
   return {
     workspace,
     key,
     kind: kindName(body.kind),
     payload: body.payload ?? null,
     bodyDigest: digestOf(text),
-    shape: shapeOf(document, kind, body),
-    deadline: deadlineOf(body, now),
-    idempotent: kind.idempotent,
-    declaredMilliseconds: body.declaredMilliseconds ?? kind.declaredMilliseconds
+    shape,
+    deadline,
+    idempotent: kind?.idempotent ?? false,
+    declaredMilliseconds: body.declaredMilliseconds ?? kind?.declaredMilliseconds ?? 1,
+    refusal: refusalOf(document, kind, shape, deadline, now)
   }
 }
 
+function refusalOf (document: EnvironmentDocument, kind: KindDeclaration | undefined, shape: Shape, deadline: number, now: number): Refusal | undefined {
+  if (kind === undefined) return { code: 'unknown-kind', detail: `The kinds of work are ${document.kinds.map(candidate => candidate.name).join(', ')}.` }
+  if (!shapeFitsAnywhere(shape, document)) return { code: 'impossible-shape', detail: `No failure domain can ever hold ${describeShape(shape)}.` }
+  if (deadline <= now) return { code: 'deadline-past', detail: 'The deadline has already passed.' }
+  if (deadline - now > LONGEST_DEADLINE_MILLISECONDS) return { code: 'invalid-request', detail: 'The deadline is more than 90 days away.' }
+  return undefined
+}
+
 function parseBody (text: string): Body {
   let value: unknown
   try {
@@ -84,15 +97,6 @@
   throw new CornelgaugeError('invalid-request', { detail: faults.map(fault => `${fault.path}: ${fault.detail}`).join('; '), state: 'not-run', members: { faults } })
 }
 
-function shapeOf (document: EnvironmentDocument, kind: KindDeclaration, body: Body): Shape {
-  const shape: Shape = { ...kind.shape, ...body.shape }
-  if (shapeFitsAnywhere(shape, document)) return shape
-  throw new CornelgaugeError('impossible-shape', { detail: `No failure domain can ever hold ${describeShape(shape)}`, state: 'not-run' })
-}
-
 function deadlineOf ({ deadlineMilliseconds }: Body, now: number): number {
-  const deadline = deadlineMilliseconds >= ABSOLUTE_DEADLINE_MILLISECONDS ? deadlineMilliseconds : now + deadlineMilliseconds
-  if (deadline <= now) throw new CornelgaugeError('deadline-past', { state: 'not-run' })
-  if (deadline - now > LONGEST_DEADLINE_MILLISECONDS) throw new CornelgaugeError('invalid-request', { detail: 'deadlineMilliseconds: more than 90 days away', state: 'not-run' })
-  return deadline
+  return deadlineMilliseconds >= ABSOLUTE_DEADLINE_MILLISECONDS ? deadlineMilliseconds : now + deadlineMilliseconds
 }
--- a/packages/model/src/request.ts
+++ b/packages/model/src/request.ts
@@ -1,6 +1,7 @@
 /**
  * A request as its cell's ledger holds it, and as its caller sees it.
  */
+import type { ErrorCode } from './errors.js'
 import type { CellName, Digest, Epoch, KindName, RequestId, RequestKey, WorkspaceName } from './ids.js'
 import type { Member, Shape } from './shape.js'
 import type { RequestState } from './state.js'
@@ -19,6 +20,16 @@
   readonly idempotent: boolean
   /** How long the task is declared to run, in milliseconds. */
   readonly declaredMilliseconds: number
+  /** Set where the entry VM found that it can't be accepted; the owner records the refusal under its key. */
+  readonly refusal?: Refusal
+}
+
+/** Why a request is refused; once told, it holds for the key for good. */
+export interface Refusal {
+  readonly code: ErrorCode
+  readonly detail: string
+  /** When it may be worth asking again, under a new key. */
+  readonly retryAfterMilliseconds?: number
 }
 
 /** Where an attempt of a request runs. */
@@ -67,12 +78,14 @@
 export interface EndReason {
   readonly code: EndReasonCode
   readonly detail: string
+  /** Set where the request was refused rather than accepted. */
+  readonly refusal?: Refusal
 }
 
 /** The code of an end reason. */
 export type EndReasonCode =
   | 'cancelled-by-caller' | 'deadline-passed' | 'task-failed' | 'server-lost' | 'impossible'
-  | 'never-started' | 'attempts-spent' | 'refused-by-policy' | 'lease-lapsed'
+  | 'never-started' | 'attempts-spent' | 'refused' | 'lease-lapsed'
 
 /** A request as its caller sees it. */
 export interface RequestView {
--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -3,12 +3,12 @@
  * what is committed.
  */
 import { hasEnded } from '@cornelgauge/coordination'
-import { CornelgaugeError, requestId, type RequestId, type RequestRecord, type Submission } from '@cornelgauge/model'
+import { CornelgaugeError, requestId, type Refusal, type RequestId, type RequestRecord, type Submission } from '@cornelgauge/model'
 import { admit } from '@cornelgauge/policy'
 import { List } from 'immutable'
 import type { CallId, OwnerEvent } from './event.js'
 import { jobOf } from './job.js'
-import { COMMIT_PATIENCE_MILLISECONDS } from './limits.js'
+import { COMMIT_PATIENCE_MILLISECONDS, MAXIMUM_REQUESTS } from './limits.js'
 import { stopRun } from './runs.js'
 import type { Waiter } from './state.js'
 import type { Transaction } from './transaction.js'
@@ -23,12 +23,12 @@
   const id = requestId(submission.workspace, submission.key)
   const earlier = transaction.record(id)
   if (earlier !== undefined) return join(transaction, event, earlier)
-  const failure = refusal(transaction, submission)
-  if (failure !== undefined) {
-    transaction.log('request-refused', id, { code: failure.code })
-    return transaction.refuse(call, failure)
+  if (transaction.state.ledger.size >= MAXIMUM_REQUESTS) {
+    return transaction.refuse(call, new CornelgaugeError('overloaded', { state: 'unknown', detail: 'The cell keeps as many requests as it can' }))
   }
-  accept(transaction, submission)
+  const refused = refusalOf(transaction, submission)
+  if (refused === undefined) accept(transaction, submission)
+  else recordRefusal(transaction, submission, refused)
   wait(transaction, id, waiterOf(transaction, event))
 }
 
@@ -36,21 +36,21 @@
 export function read (transaction: Transaction, event: Event<'read'>): void {
   const record = transaction.state.committed.get(event.id)
   if (record === undefined && !transaction.state.ledger.has(event.id)) {
-    return transaction.refuse(event.call, new CornelgaugeError('unknown-request'))
+    return transaction.refuse(event.call, unknownRequest(transaction))
   }
   if (record !== undefined && (isTold(record) || event.waitUntil <= transaction.at.monotonic)) {
     return transaction.tell(event.call, record)
   }
-  wait(transaction, event.id, { call: event.call, until: event.waitUntil, commitBy: transaction.at.monotonic + COMMIT_PATIENCE_MILLISECONDS })
+  wait(transaction, event.id, { call: event.call, submits: false, until: event.waitUntil, commitBy: transaction.at.monotonic + COMMIT_PATIENCE_MILLISECONDS })
 }
 
 /** Cancels a request that waits, or asks for a running one to be stopped. */
 export function cancel (transaction: Transaction, event: Event<'cancel'>): void {
   const record = transaction.record(event.id)
-  if (record === undefined) return transaction.refuse(event.call, new CornelgaugeError('unknown-request'))
+  if (record === undefined) return transaction.refuse(event.call, unknownRequest(transaction))
   if (!hasEnded(record) && !record.cancelRequested) requestCancel(transaction, record)
   const until = transaction.at.monotonic
-  wait(transaction, event.id, { call: event.call, until, commitBy: until + COMMIT_PATIENCE_MILLISECONDS })
+  wait(transaction, event.id, { call: event.call, submits: false, until, commitBy: until + COMMIT_PATIENCE_MILLISECONDS })
 }
 
 /** Answers every waiter whose request is settled or whose time has come. */
@@ -84,14 +84,26 @@
   answerWaiters(transaction, [earlier.id])
 }
 
-function refusal (transaction: Transaction, submission: Submission): CornelgaugeError | undefined {
+function refusalOf (transaction: Transaction, submission: Submission): Refusal | undefined {
   const { wall } = transaction.at
-  if (submission.deadline <= wall) return new CornelgaugeError('deadline-past', { state: 'not-run' })
+  if (submission.refusal !== undefined) return submission.refusal
+  if (submission.deadline <= wall) return { code: 'deadline-past', detail: 'The deadline has already passed.' }
   const candidate = { id: requestId(submission.workspace, submission.key), submission, state: 'pending', acceptedAt: wall, attempts: 0, faults: 0, mayHaveRun: false, cancelRequested: false } as const
   const admission = admit(transaction.state.policy, jobOf(candidate), wall)
   if (admission.admitted) return undefined
-  const { code, rule, retryAfterMilliseconds } = admission
-  return new CornelgaugeError(code, { detail: rule, state: 'not-run', members: { rule, retryAfterMilliseconds } })
+  return { code: admission.code, detail: admission.rule, retryAfterMilliseconds: admission.retryAfterMilliseconds }
+}
+
+/**
+ * Records a refusal under its key. An earlier try that is still on its way then
+ * finds it, and can't run what its caller was told was not run.
+ */
+function recordRefusal (transaction: Transaction, submission: Submission, refusal: Refusal): void {
+  const id = requestId(submission.workspace, submission.key)
+  const at = transaction.at.wall
+  transaction.stage({ type: 'accepted', submission: { ...submission, payload: null }, at })
+  transaction.stage({ type: 'ended', id, state: 'not-run', reason: { code: 'refused', detail: refusal.detail, refusal }, at })
+  transaction.log('request-refused', id, { code: refusal.code })
 }
 
 function accept (transaction: Transaction, submission: Submission): void {
@@ -114,7 +126,7 @@
 function waiterOf (transaction: Transaction, event: Event<'submit'>): Waiter {
   const { monotonic, wall } = transaction.at
   const patience = Math.min(COMMIT_PATIENCE_MILLISECONDS, event.submission.deadline - wall)
-  return { call: event.call, until: event.waitUntil, commitBy: monotonic + Math.max(patience, 0) }
+  return { call: event.call, submits: true, until: event.waitUntil, commitBy: monotonic + Math.max(patience, 0) }
 }
 
 function wait (transaction: Transaction, id: RequestId, waiter: Waiter): void {
@@ -128,6 +140,14 @@
   transaction.set({ waiters: waiters.isEmpty() ? all.delete(id) : all.set(id, waiters) })
 }
 
+/** A submission that was refused gets the refusal; whoever reads gets the record. */
+function tellWaiter (transaction: Transaction, waiter: Waiter, record: RequestRecord): void {
+  const refusal = record.reason?.refusal
+  if (!waiter.submits || refusal === undefined) return transaction.tell(waiter.call, record)
+  const { code, detail, retryAfterMilliseconds } = refusal
+  transaction.refuse(waiter.call, new CornelgaugeError(code, { detail, state: record.state, members: { rule: detail, retryAfterMilliseconds } }))
+}
+
 /** True where the waiter was answered. A change that is staged is waited for, so that no call is told less than it caused. */
 function answerWaiter (transaction: Transaction, id: RequestId, waiter: Waiter): boolean {
   const { committed, ledger } = transaction.state
@@ -136,11 +156,17 @@
   if (record === undefined) return ledger.has(id) ? false : refuseUnknown(transaction, waiter.call)
   const patient = ledger.get(id) !== record && waiter.commitBy > transaction.at.monotonic
   const settled = isTold(record) || (due && !patient)
-  if (settled) transaction.tell(waiter.call, record)
+  if (settled) tellWaiter(transaction, waiter, record)
   return settled
 }
 
 function refuseUnknown (transaction: Transaction, call: CallId): true {
-  transaction.refuse(call, new CornelgaugeError('unknown-request'))
+  transaction.refuse(call, unknownRequest(transaction))
   return true
 }
+
+/** An owner whose lease has lapsed can't tell what a newer one has accepted. */
+function unknownRequest (transaction: Transaction): CornelgaugeError {
+  const isCertain = transaction.state.leaseValidUntil >= transaction.at.monotonic
+  return new CornelgaugeError(isCertain ? 'unknown-request' : 'not-owner')
+}
--- a/packages/scheduler/src/commits.ts
+++ b/packages/scheduler/src/commits.ts
@@ -4,14 +4,13 @@
  */
 import { applyTransitions, type Transition } from '@cornelgauge/coordination'
 import { CornelgaugeError, requestId, sequenceNumber, type RequestId } from '@cornelgauge/model'
-import { List } from 'immutable'
+import type { List } from 'immutable'
 import { answerWaiters } from './calls.js'
 import type { OwnerEvent } from './event.js'
 import { COMMIT_INTERVAL_MILLISECONDS, MAXIMUM_ROW_BYTES, MAXIMUM_ROW_TRANSITIONS, SNAPSHOT_ROWS } from './limits.js'
-import { abandonRun, intentCommitted, runEndCommitted } from './runs.js'
+import { intentCommitted, runEndCommitted } from './runs.js'
 import type { Batch, Staged, Waiter } from './state.js'
 import type { Transaction } from './transaction.js'
-import { withdraw } from './waiting.js'
 
 type Event<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
 
@@ -40,14 +39,16 @@
   if (batch?.sequence === event.sequence) transaction.set({ batch: { ...batch, delayed: true } })
 }
 
-/** Gives up submissions that could not be committed in time, and says so truthfully. */
-export function dropExpiredSubmissions (transaction: Transaction): void {
+/** Tells those whose patience is over that their change is still not committed: it may or may not come to be. */
+export function refuseUncommitted (transaction: Transaction): void {
   const { committed, waiters } = transaction.state
-  const expired = waiters.filter((list, id) => !committed.has(id) && list.some(waiter => waiter.commitBy <= transaction.at.monotonic))
+  const impatient = (waiter: Waiter): boolean => waiter.commitBy <= transaction.at.monotonic
+  const expired = waiters.filter((list, id) => !committed.has(id) && list.some(impatient))
   for (const [id, list] of expired) {
-    const inBatch = transaction.state.batch?.ledger.has(id) === true
-    if (inBatch) refuseExpired(transaction, id, list)
-    else dropStaged(transaction, id, list)
+    const refused = list.filter(impatient)
+    refused.forEach(waiter => { transaction.refuse(waiter.call, new CornelgaugeError('store-unavailable', { state: 'unknown' })) })
+    const left = list.filterNot(impatient)
+    transaction.set({ waiters: left.isEmpty() ? transaction.state.waiters.delete(id) : transaction.state.waiters.set(id, left) })
   }
 }
 
@@ -116,20 +117,3 @@
   if (transition.type === 'accepted') return [requestId(transition.submission.workspace, transition.submission.key)]
   return transition.type === 'forgotten' ? transition.ids : [transition.id]
 }
-
-/** The row is on its way and may or may not land. */
-function refuseExpired (transaction: Transaction, id: RequestId, waiters: List<Waiter>): void {
-  waiters.forEach(waiter => { transaction.refuse(waiter.call, new CornelgaugeError('outcome-unknown', { state: 'unknown' })) })
-  transaction.set({ waiters: transaction.state.waiters.delete(id) })
-}
-
-/** The row was never sent: nothing is accepted, and nothing can run later. */
-function dropStaged (transaction: Transaction, id: RequestId, waiters: List<Waiter>): void {
-  const staged = transaction.state.staged.filterNot(item => idsOf(item.transition).includes(id))
-  const base = transaction.state.batch?.ledger ?? transaction.state.committed
-  transaction.set({ staged, ledger: applyTransitions(base, staged.map(item => item.transition).toArray()) })
-  if (transaction.state.runs.has(id)) abandonRun(transaction, id)
-  else withdraw(transaction, id)
-  waiters.forEach(waiter => { transaction.refuse(waiter.call, new CornelgaugeError('store-unavailable', { state: 'not-run' })) })
-  transaction.set({ waiters: transaction.state.waiters.delete(id) })
-}
--- a/packages/scheduler/src/limits.ts
+++ b/packages/scheduler/src/limits.ts
@@ -24,6 +24,8 @@
 export const INQUIRY_INTERVAL_MILLISECONDS = 500
 /** Longest time between two ticks. */
 export const TICK_MILLISECONDS = 250
+/** Most requests that a cell keeps, ended ones included. */
+export const MAXIMUM_REQUESTS = 200_000
 /** Largest answer. */
 export const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 /** Largest answer that is kept in the journal itself. */
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -28,9 +28,11 @@
 /** A call that waits on a request. Times are monotonic. */
 export interface Waiter {
   readonly call: CallId
+  /** True of a submission, false of a read or a cancellation. */
+  readonly submits: boolean
   /** When it is told whatever is committed. */
   readonly until: number
-  /** When a submission that is still not committed is given up. */
+  /** When it is told that its change is still not committed. */
   readonly commitBy: number
 }
 
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -3,7 +3,7 @@
  * effects). It reads no clock and does no I/O, so every step can be repeated.
  */
 import { answerWaiters, cancel, read, refuseAllWaiters, submit } from './calls.js'
-import { commitDelayed, commitStaged, committed, dropExpiredSubmissions, snapshotTaken } from './commits.js'
+import { commitDelayed, commitStaged, committed, refuseUncommitted, snapshotTaken } from './commits.js'
 import type { OwnerEffect } from './effect.js'
 import type { Instant, OwnerEvent } from './event.js'
 import { plan } from './planning.js'
@@ -69,7 +69,7 @@
   releaseHeld(transaction)
   endOverdue(transaction)
   followServers(transaction)
-  dropExpiredSubmissions(transaction)
+  refuseUncommitted(transaction)
   answerWaiters(transaction, [...transaction.state.waiters.keys()])
   forgetEnded(transaction)
   transaction.set({ policyChanged: true })
--- a/packages/scheduler/src/waiting.ts
+++ b/packages/scheduler/src/waiting.ts
@@ -48,12 +48,11 @@
   }
 }
 
-/** Ends requests that still wait at their deadline, unless their first commit is still to come. */
+/** Ends requests that still wait at their deadline. */
 export function endOverdue (transaction: Transaction): void {
-  const { waiting, committed } = transaction.state
-  const overdue = waiting.filter(deadline => deadline <= transaction.at.wall)
+  const overdue = transaction.state.waiting.filter(deadline => deadline <= transaction.at.wall)
   for (const id of overdue.keys()) {
-    if (!committed.has(id) || transaction.state.runs.has(id)) continue
+    if (transaction.state.runs.has(id)) continue
     endPending(transaction, id, 'not-run', { code: 'deadline-passed', detail: 'The deadline passed before there was capacity.' })
   }
 }
