--- /dev/null
+++ b/packages/coordination/test/examples.test.ts
@@ -0,0 +1,54 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import * as model from '@cornelgauge/model'
+import { expect } from 'chai'
+import { run } from '../examples/embed.js'
+import * as coordination from '../src/index.js'
+import { DOMAIN_PRAHA, PRAHA, VM_ONE, World } from './builders.js'
+
+const SOURCES = new URL('../../src/', import.meta.url)
+const EXAMPLE = /@example\n((?:\s*\* .*\n)+)/g
+const LITERAL = /^(.*\S) \/\/ (true|false|undefined|-?[\d.]+|'[^']*')$/
+
+const linesOf = (comment: string) => comment.split('\n').map(line => line.replace(/^\s*\* ?/, '')).filter(line => line !== '')
+
+/** The examples that say what comes out; names that stand free in them are those of the scope. */
+function checkedExamples (): readonly (readonly [string, readonly string[]])[] {
+  const sources = readdirSync(SOURCES).filter(name => name.endsWith('.ts'))
+  const examples = sources.flatMap(name => {
+    const text = readFileSync(new URL(name, SOURCES), 'utf8')
+    return [...text.matchAll(EXAMPLE)].map(([, comment]) => [name, linesOf(comment!)] as const)
+  })
+  return examples.filter(([, lines]) => lines.some(line => LITERAL.test(line)))
+}
+
+function execute (lines: readonly string[], scope: Readonly<Record<string, unknown>>): readonly (readonly [unknown, unknown])[] {
+  const body = lines.map(line => line.replace(LITERAL, 'results.push([$1, $2])')).join('\n')
+  const results: [unknown, unknown][] = []
+  // eslint-disable-next-line no-new-func
+  new Function('results', ...Object.keys(scope), body)(results, ...Object.values(scope))
+  return results
+}
+
+describe('examples', () => {
+  it('count on from VM to VM', async () => {
+    expect(await run()).to.deep.equal([5, 10, 15])
+  })
+
+  describe('in doc comments', () => {
+    const examples = checkedExamples()
+
+    it('are found', () => expect(examples.length).to.be.at.least(15))
+
+    for (const [file, lines] of examples) {
+      it(`of ${file}: ${lines.at(-1)}`, async () => {
+        const world = new World()
+        const claim = await world.claim(VM_ONE)
+        const stored = (await coordination.readOwnerRow(world.truth, PRAHA))!
+        const text = 'text'
+        const version = model.documentVersion(1)
+        const scope = { ...model, ...coordination, claim, stored, row: stored.row, cell: PRAHA, text, version, place: { cell: PRAHA, failureDomain: DOMAIN_PRAHA } }
+        for (const [found, stated] of execute(lines, scope)) expect(found).to.equal(stated)
+      })
+    }
+  })
+})
--- a/packages/coordination/test/group-committer.test.ts
+++ b/packages/coordination/test/group-committer.test.ts
@@ -50,6 +50,18 @@
     expect(await journal()).to.deep.equal([['a'], ['b', 'c']])
   })
 
+  for (const entriesPerStep of [1, 100]) {
+    it(`writes one row at once and then one every 50 ms for ${entriesPerStep} entries every 10 ms`, async () => {
+      const committer = await open()
+      const writesBefore = world.truth.counters.writes
+      for (let step = 0; step < 100; step++) {
+        for (let entry = 0; entry < entriesPerStep; entry++) committer.append('a')
+        await world.clock.advance(10)
+      }
+      expect(world.truth.counters.writes - writesBefore).to.equal(1 + 20)
+    })
+  }
+
   it('has one row in flight, and keeps the order when answers are lost', async () => {
     const committer = await open()
     world.faults(fatesOfWrites(JOURNAL_TABLE, ['late', 'answer-lost', 'refused']))
