--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,4 +1,6 @@
 /** Embeddable coordination parts. */
+export * from './ledger.js'
+export * from './transition.js'
 export * from './backoff.js'
 export * from './document-follower.js'
 export * from './group-committer.js'
