--- a/packages/coordination/test/examples.test.ts
+++ b/packages/coordination/test/examples.test.ts
@@ -6,7 +6,7 @@
 import { DOMAIN_PRAHA, PRAHA, VM_ONE, World } from './builders.js'
 
 const SOURCES = new URL('../../src/', import.meta.url)
-const EXAMPLE = /@example\n((?:\s*\* .*\n)+)/g
+const EXAMPLE = /@example\n((?:\s*\* [^@].*\n)+)/g
 const LITERAL = /^(.*\S) \/\/ (true|false|undefined|-?[\d.]+|'[^']*')$/
 
 const linesOf = (comment: string) => comment.split('\n').map(line => line.replace(/^\s*\* ?/, '')).filter(line => line !== '')
@@ -36,6 +36,7 @@
 
   describe('in doc comments', () => {
     const examples = checkedExamples()
+    const submission = { workspace: model.workspaceName('brno'), key: model.requestKey('swap-1') }
 
     it('are found', () => expect(examples.length).to.be.at.least(15))
 
@@ -46,7 +47,7 @@
         const stored = (await coordination.readOwnerRow(world.truth, PRAHA))!
         const text = 'text'
         const version = model.documentVersion(1)
-        const scope = { ...model, ...coordination, claim, stored, row: stored.row, cell: PRAHA, text, version, place: { cell: PRAHA, failureDomain: DOMAIN_PRAHA } }
+        const scope = { ...model, ...coordination, claim, stored, submission, row: stored.row, cell: PRAHA, text, version, place: { cell: PRAHA, failureDomain: DOMAIN_PRAHA } }
         for (const [found, stated] of execute(lines, scope)) expect(found).to.equal(stated)
       })
     }
