--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -3,12 +3,11 @@
  * same key meets its own first try in the cell's ledger; a refusal after a try whose
  * fate is not known is never told as "not run".
  */
-import type { Clock } from '@cornelgauge/coordination'
 import { homeCell, type EnvironmentDocument } from '@cornelgauge/environment'
 import {
   asFailure, CornelgaugeError, digestOf, fromProblem, requestId, type CellName, type RequestId, type RequestKey, type RequestRecord, type Submission, type WorkspaceName
 } from '@cornelgauge/model'
-import type { ObjectStore } from '@cornelgauge/platform'
+import type { Clock, ObjectStore } from '@cornelgauge/platform'
 import type { CallId, CallReply, OwnerEvent } from '@cornelgauge/scheduler'
 import type { CallBody, ReplyBody } from '@cornelgauge/wire'
 import type { CellHost, KnownOwner } from './cell-host.js'
--- a/packages/policy/src/capacity.ts
+++ b/packages/policy/src/capacity.ts
@@ -1,28 +1,54 @@
 /**
  * The capacity of a cell: its racks in order of position, the backend servers in
- * each, and what the running jobs hold of them. All values are immutable; a
- * change copies one rack and leaves the others shared.
+ * each, and what is given away of them. All values are immutable; a change copies
+ * one rack and leaves the others shared.
  */
 import type { BackendServerName, Member, RequestId } from '@cornelgauge/model'
+import { addAmount, NO_AMOUNT, sumAmounts, type Amount } from './amount.js'
 import type { ServerDescription } from './scheduler.js'
 
-/** An amount of capacity on one backend server. */
-export interface Amount {
-  readonly slots: number
-  readonly accelerators: number
-}
+/**
+ * How firmly a running job holds its capacity. `entitled`: inside a guarantee of its
+ * own workspace. `reclaimable`: can be checkpointed or stopped, and so may use
+ * guaranteed capacity of others. `pinned`: must be left to end.
+ */
+export type Grade = 'entitled' | 'pinned' | 'reclaimable'
 
 /** The part of a running job that one backend server runs. */
 export interface Task extends Amount {
   readonly id: RequestId
+  readonly grade: Grade
+  readonly startedAt: number
+  readonly expectedEnd: number
+  /** Its preemption is decided; the capacity comes free soon. */
+  readonly stopping: boolean
 }
 
+/** What is given away of a backend server. Each amount is a sum over tasks, guarantees, reservations or claims. */
+export interface Ledger {
+  readonly used: Amount
+  readonly entitled: Amount
+  readonly pinned: Amount
+  readonly reclaimable: Amount
+  readonly stopping: Amount
+  /** Set aside for guarantees, in use or not. */
+  readonly guaranteed: Amount
+  /** Set aside for gangs that wait. */
+  readonly reserved: Amount
+  /** The part of `reserved` that urgent work is kept out of as well. */
+  readonly closed: Amount
+  /** Coming free for jobs that already know their members. */
+  readonly claimed: Amount
+}
+
+/** The name of one sum in a ledger. */
+export type LedgerEntry = keyof Ledger
+
 /** A backend server and what runs there. */
-export interface Server {
+export interface Server extends Ledger {
   readonly description: ServerDescription
   /** A leaving backend server receives no new work. */
   readonly leaving: boolean
-  readonly used: Amount
   readonly tasks: readonly Task[]
 }
 
@@ -31,6 +57,8 @@
   readonly name: string
   readonly position: number
   readonly servers: readonly Server[]
+  /** Most that is free of each resource on one backend server. */
+  readonly mostFree: Amount
 }
 
 /** All racks in order of position, then name. */
@@ -38,6 +66,8 @@
   readonly racks: readonly Rack[]
   /** Where each backend server stands in `racks`. */
   readonly locations: ReadonlyMap<string, Location>
+  /** Of all backend servers that are not leaving. */
+  readonly total: Amount
 }
 
 /** The place of a backend server in a `Capacity`. */
@@ -46,17 +76,18 @@
   readonly server: number
 }
 
-export const NO_AMOUNT: Amount = { slots: 0, accelerators: 0 }
-export const NO_CAPACITY: Capacity = { racks: [], locations: new Map() }
+export const NO_CAPACITY: Capacity = { racks: [], locations: new Map(), total: NO_AMOUNT }
 
-/**
- * The sum of two amounts, the second one taken `times` times.
- *
- * @example
- * addAmount({ slots: 1, accelerators: 8 }, { slots: 1, accelerators: 0 }, -1) // { slots: 0, accelerators: 8 }
- */
-export function addAmount (first: Amount, second: Amount, times = 1): Amount {
-  return { slots: first.slots + times * second.slots, accelerators: first.accelerators + times * second.accelerators }
+const EMPTY_LEDGER: Ledger = {
+  used: NO_AMOUNT,
+  entitled: NO_AMOUNT,
+  pinned: NO_AMOUNT,
+  reclaimable: NO_AMOUNT,
+  stopping: NO_AMOUNT,
+  guaranteed: NO_AMOUNT,
+  reserved: NO_AMOUNT,
+  closed: NO_AMOUNT,
+  claimed: NO_AMOUNT
 }
 
 /** Compares two strings by code unit. */
@@ -79,8 +110,19 @@
   const servers = rack.servers.slice()
   servers[location.server] = change(servers[location.server] as Server)
   const racks = capacity.racks.slice()
-  racks[location.rack] = { ...rack, servers }
-  return { racks, locations: capacity.locations }
+  racks[location.rack] = { ...rack, servers, mostFree: mostFreeOf(servers) }
+  return { ...capacity, racks }
+}
+
+function mostFreeOf (servers: readonly Server[]): Amount {
+  let slots = 0
+  let accelerators = 0
+  for (const { description, used, leaving } of servers) {
+    if (leaving) continue
+    slots = Math.max(slots, description.slots - used.slots)
+    accelerators = Math.max(accelerators, description.accelerators - used.accelerators)
+  }
+  return { slots, accelerators }
 }
 
 /** All backend servers in order of rack position, rack name and name. */
@@ -96,24 +138,25 @@
 
 /** Arranges backend servers into racks; the order of the list does not matter. */
 export function arrangeServers (servers: readonly Server[]): Capacity {
-  const racks: Array<{ name: string, position: number, servers: Server[] }> = []
+  const racks: Array<Rack & { servers: Server[] }> = []
   const locations = new Map<string, Location>()
   for (const server of [...servers].sort(compareServers)) {
     const { rack: name, rackPosition: position } = server.description
     let rack = racks.at(-1)
     if (rack === undefined || rack.name !== name || rack.position !== position) {
-      rack = { name, position, servers: [] }
+      rack = { name, position, servers: [], mostFree: NO_AMOUNT }
       racks.push(rack)
     }
     locations.set(server.description.name, { rack: racks.length - 1, server: rack.servers.length })
     rack.servers.push(server)
   }
-  return { racks, locations }
+  const total = sumAmounts(servers.filter(server => !server.leaving).map(server => server.description))
+  return { racks: racks.map(rack => ({ ...rack, mostFree: mostFreeOf(rack.servers) })), locations, total }
 }
 
 /** An empty backend server. */
 export function emptyServer (description: ServerDescription): Server {
-  return { description, leaving: false, used: NO_AMOUNT, tasks: [] }
+  return { ...EMPTY_LEDGER, description, leaving: false, tasks: [] }
 }
 
 /** The capacity with a backend server put in place of the one of its name, or without it. */
@@ -122,29 +165,37 @@
   return arrangeServers(server === undefined ? others : [...others, server])
 }
 
-/** What is free on a backend server for new work. */
-export function freeAmount (server: Server): Amount {
-  if (server.leaving) return NO_AMOUNT
-  const { slots, accelerators } = server.description
-  return { slots: Math.max(0, slots - server.used.slots), accelerators: Math.max(0, accelerators - server.used.accelerators) }
+/** Adds each member to one sum of its backend server, `times` times. */
+export function enter (capacity: Capacity, entry: LedgerEntry, members: readonly Member[], times: number): Capacity {
+  return members.reduce((current, member) => updateServer(current, member.server, server =>
+    ({ ...server, [entry]: addAmount(server[entry], member, times) })), capacity)
 }
 
 /** The backend server with one more task. */
 export function addTask (server: Server, task: Task): Server {
-  return { ...server, used: addAmount(server.used, task), tasks: [...server.tasks, task] }
+  return bookTask({ ...server, tasks: [...server.tasks, task] }, task, 1)
 }
 
 /** The backend server without the task of this job. */
 export function removeTask (server: Server, id: RequestId): Server {
   const task = server.tasks.find(candidate => candidate.id === id)
   if (task === undefined) return server
-  return { ...server, used: addAmount(server.used, task, -1), tasks: server.tasks.filter(candidate => candidate !== task) }
+  return bookTask({ ...server, tasks: server.tasks.filter(candidate => candidate !== task) }, task, -1)
+}
+
+function bookTask (server: Server, task: Task, times: number): Server {
+  return {
+    ...server,
+    used: addAmount(server.used, task, times),
+    [task.grade]: addAmount(server[task.grade], task, times),
+    stopping: task.stopping ? addAmount(server.stopping, task, times) : server.stopping
+  }
 }
 
-/** The capacity with a job on these members. */
-export function occupy (capacity: Capacity, id: RequestId, members: readonly Member[]): Capacity {
+/** The capacity with a job's tasks on these members. */
+export function occupy (capacity: Capacity, members: readonly Member[], task: Omit<Task, keyof Amount>): Capacity {
   return members.reduce((current, { server, slots, accelerators }) =>
-    updateServer(current, server, found => addTask(found, { id, slots, accelerators })), capacity)
+    updateServer(current, server, found => addTask(found, { ...task, slots, accelerators })), capacity)
 }
 
 /** The capacity without a job that was on these members. */
