Renew a cell while it is recovered or handed over

With the table service's reads at 2 s, recovery takes longer than a lease. The host renewed no cell with an action under way, so that each claimant lost the cell to the next one: 8 claims in 30 s of virtual time and no owner. A long drain at a planned stop would have been cut off in the same way.

Renewals are now due whatever else is under way, and do not count as busy.

--- a/packages/coordination/src/ownership-choice.ts
+++ b/packages/coordination/src/ownership-choice.ts
@@ -45,7 +45,7 @@
   readonly candidates: readonly Candidate[]
   /** Cells that this VM owns. */
   readonly held: ReadonlyMap<CellName, HeldLease>
-  /** Cells for which an action of this VM is still under way. */
+  /** Cells that this VM is claiming, recovering or handing over. They are renewed all the same. */
   readonly busy: ReadonlySet<CellName>
 }
 
@@ -57,14 +57,15 @@
   | { readonly type: 'hand-over', readonly cell: CellName, readonly to: VmName | null }
 
 /**
- * Chooses the actions that are due now, at most one a cell.
+ * Chooses the actions that are due now, at most one a cell. A renewal comes first and
+ * whatever else is under way, since a recovery or a drain may outlast the lease; its
+ * performer notes it by `tryRenewal` at once, and does not count it as busy.
  *
  * @example
  * for (const action of chooseActions(view, clock.now())) perform(action)
  */
 export function chooseActions (view: OwnershipView, now: number): readonly OwnershipAction[] {
-  const idle = view.cells.filter(place => !view.busy.has(place.cell))
-  return idle.flatMap(place => chooseAction(view, place, now) ?? [])
+  return view.cells.flatMap(place => chooseAction(view, place, now) ?? [])
 }
 
 /**
@@ -82,8 +83,11 @@
 }
 
 function chooseAction (view: OwnershipView, place: CellPlace, now: number): OwnershipAction | undefined {
-  const lease = view.held.get(place.cell)
-  return lease === undefined ? chooseClaim(view, place, now) : chooseForHeld(view, place, lease, now)
+  const { cell } = place
+  const lease = view.held.get(cell)
+  if (lease !== undefined && isRenewalDue(lease, now)) return { type: 'renew', cell }
+  if (view.busy.has(cell)) return undefined
+  return lease === undefined ? chooseClaim(view, place, now) : chooseHandover(view, place, now)
 }
 
 function chooseClaim (view: OwnershipView, place: CellPlace, now: number): OwnershipAction | undefined {
@@ -93,12 +97,11 @@
   return now < freeAt(watch) + delay ? undefined : { type: 'claim', cell: place.cell, watch }
 }
 
-function chooseForHeld (view: OwnershipView, place: CellPlace, lease: HeldLease, now: number): OwnershipAction | undefined {
+function chooseHandover (view: OwnershipView, place: CellPlace, now: number): OwnershipAction | undefined {
   const { cell } = place
   if (view.leaving) return { type: 'hand-over', cell, to: rankCandidates(place, others(view))[0]?.vm ?? null }
-  const better = betterPlaced(view, place, now)
-  if (better !== undefined) return { type: 'hand-over', cell, to: better }
-  return isRenewalDue(lease, now) ? { type: 'renew', cell } : undefined
+  const to = betterPlaced(view, place, now)
+  return to === undefined ? undefined : { type: 'hand-over', cell, to }
 }
 
 /** Being nearer is worth a handover; the hash alone is not. */
--- a/packages/coordination/test/ownership-choice.test.ts
+++ b/packages/coordination/test/ownership-choice.test.ts
@@ -88,6 +88,12 @@
       expect(chooseActions(view, RENEWAL_MILLISECONDS)).to.deep.equal([{ type: 'renew', cell: PRAHA }])
     })
 
+    it('is renewed while it is recovered or handed over, and nothing else', () => {
+      const view = viewOf(ranked[0]!, { held: holding(), leaving: true, busy: new Set([PRAHA]) })
+      expect(chooseActions(view, RENEWAL_MILLISECONDS - 1)).to.deep.equal([])
+      expect(chooseActions(view, RENEWAL_MILLISECONDS)).to.deep.equal([{ type: 'renew', cell: PRAHA }])
+    })
+
     it('goes to the preferred VM when its own leaves, or to nobody where there is none', () => {
       const leaving = viewOf(ranked[0]!, { held: holding(), leaving: true })
       expect(chooseActions(leaving, 1)).to.deep.equal([{ type: 'hand-over', cell: PRAHA, to: ranked[1]!.vm }])
--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -138,12 +138,14 @@
     return { vm, failureDomain, leaving: this.#leaving, cells, watches: this.#watches, candidates: directory.candidates, held, busy: this.#busy }
   }
 
+  /** A renewal goes beside whatever else is under way for the cell. */
   #actOn (action: OwnershipAction): void {
-    this.#busy.add(action.cell)
+    const isBusyWith = action.type !== 'renew'
+    if (isBusyWith) this.#busy.add(action.cell)
     const act = ACTIONS[action.type] as (host: HostActions, action: OwnershipAction) => Promise<void>
     act(this.#actions, action)
       .catch(thrown => { this.#options.emit('ownership-failed', { cell: action.cell, details: { action: action.type, code: asFailure(thrown).code, detail: asFailure(thrown).message } }) })
-      .finally(() => { this.#busy.delete(action.cell) })
+      .finally(() => { if (isBusyWith) this.#busy.delete(action.cell) })
   }
 
   readonly #actions: HostActions = {
--- a/packages/daemon/test/faults.test.ts
+++ b/packages/daemon/test/faults.test.ts
@@ -36,6 +36,19 @@
     })
   })
 
+  describe('a table service so slow that recovery outlasts a lease', () => {
+    it('leaves the cell with its first claimant', async () => {
+      const rig = await Rig.start(3)
+      const killedAt = rig.clock.now()
+      rig.owner!.kill()
+      rig.table.faults.set({ mode: 'slow', delayMilliseconds: 2000, only: 'reads' })
+      await rig.advance(30_000)
+      const claims = rig.events.filter(event => event.name === 'cell-claimed' && event.at > killedAt)
+      expect(claims).to.have.length(1)
+      expect(rig.owner?.name).to.equal(claims[0]!.vm)
+    })
+  })
+
   describe('the table service down', () => {
     it('refuses by the deadline what was never sent, and runs none of it later', async () => {
       const rig = await Rig.start(3)
