--- a/packages/coordination/src/store-call.ts
+++ b/packages/coordination/src/store-call.ts
@@ -86,8 +86,9 @@
     return 'no-answer'
   }
 
+  /** Giving up says nothing about the platform. */
   #report (failure: CornelgaugeError): void {
-    this.#options.onUnreachable?.({ failedTries: this.#failedTries + 1, failure })
+    if (!this.aborted) this.#options.onUnreachable?.({ failedTries: this.#failedTries + 1, failure })
   }
 
   #untilAborted<Value> (call: Promise<Value>): Promise<Value> {
