--- a/packages/command-line/src/client.ts
+++ b/packages/command-line/src/client.ts
@@ -92,6 +92,11 @@
   return text === '' ? '' : `?${text}`
 }
 
+/** Names the operator to whoever looks a change up later. */
+function operatorHeader (operator: string | undefined): Readonly<Record<string, string>> {
+  return operator === undefined ? {} : { 'x-operator': operator }
+}
+
 function requestPath (workspace: WorkspaceName, key?: RequestKey): string {
   const path = `/v1/workspaces/${encodeURIComponent(workspace)}/requests`
   return key === undefined ? path : `${path}/${encodeURIComponent(key)}`
@@ -150,24 +155,24 @@
   }
 
   /** Brings a document into force in trial, against the one that was seen in force. */
-  async applyDocument (text: string, seen: DocumentInForce | undefined): Promise<AcceptedDocument> {
+  async applyDocument (text: string, seen: DocumentInForce | undefined, operator?: string): Promise<AcceptedDocument> {
     const condition: Record<string, string> = seen === undefined ? { 'if-none-match': '*' } : { 'if-match': seen.entityTag }
     return await this.#callForJson({
       method: 'PUT',
       path: DOCUMENT_PATH,
       query: { environment: 'trial' },
-      headers: { ...condition, 'content-type': 'application/yaml' },
+      headers: { ...condition, ...operatorHeader(operator), 'content-type': 'application/yaml' },
       body: text
     })
   }
 
   /** Brings the bytes in force in trial into production. */
-  async promoteDocument (digest: string, seen: DocumentInForce | undefined): Promise<AcceptedDocument> {
+  async promoteDocument (digest: string, seen: DocumentInForce | undefined, operator?: string): Promise<AcceptedDocument> {
     const condition: Record<string, string> = seen === undefined ? {} : { 'if-match': seen.entityTag }
     return await this.#callForJson({
       method: 'POST',
       path: '/v1/environment/promotion',
-      headers: { ...condition, 'content-type': 'application/json' },
+      headers: { ...condition, ...operatorHeader(operator), 'content-type': 'application/json' },
       body: JSON.stringify({ digest })
     })
   }
--- a/packages/command-line/src/document-operations.ts
+++ b/packages/command-line/src/document-operations.ts
@@ -4,6 +4,7 @@
   type ParsedDocument
 } from '@cornelgauge/environment'
 import { CornelgaugeError, toProblem } from '@cornelgauge/model'
+import { z } from 'zod'
 import { ServiceClient, type AcceptedDocument, type DocumentInForce } from './client.js'
 import { readTextFile } from './files.js'
 import { defineOperation, joinLines, type Outcome, type Tools } from './operation.js'
@@ -13,6 +14,7 @@
 import { isUncertain, withAdvice } from './uncertain.js'
 
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
+const OPERATOR_PATTERN = /^[\x21-\x7e]([\x20-\x7e]{0,98}[\x21-\x7e])?$/
 
 const FILE_SETTING = {
   description: 'File with the document, YAML or JSON',
@@ -20,6 +22,13 @@
   schema: requiredText
 } as const satisfies SettingDefinition<string>
 
+const OPERATOR_SETTING = {
+  description: 'Who makes the change, to be kept with it',
+  place: 'flag',
+  hint: 'name',
+  schema: matchingText(OPERATOR_PATTERN, 'Must be printable ASCII characters.').or(z.undefined()) as z.ZodType<string | undefined, string | undefined>
+} as const satisfies SettingDefinition<string | undefined>
+
 /** A document's faults where it has any, else the outcome of what is done with it. */
 async function withSoundDocument (text: string, proceed: (parsed: ParsedDocument) => Promise<Outcome>): Promise<Outcome> {
   const parsed = parseOrFailure(text)
@@ -179,18 +188,18 @@
 
 const apply = defineOperation({
   description: 'Bring a document into force in trial',
-  settings: { file: FILE_SETTING, ...SERVICE_SETTINGS },
+  settings: { file: FILE_SETTING, operator: OPERATOR_SETTING, ...SERVICE_SETTINGS },
   examples: [
     { line: 'document apply examples/hlidka.yaml', does: 'check it, show the difference and apply it' }
   ],
-  async run ({ file, address, token }, tools) {
+  async run ({ file, operator, address, token }, tools) {
     return await withSoundDocument(await readTextFile(file, tools), async parsed => {
       const client = new ServiceClient(address, token, tools.http)
       const seen = await client.document('trial')
       const changes = changesFrom(seen, parsed)
       if (seen?.digest === parsed.digest) return acceptedOutcome(seen, changes, true)
       const change = { client, environment: 'trial', digest: parsed.digest } as const
-      return acceptedOutcome(await settleChange(change, async () => await client.applyDocument(parsed.text, seen)), changes, false)
+      return acceptedOutcome(await settleChange(change, async () => await client.applyDocument(parsed.text, seen, operator)), changes, false)
     })
   }
 })
@@ -203,17 +212,18 @@
       place: 'positional',
       schema: matchingText(DIGEST_PATTERN, 'Must be 64 hexadecimal digits in lower case.')
     },
+    operator: OPERATOR_SETTING,
     ...SERVICE_SETTINGS
   },
   examples: [
     { line: 'document promote "$(cornelgauge document show --json | jq -r .digest)"', does: 'promote what is in force in trial' }
   ],
-  async run ({ digest, address, token }, tools) {
+  async run ({ digest, operator, address, token }, tools) {
     const client = new ServiceClient(address, token, tools.http)
     const seen = await client.document('production')
     if (seen?.digest === digest) return acceptedOutcome(seen, [], true)
     const change = { client, environment: 'production', digest } as const
-    return acceptedOutcome(await settleChange(change, async () => await client.promoteDocument(digest, seen)), [], false)
+    return acceptedOutcome(await settleChange(change, async () => await client.promoteDocument(digest, seen, operator)), [], false)
   }
 })
 
--- a/packages/command-line/src/run.ts
+++ b/packages/command-line/src/run.ts
@@ -42,10 +42,23 @@
   return variable === undefined ? `${setting}: ${detail}` : `${setting} [${variable}]: ${detail}`
 }
 
+/** A member of a request's body that does not fit. */
+interface BodyFault {
+  readonly path: string
+  readonly detail: string
+}
+
+type Fault = SettingFault | DocumentFault | BodyFault
+
+function faultLine (fault: Fault): string {
+  if ('setting' in fault) return settingFaultLine(fault)
+  return 'rule' in fault ? formatFault(fault) : `${fault.path}: ${fault.detail}`
+}
+
 function faultLines (failure: CornelgaugeError): readonly string[] {
   const { faults, difference, currentVersion } = failure.members
-  const listed = Array.isArray(faults) ? faults as readonly (SettingFault | DocumentFault)[] : []
-  const lines = listed.map(fault => 'setting' in fault ? settingFaultLine(fault) : formatFault(fault))
+  const listed = Array.isArray(faults) ? faults as readonly Fault[] : []
+  const lines = listed.map(faultLine)
   const version = currentVersion === undefined ? [] : [`Version in force: ${String(currentVersion)}`]
   const changes = Array.isArray(difference) ? difference.map(String) : []
   return [...lines, ...version, ...changes]
--- a/packages/command-line/src/status-operation.ts
+++ b/packages/command-line/src/status-operation.ts
@@ -18,7 +18,7 @@
   { title: 'STATUS', text: vm => vm.status },
   { title: 'TRIAL', text: vm => versionText(vm.documents?.trial) },
   { title: 'PRODUCTION', text: vm => versionText(vm.documents?.production) },
-  { title: 'CELLS', text: vm => (vm.cells ?? []).join(', ') || NOTHING },
+  { title: 'CELLS', text: vm => (vm.cells ?? []).map(({ cell }) => cell).join(', ') || NOTHING },
   { title: 'MEMORY', text: vm => vm.memoryBytes === undefined ? NOTHING : `${Math.round(vm.memoryBytes / BYTES_PER_MEBIBYTE)} MiB` }
 ]
 
--- a/packages/command-line/src/status-report.ts
+++ b/packages/command-line/src/status-report.ts
@@ -7,7 +7,8 @@
   readonly status: string
   /** Version in force by environment; null where there is none. */
   readonly documents: Readonly<Record<string, number | null>>
-  readonly cells: readonly string[]
+  /** The cells that it owns. */
+  readonly cells: readonly Pick<CellStatus, 'cell'>[]
   readonly memoryBytes: number
 }
 
--- a/packages/command-line/src/timeline-renderer.ts
+++ b/packages/command-line/src/timeline-renderer.ts
@@ -1,5 +1,6 @@
-/** How the events of the time line become text and a page. */
-import type { TimelineEvent } from '@cornelgauge/telemetry'
+/** How the events of the time line become text and a page: by the package `telemetry`, in causal order. */
+import { cellName, vmName, type RequestId } from '@cornelgauge/model'
+import { filterEvents, mergeEvents, renderPage, renderText, type TimelineEvent } from '@cornelgauge/telemetry'
 
 /** Which events are wanted. */
 export interface TimelineFilter {
@@ -15,32 +16,21 @@
   readonly renderHtml: (events: readonly TimelineEvent[], filter: TimelineFilter) => string
 }
 
-function isWanted (event: TimelineEvent, filter: TimelineFilter): boolean {
-  return (filter.request === undefined || event.request === filter.request) &&
-    (filter.cell === undefined || event.cell === filter.cell) &&
-    (filter.vm === undefined || event.vm === filter.vm)
+function wantedEvents (events: readonly TimelineEvent[], { request, cell, vm }: TimelineFilter): readonly TimelineEvent[] {
+  return filterEvents(mergeEvents([events]), {
+    request: request as RequestId | undefined,
+    cell: cell === undefined ? undefined : cellName(cell),
+    vm: vm === undefined ? undefined : vmName(vm)
+  })
 }
 
-function byLogicalTime (left: TimelineEvent, right: TimelineEvent): number {
-  return left.logicalTime - right.logicalTime || left.vm.localeCompare(right.vm) || left.index - right.index
+function titleOf ({ request, cell, vm }: TimelineFilter): string {
+  const subjects = Object.entries({ request, cell, VM: vm }).flatMap(([noun, name]) => name === undefined ? [] : [`${noun} ${name}`])
+  return subjects.length === 0 ? 'Time line' : `Time line of ${subjects.join(', ')}`
 }
 
-function eventLine (event: TimelineEvent): string {
-  const details = event.details === undefined ? '' : JSON.stringify(event.details)
-  const members = [event.logicalTime, new Date(event.at).toISOString(), event.vm, event.event, event.name, event.cell ?? '-', event.request ?? '-', details]
-  return members.join(' ').trimEnd()
-}
-
-function renderText (events: readonly TimelineEvent[], filter: TimelineFilter): string {
-  return events.filter(event => isWanted(event, filter)).toSorted(byLogicalTime).map(event => `${eventLine(event)}\n`).join('')
-}
-
-function escapeHtml (text: string): string {
-  return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;')
-}
-
-/** One line for each event, in the order of logical time. */
+/** The renderer of the binary. */
 export const timelineRenderer: TimelineRenderer = {
-  renderText,
-  renderHtml: (events, filter) => `<!doctype html>\n<meta charset="utf-8">\n<title>Time line</title>\n<pre>${escapeHtml(renderText(events, filter))}</pre>\n`
+  renderText: (events, filter) => renderText(wantedEvents(events, filter)).join('\n'),
+  renderHtml: (events, filter) => renderPage(wantedEvents(events, filter), titleOf(filter))
 }
--- a/packages/command-line/test/document.test.ts
+++ b/packages/command-line/test/document.test.ts
@@ -77,9 +77,9 @@
 
     it('applies a later one against the version that it compared with', async () => {
       service.current.on(ROUTE, inForce(FIRST)).on(PUT_ROUTE, accepted(SECOND))
-      const { exitCode, output } = await execute('apply', 'second')
+      const { exitCode, output } = await execute('apply', 'second', '--operator', 'Jana N.')
       expect({ exitCode, output }).to.deep.equal({ exitCode: 0, output: `${CHANGE_LINE}\nVersion 4 is in force in trial\ndigest ${digestOf(SECOND)}\n` })
-      expect(service.current.seen.at(-1)?.headers['if-match']).to.equal('"3-tag"')
+      expect(service.current.seen.at(-1)?.headers).to.deep.include({ 'if-match': '"3-tag"', 'x-operator': 'Jana N.' })
     })
 
     it('changes nothing where the very bytes are in force', async () => {
--- a/packages/command-line/test/request.test.ts
+++ b/packages/command-line/test/request.test.ts
@@ -93,6 +93,11 @@
       })
     }
 
+    it('tells each fault that the service finds in the body', async () => {
+      service.current.on(`POST ${COLLECTION}`, problem('invalid-request', { members: { faults: [{ path: 'payload', detail: 'too deep' }] } }))
+      expect((await execute(SUBMIT)).diagnostics).to.match(/^payload: too deep$/m)
+    })
+
     it('tells a refusal with the state', async () => {
       service.current.on(`POST ${COLLECTION}`, problem('impossible-shape', { state: 'not-run' }))
       const { exitCode, diagnostics } = await execute(SUBMIT)
--- a/packages/command-line/test/run.test.ts
+++ b/packages/command-line/test/run.test.ts
@@ -12,7 +12,7 @@
 ]
 
 const STATUS = {
-  vms: [{ vm: 'praha-1', failureDomain: 'praha', status: 'ready', documents: { trial: 3, production: null }, cells: ['praha'], memoryBytes: 52_428_800 }],
+  vms: [{ vm: 'praha-1', failureDomain: 'praha', status: 'ready', documents: { trial: 3, production: null }, cells: [{ cell: 'praha' }], memoryBytes: 52_428_800 }],
   cells: [{ cell: 'praha', owner: 'praha-1', epoch: 7, state: 'owned', sequence: 90, pending: 1, running: 2, snapshotSequence: 80 }],
   platform: { tableWritesPerSecond: 60, tableReadsPerSecond: 9 }
 }
