--- a/packages/coordination/src/group-committer.ts
+++ b/packages/coordination/src/group-committer.ts
@@ -34,7 +34,7 @@
 export type CommitterEnd = Exclude<CommitOutcome, 'committed'> | 'drained' | 'stopped'
 
 /** What a committer is made with. */
-export interface GroupCommitterOptions extends Omit<StoreCallOptions, 'signal'> {
+export interface GroupCommitterOptions<Entry> extends Omit<StoreCallOptions, 'signal'> {
   readonly table: TableService
   readonly claim: CellClaim
   /** Sequence of the first row, as recovery gave it. */
@@ -42,6 +42,11 @@
   /** Gives a nonce that is never given again. */
   readonly nonce: () => string
   readonly limits?: GroupCommitLimits
+  /**
+   * Called with each row once it is committed, before the promises of its entries
+   * resolve. A state that applies whole rows here can be put in a snapshot at any time.
+   */
+  readonly onCommitted?: (sequence: SequenceNumber, entries: readonly Entry[]) => void
   /** Called once, when the committer has settled or given up its last row. */
   readonly onEnd?: (end: CommitterEnd) => void
 }
@@ -60,19 +65,20 @@
 
 /** Commits the entries of one cell under one claim, one row in flight at a time. */
 export class GroupCommitter<Entry extends Json> {
-  readonly #options: GroupCommitterOptions
+  readonly #options: GroupCommitterOptions<Entry>
   readonly #limits: GroupCommitLimits
   readonly #abort = new AbortController()
   #queue: QueuedEntry<Entry>[] = []
   #queuedBytes = 0
   #nextSequence: SequenceNumber
   #earliestStart = -Infinity
-  #busy = false
+  #scheduled = false
+  #inFlight = false
   #draining = false
   #end: CommitterEnd | undefined
   #onEnded: (() => void)[] = []
 
-  constructor (options: GroupCommitterOptions) {
+  constructor (options: GroupCommitterOptions<Entry>) {
     this.#options = options
     this.#limits = options.limits ?? GROUP_COMMIT_LIMITS
     this.#nextSequence = options.nextSequence
@@ -113,14 +119,14 @@
   /** Takes no more entries, and resolves once all that were taken are settled. */
   drain (): Promise<CommitterEnd> {
     this.#draining = true
-    if (!this.#busy && this.#queue.length === 0) this.#finish('drained')
+    if (!this.#inFlight && this.#queue.length === 0) this.#finish('drained')
     return this.#ended()
   }
 
   /** Gives up at once. The row in flight, if any, is left unsettled. */
   stop (): Promise<CommitterEnd> {
     this.#abort.abort()
-    if (!this.#busy) this.#finish('stopped')
+    if (!this.#inFlight) this.#finish('stopped')
     return this.#ended()
   }
 
@@ -133,8 +139,8 @@
 
   /** Starts the next row as soon as it may: in this turn's last microtask where the interval is over. */
   #schedule (): void {
-    if (this.#busy || this.#queue.length === 0 || this.#end !== undefined) return
-    this.#busy = true
+    if (this.#scheduled || this.#inFlight || this.#queue.length === 0) return
+    this.#scheduled = true
     const { clock } = this.#options
     const delayMilliseconds = this.#earliestStart - clock.now()
     if (delayMilliseconds > 0) clock.after(delayMilliseconds, () => this.#commitNext())
@@ -142,9 +148,12 @@
   }
 
   async #commitNext (): Promise<void> {
+    this.#scheduled = false
+    if (this.#end !== undefined) return
     const batch = this.#takeBatch()
+    this.#inFlight = true
     const outcome = await this.#commit(batch)
-    this.#busy = false
+    this.#inFlight = false
     if (outcome === 'committed') this.#committed(batch)
     else this.#failed(batch, outcome)
   }
@@ -172,6 +181,7 @@
   #committed (batch: readonly QueuedEntry<Entry>[]): void {
     const sequence = this.#nextSequence
     this.#nextSequence = sequenceNumber(sequence + 1)
+    this.#options.onCommitted?.(sequence, batch.map(({ entry }) => entry))
     batch.forEach(({ resolve }) => resolve(sequence))
     if (this.#abort.signal.aborted) this.#finish('stopped')
     else if (this.#draining && this.#queue.length === 0) this.#finish('drained')
--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -5,10 +5,10 @@
 import {
   applyTransitions, chooseActions, claimCell, confirmRenewal, emptyLedger, leaseEndsAt, ledgerFromJson, observe, openLease, recover, releaseCell,
   renewCell, storedOwnerRow, tryRenewal, CELLS_TABLE,
-  type Clock, type OwnershipAction, type Random, type RowWatch, type StoreCallOptions, type Stores, type Transition
+  type OwnershipAction, type Random, type RowWatch, type StoreCallOptions, type Stores, type Transition
 } from '@cornelgauge/coordination'
 import { asFailure, type CellName, type FailureDomainName, type RequestRecord, type SequenceNumber, type VmName } from '@cornelgauge/model'
-import type { Json } from '@cornelgauge/platform'
+import type { Clock, Json } from '@cornelgauge/platform'
 import type { Instant, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
 import type { ServerClients } from './backend-servers.js'
 import { CellLoop, type CellEffects } from './cell-loop.js'
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,10 +2,10 @@
  * The daemon: puts the parts together, and starts and stops them in order.
  */
 import { randomUUID } from 'node:crypto'
-import { seededRandom, systemClock } from '@cornelgauge/coordination'
+import { seededRandom } from '@cornelgauge/coordination'
 import type { EnvironmentDocument, EnvironmentName } from '@cornelgauge/environment'
 import { CornelgaugeError, type CellName, type VmName } from '@cornelgauge/model'
-import { HttpObjectStore, HttpTableService, HttpVmList } from '@cornelgauge/platform'
+import { HttpObjectStore, HttpTableService, HttpVmList, systemClock } from '@cornelgauge/platform'
 import { WireClient, WireServer } from '@cornelgauge/wire'
 import { BackendServers } from './backend-servers.js'
 import { callerRoutes } from './caller-routes.js'
--- a/packages/daemon/src/documents.ts
+++ b/packages/daemon/src/documents.ts
@@ -2,10 +2,10 @@
  * The environment documents: what is in force here, and changes to it. Only the
  * table service's conditional write accepts a change.
  */
-import { DocumentFollower, DOCUMENTS_TABLE, parseDocumentHead, type Clock, type SeenDocument } from '@cornelgauge/coordination'
+import { DocumentFollower, DOCUMENTS_TABLE, parseDocumentHead, type SeenDocument } from '@cornelgauge/coordination'
 import { nextHead, parseDocument, promote, type DocumentHead, type EnvironmentDocument, type EnvironmentName } from '@cornelgauge/environment'
 import { asFailure, CornelgaugeError, documentVersion, type Digest, type DocumentVersion } from '@cornelgauge/model'
-import type { Condition, Row, RowValue, TableService } from '@cornelgauge/platform'
+import type { Clock, Condition, Row, RowValue, TableService } from '@cornelgauge/platform'
 import type { EmitEvent } from './event-sink.js'
 
 /** A document in force on this VM. */
--- a/packages/daemon/test/rig.ts
+++ b/packages/daemon/test/rig.ts
@@ -2,7 +2,7 @@
  * Several VMs over in-memory services on one virtual clock. Each VM runs the real
  * cell host, loop, router and peer calls; only sockets are left out.
  */
-import { seededRandom, type CancelTimer, type Clock } from '@cornelgauge/coordination'
+import { seededRandom } from '@cornelgauge/coordination'
 import { parseDocument } from '@cornelgauge/environment'
 import {
   asFailure, backendServerName, cellName, CornelgaugeError, documentVersion, failureDomainName, vmName,
@@ -10,7 +10,7 @@
 } from '@cornelgauge/model'
 import {
   MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock,
-  type BackendServer, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
+  type BackendServer, type CancelTimer, type Clock, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
 } from '@cornelgauge/platform'
 import { CellHost, OWNERSHIP_POLL_MILLISECONDS } from '../src/cell-host.js'
 import type { DocumentInForce } from '../src/documents.js'
