--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -1,5 +1,4 @@
-#!/usr/bin/env node
-/** The binary `cornelgauge`: hands the process's own streams, files and clock to `run`. */
+/** The program `cornelgauge`: hands the process's own streams, files and clock to `run`. */
 import { randomUUID } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import { readFile, writeFile } from 'node:fs/promises'
@@ -13,7 +12,13 @@
 
 const PACKAGE_FILE = new URL('../../package.json', import.meta.url)
 
+/** A reader that has seen enough closes the pipe, as `head` does; that is no failure. */
+function ignoreClosedPipe (failure: NodeJS.ErrnoException): void {
+  if (failure.code !== 'EPIPE') throw failure
+}
+
 function writerTo (stream: NodeJS.WriteStream): Writer {
+  stream.on('error', ignoreClosedPipe)
   return { isTerminal: stream.isTTY ?? false, write: text => { stream.write(text) } }
 }
 
--- a/packages/command-line/test/run.test.ts
+++ b/packages/command-line/test/run.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import { runCommand, TOKEN, VERSION, withService, type CommandResult, type Situation } from './harness.js'
 
-const MAIN_FILE = fileURLToPath(new URL('../src/main.js', import.meta.url))
+const MAIN_FILE = fileURLToPath(new URL('../../bin/cornelgauge.js', import.meta.url))
 const ESCAPE = '\u001B'
 
 const COMMANDS = [
