--- a/packages/environment/test/parse.test.ts
+++ b/packages/environment/test/parse.test.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs'
-import { digestOf } from '@cornelgauge/model'
+import { CornelgaugeError, digestOf } from '@cornelgauge/model'
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { MAXIMUM_DOCUMENT_BYTES, parseDocument } from '../src/index.js'
 import { buildDocument, documentText, faultsOf, faultsOfText, kind, workspace, writtenDocument } from './builders.js'
 
@@ -79,6 +80,34 @@
     })
   })
 
+  describe('any text', () => {
+    const YAML_PARTS = ['- ', ': ', '? ', '&a ', '*a', '[', ']', '{', '}', '\n', '  ', '"', "'", '|', '>', '#', '!!map ', '---', '...', '%', 'cells', 'name', '1', '\t', '<<']
+    const texts = fc.oneof(
+      fc.string(),
+      fc.array(fc.constantFrom(...YAML_PARTS), { maxLength: 30 }).map(parts => parts.join('')),
+      fc.json(),
+      fc.tuple(fc.constantFrom('cells', 'kinds', 'workspaces', 'times', 'name', 'generation'), fc.jsonValue())
+        .map(([member, value]) => JSON.stringify({ ...writtenDocument(), [member]: value }))
+    )
+
+    it('is read, or refused with faults, and never anything else', () => {
+      fc.assert(fc.property(texts, text => {
+        try {
+          parseDocument(text)
+        } catch (thrown) {
+          expect(thrown).to.be.instanceOf(CornelgaugeError).and.to.deep.include({ code: 'invalid-document' })
+          expect((thrown as CornelgaugeError).members.faults).to.be.an('array').that.is.not.empty
+        }
+      }), { seed: 20263, numRuns: 300 })
+    })
+
+    it('is refused where an anchor holds itself or a key is no text', () => {
+      for (const text of ['cells: &a [*a]', '? [a]\n: 1', '? {a: 1}\n: 1', '1: 2', 'null: 1', '<<: {name: a}']) {
+        expect(faultsOfText(text)).not.to.deep.equal([])
+      }
+    })
+  })
+
   describe('a text with faults', () => {
     const shape = (members: object) => ({ workspaces: [workspace('ustredi'), workspace('pobocky', { guarantees: [{ shape: members }] })] })
     const FAULTS = [
