--- a/packages/command-line/test/run.test.ts
+++ b/packages/command-line/test/run.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import { runCommand, TOKEN, VERSION, withService, type CommandResult, type Situation } from './harness.js'
 
-const MAIN_FILE = fileURLToPath(new URL('../src/main.js', import.meta.url))
+const MAIN_FILE = fileURLToPath(new URL('../../bin/cornelgauge.js', import.meta.url))
 const ESCAPE = '\u001B'
 
 const COMMANDS = [
@@ -12,7 +12,7 @@
 ]
 
 const STATUS = {
-  vms: [{ vm: 'praha-1', failureDomain: 'praha', status: 'ready', documents: { trial: 3, production: null }, cells: ['praha'], memoryBytes: 52_428_800 }],
+  vms: [{ vm: 'praha-1', failureDomain: 'praha', status: 'ready', documents: { trial: 3, production: null }, cells: [{ cell: 'praha' }], memoryBytes: 52_428_800 }],
   cells: [{ cell: 'praha', owner: 'praha-1', epoch: 7, state: 'owned', sequence: 90, pending: 1, running: 2, snapshotSequence: 80 }],
   platform: { tableWritesPerSecond: 60, tableReadsPerSecond: 9 }
 }
