--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -1,5 +1,6 @@
 /** The calling side of the inner protocol. */
 import { randomBytes } from 'node:crypto'
+import { CornelgaugeError } from '@cornelgauge/model'
 import { parseAddress } from './address.js'
 import { ClientConnection } from './client-connection.js'
 import type { LogicalClock } from './clock.js'
@@ -75,8 +76,10 @@
    */
   async call (address: string, body: CallBody, timeoutMilliseconds: number): Promise<ReplyBody> {
     if (this.#isClosed) throw connectionLost('stopped', false)
+    const milliseconds = boundedTimeout(timeoutMilliseconds)
+    if (milliseconds === 0) throw new CornelgaugeError('timeout', { members: { sent: false } })
     const bytes = encodeCall(body)
-    return await this.#connectionTo(address).call(bytes, boundedTimeout(timeoutMilliseconds))
+    return await this.#connectionTo(address).call(bytes, milliseconds)
   }
 
   /** Closes all connections; calls in flight fail. */
--- a/packages/wire/test/calls.test.ts
+++ b/packages/wire/test/calls.test.ts
@@ -290,8 +290,12 @@
   describe('time limits', () => {
     for (const milliseconds of [NaN, -1, 0]) {
       it(`of ${milliseconds} ms leave no time`, async () => {
-        const server = await bench.server(async () => status('fine'))
-        expect((await failureOf(bench.client().call(server.address, CALL, milliseconds))).code).to.equal('timeout')
+        const held = new HeldReplies()
+        const server = await bench.server(held.handle)
+        const client = bench.client()
+        const failure = await failureOf(client.call(server.address, CALL, milliseconds))
+        expect(failure).to.deep.include({ code: 'timeout', members: { sent: false } })
+        expect({ calls: held.calls.length, frames: client.statistics.framesSent }).to.deep.equal({ calls: 0, frames: 0 })
       })
     }
 
