Prove that a call told as not sent never runs, with connections cut at any byte

A relay cuts connections after a random number of bytes in either direction: each call runs at most once, none that was told as not sent runs, all settle. It showed that a cut in the middle of a handshake frame was told as a protocol violation, with the advice never to retry; it is a lost connection now.

--- a/packages/wire/src/handshake.ts
+++ b/packages/wire/src/handshake.ts
@@ -54,10 +54,10 @@
   })
 }
 
-/** Whatever ended the connection before it was open, no call was sent. */
+/** Whatever ended the connection before it was open, no call was sent; one cut in the middle of a frame is just lost. */
 function openingFailure (failure: CornelgaugeError | undefined): CornelgaugeError {
-  const isTyped = failure !== undefined && failure.code !== 'connection-lost'
-  return isTyped ? failure : connectionLost('not-connected', false, failure?.cause)
+  const isLost = failure === undefined || failure.code === 'connection-lost' || failure.members.reason === 'truncated-frame'
+  return isLost ? connectionLost('not-connected', false, failure?.cause) : failure
 }
 
 function handshakeHandlers (link: Link, secret: string, context: ClientContext, opened: (vm: VmName) => void): FrameHandlers {
