--- /dev/null
+++ b/packages/stand-in/src/policy-bench-table.ts
@@ -0,0 +1,85 @@
+/** The table of the policy bench: each figure with its target, the median and the worst seed of each policy. */
+import type { SchedulerName } from '@cornelgauge/policy'
+import { quantile, type Figures } from './policy-bench-measure.js'
+
+/** How a figure is judged. */
+export interface Target {
+  readonly better: 'lower' | 'higher'
+  readonly text: string
+  /** Whether a figure meets the target; left out where there is none. */
+  readonly isMet?: (value: number) => boolean
+}
+
+/** The targets by the name of the figure. */
+export const TARGETS: Readonly<Record<string, Target>> = {
+  'head-of-line ratio': { better: 'lower', text: '<= 1.2', isMet: value => value <= 1.2 },
+  'urgent wait, 99th percentile (ms)': { better: 'lower', text: '' },
+  'urgent in time in a 4x crest': { better: 'higher', text: '>= 0.999', isMet: value => value >= 0.999 },
+  'work in time at 2x, share of capacity': { better: 'higher', text: '>= 0.95', isMet: value => value >= 0.95 },
+  'urgent in time after 2x': { better: 'higher', text: '>= 0.999', isMet: value => value >= 0.999 },
+  'work in time at 4x, share of capacity': { better: 'higher', text: '>= 0.95', isMet: value => value >= 0.95 },
+  'urgent in time after 4x': { better: 'higher', text: '>= 0.999', isMet: value => value >= 0.999 },
+  'guarantee there within its bound': { better: 'higher', text: '1', isMet: value => value === 1 },
+  'longest wait for a guarantee (ms)': { better: 'lower', text: '<= 5000', isMet: value => value <= 5000 },
+  'fragmentation at 85% load': { better: 'lower', text: '< half of first-fit' },
+  'mean wait of gangs at 85% load (s)': { better: 'lower', text: '' },
+  'mean completion over the oracle\'s': { better: 'lower', text: '<= 1.3', isMet: value => value <= 1.3 },
+  'mean completion (s)': { better: 'lower', text: '' },
+  'longest wait of the lowest kind (ms)': { better: 'lower', text: 'bounded' }
+}
+
+/** The figures of one policy, a set for each seed. */
+export type Results = ReadonlyMap<SchedulerName, readonly Figures[]>
+
+/** The median and the worst of a figure over the seeds. */
+export interface Summary {
+  readonly median: number
+  readonly worst: number
+  readonly values: readonly number[]
+}
+
+/** Sums a figure up over the seeds. */
+export function summarize (name: string, figures: readonly Figures[]): Summary {
+  const values = figures.map(one => one[name] ?? NaN)
+  const isHigherBetter = TARGETS[name]?.better === 'higher'
+  return { median: quantile(values, 0.5), worst: isHigherBetter ? Math.min(...values) : Math.max(...values), values }
+}
+
+/** Four significant digits, and no exponent. */
+export function formatFigure (value: number): string {
+  if (Number.isInteger(value)) return String(value)
+  return value >= 1000 ? value.toFixed(0) : String(Number(value.toPrecision(4)))
+}
+
+/** The table as lines of text. */
+export function tableLines (title: string, results: Results): readonly string[] {
+  const policies = [...results.keys()]
+  const header = ['measure', 'target', ...policies.map(policy => `${policy}: median / worst`), 'met']
+  const rows = Object.entries(TARGETS).map(([name, target]) => {
+    const cells = policies.map(policy => {
+      const { median, worst } = summarize(name, results.get(policy) ?? [])
+      return `${formatFigure(median)} / ${formatFigure(worst)}`
+    })
+    return [name, target.text, ...cells, verdict(name, results)]
+  })
+  const widths = header.map((_, column) => Math.max(...[header, ...rows].map(row => (row[column] as string).length)))
+  const line = (row: readonly string[]): string => row.map((cell, column) => cell.padEnd(widths[column] as number)).join('  ').trimEnd()
+  return [title, line(header), ...rows.map(line)]
+}
+
+/** Whether the policy itself meets a target in its worst seed. */
+export function verdict (name: string, results: Results): string {
+  const own = results.get('cornelgauge')
+  if (own === undefined) return ''
+  const { median, worst } = summarize(name, own)
+  const firstFit = results.get('first-fit')
+  if (name === 'fragmentation at 85% load') {
+    return firstFit === undefined ? '' : yesOrNo(median < summarize(name, firstFit).median / 2)
+  }
+  const isMet = TARGETS[name]?.isMet
+  return isMet === undefined ? '' : yesOrNo(isMet(worst))
+}
+
+function yesOrNo (isMet: boolean): string {
+  return isMet ? 'yes' : 'NO'
+}
