Keep urgent work apart from reserved gangs and moved guarantees

Now a reservation closes only where urgent work keeps its headroom, and opens again where urgent work has come to need it. Work that can be stopped takes idle guarantees, which urgent work may not use, where the rest is kept free; a guarantee does not move onto the headroom.

--- a/packages/policy/src/claim.ts
+++ b/packages/policy/src/claim.ts
@@ -4,6 +4,7 @@
  */
 import { addAmount, holdsAmount, NO_AMOUNT, type Amount } from './amount.js'
 import { compareNames, enter, findServer } from './capacity.js'
+import { hasHeadroom } from './headroom.js'
 import { moveHold, movedSites } from './move.js'
 import { freeAmount } from './room.js'
 import { markStopping, startJob, type Site } from './running.js'
@@ -38,7 +39,7 @@
   let best: { readonly site: Site, readonly isMoved: boolean, readonly victims: Victims } | undefined
   for (const candidate of [...homes, ...moved]) {
     const victims = chooseVictims(state, candidate.site.members, () => true, now)
-    if (victims === undefined) continue
+    if (victims === undefined || (candidate.isMoved && !leavesHeadroom(moveHold(state, candidate.site), candidate.site, now))) continue
     if (best === undefined || victims.lostWork < best.victims.lostWork) best = { ...candidate, victims }
   }
   if (best === undefined) return undefined
@@ -46,6 +47,11 @@
   return openClaim(settled, job, best.site, best.victims, 'the guarantee is claimed by its workspace', now)
 }
 
+/** A guarantee does not move onto what is kept free for urgent work. */
+function leavesHeadroom (state: ScheduleState, site: Site, now: number): boolean {
+  return hasHeadroom({ ...state, capacity: enter(state.capacity, 'claimed', site.members, 1) }, now)
+}
+
 /** Starts each claim whose members are all free; an earlier claim goes before a later one on the same backend server. */
 export function fulfilClaims (state: ScheduleState, now: number): Step {
   if (state.claims.size === 0) return { state, decisions: [] }
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -2,13 +2,13 @@
 import { PassedQueues } from './passed.js'
 import { dequeue, queuedJobs, type Queue } from './queue.js'
 import { claimGuarantee, fulfilClaims, type Step } from './claim.js'
-import { freeHeadroom, mustKeepHeadroom, wantedHeadroom } from './headroom.js'
+import { keepsHeadroom } from './headroom.js'
 import { forbiddingRule } from './possibility.js'
 import { hasReservation, needsReservation, reserve, ripenReservations } from './reservation.js'
-import { dropPlans, settleGuarantees, startJob } from './running.js'
+import { dropPlans, settleGuarantees, startJob, type Site } from './running.js'
 import type { Decision, Job, Plan, PolicyState } from './scheduler.js'
 import { nextQueue } from './sharing.js'
-import { findSite } from './site.js'
+import { findLentSite, findSite } from './site.js'
 import { durationAt, inside, isReclaimable, type ScheduleState } from './state.js'
 import { relieveUrgent } from './urgent.js'
 
@@ -88,10 +88,9 @@
 function serveJob (state: ScheduleState, job: Job, passed: PassedQueues, now: number): Step {
   const site = findSite(state, job, passed.isFull(job))
   if (site !== undefined) {
-    const started = startJob(state, job, site, now)
-    const isRoomy = site.hold !== undefined || !mustKeepHeadroom(state, job) || freeHeadroom(started) >= wantedHeadroom(started, now)
-    if (isRoomy) return { state: started, decisions: [{ type: 'start', id: job.id, members: site.members }] }
-    if (site.hold === undefined) passed.markFull(job)
+    const step = startAt(state, job, site, now) ?? startOnLent(state, job, now)
+    if (step !== undefined) return step
+    passed.markFull(job)
     return { state, decisions: [] }
   }
   const isKnownFull = passed.isFull(job)
@@ -105,6 +104,19 @@
   return { state: isReservable ? reserve(state, job, now) : state, decisions: [] }
 }
 
+/** Starts a job at a site, unless that takes what urgent work needs; its own guarantee is a job's own. */
+function startAt (state: ScheduleState, job: Job, site: Site, now: number): Step | undefined {
+  const started = startJob(state, job, site, now)
+  if (site.hold === undefined && !keepsHeadroom(started, job, now)) return undefined
+  return { state: started, decisions: [{ type: 'start', id: job.id, members: site.members }] }
+}
+
+/** Starts a job on idle guarantees only, which urgent work has no use for. */
+function startOnLent (state: ScheduleState, job: Job, now: number): Step | undefined {
+  const site = findLentSite(state, job)
+  return site === undefined ? undefined : startAt(state, job, site, now)
+}
+
 function refuse (state: ScheduleState, job: Job, rule: string): Step {
   const planless = dropPlans(state, job.id)
   return { state: { ...planless, waiting: dequeue(planless.waiting, job.id) }, decisions: [{ type: 'refuse', id: job.id, rule }] }
--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -11,7 +11,7 @@
 const HEADROOM_DEVIATIONS = 3
 
 /** Slots that urgent work needs beyond those it holds. */
-export function wantedHeadroom (state: ScheduleState, now: number): number {
+function wantedHeadroom (state: ScheduleState, now: number): number {
   let wanted = 0
   for (const kind of state.settings.kinds) {
     const arrivals = state.arrivals.get(kind.name)
@@ -24,7 +24,7 @@
 }
 
 /** Slots that urgent work could have at once. */
-export function freeHeadroom (state: ScheduleState): number {
+function freeHeadroom (state: ScheduleState): number {
   let free = 0
   for (const rack of state.capacity.racks) {
     for (const server of rack.servers) free += Math.max(0, urgentRoom(server).slots)
@@ -32,7 +32,17 @@
   return free
 }
 
+/** Whether a state in which this job has its capacity leaves urgent work what it needs. */
+export function keepsHeadroom (state: ScheduleState, job: Job, now: number): boolean {
+  return !mustKeepHeadroom(state, job) || hasHeadroom(state, now)
+}
+
+/** Whether urgent work could have at once what its arrivals make likely. */
+export function hasHeadroom (state: ScheduleState, now: number): boolean {
+  return freeHeadroom(state) >= wantedHeadroom(state, now)
+}
+
 /** Whether a job is bound to leave the headroom free: not where it is urgent itself, or owed its minimum share. */
-export function mustKeepHeadroom (state: ScheduleState, job: Job): boolean {
+function mustKeepHeadroom (state: ScheduleState, job: Job): boolean {
   return state.directory.kinds.get(job.kind)?.urgent !== true && !isBelowShare(state, job.kind)
 }
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -9,7 +9,7 @@
 import { addAmount, holdsAmount, NO_AMOUNT, type Amount } from './amount.js'
 import { enter, findServer, type Server, type Task } from './capacity.js'
 import { openClaim, type Step } from './claim.js'
-import { freeHeadroom, mustKeepHeadroom, wantedHeadroom } from './headroom.js'
+import { keepsHeadroom } from './headroom.js'
 import { place, spotsOf } from './placement.js'
 import { arrivesBefore, firstJob, queueKey } from './queue.js'
 import { freeAmount, pinnableAmount } from './room.js'
@@ -96,7 +96,7 @@
       current = dropReservation(current, reservation.job.id)
       continue
     }
-    const step = ripen(current, reservation, now)
+    const step = ripen(reopen(current, reservation, now), reservation, now)
     current = step.state
     decisions.push(...step.decisions)
   }
@@ -114,12 +114,11 @@
 function ripen (state: ScheduleState, reservation: Reservation, now: number): Step {
   const { job, members, since } = reservation
   const isBackfill = (task: Task): boolean => task.startedAt >= since
-  if (!isAllowed(state, reservation)) return { state: closeWhenAlone(state, reservation), decisions: [] }
+  if (!isAllowed(state, reservation)) return { state: closeWhenAlone(state, reservation, now), decisions: [] }
   const victims = chooseVictims(state, members, isBackfill, now)
-  if (victims === undefined) return { state: closeWhenAlone(state, reservation), decisions: [] }
+  if (victims === undefined) return { state: closeWhenAlone(state, reservation, now), decisions: [] }
   const { state: claimed, decisions } = openClaim(dropReservation(state, job.id), job, { members, hold: undefined }, victims, 'a reserved gang starts', now)
-  const isRoomy = !mustKeepHeadroom(state, job) || freeHeadroom(claimed) >= wantedHeadroom(claimed, now)
-  return isRoomy ? { state: claimed, decisions } : { state, decisions: [] }
+  return keepsHeadroom(claimed, job, now) ? { state: claimed, decisions } : { state, decisions: [] }
 }
 
 /** Work that cannot be reclaimed has to stay outside the guarantees of others. */
@@ -132,18 +131,29 @@
 }
 
 /** Once only urgent work stands in the way, it is kept out as well; what runs is short and ends by itself. */
-function closeWhenAlone (state: ScheduleState, reservation: Reservation): ScheduleState {
-  if (reservation.closed) return state
+function closeWhenAlone (state: ScheduleState, reservation: Reservation, now: number): ScheduleState {
+  if (state.reservations.get(reservation.job.id)?.closed !== false) return state
   const isAlone = reservation.members.every(member => {
     const server = findServer(state.capacity, member.server)
     return server !== undefined && holdsAmount(roomBesideUrgent(state, server, reservation.since), member)
   })
   if (!isAlone) return state
-  return {
+  const closed = {
     ...state,
     capacity: enter(state.capacity, 'closed', reservation.members, 1),
     reservations: state.reservations.set(reservation.job.id, { ...reservation, closed: true })
   }
+  return keepsHeadroom(closed, reservation.job, now) ? closed : state
+}
+
+/** Urgent work is let in again where it has come to need the room. */
+function reopen (state: ScheduleState, reservation: Reservation, now: number): ScheduleState {
+  if (!reservation.closed || keepsHeadroom(state, reservation.job, now)) return state
+  return {
+    ...state,
+    capacity: enter(state.capacity, 'closed', reservation.members, -1),
+    reservations: state.reservations.set(reservation.job.id, { ...reservation, closed: false })
+  }
 }
 
 function roomBesideUrgent (state: ScheduleState, server: Server, since: number): Amount {
--- a/packages/policy/src/room.ts
+++ b/packages/policy/src/room.ts
@@ -45,6 +45,12 @@
   return leastAmount(reclaimableRoom(server), addAmount(pinnableAmount(server), server.closed, -1))
 }
 
+/** For what can be reclaimed: only what urgent work may not use. */
+export function lentRoom (server: Server): Amount {
+  const room = reclaimableRoom(server)
+  return { ...room, slots: room.slots - Math.max(0, urgentRoom(server).slots) }
+}
+
 /** For other work that cannot be reclaimed. */
 export function pinnedRoom (server: Server): Amount {
   return leastAmount(reclaimableRoom(server), addAmount(pinnableAmount(server), server.reserved, -1))
--- a/packages/policy/src/site.ts
+++ b/packages/policy/src/site.ts
@@ -4,7 +4,7 @@
 import { findServer, type Server } from './capacity.js'
 import { isSameShape, type Hold } from './guarantee.js'
 import { freeSpotsOf, place, type SpotRack } from './placement.js'
-import { commonRoom, pinnedRoom, reclaimableRoom, urgentRoom, type Room } from './room.js'
+import { commonRoom, lentRoom, pinnedRoom, reclaimableRoom, urgentRoom, type Room } from './room.js'
 import type { Site } from './running.js'
 import type { Job } from './scheduler.js'
 import { isReclaimable, type ScheduleState } from './state.js'
@@ -22,6 +22,11 @@
     partHoldSite(state, job, holds) ?? (isReclaimable(state, job) ? roomSite(state, job, reclaimableRoom) : undefined)
 }
 
+/** The site where a job that can be reclaimed takes nothing that urgent work could use. */
+export function findLentSite (state: ScheduleState, job: Job): Site | undefined {
+  return isReclaimable(state, job) ? roomSite(state, job, lentRoom) : undefined
+}
+
 function firstRoom (state: ScheduleState, job: Job): Room {
   if (isReclaimable(state, job)) return commonRoom
   return state.directory.kinds.get(job.kind)?.urgent === true ? urgentRoom : pinnedRoom
