Admit by the capacity that a kind can really have, and by fair sharing

Cause: admission counted on the whole cell, of which two fifths are guarantees that work of other workspaces may not be pinned to; bulk work found no way onto idle guarantees while headroom was short; and a weight-1 workspace was promised the speed of the whole cell. Now the capacity of a kind is what it and earlier kinds hold or could take at once, the wait ahead is that of fair sharing, bulk work takes idle guarantees whatever the headroom, the deadline leaves room for the 99th percentile of the run time, and a task is not started when it would more likely than not end too late (0.9 quantile).

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -4,18 +4,19 @@
  * ask again; so the queues stay as short as the deadlines, and no capacity is spent
  * on answers that come too late.
  */
-import type { KindName, WorkspaceName } from '@cornelgauge/model'
+import type { WorkspaceName } from '@cornelgauge/model'
 import type { Amount } from './amount.js'
 import { forbiddingRule } from './possibility.js'
-import { shareKey, type Queue } from './queue.js'
+import type { Queue } from './queue.js'
+import { reclaimableRoom, urgentRoom } from './room.js'
 import type { Admission, Job, PolicyState } from './scheduler.js'
-import { durationAt, inside, orderOf, usageOf, type ScheduleState } from './state.js'
+import { durationAt, inside, isReclaimable, orderOf, usageOf, type ScheduleState } from './state.js'
 import { meanDuration, NO_DURATIONS } from './statistics.js'
 
 const RETRY_MILLISECONDS = 1000
 const SHORTEST_RETRY_MILLISECONDS = 200
 /** The run time that the deadline has to leave room for. */
-const RUN_QUANTILE = 0.9
+const RUN_QUANTILE = 0.99
 /** Callers that were refused together come back spread over this part of the delay. */
 const RETRY_SPREAD = 0.5
 
@@ -62,30 +63,24 @@
 type Resource = keyof Amount
 
 /**
- * How long a job would wait behind what is served before it, in milliseconds:
- * the waiting work over the capacity that its kind and those before it can have.
- * A workspace with little of its own waiting is not held up by the others' queues.
+ * How long a job would wait behind what is served before it, in milliseconds: the
+ * waiting work over the capacity that its kind and those before it can have. Of
+ * the other workspaces' work of its kind only as much counts as fair sharing serves
+ * before the workspace's own.
  */
 export function expectedWait (state: ScheduleState, job: Job): number {
   const resource: Resource = job.shape.accelerators > 0 ? 'accelerators' : 'slots'
   const order = orderOf(state, job.kind)
+  const work = new Map<WorkspaceName, number>()
   let ahead = 0
-  let sameKind = 0
-  let own = 0
-  const others = new Set<WorkspaceName>()
   for (const queue of state.waiting.queues.values()) {
-    if (orderOf(state, queue.kind) > order) continue
-    const work = workOf(state, queue, resource)
-    if (queue.kind !== job.kind) ahead += work
-    else sameKind += work
-    if (queue.shareKey === shareKey(job.kind, job.workspace)) own += work
-    else if (queue.kind === job.kind) others.add(queue.workspace)
+    if (queue.kind === job.kind) work.set(queue.workspace, (work.get(queue.workspace) ?? 0) + workOf(state, queue, resource))
+    else if (orderOf(state, queue.kind) < order) ahead += workOf(state, queue, resource)
   }
-  const weight = weightOf(state, job.workspace)
-  const fairShare = weight / [...others].reduce((sum, name) => sum + weightOf(state, name), weight)
-  const capacity = capacityFor(state, job.kind, resource)
-  if (ahead + sameKind === 0) return 0
-  return (ahead + Math.min(sameKind, own / fairShare)) / capacity
+  if (ahead === 0 && work.size === 0) return 0
+  const own = (work.get(job.workspace) ?? 0) / weightOf(state, job.workspace)
+  for (const [workspace, theirs] of work) ahead += Math.min(theirs, weightOf(state, workspace) * own)
+  return ahead / capacityFor(state, job, resource)
 }
 
 function weightOf (state: ScheduleState, workspace: WorkspaceName): number {
@@ -97,12 +92,17 @@
   return meanDuration(durations, queue.declaredMilliseconds / queue.size) * queue.amount[resource]
 }
 
-/** All but what later kinds hold now; at least the minimum share. */
-function capacityFor (state: ScheduleState, kind: KindName, resource: Resource): number {
-  const order = orderOf(state, kind)
-  const total = state.capacity.total[resource]
-  const minimum = state.directory.kinds.get(kind)?.minimumShare ?? 0
-  const later = state.settings.kinds.filter(other => orderOf(state, other.name) > order)
-  const held = later.reduce((sum, other) => sum + usageOf(state, other.name)[resource], 0)
-  return Math.max(1, minimum * total, total - held)
+/** What this kind and those before it hold or could take at once; at least the minimum share. */
+function capacityFor (state: ScheduleState, job: Job, resource: Resource): number {
+  const order = orderOf(state, job.kind)
+  const minimum = state.directory.kinds.get(job.kind)?.minimumShare ?? 0
+  let held = 0
+  for (const kind of state.settings.kinds) {
+    if (orderOf(state, kind.name) <= order) held += usageOf(state, kind.name)[resource]
+  }
+  const room = isReclaimable(state, job) ? reclaimableRoom : urgentRoom
+  for (const rack of state.capacity.racks) {
+    for (const server of rack.servers) held += Math.max(0, room(server)[resource])
+  }
+  return Math.max(1, minimum * state.capacity.total[resource], held)
 }
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -13,7 +13,7 @@
 import { relieveUrgent } from './urgent.js'
 
 /** Work is given up once even a short run would end after its deadline. */
-const SHORT_RUN_QUANTILE = 0.1
+const SHORT_RUN_QUANTILE = 0.9
 
 /**
  * What to do now. The plan's state counts each `start` as running at once, so that
@@ -114,7 +114,8 @@
 /** Starts a job on idle guarantees only, which urgent work has no use for. */
 function startOnLent (state: ScheduleState, job: Job, now: number): Step | undefined {
   const site = findLentSite(state, job)
-  return site === undefined ? undefined : startAt(state, job, site, now)
+  if (site === undefined) return undefined
+  return { state: startJob(state, job, site, now), decisions: [{ type: 'start', id: job.id, members: site.members }] }
 }
 
 function refuse (state: ScheduleState, job: Job, rule: string): Step {
