--- a/packages/daemon/test/schedule.ts
+++ b/packages/daemon/test/schedule.ts
@@ -107,7 +107,7 @@
     const target = this.#vm(index)
     if (how === 'pause') return target.clock.pause()
     if (how === 'resume') return target.clock.resume()
-    if (how === 'leave') void target.host.leave().then(() => { target.kill() })
+    if (how === 'leave') target.host.leave().then(() => { target.kill() })
     else target.kill()
     this.#replacements += 1
     await this.#rig.addVm(`new-${this.#replacements}`, 100 + this.#replacements).start()
