--- a/packages/coordination/src/lease.ts
+++ b/packages/coordination/src/lease.ts
@@ -110,10 +110,21 @@
 export function observe (watch: RowWatch | undefined, stored: StoredOwnerRow | undefined, now: number): RowWatch {
   if (watch === undefined) return { stored, changedAt: now, seenAt: now }
   if (versionOf(stored) < versionOf(watch.stored)) return watch
-  const isFresh = isRenewed(watch.stored, stored) || now - watch.seenAt > LONGEST_BLIND_MILLISECONDS
+  const isFresh = isRenewed(watch.stored, stored) || isBlind(watch, now)
   return { stored, changedAt: isFresh ? now : watch.changedAt, seenAt: now }
 }
 
+/**
+ * True of a watcher that has not read the row of late, and so cannot tell whether
+ * its holder is alive.
+ *
+ * @example
+ * isBlind({ stored, changedAt: 0, seenAt: 0 }, 1600) // true
+ */
+export function isBlind (watch: RowWatch, now: number): boolean {
+  return now - watch.seenAt > LONGEST_BLIND_MILLISECONDS
+}
+
 /**
  * When the cell becomes free for a claim, as far as the watcher knows: at once
  * where it was released or never claimed, else a whole lease after the last change.
--- a/packages/coordination/src/ownership-choice.ts
+++ b/packages/coordination/src/ownership-choice.ts
@@ -9,7 +9,7 @@
  * all write at once.
  */
 import { digestOf, type CellName, type FailureDomainName, type VmName } from '@cornelgauge/model'
-import { freeAt, isRenewalDue, type HeldLease, type RowWatch } from './lease.js'
+import { freeAt, isBlind, isRenewalDue, type HeldLease, type RowWatch } from './lease.js'
 
 /** How long a VM waits for each one that goes before it in the order of preference. */
 export const CLAIM_TURN_MILLISECONDS = 200
@@ -92,7 +92,7 @@
 
 function chooseClaim (view: OwnershipView, place: CellPlace, now: number): OwnershipAction | undefined {
   const watch = view.watches.get(place.cell)
-  if (view.leaving || watch === undefined || now < freeAt(watch)) return undefined
+  if (view.leaving || watch === undefined || isBlind(watch, now) || now < freeAt(watch)) return undefined
   const delay = Math.min(LONGEST_CLAIM_DELAY_MILLISECONDS, rankOfSelf(view, place) * CLAIM_TURN_MILLISECONDS)
   return now < freeAt(watch) + delay ? undefined : { type: 'claim', cell: place.cell, watch }
 }
--- a/packages/coordination/test/ownership-choice.test.ts
+++ b/packages/coordination/test/ownership-choice.test.ts
@@ -1,11 +1,10 @@
 import { cellName, vmName, type CellName, type VmName } from '@cornelgauge/model'
 import { expect } from 'chai'
 import {
-  chooseActions, HANDOVER_STABILITY_MILLISECONDS, LEASE_MILLISECONDS, LONGEST_CLAIM_DELAY_MILLISECONDS, observe, openLease,
-  rankCandidates, RENEWAL_MILLISECONDS, type Candidate, type OwnershipView
+  chooseActions, HANDOVER_STABILITY_MILLISECONDS, LEASE_MILLISECONDS, LONGEST_BLIND_MILLISECONDS, LONGEST_CLAIM_DELAY_MILLISECONDS, observe, openLease,
+  rankCandidates, readOwnerRow, RENEWAL_MILLISECONDS, type Candidate, type OwnershipView, type RowWatch
 } from '../src/index.js'
 import { DOMAIN_PLZEN, DOMAIN_PRAHA, PRAHA, World } from './builders.js'
-import { readOwnerRow } from '../src/index.js'
 
 const place = { cell: PRAHA, failureDomain: DOMAIN_PRAHA }
 const candidate = (name: string, change: Partial<Candidate> = {}): Candidate =>
@@ -75,9 +74,16 @@
     it('is one whose lease has expired', async () => {
       const world = new World()
       await world.claim()
-      const watches = new Map([[PRAHA, observe(undefined, await readOwnerRow(world.truth, PRAHA), 0)]])
-      expect(chooseActions(viewOf(ranked[0]!, { watches }), LEASE_MILLISECONDS - 1)).to.deep.equal([])
-      expect(chooseActions(viewOf(ranked[0]!, { watches }), LEASE_MILLISECONDS)[0]?.type).to.equal('claim')
+      const row = await readOwnerRow(world.truth, PRAHA)
+      const readAt = (...times: readonly number[]) => {
+        const watch = times.reduce<RowWatch | undefined>((before, time) => observe(before, row, time), undefined)
+        return viewOf(ranked[0]!, { watches: new Map([[PRAHA, watch!]]) })
+      }
+      expect(chooseActions(readAt(0, 1000, 2000, LEASE_MILLISECONDS - 1), LEASE_MILLISECONDS - 1)).to.deep.equal([])
+      expect(chooseActions(readAt(0, 1000, 2000, LEASE_MILLISECONDS), LEASE_MILLISECONDS)[0]?.type).to.equal('claim')
+      const afterOutage = LEASE_MILLISECONDS + LONGEST_BLIND_MILLISECONDS
+      expect(chooseActions(readAt(0, 1000), afterOutage)).to.deep.equal([])
+      expect(chooseActions(readAt(0, 1000, afterOutage), afterOutage)).to.deep.equal([])
     })
   })
 
