--- a/packages/stand-in/src/policy-bench-measure.ts
+++ b/packages/stand-in/src/policy-bench-measure.ts
@@ -108,7 +108,7 @@
     const urgent = maker.stream(workload.urgent, 40 * SECOND, endsAt, rate, factor * full)
     const bulkRate = rateForLoad(workload, workload.bulk, 0.6)
     const bulk = maker.stream(workload.bulk, 0, endsAt, () => bulkRate, bulkRate)
-    const drained = endsAt + 30 * SECOND
+    const drained = endsAt + 15 * MINUTE
     const outcomes = new Simulation(scheduler, scenario(workload, [...urgent, ...bulk], drained)).run()
     const slots = workload.servers.reduce((sum, server) => sum + server.slots, 0)
     const workOf = (some: readonly Outcome[]): number => some.reduce((sum, outcome) => sum + workBetween(outcome, from, until), 0)
