--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -258,7 +258,55 @@
     })
   })
 
+  describe('a peer that does not read its replies', () => {
+    it('gets no further call run once the replies that wait are over the bound', async () => {
+      let runs = 0
+      const large: CallHandler = async () => { runs += 1; return { type: 'answer', text: 'x'.repeat(12_000_000) } }
+      const server = await bench.server(large, { limits: { maximumBufferedBytes: 100_000 } })
+      const peer = await bench.raw(server.address)
+      await peer.hello()
+      peer.socket.pause()
+      peer.send(call(1))
+      await until(() => runs === 1)
+      await settle()
+      peer.send(call(2))
+      await until(() => bench.serverEvents.some(event => event.type === 'call-refused'))
+      expect(runs).to.equal(1)
+    })
+  })
+
+  describe('a call that crosses the server\'s goodbye', () => {
+    it('is answered as not ready, and not run', async () => {
+      let runs = 0
+      const server = await bench.server(async () => { runs += 1; return FINE })
+      const peer = await bench.raw(server.address)
+      await peer.hello()
+      const closed = server.close(60_000)
+      await peer.receive('goodbye')
+      peer.send(call(1))
+      const reply = await peer.receive('reply')
+      expect(decodeReply(Buffer.from(reply.body))).to.have.nested.property('problem.code', 'not-ready')
+      peer.send({ type: 'goodbye' })
+      await closed
+      expect(runs).to.equal(0)
+    })
+  })
+
   describe('a call withdrawn at its timeout', () => {
+    it('is followed by an abandon frame if a part of it was sent', async () => {
+      const timers = new VirtualTimers()
+      const { address, peers } = await rawServer(bench, peer => peer.socket.pause())
+      const client = bench.client({ timers, limits: { pingAfterMilliseconds: 1e8, deadAfterMilliseconds: 1e9 } })
+      const reply = failureOf(client.call(address, { type: 'document', environment: 'x'.repeat(16_000_000) }, 1000))
+      await until(() => client.statistics.bytesSent > 1_000_000)
+      await settle()
+      timers.advance(1000)
+      expect(await reply).to.deep.include({ code: 'timeout', members: { sent: false } })
+      peers[0]!.socket.resume()
+      expect(await peers[0]!.receive('abandon')).to.include({ id: 1 })
+      expect(peers[0]!.frames.map(frame => frame.type)).not.to.include('call')
+    })
+
     it('is abandoned by the client, and the server forgets its parts', async () => {
       const server = await bench.server(fine)
       const peer = await bench.raw(server.address)
@@ -274,16 +322,7 @@
 
   describe('a reply that nobody asked for', () => {
     it('ends the connection', async () => {
-      const address = await listen(bench, socket => {
-        const peer = new RawPeer(socket)
-        const serverNonce = Buffer.alloc(32)
-        peer.send({ type: 'challenge', version: 1, nonce: serverNonce })
-        peer.receive('hello').then(hello => {
-          const facts = { serverNonce, clientNonce: hello.nonce, clientVm: vmName(hello.vm) }
-          peer.send({ type: 'welcome', vm: 'vm-raw', proof: welcomeProof(SECRET, facts, vmName('vm-raw')) })
-          peer.send({ type: 'reply', id: 99, parts: 0, body: CALL_BYTES })
-        })
-      })
+      const { address } = await rawServer(bench, peer => peer.send({ type: 'reply', id: 99, parts: 0, body: CALL_BYTES }))
       const failure = await failureOf(bench.client().call(address, CALL, 5000))
       expect(failure.code).to.equal('connection-lost')
       expect(bench.clientEvents.map(event => event.type)).to.include('protocol-violation')
@@ -307,6 +346,22 @@
   return `127.0.0.1:${(server.address() as { port: number }).port}`
 }
 
+/** A server that authenticates itself, and then does what the test says. */
+async function rawServer (bench: Bench, welcomed: (peer: RawPeer) => void = () => {}): Promise<{ address: string, peers: RawPeer[] }> {
+  const peers: RawPeer[] = []
+  const address = await listen(bench, async socket => {
+    const peer = new RawPeer(socket)
+    const serverNonce = Buffer.alloc(32)
+    peer.send({ type: 'challenge', version: 1, nonce: serverNonce })
+    const hello = await peer.receive('hello')
+    const facts = { serverNonce, clientNonce: hello.nonce, clientVm: vmName(hello.vm) }
+    peer.send({ type: 'welcome', vm: 'vm-raw', proof: welcomeProof(SECRET, facts, vmName('vm-raw')) })
+    peers.push(peer)
+    welcomed(peer)
+  })
+  return { address, peers }
+}
+
 interface Relay {
   readonly address: string
   /** While set, bytes from either side vanish and both connections stay open. */
