--- a/packages/wire/src/client-connection.ts
+++ b/packages/wire/src/client-connection.ts
@@ -2,7 +2,7 @@
 import { asFailure, CornelgaugeError, type VmName } from '@cornelgauge/model'
 import { Assembler } from './assembler.js'
 import type { ClientContext } from './client.js'
-import type { ConnectionFacts, WireEvent } from './event.js'
+import type { WireEvent, WireReport } from './event.js'
 import type { FrameBodyOf, FrameOf } from './frame.js'
 import { openLink, type LinkOwner, type OpenedLink } from './handshake.js'
 import type { FrameHandlers, Link } from './link.js'
@@ -12,9 +12,6 @@
 import type { CancelTimer } from './timers.js'
 import { connectionLost, violation, withSent, type LossReason } from './violation.js'
 
-/** A report before the connection's own facts are added. */
-type Report = WireEvent extends infer Event ? Event extends WireEvent ? Omit<Event, keyof ConnectionFacts> : never : never
-
 interface PendingCall {
   readonly resolve: (body: ReplyBody) => void
   readonly reject: (failure: CornelgaugeError) => void
@@ -90,7 +87,7 @@
     this.#opening?.destroy()
   }
 
-  #report (report: Report): void {
+  #report (report: WireReport): void {
     this.#context.onEvent({ role: 'client', address: this.#address, vm: this.#vm, ...report } as WireEvent)
   }
 
--- a/packages/wire/src/event.ts
+++ b/packages/wire/src/event.ts
@@ -13,8 +13,8 @@
   readonly vm?: VmName
 }
 
-/** One report. */
-export type WireEvent = ConnectionFacts & (
+/** What has happened, before the facts of its connection are added. */
+export type WireReport =
   | { readonly type: 'connection-opened' }
   | { readonly type: 'connection-closed', readonly failure?: CornelgaugeError }
   | { readonly type: 'connection-silent' }
@@ -24,7 +24,9 @@
   | { readonly type: 'handler-failed', readonly failure: CornelgaugeError }
   | { readonly type: 'late-reply', readonly id: number }
   | { readonly type: 'accept-failed', readonly failure: CornelgaugeError }
-)
+
+/** One report. */
+export type WireEvent = ConnectionFacts & WireReport
 
 /** Takes the reports. */
 export type WireEventListener = (event: WireEvent) => void
--- a/packages/wire/src/server-connection.ts
+++ b/packages/wire/src/server-connection.ts
@@ -3,7 +3,7 @@
 import { asFailure, CornelgaugeError, vmName, type VmName } from '@cornelgauge/model'
 import { formatAddress } from './address.js'
 import { Assembler } from './assembler.js'
-import type { ConnectionFacts, WireEvent } from './event.js'
+import type { WireEvent, WireReport } from './event.js'
 import type { FrameBodyOf, FrameOf } from './frame.js'
 import { PROTOCOL_VERSION } from './limits.js'
 import { Link, type FrameHandlers } from './link.js'
@@ -14,9 +14,6 @@
 import type { CancelTimer } from './timers.js'
 import { connectionLost, violation } from './violation.js'
 
-/** A report before the connection's own facts are added. */
-type Report = WireEvent extends infer Event ? Event extends WireEvent ? Omit<Event, keyof ConnectionFacts> : never : never
-
 /** The server's end of one connection. */
 export class ServerConnection {
   readonly #context: ServerContext
@@ -66,7 +63,7 @@
     this.#link.refuse({ type: 'refused', code: failure.code, detail: failure.message }, failure)
   }
 
-  #report (report: Report): void {
+  #report (report: WireReport): void {
     this.#context.onEvent({ role: 'server', address: this.#address, vm: this.#vm, ...report } as WireEvent)
   }
 
