--- a/packages/stand-in/src/local-main.ts
+++ b/packages/stand-in/src/local-main.ts
@@ -50,7 +50,7 @@
 }
 
 function exampleDocument (deployment: string): string {
-  return fileURLToPath(new URL(`../../../environment/examples/${deployment}.yaml`, import.meta.url))
+  return fileURLToPath(new URL(`../../../../examples/${deployment}.yaml`, import.meta.url))
 }
 
 /** Writes each process's lines to `DIRECTORY/NAME.log`. */
