End a planned stop while the table service is down, and answer every call

Cause 1: a planned stop waited for its release without end (370 s of virtual time and going on); after 5 s the cell is now left to expire. Cause 2, seen on the way: a call that came between the end of an ownership and its removal had no reply at all, nor had the waiters of an owner whose step failed. Such calls are now told 'not-owner', and the router looks for the next owner. Ruled out: the router, which waits for as long as it has no reply. The new test failed first with a stop that never ended, then with a call that was never answered.

--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -9,7 +9,7 @@
 } from '@cornelgauge/coordination'
 import { asFailure, type CellName, type FailureDomainName, type RequestRecord, type SequenceNumber, type VmName } from '@cornelgauge/model'
 import type { Clock, Json } from '@cornelgauge/platform'
-import type { Instant, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
+import type { Instant, OwnerEffect, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
 import type { ServerClients } from './backend-servers.js'
 import { CellLoop, type CellEffects } from './cell-loop.js'
 import type { DocumentInForce } from './documents.js'
@@ -21,6 +21,9 @@
 
 /** Time between two reads of the owner rows. */
 export const OWNERSHIP_POLL_MILLISECONDS = 500
+/** How long a planned stop tries to hand its cells over. */
+export const HANDOVER_PATIENCE_MILLISECONDS = 5000
+const HANDOVER_POLL_MILLISECONDS = 20
 
 /** What the host needs. */
 export interface CellHostOptions {
@@ -55,6 +58,7 @@
   readonly #watches = new Map<CellName, RowWatch>()
   readonly #owned = new Map<CellName, OwnedCell>()
   readonly #busy = new Set<CellName>()
+  readonly #claims = new Set<AbortController>()
   #leaving = false
 
   constructor (options: CellHostOptions) {
@@ -112,13 +116,28 @@
     for (const owned of this.#owned.values()) owned.put({ type: 'document', document, version })
   }
 
-  /** Begins a planned stop; resolves once no cell is owned. */
+  /**
+   * Begins a planned stop; resolves once no cell is owned. A cell that can't be
+   * handed over in time, as the table service is down, is left to expire.
+   */
   async leave (): Promise<void> {
+    const { clock } = this.#options
+    const giveUpAt = clock.now() + HANDOVER_PATIENCE_MILLISECONDS
     this.#leaving = true
     this.act()
     while (this.#owned.size > 0 || this.#busy.size > 0) {
-      await new Promise<void>(resolve => { this.#options.clock.after(20, resolve) })
-      this.act()
+      await new Promise<void>(resolve => { clock.after(HANDOVER_POLL_MILLISECONDS, resolve) })
+      if (clock.now() >= giveUpAt) this.#abandon()
+      else this.act()
+    }
+  }
+
+  /** Leaves every cell to whoever claims it once the lease has expired. */
+  #abandon (): void {
+    for (const abort of this.#claims) abort.abort()
+    for (const owned of this.#owned.values()) {
+      if (owned.isServing) owned.put({ type: 'fenced' })
+      else owned.stop()
     }
   }
 
@@ -157,7 +176,9 @@
   async #claim (cell: CellName, watch: RowWatch): Promise<void> {
     const { vm, wireAddress, nonce, stores, emit } = this.#options
     const abort = new AbortController()
+    this.#claims.add(abort)
     const outcome = await claimCell(stores.table, cell, watch.stored, { vm, address: wireAddress, nonce: nonce() }, this.#storeOptions(abort.signal))
+    this.#claims.delete(abort)
     if (outcome.type !== 'claimed') return emit('cell-claim-lost', { cell, details: { outcome: outcome.type } })
     emit('cell-claimed', { cell, details: { epoch: outcome.claim.epoch } })
     const owned = new OwnedCell(outcome.claim, openLease(outcome.sentAt), abort, this.#options.clock, event => {
@@ -223,12 +244,17 @@
 
   #perform ({ cell, epoch, effects, failure }: CellEffects): void {
     const owned = this.#owned.get(cell)
-    if (owned === undefined || owned.claim.epoch !== epoch) return
+    if (owned === undefined || owned.claim.epoch !== epoch) return this.#settleReplies(effects)
     if (failure !== undefined) this.#options.emit('cell-step-failed', { cell, details: { code: failure.code, detail: failure.message, stack: failure.stack } })
     const context = this.#context(owned)
     effects.forEach(effect => { performEffect(context, effect) })
   }
 
+  /** Of an ownership that has ended only the replies are still owed. */
+  #settleReplies (effects: readonly OwnerEffect[]): void {
+    for (const effect of effects) if (effect.type === 'reply') this.#options.replies.settle(effect.call, effect.reply)
+  }
+
   #context (owned: OwnedCell): CellContext {
     const { stores, servers, replies, emit, nonce } = this.#options
     return {
--- a/packages/daemon/src/cell-loop.ts
+++ b/packages/daemon/src/cell-loop.ts
@@ -3,7 +3,7 @@
  * each, and the effects handed on.
  */
 import { asFailure, type CellName, type CornelgaugeError, type Epoch } from '@cornelgauge/model'
-import { createOwner, step, type Instant, type OwnerEffect, type OwnerEvent, type OwnerStart, type OwnerState } from '@cornelgauge/scheduler'
+import { abandonOwner, createOwner, refuseCall, step, type Instant, type OwnerEffect, type OwnerEvent, type OwnerStart, type OwnerState } from '@cornelgauge/scheduler'
 import { Map as ImmutableMap } from 'immutable'
 import { Inbox } from './inbox.js'
 
@@ -67,15 +67,15 @@
   disown: (cells, { cell, epoch }) => ({ seed: cells.get(cell)?.epoch === epoch ? cells.delete(cell) : cells, value: undefined })
 }
 
-/** One step of one cell. Events meant for an earlier epoch are left out; a step that throws gives the cell up. */
+/** One step of one cell. Calls meant for an earlier epoch are refused, its other events left out; a step that throws gives the cell up. */
 function stepCell (cells: Cells, cell: CellName, epoch: Epoch, event: OwnerEvent, at: Instant): LoopStep {
   const state = cells.get(cell)
-  if (state === undefined || state.epoch !== epoch) return { seed: cells, value: undefined }
+  if (state === undefined || state.epoch !== epoch) return { seed: cells, value: { cell, epoch, effects: refuseCall(event) } }
   try {
     const result = step(state, event, at)
     return { seed: cells.set(cell, result.state), value: { cell, epoch, effects: result.effects } }
   } catch (thrown) {
     const failure = asFailure(thrown)
-    return { seed: cells.delete(cell), value: { cell, epoch, effects: [{ type: 'stepped-down' }], failure } }
+    return { seed: cells.delete(cell), value: { cell, epoch, effects: [...refuseCall(event), ...abandonOwner(state)], failure } }
   }
 }
--- a/packages/daemon/test/faults.test.ts
+++ b/packages/daemon/test/faults.test.ts
@@ -154,6 +154,21 @@
     })
   })
 
+  describe('a planned stop while the table service is down', () => {
+    it('ends all the same, and the cell is served again afterwards', async () => {
+      const rig = await Rig.start(3)
+      const owner = rig.owner!
+      rig.table.faults.set({ mode: 'down' })
+      const call = rig.outcome(rig.submit(owner, swap('swap-1', rig.clock.now())))
+      await rig.settle(owner.host.leave(), 20_000)
+      rig.table.faults.set({ mode: 'none' })
+      await rig.advance(10_000)
+      expect((await call).state).to.be.oneOf(['finished', 'unknown'])
+      expect((await rig.outcome(rig.submit(rig.entry, swap('swap-2', rig.clock.now())))).state).to.equal('finished')
+      expect(startedKeys(rig).filter(key => key === 'swap-1').length).to.be.at.most(1)
+    })
+  })
+
   describe('cancellation', () => {
     it('ends a waiting request and stops a running one', async () => {
       const rig = await Rig.start(2)
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -2,6 +2,7 @@
  * The owner of a cell as one pure step: (state, event, instant) to (state,
  * effects). It reads no clock and does no I/O, so every step can be repeated.
  */
+import { CornelgaugeError } from '@cornelgauge/model'
 import { answerWaiters, cancel, read, refuseAllWaiters, submit } from './calls.js'
 import { commitDelayed, commitStaged, committed, refuseUncommitted, snapshotTaken } from './commits.js'
 import type { OwnerEffect } from './effect.js'
@@ -28,7 +29,7 @@
  * const { state, effects } = step(before, { type: 'tick' }, { wall: Date.now(), monotonic: performance.now() })
  */
 export function step (state: OwnerState, event: OwnerEvent, at: Instant): StepResult {
-  if (state.over) return { state, effects: [] }
+  if (state.over) return { state, effects: refuseCall(event) }
   const transaction = new Transaction(state, at)
   const handle = HANDLERS[event.type] as (transaction: Transaction, event: OwnerEvent) => void
   handle(transaction, event)
@@ -36,6 +37,31 @@
   return transaction.result()
 }
 
+/**
+ * The reply to a call that comes after its owner has ended, so that its caller can
+ * look for the next one.
+ *
+ * @example
+ * refuseCall({ type: 'tick' }) // []
+ */
+export function refuseCall (event: OwnerEvent): readonly OwnerEffect[] {
+  if (!('call' in event)) return []
+  return [{ type: 'reply', call: event.call, reply: { type: 'failure', failure: new CornelgaugeError('not-owner') } }]
+}
+
+/**
+ * What is still owed to callers by an owner whose step failed: the state may be
+ * wrong, so the cell is given up and its journal tells the next owner.
+ *
+ * @example
+ * abandonOwner(state) // a 'not-owner' reply for each waiter, and 'stepped-down'
+ */
+export function abandonOwner (state: OwnerState): readonly OwnerEffect[] {
+  const transaction = new Transaction(state, { wall: 0, monotonic: 0 })
+  stepDown(transaction)
+  return transaction.result().effects
+}
+
 function finishStep (transaction: Transaction): void {
   plan(transaction)
   commitStaged(transaction)
