Move the rig and its schedules to the stand-in package

The proof of the guarantees needs the rig outside of mocha, as a program with its own cases. The daemon exports the parts that the rig wires as ./parts; fast-check becomes a dependency of stand-in.

--- a/packages/daemon/test/rig.ts
+++ b/packages/stand-in/src/rig.ts
@@ -12,13 +12,7 @@
   MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock,
   type BackendServer, type CancelTimer, type Clock, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
 } from '@cornelgauge/platform'
-import { CellHost, OWNERSHIP_POLL_MILLISECONDS } from '../src/cell-host.js'
-import type { DocumentInForce } from '../src/documents.js'
-import type { EventFacts } from '../src/event-sink.js'
-import { peerCalls } from '../src/peer-calls.js'
-import { Replies } from '../src/replies.js'
-import { Router, type Told } from '../src/router.js'
-import { VmDirectory } from '../src/vm-directory.js'
+import { CellHost, OWNERSHIP_POLL_MILLISECONDS, peerCalls, Replies, Router, VmDirectory, type DocumentInForce, type EventFacts, type Told } from '@cornelgauge/daemon/parts'
 import { DOCUMENT_TEXT } from './document-text.js'
 
 export const CELL = cellName('praha')
--- a/packages/daemon/test/cell.test.ts
+++ b/packages/stand-in/test/cell.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { rota, swap } from './builders.js'
-import { Rig } from './rig.js'
+import { rota, swap } from '../src/builders.js'
+import { Rig } from '../src/rig.js'
 
 describe('a cell over in-memory services', () => {
   describe('on a good day', () => {
--- a/packages/daemon/test/faults.test.ts
+++ b/packages/stand-in/test/faults.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { rota, swap } from './builders.js'
-import { Rig, type Outcome } from './rig.js'
+import { rota, swap } from '../src/builders.js'
+import { Rig, type Outcome } from '../src/rig.js'
 
 const swapsOf = (rig: Rig, count: number) => Array.from({ length: count }, (_, index) => swap(`swap-${index}`, rig.clock.now()))
 const startedKeys = (rig: Rig) => rig.executions.map(execution => execution.requestKey)
--- a/packages/daemon/test/history.test.ts
+++ b/packages/stand-in/test/history.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { LoggedExecution } from '@cornelgauge/platform'
-import { RULES, violationsOf, type History, type ToldEntry } from './history.js'
+import { RULES, violationsOf, type History, type ToldEntry } from '../src/history.js'
 
 const started = (key: string, changes: Partial<LoggedExecution> = {}): LoggedExecution =>
   ({ requestKey: key, workspace: 'ustredi', attempt: 1, epoch: 1, gang: { size: 1, index: 0 }, startedAt: 0, endedAt: 100, outcome: 'finished', ...changes }) as LoggedExecution
--- a/packages/daemon/test/schedule.test.ts
+++ b/packages/stand-in/test/schedule.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { violationsOf } from './history.js'
-import { ScheduleRun, steps } from './schedule.js'
+import { violationsOf } from '../src/history.js'
+import { ScheduleRun, steps } from '../src/schedule.js'
 
 const RUNS = Number(process.env.CORNELGAUGE_SCHEDULE_RUNS ?? 60)
 const SEED = Number(process.env.CORNELGAUGE_SCHEDULE_SEED ?? 1)
