--- a/packages/stand-in/src/policy-bench.ts
+++ b/packages/stand-in/src/policy-bench.ts
@@ -1,11 +1,17 @@
 /** The policy bench: `npm run bench:policy`. */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { dirname } from 'node:path'
+import { CornelgaugeError } from '@cornelgauge/model'
 import { SCHEDULERS, type SchedulerName } from '@cornelgauge/policy'
 import { defineCommand, runMain } from 'citty'
 import { MEASURES, type Figures } from './policy-bench-measure.js'
+import { reportPage } from './policy-bench-report.js'
 import { tableLines, type Results } from './policy-bench-table.js'
+import { timeDecisions, timingLines } from './policy-bench-timing.js'
 import { WORKLOADS, type WorkloadName } from './policy-bench-workload.js'
 
 const DEFAULT_SEEDS = 20
+const DEFAULT_REPORT = 'report/policy-bench.html'
 
 /** Runs every measure for these policies and seeds on one workload. */
 export function runBench (workload: WorkloadName, policies: readonly SchedulerName[], seeds: readonly number[]): Results {
@@ -19,7 +25,14 @@
 function chosen<Name extends string> (value: string | undefined, all: Readonly<Record<Name, unknown>>): readonly Name[] {
   const names = Object.keys(all) as Name[]
   if (value === undefined) return names
-  return names.filter(name => name === value)
+  if (!names.includes(value as Name)) throw new CornelgaugeError('invalid-settings', { detail: `${value} is none of ${names.join(', ')}` })
+  return [value as Name]
+}
+
+function chosenSeeds (seed: string | undefined, count: string): readonly number[] {
+  const seeds = seed === undefined ? Array.from({ length: Number(count) }, (_, index) => index + 1) : [Number(seed)]
+  if (seeds.length > 0 && seeds.every(Number.isInteger)) return seeds
+  throw new CornelgaugeError('invalid-settings', { detail: 'seeds are whole numbers' })
 }
 
 const command = defineCommand({
@@ -28,14 +41,24 @@
     seed: { type: 'string', description: 'this seed only' },
     seeds: { type: 'string', description: 'how many seeds, from 1', default: String(DEFAULT_SEEDS) },
     workload: { type: 'string', description: Object.keys(WORKLOADS).join('|') },
-    policy: { type: 'string', description: Object.keys(SCHEDULERS).join('|') }
+    policy: { type: 'string', description: Object.keys(SCHEDULERS).join('|') },
+    timing: { type: 'boolean', description: 'also time decisions by the clock of this machine', default: false },
+    report: { type: 'string', description: 'where the HTML report goes', default: DEFAULT_REPORT }
   },
   run ({ args }) {
-    const seeds = args.seed === undefined ? Array.from({ length: Number(args.seeds) }, (_, index) => index + 1) : [Number(args.seed)]
+    const seeds = chosenSeeds(args.seed, args.seeds)
+    const policies = chosen(args.policy, SCHEDULERS)
+    const workloads = new Map<string, Results>()
     for (const workload of chosen(args.workload, WORKLOADS)) {
-      const results = runBench(workload, chosen(args.policy, SCHEDULERS), seeds)
+      const results = runBench(workload, policies, seeds)
+      workloads.set(workload, results)
       console.log(`${tableLines(`${workload}, ${seeds.length} seed(s)`, results).join('\n')}\n`)
     }
+    const timings = args.timing ? timeDecisions() : []
+    if (args.timing) console.log(timingLines(timings).join('\n'))
+    mkdirSync(dirname(args.report), { recursive: true })
+    writeFileSync(args.report, reportPage(workloads, timings))
+    console.log(`report: ${args.report}`)
   }
 })
 
