--- a/packages/stand-in/src/policy-bench-timing.ts
+++ b/packages/stand-in/src/policy-bench-timing.ts
@@ -16,7 +16,7 @@
 
 const ACCELERATORS_EACH = 8
 const SLOTS_EACH = 44
-const TASKS_EACH = 40
+const TASKS_EACH = 43
 const SERVERS_PER_RACK = 8
 const LARGEST_GANG = 1024
 const GANG_SHARE = 0.64
@@ -143,7 +143,7 @@
     ...timings.map(({ accelerators, running, gang, median, highest, medianChange }) => {
       const scaled = median / (accelerators * Math.log2(accelerators)) * 1e6
       return `${accelerators} accelerators, ${running} running, gangs of ${gang}: median ${median.toFixed(3)} ms, 99th percentile ${highest.toFixed(3)} ms, ` +
-        `one end ${medianChange.toFixed(3)} ms, median over n log n ${scaled.toFixed(1)} ps`
+        `one end ${medianChange.toFixed(3)} ms, median over n log n ${scaled.toFixed(1)} ns`
     })
   ]
 }
