--- a/packages/policy/src/baseline.ts
+++ b/packages/policy/src/baseline.ts
@@ -1,7 +1,7 @@
 /**
  * Baselines behind the same contract, to compare with: one first-come queue, the
  * document's order in one queue, and first fit. None of them knows guarantees,
- * reservations, headroom, preemption or deadlines.
+ * reservations, headroom, preemption, deadlines or ejection.
  */
 import { admit } from './admission.js'
 import { applyChange } from './change.js'
@@ -49,12 +49,17 @@
 function baseline (rules: BaselineRules): Scheduler {
   return {
     createPolicy,
-    applyChange,
+    applyChange: (state, change) => applyChange(state, withoutFailure(change)),
     decide: (state, now) => decideSimply(inside(state), rules, now),
     admit: (state, job) => admitSimply(inside(state), job)
   }
 }
 
+/** Baselines eject nobody: to them a failure is an end like any other. */
+function withoutFailure (change: PolicyChange): PolicyChange {
+  return change.type === 'job-ended' && change.outcome === 'failed' ? { ...change, outcome: 'stopped' } : change
+}
+
 function decideSimply (state: ScheduleState, rules: BaselineRules, now: number): Plan {
   const decisions: Decision[] = []
   const passed = new Set<string>()
--- a/packages/policy/src/capacity.ts
+++ b/packages/policy/src/capacity.ts
@@ -49,6 +49,8 @@
   readonly description: ServerDescription
   /** A leaving backend server receives no new work. */
   readonly leaving: boolean
+  /** An ejected one has failed too much, and receives only probes. */
+  readonly ejected: boolean
   readonly tasks: readonly Task[]
 }
 
@@ -66,7 +68,7 @@
   readonly racks: readonly Rack[]
   /** Where each backend server stands in `racks`. */
   readonly locations: ReadonlyMap<string, Location>
-  /** Of all backend servers that are not leaving. */
+  /** Of all open backend servers. */
   readonly total: Amount
 }
 
@@ -90,6 +92,11 @@
   claimed: NO_AMOUNT
 }
 
+/** True of a backend server that receives new work. */
+export function isOpen ({ leaving, ejected }: Server): boolean {
+  return !leaving && !ejected
+}
+
 /** Compares two strings by code unit. */
 export function compareNames (first: string, second: string): number {
   if (first === second) return 0
@@ -117,8 +124,9 @@
 function mostFreeOf (servers: readonly Server[]): Amount {
   let slots = 0
   let accelerators = 0
-  for (const { description, used, leaving } of servers) {
-    if (leaving) continue
+  for (const server of servers) {
+    if (!isOpen(server)) continue
+    const { description, used } = server
     slots = Math.max(slots, description.slots - used.slots)
     accelerators = Math.max(accelerators, description.accelerators - used.accelerators)
   }
@@ -150,13 +158,13 @@
     locations.set(server.description.name, { rack: racks.length - 1, server: rack.servers.length })
     rack.servers.push(server)
   }
-  const total = sumAmounts(servers.filter(server => !server.leaving).map(server => server.description))
+  const total = sumAmounts(servers.filter(isOpen).map(server => server.description))
   return { racks: racks.map(rack => ({ ...rack, mostFree: mostFreeOf(rack.servers) })), locations, total }
 }
 
 /** An empty backend server. */
 export function emptyServer (description: ServerDescription): Server {
-  return { ...EMPTY_LEDGER, description, leaving: false, tasks: [] }
+  return { ...EMPTY_LEDGER, description, leaving: false, ejected: false, tasks: [] }
 }
 
 /** The capacity with a backend server put in place of the one of its name, or without it. */
--- a/packages/policy/src/change.ts
+++ b/packages/policy/src/change.ts
@@ -2,9 +2,10 @@
 import type { BackendServerName, Member, RequestId } from '@cornelgauge/model'
 import { emptyServer, findServer, replaceServer, type Server } from './capacity.js'
 import { isSameShape } from './guarantee.js'
+import { noteOutcome } from './health.js'
 import { dequeue, enqueue } from './queue.js'
 import { dropPlans, dropPlansOn, endJob, restoreTasks, startJob } from './running.js'
-import type { Job, PolicyChange, PolicySettings, PolicyState, ServerDescription } from './scheduler.js'
+import type { Job, JobOutcome, PolicyChange, PolicySettings, PolicyState, ServerDescription } from './scheduler.js'
 import { levelQueue } from './sharing.js'
 import { emptyCapacity, inside, makeDirectory, type ScheduleState } from './state.js'
 import { recordArrival } from './statistics.js'
@@ -19,7 +20,7 @@
   'job-arrived': (state, { job }) => arriveJob(state, job),
   'job-withdrawn': (state, { id }) => withdrawJob(state, id),
   'job-started': (state, { job, members, at }) => confirmStart(state, job, members, at),
-  'job-ended': (state, { id, outcome, at }) => endJob(state, id, outcome, at)
+  'job-ended': (state, { id, outcome, at }) => finishJob(state, id, outcome, at)
 }
 
 /**
@@ -50,6 +51,7 @@
     ...planless,
     capacity: replaceServer(planless.capacity, description.name, emptyServer(description)),
     known,
+    health: planless.health.delete(description.name),
     empty: emptyCapacity(planless.settings, known),
     guarantees: { ...planless.guarantees, stale: true }
   }, description.name)
@@ -84,6 +86,11 @@
   return { ...planless, waiting: dequeue(planless.waiting, id) }
 }
 
+function finishJob (state: ScheduleState, id: RequestId, outcome: JobOutcome, at: number): ScheduleState {
+  const running = state.running.get(id)
+  return running === undefined ? state : noteOutcome(endJob(state, id, outcome, at), running, outcome, at)
+}
+
 /** Counts a job as running on these members, in place of whatever was known of it before. */
 function confirmStart (state: ScheduleState, job: Job, members: readonly Member[], at: number): ScheduleState {
   const known = state.running.get(job.id)
--- a/packages/policy/src/claim.ts
+++ b/packages/policy/src/claim.ts
@@ -3,7 +3,7 @@
  * being stopped. Nobody else gets the capacity that comes free.
  */
 import { addAmount, holdsAmount, NO_AMOUNT, type Amount } from './amount.js'
-import { compareNames, enter, findServer } from './capacity.js'
+import { compareNames, enter, findServer, isOpen } from './capacity.js'
 import { hasHeadroom } from './headroom.js'
 import { moveHold, movedSites } from './move.js'
 import { freeAmount } from './room.js'
@@ -76,7 +76,7 @@
 function isFree (state: ScheduleState, claim: Claim, awaited: ReadonlyMap<string, Amount>): boolean {
   return claim.members.every(member => {
     const server = findServer(state.capacity, member.server)
-    if (server === undefined || server.leaving) return false
+    if (server === undefined || !isOpen(server)) return false
     return holdsAmount(addAmount(freeAmount(server), awaited.get(member.server) ?? NO_AMOUNT, -1), member)
   })
 }
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -3,6 +3,7 @@
 import { dequeue, queuedJobs, type Queue } from './queue.js'
 import { claimGuarantee, fulfilClaims, type Step } from './claim.js'
 import { keepsHeadroom } from './headroom.js'
+import { endEjections, findProbe } from './health.js'
 import { forbiddingRule } from './possibility.js'
 import { hasReservation, needsReservation, reserve, ripenReservations } from './reservation.js'
 import { dropPlans, settleGuarantees, startJob, type Site } from './running.js'
@@ -29,7 +30,7 @@
 export function decide (state: PolicyState, now: number): Plan {
   const steps: ReadonlyArray<(current: ScheduleState, at: number) => Step> = [fulfilClaims, ripenReservations, fulfilClaims, serveQueues, relieveUrgent]
   const decisions: Decision[] = []
-  let current = settleGuarantees(inside(state))
+  let current = settleGuarantees(endEjections(inside(state), now))
   for (const step of steps) {
     const result = step(current, now)
     current = result.state
@@ -89,7 +90,7 @@
 }
 
 function serveJob (state: ScheduleState, job: Job, passed: PassedQueues, now: number): Step {
-  const site = findSite(state, job, passed.isFull(job))
+  const site = findProbe(state, job, now) ?? findSite(state, job, passed.isFull(job))
   if (site !== undefined) {
     const step = startAt(state, job, site, now) ?? startOnLent(state, job, now)
     if (step !== undefined) return step
--- a/packages/policy/src/guarantee.ts
+++ b/packages/policy/src/guarantee.ts
@@ -5,7 +5,7 @@
  */
 import type { Member, RequestId, Shape, WorkspaceName } from '@cornelgauge/model'
 import { addAmount, type Amount } from './amount.js'
-import { allServers, arrangeServers, compareNames, emptyServer, enter, findServer, type Capacity, type Server } from './capacity.js'
+import { allServers, arrangeServers, compareNames, emptyServer, enter, findServer, isOpen, type Capacity, type Server } from './capacity.js'
 import { place, spotsOf } from './placement.js'
 import { shapeKey } from './queue.js'
 import { pinnableAmount, type Room } from './room.js'
@@ -65,11 +65,11 @@
 }
 
 function guaranteeRoom (server: Server): Amount {
-  return server.leaving ? { slots: 0, accelerators: 0 } : addAmount(server.description, server.guaranteed, -1)
+  return !isOpen(server) ? { slots: 0, accelerators: 0 } : addAmount(server.description, server.guaranteed, -1)
 }
 
 function unpinnedRoom (server: Server): Amount {
-  return server.leaving ? { slots: 0, accelerators: 0 } : pinnableAmount(server)
+  return !isOpen(server) ? { slots: 0, accelerators: 0 } : pinnableAmount(server)
 }
 
 /** The capacity and its holds, laid out together. */
@@ -122,7 +122,7 @@
 function isWhole (capacity: Capacity, members: readonly Member[]): boolean {
   return members.every(member => {
     const server = findServer(capacity, member.server)
-    if (server === undefined || server.leaving) return false
+    if (server === undefined || !isOpen(server)) return false
     const room = guaranteeRoom(server)
     return room.slots >= member.slots && room.accelerators >= member.accelerators
   })
--- a/packages/policy/src/move.ts
+++ b/packages/policy/src/move.ts
@@ -4,7 +4,7 @@
  * this to meet the borrowers that lose the least.
  */
 import { addAmount, NO_AMOUNT, type Amount } from './amount.js'
-import { allServers, enter, type Server } from './capacity.js'
+import { allServers, enter, isOpen, type Server } from './capacity.js'
 import { replaceHold, type Hold } from './guarantee.js'
 import { place, spotsOf } from './placement.js'
 import { pinnableAmount } from './room.js'
@@ -61,7 +61,7 @@
 }
 
 function movableRoom (server: Server, hold: Hold): Amount {
-  if (server.leaving) return NO_AMOUNT
+  if (!isOpen(server)) return NO_AMOUNT
   const own = hold.members.filter(member => member.server === server.description.name)
   const room = addAmount(addAmount(pinnableAmount(server), server.claimed, -1), server.closed, -1)
   return own.reduce<Amount>((sum, member) => addAmount(sum, member), room)
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -7,7 +7,7 @@
  */
 import type { Member } from '@cornelgauge/model'
 import { addAmount, holdsAmount, NO_AMOUNT, type Amount } from './amount.js'
-import { enter, findServer, type Server, type Task } from './capacity.js'
+import { enter, findServer, isOpen, type Server, type Task } from './capacity.js'
 import { openClaim, type Step } from './claim.js'
 import { keepsHeadroom } from './headroom.js'
 import { place, spotsOf } from './placement.js'
@@ -75,7 +75,7 @@
 }
 
 function roomAt (server: Server, time: number, isPinned: boolean): Amount {
-  if (server.leaving) return NO_AMOUNT
+  if (!isOpen(server)) return NO_AMOUNT
   let room = addAmount(server.description, server.reserved, -1)
   if (isPinned) room = addAmount(room, server.guaranteed, -1)
   for (const task of server.tasks) {
--- a/packages/policy/src/room.ts
+++ b/packages/policy/src/room.ts
@@ -3,7 +3,7 @@
  * the server's ledger, so a placement needs no look at single tasks.
  */
 import { addAmount, leastAmount, NO_AMOUNT, type Amount } from './amount.js'
-import type { Server } from './capacity.js'
+import { isOpen, type Server } from './capacity.js'
 
 /** A view of a backend server's room. */
 export type Room = (server: Server) => Amount
@@ -14,8 +14,9 @@
 }
 
 /** For anything that can be reclaimed: all that is free and not claimed already. */
-export function reclaimableRoom ({ leaving, description, used, claimed }: Server): Amount {
-  if (leaving) return NO_AMOUNT
+export function reclaimableRoom (server: Server): Amount {
+  if (!isOpen(server)) return NO_AMOUNT
+  const { description, used, claimed } = server
   return {
     slots: description.slots - used.slots - claimed.slots,
     accelerators: description.accelerators - used.accelerators - claimed.accelerators
@@ -58,5 +59,5 @@
 
 /** What an empty backend server gives. */
 export function wholeAmount (server: Server): Amount {
-  return server.leaving ? NO_AMOUNT : server.description
+  return !isOpen(server) ? NO_AMOUNT : server.description
 }
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -53,6 +53,16 @@
   readonly stopping: PersistentMap<KindName, Amount>
 }
 
+/** How the latest tasks of a backend server have ended. */
+export interface Health {
+  /** Failures since the last success. */
+  readonly failures: number
+  /** When an ejected one may be tried again; left out while it is not ejected. */
+  readonly probeAt?: number
+  /** How often it was ejected or failed a probe in a row. */
+  readonly ejections: number
+}
+
 /** Settings by name. */
 export interface Directory {
   readonly kinds: ReadonlyMap<KindName, KindSettings & { readonly order: number }>
@@ -75,6 +85,8 @@
   readonly sharing: Sharing
   readonly durations: PersistentMap<string, Durations>
   readonly arrivals: PersistentMap<KindName, Arrivals>
+  /** Backend servers whose latest tasks have failed. */
+  readonly health: PersistentMap<string, Health>
 }
 
 /** Looks inside a state. */
@@ -110,7 +122,8 @@
     reservations: PersistentMap(),
     sharing: { served: PersistentMap(), floors: PersistentMap(), usage: PersistentMap(), stopping: PersistentMap() },
     durations: PersistentMap(),
-    arrivals: PersistentMap()
+    arrivals: PersistentMap(),
+    health: PersistentMap()
   }
   return state
 }
--- a/packages/policy/src/victim.ts
+++ b/packages/policy/src/victim.ts
@@ -1,7 +1,7 @@
 /** The choice of running jobs to stop for a claim: those that lose the least work. */
 import type { Member, RequestId } from '@cornelgauge/model'
 import { addAmount, holdsAmount, sumAmounts, type Amount } from './amount.js'
-import { compareNames, findServer, type Server, type Task } from './capacity.js'
+import { compareNames, findServer, isOpen, type Server, type Task } from './capacity.js'
 import { freeAmount } from './room.js'
 import { amountOf, type ScheduleState } from './state.js'
 
@@ -36,7 +36,7 @@
   const chosen = new Set<RequestId>()
   for (const member of members) {
     const server = findServer(state.capacity, member.server)
-    if (server === undefined || server.leaving) return undefined
+    if (server === undefined || !isOpen(server)) return undefined
     const wanted = addAmount(server.claimed, member)
     const others = server.tasks.filter(task => !task.stopping && !chosen.has(task.id) && isEligible(task, eligible))
       .map(task => ({ task, lost: lostWork(state, task.id, now) }))
--- a/packages/stand-in/src/policy-bench-measure.ts
+++ b/packages/stand-in/src/policy-bench-measure.ts
@@ -238,5 +238,24 @@
   return { 'longest wait of the lowest kind (ms)': Math.max(...waits) }
 }
 
+/** One backend server fails all it starts within 20 ms; requests of any kind that met it, of all that arrived later than a second. */
+function blackHole (scheduler: Scheduler, workload: Workload, seed: number): Figures {
+  const endsAt = 2 * MINUTE
+  const maker = new WorkMaker(new Random(seed), workload, DECLARATION_ERROR)
+  const rates = [[workload.urgent, 0.2], [workload.bulk, 0.3]] as const
+  const work = rates.flatMap(([kind, share]) => {
+    const rate = rateForLoad(workload, kind, share)
+    return maker.stream(kind, 0, endsAt, () => rate, rate)
+  })
+  const failing = { server: workload.servers[0]?.name ?? '', afterMilliseconds: 20 }
+  const outcomes = new Simulation(scheduler, { ...scenario(workload, work, endsAt + MINUTE), failing }).run()
+  const later = outcomes.filter(({ item: { job } }) => job.arrivedAt >= SECOND)
+  const spoiled = later.filter(({ failures }) => failures > 0)
+  return {
+    'requests spoiled by a black hole, share': spoiled.length / later.length,
+    'attempts failed by a black hole': outcomes.reduce((sum, { failures }) => sum + failures, 0)
+  }
+}
+
 /** Every measure. */
-export const MEASURES: readonly Measure[] = [headOfLine, crest, overload(2), overload(4), reclaim, fragmentation, completion, lowestKind]
+export const MEASURES: readonly Measure[] = [headOfLine, crest, overload(2), overload(4), reclaim, fragmentation, completion, lowestKind, blackHole]
--- a/packages/stand-in/src/policy-bench-simulation.ts
+++ b/packages/stand-in/src/policy-bench-simulation.ts
@@ -3,7 +3,9 @@
  * else: no network, no store, no clock of the machine.
  */
 import type { Member, RequestId } from '@cornelgauge/model'
-import type { Decision, Job, PolicySettings, PolicyState, Scheduler, ServerDescription } from '@cornelgauge/policy'
+import type { Decision, Job, JobOutcome, PolicySettings, PolicyState, Scheduler, ServerDescription } from '@cornelgauge/policy'
+
+const MOST_ATTEMPTS = 3
 
 /** A job with what the policy cannot know of it. */
 export interface WorkItem {
@@ -21,6 +23,8 @@
   readonly work: readonly WorkItem[]
   /** No event after this moment is looked at. */
   readonly endsAt: number
+  /** A backend server that fails whatever it starts, soon after the start. */
+  readonly failing?: { readonly server: string, readonly afterMilliseconds: number }
 }
 
 /** One stretch of running. */
@@ -32,7 +36,9 @@
 /** What became of a job. */
 export interface Outcome {
   readonly item: WorkItem
-  readonly state: 'refused' | 'waiting' | 'running' | 'finished'
+  readonly state: 'refused' | 'waiting' | 'running' | 'finished' | 'failed'
+  /** Attempts that failed. */
+  readonly failures: number
   readonly firstStartAt?: number
   readonly finishedAt?: number
   /** Stretches whose work counted in the end. */
@@ -51,6 +57,7 @@
   finishedAt?: number
   runs: Run[]
   preemptions: number
+  failures: number
   attempts: number
   startedAt: number
   members: readonly Member[]
@@ -125,6 +132,7 @@
   readonly #scheduler: Scheduler
   readonly #scenario: Scenario
   readonly #checkpointable: ReadonlySet<string>
+  readonly #idempotent: ReadonlySet<string>
   readonly #events = new EventQueue()
   readonly #progress = new Map<RequestId, Progress>()
   readonly #used = new Map<string, Member>()
@@ -136,6 +144,7 @@
     this.#scheduler = scheduler
     this.#scenario = scenario
     this.#checkpointable = new Set(scenario.settings.kinds.filter(kind => kind.checkpointable).map(kind => kind.name))
+    this.#idempotent = new Set(scenario.settings.kinds.filter(kind => kind.idempotent).map(kind => kind.name))
     this.#state = scheduler.createPolicy(scenario.settings)
     for (const server of scenario.servers) this.#state = scheduler.applyChange(this.#state, { type: 'server-joined', server, at: 0 })
   }
@@ -154,12 +163,12 @@
       while (this.#events.nextAt === next) this.#events.take().act()
       this.#decide()
     }
-    return [...this.#progress.values()].map(({ item, state, firstStartAt, finishedAt, runs, preemptions }) =>
-      ({ item, state, firstStartAt, finishedAt, runs, preemptions }))
+    return [...this.#progress.values()].map(({ item, state, firstStartAt, finishedAt, runs, preemptions, failures }) =>
+      ({ item, state, firstStartAt, finishedAt, runs, preemptions, failures }))
   }
 
   #arrive (item: WorkItem): void {
-    const progress: Progress = { item, state: 'waiting', remaining: item.trueMilliseconds, runs: [], preemptions: 0, attempts: 0, startedAt: 0, members: [], version: 0 }
+    const progress: Progress = { item, state: 'waiting', remaining: item.trueMilliseconds, runs: [], preemptions: 0, failures: 0, attempts: 0, startedAt: 0, members: [], version: 0 }
     this.#progress.set(item.job.id, progress)
     const admission = this.#scheduler.admit(this.#state, item.job, this.#now)
     if (!admission.admitted) {
@@ -201,7 +210,12 @@
     progress.firstStartAt ??= this.#now
     this.#use(members, 1)
     this.#state = this.#scheduler.applyChange(this.#state, { type: 'job-started', job, members, at: this.#now })
-    this.#at(progress, this.#now + progress.remaining, () => this.#finish(progress))
+    const { failing } = this.#scenario
+    if (members.some(member => member.server === failing?.server)) {
+      this.#at(progress, this.#now + (failing?.afterMilliseconds ?? 0), () => this.#fail(progress))
+    } else {
+      this.#at(progress, this.#now + progress.remaining, () => this.#finish(progress))
+    }
   }
 
   #finish (progress: Progress): void {
@@ -210,6 +224,17 @@
     Object.assign(progress, { state: 'finished', finishedAt: this.#now })
   }
 
+  /** A failed attempt counts; idempotent work gets another one, other work does not. */
+  #fail (progress: Progress): void {
+    this.#leave(progress, 'failed')
+    progress.failures++
+    const { job } = progress.item
+    progress.state = 'failed'
+    if (!this.#idempotent.has(job.kind) || progress.attempts >= MOST_ATTEMPTS) return
+    progress.state = 'waiting'
+    this.#state = this.#scheduler.applyChange(this.#state, { type: 'job-arrived', job: { ...job, attempts: progress.attempts }, at: this.#now })
+  }
+
   #stop (progress: Progress): void {
     this.#leave(progress, 'stopped')
     progress.preemptions++
@@ -222,7 +247,7 @@
     this.#state = this.#scheduler.applyChange(this.#state, { type: 'job-arrived', job, at: this.#now })
   }
 
-  #leave (progress: Progress, outcome: 'finished' | 'stopped'): void {
+  #leave (progress: Progress, outcome: JobOutcome): void {
     progress.version++
     this.#use(progress.members, -1)
     this.#state = this.#scheduler.applyChange(this.#state, { type: 'job-ended', id: progress.item.job.id, outcome, at: this.#now })
--- a/packages/stand-in/src/policy-bench-table.ts
+++ b/packages/stand-in/src/policy-bench-table.ts
@@ -25,7 +25,9 @@
   'mean wait of gangs at 85% load (s)': { better: 'lower', text: '' },
   'mean completion over the oracle\'s': { better: 'lower', text: '<= 1.3', isMet: value => value <= 1.3 },
   'mean completion of the long kind (s)': { better: 'lower', text: '' },
-  'longest wait of the lowest kind (ms)': { better: 'lower', text: 'bounded' }
+  'longest wait of the lowest kind (ms)': { better: 'lower', text: 'bounded' },
+  'requests spoiled by a black hole, share': { better: 'lower', text: '< 0.01', isMet: value => value < 0.01 },
+  'attempts failed by a black hole': { better: 'lower', text: '' }
 }
 
 /** The figures of one policy, a set for each seed. */
