Start nothing on a backend server that the VM list says is leaving

Cause: the answer to a watch set the server back to 'live', since the server itself did not know that it was leaving; work went there until the next look at the list, and again after each watch. Ruled out: the lag of the list, which the test leaves out. The list's word now stands beside the server's own.

--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -69,6 +69,8 @@
   readonly description: ServerDescription
   readonly status: 'new' | 'live' | 'suspect' | 'leaving' | 'lost'
   readonly listed: boolean
+  /** True while the VM list says that it is leaving, whatever it says of itself. */
+  readonly listedLeaving: boolean
   readonly incarnation: string | undefined
   readonly cursor: number
   readonly heardAt: number
--- a/packages/stand-in/test/faults.test.ts
+++ b/packages/stand-in/test/faults.test.ts
@@ -169,6 +169,21 @@
     })
   })
 
+  describe('a backend server that is leaving', () => {
+    it('gets no new start within 3 s of the list saying so, while the list says so', async () => {
+      const rig = await Rig.start(2)
+      rig.vmList = rig.vmList.map(vm => vm.name === 'server-0' ? { ...vm, status: 'leaving' } : vm)
+      const saidAt = rig.clock.now()
+      for (let round = 0; round < 20; round++) {
+        await Promise.all(swapsOf(rig, 6).map(submission => rig.outcome(rig.submit(rig.entry, { ...submission, key: `round-${round}-${submission.key}` as never }))))
+        await rig.advance(200)
+      }
+      const late = rig.servers[0]!.executions.filter(execution => execution.startedAt > saidAt + 3000)
+      expect(late).to.deep.equal([])
+      expect(rig.executions).to.have.length(120)
+    })
+  })
+
   describe('cancellation', () => {
     it('ends a waiting request and stops a running one', async () => {
       const rig = await Rig.start(2)
