Do not let small gangs pass a wide one of their kind for ever

Cause: where only the headroom kept a wide gang from starting, it got no reservation, and small gangs of its kind, that fit beside the headroom, passed it in every decision; a new test saw no start in sixty run times. Now it gets a reservation, others leave the headroom free outside of reservations, and urgent work goes onto reserved members only where nothing else is free, so that they drain. What was backfilled is known by the count of starts and no longer by the clock, since work started in the same moment before the reservation was stopped for nothing; gangs of one shape no longer backfill each other.

--- a/packages/policy/src/capacity.ts
+++ b/packages/policy/src/capacity.ts
@@ -18,7 +18,8 @@
 export interface Task extends Amount {
   readonly id: RequestId
   readonly grade: Grade
-  readonly startedAt: number
+  /** Number of starts in the cell before this one. */
+  readonly sequence: number
   readonly expectedEnd: number
   /** Its preemption is decided; the capacity comes free soon. */
   readonly stopping: boolean
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -2,7 +2,7 @@
 import { PassedQueues } from './passed.js'
 import { dequeue, queuedJobs, type Queue } from './queue.js'
 import { claimGuarantee, fulfilClaims, type Step } from './claim.js'
-import { keepsHeadroom } from './headroom.js'
+import { keepsHeadroomBeside } from './headroom.js'
 import { endEjections, findProbe } from './health.js'
 import { forbiddingRule } from './possibility.js'
 import { hasReservation, needsReservation, reserve, ripenReservations } from './reservation.js'
@@ -95,7 +95,7 @@
     const step = startAt(state, job, site, now) ?? startOnLent(state, job, now)
     if (step !== undefined) return step
     passed.markFull(job)
-    return { state, decisions: [] }
+    return { state: reserveOnce(state, job, now), decisions: [] }
   }
   const isKnownFull = passed.isFull(job)
   passed.markFull(job)
@@ -104,14 +104,17 @@
   if (claim !== undefined) return claim
   const rule = isKnownFull && isReclaimable(state, job) ? undefined : forbiddingRule(state, job)
   if (rule !== undefined) return refuse(state, job, rule)
-  const isReservable = needsReservation(job) && !hasReservation(state, job)
-  return { state: isReservable ? reserve(state, job, now) : state, decisions: [] }
+  return { state: reserveOnce(state, job, now), decisions: [] }
+}
+
+function reserveOnce (state: ScheduleState, job: Job, now: number): ScheduleState {
+  return needsReservation(job) && !hasReservation(state, job) ? reserve(state, job, now) : state
 }
 
 /** Starts a job at a site, unless that takes what urgent work needs; its own guarantee is a job's own. */
 function startAt (state: ScheduleState, job: Job, site: Site, now: number): Step | undefined {
   const started = startJob(state, job, site, now)
-  if (site.hold === undefined && !keepsHeadroom(started, job, now)) return undefined
+  if (site.hold === undefined && !keepsHeadroomBeside(started, job, now)) return undefined
   return { state: started, decisions: [{ type: 'start', id: job.id, members: site.members }] }
 }
 
--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -3,7 +3,7 @@
  * number follows from how unevenly urgent work has arrived and how long it runs.
  */
 import type { Job } from './scheduler.js'
-import { urgentRoom } from './room.js'
+import { pinnedRoom, urgentRoom, type Room } from './room.js'
 import { isBelowShare } from './sharing.js'
 import { usageOf, type ScheduleState } from './state.js'
 import { advanceArrivals, meanDuration, neededSlots, NO_DURATIONS } from './statistics.js'
@@ -23,11 +23,11 @@
   return Math.ceil(wanted)
 }
 
-/** Slots that urgent work could have at once. */
-function freeHeadroom (state: ScheduleState): number {
+/** Slots that urgent work could have at once; outside of reservations, with `pinnedRoom`. */
+function freeHeadroom (state: ScheduleState, room: Room): number {
   let free = 0
   for (const rack of state.capacity.racks) {
-    for (const server of rack.servers) free += Math.max(0, urgentRoom(server).slots)
+    for (const server of rack.servers) free += Math.max(0, room(server).slots)
   }
   return free
 }
@@ -37,9 +37,14 @@
   return !mustKeepHeadroom(state, job) || hasHeadroom(state, now)
 }
 
+/** The same for a job without a reservation, which leaves the headroom free outside of those of others. */
+export function keepsHeadroomBeside (state: ScheduleState, job: Job, now: number): boolean {
+  return !mustKeepHeadroom(state, job) || freeHeadroom(state, pinnedRoom) >= wantedHeadroom(state, now)
+}
+
 /** Whether urgent work could have at once what its arrivals make likely. */
 export function hasHeadroom (state: ScheduleState, now: number): boolean {
-  return freeHeadroom(state) >= wantedHeadroom(state, now)
+  return freeHeadroom(state, urgentRoom) >= wantedHeadroom(state, now)
 }
 
 /** Whether a job is bound to leave the headroom free: not where it is urgent itself, or owed its minimum share. */
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -36,7 +36,7 @@
 export function reserve (state: ScheduleState, job: Job, now: number): ScheduleState {
   const found = findEarliest(state, job, now)
   if (found === undefined) return state
-  const reservation: Reservation = { job, members: found.members, since: now, expectedAt: found.expectedAt, closed: false }
+  const reservation: Reservation = { job, members: found.members, sequence: state.starts, expectedAt: found.expectedAt, closed: false }
   return {
     ...state,
     capacity: enter(state.capacity, 'reserved', found.members, 1),
@@ -112,8 +112,8 @@
 }
 
 function ripen (state: ScheduleState, reservation: Reservation, now: number): Step {
-  const { job, members, since } = reservation
-  const isBackfill = (task: Task): boolean => task.startedAt >= since
+  const { job, members, sequence } = reservation
+  const isBackfill = (task: Task): boolean => task.sequence >= sequence
   if (!isAllowed(state, reservation)) return { state: closeWhenAlone(state, reservation, now), decisions: [] }
   const victims = chooseVictims(state, members, isBackfill, now)
   if (victims === undefined) return { state: closeWhenAlone(state, reservation, now), decisions: [] }
@@ -135,7 +135,7 @@
   if (state.reservations.get(reservation.job.id)?.closed !== false) return state
   const isAlone = reservation.members.every(member => {
     const server = findServer(state.capacity, member.server)
-    return server !== undefined && holdsAmount(roomBesideUrgent(state, server, reservation.since), member)
+    return server !== undefined && holdsAmount(roomBesideUrgent(state, server, reservation.sequence), member)
   })
   if (!isAlone) return state
   const closed = {
@@ -156,12 +156,12 @@
   }
 }
 
-function roomBesideUrgent (state: ScheduleState, server: Server, since: number): Amount {
+function roomBesideUrgent (state: ScheduleState, server: Server, sequence: number): Amount {
   let room = freeAmount(server)
   for (const task of server.tasks) {
     const kind = state.running.get(task.id)?.job.kind
     const isUrgent = kind !== undefined && state.directory.kinds.get(kind)?.urgent === true
-    const isBackfill = task.grade === 'reclaimable' && task.startedAt >= since
+    const isBackfill = task.grade === 'reclaimable' && task.sequence >= sequence
     if (isUrgent || isBackfill) room = addAmount(room, task)
   }
   return room
--- a/packages/policy/src/room.ts
+++ b/packages/policy/src/room.ts
@@ -46,9 +46,14 @@
   return leastAmount(reclaimableRoom(server), addAmount(pinnableAmount(server), server.closed, -1))
 }
 
-/** For what can be reclaimed: only what urgent work may not use. */
+/** For what can be reclaimed, but outside of reservations. */
+export function unreservedRoom (server: Server): Amount {
+  return addAmount(reclaimableRoom(server), server.reserved, -1)
+}
+
+/** For what can be reclaimed: only what urgent work may not use, and nobody has reserved. */
 export function lentRoom (server: Server): Amount {
-  const room = reclaimableRoom(server)
+  const room = unreservedRoom(server)
   return { ...room, slots: room.slots - Math.max(0, urgentRoom(server).slots) }
 }
 
--- a/packages/policy/src/running.ts
+++ b/packages/policy/src/running.ts
@@ -21,6 +21,7 @@
     job,
     members: site.members,
     startedAt: at,
+    sequence: state.starts,
     expectedMilliseconds: expectedDuration(state, job),
     grade: gradeOf(state, job, site.hold),
     hold: site.hold,
@@ -28,6 +29,7 @@
   }
   return occupyWith({
     ...rest,
+    starts: rest.starts + 1,
     waiting: dequeue(rest.waiting, job.id),
     sharing: chargeStart(rest, running)
   }, running)
@@ -39,11 +41,11 @@
 }
 
 function occupyWith (state: ScheduleState, running: RunningJob): ScheduleState {
-  const { job: { id }, grade, startedAt, stopping, hold } = running
-  const expectedEnd = startedAt + running.expectedMilliseconds
+  const { job: { id }, grade, sequence, stopping, hold } = running
+  const expectedEnd = running.startedAt + running.expectedMilliseconds
   return {
     ...state,
-    capacity: occupy(state.capacity, running.members, { id, grade, startedAt, expectedEnd, stopping }),
+    capacity: occupy(state.capacity, running.members, { id, grade, sequence, expectedEnd, stopping }),
     running: state.running.set(id, running),
     guarantees: changeOccupants(state.guarantees, hold, occupants => [...occupants.filter(occupant => occupant !== id), id])
   }
@@ -132,9 +134,9 @@
   return [...state.running.values()].reduce<ScheduleState>((current, running) => {
     const members = running.members.filter(member => member.server === name)
     if (members.length === 0) return current
-    const { job: { id }, grade, startedAt, stopping } = running
-    const expectedEnd = startedAt + running.expectedMilliseconds
-    return { ...current, capacity: occupy(current.capacity, members, { id, grade, startedAt, expectedEnd, stopping }) }
+    const { job: { id }, grade, sequence, stopping } = running
+    const expectedEnd = running.startedAt + running.expectedMilliseconds
+    return { ...current, capacity: occupy(current.capacity, members, { id, grade, sequence, expectedEnd, stopping }) }
   }, state)
 }
 
--- a/packages/policy/src/site.ts
+++ b/packages/policy/src/site.ts
@@ -4,7 +4,7 @@
 import { findServer, type Server } from './capacity.js'
 import { isSameShape, type Hold } from './guarantee.js'
 import { freeSpotsOf, place, type SpotRack } from './placement.js'
-import { commonRoom, lentRoom, pinnedRoom, reclaimableRoom, urgentRoom, type Room } from './room.js'
+import { commonRoom, lentRoom, pinnedRoom, reclaimableRoom, unreservedRoom, urgentRoom, type Room } from './room.js'
 import type { Site } from './running.js'
 import type { Job } from './scheduler.js'
 import { isReclaimable, type ScheduleState } from './state.js'
@@ -18,8 +18,15 @@
 export function findSite (state: ScheduleState, job: Job, isFull: boolean): Site | undefined {
   const holds = holdsFor(state, job)
   if (isFull) return exactHoldSite(state, job, holds) ?? partHoldSite(state, job, holds)
-  return exactHoldSite(state, job, holds) ?? roomSite(state, job, firstRoom(state, job)) ??
-    partHoldSite(state, job, holds) ?? (isReclaimable(state, job) ? roomSite(state, job, reclaimableRoom) : undefined)
+  return exactHoldSite(state, job, holds) ?? roomSite(state, job, isReclaimable(state, job) ? commonRoom : pinnedRoom) ??
+    partHoldSite(state, job, holds) ?? lastSite(state, job)
+}
+
+/** What can be reclaimed may borrow; urgent work passes reservations that are not closed. */
+function lastSite (state: ScheduleState, job: Job): Site | undefined {
+  if (isReclaimable(state, job)) return roomSite(state, job, isBehindItsLike(state, job) ? unreservedRoom : reclaimableRoom)
+  const isUrgent = state.directory.kinds.get(job.kind)?.urgent === true
+  return isUrgent && state.reservations.size > 0 ? roomSite(state, job, urgentRoom) : undefined
 }
 
 /** The site where a job that can be reclaimed takes nothing that urgent work could use. */
@@ -27,9 +34,9 @@
   return isReclaimable(state, job) ? roomSite(state, job, lentRoom) : undefined
 }
 
-function firstRoom (state: ScheduleState, job: Job): Room {
-  if (isReclaimable(state, job)) return commonRoom
-  return state.directory.kinds.get(job.kind)?.urgent === true ? urgentRoom : pinnedRoom
+/** True where a job of the same kind and shape has a reservation, which this one would only be stopped for. */
+function isBehindItsLike (state: ScheduleState, { kind, shape }: Job): boolean {
+  return state.reservations.some(({ job }) => job.kind === kind && isSameShape(job.shape, shape))
 }
 
 function roomSite (state: ScheduleState, job: Job, room: Room): Site | undefined {
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -13,6 +13,8 @@
   readonly job: Job
   readonly members: readonly Member[]
   readonly startedAt: number
+  /** Number of starts in the cell before this one. */
+  readonly sequence: number
   /** Expected run time when it started. */
   readonly expectedMilliseconds: number
   readonly grade: Grade
@@ -34,7 +36,8 @@
 export interface Reservation {
   readonly job: Job
   readonly members: readonly Member[]
-  readonly since: number
+  /** Number of starts in the cell before the reservation. */
+  readonly sequence: number
   /** When the members are expected to be free. */
   readonly expectedAt: number
   /** Urgent work is kept out as well, because all else has ended. */
@@ -79,6 +82,8 @@
   readonly empty: Capacity
   readonly waiting: Waiting
   readonly running: PersistentMap<RequestId, RunningJob>
+  /** Number of starts so far. */
+  readonly starts: number
   readonly guarantees: Guarantees
   readonly claims: PersistentMap<RequestId, Claim>
   readonly reservations: PersistentMap<RequestId, Reservation>
@@ -117,6 +122,7 @@
     empty: emptyCapacity(settings, PersistentMap()),
     waiting: NOTHING_WAITING,
     running: PersistentMap(),
+    starts: 0,
     guarantees: NO_GUARANTEES,
     claims: PersistentMap(),
     reservations: PersistentMap(),
--- a/packages/policy/test/pressure.test.ts
+++ b/packages/policy/test/pressure.test.ts
@@ -4,20 +4,27 @@
 
 const RUN_MILLISECONDS = 100
 
-/** Runs a cell whose urgent queue never empties; each task runs for the same time. Gives each start with its moment. */
-function pressured (first: PolicyState, low: Job, steps: number): ReadonlyMap<string, number> {
+const twoSwaps = (now: number): Job[] => ['swap', 'other'].map(name =>
+  job(`${name}-${now}`, { arrivedAt: now, deadline: 1e9, declaredMilliseconds: RUN_MILLISECONDS }))
+
+/** Runs a cell with arrivals every 10 ms; each task runs for the same time. Gives each start with its moment. */
+function pressured (first: PolicyState, low: Job, steps: number, arrivals = twoSwaps): ReadonlyMap<string, number> {
   const starts = new Map<string, number>()
   const ends: Array<{ readonly at: number, readonly id: Job['id'] }> = []
-  let state = arrived(first, low)
+  let state = first
   for (let now = 0; now < steps; now += 10) {
     while (ends.length > 0 && ends[0]!.at <= now) {
       state = applyChange(state, { type: 'job-ended', id: ends.shift()!.id, outcome: 'finished', at: now })
     }
-    state = arrived(state, job(`swap-${now}`, { arrivedAt: now, deadline: 1e9, declaredMilliseconds: RUN_MILLISECONDS }),
-      job(`other-${now}`, { arrivedAt: now, deadline: 1e9, declaredMilliseconds: RUN_MILLISECONDS }))
+    state = arrived(state, ...now === low.arrivedAt ? [low] : [], ...arrivals(now))
     const plan = decide(state, now)
     state = plan.state
     for (const decision of plan.decisions) {
+      if (decision.type === 'preempt') {
+        const place = ends.findIndex(end => end.id === decision.id)
+        ends[place] = { at: now + 1, id: decision.id }
+        ends.sort((one, other) => one.at - other.at)
+      }
       if (decision.type !== 'start') continue
       starts.set(decision.id, now)
       ends.push({ at: now + RUN_MILLISECONDS, id: decision.id })
@@ -40,6 +47,19 @@
   })
 })
 
+describe('a wide gang', () => {
+  it('is not passed for ever by small gangs of its kind that fit beside the headroom', () => {
+    const rota = (key: string, shape: Job['shape'], now: number): Job =>
+      job(key, { kindName: 'term-rota', shape, arrivedAt: now, deadline: 1e9, declaredMilliseconds: RUN_MILLISECONDS })
+    const arrivals = (now: number): Job[] => [
+      ...now % 20 === 0 ? twoSwaps(now).slice(1) : [],
+      ...now % 20 === 0 ? [rota(`small-${now}`, { slots: 8, accelerators: 8, adjacency: 'server' }, now)] : []
+    ]
+    const warm = pressured(cell(racks(1, 8)), rota('wide', { slots: 8, accelerators: 40, adjacency: 'rack' }, 2000), 8000, arrivals)
+    expect(warm.get('brno/wide')).to.be.at.most(2000 + 4 * RUN_MILLISECONDS)
+  })
+})
+
 describe('headroom', () => {
   it('keeps slots free for urgent work as its arrivals have needed', () => {
     let state = cell([server(0, 0)], { kinds: [SWAP, { ...ROTA, minimumShare: 0 }, { ...CHECK, minimumShare: 0 }] })
