Give the policy the declared backend servers and its wake-up times

A gang was judged against the backend servers seen so far and could be refused as impossible while others were still to join; the document's declaration now decides. A promotion minds If-Match.

--- a/packages/daemon/src/documents.ts
+++ b/packages/daemon/src/documents.ts
@@ -88,12 +88,14 @@
   }
 
   /**
-   * Brings the bytes in force in trial into force in production.
+   * Brings the bytes in force in trial into force in production, on condition that
+   * production has the expected version, where one is given.
    *
    * @throws CornelgaugeError `promotion-refused`, `invalid-document`, `version-conflict`, `unavailable`, `timeout`
    */
-  async promote (digest: Digest, appliedBy: string): Promise<DocumentHead> {
+  async promote (digest: Digest, appliedBy: string, expected?: DocumentVersion): Promise<DocumentHead> {
     const [trial, production] = await Promise.all([this.#read('trial'), this.#read('production')])
+    requireProductionVersion(production.head, expected)
     const next = promote(trial.head, production.head, digest, { appliedBy, appliedAt: this.#options.wall() })
     if (next === production.head) return next
     const inTrial: Condition = { type: 'version', table: DOCUMENTS_TABLE, key: 'trial', version: trial.row!.version }
@@ -154,3 +156,11 @@
     throw new CornelgaugeError('version-conflict', { members: { currentVersion: head?.version ?? documentVersion(0) } })
   }
 }
+
+function requireProductionVersion (head: DocumentHead | undefined, expected: DocumentVersion | undefined): void {
+  if (expected === undefined || head?.version === expected) return
+  throw new CornelgaugeError('version-conflict', {
+    detail: `The promotion was made against version ${expected} of production`,
+    members: { currentVersion: head?.version ?? null }
+  })
+}
--- a/packages/daemon/src/operator-routes.ts
+++ b/packages/daemon/src/operator-routes.ts
@@ -74,7 +74,8 @@
 async function promoteDocument ({ documents, vm }: OperatorRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
   const body = promotionSchema.safeParse(parseJson(await request.body(MAXIMUM_BODY_BYTES)))
   if (!body.success) throw new CornelgaugeError('invalid-request', { detail: body.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ') })
-  return changed('production', await documents.promote(digest(body.data.digest), operatorName(vm, request)))
+  const expected = request.header('if-match') === undefined ? undefined : expectedVersion(request)
+  return changed('production', await documents.promote(digest(body.data.digest), operatorName(vm, request), expected))
 }
 
 async function showEvents ({ events }: OperatorRouteOptions, { query }: HttpRequest): Promise<HttpAnswer> {
--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -6,7 +6,7 @@
 import { CornelgaugeError, requestId, type Refusal, type RequestId, type RequestRecord, type Submission } from '@cornelgauge/model'
 import { admit } from '@cornelgauge/policy'
 import { List } from 'immutable'
-import type { CallId, OwnerEvent } from './event.js'
+import type { CallId, OwnerEventOf } from './event.js'
 import { jobOf } from './job.js'
 import { COMMIT_PATIENCE_MILLISECONDS, MAXIMUM_REQUESTS } from './limits.js'
 import { stopRun } from './runs.js'
@@ -14,10 +14,8 @@
 import type { Transaction } from './transaction.js'
 import { arrive, endPending } from './waiting.js'
 
-type Event<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
-
 /** Accepts a request, joins it to an earlier one with the same key, or refuses it. */
-export function submit (transaction: Transaction, event: Event<'submit'>): void {
+export function submit (transaction: Transaction, event: OwnerEventOf<'submit'>): void {
   const { submission, call } = event
   if (transaction.state.draining) return transaction.refuse(call, new CornelgaugeError('not-owner'))
   const id = requestId(submission.workspace, submission.key)
@@ -33,7 +31,7 @@
 }
 
 /** Tells of a request at once, or when it ends, or when the wait is over. */
-export function read (transaction: Transaction, event: Event<'read'>): void {
+export function read (transaction: Transaction, event: OwnerEventOf<'read'>): void {
   const record = transaction.state.committed.get(event.id)
   if (record === undefined && !transaction.state.ledger.has(event.id)) {
     return transaction.refuse(event.call, unknownRequest(transaction))
@@ -45,7 +43,7 @@
 }
 
 /** Cancels a request that waits, or asks for a running one to be stopped. */
-export function cancel (transaction: Transaction, event: Event<'cancel'>): void {
+export function cancel (transaction: Transaction, event: OwnerEventOf<'cancel'>): void {
   const record = transaction.record(event.id)
   if (record === undefined) return transaction.refuse(event.call, unknownRequest(transaction))
   if (!hasEnded(record) && !record.cancelRequested) requestCancel(transaction, record)
@@ -76,7 +74,7 @@
   return hasEnded(record) || record.state === 'unknown'
 }
 
-function join (transaction: Transaction, event: Event<'submit'>, earlier: RequestRecord): void {
+function join (transaction: Transaction, event: OwnerEventOf<'submit'>, earlier: RequestRecord): void {
   if (earlier.submission.bodyDigest !== event.submission.bodyDigest) {
     return transaction.refuse(event.call, new CornelgaugeError('key-reused', { state: transaction.state.committed.get(earlier.id)?.state }))
   }
@@ -123,7 +121,7 @@
   stopRun(transaction, run, 'cancelled')
 }
 
-function waiterOf (transaction: Transaction, event: Event<'submit'>): Waiter {
+function waiterOf (transaction: Transaction, event: OwnerEventOf<'submit'>): Waiter {
   const { monotonic, wall } = transaction.at
   const patience = Math.min(COMMIT_PATIENCE_MILLISECONDS, event.submission.deadline - wall)
   return { call: event.call, submits: true, until: event.waitUntil, commitBy: monotonic + Math.max(patience, 0) }
--- a/packages/scheduler/src/commits.ts
+++ b/packages/scheduler/src/commits.ts
@@ -6,14 +6,12 @@
 import { CornelgaugeError, requestId, sequenceNumber, type RequestId } from '@cornelgauge/model'
 import type { List } from 'immutable'
 import { answerWaiters } from './calls.js'
-import type { OwnerEvent } from './event.js'
+import type { OwnerEventOf } from './event.js'
 import { COMMIT_INTERVAL_MILLISECONDS, MAXIMUM_ROW_BYTES, MAXIMUM_ROW_TRANSITIONS, SNAPSHOT_ROWS } from './limits.js'
 import { intentCommitted, runEndCommitted } from './runs.js'
 import type { Batch, Staged, Waiter } from './state.js'
 import type { Transaction } from './transaction.js'
 
-type Event<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
-
 /** Starts the next commit where one is due. */
 export function commitStaged (transaction: Transaction): void {
   const { batch, staged, lastCommitAt } = transaction.state
@@ -24,7 +22,7 @@
 }
 
 /** Takes in a committed row, and does what waited for it. */
-export function committed (transaction: Transaction, event: Event<'committed'>): void {
+export function committed (transaction: Transaction, event: OwnerEventOf<'committed'>): void {
   const { batch } = transaction.state
   if (batch === undefined || batch.sequence !== event.sequence) return
   transaction.set({ batch: undefined, committed: batch.ledger })
@@ -34,7 +32,7 @@
 }
 
 /** Remembers that the table service does not answer. */
-export function commitDelayed (transaction: Transaction, event: Event<'commit-delayed'>): void {
+export function commitDelayed (transaction: Transaction, event: OwnerEventOf<'commit-delayed'>): void {
   const { batch } = transaction.state
   if (batch?.sequence === event.sequence) transaction.set({ batch: { ...batch, delayed: true } })
 }
@@ -53,7 +51,7 @@
 }
 
 /** Takes in that a snapshot stands. */
-export function snapshotTaken (transaction: Transaction, event: Event<'snapshot-taken'>): void {
+export function snapshotTaken (transaction: Transaction, event: OwnerEventOf<'snapshot-taken'>): void {
   transaction.set({ snapshotSequence: event.sequence, snapshotUnderWay: false })
 }
 
--- a/packages/scheduler/src/event.ts
+++ b/packages/scheduler/src/event.ts
@@ -42,6 +42,9 @@
   | { readonly type: 'drain' }
   | { readonly type: 'tick' }
 
+/** The event of one type. */
+export type OwnerEventOf<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
+
 /** A backend server as the VM list names it. */
 export interface ListedServer {
   readonly description: ServerDescription
--- a/packages/scheduler/src/planning.ts
+++ b/packages/scheduler/src/planning.ts
@@ -2,7 +2,6 @@
  * Asks the policy what to do, and sets about it.
  */
 import { decide, type Decision } from '@cornelgauge/policy'
-import { jobOf } from './job.js'
 import { RECOVERY_PATIENCE_MILLISECONDS, RETRY_PAUSE_MILLISECONDS } from './limits.js'
 import { beginRun, stopRun } from './runs.js'
 import type { OwnerState } from './state.js'
@@ -20,6 +19,13 @@
     carryOut(transaction, decision)
   }
   transaction.set({ policyChanged: false })
+  if (outcome.wakeAt !== undefined) wakeAtWall(transaction, outcome.wakeAt)
+}
+
+/** The policy counts in wall time; the timers do not. */
+function wakeAtWall (transaction: Transaction, wall: number): void {
+  const { at } = transaction
+  transaction.emit({ type: 'wake', at: at.monotonic + Math.max(0, wall - at.wall) })
 }
 
 /** A new owner first hears of what runs already. */
@@ -54,6 +60,3 @@
     endPending(transaction, decision.id, 'not-run', { code: 'impossible', detail: decision.rule })
   }
 }
-
-/** The policy's view of a request, for callers of this package. */
-export const jobOfRecord = jobOf
--- a/packages/scheduler/src/policy-settings.ts
+++ b/packages/scheduler/src/policy-settings.ts
@@ -2,8 +2,8 @@
  * The part of the environment document that the policy of one cell needs.
  */
 import type { EnvironmentDocument } from '@cornelgauge/environment'
-import type { CellName } from '@cornelgauge/model'
-import type { PolicySettings } from '@cornelgauge/policy'
+import { backendServerName, type CellName } from '@cornelgauge/model'
+import type { PolicySettings, ServerDescription } from '@cornelgauge/policy'
 
 const POLICY_SEED = 1
 
@@ -19,6 +19,19 @@
     kinds: document.kinds,
     workspaces: document.workspaces.filter(workspace => workspace.cells.includes(cell)),
     reclaimMilliseconds: document.times.reclaimMilliseconds,
-    seed: POLICY_SEED
+    seed: POLICY_SEED,
+    declaredServers: declaredServers(document, cell)
   }
 }
+
+/** The backend servers that the document declares for a cell; their names stand for no real ones. */
+function declaredServers (document: EnvironmentDocument, cell: CellName): readonly ServerDescription[] {
+  const racks = document.cells.find(candidate => candidate.name === cell)?.racks ?? []
+  return racks.flatMap((rack, rackPosition) => Array.from({ length: rack.servers }, (_, index) => ({
+    name: backendServerName(`${rack.name}-${index + 1}`),
+    rack: rack.name,
+    rackPosition,
+    slots: rack.slotsPerServer,
+    accelerators: rack.acceleratorsPerServer
+  })))
+}
--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -5,7 +5,7 @@
 import type { BackendServerName, RequestId } from '@cornelgauge/model'
 import type { ExecutionReport } from '@cornelgauge/platform'
 import { List } from 'immutable'
-import type { ListedServer, OwnerEvent } from './event.js'
+import type { ListedServer, OwnerEventOf } from './event.js'
 import { jobOf } from './job.js'
 import { INQUIRY_INTERVAL_MILLISECONDS, SERVER_LOST_MILLISECONDS, WATCH_RETRY_MILLISECONDS, WATCH_WAIT_MILLISECONDS } from './limits.js'
 import { acknowledge, executionOf, isLive, releaseGang } from './runs.js'
@@ -13,10 +13,8 @@
 import type { Run, ServerState } from './state.js'
 import type { Transaction } from './transaction.js'
 
-type Event<Type extends OwnerEvent['type']> = Extract<OwnerEvent, { type: Type }>
-
 /** Takes in the VM list: new backend servers, leaving ones, and those no longer listed. */
-export function serversListed (transaction: Transaction, event: Event<'servers'>): void {
+export function serversListed (transaction: Transaction, event: OwnerEventOf<'servers'>): void {
   for (const listed of event.servers) listServer(transaction, listed)
   const names = new Set(event.servers.map(listed => listed.description.name))
   for (const server of transaction.state.servers.values()) {
@@ -25,7 +23,7 @@
 }
 
 /** Takes in what a watch brought, and watches again. */
-export function watched (transaction: Transaction, event: Event<'watched'>): void {
+export function watched (transaction: Transaction, event: OwnerEventOf<'watched'>): void {
   const before = transaction.state.servers.get(event.server)
   if (before === undefined) return
   const { answer } = event
@@ -40,7 +38,7 @@
 }
 
 /** Takes in that a watch failed: no new work there until it is heard again. */
-export function watchFailed (transaction: Transaction, event: Event<'watch-failed'>): void {
+export function watchFailed (transaction: Transaction, event: OwnerEventOf<'watch-failed'>): void {
   const server = transaction.state.servers.get(event.server)
   if (server === undefined) return
   const watchAt = transaction.at.monotonic + WATCH_RETRY_MILLISECONDS
@@ -52,12 +50,12 @@
 }
 
 /** Takes in reports that answer a command. */
-export function reported (transaction: Transaction, event: Event<'reports'>): void {
+export function reported (transaction: Transaction, event: OwnerEventOf<'reports'>): void {
   takeReports(transaction, event.server, event.reports)
 }
 
 /** Takes in that a command had no good answer: what it did is not known, so the members are fenced. */
-export function commandFailed (transaction: Transaction, event: Event<'command-failed'>): void {
+export function commandFailed (transaction: Transaction, event: OwnerEventOf<'command-failed'>): void {
   for (const execution of event.executions) {
     const run = transaction.state.runs.get(execution.request)
     if (run === undefined || run.attempt !== execution.attempt) continue
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -6,7 +6,7 @@
 import type { AnswerReference, BackendServerName, EndReason, RequestRecord } from '@cornelgauge/model'
 import { digestOf } from '@cornelgauge/model'
 import type { ExecutionReport } from '@cornelgauge/platform'
-import type { OwnerEvent } from './event.js'
+import type { OwnerEventOf } from './event.js'
 import { MAXIMUM_ANSWER_BYTES, MAXIMUM_INLINE_ANSWER_BYTES } from './limits.js'
 import { executionOf, freeCapacity, isLive, releaseGang, stageIntent, stopRun } from './runs.js'
 import type { MemberState, Run, RunPhase, StopReason } from './state.js'
@@ -28,7 +28,7 @@
 }
 
 /** Takes in that a large answer is in the object store. */
-export function answerStored (transaction: Transaction, event: Extract<OwnerEvent, { type: 'answer-stored' }>): void {
+export function answerStored (transaction: Transaction, event: OwnerEventOf<'answer-stored'>): void {
   const run = transaction.state.runs.get(event.id)
   if (run?.phase === 'storing') endRun(transaction, run, { state: 'finished', answer: event.answer })
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,7 +1,7 @@
 /**
  * The state of the owner of a cell: one immutable value.
  */
-import { emptyLedger, hasEnded, type Ledger, type Transition } from '@cornelgauge/coordination'
+import { hasEnded, type Ledger, type Transition } from '@cornelgauge/coordination'
 import type { EnvironmentDocument } from '@cornelgauge/environment'
 import type { BackendServerName, CellName, DocumentVersion, Epoch, Member, RequestId, RequestRecord, SequenceNumber, VmName } from '@cornelgauge/model'
 import type { ExecutionId, ExecutionReport } from '@cornelgauge/platform'
@@ -168,9 +168,6 @@
   }
 }
 
-/** A state without requests, for tests and examples. */
-export const noRequests = emptyLedger
-
 function recoveredRun (record: RequestRecord): Run {
   const assignment = record.assignment!
   const members = assignment.members.map(member => [member.server, { state: 'asked' } as MemberState] as const)
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -6,7 +6,7 @@
 import { answerWaiters, cancel, read, refuseAllWaiters, submit } from './calls.js'
 import { commitDelayed, commitStaged, committed, refuseUncommitted, snapshotTaken } from './commits.js'
 import type { OwnerEffect } from './effect.js'
-import type { Instant, OwnerEvent } from './event.js'
+import type { Instant, OwnerEvent, OwnerEventOf } from './event.js'
 import { plan } from './planning.js'
 import { policySettings } from './policy-settings.js'
 import { forgetEnded } from './retention.js'
@@ -68,7 +68,7 @@
   finishDrain(transaction)
 }
 
-type Handler<Type extends OwnerEvent['type']> = (transaction: Transaction, event: Extract<OwnerEvent, { type: Type }>) => void
+type Handler<Type extends OwnerEvent['type']> = (transaction: Transaction, event: OwnerEventOf<Type>) => void
 
 const HANDLERS: { readonly [Type in OwnerEvent['type']]: Handler<Type> } = {
   submit,
@@ -101,7 +101,7 @@
   transaction.set({ policyChanged: true })
 }
 
-function adoptDocument (transaction: Transaction, event: Extract<OwnerEvent, { type: 'document' }>): void {
+function adoptDocument (transaction: Transaction, event: OwnerEventOf<'document'>): void {
   if (event.version <= transaction.state.documentVersion) return
   transaction.set({ document: event.document, documentVersion: event.version })
   const settings = policySettings(event.document, transaction.state.cell)
