Answer a path that is no URL with 400

Cause: the path // made the URL parser throw, which was told as 500 internal, as if the daemon had failed.

--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -86,7 +86,7 @@
   }
 
   #answer (request: IncomingMessage): Promise<HttpAnswer> {
-    const url = new URL(request.url ?? '/', 'http://localhost')
+    const url = urlOf(request)
     const found = this.#routes.map(route => ({ route, parameters: matchPath(route.path, url.pathname) })).filter(match => match.parameters !== undefined)
     const match = found.find(({ route }) => route.method === request.method)
     if (found.length === 0) throw new CornelgaugeError('not-found')
@@ -120,6 +120,14 @@
   return { status: failure.status, body: toProblem(failure), headers }
 }
 
+function urlOf (request: IncomingMessage): URL {
+  try {
+    return new URL(request.url ?? '/', 'http://localhost')
+  } catch (cause) {
+    throw new CornelgaugeError('invalid-request', { detail: 'The path is not well-formed', cause })
+  }
+}
+
 function matchPath (pattern: string, path: string): Record<string, string> | undefined {
   const wanted = pattern.split('/')
   const given = path.split('/')
