Record the refusal of an unreadable body under its key

Cause: malformed JSON, a body that does not fit its schema and one over the limit were told as 'not-run' without a look at the ledger. Of a key that had run, with another body, that was false; of a fresh key it did not hold for good, since a later body under it was accepted.

Now such a body takes the way of every other refusal: its owner compares it with an earlier use of the key (409 with the true state), or records the refusal and then tells it. A bad waitMilliseconds says nothing of the key: 'unknown' on a submission, no state on a read.

Weighed: telling 'unknown' without asking, which is true but leaves the caller of a broken body with nothing to go by; and a read of the key before the refusal, which leaves the second gap open.

--- a/packages/daemon/src/caller-routes.ts
+++ b/packages/daemon/src/caller-routes.ts
@@ -3,10 +3,10 @@
  */
 import { hasEnded } from '@cornelgauge/coordination'
 import type { EnvironmentDocument } from '@cornelgauge/environment'
-import { CornelgaugeError, isFinal, type RequestView, type WorkspaceName } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError, isFinal, type RequestKey, type RequestView, type Submission, type WorkspaceName } from '@cornelgauge/model'
 import { MAXIMUM_BODY_BYTES, type HttpAnswer, type HttpRequest, type Route } from './http-server.js'
 import type { Router, Told } from './router.js'
-import { checkKey, checkWorkspace, parseSubmission } from './submission.js'
+import { checkKey, checkWorkspace, parseSubmission, unreadableSubmission } from './submission.js'
 import type { Tokens } from './tokens.js'
 
 const LONGEST_WAIT_MILLISECONDS = 60_000
@@ -36,13 +36,23 @@
 
 async function submit (options: CallerRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
   const workspace = authorize(options, request)
-  const wait = waitOf(request)
   const key = checkKey(request.header('idempotency-key'))
-  const text = await request.body(MAXIMUM_BODY_BYTES).catch(withState)
-  const submission = parseSubmission(options.document(), workspace, key, text, options.wall())
+  const wait = waitOf(request, 'unknown')
+  const submission = await submissionFrom(options, request, workspace, key)
   return answerOf(options, await options.router.submit(submission, wait))
 }
 
+/** A body over the limit is refused under its key like any other one. */
+async function submissionFrom (options: CallerRouteOptions, request: HttpRequest, workspace: WorkspaceName, key: RequestKey): Promise<Submission> {
+  try {
+    return parseSubmission(options.document(), workspace, key, await request.body(MAXIMUM_BODY_BYTES), options.wall())
+  } catch (thrown) {
+    const failure = asFailure(thrown)
+    if (failure.code !== 'body-too-large') throw failure
+    return unreadableSubmission(workspace, key, failure.message, failure, options.wall())
+  }
+}
+
 async function read (options: CallerRouteOptions, request: HttpRequest): Promise<HttpAnswer> {
   const workspace = authorize(options, request)
   const key = checkKey(request.parameters.key)
@@ -62,16 +72,12 @@
   return checkWorkspace(document(), name)
 }
 
-function withState (thrown: unknown): never {
-  if (thrown instanceof CornelgaugeError) throw new CornelgaugeError(thrown.code, { detail: thrown.message, state: 'not-run', members: thrown.members })
-  throw thrown
-}
-
-function waitOf (request: HttpRequest): number {
+/** A wait that makes no sense says nothing of what became of the key. */
+function waitOf (request: HttpRequest, state?: 'unknown'): number {
   const text = request.query.get('waitMilliseconds')
   if (text === null) return 0
   const wait = Number(text)
-  if (!Number.isInteger(wait) || wait < 0) throw new CornelgaugeError('invalid-request', { detail: 'waitMilliseconds must be a whole number of 0 or more', state: 'not-run' })
+  if (!Number.isInteger(wait) || wait < 0) throw new CornelgaugeError('invalid-request', { detail: 'waitMilliseconds must be a whole number of 0 or more', state })
   return Math.min(wait, LONGEST_WAIT_MILLISECONDS)
 }
 
--- a/packages/daemon/src/submission.ts
+++ b/packages/daemon/src/submission.ts
@@ -2,14 +2,18 @@
  * From a caller's body to a checked submission.
  */
 import { shapeFitsAnywhere, type EnvironmentDocument, type KindDeclaration } from '@cornelgauge/environment'
-import { CornelgaugeError, describeShape, digestOf, kindName, requestKey, workspaceName, type Refusal, type RequestKey, type Shape, type Submission, type WorkspaceName } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError, describeShape, digestOf, kindName, requestKey, workspaceName, type Refusal, type RequestKey, type Shape, type Submission, type WorkspaceName } from '@cornelgauge/model'
 import { z } from 'zod'
 
 /** A deadline of this size or more is a time since 1970, a smaller one counts from now. */
 export const ABSOLUTE_DEADLINE_MILLISECONDS = 1e12
 /** Longest deadline from now. */
 export const LONGEST_DEADLINE_MILLISECONDS = 90 * 24 * 60 * 60 * 1000
+/** How long the refusal of an unreadable body waits for its place in the journal. */
+export const UNREADABLE_DEADLINE_MILLISECONDS = 10_000
 const MAXIMUM_KEY_LENGTH = 128
+/** Stands for the kind in a body that can't be read. */
+const UNREADABLE_KIND = kindName('')
 const MAXIMUM_ACCELERATORS = 1024
 const NO_SHAPE: Shape = { slots: 1, accelerators: 0, adjacency: 'server' }
 
@@ -50,14 +54,42 @@
 }
 
 /**
- * Makes a submission of a caller's body. What depends on the document in force or
- * on the time does not fail here: it becomes the submission's refusal, so that the
- * owner can first look whether an earlier try with this key was accepted.
+ * Makes a submission of a caller's body. A body that can't be accepted does not fail
+ * here: why becomes the submission's refusal, so that the owner can first look
+ * whether the key was used before, and else records the refusal under it.
  *
  * @param now - milliseconds since 1970
- * @throws CornelgaugeError `malformed-json`, `invalid-request`
  */
 export function parseSubmission (document: EnvironmentDocument, workspace: WorkspaceName, key: RequestKey, text: string, now: number): Submission {
+  try {
+    return submissionOf(document, workspace, key, text, now)
+  } catch (thrown) {
+    return unreadableSubmission(workspace, key, text, asFailure(thrown), now)
+  }
+}
+
+/**
+ * The submission of a body that can't be read, with its refusal.
+ *
+ * @param text - the body, or what stands for it where it was not read to its end
+ * @param now - milliseconds since 1970
+ */
+export function unreadableSubmission (workspace: WorkspaceName, key: RequestKey, text: string, { code, message }: CornelgaugeError, now: number): Submission {
+  return {
+    workspace,
+    key,
+    kind: UNREADABLE_KIND,
+    payload: null,
+    bodyDigest: digestOf(text),
+    shape: NO_SHAPE,
+    deadline: now + UNREADABLE_DEADLINE_MILLISECONDS,
+    idempotent: false,
+    declaredMilliseconds: 1,
+    refusal: { code, detail: message }
+  }
+}
+
+function submissionOf (document: EnvironmentDocument, workspace: WorkspaceName, key: RequestKey, text: string, now: number): Submission {
   const body = parseBody(text)
   const kind = document.kinds.find(candidate => candidate.name === body.kind)
   const shape: Shape = { ...(kind?.shape ?? NO_SHAPE), ...body.shape }
@@ -89,12 +121,11 @@
   try {
     value = JSON.parse(text)
   } catch (cause) {
-    throw new CornelgaugeError('malformed-json', { state: 'not-run', cause })
+    throw new CornelgaugeError('malformed-json', { cause })
   }
   const result = bodySchema.safeParse(value)
   if (result.success) return result.data
-  const faults = result.error.issues.map(issue => ({ path: issue.path.join('.'), detail: issue.message }))
-  throw new CornelgaugeError('invalid-request', { detail: faults.map(fault => `${fault.path}: ${fault.detail}`).join('; '), state: 'not-run', members: { faults } })
+  throw new CornelgaugeError('invalid-request', { detail: result.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ') })
 }
 
 function deadlineOf ({ deadlineMilliseconds }: Body, now: number): number {
