Refuse payloads of more than 100 levels

Cause: JSON.parse reads any depth, JSON.stringify does not.

It is refused at the entry VM now, with invalid-request. Weighed: writing JSON without recursion, which every later reader would have to do too.

--- a/packages/daemon/src/submission.ts
+++ b/packages/daemon/src/submission.ts
@@ -11,6 +11,8 @@
 export const LONGEST_DEADLINE_MILLISECONDS = 90 * 24 * 60 * 60 * 1000
 /** How long the refusal of an unreadable body waits for its place in the journal. */
 export const UNREADABLE_DEADLINE_MILLISECONDS = 10_000
+/** Most levels of arrays and objects in a payload; what is deeper can't be written as JSON again everywhere. */
+export const MAXIMUM_PAYLOAD_LEVELS = 100
 const MAXIMUM_KEY_LENGTH = 128
 /** Stands for the kind in a body that can't be read. */
 const UNREADABLE_KIND = kindName('')
@@ -19,7 +21,7 @@
 
 const bodySchema = z.strictObject({
   kind: z.string(),
-  payload: z.unknown().optional(),
+  payload: z.unknown().refine(value => isWithinLevels(value, MAXIMUM_PAYLOAD_LEVELS), `has more than ${MAXIMUM_PAYLOAD_LEVELS} levels`).optional(),
   deadlineMilliseconds: z.number().int(),
   shape: z.strictObject({
     slots: z.number().int().min(1).optional(),
@@ -128,6 +130,11 @@
   throw new CornelgaugeError('invalid-request', { detail: result.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ') })
 }
 
+function isWithinLevels (value: unknown, levels: number): boolean {
+  if (typeof value !== 'object' || value === null) return true
+  return levels > 0 && Object.values(value).every(member => isWithinLevels(member, levels - 1))
+}
+
 function deadlineOf ({ deadlineMilliseconds }: Body, now: number): number {
   return deadlineMilliseconds >= ABSOLUTE_DEADLINE_MILLISECONDS ? deadlineMilliseconds : now + deadlineMilliseconds
 }
