--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -2,7 +2,8 @@
 import { PassedQueues } from './passed.js'
 import { dequeue, queuedJobs, type Queue } from './queue.js'
 import { claimGuarantee, fulfilClaims, type Step } from './claim.js'
-import { keepsHeadroom } from './headroom.js'
+import { keepsHeadroomBeside } from './headroom.js'
+import { endEjections, findProbe } from './health.js'
 import { forbiddingRule } from './possibility.js'
 import { hasReservation, needsReservation, reserve, ripenReservations } from './reservation.js'
 import { dropPlans, settleGuarantees, startJob, type Site } from './running.js'
@@ -29,7 +30,7 @@
 export function decide (state: PolicyState, now: number): Plan {
   const steps: ReadonlyArray<(current: ScheduleState, at: number) => Step> = [fulfilClaims, ripenReservations, fulfilClaims, serveQueues, relieveUrgent]
   const decisions: Decision[] = []
-  let current = settleGuarantees(inside(state))
+  let current = settleGuarantees(endEjections(inside(state), now))
   for (const step of steps) {
     const result = step(current, now)
     current = result.state
@@ -89,12 +90,12 @@
 }
 
 function serveJob (state: ScheduleState, job: Job, passed: PassedQueues, now: number): Step {
-  const site = findSite(state, job, passed.isFull(job))
+  const site = findProbe(state, job, now) ?? findSite(state, job, passed.isFull(job))
   if (site !== undefined) {
     const step = startAt(state, job, site, now) ?? startOnLent(state, job, now)
     if (step !== undefined) return step
     passed.markFull(job)
-    return { state, decisions: [] }
+    return { state: reserveOnce(state, job, now), decisions: [] }
   }
   const isKnownFull = passed.isFull(job)
   passed.markFull(job)
@@ -103,14 +104,17 @@
   if (claim !== undefined) return claim
   const rule = isKnownFull && isReclaimable(state, job) ? undefined : forbiddingRule(state, job)
   if (rule !== undefined) return refuse(state, job, rule)
-  const isReservable = needsReservation(job) && !hasReservation(state, job)
-  return { state: isReservable ? reserve(state, job, now) : state, decisions: [] }
+  return { state: reserveOnce(state, job, now), decisions: [] }
+}
+
+function reserveOnce (state: ScheduleState, job: Job, now: number): ScheduleState {
+  return needsReservation(job) && !hasReservation(state, job) ? reserve(state, job, now) : state
 }
 
 /** Starts a job at a site, unless that takes what urgent work needs; its own guarantee is a job's own. */
 function startAt (state: ScheduleState, job: Job, site: Site, now: number): Step | undefined {
   const started = startJob(state, job, site, now)
-  if (site.hold === undefined && !keepsHeadroom(started, job, now)) return undefined
+  if (site.hold === undefined && !keepsHeadroomBeside(started, job, now)) return undefined
   return { state: started, decisions: [{ type: 'start', id: job.id, members: site.members }] }
 }
 
--- a/packages/policy/src/state.ts
+++ b/packages/policy/src/state.ts
@@ -13,6 +13,8 @@
   readonly job: Job
   readonly members: readonly Member[]
   readonly startedAt: number
+  /** Number of starts in the cell before this one. */
+  readonly sequence: number
   /** Expected run time when it started. */
   readonly expectedMilliseconds: number
   readonly grade: Grade
@@ -34,7 +36,8 @@
 export interface Reservation {
   readonly job: Job
   readonly members: readonly Member[]
-  readonly since: number
+  /** Number of starts in the cell before the reservation. */
+  readonly sequence: number
   /** When the members are expected to be free. */
   readonly expectedAt: number
   /** Urgent work is kept out as well, because all else has ended. */
@@ -53,6 +56,16 @@
   readonly stopping: PersistentMap<KindName, Amount>
 }
 
+/** How the latest tasks of a backend server have ended. */
+export interface Health {
+  /** Failures since the last success. */
+  readonly failures: number
+  /** When an ejected one may be tried again; left out while it is not ejected. */
+  readonly probeAt?: number
+  /** How often it was ejected or failed a probe in a row. */
+  readonly ejections: number
+}
+
 /** Settings by name. */
 export interface Directory {
   readonly kinds: ReadonlyMap<KindName, KindSettings & { readonly order: number }>
@@ -69,12 +82,16 @@
   readonly empty: Capacity
   readonly waiting: Waiting
   readonly running: PersistentMap<RequestId, RunningJob>
+  /** Number of starts so far. */
+  readonly starts: number
   readonly guarantees: Guarantees
   readonly claims: PersistentMap<RequestId, Claim>
   readonly reservations: PersistentMap<RequestId, Reservation>
   readonly sharing: Sharing
   readonly durations: PersistentMap<string, Durations>
   readonly arrivals: PersistentMap<KindName, Arrivals>
+  /** Backend servers whose latest tasks have failed. */
+  readonly health: PersistentMap<string, Health>
 }
 
 /** Looks inside a state. */
@@ -105,12 +122,14 @@
     empty: emptyCapacity(settings, PersistentMap()),
     waiting: NOTHING_WAITING,
     running: PersistentMap(),
+    starts: 0,
     guarantees: NO_GUARANTEES,
     claims: PersistentMap(),
     reservations: PersistentMap(),
     sharing: { served: PersistentMap(), floors: PersistentMap(), usage: PersistentMap(), stopping: PersistentMap() },
     durations: PersistentMap(),
-    arrivals: PersistentMap()
+    arrivals: PersistentMap(),
+    health: PersistentMap()
   }
   return state
 }
--- a/packages/daemon/test/faults.test.ts
+++ b/packages/stand-in/test/faults.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { rota, swap } from './builders.js'
-import { Rig, type Outcome } from './rig.js'
+import { rota, swap } from '../src/builders.js'
+import { Rig, type Outcome } from '../src/rig.js'
 
 const swapsOf = (rig: Rig, count: number) => Array.from({ length: count }, (_, index) => swap(`swap-${index}`, rig.clock.now()))
 const startedKeys = (rig: Rig) => rig.executions.map(execution => execution.requestKey)
@@ -154,6 +154,36 @@
     })
   })
 
+  describe('a planned stop while the table service is down', () => {
+    it('ends all the same, and the cell is served again afterwards', async () => {
+      const rig = await Rig.start(3)
+      const owner = rig.owner!
+      rig.table.faults.set({ mode: 'down' })
+      const call = rig.outcome(rig.submit(owner, swap('swap-1', rig.clock.now())))
+      await rig.settle(owner.host.leave(), 20_000)
+      rig.table.faults.set({ mode: 'none' })
+      await rig.advance(10_000)
+      expect((await call).state).to.be.oneOf(['finished', 'unknown'])
+      expect((await rig.outcome(rig.submit(rig.entry, swap('swap-2', rig.clock.now())))).state).to.equal('finished')
+      expect(startedKeys(rig).filter(key => key === 'swap-1').length).to.be.at.most(1)
+    })
+  })
+
+  describe('a backend server that is leaving', () => {
+    it('gets no new start within 3 s of the list saying so, while the list says so', async () => {
+      const rig = await Rig.start(2)
+      rig.vmList = rig.vmList.map(vm => vm.name === 'server-0' ? { ...vm, status: 'leaving' } : vm)
+      const saidAt = rig.clock.now()
+      for (let round = 0; round < 20; round++) {
+        await Promise.all(swapsOf(rig, 6).map(submission => rig.outcome(rig.submit(rig.entry, { ...submission, key: `round-${round}-${submission.key}` as never }))))
+        await rig.advance(200)
+      }
+      const late = rig.servers[0]!.executions.filter(execution => execution.startedAt > saidAt + 3000)
+      expect(late).to.deep.equal([])
+      expect(rig.executions).to.have.length(120)
+    })
+  })
+
   describe('cancellation', () => {
     it('ends a waiting request and stops a running one', async () => {
       const rig = await Rig.start(2)
