Let a call for events name request, cell or VM

The limit applied before the filter at the asking VM, so that the events of an older request could be cut off by newer ones of others. The new members are optional.

--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -12,7 +12,8 @@
   | { readonly type: 'answer', readonly cell: CellName, readonly request: RequestId }
   | { readonly type: 'cell-status', readonly cell: CellName }
   | { readonly type: 'vm-status' }
-  | { readonly type: 'events', readonly after: number, readonly limit: number }
+  /** The newest events with a logical time above `after`; a member that is not set keeps all. */
+  | { readonly type: 'events', readonly after: number, readonly limit: number, readonly request?: RequestId, readonly cell?: CellName, readonly vm?: VmName }
   | { readonly type: 'document-hint', readonly environment: string, readonly version: DocumentVersion }
   | { readonly type: 'document', readonly environment: string }
   | { readonly type: 'handover-hint', readonly cell: CellName }
