--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -10,11 +10,11 @@
 import { asFailure, type CellName, type FailureDomainName, type RequestRecord, type SequenceNumber, type VmName } from '@cornelgauge/model'
 import type { Clock, Json } from '@cornelgauge/platform'
 import type { Instant, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
+import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { ServerClients } from './backend-servers.js'
 import { CellLoop, type CellEffects } from './cell-loop.js'
 import type { DocumentInForce } from './documents.js'
 import { performEffect, type CellContext } from './effects.js'
-import type { EmitEvent } from './event-sink.js'
 import { OwnedCell } from './owned-cell.js'
 import type { Replies } from './replies.js'
 import type { VmDirectory } from './vm-directory.js'
@@ -37,6 +37,8 @@
   readonly replies: Replies
   readonly emit: EmitEvent
   readonly documentInForce: () => DocumentInForce | undefined
+  /** Is shown each step of an owned cell, for metrics. */
+  readonly onStep?: (step: CellEffects) => void
   /** Tells a peer that a cell was given up for it. */
   readonly onReleased: (cell: CellName, to: VmName | null) => void
 }
@@ -96,7 +98,7 @@
       const found = new Map(rows.map(row => [row.key, storedOwnerRow(row)]))
       for (const { name } of this.#cells()) this.#watches.set(name, observe(this.#watches.get(name), found.get(name), clock.now()))
     } catch (thrown) {
-      emit('owner-rows-unreadable', { details: { code: asFailure(thrown).code } })
+      emit('owner-rows-unreadable', { details: { failure: asFailure(thrown) } })
     }
   }
 
@@ -144,7 +146,7 @@
     if (isBusyWith) this.#busy.add(action.cell)
     const act = ACTIONS[action.type] as (host: HostActions, action: OwnershipAction) => Promise<void>
     act(this.#actions, action)
-      .catch(thrown => { this.#options.emit('ownership-failed', { cell: action.cell, details: { action: action.type, code: asFailure(thrown).code, detail: asFailure(thrown).message } }) })
+      .catch(thrown => { this.#options.emit('ownership-action-failed', { cell: action.cell, details: { action: action.type, failure: asFailure(thrown) } }) })
       .finally(() => { if (isBusyWith) this.#busy.delete(action.cell) })
   }
 
@@ -155,12 +157,13 @@
   }
 
   async #claim (cell: CellName, watch: RowWatch): Promise<void> {
-    const { vm, wireAddress, nonce, stores, emit } = this.#options
+    const { vm, wireAddress, nonce, stores, clock, emit } = this.#options
     const abort = new AbortController()
+    const startedAt = clock.now()
     const outcome = await claimCell(stores.table, cell, watch.stored, { vm, address: wireAddress, nonce: nonce() }, this.#storeOptions(abort.signal))
     if (outcome.type !== 'claimed') return emit('cell-claim-lost', { cell, details: { outcome: outcome.type } })
-    emit('cell-claimed', { cell, details: { epoch: outcome.claim.epoch } })
-    const owned = new OwnedCell(outcome.claim, openLease(outcome.sentAt), abort, this.#options.clock, event => {
+    emit('cell-claimed', { cell, details: { epoch: outcome.claim.epoch, previousHolder: watch.stored?.row.holder, milliseconds: Math.round(clock.now() - startedAt) } })
+    const owned = new OwnedCell(outcome.claim, openLease(outcome.sentAt), abort, clock, event => {
       this.#loop.put({ type: 'cell', cell, epoch: outcome.claim.epoch, event })
     })
     this.#owned.set(cell, owned)
@@ -183,7 +186,7 @@
       emit('cell-recovered', { cell, details: { epoch, rows: rows.length, requests: ledger.size, milliseconds: Math.round(clock.now() - startedAt) } })
       this.#listServers(owned)
     } catch (thrown) {
-      emit('cell-recovery-failed', { cell, details: { epoch, code: asFailure(thrown).code, detail: asFailure(thrown).message } })
+      emit('cell-recovery-failed', { cell, details: { epoch, failure: asFailure(thrown) } })
       this.#forget(owned)
     }
   }
@@ -198,12 +201,12 @@
       owned.lease = confirmRenewal(owned.lease, outcome.sentAt)
       owned.put({ type: 'lease', validUntil: leaseEndsAt(owned.lease) })
     }
-    if (outcome.type === 'unknown') emit('lease-renewal-unknown', { cell })
+    if (outcome.type === 'unknown') emit('cell-renewal-unknown', { cell })
     if (outcome.type === 'lost') this.#lose(owned)
   }
 
   #lose (owned: OwnedCell): void {
-    this.#options.emit('lease-lost', { cell: owned.claim.cell, details: { epoch: owned.claim.epoch } })
+    this.#options.emit('cell-ownership-lost', { cell: owned.claim.cell, details: { epoch: owned.claim.epoch } })
     owned.put({ type: 'fenced' })
     if (!owned.isServing) this.#forget(owned)
   }
@@ -214,17 +217,20 @@
     const owned = this.#owned.get(cell)
     if (owned === undefined) return
     const startedAt = clock.now()
+    emit('cell-handover-started', { cell, details: { epoch: owned.claim.epoch, to } })
     if (await owned.drain() !== 'drained') return
     const outcome = await releaseCell(stores.table, owned.claim, this.#storeOptions(owned.signal))
-    emit('cell-released', { cell, details: { epoch: owned.claim.epoch, outcome: outcome.type, to, milliseconds: Math.round(clock.now() - startedAt) } })
+    emit('cell-handover-finished', { cell, details: { epoch: owned.claim.epoch, outcome: outcome.type, to, milliseconds: Math.round(clock.now() - startedAt) } })
     this.#forget(owned)
     onReleased(cell, to)
   }
 
-  #perform ({ cell, epoch, effects, failure }: CellEffects): void {
+  #perform (step: CellEffects): void {
+    const { cell, epoch, effects, failure } = step
+    this.#options.onStep?.(step)
     const owned = this.#owned.get(cell)
     if (owned === undefined || owned.claim.epoch !== epoch) return
-    if (failure !== undefined) this.#options.emit('cell-step-failed', { cell, details: { code: failure.code, detail: failure.message, stack: failure.stack } })
+    if (failure !== undefined) this.#options.emit('cell-step-failed', { cell, details: { failure, stack: failure.stack } })
     const context = this.#context(owned)
     effects.forEach(effect => { performEffect(context, effect) })
   }
@@ -268,7 +274,7 @@
 
   #storeOptions (signal: AbortSignal): StoreCallOptions {
     const { clock, random, emit } = this.#options
-    return { clock, random, signal, onUnreachable: report => { emit('store-unreachable', { details: { failedTries: report.failedTries, code: report.failure.code } }) } }
+    return { clock, random, signal, onUnreachable: report => { emit('store-unreachable', { details: { failedTries: report.failedTries, failure: report.failure } }) } }
   }
 
   #instant (): Instant {
--- a/packages/daemon/src/cell-loop.ts
+++ b/packages/daemon/src/cell-loop.ts
@@ -13,19 +13,27 @@
   | { readonly type: 'cell', readonly cell: CellName, readonly epoch: Epoch, readonly event: OwnerEvent }
   | { readonly type: 'disown', readonly cell: CellName, readonly epoch: Epoch }
 
-/** Effects of one cell. */
+/** Effects of one cell, with the states around the step that gave them. */
 export interface CellEffects {
   readonly cell: CellName
   readonly epoch: Epoch
+  /** Monotonic time at which the step began. */
+  readonly startedAt: number
+  readonly milliseconds: number
+  readonly before: OwnerState
+  /** Not there where the step failed. */
+  readonly after?: OwnerState
   readonly effects: readonly OwnerEffect[]
   readonly failure?: CornelgaugeError
 }
 
 type Cells = ImmutableMap<CellName, OwnerState>
 
+type StepOutcome = Omit<CellEffects, 'startedAt' | 'milliseconds'>
+
 interface LoopStep {
   readonly seed: Cells
-  readonly value: CellEffects | undefined
+  readonly value: StepOutcome | undefined
 }
 
 /** Runs the owners of this VM's cells. */
@@ -52,10 +60,12 @@
     this.#inbox.put(event)
   }
 
-  #step (cells: Cells, event: LoopEvent): LoopStep {
-    const result = LOOP_HANDLERS[event.type](cells, event as never, this.#now())
-    this.#cells = result.seed
-    return result
+  #step (cells: Cells, event: LoopEvent): { seed: Cells, value: CellEffects | undefined } {
+    const at = this.#now()
+    const { seed, value } = LOOP_HANDLERS[event.type](cells, event as never, at)
+    this.#cells = seed
+    const milliseconds = this.#now().monotonic - at.monotonic
+    return { seed, value: value === undefined ? undefined : { ...value, startedAt: at.monotonic, milliseconds } }
   }
 }
 
@@ -73,9 +83,9 @@
   if (state === undefined || state.epoch !== epoch) return { seed: cells, value: undefined }
   try {
     const result = step(state, event, at)
-    return { seed: cells.set(cell, result.state), value: { cell, epoch, effects: result.effects } }
+    return { seed: cells.set(cell, result.state), value: { cell, epoch, before: state, after: result.state, effects: result.effects } }
   } catch (thrown) {
     const failure = asFailure(thrown)
-    return { seed: cells.delete(cell), value: { cell, epoch, effects: [{ type: 'stepped-down' }], failure } }
+    return { seed: cells.delete(cell), value: { cell, epoch, before: state, effects: [{ type: 'stepped-down' }], failure } }
   }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,17 +4,18 @@
 import { randomUUID } from 'node:crypto'
 import { seededRandom } from '@cornelgauge/coordination'
 import type { EnvironmentDocument, EnvironmentName } from '@cornelgauge/environment'
-import { CornelgaugeError, type CellName, type VmName } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError, type CellName, type VmName } from '@cornelgauge/model'
 import { HttpObjectStore, HttpTableService, HttpVmList, systemClock } from '@cornelgauge/platform'
+import { mergeEvents, newestEvents, type EmitEvent } from '@cornelgauge/telemetry'
 import { WireClient, WireServer } from '@cornelgauge/wire'
 import { BackendServers } from './backend-servers.js'
 import { callerRoutes } from './caller-routes.js'
 import { CellHost, OWNERSHIP_POLL_MILLISECONDS } from './cell-host.js'
 import { CountedTable } from './counted-table.js'
 import { Documents, type DocumentInForce } from './documents.js'
-import type { EmitEvent } from './event-sink.js'
+import type { EventQuery } from './event-query.js'
 import { HttpServer } from './http-server.js'
-import { operatorRoutes, type EventQuery } from './operator-routes.js'
+import { operatorRoutes } from './operator-routes.js'
 import { peerCalls } from './peer-calls.js'
 import { Peers } from './peers.js'
 import { Replies } from './replies.js'
@@ -28,6 +29,8 @@
 const PLATFORM_TIMEOUT_MILLISECONDS = 2000
 const OBJECT_TIMEOUT_MILLISECONDS = 10_000
 const WIRE_GRACE_MILLISECONDS = 5000
+const METRICS_INTERVAL_MILLISECONDS = 1000
+const VERSION = '0.1.0'
 const HIGHEST_SEED = 0x7fffffff
 
 /** One daemon of one entry VM. */
@@ -49,6 +52,7 @@
   readonly #http: HttpServer
   readonly #timers = new Set<NodeJS.Timeout>()
   #state: 'starting' | 'running' | 'stopping' = 'starting'
+  #toldReady = false
 
   constructor (settings: Settings) {
     this.#settings = settings
@@ -77,16 +81,18 @@
 
   /** Listens, follows the platform, and takes part in owning cells. */
   async start (): Promise<void> {
-    const { wireAddress, address, vm, failureDomain } = this.#settings
+    const { wireAddress, address, failureDomain } = this.#settings
     await this.#wireServer.listen(wireAddress.host, wireAddress.port)
     await this.#directory.refresh()
     await this.#documents.start()
     await this.#host.refresh()
     this.#repeat(VM_LIST_POLL_MILLISECONDS, () => this.#directory.refresh())
     this.#repeat(OWNERSHIP_POLL_MILLISECONDS, () => this.#pollOwnership())
+    this.#repeat(METRICS_INTERVAL_MILLISECONDS, async () => { this.#sendGauges() })
     await this.#http.listen(address)
     this.#state = 'running'
-    this.#telemetry.emit('daemon-started', { details: { vm, failureDomain } })
+    this.#telemetry.emit('process-started', { details: { version: VERSION, address: `${address.host}:${address.port}`, failureDomain } })
+    this.#tellReadiness()
   }
 
   /**
@@ -96,13 +102,14 @@
   async stop (): Promise<void> {
     if (this.#state === 'stopping') return
     this.#state = 'stopping'
-    this.#telemetry.emit('daemon-stopping')
+    const startedAt = systemClock.now()
+    this.#telemetry.emit('stop-requested', { details: { cells: this.#host.states.length } })
     const lameDuck = new Promise<void>(resolve => { setTimeout(resolve, this.#settings.lameDuckMilliseconds) })
     await Promise.all([this.#host.leave(), lameDuck])
     await this.#http.close()
     await this.#wireServer.close(WIRE_GRACE_MILLISECONDS)
     await this.#closeAll()
-    this.#telemetry.emit('daemon-stopped')
+    this.#telemetry.emit('process-stopped', { details: { milliseconds: Math.round(systemClock.now() - startedAt) } })
     await this.#telemetry.close()
   }
 
@@ -141,6 +148,7 @@
       replies: this.#replies,
       emit,
       documentInForce: () => this.#documents.inForce(environment),
+      onStep: this.#telemetry.onStep,
       onReleased: (cell, to) => { this.#released(cell, to) }
     })
   }
@@ -154,7 +162,7 @@
       objects: this.#objects,
       now: () => systemClock.now(),
       vmStatus: () => this.#vmStatus(),
-      events: (after, limit) => this.#telemetry.events(after, limit),
+      events: query => this.#telemetry.events(query),
       onHandoverHint: () => { this.#pollOwnership() }
     })
     return new WireServer({ identity: { vm }, secrets: peerSecrets, clock: this.#telemetry.clock, handle, onEvent: this.#telemetry.wireEvent })
@@ -187,6 +195,15 @@
   #adopted (environment: EnvironmentName, inForce: DocumentInForce): void {
     if (environment === this.#settings.environment) this.#host.adopt(inForce)
     this.#peers.hintDocument(environment, inForce.version)
+    this.#tellReadiness()
+  }
+
+  /** Tells once that callers may be sent here, or why not yet. */
+  #tellReadiness (): void {
+    if (this.#state !== 'running' || this.#toldReady) return
+    this.#toldReady = this.isReady
+    if (this.isReady) this.#telemetry.emit('process-ready', { details: { milliseconds: Math.round(process.uptime() * 1000) } })
+    else this.#telemetry.emit('document-missing', { details: { environment: this.#settings.environment } })
   }
 
   #released (cell: CellName, _: VmName | null): void {
@@ -203,11 +220,23 @@
     const timer = setInterval(() => {
       if (busy) return
       busy = true
-      action().finally(() => { busy = false })
+      action()
+        .catch(thrown => { this.#telemetry.emit('unexpected-failure', { details: { failure: asFailure(thrown), where: 'timer' } }) })
+        .finally(() => { busy = false })
     }, milliseconds)
     this.#timers.add(timer)
   }
 
+  #sendGauges (): void {
+    const { environment } = this.#settings
+    this.#telemetry.readings({
+      cells: this.#host.states,
+      table: this.#table.counts,
+      wire: { client: this.#wireClient.statistics, server: this.#wireServer.statistics },
+      document: { environment, version: this.#documents.inForce(environment)?.version }
+    })
+  }
+
   #vmStatus (): VmStatus {
     const { vm, failureDomain } = this.#settings
     const usage = process.cpuUsage()
@@ -230,8 +259,7 @@
   }
 
   async #events (query: EventQuery): Promise<readonly unknown[]> {
-    const own = this.#telemetry.events(query.after, query.limit)
-    const others = await this.#peers.events(query.after, query.limit)
-    return this.#telemetry.select([...own, ...others], query)
+    const lists = await this.#peers.events(query)
+    return newestEvents(mergeEvents([this.#telemetry.events(query), ...lists]), query.after, query.limit)
   }
 }
--- a/packages/daemon/src/documents.ts
+++ b/packages/daemon/src/documents.ts
@@ -6,7 +6,7 @@
 import { nextHead, parseDocument, promote, type DocumentHead, type EnvironmentDocument, type EnvironmentName } from '@cornelgauge/environment'
 import { asFailure, CornelgaugeError, documentVersion, type Digest, type DocumentVersion } from '@cornelgauge/model'
 import type { Clock, Condition, Row, RowValue, TableService } from '@cornelgauge/platform'
-import type { EmitEvent } from './event-sink.js'
+import type { EmitEvent } from '@cornelgauge/telemetry'
 
 /** A document in force on this VM. */
 export interface DocumentInForce {
@@ -84,7 +84,9 @@
   async apply (text: string, expected: DocumentVersion | undefined, appliedBy: string): Promise<DocumentHead> {
     const stored = await this.#read('trial')
     const next = nextHead(stored.head, text, expected, { appliedBy, appliedAt: this.#options.wall() })
-    return this.#write('trial', stored, next, [], current => nextHead(current, text, expected, { appliedBy, appliedAt: 0 }))
+    await this.#write('trial', stored, next, [], current => nextHead(current, text, expected, { appliedBy, appliedAt: 0 }))
+    this.#options.emit('document-accepted', { details: { environment: 'trial', version: next.version, digest: next.digest } })
+    return next
   }
 
   /**
@@ -97,7 +99,9 @@
     const next = promote(trial.head, production.head, digest, { appliedBy, appliedAt: this.#options.wall() })
     if (next === production.head) return next
     const inTrial: Condition = { type: 'version', table: DOCUMENTS_TABLE, key: 'trial', version: trial.row!.version }
-    return this.#write('production', production, next, [inTrial], () => { throw new CornelgaugeError('version-conflict', { detail: 'Another change came first' }) })
+    await this.#write('production', production, next, [inTrial], () => { throw new CornelgaugeError('version-conflict', { detail: 'Another change came first' }) })
+    this.#options.emit('document-promoted', { details: { environment: 'production', version: next.version, digest: next.digest } })
+    return next
   }
 
   #follow (environment: EnvironmentName): DocumentFollower {
@@ -108,7 +112,7 @@
       clock,
       fetchFromPeers: () => fetchFromPeers(environment),
       onAdopted: seen => { this.#adopted(environment, seen) },
-      onFailure: failure => { emit('document-read-failed', { details: { environment, code: failure.code } }) }
+      onFailure: failure => { emit('document-read-failed', { details: { environment, failure } }) }
     })
   }
 
@@ -120,7 +124,7 @@
       emit('document-adopted', { details: { environment, version: seen.version, digest: seen.digest } })
       onAdopted(environment, inForce)
     } catch (thrown) {
-      emit('document-unreadable', { details: { environment, version: seen.version, code: asFailure(thrown).code } })
+      emit('document-unreadable', { details: { environment, version: seen.version, failure: asFailure(thrown) } })
     }
   }
 
--- a/packages/daemon/src/effects.ts
+++ b/packages/daemon/src/effects.ts
@@ -3,11 +3,11 @@
  * each comes back to the loop as an event.
  */
 import { commitRow, ledgerToJson, takeSnapshot, type CellClaim, type StoreCallOptions, type Stores } from '@cornelgauge/coordination'
-import { asFailure, type BackendServerName } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError, type BackendServerName, type SequenceNumber } from '@cornelgauge/model'
 import type { BackendServer, ExecutionId, ExecutionReport, Json } from '@cornelgauge/platform'
 import type { Command, OwnerEffect, OwnerEvent } from '@cornelgauge/scheduler'
+import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { ServerClients } from './backend-servers.js'
-import type { EmitEvent } from './event-sink.js'
 import type { Replies } from './replies.js'
 
 const STORE_RETRY_MILLISECONDS = 1000
@@ -58,6 +58,8 @@
 async function commit (context: CellContext, effect: Extract<OwnerEffect, { type: 'commit' }>): Promise<void> {
   const { claim, stores, put, emit, storeOptions } = context
   const { sequence, transitions } = effect
+  const { clock } = storeOptions
+  const startedAt = clock.now()
   const onUnreachable: StoreCallOptions['onUnreachable'] = report => {
     storeOptions.onUnreachable?.(report)
     put({ type: 'commit-delayed', sequence })
@@ -65,15 +67,20 @@
   const draft = { sequence, entries: transitions as unknown as readonly Json[], nonce: context.nonce() }
   try {
     const outcome = await commitRow(stores.table, claim, draft, { ...storeOptions, onUnreachable })
-    if (outcome === 'committed') put({ type: 'committed', sequence })
-    else put({ type: 'fenced' })
-    emit(outcome === 'committed' ? 'journal-committed' : 'journal-fenced', { cell: claim.cell, details: { sequence, transitions: transitions.length } })
+    if (outcome !== 'committed') return fenced(context, sequence)
+    put({ type: 'committed', sequence })
+    emit('journal-committed', { cell: claim.cell, details: { sequence, transitions: transitions.length, milliseconds: Math.round(clock.now() - startedAt) } })
   } catch (thrown) {
-    emit('journal-failed', { cell: claim.cell, details: { sequence, code: asFailure(thrown).code } })
+    emit('journal-commit-failed', { cell: claim.cell, details: { sequence, failure: asFailure(thrown) } })
     put({ type: 'fenced' })
   }
 }
 
+function fenced ({ claim, put, emit }: CellContext, sequence: SequenceNumber): void {
+  put({ type: 'fenced' })
+  emit('cell-fenced', { cell: claim.cell, details: { epoch: claim.epoch, sequence } })
+}
+
 const EXECUTIONS: { readonly [Name in Command['name']]: (command: Extract<Command, { name: Name }>) => readonly ExecutionId[] } = {
   prepare: ({ preparations }) => preparations.map(({ request, attempt }) => ({ request, attempt })),
   go: ({ executions }) => executions,
@@ -87,10 +94,11 @@
     const reports = await send(context.servers.get(name), context.claim, wanted)
     context.put({ type: 'reports', server: name, reports })
   } catch (thrown) {
-    const { code } = asFailure(thrown)
+    const failure = asFailure(thrown)
+    const { code } = failure
     if (code === 'stale-epoch') return context.put({ type: 'fenced' })
     const executions = EXECUTIONS[wanted.name](wanted as never)
-    context.emit('server-command-failed', { cell: context.claim.cell, request: executions[0]?.request, details: { server: name, command: wanted.name, code } })
+    context.emit('server-command-failed', { cell: context.claim.cell, request: executions[0]?.request, details: { server: name, command: wanted.name, failure } })
     context.put({ type: 'command-failed', server: name, command: wanted.name, executions, code })
   }
 }
@@ -122,7 +130,7 @@
     context.put({ type: 'answer-stored', id, answer })
   } catch (thrown) {
     if (signal.aborted) return
-    context.emit('answer-store-failed', { cell: context.claim.cell, request: id, details: { code: asFailure(thrown).code } })
+    context.emit('answer-store-failed', { cell: context.claim.cell, request: id, details: { failure: asFailure(thrown) } })
     clock.after(STORE_RETRY_MILLISECONDS, () => { storeAnswer(context, effect) })
   }
 }
@@ -133,13 +141,17 @@
 
 async function snapshot (context: CellContext, effect: Extract<OwnerEffect, { type: 'snapshot' }>): Promise<void> {
   const { claim, stores, storeOptions, put, emit } = context
+  const { cell } = claim
+  const { sequence } = effect
   const content = ledgerToJson(effect.ledger) as unknown as Json
+  const startedAt = storeOptions.clock.now()
   try {
-    const outcome = await takeSnapshot(stores, claim, { sequence: effect.sequence, content }, storeOptions)
-    put(outcome.type === 'made' ? { type: 'snapshot-taken', sequence: effect.sequence } : { type: 'snapshot-failed' })
-    emit(outcome.type === 'made' ? 'snapshot-taken' : 'snapshot-failed', { cell: claim.cell, details: { sequence: effect.sequence } })
+    const outcome = await takeSnapshot(stores, claim, { sequence, content }, storeOptions)
+    if (outcome.type !== 'made') throw new CornelgaugeError('not-owner')
+    put({ type: 'snapshot-taken', sequence })
+    emit('snapshot-written', { cell, details: { sequence, milliseconds: Math.round(storeOptions.clock.now() - startedAt) } })
   } catch (thrown) {
-    emit('snapshot-failed', { cell: claim.cell, details: { sequence: effect.sequence, code: asFailure(thrown).code } })
+    emit('snapshot-failed', { cell, details: { sequence, failure: asFailure(thrown) } })
     put({ type: 'snapshot-failed' })
   }
 }
--- a/packages/daemon/src/operator-routes.ts
+++ b/packages/daemon/src/operator-routes.ts
@@ -3,9 +3,10 @@
  * time line; and the health routes, which need no token.
  */
 import { ENVIRONMENT_NAMES, formatEntityTag, parseEntityTag, type DocumentHead, type EnvironmentName } from '@cornelgauge/environment'
-import { CornelgaugeError, digest, documentVersion, type DocumentVersion } from '@cornelgauge/model'
+import { CornelgaugeError, digest, documentVersion, type CellName, type DocumentVersion, type RequestId, type VmName } from '@cornelgauge/model'
 import { z } from 'zod'
 import type { Documents } from './documents.js'
+import type { EventQuery } from './event-query.js'
 import { MAXIMUM_BODY_BYTES, MAXIMUM_DOCUMENT_BODY_BYTES, type HttpAnswer, type HttpRequest, type Route } from './http-server.js'
 import type { Tokens } from './tokens.js'
 
@@ -15,15 +16,6 @@
 /** Stands for a tag that is none of ours, and so matches nothing. */
 const NO_VERSION = documentVersion(0)
 
-/** Which events of the time line are wanted. */
-export interface EventQuery {
-  readonly after: number
-  readonly limit: number
-  readonly request: string | undefined
-  readonly cell: string | undefined
-  readonly vm: string | undefined
-}
-
 /** What the routes need. */
 export interface OperatorRouteOptions {
   readonly tokens: Tokens
@@ -81,9 +73,9 @@
   const found = await events({
     after: countOf(query, 'after', 0),
     limit: Math.min(countOf(query, 'limit', DEFAULT_EVENTS), MAXIMUM_EVENTS),
-    request: query.get('request') ?? undefined,
-    cell: query.get('cell') ?? undefined,
-    vm: query.get('vm') ?? undefined
+    request: (query.get('request') ?? undefined) as RequestId | undefined,
+    cell: (query.get('cell') ?? undefined) as CellName | undefined,
+    vm: (query.get('vm') ?? undefined) as VmName | undefined
   })
   return { status: 200, body: { events: found } }
 }
--- a/packages/daemon/src/peer-calls.ts
+++ b/packages/daemon/src/peer-calls.ts
@@ -7,6 +7,7 @@
 import type { CallBody, PeerIdentity, ReplyBody } from '@cornelgauge/wire'
 import type { CellHost } from './cell-host.js'
 import type { Documents } from './documents.js'
+import type { EventQuery } from './event-query.js'
 import type { Replies } from './replies.js'
 import { recordOf } from './router.js'
 
@@ -18,7 +19,7 @@
   readonly objects: ObjectStore
   readonly now: () => number
   readonly vmStatus: () => unknown
-  readonly events: (after: number, limit: number) => readonly unknown[]
+  readonly events: (query: EventQuery) => readonly unknown[]
   readonly onHandoverHint: () => void
 }
 
@@ -55,7 +56,7 @@
 
   'vm-status': async ({ vmStatus }) => ({ type: 'status', status: vmStatus() }),
 
-  events: async ({ events }, { after, limit }) => ({ type: 'events', events: events(after, limit) }),
+  events: async ({ events }, query) => ({ type: 'events', events: events(query) }),
 
   async 'document-hint' ({ documents }, { environment, version }) {
     if (environment === 'trial' || environment === 'production') documents.hint(environment, version)
--- a/packages/daemon/src/peers.ts
+++ b/packages/daemon/src/peers.ts
@@ -7,6 +7,8 @@
 import { digestOf, type CellName, type DocumentVersion, type VmName } from '@cornelgauge/model'
 import type { CallBody, ReplyBody, WireClient } from '@cornelgauge/wire'
 import type { VmDirectory } from './vm-directory.js'
+import type { TimelineEvent } from '@cornelgauge/telemetry'
+import type { EventQuery } from './event-query.js'
 
 const PEER_TIMEOUT_MILLISECONDS = 1500
 
@@ -28,10 +30,10 @@
     return replies.flatMap(reply => reply.type === 'status' ? [reply.status] : [])
   }
 
-  /** The newest events of every peer that answers. */
-  async events (after: number, limit: number): Promise<readonly unknown[]> {
-    const replies = await this.#askAll({ type: 'events', after, limit })
-    return replies.flatMap(reply => reply.type === 'events' ? reply.events : [])
+  /** The newest events that a query asks for, of every peer that answers. */
+  async events (query: EventQuery): Promise<ReadonlyArray<readonly TimelineEvent[]>> {
+    const replies = await this.#askAll({ type: 'events', ...query })
+    return replies.flatMap(reply => reply.type === 'events' ? [reply.events as readonly TimelineEvent[]] : [])
   }
 
   /** The documents that peers have in force. */
--- a/packages/daemon/src/telemetry.ts
+++ b/packages/daemon/src/telemetry.ts
@@ -1,56 +1,80 @@
 /**
- * The daemon's events, as lines on standard output and in a ring for the time line.
+ * The daemon's events and metrics: JSON lines on standard output, a ring for the
+ * time line, and StatsD packets where an address is set.
  */
-import type { TimelineEvent } from '@cornelgauge/telemetry'
+import { EventLog, Metrics, ProcessMonitor, type EmitEvent, type EventFacts, type EventLevel, type EventName, type TimelineEvent } from '@cornelgauge/telemetry'
 import type { LogicalClock, WireEvent } from '@cornelgauge/wire'
-import type { EmitEvent } from './event-sink.js'
-import { EventRing } from './event-ring.js'
-import type { EventQuery } from './operator-routes.js'
+import type { CellEffects } from './cell-loop.js'
+import type { EventQuery } from './event-query.js'
+import { measureEvent, measureStep } from './owner-metrics.js'
 import type { Settings } from './settings.js'
+import { VmMetrics, type VmReadings } from './vm-metrics.js'
 
-/** Emits and keeps events. */
+const LEVELS: Readonly<Record<Settings['logLevel'], EventLevel>> = { error: 'error', warn: 'warning', info: 'info', debug: 'debug' }
+
+/** The settings that telemetry needs. */
+export type TelemetrySettings = Pick<Settings, 'vm' | 'logLevel' | 'workspaceTokens' | 'operatorTokens' | 'peerSecrets' | 'metricsAddress'>
+
+/**
+ * Emits, keeps and measures events.
+ *
+ * @example
+ * const telemetry = new Telemetry(settings)
+ * telemetry.emit('process-ready', { details: { milliseconds: 120 } })
+ */
 export class Telemetry {
-  readonly #settings: Settings
-  readonly #ring = new EventRing()
-  #logicalTime = 0
-  #index = 0
+  readonly #log: EventLog
+  readonly #metrics: Metrics
+  readonly #vmMetrics: VmMetrics
+  readonly #monitor: ProcessMonitor
 
-  constructor (settings: Settings) {
-    this.#settings = settings
+  constructor (settings: TelemetrySettings, output?: NodeJS.WritableStream) {
+    const { vm, logLevel, metricsAddress } = settings
+    this.#log = new EventLog({ vm, level: LEVELS[logLevel], output, secrets: secretsOf(settings) })
+    this.#metrics = new Metrics({ vm, collector: metricsAddress })
+    this.#vmMetrics = new VmMetrics(this.#metrics)
+    this.#monitor = new ProcessMonitor({ metrics: this.#metrics, log: this.#log })
   }
 
   /** The logical clock of this process. */
-  readonly clock: LogicalClock = {
-    tick: () => ++this.#logicalTime,
-    witness: time => { this.#logicalTime = Math.max(this.#logicalTime, time) }
+  get clock (): LogicalClock {
+    return this.#log
   }
 
   /** Emits an event. */
-  readonly emit: EmitEvent = (name, facts = {}) => {
-    const event = { event: 0, name, vm: this.#settings.vm, index: ++this.#index, logicalTime: this.clock.tick(), at: Date.now(), ...facts }
-    this.#ring.push(event)
-    process.stdout.write(`${JSON.stringify(event)}\n`)
+  readonly emit: EmitEvent = (name, facts) => {
+    this.#log.emit(name, facts)
+    measureEvent(this.#metrics, name, facts as EventFacts<EventName> | undefined)
   }
 
   /** Takes the reports of the inner protocol. */
-  readonly wireEvent = (event: WireEvent): void => {
-    const { type, failure, ...details } = event as WireEvent & { failure?: { code: string } }
-    this.emit(`wire-${type}`, { details: { ...details, code: failure?.code } })
+  readonly wireEvent = ({ type, vm, ...rest }: WireEvent): void => {
+    const details: Readonly<Record<string, unknown>> = { ...rest, peer: vm }
+    this.emit(type, { details })
   }
 
-  /** The newest events. */
-  events (after: number, limit: number): readonly TimelineEvent[] {
-    return this.#ring.newest(after, limit)
+  /** Takes the steps of owned cells. */
+  readonly onStep = (step: CellEffects): void => {
+    measureStep(this.#metrics, step)
   }
 
-  /** Picks the events that a query asks for, in causal order. */
-  select (events: readonly unknown[], query: EventQuery): readonly unknown[] {
-    const wanted = (events as readonly TimelineEvent[]).filter(event =>
-      (query.request === undefined || event.request === query.request) &&
-      (query.cell === undefined || event.cell === query.cell) &&
-      (query.vm === undefined || event.vm === query.vm))
-    return [...wanted].sort((one, other) => one.logicalTime - other.logicalTime || (one.vm < other.vm ? -1 : 1)).slice(-query.limit)
+  /** Sends what the parts of this VM count and hold. */
+  readings (readings: VmReadings): void {
+    this.#vmMetrics.send(readings)
   }
 
-  async close (): Promise<void> {}
+  /** The newest events of this VM that a query asks for. */
+  events ({ after, limit, request, cell, vm }: EventQuery): readonly TimelineEvent[] {
+    return this.#log.newest({ request, cell, vm }, after, limit)
+  }
+
+  /** Sends what is buffered. */
+  async close (): Promise<void> {
+    this.#monitor.stop()
+    await this.#metrics.close()
+  }
+}
+
+function secretsOf ({ workspaceTokens, operatorTokens, peerSecrets }: TelemetrySettings): readonly string[] {
+  return [...workspaceTokens.map(({ token }) => token), ...operatorTokens, ...peerSecrets]
 }
--- a/packages/daemon/src/vm-directory.ts
+++ b/packages/daemon/src/vm-directory.ts
@@ -6,7 +6,7 @@
 import { asFailure, backendServerName, rackName, type FailureDomainName, type VmName } from '@cornelgauge/model'
 import type { ListedVm, VmList } from '@cornelgauge/platform'
 import type { ListedServer } from '@cornelgauge/scheduler'
-import type { EmitEvent } from './event-sink.js'
+import type { EmitEvent } from '@cornelgauge/telemetry'
 
 /** Time between two reads of the VM list. */
 export const VM_LIST_POLL_MILLISECONDS = 1000
@@ -31,9 +31,11 @@
     try {
       this.#vms = await this.#list.list()
       this.#noteLive()
-      this.#setReachable(true)
+      if (!this.#reachable) this.#emit('vm-list-reachable')
+      this.#reachable = true
     } catch (thrown) {
-      this.#setReachable(false, asFailure(thrown).code)
+      if (this.#reachable) this.#emit('vm-list-unreachable', { details: { failure: asFailure(thrown) } })
+      this.#reachable = false
     }
   }
 
@@ -79,12 +81,6 @@
     for (const name of this.#liveSince.keys()) if (!live.has(name)) this.#liveSince.delete(name)
     for (const name of live) if (!this.#liveSince.has(name)) this.#liveSince.set(name, this.#now())
   }
-
-  #setReachable (reachable: boolean, code?: string): void {
-    if (reachable === this.#reachable) return
-    this.#reachable = reachable
-    this.#emit(reachable ? 'vm-list-reachable' : 'vm-list-unreachable', { details: { code } })
-  }
 }
 
 /** Racks are neighbours by the numbers in their names. */
--- /dev/null
+++ b/packages/daemon/test/catalogue.test.ts
@@ -0,0 +1,30 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { EVENT_CATALOGUE, METRIC_CATALOGUE } from '@cornelgauge/telemetry'
+import { expect } from 'chai'
+
+const PACKAGES = new URL('../../../', import.meta.url)
+const EMITTING = ['scheduler', 'daemon', 'telemetry'] as const
+
+const files = (name: string): string[] => readdirSync(new URL(`${name}/src/`, PACKAGES)).map(file => readFileSync(new URL(`${name}/src/${file}`, PACKAGES), 'utf8'))
+
+/** Code without its comments, so that an example counts for nothing. */
+const codeOf = (name: string): string => files(name).join('\n').replaceAll(/^\s*(?:\/\*\*|\*|\/\/).*$/gm, '')
+
+const found = (code: string, pattern: RegExp): string[] => [...new Set([...code.matchAll(pattern)].map(match => match[1]!))].sort()
+
+describe('what the sources emit', () => {
+  const code = EMITTING.map(codeOf).join('\n')
+
+  it('is every event of the catalogue, and nothing else', () => {
+    const emitted = found(code, /\b(?:emit|log)\(\s*'([^']+)'/g)
+    const reported = found(codeOf('wire'), /readonly type: '([^']+)'(?:, readonly (?:failure|id)\b[^}]*)? \}$/gm)
+    const names = Object.keys(EVENT_CATALOGUE)
+    expect([...emitted, ...reported.filter(name => names.includes(name))].sort()).to.deep.equal(names.sort())
+  })
+
+  it('is every metric of the catalogue, and nothing else', () => {
+    const sent = found(code, /\b(?:count|gauge|measure)\(\s*'([^']+)'/g)
+    const differences = found(code, /^ {4}'([a-z.]+)': .*\b(?:table|client)\.[a-z]+/gim)
+    expect([...sent, ...differences].sort()).to.deep.equal(Object.keys(METRIC_CATALOGUE).sort())
+  })
+})
--- a/packages/daemon/test/rig.ts
+++ b/packages/daemon/test/rig.ts
@@ -12,9 +12,10 @@
   MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock,
   type BackendServer, type CancelTimer, type Clock, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
 } from '@cornelgauge/platform'
+import type { EmitEvent, TimelineEvent } from '@cornelgauge/telemetry'
 import { CellHost, OWNERSHIP_POLL_MILLISECONDS } from '../src/cell-host.js'
+import type { CellEffects } from '../src/cell-loop.js'
 import type { DocumentInForce } from '../src/documents.js'
-import type { EventFacts } from '../src/event-sink.js'
 import { peerCalls } from '../src/peer-calls.js'
 import { Replies } from '../src/replies.js'
 import { Router, type Told } from '../src/router.js'
@@ -98,11 +99,7 @@
 }
 
 /** An event of a VM, for assertions. */
-export interface SeenEvent extends EventFacts {
-  readonly vm: VmName
-  readonly name: string
-  readonly at: number
-}
+export type SeenEvent = Pick<TimelineEvent, 'vm' | 'name' | 'at' | 'cell' | 'request' | 'details'>
 
 /** One entry VM. */
 export class RigVm {
@@ -119,7 +116,7 @@
     this.clock = new VmClock(rig.clock)
     const replies = new Replies()
     const stores = { table: gated<TableService>(this.clock, rig.table), objects: gated<ObjectStore>(this.clock, rig.objects) }
-    const emit = (event: string, facts: EventFacts = {}): void => { rig.events.push({ vm: name, name: event, at: rig.clock.now(), ...facts }) }
+    const emit: EmitEvent = (event, facts) => { rig.events.push({ vm: name, name: event, at: rig.clock.now(), ...facts }) }
     this.#directory = new VmDirectory({ list: async () => rig.vmList }, emit, () => rig.clock.now())
     let nonces = 0
     this.host = new CellHost({
@@ -136,6 +133,7 @@
       replies,
       emit,
       documentInForce: () => rig.document,
+      onStep: step => { rig.onStep?.(step) },
       onReleased: () => { rig.pollAll() }
     })
     const wire = { call: (address: string, body: Parameters<typeof this.handle>[1]) => this.clock.gate(rig.call(address, body)) }
@@ -178,6 +176,8 @@
   readonly table = new MemoryTableService(this.clock)
   readonly objects = new MemoryObjectStore(this.clock)
   readonly events: SeenEvent[] = []
+  /** Is shown each step of an owned cell. */
+  onStep: ((step: CellEffects) => void) | undefined
   readonly vms: RigVm[] = []
   readonly #servers = new Map<BackendServerName, MemoryBackendServer>()
   readonly #former: MemoryBackendServer[] = []
--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -103,13 +103,13 @@
   const at = transaction.at.wall
   transaction.stage({ type: 'accepted', submission: { ...submission, payload: null }, at })
   transaction.stage({ type: 'ended', id, state: 'not-run', reason: { code: 'refused', detail: refusal.detail, refusal }, at })
-  transaction.log('request-refused', id, { code: refusal.code })
+  transaction.log('request-refused', id, { kind: submission.kind, code: refusal.code })
 }
 
 function accept (transaction: Transaction, submission: Submission): void {
   transaction.stage({ type: 'accepted', submission, at: transaction.at.wall })
   const id = requestId(submission.workspace, submission.key)
-  transaction.log('request-accepted', id, { kind: submission.kind })
+  transaction.log('request-accepted', id, { kind: submission.kind, deadline: submission.deadline })
   arrive(transaction, transaction.record(id)!)
 }
 
--- a/packages/scheduler/src/effect.ts
+++ b/packages/scheduler/src/effect.ts
@@ -5,6 +5,7 @@
 import type { Transition, Ledger } from '@cornelgauge/coordination'
 import type { AnswerReference, BackendServerName, CornelgaugeError, RequestId, RequestRecord, SequenceNumber } from '@cornelgauge/model'
 import type { ExecutionId, Preparation } from '@cornelgauge/platform'
+import type { EventName } from '@cornelgauge/telemetry'
 import type { CallId } from './event.js'
 
 /** What a call gets back. */
@@ -35,9 +36,9 @@
   | { readonly type: 'log', readonly event: OwnerLogEvent, readonly request?: RequestId, readonly details?: Readonly<Record<string, unknown>> }
 
 /** Names of time line events that the owner itself causes. */
-export type OwnerLogEvent =
+export type OwnerLogEvent = Extract<EventName,
   | 'request-accepted' | 'request-refused' | 'request-start-intended' | 'request-started' | 'request-returned'
-  | 'request-ended' | 'request-doubted' | 'request-cancel-requested' | 'request-preempted'
+  | 'request-ended' | 'request-unknown' | 'request-cancel-requested' | 'request-preempted'
   | 'gang-preparing' | 'gang-prepared' | 'gang-released' | 'gang-stopping'
   | 'server-joined' | 'server-suspected' | 'server-lost' | 'server-leaving'
-  | 'execution-orphaned'
+  | 'execution-orphaned'>
--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendServerName, RequestId } from '@cornelgauge/model'
 import type { ExecutionReport } from '@cornelgauge/platform'
+import type { EventDetails } from '@cornelgauge/telemetry'
 import { List } from 'immutable'
 import type { ListedServer, OwnerEvent } from './event.js'
 import { jobOf } from './job.js'
@@ -102,11 +103,16 @@
   transaction.tellPolicy({ type: 'server-leaving', server: server.description.name, at: transaction.at.wall })
 }
 
+function joinDetails ({ description }: ServerState): EventDetails<'server-joined'> {
+  const { name, rack, slots, accelerators } = description
+  return { server: name, rack, slots, accelerators }
+}
+
 type StatusChange = (transaction: Transaction, server: ServerState, before: ServerState) => void
 
 const STATUS_CHANGES: Readonly<Record<'live' | 'leaving', StatusChange>> = {
   live (transaction, server) {
-    transaction.log('server-joined', undefined, { server: server.description.name })
+    transaction.log('server-joined', undefined, joinDetails(server))
     transaction.tellPolicy({ type: 'server-joined', server: server.description, at: transaction.at.wall })
     countRecoveredRuns(transaction)
   },
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -145,14 +145,14 @@
 
 function settleNeverStarted (transaction: Transaction, run: Run): void {
   transaction.stage({ type: 'returned', id: run.id, proof: 'fenced', fault: false, at: transaction.at.wall })
-  transaction.log('request-returned', run.id, { proof: 'fenced' })
+  transaction.log('request-returned', run.id, { attempt: run.attempt, basis: 'fenced', fault: false })
   ending(transaction, run, 'stopped')
 }
 
 function giveBack (transaction: Transaction, run: Run, fault: boolean): void {
   const checkpoint = newestCheckpoint(run)
   transaction.stage({ type: 'returned', id: run.id, proof: 'idempotent', fault, checkpoint, at: transaction.at.wall })
-  transaction.log('request-returned', run.id, { proof: 'idempotent', fault })
+  transaction.log('request-returned', run.id, { attempt: run.attempt, basis: 'idempotent', fault })
   ending(transaction, run, fault ? 'failed' : 'stopped')
 }
 
@@ -175,7 +175,7 @@
   transaction.setRun({ ...transaction.state.runs.get(run.id)!, phase: 'stopping' })
   if (record.state !== 'running') return
   transaction.stage({ type: 'doubted', id: run.id, reason: SERVER_LOST, at: transaction.at.wall })
-  transaction.log('request-doubted', run.id)
+  transaction.log('request-unknown', run.id, { attempt: run.attempt })
 }
 
 function finish (transaction: Transaction, run: Run, record: RequestRecord): void {
--- a/packages/scheduler/src/transaction.ts
+++ b/packages/scheduler/src/transaction.ts
@@ -5,6 +5,7 @@
 import { applyTransition, type Transition } from '@cornelgauge/coordination'
 import type { BackendServerName, CornelgaugeError, RequestId, RequestRecord } from '@cornelgauge/model'
 import { applyChange, type PolicyChange } from '@cornelgauge/policy'
+import type { EventDetails } from '@cornelgauge/telemetry'
 import type { CallId, Instant } from './event.js'
 import type { Command, OwnerEffect, OwnerLogEvent } from './effect.js'
 import type { OwnerState, Run, ServerState } from './state.js'
@@ -48,7 +49,7 @@
   }
 
   /** Adds an event of the time line. */
-  log (event: OwnerLogEvent, request?: RequestId, details?: Readonly<Record<string, unknown>>): void {
+  log<Name extends OwnerLogEvent> (event: Name, request?: RequestId, details?: EventDetails<Name>): void {
     this.emit({ type: 'log', event, request, details })
   }
 
--- a/packages/telemetry/src/catalogue-cells.ts
+++ b/packages/telemetry/src/catalogue-cells.ts
@@ -13,78 +13,78 @@
   'cell-claim-lost': {
     number: 201,
     level: 'info',
-    sentence: 'Another VM won the claim to the cell.',
-    fields: { holder: 'VM that holds it now', epoch: 'its fencing epoch' },
+    sentence: 'A claim to the cell did not succeed.',
+    fields: { outcome: 'lost to another VM, or not known' },
     action: NO_ACTION
   },
   'cell-recovered': {
     number: 202,
     level: 'info',
     sentence: 'The state of the cell was rebuilt from snapshot and journal.',
-    fields: { rows: 'journal rows applied', requests: 'requests in the ledger', milliseconds: 'time it took' },
+    fields: { epoch: 'fencing epoch', rows: 'journal rows applied', requests: 'requests in the ledger', milliseconds: 'time it took' },
     action: NO_ACTION
   },
   'cell-recovery-failed': {
     number: 203,
     level: 'error',
     sentence: 'The state of the cell could not be rebuilt.',
-    fields: { failure: 'code and sentence', sequence: 'row that failed' },
+    fields: { epoch: 'fencing epoch', failure: 'code and sentence' },
     action: 'Check that the object store still holds the snapshot that the owner row names; the VM tries again.'
   },
-  'cell-lease-renewed': {
-    number: 204,
-    level: 'debug',
-    sentence: 'The ownership of the cell was renewed.',
-    fields: { epoch: 'fencing epoch', leaseMilliseconds: 'length of the lease' },
-    action: NO_ACTION
-  },
-  'cell-lease-lapsed': {
-    number: 205,
-    level: 'warning',
-    sentence: 'The lease on the cell ended without renewal.',
-    fields: { epoch: 'fencing epoch', overdueMilliseconds: 'time since its end' },
-    action: 'If it recurs, look at the latency of the table service and at event 106.'
-  },
   'cell-fenced': {
     number: 206,
     level: 'warning',
-    sentence: 'A write was refused because a newer owner exists; this VM steps down.',
-    fields: { epoch: 'epoch of this VM', newerEpoch: 'epoch found' },
-    action: 'Nothing; look at event 205 for the reason if it recurs.'
+    sentence: 'A commit was refused because a newer owner exists; this VM steps down.',
+    fields: { epoch: 'epoch of this VM', sequence: 'journal row refused' },
+    action: 'If it recurs, look at the latency of the table service and at event 106.'
   },
   'cell-handover-started': {
     number: 207,
     level: 'info',
-    sentence: 'The cell is being handed over for a planned stop.',
-    fields: { epoch: 'fencing epoch', inFlight: 'requests in flight' },
+    sentence: 'The cell is being handed over to another VM.',
+    fields: { epoch: 'fencing epoch', to: 'VM it is meant for; null where any may take it' },
     action: NO_ACTION
   },
   'cell-handover-finished': {
     number: 208,
     level: 'info',
-    sentence: 'The cell was released for another owner.',
-    fields: { epoch: 'fencing epoch', milliseconds: 'time it took' },
+    sentence: 'The owner row of the cell was released for another owner.',
+    fields: { epoch: 'fencing epoch', outcome: 'whether the release took effect', to: 'VM it is meant for; null where any may take it', milliseconds: 'time it took' },
     action: NO_ACTION
   },
-  'cell-without-owner': {
-    number: 209,
+  'cell-renewal-unknown': {
+    number: 212,
     level: 'warning',
-    sentence: 'No VM owns the cell.',
-    fields: { milliseconds: 'time since the last renewal seen' },
-    action: 'If it lasts longer than some seconds, check that VMs are ready and the table service answers.'
+    sentence: 'Whether a renewal of the ownership took effect is not known.',
+    fields: {},
+    action: 'If it recurs, look at the latency of the table service.'
   },
-  'call-forwarded': {
-    number: 210,
-    level: 'debug',
-    sentence: 'A call was forwarded to the owner of its cell.',
-    fields: { owner: 'VM called', type: 'type of the call' },
+  'cell-ownership-lost': {
+    number: 213,
+    level: 'warning',
+    sentence: 'A renewal has shown that another VM owns the cell.',
+    fields: { epoch: 'epoch of this VM' },
+    action: 'If it recurs, look at the latency of the table service and at event 106.'
+  },
+  'cell-stepped-down': {
+    number: 214,
+    level: 'info',
+    sentence: 'This VM has stopped serving the cell.',
+    fields: { epoch: 'epoch it had' },
     action: NO_ACTION
   },
-  'forward-failed': {
-    number: 211,
+  'owner-rows-unreadable': {
+    number: 215,
+    level: 'warning',
+    sentence: 'The owner rows could not be read; the last ones seen are used.',
+    fields: { failure: 'code and sentence' },
+    action: 'Look at the table service.'
+  },
+  'ownership-action-failed': {
+    number: 216,
     level: 'warning',
-    sentence: 'A call could not be forwarded to the owner of its cell.',
-    fields: { owner: 'VM called', failure: 'code and sentence', sent: 'whether the owner may have got it' },
-    action: 'If it recurs, check the network between the two VMs.'
+    sentence: 'A claim, renewal or handover failed and will be tried again.',
+    fields: { action: 'which of them', failure: 'code and sentence' },
+    action: 'Look at the table service.'
   }
 } as const satisfies CatalogueRows
--- a/packages/telemetry/src/catalogue-servers.ts
+++ b/packages/telemetry/src/catalogue-servers.ts
@@ -6,7 +6,7 @@
   'server-joined': {
     number: 500,
     level: 'info',
-    sentence: 'A backend server is known and may get work.',
+    sentence: 'A backend server answers and may get work.',
     fields: { server: 'backend server', rack: 'its rack', slots: 'its slots', accelerators: 'its accelerators' },
     action: NO_ACTION
   },
@@ -14,126 +14,63 @@
     number: 501,
     level: 'info',
     sentence: 'A backend server is leaving and gets no new work.',
-    fields: { server: 'backend server', running: 'tasks that still run on it' },
+    fields: { server: 'backend server' },
     action: NO_ACTION
   },
   'server-lost': {
     number: 502,
     level: 'warning',
-    sentence: 'A backend server no longer answers.',
-    fields: { server: 'backend server', running: 'tasks it had' },
-    action: 'Check the worker; its idempotent tasks are started elsewhere, the others become unknown.'
-  },
-  'server-back': {
-    number: 503,
-    level: 'info',
-    sentence: 'A lost backend server answers again.',
-    fields: { server: 'backend server', milliseconds: 'time it was away' },
-    action: NO_ACTION
-  },
-  'server-ejected': {
-    number: 504,
-    level: 'warning',
-    sentence: 'A backend server fails too much of its work and gets none.',
-    fields: { server: 'backend server', failureShare: 'share of tasks that failed', ejectedShare: 'share of all servers now ejected' },
-    action: 'Check the worker; probes decide when it may come back.'
-  },
-  'server-probed': {
-    number: 505,
-    level: 'info',
-    sentence: 'An ejected backend server was tried with idempotent work.',
-    fields: { server: 'backend server', success: 'true if the probe succeeded' },
-    action: NO_ACTION
-  },
-  'server-readmitted': {
-    number: 506,
-    level: 'info',
-    sentence: 'An ejected backend server gets work again.',
+    sentence: 'A backend server has been silent for too long and is given up.',
     fields: { server: 'backend server' },
-    action: NO_ACTION
-  },
-  'start-sent': {
-    number: 507,
-    level: 'debug',
-    sentence: 'A start was sent to a backend server.',
-    fields: { server: 'backend server', attempt: 'attempt', epoch: 'fencing epoch' },
-    action: NO_ACTION
-  },
-  'start-refused': {
-    number: 508,
-    level: 'info',
-    sentence: 'A backend server refused a start.',
-    fields: { server: 'backend server', code: 'why' },
-    action: NO_ACTION
-  },
-  'stale-epoch-refused': {
-    number: 509,
-    level: 'warning',
-    sentence: 'A backend server has seen a newer owner of the cell.',
-    fields: { server: 'backend server', epoch: 'epoch sent', newerEpoch: 'epoch it knows' },
-    action: 'Nothing; this VM steps down.'
+    action: 'Check the worker; its idempotent tasks are started elsewhere, the others become unknown.'
   },
   'gang-prepared': {
     number: 510,
     level: 'info',
     sentence: 'Every member of a gang holds its capacity; nothing runs yet.',
-    fields: { servers: 'backend servers', milliseconds: 'time it took' },
-    action: NO_ACTION
-  },
-  'gang-started': {
-    number: 511,
-    level: 'info',
-    sentence: 'Every member of a gang was told to go.',
-    fields: { servers: 'backend servers' },
+    fields: { attempt: 'attempt' },
     action: NO_ACTION
   },
   'gang-released': {
     number: 512,
     level: 'info',
     sentence: 'A gang could not be prepared whole, and every member was released.',
-    fields: { missing: 'members that did not prepare', retryMilliseconds: 'time to the next try' },
-    action: NO_ACTION
-  },
-  'gang-member-lost': {
-    number: 513,
-    level: 'warning',
-    sentence: 'A member of a running gang was lost; the whole gang is stopped.',
-    fields: { server: 'backend server lost', checkpoint: 'checkpoint it resumes from' },
+    fields: { attempt: 'attempt' },
     action: NO_ACTION
   },
-  'gang-stopped': {
-    number: 514,
+  'gang-preparing': {
+    number: 519,
     level: 'info',
-    sentence: 'Every member of a gang has stopped.',
-    fields: { milliseconds: 'time since the loss of the first' },
-    action: 'If the time is over the stated bound, report it.'
-  },
-  'task-checkpointed': {
-    number: 515,
-    level: 'info',
-    sentence: 'A task was checkpointed.',
-    fields: { server: 'backend server', checkpoint: 'where' },
+    sentence: 'Every member of a gang was asked to hold its capacity.',
+    fields: { attempt: 'attempt', members: 'backend servers chosen' },
     action: NO_ACTION
   },
-  'task-throttled': {
-    number: 516,
+  'gang-stopping': {
+    number: 520,
     level: 'info',
-    sentence: 'A task was throttled.',
-    fields: { server: 'backend server', share: 'share of its capacity left to it' },
+    sentence: 'Every member of a gang was told to stop.',
+    fields: { reason: 'why' },
     action: NO_ACTION
   },
-  'task-stopped': {
-    number: 517,
-    level: 'info',
-    sentence: 'A task was stopped.',
-    fields: { server: 'backend server', reason: 'why' },
-    action: NO_ACTION
+  'server-suspected': {
+    number: 521,
+    level: 'warning',
+    sentence: 'A backend server did not answer and gets no new work until it does.',
+    fields: { server: 'backend server', code: 'why' },
+    action: 'If it recurs, look at the network to this backend server.'
+  },
+  'execution-orphaned': {
+    number: 522,
+    level: 'warning',
+    sentence: 'A backend server holds an execution that no request wants, and was told to end it.',
+    fields: { server: 'backend server', attempt: 'attempt', state: 'where it stands' },
+    action: 'Nothing, unless it recurs without a change of owners.'
   },
-  'task-lease-lapsed': {
-    number: 518,
+  'server-command-failed': {
+    number: 523,
     level: 'warning',
-    sentence: 'The lease of a task ended without renewal.',
-    fields: { server: 'backend server', attempt: 'attempt' },
+    sentence: 'A command to a backend server failed.',
+    fields: { server: 'backend server', command: 'command', failure: 'code and sentence' },
     action: 'If it recurs, look at the network to this backend server.'
   }
 } as const satisfies CatalogueRows
--- a/packages/telemetry/src/catalogue-wire.ts
+++ b/packages/telemetry/src/catalogue-wire.ts
@@ -35,35 +35,35 @@
     number: 704,
     level: 'warning',
     sentence: 'A peer broke the inner protocol and its connection was closed.',
-    fields: { role: 'client or server', address: 'address of the peer', peer: 'VM of the peer, if authenticated', reason: 'what was wrong' },
+    fields: { role: 'client or server', address: 'address of the peer', peer: 'VM of the peer, if authenticated', failure: 'code and sentence' },
     action: 'If the peer is one of ours, compare releases; otherwise close the port to it.'
   },
   'call-refused': {
     number: 705,
     level: 'info',
     sentence: 'A call was refused before its handler ran.',
-    fields: { peer: 'VM of the caller', failure: 'code and sentence' },
+    fields: { role: 'client or server', address: 'address of the peer', peer: 'VM of the caller', failure: 'code and sentence' },
     action: 'If it recurs, the VM is over its limits: add VMs or raise them.'
   },
   'handler-failed': {
     number: 706,
     level: 'warning',
     sentence: 'The handler of a call failed; the caller got a problem reply.',
-    fields: { peer: 'VM of the caller', failure: 'code and sentence' },
+    fields: { role: 'client or server', address: 'address of the peer', peer: 'VM of the caller', failure: 'code and sentence' },
     action: 'If the code is internal, report it.'
   },
   'late-reply': {
     number: 707,
     level: 'info',
     sentence: 'A reply came after its call had ended, and was dropped.',
-    fields: { peer: 'VM that replied', id: 'id of the call' },
+    fields: { role: 'client or server', address: 'address of the peer', peer: 'VM that replied', id: 'id of the call' },
     action: NO_ACTION
   },
   'accept-failed': {
     number: 708,
     level: 'warning',
     sentence: 'The system refused to accept a connection.',
-    fields: { address: 'address of this VM', failure: 'code and sentence' },
+    fields: { role: 'server', address: 'address of this VM', failure: 'code and sentence' },
     action: 'If the reason is the number of open files, raise its limit on this VM.'
   }
 } as const satisfies CatalogueRows
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -30,7 +30,7 @@
   { hundred: 6, title: 'Environment documents', rows: DOCUMENT_EVENTS },
   { hundred: 7, title: 'Inner protocol', rows: WIRE_EVENTS },
   { hundred: 8, title: 'Platform faults', rows: PLATFORM_EVENTS },
-  { hundred: 9, title: 'Policy and admission', rows: POLICY_EVENTS }
+  { hundred: 9, title: 'Policy', rows: POLICY_EVENTS }
 ]
 
 /** Every event by its name. */
--- a/packages/telemetry/src/event-log.ts
+++ b/packages/telemetry/src/event-log.ts
@@ -10,6 +10,7 @@
 import { EventRing } from './event-ring.js'
 import type { TimelineEvent } from './event.js'
 import { redact } from './redaction.js'
+import { filterEvents, newestEvents, type TimelineFilter } from './timeline.js'
 
 /** Events that a process keeps for the time line. */
 export const RING_EVENTS = 10_000
@@ -39,6 +40,9 @@
   readonly details?: EventDetails<Name>
 }
 
+/** Records an event; the method `emit` of an event log, handed to the parts of a process. */
+export type EmitEvent = <Name extends EventName>(name: Name, facts?: EventFacts<Name>) => void
+
 /**
  * Numbers, orders, keeps and writes the events of one process.
  *
@@ -107,6 +111,12 @@
     return this.#ring.after(index, limit)
   }
 
+  /** The newest events that a filter keeps and whose logical time is higher, oldest first. */
+  newest (filter: TimelineFilter, logicalTime: number, limit: number): readonly TimelineEvent[] {
+    const kept = filterEvents(this.#ring.after(0, Infinity), filter)
+    return newestEvents(kept, logicalTime, limit)
+  }
+
   #eventOf<Name extends EventName> (name: Name, { cell, request, details }: EventFacts<Name>): TimelineEvent {
     this.#lastIndex += 1
     return {
--- a/packages/telemetry/src/timeline.ts
+++ b/packages/telemetry/src/timeline.ts
@@ -53,6 +53,17 @@
   return events.filter(event => members.every(([member, value]) => event[member] === value))
 }
 
+/**
+ * The last `limit` of the events with a higher logical time, in the order given.
+ *
+ * @example
+ * newestEvents(mergeEvents(lists), 0, 1000)
+ */
+export function newestEvents (events: readonly TimelineEvent[], logicalTime: number, limit: number): readonly TimelineEvent[] {
+  const later = events.filter(event => event.logicalTime > logicalTime)
+  return later.slice(Math.max(0, later.length - limit))
+}
+
 /**
  * Estimates how far each VM's clock is ahead of the VM with the most events: the
  * median, over its events, of the difference to the reference's clock at about the
--- a/packages/telemetry/test/event-log.test.ts
+++ b/packages/telemetry/test/event-log.test.ts
@@ -22,7 +22,7 @@
         event: 401,
         name: 'request-accepted',
         level: 'info',
-        message: 'The request is committed and pending.',
+        message: 'The request was taken in; it is accepted once its journal row is committed.',
         vm: 'vm-1',
         index: 1,
         logicalTime: 1,
@@ -44,8 +44,8 @@
       log.emit('request-accepted')
       log.emit('request-unknown')
       log.level = 'debug'
-      log.emit('request-received')
-      expect(lines().map(line => line.event)).to.deep.equal([410, 400])
+      log.emit('journal-committed')
+      expect(lines().map(line => line.event)).to.deep.equal([410, 300])
       expect(log.after(0, 10)).to.have.length(3)
     })
   })
--- a/packages/telemetry/test/timeline.test.ts
+++ b/packages/telemetry/test/timeline.test.ts
@@ -28,9 +28,9 @@
         const skews = [0, -5e6, 3e6, 17]
         const logs = skews.map((skew, vm) => new EventLog({ vm: vmName(`vm-${vm}`), level: 'error', output: new PassThrough(), now: () => skew }))
         const pairs = run.map(([from, to]) => {
-          const sent = logs[from]!.emit('call-forwarded')
+          const sent = logs[from]!.emit('request-accepted')
           logs[to]!.witness(logs[from]!.tick())
-          return [sent, logs[to]!.emit('request-received')] as const
+          return [sent, logs[to]!.emit('request-started')] as const
         })
         const merged = mergeEvents(logs.map(log => log.after(0, 1000)))
         expect(merged).to.have.length(2 * run.length)
@@ -78,11 +78,11 @@
     it('has one line for each event', () => {
       const events = [
         event('vm-10', 1, 9, { at: 5000 }),
-        event('vm-2', 1, 10, { event: 405, name: 'intent-committed', at: 5000, cell: cellName('praha'), request: 'w/k' as RequestId, details: { attempt: 1, servers: ['s1'] } })
+        event('vm-2', 1, 10, { event: 405, name: 'request-start-intended', at: 5000, cell: cellName('praha'), request: 'w/k' as RequestId, details: { attempt: 1, members: ['s1'] } })
       ]
       expect(renderText(events)).to.deep.equal([
         ' 9  +0.000 s  vm-10  101 process-ready',
-        '10  +0.000 s  vm-2   405 intent-committed  praha  w/k  attempt=1 servers=["s1"]'
+        '10  +0.000 s  vm-2   405 request-start-intended  praha  w/k  attempt=1 members=["s1"]'
       ])
     })
 
