--- a/packages/command-line/src/status-operation.ts
+++ b/packages/command-line/src/status-operation.ts
@@ -33,11 +33,15 @@
   { title: 'RUNNING', text: cell => String(cell.running ?? NOTHING) }
 ]
 
+function rateText (perSecond: number): string {
+  return String(Math.round(perSecond * 10) / 10)
+}
+
 function renderPlatform (platform: PlatformUse | undefined, style: Style): readonly string[] {
   if (platform === undefined) return []
   return ['', ...renderLabelled([
-    ['table writes a second', String(platform.tableWritesPerSecond)],
-    ['table reads a second', String(platform.tableReadsPerSecond)]
+    ['table writes a second, of several hundred', rateText(platform.tableWritesPerSecond)],
+    ['table reads a second, of two thousand', rateText(platform.tableReadsPerSecond)]
   ], style)]
 }
 
--- a/packages/command-line/src/timeline-operation.ts
+++ b/packages/command-line/src/timeline-operation.ts
@@ -23,7 +23,7 @@
     cell: { description: 'Only events of this cell', place: 'flag', hint: 'name', schema: optionalText },
     vm: { description: 'Only events of this VM', place: 'flag', hint: 'name', schema: optionalText },
     after: { description: 'Only events after this logical time', place: 'flag', hint: 'number', schema: wholeNumber(0, undefined) },
-    limit: { description: 'Most events of each VM', place: 'flag', hint: 'count', schema: wholeNumber(1, undefined) },
+    limit: { description: 'Only the newest events, this many', place: 'flag', hint: 'count', schema: wholeNumber(1, undefined) },
     html: { description: 'Write one self-contained page, with a lane for each VM, to this file', place: 'flag', hint: 'file', schema: optionalText },
     ...SERVICE_SETTINGS
   },
--- a/packages/command-line/test/run.test.ts
+++ b/packages/command-line/test/run.test.ts
@@ -93,7 +93,7 @@
     it('prints plain lines where there is no terminal', async () => {
       const { exitCode, output } = await execute(['status'])
       expect(exitCode).to.equal(0)
-      expect(output).to.contain('praha-1\tpraha\tready\t3\t-\tpraha\t50 MiB\n').and.to.contain('table writes a second\t60\n').and.not.to.contain(ESCAPE)
+      expect(output).to.contain('praha-1\tpraha\tready\t3\t-\tpraha\t50 MiB\n').and.to.contain('table writes a second, of several hundred\t60\n').and.to.contain('table reads a second, of two thousand\t9\n').and.not.to.contain(ESCAPE)
     })
 
     it('prints tables with colours on a terminal', async () => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -19,6 +19,7 @@
 import { peerCalls } from './peer-calls.js'
 import { Peers } from './peers.js'
 import { Replies } from './replies.js'
+import { reportCalls } from './reported-calls.js'
 import { Router } from './router.js'
 import type { Settings } from './settings.js'
 import { cellStatus, systemStatus, type VmStatus } from './status.js'
@@ -81,7 +82,7 @@
 
   /** Listens, follows the platform, and takes part in owning cells. */
   async start (): Promise<void> {
-    const { wireAddress, address, failureDomain } = this.#settings
+    const { wireAddress, address, failureDomain, environment } = this.#settings
     await this.#wireServer.listen(wireAddress.host, wireAddress.port)
     await this.#directory.refresh()
     await this.#documents.start()
@@ -92,6 +93,7 @@
     await this.#http.listen(address)
     this.#state = 'running'
     this.#telemetry.emit('process-started', { details: { version: VERSION, address: `${address.host}:${address.port}`, failureDomain } })
+    if (!this.isReady) this.#telemetry.emit('document-missing', { details: { environment } })
     this.#tellReadiness()
   }
 
@@ -172,7 +174,7 @@
     const { workspaceTokens, operatorTokens, vm } = this.#settings
     const tokens = new Tokens(workspaceTokens, operatorTokens)
     const document = () => this.#document()
-    const router = new Router({ host: this.#host, replies: this.#replies, wire: this.#wireClient, clock: systemClock, objects: this.#objects, document })
+    const router = new Router({ host: this.#host, replies: this.#replies, wire: reportCalls(this.#wireClient, this.#telemetry.emit), clock: systemClock, objects: this.#objects, document })
     return [
       ...callerRoutes({ router, tokens, document, wall: Date.now }),
       ...operatorRoutes({
@@ -198,12 +200,12 @@
     this.#tellReadiness()
   }
 
-  /** Tells once that callers may be sent here, or why not yet. */
+  /** Tells once that callers may be sent here. */
   #tellReadiness (): void {
     if (this.#state !== 'running' || this.#toldReady) return
-    this.#toldReady = this.isReady
-    if (this.isReady) this.#telemetry.emit('process-ready', { details: { milliseconds: Math.round(process.uptime() * 1000) } })
-    else this.#telemetry.emit('document-missing', { details: { environment: this.#settings.environment } })
+    if (!this.isReady) return
+    this.#toldReady = true
+    this.#telemetry.emit('process-ready', { details: { milliseconds: Math.round(process.uptime() * 1000) } })
   }
 
   #released (cell: CellName, _: VmName | null): void {
--- a/packages/telemetry/src/catalogue-cells.ts
+++ b/packages/telemetry/src/catalogue-cells.ts
@@ -52,6 +52,20 @@
     fields: { epoch: 'fencing epoch', outcome: 'whether the release took effect', to: 'VM it is meant for; null where any may take it', milliseconds: 'time it took' },
     action: NO_ACTION
   },
+  'call-forwarded': {
+    number: 210,
+    level: 'debug',
+    sentence: 'A call was forwarded to the owner of its cell.',
+    fields: { address: 'address of the owner', type: 'type of the call' },
+    action: NO_ACTION
+  },
+  'forward-failed': {
+    number: 211,
+    level: 'warning',
+    sentence: 'A call to the owner of its cell failed; it is tried again within its time.',
+    fields: { address: 'address of the owner', type: 'type of the call', failure: 'code and sentence' },
+    action: 'If it recurs, check the network between the two VMs.'
+  },
   'cell-renewal-unknown': {
     number: 212,
     level: 'warning',
