--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -152,15 +152,26 @@
   }
 }
 
-async function readBody (request: IncomingMessage, maximumBytes: number): Promise<string> {
-  const parts: Buffer[] = []
-  let bytes = 0
-  for await (const part of request as AsyncIterable<Buffer>) {
-    bytes += part.length
-    if (bytes > maximumBytes) throw new CornelgaugeError('body-too-large', { detail: `The body is over ${maximumBytes} bytes`, members: { maximumBytes } })
-    parts.push(part)
-  }
-  return Buffer.concat(parts).toString('utf8')
+/**
+ * Reads the whole body. What comes over the limit is read and thrown away, so that
+ * a caller that is still sending gets the answer and not a broken connection.
+ */
+function readBody (request: IncomingMessage, maximumBytes: number): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = []
+    let bytes = 0
+    request.on('data', (part: Buffer) => {
+      bytes += part.length
+      if (bytes <= maximumBytes) parts.push(part)
+      else reject(bodyTooLarge(maximumBytes))
+    })
+    request.on('end', () => { resolve(Buffer.concat(parts).toString('utf8')) })
+    request.on('close', () => { reject(new CornelgaugeError('connection-lost', { detail: 'The caller went away before the end of its body' })) })
+  })
+}
+
+function bodyTooLarge (maximumBytes: number): CornelgaugeError {
+  return new CornelgaugeError('body-too-large', { detail: `The body is over ${maximumBytes} bytes`, members: { maximumBytes } })
 }
 
 function singleHeader (value: string | readonly string[] | undefined): string | undefined {
--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -101,13 +101,13 @@
   const at = transaction.at.wall
   transaction.stage({ type: 'accepted', submission: { ...submission, payload: null }, at })
   transaction.stage({ type: 'ended', id, state: 'not-run', reason: { code: 'refused', detail: refusal.detail, refusal }, at })
-  transaction.log('request-refused', id, { code: refusal.code })
+  transaction.log('request-refused', id, { kind: submission.kind, code: refusal.code })
 }
 
 function accept (transaction: Transaction, submission: Submission): void {
   transaction.stage({ type: 'accepted', submission, at: transaction.at.wall })
   const id = requestId(submission.workspace, submission.key)
-  transaction.log('request-accepted', id, { kind: submission.kind })
+  transaction.log('request-accepted', id, { kind: submission.kind, deadline: submission.deadline })
   arrive(transaction, transaction.record(id)!)
 }
 
@@ -123,8 +123,9 @@
 
 function waiterOf (transaction: Transaction, event: OwnerEventOf<'submit'>): Waiter {
   const { monotonic, wall } = transaction.at
-  const patience = Math.min(COMMIT_PATIENCE_MILLISECONDS, event.submission.deadline - wall)
-  return { call: event.call, submits: true, until: event.waitUntil, commitBy: monotonic + Math.max(patience, 0) }
+  const timeLeft = event.submission.deadline - wall
+  const patience = timeLeft > 0 ? Math.min(COMMIT_PATIENCE_MILLISECONDS, timeLeft) : COMMIT_PATIENCE_MILLISECONDS
+  return { call: event.call, submits: true, until: event.waitUntil, commitBy: monotonic + patience }
 }
 
 function wait (transaction: Transaction, id: RequestId, waiter: Waiter): void {
--- a/packages/stand-in/src/rig.ts
+++ b/packages/stand-in/src/rig.ts
@@ -12,7 +12,8 @@
   MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock,
   type BackendServer, type CancelTimer, type Clock, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
 } from '@cornelgauge/platform'
-import { CellHost, OWNERSHIP_POLL_MILLISECONDS, peerCalls, Replies, Router, VmDirectory, type DocumentInForce, type EventFacts, type Told } from '@cornelgauge/daemon/parts'
+import { CellHost, OWNERSHIP_POLL_MILLISECONDS, peerCalls, Replies, Router, VmDirectory, type CellEffects, type DocumentInForce, type Told } from '@cornelgauge/daemon/parts'
+import type { EmitEvent, TimelineEvent } from '@cornelgauge/telemetry'
 import { DOCUMENT_TEXT } from './document-text.js'
 
 export const CELL = cellName('praha')
@@ -92,11 +93,7 @@
 }
 
 /** An event of a VM, for assertions. */
-export interface SeenEvent extends EventFacts {
-  readonly vm: VmName
-  readonly name: string
-  readonly at: number
-}
+export type SeenEvent = Pick<TimelineEvent, 'vm' | 'name' | 'at' | 'cell' | 'request' | 'details'>
 
 /** One entry VM. */
 export class RigVm {
@@ -113,7 +110,7 @@
     this.clock = new VmClock(rig.clock)
     const replies = new Replies()
     const stores = { table: gated<TableService>(this.clock, rig.table), objects: gated<ObjectStore>(this.clock, rig.objects) }
-    const emit = (event: string, facts: EventFacts = {}): void => { rig.events.push({ vm: name, name: event, at: rig.clock.now(), ...facts }) }
+    const emit: EmitEvent = (event, facts) => { rig.events.push({ vm: name, name: event, at: rig.clock.now(), ...facts }) }
     this.#directory = new VmDirectory({ list: async () => rig.vmList }, emit, () => rig.clock.now())
     let nonces = 0
     this.host = new CellHost({
@@ -130,6 +127,7 @@
       replies,
       emit,
       documentInForce: () => rig.document,
+      onStep: step => { rig.onStep?.(step) },
       onReleased: () => { rig.pollAll() }
     })
     const wire = { call: (address: string, body: Parameters<typeof this.handle>[1]) => this.clock.gate(rig.call(address, body)) }
@@ -172,6 +170,8 @@
   readonly table = new MemoryTableService(this.clock)
   readonly objects = new MemoryObjectStore(this.clock)
   readonly events: SeenEvent[] = []
+  /** Is shown each step of an owned cell. */
+  onStep: ((step: CellEffects) => void) | undefined
   readonly vms: RigVm[] = []
   readonly #servers = new Map<BackendServerName, MemoryBackendServer>()
   readonly #former: MemoryBackendServer[] = []
--- a/scripts/check.js
+++ b/scripts/check.js
@@ -1,6 +1,6 @@
 // Everything that CI checks, step by step; the last line counts the tests.
 import { spawnSync } from 'node:child_process'
-import { existsSync, mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -40,6 +40,8 @@
 if (!existsSync('node_modules')) mustRun('npm', ['ci'])
 mustRun('npm', ['run', '--silent', 'format:check'])
 mustRun('npm', ['run', '--silent', 'lint'])
+// What was built of files that are gone would still be tested.
+for (const name of readdirSync('packages')) rmSync(join('packages', name, 'dist'), { recursive: true, force: true })
 mustRun('npm', ['run', '--silent', 'types'])
 
 console.log('> mocha')
