Keep a listed leaving backend server leaving after its next watch

Each watch answer set the status from the backend server's own word alone. A server that the VM list says is leaving, but which does not say so itself, was taken for live again with each watch and got new work for as long as it was listed. The list's word is kept now, and either word is enough.

--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -30,7 +30,7 @@
   if (before === undefined) return
   const { answer } = event
   if (before.incarnation !== undefined && before.incarnation !== answer.incarnation) forgetIncarnation(transaction, event.server)
-  const status = answer.leaving ? 'leaving' : 'live'
+  const status = answer.leaving || before.listedLeaving ? 'leaving' : 'live'
   const server: ServerState = { ...before, status, incarnation: answer.incarnation, cursor: answer.cursor, heardAt: transaction.at.monotonic, watchAt: undefined }
   transaction.setServer(server)
   if (status !== before.status) STATUS_CHANGES[status](transaction, server, before)
@@ -76,11 +76,10 @@
   const { name } = listed.description
   const known = transaction.state.servers.get(name)
   if (known === undefined) return addServer(transaction, listed)
-  if (!known.listed) transaction.setServer({ ...known, listed: true })
-  if (listed.leaving && known.status === 'live') {
-    transaction.setServer({ ...known, status: 'leaving' })
-    markLeaving(transaction, known)
-  }
+  const isNewlyLeaving = listed.leaving && known.status === 'live'
+  const server: ServerState = { ...known, listed: true, listedLeaving: listed.leaving, status: isNewlyLeaving ? 'leaving' : known.status }
+  transaction.setServer(server)
+  if (isNewlyLeaving) markLeaving(transaction, server)
 }
 
 function addServer (transaction: Transaction, listed: ListedServer): void {
@@ -88,6 +87,7 @@
     description: listed.description,
     status: 'new',
     listed: true,
+    listedLeaving: listed.leaving,
     incarnation: undefined,
     cursor: 0,
     heardAt: transaction.at.monotonic,
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -69,6 +69,8 @@
   readonly description: ServerDescription
   readonly status: 'new' | 'live' | 'suspect' | 'leaving' | 'lost'
   readonly listed: boolean
+  /** The VM list says that it leaves, whatever the backend server itself says. */
+  readonly listedLeaving: boolean
   readonly incarnation: string | undefined
   readonly cursor: number
   readonly heardAt: number
--- a/packages/stand-in/test/faults.test.ts
+++ b/packages/stand-in/test/faults.test.ts
@@ -137,6 +137,21 @@
     })
   })
 
+  describe('a backend server that the VM list says is leaving', () => {
+    it('gets no new work after 3 s, though it says nothing of that itself', async () => {
+      const rig = await Rig.start(2)
+      const listedAt = rig.clock.now()
+      rig.vmList = rig.vmList.map(listed => listed.name === 'server-0' ? { ...listed, status: 'leaving' } : listed)
+      for (let index = 0; index < 200; index++) {
+        rig.submit(rig.entry, swap(`swap-${index}`, rig.clock.now()))
+        await rig.advance(50)
+      }
+      const late = rig.servers[0]!.executions.filter(execution => execution.startedAt > listedAt + 3000)
+      expect(late).to.deep.equal([])
+      expect(rig.executions).to.have.length.above(150)
+    })
+  })
+
   describe('a planned stop', () => {
     it('hands the cell over and cuts no request short', async () => {
       const rig = await Rig.start(3)
