Tell callers of an uncommitted request at their deadline, not a tick later

A wake further off than the next tick is dropped by the timer of the cell, and the ticks that follow looked at the waiters only every 250 ms. While the table service was down, callers heard up to 241 ms after their deadline. Each tick now asks for the wake of the next refusal, and a new call for the earlier of its two times.

--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -132,7 +132,7 @@
 function wait (transaction: Transaction, id: RequestId, waiter: Waiter): void {
   const waiters = transaction.state.waiters.get(id) ?? List<Waiter>()
   setWaiters(transaction, id, waiters.push(waiter))
-  transaction.emit({ type: 'wake', at: Math.max(waiter.until, transaction.at.monotonic) })
+  transaction.emit({ type: 'wake', at: Math.max(Math.min(waiter.until, waiter.commitBy), transaction.at.monotonic) })
 }
 
 function setWaiters (transaction: Transaction, id: RequestId, waiters: List<Waiter>): void {
--- a/packages/scheduler/src/commits.ts
+++ b/packages/scheduler/src/commits.ts
@@ -50,6 +50,15 @@
     const left = list.filterNot(impatient)
     transaction.set({ waiters: left.isEmpty() ? transaction.state.waiters.delete(id) : transaction.state.waiters.set(id, left) })
   }
+  wakeForNextRefusal(transaction)
+}
+
+/** A wake further off than the next tick is forgotten, so each tick asks for the next one anew. */
+function wakeForNextRefusal (transaction: Transaction): void {
+  const { committed, waiters } = transaction.state
+  const uncommitted = waiters.filter((_, id) => !committed.has(id)).valueSeq().flatMap(list => list)
+  const at = uncommitted.map(waiter => waiter.commitBy).min()
+  if (at !== undefined) transaction.emit({ type: 'wake', at })
 }
 
 /** Takes in that a snapshot stands. */
--- a/packages/stand-in/test/faults.test.ts
+++ b/packages/stand-in/test/faults.test.ts
@@ -68,6 +68,18 @@
       expect(startedKeys(rig)).to.deep.equal([])
     })
 
+    it('tells by the deadline wherever that falls between two ticks', async () => {
+      const rig = await Rig.start(3)
+      rig.table.faults.set({ mode: 'down' })
+      const late: number[] = []
+      for (const milliseconds of [1000, 1010, 1110, 1240]) {
+        const deadline = rig.clock.now() + milliseconds
+        const call = rig.outcome(rig.submit(rig.entry, swap(`swap-${milliseconds}`, rig.clock.now(), { deadline })))
+        await rig.settle(call.then(() => { late.push(rig.clock.now() - deadline) }))
+      }
+      expect(late.filter(milliseconds => milliseconds > 0)).to.deep.equal([])
+    })
+
     it('finishes what was running and accepts again afterwards', async () => {
       const rig = await Rig.start(3)
       const submission = swap('swap-1', rig.clock.now(), { payload: { durationMilliseconds: 1000, echo: 1 } })
