Prove the promises by named cases and random schedules

The rig's calls between VMs have the time limit of the inner protocol's client, and the record of callers' calls stands in one module for schedules and cases. A short form of both runs with the tests.

--- /dev/null
+++ b/packages/stand-in/src/prove.ts
@@ -0,0 +1,89 @@
+/** The proof of the guarantees: `npm run prove`. */
+import { defineCommand, runMain } from 'citty'
+import { MECHANISMS, type Mechanism } from './prove-without.js'
+import { checkPromises } from './prove-rules.js'
+import { CASES, prove, proofLines, runCase, type Proof, type ProofPlan } from './prove-table.js'
+import type { SeenEvent } from './rig.js'
+
+const SCHEDULE_RUNS = 200
+const CASE_RUNS = 10
+const SHOWN_VIOLATIONS = 20
+
+/** Flags as they were given. */
+interface ProveFlags {
+  readonly seed?: string
+  readonly case?: string
+  readonly runs?: string
+  readonly without?: string
+}
+
+function planOf (flags: ProveFlags): ProofPlan {
+  const first = Number(flags.seed ?? 1)
+  const names = flags.case === undefined ? Object.keys(CASES) : [flags.case]
+  const runsOf = (name: string): number => Number(flags.runs ?? (name === 'random-schedule' ? SCHEDULE_RUNS : CASE_RUNS))
+  return new Map(names.map(name => [name, Array.from({ length: runsOf(name) }, (_, index) => first + index)]))
+}
+
+function printProof (proof: Proof, without: Mechanism | undefined): void {
+  console.log(proofLines(proof).join('\n'))
+  const command = `npm run prove --${without === undefined ? '' : ` --without ${without}`}`
+  for (const { promise, caseName, seed, line } of proof.violations.slice(0, SHOWN_VIOLATIONS)) {
+    console.log(`${promise}: ${line}\n  ${command} --case ${caseName} --seed ${seed}`)
+  }
+  if (proof.violations.length > SHOWN_VIOLATIONS) console.log(`and ${proof.violations.length - SHOWN_VIOLATIONS} more`)
+  for (const { caseName, seed, code, detail } of proof.broken) {
+    console.log(`did not come to its end: ${code} ${detail}\n  ${command} --case ${caseName} --seed ${seed}`)
+  }
+}
+
+function timeLine (events: readonly SeenEvent[]): readonly string[] {
+  const start = events[0]?.at ?? 0
+  return events.map(({ vm, name, at, cell, request, details }) =>
+    [`${String(at - start).padStart(8)} ms`, vm, name, cell, request, details === undefined ? undefined : JSON.stringify(details)]
+      .filter(part => part !== undefined).join('  '))
+}
+
+/** Replays one run with its time line; gives the number of violations. */
+async function replay (name: string, seed: number, without: Mechanism | undefined): Promise<number> {
+  const { evidence, events } = await runCase(name, seed, without)
+  console.log(timeLine(events).join('\n'))
+  const violations = [...checkPromises(evidence)].flatMap(([promise, lines]) => lines.map(line => `${promise}: ${line}`))
+  violations.forEach(line => { console.log(line) })
+  return violations.length
+}
+
+async function proveAll (flags: ProveFlags, without: Mechanism | undefined): Promise<{ violations: number, broken: number }> {
+  const proof = await prove(planOf(flags), without)
+  printProof(proof, without)
+  return { violations: proof.violations.length, broken: proof.broken.length }
+}
+
+async function run (flags: ProveFlags): Promise<boolean> {
+  const without = MECHANISMS.find(mechanism => mechanism === flags.without)
+  if (flags.without !== undefined && without === undefined) {
+    console.log(`--without takes one of ${MECHANISMS.join(', ')}`)
+    return false
+  }
+  const isReplay = flags.case !== undefined && flags.seed !== undefined && flags.runs === undefined
+  const { violations, broken } = isReplay
+    ? { violations: await replay(flags.case!, Number(flags.seed), without), broken: 0 }
+    : await proveAll(flags, without)
+  if (broken > 0) console.log(`${broken} runs did not come to their end`)
+  console.log(`${violations} violations`)
+  return without === undefined ? violations === 0 && broken === 0 : violations > 0
+}
+
+const command = defineCommand({
+  meta: { name: 'prove', description: 'Proves the guarantees over random schedules and named cases of failure' },
+  args: {
+    seed: { type: 'string', description: 'first seed; with --case and without --runs, replays this one' },
+    case: { type: 'string', description: Object.keys(CASES).join('|') },
+    runs: { type: 'string', description: 'seeds for each case' },
+    without: { type: 'string', description: MECHANISMS.join('|') }
+  },
+  async run ({ args }) {
+    process.exitCode = await run(args) ? 0 : 1
+  }
+})
+
+if (process.argv[1]?.endsWith('prove.js') === true) await runMain(command)
--- a/packages/stand-in/src/rig.ts
+++ b/packages/stand-in/src/rig.ts
@@ -91,6 +91,20 @@
   })
 }
 
+/** The life of a VM, as wrappers at its interfaces see it. */
+export interface VmLife {
+  readonly clock: Clock
+  readonly isAlive: () => boolean
+}
+
+/** Wrappers at the interfaces of the VMs, so that a mechanism can be taken out from outside. */
+export interface RigInterfaces {
+  readonly table?: (table: TableService, life: VmLife) => TableService
+  readonly server?: (server: BackendServer) => BackendServer
+  /** False: links between VMs never report silence. */
+  readonly probesConnections?: boolean
+}
+
 /** An event of a VM, for assertions. */
 export interface SeenEvent extends EventFacts {
   readonly vm: VmName
@@ -112,7 +126,9 @@
     this.name = name
     this.clock = new VmClock(rig.clock)
     const replies = new Replies()
-    const stores = { table: gated<TableService>(this.clock, rig.table), objects: gated<ObjectStore>(this.clock, rig.objects) }
+    const table = rig.interfaces.table?.(rig.table, { clock: rig.clock, isAlive: () => this.#alive }) ?? rig.table
+    const serverOf = (server: BackendServerName): BackendServer => rig.interfaces.server?.(rig.server(server)) ?? rig.server(server)
+    const stores = { table: gated<TableService>(this.clock, table), objects: gated<ObjectStore>(this.clock, rig.objects) }
     const emit = (event: string, facts: EventFacts = {}): void => { rig.events.push({ vm: name, name: event, at: rig.clock.now(), ...facts }) }
     this.#directory = new VmDirectory({ list: async () => rig.vmList }, emit, () => rig.clock.now())
     let nonces = 0
@@ -126,13 +142,13 @@
       random: seededRandom(seed),
       nonce: () => `${name}-${seed}-${nonces++}`,
       directory: this.#directory,
-      servers: { locate: () => {}, get: server => gated<BackendServer>(this.clock, rig.server(server)) },
+      servers: { locate: () => {}, get: server => gated<BackendServer>(this.clock, serverOf(server)) },
       replies,
       emit,
       documentInForce: () => rig.document,
       onReleased: () => { rig.pollAll() }
     })
-    const wire = { call: (address: string, body: Parameters<typeof this.handle>[1]) => this.clock.gate(rig.call(address, body)) }
+    const wire = { call: (address: string, body: Parameters<typeof this.handle>[1], timeoutMilliseconds: number) => this.clock.gate(rig.call(address, body, timeoutMilliseconds)) }
     this.router = new Router({ host: this.host, replies, wire, clock: this.clock, objects: stores.objects, document: () => rig.document.document })
     this.handle = peerCalls({ host: this.host, replies, documents: undefined as never, objects: stores.objects, now: () => rig.clock.now(), vmStatus: () => null, events: () => [], onHandoverHint: () => {} })
   }
@@ -176,17 +192,19 @@
   readonly #servers = new Map<BackendServerName, MemoryBackendServer>()
   readonly #former: MemoryBackendServer[] = []
   readonly #restarts: { readonly server: BackendServerName, readonly at: number }[] = []
+  readonly interfaces: RigInterfaces
   #lives = 1
   document: DocumentInForce = { version: documentVersion(1), document: parseDocument(DOCUMENT_TEXT).document }
   vmList: readonly ListedVm[] = []
 
-  constructor () {
+  constructor (interfaces: RigInterfaces = {}) {
+    this.interfaces = interfaces
     for (let index = 0; index < SERVER_COUNT; index++) this.#addServer(index)
   }
 
   /** Starts VMs and waits until the cell is served. */
-  static async start (count: number): Promise<Rig> {
-    const rig = new Rig()
+  static async start (count: number, interfaces: RigInterfaces = {}): Promise<Rig> {
+    const rig = new Rig(interfaces)
     for (let index = 1; index <= count; index++) rig.addVm(`vm-${index}`, index)
     await Promise.all(rig.vms.map(vm => vm.start()))
     await rig.advance(1500)
@@ -246,6 +264,13 @@
     return this.clock.advance(milliseconds)
   }
 
+  /** Ends every fault and lets paused VMs go on. */
+  heal (): void {
+    this.table.faults.set({ mode: 'none' })
+    this.servers.forEach(server => { server.faults.set({ mode: 'none' }) })
+    this.vms.forEach(vm => { vm.clock.resume() })
+  }
+
   pollAll (): void {
     this.vms.forEach(vm => { vm.poll() })
   }
@@ -284,13 +309,18 @@
     return vm.router.read(submission.workspace as WorkspaceName, submission.key as RequestKey, waitMilliseconds)
   }
 
-  /** A call between VMs: one to a dead VM is lost, one to a paused VM waits. */
-  call (address: string, body: Parameters<RigVm['handle']>[1]): Promise<Awaited<ReturnType<RigVm['handle']>>> {
+  /** A call between VMs: one to a dead VM is lost, one to a paused VM waits until the link or the call gives up. */
+  call (address: string, body: Parameters<RigVm['handle']>[1], timeoutMilliseconds: number): Promise<Awaited<ReturnType<RigVm['handle']>>> {
     const target = this.vms.find(vm => vm.name === address && vm.isAlive)
     if (target === undefined) return Promise.reject(new CornelgaugeError('connection-lost', { members: { sent: false } }))
     return new Promise((resolve, reject) => {
       const stopWatching = this.#watchLink(target, () => { reject(new CornelgaugeError('connection-lost', { members: { sent: true } })) })
-      target.clock.run(() => { target.clock.gate(target.handle({ vm: vmName('peer') }, body)).then(resolve, reject).finally(stopWatching) })
+      const cancelTimeout = this.clock.after(timeoutMilliseconds, () => { reject(new CornelgaugeError('timeout')) })
+      const finish = (): void => {
+        stopWatching()
+        cancelTimeout()
+      }
+      target.clock.run(() => { target.clock.gate(target.handle({ vm: vmName('peer') }, body)).then(resolve, reject).finally(finish) })
     })
   }
 
@@ -300,7 +330,7 @@
     let cancel: CancelTimer = () => {}
     const look = (): void => {
       silentSince = target.clock.isPaused ? silentSince ?? this.clock.now() : undefined
-      const silent = silentSince !== undefined && this.clock.now() - silentSince >= DEAD_AFTER_MILLISECONDS
+      const silent = this.interfaces.probesConnections !== false && silentSince !== undefined && this.clock.now() - silentSince >= DEAD_AFTER_MILLISECONDS
       if (!target.isAlive || silent) onLost()
       else cancel = this.clock.after(HEARTBEAT_MILLISECONDS, look)
     }
--- a/packages/stand-in/src/schedule.ts
+++ b/packages/stand-in/src/schedule.ts
@@ -1,16 +1,14 @@
 /**
  * A random schedule of calls and faults over the rig, and the history that it gives.
  */
-import type { Submission } from '@cornelgauge/model'
 import fc from 'fast-check'
 import { rota, swap } from './builders.js'
-import type { History, ToldEntry } from './history.js'
-import { Rig, type Outcome } from './rig.js'
+import { CallLog } from './call-log.js'
+import type { History } from './history.js'
+import { Rig, type RigInterfaces } from './rig.js'
 
 const VM_COUNT = 3
 const SERVER_COUNT = 4
-const HEALING_MILLISECONDS = 90_000
-const GANG_BOUND_MILLISECONDS = 13_000
 
 /** One step of a schedule. */
 export type Step =
@@ -40,21 +38,20 @@
 /** Carries out one schedule and heals everything afterwards. */
 export class ScheduleRun {
   readonly #rig: Rig
-  readonly #submissions: Submission[] = []
-  readonly #told: ToldEntry[] = []
-  readonly #calls: Promise<void>[] = []
+  readonly #calls: CallLog
   #replacements = 0
 
   constructor (rig: Rig) {
     this.#rig = rig
+    this.#calls = new CallLog(rig)
   }
 
   /** Runs the steps and gives the history. */
-  static async run (schedule: readonly Step[]): Promise<{ history: History, rig: Rig }> {
-    const rig = await Rig.start(VM_COUNT)
+  static async run (schedule: readonly Step[], interfaces: RigInterfaces = {}): Promise<{ history: History, rig: Rig }> {
+    const rig = await Rig.start(VM_COUNT, interfaces)
     const run = new ScheduleRun(rig)
     for (const step of schedule) await run.#take(step)
-    return { history: await run.#finish(), rig }
+    return { history: await run.#calls.healed(), rig }
   }
 
   async #take (step: Step): Promise<void> {
@@ -64,14 +61,14 @@
 
   readonly #actions: ScheduleActions = {
     submit: (vmIndex, kind, runMilliseconds, deadlineMilliseconds) => {
-      const key = `${kind}-${this.#submissions.length}`
+      const key = `${kind}-${this.#calls.submissions.length}`
       const build = kind === 'swap' ? swap : rota
       const submission = build(key, this.#rig.clock.now(), { payload: { durationMilliseconds: runMilliseconds, echo: { key } }, deadline: this.#rig.clock.now() + deadlineMilliseconds })
-      this.#submissions.push(submission)
-      this.#call(submission, this.#vm(vmIndex).router.submit(submission, 5000))
+      this.#calls.add(submission, this.#vm(vmIndex).router.submit(submission, 5000))
     },
     again: (vmIndex, index, how) => {
-      const submission = this.#submissions[index % Math.max(1, this.#submissions.length)]
+      const { submissions } = this.#calls
+      const submission = submissions[index % Math.max(1, submissions.length)]
       if (submission === undefined) return
       const { router } = this.#vm(vmIndex)
       const calls = {
@@ -79,7 +76,7 @@
         cancel: () => router.cancel(submission.workspace, submission.key),
         repeat: () => router.submit(submission, 1000)
       }
-      this.#call(submission, calls[how]())
+      this.#calls.add(submission, calls[how]())
     },
     vm: async (vmIndex, how) => { await this.#disturb(vmIndex, how) },
     table: mode => { this.#rig.table.faults.set({ mode, delayMilliseconds: 700 }) },
@@ -88,16 +85,6 @@
     advance: milliseconds => this.#rig.advance(milliseconds)
   }
 
-  /** A caller's call; one that came in at a VM that dies is never answered. */
-  #call (submission: Submission, call: Promise<unknown>): void {
-    const told = this.#rig.told(call as never).then(outcome => { this.#note(submission.key, outcome) })
-    this.#calls.push(told)
-  }
-
-  #note (key: string, outcome: Outcome): void {
-    this.#told.push({ key, at: this.#rig.clock.now(), state: outcome.state, code: outcome.code, answer: outcome.answer })
-  }
-
   #vm (index: number): Rig['vms'][number] {
     const alive = this.#rig.vms.filter(candidate => candidate.isAlive)
     return alive[index % alive.length]!
@@ -112,26 +99,6 @@
     this.#replacements += 1
     await this.#rig.addVm(`new-${this.#replacements}`, 100 + this.#replacements).start()
   }
-
-  async #finish (): Promise<History> {
-    this.#rig.table.faults.set({ mode: 'none' })
-    this.#rig.servers.forEach(candidate => { candidate.faults.set({ mode: 'none' }) })
-    this.#rig.vms.forEach(candidate => { candidate.clock.resume() })
-    await this.#rig.advance(HEALING_MILLISECONDS)
-    const last = new Map<string, ToldEntry>()
-    for (const submission of this.#submissions) {
-      const outcome = await this.#rig.outcome(this.#rig.read(this.#rig.owner!, submission))
-      last.set(submission.key, { key: submission.key, at: this.#rig.clock.now(), state: outcome.state, code: outcome.code, answer: outcome.answer })
-    }
-    return {
-      submitted: this.#submissions.map(({ key, idempotent }) => ({ key, idempotent })),
-      told: this.#told,
-      executions: this.#rig.executions,
-      last,
-      forgotten: new Set(this.#rig.forgottenKeys),
-      gangBoundMilliseconds: GANG_BOUND_MILLISECONDS
-    }
-  }
 }
 
 interface ScheduleActions {
--- /dev/null
+++ b/packages/stand-in/test/prove.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { CASES, prove } from '../src/prove-table.js'
+import { MECHANISMS, type Mechanism } from '../src/prove-without.js'
+
+const SEED = 1
+
+/** The case that shows what each mechanism is for. */
+const SHOWN_BY: Readonly<Record<Mechanism, string>> = {
+  fencing: 'owner-frozen-while-its-journal-is-trimmed',
+  'intent-before-start': 'owner-killed-between-start-and-answer',
+  'read-back': 'operator-race',
+  'prepare-go': 'gang-member-missing',
+  'version-check': 'operator-race',
+  'connection-probing': 'owner-frozen'
+}
+
+describe('the proof, in its short form', function () {
+  this.timeout(60_000)
+
+  describe('with every mechanism', () => {
+    for (const name of Object.keys(CASES)) {
+      it(`finds no violation in ${name}`, async () => {
+        const { violations, broken } = await prove(new Map([[name, [SEED]]]))
+        expect([violations, broken]).to.deep.equal([[], []])
+      })
+    }
+  })
+
+  describe('without', () => {
+    for (const mechanism of MECHANISMS) {
+      it(`${mechanism}, finds a violation`, async () => {
+        const { violations } = await prove(new Map([[SHOWN_BY[mechanism], [SEED]]]), mechanism)
+        expect(violations).to.have.length.above(0)
+      })
+    }
+
+    it('read-back, finds a swap that started twice', async () => {
+      const { violations } = await prove(new Map([['lost-answers', [1, 2, 3]]]), 'read-back')
+      expect(violations.map(violation => violation.promise)).to.include('non-idempotent work starts once at most')
+    })
+  })
+})
