--- /dev/null
+++ b/packages/stand-in/src/prove-processes.ts
@@ -0,0 +1,266 @@
+/**
+ * Cases on real processes: a whole local deployment under load, with daemons
+ * killed, frozen and stopped in turn. Checked by the promises of all other cases.
+ */
+import { readFile } from 'node:fs/promises'
+import { fileURLToPath } from 'node:url'
+import { CELLS_TABLE, seededRandom, type Random } from '@cornelgauge/coordination'
+import { asFailure, isFinal, type RequestState } from '@cornelgauge/model'
+import { HttpClient, HttpTableService, systemClock, type Json, type LoggedExecution } from '@cornelgauge/platform'
+import { GANG_BOUND_MILLISECONDS } from './call-log.js'
+import type { ToldEntry } from './history.js'
+import { LocalDeployment } from './local-deployment.js'
+import { DAEMON_MAIN } from './local-entry.js'
+import { LocalProcess } from './local-process.js'
+import { DEPLOYMENTS } from './local-sizes.js'
+import type { ProcessLine } from './process-line.js'
+import { checkPromises, type Evidence } from './prove-rules.js'
+import { ProofTally, type Proof } from './prove-table.js'
+
+const CALL_MILLISECONDS = 15_000
+const WAIT_MILLISECONDS = 3000
+const DEADLINE_MILLISECONDS = 30_000
+const PATIENCE_MILLISECONDS = 60_000
+const RETRY_MILLISECONDS = 200
+const SWAPS = 300
+const SWAP_INTERVAL_MILLISECONDS = 100
+const RESTART_MILLISECONDS = 500
+const KILL_INTERVAL_MILLISECONDS = 3000
+const FREEZE_MILLISECONDS = 7000
+const READY_MILLISECONDS = 20_000
+const CONNECTIONS = 32
+const EXAMPLE_DOCUMENT = fileURLToPath(new URL('../../../../examples/hlidka.yaml', import.meta.url))
+
+interface View {
+  readonly state: RequestState
+  readonly answer?: Json
+}
+
+const sleep = (milliseconds: number): Promise<void> => new Promise(resolve => systemClock.after(milliseconds, resolve))
+
+/** An entry VM of the deployment, through all lives of its daemon. */
+class EntryVm {
+  readonly line: ProcessLine
+  readonly client: HttpClient
+  /** False while callers are sent elsewhere. */
+  isOffered = true
+  #pid: number
+  #process: LocalProcess | undefined
+
+  constructor (line: ProcessLine) {
+    this.line = line
+    this.#pid = line.pid
+    this.client = new HttpClient({ address: line.address, timeoutMilliseconds: CALL_MILLISECONDS, connections: CONNECTIONS })
+  }
+
+  signal (name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM'): void {
+    process.kill(this.#pid, name)
+  }
+
+  /** Starts the daemon again from its command line and waits until it is ready. */
+  async startAgain (): Promise<void> {
+    this.#process = new LocalProcess({ name: this.line.name, command: ['/bin/sh', '-c', `exec ${this.line.command}`], environment: this.line.environment })
+    this.#pid = this.#process.pid
+    await this.#until(() => this.client.call({ method: 'GET', path: '/health/ready' }).then(() => true, () => false))
+  }
+
+  /** Waits until the daemon has ended. */
+  async ended (): Promise<void> {
+    await this.#until(async () => !this.#isRunning())
+  }
+
+  async close (): Promise<void> {
+    await this.#process?.stop(CALL_MILLISECONDS)
+    await this.client.close()
+  }
+
+  #isRunning (): boolean {
+    try {
+      return process.kill(this.#pid, 0)
+    } catch {
+      return false
+    }
+  }
+
+  async #until (holds: () => Promise<boolean>): Promise<void> {
+    const end = systemClock.now() + READY_MILLISECONDS
+    while (systemClock.now() < end && !await holds()) await sleep(RETRY_MILLISECONDS)
+  }
+}
+
+/** A case on processes. */
+export type ProcessCase = (run: ProcessRun) => Promise<Evidence>
+
+/** Every case on processes by its name. */
+export const PROCESS_CASES: Readonly<Record<string, ProcessCase>> = {
+  'daemons-killed': run => run.killed(),
+  'owners-frozen': run => run.frozen(),
+  'daemons-stopped-in-turn': run => run.stoppedInTurn()
+}
+
+/** Runs cases one after another on one deployment of 9 daemons. */
+export async function proveOnProcesses (names: readonly string[], seed: number): Promise<Proof> {
+  const tally = new ProofTally()
+  const deployment = new LocalDeployment({
+    sizes: DEPLOYMENTS.hlidka!,
+    daemonMain: DAEMON_MAIN,
+    document: await readFile(EXAMPLE_DOCUMENT, 'utf8'),
+    logLevel: 'warn',
+    daemonGraceMilliseconds: CALL_MILLISECONDS
+  })
+  try {
+    await deployment.launch()
+    await deployment.makeReady()
+    const run = new ProcessRun(deployment, seed)
+    for (const name of names) await tally.take(name, seed, async () => checkPromises(await PROCESS_CASES[name]!(run)))
+    await run.close()
+  } finally {
+    await deployment.stop()
+  }
+  return tally
+}
+
+/** Callers of a deployment, and the hand that disturbs it. */
+export class ProcessRun {
+  readonly #deployment: LocalDeployment
+  readonly #entries: readonly EntryVm[]
+  readonly #random: Random
+
+  constructor (deployment: LocalDeployment, seed: number) {
+    this.#deployment = deployment
+    this.#entries = deployment.lines.filter(line => line.role === 'entry').map(line => new EntryVm(line))
+    this.#random = seededRandom(seed)
+  }
+
+  /** Ends the daemons that were started again. */
+  async close (): Promise<void> {
+    await Promise.all(this.#entries.map(entry => entry.close()))
+  }
+
+  /** Every few seconds one daemon is killed and started again. */
+  killed (): Promise<Evidence> {
+    return this.#underLoad('killed', async isOver => {
+      while (!isOver()) {
+        const entry = this.#any()
+        entry.signal('SIGKILL')
+        await sleep(RESTART_MILLISECONDS)
+        await entry.startAgain()
+        await sleep(KILL_INTERVAL_MILLISECONDS)
+      }
+    })
+  }
+
+  /** The owner of a cell is frozen past its lease, and goes on. */
+  frozen (): Promise<Evidence> {
+    return this.#underLoad('frozen', async isOver => {
+      while (!isOver()) {
+        const owner = await this.#anOwner()
+        owner.signal('SIGSTOP')
+        await sleep(FREEZE_MILLISECONDS)
+        owner.signal('SIGCONT')
+        await sleep(KILL_INTERVAL_MILLISECONDS)
+      }
+    })
+  }
+
+  /** All daemons are stopped in turn as planned, and started again. */
+  async stoppedInTurn (): Promise<Evidence> {
+    const evidence = await this.#underLoad('stopped', async () => {
+      for (const entry of this.#entries) {
+        entry.isOffered = false
+        entry.signal('SIGTERM')
+        await entry.ended()
+        await entry.startAgain()
+        entry.isOffered = true
+      }
+    })
+    const { submitted, told } = evidence.history!
+    return { ...evidence, uncut: { keys: submitted.map(({ key }) => key), told } }
+  }
+
+  async #underLoad (prefix: string, disturb: (isOver: () => boolean) => Promise<void>): Promise<Evidence> {
+    const told: ToldEntry[] = []
+    const progress = { isOver: false }
+    const disturbance = disturb(() => progress.isOver)
+    const keys = Array.from({ length: SWAPS }, (_, index) => `${prefix}-${index}`)
+    const calls: Promise<void>[] = []
+    for (const key of keys) {
+      calls.push(this.#ask(key, told))
+      await sleep(SWAP_INTERVAL_MILLISECONDS)
+    }
+    progress.isOver = true
+    await Promise.all([...calls, disturbance])
+    return { history: await this.#history(keys, told) }
+  }
+
+  async #history (keys: readonly string[], told: readonly ToldEntry[]): Promise<NonNullable<Evidence['history']>> {
+    const last = new Map<string, ToldEntry>()
+    for (const key of keys) last.set(key, await this.#call(this.#any(), key, 'GET'))
+    const mine = new Set(keys)
+    return {
+      submitted: keys.map(key => ({ key, idempotent: false })),
+      told: [...told, ...last.values()],
+      executions: (await this.#executions()).filter(execution => mine.has(execution.requestKey)),
+      last,
+      forgotten: new Set(),
+      gangBoundMilliseconds: GANG_BOUND_MILLISECONDS
+    }
+  }
+
+  /** Submits until something is told of the request, then reads until it ends. */
+  async #ask (key: string, told: ToldEntry[]): Promise<void> {
+    const giveUpAt = systemClock.now() + PATIENCE_MILLISECONDS
+    let method: 'POST' | 'GET' = 'POST'
+    while (systemClock.now() < giveUpAt) {
+      const entry = await this.#call(this.#any(), key, method)
+      told.push(entry)
+      const isTold = entry.code === undefined
+      if (isTold && isFinal(entry.state as RequestState)) return
+      if (isTold) method = 'GET'
+      else if (entry.state === 'not-run') return
+      else await sleep(RETRY_MILLISECONDS)
+    }
+  }
+
+  async #call (entry: EntryVm, key: string, method: 'POST' | 'GET'): Promise<ToldEntry> {
+    const workspace = this.#deployment.plan.sizes.workspaces[0]!
+    const path = `/v1/workspaces/${workspace}/requests${method === 'POST' ? '' : `/${key}`}?waitMilliseconds=${WAIT_MILLISECONDS}`
+    const headers = { authorization: `Bearer ${this.#deployment.credentials.workspaces[workspace]}`, 'idempotency-key': key, 'content-type': 'application/json' }
+    const body = JSON.stringify({ kind: 'shift-swap', payload: { durationMilliseconds: 100, echo: { key } }, deadlineMilliseconds: DEADLINE_MILLISECONDS })
+    try {
+      const view = await entry.client.json<View>({ method, path, headers, body: method === 'POST' ? body : undefined, waitMilliseconds: WAIT_MILLISECONDS })
+      return { key, at: systemClock.now(), state: view.state, answer: JSON.stringify(view.answer) }
+    } catch (thrown) {
+      const { code, state } = asFailure(thrown)
+      return { key, at: systemClock.now(), state, code }
+    }
+  }
+
+  #any (): EntryVm {
+    const offered = this.#entries.filter(entry => entry.isOffered)
+    return offered[Math.floor(this.#random() * offered.length)]!
+  }
+
+  async #anOwner (): Promise<EntryVm> {
+    const table = new HttpTableService({ address: this.#deployment.plan.tableService, timeoutMilliseconds: CALL_MILLISECONDS })
+    try {
+      const holders = (await table.range({ table: CELLS_TABLE })).map(row => row.value.holder)
+      return this.#entries.find(entry => holders.includes(entry.line.name)) ?? this.#any()
+    } finally {
+      await table.close()
+    }
+  }
+
+  async #executions (): Promise<readonly LoggedExecution[]> {
+    const addresses = this.#deployment.lines.filter(line => line.role === 'backend-server').map(line => line.address)
+    const logs = await Promise.all(addresses.map(async address => {
+      const client = new HttpClient({ address, timeoutMilliseconds: CALL_MILLISECONDS, connections: 1 })
+      try {
+        return await client.json<readonly LoggedExecution[]>({ method: 'GET', path: '/executions' })
+      } finally {
+        await client.close()
+      }
+    }))
+    return logs.flat()
+  }
+}
--- a/packages/stand-in/src/prove-table.ts
+++ b/packages/stand-in/src/prove-table.ts
@@ -67,27 +67,37 @@
   return proveCase(seed, interfacesWithout(without))
 }
 
-/**
- * Makes every run of the plan. Without a mechanism, a break counts only where the
- * same run keeps that promise with the mechanism in its place.
- */
-export async function prove (plan: ProofPlan, without?: Mechanism): Promise<Proof> {
-  const checked = new Map(Object.keys(PROMISES).map(name => [name, new Map<string, number>()] as const))
-  const violations: Violation[] = []
-  const broken: BrokenRun[] = []
-  for (const [caseName, seed] of runsOf(plan)) {
+/** Gathers what the runs show. */
+export class ProofTally implements Proof {
+  readonly checked = new Map(Object.keys(PROMISES).map(name => [name, new Map<string, number>()] as const))
+  readonly violations: Violation[] = []
+  readonly broken: BrokenRun[] = []
+
+  /** Makes one run and takes in what it shows, or that it failed. */
+  async take (caseName: string, seed: number, run: () => Promise<ReadonlyMap<string, readonly string[]>>): Promise<void> {
     try {
-      for (const [promise, lines] of await checkRun(caseName, seed, without)) {
-        const counts = checked.get(promise)!
-        counts.set(caseName, (counts.get(caseName) ?? 0) + 1)
-        violations.push(...lines.map(line => ({ promise, caseName, seed, line })))
-      }
+      for (const [promise, lines] of await run()) this.#note(promise, caseName, seed, lines)
     } catch (thrown) {
       const { code, message } = asFailure(thrown)
-      broken.push({ caseName, seed, code, detail: message })
+      this.broken.push({ caseName, seed, code, detail: message })
     }
   }
-  return { checked, violations, broken }
+
+  #note (promise: string, caseName: string, seed: number, lines: readonly string[]): void {
+    const counts = this.checked.get(promise)!
+    counts.set(caseName, (counts.get(caseName) ?? 0) + 1)
+    this.violations.push(...lines.map(line => ({ promise, caseName, seed, line })))
+  }
+}
+
+/**
+ * Makes every run of the plan. Without a mechanism, a break counts only where the
+ * same run keeps that promise with the mechanism in its place.
+ */
+export async function prove (plan: ProofPlan, without?: Mechanism): Promise<Proof> {
+  const tally = new ProofTally()
+  for (const [caseName, seed] of runsOf(plan)) await tally.take(caseName, seed, () => checkRun(caseName, seed, without))
+  return tally
 }
 
 async function checkRun (caseName: string, seed: number, without: Mechanism | undefined): Promise<ReadonlyMap<string, readonly string[]>> {
--- a/packages/stand-in/src/prove.ts
+++ b/packages/stand-in/src/prove.ts
@@ -1,6 +1,7 @@
 /** The proof of the guarantees: `npm run prove`. */
 import { defineCommand, runMain } from 'citty'
 import { MECHANISMS, type Mechanism } from './prove-without.js'
+import { PROCESS_CASES, proveOnProcesses } from './prove-processes.js'
 import { checkPromises } from './prove-rules.js'
 import { CASES, prove, proofLines, runCase, type Proof, type ProofPlan } from './prove-table.js'
 import type { SeenEvent } from './rig.js'
@@ -15,6 +16,7 @@
   readonly case?: string
   readonly runs?: string
   readonly without?: string
+  readonly processes?: boolean
 }
 
 function planOf (flags: ProveFlags): ProofPlan {
@@ -52,8 +54,14 @@
   return violations.length
 }
 
+function proofOf (flags: ProveFlags, without: Mechanism | undefined): Promise<Proof> {
+  if (flags.processes !== true) return prove(planOf(flags), without)
+  const names = Object.keys(PROCESS_CASES).filter(name => flags.case === undefined || flags.case === name)
+  return proveOnProcesses(names, Number(flags.seed ?? 1))
+}
+
 async function proveAll (flags: ProveFlags, without: Mechanism | undefined): Promise<{ violations: number, broken: number }> {
-  const proof = await prove(planOf(flags), without)
+  const proof = await proofOf(flags, without)
   printProof(proof, without)
   return { violations: proof.violations.length, broken: proof.broken.length }
 }
@@ -64,7 +72,7 @@
     console.log(`--without takes one of ${MECHANISMS.join(', ')}`)
     return false
   }
-  const isReplay = flags.case !== undefined && flags.seed !== undefined && flags.runs === undefined
+  const isReplay = flags.case !== undefined && flags.seed !== undefined && flags.runs === undefined && flags.processes !== true
   const { violations, broken } = isReplay
     ? { violations: await replay(flags.case!, Number(flags.seed), without), broken: 0 }
     : await proveAll(flags, without)
@@ -79,6 +87,7 @@
     seed: { type: 'string', description: 'first seed; with --case and without --runs, replays this one' },
     case: { type: 'string', description: Object.keys(CASES).join('|') },
     runs: { type: 'string', description: 'seeds for each case' },
+    processes: { type: 'boolean', description: 'the cases on real processes instead' },
     without: { type: 'string', description: MECHANISMS.join('|') }
   },
   async run ({ args }) {
