--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -75,10 +75,10 @@
   const { name } = listed.description
   const known = transaction.state.servers.get(name)
   if (known === undefined) return addServer(transaction, listed)
-  const server: ServerState = { ...known, listed: true, listedLeaving: listed.leaving }
-  const startsLeaving = listed.leaving && known.status === 'live'
-  transaction.setServer(startsLeaving ? { ...server, status: 'leaving' } : server)
-  if (startsLeaving) markLeaving(transaction, known)
+  const isNewlyLeaving = listed.leaving && known.status === 'live'
+  const server: ServerState = { ...known, listed: true, listedLeaving: listed.leaving, status: isNewlyLeaving ? 'leaving' : known.status }
+  transaction.setServer(server)
+  if (isNewlyLeaving) markLeaving(transaction, server)
 }
 
 function addServer (transaction: Transaction, listed: ListedServer): void {
--- a/packages/stand-in/test/faults.test.ts
+++ b/packages/stand-in/test/faults.test.ts
@@ -68,6 +68,18 @@
       expect(startedKeys(rig)).to.deep.equal([])
     })
 
+    it('tells by the deadline wherever that falls between two ticks', async () => {
+      const rig = await Rig.start(3)
+      rig.table.faults.set({ mode: 'down' })
+      const late: number[] = []
+      for (const milliseconds of [1000, 1010, 1110, 1240]) {
+        const deadline = rig.clock.now() + milliseconds
+        const call = rig.outcome(rig.submit(rig.entry, swap(`swap-${milliseconds}`, rig.clock.now(), { deadline })))
+        await rig.settle(call.then(() => { late.push(rig.clock.now() - deadline) }))
+      }
+      expect(late.filter(milliseconds => milliseconds > 0)).to.deep.equal([])
+    })
+
     it('finishes what was running and accepts again afterwards', async () => {
       const rig = await Rig.start(3)
       const submission = swap('swap-1', rig.clock.now(), { payload: { durationMilliseconds: 1000, echo: 1 } })
@@ -137,6 +149,21 @@
     })
   })
 
+  describe('a backend server that the VM list says is leaving', () => {
+    it('gets no new work after 3 s, though it says nothing of that itself', async () => {
+      const rig = await Rig.start(2)
+      const listedAt = rig.clock.now()
+      rig.vmList = rig.vmList.map(listed => listed.name === 'server-0' ? { ...listed, status: 'leaving' } : listed)
+      for (let index = 0; index < 200; index++) {
+        rig.submit(rig.entry, swap(`swap-${index}`, rig.clock.now()))
+        await rig.advance(50)
+      }
+      const late = rig.servers[0]!.executions.filter(execution => execution.startedAt > listedAt + 3000)
+      expect(late).to.deep.equal([])
+      expect(rig.executions).to.have.length.above(150)
+    })
+  })
+
   describe('a planned stop', () => {
     it('hands the cell over and cuts no request short', async () => {
       const rig = await Rig.start(3)
