--- a/packages/daemon/src/cell-loop.ts
+++ b/packages/daemon/src/cell-loop.ts
@@ -3,7 +3,7 @@
  * each, and the effects handed on.
  */
 import { asFailure, type CellName, type CornelgaugeError, type Epoch } from '@cornelgauge/model'
-import { createOwner, step, type Instant, type OwnerEffect, type OwnerEvent, type OwnerStart, type OwnerState } from '@cornelgauge/scheduler'
+import { abandonOwner, createOwner, refuseCall, step, type Instant, type OwnerEffect, type OwnerEvent, type OwnerStart, type OwnerState } from '@cornelgauge/scheduler'
 import { Map as ImmutableMap } from 'immutable'
 import { Inbox } from './inbox.js'
 
@@ -20,8 +20,9 @@
   /** Monotonic time at which the step began. */
   readonly startedAt: number
   readonly milliseconds: number
-  readonly before: OwnerState
-  /** Not there where the step failed. */
+  /** Not there where the cell was not owned any more. */
+  readonly before?: OwnerState
+  /** Not there where the step failed either. */
   readonly after?: OwnerState
   readonly effects: readonly OwnerEffect[]
   readonly failure?: CornelgaugeError
@@ -77,15 +78,15 @@
   disown: (cells, { cell, epoch }) => ({ seed: cells.get(cell)?.epoch === epoch ? cells.delete(cell) : cells, value: undefined })
 }
 
-/** One step of one cell. Events meant for an earlier epoch are left out; a step that throws gives the cell up. */
+/** One step of one cell. Calls meant for an earlier epoch are refused, its other events left out; a step that throws gives the cell up. */
 function stepCell (cells: Cells, cell: CellName, epoch: Epoch, event: OwnerEvent, at: Instant): LoopStep {
   const state = cells.get(cell)
-  if (state === undefined || state.epoch !== epoch) return { seed: cells, value: undefined }
+  if (state === undefined || state.epoch !== epoch) return { seed: cells, value: { cell, epoch, effects: refuseCall(event) } }
   try {
     const result = step(state, event, at)
     return { seed: cells.set(cell, result.state), value: { cell, epoch, before: state, after: result.state, effects: result.effects } }
   } catch (thrown) {
     const failure = asFailure(thrown)
-    return { seed: cells.delete(cell), value: { cell, epoch, before: state, effects: [{ type: 'stepped-down' }], failure } }
+    return { seed: cells.delete(cell), value: { cell, epoch, before: state, effects: [...refuseCall(event), ...abandonOwner(state)], failure } }
   }
 }
--- a/packages/daemon/src/owner-metrics.ts
+++ b/packages/daemon/src/owner-metrics.ts
@@ -18,7 +18,7 @@
  * measureStep(metrics, step)
  */
 export function measureStep (metrics: Metrics, { cell, before, after, startedAt, milliseconds }: CellEffects): void {
-  if (after === undefined) return
+  if (before === undefined || after === undefined) return
   if (hasDecided(before, after)) metrics.measure('decisions.duration', milliseconds, { cell })
   if (before.batch === undefined || after.committed === before.committed) return
   const { transitions } = before.batch
--- a/packages/policy/src/room.ts
+++ b/packages/policy/src/room.ts
@@ -3,7 +3,7 @@
  * the server's ledger, so a placement needs no look at single tasks.
  */
 import { addAmount, leastAmount, NO_AMOUNT, type Amount } from './amount.js'
-import type { Server } from './capacity.js'
+import { isOpen, type Server } from './capacity.js'
 
 /** A view of a backend server's room. */
 export type Room = (server: Server) => Amount
@@ -14,8 +14,9 @@
 }
 
 /** For anything that can be reclaimed: all that is free and not claimed already. */
-export function reclaimableRoom ({ leaving, description, used, claimed }: Server): Amount {
-  if (leaving) return NO_AMOUNT
+export function reclaimableRoom (server: Server): Amount {
+  if (!isOpen(server)) return NO_AMOUNT
+  const { description, used, claimed } = server
   return {
     slots: description.slots - used.slots - claimed.slots,
     accelerators: description.accelerators - used.accelerators - claimed.accelerators
@@ -45,9 +46,14 @@
   return leastAmount(reclaimableRoom(server), addAmount(pinnableAmount(server), server.closed, -1))
 }
 
-/** For what can be reclaimed: only what urgent work may not use. */
+/** For what can be reclaimed, but outside of reservations. */
+export function unreservedRoom (server: Server): Amount {
+  return addAmount(reclaimableRoom(server), server.reserved, -1)
+}
+
+/** For what can be reclaimed: only what urgent work may not use, and nobody has reserved. */
 export function lentRoom (server: Server): Amount {
-  const room = reclaimableRoom(server)
+  const room = unreservedRoom(server)
   return { ...room, slots: room.slots - Math.max(0, urgentRoom(server).slots) }
 }
 
@@ -58,5 +64,5 @@
 
 /** What an empty backend server gives. */
 export function wholeAmount (server: Server): Amount {
-  return server.leaving ? NO_AMOUNT : server.description
+  return !isOpen(server) ? NO_AMOUNT : server.description
 }
