--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -178,8 +178,8 @@
   async #claim (cell: CellName, watch: RowWatch): Promise<void> {
     const { vm, wireAddress, nonce, stores, clock, emit } = this.#options
     const abort = new AbortController()
-    this.#claims.add(abort)
     const startedAt = clock.now()
+    this.#claims.add(abort)
     const outcome = await claimCell(stores.table, cell, watch.stored, { vm, address: wireAddress, nonce: nonce() }, this.#storeOptions(abort.signal))
     this.#claims.delete(abort)
     if (outcome.type !== 'claimed') return emit('cell-claim-lost', { cell, details: { outcome: outcome.type } })
--- a/packages/daemon/src/cell-loop.ts
+++ b/packages/daemon/src/cell-loop.ts
@@ -20,9 +20,9 @@
   /** Monotonic time at which the step began. */
   readonly startedAt: number
   readonly milliseconds: number
-  /** Not there where the cell was not owned under this epoch. */
+  /** Not there where the cell was not owned any more. */
   readonly before?: OwnerState
-  /** Not there where the step failed. */
+  /** Not there where the step failed either. */
   readonly after?: OwnerState
   readonly effects: readonly OwnerEffect[]
   readonly failure?: CornelgaugeError
