--- a/packages/daemon/test/documentation.test.ts
+++ b/packages/daemon/test/documentation.test.ts
@@ -1,12 +1,26 @@
 import { expect } from 'chai'
-import { readFileSync } from 'node:fs'
+import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { ERROR_KINDS } from '@cornelgauge/model'
 import { EVENT_CATALOGUE, METRIC_CATALOGUE } from '@cornelgauge/telemetry'
 import { callerRoutes } from '../src/caller-routes.js'
 import { operatorRoutes } from '../src/operator-routes.js'
 import { environmentVariable, SETTING_DECLARATIONS, type SettingDeclaration } from '../src/settings.js'
 
-const pageOf = (name: string): string => readFileSync(new URL(`../../../../docs/${name}`, import.meta.url), 'utf8')
+const ROOT = new URL('../../../../', import.meta.url)
+const pageOf = (name: string): string => readFileSync(new URL(`docs/${name}`, ROOT), 'utf8')
+
+/** Every page of the repository's own. */
+function allPages (): readonly URL[] {
+  const inFolder = (folder: string): readonly URL[] => readdirSync(new URL(folder, ROOT)).filter(name => name.endsWith('.md')).map(name => new URL(`${folder}${name}`, ROOT))
+  const packages = readdirSync(new URL('packages/', ROOT)).flatMap(name => inFolder(`packages/${name}/`))
+  return [...inFolder('./'), ...inFolder('docs/'), ...inFolder('docs/decisions/'), ...packages]
+}
+
+/** The links of a page that lead to nothing. */
+function deadLinks (page: URL): readonly string[] {
+  const links = [...readFileSync(page, 'utf8').matchAll(/\]\(([^)#\s]+)[^)]*\)/g)].map(match => match[1]!)
+  return links.filter(link => !/^[a-z]+:/.test(link) && !existsSync(new URL(link, page))).map(link => `${page.pathname}: ${link}`)
+}
 
 /** The rows of the table whose first header is this, each as its cells. */
 function tableOf (page: string, header: string): readonly (readonly string[])[] {
@@ -24,6 +38,13 @@
 const code = (text: string): string => `\`${text}\``
 
 describe('documentation', () => {
+  describe('every page', () => {
+    it('has links that lead somewhere', () => {
+      expect(allPages()).to.have.length.above(20)
+      expect(allPages().flatMap(deadLinks)).to.deep.equal([])
+    })
+  })
+
   describe('API.md', () => {
     const page = pageOf('API.md')
 
