--- /dev/null
+++ b/packages/stand-in/src/capacity-rows.ts
@@ -0,0 +1,118 @@
+/** The rows of the page of capacity: driver times slope, against a budget. */
+import { CELL, NODE_BUDGET, SIZE, TABLE_BUDGET } from './capacity-size.js'
+import type { SlopesReport } from './slopes-report.js'
+
+const DAY_SECONDS = 86_400
+const ENVIRONMENTS = 2
+const COMMITS_PER_SECOND = 20
+const ENTRY_VMS = 9
+const SNAPSHOT_ROWS = 400
+
+/** One row. */
+export interface CapacityRow {
+  readonly role: string
+  readonly what: string
+  /** What a node is in this row. */
+  readonly node: string
+  readonly driver: string
+  readonly slope: string
+  readonly figure: number
+  readonly unit: 'ms/s' | 'bytes' | 'bytes/s' | '1/s' | 'ms'
+  readonly budget?: number
+  readonly mechanism: string
+}
+
+/** Slope of a figure; a negative one is within its error of nothing. */
+export function slopeOf (report: SlopesReport, name: string): number {
+  return Math.max(report.slopes.find(slope => slope.name === name)?.slope ?? NaN, 0)
+}
+
+interface Term {
+  readonly name: string
+  readonly size: number
+}
+
+type Describe = Omit<CapacityRow, 'driver' | 'slope' | 'figure'>
+
+/** A row whose figure is a sum of drivers times their slopes. */
+function row (report: SlopesReport, terms: readonly Term[], description: Describe): CapacityRow {
+  const slopes = terms.map(term => slopeOf(report, term.name))
+  const figure = terms.reduce((total, term, index) => total + term.size * slopes[index]!, 0)
+  return {
+    ...description,
+    driver: terms.map(term => `${Number(term.size.toPrecision(4))} x ${term.name}`).join(' + '),
+    slope: slopes.map(slope => String(Number(slope.toPrecision(3)))).join(' + '),
+    figure
+  }
+}
+
+const CELL_DRIVERS: readonly (readonly [string, number])[] = [
+  ['owner-server', CELL.servers], ['owner-task', CELL.tasks], ['owner-waiting', CELL.waiting], ['owner-kept', CELL.kept], ['owner-workspace', CELL.workspaces]
+]
+const owned = (figure: string): readonly Term[] => CELL_DRIVERS.map(([name, size]) => ({ name: `${name}/${figure}`, size }))
+const OWNER_NODE = 'entry VM that owns one cell, a whole failure domain'
+const ANY_NODE = 'entry VM'
+
+/** All rows, by role. */
+export function capacityRows (report: SlopesReport): readonly CapacityRow[] {
+  return [...entryRows(report), ...ownerRows(report), ...dispatcherRows(report), ...followerRows(report), ...toolRows(report), ...tableRows(report)]
+}
+
+function entryRows (report: SlopesReport): readonly CapacityRow[] {
+  const callsPerSecond = SIZE.jobsPerDay / DAY_SECONDS / ENTRY_VMS
+  const role = 'entry'
+  return [
+    row(report, [{ name: 'wire-call/processor', size: callsPerSecond }], { role, what: 'processor time, forwarded calls (both ends)', node: ANY_NODE, unit: 'ms/s', budget: NODE_BUDGET.processor, mechanism: 'one connection per peer, calls correlated by id' }),
+    row(report, [{ name: 'wire-call/bytes', size: callsPerSecond }, { name: 'wire-quiet/heartbeats', size: SIZE.failureDomains }], { role, what: 'messages to 21 owners', node: ANY_NODE, unit: 'bytes/s', budget: NODE_BUDGET.bytes, mechanism: 'connections on demand, pings after a second of silence' }),
+    row(report, [{ name: 'wire-quiet/heap', size: SIZE.failureDomains }], { role, what: 'memory of connections (both ends)', node: ANY_NODE, unit: 'bytes', budget: NODE_BUDGET.memory, mechanism: 'one connection per peer, closed after a quiet minute' })
+  ]
+}
+
+function ownerRows (report: SlopesReport): readonly CapacityRow[] {
+  const requestsPerSecond = SIZE.jobsPerDay / DAY_SECONDS / SIZE.failureDomains
+  const role = 'cell owner'
+  return [
+    row(report, owned('processor'), { role, what: 'processor time of the step, at rest', node: OWNER_NODE, unit: 'ms/s', budget: NODE_BUDGET.processor, mechanism: 'a pure step per event; ticks look at every server and run' }),
+    row(report, [{ name: 'owner-request/processor', size: requestsPerSecond }], { role, what: 'processor time of the step, requests', node: OWNER_NODE, unit: 'ms/s', budget: NODE_BUDGET.processor, mechanism: 'group commit' }),
+    row(report, owned('heap'), { role, what: 'state', node: OWNER_NODE, unit: 'bytes', budget: NODE_BUDGET.memory, mechanism: 'persistent maps that versions of the state share' }),
+    row(report, [{ name: 'policy-decision/processor', size: CELL.accelerators }], { role, what: 'one decision on a gang', node: OWNER_NODE, unit: 'ms', budget: NODE_BUDGET.processor, mechanism: 'placement by rack' }),
+    row(report, [{ name: 'recovery-row/processor', size: SNAPSHOT_ROWS }, { name: 'snapshot/recover', size: CELL.kept + CELL.tasks }], { role, what: 'reading snapshot and tail after a takeover', node: OWNER_NODE, unit: 'ms', budget: 1000, mechanism: 'a snapshot every 400 rows' }),
+    row(report, [{ name: 'snapshot/take', size: CELL.kept + CELL.tasks }], { role, what: 'one snapshot', node: OWNER_NODE, unit: 'ms', mechanism: 'whole ledger as one object' })
+  ]
+}
+
+function dispatcherRows (report: SlopesReport): readonly CapacityRow[] {
+  const role = 'dispatcher'
+  const servers = CELL.servers
+  return [
+    row(report, [{ name: 'daemon-server/processor', size: servers }], { role, what: 'processor time of the whole daemon, the owner\'s step within', node: OWNER_NODE, unit: 'ms/s', budget: NODE_BUDGET.processor, mechanism: 'one long poll per backend server, a second long' }),
+    row(report, [{ name: 'daemon-server/resident', size: servers }], { role, what: 'memory of the whole daemon over its baseline', node: OWNER_NODE, unit: 'bytes', budget: NODE_BUDGET.memory, mechanism: 'an HTTP client per backend server' }),
+    row(report, [{ name: 'watch-poll/socket', size: servers }], { role, what: 'polls, one a second and server', node: OWNER_NODE, unit: 'bytes/s', budget: NODE_BUDGET.bytes, mechanism: 'a poll renews the lease of all tasks on its server' }),
+    row(report, [{ name: 'watch-poll/socket', size: 1 }], { role, what: 'polls, seen from a worker', node: 'worker', unit: 'bytes/s', budget: NODE_BUDGET.bytes, mechanism: 'only changes are reported' })
+  ]
+}
+
+function followerRows (report: SlopesReport): readonly CapacityRow[] {
+  const changesPerSecond = SIZE.documentChangesPerDay / DAY_SECONDS
+  const role = 'document follower'
+  return [
+    row(report, [{ name: 'document-size/bytes', size: SIZE.teams * ENVIRONMENTS }], { role, what: 'head rows read, two environments', node: ANY_NODE, unit: 'bytes/s', budget: NODE_BUDGET.bytes, mechanism: 'each poll reads the whole text' }),
+    row(report, [{ name: 'document-adopt/processor', size: SIZE.teams * changesPerSecond }], { role, what: 'processor time of adopting changes', node: ANY_NODE, unit: 'ms/s', budget: NODE_BUDGET.processor, mechanism: 'the whole document is parsed and checked' })
+  ]
+}
+
+function toolRows (report: SlopesReport): readonly CapacityRow[] {
+  return [
+    row(report, [{ name: 'wire-call/bytes', size: ENTRY_VMS }], { role: 'operator\'s tools', what: 'one status of nine VMs', node: 'entry VM that is asked', unit: 'bytes', mechanism: 'one call to each peer; a reply is taken for as large as a record' })
+  ]
+}
+
+function tableRows (report: SlopesReport): readonly CapacityRow[] {
+  const role = 'table service'
+  const node = 'the platform\'s service, all cells together'
+  const writes = row(report, [{ name: 'table-cell/writes', size: SIZE.failureDomains }], { role, what: 'writes, every cell committing at its fastest', node, unit: '1/s', budget: TABLE_BUDGET.writes, mechanism: 'group commit every 50 ms at the most, one renewal a second' })
+  return [
+    row(report, [{ name: 'table-vm/reads', size: ENTRY_VMS }, { name: 'table-cell/reads', size: SIZE.failureDomains }], { role, what: 'reads of nine entry VMs', node, unit: '1/s', budget: TABLE_BUDGET.reads, mechanism: 'one range of owner rows twice a second, two head rows a second' }),
+    { ...writes, driver: `${writes.driver} + ${SIZE.failureDomains} x commits`, slope: `${writes.slope} + ${COMMITS_PER_SECOND}`, figure: writes.figure + SIZE.failureDomains * COMMITS_PER_SECOND }
+  ]
+}
--- a/packages/stand-in/src/slopes-check.ts
+++ b/packages/stand-in/src/slopes-check.ts
@@ -9,7 +9,8 @@
 export interface Check {
   readonly name: string
   readonly unit: string
-  readonly predicted: number
+  /** Missing where no slope tells it. */
+  readonly predicted?: number
   readonly measured: number
 }
 
@@ -24,9 +25,9 @@
 
 /** Builds the cell, and measures it. */
 export async function checkOwner (slopes: readonly Slope[]): Promise<readonly Check[]> {
-  const ledger = runningLedger(CELL.tasks, CELL.servers).merge(endedLedger(CELL.kept).mapKeys(id => `${id}-ended` as typeof id))
   let joining = 0
   const { heap, processor } = await costOf(async () => {
+    const ledger = runningLedger(CELL.tasks, CELL.servers).merge(endedLedger(CELL.kept).mapKeys(id => `${id}-ended` as typeof id))
     const world = new OwnerWorld({ servers: CELL.servers, slots: SLOTS, accelerators: 2, workspaces: CELL.workspaces }, ledger)
     joining = await processorMilliseconds(() => { world.join() })
     return world
@@ -34,6 +35,6 @@
   return [
     { name: 'owner/heap', unit: 'bytes', predicted: predictOwner(slopes, 'heap'), measured: heap },
     { name: 'owner/processor', unit: 'ms/s', predicted: predictOwner(slopes, 'processor'), measured: processor },
-    { name: 'owner/recovered runs joined', unit: 'ms', predicted: NaN, measured: joining }
+    { name: 'owner/recovered runs joined', unit: 'ms', measured: joining }
   ]
 }
--- a/packages/stand-in/src/slopes-report.ts
+++ b/packages/stand-in/src/slopes-report.ts
@@ -43,6 +43,6 @@
   const header = ['figure', 'unit', 'slope', 'standard error', 'intercept', 'largest residual']
   const widths = header.map((_, column) => Math.max(...[header, ...rows].map(row => row[column]!.length)))
   const line = (row: readonly string[]): string => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd()
-  const checked = checks.map(({ name, unit, predicted, measured }) => `one whole cell, ${name}: ${measured.toPrecision(DIGITS)} ${unit} measured, ${predicted.toPrecision(DIGITS)} predicted`)
+  const checked = checks.map(({ name, unit, predicted, measured }) => `one whole cell, ${name}: ${measured.toPrecision(DIGITS)} ${unit} measured, ${predicted?.toPrecision(DIGITS) ?? 'nothing'} predicted`)
   return [line(header), ...rows.map(line), `process that does nothing: ${bareProcessBytes} bytes resident`, ...checked]
 }
