Look only at a joined backend server's own runs when recovered ones are counted

A new owner looked at the ledger's record of every recovered run for each backend server that it heard, so that joining cost their product. A run becomes countable when the last of its own members joins, so others need no look.

It still rises with the product: the runs are passed over one by one here and when executions are reconciled.

--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -108,21 +108,22 @@
   live (transaction, server) {
     transaction.log('server-joined', undefined, { server: server.description.name })
     transaction.tellPolicy({ type: 'server-joined', server: server.description, at: transaction.at.wall })
-    countRecoveredRuns(transaction)
+    countRecoveredRuns(transaction, server)
   },
   leaving (transaction, server, before) {
     if (before.status === 'new') transaction.tellPolicy({ type: 'server-joined', server: server.description, at: transaction.at.wall })
     markLeaving(transaction, server)
-    countRecoveredRuns(transaction)
+    countRecoveredRuns(transaction, server)
   }
 }
 
-/** Tells the policy of recovered runs once all their backend servers are known. */
-function countRecoveredRuns (transaction: Transaction): void {
+/** Tells the policy of the recovered runs whose last backend server has joined. */
+function countRecoveredRuns (transaction: Transaction, joined: ServerState): void {
   for (const run of transaction.state.runs.values()) {
+    if (run.inPolicy || !run.members.has(joined.description.name)) continue
     const record = transaction.record(run.id)
     const members = record?.assignment?.members
-    if (run.inPolicy || members === undefined || !['starting', 'running', 'stopping'].includes(run.phase)) continue
+    if (members === undefined || !['starting', 'running', 'stopping'].includes(run.phase)) continue
     if (!members.every(member => isJoined(transaction, member.server))) continue
     transaction.tellPolicy({ type: 'job-started', job: jobOf(record!), members, at: transaction.at.wall })
     transaction.setRun({ ...run, inPolicy: true })
