--- a/packages/scheduler/src/calls.ts
+++ b/packages/scheduler/src/calls.ts
@@ -27,7 +27,7 @@
   const refused = refusalOf(transaction, submission)
   if (refused === undefined) accept(transaction, submission)
   else recordRefusal(transaction, submission, refused)
-  wait(transaction, id, waiterOf(transaction, event))
+  wait(transaction, id, waiterOf(transaction, event, refused !== undefined))
 }
 
 /** Tells of a request at once, or when it ends, or when the wait is over. */
@@ -78,7 +78,7 @@
   if (earlier.submission.bodyDigest !== event.submission.bodyDigest) {
     return transaction.refuse(event.call, new CornelgaugeError('key-reused', { state: transaction.state.committed.get(earlier.id)?.state }))
   }
-  wait(transaction, earlier.id, waiterOf(transaction, event))
+  wait(transaction, earlier.id, waiterOf(transaction, event, earlier.reason?.refusal !== undefined))
   answerWaiters(transaction, [earlier.id])
 }
 
@@ -121,10 +121,11 @@
   stopRun(transaction, run, 'cancelled')
 }
 
-function waiterOf (transaction: Transaction, event: OwnerEventOf<'submit'>): Waiter {
+/** A refusal is waited for whatever the deadline, which may be why it was refused. */
+function waiterOf (transaction: Transaction, event: OwnerEventOf<'submit'>, isRefused: boolean): Waiter {
   const { monotonic, wall } = transaction.at
-  const timeLeft = event.submission.deadline - wall
-  const patience = timeLeft > 0 ? Math.min(COMMIT_PATIENCE_MILLISECONDS, timeLeft) : COMMIT_PATIENCE_MILLISECONDS
+  const timeLeft = isRefused ? COMMIT_PATIENCE_MILLISECONDS : event.submission.deadline - wall
+  const patience = Math.min(COMMIT_PATIENCE_MILLISECONDS, Math.max(timeLeft, 0))
   return { call: event.call, submits: true, until: event.waitUntil, commitBy: monotonic + patience }
 }
 
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -153,7 +153,7 @@
   const checkpoint = newestCheckpoint(run)
   transaction.stage({ type: 'returned', id: run.id, proof: 'idempotent', fault, checkpoint, at: transaction.at.wall })
   transaction.log('request-returned', run.id, { attempt: run.attempt, basis: 'idempotent', fault })
-  ending(transaction, run, fault ? 'failed' : 'stopped')
+  ending(transaction, run, fault ? faultOutcome(run) : 'stopped')
 }
 
 function tryAgain (transaction: Transaction, run: Run, record: RequestRecord): void {
@@ -206,12 +206,17 @@
   readonly reason?: EndReason
 }
 
-const OUTCOMES = { finished: 'finished', failed: 'failed', cancelled: 'stopped', unknown: 'server-lost' } as const
+/** Only a task that itself failed counts against its backend servers. */
+function faultOutcome (run: Run): 'failed' | 'server-lost' {
+  return hasMember(run, 'failed') ? 'failed' : 'server-lost'
+}
+
+const OUTCOMES = { finished: 'finished', cancelled: 'stopped', unknown: 'server-lost' } as const
 
 function endRun (transaction: Transaction, run: Run, end: RunEnd): void {
   transaction.stage({ type: 'ended', id: run.id, ...end, at: transaction.at.wall })
   transaction.log('request-ended', run.id, { state: end.state, reason: end.reason?.code })
-  ending(transaction, run, OUTCOMES[end.state])
+  ending(transaction, run, end.state === 'failed' ? faultOutcome(run) : OUTCOMES[end.state])
 }
 
 function ending (transaction: Transaction, run: Run, outcome: 'finished' | 'failed' | 'stopped' | 'server-lost'): void {
