Let a job claim its guarantee whatever else it waits for

Cause: a job with a reservation, or one that only the headroom held up, was never asked whether a guarantee of its own was there.

Now a job that waits for members of its own still takes or claims its guarantee. The new test fails without the change.

--- a/packages/policy/src/claim.ts
+++ b/packages/policy/src/claim.ts
@@ -7,7 +7,7 @@
 import { hasHeadroom } from './headroom.js'
 import { moveHold, movedSites } from './move.js'
 import { freeAmount } from './room.js'
-import { markStopping, startJob, type Site } from './running.js'
+import { dropReservation, markStopping, startJob, type Site } from './running.js'
 import type { Decision, Job } from './scheduler.js'
 import { claimableSites } from './site.js'
 import type { Claim, ScheduleState } from './state.js'
@@ -43,7 +43,8 @@
     if (best === undefined || victims.lostWork < best.victims.lostWork) best = { ...candidate, victims }
   }
   if (best === undefined) return undefined
-  const settled = best.isMoved ? moveHold(state, best.site) : state
+  const free = dropReservation(state, job.id)
+  const settled = best.isMoved ? moveHold(free, best.site) : free
   return openClaim(settled, job, best.site, best.victims, 'the guarantee is claimed by its workspace', now)
 }
 
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -9,7 +9,7 @@
 import { dropPlans, settleGuarantees, startJob, type Site } from './running.js'
 import type { Decision, Job, Plan, PolicyState } from './scheduler.js'
 import { nextQueue } from './sharing.js'
-import { findLentSite, findSite } from './site.js'
+import { findLentSite, findSite, holdsFor } from './site.js'
 import { durationAt, inside, isReclaimable, type ScheduleState } from './state.js'
 import { relieveUrgent } from './urgent.js'
 
@@ -66,7 +66,11 @@
 function serveQueue (state: ScheduleState, queue: Queue, passed: PassedQueues, now: number): Step {
   for (const job of queuedJobs(state.waiting, queue)) {
     if (isLate(state, job, now)) return refuse(state, job, 'the deadline cannot be met any more')
-    if (hasPlan(state, job)) continue
+    if (hasPlan(state, job)) {
+      const step = serveFromGuarantee(state, job, now)
+      if (step !== undefined) return step
+      continue
+    }
     return passed.isKindSpent(queue) ? { state, decisions: [] } : serveJob(state, job, passed, now)
   }
   return { state, decisions: [] }
@@ -95,7 +99,7 @@
     const step = startAt(state, job, site, now) ?? startOnLent(state, job, now)
     if (step !== undefined) return step
     passed.markFull(job)
-    return { state: reserveOnce(state, job, now), decisions: [] }
+    return serveFromGuarantee(state, job, now) ?? { state: reserveOnce(state, job, now), decisions: [] }
   }
   const isKnownFull = passed.isFull(job)
   passed.markFull(job)
@@ -107,6 +111,13 @@
   return { state: reserveOnce(state, job, now), decisions: [] }
 }
 
+/** A workspace's own guarantee is there for a job whatever it waits for otherwise, unless it has a claim already. */
+function serveFromGuarantee (state: ScheduleState, job: Job, now: number): Step | undefined {
+  if (state.claims.has(job.id) || holdsFor(state, job).length === 0) return undefined
+  const site = findSite(state, job, true)
+  return site === undefined ? claimGuarantee(state, job, now) : startAt(state, job, site, now)
+}
+
 function reserveOnce (state: ScheduleState, job: Job, now: number): ScheduleState {
   return needsReservation(job) && !hasReservation(state, job) ? reserve(state, job, now) : state
 }
--- a/packages/policy/test/guarantees.test.ts
+++ b/packages/policy/test/guarantees.test.ts
@@ -60,6 +60,19 @@
     })
   })
 
+  describe('of a job that waits for something else', () => {
+    const own = job('own', { kindName: 'term-rota', shape: gang(16), arrivedAt: 60_000, declaredMilliseconds: 1e6 })
+    const lent = ['a', 'b'].map(key => rota(key, { arrivedAt: 60_000 }))
+
+    it('are claimed in place of its reservation once they come idle', () => {
+      const first = { ...own, id: requestId(workspaceName('brno'), requestKey('first')), declaredMilliseconds: 1e9 }
+      const held = decide(arrived(cell(racks(1, 4), { workspaces: guaranteed(1) }), first, ...lent), 60_000).state
+      const waiting = decide(arrived(held, own), 60_001).state
+      const idle = ended(waiting, first, 60_002)
+      expect(decided(idle, 60_002)).to.deep.equal(['start brno/own'])
+    })
+  })
+
   describe('after a backend server is lost', () => {
     it('find another place', () => {
       const state = cell(racks(2, 2), { workspaces: guaranteed(1) })
