--- a/packages/stand-in/src/capacity-page.ts
+++ b/packages/stand-in/src/capacity-page.ts
@@ -103,6 +103,6 @@
     '## The slopes', '', '| figure | unit | slope | standard error | intercept | largest residual |', '|---|---|---|---|---|---|',
     ...report.slopes.map(({ name, unit, driver, slope, standardError, intercept, residuals }) =>
       `| ${name} | ${unit} per ${driver} | ${short(slope)} | ${short(standardError)} | ${short(intercept)} | ${short(Math.max(...residuals.map(Math.abs)))} |`), '',
-    'Not measured here: restarts of backend servers, spread over real networks, partitions between regions (a cell\'s owner goes on with what it has accepted; nobody else takes the cell while the table service is out of reach, and entry VMs tell their callers that the owner cannot be asked).'
+    'Not measured here: gangs of 1024 (the decision is on a gang of 64 accelerators in one rack), the time until a change of a document is in force on every VM, an urgent start at this size, VM failures and restarts in a day\'s numbers, restarts of backend servers, spread over real networks, partitions between regions (a cell\'s owner goes on with what it has accepted; nobody else takes the cell while the table service is out of reach, and entry VMs tell their callers that the owner cannot be asked).'
   ]
 }
