--- a/packages/stand-in/src/prove-processes.ts
+++ b/packages/stand-in/src/prove-processes.ts
@@ -36,6 +36,16 @@
   readonly answer?: Json
 }
 
+/** How many entries tell what. */
+function countsOf (entries: Iterable<ToldEntry>): string {
+  const counts = new Map<string, number>()
+  for (const { code, state } of entries) {
+    const name = code ?? state ?? 'nothing'
+    counts.set(name, (counts.get(name) ?? 0) + 1)
+  }
+  return [...counts].map(([name, count]) => `${name} ${count}`).join(', ') || 'none'
+}
+
 const sleep = (milliseconds: number): Promise<void> => new Promise(resolve => systemClock.after(milliseconds, resolve))
 
 /** An entry VM of the deployment, through all lives of its daemon. */
@@ -98,8 +108,8 @@
   'daemons-stopped-in-turn': run => run.stoppedInTurn()
 }
 
-/** Runs cases one after another on one deployment of 9 daemons. */
-export async function proveOnProcesses (names: readonly string[], seed: number): Promise<Proof> {
+/** Runs cases one after another on one deployment of 9 daemons; prints a line about each. */
+export async function proveOnProcesses (names: readonly string[], seed: number, print: (line: string) => void): Promise<Proof> {
   const tally = new ProofTally()
   const deployment = new LocalDeployment({
     sizes: DEPLOYMENTS.hlidka!,
@@ -111,7 +121,7 @@
   try {
     await deployment.launch()
     await deployment.makeReady()
-    const run = new ProcessRun(deployment, seed)
+    const run = new ProcessRun(deployment, seed, print)
     for (const name of names) await tally.take(name, seed, async () => checkPromises(await PROCESS_CASES[name]!(run)))
     await run.close()
   } finally {
@@ -125,11 +135,14 @@
   readonly #deployment: LocalDeployment
   readonly #entries: readonly EntryVm[]
   readonly #random: Random
+  readonly #print: (line: string) => void
+  #disturbances = 0
 
-  constructor (deployment: LocalDeployment, seed: number) {
+  constructor (deployment: LocalDeployment, seed: number, print: (line: string) => void) {
     this.#deployment = deployment
     this.#entries = deployment.lines.filter(line => line.role === 'entry').map(line => new EntryVm(line))
     this.#random = seededRandom(seed)
+    this.#print = print
   }
 
   /** Ends the daemons that were started again. */
@@ -142,6 +155,7 @@
     return this.#underLoad('killed', async isOver => {
       while (!isOver()) {
         const entry = this.#any()
+        this.#disturbances += 1
         entry.signal('SIGKILL')
         await sleep(RESTART_MILLISECONDS)
         await entry.startAgain()
@@ -155,6 +169,7 @@
     return this.#underLoad('frozen', async isOver => {
       while (!isOver()) {
         const owner = await this.#anOwner()
+        this.#disturbances += 1
         owner.signal('SIGSTOP')
         await sleep(FREEZE_MILLISECONDS)
         owner.signal('SIGCONT')
@@ -168,6 +183,7 @@
     const evidence = await this.#underLoad('stopped', async () => {
       for (const entry of this.#entries) {
         entry.isOffered = false
+        this.#disturbances += 1
         entry.signal('SIGTERM')
         await entry.ended()
         await entry.startAgain()
@@ -179,6 +195,7 @@
   }
 
   async #underLoad (prefix: string, disturb: (isOver: () => boolean) => Promise<void>): Promise<Evidence> {
+    this.#disturbances = 0
     const told: ToldEntry[] = []
     const progress = { isOver: false }
     const disturbance = disturb(() => progress.isOver)
@@ -190,7 +207,9 @@
     }
     progress.isOver = true
     await Promise.all([...calls, disturbance])
-    return { history: await this.#history(keys, told) }
+    const history = await this.#history(keys, told)
+    this.#print(`${prefix}: ${this.#disturbances} disturbances, ${keys.length} swaps, ${history.executions.length} starts, at last told ${countsOf(history.last.values())}; calls that failed: ${countsOf(told.filter(entry => entry.code !== undefined))}`)
+    return { history }
   }
 
   async #history (keys: readonly string[], told: readonly ToldEntry[]): Promise<NonNullable<Evidence['history']>> {
--- a/packages/stand-in/src/prove.ts
+++ b/packages/stand-in/src/prove.ts
@@ -57,7 +57,7 @@
 function proofOf (flags: ProveFlags, without: Mechanism | undefined): Promise<Proof> {
   if (flags.processes !== true) return prove(planOf(flags), without)
   const names = Object.keys(PROCESS_CASES).filter(name => flags.case === undefined || flags.case === name)
-  return proveOnProcesses(names, Number(flags.seed ?? 1))
+  return proveOnProcesses(names, Number(flags.seed ?? 1), line => { console.log(line) })
 }
 
 async function proveAll (flags: ProveFlags, without: Mechanism | undefined): Promise<{ violations: number, broken: number }> {
