Take no promise from a backend server about its earlier life

A backend server that restarted between the start of a swap and the inquiry about it answered 'never-started', of which it knew nothing. Command reports now carry the incarnation of the backend server, as the contract says, and a 'never-started' of a later life counts as forgotten.

--- a/packages/platform/src/memory-backend-server.ts
+++ b/packages/platform/src/memory-backend-server.ts
@@ -143,7 +143,7 @@
   #answer (access: Access, claim: OwnerClaim, effect: () => readonly Execution[]): Promise<readonly ExecutionReport[]> {
     return this.faults.apply(access, () => {
       this.#checkEpoch(claim)
-      return effect().map(reportOf)
+      return effect().map(execution => ({ ...reportOf(execution), incarnation: this.#incarnation }))
     })
   }
 
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -14,9 +14,16 @@
 
 /** Takes in a member's report. */
 export function memberReported (transaction: Transaction, run: Run, server: BackendServerName, report: ExecutionReport): void {
+  if (report.state === 'never-started' && isOfLaterLife(transaction, run, server, report)) return memberForgotten(transaction, run, server)
   memberChanged(transaction, run, server, { state: report.state, report })
 }
 
+/** True of a report by a backend server that has restarted since the intent: it can't promise anything about the life before. */
+function isOfLaterLife (transaction: Transaction, run: Run, server: BackendServerName, report: ExecutionReport): boolean {
+  const intended = transaction.record(run.id)?.assignment?.members.find(member => member.server === server)
+  return intended?.incarnation !== undefined && report.incarnation !== undefined && intended.incarnation !== report.incarnation
+}
+
 /** Takes in that a member's backend server is lost, and with it whatever it knew. */
 export function memberLost (transaction: Transaction, run: Run, server: BackendServerName): void {
   memberChanged(transaction, run, server, { state: 'lost' })
