Let a new owner hear its backend servers in time that grows with them alone

Cause: each backend server that joined made the policy build the declared cell anew, though it hangs on the document only, and made the owner scan every run. The declared cell is now kept, and the owner has its runs by server.

--- a/packages/policy/src/change.ts
+++ b/packages/policy/src/change.ts
@@ -52,7 +52,7 @@
     capacity: replaceServer(planless.capacity, description.name, emptyServer(description)),
     known,
     health: planless.health.delete(description.name),
-    empty: emptyCapacity(planless.settings, known),
+    empty: planless.settings.declaredServers === undefined ? emptyCapacity(planless.settings, known) : planless.empty,
     guarantees: { ...planless.guarantees, stale: true }
   }, description.name)
 }
--- a/packages/scheduler/src/servers.ts
+++ b/packages/scheduler/src/servers.ts
@@ -2,13 +2,14 @@
  * Backend servers: found through the VM list, followed by long polls, suspected at
  * the first silence, and given up after a longer one.
  */
-import type { BackendServerName, RequestId } from '@cornelgauge/model'
+import type { BackendServerName } from '@cornelgauge/model'
 import type { ExecutionReport } from '@cornelgauge/platform'
 import type { EventDetails } from '@cornelgauge/telemetry'
 import { List } from 'immutable'
 import type { ListedServer, OwnerEventOf } from './event.js'
 import { jobOf } from './job.js'
 import { INQUIRY_INTERVAL_MILLISECONDS, SERVER_LOST_MILLISECONDS, WATCH_RETRY_MILLISECONDS, WATCH_WAIT_MILLISECONDS } from './limits.js'
+import { runsOn } from './run-index.js'
 import { acknowledge, executionOf, isLive, releaseGang } from './runs.js'
 import { giveUpDoubted, memberForgotten, memberLost, memberReported } from './settlement.js'
 import type { Run, ServerState } from './state.js'
@@ -123,8 +124,8 @@
 
 /** Tells the policy of the recovered runs whose last backend server has joined. */
 function countRecoveredRuns (transaction: Transaction, joined: ServerState): void {
-  for (const run of transaction.state.runs.values()) {
-    if (run.inPolicy || !run.members.has(joined.description.name)) continue
+  for (const run of runsOf(transaction, joined.description.name)) {
+    if (run.inPolicy) continue
     const record = transaction.record(run.id)
     const members = record?.assignment?.members
     if (members === undefined || !['starting', 'running', 'stopping'].includes(run.phase)) continue
@@ -176,7 +177,7 @@
 /** After the first word of a backend server's life, or its first after it was given up: asks about members it did not name, and gives up those of an earlier life. */
 function reconcile (transaction: Transaction, name: BackendServerName): void {
   const incarnation = transaction.state.servers.get(name)!.incarnation
-  for (const run of transaction.state.runs.values()) {
+  for (const run of runsOf(transaction, name)) {
     const member = run.members.get(name)
     if (member === undefined || (!isLive(member) && member.state !== 'lost')) continue
     const started = transaction.record(run.id)?.assignment?.members.find(candidate => candidate.server === name)
@@ -195,14 +196,13 @@
 }
 
 function loseMembers (transaction: Transaction, name: BackendServerName, lose: typeof memberLost): void {
-  for (const id of runsOn(transaction, name)) {
-    const run = transaction.state.runs.get(id)
-    if (run !== undefined) lose(transaction, run, name)
-  }
+  for (const run of runsOf(transaction, name)) lose(transaction, run, name)
 }
 
-function runsOn (transaction: Transaction, name: BackendServerName): readonly RequestId[] {
-  return transaction.state.runs.filter(run => run.members.has(name)).keySeq().toArray()
+/** The runs with a member on a backend server, as they are at this moment. */
+function runsOf (transaction: Transaction, name: BackendServerName): readonly Run[] {
+  const { runs, runsByServer } = transaction.state
+  return runsOn(runsByServer, name).map(id => runs.get(id)!)
 }
 
 function watch (transaction: Transaction, name: BackendServerName): void {
@@ -236,9 +236,8 @@
 
 /** A backend server that is gone for good takes its secrets with it. */
 function removeServer (transaction: Transaction, name: BackendServerName): void {
-  for (const id of runsOn(transaction, name)) {
-    const run = transaction.state.runs.get(id)!
-    if (transaction.record(id)?.state === 'unknown') giveUpDoubted(transaction, run)
+  for (const run of runsOf(transaction, name)) {
+    if (transaction.record(run.id)?.state === 'unknown') giveUpDoubted(transaction, run)
   }
   transaction.set({ servers: transaction.state.servers.delete(name) })
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -9,6 +9,7 @@
 import { List, Map as ImmutableMap } from 'immutable'
 import type { CallId } from './event.js'
 import { policySettings } from './policy-settings.js'
+import { indexRuns, type RunIndex } from './run-index.js'
 
 /** A transition that waits for its commit. */
 export interface Staged {
@@ -109,6 +110,7 @@
   readonly ended: List<RequestId>
   readonly waiters: ImmutableMap<RequestId, List<Waiter>>
   readonly runs: ImmutableMap<RequestId, Run>
+  readonly runsByServer: RunIndex
   readonly servers: ImmutableMap<BackendServerName, ServerState>
   readonly startedAt: number
   readonly leaseValidUntil: number
@@ -143,6 +145,7 @@
   const open = records.filter(record => !hasEnded(record))
   const pending = open.filter(record => record.state === 'pending')
   const running = open.filter(record => record.state !== 'pending')
+  const runs = running.map(recoveredRun)
   const { monotonic, ledger, ...rest } = start
   return {
     ...rest,
@@ -160,7 +163,8 @@
     plans: ImmutableMap(),
     ended: List(records.filter(hasEnded).sort((one, other) => one.endedAt! - other.endedAt!).map(record => record.id)),
     waiters: ImmutableMap(),
-    runs: ImmutableMap(running.map(record => [record.id, recoveredRun(record)])),
+    runs: ImmutableMap(runs.map(run => [run.id, run])),
+    runsByServer: indexRuns(runs),
     servers: ImmutableMap(),
     startedAt: monotonic,
     draining: false,
--- a/packages/scheduler/src/transaction.ts
+++ b/packages/scheduler/src/transaction.ts
@@ -8,6 +8,7 @@
 import type { EventDetails } from '@cornelgauge/telemetry'
 import type { CallId, Instant } from './event.js'
 import type { Command, OwnerEffect, OwnerLogEvent } from './effect.js'
+import { indexRun, unindexRun } from './run-index.js'
 import type { OwnerState, Run, ServerState } from './state.js'
 
 /**
@@ -87,12 +88,16 @@
 
   /** Stores a changed run. */
   setRun (run: Run): void {
-    this.set({ runs: this.#state.runs.set(run.id, run) })
+    const { runs, runsByServer } = this.#state
+    const isNew = !runs.has(run.id)
+    this.set({ runs: runs.set(run.id, run), runsByServer: isNew ? indexRun(runsByServer, run) : runsByServer })
   }
 
   /** Forgets a run. */
   dropRun (id: RequestId): void {
-    this.set({ runs: this.#state.runs.delete(id) })
+    const { runs, runsByServer } = this.#state
+    const run = runs.get(id)
+    if (run !== undefined) this.set({ runs: runs.delete(id), runsByServer: unindexRun(runsByServer, run) })
   }
 
   /** Stores a changed backend server. */
