--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -75,7 +75,9 @@
   readonly incarnation: string | undefined
   readonly cursor: number
   readonly heardAt: number
+  /** Executions that it may forget, those under way with the present watch first. */
   readonly acknowledge: List<ExecutionId>
+  readonly sentAcknowledgements: number
   /** When to watch again after a failure; undefined while a watch is under way. */
   readonly watchAt: number | undefined
 }
