Take out state that nothing reads and logic that stood twice

Read as a whole: the owner kept a wrapper around each staged transition, a mark on a delayed row and the event that set it, none of which anything read; the members of a run stood in a map beside it, and entries of gangs that were released stayed there; the attempt numbers of ended requests stayed for ever. A run now carries its plan, and attempt numbers go with the end of a request. The commit interval and the row limit are coordination's own; the rule that work which may have run is never said not to have run is one function; two bisections of the policy are one.

--- a/packages/daemon/src/effects.ts
+++ b/packages/daemon/src/effects.ts
@@ -60,13 +60,9 @@
   const { sequence, transitions } = effect
   const { clock } = storeOptions
   const startedAt = clock.now()
-  const onUnreachable: StoreCallOptions['onUnreachable'] = report => {
-    storeOptions.onUnreachable?.(report)
-    put({ type: 'commit-delayed', sequence })
-  }
   const draft = { sequence, entries: transitions as unknown as readonly Json[], nonce: context.nonce() }
   try {
-    const outcome = await commitRow(stores.table, claim, draft, { ...storeOptions, onUnreachable })
+    const outcome = await commitRow(stores.table, claim, draft, storeOptions)
     if (outcome !== 'committed') return fenced(context, sequence)
     put({ type: 'committed', sequence })
     emit('journal-committed', { cell: claim.cell, details: { sequence, transitions: transitions.length, milliseconds: Math.round(clock.now() - startedAt) } })
--- a/packages/policy/src/move.ts
+++ b/packages/policy/src/move.ts
@@ -5,6 +5,7 @@
  */
 import { addAmount, NO_AMOUNT, type Amount } from './amount.js'
 import { allServers, enter, isOpen, type Server } from './capacity.js'
+import { bisect } from './bisect.js'
 import { replaceHold, type Hold } from './guarantee.js'
 import { place, spotsOf } from './placement.js'
 import { pinnableAmount } from './room.js'
@@ -33,24 +34,6 @@
   return site.hold === undefined ? undefined : state.guarantees.holds.get(site.hold)
 }
 
-/** The result at the first level that has one, where every later level has one too. */
-function bisect<Found> (levels: readonly number[], search: (level: number) => Found | undefined): Found | undefined {
-  let best: Found | undefined
-  let low = 0
-  let high = levels.length
-  while (low < high) {
-    const middle = (low + high) >> 1
-    const found = search(levels[middle] as number)
-    if (found === undefined) {
-      low = middle + 1
-    } else {
-      best = found
-      high = middle
-    }
-  }
-  return best
-}
-
 /** What stopping everything reclaimable there would lose. */
 function costOf (state: ScheduleState, server: Server, now: number): number {
   let cost = 0
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -7,6 +7,7 @@
  */
 import type { Member } from '@cornelgauge/model'
 import { addAmount, holdsAmount, NO_AMOUNT, type Amount } from './amount.js'
+import { bisect } from './bisect.js'
 import { enter, findServer, isOpen, type Server, type Task } from './capacity.js'
 import { openClaim, type Step } from './claim.js'
 import { keepsHeadroom } from './headroom.js'
@@ -21,6 +22,7 @@
 /** The horizons looked at double from this one. */
 const FIRST_HORIZON_MILLISECONDS = 1000
 const HORIZONS = 32
+const EARLIER_HORIZONS = Array.from({ length: HORIZONS }, (_, horizon) => horizon)
 
 /** True of a shape that small jobs could starve. */
 export function needsReservation (job: Job): boolean {
@@ -57,21 +59,8 @@
     const members = place(spotsOf(state.capacity, server => roomAt(server, expectedAt, isPinned)), job.shape, 'best-fit')
     return members === undefined ? undefined : { members, expectedAt }
   }
-  let best = search(HORIZONS)
-  if (best === undefined) return undefined
-  let low = 0
-  let high = HORIZONS
-  while (low < high) {
-    const middle = (low + high) >> 1
-    const found = search(middle)
-    if (found === undefined) {
-      low = middle + 1
-    } else {
-      best = found
-      high = middle
-    }
-  }
-  return best
+  const latest = search(HORIZONS)
+  return latest === undefined ? undefined : bisect(EARLIER_HORIZONS, search) ?? latest
 }
 
 function roomAt (server: Server, time: number, isPinned: boolean): Amount {
--- a/packages/scheduler/src/commits.ts
+++ b/packages/scheduler/src/commits.ts
@@ -2,14 +2,14 @@
  * Group commit: staged transitions go into the next journal row; what depends on
  * them is done once that row is committed.
  */
-import { applyTransitions, type Transition } from '@cornelgauge/coordination'
+import { applyTransitions, COMMIT_INTERVAL_MILLISECONDS, MAXIMUM_ROW_BYTES, type Transition } from '@cornelgauge/coordination'
 import { CornelgaugeError, requestId, sequenceNumber, type RequestId } from '@cornelgauge/model'
 import type { List } from 'immutable'
 import { answerWaiters } from './calls.js'
 import type { OwnerEventOf } from './event.js'
-import { COMMIT_INTERVAL_MILLISECONDS, MAXIMUM_ROW_BYTES, MAXIMUM_ROW_TRANSITIONS, SNAPSHOT_ROWS } from './limits.js'
+import { MAXIMUM_ROW_TRANSITIONS, SNAPSHOT_ROWS } from './limits.js'
 import { intentCommitted, runEndCommitted } from './runs.js'
-import type { Batch, Staged, Waiter } from './state.js'
+import type { Batch, Waiter } from './state.js'
 import type { Transaction } from './transaction.js'
 
 /** Starts the next commit where one is due. */
@@ -31,12 +31,6 @@
   takeSnapshot(transaction, event.sequence)
 }
 
-/** Remembers that the table service does not answer. */
-export function commitDelayed (transaction: Transaction, event: OwnerEventOf<'commit-delayed'>): void {
-  const { batch } = transaction.state
-  if (batch?.sequence === event.sequence) transaction.set({ batch: { ...batch, delayed: true } })
-}
-
 /** Tells those whose patience is over that their change is still not committed: it may or may not come to be. */
 export function refuseUncommitted (transaction: Transaction): void {
   const { committed, waiters } = transaction.state
@@ -72,7 +66,7 @@
   ended (transaction, transition) {
     const { id } = transition as Extract<Transition, { type: 'ended' }>
     runEndCommitted(transaction, id)
-    transaction.set({ ended: transaction.state.ended.push(id) })
+    transaction.set({ ended: transaction.state.ended.push(id), tries: transaction.state.tries.delete(id) })
   },
   forgotten (transaction, transition) {
     const { objects } = transition as Extract<Transition, { type: 'forgotten' }>
@@ -83,27 +77,23 @@
 function startBatch (transaction: Transaction): void {
   const { staged, nextSequence, committed } = transaction.state
   const count = countThatFits(staged)
-  const transitions = staged.take(count).map(item => item.transition).toArray()
+  const transitions = staged.take(count).toArray()
   const ledger = count === staged.size ? transaction.state.ledger : applyTransitions(committed, transitions)
-  const batch: Batch = { sequence: nextSequence, transitions, ledger, delayed: false }
+  const batch: Batch = { sequence: nextSequence, transitions, ledger }
   transaction.set({
     batch,
     staged: staged.skip(count),
     nextSequence: sequenceNumber(nextSequence + 1),
     lastCommitAt: transaction.at.monotonic
   })
-  if (count < staged.size) transaction.set({ ledger: applyTransitions(ledger, restOf(transaction)) })
+  if (count < staged.size) transaction.set({ ledger: applyTransitions(ledger, staged.skip(count).toArray()) })
   transaction.emit({ type: 'commit', sequence: batch.sequence, transitions })
 }
 
-function restOf (transaction: Transaction): readonly Transition[] {
-  return transaction.state.staged.map(item => item.transition).toArray()
-}
-
-function countThatFits (staged: List<Staged>): number {
+function countThatFits (staged: List<Transition>): number {
   let bytes = 0
-  const tooMany = staged.findIndex((item, index) => {
-    bytes += sizeOf(item.transition)
+  const tooMany = staged.findIndex((transition, index) => {
+    bytes += sizeOf(transition)
     return index >= MAXIMUM_ROW_TRANSITIONS || (index > 0 && bytes > MAXIMUM_ROW_BYTES)
   })
   return tooMany === -1 ? staged.size : tooMany
--- a/packages/scheduler/src/event.ts
+++ b/packages/scheduler/src/event.ts
@@ -27,7 +27,6 @@
   | { readonly type: 'read', readonly call: CallId, readonly id: RequestId, readonly waitUntil: number }
   | { readonly type: 'cancel', readonly call: CallId, readonly id: RequestId }
   | { readonly type: 'committed', readonly sequence: SequenceNumber }
-  | { readonly type: 'commit-delayed', readonly sequence: SequenceNumber }
   | { readonly type: 'fenced' }
   | { readonly type: 'lease', readonly validUntil: number }
   | { readonly type: 'reports', readonly server: BackendServerName, readonly reports: readonly ExecutionReport[] }
--- a/packages/scheduler/src/limits.ts
+++ b/packages/scheduler/src/limits.ts
@@ -1,13 +1,9 @@
 /** Times and sizes of the cell owner. */
 
-/** Least time between two journal commits of a cell. */
-export const COMMIT_INTERVAL_MILLISECONDS = 50
 /** How long a submission waits for its commit before it is given up, at the most. */
 export const COMMIT_PATIENCE_MILLISECONDS = 10_000
 /** Most transitions in one journal row. */
 export const MAXIMUM_ROW_TRANSITIONS = 1000
-/** Largest payloads' sum in one journal row. */
-export const MAXIMUM_ROW_BYTES = 512 * 1024
 /** Rows between two snapshots. */
 export const SNAPSHOT_ROWS = 400
 /** How long a watch waits for a change. */
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -10,7 +10,7 @@
 import { RETRY_PAUSE_MILLISECONDS } from './limits.js'
 import type { MemberState, Run, StopReason } from './state.js'
 import type { Transaction } from './transaction.js'
-import { endPending, hold } from './waiting.js'
+import { endPending, endWithoutRun, hold } from './waiting.js'
 
 const END_PROOF = 'not-sent' as const
 
@@ -21,13 +21,14 @@
   const run: Run = {
     id: record.id,
     attempt,
+    plan: members,
     phase: gang ? 'preparing' : 'committing',
     members: ImmutableMap(members.map(member => [member.server, { state: 'asked' } as MemberState] as const)),
     inPolicy: true,
     inquiredAt: transaction.at.monotonic
   }
-  const { waiting, tries, plans } = transaction.state
-  transaction.set({ waiting: waiting.delete(record.id), tries: tries.set(record.id, attempt), plans: plans.set(record.id, members) })
+  const { waiting, tries } = transaction.state
+  transaction.set({ waiting: waiting.delete(record.id), tries: tries.set(record.id, attempt) })
   transaction.setRun(run)
   transaction.tellPolicy({ type: 'job-started', job: jobOf(record), members, at: transaction.at.wall })
   if (gang) prepareGang(transaction, record, run, members)
@@ -36,7 +37,7 @@
 
 /** Commits the intent to start, once nothing but the commit is missing. */
 export function stageIntent (transaction: Transaction, run: Run): void {
-  const members = planOf(transaction, run).map(member => withIncarnation(transaction, member))
+  const members = run.plan.map(member => withIncarnation(transaction, member))
   const assignment = { attempt: run.attempt, epoch: transaction.state.epoch, members }
   transaction.stage({ type: 'intent', id: run.id, assignment, at: transaction.at.wall })
   transaction.setRun({ ...run, phase: 'committing' })
@@ -99,7 +100,6 @@
   if (run?.phase !== 'ending') return
   for (const server of run.members.keys()) acknowledge(transaction, server, executionOf(run))
   transaction.dropRun(id)
-  transaction.set({ plans: transaction.state.plans.delete(id) })
   const record = transaction.record(id)
   if (record?.state !== 'pending') return
   if (record.cancelRequested) return endPending(transaction, id, 'cancelled', { code: 'cancelled-by-caller', detail: 'Cancelled after an attempt was stopped.' })
@@ -176,8 +176,7 @@
 
 function endUnsent (transaction: Transaction, run: Run, wanted: 'cancelled' | 'not-run', reason: EndReason): void {
   if (run.members.size > 1) fenceMembers(transaction, run)
-  const mayHaveRun = transaction.record(run.id)?.mayHaveRun === true
-  const state = wanted === 'not-run' && mayHaveRun ? 'failed' : wanted
+  const state = endWithoutRun(transaction, run.id, wanted)
   transaction.stage({ type: 'ended', id: run.id, state, reason, proof: END_PROOF, at: transaction.at.wall })
   transaction.log('request-ended', run.id, { state, reason: reason.code })
   freeCapacity(transaction, run.id, 'stopped')
@@ -203,10 +202,6 @@
   return Math.max(transaction.state.tries.get(record.id) ?? 0, record.attempts) + 1
 }
 
-function planOf (transaction: Transaction, run: Run): readonly Member[] {
-  return transaction.state.plans.get(run.id) ?? transaction.record(run.id)?.assignment?.members ?? []
-}
-
 function withIncarnation (transaction: Transaction, member: Member): Member {
   return { ...member, incarnation: transaction.state.servers.get(member.server)?.incarnation }
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -11,19 +11,12 @@
 import { policySettings } from './policy-settings.js'
 import { indexRuns, type RunIndex } from './run-index.js'
 
-/** A transition that waits for its commit. */
-export interface Staged {
-  readonly transition: Transition
-}
-
 /** The journal row that is being written. */
 export interface Batch {
   readonly sequence: SequenceNumber
   readonly transitions: readonly Transition[]
   /** The ledger once the row is committed. */
   readonly ledger: Ledger
-  /** True once the table service failed to answer. */
-  readonly delayed: boolean
 }
 
 /** A call that waits on a request. Times are monotonic. */
@@ -57,6 +50,8 @@
   readonly id: RequestId
   readonly attempt: number
   readonly phase: RunPhase
+  /** What each member gives, in the order of the gang. */
+  readonly plan: readonly Member[]
   readonly members: ImmutableMap<BackendServerName, MemberState>
   readonly stopReason?: StopReason
   /** False for a run that was recovered and whose servers have not all joined yet. */
@@ -94,7 +89,7 @@
   /** `committed` with the batch and all staged transitions applied; decisions are made on this. */
   readonly ledger: Ledger
   readonly batch: Batch | undefined
-  readonly staged: List<Staged>
+  readonly staged: List<Transition>
   readonly nextSequence: SequenceNumber
   readonly lastCommitAt: number
   readonly snapshotSequence: SequenceNumber
@@ -107,8 +102,6 @@
   readonly held: ImmutableMap<RequestId, number>
   /** Attempt numbers used so far, where they are ahead of the ledger's. */
   readonly tries: ImmutableMap<RequestId, number>
-  /** Members of runs under way, as the policy chose them. */
-  readonly plans: ImmutableMap<RequestId, readonly Member[]>
   readonly ended: List<RequestId>
   readonly waiters: ImmutableMap<RequestId, List<Waiter>>
   readonly runs: ImmutableMap<RequestId, Run>
@@ -162,7 +155,6 @@
     waiting: ImmutableMap(pending.map(record => [record.id, record.submission.deadline])),
     held: ImmutableMap(pending.map(record => [record.id, monotonic])),
     tries: ImmutableMap(running.map(record => [record.id, record.assignment!.attempt])),
-    plans: ImmutableMap(),
     ended: List(records.filter(hasEnded).sort((one, other) => one.endedAt! - other.endedAt!).map(record => record.id)),
     waiters: ImmutableMap(),
     runs: ImmutableMap(runs.map(run => [run.id, run])),
@@ -180,6 +172,7 @@
   return {
     id: record.id,
     attempt: assignment.attempt,
+    plan: assignment.members,
     phase: record.cancelRequested ? 'stopping' : 'running',
     stopReason: record.cancelRequested ? 'cancelled' : undefined,
     members: ImmutableMap(members),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -4,7 +4,7 @@
  */
 import { CornelgaugeError } from '@cornelgauge/model'
 import { answerWaiters, cancel, read, refuseAllWaiters, submit } from './calls.js'
-import { commitDelayed, commitStaged, committed, refuseUncommitted, snapshotTaken } from './commits.js'
+import { commitStaged, committed, refuseUncommitted, snapshotTaken } from './commits.js'
 import type { OwnerEffect } from './effect.js'
 import type { Instant, OwnerEvent, OwnerEventOf } from './event.js'
 import { commandFailed, reported } from './follow-up.js'
@@ -76,7 +76,6 @@
   read,
   cancel,
   committed,
-  'commit-delayed': commitDelayed,
   fenced: stepDown,
   lease: (transaction, event) => { transaction.set({ leaseValidUntil: event.validUntil }) },
   reports: reported,
--- a/packages/scheduler/src/transaction.ts
+++ b/packages/scheduler/src/transaction.ts
@@ -62,7 +62,7 @@
   /** Applies a transition to the ledger and puts it into the next journal row. */
   stage (transition: Transition): void {
     const ledger = applyTransition(this.#state.ledger, transition)
-    this.set({ ledger, staged: this.#state.staged.push({ transition }) })
+    this.set({ ledger, staged: this.#state.staged.push(transition) })
   }
 
   /** Applies a change to the policy, which will be asked again before this step ends. */
--- a/packages/scheduler/src/waiting.ts
+++ b/packages/scheduler/src/waiting.ts
@@ -30,10 +30,15 @@
   if (known) transaction.tellPolicy({ type: 'job-withdrawn', id, at: transaction.at.wall })
 }
 
-/** Ends a pending request; one that may have run in an earlier attempt is never said not to have run. */
-export function endPending (transaction: Transaction, id: RequestId, wanted: 'not-run' | 'cancelled', reason: EndReason): void {
+/** The state of a request that ends while nothing runs; one that may have run in an earlier attempt is never said not to have run. */
+export function endWithoutRun (transaction: Transaction, id: RequestId, wanted: 'not-run' | 'cancelled'): 'not-run' | 'cancelled' | 'failed' {
   const mayHaveRun = transaction.record(id)?.mayHaveRun === true
-  const state = wanted === 'not-run' && mayHaveRun ? 'failed' : wanted
+  return wanted === 'not-run' && mayHaveRun ? 'failed' : wanted
+}
+
+/** Ends a pending request. */
+export function endPending (transaction: Transaction, id: RequestId, wanted: 'not-run' | 'cancelled', reason: EndReason): void {
+  const state = endWithoutRun(transaction, id, wanted)
   withdraw(transaction, id)
   transaction.stage({ type: 'ended', id, state, reason, at: transaction.at.wall })
   transaction.log('request-ended', id, { state, reason: reason.code })
