--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,9 +8,9 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'report/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'report/**', 'target/**', 'journal/**'] }),
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     plugins: { jsdoc },
     rules: {
       'jsdoc/require-jsdoc': ['error', { publicOnly: true, require: documentedItems, contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration'] }],
--- a/eslint.format.js
+++ b/eslint.format.js
@@ -7,6 +7,6 @@
   ? rest
   : { ...rest, rules: Object.fromEntries(Object.entries(rules).filter(([name]) => isStyleRule(name))) }
 
-export default neostandard({ ts: true, ignores: ['**/dist/**', 'report/**'] })
+export default neostandard({ ts: true, ignores: ['**/dist/**', 'report/**', 'target/**', 'journal/**'] })
   .map(onlyStyle)
   .concat({ linterOptions: { reportUnusedDisableDirectives: 'off' } })
--- a/packages/coordination/examples/embed.ts
+++ b/packages/coordination/examples/embed.ts
@@ -10,7 +10,7 @@
   releaseCell, RENEWAL_MILLISECONDS, renewCell, seededRandom, type Stores
 } from '@cornelgauge/coordination'
 import { cellName, CornelgaugeError, digestOf, vmName } from '@cornelgauge/model'
-import { MemoryObjectStore, MemoryTableService, systemClock as clock } from '@cornelgauge/platform'
+import { MemoryObjectStore, MemoryTableService, systemClock as clock } from '@cornelgauge/ports'
 
 const CELL = cellName('counter')
 const options = { clock, random: seededRandom(1), signal: new AbortController().signal }
--- a/packages/coordination/src/document-follower.ts
+++ b/packages/coordination/src/document-follower.ts
@@ -5,7 +5,7 @@
  * does not answer, peers are asked; they hold only what the table service held.
  */
 import { asFailure, CornelgaugeError, digest, digestOf, documentVersion, type Digest, type DocumentVersion } from '@cornelgauge/model'
-import type { CancelTimer, Clock, RowValue, TableService } from '@cornelgauge/platform'
+import type { CancelTimer, Clock, RowValue, TableService } from '@cornelgauge/ports'
 
 /** The table that holds the head row of each environment. */
 export const DOCUMENTS_TABLE = 'documents'
--- a/packages/coordination/src/group-committer.ts
+++ b/packages/coordination/src/group-committer.ts
@@ -4,7 +4,7 @@
  * number of entries.
  */
 import { CornelgaugeError, sequenceNumber, type ErrorCode, type SequenceNumber } from '@cornelgauge/model'
-import type { Json, TableService } from '@cornelgauge/platform'
+import type { Json, TableService } from '@cornelgauge/ports'
 import { commitRow, type CommitOutcome } from './journal.js'
 import type { CellClaim } from './owner-row.js'
 import type { StoreCallOptions } from './store-call.js'
--- a/packages/coordination/src/journal.ts
+++ b/packages/coordination/src/journal.ts
@@ -22,7 +22,7 @@
  *   where nobody reads, and the next trim deletes it.
  */
 import { CornelgaugeError, epoch, sequenceNumber, cellName, type CellName, type Epoch, type SequenceNumber } from '@cornelgauge/model'
-import type { Json, RangeQuery, Row, RowValue, TableService, Transaction } from '@cornelgauge/platform'
+import type { Json, RangeQuery, Row, RowValue, TableService, Transaction } from '@cornelgauge/ports'
 import { claimInForce, isInForce, readOwnerRow, type CellClaim, type StoredOwnerRow } from './owner-row.js'
 import { StoreCaller, type StoreCallOptions } from './store-call.js'
 
--- a/packages/coordination/src/owner-row-change.ts
+++ b/packages/coordination/src/owner-row-change.ts
@@ -5,7 +5,7 @@
  * delayed write lands only where the row has not moved on, so it can never undo a
  * later one.
  */
-import type { TableService } from '@cornelgauge/platform'
+import type { TableService } from '@cornelgauge/ports'
 import { isInForce, putOwnerRow, readOwnerRow, unchangedSince, type CellClaim, type OwnerRow, type StoredOwnerRow } from './owner-row.js'
 import { StoreCaller, type StoreCallOptions } from './store-call.js'
 
--- a/packages/coordination/src/owner-row.ts
+++ b/packages/coordination/src/owner-row.ts
@@ -4,7 +4,7 @@
  * on, and the table service's conditional write is what settles it.
  */
 import { cellName, CornelgaugeError, epoch, sequenceNumber, vmName, type CellName, type Epoch, type SequenceNumber, type VmName } from '@cornelgauge/model'
-import type { Condition, Json, Operation, Row, RowValue, TableService } from '@cornelgauge/platform'
+import type { Condition, Json, Operation, Row, RowValue, TableService } from '@cornelgauge/ports'
 
 /** The table that holds the owner rows, by cell. */
 export const CELLS_TABLE = 'cells'
--- a/packages/coordination/src/ownership.ts
+++ b/packages/coordination/src/ownership.ts
@@ -4,7 +4,7 @@
  * write of the owner before.
  */
 import { asFailure, epoch, sequenceNumber, type CellName, type VmName } from '@cornelgauge/model'
-import type { TableService } from '@cornelgauge/platform'
+import type { TableService } from '@cornelgauge/ports'
 import { changeOwnerRow, type ChangeOutcome } from './owner-row-change.js'
 import { isInForce, putOwnerRow, readOwnerRow, unchangedSince, type CellClaim, type OwnerRow, type StoredOwnerRow } from './owner-row.js'
 import { StoreCaller, type StoreCallOptions } from './store-call.js'
--- a/packages/coordination/src/pause.ts
+++ b/packages/coordination/src/pause.ts
@@ -1,7 +1,7 @@
 /**
  * Waiting on a clock that is handed in.
  */
-import type { Clock } from '@cornelgauge/platform'
+import type { Clock } from '@cornelgauge/ports'
 
 /**
  * Waits, at most until the signal aborts.
@@ -9,15 +9,15 @@
  * @example
  * await pause(systemClock, 100, new AbortController().signal)
  */
-export function pause (clock: Clock, delayMilliseconds: number, signal: AbortSignal): Promise<void> {
+export function pause (clock: Clock, delayMilliseconds: number, signal?: AbortSignal): Promise<void> {
   return new Promise(resolve => {
-    if (signal.aborted) return resolve()
+    if (signal?.aborted === true) return resolve()
     const finish = () => {
       cancel()
-      signal.removeEventListener('abort', finish)
+      signal?.removeEventListener('abort', finish)
       resolve()
     }
     const cancel = clock.after(delayMilliseconds, finish)
-    signal.addEventListener('abort', finish)
+    signal?.addEventListener('abort', finish)
   })
 }
--- a/packages/coordination/src/recover.ts
+++ b/packages/coordination/src/recover.ts
@@ -8,7 +8,7 @@
  * earlier owner left unsettled is either here or will never be.
  */
 import { CornelgaugeError, sequenceNumber, type SequenceNumber } from '@cornelgauge/model'
-import type { Json } from '@cornelgauge/platform'
+import type { Json } from '@cornelgauge/ports'
 import { journalRange, parseJournalRow, type JournalRow } from './journal.js'
 import { isInForce, readOwnerRow, type CellClaim, type OwnerRow } from './owner-row.js'
 import { decodeSnapshot, type Snapshot, type Stores } from './snapshot.js'
--- a/packages/coordination/src/snapshot.ts
+++ b/packages/coordination/src/snapshot.ts
@@ -6,7 +6,7 @@
  * deletions find, since they go by what is there and not by what was noted.
  */
 import { cellName, CornelgaugeError, digestOf, epoch, sequenceNumber, type CellName, type Digest, type Epoch, type SequenceNumber } from '@cornelgauge/model'
-import type { Json, ObjectStore, TableService } from '@cornelgauge/platform'
+import type { Json, ObjectStore, TableService } from '@cornelgauge/ports'
 import { JOURNAL_TABLE, journalRange, padSequence } from './journal.js'
 import { changeOwnerRow, type ChangeOutcome } from './owner-row-change.js'
 import { claimInForce, type CellClaim, type OwnerRow } from './owner-row.js'
--- a/packages/coordination/src/store-call.ts
+++ b/packages/coordination/src/store-call.ts
@@ -4,7 +4,7 @@
  * refused with nothing written, or not known.
  */
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import type { Clock, TableService, Transaction } from '@cornelgauge/platform'
+import type { Clock, TableService, Transaction } from '@cornelgauge/ports'
 import { backoffDelay, type Random } from './backoff.js'
 import { pause } from './pause.js'
 
--- a/packages/coordination/test/builders.ts
+++ b/packages/coordination/test/builders.ts
@@ -1,5 +1,5 @@
 /** A small world with one cell and some VMs. */
-import { MemoryObjectStore, MemoryTableService, VirtualClock } from '@cornelgauge/platform'
+import { MemoryObjectStore, MemoryTableService, VirtualClock } from '@cornelgauge/ports'
 import { cellName, failureDomainName, vmName, type SequenceNumber } from '@cornelgauge/model'
 import { claimCell, commitRow, readOwnerRow, seededRandom, type CellClaim, type ClaimOutcome, type CommitOutcome, type StoreCallOptions } from '../src/index.js'
 import { FaultyServices, type Decide } from './faulty-services.js'
--- a/packages/coordination/test/document-schedule.test.ts
+++ b/packages/coordination/test/document-schedule.test.ts
@@ -1,5 +1,5 @@
 import { digestOf, documentVersion } from '@cornelgauge/model'
-import { MemoryObjectStore, MemoryTableService, VirtualClock } from '@cornelgauge/platform'
+import { MemoryObjectStore, MemoryTableService, VirtualClock } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { DOCUMENT_POLL_MILLISECONDS, DocumentFollower, DOCUMENTS_TABLE, pause, type SeenDocument } from '../src/index.js'
--- a/packages/coordination/test/faulty-services.ts
+++ b/packages/coordination/test/faulty-services.ts
@@ -1,6 +1,6 @@
 /** Services that do to each call what a test decides: the fates that the brief names. */
 import { CornelgaugeError } from '@cornelgauge/model'
-import type { ObjectStore, RangeQuery, Row, TableService, Transaction } from '@cornelgauge/platform'
+import type { ObjectStore, RangeQuery, Row, TableService, Transaction } from '@cornelgauge/ports'
 
 /** `late`: the caller hears of a failure now, and the effect comes when the test says so. */
 export type Fate = 'answered' | 'refused' | 'answer-lost' | 'late'
--- a/packages/coordination/test/lease-schedule.test.ts
+++ b/packages/coordination/test/lease-schedule.test.ts
@@ -1,5 +1,5 @@
 import { vmName, type CellName } from '@cornelgauge/model'
-import { MemoryObjectStore, MemoryTableService, VirtualClock, type Clock } from '@cornelgauge/platform'
+import { MemoryObjectStore, MemoryTableService, VirtualClock, type Clock } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import {
--- a/packages/coordination/test/recover.test.ts
+++ b/packages/coordination/test/recover.test.ts
@@ -1,5 +1,5 @@
 import { sequenceNumber } from '@cornelgauge/model'
-import type { Transaction } from '@cornelgauge/platform'
+import type { Transaction } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import {
   CELLS_TABLE, decodeSnapshot, encodeSnapshot, JOURNAL_TABLE, journalKey, readOwnerRow, recover, RECOVERY_PAGE_ROWS,
--- a/packages/coordination/test/schedule.ts
+++ b/packages/coordination/test/schedule.ts
@@ -4,7 +4,7 @@
  * No lease holds anybody back, so that all rests on the fencing.
  */
 import { sequenceNumber, vmName, type CornelgaugeError, type Epoch, type SequenceNumber, type VmName } from '@cornelgauge/model'
-import { MemoryObjectStore, MemoryTableService, type Clock } from '@cornelgauge/platform'
+import { MemoryObjectStore, MemoryTableService, type Clock } from '@cornelgauge/ports'
 import type { Scheduler } from 'fast-check'
 import {
   claimCell, GROUP_COMMIT_LIMITS, GroupCommitter, readOwnerRow, recover, releaseCell, takeSnapshot, type CellClaim, type JournalRow,
--- a/packages/daemon/src/backend-servers.ts
+++ b/packages/daemon/src/backend-servers.ts
@@ -2,7 +2,7 @@
  * Clients of the backend servers, one each, opened when first needed.
  */
 import { CornelgaugeError, type BackendServerName } from '@cornelgauge/model'
-import { HttpBackendServer, type BackendServer } from '@cornelgauge/platform'
+import { HttpBackendServer, type BackendServer } from '@cornelgauge/ports'
 
 const COMMAND_TIMEOUT_MILLISECONDS = 2000
 const CONNECTIONS = 4
--- a/packages/daemon/src/cell-host.ts
+++ b/packages/daemon/src/cell-host.ts
@@ -8,7 +8,7 @@
   type OwnershipAction, type Random, type RowWatch, type StoreCallOptions, type Stores, type Transition
 } from '@cornelgauge/coordination'
 import { asFailure, type CellName, type FailureDomainName, type RequestRecord, type SequenceNumber, type VmName } from '@cornelgauge/model'
-import type { Clock, Json } from '@cornelgauge/platform'
+import type { Clock, Json } from '@cornelgauge/ports'
 import type { Instant, OwnerEffect, OwnerEvent, OwnerState } from '@cornelgauge/scheduler'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { ServerClients } from './backend-servers.js'
--- a/packages/daemon/src/cell-loop.ts
+++ b/packages/daemon/src/cell-loop.ts
@@ -5,7 +5,7 @@
 import { asFailure, type CellName, type CornelgaugeError, type Epoch } from '@cornelgauge/model'
 import { abandonOwner, createOwner, refuseCall, step, type Instant, type OwnerEffect, type OwnerEvent, type OwnerStart, type OwnerState } from '@cornelgauge/scheduler'
 import { Map as ImmutableMap } from 'immutable'
-import { Inbox } from './inbox.js'
+import { Inbox } from '@cornelgauge/coordination'
 
 /** What comes into the loop. */
 export type LoopEvent =
--- a/packages/daemon/src/counted-table.ts
+++ b/packages/daemon/src/counted-table.ts
@@ -2,7 +2,7 @@
  * A table service that counts what goes through it, so that each VM can tell what
  * it costs the platform.
  */
-import type { RangeQuery, Row, TableService, Transaction } from '@cornelgauge/platform'
+import type { RangeQuery, Row, TableService, Transaction } from '@cornelgauge/ports'
 
 /** Seconds over which rates are taken. */
 const RATE_SECONDS = 10
--- a/packages/daemon/src/documents.ts
+++ b/packages/daemon/src/documents.ts
@@ -5,7 +5,7 @@
 import { DocumentFollower, DOCUMENTS_TABLE, parseDocumentHead, type SeenDocument } from '@cornelgauge/coordination'
 import { nextHead, parseDocument, promote, type DocumentHead, type EnvironmentDocument, type EnvironmentName } from '@cornelgauge/environment'
 import { asFailure, CornelgaugeError, documentVersion, type Digest, type DocumentVersion } from '@cornelgauge/model'
-import type { Clock, Condition, Row, RowValue, TableService } from '@cornelgauge/platform'
+import type { Clock, Condition, Row, RowValue, TableService } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 
 /** A document in force on this VM. */
--- a/packages/daemon/src/effects.ts
+++ b/packages/daemon/src/effects.ts
@@ -4,7 +4,7 @@
  */
 import { commitRow, ledgerToJson, takeSnapshot, type CellClaim, type StoreCallOptions, type Stores } from '@cornelgauge/coordination'
 import { asFailure, CornelgaugeError, type BackendServerName, type SequenceNumber } from '@cornelgauge/model'
-import type { BackendServer, ExecutionId, ExecutionReport, Json } from '@cornelgauge/platform'
+import type { BackendServer, ExecutionId, ExecutionReport, Json } from '@cornelgauge/ports'
 import type { Command, OwnerEffect, OwnerEvent } from '@cornelgauge/scheduler'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { ServerClients } from './backend-servers.js'
--- a/packages/daemon/src/owned-cell.ts
+++ b/packages/daemon/src/owned-cell.ts
@@ -2,7 +2,7 @@
  * One cell that this VM owns: its claim, its lease, and the timer of its ticks.
  */
 import type { CellClaim, HeldLease } from '@cornelgauge/coordination'
-import type { Clock } from '@cornelgauge/platform'
+import type { Clock } from '@cornelgauge/ports'
 import { TICK_MILLISECONDS, type OwnerEvent } from '@cornelgauge/scheduler'
 
 /** How a drain ended. */
--- a/packages/daemon/src/peer-calls.ts
+++ b/packages/daemon/src/peer-calls.ts
@@ -2,7 +2,7 @@
  * Answers the calls of other daemons: a lookup table by type of call.
  */
 import { CornelgaugeError, documentVersion, toProblem, type CellName, type RequestId } from '@cornelgauge/model'
-import type { ObjectStore } from '@cornelgauge/platform'
+import type { ObjectStore } from '@cornelgauge/ports'
 import type { CallId, OwnerEvent } from '@cornelgauge/scheduler'
 import type { CallBody, PeerIdentity, ReplyBody } from '@cornelgauge/wire'
 import type { CellHost } from './cell-host.js'
@@ -71,6 +71,10 @@
   async 'handover-hint' ({ onHandoverHint }) {
     onHandoverHint()
     return { type: 'done' }
+  },
+
+  async extension () {
+    throw new CornelgaugeError('protocol-violation', { detail: 'This VM takes no extension messages' })
   }
 }
 
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -7,7 +7,7 @@
 import {
   asFailure, CornelgaugeError, digestOf, fromProblem, requestId, type CellName, type RequestId, type RequestKey, type RequestRecord, type Submission, type WorkspaceName
 } from '@cornelgauge/model'
-import type { Clock, ObjectStore } from '@cornelgauge/platform'
+import type { Clock, ObjectStore } from '@cornelgauge/ports'
 import type { CallId, CallReply, OwnerEvent } from '@cornelgauge/scheduler'
 import type { CallBody, ReplyBody } from '@cornelgauge/wire'
 import type { CellHost, KnownOwner } from './cell-host.js'
--- a/packages/daemon/src/vm-directory.ts
+++ b/packages/daemon/src/vm-directory.ts
@@ -4,7 +4,7 @@
  */
 import type { Candidate } from '@cornelgauge/coordination'
 import { asFailure, backendServerName, rackName, type FailureDomainName, type VmName } from '@cornelgauge/model'
-import type { ListedVm, VmList } from '@cornelgauge/platform'
+import type { ListedVm, VmList } from '@cornelgauge/ports'
 import type { ListedServer } from '@cornelgauge/scheduler'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 
--- a/packages/daemon/test/catalogue.test.ts
+++ b/packages/daemon/test/catalogue.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 
 const PACKAGES = new URL('../../../', import.meta.url)
-const EMITTING = ['scheduler', 'daemon', 'telemetry'] as const
+const EMITTING = ['scheduler', 'daemon', 'telemetry', 'entry', '../platform'] as const
 
 const files = (name: string): string[] => readdirSync(new URL(`${name}/src/`, PACKAGES)).map(file => readFileSync(new URL(`${name}/src/${file}`, PACKAGES), 'utf8'))
 
--- /dev/null
+++ b/packages/entry/src/entry-vm.ts
@@ -0,0 +1,358 @@
+/**
+ * One entry VM: takes jobs and questions about them, follows the configuration, and
+ * owns the planner or speaks to the VM that does.
+ */
+import { asFailure, CornelgaugeError, type VmName } from '@cornelgauge/model'
+import { pause, systemClock } from '@cornelgauge/coordination'
+import { jobId, type Configuration, type Job, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
+import type { RowStore } from '@cornelgauge/ports'
+import type { EventLog } from '@cornelgauge/telemetry'
+import { AnsweringStore } from './answering-store.js'
+import { CurrentConfiguration } from './current-configuration.js'
+import { decodeJob } from './job-record.js'
+import { JobStore } from './job-store.js'
+import { Leadership } from './leadership.js'
+import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import type { PeerAnswer, PeerQuestion } from './messages.js'
+import type { OwnerRecord } from './owner-record.js'
+import { Peers } from './peers.js'
+import { PlannerHost } from './planner-host.js'
+import type { PlatformView } from './platform-view.js'
+import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
+import { TableFollower } from './table-follower.js'
+
+/** What an entry VM needs. */
+export interface EntryVmOptions {
+  readonly vm: VmName
+  /** `ip:port` of the inner protocol. */
+  readonly address: string
+  /** Addresses of VMs to ask while the store doesn't answer. */
+  readonly seeds: readonly string[]
+  readonly secret: string
+  readonly platform: PlatformView
+  readonly log: EventLog
+}
+
+type Questions = { readonly [Kind in PeerQuestion['kind']]: (question: Extract<PeerQuestion, { kind: Kind }>) => Promise<PeerAnswer> }
+
+/**
+ * Runs an entry VM.
+ *
+ * @example
+ * const vm = new EntryVm(options)
+ * await vm.start()
+ * await vm.submit(job, performance.now() + 3000)
+ * await vm.leave()
+ * await vm.stop()
+ */
+export class EntryVm {
+  readonly #options: EntryVmOptions
+  readonly #store: AnsweringStore
+  readonly #jobs: JobStore
+  readonly #peers: Peers
+  readonly #leadership: Leadership
+  readonly #stopping = new AbortController()
+  readonly configuration: CurrentConfiguration
+  #host: PlannerHost | undefined
+  #hosting: AbortController | undefined
+
+  readonly #questions: Questions = {
+    beat: async beat => this.#leadership.hear(beat),
+    job: async ({ job }) => {
+      this.#hostOrFail().submit(job)
+      return { kind: 'taken' }
+    },
+    cancel: async ({ id }) => {
+      this.#hostOrFail().cancel(id)
+      return { kind: 'taken' }
+    },
+    phase: async ({ id }) => {
+      const phase = this.#hostOrFail().phaseOf(id)
+      return { kind: 'phase', ...(phase === undefined ? {} : { phase }) }
+    },
+    queued: async ({ queue }) => ({ kind: 'queued', count: this.#hostOrFail().queuedIn(queue) }),
+    succeed: async ({ owner }) => {
+      await this.#leadership.succeed(owner)
+      return { kind: 'taken' }
+    }
+  }
+
+  constructor (options: EntryVmOptions) {
+    const { vm, address, seeds, secret, platform, log } = options
+    this.#options = options
+    this.#store = new AnsweringStore(platform.store)
+    this.#jobs = new JobStore(this.#store)
+    this.configuration = new CurrentConfiguration(configuration => this.#configure(configuration))
+    this.#peers = new Peers({
+      vm,
+      address,
+      secret,
+      clock: log,
+      answer: question => (this.#questions[question.kind] as (question: PeerQuestion) => Promise<PeerAnswer>)(question),
+      onEvent: event => { if (event.type === 'handler-failed') log.emit('peer-call-failed', { details: { address: event.address, kind: 'answer', failure: event.failure.code } }) }
+    })
+    this.#leadership = new Leadership({
+      self: { vm, address },
+      seeds,
+      store: this.#store,
+      peers: this.#peers,
+      emit: (name, facts) => log.emit(name, facts),
+      storeAge: () => this.#store.age,
+      isReady: () => this.isReady,
+      onOwned: owner => this.#own(owner),
+      onLost: () => this.#disown()
+    })
+  }
+
+  /** Milliseconds since the store last answered this VM. */
+  get storeAge (): number {
+    return this.#store.age
+  }
+
+  /** True if requests can be taken: a configuration is in force and the store answers. */
+  get isReady (): boolean {
+    return this.configuration.value !== undefined && !this.#stopping.signal.aborted
+  }
+
+  /** True while this VM owns the planner. */
+  get isOwner (): boolean {
+    return this.#host !== undefined
+  }
+
+  /** Counts of the planner's load, where this VM owns it. */
+  get load (): PlannerHost['load'] | undefined {
+    return this.#host?.load
+  }
+
+  /** Joins the other VMs; returns at once, and becomes ready later. */
+  async start (): Promise<void> {
+    await this.#peers.listen()
+    const { platform, log } = this.#options
+    const { signal } = this.#stopping
+    const follower = new TableFollower(this.#store, {
+      table: platform.configurationTable,
+      onRows: (rows, asked) => this.configuration.take(platform.readConfiguration(rows), asked),
+      onFailure: failure => log.emit('feed-failed', { details: { table: platform.configurationTable, failure: failure.code } })
+    })
+    this.#background(follower.run(signal))
+    this.#background(this.#leadership.run(signal))
+  }
+
+  /** Gives the planner to another VM, if this one owns it; requests are still served. */
+  async leave (): Promise<void> {
+    await this.#leadership.leave(() => this.#disown())
+  }
+
+  /** Ends, after `leave`. */
+  async stop (): Promise<void> {
+    this.#stopping.abort()
+    await this.#peers.close()
+    await this.#options.platform.servers.close()
+  }
+
+  /**
+   * Accepts a job: it is stored when this returns.
+   *
+   * @throws {CornelgaugeError} `overloaded` if it isn't stored and won't be,
+   * `outcome-unknown` if that isn't known by the deadline on the steady clock
+   */
+  async submit (job: Job, deadline: number): Promise<void> {
+    await this.#jobs.accept(job, deadline)
+    this.#tellOwner({ kind: 'job', job })
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @returns false if there is no such job
+   * @throws {CornelgaugeError} as `submit`, or `store-unavailable`
+   */
+  async cancel (id: JobId, deadline: number): Promise<boolean> {
+    if (await this.phaseOf(id) === undefined) return false
+    await this.#jobs.cancel(id, deadline)
+    this.#tellOwner({ kind: 'cancel', id })
+    return true
+  }
+
+  /**
+   * What a caller is told of a job; nothing if there is none.
+   *
+   * @throws {CornelgaugeError} `store-unavailable` if neither the owner nor the store can tell
+   */
+  async phaseOf (id: JobId): Promise<JobPhase | undefined> {
+    const known = this.#host === undefined
+      ? (await this.#askOwner<'phase'>({ kind: 'phase', id }))?.phase
+      : this.#host.phaseOf(id)
+    if (known !== undefined) return known
+    const stored = await this.#fromStore(() => this.#jobs.phaseOf(id))
+    return stored === 'unknown' ? undefined : stored
+  }
+
+  /**
+   * Jobs of a queue of which nothing has started.
+   *
+   * @throws {CornelgaugeError} `no-owner` if the owner can't be asked
+   */
+  async queuedIn (queue: QueueName): Promise<number> {
+    if (this.#host !== undefined) return this.#host.queuedIn(queue)
+    const answer = await this.#askOwner<'queued'>({ kind: 'queued', queue })
+    if (answer === undefined) throw new CornelgaugeError('no-owner')
+    return answer.count
+  }
+
+  #hostOrFail (): PlannerHost {
+    if (this.#host === undefined) throw new CornelgaugeError('not-owner')
+    return this.#host
+  }
+
+  #configure (configuration: Configuration): void {
+    this.#options.log.emit('configuration-in-force', { details: { version: configuration.version, queues: configuration.queues.length } })
+    this.#host?.configure(configuration)
+  }
+
+  /** Tells the owner what was stored; it would learn it from the store too, a little later. */
+  #tellOwner (question: Extract<PeerQuestion, { kind: 'job' | 'cancel' }>): void {
+    if (this.#host !== undefined) {
+      if (question.kind === 'job') this.#host.submit(question.job)
+      else this.#host.cancel(question.id)
+      return
+    }
+    this.#background(this.#askOwner(question).then(() => {}))
+  }
+
+  async #askOwner<Kind extends PeerAnswer['kind']> (question: PeerQuestion): Promise<Extract<PeerAnswer, { kind: Kind }> | undefined> {
+    const { log } = this.#options
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const owner = this.#leadership.owner
+      if (owner === undefined || owner.vm === this.#options.vm) return undefined
+      try {
+        return await this.#peers.ask<Kind>(owner.address, question, OWNER_CALL_MILLISECONDS)
+      } catch (thrown) {
+        log.emit('peer-call-failed', { details: { address: owner.address, kind: question.kind, failure: asFailure(thrown).code } })
+        if (this.#leadership.owner === owner) return undefined
+      }
+    }
+    return undefined
+  }
+
+  async #fromStore<Value> (read: () => Promise<Value>): Promise<Value> {
+    try {
+      return await read()
+    } catch (thrown) {
+      throw new CornelgaugeError('store-unavailable', { detail: 'Neither the owner nor the store could be asked', cause: thrown })
+    }
+  }
+
+  async #own (owner: OwnerRecord): Promise<void> {
+    await this.#disown()
+    const { platform, log } = this.#options
+    const started = performance.now()
+    const [stored, registry] = await this.#persist(async () => await Promise.all([this.#jobs.load(), this.#store.readAll(platform.registryTable)]))
+    if (this.#stopping.signal.aborted || this.#leadership.owner?.epoch !== owner.epoch) return
+    const host = new PlannerHost({
+      owner,
+      stored,
+      store: this.#store,
+      servers: platform.servers,
+      emit: (name, facts) => log.emit(name, facts),
+      confirmedAge: () => Math.min(this.#confirmedAge, this.#leadership.followedAge),
+      onFenced: () => this.#fenced(host),
+    })
+    this.#confirmedAt = performance.now()
+    this.#host = host
+    this.#hosting = new AbortController()
+    if (this.configuration.value !== undefined) host.configure(this.configuration.value)
+    host.list(platform.readRegistry(new Map(registry.rows.map(row => [row.key, row.value]))))
+    this.#followFor(host, stored.jobsVersion, stored.cancelsVersion, registry, this.#hosting.signal)
+    log.emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
+    for (const record of stored.damaged) log.emit('record-unreadable', { details: { record } })
+  }
+
+  #confirmedAt = -Infinity
+
+  get #confirmedAge (): number {
+    return performance.now() - this.#confirmedAt
+  }
+
+  /** Tries until it succeeds or the VM stops: a new owner can't begin without what is stored. */
+  async #persist<Value> (read: () => Promise<Value>): Promise<Value> {
+    for (;;) {
+      try {
+        return await read()
+      } catch (thrown) {
+        this.#options.log.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
+        if (this.#stopping.signal.aborted) throw thrown
+        await pause(systemClock, STORE_RETRY_MILLISECONDS, this.#stopping.signal)
+      }
+    }
+  }
+
+  #followFor (host: PlannerHost, jobsVersion: number, cancelsVersion: number, registry: Awaited<ReturnType<RowStore['readAll']>>, signal: AbortSignal): void {
+    const { platform, log } = this.#options
+    const onFailure = (table: string) => (failure: CornelgaugeError): void => { log.emit('feed-failed', { details: { table, failure: failure.code } }) }
+    const jobs = new TableFollower(this.#store, {
+      table: JOBS_TABLE,
+      from: { rows: [], version: jobsVersion },
+      onFailure: onFailure(JOBS_TABLE),
+      onRows: (rows, _asked, changed) => {
+        for (const key of changed) {
+          const value = rows.get(key)
+          if (value !== undefined) this.#submitStored(host, key, value)
+        }
+      }
+    })
+    const cancels = new TableFollower(this.#store, {
+      table: CANCELS_TABLE,
+      from: { rows: [], version: cancelsVersion },
+      onFailure: onFailure(CANCELS_TABLE),
+      onRows: (_rows, _asked, changed) => changed.forEach(key => host.cancel(jobId(key)))
+    })
+    const servers = new TableFollower(this.#store, {
+      table: platform.registryTable,
+      from: registry,
+      pauseMilliseconds: REGISTRY_PAUSE_MILLISECONDS,
+      onFailure: onFailure(platform.registryTable),
+      onRows: rows => host.list(platform.readRegistry(rows))
+    })
+    for (const follower of [jobs, cancels, servers]) this.#background(follower.run(signal))
+    this.#background(this.#confirm(host, signal))
+  }
+
+  #submitStored (host: PlannerHost, key: string, value: Parameters<typeof decodeJob>[1]): void {
+    try {
+      host.submit(decodeJob(key, value))
+    } catch (thrown) {
+      this.#options.log.emit('record-unreadable', { details: { record: `${key}: ${asFailure(thrown).message}` } })
+    }
+  }
+
+  /** Asks the store now and then whether this VM still owns the planner. */
+  async #confirm (host: PlannerHost, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const asked = performance.now()
+      if (await host.confirm()) this.#confirmedAt = asked
+      await pause(systemClock, HEARTBEAT_MILLISECONDS * 2, signal)
+    }
+  }
+
+  #fenced (host: PlannerHost): void {
+    if (this.#host !== host) return
+    this.#leadership.lose()
+    this.#background(this.#disown())
+  }
+
+  async #disown (): Promise<void> {
+    const host = this.#host
+    this.#host = undefined
+    this.#hosting?.abort()
+    await host?.stop()
+  }
+
+  /** Runs something that nobody waits for; what it throws is a fault of the program and ends the process. */
+  #background (work: Promise<void>): void {
+    work.catch(thrown => {
+      this.#options.log.emit('entry-failed', { details: { failure: asFailure(thrown).message } })
+      setImmediate(() => { throw thrown })
+    })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,11 @@
+/** An entry VM: what takes jobs and owns the planner. */
+export * from './backend-server-calls.js'
+export * from './current-configuration.js'
+export * from './elapsed.js'
+export * from './entry-vm.js'
+export * from './job-record.js'
+export * from './job-store.js'
+export * from './limits.js'
+export * from './owner-record.js'
+export * from './platform-view.js'
+export * from './table-follower.js'
--- /dev/null
+++ b/packages/entry/src/job-record.ts
@@ -0,0 +1,48 @@
+/** Jobs as rows of the store. */
+import { CornelgaugeError, workspaceName } from '@cornelgauge/model'
+import { jobId, poolName, queueName, type Job, type StepSpecification } from '@cornelgauge/jobs'
+import type { Json, RowValue } from '@cornelgauge/ports'
+
+/** Raised when a newer form can't be read by older releases. */
+const RECORD_FORMAT = 1
+
+/**
+ * A job as a row's value.
+ *
+ * @example
+ * const value = encodeJob(job)
+ */
+export function encodeJob (job: Job): RowValue {
+  const { id: _id, ...rest } = job
+  return { format: RECORD_FORMAT, ...JSON.parse(JSON.stringify(rest)) as Record<string, Json> }
+}
+
+/**
+ * The job in a row.
+ *
+ * @throws {CornelgaugeError} `record-damaged`
+ * @example
+ * const job = decodeJob(row.key, row.value)
+ */
+export function decodeJob (key: string, value: RowValue): Job {
+  const record = value as unknown as Partial<Omit<Job, 'id'>> & { format?: unknown }
+  const isWhole = record.format === RECORD_FORMAT && typeof record.queue === 'string' && typeof record.pool === 'string' &&
+    typeof record.workspace === 'string' && typeof record.specification === 'string' && typeof record.acceptedAt === 'number' &&
+    Array.isArray(record.steps) && record.steps.length > 0 && record.steps.every(isStep)
+  if (!isWhole) throw new CornelgaugeError('record-damaged', { detail: `The record of job ${key} can't be read` })
+  return {
+    id: jobId(key),
+    queue: queueName(record.queue!),
+    pool: poolName(record.pool!),
+    workspace: workspaceName(record.workspace!),
+    specification: record.specification!,
+    steps: record.steps!,
+    acceptedAt: record.acceptedAt!,
+    ...(record.schedule === undefined ? {} : { schedule: record.schedule })
+  }
+}
+
+function isStep (value: unknown): value is StepSpecification {
+  const step = value as Partial<StepSpecification> | null
+  return typeof step?.count === 'number' && typeof step.need?.accelerators === 'number' && Array.isArray(step.after)
+}
--- /dev/null
+++ b/packages/entry/src/planner-host.ts
@@ -0,0 +1,312 @@
+/**
+ * Runs the planner on the VM that owns it: looks at backend servers, performs the
+ * planner's commands and stores progress. Everything that happens goes through one
+ * stream of events, so that the planner sees one at a time.
+ */
+import type { Stream } from 'most'
+import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
+import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
+import { Planner, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type ServerReport, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import type { RowStore } from '@cornelgauge/ports'
+import type { EmitEvent } from '@cornelgauge/telemetry'
+import type { BackendServerCalls } from './backend-server-calls.js'
+import type { StoredJobs } from './job-store.js'
+import { BUSY_LOOK_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_LOOK_MILLISECONDS, LOOK_RETRY_MILLISECONDS, OWNER_DOUBT_MILLISECONDS, ROUND_DELAY_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_LOOK_MILLISECONDS } from './limits.js'
+import type { OwnerRecord } from './owner-record.js'
+import { ProgressWriter } from './progress-writer.js'
+
+/** What a host needs. */
+export interface PlannerHostOptions {
+  readonly owner: OwnerRecord
+  readonly stored: StoredJobs
+  readonly store: RowStore
+  readonly servers: BackendServerCalls
+  readonly emit: EmitEvent
+  /** Milliseconds since ownership was last confirmed by the store or by most peers. */
+  readonly confirmedAge: () => number
+  /** A newer owner has been seen; this host has stopped deciding. */
+  readonly onFenced: () => void
+}
+
+type HostEvent =
+  | { readonly type: 'looked', readonly server: ServerId, readonly report: ServerReport }
+  | { readonly type: 'missed', readonly server: ServerId, readonly failure: CornelgaugeError }
+  | { readonly type: 'started', readonly command: StartCommand, readonly outcome: StartOutcome }
+  | { readonly type: 'stopped', readonly command: StopCommand, readonly outcome: StopOutcome }
+  | { readonly type: 'listed', readonly entries: readonly ServerEntry[] }
+  | { readonly type: 'configured', readonly configuration: Configuration }
+  | { readonly type: 'submitted', readonly job: Job }
+  | { readonly type: 'cancelled', readonly id: JobId }
+  | { readonly type: 'time' }
+
+type EventHandlers = { readonly [Type in HostEvent['type']]: (event: Extract<HostEvent, { type: Type }>) => void }
+type CommandHandlers = { readonly [Type in Command['type']]: (command: Extract<Command, { type: Type }>) => Promise<void> }
+
+/** A store that answers within this is worth no word in the log. */
+const SLOW_STORE_MILLISECONDS = 500
+
+/**
+ * Hosts a planner from the claim to the hand-over.
+ *
+ * @example
+ * const host = new PlannerHost(options)
+ * host.list(entries)
+ * await host.stop()
+ */
+export class PlannerHost {
+  readonly #options: PlannerHostOptions
+  readonly #planner: Planner
+  readonly #writer: ProgressWriter
+  readonly #inbox = new Inbox<HostEvent>()
+  readonly #stopping = new AbortController()
+  readonly #addresses = new Map<ServerId, string>()
+  readonly #looking = new Set<ServerId>()
+  readonly #roundTimer: NodeJS.Timeout
+  #isRoundDue = false
+  #isDeciding = true
+  #saving: Promise<void> | undefined
+  #firstStart: number | undefined
+
+  readonly #handlers: EventHandlers = {
+    looked: ({ server, report }) => this.#planner.hear(server, report, Date.now()),
+    missed: ({ server, failure }) => this.#miss(server, failure),
+    started: ({ command, outcome }) => this.#takeStart(command, outcome),
+    stopped: ({ command, outcome }) => this.#takeStop(command, outcome),
+    listed: ({ entries }) => this.#list(entries),
+    configured: ({ configuration }) => this.#planner.configure(configuration),
+    submitted: ({ job }) => this.#submit(job),
+    cancelled: ({ id }) => { this.#planner.cancel(id, Date.now()) },
+    time: () => {}
+  }
+
+  readonly #performers: CommandHandlers = {
+    start: command => this.#start(command),
+    stop: command => this.#stopRun(command)
+  }
+
+  constructor (options: PlannerHostOptions) {
+    this.#options = options
+    const { owner, stored, store } = options
+    this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
+    this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
+    const events: Stream<HostEvent> = this.#inbox.events
+    events.observe(event => this.#take(event)).catch(thrown => this.#crash(thrown))
+    this.#roundTimer = setInterval(() => this.#inbox.put({ type: 'time' }), ROUND_INTERVAL_MILLISECONDS)
+  }
+
+  /** The epoch that this host decides under. */
+  get epoch (): OwnerRecord['epoch'] {
+    return this.#options.owner.epoch
+  }
+
+  configure (configuration: Configuration): void {
+    this.#inbox.put({ type: 'configured', configuration })
+  }
+
+  /** Takes the registry's list of backend servers, whole. */
+  list (entries: readonly ServerEntry[]): void {
+    this.#inbox.put({ type: 'listed', entries })
+  }
+
+  submit (job: Job): void {
+    this.#inbox.put({ type: 'submitted', job })
+  }
+
+  cancel (id: JobId): void {
+    this.#inbox.put({ type: 'cancelled', id })
+  }
+
+  phaseOf (id: JobId): JobPhase | undefined {
+    return this.#planner.phaseOf(id)
+  }
+
+  queuedIn (queue: QueueName): number {
+    return this.#planner.queuedIn(queue)
+  }
+
+  get load (): Planner['load'] {
+    return this.#planner.load
+  }
+
+  /** Asks the store whether this VM still owns the planner. */
+  async confirm (): Promise<boolean> {
+    return await this.#guarded(() => this.#writer.confirm())
+  }
+
+  /** Stops deciding at once, and stores what is known. */
+  async stop (): Promise<void> {
+    this.#isDeciding = false
+    clearInterval(this.#roundTimer)
+    await this.#saving
+    if (!this.#stopping.signal.aborted) await this.#guarded(async () => { await this.#writer.write(this.#planner) })
+    this.#stopping.abort()
+  }
+
+  #take (event: HostEvent): void {
+    if (this.#stopping.signal.aborted) return
+    const handler = this.#handlers[event.type] as (event: HostEvent) => void
+    handler(event)
+    this.#scheduleRound()
+  }
+
+  #crash (thrown: unknown): void {
+    this.#options.emit('planner-failed', { details: { failure: asFailure(thrown).message } })
+    this.#options.onFenced()
+    this.#halt()
+  }
+
+  #scheduleRound (): void {
+    if (this.#isRoundDue) return
+    this.#isRoundDue = true
+    setTimeout(() => {
+      this.#isRoundDue = false
+      this.#round()
+    }, ROUND_DELAY_MILLISECONDS)
+  }
+
+  #round (): void {
+    if (!this.#isDeciding || this.#stopping.signal.aborted) return
+    if (this.#options.confirmedAge() < OWNER_DOUBT_MILLISECONDS) {
+      for (const command of this.#planner.decide({ now: performance.now(), wallTime: Date.now() })) this.#perform(command)
+    }
+    this.#save()
+  }
+
+  #perform (command: Command): void {
+    const performer = this.#performers[command.type] as (command: Command) => Promise<void>
+    performer(command).catch(thrown => this.#crash(thrown))
+  }
+
+  async #start (command: StartCommand): Promise<void> {
+    const target = this.#target(command.server)
+    if (this.#firstStart === undefined) {
+      this.#firstStart = performance.now()
+      this.#options.emit('planner-first-start', { details: { epoch: this.epoch, task: command.task } })
+    }
+    const outcome = await this.#options.servers.start(target, command, this.epoch, CALL_SLACK_MILLISECONDS)
+    this.#inbox.put({ type: 'started', command, outcome })
+  }
+
+  async #stopRun (command: StopCommand): Promise<void> {
+    const outcome = await this.#options.servers.stop(this.#target(command.server), command.task, command.run, this.epoch, CALL_SLACK_MILLISECONDS)
+    this.#inbox.put({ type: 'stopped', command, outcome })
+  }
+
+  #takeStart (command: StartCommand, outcome: StartOutcome): void {
+    const { task, run, server } = command
+    this.#planner.answerStart(server, task, run, outcome, performance.now())
+    this.#options.emit('task-started', { details: { task, run, server, epoch: this.epoch, outcome, resumed: command.checkpoint !== '' } })
+    if (outcome === 'fenced') this.#fence()
+  }
+
+  #takeStop (command: StopCommand, outcome: StopOutcome): void {
+    const { task, run, server, reason } = command
+    this.#planner.answerStop(server, task, run, outcome, performance.now())
+    this.#options.emit('task-stopped', { details: { task, run, server, reason, outcome } })
+    if (outcome === 'fenced') this.#fence()
+  }
+
+  #submit (job: Job): void {
+    if (this.#planner.phaseOf(job.id) !== undefined) return
+    this.#planner.submit(job)
+    this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
+  }
+
+  #list (entries: readonly ServerEntry[]): void {
+    this.#planner.list(entries, performance.now())
+    for (const entry of entries) this.#addresses.set(entry.id, entry.address)
+    for (const id of this.#planner.servers) {
+      if (this.#looking.has(id)) continue
+      this.#looking.add(id)
+      this.#watch(id).catch(thrown => this.#crash(thrown))
+    }
+    this.#options.servers.keep(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
+  }
+
+  /** Looks at one backend server again and again, for as long as the planner knows it. */
+  async #watch (id: ServerId): Promise<void> {
+    const { signal } = this.#stopping
+    let isSound = false
+    while (!signal.aborted) {
+      if (this.#options.confirmedAge() >= OWNER_DOUBT_MILLISECONDS) {
+        await pause(systemClock, LOOK_RETRY_MILLISECONDS, signal)
+        continue
+      }
+      const request = this.#planner.lookRequest(id, performance.now())
+      if (request === undefined) break
+      const canWait = isSound && !request.isNotePending
+      const waitMilliseconds = !canWait ? 0 : request.isIdle ? IDLE_LOOK_MILLISECONDS : BUSY_LOOK_MILLISECONDS
+      isSound = await this.#look(id, { ...request, waitMilliseconds })
+      if (!isSound) await pause(systemClock, LOOK_RETRY_MILLISECONDS, signal)
+      else if (request.isNotePending) await pause(systemClock, UNSTORED_LOOK_MILLISECONDS, signal)
+      else await this.#saving
+    }
+    this.#looking.delete(id)
+  }
+
+  async #look (id: ServerId, request: { readonly address: string, readonly notedPosition: number, readonly leaseUntil: number | undefined, readonly waitMilliseconds: number }): Promise<boolean> {
+    const { notedPosition, leaseUntil, waitMilliseconds } = request
+    const look = { epoch: this.epoch, notedPosition, waitMilliseconds, ...(leaseUntil === undefined ? {} : { leaseUntil }) }
+    try {
+      const report = await this.#options.servers.look({ id, address: request.address }, look, waitMilliseconds + CALL_SLACK_MILLISECONDS)
+      if (this.#stopping.signal.aborted) return false
+      this.#take({ type: 'looked', server: id, report })
+      this.#save()
+      return true
+    } catch (thrown) {
+      if (!this.#stopping.signal.aborted) this.#inbox.put({ type: 'missed', server: id, failure: asFailure(thrown) })
+      return false
+    }
+  }
+
+  #miss (server: ServerId, failure: CornelgaugeError): void {
+    this.#planner.miss(server)
+    this.#options.emit('look-missed', { details: { server, failure: failure.code } })
+    if (failure.code === 'stale-epoch') this.#fence()
+  }
+
+  #save (): void {
+    if (this.#saving !== undefined || this.#planner.unsaved.size === 0) return
+    this.#saving = this.#writeAll().finally(() => { this.#saving = undefined })
+  }
+
+  async #writeAll (): Promise<void> {
+    const started = performance.now()
+    const isWritten = await this.#guarded(async () => {
+      while (this.#planner.unsaved.size > 0 && !this.#stopping.signal.aborted) await this.#writer.write(this.#planner)
+    })
+    const milliseconds = Math.round(performance.now() - started)
+    if (isWritten && milliseconds > SLOW_STORE_MILLISECONDS) this.#options.emit('progress-stored-late', { details: { milliseconds } })
+    if (!isWritten) await pause(systemClock, STORE_RETRY_MILLISECONDS, this.#stopping.signal)
+  }
+
+  /** Runs a call to the store; being fenced ends this host, any other failure is logged and met by a later try. */
+  async #guarded (call: () => Promise<void>): Promise<boolean> {
+    try {
+      await call()
+      return true
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      if (failure.code === 'stale-epoch') this.#fence()
+      else this.#options.emit('progress-not-stored', { details: { failure: failure.code, waiting: this.#planner.unsaved.size } })
+      return false
+    }
+  }
+
+  #fence (): void {
+    if (this.#stopping.signal.aborted) return
+    this.#options.emit('planner-fenced', { details: { epoch: this.epoch } })
+    this.#halt()
+    this.#options.onFenced()
+  }
+
+  #halt (): void {
+    this.#isDeciding = false
+    clearInterval(this.#roundTimer)
+    this.#stopping.abort()
+  }
+
+  #target (id: ServerId): { id: ServerId, address: string } {
+    return { id, address: this.#addresses.get(id)! }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/progress-writer.ts
@@ -0,0 +1,97 @@
+/**
+ * Stores the progress of jobs, under the condition that this VM still owns the
+ * planner and that the rows are as it left them: a late write of an earlier try, or
+ * of an earlier owner, then changes nothing.
+ */
+import { asFailure, CornelgaugeError } from '@cornelgauge/model'
+import { encodeProgress, jobId, type JobId, type Planner } from '@cornelgauge/jobs'
+import type { RowPut, RowStore } from '@cornelgauge/ports'
+import { PROGRESS_BATCH } from './limits.js'
+import type { OwnerRecord } from './owner-record.js'
+import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
+
+/**
+ * Writes what the planner has not stored yet.
+ *
+ * @example
+ * const writer = new ProgressWriter(store, owner, versions)
+ * await writer.write(planner)
+ */
+export class ProgressWriter {
+  readonly #store: RowStore
+  readonly #owner: OwnerRecord
+  readonly #versions: Map<JobId, number>
+  /** A write had no answer: the rows have to be read before the next one. */
+  #isUnsettled = false
+
+  constructor (store: RowStore, owner: OwnerRecord, versions: ReadonlyMap<JobId, number>) {
+    this.#store = store
+    this.#owner = owner
+    this.#versions = new Map(versions)
+  }
+
+  /**
+   * Stores one batch and tells the planner.
+   *
+   * @returns how many jobs were stored
+   * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or as the store fails
+   */
+  async write (planner: Planner): Promise<number> {
+    const changes = new Map([...planner.unsaved].slice(0, PROGRESS_BATCH))
+    if (changes.size === 0) return 0
+    if (this.#isUnsettled) await this.#readVersions(changes)
+    const puts: RowPut[] = [...changes.keys()].map(id => ({
+      table: PROGRESS_TABLE,
+      key: id,
+      value: { text: encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} }) }
+    }))
+    const outcome = await this.#transact(changes, puts)
+    if (outcome.type === 'conflict') {
+      this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
+      this.#isUnsettled = true
+      return 0
+    }
+    for (const id of changes.keys()) this.#versions.set(id, outcome.version)
+    planner.saved(changes)
+    return changes.size
+  }
+
+  /** Confirms that this VM owns the planner. @throws {CornelgaugeError} `stale-epoch` */
+  async confirm (): Promise<void> {
+    this.#checkOwner((await this.#store.read(OWNER_TABLE, OWNER_KEY))?.version)
+  }
+
+  /** Deletes all that is stored of jobs. */
+  async forget (ids: readonly JobId[]): Promise<void> {
+    const deletions = ids.flatMap(id => [JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => ({ table, key: id })))
+    await this.#store.write({ conditions: [this.#ownerCondition], puts: [], deletions })
+    for (const id of ids) this.#versions.delete(id)
+  }
+
+  get #ownerCondition (): { table: string, key: string, version: number } {
+    return { table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }
+  }
+
+  async #transact (changes: ReadonlyMap<JobId, number>, puts: readonly RowPut[]): ReturnType<RowStore['write']> {
+    const conditions = [...changes.keys()].map(id => ({ table: PROGRESS_TABLE, key: id, version: this.#versions.get(id) ?? 0 }))
+    try {
+      return await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts })
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      if (failure.code !== 'overloaded') this.#isUnsettled = true
+      throw failure
+    }
+  }
+
+  async #readVersions (changes: ReadonlyMap<JobId, number>): Promise<void> {
+    const { rows } = await this.#store.readAll(PROGRESS_TABLE)
+    const versions = new Map(rows.map(row => [jobId(row.key), row.version]))
+    for (const id of changes.keys()) this.#versions.set(id, versions.get(id) ?? 0)
+    this.#isUnsettled = false
+  }
+
+  #checkOwner (version: number | undefined): void {
+    if (version === this.#owner.version) return
+    throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${this.#owner.epoch}` })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,11 @@
+/** Jobs of steps and tasks, and the planner that runs them. */
+export * from './capacity.js'
+export * from './command.js'
+export * from './configuration.js'
+export * from './ids.js'
+export * from './job.js'
+export * from './limits.js'
+export * from './planner.js'
+export * from './progress.js'
+export type { RoundTimes } from './round.js'
+export type { ListedEnd, ListedRun, RunEnd, ServerEntry, ServerReport } from './server.js'
--- /dev/null
+++ b/packages/jobs/src/limits.ts
@@ -0,0 +1,30 @@
+/** Times and bounds of the planner. */
+
+/** Slowest that a backend server's clock may run against ours. */
+export const SERVER_CLOCK_SLOWEST = 0.98
+/** Failures in a row after which a backend server counts as unsound; one may be the task's own fault. */
+export const UNSOUND_AFTER_FAILURES = 2
+/** How long one failure keeps urgent gangs with few attempts away, in milliseconds: about one run time. */
+export const FAILURE_MEMORY_MILLISECONDS = 6000
+/** How long an unsound backend server gets no work but trials, in milliseconds. */
+export const UNSOUND_MILLISECONDS = 8000
+/** Runs that make no progress for this long are taken for stuck, in milliseconds: several looks. */
+export const STUCK_MILLISECONDS = 4000
+/** A run number is the owner's epoch times this, and a count: an owner makes fewer starts. */
+export const RUNS_PER_EPOCH = 1_000_000
+/** How long a final state is told, in milliseconds; the platform asks for 120 s. */
+export const RETENTION_MILLISECONDS = 180_000
+/** Lease of everything that runs, in milliseconds: outlasts a restart of all VMs, and bounds how long lost work holds its task. */
+export const LEASE_MILLISECONDS = 6000
+/** How long an owner that lost touch may go on renewing leases, in milliseconds; see `ownership` in the entry package. */
+export const LOST_OWNER_MILLISECONDS = 3000
+/** Time after which a stop without an answer is sent again, in milliseconds: longer than a call takes. */
+export const STOP_AGAIN_MILLISECONDS = 800
+/** A leaving backend server is emptied when it may be gone in this time, in milliseconds: a stop, its answer and a look. */
+export const EVACUATION_MILLISECONDS = 1200
+/** Guess of a run time before any was measured, in milliseconds. */
+export const FIRST_RUN_GUESS_MILLISECONDS = 4000
+/** Weight of the newest run time in the mean of a queue. */
+export const RUN_TIME_WEIGHT = 0.1
+/** How long a task waits for the rack of its data before it runs elsewhere, in milliseconds: less than it loses there. */
+export const DATA_RACK_PATIENCE_MILLISECONDS = 3000
--- /dev/null
+++ b/packages/jobs/src/round.ts
@@ -0,0 +1,296 @@
+/** One round of decisions: what is stopped, and what starts where. */
+import type { Command, StartCommand } from './command.js'
+import { acceleratorsOf } from './job.js'
+import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
+import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, UNSOUND_MILLISECONDS } from './limits.js'
+import { inOrder, type Candidate } from './order.js'
+import { placeAll, placeGang } from './placement.js'
+import { planReclaim, type VictimGroup } from './reclaim.js'
+import { stopRun } from './reports.js'
+import { countedNeed, Room, type Place } from './room.js'
+import { addCapacity } from './capacity.js'
+import type { Run, Server } from './server.js'
+import type { PlannerState } from './state.js'
+
+/** Core-seconds that one accelerator counts for beside a task's processor. */
+const CORES_PER_ACCELERATOR = 8
+
+/** Times of a round. */
+export interface RoundTimes {
+  /** Steady clock, in milliseconds. */
+  readonly now: number
+  /** Milliseconds since 1970. */
+  readonly wallTime: number
+}
+
+/**
+ * Decides once. What it starts is in the state already; its outcome is told later.
+ *
+ * @example
+ * for (const command of decide(state, { now, wallTime })) perform(command)
+ */
+export function decide (state: PlannerState, times: RoundTimes): readonly Command[] {
+  for (const server of state.servers.values()) {
+    stopOnLeaving(server)
+    stopStuck(state, server, times.now)
+  }
+  const starts: StartCommand[] = []
+  const round = new Round(state, times, starts)
+  round.place()
+  return [...stopsDue(state, times.now), ...starts]
+}
+
+/** A backend server that is about to leave gives its work back while that can be heard. */
+function stopOnLeaving (server: Server): void {
+  const { isLeaving, remainingMilliseconds } = server.entry
+  if (!isLeaving || remainingMilliseconds === undefined || remainingMilliseconds > EVACUATION_MILLISECONDS) return
+  for (const run of server.runs.values()) stopRun(run, 'leaving')
+}
+
+/** A task that stands still is stopped: its backend server may be at fault. */
+function stopStuck (state: PlannerState, server: Server, now: number): void {
+  if (server.missedLooks > 0) return
+  for (const run of server.runs.values()) {
+    if (run.state !== 'running' || now - run.percentAt < STUCK_MILLISECONDS) continue
+    if (state.task(run.task)?.step.specification.isLasting !== false) continue
+    server.failures += 1
+    server.lastFailureAt = now
+    stopRun(run, 'stuck')
+  }
+}
+
+function stopsDue (state: PlannerState, now: number): readonly Command[] {
+  const stops: Command[] = []
+  for (const server of state.servers.values()) {
+    for (const run of server.runs.values()) {
+      const isToStop = run.state === 'stopping' || run.state === 'doubtful'
+      if (!isToStop || run.isStopConfirmed || now - run.stopSentAt < STOP_AGAIN_MILLISECONDS) continue
+      run.stopSentAt = now
+      stops.push({ type: 'stop', server: server.id, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
+    }
+  }
+  return stops
+}
+
+class Round {
+  readonly #state: PlannerState
+  readonly #times: RoundTimes
+  readonly #starts: StartCommand[]
+  /** What is free now, and what will be when everything that is being stopped has ended. */
+  readonly #room: Room
+  readonly #future: Room
+  readonly #claims: ReadonlySet<JobState>
+
+  constructor (state: PlannerState, times: RoundTimes, starts: StartCommand[]) {
+    this.#state = state
+    this.#times = times
+    this.#starts = starts
+    this.#room = roomOf(state, times.now, server => server.free)
+    this.#future = roomOf(state, times.now, futureOf)
+    this.#claims = claimsOf(state)
+  }
+
+  place (): void {
+    const isSettled = this.#state.isSettled(this.#times.now)
+    const candidates: Candidate[] = []
+    for (const job of this.#state.jobs.values()) {
+      if (!job.isOpen || (job.isInherited && !isSettled)) continue
+      job.activate(this.#times.wallTime)
+      const candidate = this.#candidate(job)
+      if (candidate !== undefined) candidates.push(candidate)
+    }
+    for (const candidate of inOrder(candidates)) {
+      for (const step of candidate.job.readySteps()) this.#placeStep(step, candidate)
+    }
+  }
+
+  #candidate (job: JobState): Candidate | undefined {
+    const queue = this.#state.queueOf(job)
+    const steps = job.readySteps().filter(step => step.tasks.some(task => task.isWaiting))
+    if (queue === undefined || steps.length === 0) return undefined
+    const mean = this.#state.meanRun(queue.name)
+    const expectedWork = steps.reduce((sum, step) => sum + acceleratorsOf(step.specification) * mean, 0)
+    return {
+      job,
+      priority: queue.priority,
+      isClaim: this.#claims.has(job),
+      expectedWork,
+      meanWork: this.#state.meanWork(queue.name),
+      waitedMilliseconds: Math.max(0, this.#times.wallTime - job.job.acceptedAt)
+    }
+  }
+
+  #placeStep (step: StepState, candidate: Candidate): void {
+    const unit = unitOf(step)
+    if (unit === undefined) return
+    for (const task of unit.tasks) task.readySince ??= this.#times.now
+    if (step.specification.isGang) this.#placeTogether(unit, candidate)
+    else this.#placeSingly(unit, candidate)
+  }
+
+  #placeTogether (unit: StartUnit, candidate: Candidate): void {
+    const { step } = unit
+    const places = placeGang(this.#cautious(step), step)
+    if (places === undefined) {
+      if (candidate.isClaim) this.#reclaim(unit)
+      return
+    }
+    const run = this.#state.nextRun()
+    unit.tasks.forEach((task, index) => this.#start(task, places[index]!, run))
+  }
+
+  #placeSingly (unit: StartUnit, candidate: Candidate): void {
+    const { step } = unit
+    let blocked = 0
+    for (const task of unit.tasks) {
+      const place = this.#placeOne(step, task)
+      if (place === undefined) blocked += 1
+      else this.#start(task, place, this.#state.nextRun())
+      if (place === undefined && !candidate.isClaim) return
+    }
+    if (blocked > 0) this.#reclaim({ step, tasks: unit.tasks.filter(task => task.isWaiting) })
+  }
+
+  #placeOne (step: StepState, task: TaskState): Place | undefined {
+    const room = this.#cautious(step)
+    const { dataRack } = step.specification
+    if (dataRack !== undefined) {
+      const near = room.places.filter(place => place.server.entry.rack === dataRack)
+      const place = placeAll(room, near, step, 1)?.[0]
+      const isPatient = this.#times.now - task.readySince! < DATA_RACK_PATIENCE_MILLISECONDS
+      if (place !== undefined || (isPatient && near.length > 0)) return place
+    }
+    return placeAll(room, room.places, step, 1)?.[0]
+  }
+
+  /** The room without places where a job with few attempts left might spend its last one. */
+  #cautious (step: StepState): Room {
+    const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
+    const failures = Math.max(...step.tasks.map(task => step.failuresOf(task)))
+    if (attempts - failures > 2) return this.#room
+    const sound = this.#room.places.filter(({ server }) => server.failures === 0 || this.#times.now - server.lastFailureAt > FAILURE_MEMORY_MILLISECONDS)
+    return new Room(sound)
+  }
+
+  #start (task: TaskState, place: Place, run: ReturnType<PlannerState['nextRun']>): void {
+    const { server } = place
+    const future = this.#future.placeOf(server.id)
+    if (future !== undefined) this.#future.take(future, task.step)
+    const started: Run = {
+      task: task.name,
+      run,
+      server: server.id,
+      need: countedNeed(task.step),
+      state: 'ordered',
+      orderedAt: this.#times.now,
+      confirmedAt: Infinity,
+      isStopConfirmed: false,
+      stopConfirmedAt: Infinity,
+      percent: 0,
+      percentAt: this.#times.now,
+      checkpoint: '',
+      stopSentAt: -Infinity
+    }
+    server.add(started)
+    task.runs.add(started)
+    task.readySince = undefined
+    this.#starts.push({
+      type: 'start',
+      server: server.id,
+      task: task.name,
+      run,
+      specification: task.step.job.job.specification,
+      leaseUntil: server.extendLease(this.#times.now, LEASE_MILLISECONDS),
+      checkpoint: task.checkpoint
+    })
+  }
+
+  /** Makes room for a claim, and keeps what is chosen from everybody behind it. */
+  #reclaim ({ step, tasks }: StartUnit): void {
+    const reclaim = planReclaim(this.#future, step, tasks.length, this.#victims())
+    if (reclaim === undefined) return
+    for (const group of reclaim.victims) {
+      for (const { run, need } of group.members) {
+        stopRun(run, 'reclaimed')
+        const place = this.#future.placeOf(run.server)
+        if (place !== undefined) place.free = addCapacity(place.free, need)
+      }
+    }
+    for (const { server } of reclaim.places) {
+      const place = this.#room.placeOf(server.id)
+      const future = this.#future.placeOf(server.id)
+      if (place !== undefined) this.#room.take(place, step)
+      if (future !== undefined) this.#future.take(future, step)
+    }
+  }
+
+  /** What may be stopped for a claim: work that isn't itself one and doesn't last. */
+  #victims (): readonly VictimGroup[] {
+    const groups: VictimGroup[] = []
+    for (const job of this.#state.jobs.values()) {
+      if (!job.isOpen || this.#claims.has(job)) continue
+      for (const step of job.steps) {
+        if (!step.specification.isLasting) groups.push(...this.#groupsOf(step))
+      }
+    }
+    return groups
+  }
+
+  #groupsOf (step: StepState): readonly VictimGroup[] {
+    const members = step.tasks.flatMap(task => [...task.runs].filter(run => run.state === 'running' || run.state === 'ordered').map(run => ({ task, run, need: run.need })))
+    if (members.length === 0) return []
+    const cost = (run: Run): number => this.#unsaved(step, run)
+    if (step.specification.isGang) return [{ members, cost: members.reduce((sum, member) => sum + cost(member.run), 0) }]
+    return members.map(member => ({ members: [member], cost: cost(member.run) }))
+  }
+
+  /** Core-seconds of work that stopping a run throws away. */
+  #unsaved (step: StepState, run: Run): number {
+    const seconds = Math.max(0, this.#times.now - run.orderedAt) / 1000
+    const lost = step.specification.savesCheckpoints ? Math.min(seconds, 1) : seconds
+    return lost * (run.need.processor / 1000 + CORES_PER_ACCELERATOR * run.need.accelerators)
+  }
+}
+
+/** The tasks of a step that start now: of a gang all or none. */
+function unitOf (step: StepState): StartUnit | undefined {
+  const waiting = step.tasks.filter(task => task.isWaiting)
+  if (waiting.length === 0 || (step.specification.isGang && waiting.length < step.tasks.length)) return undefined
+  return { step, tasks: waiting }
+}
+
+function futureOf (server: Server): Server['free'] {
+  let free = server.free
+  for (const run of server.runs.values()) if (run.state === 'stopping') free = addCapacity(free, run.need)
+  return free
+}
+
+function roomOf (state: PlannerState, now: number, freeOf: (server: Server) => Server['free']): Room {
+  const isSound = (server: Server): boolean => !server.isUnsound || now - server.lastFailureAt > UNSOUND_MILLISECONDS
+  const servers = [...state.servers.values()].filter(server => server.isUsable && isSound(server))
+  return new Room(servers.map(server => ({ server, free: freeOf(server), tasksOf: tasksOn(state, server) })))
+}
+
+function tasksOn (state: PlannerState, server: Server): Map<StepState, number> {
+  const counts = new Map<StepState, number>()
+  for (const run of server.runs.values()) {
+    const step = state.task(run.task)?.step
+    if (step !== undefined) counts.set(step, (counts.get(step) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** The urgent jobs that fit into their workspaces' guarantees, the earliest first. */
+function claimsOf (state: PlannerState): ReadonlySet<JobState> {
+  const left = new Map(state.configuration?.workspaces.map(workspace => [workspace.name, workspace.guaranteedAccelerators]))
+  const claims = new Set<JobState>()
+  for (const job of state.jobs.values()) {
+    if (!job.isOpen || state.queueOf(job)?.priority !== 0) continue
+    const need = Math.max(...job.job.steps.map(acceleratorsOf))
+    const free = left.get(job.job.workspace) ?? 0
+    if (need > free) continue
+    left.set(job.job.workspace, free - need)
+    claims.add(job)
+  }
+  return claims
+}
--- /dev/null
+++ b/packages/ports/src/memory-row-store.ts
@@ -0,0 +1,142 @@
+/** The store of versioned rows in memory, for tests and stand-ins. */
+import { CornelgaugeError } from '@cornelgauge/model'
+import type { RowChange, RowChanges, RowSnapshot, RowStore, RowTransaction, StoredRow, WriteOutcome } from './row-store.js'
+
+interface HistoryEntry extends RowChange {
+  readonly table: string
+}
+
+/** How the store behaves towards one caller; tests change it. */
+export type RowStoreFault = 'none' | 'down' | 'refusing' | 'losing-answers'
+
+/**
+ * Keeps rows in memory and serves them through views, one for each caller, so that
+ * a test can cut off one of them alone.
+ *
+ * @example
+ * const store = new MemoryRowStore()
+ * const view = store.view()
+ * await view.write({ conditions: [], puts: [{ table: 'jobs', key: 'a', value: {} }] })
+ */
+export class MemoryRowStore {
+  readonly #tables = new Map<string, Map<string, StoredRow>>()
+  #history: HistoryEntry[] = []
+  #forgottenUpTo = 0
+  #version = 0
+  readonly #waiting = new Set<() => void>()
+
+  /** A caller's way to the store. */
+  view (): MemoryRowStoreView {
+    return new MemoryRowStoreView(this)
+  }
+
+  /** Discards the history: followers have to read anew. */
+  forgetHistory (): void {
+    this.#history = []
+    this.#forgottenUpTo = this.#version
+  }
+
+  /** The rows of a table. */
+  rows (table: string): readonly StoredRow[] {
+    return [...this.#tables.get(table)?.values() ?? []].sort((left, right) => left.key < right.key ? -1 : 1)
+  }
+
+  snapshot (table: string): RowSnapshot {
+    return { rows: this.rows(table), version: this.#version }
+  }
+
+  /** Applies a transaction if its conditions hold. */
+  apply ({ conditions, puts, deletions = [] }: RowTransaction): WriteOutcome {
+    const versionOf = (table: string, key: string): number => this.#tables.get(table)?.get(key)?.version ?? 0
+    if (conditions.some(({ table, key, version }) => versionOf(table, key) !== version)) {
+      const rows = conditions.flatMap(({ table, key }) => {
+        const row = this.#tables.get(table)?.get(key)
+        return row === undefined ? [] : [{ ...row, table }]
+      })
+      return { type: 'conflict', rows }
+    }
+    this.#version += 1
+    for (const { table, key, value } of puts) this.#put(table, { key, value, version: this.#version })
+    for (const { table, key } of deletions) this.#delete(table, key)
+    for (const wake of [...this.#waiting]) wake()
+    return { type: 'written', version: this.#version }
+  }
+
+  /** Changes of a table after a version, as soon as there is one. */
+  async changesAfter (table: string, after: number, waitMilliseconds: number): Promise<RowChanges> {
+    const found = this.#changes(table, after)
+    if (found.changes.length > 0 || waitMilliseconds <= 0) return found
+    const started = performance.now()
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(done, waitMilliseconds)
+      const waiting = this.#waiting
+      function done (): void {
+        clearTimeout(timer)
+        waiting.delete(done)
+        resolve()
+      }
+      waiting.add(done)
+    })
+    return await this.changesAfter(table, after, waitMilliseconds - (performance.now() - started))
+  }
+
+  #changes (table: string, after: number): RowChanges {
+    if (after < this.#forgottenUpTo) throw new CornelgaugeError('conflict', { detail: 'The history asked for is gone' })
+    const changes = this.#history.filter(entry => entry.table === table && entry.version > after)
+    return { changes, version: this.#version }
+  }
+
+  #put (table: string, row: StoredRow): void {
+    const rows = this.#tables.get(table) ?? new Map<string, StoredRow>()
+    rows.set(row.key, row)
+    this.#tables.set(table, rows)
+    this.#history.push({ table, ...row })
+  }
+
+  #delete (table: string, key: string): void {
+    if (this.#tables.get(table)?.delete(key) === true) this.#history.push({ table, key, version: this.#version })
+  }
+}
+
+/** One caller's way to a `MemoryRowStore`. */
+export class MemoryRowStoreView implements RowStore {
+  readonly #store: MemoryRowStore
+  /** Calls made, by method. */
+  readonly calls = { read: 0, readAll: 0, write: 0, changes: 0 }
+  fault: RowStoreFault = 'none'
+
+  constructor (store: MemoryRowStore) {
+    this.#store = store
+  }
+
+  async read (table: string, key: string): Promise<StoredRow | undefined> {
+    this.calls.read += 1
+    this.#check()
+    return this.#store.rows(table).find(row => row.key === key)
+  }
+
+  async readAll (table: string): Promise<RowSnapshot> {
+    this.calls.readAll += 1
+    this.#check()
+    return this.#store.snapshot(table)
+  }
+
+  async write (transaction: RowTransaction): Promise<WriteOutcome> {
+    this.calls.write += 1
+    this.#check()
+    const outcome = this.#store.apply(transaction)
+    if (this.fault === 'losing-answers') throw new CornelgaugeError('unavailable', { detail: 'The answer was lost' })
+    return outcome
+  }
+
+  async changes (table: string, after: number, waitMilliseconds: number): Promise<RowChanges> {
+    this.calls.changes += 1
+    this.#check()
+    return await this.#store.changesAfter(table, after, waitMilliseconds)
+  }
+
+  #check (): void {
+    if (this.fault === 'down') throw new CornelgaugeError('unavailable')
+    if (this.fault === 'refusing') throw new CornelgaugeError('overloaded')
+  }
+}
--- a/packages/scheduler/src/effect.ts
+++ b/packages/scheduler/src/effect.ts
@@ -4,7 +4,7 @@
  */
 import type { Transition, Ledger } from '@cornelgauge/coordination'
 import type { AnswerReference, BackendServerName, CornelgaugeError, RequestId, RequestRecord, SequenceNumber } from '@cornelgauge/model'
-import type { ExecutionId, Preparation } from '@cornelgauge/platform'
+import type { ExecutionId, Preparation } from '@cornelgauge/ports'
 import type { EventName } from '@cornelgauge/telemetry'
 import type { CallId } from './event.js'
 
--- a/packages/scheduler/src/event.ts
+++ b/packages/scheduler/src/event.ts
@@ -4,7 +4,7 @@
  */
 import type { EnvironmentDocument } from '@cornelgauge/environment'
 import type { AnswerReference, BackendServerName, Branded, DocumentVersion, ErrorCode, RequestId, SequenceNumber, Submission } from '@cornelgauge/model'
-import type { ExecutionId, ExecutionReport, WatchAnswer } from '@cornelgauge/platform'
+import type { ExecutionId, ExecutionReport, WatchAnswer } from '@cornelgauge/ports'
 import type { ServerDescription } from '@cornelgauge/policy'
 
 /** Names one call that waits for a reply. */
--- a/packages/scheduler/src/follow-up.ts
+++ b/packages/scheduler/src/follow-up.ts
@@ -3,7 +3,7 @@
  * without a good answer, and whom to ask about a run that hangs.
  */
 import type { BackendServerName } from '@cornelgauge/model'
-import type { ExecutionReport } from '@cornelgauge/platform'
+import type { ExecutionReport } from '@cornelgauge/ports'
 import type { OwnerEventOf } from './event.js'
 import { INQUIRY_INTERVAL_MILLISECONDS } from './limits.js'
 import { runsOn } from './run-index.js'
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -4,7 +4,7 @@
  * member before its intent.
  */
 import type { BackendServerName, EndReason, Member, RequestId, RequestRecord } from '@cornelgauge/model'
-import type { ExecutionId, Preparation } from '@cornelgauge/platform'
+import type { ExecutionId, Preparation } from '@cornelgauge/ports'
 import { Map as ImmutableMap } from 'immutable'
 import { jobOf } from './job.js'
 import { RETRY_PAUSE_MILLISECONDS } from './limits.js'
--- a/packages/scheduler/src/settlement.ts
+++ b/packages/scheduler/src/settlement.ts
@@ -5,7 +5,7 @@
  */
 import type { AnswerReference, BackendServerName, EndReason, RequestRecord } from '@cornelgauge/model'
 import { digestOf } from '@cornelgauge/model'
-import type { ExecutionReport } from '@cornelgauge/platform'
+import type { ExecutionReport } from '@cornelgauge/ports'
 import type { OwnerEventOf } from './event.js'
 import { MAXIMUM_ANSWER_BYTES, MAXIMUM_INLINE_ANSWER_BYTES } from './limits.js'
 import { executionOf, freeCapacity, isLive, releaseGang, stageIntent, stopRun } from './runs.js'
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -4,7 +4,7 @@
 import { hasEnded, type Ledger, type Transition } from '@cornelgauge/coordination'
 import type { EnvironmentDocument } from '@cornelgauge/environment'
 import type { BackendServerName, CellName, DocumentVersion, Epoch, Member, RequestId, RequestRecord, SequenceNumber, VmName } from '@cornelgauge/model'
-import type { ExecutionId, ExecutionReport } from '@cornelgauge/platform'
+import type { ExecutionId, ExecutionReport } from '@cornelgauge/ports'
 import { createPolicy, type PolicyState, type ServerDescription } from '@cornelgauge/policy'
 import { List, Map as ImmutableMap } from 'immutable'
 import type { CallId } from './event.js'
--- a/packages/stand-in/src/backend-server-server.ts
+++ b/packages/stand-in/src/backend-server-server.ts
@@ -2,7 +2,7 @@
  * The stand-in of a backend server. `GET /executions` is its own record of every
  * start, against which histories are checked.
  */
-import type { BackendServer, ExecutionId, MemoryBackendServer, OwnerClaim, Preparation, WatchRequest } from '@cornelgauge/platform'
+import type { BackendServer, ExecutionId, MemoryBackendServer, OwnerClaim, Preparation, WatchRequest } from '@cornelgauge/ports'
 import { bodyOf, isObject, requireFields, type Call, type Route } from './route.js'
 import type { StandInServerOptions } from './stand-in-server.js'
 
--- a/packages/stand-in/src/history.ts
+++ b/packages/stand-in/src/history.ts
@@ -1,7 +1,7 @@
 /**
  * The rules that every history must keep. Each gives a line for each break of it.
  */
-import type { LoggedExecution } from '@cornelgauge/platform'
+import type { LoggedExecution } from '@cornelgauge/ports'
 
 /** What one caller was told of one request, in order of time. */
 export interface ToldEntry {
--- a/packages/stand-in/src/local-deployment.ts
+++ b/packages/stand-in/src/local-deployment.ts
@@ -3,7 +3,7 @@
  */
 import { randomBytes } from 'node:crypto'
 import { CornelgaugeError } from '@cornelgauge/model'
-import { HttpVmList, systemClock } from '@cornelgauge/platform'
+import { HttpVmList, systemClock } from '@cornelgauge/ports'
 import { claimDeployment, type DeploymentClaim } from './local-claim.js'
 import { entryCommand, entryEnvironment, EntryOperator, type LocalCredentials } from './local-entry.js'
 import { listedVms, planDeployment, type EntryPlan, type LocalPlan } from './local-plan.js'
--- a/packages/stand-in/src/local-entry.ts
+++ b/packages/stand-in/src/local-entry.ts
@@ -4,7 +4,7 @@
  */
 import { fileURLToPath } from 'node:url'
 import { CornelgaugeError, digestOf } from '@cornelgauge/model'
-import { HttpClient, type Clock } from '@cornelgauge/platform'
+import { HttpClient, type Clock } from '@cornelgauge/ports'
 import type { EntryPlan, LocalPlan } from './local-plan.js'
 
 const POLL_MILLISECONDS = 100
--- a/packages/stand-in/src/local-plan.ts
+++ b/packages/stand-in/src/local-plan.ts
@@ -2,7 +2,7 @@
  * Who runs where in a local deployment: every process with its name and its addresses.
  */
 import { failureDomainName, vmName } from '@cornelgauge/model'
-import type { ListedVm } from '@cornelgauge/platform'
+import type { ListedVm } from '@cornelgauge/ports'
 import { backendServerHost, entryHost, hostAddress, HTTP_PORT, PLATFORM_BLOCK, relayHost, WIRE_PORT } from './address-plan.js'
 import type { DeploymentSizes } from './local-sizes.js'
 
--- a/packages/stand-in/src/local-relays.ts
+++ b/packages/stand-in/src/local-relays.ts
@@ -2,7 +2,7 @@
  * The relays of a local deployment, with their control interface.
  */
 import { CornelgaugeError } from '@cornelgauge/model'
-import { FaultSwitch, systemClock } from '@cornelgauge/platform'
+import { FaultSwitch, systemClock } from '@cornelgauge/ports'
 import { CONTROL_BLOCK, delayBetween, hostAddress, HTTP_PORT, parseAddress } from './address-plan.js'
 import type { EntryPlan, LocalPlan } from './local-plan.js'
 import { bodyOf, type Call, type Route } from './route.js'
--- a/packages/stand-in/src/local-run.ts
+++ b/packages/stand-in/src/local-run.ts
@@ -2,7 +2,7 @@
  * One run of the local deployment from its start to its end, with what it prints.
  */
 import { CornelgaugeError } from '@cornelgauge/model'
-import { systemClock } from '@cornelgauge/platform'
+import { systemClock } from '@cornelgauge/ports'
 import { CLIENT_BLOCK, hostAddress } from './address-plan.js'
 import { formatLoad, type LoadRow } from './load-table.js'
 import { LocalDeployment, type LocalDeploymentOptions } from './local-deployment.js'
--- a/packages/stand-in/src/object-store-server.ts
+++ b/packages/stand-in/src/object-store-server.ts
@@ -2,7 +2,7 @@
  * The stand-in of the object store.
  */
 import { CornelgaugeError } from '@cornelgauge/model'
-import type { MemoryObjectStore } from '@cornelgauge/platform'
+import type { MemoryObjectStore } from '@cornelgauge/ports'
 import type { Route } from './route.js'
 import type { StandInServerOptions } from './stand-in-server.js'
 
--- a/packages/stand-in/src/prove-documents.ts
+++ b/packages/stand-in/src/prove-documents.ts
@@ -5,7 +5,7 @@
 import { seededRandom, type Random } from '@cornelgauge/coordination'
 import { Documents } from '@cornelgauge/daemon/parts'
 import { asFailure, digestOf, type DocumentVersion } from '@cornelgauge/model'
-import { MemoryTableService, VirtualClock } from '@cornelgauge/platform'
+import { MemoryTableService, VirtualClock } from '@cornelgauge/ports'
 import { DOCUMENT_TEXT } from './document-text.js'
 import type { CaseResult, ProveCase } from './prove-case.js'
 import type { SeenInForce, ToldChange } from './prove-rules.js'
--- a/packages/stand-in/src/prove-rules.ts
+++ b/packages/stand-in/src/prove-rules.ts
@@ -1,7 +1,7 @@
 /**
  * The promises, each with the check of the evidence that a case gives.
  */
-import type { LoggedExecution } from '@cornelgauge/platform'
+import type { LoggedExecution } from '@cornelgauge/ports'
 import { RULES, type History, type ToldEntry } from './history.js'
 
 /** Bound on the last new start of a backend server after the list says that it leaves. */
--- a/packages/stand-in/src/prove-without.ts
+++ b/packages/stand-in/src/prove-without.ts
@@ -4,7 +4,7 @@
  */
 import { CELLS_TABLE, DOCUMENTS_TABLE, JOURNAL_TABLE } from '@cornelgauge/coordination'
 import { asFailure, CornelgaugeError, epoch } from '@cornelgauge/model'
-import type { BackendServer, Condition, ExecutionId, ExecutionReport, OwnerClaim, Row, TableService, Transaction, WatchRequest } from '@cornelgauge/platform'
+import type { BackendServer, Condition, ExecutionId, ExecutionReport, OwnerClaim, Row, TableService, Transaction, WatchRequest } from '@cornelgauge/ports'
 import type { RigInterfaces, VmLife } from './rig.js'
 
 /** Each mechanism that can be taken out. */
--- a/packages/stand-in/src/rig.ts
+++ b/packages/stand-in/src/rig.ts
@@ -11,7 +11,7 @@
 import {
   MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock,
   type BackendServer, type CancelTimer, type Clock, type ListedVm, type LoggedExecution, type ObjectStore, type TableService
-} from '@cornelgauge/platform'
+} from '@cornelgauge/ports'
 import { CellHost, OWNERSHIP_POLL_MILLISECONDS, peerCalls, Replies, Router, VmDirectory, type CellEffects, type DocumentInForce, type Told } from '@cornelgauge/daemon/parts'
 import type { EmitEvent, TimelineEvent } from '@cornelgauge/telemetry'
 import { DOCUMENT_TEXT } from './document-text.js'
--- a/packages/stand-in/src/roles.ts
+++ b/packages/stand-in/src/roles.ts
@@ -1,7 +1,7 @@
 /**
  * What each stand-in process runs.
  */
-import { MemoryBackendServer, MemoryObjectStore, MemoryTableService, MemoryVmList } from '@cornelgauge/platform'
+import { MemoryBackendServer, MemoryObjectStore, MemoryTableService, MemoryVmList } from '@cornelgauge/ports'
 import { delayBetween, parseAddress } from './address-plan.js'
 import { backendServerOptions } from './backend-server-server.js'
 import { objectStoreOptions } from './object-store-server.js'
--- a/packages/stand-in/src/sample-caller.ts
+++ b/packages/stand-in/src/sample-caller.ts
@@ -4,7 +4,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { asFailure, isFinal, type ErrorCode, type RequestState } from '@cornelgauge/model'
-import type { Clock, HttpCall, HttpClient, Json } from '@cornelgauge/platform'
+import type { Clock, HttpCall, HttpClient, Json } from '@cornelgauge/ports'
 import type { Outcome, ToldOutcome } from './load-table.js'
 
 const LONGEST_WAIT_MILLISECONDS = 5000
--- a/packages/stand-in/src/sample-load.ts
+++ b/packages/stand-in/src/sample-load.ts
@@ -2,7 +2,7 @@
  * A sample of the users' own kinds of work, driven through the entry VMs: seeded
  * arrivals, and every answer compared with its request's own echo.
  */
-import { HttpClient, type CancelTimer, type Clock } from '@cornelgauge/platform'
+import { HttpClient, type CancelTimer, type Clock } from '@cornelgauge/ports'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { mersenne } from 'pure-rand/generator/mersenne'
--- a/packages/stand-in/src/slopes-document.ts
+++ b/packages/stand-in/src/slopes-document.ts
@@ -2,7 +2,7 @@
 import { DocumentFollower, DOCUMENTS_TABLE } from '@cornelgauge/coordination'
 import { parseDocument } from '@cornelgauge/environment'
 import { digestOf } from '@cornelgauge/model'
-import { MemoryTableService, VirtualClock, type RangeQuery, type Row, type TableService, type Transaction } from '@cornelgauge/platform'
+import { MemoryTableService, VirtualClock, type RangeQuery, type Row, type TableService, type Transaction } from '@cornelgauge/ports'
 import type { Measure } from './slopes-measure.js'
 import { processorMilliseconds } from './slopes-meter.js'
 import { documentText } from './slopes-owner-world.js'
--- a/packages/stand-in/src/slopes-journal.ts
+++ b/packages/stand-in/src/slopes-journal.ts
@@ -1,7 +1,7 @@
 /** Recovery of a cell from its snapshot and its journal. */
 import { applyTransitions, claimCell, commitRow, ledgerFromJson, ledgerToJson, recover, seededRandom, takeSnapshot, type CellClaim, type StoreCallOptions, type Transition } from '@cornelgauge/coordination'
 import { cellName, CornelgaugeError, sequenceNumber, vmName, type RequestRecord } from '@cornelgauge/model'
-import { MemoryObjectStore, MemoryTableService, systemClock, type Json } from '@cornelgauge/platform'
+import { MemoryObjectStore, MemoryTableService, systemClock, type Json } from '@cornelgauge/ports'
 import type { Measure } from './slopes-measure.js'
 import { processorMilliseconds } from './slopes-meter.js'
 import { endedLedger, submission } from './slopes-owner-world.js'
--- a/packages/stand-in/src/slopes-owner-world.ts
+++ b/packages/stand-in/src/slopes-owner-world.ts
@@ -8,7 +8,7 @@
   backendServerName, cellName, digestOf, documentVersion, epoch, kindName, rackName, requestId, requestKey, sequenceNumber, vmName, workspaceName,
   type BackendServerName, type RequestRecord, type Submission
 } from '@cornelgauge/model'
-import type { ExecutionReport } from '@cornelgauge/platform'
+import type { ExecutionReport } from '@cornelgauge/ports'
 import { createOwner, step, type Command, type ListedServer, type OwnerEffect, type OwnerEvent, type OwnerState } from '@cornelgauge/scheduler'
 
 const CELL = cellName('cell-1')
--- a/packages/stand-in/src/slopes-table.ts
+++ b/packages/stand-in/src/slopes-table.ts
@@ -3,7 +3,7 @@
 import { CellHost, Documents, Replies, VmDirectory } from '@cornelgauge/daemon'
 import { parseDocument } from '@cornelgauge/environment'
 import { documentVersion, failureDomainName, vmName } from '@cornelgauge/model'
-import { MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock, type ListedVm } from '@cornelgauge/platform'
+import { MemoryBackendServer, MemoryObjectStore, MemoryTableService, VirtualClock, type ListedVm } from '@cornelgauge/ports'
 import type { Measure } from './slopes-measure.js'
 
 const SECOND_MILLISECONDS = 1000
--- a/packages/stand-in/src/slopes-watch.ts
+++ b/packages/stand-in/src/slopes-watch.ts
@@ -1,6 +1,6 @@
 /** Bytes of the long polls to backend servers: whole idle polls on the sockets, and JSON bodies of changes. */
 import { cellName, epoch, kindName, requestId, requestKey, workspaceName } from '@cornelgauge/model'
-import { HttpBackendServer, MemoryBackendServer, VirtualClock, type OwnerClaim } from '@cornelgauge/platform'
+import { HttpBackendServer, MemoryBackendServer, VirtualClock, type OwnerClaim } from '@cornelgauge/ports'
 import { connect, createServer, type Socket } from 'node:net'
 import type { Measure } from './slopes-measure.js'
 import { OwnerWorld } from './slopes-owner-world.js'
--- a/packages/stand-in/src/stand-in-server.ts
+++ b/packages/stand-in/src/stand-in-server.ts
@@ -6,7 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { asFailure, CornelgaugeError, toProblem } from '@cornelgauge/model'
-import { parseFaultSetting, systemClock, type Clock, type FaultSwitch } from '@cornelgauge/platform'
+import { parseFaultSetting, systemClock, type Clock, type FaultSwitch } from '@cornelgauge/ports'
 import { bodyOf, matchRoute, type Route } from './route.js'
 
 /** Longest body that a stand-in takes. */
--- a/packages/stand-in/src/table-service-server.ts
+++ b/packages/stand-in/src/table-service-server.ts
@@ -2,7 +2,7 @@
  * The stand-in of the table service.
  */
 import { CornelgaugeError } from '@cornelgauge/model'
-import type { MemoryTableService, RangeQuery, Transaction } from '@cornelgauge/platform'
+import type { MemoryTableService, RangeQuery, Transaction } from '@cornelgauge/ports'
 import { bodyOf, isObject, requireFields, type Call, type Route } from './route.js'
 import type { StandInServerOptions } from './stand-in-server.js'
 
--- a/packages/stand-in/src/vm-list-server.ts
+++ b/packages/stand-in/src/vm-list-server.ts
@@ -2,7 +2,7 @@
  * The stand-in of the VM list. `PUT` and `DELETE` set the truth, which `GET` shows with a lag.
  */
 import { CornelgaugeError, vmName } from '@cornelgauge/model'
-import type { ListedVm, MemoryVmList } from '@cornelgauge/platform'
+import type { ListedVm, MemoryVmList } from '@cornelgauge/ports'
 import { bodyOf, requireFields, type Call, type Route } from './route.js'
 import type { StandInServerOptions } from './stand-in-server.js'
 
--- a/packages/stand-in/src/wire-relay.ts
+++ b/packages/stand-in/src/wire-relay.ts
@@ -5,7 +5,7 @@
  */
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { systemClock, type Clock } from '@cornelgauge/platform'
+import { systemClock, type Clock } from '@cornelgauge/ports'
 import type { ListenAddress } from './stand-in-server.js'
 
 /** What a relay stands in front of. */
--- a/packages/stand-in/test/bad-input.test.ts
+++ b/packages/stand-in/test/bad-input.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { vmName } from '@cornelgauge/model'
-import { failureCode } from '@cornelgauge/platform/contract'
+import { failureCode } from '@cornelgauge/ports/contract'
 import { WireClient } from '@cornelgauge/wire'
 import { BadInputBench, DOCUMENT_TEXT, swapBody, type Call, type Reply } from './bad-input-bench.js'
 
--- a/packages/stand-in/test/fake-daemon.ts
+++ b/packages/stand-in/test/fake-daemon.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage } from 'node:http'
 import { digestOf } from '@cornelgauge/model'
-import { HttpTableService } from '@cornelgauge/platform'
+import { HttpTableService } from '@cornelgauge/ports'
 
 /** The value that stands behind a flag. */
 const flag = (name: string): string => process.argv[process.argv.indexOf(name) + 1] ?? ''
--- a/packages/stand-in/test/history.test.ts
+++ b/packages/stand-in/test/history.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { LoggedExecution } from '@cornelgauge/platform'
+import type { LoggedExecution } from '@cornelgauge/ports'
 import { RULES, violationsOf, type History, type ToldEntry } from '../src/history.js'
 
 const started = (key: string, changes: Partial<LoggedExecution> = {}): LoggedExecution =>
--- a/packages/stand-in/test/http.test.ts
+++ b/packages/stand-in/test/http.test.ts
@@ -2,8 +2,8 @@
 import {
   HttpBackendServer, HttpObjectStore, HttpTableService, HttpVmList, MemoryBackendServer, MemoryObjectStore, MemoryTableService, MemoryVmList,
   VirtualClock, type FaultSetting, type HttpClientOptions
-} from '@cornelgauge/platform'
-import { describeBackendServer, describeObjectStore, describeTableService, describeVmList, failureCode, type Subject } from '@cornelgauge/platform/contract'
+} from '@cornelgauge/ports'
+import { describeBackendServer, describeObjectStore, describeTableService, describeVmList, failureCode, type Subject } from '@cornelgauge/ports/contract'
 import { backendServerOptions, objectStoreOptions, StandInServer, tableServiceOptions, vmListOptions, type StandInServerOptions } from '../src/index.js'
 
 const LAG_MILLISECONDS = 2000
--- a/packages/stand-in/test/local.test.ts
+++ b/packages/stand-in/test/local.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { fileURLToPath } from 'node:url'
-import { HttpTableService, HttpVmList, systemClock } from '@cornelgauge/platform'
-import { failureCode, until } from '@cornelgauge/platform/contract'
+import { HttpTableService, HttpVmList, systemClock } from '@cornelgauge/ports'
+import { failureCode, until } from '@cornelgauge/ports/contract'
 import {
   claimDeployment, DEPLOYMENTS, LocalDeployment, LocalRun, pickDeployment, planDeployment, type DeploymentSizes, type LocalRunOptions
 } from '../src/index.js'
--- a/packages/stand-in/test/owner-step.test.ts
+++ b/packages/stand-in/test/owner-step.test.ts
@@ -1,7 +1,7 @@
 import { emptyLedger, type Transition } from '@cornelgauge/coordination'
 import { parseDocument } from '@cornelgauge/environment'
 import { backendServerName, documentVersion, epoch, rackName, sequenceNumber, vmName } from '@cornelgauge/model'
-import type { WatchAnswer } from '@cornelgauge/platform'
+import type { WatchAnswer } from '@cornelgauge/ports'
 import { createOwner, step, type CallId, type OwnerEffect, type OwnerEvent, type OwnerState } from '@cornelgauge/scheduler'
 import { expect } from 'chai'
 import { swap } from '../src/builders.js'
--- a/packages/stand-in/test/prove-rules.test.ts
+++ b/packages/stand-in/test/prove-rules.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { LoggedExecution } from '@cornelgauge/platform'
+import type { LoggedExecution } from '@cornelgauge/ports'
 import { RULES, type ToldEntry } from '../src/history.js'
 import { checkPromises, PROMISES, type DocumentHistory, type Evidence } from '../src/prove-rules.js'
 
--- a/packages/stand-in/test/sample-load.test.ts
+++ b/packages/stand-in/test/sample-load.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { CornelgaugeError, type ErrorCode } from '@cornelgauge/model'
-import { VirtualClock, type HttpCall, type HttpClient } from '@cornelgauge/platform'
+import { VirtualClock, type HttpCall, type HttpClient } from '@cornelgauge/ports'
 import { DEPLOYMENTS, formatLoad, LoadTable, SampleCaller, sampleRequests, type SampleRequest, type ToldOutcome } from '../src/index.js'
 
 const request: SampleRequest = {
--- a/packages/stand-in/test/wire-relay.test.ts
+++ b/packages/stand-in/test/wire-relay.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { VirtualClock } from '@cornelgauge/platform'
-import { until } from '@cornelgauge/platform/contract'
+import { VirtualClock } from '@cornelgauge/ports'
+import { until } from '@cornelgauge/ports/contract'
 import { parseAddress, WireRelay } from '../src/index.js'
 
 const ANY_PORT = { host: '127.0.0.1', port: 0 }
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -5,6 +5,7 @@
 import { CELL_EVENTS } from './catalogue-cells.js'
 import { DOCUMENT_EVENTS } from './catalogue-documents.js'
 import type { CatalogueEntry, CatalogueRows } from './catalogue-entry.js'
+import { JOB_EVENTS } from './catalogue-jobs.js'
 import { JOURNAL_EVENTS } from './catalogue-journal.js'
 import { PLATFORM_EVENTS } from './catalogue-platform.js'
 import { POLICY_EVENTS } from './catalogue-policy.js'
@@ -30,7 +31,8 @@
   { hundred: 6, title: 'Environment documents', rows: DOCUMENT_EVENTS },
   { hundred: 7, title: 'Inner protocol', rows: WIRE_EVENTS },
   { hundred: 8, title: 'Platform faults', rows: PLATFORM_EVENTS },
-  { hundred: 9, title: 'Policy', rows: POLICY_EVENTS }
+  { hundred: 9, title: 'Policy', rows: POLICY_EVENTS },
+  { hundred: 10, title: 'Jobs and their planner', rows: JOB_EVENTS }
 ]
 
 /** Every event by its name. */
@@ -43,7 +45,8 @@
   ...DOCUMENT_EVENTS,
   ...WIRE_EVENTS,
   ...PLATFORM_EVENTS,
-  ...POLICY_EVENTS
+  ...POLICY_EVENTS,
+  ...JOB_EVENTS
 } as const satisfies CatalogueRows
 
 /** The name of an event. */
--- a/packages/wire/src/message-codec.ts
+++ b/packages/wire/src/message-codec.ts
@@ -20,7 +20,8 @@
   events: true,
   'document-hint': true,
   document: true,
-  'handover-hint': true
+  'handover-hint': true,
+  extension: true
 }
 
 const REPLY_TYPES: Readonly<Record<ReplyBody['type'], true>> = {
@@ -30,6 +31,7 @@
   events: true,
   document: true,
   done: true,
+  extension: true,
   problem: true
 }
 
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -17,6 +17,8 @@
   | { readonly type: 'document-hint', readonly environment: string, readonly version: DocumentVersion }
   | { readonly type: 'document', readonly environment: string }
   | { readonly type: 'handover-hint', readonly cell: CellName }
+  /** A message of a layer above, which checks it itself. */
+  | { readonly type: 'extension', readonly message: unknown }
 
 /** What it gets back. */
 export type ReplyBody =
@@ -26,6 +28,7 @@
   | { readonly type: 'events', readonly events: readonly unknown[] }
   | { readonly type: 'document', readonly version: DocumentVersion, readonly text: string }
   | { readonly type: 'done' }
+  | { readonly type: 'extension', readonly message: unknown }
   | { readonly type: 'problem', readonly problem: ProblemDetails }
 
 /** Who speaks at the other end, as proved at its hello. */
--- a/scripts/check.js
+++ b/scripts/check.js
@@ -26,7 +26,7 @@
 const runTests = () => {
   const folder = mkdtempSync(join(tmpdir(), 'check-'))
   const file = join(folder, 'result.json')
-  run('npx', ['mocha', 'packages/*/dist/test/**/*.test.js', '--reporter', 'json', '--reporter-option', `output=${file}`], { stdio: ['ignore', 'ignore', 'inherit'] })
+  run('npx', ['mocha', 'packages/*/dist/test/**/*.test.js', 'platform/dist/test/**/*.test.js', '--reporter', 'json', '--reporter-option', `output=${file}`], { stdio: ['ignore', 'ignore', 'inherit'] })
   const result = existsSync(file) ? JSON.parse(readFileSync(file, 'utf8')) : undefined
   rmSync(folder, { recursive: true })
   return result
@@ -41,7 +41,7 @@
 mustRun('npm', ['run', '--silent', 'format:check'])
 mustRun('npm', ['run', '--silent', 'lint'])
 // What was built of files that are gone would still be tested.
-for (const name of readdirSync('packages')) rmSync(join('packages', name, 'dist'), { recursive: true, force: true })
+for (const folder of [...readdirSync('packages').map(name => join('packages', name)), 'platform']) rmSync(join(folder, 'dist'), { recursive: true, force: true })
 mustRun('npm', ['run', '--silent', 'types'])
 
 console.log('> mocha')
