Store each job under its owner, so that a replaced owner can't start it

After a takeover the new owner took a job that came after its claim for one that nobody else can have started, while the old owner, alive and not yet fenced, learned of it too and started it. Ruled out: a late order (the old owner's start was answered at once) and inherited jobs (they wait).

A job's row is now written under the condition that the owner's row is as the entry VM knows it, and carries the epoch. An owner that meets a job of a newer epoch steps down; jobs of older epochs wait until every backend server has answered or its leases lapsed.

Also: a backend server that misses looks gets no renewals, else its leases would never be sure to lapse (found by a new test).

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -4,13 +4,13 @@
  */
 import { asFailure, CornelgaugeError, type VmName } from '@cornelgauge/model'
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { jobId, type Configuration, type Job, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
+import { jobId, type Configuration, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EventLog } from '@cornelgauge/telemetry'
 import { AnsweringStore } from './answering-store.js'
 import { CurrentConfiguration } from './current-configuration.js'
 import { decodeJob } from './job-record.js'
-import { JobStore } from './job-store.js'
+import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
 import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import type { PeerAnswer, PeerQuestion } from './messages.js'
@@ -156,8 +156,8 @@
    * @throws {CornelgaugeError} `overloaded` if it isn't stored and won't be,
    * `outcome-unknown` if that isn't known by the deadline on the steady clock
    */
-  async submit (job: Job, deadline: number): Promise<void> {
-    await this.#jobs.accept(job, deadline)
+  async submit (draft: JobDraft, deadline: number): Promise<void> {
+    const job = await this.#jobs.accept(draft, () => this.#leadership.owner, owner => this.#leadership.follow(owner), deadline)
     this.#tellOwner({ kind: 'job', job })
   }
 
--- a/packages/entry/src/job-record.ts
+++ b/packages/entry/src/job-record.ts
@@ -1,5 +1,5 @@
 /** Jobs as rows of the store. */
-import { CornelgaugeError, workspaceName } from '@cornelgauge/model'
+import { CornelgaugeError, epoch, workspaceName } from '@cornelgauge/model'
 import { jobId, poolName, queueName, type Job, type StepSpecification } from '@cornelgauge/jobs'
 import type { Json, RowValue } from '@cornelgauge/ports'
 
@@ -27,7 +27,7 @@
 export function decodeJob (key: string, value: RowValue): Job {
   const record = value as unknown as Partial<Omit<Job, 'id'>> & { format?: unknown }
   const isWhole = record.format === RECORD_FORMAT && typeof record.queue === 'string' && typeof record.pool === 'string' &&
-    typeof record.workspace === 'string' && typeof record.specification === 'string' && typeof record.acceptedAt === 'number' &&
+    typeof record.workspace === 'string' && typeof record.specification === 'string' && typeof record.acceptedAt === 'number' && typeof record.acceptedUnder === 'number' &&
     Array.isArray(record.steps) && record.steps.length > 0 && record.steps.every(isStep)
   if (!isWhole) throw new CornelgaugeError('record-damaged', { detail: `The record of job ${key} can't be read` })
   return {
@@ -38,6 +38,7 @@
     specification: record.specification!,
     steps: record.steps!,
     acceptedAt: record.acceptedAt!,
+    acceptedUnder: epoch(record.acceptedUnder!),
     ...(record.schedule === undefined ? {} : { schedule: record.schedule })
   }
 }
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -5,7 +5,12 @@
 import { decodeJob, encodeJob } from './job-record.js'
 import { STORE_RETRY_MILLISECONDS } from './limits.js'
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { CANCELS_TABLE, JOBS_TABLE, PROGRESS_TABLE } from './tables.js'
+import type { KnownOwner } from './messages.js'
+import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
+import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
+
+/** A job before it is known under which owner it is stored. */
+export type JobDraft = Omit<Job, 'acceptedUnder'>
 
 /** All jobs as they are stored. */
 export interface StoredJobs {
@@ -26,7 +31,7 @@
  * Reads and writes jobs.
  *
  * @example
- * await new JobStore(rows).accept(job, deadline)
+ * await new JobStore(rows).cancel(id, deadline)
  */
 export class JobStore {
   readonly #rows: RowStore
@@ -36,15 +41,30 @@
   }
 
   /**
-   * Stores a job; one that is stored already stays as it is. A write without an
-   * answer is made again, with the same condition, until it is answered: whichever
-   * of them takes effect, the job is stored once.
+   * Stores a job under the owner as it is now; one that is stored already stays as it
+   * is. A write without an answer is made again until it is answered: whichever of
+   * them takes effect, the job is stored once.
    *
+   * @returns the job as this call would store it
    * @throws {CornelgaugeError} `overloaded` if it isn't stored and won't be;
    * `outcome-unknown` if that isn't known by the deadline (on the steady clock)
    */
-  async accept (job: Job, deadline: number): Promise<void> {
-    await this.#writeOnce(JOBS_TABLE, job.id, { ...encodeJob(job) }, deadline)
+  async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number): Promise<Job> {
+    let job: Job = { ...draft, acceptedUnder: NO_OWNER.epoch }
+    await this.#untilAnswered(deadline, async () => {
+      const known = owner() ?? await readOwner(this.#rows)
+      if (known === undefined) throw new CornelgaugeError('overloaded', { detail: 'The planner has no owner yet' })
+      job = { ...draft, acceptedUnder: known.epoch }
+      const ownerCondition = { table: OWNER_TABLE, key: OWNER_KEY, version: known.version }
+      const outcome = await this.#rows.write({
+        conditions: [{ table: JOBS_TABLE, key: job.id, version: 0 }, ownerCondition],
+        puts: [{ table: JOBS_TABLE, key: job.id, value: encodeJob(job) }]
+      })
+      if (outcome.type === 'written' || outcome.rows.some(row => row.table === JOBS_TABLE)) return true
+      for (const row of outcome.rows) if (row.table === OWNER_TABLE) onOwner(decodeOwner(row))
+      return false
+    })
+    return job
   }
 
   /**
@@ -53,7 +73,10 @@
    * @throws {CornelgaugeError} as `accept`
    */
   async cancel (id: JobId, deadline: number): Promise<void> {
-    await this.#writeOnce(CANCELS_TABLE, id, {}, deadline)
+    await this.#untilAnswered(deadline, async () => {
+      await this.#rows.write({ conditions: [{ table: CANCELS_TABLE, key: id, version: 0 }], puts: [{ table: CANCELS_TABLE, key: id, value: {} }] })
+      return true
+    })
   }
 
   /** What is stored of a job. */
@@ -91,12 +114,12 @@
     }
   }
 
-  async #writeOnce (table: string, key: string, value: StoredRow['value'], deadline: number): Promise<void> {
+  /** Tries a write until it is answered and says that it is settled. */
+  async #untilAnswered (deadline: number, write: () => Promise<boolean>): Promise<void> {
     let isUnsettled = false
     while (performance.now() < deadline) {
       try {
-        await this.#rows.write({ conditions: [{ table, key, version: 0 }], puts: [{ table, key, value }] })
-        return
+        if (await write()) return
       } catch (thrown) {
         const failure = asFailure(thrown)
         if (failure.code !== 'overloaded') isUnsettled = true
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -155,10 +155,15 @@
     }))
   }
 
+  /** Takes what is known of the owner from elsewhere. */
+  follow (owner: KnownOwner): void {
+    this.#follow(owner)
+  }
+
   #follow (owner: KnownOwner): void {
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
-    const { vm, address, epoch } = owner
-    this.#owner = { vm, address, epoch }
+    const { vm, address, epoch, version } = owner
+    this.#owner = { vm, address, epoch, version }
     this.#misses = 0
     this.#heardOwnerAt = performance.now()
     if (this.#owned === undefined || this.#owned.epoch >= epoch) return
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -7,6 +7,8 @@
   readonly vm: VmName
   readonly address: string
   readonly epoch: Epoch
+  /** Version of its row in the store. */
+  readonly version: number
 }
 
 /** A VM as its peers know it. */
--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -1,7 +1,7 @@
 /** Who owns the planner: one row of the store, changed only under the condition that it is as it was read. */
 import { randomUUID } from 'node:crypto'
 import { asFailure, CornelgaugeError, epoch, type Epoch, type VmName } from '@cornelgauge/model'
-import type { RowStore, RowValue } from '@cornelgauge/ports'
+import type { RowStore, RowValue, StoredRow } from '@cornelgauge/ports'
 import { OWNER_KEY, OWNER_TABLE } from './tables.js'
 
 /** The owner as stored. */
@@ -28,7 +28,7 @@
  */
 export async function readOwner (store: RowStore): Promise<OwnerRecord | undefined> {
   const row = await store.read(OWNER_TABLE, OWNER_KEY)
-  return row === undefined ? undefined : decode(row.value, row.version)
+  return row === undefined ? undefined : decodeOwner(row)
 }
 
 /**
@@ -62,7 +62,14 @@
   return owner
 }
 
-function decode (value: RowValue, version: number): OwnerRecord {
+/**
+ * The owner in a row.
+ *
+ * @throws {CornelgaugeError} `record-damaged`
+ * @example
+ * const owner = decodeOwner(row)
+ */
+export function decodeOwner ({ value, version }: StoredRow): OwnerRecord {
   const { vm, address, epoch: number, claim } = value as Partial<Record<keyof OwnerRecord, unknown>>
   if (typeof vm === 'string' && typeof address === 'string' && typeof number === 'number' && typeof claim === 'string') {
     return { vm: vm as VmName, address, epoch: epoch(number), claim, version }
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -208,7 +208,7 @@
 
   #submit (job: Job): void {
     if (this.#planner.phaseOf(job.id) !== undefined) return
-    this.#planner.submit(job)
+    if (!this.#planner.submit(job)) return this.#fence()
     this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
   }
 
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,5 +1,5 @@
 /** Jobs as their callers hand them in: immutable values. */
-import type { WorkspaceName } from '@cornelgauge/model'
+import type { Epoch, WorkspaceName } from '@cornelgauge/model'
 import type { Capacity } from './capacity.js'
 import type { JobId, PoolName, QueueName } from './ids.js'
 
@@ -59,6 +59,11 @@
   readonly schedule?: Schedule
   /** Time of acceptance, in milliseconds since 1970. */
   readonly acceptedAt: number
+  /**
+   * Epoch of the owner under whom it was stored. No earlier owner may start it, so that
+   * a later one knows which jobs nobody before it can have started.
+   */
+  readonly acceptedUnder: Epoch
 }
 
 /** What a caller is told of a job. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -29,7 +29,7 @@
   readonly notedPosition: number
   /** Ends are known that aren't stored yet. */
   readonly isNotePending: boolean
-  /** End of the lease on its clock; nothing before its clock is known. */
+  /** End of the lease on its clock; nothing where it isn't renewed. */
   readonly leaseUntil: number | undefined
   readonly isIdle: boolean
 }
@@ -59,7 +59,7 @@
   constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes) {
     this.#state = new PlannerState(epoch, times.now)
     for (const { job, isCancelled, progress } of stored) {
-      const state = new JobState(job, true, progress)
+      const state = new JobState(job, job.acceptedUnder < epoch, progress)
       this.#state.add(state)
       if (isCancelled) this.cancel(job.id, times.wallTime)
     }
@@ -92,9 +92,15 @@
     this.#forgetServers(now)
   }
 
-  /** Takes a job; one that is known stays as it is. */
-  submit (job: Job): void {
-    if (!this.#state.jobs.has(job.id)) this.#state.add(new JobState(job, false))
+  /**
+   * Takes a job; one that is known stays as it is.
+   *
+   * @returns false if it was accepted under a newer owner: this one has been replaced
+   */
+  submit (job: Job): boolean {
+    if (job.acceptedUnder > this.epoch) return false
+    if (!this.#state.jobs.has(job.id)) this.#state.add(new JobState(job, job.acceptedUnder < this.epoch))
+    return true
   }
 
   /** Cancels a job; one that has ended stays as it is. False if it isn't known. */
@@ -121,12 +127,13 @@
   lookRequest (id: ServerId, now: number): LookRequest | undefined {
     const server = this.#state.servers.get(id)
     if (server === undefined) return undefined
-    const isClockKnown = server.clockAt(now) > 0
+    // A renewal without an answer may be carried out late; without renewals the leases are sure to lapse.
+    const canRenew = server.clockAt(now) > 0 && server.runs.size > 0 && server.missedLooks === 0
     return {
       address: server.entry.address,
       notedPosition: server.notedPosition,
       isNotePending: server.heardPosition > server.notedPosition,
-      leaseUntil: isClockKnown && server.runs.size > 0 ? server.extendLease(now, LEASE_MILLISECONDS) : undefined,
+      leaseUntil: canRenew ? server.extendLease(now, LEASE_MILLISECONDS) : undefined,
       isIdle: server.runs.size === 0
     }
   }
--- /dev/null
+++ b/packages/jobs/test/planner.test.ts
@@ -0,0 +1,291 @@
+import { epoch } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { jobId, LEASE_MILLISECONDS } from '../src/index.js'
+import { job, step, World } from './world.js'
+
+const phase = (world: World, id: string): string | undefined => world.planner.phaseOf(jobId(id))
+
+describe('planner', () => {
+  describe('on a calm day', () => {
+    it('starts a job once its backend servers have answered, and tells its phases', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      expect(world.round()).to.deep.equal([])
+      expect(phase(world, 'a')).to.equal('queued')
+      world.settle()
+      expect(phase(world, 'a')).to.equal('running')
+      world.runs('a.0.0.0')!.end('a.0.0.0', 'done')
+      world.settle()
+      expect(phase(world, 'a')).to.equal('completed')
+      expect(world.starts).to.have.length(1)
+    })
+
+    it('tells of a completion only once it is stored, and notes no end before', () => {
+      const world = new World(1)
+      world.planner.submit(job('a'))
+      world.settle()
+      world.storeIsUp = false
+      world.servers[0]!.end('a.0.0.0', 'done')
+      world.settle()
+      expect(phase(world, 'a')).to.equal('running')
+      expect(world.servers[0]!.ended).to.have.length(1)
+      world.storeIsUp = true
+      world.settle()
+      expect(phase(world, 'a')).to.equal('completed')
+      expect(world.servers[0]!.ended).to.have.length(0)
+    })
+
+    it('starts a step after all tasks of the steps before it', () => {
+      const world = new World(2)
+      world.planner.submit(job('a', { steps: [step({ count: 2 }), step({ after: [0] })] }))
+      world.settle()
+      world.runs('a.0.0.0')!.end('a.0.0.0', 'done')
+      world.settle()
+      expect(world.runs('a.0.1.0')).to.equal(undefined)
+      world.runs('a.0.0.1')!.end('a.0.0.1', 'done')
+      world.settle()
+      expect(world.runs('a.0.1.0')).not.to.equal(undefined)
+    })
+
+    it('starts occurrences when they are due', () => {
+      const world = new World(1)
+      const startAt = world.wallTime + 500
+      world.planner.submit(job('a', { schedule: { occurrences: 2, startAt, intervalMilliseconds: 1000 } }))
+      world.settle()
+      expect(world.starts).to.have.length(0)
+      world.round(600)
+      expect(world.starts.map(start => start.task)).to.deep.equal(['a.0.0.0'])
+      world.round(1000)
+      expect(world.starts.map(start => start.task)).to.deep.equal(['a.0.0.0', 'a.1.0.0'])
+    })
+
+    it('puts no more tasks of a step on one backend server than allowed', () => {
+      const world = new World(2)
+      world.planner.submit(job('a', { steps: [step({ count: 5, mostPerServer: 2 })] }))
+      world.settle()
+      expect(world.servers.map(server => server.running.size)).to.deep.equal([2, 2])
+    })
+  })
+
+  describe('with gangs', () => {
+    const gang = step({ count: 3, accelerators: 4, isGang: true })
+
+    it('starts all members under one run number, or none', () => {
+      const world = new World(1)
+      world.planner.submit(job('wide', { steps: [gang] }))
+      world.settle()
+      expect(world.starts).to.have.length(0)
+      const roomy = new World(2)
+      roomy.planner.submit(job('wide', { steps: [gang] }))
+      roomy.settle()
+      expect(new Set(roomy.starts.map(start => start.run))).to.have.length(1)
+      expect(roomy.starts).to.have.length(3)
+    })
+
+    it('takes one end as done for all', () => {
+      const world = new World(2)
+      world.planner.submit(job('wide', { steps: [gang] }))
+      world.settle()
+      for (const server of world.servers) for (const task of [...server.running.keys()]) server.end(task, 'done')
+      world.settle()
+      expect(phase(world, 'wide')).to.equal('completed')
+    })
+
+    it('stops the rest when a member has failed, and counts one attempt', () => {
+      const world = new World(2)
+      world.planner.submit(job('wide', { queue: 'long', steps: [gang] }))
+      world.settle()
+      const first = world.starts[0]!.run
+      world.runs('wide.0.0.1')!.end('wide.0.0.1', 'failed')
+      world.settle(6)
+      expect(world.stops.filter(stop => stop.run === first)).to.have.length(2)
+      expect(new Set(world.starts.map(start => start.run))).to.have.length(2)
+    })
+
+    it('goes into one rack that holds it, and waits for that', () => {
+      const world = new World(4, { perRack: 2 })
+      world.planner.submit(job('small', { steps: [step({ accelerators: 8 })] }))
+      world.settle()
+      world.planner.submit(job('wide', { steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }))
+      world.settle()
+      const racks = new Set(world.servers.filter(server => [...server.running.keys()].some(task => task.startsWith('wide'))).map(server => server.entry.rack))
+      expect(racks).to.have.length(1)
+    })
+  })
+
+  describe('when an order has no answer', () => {
+    it('starts the task elsewhere only after a stop of it was answered', () => {
+      const world = new World(2)
+      world.look()
+      for (const server of world.servers) server.reach = 'loses-start-answers'
+      world.planner.submit(job('a'))
+      world.round()
+      expect(world.starts).to.have.length(1)
+      const [stop] = world.round().filter(command => command.type === 'stop')
+      expect(stop).to.include({ task: 'a.0.0.0', reason: 'unanswered' })
+      for (const server of world.servers) server.reach = 'answers'
+      expect(world.starts).to.have.length(1)
+      world.now += 5
+      world.look()
+      world.round()
+      expect(world.starts).to.have.length(2)
+      expect(world.servers.filter(server => server.running.size > 0)).to.have.length(1)
+    })
+
+    it('waits for the lease to lapse where the backend server is silent', () => {
+      const world = new World(1)
+      world.look()
+      world.planner.submit(job('a'))
+      world.round()
+      world.servers[0]!.reach = 'silent'
+      world.look()
+      world.round(LEASE_MILLISECONDS - 500)
+      expect(world.planner.load.runs).to.equal(1)
+      world.look()
+      world.round(1000)
+      expect(world.planner.load.runs).to.equal(0)
+    })
+  })
+
+  describe('when a backend server starts again under its id', () => {
+    it('takes its runs for gone at once', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      world.runs('a.0.0.0')!.restart()
+      world.look()
+      world.round()
+      expect(world.starts).to.have.length(2)
+    })
+  })
+
+  describe('when tasks fail', () => {
+    it('fails the job after its attempts, and tries it no more', () => {
+      const world = new World(4)
+      world.planner.submit(job('a', { queue: 'urgent' }))
+      for (let attempt = 0; attempt < 2; attempt += 1) {
+        world.settle()
+        world.runs('a.0.0.0')!.end('a.0.0.0', 'failed')
+        world.settle()
+      }
+      world.settle()
+      expect(phase(world, 'a')).to.equal('failed')
+      expect(world.starts).to.have.length(2)
+    })
+
+    it('keeps urgent work with few attempts off a backend server where one has failed', () => {
+      const world = new World(2)
+      world.planner.submit(job('a', { queue: 'urgent' }))
+      world.settle()
+      const bad = world.runs('a.0.0.0')!
+      bad.end('a.0.0.0', 'failed')
+      world.settle()
+      expect(world.runs('a.0.0.0')).not.to.equal(bad)
+    })
+  })
+
+  describe('when a workspace claims its guarantee', () => {
+    it('stops borrowers and starts the claim in their place', () => {
+      const world = new World(1)
+      world.planner.submit(job('lent', { steps: [step({ count: 8 })] }))
+      world.settle()
+      world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', steps: [step({ count: 2, accelerators: 4, isGang: true })] }))
+      world.settle()
+      expect(world.stops.every(stop => stop.reason === 'reclaimed')).to.equal(true)
+      expect(world.runs('claim.0.0.1')).not.to.equal(undefined)
+    })
+
+    it('stops nothing for urgent work beyond the guarantee', () => {
+      const world = new World(1)
+      world.planner.submit(job('lent', { steps: [step({ count: 8 })] }))
+      world.settle()
+      world.planner.submit(job('more', { queue: 'urgent', workspace: 'plzen' }))
+      world.settle()
+      expect(world.stops).to.have.length(0)
+    })
+  })
+
+  describe('when a job is cancelled', () => {
+    it('stops what runs and starts no more', () => {
+      const world = new World(1)
+      world.planner.submit(job('a', { steps: [step({ count: 2 }), step({ after: [0] })] }))
+      world.settle()
+      world.planner.cancel(jobId('a'), world.wallTime)
+      world.settle()
+      expect(phase(world, 'a')).to.equal('canceled')
+      expect(world.servers[0]!.running.size).to.equal(0)
+      expect(world.starts).to.have.length(2)
+    })
+  })
+
+  describe('after a takeover', () => {
+    const stored = (id: string): { job: ReturnType<typeof job>, isCancelled: boolean } => ({ job: job(id), isCancelled: false })
+
+    it('goes on with what runs', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      world.takeOver(2, [stored('a')])
+      world.settle()
+      expect(world.starts).to.have.length(1)
+      world.runs('a.0.0.0')!.end('a.0.0.0', 'done')
+      world.settle()
+      expect(phase(world, 'a')).to.equal('completed')
+    })
+
+    it('starts no inherited job while a backend server that may run it has not answered', () => {
+      const world = new World(3)
+      world.planner.submit(job('a'))
+      world.settle()
+      const holder = world.runs('a.0.0.0')!
+      holder.reach = 'silent'
+      world.takeOver(2, [stored('a')])
+      world.settle(20)
+      expect(world.starts).to.have.length(1)
+      holder.reach = 'answers'
+      world.settle()
+      expect(world.starts).to.have.length(1)
+    })
+
+    it('starts an inherited job once the leases of a silent backend server have lapsed', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      world.runs('a.0.0.0')!.reach = 'silent'
+      world.takeOver(2, [stored('a')])
+      world.settle()
+      world.now += LEASE_MILLISECONDS * 2
+      world.settle()
+      expect(world.starts).to.have.length(2)
+    })
+
+    it('starts a job accepted under itself although a backend server is silent', () => {
+      const world = new World(2)
+      world.servers[0]!.reach = 'silent'
+      world.takeOver(2, [])
+      world.settle()
+      world.planner.submit(job('b', { acceptedUnder: epoch(2) }))
+      world.settle()
+      expect(world.starts).to.have.length(1)
+    })
+
+    it('refuses a job accepted under a newer owner, which is then the one to start it', () => {
+      const world = new World(1)
+      expect(world.planner.submit(job('b', { acceptedUnder: epoch(2) }))).to.equal(false)
+    })
+
+    it('counts an attempt once that both owners heard of', () => {
+      const world = new World(3)
+      world.planner.submit(job('a', { queue: 'urgent' }))
+      world.settle()
+      world.storeIsUp = false
+      world.runs('a.0.0.0')!.end('a.0.0.0', 'failed')
+      world.look()
+      const progress = world.planner.progressOf(jobId('a'))
+      world.takeOver(2, [{ job: job('a', { queue: 'urgent' }), isCancelled: false, progress }])
+      world.settle()
+      expect(phase(world, 'a')).not.to.equal('failed')
+      expect(world.starts).to.have.length(2)
+    })
+  })
+})
