--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -17,7 +17,6 @@
   if (report.life !== server.entry.life) forgetLife(server, state, report.life, report.receivedAt)
   server.hear(report.clock, report.receivedAt)
   server.hasRefusedRoom = false
-  server.isJoined = true
   const listed = new Set<Run>()
   for (const entry of report.running) {
     const run = takeRunning(state, server, entry, report.receivedAt)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -2,7 +2,7 @@
 import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
 import type { StopReason } from './command.js'
 import type { PoolName, RunNumber, ServerId, TaskName } from './ids.js'
-import { SERVER_CLOCK_SLOWEST, UNSOUND_AFTER_FAILURES } from './limits.js'
+import { LEASE_MILLISECONDS, SERVER_CLOCK_SLOWEST, UNSOUND_AFTER_FAILURES } from './limits.js'
 
 /** What the platform's registry tells of a backend server. */
 export interface ServerEntry {
@@ -149,8 +149,10 @@
     return this.#clock === 0 ? 0 : Math.floor(this.#clock + now - this.#clockAt)
   }
 
-  /** Takes the clock of an answer. */
+  /** Takes the clock of an answer. The first one fences earlier owners, who can renew nothing from then on. */
   hear (clock: number, receivedAt: number): void {
+    if (!this.isJoined) this.#lapsedBy = receivedAt + LEASE_MILLISECONDS / SERVER_CLOCK_SLOWEST
+    this.isJoined = true
     this.#clock = clock
     this.#clockAt = receivedAt
     this.lastAnswerAt = receivedAt
