--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -42,8 +42,8 @@
 
   /**
    * Stores a job under the owner as it is now; one that is stored already stays as it
-   * is. A write without an answer is made again until it is answered: whichever of
-   * them takes effect, the job is stored once.
+   * is. A write without an answer is read back and made again until it is settled:
+   * whichever of them takes effect, the job is stored once.
    *
    * @returns the job as this call would store it
    * @throws {CornelgaugeError} `overloaded` if it isn't stored and won't be;
@@ -51,7 +51,7 @@
    */
   async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number): Promise<Job> {
     let job: Job = { ...draft, acceptedUnder: NO_OWNER.epoch }
-    await this.#untilAnswered(deadline, async () => {
+    await this.#untilAnswered(JOBS_TABLE, draft.id, deadline, async () => {
       const known = owner() ?? await readOwner(this.#rows)
       if (known === undefined) throw new CornelgaugeError('overloaded', { detail: 'The planner has no owner yet' })
       job = { ...draft, acceptedUnder: known.epoch }
@@ -73,7 +73,7 @@
    * @throws {CornelgaugeError} as `accept`
    */
   async cancel (id: JobId, deadline: number): Promise<void> {
-    await this.#untilAnswered(deadline, async () => {
+    await this.#untilAnswered(CANCELS_TABLE, id, deadline, async () => {
       await this.#rows.write({ conditions: [{ table: CANCELS_TABLE, key: id, version: 0 }], puts: [{ table: CANCELS_TABLE, key: id, value: {} }] })
       return true
     })
@@ -114,11 +114,12 @@
     }
   }
 
-  /** Tries a write until it is answered and says that it is settled. */
-  async #untilAnswered (deadline: number, write: () => Promise<boolean>): Promise<void> {
+  /** Tries the write of a row until it is answered or the row is there. */
+  async #untilAnswered (table: string, key: string, deadline: number, write: () => Promise<boolean>): Promise<void> {
     let isUnsettled = false
     while (performance.now() < deadline) {
       try {
+        if (isUnsettled && await this.#rows.read(table, key) !== undefined) return
         if (await write()) return
       } catch (thrown) {
         const failure = asFailure(thrown)
