--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -254,6 +254,7 @@
       stored,
       store: this.#store,
       servers: platform.servers,
+      advise: platform.advise,
       emit: (name, facts) => log.emit(name, facts),
       confirmedAge: () => Math.min(this.#confirmedAge, this.#leadership.followedAge),
       onFenced: () => this.#fenced(host),
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -6,13 +6,14 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type ServerReport, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type ServerReport, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls } from './backend-server-calls.js'
 import type { StoredJobs } from './job-store.js'
 import { BUSY_LOOK_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_LOOK_MILLISECONDS, LOOK_RETRY_MILLISECONDS, OWNER_DOUBT_MILLISECONDS, ROUND_DELAY_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_LOOK_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
+import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
 
 /** What a host needs. */
@@ -21,6 +22,7 @@
   readonly stored: StoredJobs
   readonly store: RowStore
   readonly servers: BackendServerCalls
+  readonly advise: PlatformView['advise']
   readonly emit: EmitEvent
   /** Milliseconds since ownership was last confirmed by the store or by most peers. */
   readonly confirmedAge: () => number
@@ -33,6 +35,7 @@
   | { readonly type: 'missed', readonly server: ServerId, readonly failure: CornelgaugeError }
   | { readonly type: 'started', readonly command: StartCommand, readonly outcome: StartOutcome }
   | { readonly type: 'stopped', readonly command: StopCommand, readonly outcome: StopOutcome }
+  | { readonly type: 'advised', readonly command: AdviseCommand, readonly advice: Advice | undefined }
   | { readonly type: 'listed', readonly entries: readonly ServerEntry[] }
   | { readonly type: 'configured', readonly configuration: Configuration }
   | { readonly type: 'submitted', readonly job: Job }
@@ -72,6 +75,7 @@
     missed: ({ server, failure }) => this.#miss(server, failure),
     started: ({ command, outcome }) => this.#takeStart(command, outcome),
     stopped: ({ command, outcome }) => this.#takeStop(command, outcome),
+    advised: ({ command, advice }) => this.#planner.answerAdvice(command, advice, performance.now()),
     listed: ({ entries }) => this.#list(entries),
     configured: ({ configuration }) => this.#planner.configure(configuration),
     submitted: ({ job }) => this.#submit(job),
@@ -81,7 +85,8 @@
 
   readonly #performers: CommandHandlers = {
     start: command => this.#start(command),
-    stop: command => this.#stopRun(command)
+    stop: command => this.#stopRun(command),
+    advise: command => this.#advise(command)
   }
 
   constructor (options: PlannerHostOptions) {
@@ -192,6 +197,17 @@
     this.#inbox.put({ type: 'stopped', command, outcome })
   }
 
+  async #advise (command: AdviseCommand): Promise<void> {
+    let advice: Advice | undefined
+    try {
+      advice = await this.#options.advise?.(command.step, command.servers)
+      this.#options.emit('advice-taken', { details: { step: command.step, asked: command.servers.length, allowed: advice?.allowed.length } })
+    } catch (thrown) {
+      this.#options.emit('advice-failed', { details: { step: command.step, failure: asFailure(thrown).code } })
+    }
+    this.#inbox.put({ type: 'advised', command, advice })
+  }
+
   #takeStart (command: StartCommand, outcome: StartOutcome): void {
     const { task, run, server } = command
     this.#planner.answerStart(server, task, run, outcome, performance.now())
--- a/packages/entry/src/platform-view.ts
+++ b/packages/entry/src/platform-view.ts
@@ -1,5 +1,5 @@
 /** What an entry VM needs of the platform that it runs on; an adapter provides it. */
-import type { Configuration, ServerEntry } from '@cornelgauge/jobs'
+import type { Advice, Configuration, ServerEntry, ServerId, StepName } from '@cornelgauge/jobs'
 import type { RowStore, RowValue } from '@cornelgauge/ports'
 import type { BackendServerCalls } from './backend-server-calls.js'
 
@@ -7,6 +7,8 @@
 export interface PlatformView {
   readonly store: RowStore
   readonly servers: BackendServerCalls
+  /** Asks the service that decides where some queues' steps may run; not there if there is none. */
+  readonly advise?: (step: StepName, servers: readonly ServerId[]) => Promise<Advice>
   /** The table and key of the configuration, and how it is read; nothing if the row can't be used. */
   readonly configurationTable: string
   readonly readConfiguration: (rows: ReadonlyMap<string, RowValue>) => Configuration | undefined
--- a/packages/jobs/src/ids.ts
+++ b/packages/jobs/src/ids.ts
@@ -11,6 +11,8 @@
 export type ServerId = Branded<string, 'ServerId'>
 /** Name of one task: `job.occurrence.step.index`. */
 export type TaskName = Branded<string, 'TaskName'>
+/** Name of one step in one occurrence: `job.occurrence.step`. */
+export type StepName = Branded<string, 'StepName'>
 /** Number of one start of a task; each later start of it has a higher one. */
 export type RunNumber = Branded<number, 'RunNumber'>
 
@@ -40,6 +42,16 @@
   return `${job}.${occurrence}.${step}.${index}` as TaskName
 }
 
+/**
+ * The name of a step in one occurrence.
+ *
+ * @example
+ * stepName(jobId('5c0e'), 0, 1) // '5c0e.0.1'
+ */
+export function stepName (job: JobId, occurrence: number, step: number): StepName {
+  return `${job}.${occurrence}.${step}` as StepName
+}
+
 /**
  * The parts of a task's name, or nothing if it is no such name.
  *
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,6 +1,6 @@
 /** The course of one job as its owner sees it. */
 import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
-import { taskName, type RunNumber, type TaskName } from './ids.js'
+import { stepName, taskName, type RunNumber, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
@@ -31,6 +31,22 @@
   }
 }
 
+/** A permission to run a step on one life of a backend server. */
+export interface Ticket {
+  readonly text: string
+  readonly life: number
+  /** On the steady clock, in milliseconds. */
+  readonly expiresAt: number
+}
+
+/** Where an outside service allows a step to run; that doesn't change, only tickets expire. */
+export class StepAdvice {
+  readonly tickets = new Map<ServerId, Ticket>()
+  readonly refused = new Set<ServerId>()
+  /** When it was last asked for, if that isn't answered yet. */
+  askedAt = -Infinity
+}
+
 /** One step in one occurrence. */
 export class StepState {
   readonly job: JobState
@@ -38,6 +54,8 @@
   readonly number: number
   readonly specification: StepSpecification
   readonly tasks: readonly TaskState[]
+  /** What an outside service has said of where it may run. */
+  readonly advice = new StepAdvice()
   #done = 0
 
   constructor (job: JobState, occurrence: number, number: number, specification: StepSpecification) {
@@ -49,6 +67,10 @@
     this.tasks = Array.from({ length: specification.count }, (_, index) => new TaskState(nameOf(index), this, index))
   }
 
+  get name (): StepName {
+    return stepName(this.job.job.id, this.occurrence, this.number)
+  }
+
   get isDone (): boolean {
     return this.#done === this.tasks.length
   }
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -28,12 +28,13 @@
 }
 
 /**
- * Places for a gang: inside one rack if it wants that and a rack could hold it.
+ * Places for a gang: inside one rack if it wants that and a rack could hold it, or
+ * anywhere if it is out of patience.
  *
  * @example
- * const places = placeGang(room, step)
+ * const places = placeGang(room, step, true)
  */
-export function placeGang (room: Room, step: StepState): readonly Place[] | undefined {
+export function placeGang (room: Room, step: StepState, isPatient: boolean): readonly Place[] | undefined {
   const count = step.tasks.length
   if (!step.specification.wantsOneRack) return placeAll(room, room.places, step, count)
   const racks = racksOf(room.places)
@@ -42,7 +43,7 @@
     .filter(rack => rack.room >= count)
     .sort((left, right) => freeAccelerators(left.places) - freeAccelerators(right.places))
   if (fitting[0] !== undefined) return placeAll(room, fitting[0].places, step, count)
-  return racks.some(places => couldHold(places, step)) ? undefined : placeAll(room, room.places, step, count)
+  return isPatient && racks.some(places => couldHold(places, step)) ? undefined : placeAll(room, room.places, step, count)
 }
 
 /**
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -3,7 +3,8 @@
  * no clock and does no I/O, so the same events at the same times give the same commands.
  */
 import type { Epoch } from '@cornelgauge/model'
-import type { Command, StartOutcome, StopOutcome } from './command.js'
+import { takeAdvice } from './advice.js'
+import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
@@ -160,6 +161,12 @@
     takeStopOutcome(this.#state, id, task, run, outcome, now)
   }
 
+  /** Takes the answer to a call for advice; nothing if there was none. */
+  answerAdvice (command: AdviseCommand, advice: Advice | undefined, now: number): void {
+    const step = this.#state.step(command.step)
+    if (step !== undefined) takeAdvice(step, command, advice, id => this.#state.servers.get(id)?.entry.life, now)
+  }
+
   /** Jobs whose progress is to be stored, with the change that each is at. */
   get unsaved (): ReadonlyMap<JobId, number> {
     return new Map(this.#state.unsaved)
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -241,7 +241,11 @@
   outdated: notStarted,
   late: notStarted,
   invalid: notStarted,
-  'other-life': notStarted
+  'other-life': notStarted,
+  'no-ticket': (state, server, run) => {
+    state.task(run.task)?.step.advice.tickets.delete(server.id)
+    dropRun(state, server, run)
+  }
 }
 
 /**
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -1,8 +1,9 @@
 /** One round of decisions: what is stopped, and what starts where. */
-import type { Command, StartCommand } from './command.js'
+import { advisedRoom, askAdvice, ticketFor } from './advice.js'
+import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { acceleratorsOf } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
-import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, UNSOUND_MILLISECONDS } from './limits.js'
+import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, UNSOUND_MILLISECONDS } from './limits.js'
 import { inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
 import { planReclaim, type VictimGroup } from './reclaim.js'
@@ -34,10 +35,10 @@
     stopOnLeaving(server)
     stopStuck(state, server, times.now)
   }
-  const starts: StartCommand[] = []
-  const round = new Round(state, times, starts)
+  const commands: (StartCommand | AdviseCommand)[] = []
+  const round = new Round(state, times, commands)
   round.place()
-  return [...stopsDue(state, times.now), ...starts]
+  return [...stopsDue(state, times.now), ...commands]
 }
 
 /** A backend server that is about to leave gives its work back while that can be heard. */
@@ -75,19 +76,21 @@
 class Round {
   readonly #state: PlannerState
   readonly #times: RoundTimes
-  readonly #starts: StartCommand[]
+  readonly #commands: (StartCommand | AdviseCommand)[]
   /** What is free now, and what will be when everything that is being stopped has ended. */
   readonly #room: Room
   readonly #future: Room
   readonly #claims: ReadonlySet<JobState>
+  readonly #isMostlyIdle: boolean
 
-  constructor (state: PlannerState, times: RoundTimes, starts: StartCommand[]) {
+  constructor (state: PlannerState, times: RoundTimes, commands: (StartCommand | AdviseCommand)[]) {
     this.#state = state
     this.#times = times
-    this.#starts = starts
+    this.#commands = commands
     this.#room = roomOf(state, times.now, server => server.free)
     this.#future = roomOf(state, times.now, futureOf)
     this.#claims = claimsOf(state)
+    this.#isMostlyIdle = isMostlyIdle(this.#room)
   }
 
   place (): void {
@@ -126,11 +129,12 @@
     for (const task of unit.tasks) task.readySince ??= this.#times.now
     if (step.specification.isGang) this.#placeTogether(unit, candidate)
     else this.#placeSingly(unit, candidate)
+    if (this.#isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#askAdvice(step)
   }
 
   #placeTogether (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
-    const places = placeGang(this.#cautious(step), step)
+    const places = placeGang(this.#roomFor(step), step, this.#isPatient(unit.tasks[0]!))
     if (places === undefined) {
       if (candidate.isClaim) this.#reclaim(unit)
       return
@@ -152,7 +156,7 @@
   }
 
   #placeOne (step: StepState, task: TaskState): Place | undefined {
-    const room = this.#cautious(step)
+    const room = this.#roomFor(step)
     const { dataRack } = step.specification
     if (dataRack !== undefined) {
       const near = room.places.filter(place => place.server.entry.rack === dataRack)
@@ -163,11 +167,30 @@
     return placeAll(room, room.places, step, 1)?.[0]
   }
 
+  #isAdvised (step: StepState): boolean {
+    return this.#state.queueOf(step.job)?.advice !== undefined
+  }
+
+  #askAdvice (step: StepState): void {
+    const command = askAdvice(step, this.#cautious(step), this.#times.now)
+    if (command !== undefined) this.#commands.push(command)
+  }
+
+  #roomFor (step: StepState): Room {
+    const room = apartFromServing(this.#cautious(step), step)
+    return this.#isAdvised(step) ? advisedRoom(room, step, this.#times.now) : room
+  }
+
+  /** While most of the pool is idle, nothing is gained by waiting for a better place. */
+  #isPatient (task: TaskState): boolean {
+    return !this.#isMostlyIdle || this.#times.now - (task.readySince ?? this.#times.now) < IDLE_POOL_PATIENCE_MILLISECONDS
+  }
+
   /** The room without places where a job with few attempts left might spend its last one. */
   #cautious (step: StepState): Room {
     const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
     const failures = Math.max(...step.tasks.map(task => step.failuresOf(task)))
-    if (attempts - failures > 2) return this.#room
+    if (attempts - failures > 2 || !this.#isPatient(step.tasks[0]!)) return this.#room
     const sound = this.#room.places.filter(({ server }) => server.failures === 0 || this.#times.now - server.lastFailureAt > FAILURE_MEMORY_MILLISECONDS)
     return new Room(sound)
   }
@@ -194,14 +217,15 @@
     server.add(started)
     task.runs.add(started)
     task.readySince = undefined
-    this.#starts.push({
+    this.#commands.push({
       type: 'start',
       server: server.id,
       task: task.name,
       run,
       specification: task.step.job.job.specification,
       leaseUntil: server.extendLease(this.#times.now, LEASE_MILLISECONDS),
-      checkpoint: task.checkpoint
+      checkpoint: task.checkpoint,
+      ...(this.#isAdvised(task.step) ? { ticket: ticketFor(task.step, place, this.#times.now) } : {})
     })
   }
 
@@ -252,6 +276,26 @@
   }
 }
 
+/** Half of the accelerators, or more, are free. */
+function isMostlyIdle (room: Room): boolean {
+  const free = room.places.reduce((sum, place) => sum + place.free.accelerators, 0)
+  const all = room.places.reduce((sum, place) => sum + place.server.entry.capacity.accelerators, 0)
+  return 2 * free >= all
+}
+
+/**
+ * Tasks that fill and tasks whose users wait for answers stay apart: what fills would
+ * disturb the others by amounts that nobody knows beforehand.
+ */
+function apartFromServing (room: Room, step: StepState): Room {
+  const { fillsIdleProcessor, tailTargetMilliseconds } = step.specification
+  const isServing = (other: StepState): boolean => other.specification.tailTargetMilliseconds !== undefined
+  const isFilling = (other: StepState): boolean => other.specification.fillsIdleProcessor
+  const disturbs = fillsIdleProcessor ? isServing : tailTargetMilliseconds !== undefined ? isFilling : undefined
+  if (disturbs === undefined) return room
+  return new Room(room.places.filter(place => ![...place.tasksOf.keys()].some(disturbs)))
+}
+
 /** The tasks of a step that start now: of a gang all or none. */
 function unitOf (step: StepState): StartUnit | undefined {
   const waiting = step.tasks.filter(task => task.isWaiting)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -2,10 +2,10 @@
 import type { Epoch } from '@cornelgauge/model'
 import { findJobTask } from './lookup.js'
 import type { Configuration, Queue } from './configuration.js'
-import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
+import type { JobId, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
 import { acceleratorsOf } from './job.js'
-import type { TaskState, JobState } from './job-state.js'
+import type { JobState, StepState, TaskState } from './job-state.js'
 import { FIRST_RUN_GUESS_MILLISECONDS, LEASE_MILLISECONDS, LOST_OWNER_MILLISECONDS, RUNS_PER_EPOCH, RUN_TIME_WEIGHT, SERVER_CLOCK_SLOWEST } from './limits.js'
 import { Server, type ServerEntry } from './server.js'
 
@@ -89,6 +89,11 @@
     return findJobTask(this.jobs, name)
   }
 
+  /** The step with a name. */
+  step (name: StepName): StepState | undefined {
+    return findJobTask(this.jobs, `${name}.0` as TaskName)?.step
+  }
+
   /** Adds a backend server, or takes its new entry. */
   list (entry: ServerEntry, now: number): Server {
     const known = this.servers.get(entry.id)
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -113,6 +113,57 @@
     })
   })
 
+  describe('while most of the pool is idle', () => {
+    it('spreads a gang over racks rather than let it wait for one', () => {
+      const world = new World(4, { perRack: 2 })
+      world.planner.submit(job('one', { steps: [step()] }))
+      world.planner.submit(job('two', { steps: [step({ requiredLabel: 'r1-1' })] }))
+      world.settle()
+      world.planner.submit(job('wide', { steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }))
+      world.settle()
+      expect(world.runs('wide.0.0.0')).to.equal(undefined)
+      world.settle(100)
+      expect(world.runs('wide.0.0.0')).not.to.equal(undefined)
+    })
+  })
+
+  describe('where an outside service decides', () => {
+    it('starts with its tickets, on the backend servers that it allows', () => {
+      const world = new World(3)
+      world.planner.submit(job('a', { queue: 'advised', steps: [step({ count: 2 })] }))
+      world.settle()
+      expect(world.starts).to.have.length(0)
+      const [asked] = world.advice
+      const allowed = { server: world.servers[1]!.entry.id, ticket: 'ticket-1' }
+      world.planner.answerAdvice(asked!, { allowed: [allowed], validMilliseconds: 3000 }, world.now)
+      world.settle()
+      expect(world.starts.map(start => [start.server, start.ticket])).to.deep.equal([[allowed.server, 'ticket-1'], [allowed.server, 'ticket-1']])
+    })
+
+    it('asks again where it had no answer, and not of those that it refused', () => {
+      const world = new World(2)
+      world.planner.submit(job('a', { queue: 'advised' }))
+      world.settle()
+      world.planner.answerAdvice(world.advice[0]!, undefined, world.now)
+      world.round(2000)
+      expect(world.advice).to.have.length(2)
+      world.planner.answerAdvice(world.advice[1]!, { allowed: [], validMilliseconds: 3000 }, world.now)
+      world.round(2000)
+      expect(world.advice).to.have.length(2)
+    })
+  })
+
+  describe('with tasks that fill', () => {
+    it('keeps them apart from tasks whose users wait for answers', () => {
+      const world = new World(2)
+      world.planner.submit(job('serves', { steps: [step({ isLasting: true, tailTargetMilliseconds: 20 })] }))
+      world.planner.submit(job('fills', { steps: [step({ count: 2, accelerators: 0, fillsIdleProcessor: true })] }))
+      world.settle()
+      expect(world.runs('fills.0.0.0')).not.to.equal(world.runs('serves.0.0.0'))
+      expect(world.runs('fills.0.0.1')).not.to.equal(undefined)
+    })
+  })
+
   describe('when an order has no answer', () => {
     it('starts the task elsewhere only after a stop of it was answered', () => {
       const world = new World(2)
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -1,6 +1,6 @@
 /** Backend servers in memory and a planner that drives them, on a clock that tests move. */
 import { epoch, workspaceName } from '@cornelgauge/model'
-import { configurationVersion, jobId, Planner, poolName, queueName, serverId, type Command, type Configuration, type Job, type ListedEnd, type ListedRun, type Queue, type RunEnd, type ServerEntry, type ServerId, type StartCommand, type StepSpecification, type StopCommand, type StoredJob } from '../src/index.js'
+import { configurationVersion, jobId, Planner, poolName, queueName, serverId, type AdviseCommand, type Command, type Configuration, type Job, type ListedEnd, type ListedRun, type Queue, type RunEnd, type ServerEntry, type ServerId, type StartCommand, type StepSpecification, type StopCommand, type StoredJob } from '../src/index.js'
 
 const EVERY_START = 1_700_000_000_000
 
@@ -35,10 +35,10 @@
   isPublic: false
 })
 
-/** Queues `urgent`, `long` and `bulk`; workspaces `brno` with a guarantee of 8, and `plzen` with none. */
+/** Queues `urgent`, `long`, `bulk` and `advised`; workspaces `brno` with a guarantee of 8, and `plzen` with none. */
 export const CONFIGURATION: Configuration = {
   version: configurationVersion(1),
-  queues: [queue('urgent', 0, 2), queue('long', 1, 4), queue('bulk', 2, 4)],
+  queues: [queue('urgent', 0, 2), queue('long', 1, 4), queue('bulk', 2, 4), { ...queue('advised', 2, 4), advice: { decisionMilliseconds: 20, perServerMilliseconds: 5, validMilliseconds: 3000 } }],
   pools: [{ name: poolName('pool'), maximumConnections: 64, enforcesCapacity: true, isStandby: false }],
   workspaces: [
     { name: workspaceName('brno'), keys: ['brno-key'], guaranteedAccelerators: 8 },
@@ -115,6 +115,7 @@
   /** Every start that was ordered. */
   readonly starts: StartCommand[] = []
   readonly stops: StopCommand[] = []
+  readonly advice: AdviseCommand[] = []
   /** The store takes writes. */
   storeIsUp = true
 
@@ -193,12 +194,16 @@
   }
 
   #perform (command: Command): void {
+    if (command.type === 'advise') {
+      this.advice.push(command)
+      return
+    }
     const server = this.#server(command.server)
     if (command.type === 'start') {
       this.starts.push(command)
       if (server.reach !== 'silent') server.start(command)
       this.planner.answerStart(command.server, command.task, command.run, server.reach === 'answers' ? 'started' : 'unanswered', this.now)
-    } else {
+    } else if (command.type === 'stop') {
       this.stops.push(command)
       const isAnswered = server.reach !== 'silent'
       if (isAnswered) server.stop(command)
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -136,6 +136,20 @@
     fields: { milliseconds: 'time it took' },
     action: NO_ACTION
   },
+  'advice-taken': {
+    number: 1026,
+    level: 'info',
+    sentence: 'The advice service has said where a step may run.',
+    fields: { step: 'step', asked: 'backend servers named', allowed: 'of these allowed' },
+    action: NO_ACTION
+  },
+  'advice-failed': {
+    number: 1027,
+    level: 'warning',
+    sentence: 'The advice service did not answer; it is asked again.',
+    fields: { step: 'step', failure: 'code' },
+    action: 'If it recurs, check the service: tasks of its queues can\'t start without it.'
+  },
   'job-request-answered': {
     number: 1030,
     level: 'info',
