--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -6,7 +6,8 @@
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { jobId, type Configuration, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
-import type { EventLog } from '@cornelgauge/telemetry'
+import type { EmitEvent } from '@cornelgauge/telemetry'
+import type { LogicalClock } from '@cornelgauge/wire'
 import { AnsweringStore } from './answering-store.js'
 import { CurrentConfiguration } from './current-configuration.js'
 import { decodeJob } from './job-record.js'
@@ -30,7 +31,8 @@
   readonly seeds: readonly string[]
   readonly secret: string
   readonly platform: PlatformView
-  readonly log: EventLog
+  readonly clock: LogicalClock
+  readonly emit: EmitEvent
 }
 
 type Questions = { readonly [Kind in PeerQuestion['kind']]: (question: Extract<PeerQuestion, { kind: Kind }>) => Promise<PeerAnswer> }
@@ -78,7 +80,7 @@
   }
 
   constructor (options: EntryVmOptions) {
-    const { vm, address, seeds, secret, platform, log } = options
+    const { vm, address, seeds, secret, platform, clock, emit } = options
     this.#options = options
     this.#store = new AnsweringStore(platform.store)
     this.#jobs = new JobStore(this.#store)
@@ -87,16 +89,16 @@
       vm,
       address,
       secret,
-      clock: log,
+      clock,
       answer: question => (this.#questions[question.kind] as (question: PeerQuestion) => Promise<PeerAnswer>)(question),
-      onEvent: event => { if (event.type === 'handler-failed') log.emit('peer-call-failed', { details: { address: event.address, kind: 'answer', failure: event.failure.code } }) }
+      onEvent: event => { if (event.type === 'handler-failed') emit('peer-call-failed', { details: { address: event.address, kind: 'answer', failure: event.failure.code } }) }
     })
     this.#leadership = new Leadership({
       self: { vm, address },
       seeds,
       store: this.#store,
       peers: this.#peers,
-      emit: (name, facts) => log.emit(name, facts),
+      emit,
       storeAge: () => this.#store.age,
       isReady: () => this.isReady,
       onOwned: owner => this.#own(owner),
@@ -127,12 +129,12 @@
   /** Joins the other VMs; returns at once, and becomes ready later. */
   async start (): Promise<void> {
     await this.#peers.listen()
-    const { platform, log } = this.#options
+    const { platform, emit } = this.#options
     const { signal } = this.#stopping
     const follower = new TableFollower(this.#store, {
       table: platform.configurationTable,
       onRows: (rows, asked) => this.configuration.take(platform.readConfiguration(rows), asked),
-      onFailure: failure => log.emit('feed-failed', { details: { table: platform.configurationTable, failure: failure.code } })
+      onFailure: failure => emit('feed-failed', { details: { table: platform.configurationTable, failure: failure.code } })
     })
     this.#background(follower.run(signal))
     this.#background(this.#leadership.run(signal))
@@ -206,7 +208,7 @@
   }
 
   #configure (configuration: Configuration): void {
-    this.#options.log.emit('configuration-in-force', { details: { version: configuration.version, queues: configuration.queues.length } })
+    this.#options.emit('configuration-in-force', { details: { version: configuration.version, queues: configuration.queues.length } })
     this.#host?.configure(configuration)
   }
 
@@ -221,14 +223,14 @@
   }
 
   async #askOwner<Kind extends PeerAnswer['kind']> (question: PeerQuestion): Promise<Extract<PeerAnswer, { kind: Kind }> | undefined> {
-    const { log } = this.#options
+    const { emit } = this.#options
     for (let attempt = 0; attempt < 2; attempt += 1) {
       const owner = this.#leadership.owner
       if (owner === undefined || owner.vm === this.#options.vm) return undefined
       try {
         return await this.#peers.ask<Kind>(owner.address, question, OWNER_CALL_MILLISECONDS)
       } catch (thrown) {
-        log.emit('peer-call-failed', { details: { address: owner.address, kind: question.kind, failure: asFailure(thrown).code } })
+        emit('peer-call-failed', { details: { address: owner.address, kind: question.kind, failure: asFailure(thrown).code } })
         if (this.#leadership.owner === owner) return undefined
       }
     }
@@ -245,7 +247,7 @@
 
   async #own (owner: OwnerRecord): Promise<void> {
     await this.#disown()
-    const { platform, log } = this.#options
+    const { platform, emit } = this.#options
     const started = performance.now()
     const [stored, registry] = await this.#persist(async () => await Promise.all([this.#jobs.load(), this.#store.readAll(platform.registryTable)]))
     if (this.#stopping.signal.aborted || this.#leadership.owner?.epoch !== owner.epoch) return
@@ -255,7 +257,7 @@
       store: this.#store,
       servers: platform.servers,
       advise: platform.advise,
-      emit: (name, facts) => log.emit(name, facts),
+      emit,
       confirmedAge: () => Math.min(this.#confirmedAge, this.#leadership.followedAge),
       onFenced: () => this.#fenced(host),
     })
@@ -265,8 +267,8 @@
     if (this.configuration.value !== undefined) host.configure(this.configuration.value)
     host.list(platform.readRegistry(new Map(registry.rows.map(row => [row.key, row.value]))))
     this.#followFor(host, stored.jobsVersion, stored.cancelsVersion, registry, this.#hosting.signal)
-    log.emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
-    for (const record of stored.damaged) log.emit('record-unreadable', { details: { record } })
+    emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
+    for (const record of stored.damaged) emit('record-unreadable', { details: { record } })
   }
 
   #confirmedAt = -Infinity
@@ -281,7 +283,7 @@
       try {
         return await read()
       } catch (thrown) {
-        this.#options.log.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
+        this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
         if (this.#stopping.signal.aborted) throw thrown
         await pause(systemClock, STORE_RETRY_MILLISECONDS, this.#stopping.signal)
       }
@@ -289,8 +291,8 @@
   }
 
   #followFor (host: PlannerHost, jobsVersion: number, cancelsVersion: number, registry: Awaited<ReturnType<RowStore['readAll']>>, signal: AbortSignal): void {
-    const { platform, log } = this.#options
-    const onFailure = (table: string) => (failure: CornelgaugeError): void => { log.emit('feed-failed', { details: { table, failure: failure.code } }) }
+    const { platform, emit } = this.#options
+    const onFailure = (table: string) => (failure: CornelgaugeError): void => { emit('feed-failed', { details: { table, failure: failure.code } }) }
     const jobs = new TableFollower(this.#store, {
       table: JOBS_TABLE,
       from: { rows: [], version: jobsVersion },
@@ -323,7 +325,7 @@
     try {
       host.submit(decodeJob(key, value))
     } catch (thrown) {
-      this.#options.log.emit('record-unreadable', { details: { record: `${key}: ${asFailure(thrown).message}` } })
+      this.#options.emit('record-unreadable', { details: { record: `${key}: ${asFailure(thrown).message}` } })
     }
   }
 
@@ -352,7 +354,7 @@
   /** Runs something that nobody waits for; what it throws is a fault of the program and ends the process. */
   #background (work: Promise<void>): void {
     work.catch(thrown => {
-      this.#options.log.emit('entry-failed', { details: { failure: asFailure(thrown).message } })
+      this.#options.emit('entry-failed', { details: { failure: asFailure(thrown).message } })
       setImmediate(() => { throw thrown })
     })
   }
