--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -29,7 +29,7 @@
 /** How long a task waits for the rack of its data before it runs elsewhere, in milliseconds: less than it loses there. */
 export const DATA_RACK_PATIENCE_MILLISECONDS = 2000
 /** How long a gang waits for one rack, or for backend servers without a failure, while most of the pool is idle, in milliseconds. */
-export const IDLE_POOL_PATIENCE_MILLISECONDS = 1500
+export const IDLE_POOL_PATIENCE_MILLISECONDS = 4000
 /** A ticket is used for starts that arrive before it expires: a call's time, in milliseconds. */
 export const TICKET_RESERVE_MILLISECONDS = 300
 /** Time after which advice that had no answer is asked for again, in milliseconds. */
