--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -1,11 +1,18 @@
 /**
- * Who comes first. Answers the load that asks more than there is: within a priority,
- * work that earns most for the capacity it takes goes first, and work that waits rises.
+ * Who comes first. Answers the load that asks more than there is: capacity goes to the
+ * work that still earns most for the capacity it takes. A job that can't end in time
+ * any more earns less, so it gives way to those that can, also of the next priority.
  */
 import type { JobState } from './job-state.js'
 
-/** Waiting this long doubles the weight of a job, in milliseconds: about the objective of urgent work. */
-export const AGE_WEIGHT_MILLISECONDS = 4000
+/** How much more the work of one priority counts than that of the next. */
+const PRIORITY_FACTOR = 4
+/** What a late answer still counts, against one in time. */
+const LATE_FACTOR = 0.25
+/** What an answer counts that comes after three times the objective: it's done when nothing else is to do. */
+const PAST_FACTOR = 0.01
+/** An answer later than this many times its objective helps nobody. */
+const LATEST_OBJECTIVES = 3
 /** The part of a job's worth that doesn't depend on its size, against the part of a mean job's. */
 const FIXED_WORTH = 0.3
 
@@ -20,6 +27,10 @@
   /** The mean of that over its queue. */
   readonly meanWork: number
   readonly waitedMilliseconds: number
+  /** Time that it is still expected to take once it has room. */
+  readonly remainingMilliseconds: number
+  /** Time from its acceptance in which it should end. */
+  readonly objectiveMilliseconds: number
 }
 
 /**
@@ -32,13 +43,25 @@
   const weights = new Map(candidates.map(candidate => [candidate, weightOf(candidate)]))
   return [...candidates].sort((left, right) =>
     Number(right.isClaim) - Number(left.isClaim) ||
-    left.priority - right.priority ||
-    weights.get(right)! - weights.get(left)!)
+    weights.get(right)! - weights.get(left)! ||
+    right.waitedMilliseconds - left.waitedMilliseconds)
 }
 
-/** Worth for the capacity it takes, raised with the time it has waited. */
-function weightOf ({ expectedWork, meanWork, waitedMilliseconds }: Candidate): number {
+/**
+ * What a job still earns for the capacity it takes, against a mean urgent job that is in time.
+ *
+ * @example
+ * weightOf(candidate)
+ */
+export function weightOf (candidate: Candidate): number {
+  const { priority, expectedWork, meanWork } = candidate
   const size = meanWork === 0 ? 1 : expectedWork / meanWork
   const worth = FIXED_WORTH + (1 - FIXED_WORTH) * size
-  return (worth / Math.max(size, Number.EPSILON)) * (1 + waitedMilliseconds / AGE_WEIGHT_MILLISECONDS)
+  return PRIORITY_FACTOR ** -priority * (worth / Math.max(size, Number.EPSILON)) * timeFactor(candidate)
+}
+
+function timeFactor ({ waitedMilliseconds, remainingMilliseconds, objectiveMilliseconds }: Candidate): number {
+  const end = waitedMilliseconds + remainingMilliseconds
+  if (end <= objectiveMilliseconds) return 1
+  return end <= LATEST_OBJECTIVES * objectiveMilliseconds ? LATE_FACTOR : PAST_FACTOR
 }
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -1,7 +1,7 @@
 /** One round of decisions: what is stopped, and what starts where. */
 import { advisedRoom, askAdvice, ticketFor } from './advice.js'
 import type { AdviseCommand, Command, StartCommand } from './command.js'
-import { acceleratorsOf } from './job.js'
+import { acceleratorsOf, dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, UNSOUND_MILLISECONDS } from './limits.js'
 import { inOrder, type Candidate } from './order.js'
@@ -119,7 +119,9 @@
       isClaim: this.#claims.has(job),
       expectedWork,
       meanWork: this.#state.meanWork(queue.name),
-      waitedMilliseconds: Math.max(0, this.#times.wallTime - job.job.acceptedAt)
+      waitedMilliseconds: Math.max(0, this.#times.wallTime - Math.max(...steps.map(step => dueAt(job.job, step.occurrence)))),
+      remainingMilliseconds: chainLength(job, step => !step.isDone) * mean,
+      objectiveMilliseconds: queue.stretch * chainLength(job, () => true) * mean + queue.latencyMilliseconds
     }
   }
 
@@ -276,6 +278,16 @@
   }
 }
 
+/** Steps in the longest chain, of those that count. */
+function chainLength (job: JobState, counts: (step: StepState) => boolean): number {
+  const lengths: number[] = []
+  for (const step of job.steps.filter(step => step.occurrence === job.steps.at(-1)?.occurrence)) {
+    const before = Math.max(0, ...step.specification.after.map(number => lengths[number] ?? 0))
+    lengths.push(before + (counts(step) ? 1 : 0))
+  }
+  return Math.max(0, ...lengths)
+}
+
 /** Half of the accelerators, or more, are free. */
 function isMostlyIdle (room: Room): boolean {
   const free = room.places.reduce((sum, place) => sum + place.free.accelerators, 0)
