Lend what claims are expected to need only to work that saves checkpoints

Ruled out: the 139 stops of gang members after the first member's end (they had ended); they aren't sent any more.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -10,6 +10,10 @@
 export const UNSOUND_MILLISECONDS = 8000
 /** Runs that make no progress for this long are taken for stuck, in milliseconds: several looks. */
 export const STUCK_MILLISECONDS = 4000
+/** A run is stuck only if its progress stands still this many times as long as one percent of it took so far. */
+export const STUCK_PERCENTS = 6
+/** Claims are expected to come back to their last peak, which fades in about this time, in milliseconds: a wave of demand. */
+export const CLAIM_MEMORY_MILLISECONDS = 10_000
 /** A run number is the owner's epoch times this, and a count: an owner makes fewer starts. */
 export const RUNS_PER_EPOCH = 1_000_000
 /** How long a final state is told, in milliseconds; the platform asks for 120 s. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -141,7 +141,9 @@
 }
 
 function finishIfDone (job: JobState, wallTime: number): void {
-  if (job.isOpen && job.isDone) close(job, 'completed', 'done-elsewhere', wallTime)
+  if (!job.isOpen || !job.isDone) return
+  job.phase = 'completed'
+  job.finishedAt = wallTime
 }
 
 /**
@@ -150,7 +152,7 @@
  * @example
  * close(job, 'canceled', 'cancelled', Date.now())
  */
-export function close (job: JobState, phase: 'completed' | 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
+export function close (job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
   job.phase = phase
   job.finishedAt = wallTime
   for (const run of job.runs) stopRun(run, reason)
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,7 +3,8 @@
 import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { acceleratorsOf, dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
-import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, UNSOUND_MILLISECONDS } from './limits.js'
+import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS } from './limits.js'
+import { acceleratorsOfJobs } from './lending.js'
 import { inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
 import { planReclaim, type VictimGroup } from './reclaim.js'
@@ -52,7 +53,9 @@
 function stopStuck (state: PlannerState, server: Server, now: number): void {
   if (server.missedLooks > 0) return
   for (const run of server.runs.values()) {
-    if (run.state !== 'running' || now - run.percentAt < STUCK_MILLISECONDS) continue
+    const percentMilliseconds = run.percent === 0 ? 0 : (run.percentAt - run.confirmedAt) / run.percent
+    const patience = Math.max(STUCK_MILLISECONDS, STUCK_PERCENTS * percentMilliseconds)
+    if (run.state !== 'running' || now - run.percentAt < patience) continue
     if (state.task(run.task)?.step.specification.isLasting !== false) continue
     server.failures += 1
     server.lastFailureAt = now
@@ -82,6 +85,8 @@
   readonly #future: Room
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
+  /** Accelerators that work without checkpoints may still take. */
+  #unsavedLeft: number
 
   constructor (state: PlannerState, times: RoundTimes, commands: (StartCommand | AdviseCommand)[]) {
     this.#state = state
@@ -91,6 +96,7 @@
     this.#future = roomOf(state, times.now, futureOf)
     this.#claims = claimsOf(state)
     this.#isMostlyIdle = isMostlyIdle(this.#room)
+    this.#unsavedLeft = this.#isMostlyIdle ? Infinity : this.#lendable()
   }
 
   place (): void {
@@ -134,8 +140,31 @@
     if (this.#isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#askAdvice(step)
   }
 
+  /** What is free or cheap to reclaim, less what claims are expected to need. */
+  #lendable (): number {
+    const expected = this.#state.claimDemand.observe(acceleratorsOfJobs(this.#claims), this.#times.now)
+    let available = 0
+    for (const { server, free } of this.#room.places) {
+      available += Math.max(0, free.accelerators)
+      for (const run of server.runs.values()) {
+        const step = this.#state.task(run.task)?.step
+        if (step?.specification.savesCheckpoints === true && !this.#claims.has(step.job)) available += run.need.accelerators
+      }
+    }
+    return available - expected
+  }
+
+  /** Takes from what may be lent to work without checkpoints; false if there isn't as much. */
+  #lend (unit: StartUnit, { isClaim }: Candidate): boolean {
+    const { savesCheckpoints, need } = unit.step.specification
+    const accelerators = unit.tasks.length * need.accelerators
+    if (isClaim || savesCheckpoints || accelerators === 0) return true
+    return accelerators <= this.#unsavedLeft
+  }
+
   #placeTogether (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
+    if (!this.#lend(unit, candidate)) return
     const places = placeGang(this.#roomFor(step), step, this.#isPatient(unit.tasks[0]!))
     if (places === undefined) {
       if (candidate.isClaim) this.#reclaim(unit)
@@ -149,6 +178,7 @@
     const { step } = unit
     let blocked = 0
     for (const task of unit.tasks) {
+      if (!this.#lend({ step, tasks: [task] }, candidate)) return
       const place = this.#placeOne(step, task)
       if (place === undefined) blocked += 1
       else this.#start(task, place, this.#state.nextRun())
@@ -216,6 +246,7 @@
       checkpoint: '',
       stopSentAt: -Infinity
     }
+    if (!task.step.specification.savesCheckpoints && !this.#claims.has(task.step.job)) this.#unsavedLeft -= started.need.accelerators
     server.add(started)
     task.runs.add(started)
     task.readySince = undefined
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -6,6 +6,7 @@
 import { runNumber } from './ids.js'
 import { acceleratorsOf } from './job.js'
 import type { JobState, StepState, TaskState } from './job-state.js'
+import { ClaimDemand } from './lending.js'
 import { FIRST_RUN_GUESS_MILLISECONDS, LEASE_MILLISECONDS, LOST_OWNER_MILLISECONDS, RUNS_PER_EPOCH, RUN_TIME_WEIGHT, SERVER_CLOCK_SLOWEST } from './limits.js'
 import { Server, type ServerEntry } from './server.js'
 
@@ -15,6 +16,7 @@
   readonly jobs = new Map<JobId, JobState>()
   readonly servers = new Map<ServerId, Server>()
   configuration: Configuration | undefined
+  readonly claimDemand = new ClaimDemand()
   /** Queues of earlier versions, for jobs that were accepted on them. */
   readonly #queues = new Map<QueueName, Queue>()
   readonly #meanWorks = new Map<QueueName, number>()
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -340,3 +340,39 @@
     })
   })
 })
+
+describe('lending of guaranteed accelerators', () => {
+  it('keeps work without checkpoints off what claims of late are expected to need again', () => {
+    const world = new World(2)
+    world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', steps: [step({ accelerators: 8 })] }))
+    world.settle()
+    world.runs('claim.0.0.0')!.end('claim.0.0.0', 'done')
+    world.planner.submit(job('first', { steps: [step({ accelerators: 6 })] }))
+    world.planner.submit(job('second', { steps: [step({ accelerators: 6 })] }))
+    world.planner.submit(job('third', { steps: [step({ accelerators: 3, savesCheckpoints: true })] }))
+    world.settle()
+    expect(world.runs('second.0.0.0') === undefined || world.runs('first.0.0.0') === undefined).to.equal(true)
+    expect(world.runs('third.0.0.0')).not.to.equal(undefined)
+  })
+})
+
+describe('a run that stands still', () => {
+  it('is stopped after some seconds, and not while its progress is slow by nature', () => {
+    const world = new World(1)
+    world.planner.submit(job('a'))
+    world.settle()
+    const [server] = world.servers
+    const advance = (percent: number, milliseconds: number): void => {
+      const run = server!.running.get('a.0.0.0')!
+      server!.running.set('a.0.0.0', { ...run, percent })
+      world.now += milliseconds
+      world.look()
+      world.round()
+    }
+    for (let percent = 1; percent <= 5; percent += 1) advance(percent, 3000)
+    advance(5, 5000)
+    expect(world.stops).to.have.length(0)
+    for (let time = 0; time < 5; time += 1) advance(5, 5000)
+    expect(world.stops.map(stop => stop.reason)).to.include('stuck')
+  })
+})
