--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,7 +3,7 @@
 import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { acceleratorsOf, dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
-import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS } from './limits.js'
+import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS, WORK_DONE_PERCENT } from './limits.js'
 import { acceleratorsOfJobs } from './lending.js'
 import { inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
@@ -55,7 +55,7 @@
   for (const run of server.runs.values()) {
     const percentMilliseconds = run.percent === 0 ? 0 : (run.percentAt - run.confirmedAt) / run.percent
     const patience = Math.max(STUCK_MILLISECONDS, STUCK_PERCENTS * percentMilliseconds)
-    if (run.state !== 'running' || now - run.percentAt < patience) continue
+    if (run.state !== 'running' || run.percent >= WORK_DONE_PERCENT || now - run.percentAt < patience) continue
     if (state.task(run.task)?.step.specification.isLasting !== false) continue
     server.failures += 1
     server.lastFailureAt = now
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -357,6 +357,21 @@
 })
 
 describe('a run that stands still', () => {
+  it('is left alone where its work is done and it waits for the rest of its gang', () => {
+    const world = new World(1)
+    world.planner.submit(job('wide', { steps: [step({ count: 2, isGang: true })] }))
+    world.settle()
+    const [server] = world.servers
+    for (let percent = 10; percent <= 100; percent += 2) {
+      server!.running.set('wide.0.0.0', { ...server!.running.get('wide.0.0.0')!, percent: Math.min(100, 2 * percent) })
+      server!.running.set('wide.0.0.1', { ...server!.running.get('wide.0.0.1')!, percent })
+      world.now += 1000
+      world.look()
+      world.round()
+    }
+    expect(world.stops).to.deep.equal([])
+  })
+
   it('is stopped after some seconds, and not while its progress is slow by nature', () => {
     const world = new World(1)
     world.planner.submit(job('a'))
