--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -184,7 +184,9 @@
       for (const member of answer.members) if (member.vm !== this.#options.self.vm) this.#members.set(member.vm, { storeAge: 0, ...member, heardAt: now })
       return
     }
-    const isKnownGone = answer !== undefined || owner.address === this.#options.self.address
+    // A VM that hasn't heard of this epoch may be about to learn that its own claim has won.
+    const hasGivenUp = answer !== undefined && (answer.owner?.epoch ?? 0) >= owner.epoch
+    const isKnownGone = hasGivenUp || owner.address === this.#options.self.address
     this.#misses = isKnownGone ? MISSED_HEARTBEATS : this.#misses + 1
     if (this.#misses >= MISSED_HEARTBEATS && this.#owner?.epoch === owner.epoch) await this.#replace(owner, isKnownGone, signal)
   }
--- /dev/null
+++ b/packages/entry/test/store.test.ts
@@ -0,0 +1,124 @@
+import { epoch, vmName, workspaceName, type CornelgaugeError } from '@cornelgauge/model'
+import { jobId, Planner, poolName, queueName } from '@cornelgauge/jobs'
+import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
+import { expect } from 'chai'
+import { JobStore, type JobDraft } from '../src/job-store.js'
+import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
+import { ProgressWriter } from '../src/progress-writer.js'
+
+const ID = jobId('00000000000000a1')
+const DRAFT: JobDraft = {
+  id: ID,
+  queue: queueName('check'),
+  pool: poolName('pool'),
+  workspace: workspaceName('brno'),
+  specification: 'work',
+  acceptedAt: 1000,
+  steps: [{
+    count: 2,
+    need: { processor: 1, memory: 1, accelerators: 1 },
+    estimateMilliseconds: 0,
+    after: [],
+    savesCheckpoints: false,
+    isGang: false,
+    wantsOneRack: false,
+    allowsCopies: false,
+    isLasting: false,
+    fillsIdleProcessor: false
+  }]
+}
+const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
+const OTHER = { vm: vmName('vm-b'), address: '10.0.0.2:7000' }
+
+const codeOf = async (work: Promise<unknown>): Promise<string> => await work.then(() => 'none', (failure: CornelgaugeError) => failure.code)
+const soon = (): number => performance.now() + 300
+
+describe('what the entry VMs store', () => {
+  let store: MemoryRowStore
+  let view: MemoryRowStoreView
+  let owner: OwnerRecord
+
+  beforeEach(async () => {
+    store = new MemoryRowStore()
+    view = store.view()
+    owner = await claimOwnership(view, NO_OWNER, SELF)
+  })
+
+  describe('ownership', () => {
+    it('goes to one of two VMs that claim at the same time', async () => {
+      const claims = await Promise.all([claimOwnership(view, owner, SELF), claimOwnership(store.view(), owner, OTHER)])
+      expect(new Set(claims.map(claim => claim.claim))).to.have.length(1)
+      expect(claims[0]!.epoch).to.equal(2)
+    })
+
+    it('is settled by reading back where the answer of a claim was lost', async () => {
+      view.fault = 'losing-answers'
+      const claimed = await claimOwnership(view, owner, OTHER)
+      expect(claimed).to.include({ vm: OTHER.vm, epoch: 2 })
+    })
+  })
+
+  describe('an accepted job', () => {
+    const accept = (known: OwnerRecord, onOwner: (owner: OwnerRecord) => void = () => {}): ReturnType<JobStore['accept']> =>
+      new JobStore(view).accept(DRAFT, () => known, onOwner, soon())
+
+    it('carries the epoch of its owner', async () => {
+      expect((await accept(owner)).acceptedUnder).to.equal(1)
+      expect(store.rows('jobs')[0]!.value.acceptedUnder).to.equal(1)
+    })
+
+    it('is stored under the newer owner where the one known has been replaced', async () => {
+      const newer = await claimOwnership(view, owner, OTHER)
+      let known = owner
+      const job = await new JobStore(view).accept(DRAFT, () => known, learned => { known = learned }, soon())
+      expect(job.acceptedUnder).to.equal(newer.epoch)
+    })
+
+    it('stays as it is when it comes again', async () => {
+      await accept(owner)
+      await new JobStore(view).accept({ ...DRAFT, specification: 'other' }, () => owner, () => {}, soon())
+      expect(store.rows('jobs')[0]!.value.specification).to.equal('work')
+    })
+
+    it('is told as not stored only where each try was refused', async () => {
+      view.fault = 'refusing'
+      expect(await codeOf(accept(owner))).to.equal('overloaded')
+      view.fault = 'down'
+      expect(await codeOf(accept(owner))).to.equal('outcome-unknown')
+    })
+  })
+
+  describe('progress', () => {
+    const planner = (): Planner => {
+      const planner = new Planner(epoch(1), [{ job: { ...DRAFT, acceptedUnder: epoch(1) }, isCancelled: false }], { now: 0, wallTime: 0 })
+      planner.cancel(ID, 1000)
+      return planner
+    }
+
+    it('is read by the next owner', async () => {
+      await new JobStore(view).accept(DRAFT, () => owner, () => {}, soon())
+      const current = planner()
+      await new ProgressWriter(view, owner, new Map()).write(current)
+      expect(current.unsaved.size).to.equal(0)
+      const loaded = await new JobStore(view).load()
+      expect(loaded.jobs[0]!.progress?.phase).to.equal('canceled')
+      expect(await new JobStore(view).phaseOf(ID)).to.equal('canceled')
+    })
+
+    it('is not written by an owner that was replaced', async () => {
+      await claimOwnership(view, owner, OTHER)
+      expect(await codeOf(new ProgressWriter(view, owner, new Map()).write(planner()))).to.equal('stale-epoch')
+      expect(store.rows('progress')).to.have.length(0)
+    })
+
+    it('is written after a write whose answer was lost', async () => {
+      const writer = new ProgressWriter(view, owner, new Map())
+      const current = planner()
+      view.fault = 'losing-answers'
+      expect(await codeOf(writer.write(current))).to.equal('unavailable')
+      view.fault = 'none'
+      await writer.write(current)
+      expect(current.unsaved.size).to.equal(0)
+    })
+  })
+})
