--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -4,7 +4,7 @@
  */
 import { asFailure, CornelgaugeError, type VmName } from '@cornelgauge/model'
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { jobId, type Configuration, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
+import { jobId, type Configuration, type Job, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { LogicalClock } from '@cornelgauge/wire'
@@ -13,7 +13,7 @@
 import { decodeJob } from './job-record.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
-import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, RELAY_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import type { PeerAnswer, PeerQuestion } from './messages.js'
 import type { OwnerRecord } from './owner-record.js'
 import { Peers } from './peers.js'
@@ -60,6 +60,11 @@
 
   readonly #questions: Questions = {
     beat: async beat => this.#leadership.hear(beat),
+    accept: async ({ draft }) => {
+      const job = await this.#storeJob(draft, performance.now() + RELAY_MILLISECONDS)
+      this.#tellOwner({ kind: 'job', job })
+      return { kind: 'accept', job }
+    },
     job: async ({ job }) => {
       this.#hostOrFail().submit(job)
       return { kind: 'taken' }
@@ -159,8 +164,7 @@
    * `outcome-unknown` if that isn't known by the deadline on the steady clock
    */
   async submit (draft: JobDraft, deadline: number): Promise<void> {
-    const job = await this.#jobs.accept(draft, () => this.#leadership.owner, owner => this.#leadership.follow(owner), deadline)
-    this.#tellOwner({ kind: 'job', job })
+    this.#tellOwner({ kind: 'job', job: await this.#accept(draft, deadline) })
   }
 
   /**
@@ -202,6 +206,33 @@
     return answer.count
   }
 
+  /** Stores a job, by way of another VM where the store turns only this one away. */
+  async #accept (draft: JobDraft, deadline: number): Promise<Job> {
+    try {
+      return await this.#storeJob(draft, deadline)
+    } catch (thrown) {
+      const helper = this.#leadership.helper
+      if (asFailure(thrown).code !== 'overloaded' || helper === undefined) throw thrown
+      return await this.#relay(helper.address, draft, deadline)
+    }
+  }
+
+  #storeJob (draft: JobDraft, deadline: number): Promise<Job> {
+    return this.#jobs.accept(draft, () => this.#leadership.owner, owner => this.#leadership.follow(owner), deadline)
+  }
+
+  /** A relay without an answer may have stored the job: only the store can tell. */
+  async #relay (address: string, draft: JobDraft, deadline: number): Promise<Job> {
+    try {
+      return (await this.#peers.ask<'accept'>(address, { kind: 'accept', draft }, Math.min(RELAY_MILLISECONDS, deadline - performance.now()))).job
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      this.#options.emit('peer-call-failed', { details: { address, kind: 'accept', failure: failure.code } })
+      if (failure.code === 'overloaded' || failure.members.sent === false) throw new CornelgaugeError('overloaded', { detail: 'The store refused this VM, and no other VM could store the job' })
+      throw new CornelgaugeError('outcome-unknown')
+    }
+  }
+
   #hostOrFail (): PlannerHost {
     if (this.#host === undefined) throw new CornelgaugeError('not-owner')
     return this.#host
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -3,7 +3,7 @@
 import { decodeProgress, FINAL_PHASES, jobId, type Job, type JobId, type JobPhase, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
 import { decodeJob, encodeJob } from './job-record.js'
-import { STORE_RETRY_MILLISECONDS } from './limits.js'
+import { REFUSED_PATIENCE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import { pause, systemClock } from '@cornelgauge/coordination'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
@@ -114,10 +114,14 @@
     }
   }
 
-  /** Tries the write of a row until it is answered or the row is there. */
+  /**
+   * Tries the write of a row until it is answered or the row is there. While the store
+   * refuses each try, nothing can have been done, and the caller hears so soon.
+   */
   async #untilAnswered (table: string, key: string, deadline: number, write: () => Promise<boolean>): Promise<void> {
     let isUnsettled = false
-    while (performance.now() < deadline) {
+    const patience = Math.min(deadline, performance.now() + REFUSED_PATIENCE_MILLISECONDS)
+    while (performance.now() < (isUnsettled ? deadline : patience)) {
       try {
         if (isUnsettled && await this.#rows.read(table, key) !== undefined) return
         if (await write()) return
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -72,6 +72,12 @@
     return [...this.#members.values()].filter(member => now - member.heardAt < MEMBER_MILLISECONDS)
   }
 
+  /** A VM that may reach the store where this one doesn't: the owner, who gives way where it doesn't either. */
+  get helper (): Member | undefined {
+    if (this.isOwner) return this.#successors()[0]
+    return this.#owner
+  }
+
   /** Milliseconds since most peers followed this owner; the store's word counts beside it. */
   get followedAge (): number {
     const now = performance.now()
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -50,5 +50,9 @@
 export const OWNER_CALL_MILLISECONDS = 500
 /** Part of a revocation's bound kept back for what happens between the check and the answer. */
 export const REVOCATION_RESERVE_MILLISECONDS = 600
+/** How long a write that the store refuses is tried, before another VM is asked or the caller is told. */
+export const REFUSED_PATIENCE_MILLISECONDS = 250
+/** Time limit of a job that is handed to another VM to be stored: several writes of a calm store. */
+export const RELAY_MILLISECONDS = 800
 /** What callers are told to wait before they come again, in seconds. */
 export const RETRY_AFTER_SECONDS = 1
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,7 @@
 /** What entry VMs say to each other, carried by the inner protocol's extension messages. */
 import { CornelgaugeError, type Epoch, type VmName } from '@cornelgauge/model'
 import type { Job, JobId, JobPhase, QueueName } from '@cornelgauge/jobs'
+import type { JobDraft } from './job-store.js'
 
 /** The owner as a VM knows it. */
 export interface KnownOwner {
@@ -21,6 +22,8 @@
 export type PeerQuestion =
   /** Heartbeat of a VM: who it is, what owner it follows and whether it reaches the store. */
   | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly isReady: boolean }
+  /** A caller's job, from a VM that the store turns away; the peer stores it. */
+  | { readonly kind: 'accept', readonly draft: JobDraft }
   /** A job was stored. */
   | { readonly kind: 'job', readonly job: Job }
   /** A job's cancel was stored. */
@@ -34,10 +37,11 @@
 export type PeerAnswer =
   | { readonly kind: 'beat', readonly isOwner: boolean, readonly owner?: KnownOwner, readonly members: readonly Member[], readonly ownerHeardAge: number }
   | { readonly kind: 'taken' }
+  | { readonly kind: 'accept', readonly job: Job }
   | { readonly kind: 'phase', readonly phase?: JobPhase }
   | { readonly kind: 'queued', readonly count: number }
 
-const QUESTION_KINDS: ReadonlySet<unknown> = new Set<PeerQuestion['kind']>(['beat', 'job', 'cancel', 'phase', 'queued', 'succeed'])
+const QUESTION_KINDS: ReadonlySet<unknown> = new Set<PeerQuestion['kind']>(['beat', 'accept', 'job', 'cancel', 'phase', 'queued', 'succeed'])
 
 /**
  * The question in a message of a peer, which may be of another release.
