--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -12,6 +12,10 @@
 export const STUCK_MILLISECONDS = 4000
 /** A run is stuck only if its progress stands still this many times as long as one percent of it took so far. */
 export const STUCK_PERCENTS = 6
+/** How long a claim waits for room to come by itself before work that isn't saved is stopped for it, in milliseconds: less than the slack of urgent work, far less than the reclaim bound. */
+export const RECLAIM_PATIENCE_MILLISECONDS = 350
+/** Core-seconds of unsaved work that are stopped without that wait: about one young task. */
+export const CHEAP_RECLAIM_CORE_SECONDS = 60
 /** Of the guaranteed accelerators that nobody claims, this share is expected to be claimed before long work ends. */
 export const LEAST_EXPECTED_SHARE = 0.5
 /** A run at this percentage has done its work; a member of a gang waits there for the slower ones. */
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,7 +3,7 @@
 import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { acceleratorsOf, dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
-import { DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS, WORK_DONE_PERCENT } from './limits.js'
+import { CHEAP_RECLAIM_CORE_SECONDS, DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, RECLAIM_PATIENCE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS, WORK_DONE_PERCENT } from './limits.js'
 import { acceleratorsOfJobs } from './lending.js'
 import { inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
@@ -266,7 +266,10 @@
   #reclaim ({ step, tasks }: StartUnit): void {
     const reclaim = planReclaim(this.#future, step, tasks.length, this.#victims())
     if (reclaim === undefined) return
-    for (const group of reclaim.victims) {
+    const cost = reclaim.victims.reduce((sum, group) => sum + group.cost, 0)
+    const isPatient = this.#times.now - (tasks[0]?.readySince ?? this.#times.now) < RECLAIM_PATIENCE_MILLISECONDS
+    const victims = cost > CHEAP_RECLAIM_CORE_SECONDS && isPatient ? [] : reclaim.victims
+    for (const group of victims) {
       for (const { run, need } of group.members) {
         stopRun(run, 'reclaimed')
         const place = this.#future.placeOf(run.server)
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -246,6 +246,19 @@
       expect(world.runs('claim.0.0.1')).not.to.equal(undefined)
     })
 
+    it('lets a claim wait a moment for room that comes by itself, rather than stop old work', () => {
+      const world = new World(1)
+      world.planner.submit(job('lent', { steps: [step({ count: 8, isGang: true })] }))
+      world.settle()
+      world.now += 3000
+      world.look()
+      world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', steps: [step({ accelerators: 4 })] }))
+      world.settle()
+      expect(world.stops).to.have.length(0)
+      world.settle(30)
+      expect(world.runs('claim.0.0.0')).not.to.equal(undefined)
+    })
+
     it('stops nothing for urgent work beyond the guarantee', () => {
       const world = new World(1)
       world.planner.submit(job('lent', { steps: [step({ count: 8 })] }))
