--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -13,7 +13,7 @@
 import { decodeJob } from './job-record.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
-import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, RELAY_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, RELAY_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
 import type { PeerAnswer, PeerQuestion } from './messages.js'
 import type { OwnerRecord } from './owner-record.js'
 import { Peers } from './peers.js'
@@ -88,7 +88,7 @@
     const { vm, address, seeds, secret, platform, clock, emit } = options
     this.#options = options
     this.#store = new AnsweringStore(platform.store)
-    this.#jobs = new JobStore(this.#store)
+    this.#jobs = new JobStore(this.#store, () => this.#isStoreSilent)
     this.configuration = new CurrentConfiguration(configuration => this.#configure(configuration))
     this.#peers = new Peers({
       vm,
@@ -118,7 +118,7 @@
 
   /** True if requests can be taken: a configuration is in force and the store answers. */
   get isReady (): boolean {
-    return this.configuration.value !== undefined && !this.#stopping.signal.aborted
+    return this.configuration.value !== undefined && !this.#isStoreSilent && !this.#stopping.signal.aborted
   }
 
   /** True while this VM owns the planner. */
@@ -206,14 +206,20 @@
     return answer.count
   }
 
-  /** Stores a job, by way of another VM where the store turns only this one away. */
+  /** The store hasn't answered this VM for a while. */
+  get #isStoreSilent (): boolean {
+    return this.#store.age > STORE_SILENT_MILLISECONDS
+  }
+
+  /** Stores a job, by way of another VM where the store doesn't serve this one. */
   async #accept (draft: JobDraft, deadline: number): Promise<Job> {
+    const helper = this.#leadership.helper
     try {
+      if (this.#isStoreSilent) throw new CornelgaugeError('overloaded', { detail: 'The store doesn\'t answer this VM' })
       return await this.#storeJob(draft, deadline)
     } catch (thrown) {
-      const helper = this.#leadership.helper
-      if (asFailure(thrown).code !== 'overloaded' || helper === undefined) throw thrown
-      return await this.#relay(helper.address, draft, deadline)
+      if (helper === undefined) throw thrown
+      return await this.#relay(helper.address, draft, deadline, asFailure(thrown).code === 'overloaded')
     }
   }
 
@@ -221,14 +227,14 @@
     return this.#jobs.accept(draft, () => this.#leadership.owner, owner => this.#leadership.follow(owner), deadline)
   }
 
-  /** A relay without an answer may have stored the job: only the store can tell. */
-  async #relay (address: string, draft: JobDraft, deadline: number): Promise<Job> {
+  /** A relay without an answer may have stored the job: only the store can tell. Nor is it settled if this VM's own tries aren't. */
+  async #relay (address: string, draft: JobDraft, deadline: number, isSettled: boolean): Promise<Job> {
     try {
       return (await this.#peers.ask<'accept'>(address, { kind: 'accept', draft }, Math.min(RELAY_MILLISECONDS, deadline - performance.now()))).job
     } catch (thrown) {
       const failure = asFailure(thrown)
       this.#options.emit('peer-call-failed', { details: { address, kind: 'accept', failure: failure.code } })
-      if (failure.code === 'overloaded' || failure.members.sent === false) throw new CornelgaugeError('overloaded', { detail: 'The store refused this VM, and no other VM could store the job' })
+      if (isSettled && (failure.code === 'overloaded' || failure.members.sent === false)) throw new CornelgaugeError('overloaded', { detail: 'The store refused this VM, and no other VM could store the job' })
       throw new CornelgaugeError('outcome-unknown')
     }
   }
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -3,7 +3,7 @@
 import { decodeProgress, FINAL_PHASES, jobId, type Job, type JobId, type JobPhase, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
 import { decodeJob, encodeJob } from './job-record.js'
-import { REFUSED_PATIENCE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import { REFUSED_PATIENCE_MILLISECONDS, STORE_RETRY_MILLISECONDS, STORE_TIMEOUT_MILLISECONDS } from './limits.js'
 import { pause, systemClock } from '@cornelgauge/coordination'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
@@ -35,9 +35,12 @@
  */
 export class JobStore {
   readonly #rows: RowStore
+  readonly #isSilent: () => boolean
 
-  constructor (rows: RowStore) {
+  /** `isSilent` tells that the store hasn't answered this VM for a while. */
+  constructor (rows: RowStore, isSilent: () => boolean = () => false) {
     this.#rows = rows
+    this.#isSilent = isSilent
   }
 
   /**
@@ -116,12 +119,14 @@
 
   /**
    * Tries the write of a row until it is answered or the row is there. While the store
-   * refuses each try, nothing can have been done, and the caller hears so soon.
+   * refuses each try, nothing can have been done, and the caller hears so soon. A try
+   * that can't end before the deadline isn't made, nor one at a store that is silent.
    */
   async #untilAnswered (table: string, key: string, deadline: number, write: () => Promise<boolean>): Promise<void> {
     let isUnsettled = false
     const patience = Math.min(deadline, performance.now() + REFUSED_PATIENCE_MILLISECONDS)
-    while (performance.now() < (isUnsettled ? deadline : patience)) {
+    const lastTry = deadline - STORE_TIMEOUT_MILLISECONDS
+    while (performance.now() < (isUnsettled ? lastTry : patience) && !(isUnsettled && this.#isSilent())) {
       try {
         if (isUnsettled && await this.#rows.read(table, key) !== undefined) return
         if (await write()) return
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -72,10 +72,10 @@
     return [...this.#members.values()].filter(member => now - member.heardAt < MEMBER_MILLISECONDS)
   }
 
-  /** A VM that may reach the store where this one doesn't: the owner, who gives way where it doesn't either. */
+  /** A VM that answers and may reach the store where this one doesn't: the owner, who gives way where it doesn't either. */
   get helper (): Member | undefined {
     if (this.isOwner) return this.#successors()[0]
-    return this.#owner
+    return performance.now() - this.#heardOwnerAt < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
   }
 
   /** Milliseconds since most peers followed this owner; the store's word counts beside it. */
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -52,6 +52,8 @@
 export const REVOCATION_RESERVE_MILLISECONDS = 600
 /** How long a write that the store refuses is tried, before another VM is asked or the caller is told. */
 export const REFUSED_PATIENCE_MILLISECONDS = 250
+/** A store that hasn't answered for this long is silent: a feed answers every 0.7 s in any case. */
+export const STORE_SILENT_MILLISECONDS = 1100
 /** Time limit of a job that is handed to another VM to be stored: several writes of a calm store. */
 export const RELAY_MILLISECONDS = 800
 /** What callers are told to wait before they come again, in seconds. */
