--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -126,7 +126,7 @@
     let isUnsettled = false
     const patience = Math.min(deadline, performance.now() + REFUSED_PATIENCE_MILLISECONDS)
     const lastTry = deadline - STORE_TIMEOUT_MILLISECONDS
-    while (performance.now() < (isUnsettled ? lastTry : patience) && !(isUnsettled && this.#isSilent())) {
+    do {
       try {
         if (isUnsettled && await this.#rows.read(table, key) !== undefined) return
         if (await write()) return
@@ -135,7 +135,7 @@
         if (failure.code !== 'overloaded') isUnsettled = true
         await pause(systemClock, STORE_RETRY_MILLISECONDS)
       }
-    }
+    } while (performance.now() < (isUnsettled ? lastTry : patience) && !(isUnsettled && this.#isSilent()))
     if (isUnsettled) throw new CornelgaugeError('outcome-unknown')
     throw new CornelgaugeError('overloaded', { detail: 'The store refused the write' })
   }
