--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -238,6 +238,7 @@
   async #tryClaim (reason: string): Promise<void> {
     const { store, self, emit } = this.#options
     const started = performance.now()
+    const silent = started - this.#heardOwnerAt
     try {
       const known = await readOwner(store)
       if (known !== undefined && known.epoch > (this.#owner?.epoch ?? 0)) {
@@ -248,7 +249,7 @@
       this.#follow(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (known?.epoch ?? 0) + 1) return
       this.#owned = owner
-      emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: known?.vm, silent: Math.round(started - this.#heardOwnerAt), milliseconds: Math.round(performance.now() - started) } })
+      emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: known?.vm, silent: Number.isFinite(silent) ? Math.round(silent) : undefined, milliseconds: Math.round(performance.now() - started) } })
       await this.#options.onOwned(owner)
     } catch (thrown) {
       emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } })
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -151,9 +151,22 @@
     if (this.#stopping.signal.aborted) return
     const handler = this.#handlers[event.type] as (event: HostEvent) => void
     handler(event)
+    this.#logFindings()
     this.#scheduleRound()
   }
 
+  #logFindings (): void {
+    for (const finding of this.#planner.takeFindings()) {
+      if (finding.type === 'task-ended') {
+        const { type, ...details } = finding
+        this.#options.emit('task-ended', { details })
+      } else {
+        const { type, ...details } = finding
+        this.#options.emit('job-ended', { details })
+      }
+    }
+  }
+
   #crash (thrown: unknown): void {
     this.#options.emit('planner-failed', { details: { failure: asFailure(thrown).message } })
     this.#options.onFenced()
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -14,7 +14,7 @@
 import { close, dropLapsed, takeNewLife, takeReport, takeStartOutcome, takeStopOutcome } from './reports.js'
 import { decide, type RoundTimes } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
-import { PlannerState } from './state.js'
+import { PlannerState, type Finding } from './state.js'
 
 /** A job as an owner finds it stored. */
 export interface StoredJob {
@@ -108,7 +108,7 @@
   cancel (id: JobId, wallTime: number): boolean {
     const job = this.#state.jobs.get(id)
     if (job?.isOpen === true) {
-      close(job, 'canceled', 'cancelled', wallTime)
+      close(this.#state, job, 'canceled', 'cancelled', wallTime)
       this.#state.touch(job)
     }
     return job !== undefined
@@ -182,6 +182,11 @@
     this.#state.saved(changes)
   }
 
+  /** What was learned of tasks and jobs since the last call, for the log. */
+  takeFindings (): readonly Finding[] {
+    return this.#state.takeFindings()
+  }
+
   /** Decides what starts and stops. */
   decide (times: RoundTimes): readonly Command[] {
     for (const server of this.#state.servers.values()) dropLapsed(this.#state, server, times.now)
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -100,7 +100,7 @@
     if (step.specification.isLasting || task.isDone) return
     step.complete(task)
     if (!step.specification.isGang) stopRuns(task, 'done-elsewhere', run)
-    finishIfDone(step.job, wallTime)
+    finishIfDone(state, step.job, wallTime)
     state.touch(step.job)
   },
   failed: (state, server, task, end, report, wallTime) => {
@@ -111,7 +111,7 @@
     if (step.specification.isLasting || task.isDone || !step.job.isOpen) return
     task.failedRuns.add(end.run)
     const attempts = state.queueOf(step.job)?.attempts ?? Infinity
-    if (step.failuresOf(task) >= attempts) close(step.job, 'failed', 'job-failed', wallTime)
+    if (step.failuresOf(task) >= attempts) close(state, step.job, 'failed', 'job-failed', wallTime)
     state.touch(step.job)
   },
   stopped: (_state, _server, task, end) => breakGang(task, end.run),
@@ -123,6 +123,7 @@
 function takeEnd (state: PlannerState, server: Server, end: ListedEnd, report: ServerReport, wallTime: number): void {
   const task = state.task(end.task)
   const run = server.run(end.task, end.run)
+  state.find({ type: 'task-ended', task: end.task, run: end.run, server: server.id, how: end.how })
   if (task !== undefined) {
     if (end.checkpoint !== '') saveCheckpoint(task, end.checkpoint)
     END_HANDLERS[end.how](state, server, task, end, report, wallTime)
@@ -140,22 +141,25 @@
   }
 }
 
-function finishIfDone (job: JobState, wallTime: number): void {
-  if (!job.isOpen || !job.isDone) return
-  job.phase = 'completed'
-  job.finishedAt = wallTime
+function finishIfDone (state: PlannerState, job: JobState, wallTime: number): void {
+  if (job.isOpen && job.isDone) finish(state, job, 'completed', wallTime)
 }
 
 /**
  * Gives a job its final phase and stops what still runs of it.
  *
  * @example
- * close(job, 'canceled', 'cancelled', Date.now())
+ * close(state, job, 'canceled', 'cancelled', Date.now())
  */
-export function close (job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
+export function close (state: PlannerState, job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
+  finish(state, job, phase, wallTime)
+  for (const run of job.runs) stopRun(run, reason)
+}
+
+function finish (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
   job.phase = phase
   job.finishedAt = wallTime
-  for (const run of job.runs) stopRun(run, reason)
+  state.find({ type: 'job-ended', job: job.job.id, phase, milliseconds: wallTime - job.job.acceptedAt })
 }
 
 /**
@@ -178,6 +182,7 @@
 /** Takes a run away that is known not to be alive; its gang can't go on. */
 function dropRun (state: PlannerState, server: Server, run: Run): void {
   server.remove(run)
+  if (run.confirmedAt < Infinity) state.find({ type: 'task-ended', task: run.task, run: run.run, server: server.id, how: 'gone' })
   const task = state.task(run.task)
   if (task === undefined) return
   task.runs.delete(run)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -4,11 +4,16 @@
 import type { Configuration, Queue } from './configuration.js'
 import type { JobId, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
-import { acceleratorsOf } from './job.js'
+import { acceleratorsOf, type JobPhase } from './job.js'
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
 import { FIRST_RUN_GUESS_MILLISECONDS, LEASE_MILLISECONDS, LOST_OWNER_MILLISECONDS, RUNS_PER_EPOCH, RUN_TIME_WEIGHT, SERVER_CLOCK_SLOWEST } from './limits.js'
-import { Server, type ServerEntry } from './server.js'
+import { Server, type RunEnd, type ServerEntry } from './server.js'
+
+/** What the planner has learned of a task or job, for the log. */
+export type Finding =
+  | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
+  | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
 
 /** The jobs, backend servers and configuration, and what is not stored yet. */
 export class PlannerState {
@@ -26,6 +31,7 @@
   /** Positions in lists of ends, to be noted once a change is stored. */
   #notes: { readonly server: Server, readonly life: number, readonly position: number, readonly change: number }[] = []
   #change = 0
+  #findings: Finding[] = []
   #runs = 0
   /** When every run of earlier owners is known of or has lapsed. */
   readonly #inheritedUntil: number
@@ -110,6 +116,18 @@
     return server
   }
 
+  /** Keeps a finding for the log. */
+  find (finding: Finding): void {
+    this.#findings.push(finding)
+  }
+
+  /** The findings since the last call. */
+  takeFindings (): readonly Finding[] {
+    const findings = this.#findings
+    this.#findings = []
+    return findings
+  }
+
   /** Marks a job's progress as changed. */
   touch (job: JobState): void {
     this.#change += 1
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -150,6 +150,20 @@
     fields: { step: 'step', failure: 'code' },
     action: 'If it recurs, check the service: tasks of its queues can\'t start without it.'
   },
+  'task-ended': {
+    number: 1028,
+    level: 'info',
+    sentence: 'A run has ended, or is known to be gone.',
+    fields: { task: 'task', run: 'run number', server: 'backend server', how: 'as the backend server lists it; gone where it is not listed any more or its lease has lapsed' },
+    action: NO_ACTION
+  },
+  'job-ended': {
+    number: 1029,
+    level: 'info',
+    sentence: 'A job has got its final phase; callers are told once it is stored.',
+    fields: { job: 'id', phase: 'final phase', milliseconds: 'time since it was accepted' },
+    action: NO_ACTION
+  },
   'job-request-answered': {
     number: 1030,
     level: 'info',
