Keep room for gangs that wait from the small work behind them

The places that are expected to be free first are kept for the first two gangs that wait; the new test replays that load and fails without it.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -20,6 +20,8 @@
 export const LEAST_EXPECTED_SHARE = 0.5
 /** A run at this percentage has done its work; a member of a gang waits there for the slower ones. */
 export const WORK_DONE_PERCENT = 99
+/** Gangs for which room is kept at the same time: each one idles what it waits for. */
+export const RESERVED_GANGS = 2
 /** Claims are expected to come back to their last peak, which fades in about this time, in milliseconds: a wave of demand. */
 export const CLAIM_MEMORY_MILLISECONDS = 10_000
 /** A run number is the owner's epoch times this, and a count: an owner makes fewer starts. */
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,7 +3,7 @@
 import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { acceleratorsOf, dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
-import { CHEAP_RECLAIM_CORE_SECONDS, DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, RECLAIM_PATIENCE_MILLISECONDS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS, WORK_DONE_PERCENT } from './limits.js'
+import { CHEAP_RECLAIM_CORE_SECONDS, DATA_RACK_PATIENCE_MILLISECONDS, EVACUATION_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS, STOP_AGAIN_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENTS, UNSOUND_MILLISECONDS, WORK_DONE_PERCENT } from './limits.js'
 import { acceleratorsOfJobs } from './lending.js'
 import { inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
@@ -87,6 +87,7 @@
   readonly #isMostlyIdle: boolean
   /** Accelerators that work without checkpoints may still take. */
   #unsavedLeft: number
+  #reservedGangs = 0
 
   constructor (state: PlannerState, times: RoundTimes, commands: (StartCommand | AdviseCommand)[]) {
     this.#state = state
@@ -164,10 +165,11 @@
 
   #placeTogether (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
-    if (!this.#lend(unit, candidate)) return
-    const places = placeGang(this.#roomFor(step), step, this.#isPatient(unit.tasks[0]!))
+    const mayBorrow = this.#lend(unit, candidate)
+    const places = mayBorrow ? placeGang(this.#roomFor(step), step, this.#isPatient(unit.tasks[0]!)) : undefined
     if (places === undefined) {
       if (candidate.isClaim) this.#reclaim(unit)
+      else this.#reserve(unit)
       return
     }
     const run = this.#state.nextRun()
@@ -262,6 +264,36 @@
     })
   }
 
+  /**
+   * Keeps the places that are expected to be free first for a gang that waits, so that
+   * the small work behind it doesn't take each of them as it gets free.
+   */
+  #reserve ({ step, tasks }: StartUnit): void {
+    if (this.#reservedGangs === RESERVED_GANGS || this.#isAdvised(step)) return
+    const groups = this.#groups(() => true, (run, other) => this.#remaining(other, run))
+    const reservation = planReclaim(this.#future, step, tasks.length, groups)
+    if (reservation === undefined) return
+    this.#reservedGangs += 1
+    this.#keep(reservation.places, step)
+  }
+
+  /** Milliseconds that a run is expected to go on. */
+  #remaining (step: StepState, run: Run): number {
+    const elapsed = Math.max(0, this.#times.now - run.orderedAt)
+    if (run.percent > 0) return elapsed * (100 - run.percent) / run.percent
+    return Math.max(0, this.#state.meanRun(step.job.job.queue) - elapsed)
+  }
+
+  /** Takes places from everybody behind in the order. */
+  #keep (places: readonly Place[], step: StepState): void {
+    for (const { server } of places) {
+      const place = this.#room.placeOf(server.id)
+      const future = this.#future.placeOf(server.id)
+      if (place !== undefined) this.#room.take(place, step)
+      if (future !== undefined) this.#future.take(future, step)
+    }
+  }
+
   /** Makes room for a claim, and keeps what is chosen from everybody behind it. */
   #reclaim ({ step, tasks }: StartUnit): void {
     const reclaim = planReclaim(this.#future, step, tasks.length, this.#victims())
@@ -276,30 +308,30 @@
         if (place !== undefined) place.free = addCapacity(place.free, need)
       }
     }
-    for (const { server } of reclaim.places) {
-      const place = this.#room.placeOf(server.id)
-      const future = this.#future.placeOf(server.id)
-      if (place !== undefined) this.#room.take(place, step)
-      if (future !== undefined) this.#future.take(future, step)
-    }
+    this.#keep(reclaim.places, step)
   }
 
-  /** What may be stopped for a claim: work that isn't itself one and doesn't last. */
+  /** What may be stopped for a claim: work that isn't itself one. */
   #victims (): readonly VictimGroup[] {
+    return this.#groups(job => !this.#claims.has(job), (run, step) => this.#unsaved(step, run))
+  }
+
+  /** What runs of some jobs and doesn't last, with the cost of its end. */
+  #groups (isIncluded: (job: JobState) => boolean, costOf: (run: Run, step: StepState) => number): readonly VictimGroup[] {
     const groups: VictimGroup[] = []
     for (const job of this.#state.jobs.values()) {
-      if (!job.isOpen || this.#claims.has(job)) continue
+      if (!job.isOpen || !isIncluded(job)) continue
       for (const step of job.steps) {
-        if (!step.specification.isLasting) groups.push(...this.#groupsOf(step))
+        if (!step.specification.isLasting) groups.push(...this.#groupsOf(step, costOf))
       }
     }
     return groups
   }
 
-  #groupsOf (step: StepState): readonly VictimGroup[] {
+  #groupsOf (step: StepState, costOf: (run: Run, step: StepState) => number): readonly VictimGroup[] {
     const members = step.tasks.flatMap(task => [...task.runs].filter(run => run.state === 'running' || run.state === 'ordered').map(run => ({ task, run, need: run.need })))
     if (members.length === 0) return []
-    const cost = (run: Run): number => this.#unsaved(step, run)
+    const cost = (run: Run): number => costOf(run, step)
     if (step.specification.isGang) return [{ members, cost: members.reduce((sum, member) => sum + cost(member.run), 0) }]
     return members.map(member => ({ members: [member], cost: cost(member.run) }))
   }
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -369,6 +369,22 @@
   })
 })
 
+describe('a gang that waits while small work keeps coming', () => {
+  it('gets the backend servers that are free first, one after the other', () => {
+    const world = new World(4)
+    for (let index = 0; index < 32; index += 1) world.planner.submit(job(`early${index}`))
+    world.settle()
+    world.planner.submit(job('wide', { queue: 'long', steps: [step({ count: 2, accelerators: 8, isGang: true })] }))
+    for (let index = 0; index < 32; index += 1) {
+      world.planner.submit(job(`late${index}`))
+      const oldest = world.servers.flatMap(server => [...server.running.values()].map(run => ({ server, run }))).sort((left, right) => left.run.run - right.run.run)[0]
+      oldest?.server.end(oldest.run.task, 'done')
+      world.settle(1)
+    }
+    expect(world.runs('wide.0.0.0')).not.to.equal(undefined)
+  })
+})
+
 describe('lending before any claim has come', () => {
   it('keeps half of what is guaranteed off work without checkpoints', () => {
     const world = new World(2)
