End the planner's host with its VM, and bound the run of the tests

Cause: the tests of the adapter passed, but their process didn't end: a VM that was killed in a test left the host of its planner with its timers. Ruled out: open sockets and servers (the list of active handles had none).

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -150,8 +150,11 @@
     await this.#leadership.leave(() => this.#disown())
   }
 
-  /** Ends, after `leave`. */
+  /** Ends, after `leave`; without it the planner is left as it is. */
   async stop (): Promise<void> {
+    this.#hosting?.abort()
+    this.#host?.abandon()
+    this.#host = undefined
     this.#stopping.abort()
     await this.#peers.close()
     await this.#options.platform.servers.close()
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -147,6 +147,11 @@
     this.#stopping.abort()
   }
 
+  /** Stops at once; nothing is stored any more. */
+  abandon (): void {
+    this.#halt()
+  }
+
   #take (event: HostEvent): void {
     if (this.#stopping.signal.aborted) return
     const handler = this.#handlers[event.type] as (event: HostEvent) => void
--- a/scripts/check.js
+++ b/scripts/check.js
@@ -4,6 +4,8 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
+// Many times what the tests take; a run that doesn't end has failed.
+const TEST_RUN_MILLISECONDS = 15 * 60 * 1000
 const KNOWN_RED_FILE = 'KNOWN-RED.txt'
 
 const run = (command, parameters, options = {}) =>
@@ -26,7 +28,7 @@
 const runTests = () => {
   const folder = mkdtempSync(join(tmpdir(), 'check-'))
   const file = join(folder, 'result.json')
-  run('npx', ['mocha', 'packages/*/dist/test/**/*.test.js', 'platform/dist/test/**/*.test.js', '--reporter', 'json', '--reporter-option', `output=${file}`], { stdio: ['ignore', 'ignore', 'inherit'] })
+  run('npx', ['mocha', 'packages/*/dist/test/**/*.test.js', 'platform/dist/test/**/*.test.js', '--reporter', 'json', '--reporter-option', `output=${file}`], { stdio: ['ignore', 'ignore', 'inherit'], timeout: TEST_RUN_MILLISECONDS })
   const result = existsSync(file) ? JSON.parse(readFileSync(file, 'utf8')) : undefined
   rmSync(folder, { recursive: true })
   return result
