Take the store for silent by its last answer, not by the question of its last answer

The age of the store counted from when an answered call was sent; a feed without changes answers after 0.7 s, so the age of a calm VM went up to 1.4 s, over the 1.1 s at which it counts as silent: VMs refused their own writes, relayed jobs and called themselves not ready for part of each second. Ruled out: the network between VMs (no call failed but for the hand-over). The age of the configuration still counts from the question.

--- a/packages/entry/src/answering-store.ts
+++ b/packages/entry/src/answering-store.ts
@@ -18,7 +18,7 @@
     this.#store = store
   }
 
-  /** Milliseconds since a call that was answered was sent. */
+  /** Milliseconds since the last answer came. A feed that waits says nothing meanwhile, so its question counts for nothing. */
   get age (): number {
     return this.#answered === undefined ? Infinity : elapsedSince(this.#answered)
   }
@@ -40,18 +40,13 @@
   }
 
   async #timed<Value> (call: () => Promise<Value>): Promise<Value> {
-    const asked = moment()
     try {
       const value = await call()
-      this.#note(asked)
+      this.#answered = moment()
       return value
     } catch (thrown) {
-      if (asFailure(thrown).code === 'conflict') this.#note(asked)
+      if (asFailure(thrown).code === 'conflict') this.#answered = moment()
       throw thrown
     }
   }
-
-  #note (asked: Moment): void {
-    if (this.#answered === undefined || asked.steady > this.#answered.steady) this.#answered = asked
-  }
 }
--- a/packages/entry/test/store.test.ts
+++ b/packages/entry/test/store.test.ts
@@ -2,6 +2,7 @@
 import { jobId, Planner, poolName, queueName } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
+import { AnsweringStore } from '../src/answering-store.js'
 import { JobStore, type JobDraft } from '../src/job-store.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import { ProgressWriter } from '../src/progress-writer.js'
@@ -58,6 +59,18 @@
     })
   })
 
+  describe('the age of the store\'s last answer', () => {
+    it('stays low while nothing but a feed without changes answers', async () => {
+      const answering = new AnsweringStore(view)
+      const { version } = store.snapshot('jobs')
+      let highest = 0
+      const watch = setInterval(() => { highest = Math.max(highest, Number.isFinite(answering.age) ? answering.age : 0) }, 10)
+      for (let time = 0; time < 3; time += 1) await answering.changes('jobs', version, 300)
+      clearInterval(watch)
+      expect(highest).to.be.below(450)
+    })
+  })
+
   describe('an accepted job', () => {
     const accept = (known: OwnerRecord, onOwner: (owner: OwnerRecord) => void = () => {}): ReturnType<JobStore['accept']> =>
       new JobStore(view).accept(DRAFT, () => known, onOwner, soon())
