Take out wrappers and members that nothing uses

Found in a last read of the change; behaviour and tests are as they were. One function for a backend server's new life instead of two, one for following an owner, one way to read stored progress; a running entry always gives a run, so the check for none is gone.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -86,7 +86,7 @@
   async phaseOf (id: JobId): Promise<StoredPhase> {
     const [job, cancel, progress] = await Promise.all([JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => this.#rows.read(table, id)))
     if (job === undefined) return 'unknown'
-    const known = progress === undefined ? undefined : decodeProgress(String(progress.value.text))
+    const known = progressOf(progress)
     if (known?.phase !== undefined && FINAL_PHASES.has(known.phase)) return known.phase
     if (cancel !== undefined) return 'canceled'
     return known?.hasBegun === true ? 'running' : 'queued'
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -123,7 +123,7 @@
   hear (beat: BeatQuestion): BeatAnswer {
     const { member, storeAge } = beat
     this.#members.set(member.vm, { ...member, storeAge, heardAt: performance.now() })
-    if (beat.owner !== undefined) this.#follow(beat.owner)
+    if (beat.owner !== undefined) this.follow(beat.owner)
     return {
       kind: 'beat',
       isOwner: this.isOwner,
@@ -135,7 +135,7 @@
 
   /** The owner leaves: claims at once. */
   async succeed (owner: KnownOwner): Promise<void> {
-    this.#follow(owner)
+    this.follow(owner)
     if (!this.#isLeaving) await this.#claim('handed over')
   }
 
@@ -144,7 +144,7 @@
       try {
         const owner = await readOwner(this.#options.store)
         if (owner === undefined) await this.#claim('no owner yet')
-        else this.#follow(owner)
+        else this.follow(owner)
       } catch (thrown) {
         this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
         await this.#askSeeds()
@@ -157,16 +157,12 @@
     const others = this.#options.seeds.filter(address => address !== this.#options.self.address)
     await Promise.all(others.map(async address => {
       const answer = await this.#beat(address)
-      if (answer?.owner !== undefined) this.#follow(answer.owner)
+      if (answer?.owner !== undefined) this.follow(answer.owner)
     }))
   }
 
   /** Takes what is known of the owner from elsewhere. */
   follow (owner: KnownOwner): void {
-    this.#follow(owner)
-  }
-
-  #follow (owner: KnownOwner): void {
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
     const { vm, address, epoch, version } = owner
     this.#owner = { vm, address, epoch, version }
@@ -182,7 +178,7 @@
     if (owner === undefined) return
     const answer = owner.address === this.#options.self.address ? undefined : await this.#beat(owner.address)
     if (signal.aborted) return
-    if (answer?.owner !== undefined) this.#follow(answer.owner)
+    if (answer?.owner !== undefined) this.follow(answer.owner)
     if (answer?.isOwner === true) {
       this.#misses = 0
       this.#heardOwnerAt = performance.now()
@@ -224,7 +220,7 @@
 
   async #isHeardElsewhere (others: readonly Member[]): Promise<boolean> {
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#beat(member.address)))
-    for (const answer of answers) if (answer?.owner !== undefined) this.#follow(answer.owner)
+    for (const answer of answers) if (answer?.owner !== undefined) this.follow(answer.owner)
     const known = answers.filter(answer => answer !== undefined)
     if (known.length === 0) return performance.now() - this.#heardOwnerAt < ISOLATED_MILLISECONDS
     return known.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS)
@@ -242,11 +238,11 @@
     try {
       const known = await readOwner(store)
       if (known !== undefined && known.epoch > (this.#owner?.epoch ?? 0)) {
-        this.#follow(known)
+        this.follow(known)
         return
       }
       const owner = await claimOwnership(store, known ?? NO_OWNER, self)
-      this.#follow(owner)
+      this.follow(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (known?.epoch ?? 0) + 1) return
       this.#owned = owner
       emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: known?.vm, silent: Number.isFinite(silent) ? Math.round(silent) : undefined, milliseconds: Math.round(performance.now() - started) } })
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -10,8 +10,6 @@
 export const STORE_RETRY_MILLISECONDS = 100
 /** Time limit of one call to the store: many times its usual 4 ms, so that a slow store is waited for. */
 export const STORE_TIMEOUT_MILLISECONDS = 800
-/** Registry entries are taken as gone only this long after the store is back: those of live servers return within 2 s. */
-export const REGISTRY_RETURN_MILLISECONDS = 2200
 
 /** Time between two heartbeats to the owner. */
 export const HEARTBEAT_MILLISECONDS = 300
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,6 +1,5 @@
 /** The course of one job as its owner sees it. */
-import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
-import { stepName, taskName, type RunNumber, type ServerId, type StepName, type TaskName } from './ids.js'
+import { stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
@@ -185,13 +184,6 @@
     return this.#stepsOf(occurrence)[step]?.tasks[index]
   }
 
-  /** What its first steps need together while they run. */
-  get firstNeed (): Capacity {
-    return this.job.steps
-      .filter(step => step.after.length === 0)
-      .reduce((sum, step) => addCapacity(sum, step.need, step.count), NO_CAPACITY)
-  }
-
   /** All runs that may be alive. */
   get runs (): readonly Run[] {
     return this.steps.flatMap(step => step.tasks.flatMap(task => [...task.runs]))
@@ -225,11 +217,3 @@
   readonly step: StepState
   readonly tasks: readonly TaskState[]
 }
-
-/** A run with the task that it is of. */
-export interface TaskRun {
-  readonly task: TaskState
-  readonly run: Run
-}
-
-export type { Run, RunNumber }
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -226,7 +226,7 @@
    */
   #reserve ({ step, tasks }: StartUnit): void {
     if (this.#reservedGangs === RESERVED_GANGS || this.#isAdvised(step)) return
-    const groups = runningGroups(this.#state, () => true, (step, run) => remainingMilliseconds(this.#state, step, run, this.#times.now))
+    const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
     const reservation = planReclaim(this.#future, step, tasks.length, groups)
     if (reservation === undefined) return
     this.#reservedGangs += 1
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -14,13 +14,12 @@
  * takeReport(state, server, report, Date.now())
  */
 export function takeReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
-  if (report.life !== server.entry.life) forgetLife(server, state, report.life, report.receivedAt)
+  if (report.life !== server.entry.life) takeNewLife(state, server, report.life, report.receivedAt)
   server.hear(report.clock, report.receivedAt)
   server.hasRefusedRoom = false
   const listed = new Set<Run>()
   for (const entry of report.running) {
-    const run = takeRunning(state, server, entry, report.receivedAt)
-    if (run !== undefined) listed.add(run)
+    listed.add(takeRunning(state, server, entry, report.receivedAt))
   }
   for (const end of report.ended) {
     if (end.position > server.heardPosition) takeEnd(state, server, end, report, wallTime)
@@ -40,9 +39,8 @@
   return run.confirmedAt < sentAt || (run.isStopConfirmed && run.stopConfirmedAt < sentAt)
 }
 
-function takeRunning (state: PlannerState, server: Server, entry: ListedRun, now: number): Run | undefined {
+function takeRunning (state: PlannerState, server: Server, entry: ListedRun, now: number): Run {
   const run = server.run(entry.task, entry.run) ?? adopt(state, server, entry, now)
-  if (run === undefined) return undefined
   if (run.state === 'ordered') run.state = 'running'
   run.confirmedAt = Math.min(run.confirmedAt, now)
   if (entry.percent > run.percent) {
@@ -189,21 +187,17 @@
   breakGang(task, run.run)
 }
 
-/** A new life knows nothing of the runs before; orders without an answer may still reach it. */
-function forgetLife (server: Server, state: PlannerState, life: number, now: number): void {
-  const gone = [...server.runs.values()].filter(run => run.confirmedAt < Infinity)
-  server.restart(life, now)
-  for (const run of gone) dropRun(state, server, run)
-}
-
 /**
- * Takes that the registry names another life of a backend server.
+ * Takes that a backend server has another life, which knows nothing of the runs before;
+ * orders without an answer may still reach it.
  *
  * @example
  * takeNewLife(state, server, entry.life, now)
  */
 export function takeNewLife (state: PlannerState, server: Server, life: number, now: number): void {
-  forgetLife(server, state, life, now)
+  const gone = [...server.runs.values()].filter(run => run.confirmedAt < Infinity)
+  server.restart(life, now)
+  for (const run of gone) dropRun(state, server, run)
 }
 
 /**
