Spread a claim over racks before its reclaim bound passes

Cause: a gang that wants one rack waited for one without end where other claims held a part of each rack: no rack could be emptied, so nothing was stopped, and a claim was never out of patience in a busy pool. Ruled out: a slow store or backend server; the log shows neither, and the job planned 2 ms after its acceptance. Change: a claim waits 1.4 s for one rack, then takes any places, stopping borrowers there. The test fails before and passes after.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -14,6 +14,8 @@
 export const STUCK_PERCENTS = 6
 /** How long a claim waits for room to come by itself before work that isn't saved is stopped for it, in milliseconds: less than the slack of urgent work, far less than the reclaim bound. */
 export const RECLAIM_PATIENCE_MILLISECONDS = 350
+/** How long a claim waits for one rack before it is spread, in milliseconds: what is left of the reclaim bound then takes stops, starts and a slow call. */
+export const CLAIM_RACK_PATIENCE_MILLISECONDS = 1400
 /** Core-seconds of unsaved work that are stopped without that wait: about one young task. */
 export const CHEAP_RECLAIM_CORE_SECONDS = 60
 /** Of the guaranteed accelerators that nobody claims, this share is expected to be claimed before long work ends. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -6,7 +6,7 @@
 import { acceleratorsOf, dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM_CORE_SECONDS, DATA_RACK_PATIENCE_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS } from './limits.js'
+import { CHEAP_RECLAIM_CORE_SECONDS, CLAIM_RACK_PATIENCE_MILLISECONDS, DATA_RACK_PATIENCE_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS } from './limits.js'
 import { inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
 import { planReclaim, type VictimGroup } from './reclaim.js'
@@ -122,9 +122,9 @@
   #placeTogether (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     const mayBorrow = this.#lend(unit, candidate)
-    const places = mayBorrow ? placeGang(this.#roomFor(step), step, this.#isPatient(unit.tasks[0]!)) : undefined
+    const places = mayBorrow ? placeGang(this.#roomFor(step), step, this.#isPatientFor(unit, candidate)) : undefined
     if (places === undefined) {
-      if (candidate.isClaim) this.#reclaim(unit)
+      if (candidate.isClaim) this.#reclaim(unit, candidate)
       else this.#reserve(unit)
       return
     }
@@ -142,7 +142,7 @@
       else this.#start(task, place, this.#state.nextRun())
       if (place === undefined && !candidate.isClaim) return
     }
-    if (blocked > 0) this.#reclaim({ step, tasks: unit.tasks.filter(task => task.isWaiting) })
+    if (blocked > 0) this.#reclaim({ step, tasks: unit.tasks.filter(task => task.isWaiting) }, candidate)
   }
 
   #placeOne (step: StepState, task: TaskState): Place | undefined {
@@ -176,6 +176,12 @@
     return !this.#isMostlyIdle || this.#times.now - (task.readySince ?? this.#times.now) < IDLE_POOL_PATIENCE_MILLISECONDS
   }
 
+  /** A claim waits for one rack only as long as its guarantee allows. */
+  #isPatientFor ({ tasks }: StartUnit, { isClaim }: Candidate): boolean {
+    const waited = this.#times.now - (tasks[0]?.readySince ?? this.#times.now)
+    return isClaim ? waited < CLAIM_RACK_PATIENCE_MILLISECONDS : this.#isPatient(tasks[0]!)
+  }
+
   /** The room without places where a job with few attempts left might spend its last one. */
   #cautious (step: StepState): Room {
     const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
@@ -227,7 +233,7 @@
   #reserve ({ step, tasks }: StartUnit): void {
     if (this.#reservedGangs === RESERVED_GANGS || this.#isAdvised(step)) return
     const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
-    const reservation = planReclaim(this.#future, step, tasks.length, groups)
+    const reservation = planReclaim(this.#future, step, tasks.length, groups, true)
     if (reservation === undefined) return
     this.#reservedGangs += 1
     this.#keep(reservation.places, step)
@@ -244,8 +250,9 @@
   }
 
   /** Makes room for a claim, and keeps what is chosen from everybody behind it. */
-  #reclaim ({ step, tasks }: StartUnit): void {
-    const reclaim = planReclaim(this.#future, step, tasks.length, this.#victims())
+  #reclaim (unit: StartUnit, candidate: Candidate): void {
+    const { step, tasks } = unit
+    const reclaim = planReclaim(this.#future, step, tasks.length, this.#victims(), this.#isPatientFor(unit, candidate))
     if (reclaim === undefined) return
     const cost = reclaim.victims.reduce((sum, group) => sum + group.cost, 0)
     const isPatient = this.#times.now - (tasks[0]?.readySince ?? this.#times.now) < RECLAIM_PATIENCE_MILLISECONDS
--- a/packages/jobs/src/reclaim.ts
+++ b/packages/jobs/src/reclaim.ts
@@ -4,7 +4,7 @@
  */
 import { addCapacity, type Capacity } from './capacity.js'
 import type { StepState, TaskState } from './job-state.js'
-import { racksOf } from './placement.js'
+import { couldHold, racksOf } from './placement.js'
 import { roomFor, type Place, type Room } from './room.js'
 import type { Run } from './server.js'
 
@@ -23,19 +23,22 @@
 
 /**
  * The cheapest places for all tasks of a step, if some groups may be stopped. The
- * room given counts what is being stopped already as free.
+ * room given counts what is being stopped already as free. A step that wants one rack
+ * is spread only if it is out of patience, or wider than any rack.
  *
  * @example
- * const reclaim = planReclaim(room, step, step.tasks.length, groups)
+ * const reclaim = planReclaim(room, step, step.tasks.length, groups, true)
  */
-export function planReclaim (room: Room, step: StepState, count: number, groups: readonly VictimGroup[]): Reclaim | undefined {
+export function planReclaim (room: Room, step: StepState, count: number, groups: readonly VictimGroup[], isPatient: boolean): Reclaim | undefined {
   const everywhere = (): Reclaim | undefined => search(room, room.places, step, count, groups)
   if (!step.specification.wantsOneRack) return everywhere()
-  const options = racksOf(room.places)
+  const racks = racksOf(room.places)
+  const options = racks
     .map(places => search(room, places, step, count, groups))
     .filter(option => option !== undefined)
     .sort((left, right) => costOf(left) - costOf(right))
-  return options[0] ?? everywhere()
+  if (options[0] !== undefined) return options[0]
+  return isPatient && racks.some(places => couldHold(places, step)) ? undefined : everywhere()
 }
 
 function costOf (reclaim: Reclaim): number {
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -1,7 +1,10 @@
 import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
 import { jobId, LEASE_MILLISECONDS } from '../src/index.js'
-import { job, step, World } from './world.js'
+import { CONFIGURATION, job, step, World } from './world.js'
+
+/** The users' bound on the start of a claim, in milliseconds. */
+const RECLAIM_MILLISECONDS = 2700
 
 const phase = (world: World, id: string): string | undefined => world.planner.phaseOf(jobId(id))
 
@@ -259,6 +262,22 @@
       expect(world.runs('claim.0.0.0')).not.to.equal(undefined)
     })
 
+    it('starts a claim spread over racks within the reclaim bound where other claims hold a part of each rack', () => {
+      const world = new World(4, { perRack: 2 })
+      const [workspace] = CONFIGURATION.workspaces
+      world.planner.configure({ ...CONFIGURATION, workspaces: [{ ...workspace!, guaranteedAccelerators: 32 }] })
+      world.list(world.servers.map(({ entry, life }, index) => ({ ...entry, life, labels: [...entry.labels, `even-${index % 2 === 0}`] })))
+      const held = step({ accelerators: 8, count: 2, mostPerServer: 1, requiredLabel: 'even-true' })
+      world.planner.submit(job('earlier', { queue: 'urgent', workspace: 'brno', steps: [held] }))
+      world.planner.submit(job('lent', { steps: [step({ count: 16 })] }))
+      world.settle(10)
+      const acceptedAt = world.wallTime
+      world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', acceptedAt, steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }))
+      while (world.runs('claim.0.0.1') === undefined && world.wallTime < acceptedAt + RECLAIM_MILLISECONDS) world.settle(1)
+      expect(world.runs('claim.0.0.0')).not.to.equal(undefined)
+      expect(world.runs('claim.0.0.1')).not.to.equal(undefined)
+    })
+
     it('stops nothing for urgent work beyond the guarantee', () => {
       const world = new World(1)
       world.planner.submit(job('lent', { steps: [step({ count: 8 })] }))
--- /dev/null
+++ b/packages/load-replay/src/index.ts
@@ -0,0 +1,5 @@
+/** Replays of seeded load against the planner. */
+export * from './account.js'
+export * from './pattern.js'
+export { replay, Replay } from './replay.js'
+export { arrivalsOf } from './workload.js'
--- /dev/null
+++ b/packages/load-replay/src/main.ts
@@ -0,0 +1,51 @@
+/** The program: `npm run bench:jobs`. */
+import { CornelgaugeError } from '@cornelgauge/model'
+import { defineCommand, runMain } from 'citty'
+import { ratio, type Account, type Share } from './account.js'
+import { PATTERNS, scaled, type LoadPattern } from './pattern.js'
+import { replay } from './replay.js'
+
+function patternsOf (name: string | undefined, load: string): readonly LoadPattern[] {
+  const factor = Number(load)
+  if (!(factor > 0)) throw new CornelgaugeError('invalid-settings', { detail: `--load is ${load}, not a number above 0` })
+  const chosen = name === undefined ? Object.values(PATTERNS) : [PATTERNS[name]]
+  return chosen.map(pattern => {
+    if (pattern === undefined) throw new CornelgaugeError('invalid-settings', { detail: `${name} is none of ${Object.keys(PATTERNS).join(', ')}` })
+    return scaled(pattern, factor)
+  })
+}
+
+function mean (values: readonly number[]): string {
+  return (values.reduce((sum, value) => sum + value, 0) / values.length).toFixed(3)
+}
+
+function kindLine (name: string, shares: readonly Share[], widest: readonly Share[]): string {
+  const part = (of: (share: Share) => number): string => mean(shares.map(share => share.jobs === 0 ? 1 : of(share) / share.jobs))
+  return `  ${name.padEnd(20)} earned ${mean(shares.map(ratio))}  in time ${part(share => share.inTime)}  late ${part(share => share.late)}  widest tenth ${mean(widest.map(ratio))}`
+}
+
+function report (pattern: LoadPattern, accounts: readonly Account[]): readonly string[] {
+  const of = (read: (account: Account) => number): string => mean(accounts.map(read))
+  const present = (shares: readonly (Share | undefined)[]): readonly Share[] => shares.filter(share => share !== undefined)
+  return [
+    `${pattern.name}, ${accounts.length} seeds: total ${of(account => account.total)}, earned ${of(account => ratio(account.whole))}, worst windows ${of(account => account.worstWindows)}, waste ${of(account => account.waste)}, stops ${of(account => account.stops)}`,
+    ...pattern.kinds.map(({ name }) => kindLine(name, present(accounts.map(account => account.byKind.get(name))), present(accounts.map(account => account.widest.get(name)))))
+  ]
+}
+
+const command = defineCommand({
+  meta: { name: 'bench:jobs', description: 'Replays seeded load against the planner on a virtual clock' },
+  args: {
+    seeds: { type: 'string', description: 'how many seeds, from 1', default: '10' },
+    pattern: { type: 'string', description: Object.keys(PATTERNS).join('|') },
+    load: { type: 'string', description: 'arrivals, against those of a busy day', default: '1' }
+  },
+  run ({ args }) {
+    const seeds = Array.from({ length: Number(args.seeds) }, (_, index) => index + 1)
+    for (const pattern of patternsOf(args.pattern, args.load)) {
+      console.log(report(pattern, seeds.map(seed => replay(pattern, seed))).join('\n'))
+    }
+  }
+})
+
+await runMain(command)
--- /dev/null
+++ b/packages/load-replay/src/pattern.ts
@@ -0,0 +1,126 @@
+/** The load patterns that are replayed: the users' kinds of work, at the sizes of their deployments. */
+import type { Capacity } from '@cornelgauge/jobs'
+
+/** One kind of work. */
+export interface KindPattern {
+  readonly name: string
+  readonly priority: number
+  /** Jobs a second on a busy day. */
+  readonly perSecond: number
+  /** Mean and deviation (of the logarithm) of a task's run time, in milliseconds. */
+  readonly workMilliseconds: number
+  readonly workSigma: number
+  /** How far tasks of one job differ from each other, as a share. */
+  readonly uneven: number
+  /** How far off estimates are, as a share. */
+  readonly estimateError: number
+  /** Mean number of tasks of a step, and the most. */
+  readonly width: number
+  readonly mostWidth: number
+  /** Share of jobs with a second step. */
+  readonly secondStep: number
+  /** Processor and memory of one task. */
+  readonly processor: number
+  readonly memory: number
+  /** Accelerators of one task: one of these. */
+  readonly accelerators: readonly number[]
+  readonly isGang: boolean
+  /** Share of the steps that are slow when they are spread over racks. */
+  readonly oneRack: number
+  /** Share that saves checkpoints, that wants a rack for its data, that is kept apart, that is cancelled. */
+  readonly checkpoints: number
+  readonly dataRack: number
+  readonly apart: number
+  readonly cancelled: number
+  /** Share of runs that fail. */
+  readonly failures: number
+  readonly attempts: number
+  readonly stretch: number
+  readonly latencyMilliseconds: number
+  readonly worth: number
+  readonly lateWorth: number
+}
+
+/** A whole load. */
+export interface LoadPattern {
+  readonly name: string
+  readonly kinds: readonly KindPattern[]
+  readonly servers: number
+  readonly serversPerRack: number
+  readonly capacity: Capacity
+  /** Run time on a backend server against the mean one: one of these for each. */
+  readonly serverSlowness: readonly number[]
+  readonly workspaces: readonly { readonly name: string, readonly share: number, readonly guaranteed: number }[]
+  readonly lengthMilliseconds: number
+  /** Arrivals swing by this share around their mean, in this period. */
+  readonly swing: number
+  readonly periodMilliseconds: number
+  /** Urgent arrivals are this many times as many for a while. */
+  readonly burst: { readonly factor: number, readonly from: number, readonly milliseconds: number }
+  /** Worth of one core-second of work that is thrown away. */
+  readonly wastePrice: number
+}
+
+/** Run times that are this many times as long, and how often. */
+export const STRAGGLER_FACTOR = 7
+export const STRAGGLER_SHARE = 0.03
+/** A task away from its data or rack takes this many times as long. */
+export const SPREAD_FACTOR = 3
+
+const BUSY_DAY = {
+  servers: 33,
+  serversPerRack: 8,
+  serverSlowness: [1, 1, 1.3],
+  workspaces: [
+    { name: 'first', share: 0.4, guaranteed: 48 },
+    { name: 'second', share: 0.25, guaranteed: 40 },
+    { name: 'third', share: 0.2, guaranteed: 32 },
+    { name: 'fourth', share: 0.15, guaranteed: 32 }
+  ],
+  lengthMilliseconds: 34_000,
+  swing: 0.55,
+  periodMilliseconds: 13_000,
+  burst: { factor: 2.2, from: 4000, milliseconds: 6000 }
+} as const
+
+const URGENT = { priority: 0, secondStep: 0, accelerators: [1, 2, 4, 8, 8], isGang: true, oneRack: 0.8, checkpoints: 0, dataRack: 0, apart: 0, cancelled: 0, attempts: 2, stretch: 1.5, workMilliseconds: 2100, workSigma: 0.5, worth: 4, lateWorth: 0.8 } as const
+const LONG = { priority: 1, secondStep: 0, accelerators: [1, 2, 4, 8, 8], isGang: true, oneRack: 0.6, checkpoints: 0.45, dataRack: 0.3, apart: 0, cancelled: 0.05, stretch: 3, workSigma: 0.3, latencyMilliseconds: 1000, worth: 3 } as const
+const BULK = { priority: 2, secondStep: 0.3, accelerators: [1], isGang: false, oneRack: 0, checkpoints: 0.45, dataRack: 0.12, apart: 0.12, cancelled: 0.15, stretch: 3, workSigma: 0.3, workMilliseconds: 5200, latencyMilliseconds: 3000, worth: 1 } as const
+
+/** The busy day of the rota service. */
+export const ROTA: LoadPattern = {
+  ...BUSY_DAY,
+  name: 'rota',
+  capacity: { processor: 32_000, memory: 65_536, accelerators: 8 },
+  wastePrice: 0.0023,
+  kinds: [
+    { ...URGENT, name: 'shift-swap', perSecond: 1.3, uneven: 0.15, estimateError: 0.9, width: 3.4, mostWidth: 21, processor: 3700, memory: 9800, failures: 0.005, latencyMilliseconds: 250 },
+    { ...LONG, name: 'term-rota', perSecond: 0.53, workMilliseconds: 5800, uneven: 0.3, estimateError: 0.2, width: 5, mostWidth: 30, processor: 13_000, memory: 34_000, failures: 0.05, attempts: 4, lateWorth: 0.9 },
+    { ...BULK, name: 'availability-check', perSecond: 0.5, uneven: 0.15, estimateError: 0.9, width: 16, mostWidth: 94, processor: 2800, memory: 7400, failures: 0.02, attempts: 4, lateWorth: 0.3 }
+  ]
+}
+
+/** The busy day of the renewal service. */
+export const RENEWAL: LoadPattern = {
+  ...BUSY_DAY,
+  name: 'renewal',
+  capacity: { processor: 128_000, memory: 262_144, accelerators: 8 },
+  wastePrice: 0.0016,
+  kinds: [
+    { ...URGENT, name: 'pass-reprint', perSecond: 2, uneven: 0.3, estimateError: 0.2, width: 3, mostWidth: 18, processor: 15_000, memory: 31_000, failures: 0.05, latencyMilliseconds: 300 },
+    { ...LONG, name: 'proof-of-age-check', perSecond: 0.46, workMilliseconds: 9400, uneven: 0.15, estimateError: 0.5, width: 4, mostWidth: 24, processor: 52_000, memory: 140_000, failures: 0.02, attempts: 2, lateWorth: 1.5 },
+    { ...BULK, name: 'eligibility-check', perSecond: 0.7, uneven: 0.3, estimateError: 0.5, width: 12, mostWidth: 72, processor: 11_000, memory: 29_000, failures: 0.05, attempts: 3, lateWorth: 0.5 }
+  ]
+}
+
+export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, renewal: RENEWAL }
+
+/**
+ * The same pattern with this many times the arrivals.
+ *
+ * @example
+ * scaled(ROTA, 0.7) // a quiet day
+ */
+export function scaled (pattern: LoadPattern, factor: number): LoadPattern {
+  return { ...pattern, kinds: pattern.kinds.map(kind => ({ ...kind, perSecond: kind.perSecond * factor })) }
+}
--- /dev/null
+++ b/packages/load-replay/src/workload.ts
@@ -0,0 +1,135 @@
+/** Draws the jobs of one replay from a pattern. */
+import { epoch, workspaceName } from '@cornelgauge/model'
+import { configurationVersion, jobId, poolName, queueName, serverId, type Configuration, type Job, type ServerEntry, type StepSpecification } from '@cornelgauge/jobs'
+import { STRAGGLER_FACTOR, STRAGGLER_SHARE, type KindPattern, type LoadPattern } from './pattern.js'
+import { Random } from './random.js'
+
+/** One job with what only the replay knows of it. */
+export interface Arrival {
+  readonly at: number
+  readonly job: Job
+  readonly kind: KindPattern
+  /** True run times of its tasks in milliseconds, by step and index. */
+  readonly work: readonly (readonly number[])[]
+  /** When its caller cancels it. */
+  readonly cancelAt?: number
+}
+
+/** Milliseconds since 1970 at the start of a replay. */
+export const EPOCH_START = 1_700_000_000_000
+const POOL = poolName('pool')
+
+/**
+ * The jobs of one replay, in the order of their arrival.
+ *
+ * @example
+ * const arrivals = arrivalsOf(ROTA, 7)
+ */
+export function arrivalsOf (pattern: LoadPattern, seed: number): readonly Arrival[] {
+  const random = new Random(seed)
+  const arrivals = pattern.kinds.flatMap((kind, number) => timesOf(pattern, kind, random).map((at, count) => draw(pattern, kind, `${number}${String(count).padStart(15, '0')}`, at, random)))
+  return arrivals.sort((left, right) => left.at - right.at)
+}
+
+/**
+ * The backend servers of a pattern.
+ *
+ * @example
+ * const entries = serversOf(ROTA)
+ */
+export function serversOf (pattern: LoadPattern): readonly ServerEntry[] {
+  return Array.from({ length: pattern.servers }, (_, index) => {
+    const rack = rackName(pattern, index)
+    return { id: serverId(`server-${index}`), pool: POOL, address: `10.0.0.${index}:80`, failureDomain: 'north', capacity: pattern.capacity, labels: [rack], rack, isLeaving: false, life: 1 }
+  })
+}
+
+/**
+ * The configuration of a pattern: a queue for each kind.
+ *
+ * @example
+ * planner.configure(configurationOf(ROTA))
+ */
+export function configurationOf (pattern: LoadPattern): Configuration {
+  return {
+    version: configurationVersion(1),
+    queues: pattern.kinds.map(kind => ({
+      name: queueName(kind.name),
+      host: 'jobs.example',
+      prefix: `/${kind.name}/`,
+      pool: POOL,
+      priority: kind.priority,
+      attempts: kind.attempts,
+      stretch: kind.stretch,
+      latencyMilliseconds: kind.latencyMilliseconds,
+      timeoutMilliseconds: 3000,
+      isPublic: false
+    })),
+    pools: [{ name: POOL, maximumConnections: 64, enforcesCapacity: true, isStandby: false }],
+    workspaces: pattern.workspaces.map(({ name, guaranteed }) => ({ name: workspaceName(name), keys: [], guaranteedAccelerators: guaranteed })),
+    limits: { headerBytes: 16_384, bodyBytes: 262_144, headerMilliseconds: 3000, idleMilliseconds: 15_000 }
+  }
+}
+
+function rackName (pattern: LoadPattern, index: number): string {
+  return `r1-${Math.floor(index / pattern.serversPerRack)}`
+}
+
+function timesOf (pattern: LoadPattern, kind: KindPattern, random: Random): readonly number[] {
+  const { swing, periodMilliseconds, burst, lengthMilliseconds } = pattern
+  const most = kind.perSecond * (1 + swing) * (kind.priority === 0 ? burst.factor : 1)
+  const times: number[] = []
+  for (let at = random.exponential(1000 / most); at < lengthMilliseconds; at += random.exponential(1000 / most)) {
+    const isBurst = kind.priority === 0 && at >= burst.from && at < burst.from + burst.milliseconds
+    const rate = kind.perSecond * (1 + swing * Math.sin(2 * Math.PI * at / periodMilliseconds)) * (isBurst ? burst.factor : 1)
+    if (random.chance(rate / most)) times.push(at)
+  }
+  return times
+}
+
+function draw (pattern: LoadPattern, kind: KindPattern, id: string, at: number, random: Random): Arrival {
+  const typical = random.logNormal(kind.workMilliseconds, kind.workSigma)
+  const steps = Array.from({ length: random.chance(kind.secondStep) ? 2 : 1 }, (_, number) => drawStep(pattern, kind, number, typical, random))
+  const work = steps.map(step => Array.from({ length: step.count }, () => typical * (1 + kind.uneven * (2 * random.uniform() - 1)) * (random.chance(STRAGGLER_SHARE) ? STRAGGLER_FACTOR : 1)))
+  const job: Job = {
+    id: jobId(id),
+    queue: queueName(kind.name),
+    pool: POOL,
+    workspace: workspaceName(drawWorkspace(pattern, random)),
+    specification: '',
+    steps,
+    acceptedAt: EPOCH_START + at,
+    acceptedUnder: epoch(1)
+  }
+  return { at, job, kind, work, ...(random.chance(kind.cancelled) ? { cancelAt: at + random.exponential(kind.workMilliseconds) } : {}) }
+}
+
+function drawStep (pattern: LoadPattern, kind: KindPattern, number: number, typical: number, random: Random): StepSpecification {
+  const count = Math.max(1, Math.min(kind.mostWidth, Math.round(random.logNormal(kind.width, 0.8))))
+  const racks = Math.floor(pattern.servers / pattern.serversPerRack)
+  const error = 1 + kind.estimateError * (2 * random.uniform() - 1)
+  const isGang = kind.isGang && count > 1
+  return {
+    count,
+    need: { processor: kind.processor, memory: kind.memory, accelerators: random.choose(kind.accelerators) },
+    estimateMilliseconds: typical * error,
+    after: number === 0 ? [] : [number - 1],
+    savesCheckpoints: random.chance(kind.checkpoints),
+    isGang,
+    wantsOneRack: isGang && random.chance(kind.oneRack),
+    allowsCopies: false,
+    isLasting: false,
+    fillsIdleProcessor: false,
+    ...(random.chance(kind.dataRack) ? { dataRack: `r1-${Math.floor(random.uniform() * racks)}` } : {}),
+    ...(random.chance(kind.apart) ? { mostPerServer: 2 } : {})
+  }
+}
+
+function drawWorkspace (pattern: LoadPattern, random: Random): string {
+  let left = random.uniform()
+  for (const { name, share } of pattern.workspaces) {
+    left -= share
+    if (left < 0) return name
+  }
+  return pattern.workspaces[0]!.name
+}
