--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -15,6 +15,8 @@
 const LATEST_OBJECTIVES = 3
 /** The part of a job's worth that doesn't depend on its size, against the part of a mean job's. */
 const FIXED_WORTH = 0.3
+/** A job is worth at most this many times what a mean one is. */
+const MOST_WORTH = 4
 
 /** One job that waits, with what decides its place. */
 export interface Candidate {
@@ -81,7 +83,7 @@
 
 function fullWeightOf ({ priority, expectedWork, meanWork }: Candidate): number {
   const size = meanWork === 0 ? 1 : expectedWork / meanWork
-  const worth = FIXED_WORTH + (1 - FIXED_WORTH) * size
+  const worth = Math.min(MOST_WORTH, FIXED_WORTH + (1 - FIXED_WORTH) * size)
   return weightOfPriority(priority) * (worth / Math.max(size, Number.EPSILON))
 }
 
--- a/packages/jobs/test/order.test.ts
+++ b/packages/jobs/test/order.test.ts
@@ -44,4 +44,9 @@
     expect(gainOf(candidate('due', { priority: 0, waitedMilliseconds: 1900 }), 500)).to.be.above(0)
     expect(gainOf(candidate('late', { priority: 0, waitedMilliseconds: 2500 }), 500)).to.equal(0)
   })
+
+  it('counts no more than four mean jobs for the widest one', () => {
+    const gain = (expectedWork: number): number => gainOf(candidate('wide', { priority: 0, waitedMilliseconds: 1900, expectedWork }), 500)
+    expect(gain(20_000)).to.be.closeTo(gain(10_000), 1)
+  })
 })
