--- a/packages/load-replay/src/main.ts
+++ b/packages/load-replay/src/main.ts
@@ -43,12 +43,13 @@
 const command = defineCommand({
   meta: { name: 'bench:jobs', description: 'Replays seeded load against the planner on a virtual clock' },
   args: {
-    seeds: { type: 'string', description: 'how many seeds, from 1', default: '10' },
+    seeds: { type: 'string', description: 'how many seeds', default: '10' },
+    first: { type: 'string', description: 'the first seed', default: '1' },
     pattern: { type: 'string', description: Object.keys(PATTERNS).join('|') },
     load: { type: 'string', description: 'arrivals, against those of a busy day', default: '1' }
   },
   run ({ args }) {
-    const seeds = Array.from({ length: Number(args.seeds) }, (_, index) => index + 1)
+    const seeds = Array.from({ length: Number(args.seeds) }, (_, index) => Number(args.first) + index)
     for (const pattern of patternsOf(args.pattern, args.load)) {
       console.log(report(pattern, seeds.map(seed => replay(pattern, seed))).join('\n'))
     }
