Split the owned planner from the entry VM, and drop what no peer reads from heartbeats

The owner's side (reading what is stored, feeds, confirming) is a class of its own; a VM that leaves while it still reads what is stored no longer begins to plan. isReady of a heartbeat and EntryVm.storeAge had no reader.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -3,23 +3,19 @@
  * owns the planner or speaks to the VM that does.
  */
 import { asFailure, CornelgaugeError, type VmName } from '@cornelgauge/model'
-import { pause, systemClock } from '@cornelgauge/coordination'
-import { jobId, type Configuration, type Job, type JobId, type JobPhase, type QueueName } from '@cornelgauge/jobs'
-import type { RowStore } from '@cornelgauge/ports'
+import type { Configuration, Job, JobId, JobPhase, QueueName } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { LogicalClock } from '@cornelgauge/wire'
 import { AnsweringStore } from './answering-store.js'
 import { CurrentConfiguration } from './current-configuration.js'
-import { decodeJob } from './job-record.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
-import { HEARTBEAT_MILLISECONDS, OWNER_CALL_MILLISECONDS, RELAY_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
+import { OWNER_CALL_MILLISECONDS, RELAY_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
 import type { PeerAnswer, PeerQuestion } from './messages.js'
-import type { OwnerRecord } from './owner-record.js'
+import { OwnedPlanner } from './owned-planner.js'
 import { Peers } from './peers.js'
-import { PlannerHost } from './planner-host.js'
+import type { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
-import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
 import { TableFollower } from './table-follower.js'
 
 /** What an entry VM needs. */
@@ -55,8 +51,7 @@
   readonly #leadership: Leadership
   readonly #stopping = new AbortController()
   readonly configuration: CurrentConfiguration
-  #host: PlannerHost | undefined
-  #hosting: AbortController | undefined
+  readonly #owned: OwnedPlanner
 
   readonly #questions: Questions = {
     beat: async beat => this.#leadership.hear(beat),
@@ -105,15 +100,20 @@
       peers: this.#peers,
       emit,
       storeAge: () => this.#store.age,
-      isReady: () => this.isReady,
-      onOwned: owner => this.#own(owner),
-      onLost: () => this.#disown()
+      onOwned: owner => this.#owned.take(owner),
+      onLost: () => this.#background(this.#owned.release())
+    })
+    this.#owned = new OwnedPlanner({
+      store: this.#store,
+      jobs: this.#jobs,
+      platform,
+      emit,
+      configuration: () => this.configuration.value,
+      isCurrent: owner => this.#leadership.isOwner && this.#leadership.owner?.epoch === owner.epoch && !this.#stopping.signal.aborted,
+      followedAge: () => this.#leadership.followedAge,
+      onFenced: () => this.#leadership.lose(),
+      background: work => this.#background(work)
     })
-  }
-
-  /** Milliseconds since the store last answered this VM. */
-  get storeAge (): number {
-    return this.#store.age
   }
 
   /** True if requests can be taken: a configuration is in force and the store answers. */
@@ -123,12 +123,12 @@
 
   /** True while this VM owns the planner. */
   get isOwner (): boolean {
-    return this.#host !== undefined
+    return this.#owned.host !== undefined
   }
 
   /** Counts of the planner's load, where this VM owns it. */
   get load (): PlannerHost['load'] | undefined {
-    return this.#host?.load
+    return this.#owned.host?.load
   }
 
   /** Joins the other VMs; returns at once, and becomes ready later. */
@@ -147,14 +147,12 @@
 
   /** Gives the planner to another VM, if this one owns it; requests are still served. */
   async leave (): Promise<void> {
-    await this.#leadership.leave(() => this.#disown())
+    await this.#leadership.leave(() => this.#owned.release())
   }
 
   /** Ends, after `leave`; without it the planner is left as it is. */
   async stop (): Promise<void> {
-    this.#hosting?.abort()
-    this.#host?.abandon()
-    this.#host = undefined
+    this.#owned.abandon()
     this.#stopping.abort()
     await this.#peers.close()
     await this.#options.platform.servers.close()
@@ -189,9 +187,8 @@
    * @throws {CornelgaugeError} `store-unavailable` if neither the owner nor the store can tell
    */
   async phaseOf (id: JobId): Promise<JobPhase | undefined> {
-    const known = this.#host === undefined
-      ? (await this.#askOwner<'phase'>({ kind: 'phase', id }))?.phase
-      : this.#host.phaseOf(id)
+    const { host } = this.#owned
+    const known = host === undefined ? (await this.#askOwner<'phase'>({ kind: 'phase', id }))?.phase : host.phaseOf(id)
     if (known !== undefined) return known
     const stored = await this.#fromStore(() => this.#jobs.phaseOf(id))
     return stored === 'unknown' ? undefined : stored
@@ -203,7 +200,7 @@
    * @throws {CornelgaugeError} `no-owner` if the owner can't be asked
    */
   async queuedIn (queue: QueueName): Promise<number> {
-    if (this.#host !== undefined) return this.#host.queuedIn(queue)
+    if (this.#owned.host !== undefined) return this.#owned.host.queuedIn(queue)
     const answer = await this.#askOwner<'queued'>({ kind: 'queued', queue })
     if (answer === undefined) throw new CornelgaugeError('no-owner')
     return answer.count
@@ -243,20 +240,21 @@
   }
 
   #hostOrFail (): PlannerHost {
-    if (this.#host === undefined) throw new CornelgaugeError('not-owner')
-    return this.#host
+    if (this.#owned.host === undefined) throw new CornelgaugeError('not-owner')
+    return this.#owned.host
   }
 
   #configure (configuration: Configuration): void {
     this.#options.emit('configuration-in-force', { details: { version: configuration.version, queues: configuration.queues.length } })
-    this.#host?.configure(configuration)
+    this.#owned.host?.configure(configuration)
   }
 
   /** Tells the owner what was stored; it would learn it from the store too, a little later. */
   #tellOwner (question: Extract<PeerQuestion, { kind: 'job' | 'cancel' }>): void {
-    if (this.#host !== undefined) {
-      if (question.kind === 'job') this.#host.submit(question.job)
-      else this.#host.cancel(question.id)
+    const { host } = this.#owned
+    if (host !== undefined) {
+      if (question.kind === 'job') host.submit(question.job)
+      else host.cancel(question.id)
       return
     }
     this.#background(this.#askOwner(question).then(() => {}))
@@ -285,112 +283,6 @@
     }
   }
 
-  async #own (owner: OwnerRecord): Promise<void> {
-    await this.#disown()
-    const { platform, emit } = this.#options
-    const started = performance.now()
-    const [stored, registry] = await this.#persist(async () => await Promise.all([this.#jobs.load(), this.#store.readAll(platform.registryTable)]))
-    if (this.#stopping.signal.aborted || this.#leadership.owner?.epoch !== owner.epoch) return
-    const host = new PlannerHost({
-      owner,
-      stored,
-      store: this.#store,
-      servers: platform.servers,
-      advise: platform.advise,
-      emit,
-      confirmedAge: () => Math.min(this.#confirmedAge, this.#leadership.followedAge),
-      onFenced: () => this.#fenced(host),
-    })
-    this.#confirmedAt = performance.now()
-    this.#host = host
-    this.#hosting = new AbortController()
-    if (this.configuration.value !== undefined) host.configure(this.configuration.value)
-    host.list(platform.readRegistry(new Map(registry.rows.map(row => [row.key, row.value]))))
-    this.#followFor(host, stored.jobsVersion, stored.cancelsVersion, registry, this.#hosting.signal)
-    emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
-    for (const record of stored.damaged) emit('record-unreadable', { details: { record } })
-  }
-
-  #confirmedAt = -Infinity
-
-  get #confirmedAge (): number {
-    return performance.now() - this.#confirmedAt
-  }
-
-  /** Tries until it succeeds or the VM stops: a new owner can't begin without what is stored. */
-  async #persist<Value> (read: () => Promise<Value>): Promise<Value> {
-    for (;;) {
-      try {
-        return await read()
-      } catch (thrown) {
-        this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
-        if (this.#stopping.signal.aborted) throw thrown
-        await pause(systemClock, STORE_RETRY_MILLISECONDS, this.#stopping.signal)
-      }
-    }
-  }
-
-  #followFor (host: PlannerHost, jobsVersion: number, cancelsVersion: number, registry: Awaited<ReturnType<RowStore['readAll']>>, signal: AbortSignal): void {
-    const { platform, emit } = this.#options
-    const onFailure = (table: string) => (failure: CornelgaugeError): void => { emit('feed-failed', { details: { table, failure: failure.code } }) }
-    const jobs = new TableFollower(this.#store, {
-      table: JOBS_TABLE,
-      from: { rows: [], version: jobsVersion },
-      onFailure: onFailure(JOBS_TABLE),
-      onRows: (rows, _asked, changed) => {
-        for (const key of changed) {
-          const value = rows.get(key)
-          if (value !== undefined) this.#submitStored(host, key, value)
-        }
-      }
-    })
-    const cancels = new TableFollower(this.#store, {
-      table: CANCELS_TABLE,
-      from: { rows: [], version: cancelsVersion },
-      onFailure: onFailure(CANCELS_TABLE),
-      onRows: (_rows, _asked, changed) => changed.forEach(key => host.cancel(jobId(key)))
-    })
-    const servers = new TableFollower(this.#store, {
-      table: platform.registryTable,
-      from: registry,
-      pauseMilliseconds: REGISTRY_PAUSE_MILLISECONDS,
-      onFailure: onFailure(platform.registryTable),
-      onRows: rows => host.list(platform.readRegistry(rows))
-    })
-    for (const follower of [jobs, cancels, servers]) this.#background(follower.run(signal))
-    this.#background(this.#confirm(host, signal))
-  }
-
-  #submitStored (host: PlannerHost, key: string, value: Parameters<typeof decodeJob>[1]): void {
-    try {
-      host.submit(decodeJob(key, value))
-    } catch (thrown) {
-      this.#options.emit('record-unreadable', { details: { record: `${key}: ${asFailure(thrown).message}` } })
-    }
-  }
-
-  /** Asks the store now and then whether this VM still owns the planner. */
-  async #confirm (host: PlannerHost, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const asked = performance.now()
-      if (await host.confirm()) this.#confirmedAt = asked
-      await pause(systemClock, HEARTBEAT_MILLISECONDS * 2, signal)
-    }
-  }
-
-  #fenced (host: PlannerHost): void {
-    if (this.#host !== host) return
-    this.#leadership.lose()
-    this.#background(this.#disown())
-  }
-
-  async #disown (): Promise<void> {
-    const host = this.#host
-    this.#host = undefined
-    this.#hosting?.abort()
-    await host?.stop()
-  }
-
   /** Runs something that nobody waits for; what it throws is a fault of the program and ends the process. */
   #background (work: Promise<void>): void {
     work.catch(thrown => {
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -20,7 +20,6 @@
   readonly emit: EmitEvent
   /** Milliseconds since the store last answered this VM. */
   readonly storeAge: () => number
-  readonly isReady: () => boolean
   /** This VM has become the owner. */
   readonly onOwned: (owner: OwnerRecord) => Promise<void>
   /** Another VM owns the planner. */
@@ -196,8 +195,8 @@
   }
 
   async #beat (address: string): Promise<BeatAnswer | undefined> {
-    const { self, peers, storeAge, isReady, emit } = this.#options
-    const beat: BeatQuestion = { kind: 'beat', member: self, storeAge: storeAge(), isReady: isReady(), ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
+    const { self, peers, storeAge, emit } = this.#options
+    const beat: BeatQuestion = { kind: 'beat', member: self, storeAge: storeAge(), ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
     try {
       return await peers.ask<'beat'>(address, beat, HEARTBEAT_TIMEOUT_MILLISECONDS)
     } catch (thrown) {
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -23,7 +23,9 @@
 export const ISOLATED_MILLISECONDS = 2500
 /** An owner without the store's or most peers' word for this long stops deciding. */
 export const OWNER_DOUBT_MILLISECONDS = 2500
-/** An owner cut off from the store for this long hands over, if a peer still reaches it: its calls come every 0.4 s, a peer's feed answers every 0.7 s. */
+/** Time between two questions of an owner whether it still is: several within the time after which it doubts. */
+export const CONFIRM_INTERVAL_MILLISECONDS = 500
+/** An owner cut off from the store for this long hands over, if a peer still reaches it: its calls come every 0.5 s, a peer's feed answers every 0.7 s. */
 export const STORE_LOST_MILLISECONDS = 1000
 /** A peer counts as a member for this long after its last heartbeat. */
 export const MEMBER_MILLISECONDS = 3000
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -20,8 +20,8 @@
 
 /** What is asked; each kind has one answer. */
 export type PeerQuestion =
-  /** Heartbeat of a VM: who it is, what owner it follows and whether it reaches the store. */
-  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly isReady: boolean }
+  /** Heartbeat of a VM: who it is, what owner it follows and how long ago the store answered it. */
+  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number }
   /** A caller's job, from a VM that the store turns away; the peer stores it. */
   | { readonly kind: 'accept', readonly draft: JobDraft }
   /** A job was stored. */
--- a/packages/entry/test/leadership.test.ts
+++ b/packages/entry/test/leadership.test.ts
@@ -26,7 +26,6 @@
     peers: { ask } as unknown as Peers,
     emit: () => {},
     storeAge: () => 0,
-    isReady: () => true,
     onOwned: async () => { owned += 1 },
     onLost: () => {}
   })
