Let a gang wider than what isn't guaranteed wait 2.5 s in an idle pool, unless it saves checkpoints

Cause: an idle pool lent without limit. The wait of 4 s for one rack in an idle pool was also longer than the 3 s in which work is to run that has room.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -52,8 +52,8 @@
 export const RUN_TIME_WEIGHT = 0.1
 /** How long a task waits for the rack of its data before it runs elsewhere, in milliseconds: less than it loses there. */
 export const DATA_RACK_PATIENCE_MILLISECONDS = 2000
-/** How long a gang waits for one rack, or for backend servers without a failure, while most of the pool is idle, in milliseconds. */
-export const IDLE_POOL_PATIENCE_MILLISECONDS = 4000
+/** How long work waits for a better place while most of the pool is idle, in milliseconds: work with room for it is to run within 3 s. */
+export const IDLE_POOL_PATIENCE_MILLISECONDS = 2500
 /** A ticket is used for starts that arrive before it expires: a call's time, in milliseconds. */
 export const TICKET_RESERVE_MILLISECONDS = 300
 /** Time after which advice that had no answer is asked for again, in milliseconds. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -41,6 +41,8 @@
   readonly #future: Room
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
+  /** Accelerators of all backend servers that may get work, free or not. */
+  readonly #accelerators: number
   /** Accelerators that work without checkpoints may still take. */
   #unsavedLeft: number
   #reservedGangs = 0
@@ -54,7 +56,8 @@
     this.#future = roomOf(state, times.now, futureOf)
     this.#claims = claimsOf(state)
     this.#isMostlyIdle = isMostlyIdle(this.#room)
-    this.#unsavedLeft = this.#isMostlyIdle ? Infinity : this.#lendable()
+    this.#accelerators = this.#room.places.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
+    this.#unsavedLeft = state.rules.has('keep-for-claims') ? this.#lendable() : Infinity
   }
 
   place (): void {
@@ -117,7 +120,9 @@
     const { savesCheckpoints, need } = unit.step.specification
     const accelerators = unit.tasks.length * need.accelerators
     if (isClaim || savesCheckpoints || accelerators === 0) return true
-    return accelerators <= this.#unsavedLeft
+    // In an idle pool claims find room beside anything but a gang that takes more than what isn't guaranteed.
+    const isInTheWay = accelerators > this.#accelerators - this.#state.guaranteed && this.#isPatient(unit.tasks[0]!)
+    return accelerators <= this.#unsavedLeft || (this.#isMostlyIdle && !isInTheWay)
   }
 
   #placeTogether (unit: StartUnit, candidate: Candidate): void {
@@ -231,7 +236,8 @@
    * the small work behind it doesn't take each of them as it gets free.
    */
   #reserve ({ step, tasks }: StartUnit): void {
-    if (this.#reservedGangs === RESERVED_GANGS || this.#isAdvised(step)) return
+    const isSpent = this.#reservedGangs === RESERVED_GANGS || !this.#state.rules.has('reserve-for-gangs')
+    if (isSpent || this.#isAdvised(step)) return
     const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
     const reservation = planReclaim(this.#future, step, tasks.length, groups, true)
     if (reservation === undefined) return
@@ -274,7 +280,8 @@
   }
 
   #mayPreempt (candidate: Candidate): boolean {
-    if (this.#preemptions === PREEMPTIONS_PER_ROUND || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
+    const isSpent = this.#preemptions === PREEMPTIONS_PER_ROUND || !this.#state.rules.has('stop-by-worth')
+    if (isSpent || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
     this.#preemptions += 1
     return true
   }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -12,6 +12,7 @@
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
 import type { JobProgress } from './progress.js'
 import { close, dropLapsed, takeNewLife, takeReport, takeStartOutcome, takeStopOutcome } from './reports.js'
+import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
@@ -58,8 +59,9 @@
 export class Planner {
   readonly #state: PlannerState
 
-  constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes) {
-    this.#state = new PlannerState(epoch, times.now)
+  /** `rules` are left out only to compare. */
+  constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes, rules: readonly PlacementRule[] = PLACEMENT_RULES) {
+    this.#state = new PlannerState(epoch, times.now, new Set(rules))
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
       this.#state.add(state)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -9,6 +9,7 @@
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
 import { FIRST_RUN_GUESS_MILLISECONDS, LEASE_MILLISECONDS, LOST_OWNER_MILLISECONDS, RUNS_PER_EPOCH, RUN_TIME_WEIGHT, SERVER_CLOCK_SLOWEST } from './limits.js'
+import type { PlacementRule } from './placement-rules.js'
 import { Server, type RunEnd, type ServerEntry } from './server.js'
 
 /** What the planner has learned of a task or job, for the log. */
@@ -19,6 +20,7 @@
 /** The jobs, backend servers and configuration, and what is not stored yet. */
 export class PlannerState {
   readonly epoch: Epoch
+  readonly rules: ReadonlySet<PlacementRule>
   readonly jobs = new Map<JobId, JobState>()
   readonly servers = new Map<ServerId, Server>()
   configuration: Configuration | undefined
@@ -42,8 +44,9 @@
   readonly #inheritedUntil: number
   #isSettled = false
 
-  constructor (epoch: Epoch, now: number) {
+  constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
+    this.rules = rules
     this.#inheritedUntil = now + LEASE_MILLISECONDS / SERVER_CLOCK_SLOWEST + LOST_OWNER_MILLISECONDS
   }
 
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -411,6 +411,31 @@
   })
 })
 
+describe('a wide gang without checkpoints in an idle pool', () => {
+  const wide = job('wide', { queue: 'long', steps: [step({ count: 4, accelerators: 8, isGang: true })] })
+
+  it('waits a moment for claims that it would be in the way of', () => {
+    const world = new World(4)
+    world.planner.submit(wide)
+    world.settle()
+    expect(world.starts).to.deep.equal([])
+  })
+
+  it('starts within the 3 s in which work is to run that has room', () => {
+    const world = new World(4)
+    world.planner.submit(wide)
+    world.settle(140)
+    expect(world.runs('wide.0.0.3')).not.to.equal(undefined)
+  })
+
+  it('starts at once where it saves checkpoints', () => {
+    const world = new World(4)
+    world.planner.submit(job('saved', { queue: 'long', steps: [step({ count: 4, accelerators: 8, isGang: true, savesCheckpoints: true })] }))
+    world.settle()
+    expect(world.runs('saved.0.0.3')).not.to.equal(undefined)
+  })
+})
+
 describe('a gang that waits while small work keeps coming', () => {
   it('gets the backend servers that are free first, one after the other', () => {
     const world = new World(4)
--- a/packages/load-replay/src/main.ts
+++ b/packages/load-replay/src/main.ts
@@ -1,5 +1,6 @@
 /** The program: `npm run bench:jobs`. */
 import { CornelgaugeError } from '@cornelgauge/model'
+import { PLACEMENT_RULES } from '@cornelgauge/jobs'
 import { defineCommand, runMain } from 'citty'
 import { ratio, type Account, type Share } from './account.js'
 import { PATTERNS, scaled, type LoadPattern } from './pattern.js'
@@ -15,6 +16,12 @@
   })
 }
 
+function wholeNumber (name: string, text: string): number {
+  const value = Number(text)
+  if (!Number.isInteger(value) || value < 1) throw new CornelgaugeError('invalid-settings', { detail: `--${name} is ${text}, not a whole number above 0` })
+  return value
+}
+
 function mean (values: readonly number[]): string {
   return (values.reduce((sum, value) => sum + value, 0) / values.length).toFixed(3)
 }
@@ -31,27 +38,41 @@
   return `  ${name.padEnd(20)} earned ${mean(shares.map(ratio))}  in time ${part(share => share.inTime)}  late ${part(share => share.late)}  widest tenth ${mean(widest.map(ratio))}`
 }
 
-function report (pattern: LoadPattern, accounts: readonly Account[]): readonly string[] {
+function totalLine (name: string, accounts: readonly Account[]): string {
   const of = (read: (account: Account) => number): string => mean(accounts.map(read))
+  return `${name}: total ${meanWithError(accounts.map(account => account.total))}, earned ${of(account => ratio(account.whole))}, worst windows ${of(account => account.worstWindows)}, waste ${of(account => account.waste)}, stops ${of(account => account.stops)}`
+}
+
+function report (pattern: LoadPattern, accounts: readonly Account[]): readonly string[] {
   const present = (shares: readonly (Share | undefined)[]): readonly Share[] => shares.filter(share => share !== undefined)
   return [
-    `${pattern.name}, ${accounts.length} seeds: total ${meanWithError(accounts.map(account => account.total))}, earned ${of(account => ratio(account.whole))}, worst windows ${of(account => account.worstWindows)}, waste ${of(account => account.waste)}, stops ${of(account => account.stops)}`,
+    totalLine(`${pattern.name}, ${accounts.length} seeds`, accounts),
     ...pattern.kinds.map(({ name }) => kindLine(name, present(accounts.map(account => account.byKind.get(name))), present(accounts.map(account => account.widest.get(name)))))
   ]
 }
 
+/** The same seeds with each rule of the placement left out. */
+function comparison (pattern: LoadPattern, seeds: readonly number[]): readonly string[] {
+  return PLACEMENT_RULES.map(rule => {
+    const others = PLACEMENT_RULES.filter(other => other !== rule)
+    return totalLine(`  without ${rule}`, seeds.map(seed => replay(pattern, seed, others)))
+  })
+}
+
 const command = defineCommand({
   meta: { name: 'bench:jobs', description: 'Replays seeded load against the planner on a virtual clock' },
   args: {
     seeds: { type: 'string', description: 'how many seeds', default: '10' },
     first: { type: 'string', description: 'the first seed', default: '1' },
     pattern: { type: 'string', description: Object.keys(PATTERNS).join('|') },
-    load: { type: 'string', description: 'arrivals, against those of a busy day', default: '1' }
+    load: { type: 'string', description: 'arrivals, against those of a busy day', default: '1' },
+    compare: { type: 'boolean', description: 'also without each rule of the placement', default: false }
   },
   run ({ args }) {
-    const seeds = Array.from({ length: Number(args.seeds) }, (_, index) => Number(args.first) + index)
+    const seeds = Array.from({ length: wholeNumber('seeds', args.seeds) }, (_, index) => wholeNumber('first', args.first) + index)
     for (const pattern of patternsOf(args.pattern, args.load)) {
       console.log(report(pattern, seeds.map(seed => replay(pattern, seed))).join('\n'))
+      if (args.compare) console.log(comparison(pattern, seeds).join('\n'))
     }
   }
 })
--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -1,12 +1,12 @@
 /** Plays a load against a planner, with backend servers in memory. */
 import { epoch } from '@cornelgauge/model'
-import { parseTaskName, Planner, type Command, type RunEnd, type ServerId, type StartCommand, type StopCommand, type TaskAddress } from '@cornelgauge/jobs'
+import { parseTaskName, PLACEMENT_RULES, Planner, type Command, type PlacementRule, type RunEnd, type ServerId, type StartCommand, type StopCommand, type TaskAddress } from '@cornelgauge/jobs'
 import { account, type Account, type Course } from './account.js'
 import { SPREAD_FACTOR, type LoadPattern } from './pattern.js'
 import { Random } from './random.js'
 import { SimulatedServer, type SimulatedRun } from './simulated-server.js'
 import { Timeline } from './timeline.js'
-import { arrivalsOf, configurationOf, EPOCH_START, serversOf, type Arrival } from './workload.js'
+import { arrivalsOf, configurationOf, EPOCH_START, serversOf } from './workload.js'
 
 /** A call between a VM and a backend server, in milliseconds. */
 const CALL_MILLISECONDS = 3
@@ -42,13 +42,13 @@
   readonly #saved = new Map<string, number>()
   #isRoundDue = false
 
-  constructor (pattern: LoadPattern, seed: number) {
+  constructor (pattern: LoadPattern, seed: number, rules: readonly PlacementRule[] = PLACEMENT_RULES) {
     this.#pattern = pattern
     this.#random = new Random(seed + 1_000_003)
     const entries = serversOf(pattern)
     this.#servers = new Map(entries.map((entry, index) => [entry.id, new SimulatedServer(entry, pattern.serverSlowness[index % pattern.serverSlowness.length]!)]))
     this.#courses = new Map(arrivalsOf(pattern, seed).map(arrival => [arrival.job.id, { arrival, wasted: 0, stops: 0 }]))
-    this.#planner = new Planner(epoch(1), [], this.#times)
+    this.#planner = new Planner(epoch(1), [], this.#times, rules)
     this.#planner.configure(configurationOf(pattern))
     this.#planner.list(entries, 0)
   }
@@ -223,9 +223,12 @@
   }
 }
 
-/** One replay of a seed. */
-export function replay (pattern: LoadPattern, seed: number): Account {
-  return new Replay(pattern, seed).play()
+/**
+ * One replay of a seed, with all rules of the placement or with those given.
+ *
+ * @example
+ * replay(ROTA, 7).total
+ */
+export function replay (pattern: LoadPattern, seed: number, rules: readonly PlacementRule[] = PLACEMENT_RULES): Account {
+  return new Replay(pattern, seed, rules).play()
 }
-
-export type { Arrival }
