--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -22,6 +22,8 @@
 export const WASTE_WEIGHT = 0.2
 /** Work is stopped for what isn't a claim only if that earns this many times what it loses: the estimates of both are rough. */
 export const PREEMPTION_MARGIN = 2
+/** Only a claim throws away more than this of one run, in milliseconds: above what going on from a checkpoint takes. */
+export const MOST_LOST_MILLISECONDS = 1000
 /** How much later work is expected to find room without that, in milliseconds: a part of a mean run. */
 export const PREEMPTION_DELAY_MILLISECONDS = 1500
 /** Plans for such stops in one round: each costs a search through the pool. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -6,7 +6,7 @@
 import { dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM, CLAIM_RACK_PATIENCE_MILLISECONDS, DATA_RACK_PATIENCE_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS, WASTE_WEIGHT } from './limits.js'
+import { CHEAP_RECLAIM, CLAIM_RACK_PATIENCE_MILLISECONDS, DATA_RACK_PATIENCE_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, MOST_LOST_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS, WASTE_WEIGHT } from './limits.js'
 import { gainOf, inOrder, weightOfPriority, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
 import { planReclaim, type VictimGroup } from './reclaim.js'
@@ -286,10 +286,12 @@
     return true
   }
 
-  /** What may be stopped for a claim: work that isn't itself one. For other work: what is less urgent. */
+  /** What may be stopped for a claim: work that isn't itself one. For other work: what is less urgent, and young or saved. */
   #victimsOf ({ isClaim, priority }: Candidate): readonly VictimGroup[] {
-    const isVictim = (job: JobState): boolean => !this.#claims.has(job) && (isClaim || this.#priorityOf(job) > priority)
-    return runningGroups(this.#state, isVictim, (step, run) => this.#costOf(step, run))
+    const costOf = (step: StepState, run: Run): number => this.#costOf(step, run)
+    if (isClaim) return runningGroups(this.#state, job => !this.#claims.has(job), costOf)
+    return runningGroups(this.#state, job => !this.#claims.has(job) && this.#priorityOf(job) > priority, costOf)
+      .filter(group => group.members.every(({ task, run }) => lostMilliseconds(task.step, run, this.#times.now) < MOST_LOST_MILLISECONDS))
   }
 
   /** What stopping a run loses: its work is done again, at a price, and it may come late. */
