Split off what may be stopped, and stop nothing by worth where an outside service decides on the places

A queue with advice had work stopped for it at places that it may not be allowed to use; the test fails before.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -6,16 +6,17 @@
 import { dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM, CLAIM_RACK_PATIENCE_MILLISECONDS, DATA_RACK_PATIENCE_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, MOST_LOST_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS, WASTE_WEIGHT } from './limits.js'
-import { gainOf, inOrder, weightOfPriority, type Candidate } from './order.js'
+import { CHEAP_RECLAIM, CLAIM_RACK_PATIENCE_MILLISECONDS, DATA_RACK_PATIENCE_MILLISECONDS, FAILURE_MEMORY_MILLISECONDS, IDLE_POOL_PATIENCE_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, RECLAIM_PATIENCE_MILLISECONDS, RESERVED_GANGS } from './limits.js'
+import { gainOf, inOrder, type Candidate } from './order.js'
 import { placeAll, placeGang } from './placement.js'
-import { planReclaim, type VictimGroup } from './reclaim.js'
+import { planReclaim } from './reclaim.js'
 import { stopRun } from './reports.js'
 import { countedNeed, Room, type Place } from './room.js'
 import { apartFromServing, futureOf, isMostlyIdle, roomOf } from './round-room.js'
-import { lostMilliseconds, remainingMilliseconds, runningGroups } from './running-groups.js'
+import { remainingMilliseconds, runningGroups } from './running-groups.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
+import { victimsOf } from './victims.js'
 
 /** Times of a round. */
 export interface RoundTimes {
@@ -156,7 +157,7 @@
     if (dataRack !== undefined) {
       const near = room.places.filter(place => place.server.entry.rack === dataRack)
       const place = placeAll(room, near, step, 1)?.[0]
-      const isPatient = this.#times.now - task.readySince! < DATA_RACK_PATIENCE_MILLISECONDS
+      const isPatient = this.#waited(task) < DATA_RACK_PATIENCE_MILLISECONDS
       if (place !== undefined || (isPatient && near.length > 0)) return place
     }
     return placeAll(room, room.places, step, 1)?.[0]
@@ -178,13 +179,17 @@
 
   /** While most of the pool is idle, nothing is gained by waiting for a better place. */
   #isPatient (task: TaskState): boolean {
-    return !this.#isMostlyIdle || this.#times.now - (task.readySince ?? this.#times.now) < IDLE_POOL_PATIENCE_MILLISECONDS
+    return !this.#isMostlyIdle || this.#waited(task) < IDLE_POOL_PATIENCE_MILLISECONDS
+  }
+
+  /** Milliseconds for which a task has been ready to start. */
+  #waited ({ readySince = this.#times.now }: TaskState): number {
+    return this.#times.now - readySince
   }
 
   /** A claim waits for one rack only as long as its guarantee allows. */
   #isPatientFor ({ tasks }: StartUnit, { isClaim }: Candidate): boolean {
-    const waited = this.#times.now - (tasks[0]?.readySince ?? this.#times.now)
-    return isClaim ? waited < CLAIM_RACK_PATIENCE_MILLISECONDS : this.#isPatient(tasks[0]!)
+    return isClaim ? this.#waited(tasks[0]!) < CLAIM_RACK_PATIENCE_MILLISECONDS : this.#isPatient(tasks[0]!)
   }
 
   /** The room without places where a job with few attempts left might spend its last one. */
@@ -260,13 +265,13 @@
    * keeps what is chosen from everybody behind it. False if nothing is kept.
    */
   #reclaim (unit: StartUnit, candidate: Candidate): boolean {
-    if (!candidate.isClaim && !this.#mayPreempt(candidate)) return false
     const { step, tasks } = unit
-    const reclaim = planReclaim(this.#future, step, tasks.length, this.#victimsOf(candidate), this.#isPatientFor(unit, candidate))
+    if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
+    const reclaim = planReclaim(this.#future, step, tasks.length, victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#isPatientFor(unit, candidate))
     if (reclaim === undefined) return false
     const cost = reclaim.victims.reduce((sum, group) => sum + group.cost, 0)
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
-    const isPatient = this.#times.now - (tasks[0]?.readySince ?? this.#times.now) < RECLAIM_PATIENCE_MILLISECONDS
+    const isPatient = this.#waited(tasks[0]!) < RECLAIM_PATIENCE_MILLISECONDS
     const victims = cost > CHEAP_RECLAIM && isPatient ? [] : reclaim.victims
     for (const group of victims) {
       for (const { run, need } of group.members) {
@@ -279,32 +284,13 @@
     return true
   }
 
-  #mayPreempt (candidate: Candidate): boolean {
+  /** Where an outside service decides, the places that stops would free may not be allowed. */
+  #mayPreempt (step: StepState, candidate: Candidate): boolean {
     const isSpent = this.#preemptions === PREEMPTIONS_PER_ROUND || !this.#state.rules.has('stop-by-worth')
-    if (isSpent || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
+    if (isSpent || this.#isAdvised(step) || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
     this.#preemptions += 1
     return true
   }
-
-  /** What may be stopped for a claim: work that isn't itself one. For other work: what is less urgent, and young or saved. */
-  #victimsOf ({ isClaim, priority }: Candidate): readonly VictimGroup[] {
-    const costOf = (step: StepState, run: Run): number => this.#costOf(step, run)
-    if (isClaim) return runningGroups(this.#state, job => !this.#claims.has(job), costOf)
-    return runningGroups(this.#state, job => !this.#claims.has(job) && this.#priorityOf(job) > priority, costOf)
-      .filter(group => group.members.every(({ task, run }) => lostMilliseconds(task.step, run, this.#times.now) < MOST_LOST_MILLISECONDS))
-  }
-
-  /** What stopping a run loses: its work is done again, at a price, and it may come late. */
-  #costOf (step: StepState, run: Run): number {
-    const { job } = step
-    const weight = weightOfPriority(this.#priorityOf(job))
-    const share = this.#state.shareOf(step.specification, job.job.pool)
-    return share * lostMilliseconds(step, run, this.#times.now) * (weight + WASTE_WEIGHT)
-  }
-
-  #priorityOf (job: JobState): number {
-    return this.#state.queueOf(job)?.priority ?? 0
-  }
 }
 
 /** The tasks of a step that start now: of a gang all or none. */
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -306,6 +306,18 @@
       expect(world.stops.map(stop => stop.reason)).to.deep.equal(['reclaimed', 'reclaimed'])
     })
 
+    it('stops nothing where an outside service decides on the places', () => {
+      const world = new World(1)
+      const [urgent] = CONFIGURATION.queues
+      const advised = CONFIGURATION.queues.find(queue => queue.advice !== undefined)!
+      world.planner.configure({ ...CONFIGURATION, queues: [...CONFIGURATION.queues.filter(queue => queue !== urgent), { ...urgent!, advice: advised.advice! }] })
+      world.planner.submit(job('bulk', { steps: [step({ count: 8, savesCheckpoints: true })] }))
+      world.settle(150)
+      world.planner.submit(job('urgent', { queue: 'urgent', acceptedAt: world.wallTime - URGENT_AGE_MILLISECONDS }))
+      world.settle(30)
+      expect(world.stops).to.deep.equal([])
+    })
+
     it('stops no old work that is saved nowhere', () => {
       expect(full(false).stops).to.deep.equal([])
     })
