Answer a caller whose body is too large before its connection ends

The daemon refused the body and closed the connection behind the answer; the caller, still sending, got a reset that can overtake the answer. Ruled out: the load, which only makes the race visible; the ingress of the users' platform, which keeps its connection.

--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { asFailure, CornelgaugeError, toProblem } from '@cornelgauge/model'
+import { readRequestBody } from '@cornelgauge/ports'
 import type { Address } from './settings.js'
 
 /** Largest body of a request. */
@@ -79,9 +80,9 @@
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       const answer = await this.#answer(request)
-      this.#send(request, response, answer)
+      this.#send(response, answer)
     } catch (thrown) {
-      this.#send(request, response, problemAnswer(asFailure(thrown)))
+      this.#send(response, problemAnswer(asFailure(thrown)))
     }
   }
 
@@ -97,16 +98,15 @@
       parameters: match.parameters!,
       query: url.searchParams,
       header: name => singleHeader(request.headers[name]),
-      body: maximumBytes => readBody(request, maximumBytes)
+      body: maximumBytes => readRequestBody(request, maximumBytes)
     })
   }
 
-  #send (request: IncomingMessage, response: ServerResponse, answer: HttpAnswer): void {
+  #send (response: ServerResponse, answer: HttpAnswer): void {
     const isText = typeof answer.body === 'string'
     const text = isText ? answer.body as string : JSON.stringify(answer.body)
     const headers = { 'content-type': isText ? 'text/plain; charset=utf-8' : 'application/json', ...answer.headers, 'content-length': String(Buffer.byteLength(text)) }
-    const close = this.#closing || !request.complete
-    response.writeHead(answer.status, close ? { ...headers, connection: 'close' } : headers)
+    response.writeHead(answer.status, this.#closing ? { ...headers, connection: 'close' } : headers)
     response.end(text)
   }
 }
@@ -152,28 +152,6 @@
   }
 }
 
-/**
- * Reads the whole body. What comes over the limit is read and thrown away, so that
- * a caller that is still sending gets the answer and not a broken connection.
- */
-function readBody (request: IncomingMessage, maximumBytes: number): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const parts: Buffer[] = []
-    let bytes = 0
-    request.on('data', (part: Buffer) => {
-      bytes += part.length
-      if (bytes <= maximumBytes) parts.push(part)
-      else reject(bodyTooLarge(maximumBytes))
-    })
-    request.on('end', () => { resolve(Buffer.concat(parts).toString('utf8')) })
-    request.on('close', () => { reject(new CornelgaugeError('connection-lost', { detail: 'The caller went away before the end of its body' })) })
-  })
-}
-
-function bodyTooLarge (maximumBytes: number): CornelgaugeError {
-  return new CornelgaugeError('body-too-large', { detail: `The body is over ${maximumBytes} bytes`, members: { maximumBytes } })
-}
-
 function singleHeader (value: string | readonly string[] | undefined): string | undefined {
   return typeof value === 'string' ? value : value?.[0]
 }
