--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -65,11 +65,6 @@
     return account(this.#pattern, [...this.#courses.values()])
   }
 
-  /** What became of each job. */
-  courses (): readonly Course[] {
-    return [...this.#courses.values()]
-  }
-
   get #times (): { now: number, wallTime: number } {
     return { now: this.#timeline.now, wallTime: EPOCH_START + this.#timeline.now }
   }
