Log slow rounds, the planner's load and stalls of the event loop

Change: the owner logs each round of 100 ms and more (1033) and every 2 s a summary of its rounds and its load (1034), with runs that aren't resolved, servers that haven't answered and jobs that wait for recovery.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -46,6 +46,10 @@
 export const ROUND_DELAY_MILLISECONDS = 4
 /** Longest interval between two scheduling rounds, for conditions that depend on time alone. */
 export const ROUND_INTERVAL_MILLISECONDS = 150
+/** A round that blocks the event loop for longer is logged; heartbeats time out after `HEARTBEAT_TIMEOUT_MILLISECONDS`. */
+export const SLOW_ROUND_MILLISECONDS = 100
+/** Interval at which the owner logs its planner's load and rounds. */
+export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
 
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -15,6 +15,7 @@
 import type { OwnerRecord } from './owner-record.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
+import { RoundMonitor } from './round-monitor.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -60,6 +61,7 @@
   readonly #options: PlannerHostOptions
   readonly #planner: Planner
   readonly #writer: ProgressWriter
+  readonly #rounds: RoundMonitor
   readonly #inbox = new Inbox<HostEvent>()
   readonly #stopping = new AbortController()
   readonly #addresses = new Map<ServerId, string>()
@@ -91,9 +93,10 @@
 
   constructor (options: PlannerHostOptions) {
     this.#options = options
-    const { owner, stored, store } = options
+    const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
+    this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
     const events: Stream<HostEvent> = this.#inbox.events
     events.observe(event => this.#handle(event)).catch(thrown => this.#crash(thrown))
     this.#roundTimer = setInterval(() => this.#inbox.put({ type: 'tick' }), ROUND_INTERVAL_MILLISECONDS)
@@ -190,7 +193,8 @@
   #runRound (): void {
     if (!this.#isDeciding || this.#stopping.signal.aborted) return
     if (this.#options.confirmedAge() < OWNER_CONFIRMATION_LIMIT_MILLISECONDS) {
-      for (const command of this.#planner.decide({ now: performance.now(), wallTime: Date.now() })) this.#perform(command)
+      const commands = this.#rounds.measure(() => this.#planner.decide({ now: performance.now(), wallTime: Date.now() }))
+      for (const command of commands) this.#perform(command)
     }
     this.#save()
   }
--- /dev/null
+++ b/packages/entry/test/round-monitor.test.ts
@@ -0,0 +1,37 @@
+import { epoch } from '@cornelgauge/model'
+import type { PlannerLoad } from '@cornelgauge/jobs'
+import { expect } from 'chai'
+import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from '../src/limits.js'
+import { RoundMonitor } from '../src/round-monitor.js'
+
+const LOAD: PlannerLoad = { jobsQueued: 3, jobsRunning: 2, jobsRecovering: 0, runs: 9, runsUnresolved: 1, serversUnanswered: 0, serversUsable: 4, servers: 5, acceleratorsFree: 6 }
+
+function monitorOf (): { monitor: RoundMonitor, events: { name: string, details: Readonly<Record<string, unknown>> | undefined }[], runRound: (milliseconds: number) => void } {
+  const events: { name: string, details: Readonly<Record<string, unknown>> | undefined }[] = []
+  let now = 0
+  const monitor = new RoundMonitor({ epoch: epoch(7), emit: (name, facts) => { events.push({ name, details: facts?.details }) }, load: () => LOAD, now: () => now })
+  const runRound = (milliseconds: number): void => {
+    monitor.measure(() => {
+      now += milliseconds
+      return ['start', 'stop']
+    })
+  }
+  return { monitor, events, runRound }
+}
+
+describe('round monitor', () => {
+  it('logs a round that blocks the event loop, with the load that it had to place', () => {
+    const { events, runRound } = monitorOf()
+    runRound(SLOW_ROUND_MILLISECONDS - 1)
+    expect(events).to.deep.equal([])
+    runRound(SLOW_ROUND_MILLISECONDS)
+    expect(events).to.deep.equal([{ name: 'round-slow', details: { epoch: 7, milliseconds: SLOW_ROUND_MILLISECONDS, commands: 2, ...LOAD } }])
+  })
+
+  it('sums up all rounds at an interval, and starts again from zero', () => {
+    const { events, runRound } = monitorOf()
+    for (let time = 0; time < 2 * PLANNER_SUMMARY_INTERVAL_MILLISECONDS; time += 50) runRound(50)
+    expect(events.map(event => event.name)).to.deep.equal(['planner-summary', 'planner-summary'])
+    expect(events[1]!.details).to.deep.equal({ epoch: 7, rounds: PLANNER_SUMMARY_INTERVAL_MILLISECONDS / 50, roundMilliseconds: PLANNER_SUMMARY_INTERVAL_MILLISECONDS, longestRound: 50, ...LOAD })
+  })
+})
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -42,6 +42,11 @@
   readonly jobsQueued: number
   readonly jobsRunning: number
   readonly runs: number
+  /** Runs that are being stopped, or whose start or stop isn't confirmed. */
+  readonly runsUnresolved: number
+  /** Jobs of earlier owners that wait until all of their runs are known. */
+  readonly jobsRecovering: number
+  readonly serversUnanswered: number
   readonly serversUsable: number
   readonly servers: number
   readonly acceleratorsFree: number
@@ -58,10 +63,12 @@
  */
 export class Planner {
   readonly #state: PlannerState
+  #lastRoundAt: number
 
   /** Rules are disabled only for comparisons. */
   constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes, rules: readonly PlacementRule[] = PLACEMENT_RULES) {
     this.#state = new PlannerState(epoch, times.now, new Set(rules))
+    this.#lastRoundAt = times.now
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
       this.#state.addJob(state)
@@ -192,6 +199,7 @@
 
   /** Runs one round, which decides what is started and stopped. */
   decide (times: RoundTimes): readonly Command[] {
+    this.#lastRoundAt = times.now
     for (const server of this.#state.servers.values()) dropExpired(this.#state, server, times.now)
     return decide(this.#state, times)
   }
@@ -212,6 +220,9 @@
       jobsQueued: jobs.filter(job => job.phase === 'queued').length,
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
+      runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
+      jobsRecovering: this.#state.isRecoveryComplete(this.#lastRoundAt) ? 0 : jobs.filter(job => job.isOpen && job.isInherited).length,
+      serversUnanswered: servers.filter(server => !server.hasAnswered).length,
       serversUsable: usable.length,
       servers: servers.length,
       acceleratorsFree: usable.reduce((sum, server) => sum + server.free.accelerators, 0)
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -1,6 +1,19 @@
 /** Events 10xx: jobs, and the VM that plans them. */
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
 
+/** Fields of the planner's load. */
+const LOAD_FIELDS = {
+  jobsQueued: 'jobs of which no task has started',
+  jobsRunning: 'jobs that have started',
+  jobsRecovering: 'jobs of earlier owners that wait until all of their runs are known',
+  runs: 'runs that may be alive',
+  runsUnresolved: 'runs that are being stopped, or whose start or stop isn\'t confirmed',
+  serversUnanswered: 'backend servers that haven\'t answered this owner yet',
+  serversUsable: 'backend servers that may get work',
+  servers: 'backend servers',
+  acceleratorsFree: 'free accelerators of the usable ones'
+} as const
+
 /** Events 10xx: jobs, and the VM that plans them. */
 export const JOB_EVENTS = {
   'planner-claimed': {
@@ -184,5 +197,19 @@
     sentence: 'The settings are invalid; those read at the start stay in force.',
     fields: { failure: 'error message that names each fault' },
     action: 'Correct the settings and send SIGHUP again.'
+  },
+  'round-slow': {
+    number: 1033,
+    level: 'warning',
+    sentence: 'A scheduling round has blocked the event loop for long; heartbeats and calls were not answered meanwhile.',
+    fields: { epoch: 'fencing epoch', milliseconds: 'duration of the round', commands: 'number of commands that it decided', ...LOAD_FIELDS },
+    action: 'If it recurs, check the processor time of the VM and the number of waiting jobs.'
+  },
+  'planner-summary': {
+    number: 1034,
+    level: 'info',
+    sentence: 'The load of the planner and the rounds since the last summary.',
+    fields: { epoch: 'fencing epoch', rounds: 'number of rounds', roundMilliseconds: 'their total duration', longestRound: 'duration of the longest one in milliseconds', ...LOAD_FIELDS },
+    action: NO_ACTION
   }
 } as const satisfies CatalogueRows
--- a/packages/telemetry/src/process-monitor.ts
+++ b/packages/telemetry/src/process-monitor.ts
@@ -1,5 +1,5 @@
 /** Samples the event loop lag and the memory of the process. */
-import type { EventLog } from './event-log.js'
+import type { EmitEvent } from './event-log.js'
 import type { Metrics } from './metrics.js'
 
 /** Interval of the samples. */
@@ -9,8 +9,8 @@
 
 /** Options of a process monitor. */
 export interface ProcessMonitorOptions {
-  readonly metrics: Metrics
-  readonly log: EventLog
+  readonly metrics: Pick<Metrics, 'measure' | 'gauge'>
+  readonly log: { readonly emit: EmitEvent }
   /** Monotonic time in milliseconds. */
   readonly now?: () => number
   /** Calls the callback at an interval; returns a function that cancels it. */
