--- a/packages/jobs/src/advice.ts
+++ b/packages/jobs/src/advice.ts
@@ -16,7 +16,7 @@
  * const allowed = targetsWithTicket(snapshot, step, now)
  */
 export function targetsWithTicket (snapshot: CapacitySnapshot, step: StepState, now: number): CapacitySnapshot {
-  return new CapacitySnapshot(snapshot.targets.filter(target => ticketFor(step, target, now) !== undefined))
+  return new CapacitySnapshot(snapshot.targets.filter(target => ticketFor(step, target, now) !== undefined), snapshot.work)
 }
 
 /**
--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -2,6 +2,7 @@
 import { addCapacity, timesFitting, type Capacity } from './capacity.js'
 import type { StepState } from './job-state.js'
 import type { ServerId } from './ids.js'
+import type { RoundWork } from './round-work.js'
 import type { Server } from './server.js'
 
 /** A backend server on which tasks can be placed in a round. */
@@ -15,10 +16,14 @@
 /** The backend servers that may get work, with the free capacity of each. */
 export class CapacitySnapshot {
   readonly targets: readonly PlacementTarget[]
+  /** Counts the examinations of its targets. */
+  readonly work: RoundWork
   readonly #byServer: ReadonlyMap<ServerId, PlacementTarget>
 
-  constructor (targets: readonly PlacementTarget[]) {
+  constructor (targets: readonly PlacementTarget[], work: RoundWork) {
     this.targets = targets
+    this.work = work
+    work.add(targets.length)
     this.#byServer = new Map(targets.map(target => [target.server.id, target]))
   }
 
@@ -29,7 +34,7 @@
 
   /** Copies the snapshot for trial placements. */
   copy (): CapacitySnapshot {
-    return new CapacitySnapshot(this.targets.map(target => ({ ...target, tasksOf: new Map(target.tasksOf) })))
+    return new CapacitySnapshot(this.targets.map(target => ({ ...target, tasksOf: new Map(target.tasksOf) })), this.work)
   }
 
   /** Subtracts one task's need from a target. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -65,6 +65,7 @@
     const isRecoveryComplete = this.#state.isRecoveryComplete(this.#times.now)
     const candidates: Candidate[] = []
     for (const job of this.#state.jobs.values()) {
+      this.#state.work.add(1)
       if (!job.isOpen || (job.isInherited && !isRecoveryComplete)) continue
       job.activate(this.#times.wallTime)
       const candidate = this.#candidate(job)
@@ -198,7 +199,7 @@
     const failures = Math.max(...step.tasks.map(task => step.failuresOf(task)))
     if (attempts - failures > 2 || !this.#mayWait(step.tasks[0]!)) return this.#current
     const lowRisk = this.#current.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#times.now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS)
-    return new CapacitySnapshot(lowRisk)
+    return new CapacitySnapshot(lowRisk, this.#state.work)
   }
 
   #start (task: TaskState, target: PlacementTarget, run: ReturnType<PlannerState['nextRun']>): void {
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -13,6 +13,7 @@
  * const targets = placeTasks(snapshot, snapshot.targets, step, 3)
  */
 export function placeTasks (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, count: number): readonly PlacementTarget[] | undefined {
+  snapshot.work.add(candidates.length)
   const fittingTargets = candidates
     .map(target => ({ target, fitting: countFitting(target, step, count) }))
     .filter(offer => offer.fitting > 0)
@@ -39,6 +40,7 @@
   const count = step.tasks.length
   if (!step.specification.wantsOneRack) return placeTasks(snapshot, snapshot.targets, step, count)
   const racks = racksOf(snapshot.targets)
+  snapshot.work.add(snapshot.targets.length)
   const fitting = racks
     .map(targets => ({ targets, taskCapacity: targets.reduce((sum, target) => sum + countFitting(target, step, count), 0) }))
     .filter(rack => rack.taskCapacity >= count)
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -196,6 +196,11 @@
     return decide(this.#state, times)
   }
 
+  /** Number of backend servers, running groups and jobs that all rounds so far have examined: their work, whatever the machine. */
+  get examinations (): number {
+    return this.#state.work.examinations
+  }
+
   /** Removes jobs whose retention time has passed, and returns their ids. */
   retire (wallTime: number): readonly JobId[] {
     const retired = [...this.#state.jobs.values()].filter(job => job.isFinalStored && job.runs.length === 0 && wallTime - (job.finishedAt ?? wallTime) > RETENTION_MILLISECONDS)
--- a/packages/jobs/src/reclaim.ts
+++ b/packages/jobs/src/reclaim.ts
@@ -7,6 +7,7 @@
 import type { StepState, TaskState } from './job-state.js'
 import { couldHold, racksOf } from './placement.js'
 import { countFitting, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
+import type { RoundWork } from './round-work.js'
 import type { Run } from './server.js'
 
 /** Runs that are stopped together: those of a gang, or a single one. */
@@ -54,7 +55,7 @@
   const victims: VictimGroup[] = []
   const chosen: PlacementTarget[] = []
   while (chosen.length < count) {
-    const option = cheapestOption(targets, step, remaining)
+    const option = cheapestOption(trial, targets, step, remaining)
     if (option === undefined) return undefined
     for (const group of option.victims) {
       remaining.delete(group)
@@ -73,10 +74,10 @@
   readonly cost: number
 }
 
-function cheapestOption (targets: readonly PlacementTarget[], step: StepState, groups: ReadonlySet<VictimGroup>): TargetOption | undefined {
+function cheapestOption ({ work }: CapacitySnapshot, targets: readonly PlacementTarget[], step: StepState, groups: ReadonlySet<VictimGroup>): TargetOption | undefined {
   let best: TargetOption | undefined
   for (const target of targets) {
-    const option = optionAt(target, step, groups)
+    const option = optionAt(target, step, groups, work)
     if (option === undefined) continue
     const isBetter = best === undefined || option.cost < best.cost ||
       (option.cost === best.cost && option.target.free.accelerators < best.target.free.accelerators)
@@ -86,9 +87,11 @@
 }
 
 /** Chooses victims on one backend server, the cheapest first, until one task fits. */
-function optionAt (target: PlacementTarget, step: StepState, groups: ReadonlySet<VictimGroup>): TargetOption | undefined {
+function optionAt (target: PlacementTarget, step: StepState, groups: ReadonlySet<VictimGroup>, work: RoundWork): TargetOption | undefined {
+  work.add(1)
   if (countFitting(target, step, 1) > 0) return { target, victims: [], cost: 0 }
   const server = target.server.id
+  work.add(groups.size)
   const groupsHere = [...groups]
     .filter(group => group.members.some(member => member.run.server === server))
     .sort((left, right) => left.cost - right.cost)
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -15,7 +15,7 @@
 export function snapshotOf (state: PlannerState, now: number, freeOf: (server: Server) => Server['free']): CapacitySnapshot {
   const isHealthy = (server: Server): boolean => !server.isUnhealthy || now - server.lastFailureAt > UNHEALTHY_MILLISECONDS
   const servers = [...state.servers.values()].filter(server => server.isUsable && isHealthy(server))
-  return new CapacitySnapshot(servers.map(server => ({ server, free: freeOf(server), tasksOf: tasksOn(state, server) })))
+  return new CapacitySnapshot(servers.map(server => ({ server, free: freeOf(server), tasksOf: tasksOn(state, server) })), state.work)
 }
 
 /**
@@ -55,7 +55,7 @@
   const isFilling = (other: StepState): boolean => other.specification.fillsIdleProcessor
   const interferes = fillsIdleProcessor ? isServing : tailTargetMilliseconds !== undefined ? isFilling : undefined
   if (interferes === undefined) return snapshot
-  return new CapacitySnapshot(snapshot.targets.filter(target => ![...target.tasksOf.keys()].some(interferes)))
+  return new CapacitySnapshot(snapshot.targets.filter(target => ![...target.tasksOf.keys()].some(interferes)), snapshot.work)
 }
 
 function tasksOn (state: PlannerState, server: Server): Map<StepState, number> {
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -10,6 +10,7 @@
 import { ClaimDemand } from './lending.js'
 import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE } from './limits.js'
 import type { PlacementRule } from './placement-rules.js'
+import { RoundWork } from './round-work.js'
 import { Server, type RunEnd, type ServerEntry } from './server.js'
 
 /** An event of a task or job, for the log. */
@@ -24,6 +25,8 @@
   readonly jobs = new Map<JobId, JobState>()
   readonly servers = new Map<ServerId, Server>()
   configuration: Configuration | undefined
+  /** Counts the work of its rounds. */
+  readonly work = new RoundWork()
   readonly claimDemand = new ClaimDemand()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
   readonly #queues = new Map<QueueName, Queue>()
--- a/packages/load-replay/src/pattern.ts
+++ b/packages/load-replay/src/pattern.ts
@@ -113,7 +113,23 @@
   ]
 }
 
-export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, renewal: RENEWAL }
+const GROWN_GUARANTEES = [240, 200, 160, 120, 96, 80, 64, 64, 56, 48]
+
+/** A busy day of the renewal service at the grown size. */
+export const RENEWAL_GROWN: LoadPattern = {
+  ...RENEWAL,
+  name: 'renewal-grown',
+  servers: 246,
+  serversPerRack: 12,
+  workspaces: GROWN_GUARANTEES.map((guaranteed, index) => ({ name: `workspace-${index}`, share: guaranteed / GROWN_GUARANTEES.reduce((sum, each) => sum + each), guaranteed })),
+  kinds: [
+    { ...RENEWAL.kinds[0]!, perSecond: 8.5, meanTasks: 5, maximumTasks: 30 },
+    { ...RENEWAL.kinds[1]!, perSecond: 1.46, meanTasks: 10, maximumTasks: 60 },
+    { ...RENEWAL.kinds[2]!, perSecond: 1.8, meanTasks: 30, maximumTasks: 180 }
+  ]
+}
+
+export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN }
 
 /**
  * Multiplies the arrival rates of a pattern.
--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -41,6 +41,7 @@
   /** Work saved in checkpoints, in milliseconds, by checkpoint. */
   readonly #savedWork = new Map<string, number>()
   #isRoundDue = false
+  #largestRound = 0
 
   constructor (pattern: LoadPattern, seed: number, rules: readonly PlacementRule[] = PLACEMENT_RULES) {
     this.#pattern = pattern
@@ -65,6 +66,11 @@
     return account(this.#pattern, [...this.#outcomes.values()])
   }
 
+  /** Highest number of examinations in one round. */
+  get largestRound (): number {
+    return this.#largestRound
+  }
+
   get #times (): { now: number, wallTime: number } {
     return { now: this.#timeline.now, wallTime: START_TIME + this.#timeline.now }
   }
@@ -111,7 +117,9 @@
 
   #round (): void {
     this.#isRoundDue = false
+    const before = this.#planner.examinations
     const commands = this.#planner.decide(this.#times)
+    this.#largestRound = Math.max(this.#largestRound, this.#planner.examinations - before)
     for (const command of commands) this.#timeline.scheduleAfter(CALL_MILLISECONDS, () => this.#perform(command))
   }
 
