Add failing tests of loading, feeds and growth of the stored state

- a load after the ownership is lost: 4 reads in place of 1
- a job that ended 360 s ago: its 3 rows stay
- a write of progress without an answer: the whole table is read

Deterministic: the verdicts rest on counts, on lengths and on whether a transfer ends.

--- /dev/null
+++ b/packages/entry/test/loading.test.ts
@@ -0,0 +1,93 @@
+import { epoch, vmName, workspaceName } from '@cornelgauge/model'
+import { encodeProgress, jobId, Planner, poolName, queueName, type Job } from '@cornelgauge/jobs'
+import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
+import { expect } from 'chai'
+import { encodeJob } from '../src/job-record.js'
+import { JobStore } from '../src/job-store.js'
+import { OwnedPlanner } from '../src/owned-planner.js'
+import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
+import type { PlatformView } from '../src/platform-view.js'
+import { ProgressWriter } from '../src/progress-writer.js'
+
+const ID = jobId('00000000000000a1')
+const JOB: Job = {
+  id: ID,
+  queue: queueName('check'),
+  pool: poolName('pool'),
+  workspace: workspaceName('brno'),
+  specification: 'work',
+  acceptedAt: 1000,
+  acceptedUnder: epoch(1),
+  steps: [{ count: 2, need: { processor: 1, memory: 1, accelerators: 1 }, estimateMilliseconds: 0, after: [], savesCheckpoints: false, isGang: false, wantsOneRack: false, allowsCopies: false, isLasting: false, fillsIdleProcessor: false }]
+}
+const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
+const RETENTION_MILLISECONDS = 180_000
+/** Time for the owner to delete what is due; it does so several times within it. */
+const DELETION_MILLISECONDS = 5000
+
+const readsOf = (view: MemoryRowStoreView): number =>
+  Object.entries(view.calls).reduce((sum, [name, count]) => name === 'write' ? sum : sum + count, 0)
+
+describe('the stored state of the planner', () => {
+  let store: MemoryRowStore
+  let view: MemoryRowStoreView
+  let owner: OwnerRecord
+
+  const ownedPlanner = (isCurrent: () => boolean): OwnedPlanner => new OwnedPlanner({
+    store: view,
+    jobs: new JobStore(view),
+    platform: { store: view, servers: { retainConnections: () => {}, close: async () => {} }, configurationTable: 'op', readConfiguration: () => undefined, registryTable: 'servers', readRegistry: () => [] } as unknown as PlatformView,
+    emit: () => {},
+    configuration: () => undefined,
+    isCurrent,
+    peerConfirmationAge: () => 0,
+    onFenced: () => {},
+    runInBackground: work => { work.catch(() => {}) }
+  })
+
+  beforeEach(async () => {
+    store = new MemoryRowStore()
+    view = store.view()
+    owner = await claimOwnership(view, NO_OWNER, SELF)
+    await view.write({ conditions: [], puts: [{ table: 'jobs', key: ID, value: encodeJob(JOB) }] })
+  })
+
+  describe('a load', () => {
+    it('ends with the page under way when another VM has become the owner', async () => {
+      const before = readsOf(view)
+      const owned = ownedPlanner(() => readsOf(view) <= before)
+      await owned.takeOver(owner)
+      expect(owned.host).to.equal(undefined)
+      expect(readsOf(view) - before).to.equal(1)
+    })
+  })
+
+  describe('a job that ended longer ago than the retention time', () => {
+    it('is deleted by the owner, with its progress and its cancellation', async function () {
+      this.timeout(2 * DELETION_MILLISECONDS)
+      const progress = encodeProgress({ phase: 'canceled', finishedAt: Date.now() - 2 * RETENTION_MILLISECONDS, hasBegun: false, steps: {} })
+      await view.write({ conditions: [], puts: [{ table: 'progress', key: ID, value: { text: progress } }, { table: 'cancels', key: ID, value: {} }] })
+      const owned = ownedPlanner(() => true)
+      await owned.takeOver(owner)
+      const deadline = performance.now() + DELETION_MILLISECONDS
+      const rowsLeft = (): number => ['jobs', 'cancels', 'progress'].reduce((sum, table) => sum + store.rows(table).length, 0)
+      while (rowsLeft() > 0 && performance.now() < deadline) await new Promise(resolve => setTimeout(resolve, 20))
+      owned.abandon()
+      expect(rowsLeft()).to.equal(0)
+    })
+  })
+
+  describe('a write of progress whose answer was lost', () => {
+    it('is repeated without reading a table', async () => {
+      const planner = new Planner(epoch(1), [{ job: JOB, isCancelled: false }], { now: 0, wallTime: 0 })
+      planner.cancel(ID, 1000)
+      const writer = new ProgressWriter(view, owner, new Map())
+      view.fault = 'losing-answers'
+      await writer.write(planner).catch(() => { /* The answer is lost. */ })
+      view.fault = 'none'
+      const before = readsOf(view)
+      while (planner.unstoredJobs.size > 0) await writer.write(planner)
+      expect(readsOf(view) - before).to.equal(0)
+    })
+  })
+})
