--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -4,7 +4,7 @@
  */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type VmName } from '@cornelgauge/model'
-import type { RowStore } from '@cornelgauge/ports'
+import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
@@ -18,6 +18,8 @@
   readonly store: RowStore
   readonly peers: Peers
   readonly emit: EmitEvent
+  /** The steady clock; the system's unless a test advances its own. */
+  readonly clock?: Clock
   /** Milliseconds since the store last answered this VM. */
   readonly storeAge: () => number
   /** Called when this VM has become the owner. */
@@ -46,6 +48,7 @@
  */
 export class Leadership {
   readonly #options: LeadershipOptions
+  readonly #clock: Clock
   readonly #members = new Map<VmName, KnownMember>()
   #owner: KnownOwner | undefined
   #ownership: OwnerRecord | undefined
@@ -56,6 +59,7 @@
 
   constructor (options: LeadershipOptions) {
     this.#options = options
+    this.#clock = options.clock ?? systemClock
   }
 
   /** The newest owner known to this VM. */
@@ -70,7 +74,7 @@
 
   /** Other VMs with a recent heartbeat, received here or by the owner. */
   get members (): readonly Member[] {
-    const now = performance.now()
+    const now = this.#clock.now()
     return [...this.#members.values()].filter(member => now - member.heardAt < MEMBER_EXPIRY_MILLISECONDS)
   }
 
@@ -80,12 +84,12 @@
    */
   get relayPeer (): Member | undefined {
     if (this.isOwner) return this.#successors()[0]
-    return performance.now() - this.#ownerSeenAt < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
+    return this.#clock.now() - this.#ownerSeenAt < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
   }
 
   /** Milliseconds since a majority of peers last sent a heartbeat; the store's confirmation is tracked separately. */
   get peerConfirmationAge (): number {
-    const now = performance.now()
+    const now = this.#clock.now()
     const ages = [...this.#members.values()].map(member => now - member.heardAt).sort((left, right) => left - right)
     return ages.length === 0 ? Infinity : ages[Math.floor(ages.length / 2)]!
   }
@@ -98,7 +102,7 @@
       else await this.#checkOwner(signal)
       // After a missed heartbeat the next one follows without a pause: the first message may just have been lost.
       const isInDoubt = this.#missedHeartbeats > 0 && this.#missedHeartbeats < MISSED_HEARTBEATS
-      if (!isInDoubt) await pause(systemClock, HEARTBEAT_MILLISECONDS, signal)
+      if (!isInDoubt) await pause(this.#clock, HEARTBEAT_MILLISECONDS, signal)
     }
   }
 
@@ -129,13 +133,13 @@
   /** Answers a heartbeat. */
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
-    this.#members.set(member.vm, { ...member, storeAge, heardAt: performance.now() })
+    this.#members.set(member.vm, { ...member, storeAge, heardAt: this.#clock.now() })
     if (heartbeat.owner !== undefined) this.adoptOwner(heartbeat.owner)
     return {
       kind: 'beat',
       isOwner: this.isOwner,
       members: this.members,
-      ownerHeardAge: performance.now() - this.#ownerSeenAt,
+      ownerHeardAge: this.#clock.now() - this.#ownerSeenAt,
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
     }
   }
@@ -155,7 +159,7 @@
       } catch (thrown) {
         this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
         await this.#querySeeds()
-        if (this.#owner === undefined) await pause(systemClock, STORE_RETRY_MILLISECONDS, signal)
+        if (this.#owner === undefined) await pause(this.#clock, STORE_RETRY_MILLISECONDS, signal)
       }
     }
   }
@@ -174,7 +178,7 @@
     const { vm, address, epoch, version } = owner
     this.#owner = { vm, address, epoch, version }
     this.#missedHeartbeats = 0
-    this.#ownerSeenAt = performance.now()
+    this.#ownerSeenAt = this.#clock.now()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
     this.#ownership = undefined
     this.#options.onLost()
@@ -188,8 +192,8 @@
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     if (answer?.isOwner === true) {
       this.#missedHeartbeats = 0
-      this.#ownerSeenAt = performance.now()
-      const now = performance.now()
+      this.#ownerSeenAt = this.#clock.now()
+      const now = this.#clock.now()
       for (const member of answer.members) if (member.vm !== this.#options.self.vm) this.#members.set(member.vm, { storeAge: 0, ...member, heardAt: now })
       return
     }
@@ -216,7 +220,7 @@
     if (this.#isLeaving) return
     const others = this.members.filter(member => member.vm !== owner.vm)
     const rank = others.filter(member => member.vm < this.#options.self.vm).length
-    await pause(systemClock, rank * SUCCESSION_STEP_MILLISECONDS, signal)
+    await pause(this.#clock, rank * SUCCESSION_STEP_MILLISECONDS, signal)
     if (signal.aborted || this.#owner?.epoch !== owner.epoch) return
     if (!isNoLongerOwner && others.length > 0 && await this.#isReachableElsewhere(others)) {
       this.#missedHeartbeats = 0
@@ -229,7 +233,7 @@
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#sendHeartbeat(member.address)))
     for (const answer of answers) if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     const replies = answers.filter(answer => answer !== undefined)
-    if (replies.length === 0) return performance.now() - this.#ownerSeenAt < ISOLATED_TAKEOVER_MILLISECONDS
+    if (replies.length === 0) return this.#clock.now() - this.#ownerSeenAt < ISOLATED_TAKEOVER_MILLISECONDS
     return replies.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS)
   }
 
@@ -240,7 +244,7 @@
 
   async #tryClaim (reason: string): Promise<void> {
     const { store, self, emit } = this.#options
-    const started = performance.now()
+    const started = this.#clock.now()
     const silenceMilliseconds = started - this.#ownerSeenAt
     try {
       const storedOwner = await readOwner(store)
@@ -252,7 +256,7 @@
       this.adoptOwner(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (storedOwner?.epoch ?? 0) + 1) return
       this.#ownership = owner
-      emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(performance.now() - started) } })
+      emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(this.#clock.now() - started) } })
       await this.#options.onOwned(owner)
     } catch (thrown) {
       emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } })
@@ -261,7 +265,7 @@
 
   /** As owner: hands over to a peer that reaches the store if this VM doesn't. */
   #handOverIfStoreLost (): void {
-    this.#ownerSeenAt = performance.now()
+    this.#ownerSeenAt = this.#clock.now()
     if (this.#options.storeAge() < STORE_LOST_MILLISECONDS) return
     const successor = this.#successors().find(member => member.storeAge < STORE_LOST_MILLISECONDS)
     if (successor === undefined || this.#ownership === undefined) return
@@ -272,7 +276,7 @@
 
   /** Candidates for taking over, those with the most recent answer from the store first. */
   #successors (): readonly KnownMember[] {
-    const now = performance.now()
+    const now = this.#clock.now()
     return [...this.#members.values()]
       .filter(member => now - member.heardAt < MEMBER_EXPIRY_MILLISECONDS)
       .sort((left, right) => left.storeAge - right.storeAge || (left.vm < right.vm ? -1 : 1))
