--- /dev/null
+++ b/packages/entry/test/ownership.test.ts
@@ -0,0 +1,155 @@
+import { pause } from '@cornelgauge/coordination'
+import { epoch } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { Deployment, type SimulatedVm } from './deployment.js'
+
+/** Time after which an owner of which no packet arrives has been replaced, in milliseconds. */
+const REPLACED_MILLISECONDS = 1500
+
+const equalWeights = (count: number): number[] => Array.from({ length: count }, () => 1)
+
+describe('ownership', function () {
+  this.timeout(60_000)
+  let deployment: Deployment
+
+  afterEach(async () => await deployment.stop())
+
+  async function startSettled (weights: readonly number[]): Promise<readonly SimulatedVm[]> {
+    deployment = new Deployment(weights)
+    await deployment.start()
+    await deployment.clock.advance(15_000)
+    expect(deployment.owners).to.deep.equal(['vm-00'])
+    return deployment.vms
+  }
+
+  describe('heartbeats', () => {
+    async function meanReplyBytes (count: number): Promise<number> {
+      deployment = new Deployment(equalWeights(count))
+      await deployment.start(1)
+      await deployment.clock.advance(1000)
+      deployment.replies = deployment.replyBytes = 0
+      await deployment.clock.advance(400)
+      await deployment.stop()
+      return deployment.replyBytes / deployment.replies
+    }
+
+    it('have replies whose size does not grow with the number of VMs', async () => {
+      const [few, many] = [await meanReplyBytes(10), await meanReplyBytes(300)]
+      expect(many).to.be.below(2 * few)
+      expect(many).to.be.below(400)
+    })
+
+    it('make all VMs known to each other, and forget one that is gone', async () => {
+      const vms = await startSettled(equalWeights(5))
+      expect(vms[4]!.leadership.members.map(member => member.vm).sort()).to.include.members(['vm-01', 'vm-02', 'vm-03'])
+      vms[2]!.isDown = true
+      await deployment.clock.advance(7000)
+      expect(vms[4]!.leadership.members.map(member => member.vm)).to.not.include('vm-02')
+      expect(vms[4]!.leadership.members.map(member => member.vm)).to.include.members(['vm-01', 'vm-03'])
+    })
+  })
+
+  describe('a VM that loads the state of the planner', () => {
+    it('learns that it was replaced, and its load ends', async () => {
+      const vms = await startSettled(equalWeights(3))
+      deployment.loadMilliseconds = 20_000
+      deployment.onClaim = vm => { if (vm === vms[1]) vm.mutedUntil = deployment.clock.now() + 8000 }
+      vms[0]!.isDown = true
+      await deployment.clock.advance(9000)
+      expect(deployment.claims.map(claim => claim.vm).slice(0, 3)).to.deep.equal(['vm-00', 'vm-01', 'vm-02'])
+      expect(deployment.owners).to.deep.equal(['vm-02'])
+      expect(vms[1]!.loads.map(signal => signal.aborted)).to.deep.equal([true])
+    })
+  })
+
+  describe('an owner', () => {
+    it('stays if it answers each heartbeat late', async () => {
+      const vms = await startSettled(equalWeights(4))
+      vms[0]!.replyDelay = 400
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims).to.have.length(1)
+    })
+
+    it('stays if it is busy for less than a second now and then', async () => {
+      const vms = await startSettled(equalWeights(4))
+      for (let times = 0; times < 5; times += 1) {
+        vms[0]!.stalledUntil = deployment.clock.now() + 800
+        await deployment.clock.advance(2000)
+      }
+      expect(deployment.claims).to.have.length(1)
+    })
+
+    it('is not taken for silent by a VM whose own loop was delayed', async () => {
+      const vms = await startSettled(equalWeights(2))
+      vms[0]!.replyDelay = 50
+      for (let times = 0; times < 10; times += 1) {
+        vms[1]!.stalledUntil = deployment.clock.now() + 3000
+        await deployment.clock.advance(5037)
+      }
+      expect(deployment.claims).to.have.length(1)
+    })
+
+    it('is replaced in time if no packet of it arrives', async () => {
+      const vms = await startSettled(equalWeights(8))
+      const downAt = deployment.clock.now()
+      vms[0]!.isDown = true
+      await deployment.clock.advance(5000)
+      expect(deployment.claims).to.have.length(2)
+      expect(deployment.claims[1]!.at - downAt).to.be.below(REPLACED_MILLISECONDS)
+    })
+  })
+
+  describe('a chain of takeovers', () => {
+    it('ends although each new owner answers nothing for 2 s after its claim', async () => {
+      const vms = await startSettled(equalWeights(8))
+      deployment.onClaim = vm => { vm.mutedUntil = deployment.clock.now() + 2000 }
+      vms[0]!.isDown = true
+      await deployment.clock.advance(30_000)
+      expect(deployment.owners).to.have.length(1)
+      expect(deployment.claims.length).to.be.below(6)
+      expect(deployment.clock.now() - deployment.claims.at(-1)!.at).to.be.above(20_000)
+    })
+  })
+
+  describe('succession', () => {
+    it('prefers the VM with most processor and link', async () => {
+      const vms = await startSettled([2, 1, 1, 1, 4, 1])
+      vms[0]!.isDown = true
+      await deployment.clock.advance(5000)
+      expect(deployment.owners).to.deep.equal(['vm-04'])
+    })
+
+    it('reaches the smallest VM if all others are gone at once', async () => {
+      const vms = await startSettled([4, 4, 4, 4, 4, 2, 2, 2, 2, 2, 2, 1])
+      vms.slice(0, -1).forEach(vm => { vm.isDown = true })
+      await deployment.clock.advance(6000)
+      expect(deployment.owners).to.deep.equal(['vm-11'])
+    })
+
+    it('takes one claim after a restart of all VMs, by a VM of the most weight', async () => {
+      deployment = new Deployment([...equalWeights(30), 4, 4, ...equalWeights(6)])
+      const { vm, address } = deployment.vms[5]!.member
+      deployment.store.apply({ conditions: [], puts: [{ table: 'owner', key: 'planner', value: { vm, address, epoch: 12, claim: 'earlier' } }] })
+      await deployment.start(5)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-30', 13]])
+    })
+
+    it('adopts a claim that came first instead of claiming after it', async () => {
+      const vms = await startSettled(equalWeights(3))
+      const claimant = vms[1]!
+      vms[0]!.isDown = true
+      await deployment.clock.advance(500)
+      const other = { ...vms[2]!.member, epoch: epoch(2), version: 2 }
+      const storedVersion = deployment.store.rows('owner')[0]!.version
+      const handover = pause(deployment.clock, 1).then(() => claimant.leadership.takeOver({ ...vms[0]!.member, epoch: epoch(1), version: storedVersion }))
+      const adoption = pause(deployment.clock, 3).then(() => {
+        deployment.store.apply({ conditions: [], puts: [{ table: 'owner', key: 'planner', value: { vm: other.vm, address: other.address, epoch: 2, claim: 'first' } }] })
+        claimant.leadership.adoptOwner(other)
+      })
+      await deployment.clock.advance(50)
+      await Promise.all([handover, adoption])
+      expect(deployment.store.rows('owner')[0]!.value.epoch).to.equal(2)
+    })
+  })
+})
