Leave the event loop as much time between rounds as a round takes

Callers saw no start for seconds while the owner was taken for gone: it held a round 4 ms after any event, however long the last one had taken.

A round is now delayed by at least the duration of the one before. The types of the host's inputs move to a file of their own, and the signal on which all polls wait no longer warns of its listeners.

Test: round-monitor.test.ts, which failed before as there was no such delay.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -3,15 +3,17 @@
  * commands and stores progress. All inputs pass through one stream of events, so that the
  * planner handles one at a time.
  */
+import { setMaxListeners } from 'node:events'
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type ServerReport, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls } from './backend-server-calls.js'
 import type { StoredJobs } from './job-store.js'
-import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_DELAY_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
+import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
+import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
@@ -31,21 +33,6 @@
   readonly onFenced: () => void
 }
 
-type HostEvent =
-  | { readonly type: 'polled', readonly server: ServerId, readonly report: ServerReport }
-  | { readonly type: 'pollFailed', readonly server: ServerId, readonly failure: CornelgaugeError }
-  | { readonly type: 'started', readonly command: StartCommand, readonly outcome: StartOutcome }
-  | { readonly type: 'stopped', readonly command: StopCommand, readonly outcome: StopOutcome }
-  | { readonly type: 'advised', readonly command: AdviseCommand, readonly advice: Advice | undefined }
-  | { readonly type: 'registryUpdated', readonly entries: readonly ServerEntry[] }
-  | { readonly type: 'configured', readonly configuration: Configuration }
-  | { readonly type: 'submitted', readonly job: Job }
-  | { readonly type: 'cancelled', readonly id: JobId }
-  | { readonly type: 'tick' }
-
-type EventHandlers = { readonly [Type in HostEvent['type']]: (event: Extract<HostEvent, { type: Type }>) => void }
-type CommandHandlers = { readonly [Type in Command['type']]: (command: Extract<Command, { type: Type }>) => Promise<void> }
-
 /** Writes of progress that take longer than this are logged. */
 const SLOW_STORE_MILLISECONDS = 500
 
@@ -72,7 +59,7 @@
   #saving: Promise<void> | undefined
   #firstStartAt: number | undefined
 
-  readonly #handlers: EventHandlers = {
+  readonly #handlers: HostEventHandlers = {
     polled: ({ server, report }) => this.#planner.applyReport(server, report, Date.now()),
     pollFailed: ({ server, failure }) => this.#handlePollFailure(server, failure),
     started: ({ command, outcome }) => this.#handleStartOutcome(command, outcome),
@@ -97,6 +84,8 @@
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
+    // Each backend server's poll may wait on this signal.
+    setMaxListeners(0, this.#stopping.signal)
     const events: Stream<HostEvent> = this.#inbox.events
     events.observe(event => this.#handle(event)).catch(thrown => this.#crash(thrown))
     this.#roundTimer = setInterval(() => this.#inbox.put({ type: 'tick' }), ROUND_INTERVAL_MILLISECONDS)
@@ -187,7 +176,7 @@
     setTimeout(() => {
       this.#isRoundDue = false
       this.#runRound()
-    }, ROUND_DELAY_MILLISECONDS)
+    }, this.#rounds.delayMilliseconds)
   }
 
   #runRound (): void {
--- a/packages/entry/src/round-monitor.ts
+++ b/packages/entry/src/round-monitor.ts
@@ -1,7 +1,7 @@
-/** Measures scheduling rounds: logs each slow one, and all of them in a periodic summary. */
+/** Measures scheduling rounds: logs each slow one, sums up all of them periodically, and limits their share of the event loop's time. */
 import type { PlannerLoad } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from './limits.js'
+import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, ROUND_DELAY_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 
 /** Options of a round monitor. */
@@ -26,12 +26,18 @@
   #rounds = 0
   #milliseconds = 0
   #longest = 0
+  #last = 0
 
   constructor (options: RoundMonitorOptions) {
     this.#options = { now: () => performance.now(), ...options }
     this.#summaryAt = this.#options.now() + PLANNER_SUMMARY_INTERVAL_MILLISECONDS
   }
 
+  /** Delay of the next round, in milliseconds: rounds take at most half of the event loop's time, so that calls and heartbeats are answered between them. */
+  get delayMilliseconds (): number {
+    return Math.max(ROUND_DELAY_MILLISECONDS, this.#last)
+  }
+
   /** Runs a round and records how long it blocks the event loop. */
   measure<Result extends readonly unknown[]> (round: () => Result): Result {
     const { epoch, emit, load, now } = this.#options
@@ -39,6 +45,7 @@
     const commands = round()
     const endedAt = now()
     const milliseconds = endedAt - startedAt
+    this.#last = milliseconds
     this.#rounds += 1
     this.#milliseconds += milliseconds
     this.#longest = Math.max(this.#longest, milliseconds)
--- a/packages/entry/test/round-monitor.test.ts
+++ b/packages/entry/test/round-monitor.test.ts
@@ -1,7 +1,7 @@
 import { epoch } from '@cornelgauge/model'
 import type { PlannerLoad } from '@cornelgauge/jobs'
 import { expect } from 'chai'
-import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from '../src/limits.js'
+import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, ROUND_DELAY_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from '../src/limits.js'
 import { RoundMonitor } from '../src/round-monitor.js'
 
 const LOAD: PlannerLoad = { jobsQueued: 3, jobsRunning: 2, jobsRecovering: 0, runs: 9, runsUnresolved: 1, serversUnanswered: 0, serversUsable: 4, servers: 5, acceleratorsFree: 6 }
@@ -34,4 +34,13 @@
     expect(events.map(event => event.name)).to.deep.equal(['planner-summary', 'planner-summary'])
     expect(events[1]!.details).to.deep.equal({ epoch: 7, rounds: PLANNER_SUMMARY_INTERVAL_MILLISECONDS / 50, roundMilliseconds: PLANNER_SUMMARY_INTERVAL_MILLISECONDS, longestRound: 50, ...LOAD })
   })
+
+  it('leaves the event loop as much time after a round as the round has taken', () => {
+    const { monitor, runRound } = monitorOf()
+    expect(monitor.delayMilliseconds).to.equal(ROUND_DELAY_MILLISECONDS)
+    runRound(300)
+    expect(monitor.delayMilliseconds).to.equal(300)
+    runRound(1)
+    expect(monitor.delayMilliseconds).to.equal(ROUND_DELAY_MILLISECONDS)
+  })
 })
