Search for a reclaim plan without examining all running groups for each task

Callers saw accepted jobs that never ran, as a round held the owner for seconds.

Now a `VictimIndex` holds the groups by backend server, the cheapest first; what may be stopped for claims is indexed once a round, and stopped groups are removed from it. A `ReclaimSearch` works on the targets of one rack, computes each target's option once, keeps the options sorted, and computes an option again only where a choice has changed it.

--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -56,15 +56,24 @@
 }
 
 /**
- * Counts how many tasks of a step fit on a target, at most `limit`.
+ * Returns how many tasks of a step may run on a target whatever capacity is free, at most `limit`.
  *
  * @example
- * countFitting(target, step, 5)
+ * mostTasksOn(target, step, 5) // 0 without the required label
  */
-export function countFitting (target: PlacementTarget, step: StepState, limit: number): number {
+export function mostTasksOn (target: PlacementTarget, step: StepState, limit: number): number {
   const { requiredLabel, mostPerServer } = step.specification
   if (target.server.entry.pool !== step.job.job.pool) return 0
   if (requiredLabel !== undefined && !target.server.entry.labels.includes(requiredLabel)) return 0
-  const most = mostPerServer === undefined ? limit : Math.min(limit, mostPerServer - (target.tasksOf.get(step) ?? 0))
-  return timesFitting(target.free, countedNeed(step), most)
+  return mostPerServer === undefined ? limit : Math.min(limit, mostPerServer - (target.tasksOf.get(step) ?? 0))
+}
+
+/**
+ * Counts how many tasks of a step fit on a target, at most `limit`.
+ *
+ * @example
+ * countFitting(target, step, 5)
+ */
+export function countFitting (target: PlacementTarget, step: StepState, limit: number): number {
+  return timesFitting(target.free, countedNeed(step), mostTasksOn(target, step, limit))
 }
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -16,6 +16,7 @@
 import { remainingMilliseconds, runningGroups } from './running-groups.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
+import { VictimIndex } from './victim-index.js'
 import { victimsOf } from './victims.js'
 
 /** Current times for a round. */
@@ -46,6 +47,8 @@
   readonly #totalAccelerators: number
   /** Accelerators that work without checkpoints may still borrow. */
   #lendableAccelerators: number
+  /** What may be stopped for claims, which is the same for all of them until other work starts. */
+  #claimVictims: VictimIndex | undefined
   #reservedGangs = 0
   #preemptionSearches = 0
 
@@ -223,6 +226,7 @@
     }
     if (!task.step.specification.savesCheckpoints && !this.#claims.has(task.step.job)) this.#lendableAccelerators -= started.need.accelerators
     server.add(started)
+    if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
     task.runs.add(started)
     task.readySince = undefined
     this.#commands.push({
@@ -245,7 +249,7 @@
     const isLimitReached = this.#reservedGangs === MAXIMUM_RESERVED_GANGS || !this.#state.rules.has('reserve-for-gangs')
     if (isLimitReached || this.#isAdvised(step)) return
     const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
-    const reservation = planReclaim(this.#afterStops, step, tasks.length, groups, true)
+    const reservation = planReclaim(this.#afterStops, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
     if (reservation === undefined) return
     this.#reservedGangs += 1
     this.#reserveTargets(reservation.targets, step)
@@ -268,13 +272,14 @@
   #reclaim (unit: StartUnit, candidate: Candidate): boolean {
     const { step, tasks } = unit
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
-    const plan = planReclaim(this.#afterStops, step, tasks.length, victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#mayWaitForRack(unit, candidate))
+    const plan = planReclaim(this.#afterStops, step, tasks.length, this.#victimsFor(candidate), this.#mayWaitForRack(unit, candidate))
     if (plan === undefined) return false
     const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
     const mayWaitForCapacity = this.#readyMilliseconds(tasks[0]!) < MAXIMUM_RECLAIM_WAIT_MILLISECONDS
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
     for (const group of victims) {
+      this.#claimVictims?.remove(group)
       for (const { run, need } of group.members) {
         requestStop(run, 'reclaimed')
         const target = this.#afterStops.targetOf(run.server)
@@ -285,6 +290,13 @@
     return true
   }
 
+  #victimsFor (candidate: Candidate): VictimIndex {
+    const index = (): VictimIndex => new VictimIndex(victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#state.work)
+    if (!candidate.isClaim) return index()
+    this.#claimVictims ??= index()
+    return this.#claimVictims
+  }
+
   /** Steps that need advice don't preempt: the advice service may refuse the backend servers that stops would free. */
   #mayPreempt (step: StepState, candidate: Candidate): boolean {
     const isLimitReached = this.#preemptionSearches === PREEMPTIONS_PER_ROUND || !this.#state.rules.has('stop-by-worth')
--- /dev/null
+++ b/packages/jobs/src/reclaim-search.ts
@@ -0,0 +1,122 @@
+/** Searches for the cheapest targets of a step among some backend servers, when groups may be stopped. */
+import { addCapacity } from './capacity.js'
+import { countedNeed, countFitting, mostTasksOn, type PlacementTarget } from './capacity-snapshot.js'
+import type { ServerId } from './ids.js'
+import type { StepState } from './job-state.js'
+import type { ReclaimPlan, VictimGroup } from './reclaim.js'
+import type { RoundWork } from './round-work.js'
+import type { VictimIndex } from './victim-index.js'
+
+/** A target with the groups to stop there, so that one task fits. */
+interface TargetOption {
+  readonly target: PlacementTarget
+  /** Position among the targets; of equal options the first is chosen. */
+  readonly position: number
+  readonly victims: readonly VictimGroup[]
+  readonly cost: number
+}
+
+/**
+ * One search. It computes the option of each target once, and again only where a choice
+ * has changed the target or stopped a group.
+ *
+ * @example
+ * const plan = new ReclaimSearch(targets, step, victims, work).plan(step.tasks.length)
+ */
+export class ReclaimSearch {
+  readonly #step: StepState
+  readonly #victims: VictimIndex
+  readonly #work: RoundWork
+  /** Targets by position, as they are after the choices so far. */
+  readonly #targets: PlacementTarget[]
+  readonly #positions: ReadonlyMap<ServerId, number>
+  readonly #stopped = new Set<VictimGroup>()
+  /** Option of each position; undefined where no task fits. */
+  readonly #options: (TargetOption | undefined)[]
+  /** All options, the best last. */
+  readonly #sorted: TargetOption[]
+
+  constructor (among: readonly PlacementTarget[], step: StepState, victims: VictimIndex, work: RoundWork) {
+    this.#step = step
+    this.#victims = victims
+    this.#work = work
+    this.#targets = [...among]
+    this.#positions = new Map(among.map((target, position) => [target.server.id, position]))
+    this.#options = among.map((_, position) => this.#optionAt(position))
+    this.#sorted = this.#options.filter(option => option !== undefined).sort(compareWorstFirst)
+  }
+
+  /** Chooses targets for `count` tasks; undefined if they don't all fit. */
+  plan (count: number): ReclaimPlan | undefined {
+    const targets: PlacementTarget[] = []
+    while (targets.length < count) {
+      const option = this.#sorted.at(-1)
+      if (option === undefined) return undefined
+      this.#choose(option)
+      targets.push(option.target)
+    }
+    return { targets, victims: [...this.#stopped] }
+  }
+
+  #choose ({ position, victims }: TargetOption): void {
+    const changed = new Set([position])
+    for (const group of victims) {
+      this.#stopped.add(group)
+      for (const { run, need } of group.members) {
+        const other = this.#positions.get(run.server)
+        if (other === undefined) continue
+        this.#targets[other] = { ...this.#targets[other]!, free: addCapacity(this.#targets[other]!.free, need) }
+        changed.add(other)
+      }
+    }
+    const target = this.#targets[position]!
+    const tasksOf = new Map(target.tasksOf).set(this.#step, (target.tasksOf.get(this.#step) ?? 0) + 1)
+    this.#targets[position] = { ...target, free: addCapacity(target.free, countedNeed(this.#step), -1), tasksOf }
+    for (const each of changed) this.#updateOption(each)
+  }
+
+  #updateOption (position: number): void {
+    const before = this.#options[position]
+    if (before !== undefined) this.#sorted.splice(this.#rankOf(before), 1)
+    const option = this.#optionAt(position)
+    this.#options[position] = option
+    if (option !== undefined) this.#sorted.splice(this.#rankOf(option), 0, option)
+  }
+
+  /** Index of an option in the sorted list, or where it belongs. */
+  #rankOf (option: TargetOption): number {
+    let low = 0
+    let high = this.#sorted.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if (compareWorstFirst(this.#sorted[middle]!, option) < 0) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+
+  /** Chooses victims on one backend server, the cheapest first, until one task fits. */
+  #optionAt (position: number): TargetOption | undefined {
+    const target = this.#targets[position]!
+    this.#work.add(1)
+    if (mostTasksOn(target, this.#step, 1) <= 0) return undefined
+    if (countFitting(target, this.#step, 1) > 0) return { target, position, victims: [], cost: 0 }
+    const victims: VictimGroup[] = []
+    const trial: PlacementTarget = { ...target }
+    let cost = 0
+    for (const { group, need } of this.#victims.at(target.server.id)) {
+      this.#work.add(1)
+      if (this.#stopped.has(group)) continue
+      victims.push(group)
+      cost += group.cost
+      trial.free = addCapacity(trial.free, need)
+      if (countFitting(trial, this.#step, 1) > 0) return { target, position, victims, cost }
+    }
+    return undefined
+  }
+}
+
+/** Orders by cost, then the fullest, then the first; the best last. */
+function compareWorstFirst (left: TargetOption, right: TargetOption): number {
+  return right.cost - left.cost || right.target.free.accelerators - left.target.free.accelerators || right.position - left.position
+}
--- /dev/null
+++ b/packages/jobs/test/reclaim.test.ts
@@ -0,0 +1,143 @@
+import { epoch } from '@cornelgauge/model'
+import { expect } from 'chai'
+import * as fc from 'fast-check'
+import { addCapacity } from '../src/capacity.js'
+import { CapacitySnapshot, countedNeed, countFitting, type PlacementTarget } from '../src/capacity-snapshot.js'
+import { poolName, runNumber, serverId, type ServerId } from '../src/ids.js'
+import { JobState, type StepState } from '../src/job-state.js'
+import { couldHold, racksOf } from '../src/placement.js'
+import { planReclaim, type ReclaimPlan, type VictimGroup } from '../src/reclaim.js'
+import { RoundWork } from '../src/round-work.js'
+import { Server, type Run } from '../src/server.js'
+import { VictimIndex } from '../src/victim-index.js'
+import { job, step } from './world.js'
+
+interface Drawn {
+  readonly servers: number
+  readonly perRack: number
+  readonly groups: readonly { readonly servers: readonly number[], readonly cost: number, readonly accelerators: number }[]
+  readonly count: number
+  readonly accelerators: number
+  readonly wantsOneRack: boolean
+  readonly mayWaitForRack: boolean
+  readonly mostPerServer: number | undefined
+}
+
+const DRAWN: fc.Arbitrary<Drawn> = fc.record({
+  servers: fc.integer({ min: 1, max: 9 }),
+  perRack: fc.integer({ min: 1, max: 4 }),
+  groups: fc.array(fc.record({ servers: fc.array(fc.nat(8), { minLength: 1, maxLength: 5 }), cost: fc.integer({ min: 0, max: 6 }), accelerators: fc.integer({ min: 1, max: 4 }) }), { maxLength: 20 }),
+  count: fc.integer({ min: 1, max: 10 }),
+  accelerators: fc.constantFrom(1, 2, 4, 8),
+  wantsOneRack: fc.boolean(),
+  mayWaitForRack: fc.boolean(),
+  mostPerServer: fc.constantFrom(undefined, 1, 2)
+})
+
+function stepOf (id: string, specification: Parameters<typeof step>[0]): StepState {
+  const state = new JobState(job(id, { acceptedUnder: epoch(1), steps: [step(specification)] }), false)
+  state.activate(Infinity)
+  return state.steps[0]!
+}
+
+function worldOf (drawn: Drawn): { readonly targets: readonly PlacementTarget[], readonly groups: readonly VictimGroup[], readonly waiting: StepState } {
+  const servers = Array.from({ length: drawn.servers }, (_, index) => new Server({
+    id: serverId(`server-${index}`),
+    pool: poolName('pool'),
+    address: '',
+    failureDomain: 'north',
+    capacity: { processor: 32_000, memory: 64_000, accelerators: 8 },
+    labels: [],
+    rack: `rack-${Math.floor(index / drawn.perRack)}`,
+    isDraining: false,
+    incarnation: 1
+  }, 0))
+  const groups = drawn.groups.map((group, number): VictimGroup => {
+    const running = stepOf(`running-${number}`, { count: group.servers.length, accelerators: group.accelerators })
+    const members = group.servers.map((index, task) => {
+      const server = servers[index % servers.length]!
+      const run: Run = { task: running.tasks[task]!.name, run: runNumber(number), server: server.id, need: countedNeed(running), state: 'running', startSentAt: 0, confirmedAt: 0, isStopConfirmed: false, stopConfirmedAt: Infinity, percent: 0, progressedAt: 0, checkpoint: '', stopSentAt: -Infinity }
+      return { server, member: { task: running.tasks[task]!, run, need: run.need } }
+    }).filter(({ server, member }) => {
+      const hasRoom = server.free.accelerators >= member.need.accelerators
+      if (hasRoom) server.add(member.run)
+      return hasRoom
+    })
+    return { members: members.map(({ member }) => member), cost: group.cost }
+  })
+  const { count, accelerators, wantsOneRack, mostPerServer } = drawn
+  const waiting = stepOf('waiting', { count, accelerators, isGang: true, wantsOneRack, ...(mostPerServer === undefined ? {} : { mostPerServer }) })
+  return { targets: servers.map(server => ({ server, free: server.free, tasksOf: new Map() })), groups: groups.filter(group => group.members.length > 0), waiting }
+}
+
+/** The plan by exhaustive search: for each task it examines all groups on all targets again. */
+function exhaustivePlan (targets: readonly PlacementTarget[], waiting: StepState, groups: readonly VictimGroup[], mayWaitForRack: boolean): ReclaimPlan | undefined {
+  const spread = (): ReclaimPlan | undefined => exhaustivePlanAmong(targets, waiting, groups)
+  if (!waiting.specification.wantsOneRack) return spread()
+  const costOf = ({ victims }: ReclaimPlan): number => victims.reduce((sum, group) => sum + group.cost, 0)
+  const racks = racksOf(targets)
+  const plans = racks.map(rack => exhaustivePlanAmong(rack, waiting, groups)).filter(plan => plan !== undefined)
+  const [cheapest] = plans.sort((left, right) => costOf(left) - costOf(right))
+  if (cheapest !== undefined) return cheapest
+  return mayWaitForRack && racks.some(rack => couldHold(rack, waiting)) ? undefined : spread()
+}
+
+function exhaustivePlanAmong (among: readonly PlacementTarget[], waiting: StepState, groups: readonly VictimGroup[]): ReclaimPlan | undefined {
+  const snapshot = new CapacitySnapshot(among, new RoundWork()).copy()
+  const remaining = new Set(groups)
+  const victims: VictimGroup[] = []
+  const chosen: PlacementTarget[] = []
+  while (chosen.length < waiting.tasks.length) {
+    const options = snapshot.targets.map(target => exhaustiveOption(target, waiting, remaining)).filter(option => option !== undefined)
+    const [best] = options.sort((left, right) => left.cost - right.cost || left.target.free.accelerators - right.target.free.accelerators)
+    if (best === undefined) return undefined
+    for (const group of best.victims) {
+      remaining.delete(group)
+      victims.push(group)
+      for (const { run, need } of group.members) {
+        const target = snapshot.targetOf(run.server)
+        if (target !== undefined) target.free = addCapacity(target.free, need)
+      }
+    }
+    snapshot.take(best.target, waiting)
+    chosen.push(best.target)
+  }
+  return { targets: chosen, victims }
+}
+
+function exhaustiveOption (target: PlacementTarget, waiting: StepState, remaining: ReadonlySet<VictimGroup>): { readonly target: PlacementTarget, readonly victims: readonly VictimGroup[], readonly cost: number } | undefined {
+  const victims: VictimGroup[] = []
+  const trial = { ...target }
+  if (countFitting(trial, waiting, 1) > 0) return { target, victims, cost: 0 }
+  const here = [...remaining].filter(group => group.members.some(({ run }) => run.server === target.server.id))
+  for (const group of here.sort((left, right) => left.cost - right.cost)) {
+    victims.push(group)
+    for (const { run, need } of group.members) if (run.server === target.server.id) trial.free = addCapacity(trial.free, need)
+    if (countFitting(trial, waiting, 1) > 0) return { target, victims, cost: victims.reduce((sum, each) => sum + each.cost, 0) }
+  }
+  return undefined
+}
+
+function summaryOf (plan: ReclaimPlan | undefined): { readonly servers: readonly ServerId[], readonly victims: readonly VictimGroup[] } | undefined {
+  return plan === undefined ? undefined : { servers: plan.targets.map(target => target.server.id), victims: plan.victims }
+}
+
+describe('planReclaim', () => {
+  describe('with an index of the running groups', () => {
+    it('chooses the targets and victims that an exhaustive search chooses', () => {
+      const outcomes = { planned: 0, withVictims: 0, impossible: 0 }
+      fc.assert(fc.property(DRAWN, drawn => {
+        const { targets, groups, waiting } = worldOf(drawn)
+        const work = new RoundWork()
+        const plan = planReclaim(new CapacitySnapshot(targets, work), waiting, drawn.count, new VictimIndex(groups, work), drawn.mayWaitForRack)
+        const expected = exhaustivePlan(targets, waiting, groups, drawn.mayWaitForRack)
+        expect(summaryOf(plan)?.servers).to.deep.equal(summaryOf(expected)?.servers)
+        expect(plan?.victims.map(group => groups.indexOf(group))).to.deep.equal(expected?.victims.map(group => groups.indexOf(group)))
+        if (plan === undefined) outcomes.impossible += 1
+        else outcomes.planned += 1
+        if (plan !== undefined && plan.victims.length > 0) outcomes.withVictims += 1
+      }), { numRuns: 1000, seed: 20 })
+      expect(Math.min(...Object.values(outcomes))).to.be.above(50)
+    })
+  })
+})
