--- /dev/null
+++ b/packages/jobs/test/round-work.test.ts
@@ -0,0 +1,54 @@
+import { workspaceName } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { jobId } from '../src/index.js'
+import { CONFIGURATION, job, step, World } from './world.js'
+
+/** Processor time that a round may take on a present-day core, at a microsecond for each examination. */
+const ROUND_MILLISECONDS = 100
+const EXAMINATIONS_PER_MILLISECOND = 1000
+/** Maximum time until a claim starts, as required by the users, in milliseconds. */
+const RECLAIM_MILLISECONDS = 2700
+/** Longest time between two rounds, in milliseconds. */
+const ROUND_INTERVAL_MILLISECONDS = 150
+
+/** Runs a round and returns how much it examined. */
+function examinationsOfRound (world: World, milliseconds: number): number {
+  const before = world.planner.examinations
+  world.round(milliseconds)
+  return world.planner.examinations - before
+}
+
+describe('the work of a round', () => {
+  describe('after many jobs have ended', () => {
+    it('does not grow with the jobs that have ended', () => {
+      const world = new World(2)
+      world.settle()
+      const idle = examinationsOfRound(world, 10)
+      for (let number = 0; number < 100; number += 1) {
+        world.planner.submit(job(`a${number}`))
+        world.planner.cancel(jobId(`a${number}`), world.wallTime)
+      }
+      world.settle()
+      expect(examinationsOfRound(world, 10)).to.equal(idle)
+    })
+  })
+
+  describe('with a claim for each two backend servers of a full pool', () => {
+    it('has an upper limit, and every claim still starts within the reclaim bound', () => {
+      const world = new World(246, { perRack: 12 })
+      world.planner.configure({ ...CONFIGURATION, workspaces: [{ name: workspaceName('brno'), keys: [], guaranteedAccelerators: 1968 }] })
+      world.settle()
+      for (let number = 0; number < 246; number += 1) world.planner.submit(job(`running${number}`, { steps: [step({ count: 8 })] }))
+      world.settle()
+      for (let number = 0; number < 123; number += 1) world.planner.submit(job(`claim${number}`, { queue: 'urgent', workspace: 'brno', steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })], acceptedAt: world.wallTime }))
+      const rounds: number[] = []
+      for (let elapsed = 0; elapsed < RECLAIM_MILLISECONDS; elapsed += ROUND_INTERVAL_MILLISECONDS) {
+        rounds.push(examinationsOfRound(world, ROUND_INTERVAL_MILLISECONDS))
+        world.pollServers()
+        world.planner.markStored(world.planner.unstoredJobs)
+      }
+      expect(Math.max(...rounds)).to.be.at.most(ROUND_MILLISECONDS * EXAMINATIONS_PER_MILLISECOND)
+      expect(world.starts.filter(start => start.task.startsWith('claim'))).to.have.length(246)
+    })
+  })
+})
