Read tables by short pages, and resume a load after the last page

Cause: a page held up to 500 rows or 1 MB, had 800 ms, and shared the link with pages of three other tables; a failed page discarded all that had been read. At 250 KB/s a page of 200 jobs never fits into the time limit.

The port's readAll becomes readPage with a limit. readTable aims at pages of 32 KB, by the length of the rows seen so far, one table after the other, and reads only a failed page again. The version is that of the first page, as before.

Two tests of resuming and of the page sizes are added in loading.test.js.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -7,6 +7,7 @@
 import { pause, systemClock } from '@cornelgauge/coordination'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
+import { readTable, type TableReadOptions } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
 /** A job without the epoch of the owner under which it is stored. */
@@ -93,14 +94,16 @@
     return storedProgress?.hasBegun === true ? 'running' : 'queued'
   }
 
-  /** Reads all jobs, cancellations and progress, for a new owner. */
-  async load (): Promise<StoredJobs> {
-    const [jobs, cancels, progress] = await Promise.all([JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => this.#rows.readAll(table)))
-    const cancelled = new Set(cancels!.rows.map(row => row.key))
-    const progressRows = new Map(progress!.rows.map(row => [row.key, row]))
+  /** Reads all jobs, cancellations and progress, for a new owner; one table after the other, since they share the VM's link. */
+  async load (options: TableReadOptions = {}): Promise<StoredJobs> {
+    const jobs = await readTable(this.#rows, JOBS_TABLE, options)
+    const cancels = await readTable(this.#rows, CANCELS_TABLE, options)
+    const progress = await readTable(this.#rows, PROGRESS_TABLE, options)
+    const cancelled = new Set(cancels.rows.map(row => row.key))
+    const progressRows = new Map(progress.rows.map(row => [row.key, row]))
     const damaged: string[] = []
     const stored: StoredJob[] = []
-    for (const row of jobs!.rows) {
+    for (const row of jobs.rows) {
       try {
         const job = decodeJob(row.key, row.value)
         const storedProgress = progressOf(progressRows.get(row.key))
@@ -111,10 +114,10 @@
     }
     return {
       jobs: stored,
-      progressVersions: new Map(progress!.rows.map(row => [jobId(row.key), row.version])),
+      progressVersions: new Map(progress.rows.map(row => [jobId(row.key), row.version])),
       damaged,
-      jobsVersion: jobs!.version,
-      cancelsVersion: cancels!.version
+      jobsVersion: jobs.version,
+      cancelsVersion: cancels.version
     }
   }
 
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -11,6 +11,12 @@
 /** Time limit of one call to the store: many times its usual 4 ms, so that a slow store doesn't count as a failed one. */
 export const STORE_TIMEOUT_MILLISECONDS = 800
 
+/** Aimed length of a page of a table: a heartbeat that waits behind it on a link of 2 Mbit/s is still answered in time. */
+export const PAGE_BYTES = 32_768
+/** Rows in the first page of a table, whose length isn't known yet, and most rows in any. */
+export const FIRST_PAGE_ROWS = 16
+export const MAXIMUM_PAGE_ROWS = 500
+
 /** Interval of heartbeats to the owner. Together with two missed heartbeats it bounds how long the planner has no owner; urgent work is due within about 3 s. */
 export const HEARTBEAT_MILLISECONDS = 200
 /** Time limit of a heartbeat: far above a round trip between failure domains plus a pause of a busy VM. */
--- a/packages/entry/src/monitored-store.ts
+++ b/packages/entry/src/monitored-store.ts
@@ -1,6 +1,6 @@
 /** A store wrapper that records when the store last answered. */
 import { asFailure } from '@cornelgauge/model'
-import type { RowChanges, RowSnapshot, RowStore, RowTransaction, StoredRow, WriteOutcome } from '@cornelgauge/ports'
+import type { PageRange, RowChanges, RowPage, RowStore, RowTransaction, StoredRow, WriteOutcome } from '@cornelgauge/ports'
 import { elapsedSince, moment, type Moment } from './elapsed.js'
 
 /**
@@ -27,8 +27,8 @@
     return this.#timed(() => this.#store.read(table, key))
   }
 
-  readAll (table: string): Promise<RowSnapshot> {
-    return this.#timed(() => this.#store.readAll(table))
+  readPage (table: string, range: PageRange): Promise<RowPage> {
+    return this.#timed(() => this.#store.readPage(table, range))
   }
 
   write (transaction: RowTransaction): Promise<WriteOutcome> {
--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -10,11 +10,12 @@
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob } from './job-record.js'
 import type { JobStore } from './job-store.js'
-import { CONFIRM_INTERVAL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
 import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
+import { readTable } from './table-reader.js'
 import { TableFollower } from './table-follower.js'
 
 /** Options of an owned planner. */
@@ -63,7 +64,12 @@
     await this.release()
     const { store, jobs, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
     const started = performance.now()
-    const [stored, registry] = await this.#retryWhileOwner(() => isCurrent(owner), async () => await Promise.all([jobs.load(), store.readAll(platform.registryTable)]))
+    const onPageFailure = (failure: CornelgaugeError): boolean => {
+      emit('owner-not-read', { details: { failure: failure.code } })
+      return isCurrent(owner)
+    }
+    const stored = await jobs.load({ onPageFailure })
+    const registry = await readTable(store, platform.registryTable, { onPageFailure })
     if (!isCurrent(owner)) return
     const host = new PlannerHost({
       owner,
@@ -101,19 +107,6 @@
     this.#host = undefined
   }
 
-  /** Retries a read until it succeeds or the ownership is lost: a new owner can't start without the stored state. */
-  async #retryWhileOwner<Value> (isOwner: () => boolean, read: () => Promise<Value>): Promise<Value> {
-    for (;;) {
-      try {
-        return await read()
-      } catch (thrown) {
-        this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
-        if (!isOwner()) throw thrown
-        await pause(systemClock, STORE_RETRY_MILLISECONDS)
-      }
-    }
-  }
-
   #follow (host: PlannerHost, jobsVersion: number, cancelsVersion: number, registry: RowSnapshot): void {
     const { store, platform, emit, runInBackground: background } = this.#options
     const { signal } = this.#stoppingHost
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -8,6 +8,7 @@
 import type { RowPut, RowStore } from '@cornelgauge/ports'
 import { PROGRESS_BATCH } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
+import { readTable } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
 /**
@@ -84,7 +85,7 @@
   }
 
   async #readVersions (changes: ReadonlyMap<JobId, number>): Promise<void> {
-    const { rows } = await this.#store.readAll(PROGRESS_TABLE)
+    const { rows } = await readTable(this.#store, PROGRESS_TABLE)
     const versions = new Map(rows.map(row => [jobId(row.key), row.version]))
     for (const id of changes.keys()) this.#versions.set(id, versions.get(id) ?? 0)
     this.#isOutcomeUnknown = false
--- a/packages/entry/src/table-follower.ts
+++ b/packages/entry/src/table-follower.ts
@@ -4,6 +4,7 @@
 import { moment, type Moment } from './elapsed.js'
 import { FEED_WAIT_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import { pause, systemClock } from '@cornelgauge/coordination'
+import { readTable } from './table-reader.js'
 
 /** Callbacks of a follower. */
 export interface TableListener {
@@ -47,7 +48,7 @@
     while (!signal.aborted) {
       const readAt = moment()
       try {
-        const changed = this.#version === undefined ? await this.#readAll() : await this.#readChanges(this.#version)
+        const changed = this.#version === undefined ? await this.#readAll(signal) : await this.#readChanges(this.#version)
         if (signal.aborted) return
         this.#options.onRows(this.#rows, readAt, changed)
         if (this.#options.pauseMilliseconds !== undefined) await pause(systemClock, this.#options.pauseMilliseconds, signal)
@@ -64,8 +65,15 @@
     this.#options.onFailure(failure)
   }
 
-  async #readAll (): Promise<readonly string[]> {
-    const { rows, version } = await this.#store.readAll(this.#options.table)
+  async #readAll (signal: AbortSignal): Promise<readonly string[]> {
+    const { rows, version } = await readTable(this.#store, this.#options.table, {
+      // A failure of the first page is thrown: the next attempt then counts the age of the rows from its own start.
+      onPageFailure: (failure, receivedRows) => {
+        if (receivedRows === 0 || signal.aborted) return false
+        this.#options.onFailure(failure)
+        return true
+      }
+    })
     this.#rows = new Map(rows.map(row => [row.key, row.value]))
     this.#version = version
     return rows.map(row => row.key)
--- /dev/null
+++ b/packages/entry/src/table-reader.ts
@@ -0,0 +1,52 @@
+/** Reads whole tables by pages that are short enough to leave room for other calls on a slow link. */
+import { pause, systemClock } from '@cornelgauge/coordination'
+import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
+import type { RowPage, RowSnapshot, RowStore, StoredRow } from '@cornelgauge/ports'
+import { FIRST_PAGE_ROWS, MAXIMUM_PAGE_ROWS, PAGE_BYTES, STORE_RETRY_MILLISECONDS } from './limits.js'
+
+/** Options of a read. */
+export interface TableReadOptions {
+  /** Called for each failure of a page; returns true if the page is to be read again. Without it, each failure is the caller's. */
+  readonly onPageFailure?: (failure: CornelgaugeError, receivedRows: number) => boolean
+}
+
+/**
+ * Reads all rows of a table. A page that fails may be read again; the pages before it are kept.
+ *
+ * @returns the rows with the version of the first page, so that a follower also reads the
+ * changes that occurred between two pages
+ * @throws {CornelgaugeError} the store's failure
+ * @example
+ * const { rows, version } = await readTable(store, 'jobs')
+ */
+export async function readTable (store: RowStore, table: string, options: TableReadOptions = {}): Promise<RowSnapshot> {
+  const rows: StoredRow[] = []
+  let version: number | undefined
+  let limit = FIRST_PAGE_ROWS
+  for (;;) {
+    const page = await tryPage(store, table, rows, limit, options)
+    if (page === undefined) continue
+    rows.push(...page.rows)
+    version ??= page.version
+    if (!page.hasMore) return { rows, version }
+    limit = nextLimit(page, limit)
+  }
+}
+
+/** Reads one page; undefined if it failed and can be read again. */
+async function tryPage (store: RowStore, table: string, rows: readonly StoredRow[], limit: number, { onPageFailure }: TableReadOptions): Promise<RowPage | undefined> {
+  const after = rows.at(-1)?.key
+  try {
+    return await store.readPage(table, after === undefined ? { limit } : { after, limit })
+  } catch (thrown) {
+    if (onPageFailure?.(asFailure(thrown), rows.length) !== true) throw thrown
+    await pause(systemClock, STORE_RETRY_MILLISECONDS)
+    return undefined
+  }
+}
+
+/** Rows that fit a page if they are as long as those of the last one; at most twice as many as before, since rows differ. */
+function nextLimit (page: RowPage, limit: number): number {
+  const fitting = Math.floor(PAGE_BYTES * page.rows.length / page.bytes)
+  return Math.max(1, Math.min(fitting, 2 * limit, MAXIMUM_PAGE_ROWS))
+}
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -1,6 +1,6 @@
-import { epoch, vmName, workspaceName } from '@cornelgauge/model'
+import { CornelgaugeError, epoch, vmName, workspaceName } from '@cornelgauge/model'
 import { encodeProgress, jobId, Planner, poolName, queueName, type Job } from '@cornelgauge/jobs'
-import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
+import { MemoryRowStore, type MemoryRowStoreView, type PageRange, type RowStore } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { encodeJob } from '../src/job-record.js'
 import { JobStore } from '../src/job-store.js'
@@ -8,6 +8,7 @@
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import type { PlatformView } from '../src/platform-view.js'
 import { ProgressWriter } from '../src/progress-writer.js'
+import { readTable } from '../src/table-reader.js'
 
 const ID = jobId('00000000000000a1')
 const JOB: Job = {
@@ -52,6 +53,39 @@
     await view.write({ conditions: [], puts: [{ table: 'jobs', key: ID, value: encodeJob(JOB) }] })
   })
 
+  describe('a read of a table', () => {
+    it('continues behind the last page received after a page has failed', async () => {
+      const puts = Array.from({ length: 100 }, (_, index) => ({ table: 'progress', key: String(index).padStart(3, '0'), value: {} }))
+      await view.write({ conditions: [], puts })
+      const asked: (string | undefined)[] = []
+      const failing = {
+        ...view,
+        readPage: async (table: string, range: PageRange) => {
+          asked.push(range.after)
+          if (asked.length % 2 === 0) throw new CornelgaugeError('timeout')
+          return await view.readPage(table, { ...range, limit: 40 })
+        }
+      } as unknown as RowStore
+      const { rows } = await readTable(failing, 'progress', { onPageFailure: () => true })
+      expect(rows.map(row => row.key)).to.deep.equal(puts.map(put => put.key))
+      expect(asked).to.deep.equal([undefined, '039', '039', '079', '079'])
+    })
+
+    it('asks for pages that rows of the length seen so far fill', async () => {
+      const puts = Array.from({ length: 200 }, (_, index) => ({ table: 'progress', key: String(index).padStart(3, '0'), value: { text: 'x'.repeat(3000) } }))
+      await view.write({ conditions: [], puts })
+      const limits: number[] = []
+      const counting = {
+        readPage: async (table: string, range: PageRange) => {
+          limits.push(range.limit)
+          return await view.readPage(table, range)
+        }
+      } as unknown as RowStore
+      await readTable(counting, 'progress')
+      expect(limits.slice(1).every(limit => limit === 10)).to.equal(true)
+    })
+  })
+
   describe('a load', () => {
     it('ends with the page under way when another VM has become the owner', async () => {
       const before = readsOf(view)
--- a/packages/ports/src/memory-row-store.ts
+++ b/packages/ports/src/memory-row-store.ts
@@ -1,6 +1,6 @@
 /** The in-memory store of versioned rows, for tests and stand-ins. */
 import { CornelgaugeError } from '@cornelgauge/model'
-import type { RowChange, RowChanges, RowSnapshot, RowStore, RowTransaction, StoredRow, WriteOutcome } from './row-store.js'
+import type { PageRange, RowChange, RowChanges, RowPage, RowSnapshot, RowStore, RowTransaction, StoredRow, WriteOutcome } from './row-store.js'
 
 interface HistoryEntry extends RowChange {
   readonly table: string
@@ -45,6 +45,12 @@
     return { rows: this.rows(table), version: this.#version }
   }
 
+  page (table: string, { after = '', limit }: PageRange): RowPage {
+    const range = this.rows(table).filter(row => row.key > after)
+    const rows = range.slice(0, limit)
+    return { rows, version: this.#version, hasMore: rows.length < range.length, bytes: JSON.stringify(rows).length }
+  }
+
   /** Applies a transaction if its conditions hold. */
   apply ({ conditions, puts, deletions = [] }: RowTransaction): WriteOutcome {
     const versionOf = (table: string, key: string): number => this.#tables.get(table)?.get(key)?.version ?? 0
@@ -102,7 +108,7 @@
 export class MemoryRowStoreView implements RowStore {
   readonly #store: MemoryRowStore
   /** Number of calls, by method. */
-  readonly calls = { read: 0, readAll: 0, write: 0, changes: 0 }
+  readonly calls = { read: 0, readPage: 0, write: 0, changes: 0 }
   fault: RowStoreFault = 'none'
 
   constructor (store: MemoryRowStore) {
@@ -115,10 +121,10 @@
     return this.#store.rows(table).find(row => row.key === key)
   }
 
-  async readAll (table: string): Promise<RowSnapshot> {
-    this.calls.readAll += 1
+  async readPage (table: string, range: PageRange): Promise<RowPage> {
+    this.calls.readPage += 1
     this.#check()
-    return this.#store.snapshot(table)
+    return this.#store.page(table, range)
   }
 
   async write (transaction: RowTransaction): Promise<WriteOutcome> {
--- a/packages/ports/src/row-store.ts
+++ b/packages/ports/src/row-store.ts
@@ -45,12 +45,27 @@
   /** Nothing was written; `rows` holds the current rows of the conditions, except those that don't exist. */
   | { readonly type: 'conflict', readonly rows: readonly (StoredRow & { readonly table: string })[] }
 
-/** All rows of a table at one version. */
+/** Rows of a table, and the version up to which they are complete at least. */
 export interface RowSnapshot {
   readonly rows: readonly StoredRow[]
   readonly version: number
 }
 
+/** The part of a table that one page holds. */
+export interface PageRange {
+  /** The page begins behind this key; absent for the first page. */
+  readonly after?: string
+  /** Most rows in the page; the store may return fewer. */
+  readonly limit: number
+}
+
+/** Consecutive rows of a table, in the order of their keys, as of one version. */
+export interface RowPage extends RowSnapshot {
+  readonly hasMore: boolean
+  /** Length of the page as transferred, in bytes. */
+  readonly bytes: number
+}
+
 /** One change of a row; without a value the row was deleted. */
 export interface RowChange {
   readonly key: string
@@ -72,7 +87,7 @@
  */
 export interface RowStore {
   read (table: string, key: string): Promise<StoredRow | undefined>
-  readAll (table: string): Promise<RowSnapshot>
+  readPage (table: string, range: PageRange): Promise<RowPage>
   write (transaction: RowTransaction): Promise<WriteOutcome>
   /** Returns the changes after a version. If there are none, waits up to `waitMilliseconds`; the result may be empty. */
   changes (table: string, after: number, waitMilliseconds: number): Promise<RowChanges>
