--- a/packages/entry/src/monitored-store.ts
+++ b/packages/entry/src/monitored-store.ts
@@ -1,6 +1,6 @@
 /** A store wrapper that records when the store last answered. */
 import { asFailure } from '@cornelgauge/model'
-import type { PageRange, RowChanges, RowPage, RowStore, RowTransaction, StoredRow, WriteOutcome } from '@cornelgauge/ports'
+import type { PageRange, RowChanges, RowPage, RowStore, RowTransaction, StoredRow, TransferOptions, WriteOutcome } from '@cornelgauge/ports'
 import { elapsedSince, moment, type Moment } from './elapsed.js'
 
 /**
@@ -27,16 +27,27 @@
     return this.#timed(() => this.#store.read(table, key))
   }
 
-  readPage (table: string, range: PageRange): Promise<RowPage> {
-    return this.#timed(() => this.#store.readPage(table, range))
+  readPage (table: string, range: PageRange, options: TransferOptions = {}): Promise<RowPage> {
+    return this.#timed(() => this.#store.readPage(table, range, this.#monitored(options)))
   }
 
   write (transaction: RowTransaction): Promise<WriteOutcome> {
     return this.#timed(() => this.#store.write(transaction))
   }
 
-  changes (table: string, after: number, waitMilliseconds: number): Promise<RowChanges> {
-    return this.#timed(() => this.#store.changes(table, after, waitMilliseconds))
+  changes (table: string, after: number, waitMilliseconds: number, options: TransferOptions = {}): Promise<RowChanges> {
+    return this.#timed(() => this.#store.changes(table, after, waitMilliseconds, this.#monitored(options)))
+  }
+
+  /** Records each part of an answer: a store whose answer takes long to arrive isn't silent. */
+  #monitored (options: TransferOptions): TransferOptions {
+    return {
+      ...options,
+      onProgress: () => {
+        this.#lastAnswer = moment()
+        options.onProgress?.()
+      }
+    }
   }
 
   async #timed<Value> (call: () => Promise<Value>): Promise<Value> {
--- a/packages/ports/src/row-store.ts
+++ b/packages/ports/src/row-store.ts
@@ -79,6 +79,14 @@
   readonly version: number
 }
 
+/** Options of a call whose answer may be long. */
+export interface TransferOptions {
+  /** Called for each part of the answer that arrives. */
+  readonly onProgress?: () => void
+  /** Ends the call early; it then fails. */
+  readonly signal?: AbortSignal
+}
+
 /**
  * The operations of the store. Each call fails with a `CornelgaugeError`: `overloaded`
  * if it was refused without effect, `unavailable` or `timeout` if no response arrived
@@ -87,8 +95,8 @@
  */
 export interface RowStore {
   read (table: string, key: string): Promise<StoredRow | undefined>
-  readPage (table: string, range: PageRange): Promise<RowPage>
+  readPage (table: string, range: PageRange, options?: TransferOptions): Promise<RowPage>
   write (transaction: RowTransaction): Promise<WriteOutcome>
   /** Returns the changes after a version. If there are none, waits up to `waitMilliseconds`; the result may be empty. */
-  changes (table: string, after: number, waitMilliseconds: number): Promise<RowChanges>
+  changes (table: string, after: number, waitMilliseconds: number, options?: TransferOptions): Promise<RowChanges>
 }
