End the load of the planner's state when its ownership is lost

Cause: takeOver looked at the ownership only after a failed read, and release didn't reach a load. Now each page is preceded by that check, and release and abandon end also the page that is under way. takeOver then logs owner-not-read with the code not-owner and returns.

--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -9,13 +9,13 @@
 import type { RowSnapshot, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob } from './job-record.js'
-import type { JobStore } from './job-store.js'
+import type { JobStore, StoredJobs } from './job-store.js'
 import { CONFIRM_INTERVAL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
 import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
-import { readTable } from './table-reader.js'
+import { readTable, type TableReadOptions } from './table-reader.js'
 import { TableFollower } from './table-follower.js'
 
 /** Options of an owned planner. */
@@ -59,18 +59,21 @@
     return this.#host
   }
 
-  /** Loads and starts the planner after a claim. */
+  /** Loads and starts the planner after a claim. Loading ends early when another VM becomes the owner, or the planner is released. */
   async takeOver (owner: OwnerRecord): Promise<void> {
     await this.release()
-    const { store, jobs, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
+    this.#stoppingHost = new AbortController()
+    const { signal } = this.#stoppingHost
+    const { store, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
     const started = performance.now()
     const onPageFailure = (failure: CornelgaugeError): boolean => {
       emit('owner-not-read', { details: { failure: failure.code } })
       return isCurrent(owner)
     }
-    const stored = await jobs.load({ onPageFailure })
-    const registry = await readTable(store, platform.registryTable, { onPageFailure })
-    if (!isCurrent(owner)) return
+    const reading = { isWanted: () => isCurrent(owner), signal, onPageFailure }
+    const loaded = await this.#load(reading)
+    if (loaded === undefined || signal.aborted || !isCurrent(owner)) return
+    const { stored, registry } = loaded
     const host = new PlannerHost({
       owner,
       stored,
@@ -83,7 +86,6 @@
     })
     this.#confirmedAt = performance.now()
     this.#host = host
-    this.#stoppingHost = new AbortController()
     const currentConfiguration = configuration()
     if (currentConfiguration !== undefined) host.configure(currentConfiguration)
     host.updateRegistry(platform.readRegistry(new Map(registry.rows.map(row => [row.key, row.value]))))
@@ -107,6 +109,20 @@
     this.#host = undefined
   }
 
+  /** Reads the stored state; undefined if the ownership is lost. */
+  async #load (reading: TableReadOptions): Promise<{ stored: StoredJobs, registry: RowSnapshot } | undefined> {
+    const { store, jobs, platform, emit } = this.#options
+    try {
+      const stored = await jobs.load(reading)
+      return { stored, registry: await readTable(store, platform.registryTable, reading) }
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      if (failure.code !== 'not-owner') throw failure
+      emit('owner-not-read', { details: { failure: failure.code } })
+      return undefined
+    }
+  }
+
   #follow (host: PlannerHost, jobsVersion: number, cancelsVersion: number, registry: RowSnapshot): void {
     const { store, platform, emit, runInBackground: background } = this.#options
     const { signal } = this.#stoppingHost
--- a/packages/entry/src/table-reader.ts
+++ b/packages/entry/src/table-reader.ts
@@ -1,11 +1,15 @@
 /** Reads whole tables by pages that are short enough to leave room for other calls on a slow link. */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError } from '@cornelgauge/model'
 import type { RowPage, RowSnapshot, RowStore, StoredRow } from '@cornelgauge/ports'
 import { FIRST_PAGE_ROWS, MAXIMUM_PAGE_ROWS, PAGE_BYTES, STORE_RETRY_MILLISECONDS } from './limits.js'
 
 /** Options of a read. */
 export interface TableReadOptions {
+  /** Returns false once the rows aren't needed any more; called before each page. */
+  readonly isWanted?: () => boolean
+  /** Ends the read, also while a page arrives. */
+  readonly signal?: AbortSignal
   /** Called for each failure of a page; returns true if the page is to be read again. Without it, each failure is the caller's. */
   readonly onPageFailure?: (failure: CornelgaugeError, receivedRows: number) => boolean
 }
@@ -15,7 +19,7 @@
  *
  * @returns the rows with the version of the first page, so that a follower also reads the
  * changes that occurred between two pages
- * @throws {CornelgaugeError} the store's failure
+ * @throws {CornelgaugeError} `not-owner` if the rows aren't needed any more, or the store's failure
  * @example
  * const { rows, version } = await readTable(store, 'jobs')
  */
@@ -24,6 +28,7 @@
   let version: number | undefined
   let limit = FIRST_PAGE_ROWS
   for (;;) {
+    if (!isNeeded(options)) throw new CornelgaugeError('not-owner', { detail: `The rows of ${table} aren't needed any more` })
     const page = await tryPage(store, table, rows, limit, options)
     if (page === undefined) continue
     rows.push(...page.rows)
@@ -33,14 +38,20 @@
   }
 }
 
-/** Reads one page; undefined if it failed and can be read again. */
-async function tryPage (store: RowStore, table: string, rows: readonly StoredRow[], limit: number, { onPageFailure }: TableReadOptions): Promise<RowPage | undefined> {
+function isNeeded ({ isWanted, signal }: TableReadOptions): boolean {
+  return isWanted?.() !== false && signal?.aborted !== true
+}
+
+/** Reads one page; undefined if it failed and is to be read again, unless the rows aren't needed any more. */
+async function tryPage (store: RowStore, table: string, rows: readonly StoredRow[], limit: number, options: TableReadOptions): Promise<RowPage | undefined> {
   const after = rows.at(-1)?.key
+  const { signal, onPageFailure } = options
   try {
-    return await store.readPage(table, after === undefined ? { limit } : { after, limit })
+    return await store.readPage(table, after === undefined ? { limit } : { after, limit }, signal === undefined ? {} : { signal })
   } catch (thrown) {
+    if (!isNeeded(options)) return undefined
     if (onPageFailure?.(asFailure(thrown), rows.length) !== true) throw thrown
-    await pause(systemClock, STORE_RETRY_MILLISECONDS)
+    await pause(systemClock, STORE_RETRY_MILLISECONDS, signal)
     return undefined
   }
 }
