--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -9,12 +9,13 @@
 import type { RowSnapshot, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob } from './job-record.js'
-import type { JobStore } from './job-store.js'
-import { CONFIRM_INTERVAL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import type { JobStore, StoredJobs } from './job-store.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
 import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
+import { readTable, type TableReadOptions } from './table-reader.js'
 import { TableFollower } from './table-follower.js'
 
 /** Options of an owned planner. */
@@ -58,13 +59,21 @@
     return this.#host
   }
 
-  /** Loads and starts the planner after a claim. */
+  /** Loads and starts the planner after a claim. Loading ends early when another VM becomes the owner, or the planner is released. */
   async takeOver (owner: OwnerRecord): Promise<void> {
     await this.release()
-    const { store, jobs, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
+    this.#stoppingHost = new AbortController()
+    const { signal } = this.#stoppingHost
+    const { store, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
     const started = performance.now()
-    const [stored, registry] = await this.#retryWhileOwner(() => isCurrent(owner), async () => await Promise.all([jobs.load(), store.readAll(platform.registryTable)]))
-    if (!isCurrent(owner)) return
+    const onPageFailure = (failure: CornelgaugeError): boolean => {
+      emit('owner-not-read', { details: { failure: failure.code } })
+      return isCurrent(owner)
+    }
+    const reading = { isWanted: () => isCurrent(owner), signal, onPageFailure }
+    const loaded = await this.#load(reading)
+    if (loaded === undefined || signal.aborted || !isCurrent(owner)) return
+    const { stored, registry } = loaded
     const host = new PlannerHost({
       owner,
       stored,
@@ -77,7 +86,6 @@
     })
     this.#confirmedAt = performance.now()
     this.#host = host
-    this.#stoppingHost = new AbortController()
     const currentConfiguration = configuration()
     if (currentConfiguration !== undefined) host.configure(currentConfiguration)
     host.updateRegistry(platform.readRegistry(new Map(registry.rows.map(row => [row.key, row.value]))))
@@ -101,16 +109,17 @@
     this.#host = undefined
   }
 
-  /** Retries a read until it succeeds or the ownership is lost: a new owner can't start without the stored state. */
-  async #retryWhileOwner<Value> (isOwner: () => boolean, read: () => Promise<Value>): Promise<Value> {
-    for (;;) {
-      try {
-        return await read()
-      } catch (thrown) {
-        this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
-        if (!isOwner()) throw thrown
-        await pause(systemClock, STORE_RETRY_MILLISECONDS)
-      }
+  /** Reads the stored state; undefined if the ownership is lost. */
+  async #load (reading: TableReadOptions): Promise<{ stored: StoredJobs, registry: RowSnapshot } | undefined> {
+    const { store, jobs, platform, emit } = this.#options
+    try {
+      const stored = await jobs.load(reading)
+      return { stored, registry: await readTable(store, platform.registryTable, reading) }
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      if (failure.code !== 'not-owner') throw failure
+      emit('owner-not-read', { details: { failure: failure.code } })
+      return undefined
     }
   }
 
