Send the list of members in a heartbeat's reply only if it changed

Callers saw: the owner of 38 VMs sent 590 KB/s while idle, on a link of 10 Mbit/s that heartbeats, polls and the load of the stored state share.

Cause: each reply listed all members, with the state that the owner keeps of them. With N VMs that is N lists of N members five times a second.

Each list has a version now. A heartbeat names the version that its sender has from this VM; the reply has the list only if its version is another. A reply without a list says that the same members have sent heartbeats since, so they expire as before. A VM of an earlier release names no version and gets the list each time, and an owner of an earlier release sends it each time.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -3,10 +3,11 @@
  * failed; a conditional write of the owner row in the store decides the next owner.
  */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure, type VmName } from '@cornelgauge/model'
+import { asFailure } from '@cornelgauge/model'
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { MemberList } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import type { Peers } from './peers.js'
@@ -28,14 +29,6 @@
   readonly onLost: () => void
 }
 
-/** A member with its state. Heartbeat replies contain it as it is, so its field names are part of the protocol. */
-interface KnownMember extends Member {
-  /** Time of its last heartbeat, or of the owner's last reply that listed it, on this VM's steady clock. */
-  readonly heardAt: number
-  /** Milliseconds since the store last answered the member. */
-  readonly storeAge: number
-}
-
 type HeartbeatRequest = Extract<PeerRequest, { kind: 'beat' }>
 type HeartbeatReply = Extract<PeerReply, { kind: 'beat' }>
 
@@ -49,7 +42,7 @@
 export class Leadership {
   readonly #options: LeadershipOptions
   readonly #clock: Clock
-  readonly #members = new Map<VmName, KnownMember>()
+  readonly #members: MemberList
   #owner: KnownOwner | undefined
   #ownership: OwnerRecord | undefined
   #ownerSeenAt = -Infinity
@@ -60,6 +53,7 @@
   constructor (options: LeadershipOptions) {
     this.#options = options
     this.#clock = options.clock ?? systemClock
+    this.#members = new MemberList(options.self, this.#clock)
   }
 
   /** The newest owner known to this VM. */
@@ -74,8 +68,7 @@
 
   /** Other VMs with a recent heartbeat, received here or by the owner. */
   get members (): readonly Member[] {
-    const now = this.#clock.now()
-    return [...this.#members.values()].filter(member => now - member.heardAt < MEMBER_EXPIRY_MILLISECONDS)
+    return this.#members.recent
   }
 
   /**
@@ -89,9 +82,7 @@
 
   /** Milliseconds since a majority of peers last sent a heartbeat; the store's confirmation is tracked separately. */
   get peerConfirmationAge (): number {
-    const now = this.#clock.now()
-    const ages = [...this.#members.values()].map(member => now - member.heardAt).sort((left, right) => left - right)
-    return ages.length === 0 ? Infinity : ages[Math.floor(ages.length / 2)]!
+    return this.#members.majorityAge
   }
 
   /** Runs leader election until the signal aborts. */
@@ -133,12 +124,12 @@
   /** Answers a heartbeat. */
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
-    this.#members.set(member.vm, { ...member, storeAge, heardAt: this.#clock.now() })
+    this.#members.add(member, storeAge)
     if (heartbeat.owner !== undefined) this.adoptOwner(heartbeat.owner)
     return {
       kind: 'beat',
       isOwner: this.isOwner,
-      members: this.members,
+      ...this.#members.listFor(heartbeat.listVersion),
       ownerHeardAge: this.#clock.now() - this.#ownerSeenAt,
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
     }
@@ -193,8 +184,7 @@
     if (answer?.isOwner === true) {
       this.#missedHeartbeats = 0
       this.#ownerSeenAt = this.#clock.now()
-      const now = this.#clock.now()
-      for (const member of answer.members) if (member.vm !== this.#options.self.vm) this.#members.set(member.vm, { storeAge: 0, ...member, heardAt: now })
+      this.#members.receive(owner.address, answer)
       return
     }
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
@@ -206,7 +196,7 @@
 
   async #sendHeartbeat (address: string): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
-    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
+    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion: this.#members.versionFrom(address), ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
     try {
       return await peers.call<'beat'>(address, heartbeat, HEARTBEAT_TIMEOUT_MILLISECONDS)
     } catch (thrown) {
@@ -267,7 +257,7 @@
   #handOverIfStoreLost (): void {
     this.#ownerSeenAt = this.#clock.now()
     if (this.#options.storeAge() < STORE_LOST_MILLISECONDS) return
-    const successor = this.#successors().find(member => member.storeAge < STORE_LOST_MILLISECONDS)
+    const successor = this.#successors(STORE_LOST_MILLISECONDS)[0]
     if (successor === undefined || this.#ownership === undefined) return
     this.#options.peers.call(successor.address, { kind: 'succeed', owner: this.#ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
       .then(() => this.#options.emit('planner-handed-over', { details: { to: successor.vm, epoch: this.#owner?.epoch } }))
@@ -275,10 +265,10 @@
   }
 
   /** Candidates for taking over, those with the most recent answer from the store first. */
-  #successors (): readonly KnownMember[] {
-    const now = this.#clock.now()
-    return [...this.#members.values()]
-      .filter(member => now - member.heardAt < MEMBER_EXPIRY_MILLISECONDS)
-      .sort((left, right) => left.storeAge - right.storeAge || (left.vm < right.vm ? -1 : 1))
+  #successors (maximumStoreAge = Infinity): readonly Member[] {
+    return this.#members.recentWithStoreAge
+      .filter(({ storeAge }) => storeAge < maximumStoreAge)
+      .sort((left, right) => left.storeAge - right.storeAge || (left.member.vm < right.member.vm ? -1 : 1))
+      .map(({ member }) => member)
   }
 }
--- /dev/null
+++ b/packages/entry/src/member-list.ts
@@ -0,0 +1,124 @@
+/** The VMs of the deployment that a VM has received heartbeats of, itself or through the owner. */
+import { randomUUID } from 'node:crypto'
+import type { VmName } from '@cornelgauge/model'
+import type { Clock } from '@cornelgauge/ports'
+import { HEARTBEAT_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS } from './limits.js'
+import type { ListedMembers, Member } from './messages.js'
+
+/** A member with its state. */
+interface KnownMember {
+  readonly member: Member
+  /** Time of its last heartbeat, or of the owner's last reply that lists it, on the steady clock. */
+  readonly heardAt: number
+  /** Milliseconds since the store last answered the member. */
+  readonly storeAge: number
+}
+
+/** The list that a peer sent, with its version there. */
+interface ReceivedList {
+  readonly address: string
+  readonly version: string | undefined
+  readonly members: readonly Member[]
+}
+
+/** A version that no list has; a VM that sends it receives every list. */
+const NO_VERSION = ''
+
+/**
+ * Members with the time of their last heartbeat. The list of those with a recent one has a
+ * version, so that a heartbeat's reply contains the list only if it has changed.
+ *
+ * @example
+ * const members = new MemberList(self, clock)
+ * members.add(heartbeat.member, heartbeat.storeAge)
+ * const reply = members.listFor(heartbeat.listVersion)
+ */
+export class MemberList {
+  readonly #self: Member
+  readonly #clock: Clock
+  readonly #members = new Map<VmName, KnownMember>()
+  /** Distinguishes the versions of different VMs and of lifetimes of one VM. */
+  readonly #instance = randomUUID()
+  #revision = 0
+  #listed: readonly Member[] = []
+  #listedKey = ''
+  #listedAt = -Infinity
+  #isListOutdated = false
+  #received: ReceivedList | undefined
+
+  constructor (self: Member, clock: Clock) {
+    this.#self = self
+    this.#clock = clock
+  }
+
+  /** Members with a recent heartbeat. */
+  get recent (): readonly Member[] {
+    return this.#recent.map(({ member }) => member)
+  }
+
+  /** Members with a recent heartbeat and the milliseconds since the store last answered them. */
+  get recentWithStoreAge (): readonly { readonly member: Member, readonly storeAge: number }[] {
+    return this.#recent
+  }
+
+  /** Milliseconds since a majority of all members ever known last sent a heartbeat. */
+  get majorityAge (): number {
+    const now = this.#clock.now()
+    const ages = [...this.#members.values()].map(({ heardAt }) => now - heardAt).sort((left, right) => left - right)
+    return ages.length === 0 ? Infinity : ages[Math.floor(ages.length / 2)]!
+  }
+
+  /** Records a heartbeat of a member. */
+  add (member: Member, storeAge: number): void {
+    const earlier = this.#members.get(member.vm)
+    if (earlier === undefined || !this.#isRecent(earlier) || keyOf(earlier.member) !== keyOf(member)) this.#isListOutdated = true
+    this.#members.set(member.vm, { member, storeAge, heardAt: this.#clock.now() })
+  }
+
+  /** The list for a peer that has the given version of it; complete for a peer of a release that sends none. */
+  listFor (version: string | undefined): ListedMembers {
+    this.#updateList()
+    const listVersion = `${this.#instance}:${this.#revision}`
+    return version === listVersion ? { listVersion } : { listVersion, members: this.#listed }
+  }
+
+  /** The version of the list last received from a peer. */
+  versionFrom (address: string): string {
+    return (this.#received?.address === address ? this.#received.version : undefined) ?? NO_VERSION
+  }
+
+  /** Records the owner's list: each member on it sent the owner a heartbeat recently. */
+  receive (address: string, { listVersion, members }: ListedMembers): void {
+    if (members !== undefined) this.#received = { address, version: listVersion, members }
+    if (this.#received?.address !== address) return
+    const heardAt = this.#clock.now()
+    for (const member of this.#received.members) {
+      if (member.vm !== this.#self.vm) this.#members.set(member.vm, { member, heardAt, storeAge: this.#members.get(member.vm)?.storeAge ?? 0 })
+    }
+  }
+
+  get #recent (): readonly KnownMember[] {
+    return [...this.#members.values()].filter(member => this.#isRecent(member))
+  }
+
+  #isRecent ({ heardAt }: KnownMember): boolean {
+    return this.#clock.now() - heardAt < MEMBER_EXPIRY_MILLISECONDS
+  }
+
+  #updateList (): void {
+    const now = this.#clock.now()
+    if (!this.#isListOutdated && now - this.#listedAt < HEARTBEAT_MILLISECONDS) return
+    this.#isListOutdated = false
+    this.#listedAt = now
+    const listed = this.recent
+    const key = listed.map(keyOf).sort().join()
+    if (key === this.#listedKey) return
+    this.#listed = listed
+    this.#listedKey = key
+    this.#revision += 1
+  }
+}
+
+function keyOf ({ vm, address }: Member): string {
+  return `${vm} ${address}`
+}
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -18,10 +18,22 @@
   readonly address: string
 }
 
+/** The replying VM's list of members. */
+export interface ListedMembers {
+  /** Version of the list; absent if the replying VM's release has none. */
+  readonly listVersion?: string
+  /** Absent if the requesting VM has this version. */
+  readonly members?: readonly Member[]
+}
+
 /** A request to a peer; each kind has one kind of reply. */
 export type PeerRequest =
-  /** Heartbeat of a VM: its name and address, the owner it follows, and the milliseconds since the store last answered it. */
-  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number }
+  /**
+   * Heartbeat of a VM: its name and address, the owner it follows, the milliseconds since the store last
+   * answered it, and the version of the receiver's list of members that it has. Earlier releases send no
+   * version and require the list in each reply.
+   */
+  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly listVersion?: string }
   /** A job from a VM that can't store it; the peer stores it instead. */
   | { readonly kind: 'accept', readonly draft: JobDraft }
   /** Notifies the owner of a stored job. */
@@ -35,7 +47,7 @@
 
 /** The reply to a request. */
 export type PeerReply =
-  | { readonly kind: 'beat', readonly isOwner: boolean, readonly owner?: KnownOwner, readonly members: readonly Member[], readonly ownerHeardAge: number }
+  | { readonly kind: 'beat', readonly isOwner: boolean, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
   | { readonly kind: 'taken' }
   | { readonly kind: 'accept', readonly job: Job }
   | { readonly kind: 'phase', readonly phase?: JobPhase }
