Load the planner's state beside the loop of heartbeats

Callers saw: two VMs loaded for 24 s and received 600 to 930 KB/s, after another VM had become the owner.

Cause: the loop that exchanges heartbeats waited for the claim, and the claim for the load. A VM that loads sent nothing, and nobody sends heartbeats to an owner's predecessor, so it couldn't learn of a newer owner.

The load runs beside the loop, with a signal that aborts when the ownership ends. A request to take over that is repeated after it has been followed claims nothing: it was held back only by the load until now. While it loads, an owner hands over as little as before, whatever the store answers.

The tests of a deployment were not run for this commit.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -100,7 +100,7 @@
       peers: this.#peers,
       emit,
       storeAge: () => this.#store.lastAnswerAge,
-      onOwned: owner => this.#owned.takeOver(owner),
+      onOwned: (owner, signal) => this.#owned.takeOver(owner, signal),
       onLost: () => this.#runInBackground(this.#owned.release())
     })
     this.#owned = new OwnedPlanner({
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -6,8 +6,8 @@
 import { asFailure } from '@cornelgauge/model'
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
-import { MemberList } from './member-list.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { MemberList, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import type { Peers } from './peers.js'
@@ -23,8 +23,8 @@
   readonly clock?: Clock
   /** Milliseconds since the store last answered this VM. */
   readonly storeAge: () => number
-  /** Called when this VM has become the owner. */
-  readonly onOwned: (owner: OwnerRecord) => Promise<void>
+  /** Called when this VM has become the owner, to load the planner; the signal aborts when it no longer is. */
+  readonly onOwned: (owner: OwnerRecord, signal: AbortSignal) => Promise<void>
   /** Called when another VM has become the owner. */
   readonly onLost: () => void
 }
@@ -45,6 +45,13 @@
   readonly #members: MemberList
   #owner: KnownOwner | undefined
   #ownership: OwnerRecord | undefined
+  /** Aborts when the ownership ends. */
+  #tenure = new AbortController()
+  #isLoading = false
+  #confirming: Promise<void> | undefined
+  #confirmedAt = -Infinity
+  /** Number of heartbeats that this VM has sent to members as the owner. */
+  #sentAsOwner = 0
   #ownerSeenAt = -Infinity
   #missedHeartbeats = 0
   #isLeaving = false
@@ -89,12 +96,14 @@
   async run (signal: AbortSignal): Promise<void> {
     await this.#discoverOwner(signal)
     while (!signal.aborted) {
-      if (this.#ownership !== undefined) this.#handOverIfStoreLost()
+      if (this.#ownership !== undefined) this.#checkOwnership()
       else await this.#checkOwner(signal)
       // After a missed heartbeat the next one follows without a pause: the first message may just have been lost.
       const isInDoubt = this.#missedHeartbeats > 0 && this.#missedHeartbeats < MISSED_HEARTBEATS
       if (!isInDoubt) await pause(this.#clock, HEARTBEAT_MILLISECONDS, signal)
     }
+    this.#tenure.abort()
+    await this.#confirming
   }
 
   /** Hands the planner over to another VM; from then on this VM doesn't claim ownership. */
@@ -103,7 +112,7 @@
     const ownership = this.#ownership
     if (ownership === undefined) return
     await stopPlanning()
-    this.#ownership = undefined
+    this.#endOwnership()
     for (const successor of this.#successors()) {
       try {
         await this.#options.peers.call(successor.address, { kind: 'succeed', owner: ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
@@ -117,7 +126,7 @@
 
   /** Records that this VM has been fenced and is no longer the owner. */
   loseOwnership (): void {
-    this.#ownership = undefined
+    this.#endOwnership()
     this.#missedHeartbeats = MISSED_HEARTBEATS
   }
 
@@ -135,10 +144,10 @@
     }
   }
 
-  /** Claims ownership immediately, as the owner hands over. */
+  /** Claims ownership immediately, as the owner hands over; a repeated request of an earlier owner has no effect. */
   async takeOver (owner: KnownOwner): Promise<void> {
     this.adoptOwner(owner)
-    if (!this.#isLeaving) await this.#claim('handed over')
+    if (!this.#isLeaving && this.#owner?.epoch === owner.epoch) await this.#claim('handed over')
   }
 
   async #discoverOwner (signal: AbortSignal): Promise<void> {
@@ -171,14 +180,19 @@
     this.#missedHeartbeats = 0
     this.#ownerSeenAt = this.#clock.now()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
-    this.#ownership = undefined
+    this.#endOwnership()
     this.#options.onLost()
   }
 
+  #endOwnership (): void {
+    this.#ownership = undefined
+    this.#tenure.abort()
+  }
+
   async #checkOwner (signal: AbortSignal): Promise<void> {
     const owner = this.#owner
     if (owner === undefined) return
-    const answer = owner.address === this.#options.self.address ? undefined : await this.#sendHeartbeat(owner.address)
+    const answer = owner.address === this.#options.self.address ? undefined : await this.#sendHeartbeat(owner.address, this.#members.versionFrom(owner.address))
     if (signal.aborted) return
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     if (answer?.isOwner === true) {
@@ -194,9 +208,15 @@
     if (this.#missedHeartbeats >= MISSED_HEARTBEATS && this.#owner?.epoch === owner.epoch) await this.#replaceOwner(owner, isNoLongerOwner, signal)
   }
 
-  async #sendHeartbeat (address: string): Promise<HeartbeatReply | undefined> {
+  /** Sends a heartbeat after which both VMs know the newer owner. */
+  async #exchangeOwner (address: string): Promise<void> {
+    const answer = await this.#sendHeartbeat(address)
+    if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
+  }
+
+  async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
-    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion: this.#members.versionFrom(address), ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
+    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
     try {
       return await peers.call<'beat'>(address, heartbeat, HEARTBEAT_TIMEOUT_MILLISECONDS)
     } catch (thrown) {
@@ -235,6 +255,7 @@
   async #tryClaim (reason: string): Promise<void> {
     const { store, self, emit } = this.#options
     const started = this.#clock.now()
+    const previous = this.#owner
     const silenceMilliseconds = started - this.#ownerSeenAt
     try {
       const storedOwner = await readOwner(store)
@@ -245,17 +266,50 @@
       const owner = await claimOwnership(store, storedOwner ?? NO_OWNER, self)
       this.adoptOwner(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (storedOwner?.epoch ?? 0) + 1) return
-      this.#ownership = owner
       emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(this.#clock.now() - started) } })
-      await this.#options.onOwned(owner)
+      this.#beginTenure(owner, reason)
+      if (previous !== undefined && previous.address !== self.address) this.#exchangeOwner(previous.address)
     } catch (thrown) {
       emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } })
     }
   }
 
+  /** Starts the load of the planner's state beside the loop of heartbeats, so that this VM learns meanwhile if it is replaced. */
+  #beginTenure (owner: OwnerRecord, reason: string): void {
+    const tenure = new AbortController()
+    this.#tenure.abort()
+    this.#tenure = tenure
+    this.#ownership = owner
+    this.#isLoading = true
+    this.#options.onOwned(owner, tenure.signal)
+      .catch(thrown => this.#options.emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } }))
+      .finally(() => { if (this.#tenure === tenure) this.#isLoading = false })
+  }
+
+  /** As owner: looks for a newer owner, and hands over if the store is lost. */
+  #checkOwnership (): void {
+    this.#ownerSeenAt = this.#clock.now()
+    this.#confirming ??= this.#confirmOwnership().finally(() => { this.#confirming = undefined })
+    if (!this.#isLoading) this.#handOverIfStoreLost()
+  }
+
+  /** Sends a heartbeat to one member, whose reply names a newer owner if it knows one, and while loading reads the owner row. */
+  async #confirmOwnership (): Promise<void> {
+    const { members } = this
+    const member = members[this.#sentAsOwner++ % Math.max(1, members.length)]
+    if (member !== undefined) await this.#exchangeOwner(member.address)
+    if (!this.#isLoading || this.#clock.now() - this.#confirmedAt < CONFIRM_INTERVAL_MILLISECONDS) return
+    this.#confirmedAt = this.#clock.now()
+    try {
+      const storedOwner = await readOwner(this.#options.store)
+      if (storedOwner !== undefined) this.adoptOwner(storedOwner)
+    } catch (thrown) {
+      this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
+    }
+  }
+
   /** As owner: hands over to a peer that reaches the store if this VM doesn't. */
   #handOverIfStoreLost (): void {
-    this.#ownerSeenAt = this.#clock.now()
     if (this.#options.storeAge() < STORE_LOST_MILLISECONDS) return
     const successor = this.#successors(STORE_LOST_MILLISECONDS)[0]
     if (successor === undefined || this.#ownership === undefined) return
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -23,6 +23,8 @@
 
 /** A version that no list has; a VM that sends it receives every list. */
 const NO_VERSION = ''
+/** Sent as a version by a VM that needs no list. */
+export const UNWANTED_LIST = 'unwanted'
 
 /**
  * Members with the time of their last heartbeat. The list of those with a recent one has a
@@ -79,7 +81,7 @@
   listFor (version: string | undefined): ListedMembers {
     this.#updateList()
     const listVersion = `${this.#instance}:${this.#revision}`
-    return version === listVersion ? { listVersion } : { listVersion, members: this.#listed }
+    return version === listVersion || version === UNWANTED_LIST ? { listVersion } : { listVersion, members: this.#listed }
   }
 
   /** The version of the list last received from a peer. */
--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -58,12 +58,12 @@
     return this.#host
   }
 
-  /** Loads and starts the planner after a claim. */
-  async takeOver (owner: OwnerRecord): Promise<void> {
+  /** Loads and starts the planner after a claim; the signal aborts when the ownership ends. */
+  async takeOver (owner: OwnerRecord, signal?: AbortSignal): Promise<void> {
     await this.release()
     const { store, jobs, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
     const started = performance.now()
-    const [stored, registry] = await this.#retryWhileOwner(() => isCurrent(owner), async () => await Promise.all([jobs.load(), store.readAll(platform.registryTable)]))
+    const [stored, registry] = await this.#retryWhileOwner(() => isCurrent(owner), signal, async () => await Promise.all([jobs.load(), store.readAll(platform.registryTable)]))
     if (!isCurrent(owner)) return
     const host = new PlannerHost({
       owner,
@@ -102,14 +102,14 @@
   }
 
   /** Retries a read until it succeeds or the ownership is lost: a new owner can't start without the stored state. */
-  async #retryWhileOwner<Value> (isOwner: () => boolean, read: () => Promise<Value>): Promise<Value> {
+  async #retryWhileOwner<Value> (isOwner: () => boolean, signal: AbortSignal | undefined, read: () => Promise<Value>): Promise<Value> {
     for (;;) {
       try {
         return await read()
       } catch (thrown) {
         this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
         if (!isOwner()) throw thrown
-        await pause(systemClock, STORE_RETRY_MILLISECONDS)
+        await pause(systemClock, STORE_RETRY_MILLISECONDS, signal)
       }
     }
   }
