--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -3,10 +3,11 @@
  * failed; a conditional write of the owner row in the store decides the next owner.
  */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure, type VmName } from '@cornelgauge/model'
+import { asFailure } from '@cornelgauge/model'
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { MemberList, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import type { Peers } from './peers.js'
@@ -22,20 +23,12 @@
   readonly clock?: Clock
   /** Milliseconds since the store last answered this VM. */
   readonly storeAge: () => number
-  /** Called when this VM has become the owner. */
-  readonly onOwned: (owner: OwnerRecord) => Promise<void>
+  /** Called when this VM has become the owner, to load the planner; the signal aborts when it no longer is. */
+  readonly onOwned: (owner: OwnerRecord, signal: AbortSignal) => Promise<void>
   /** Called when another VM has become the owner. */
   readonly onLost: () => void
 }
 
-/** A member with its state. Heartbeat replies contain it as it is, so its field names are part of the protocol. */
-interface KnownMember extends Member {
-  /** Time of its last heartbeat, or of the owner's last reply that listed it, on this VM's steady clock. */
-  readonly heardAt: number
-  /** Milliseconds since the store last answered the member. */
-  readonly storeAge: number
-}
-
 type HeartbeatRequest = Extract<PeerRequest, { kind: 'beat' }>
 type HeartbeatReply = Extract<PeerReply, { kind: 'beat' }>
 
@@ -49,9 +42,16 @@
 export class Leadership {
   readonly #options: LeadershipOptions
   readonly #clock: Clock
-  readonly #members = new Map<VmName, KnownMember>()
+  readonly #members: MemberList
   #owner: KnownOwner | undefined
   #ownership: OwnerRecord | undefined
+  /** Aborts when the ownership ends. */
+  #tenure = new AbortController()
+  #isLoading = false
+  #confirming: Promise<void> | undefined
+  #confirmedAt = -Infinity
+  /** Number of heartbeats that this VM has sent to members as the owner. */
+  #sentAsOwner = 0
   #ownerSeenAt = -Infinity
   #missedHeartbeats = 0
   #isLeaving = false
@@ -60,6 +60,7 @@
   constructor (options: LeadershipOptions) {
     this.#options = options
     this.#clock = options.clock ?? systemClock
+    this.#members = new MemberList(options.self, this.#clock)
   }
 
   /** The newest owner known to this VM. */
@@ -74,8 +75,7 @@
 
   /** Other VMs with a recent heartbeat, received here or by the owner. */
   get members (): readonly Member[] {
-    const now = this.#clock.now()
-    return [...this.#members.values()].filter(member => now - member.heardAt < MEMBER_EXPIRY_MILLISECONDS)
+    return this.#members.recent
   }
 
   /**
@@ -89,21 +89,21 @@
 
   /** Milliseconds since a majority of peers last sent a heartbeat; the store's confirmation is tracked separately. */
   get peerConfirmationAge (): number {
-    const now = this.#clock.now()
-    const ages = [...this.#members.values()].map(member => now - member.heardAt).sort((left, right) => left - right)
-    return ages.length === 0 ? Infinity : ages[Math.floor(ages.length / 2)]!
+    return this.#members.majorityAge
   }
 
   /** Runs leader election until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     await this.#discoverOwner(signal)
     while (!signal.aborted) {
-      if (this.#ownership !== undefined) this.#handOverIfStoreLost()
+      if (this.#ownership !== undefined) this.#checkOwnership()
       else await this.#checkOwner(signal)
       // After a missed heartbeat the next one follows without a pause: the first message may just have been lost.
       const isInDoubt = this.#missedHeartbeats > 0 && this.#missedHeartbeats < MISSED_HEARTBEATS
       if (!isInDoubt) await pause(this.#clock, HEARTBEAT_MILLISECONDS, signal)
     }
+    this.#tenure.abort()
+    await this.#confirming
   }
 
   /** Hands the planner over to another VM; from then on this VM doesn't claim ownership. */
@@ -112,7 +112,7 @@
     const ownership = this.#ownership
     if (ownership === undefined) return
     await stopPlanning()
-    this.#ownership = undefined
+    this.#endOwnership()
     for (const successor of this.#successors()) {
       try {
         await this.#options.peers.call(successor.address, { kind: 'succeed', owner: ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
@@ -126,28 +126,28 @@
 
   /** Records that this VM has been fenced and is no longer the owner. */
   loseOwnership (): void {
-    this.#ownership = undefined
+    this.#endOwnership()
     this.#missedHeartbeats = MISSED_HEARTBEATS
   }
 
   /** Answers a heartbeat. */
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
-    this.#members.set(member.vm, { ...member, storeAge, heardAt: this.#clock.now() })
+    this.#members.add(member, storeAge)
     if (heartbeat.owner !== undefined) this.adoptOwner(heartbeat.owner)
     return {
       kind: 'beat',
       isOwner: this.isOwner,
-      members: this.members,
+      ...this.#members.listFor(heartbeat.listVersion),
       ownerHeardAge: this.#clock.now() - this.#ownerSeenAt,
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
     }
   }
 
-  /** Claims ownership immediately, as the owner hands over. */
+  /** Claims ownership immediately, as the owner hands over; a repeated request of an earlier owner has no effect. */
   async takeOver (owner: KnownOwner): Promise<void> {
     this.adoptOwner(owner)
-    if (!this.#isLeaving) await this.#claim('handed over')
+    if (!this.#isLeaving && this.#owner?.epoch === owner.epoch) await this.#claim('handed over')
   }
 
   async #discoverOwner (signal: AbortSignal): Promise<void> {
@@ -180,21 +180,25 @@
     this.#missedHeartbeats = 0
     this.#ownerSeenAt = this.#clock.now()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
-    this.#ownership = undefined
+    this.#endOwnership()
     this.#options.onLost()
   }
 
+  #endOwnership (): void {
+    this.#ownership = undefined
+    this.#tenure.abort()
+  }
+
   async #checkOwner (signal: AbortSignal): Promise<void> {
     const owner = this.#owner
     if (owner === undefined) return
-    const answer = owner.address === this.#options.self.address ? undefined : await this.#sendHeartbeat(owner.address)
+    const answer = owner.address === this.#options.self.address ? undefined : await this.#sendHeartbeat(owner.address, this.#members.versionFrom(owner.address))
     if (signal.aborted) return
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     if (answer?.isOwner === true) {
       this.#missedHeartbeats = 0
       this.#ownerSeenAt = this.#clock.now()
-      const now = this.#clock.now()
-      for (const member of answer.members) if (member.vm !== this.#options.self.vm) this.#members.set(member.vm, { storeAge: 0, ...member, heardAt: now })
+      this.#members.receive(owner.address, answer)
       return
     }
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
@@ -204,9 +208,15 @@
     if (this.#missedHeartbeats >= MISSED_HEARTBEATS && this.#owner?.epoch === owner.epoch) await this.#replaceOwner(owner, isNoLongerOwner, signal)
   }
 
-  async #sendHeartbeat (address: string): Promise<HeartbeatReply | undefined> {
+  /** Sends a heartbeat after which both VMs know the newer owner. */
+  async #exchangeOwner (address: string): Promise<void> {
+    const answer = await this.#sendHeartbeat(address)
+    if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
+  }
+
+  async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
-    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
+    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
     try {
       return await peers.call<'beat'>(address, heartbeat, HEARTBEAT_TIMEOUT_MILLISECONDS)
     } catch (thrown) {
@@ -245,6 +255,7 @@
   async #tryClaim (reason: string): Promise<void> {
     const { store, self, emit } = this.#options
     const started = this.#clock.now()
+    const previous = this.#owner
     const silenceMilliseconds = started - this.#ownerSeenAt
     try {
       const storedOwner = await readOwner(store)
@@ -255,19 +266,52 @@
       const owner = await claimOwnership(store, storedOwner ?? NO_OWNER, self)
       this.adoptOwner(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (storedOwner?.epoch ?? 0) + 1) return
-      this.#ownership = owner
       emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(this.#clock.now() - started) } })
-      await this.#options.onOwned(owner)
+      this.#beginTenure(owner, reason)
+      if (previous !== undefined && previous.address !== self.address) this.#exchangeOwner(previous.address)
     } catch (thrown) {
       emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } })
     }
   }
 
+  /** Starts the load of the planner's state beside the loop of heartbeats, so that this VM learns meanwhile if it is replaced. */
+  #beginTenure (owner: OwnerRecord, reason: string): void {
+    const tenure = new AbortController()
+    this.#tenure.abort()
+    this.#tenure = tenure
+    this.#ownership = owner
+    this.#isLoading = true
+    this.#options.onOwned(owner, tenure.signal)
+      .catch(thrown => this.#options.emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } }))
+      .finally(() => { if (this.#tenure === tenure) this.#isLoading = false })
+  }
+
+  /** As owner: looks for a newer owner, and hands over if the store is lost. */
+  #checkOwnership (): void {
+    this.#ownerSeenAt = this.#clock.now()
+    this.#confirming ??= this.#confirmOwnership().finally(() => { this.#confirming = undefined })
+    if (!this.#isLoading) this.#handOverIfStoreLost()
+  }
+
+  /** Sends a heartbeat to one member, whose reply names a newer owner if it knows one, and while loading reads the owner row. */
+  async #confirmOwnership (): Promise<void> {
+    const { members } = this
+    const member = members[this.#sentAsOwner++ % Math.max(1, members.length)]
+    if (member !== undefined) await this.#exchangeOwner(member.address)
+    if (!this.#isLoading || this.#clock.now() - this.#confirmedAt < CONFIRM_INTERVAL_MILLISECONDS) return
+    this.#confirmedAt = this.#clock.now()
+    try {
+      const storedOwner = await readOwner(this.#options.store)
+      if (storedOwner !== undefined) this.adoptOwner(storedOwner)
+    } catch (thrown) {
+      this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
+    }
+  }
+
   /** As owner: hands over to a peer that reaches the store if this VM doesn't. */
   #handOverIfStoreLost (): void {
-    this.#ownerSeenAt = this.#clock.now()
     if (this.#options.storeAge() < STORE_LOST_MILLISECONDS) return
-    const successor = this.#successors().find(member => member.storeAge < STORE_LOST_MILLISECONDS)
+    const successor = this.#successors(STORE_LOST_MILLISECONDS)[0]
     if (successor === undefined || this.#ownership === undefined) return
     this.#options.peers.call(successor.address, { kind: 'succeed', owner: this.#ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
       .then(() => this.#options.emit('planner-handed-over', { details: { to: successor.vm, epoch: this.#owner?.epoch } }))
@@ -275,10 +319,10 @@
   }
 
   /** Candidates for taking over, those with the most recent answer from the store first. */
-  #successors (): readonly KnownMember[] {
-    const now = this.#clock.now()
-    return [...this.#members.values()]
-      .filter(member => now - member.heardAt < MEMBER_EXPIRY_MILLISECONDS)
-      .sort((left, right) => left.storeAge - right.storeAge || (left.vm < right.vm ? -1 : 1))
+  #successors (maximumStoreAge = Infinity): readonly Member[] {
+    return this.#members.recentWithStoreAge
+      .filter(({ storeAge }) => storeAge < maximumStoreAge)
+      .sort((left, right) => left.storeAge - right.storeAge || (left.member.vm < right.member.vm ? -1 : 1))
+      .map(({ member }) => member)
   }
 }
--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -59,11 +59,11 @@
     return this.#host
   }
 
-  /** Loads and starts the planner after a claim. Loading ends early when another VM becomes the owner, or the planner is released. */
-  async takeOver (owner: OwnerRecord): Promise<void> {
+  /** Loads and starts the planner after a claim. Loading ends early when another VM becomes the owner or the planner is released; the signal aborts when the ownership ends. */
+  async takeOver (owner: OwnerRecord, ownership?: AbortSignal): Promise<void> {
     await this.release()
     this.#stoppingHost = new AbortController()
-    const { signal } = this.#stoppingHost
+    const signal = ownership === undefined ? this.#stoppingHost.signal : AbortSignal.any([this.#stoppingHost.signal, ownership])
     const { store, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
     const started = performance.now()
     const onPageFailure = (failure: CornelgaugeError): boolean => {
