Write progress again without reading the whole table

What callers saw: after each unanswered write the owner read the whole table of progress, on a slow link more than it carries, and stored nothing until that read ended.

Cause: the writer read all versions to learn whether its write had taken effect. The store tells it: the repeated write has the same conditions, a conflict returns the current rows, and the write is made once more with their versions. A late effect of the first write stays impossible once a later one took effect, as before.

--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -3,14 +3,16 @@
  * planner and on the versions that its last write left, so a delayed write of an earlier
  * attempt or of an earlier owner has no effect.
  */
-import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import { encodeProgress, jobId, type JobId, type Planner } from '@cornelgauge/jobs'
-import type { RowPut, RowStore } from '@cornelgauge/ports'
+import { CornelgaugeError } from '@cornelgauge/model'
+import { encodeProgress, type JobId, type Planner } from '@cornelgauge/jobs'
+import type { RowPut, RowStore, WriteOutcome } from '@cornelgauge/ports'
 import { PROGRESS_BATCH } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
-import { readTable } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
+/** A row of progress to be written. */
+type ProgressPut = RowPut & { readonly key: JobId }
+
 /**
  * Writes the progress that the planner reports as unstored.
  *
@@ -22,8 +24,6 @@
   readonly #store: RowStore
   readonly #owner: OwnerRecord
   readonly #versions: Map<JobId, number>
-  /** True after a write without an answer or with a conflict: the row versions have to be read before the next write. */
-  #isOutcomeUnknown = false
 
   constructor (store: RowStore, owner: OwnerRecord, versions: ReadonlyMap<JobId, number>) {
     this.#store = store
@@ -32,7 +32,9 @@
   }
 
   /**
-   * Stores one batch and marks it as stored in the planner.
+   * Stores one batch and marks it as stored in the planner. After a write without an answer the
+   * next one has the same conditions; if the earlier one took effect, the store turns it away
+   * with the current rows, and it is made once more with their versions.
    *
    * @returns the number of jobs stored
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
@@ -40,18 +42,14 @@
   async write (planner: Planner): Promise<number> {
     const changes = new Map([...planner.unstoredJobs].slice(0, PROGRESS_BATCH))
     if (changes.size === 0) return 0
-    if (this.#isOutcomeUnknown) await this.#readVersions(changes)
-    const puts: RowPut[] = [...changes.keys()].map(id => ({
+    const puts: ProgressPut[] = [...changes.keys()].map(id => ({
       table: PROGRESS_TABLE,
       key: id,
       value: { text: encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} }) }
     }))
-    const outcome = await this.#transact(changes, puts)
-    if (outcome.type === 'conflict') {
-      this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
-      this.#isOutcomeUnknown = true
-      return 0
-    }
+    let outcome = await this.#transact(puts)
+    if (outcome.type === 'conflict') outcome = await this.#transact(puts)
+    if (outcome.type === 'conflict') return 0
     for (const id of changes.keys()) this.#versions.set(id, outcome.version)
     planner.markStored(changes)
     return changes.size
@@ -73,22 +71,15 @@
     return { table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }
   }
 
-  async #transact (changes: ReadonlyMap<JobId, number>, puts: readonly RowPut[]): ReturnType<RowStore['write']> {
-    const conditions = [...changes.keys()].map(id => ({ table: PROGRESS_TABLE, key: id, version: this.#versions.get(id) ?? 0 }))
-    try {
-      return await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts })
-    } catch (thrown) {
-      const failure = asFailure(thrown)
-      if (failure.code !== 'overloaded') this.#isOutcomeUnknown = true
-      throw failure
-    }
-  }
-
-  async #readVersions (changes: ReadonlyMap<JobId, number>): Promise<void> {
-    const { rows } = await readTable(this.#store, PROGRESS_TABLE)
-    const versions = new Map(rows.map(row => [jobId(row.key), row.version]))
-    for (const id of changes.keys()) this.#versions.set(id, versions.get(id) ?? 0)
-    this.#isOutcomeUnknown = false
+  /** Writes rows on condition of the known versions. A conflict tells the current ones; a row that it doesn't report doesn't exist. */
+  async #transact (puts: readonly ProgressPut[]): Promise<WriteOutcome> {
+    const conditions = puts.map(({ key }) => ({ table: PROGRESS_TABLE, key, version: this.#versions.get(key) ?? 0 }))
+    const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts })
+    if (outcome.type === 'written') return outcome
+    this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
+    const versions = new Map(outcome.rows.filter(row => row.table === PROGRESS_TABLE).map(row => [row.key, row.version]))
+    for (const { key } of puts) this.#versions.set(key, versions.get(key) ?? 0)
+    return outcome
   }
 
   #checkOwner (version: number | undefined): void {
