Delete the rows of jobs that ended longer ago than the retention time

What callers saw: each new owner loaded every job ever accepted, so a takeover took longer from hour to hour.

Cause: Planner.retire and ProgressWriter.deleteJobs had no caller. The ids of deleted jobs stay known for another 180 s, so that a read of the table that began before the deletion doesn't plan a job again.

Tests of batches, of a failed deletion, of a new owner and of the retention time are added.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -54,6 +54,12 @@
 export const ROUND_INTERVAL_MILLISECONDS = 150
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
+/** Pause between two deletions of jobs whose retention time has passed. */
+export const DELETION_INTERVAL_MILLISECONDS = 1000
+/** Jobs per deletion; the store accepts 100 entries, of which each job takes three and the owner's row one. */
+export const DELETION_BATCH = 33
+/** How long the id of a deleted job stays known, so that an earlier read of its row doesn't plan it anew. */
+export const DELETED_ID_MILLISECONDS = 180_000
 
 /** Time limit of a call to the owner about a job. */
 export const OWNER_CALL_TIMEOUT_MILLISECONDS = 500
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -15,6 +15,7 @@
 import type { OwnerRecord } from './owner-record.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
+import { RetiredJobs } from './retired-jobs.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -60,6 +61,7 @@
   readonly #options: PlannerHostOptions
   readonly #planner: Planner
   readonly #writer: ProgressWriter
+  readonly #retired: RetiredJobs
   readonly #inbox = new Inbox<HostEvent>()
   readonly #stopping = new AbortController()
   readonly #addresses = new Map<ServerId, string>()
@@ -94,6 +96,7 @@
     const { owner, stored, store } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
+    this.#retired = RetiredJobs.start(this.#planner, this.#writer, this.#stopping.signal, { tryStoreCall: call => this.#tryStoreCall(call), onCrash: thrown => this.#crash(thrown) })
     const events: Stream<HostEvent> = this.#inbox.events
     events.observe(event => this.#handle(event)).catch(thrown => this.#crash(thrown))
     this.#roundTimer = setInterval(() => this.#inbox.put({ type: 'tick' }), ROUND_INTERVAL_MILLISECONDS)
@@ -241,7 +244,7 @@
   }
 
   #submit (job: Job): void {
-    if (this.#planner.phaseOf(job.id) !== undefined) return
+    if (this.#planner.phaseOf(job.id) !== undefined || this.#retired.has(job.id)) return
     if (!this.#planner.submit(job)) return this.#fence()
     this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
   }
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -60,10 +60,11 @@
     this.#checkOwner((await this.#store.read(OWNER_TABLE, OWNER_KEY))?.version)
   }
 
-  /** Deletes all rows of these jobs. */
+  /** Deletes all rows of these jobs. @throws {CornelgaugeError} as `write` */
   async deleteJobs (ids: readonly JobId[]): Promise<void> {
     const deletions = ids.flatMap(id => [JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => ({ table, key: id })))
-    await this.#store.write({ conditions: [this.#ownerCondition], puts: [], deletions })
+    const outcome = await this.#store.write({ conditions: [this.#ownerCondition], puts: [], deletions })
+    if (outcome.type === 'conflict') this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
     for (const id of ids) this.#versions.delete(id)
   }
 
--- /dev/null
+++ b/packages/entry/src/retired-jobs.ts
@@ -0,0 +1,70 @@
+/** Deletes jobs whose retention time has passed, so that the state that a new owner loads stays bounded. */
+import { pause, systemClock } from '@cornelgauge/coordination'
+import type { JobId, Planner } from '@cornelgauge/jobs'
+import { DELETED_ID_MILLISECONDS, DELETION_BATCH, DELETION_INTERVAL_MILLISECONDS } from './limits.js'
+import type { ProgressWriter } from './progress-writer.js'
+
+/** What the host does about failures. */
+export interface RetiredJobsHandlers {
+  /** Makes a call to the store and handles its failure. */
+  readonly tryStoreCall: (call: () => Promise<void>) => Promise<boolean>
+  /** Called with any other failure. */
+  readonly onCrash: (thrown: unknown) => void
+}
+
+/**
+ * The jobs that a planner has retired.
+ *
+ * @example
+ * const retired = RetiredJobs.start(planner, writer, stopping.signal, { tryStoreCall, onCrash })
+ * if (!retired.has(job.id)) planner.submit(job)
+ */
+export class RetiredJobs {
+  readonly #planner: Planner
+  readonly #writer: ProgressWriter
+  /** Retired jobs whose rows aren't known to be deleted yet. */
+  readonly #due = new Set<JobId>()
+  /** Jobs whose rows are deleted, in that order, with the wall time of the deletion. */
+  readonly #deleted = new Map<JobId, number>()
+
+  constructor (planner: Planner, writer: ProgressWriter) {
+    this.#planner = planner
+    this.#writer = writer
+  }
+
+  /** Deletes one batch per interval until the signal aborts. */
+  static start (planner: Planner, writer: ProgressWriter, signal: AbortSignal, { tryStoreCall, onCrash }: RetiredJobsHandlers): RetiredJobs {
+    const retired = new RetiredJobs(planner, writer)
+    const run = async (): Promise<void> => {
+      for (;;) {
+        await pause(systemClock, DELETION_INTERVAL_MILLISECONDS, signal)
+        if (signal.aborted) return
+        await tryStoreCall(() => retired.deleteBatch(Date.now()))
+      }
+    }
+    run().catch(onCrash)
+    return retired
+  }
+
+  /** True if the job was retired, at least until no read of its row can be under way. */
+  has (id: JobId): boolean {
+    return this.#due.has(id) || this.#deleted.has(id)
+  }
+
+  /**
+   * Retires what is due and deletes the rows of one batch; a batch that fails is tried again with the next.
+   *
+   * @throws {CornelgaugeError} as `ProgressWriter.deleteJobs`
+   */
+  async deleteBatch (wallTime: number): Promise<void> {
+    for (const [id, deletedAt] of this.#deleted) if (wallTime - deletedAt > DELETED_ID_MILLISECONDS) this.#deleted.delete(id)
+    for (const id of this.#planner.retire(wallTime)) this.#due.add(id)
+    const batch = [...this.#due].slice(0, DELETION_BATCH)
+    if (batch.length === 0) return
+    await this.#writer.deleteJobs(batch)
+    for (const id of batch) {
+      this.#due.delete(id)
+      this.#deleted.set(id, wallTime)
+    }
+  }
+}
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -8,6 +8,7 @@
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import type { PlatformView } from '../src/platform-view.js'
 import { ProgressWriter } from '../src/progress-writer.js'
+import { RetiredJobs } from '../src/retired-jobs.js'
 import { readTable } from '../src/table-reader.js'
 
 const ID = jobId('00000000000000a1')
@@ -111,6 +112,50 @@
     })
   })
 
+  describe('many jobs that ended longer ago than the retention time', () => {
+    const JOBS = 50
+    let planner: Planner
+    let retired: RetiredJobs
+    const ids = Array.from({ length: JOBS }, (_, index) => jobId(index.toString(16).padStart(16, '0')))
+
+    beforeEach(async () => {
+      await view.write({ conditions: [], puts: ids.map(id => ({ table: 'progress', key: id, value: {} })) })
+      planner = new Planner(epoch(1), ids.map(id => ({ job: { ...JOB, id }, isCancelled: false, progress: { phase: 'completed' as const, finishedAt: 0, hasBegun: true, steps: {} } })), { now: 0, wallTime: 0 })
+      retired = new RetiredJobs(planner, new ProgressWriter(view, owner, new Map()))
+    })
+
+    it('stay while the retention time lasts', async () => {
+      await retired.deleteBatch(RETENTION_MILLISECONDS)
+      expect(store.rows('progress')).to.have.length(JOBS)
+    })
+
+    it('are deleted by transactions of at most 100 entries, again after a failure', async () => {
+      const entries: number[] = []
+      const write = view.write.bind(view)
+      view.write = async transaction => {
+        entries.push(transaction.conditions.length + transaction.puts.length + (transaction.deletions ?? []).length)
+        return await write(transaction)
+      }
+      view.fault = 'down'
+      await retired.deleteBatch(RETENTION_MILLISECONDS + 1).catch(() => { /* The store is down. */ })
+      view.fault = 'none'
+      for (let time = 0; time < 2; time += 1) await retired.deleteBatch(RETENTION_MILLISECONDS + 1)
+      expect(store.rows('progress')).to.have.length(0)
+      expect(Math.max(...entries)).to.be.at.most(100)
+    })
+
+    it('are not planned anew by an earlier read of their rows', async () => {
+      await retired.deleteBatch(RETENTION_MILLISECONDS + 1)
+      expect(ids.every(id => planner.phaseOf(id) === undefined && retired.has(id))).to.equal(true)
+    })
+
+    it('stay if another VM has become the owner', async () => {
+      await claimOwnership(view, owner, { ...SELF, vm: vmName('vm-b') })
+      expect(await retired.deleteBatch(RETENTION_MILLISECONDS + 1).then(() => undefined, thrown => (thrown as CornelgaugeError).code)).to.equal('stale-epoch')
+      expect(store.rows('progress')).to.have.length(JOBS)
+    })
+  })
+
   describe('a write of progress whose answer was lost', () => {
     it('is repeated without reading a table', async () => {
       const planner = new Planner(epoch(1), [{ job: JOB, isCancelled: false }], { now: 0, wallTime: 0 })
