--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -17,6 +17,7 @@
 import type { OwnerRecord } from './owner-record.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
+import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
 
 /** Options of a planner host. */
@@ -49,6 +50,7 @@
   readonly #planner: Planner
   readonly #writer: ProgressWriter
   readonly #rounds: RoundMonitor
+  readonly #retired: RetiredJobs
   readonly #inbox = new Inbox<HostEvent>()
   readonly #stopping = new AbortController()
   readonly #addresses = new Map<ServerId, string>()
@@ -86,6 +88,7 @@
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
+    this.#retired = RetiredJobs.start(this.#planner, this.#writer, this.#stopping.signal, { tryStoreCall: call => this.#tryStoreCall(call), onCrash: thrown => this.#crash(thrown) })
     const events: Stream<HostEvent> = this.#inbox.events
     events.observe(event => this.#handle(event)).catch(thrown => this.#crash(thrown))
     this.#roundTimer = setInterval(() => this.#inbox.put({ type: 'tick' }), ROUND_INTERVAL_MILLISECONDS)
@@ -234,7 +237,7 @@
   }
 
   #submit (job: Job): void {
-    if (this.#planner.phaseOf(job.id) !== undefined) return
+    if (this.#planner.phaseOf(job.id) !== undefined || this.#retired.has(job.id)) return
     if (!this.#planner.submit(job)) return this.#fence()
     this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
   }
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -5,11 +5,14 @@
  */
 import { CornelgaugeError } from '@cornelgauge/model'
 import { encodeProgress, type JobId, type Planner } from '@cornelgauge/jobs'
-import type { RowPut, RowStore, StoredRow } from '@cornelgauge/ports'
+import type { RowPut, RowStore, WriteOutcome } from '@cornelgauge/ports'
 import { PROGRESS_BATCH } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
+/** A row of progress to be written. */
+type ProgressPut = RowPut & { readonly key: JobId }
+
 /**
  * Writes the progress that the planner reports as unstored.
  *
@@ -31,7 +34,7 @@
   /**
    * Stores one batch and marks it as stored in the planner. After a write without an answer the
    * next one has the same conditions; if the earlier one took effect, the store turns it away
-   * with the current rows, from which a third continues.
+   * with the current rows, and it is made once more with their versions.
    *
    * @returns the number of jobs stored
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
@@ -39,18 +42,14 @@
   async write (planner: Planner): Promise<number> {
     const changes = new Map([...planner.unstoredJobs].slice(0, PROGRESS_BATCH))
     if (changes.size === 0) return 0
-    const puts: RowPut[] = [...changes.keys()].map(id => ({
+    const puts: ProgressPut[] = [...changes.keys()].map(id => ({
       table: PROGRESS_TABLE,
       key: id,
       value: { text: encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} }) }
     }))
-    const conditions = [...changes.keys()].map(id => ({ table: PROGRESS_TABLE, key: id, version: this.#versions.get(id) ?? 0 }))
-    const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts })
-    if (outcome.type === 'conflict') {
-      this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
-      this.#adoptVersions(changes, outcome.rows)
-      return 0
-    }
+    let outcome = await this.#transact(puts)
+    if (outcome.type === 'conflict') outcome = await this.#transact(puts)
+    if (outcome.type === 'conflict') return 0
     for (const id of changes.keys()) this.#versions.set(id, outcome.version)
     planner.markStored(changes)
     return changes.size
@@ -61,10 +60,11 @@
     this.#checkOwner((await this.#store.read(OWNER_TABLE, OWNER_KEY))?.version)
   }
 
-  /** Deletes all rows of these jobs. */
+  /** Deletes all rows of these jobs. @throws {CornelgaugeError} as `write` */
   async deleteJobs (ids: readonly JobId[]): Promise<void> {
     const deletions = ids.flatMap(id => [JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => ({ table, key: id })))
-    await this.#store.write({ conditions: [this.#ownerCondition], puts: [], deletions })
+    const outcome = await this.#store.write({ conditions: [this.#ownerCondition], puts: [], deletions })
+    if (outcome.type === 'conflict') this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
     for (const id of ids) this.#versions.delete(id)
   }
 
@@ -72,10 +72,15 @@
     return { table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }
   }
 
-  /** Takes over the versions that a conflict reported; a row that it doesn't report doesn't exist. */
-  #adoptVersions (changes: ReadonlyMap<JobId, number>, rows: readonly (StoredRow & { readonly table: string })[]): void {
-    const versions = new Map(rows.filter(row => row.table === PROGRESS_TABLE).map(row => [row.key, row.version]))
-    for (const id of changes.keys()) this.#versions.set(id, versions.get(id) ?? 0)
+  /** Writes rows on condition of the known versions. A conflict tells the current ones; a row that it doesn't report doesn't exist. */
+  async #transact (puts: readonly ProgressPut[]): Promise<WriteOutcome> {
+    const conditions = puts.map(({ key }) => ({ table: PROGRESS_TABLE, key, version: this.#versions.get(key) ?? 0 }))
+    const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts })
+    if (outcome.type === 'written') return outcome
+    this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
+    const versions = new Map(outcome.rows.filter(row => row.table === PROGRESS_TABLE).map(row => [row.key, row.version]))
+    for (const { key } of puts) this.#versions.set(key, versions.get(key) ?? 0)
+    return outcome
   }
 
   #checkOwner (version: number | undefined): void {
