Replace an owner for silence only if nothing of it arrives, and later in a chain

Callers saw: the planner changed its owner about each second for 15 s, from beats that timed out; five of nine owners were fenced within 1.5 s of their claim.

Cause: two heartbeats of 300 ms without a reply counted as a failure, whatever came after them, and also if it was the sender whose loop had been delayed. A takeover costs the new owner and its link a load of the stored state, so the next heartbeats were late again.

What a VM knows of its owner is in owner-evidence.ts now. Refused connections and the reply that the owner isn't the owner count at once, as before. Silence counts after 1 s without any reply; a reply counts up to half of that after its heartbeat, which is repeated after 300 ms as before, and time in which the VM's own loop was delayed is left out. A connection that fails only after 300 ms isn't a refusal. The limit doubles, up to 3 s, with each owner that was followed for less than 5 s; the same holds for the time without the store after which an owner hands over. Both are one mechanism, hence one commit.

Measured on the virtual clock with eight VMs: an owner that loses power is replaced after 1049 ms (limit of the test: 1500 ms). If each new owner answers nothing for 2 s after its claim, there are two claims, 1049 and 2849 ms after the loss, and none in the 27 s after; 24 claims in all in 30 s before this commit.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -6,9 +6,10 @@
 import { asFailure } from '@cornelgauge/model'
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, MISSED_HEARTBEATS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
 import { MemberList, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
+import { OwnerEvidence } from './owner-evidence.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import type { Peers } from './peers.js'
 
@@ -31,6 +32,7 @@
 
 type HeartbeatRequest = Extract<PeerRequest, { kind: 'beat' }>
 type HeartbeatReply = Extract<PeerReply, { kind: 'beat' }>
+type CheckOutcome = 'settled' | 'in-doubt'
 
 /**
  * Tracks the current owner, and claims ownership when the owner fails or hands over.
@@ -52,8 +54,7 @@
   #confirmedAt = -Infinity
   /** Number of heartbeats that this VM has sent to members as the owner. */
   #sentAsOwner = 0
-  #ownerSeenAt = -Infinity
-  #missedHeartbeats = 0
+  readonly #evidence: OwnerEvidence
   #isLeaving = false
   #claiming: Promise<void> | undefined
 
@@ -61,6 +62,7 @@
     this.#options = options
     this.#clock = options.clock ?? systemClock
     this.#members = new MemberList(options.self, this.#clock)
+    this.#evidence = new OwnerEvidence(this.#clock)
   }
 
   /** The newest owner known to this VM. */
@@ -84,7 +86,7 @@
    */
   get relayPeer (): Member | undefined {
     if (this.isOwner) return this.#successors()[0]
-    return this.#clock.now() - this.#ownerSeenAt < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
+    return this.#evidence.heardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
   }
 
   /** Milliseconds since a majority of peers last sent a heartbeat; the store's confirmation is tracked separately. */
@@ -96,11 +98,9 @@
   async run (signal: AbortSignal): Promise<void> {
     await this.#discoverOwner(signal)
     while (!signal.aborted) {
-      if (this.#ownership !== undefined) this.#checkOwnership()
-      else await this.#checkOwner(signal)
-      // After a missed heartbeat the next one follows without a pause: the first message may just have been lost.
-      const isInDoubt = this.#missedHeartbeats > 0 && this.#missedHeartbeats < MISSED_HEARTBEATS
-      if (!isInDoubt) await pause(this.#clock, HEARTBEAT_MILLISECONDS, signal)
+      const outcome = this.#ownership === undefined ? await this.#checkOwner(signal) : this.#checkOwnership()
+      // After an unanswered heartbeat the next one follows without a pause: the first message may just have been lost.
+      if (outcome === 'settled') await this.#pause(HEARTBEAT_MILLISECONDS, signal)
     }
     this.#tenure.abort()
     await this.#confirming
@@ -127,7 +127,7 @@
   /** Records that this VM has been fenced and is no longer the owner. */
   loseOwnership (): void {
     this.#endOwnership()
-    this.#missedHeartbeats = MISSED_HEARTBEATS
+    this.#evidence.giveUp()
   }
 
   /** Answers a heartbeat. */
@@ -139,7 +139,7 @@
       kind: 'beat',
       isOwner: this.isOwner,
       ...this.#members.listFor(heartbeat.listVersion),
-      ownerHeardAge: this.#clock.now() - this.#ownerSeenAt,
+      ownerHeardAge: this.#evidence.heardAge,
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
     }
   }
@@ -177,8 +177,7 @@
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
     const { vm, address, epoch, version } = owner
     this.#owner = { vm, address, epoch, version }
-    this.#missedHeartbeats = 0
-    this.#ownerSeenAt = this.#clock.now()
+    this.#evidence.follow()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
     this.#endOwnership()
     this.#options.onLost()
@@ -189,23 +188,43 @@
     this.#tenure.abort()
   }
 
-  async #checkOwner (signal: AbortSignal): Promise<void> {
+  /** Returns `in-doubt` if the next heartbeat is due at once. */
+  async #checkOwner (signal: AbortSignal): Promise<CheckOutcome> {
     const owner = this.#owner
-    if (owner === undefined) return
-    const answer = owner.address === this.#options.self.address ? undefined : await this.#sendHeartbeat(owner.address, this.#members.versionFrom(owner.address))
-    if (signal.aborted) return
+    if (owner === undefined) return 'settled'
+    let isAnswered = true
+    if (owner.address === this.#options.self.address) this.#evidence.giveUp()
+    else isAnswered = await Promise.race([this.#sendOwnerHeartbeat(owner), this.#pause(HEARTBEAT_TIMEOUT_MILLISECONDS, signal).then(() => false)])
+    if (signal.aborted || this.#owner?.epoch !== owner.epoch) return 'settled'
+    if (!this.#evidence.isGone) return isAnswered ? 'settled' : 'in-doubt'
+    await this.#replaceOwner(owner, signal)
+    return 'settled'
+  }
+
+  /** Sends the owner a heartbeat and records its reply, also one that comes after the next heartbeat. */
+  async #sendOwnerHeartbeat (owner: KnownOwner): Promise<boolean> {
+    const { address, epoch } = owner
+    const startedAt = this.#clock.now()
+    const answer = await this.#sendHeartbeat(address, this.#members.versionFrom(address), this.#evidence.requiredSilence / 2)
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
-    if (answer?.isOwner === true) {
-      this.#missedHeartbeats = 0
-      this.#ownerSeenAt = this.#clock.now()
-      this.#members.receive(owner.address, answer)
-      return
+    if (this.#owner?.epoch !== epoch) return true
+    if (answer === undefined) {
+      // A connection that fails slowly shows only that the owner is slow.
+      if (this.#clock.now() - startedAt < HEARTBEAT_TIMEOUT_MILLISECONDS) this.#evidence.refuse()
+      return false
     }
+    if (answer.isOwner) {
+      this.#evidence.hear()
+      this.#members.receive(address, answer)
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
-    const hasGivenUp = answer !== undefined && (answer.owner?.epoch ?? 0) >= owner.epoch
-    const isNoLongerOwner = hasGivenUp || owner.address === this.#options.self.address
-    this.#missedHeartbeats = isNoLongerOwner ? MISSED_HEARTBEATS : this.#missedHeartbeats + 1
-    if (this.#missedHeartbeats >= MISSED_HEARTBEATS && this.#owner?.epoch === owner.epoch) await this.#replaceOwner(owner, isNoLongerOwner, signal)
+    } else if ((answer.owner?.epoch ?? 0) >= epoch) this.#evidence.giveUp()
+    return true
+  }
+
+  async #pause (milliseconds: number, signal: AbortSignal): Promise<void> {
+    const dueAt = this.#clock.now() + milliseconds
+    await pause(this.#clock, milliseconds, signal)
+    this.#evidence.excludeDelay(this.#clock.now() - dueAt)
   }
 
   /** Sends a heartbeat after which both VMs know the newer owner. */
@@ -214,11 +233,11 @@
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
   }
 
-  async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST): Promise<HeartbeatReply | undefined> {
+  async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
     const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
     try {
-      return await peers.call<'beat'>(address, heartbeat, HEARTBEAT_TIMEOUT_MILLISECONDS)
+      return await peers.call<'beat'>(address, heartbeat, timeoutMilliseconds)
     } catch (thrown) {
       emit('peer-call-failed', { details: { address, kind: 'beat', failure: asFailure(thrown).code } })
       return undefined
@@ -226,14 +245,14 @@
   }
 
   /** Claims ownership from a failed owner, unless other VMs still reach it or a VM of lower rank has claimed first. */
-  async #replaceOwner (owner: KnownOwner, isNoLongerOwner: boolean, signal: AbortSignal): Promise<void> {
+  async #replaceOwner (owner: KnownOwner, signal: AbortSignal): Promise<void> {
     if (this.#isLeaving) return
     const others = this.members.filter(member => member.vm !== owner.vm)
     const rank = others.filter(member => member.vm < this.#options.self.vm).length
-    await pause(this.#clock, rank * SUCCESSION_STEP_MILLISECONDS, signal)
-    if (signal.aborted || this.#owner?.epoch !== owner.epoch) return
-    if (!isNoLongerOwner && others.length > 0 && await this.#isReachableElsewhere(others)) {
-      this.#missedHeartbeats = 0
+    await this.#pause(rank * SUCCESSION_STEP_MILLISECONDS, signal)
+    if (signal.aborted || this.#owner?.epoch !== owner.epoch || !this.#evidence.isGone) return
+    if (!this.#evidence.hasGivenUp && others.length > 0 && await this.#isReachableElsewhere(others)) {
+      this.#evidence.postpone()
       return
     }
     if (this.#owner?.epoch === owner.epoch) await this.#claim('owner gone')
@@ -243,8 +262,8 @@
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#sendHeartbeat(member.address)))
     for (const answer of answers) if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     const replies = answers.filter(answer => answer !== undefined)
-    if (replies.length === 0) return this.#clock.now() - this.#ownerSeenAt < ISOLATED_TAKEOVER_MILLISECONDS
-    return replies.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS)
+    if (replies.length === 0) return this.#evidence.heardAge < ISOLATED_TAKEOVER_MILLISECONDS
+    return replies.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + OWNER_SILENCE_MILLISECONDS / 2)
   }
 
   #claim (reason: string): Promise<void> {
@@ -256,7 +275,7 @@
     const { store, self, emit } = this.#options
     const started = this.#clock.now()
     const previous = this.#owner
-    const silenceMilliseconds = started - this.#ownerSeenAt
+    const silenceMilliseconds = this.#evidence.heardAge
     try {
       const storedOwner = await readOwner(store)
       if (storedOwner !== undefined && storedOwner.epoch > (this.#owner?.epoch ?? 0)) {
@@ -287,10 +306,11 @@
   }
 
   /** As owner: looks for a newer owner, and hands over if the store is lost. */
-  #checkOwnership (): void {
-    this.#ownerSeenAt = this.#clock.now()
+  #checkOwnership (): CheckOutcome {
+    this.#evidence.hear()
     this.#confirming ??= this.#confirmOwnership().finally(() => { this.#confirming = undefined })
     if (!this.#isLoading) this.#handOverIfStoreLost()
+    return 'settled'
   }
 
   /** Sends a heartbeat to one member, whose reply names a newer owner if it knows one, and while loading reads the owner row. */
@@ -310,7 +330,7 @@
 
   /** As owner: hands over to a peer that reaches the store if this VM doesn't. */
   #handOverIfStoreLost (): void {
-    if (this.#options.storeAge() < STORE_LOST_MILLISECONDS) return
+    if (this.#options.storeAge() < this.#evidence.scale(STORE_LOST_MILLISECONDS)) return
     const successor = this.#successors(STORE_LOST_MILLISECONDS)[0]
     if (successor === undefined || this.#ownership === undefined) return
     this.#options.peers.call(successor.address, { kind: 'succeed', owner: this.#ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -11,12 +11,18 @@
 /** Time limit of one call to the store: many times its usual 4 ms, so that a slow store doesn't count as a failed one. */
 export const STORE_TIMEOUT_MILLISECONDS = 800
 
-/** Interval of heartbeats to the owner. Together with two missed heartbeats it bounds how long the planner has no owner; urgent work is due within about 3 s. */
+/** Interval of heartbeats to the owner. Together with the silence below it bounds how long the planner has no owner; urgent work is due within about 3 s. */
 export const HEARTBEAT_MILLISECONDS = 200
-/** Time limit of a heartbeat: far above a round trip between failure domains plus a pause of a busy VM. */
+/** Time after which an unanswered heartbeat is repeated, and time limit of calls to members: far above a round trip between failure domains. */
 export const HEARTBEAT_TIMEOUT_MILLISECONDS = 300
-/** Consecutive unanswered heartbeats after which the owner is assumed to be down. */
+/** Consecutive refused heartbeats after which the owner is assumed to be down. */
 export const MISSED_HEARTBEATS = 2
+/** Time without any reply of the owner after which it is assumed to be down; a reply counts for half of it after its heartbeat. */
+export const OWNER_SILENCE_MILLISECONDS = 1000
+/** Upper limit of that time while takeovers follow each other. */
+export const LONGEST_SILENCE_MILLISECONDS = 3000
+/** An owner that is followed for this long ends a chain of takeovers. */
+export const SETTLED_TENURE_MILLISECONDS = 5000
 /** Delay per rank in the order of succession, so that the candidates don't all claim at the same time. */
 export const SUCCESSION_STEP_MILLISECONDS = 120
 /** Time since its last contact with the owner after which a VM that reaches no other VM claims ownership: the others may all be down. */
--- /dev/null
+++ b/packages/entry/src/owner-evidence.ts
@@ -0,0 +1,89 @@
+/** Evidence that the owner of the planner has failed, as one VM has seen it. */
+import type { Clock } from '@cornelgauge/ports'
+import { LONGEST_SILENCE_MILLISECONDS, MISSED_HEARTBEATS, OWNER_SILENCE_MILLISECONDS, SETTLED_TENURE_MILLISECONDS } from './limits.js'
+
+/**
+ * Collects what a VM knows of the owner that it follows. The silence that counts as a failure
+ * doubles with each owner that was replaced soon after its claim, so that takeovers which
+ * themselves slow the owner down don't follow each other without end.
+ *
+ * @example
+ * const evidence = new OwnerEvidence(clock)
+ * evidence.follow()
+ * if (evidence.isGone) claim()
+ */
+export class OwnerEvidence {
+  readonly #clock: Clock
+  #heardAt = -Infinity
+  #silentSince = -Infinity
+  #followedAt = -Infinity
+  #shortTenures = 0
+  #refusals = 0
+  #hasGivenUp = false
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** Milliseconds since this VM last received a reply of the owner. */
+  get heardAge (): number {
+    return this.#clock.now() - this.#heardAt
+  }
+
+  /** Milliseconds of silence after which the owner is considered failed. */
+  get requiredSilence (): number {
+    return this.scale(OWNER_SILENCE_MILLISECONDS)
+  }
+
+  /** True if the owner has refused connections, has replied that it isn't the owner, or has been silent for too long. */
+  get isGone (): boolean {
+    return this.#hasGivenUp || this.#refusals >= MISSED_HEARTBEATS || this.#clock.now() - this.#silentSince >= this.requiredSilence
+  }
+
+  /** True if the owner's VM no longer owns the planner. */
+  get hasGivenUp (): boolean {
+    return this.#hasGivenUp
+  }
+
+  /** A time limit, longer while takeovers follow each other. */
+  scale (milliseconds: number): number {
+    const isSettled = this.#clock.now() - this.#followedAt >= SETTLED_TENURE_MILLISECONDS
+    return isSettled ? milliseconds : Math.min(LONGEST_SILENCE_MILLISECONDS, milliseconds * 2 ** this.#shortTenures)
+  }
+
+  /** Records that this VM follows a new owner. */
+  follow (): void {
+    const now = this.#clock.now()
+    this.#shortTenures = now - this.#followedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
+    this.#followedAt = now
+    this.hear()
+  }
+
+  /** Records a reply of the owner. */
+  hear (): void {
+    this.#heardAt = this.#clock.now()
+    this.postpone()
+  }
+
+  /** Starts the evidence anew, without a reply of the owner. */
+  postpone (): void {
+    this.#silentSince = this.#clock.now()
+    this.#refusals = 0
+    this.#hasGivenUp = false
+  }
+
+  /** Records a connection that the owner's VM refused. */
+  refuse (): void {
+    this.#refusals += 1
+  }
+
+  /** Records that the owner's VM no longer owns the planner. */
+  giveUp (): void {
+    this.#hasGivenUp = true
+  }
+
+  /** Leaves out time in which this VM's own loop was delayed, and replies may have been waiting. */
+  excludeDelay (milliseconds: number): void {
+    if (milliseconds > 0) this.#silentSince += milliseconds
+  }
+}
