Adopt a claim that came first instead of claiming after it

Callers saw: epoch 15 was claimed 137 ms after epoch 14, as all VMs had been restarted.

Cause: a claim compared the stored owner with the newest owner known when the row had been read. A heartbeat that named the newer owner meanwhile made it look like the owner to be replaced. The claim compares with the owner known when it began.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -278,7 +278,7 @@
     const silenceMilliseconds = this.#evidence.heardAge
     try {
       const storedOwner = await readOwner(store)
-      if (storedOwner !== undefined && storedOwner.epoch > (this.#owner?.epoch ?? 0)) {
+      if (storedOwner !== undefined && storedOwner.epoch > (previous?.epoch ?? 0)) {
         this.adoptOwner(storedOwner)
         return
       }
