Reply to a request to take over once the planner is loaded

Cause: since the load runs beside the heartbeats, the reply came right after the claim, and an owner that stops gracefully ended before its successor served. The test 'hands over at once if it stops gracefully' of platform/test/deployment.test.ts failed for it (26 pass, 1 fails). The reply waits for the load again, beside the loop of heartbeats.

With this commit all 27 tests of deployment.test.ts pass. A load that takes longer than the 300 ms that the old owner waits still times out there, as it did before.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -50,6 +50,7 @@
   /** Aborts when the ownership ends. */
   #tenure = new AbortController()
   #isLoading = false
+  #loading: Promise<void> | undefined
   #confirming: Promise<void> | undefined
   #confirmedAt = -Infinity
   /** Number of heartbeats that this VM has sent to members as the owner. */
@@ -144,10 +145,11 @@
     }
   }
 
-  /** Claims ownership immediately, as the owner hands over; a repeated request of an earlier owner has no effect. */
+  /** Claims ownership and loads the planner, as the owner hands over; a repeated request of an earlier owner claims nothing. */
   async takeOver (owner: KnownOwner): Promise<void> {
     this.adoptOwner(owner)
     if (!this.#isLeaving && this.#owner?.epoch === owner.epoch) await this.#claim('handed over')
+    if (this.isOwner) await this.#loading
   }
 
   async #discoverOwner (signal: AbortSignal): Promise<void> {
@@ -300,7 +302,7 @@
     this.#tenure = tenure
     this.#ownership = owner
     this.#isLoading = true
-    this.#options.onOwned(owner, tenure.signal)
+    this.#loading = this.#options.onOwned(owner, tenure.signal)
       .catch(thrown => this.#options.emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } }))
       .finally(() => { if (this.#tenure === tenure) this.#isLoading = false })
   }
