--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -26,6 +26,8 @@
   /** Addresses of VMs from which the owner is learned at startup while the store doesn't answer. */
   readonly seeds: readonly string[]
   readonly secret: string
+  /** Capacity for owning the planner, compared with that of other VMs. */
+  readonly weight?: number
   readonly platform: PlatformView
   readonly clock: LogicalClock
   readonly emit: EmitEvent
@@ -80,7 +82,7 @@
   }
 
   constructor (options: EntryVmOptions) {
-    const { vm, address, seeds, secret, platform, clock, emit } = options
+    const { vm, address, seeds, secret, platform, clock, emit, weight } = options
     this.#options = options
     this.#store = new MonitoredStore(platform.store)
     this.#jobs = new JobStore(this.#store, () => this.#isStoreSilent)
@@ -94,7 +96,7 @@
       onEvent: event => { if (event.type === 'handler-failed') emit('peer-call-failed', { details: { address: event.address, kind: 'answer', failure: event.failure.code } }) }
     })
     this.#leadership = new Leadership({
-      self: { vm, address },
+      self: { vm, address, ...(weight === undefined ? {} : { weight }) },
       seeds,
       store: this.#store,
       peers: this.#peers,
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -7,7 +7,7 @@
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
-import { MemberList, UNWANTED_LIST } from './member-list.js'
+import { compareSuccession, MemberList, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { OwnerEvidence } from './owner-evidence.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
@@ -250,7 +250,7 @@
   async #replaceOwner (owner: KnownOwner, signal: AbortSignal): Promise<void> {
     if (this.#isLeaving) return
     const others = this.members.filter(member => member.vm !== owner.vm)
-    const rank = others.filter(member => member.vm < this.#options.self.vm).length
+    const rank = others.filter(member => compareSuccession(member, this.#options.self) < 0).length
     await this.#pause(rank * SUCCESSION_STEP_MILLISECONDS, signal)
     if (signal.aborted || this.#owner?.epoch !== owner.epoch || !this.#evidence.isGone) return
     if (!this.#evidence.hasGivenUp && others.length > 0 && await this.#isReachableElsewhere(others)) {
@@ -344,7 +344,7 @@
   #successors (maximumStoreAge = Infinity): readonly Member[] {
     return this.#members.recentWithStoreAge
       .filter(({ storeAge }) => storeAge < maximumStoreAge)
-      .sort((left, right) => left.storeAge - right.storeAge || (left.member.vm < right.member.vm ? -1 : 1))
+      .sort((left, right) => left.storeAge - right.storeAge || compareSuccession(left.member, right.member))
       .map(({ member }) => member)
   }
 }
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -121,6 +121,16 @@
   }
 }
 
-function keyOf ({ vm, address }: Member): string {
-  return `${vm} ${address}`
+function keyOf ({ vm, address, weight }: Member): string {
+  return `${vm} ${address} ${weight ?? ''}`
+}
+
+/**
+ * Order of succession: most weight first, then by name.
+ *
+ * @example
+ * members.sort(compareSuccession)
+ */
+export function compareSuccession (left: Member, right: Member): number {
+  return (right.weight ?? 0) - (left.weight ?? 0) || (left.vm < right.vm ? -1 : 1)
 }
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -16,6 +16,8 @@
 export interface Member {
   readonly vm: VmName
   readonly address: string
+  /** Capacity for owning the planner, compared with that of other members; absent in earlier releases. */
+  readonly weight?: number
 }
 
 /** The replying VM's list of members. */
