Limit the searches for claims and reservations in one round, with turns

Each waiting claim, and each gang that found no reservation, had a search in each round, however many waited. `SearchTurns` begins no further search after 25,000 examinations, a quarter of what a round may take; the rounds that follow search for the deferred steps first. Until all had their turn, a step that had its own keeps its targets reserved. The targets without recent failures are selected once a round instead of once for each step.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -28,6 +28,8 @@
 export const PREEMPTION_DELAY_MILLISECONDS = 1500
 /** Maximum number of preemption plans per round; each one searches all backend servers of the pool. */
 export const PREEMPTIONS_PER_ROUND = 4
+/** Examinations after which a round begins no further search for claims, or for reservations: a quarter of the 100 ms that a round may take on a present-day core, at a microsecond each. */
+export const MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND = 25_000
 /** Minimum share of the unclaimed guaranteed accelerators that is expected to be claimed before long work ends. */
 export const MINIMUM_EXPECTED_CLAIM_SHARE = 0.5
 /**
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -9,11 +9,12 @@
 import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, FAILURE_AVOIDANCE_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, MAXIMUM_RESERVED_GANGS } from './limits.js'
 import { gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
-import { planReclaim } from './reclaim.js'
+import { planReclaim, type ReclaimPlan } from './reclaim.js'
 import { requestStop } from './reports.js'
 import { countedNeed, CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
 import { withoutInterference, freeAfterStops, isMostlyIdle, snapshotOf } from './round-snapshots.js'
 import { remainingMilliseconds, runningGroups } from './running-groups.js'
+import type { SearchTurns } from './search-turns.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
 import { VictimIndex } from './victim-index.js'
@@ -41,6 +42,8 @@
   /** Free capacity now, and after all runs that are being stopped have ended. */
   readonly #current: CapacitySnapshot
   readonly #afterStops: CapacitySnapshot
+  /** Targets without recent failures, once they are needed. */
+  #lowRisk: CapacitySnapshot | undefined
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
   /** Accelerators of all usable backend servers, free or not. */
@@ -65,6 +68,8 @@
   }
 
   place (): void {
+    this.#state.claimTurns.beginRound()
+    this.#state.reservationTurns.beginRound()
     const isRecoveryComplete = this.#state.isRecoveryComplete(this.#times.now)
     const candidates: Candidate[] = []
     for (const job of this.#state.openJobs) {
@@ -201,8 +206,8 @@
     const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
     const failures = Math.max(...step.tasks.map(task => step.failuresOf(task)))
     if (attempts - failures > 2 || !this.#mayWait(step.tasks[0]!)) return this.#current
-    const lowRisk = this.#current.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#times.now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS)
-    return new CapacitySnapshot(lowRisk, this.#state.work)
+    this.#lowRisk ??= new CapacitySnapshot(this.#current.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#times.now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS), this.#state.work)
+    return this.#lowRisk
   }
 
   #start (task: TaskState, target: PlacementTarget, run: ReturnType<PlannerState['nextRun']>): void {
@@ -248,21 +253,33 @@
   #reserveForGang ({ step, tasks }: StartUnit): void {
     const isLimitReached = this.#reservedGangs === MAXIMUM_RESERVED_GANGS || !this.#state.rules.has('reserve-for-gangs')
     if (isLimitReached || this.#isAdvised(step)) return
+    const turns = this.#state.reservationTurns
+    const isReserved = turns.isNext(step)
+      ? this.#reserveTargets(turns.search(step, () => this.#planReservation({ step, tasks }))?.targets ?? [], step)
+      : this.#reserveAgain({ step, tasks }, turns)
+    if (isReserved) this.#reservedGangs += 1
+  }
+
+  #planReservation ({ step, tasks }: StartUnit): ReclaimPlan | undefined {
     const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
-    const reservation = planReclaim(this.#afterStops, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
-    if (reservation === undefined) return
-    this.#reservedGangs += 1
-    this.#reserveTargets(reservation.targets, step)
+    return planReclaim(this.#afterStops, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
   }
 
-  /** Reserves targets, so that work later in the order can't use them. */
-  #reserveTargets (targets: readonly PlacementTarget[], step: StepState): void {
+  /** Reserves what was planned for a step in its last turn. */
+  #reserveAgain ({ step, tasks }: StartUnit, turns: SearchTurns): boolean {
+    const targets = turns.plannedFor(step).slice(0, tasks.length).map(server => this.#afterStops.targetOf(server))
+    return this.#reserveTargets(targets.filter(target => target !== undefined), step)
+  }
+
+  /** Reserves targets, so that work later in the order can't use them. False if there are none. */
+  #reserveTargets (targets: readonly PlacementTarget[], step: StepState): boolean {
     for (const { server } of targets) {
       const target = this.#current.targetOf(server.id)
       const targetAfterStops = this.#afterStops.targetOf(server.id)
       if (target !== undefined) this.#current.take(target, step)
       if (targetAfterStops !== undefined) this.#afterStops.take(targetAfterStops, step)
     }
+    return targets.length > 0
   }
 
   /**
@@ -272,7 +289,10 @@
   #reclaim (unit: StartUnit, candidate: Candidate): boolean {
     const { step, tasks } = unit
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
-    const plan = planReclaim(this.#afterStops, step, tasks.length, this.#victimsFor(candidate), this.#mayWaitForRack(unit, candidate))
+    const turns = this.#state.claimTurns
+    if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
+    const search = (): ReclaimPlan | undefined => planReclaim(this.#afterStops, step, tasks.length, this.#victimsFor(candidate), this.#mayWaitForRack(unit, candidate))
+    const plan = candidate.isClaim ? turns.search(step, search) : search()
     if (plan === undefined) return false
     const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
@@ -286,8 +306,7 @@
         if (target !== undefined) target.free = addCapacity(target.free, need)
       }
     }
-    this.#reserveTargets(plan.targets, step)
-    return true
+    return this.#reserveTargets(plan.targets, step)
   }
 
   #victimsFor (candidate: Candidate): VictimIndex {
--- /dev/null
+++ b/packages/jobs/src/search-turns.ts
@@ -0,0 +1,55 @@
+/** Limits the searches for reclaim plans in one round, and gives each waiting step its turn. */
+import type { ServerId } from './ids.js'
+import type { StepState } from './job-state.js'
+import { MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND } from './limits.js'
+import type { ReclaimPlan } from './reclaim.js'
+import type { RoundWork } from './round-work.js'
+
+/**
+ * Turns of the steps that need a search. Once a round has reached the limit, the next rounds
+ * search for the others first. Until all had their turn, a step keeps the plan of its own.
+ *
+ * @example
+ * turns.beginRound()
+ * if (turns.isNext(step)) turns.search(step, () => planReclaim(snapshot, step, count, victims, true))
+ */
+export class SearchTurns {
+  readonly #work: RoundWork
+  /** Backend servers planned for the steps that had their turn; empty if there was no plan. */
+  readonly #planned = new Map<StepState, readonly ServerId[]>()
+  #examinations = 0
+  #isAnyDeferred = false
+
+  constructor (work: RoundWork) {
+    this.#work = work
+  }
+
+  /** Begins a round; if no step was deferred in the last one, all have their turn again. */
+  beginRound (): void {
+    if (!this.#isAnyDeferred) this.#planned.clear()
+    this.#isAnyDeferred = false
+    this.#examinations = 0
+  }
+
+  /** True if a step may be searched for in this round. */
+  isNext (step: StepState): boolean {
+    if (this.#planned.has(step)) return false
+    if (this.#examinations < MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND) return true
+    this.#isAnyDeferred = true
+    return false
+  }
+
+  /** Searches for a step, and counts what the search examines. */
+  search (step: StepState, search: () => ReclaimPlan | undefined): ReclaimPlan | undefined {
+    const before = this.#work.examinations
+    const plan = search()
+    this.#examinations += this.#work.examinations - before
+    this.#planned.set(step, plan?.targets.map(target => target.server.id) ?? [])
+    return plan
+  }
+
+  /** Backend servers that were planned for a step in its turn. */
+  plannedFor (step: StepState): readonly ServerId[] {
+    return this.#planned.get(step) ?? []
+  }
+}
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -11,6 +11,7 @@
 import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE } from './limits.js'
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
+import { SearchTurns } from './search-turns.js'
 import { Server, type RunEnd, type ServerEntry } from './server.js'
 
 /** An event of a task or job, for the log. */
@@ -29,6 +30,9 @@
   configuration: Configuration | undefined
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
+  /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
+  readonly claimTurns = new SearchTurns(this.work)
+  readonly reservationTurns = new SearchTurns(this.work)
   readonly claimDemand = new ClaimDemand()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
   readonly #queues = new Map<QueueName, Queue>()
