--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -87,7 +87,15 @@
   /** Counts the failed runs of a task; in a gang, the failed runs of all its tasks, each run number once. */
   failuresOf (task: TaskState): number {
     if (!this.specification.isGang) return task.failedRuns.size
-    return new Set(this.tasks.flatMap(each => [...each.failedRuns])).size
+    const failedRuns = new Set<number>()
+    for (const each of this.tasks) for (const run of each.failedRuns) failedRuns.add(run)
+    return failedRuns.size
+  }
+
+  /** Highest number of failed runs of any task. */
+  get highestFailures (): number {
+    if (this.specification.isGang) return this.failuresOf(this.tasks[0]!)
+    return this.tasks.reduce((highest, task) => Math.max(highest, task.failedRuns.size), 0)
   }
 
   get progress (): StepProgress {
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -204,7 +204,7 @@
   /** Excludes backend servers with recent failures if the step has few attempts left. */
   #lowRiskTargets (step: StepState): CapacitySnapshot {
     const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
-    const failures = Math.max(...step.tasks.map(task => step.failuresOf(task)))
+    const failures = step.highestFailures
     if (attempts - failures > 2 || !this.#mayWait(step.tasks[0]!)) return this.#current
     this.#lowRisk ??= new CapacitySnapshot(this.#current.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#times.now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS), this.#state.work)
     return this.#lowRisk
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -70,11 +70,16 @@
       }
     }
     const target = this.#targets[position]!
-    const tasksOf = new Map(target.tasksOf).set(this.#step, (target.tasksOf.get(this.#step) ?? 0) + 1)
-    this.#targets[position] = { ...target, free: addCapacity(target.free, countedNeed(this.#step), -1), tasksOf }
+    this.#targets[position] = { ...target, free: addCapacity(target.free, countedNeed(this.#step), -1), tasksOf: this.#withTask(target) }
     for (const each of changed) this.#updateOption(each)
   }
 
+  /** The tasks on a target with one more of the step; counted only where their number is limited. */
+  #withTask ({ tasksOf }: PlacementTarget): Map<StepState, number> {
+    if (this.#step.specification.mostPerServer === undefined) return tasksOf
+    return new Map(tasksOf).set(this.#step, (tasksOf.get(this.#step) ?? 0) + 1)
+  }
+
   #updateOption (position: number): void {
     const before = this.#options[position]
     if (before !== undefined) this.#sorted.splice(this.#rankOf(before), 1)
--- a/packages/jobs/src/running-groups.ts
+++ b/packages/jobs/src/running-groups.ts
@@ -1,5 +1,5 @@
 /** Groups the active runs into those that are stopped together, with the cost of stopping them. */
-import type { JobState, StepState } from './job-state.js'
+import type { JobState, StepState, TaskState } from './job-state.js'
 import type { VictimGroup } from './reclaim.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
@@ -54,10 +54,12 @@
 }
 
 function groupsOf (step: StepState, costOf: RunCost): readonly VictimGroup[] {
-  const members = step.tasks.flatMap(task => {
-    const active = [...task.runs].filter(run => run.state === 'running' || run.state === 'starting')
-    return active.map(run => ({ task, run, need: run.need }))
-  })
+  const members: { readonly task: TaskState, readonly run: Run, readonly need: Run['need'] }[] = []
+  for (const task of step.tasks) {
+    for (const run of task.runs) {
+      if (run.state === 'running' || run.state === 'starting') members.push({ task, run, need: run.need })
+    }
+  }
   if (members.length === 0) return []
   if (step.specification.isGang) return [{ members, cost: members.reduce((sum, { run }) => sum + costOf(step, run), 0) }]
   return members.map(member => ({ members: [member], cost: costOf(step, member.run) }))
