Delete an ended job only if both clocks show its retention time

Cause: the retention time was measured by the time of day alone, so a step forward deleted final phases at once; callers would be told 410, and the same id could run again.

Change: the owner also counts on its steady clock from when it first saw the final phase.

--- a/packages/entry/src/retired-jobs.ts
+++ b/packages/entry/src/retired-jobs.ts
@@ -1,6 +1,6 @@
 /** Deletes jobs whose retention time has passed, so that the state that a new owner loads stays bounded. */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import type { JobId, Planner } from '@cornelgauge/jobs'
+import type { JobId, Planner, RoundTimes } from '@cornelgauge/jobs'
 import { DELETED_ID_MILLISECONDS, DELETION_BATCH, DELETION_INTERVAL_MILLISECONDS } from './limits.js'
 import type { ProgressWriter } from './progress-writer.js'
 
@@ -24,7 +24,7 @@
   readonly #writer: ProgressWriter
   /** Retired jobs whose rows aren't known to be deleted yet. */
   readonly #due = new Set<JobId>()
-  /** Jobs whose rows are deleted, in that order, with the wall time of the deletion. */
+  /** Jobs whose rows are deleted, in that order, with the time of the deletion on the monotonic clock. */
   readonly #deleted = new Map<JobId, number>()
 
   constructor (planner: Planner, writer: ProgressWriter) {
@@ -39,7 +39,7 @@
       for (;;) {
         await pause(systemClock, DELETION_INTERVAL_MILLISECONDS, signal)
         if (signal.aborted) return
-        await tryStoreCall(() => retired.deleteBatch(Date.now()))
+        await tryStoreCall(() => retired.deleteBatch({ now: performance.now(), wallTime: Date.now() }))
       }
     }
     run().catch(onCrash)
@@ -56,15 +56,16 @@
    *
    * @throws {CornelgaugeError} as `ProgressWriter.deleteJobs`
    */
-  async deleteBatch (wallTime: number): Promise<void> {
-    for (const [id, deletedAt] of this.#deleted) if (wallTime - deletedAt > DELETED_ID_MILLISECONDS) this.#deleted.delete(id)
-    for (const id of this.#planner.retire(wallTime)) this.#due.add(id)
+  async deleteBatch (times: RoundTimes): Promise<void> {
+    const { now } = times
+    for (const [id, deletedAt] of this.#deleted) if (now - deletedAt > DELETED_ID_MILLISECONDS) this.#deleted.delete(id)
+    for (const id of this.#planner.retire(times)) this.#due.add(id)
     const batch = [...this.#due].slice(0, DELETION_BATCH)
     if (batch.length === 0) return
     await this.#writer.deleteJobs(batch)
     for (const id of batch) {
       this.#due.delete(id)
-      this.#deleted.set(id, wallTime)
+      this.#deleted.set(id, now)
     }
   }
 }
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -104,16 +104,21 @@
       await view.write({ conditions: [], puts: [{ table: 'progress', key: ID, value: { text: progress } }, { table: 'cancels', key: ID, value: {} }] })
       const owned = ownedPlanner(() => true)
       await owned.takeOver(owner)
+      await new Promise(resolve => setTimeout(resolve, DELETION_MILLISECONDS / 2))
+      const systemNow = performance.now.bind(performance)
+      performance.now = () => systemNow() + 2 * RETENTION_MILLISECONDS
       const deadline = performance.now() + DELETION_MILLISECONDS
       const rowsLeft = (): number => ['jobs', 'cancels', 'progress'].reduce((sum, table) => sum + store.rows(table).length, 0)
       while (rowsLeft() > 0 && performance.now() < deadline) await new Promise(resolve => setTimeout(resolve, 20))
       owned.abandon()
+      performance.now = systemNow
       expect(rowsLeft()).to.equal(0)
     })
   })
 
   describe('many jobs that ended longer ago than the retention time', () => {
     const JOBS = 50
+    const DUE = { now: RETENTION_MILLISECONDS + 1, wallTime: RETENTION_MILLISECONDS + 1 }
     let planner: Planner
     let retired: RetiredJobs
     const ids = Array.from({ length: JOBS }, (_, index) => jobId(index.toString(16).padStart(16, '0')))
@@ -122,10 +127,16 @@
       await view.write({ conditions: [], puts: ids.map(id => ({ table: 'progress', key: id, value: {} })) })
       planner = new Planner(epoch(1), ids.map(id => ({ job: { ...JOB, id }, isCancelled: false, progress: { phase: 'completed' as const, finishedAt: 0, hasBegun: true, steps: {} } })), { now: 0, wallTime: 0 })
       retired = new RetiredJobs(planner, new ProgressWriter(view, owner, new Map()))
+      await retired.deleteBatch({ now: 0, wallTime: 0 })
     })
 
     it('stay while the retention time lasts', async () => {
-      await retired.deleteBatch(RETENTION_MILLISECONDS)
+      await retired.deleteBatch({ now: RETENTION_MILLISECONDS, wallTime: RETENTION_MILLISECONDS })
+      expect(store.rows('progress')).to.have.length(JOBS)
+    })
+
+    it('stay if only the time of day was set forward', async () => {
+      await retired.deleteBatch({ now: 1000, wallTime: 10 * RETENTION_MILLISECONDS })
       expect(store.rows('progress')).to.have.length(JOBS)
     })
 
@@ -137,21 +148,21 @@
         return await write(transaction)
       }
       view.fault = 'down'
-      await retired.deleteBatch(RETENTION_MILLISECONDS + 1).catch(() => { /* The store is down. */ })
+      await retired.deleteBatch(DUE).catch(() => { /* The store is down. */ })
       view.fault = 'none'
-      for (let time = 0; time < 2; time += 1) await retired.deleteBatch(RETENTION_MILLISECONDS + 1)
+      for (let time = 0; time < 2; time += 1) await retired.deleteBatch(DUE)
       expect(store.rows('progress')).to.have.length(0)
       expect(Math.max(...entries)).to.be.at.most(100)
     })
 
     it('are not planned anew by an earlier read of their rows', async () => {
-      await retired.deleteBatch(RETENTION_MILLISECONDS + 1)
+      await retired.deleteBatch(DUE)
       expect(ids.every(id => planner.phaseOf(id) === undefined && retired.has(id))).to.equal(true)
     })
 
     it('stay if another VM has become the owner', async () => {
       await claimOwnership(view, owner, { ...SELF, vm: vmName('vm-b') })
-      expect(await retired.deleteBatch(RETENTION_MILLISECONDS + 1).then(() => undefined, thrown => (thrown as CornelgaugeError).code)).to.equal('stale-epoch')
+      expect(await retired.deleteBatch(DUE).then(() => undefined, thrown => (thrown as CornelgaugeError).code)).to.equal('stale-epoch')
       expect(store.rows('progress')).to.have.length(JOBS)
     })
   })
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -124,6 +124,8 @@
   finishedAt: number | undefined
   /** The final phase is stored and may be reported. */
   isFinalStored = false
+  /** When this owner first saw the stored final phase, on the monotonic clock. */
+  finalSeenAt: number | undefined
   readonly #occurrences = new Map<number, readonly StepState[]>()
 
   constructor (job: Job, isInherited: boolean, progress?: JobProgress) {
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -209,11 +209,20 @@
     return this.#state.work.examinations
   }
 
-  /** Removes jobs whose retention time has passed, and returns their ids. */
-  retire (wallTime: number): readonly JobId[] {
-    const retired = [...this.#state.jobs.values()].filter(job => job.isFinalStored && job.runs.length === 0 && wallTime - (job.finishedAt ?? wallTime) > RETENTION_MILLISECONDS)
-    for (const { job } of retired) this.#state.jobs.delete(job.id)
-    return retired.map(({ job }) => job.id)
+  /**
+   * Removes jobs whose retention time has passed, and returns their ids. Both clocks have to
+   * show it: the time of day may be set forward, also on the VM that wrote when a job ended.
+   */
+  retire ({ now, wallTime }: RoundTimes): readonly JobId[] {
+    const retired: JobId[] = []
+    for (const [id, job] of this.#state.jobs) {
+      if (!job.isFinalStored || job.runs.length > 0) continue
+      job.finalSeenAt ??= now
+      const age = Math.min(now - job.finalSeenAt, wallTime - (job.finishedAt ?? wallTime))
+      if (age > RETENTION_MILLISECONDS) retired.push(id)
+    }
+    for (const id of retired) this.#state.jobs.delete(id)
+    return retired
   }
 
   /** Current load, for logs and metrics. */
