Plan a job that was accepted anew under the id of a deleted one

Cause: for 180 s after a deletion the owner ignored every job of that id, so that an earlier read of its row didn't plan it again. A job that a caller handed in anew under the id was accepted, stored and never planned. Found by reading, no run showed it.

Change: the retired job itself is kept, and only the same acceptance is ignored.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -237,7 +237,7 @@
   }
 
   #submit (job: Job): void {
-    if (this.#planner.phaseOf(job.id) !== undefined || this.#retired.has(job.id)) return
+    if (this.#planner.phaseOf(job.id) !== undefined || this.#retired.has(job)) return
     if (!this.#planner.submit(job)) return this.#fence()
     this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
   }
--- a/packages/entry/src/retired-jobs.ts
+++ b/packages/entry/src/retired-jobs.ts
@@ -1,6 +1,6 @@
 /** Deletes jobs whose retention time has passed, so that the state that a new owner loads stays bounded. */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import type { JobId, Planner, RoundTimes } from '@cornelgauge/jobs'
+import type { Job, JobId, Planner, RoundTimes } from '@cornelgauge/jobs'
 import { DELETED_ID_MILLISECONDS, DELETION_BATCH, DELETION_INTERVAL_MILLISECONDS } from './limits.js'
 import type { ProgressWriter } from './progress-writer.js'
 
@@ -17,15 +17,15 @@
  *
  * @example
  * const retired = RetiredJobs.start(planner, writer, stopping.signal, { tryStoreCall, onCrash })
- * if (!retired.has(job.id)) planner.submit(job)
+ * if (!retired.has(job)) planner.submit(job)
  */
 export class RetiredJobs {
   readonly #planner: Planner
   readonly #writer: ProgressWriter
   /** Retired jobs whose rows aren't known to be deleted yet. */
-  readonly #due = new Set<JobId>()
+  readonly #due = new Map<JobId, Job>()
   /** Jobs whose rows are deleted, in that order, with the time of the deletion on the monotonic clock. */
-  readonly #deleted = new Map<JobId, number>()
+  readonly #deleted = new Map<JobId, { readonly job: Job, readonly deletedAt: number }>()
 
   constructor (planner: Planner, writer: ProgressWriter) {
     this.#planner = planner
@@ -46,9 +46,9 @@
     return retired
   }
 
-  /** True if the job was retired, at least until no read of its row can be under way. */
-  has (id: JobId): boolean {
-    return this.#due.has(id) || this.#deleted.has(id)
+  /** True if the job was retired, at least until no read of its row can be under way; a job that was accepted later under its id wasn't. */
+  has ({ id, acceptedAt }: Job): boolean {
+    return this.#due.get(id)?.acceptedAt === acceptedAt || this.#deleted.get(id)?.job.acceptedAt === acceptedAt
   }
 
   /**
@@ -58,14 +58,14 @@
    */
   async deleteBatch (times: RoundTimes): Promise<void> {
     const { now } = times
-    for (const [id, deletedAt] of this.#deleted) if (now - deletedAt > DELETED_ID_MILLISECONDS) this.#deleted.delete(id)
-    for (const id of this.#planner.retire(times)) this.#due.add(id)
+    for (const [id, { deletedAt }] of this.#deleted) if (now - deletedAt > DELETED_ID_MILLISECONDS) this.#deleted.delete(id)
+    for (const job of this.#planner.retire(times)) this.#due.set(job.id, job)
     const batch = [...this.#due].slice(0, DELETION_BATCH)
     if (batch.length === 0) return
-    await this.#writer.deleteJobs(batch)
-    for (const id of batch) {
+    await this.#writer.deleteJobs(batch.map(([id]) => id))
+    for (const [id, job] of batch) {
       this.#due.delete(id)
-      this.#deleted.set(id, now)
+      this.#deleted.set(id, { job, deletedAt: now })
     }
   }
 }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -210,18 +210,18 @@
   }
 
   /**
-   * Removes jobs whose retention time has passed, and returns their ids. Both clocks have to
+   * Removes jobs whose retention time has passed, and returns them. Both clocks have to
    * show it: the time of day may be set forward, also on the VM that wrote when a job ended.
    */
-  retire ({ now, wallTime }: RoundTimes): readonly JobId[] {
-    const retired: JobId[] = []
-    for (const [id, job] of this.#state.jobs) {
+  retire ({ now, wallTime }: RoundTimes): readonly Job[] {
+    const retired: Job[] = []
+    for (const job of this.#state.jobs.values()) {
       if (!job.isFinalStored || job.runs.length > 0) continue
       job.finalSeenAt ??= now
       const age = Math.min(now - job.finalSeenAt, wallTime - (job.finishedAt ?? wallTime))
-      if (age > RETENTION_MILLISECONDS) retired.push(id)
+      if (age > RETENTION_MILLISECONDS) retired.push(job.job)
     }
-    for (const id of retired) this.#state.jobs.delete(id)
+    for (const { id } of retired) this.#state.jobs.delete(id)
     return retired
   }
 
