Delete the rows of an ended job on condition of its progress row

Cause: a deletion whose answer was lost had taken effect; a job that was accepted meanwhile under the same id was deleted with the next attempt. Now each attempt requires the progress row that the job ended with, and a row that isn't there any more counts as deleted. Entries per job rise from three to four, so a batch has 24.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -66,8 +66,8 @@
 export const PROGRESS_BATCH = 45
 /** Pause between two deletions of jobs whose retention time has passed. */
 export const DELETION_INTERVAL_MILLISECONDS = 1000
-/** Jobs per deletion; the store accepts 100 entries, of which each job takes three and the owner's row one. */
-export const DELETION_BATCH = 33
+/** Jobs per deletion; the store accepts 100 entries, of which each job takes four and the owner's row one. */
+export const DELETION_BATCH = 24
 /** How long the id of a deleted job stays known, so that an earlier read of its row doesn't plan it anew. */
 export const DELETED_ID_MILLISECONDS = 180_000
 
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -5,7 +5,7 @@
  */
 import { CornelgaugeError } from '@cornelgauge/model'
 import { encodeProgress, type JobId, type Planner } from '@cornelgauge/jobs'
-import type { RowPut, RowStore, WriteOutcome } from '@cornelgauge/ports'
+import type { RowPut, RowStore, StoredRow, WriteOutcome } from '@cornelgauge/ports'
 import { PROGRESS_BATCH } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
@@ -60,12 +60,27 @@
     this.#checkOwner((await this.#store.read(OWNER_TABLE, OWNER_KEY))?.version)
   }
 
-  /** Deletes all rows of these jobs. @throws {CornelgaugeError} as `write` */
-  async deleteJobs (ids: readonly JobId[]): Promise<void> {
+  /** The version of a job's progress row, as last written or loaded; 0 if there is none. */
+  progressVersion (id: JobId): number {
+    return this.#versions.get(id) ?? 0
+  }
+
+  /**
+   * Deletes all rows of jobs, on condition of the versions of their progress rows: after a deletion
+   * without an answer, another job may have been accepted under the same id.
+   *
+   * @returns the jobs whose rows are deleted now or were before; the others are to be tried again
+   * @throws {CornelgaugeError} as `write`
+   */
+  async deleteJobs (progressVersions: ReadonlyMap<JobId, number>): Promise<ReadonlySet<JobId>> {
+    const ids = [...progressVersions.keys()]
+    const conditions = [...progressVersions].map(([key, version]) => ({ table: PROGRESS_TABLE, key, version }))
     const deletions = ids.flatMap(id => [JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => ({ table, key: id })))
-    const outcome = await this.#store.write({ conditions: [this.#ownerCondition], puts: [], deletions })
-    if (outcome.type === 'conflict') this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
-    for (const id of ids) this.#versions.delete(id)
+    const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts: [], deletions })
+    const current = outcome.type === 'conflict' ? this.#currentVersions(outcome.rows) : new Map<string, number>()
+    const deleted = ids.filter(id => current.get(id) !== progressVersions.get(id))
+    for (const id of deleted) if (this.#versions.get(id) === progressVersions.get(id)) this.#versions.delete(id)
+    return new Set(deleted)
   }
 
   get #ownerCondition (): { table: string, key: string, version: number } {
@@ -77,12 +92,17 @@
     const conditions = puts.map(({ key }) => ({ table: PROGRESS_TABLE, key, version: this.#versions.get(key) ?? 0 }))
     const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts })
     if (outcome.type === 'written') return outcome
-    this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
-    const versions = new Map(outcome.rows.filter(row => row.table === PROGRESS_TABLE).map(row => [row.key, row.version]))
+    const versions = this.#currentVersions(outcome.rows)
     for (const { key } of puts) this.#versions.set(key, versions.get(key) ?? 0)
     return outcome
   }
 
+  /** The versions of progress rows that a conflict reports, once it is clear that this VM still owns the planner. */
+  #currentVersions (rows: readonly (StoredRow & { readonly table: string })[]): ReadonlyMap<string, number> {
+    this.#checkOwner(rows.find(row => row.table === OWNER_TABLE)?.version)
+    return new Map(rows.filter(row => row.table === PROGRESS_TABLE).map(row => [row.key, row.version]))
+  }
+
   #checkOwner (version: number | undefined): void {
     if (version === this.#owner.version) return
     throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${this.#owner.epoch}` })
--- a/packages/entry/src/retired-jobs.ts
+++ b/packages/entry/src/retired-jobs.ts
@@ -22,8 +22,8 @@
 export class RetiredJobs {
   readonly #planner: Planner
   readonly #writer: ProgressWriter
-  /** Retired jobs whose rows aren't known to be deleted yet. */
-  readonly #due = new Map<JobId, Job>()
+  /** Retired jobs whose rows aren't known to be deleted yet, with the versions of their progress rows. */
+  readonly #due = new Map<JobId, { readonly job: Job, readonly progressVersion: number }>()
   /** Jobs whose rows are deleted, in that order, with the time of the deletion on the monotonic clock. */
   readonly #deleted = new Map<JobId, { readonly job: Job, readonly deletedAt: number }>()
 
@@ -48,7 +48,7 @@
 
   /** True if the job was retired, at least until no read of its row can be under way; a job that was accepted later under its id wasn't. */
   has ({ id, acceptedAt }: Job): boolean {
-    return this.#due.get(id)?.acceptedAt === acceptedAt || this.#deleted.get(id)?.job.acceptedAt === acceptedAt
+    return this.#due.get(id)?.job.acceptedAt === acceptedAt || this.#deleted.get(id)?.job.acceptedAt === acceptedAt
   }
 
   /**
@@ -59,11 +59,12 @@
   async deleteBatch (times: RoundTimes): Promise<void> {
     const { now } = times
     for (const [id, { deletedAt }] of this.#deleted) if (now - deletedAt > DELETED_ID_MILLISECONDS) this.#deleted.delete(id)
-    for (const job of this.#planner.retire(times)) this.#due.set(job.id, job)
+    for (const job of this.#planner.retire(times)) this.#due.set(job.id, { job, progressVersion: this.#writer.progressVersion(job.id) })
     const batch = [...this.#due].slice(0, DELETION_BATCH)
     if (batch.length === 0) return
-    await this.#writer.deleteJobs(batch.map(([id]) => id))
-    for (const [id, job] of batch) {
+    const deleted = await this.#writer.deleteJobs(new Map(batch.map(([id, { progressVersion }]) => [id, progressVersion])))
+    for (const [id, { job }] of batch) {
+      if (!deleted.has(id)) continue
       this.#due.delete(id)
       this.#deleted.set(id, { job, deletedAt: now })
     }
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -5,6 +5,7 @@
 import { encodeJob } from '../src/job-record.js'
 import { JobStore } from '../src/job-store.js'
 import { OwnedPlanner } from '../src/owned-planner.js'
+import { DELETION_BATCH } from '../src/limits.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import type { PlatformView } from '../src/platform-view.js'
 import { ProgressWriter } from '../src/progress-writer.js'
@@ -118,6 +119,7 @@
 
   describe('many jobs that ended longer ago than the retention time', () => {
     const JOBS = 50
+    const BATCHES = Math.ceil(JOBS / DELETION_BATCH)
     const DUE = { now: RETENTION_MILLISECONDS + 1, wallTime: RETENTION_MILLISECONDS + 1 }
     let planner: Planner
     let retired: RetiredJobs
@@ -126,7 +128,7 @@
     beforeEach(async () => {
       await view.write({ conditions: [], puts: ids.map(id => ({ table: 'progress', key: id, value: {} })) })
       planner = new Planner(epoch(1), ids.map(id => ({ job: { ...JOB, id }, isCancelled: false, progress: { phase: 'completed' as const, finishedAt: 0, hasBegun: true, steps: {} } })), { now: 0, wallTime: 0 })
-      retired = new RetiredJobs(planner, new ProgressWriter(view, owner, new Map()))
+      retired = new RetiredJobs(planner, new ProgressWriter(view, owner, new Map(store.rows('progress').map(row => [jobId(row.key), row.version]))))
       await retired.deleteBatch({ now: 0, wallTime: 0 })
     })
 
@@ -150,7 +152,7 @@
       view.fault = 'down'
       await retired.deleteBatch(DUE).catch(() => { /* The store is down. */ })
       view.fault = 'none'
-      for (let time = 0; time < 2; time += 1) await retired.deleteBatch(DUE)
+      for (let time = 0; time < BATCHES; time += 1) await retired.deleteBatch(DUE)
       expect(store.rows('progress')).to.have.length(0)
       expect(Math.max(...entries)).to.be.at.most(100)
     })
@@ -161,10 +163,20 @@
     })
 
     it('don\'t keep a job from being planned that was accepted later under the same id', async () => {
-      for (let time = 0; time < 2; time += 1) await retired.deleteBatch(DUE)
+      for (let time = 0; time < BATCHES; time += 1) await retired.deleteBatch(DUE)
       expect(retired.has({ ...JOB, id: ids[0]!, acceptedAt: JOB.acceptedAt + 1 })).to.equal(false)
     })
 
+    it('don\'t take a later job of the same id with them if the answer to the deletion was lost', async () => {
+      view.fault = 'losing-answers'
+      await retired.deleteBatch(DUE).catch(() => { /* The answer is lost. */ })
+      view.fault = 'none'
+      await view.write({ conditions: [], puts: [{ table: 'jobs', key: ids[0]!, value: encodeJob({ ...JOB, id: ids[0]!, acceptedAt: JOB.acceptedAt + 1 }) }] })
+      for (let time = 0; time < BATCHES; time += 1) await retired.deleteBatch(DUE)
+      expect(store.rows('jobs').map(row => row.key)).to.include(ids[0])
+      expect(store.rows('progress')).to.have.length(0)
+    })
+
     it('stay if another VM has become the owner', async () => {
       await claimOwnership(view, owner, { ...SELF, vm: vmName('vm-b') })
       expect(await retired.deleteBatch(DUE).then(() => undefined, thrown => (thrown as CornelgaugeError).code)).to.equal('stale-epoch')
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -216,7 +216,7 @@
   retire ({ now, wallTime }: RoundTimes): readonly Job[] {
     const retired: Job[] = []
     for (const job of this.#state.jobs.values()) {
-      if (!job.isFinalStored || job.runs.length > 0) continue
+      if (!job.isFinalStored || job.runs.length > 0 || this.#state.unstoredJobs.has(job.job.id)) continue
       job.finalSeenAt ??= now
       const age = Math.min(now - job.finalSeenAt, wallTime - (job.finishedAt ?? wallTime))
       if (age > RETENTION_MILLISECONDS) retired.push(job.job)
