Acknowledge an ended run only if all changes of its job are stored

Cause: a job that changed again while a write of other jobs was in flight lost the number of its first unstored change. When that write was answered, the oldest unstored change seemed to be newer than the end, which was acknowledged before it was stored. Ruled out: the order of acknowledgement and write itself, the load of a new owner (its reads follow its claim, which fences earlier writes), and reused positions.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -296,14 +296,14 @@
   }
 
   #save (): void {
-    if (this.#saving !== undefined || this.#planner.unstoredJobs.size === 0) return
+    if (this.#saving !== undefined || this.#planner.unstoredCount === 0) return
     this.#saving = this.#writeAll().finally(() => { this.#saving = undefined })
   }
 
   async #writeAll (): Promise<void> {
     const started = performance.now()
     const isWritten = await this.#tryStoreCall(async () => {
-      while (this.#planner.unstoredJobs.size > 0 && !this.#stopping.signal.aborted) await this.#writer.write(this.#planner)
+      while (this.#planner.unstoredCount > 0 && !this.#stopping.signal.aborted) await this.#writer.write(this.#planner)
     })
     const milliseconds = Math.round(performance.now() - started)
     if (isWritten && milliseconds > SLOW_STORE_MILLISECONDS) this.#options.emit('progress-stored-late', { details: { milliseconds } })
@@ -318,7 +318,7 @@
     } catch (thrown) {
       const failure = asFailure(thrown)
       if (failure.code === 'stale-epoch') this.#fence()
-      else this.#options.emit('progress-not-stored', { details: { failure: failure.code, waiting: this.#planner.unstoredJobs.size } })
+      else this.#options.emit('progress-not-stored', { details: { failure: failure.code, waiting: this.#planner.unstoredCount } })
       return false
     }
   }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -179,7 +179,12 @@
 
   /** Jobs with unstored progress, with the number of their last change. */
   get unstoredJobs (): ReadonlyMap<JobId, number> {
-    return new Map(this.#state.unstoredJobs)
+    return this.#state.unstoredJobs
+  }
+
+  /** Number of jobs with unstored progress. */
+  get unstoredCount (): number {
+    return this.#state.unstoredCount
   }
 
   /** Returns a job's progress in the form that is stored. */
@@ -216,7 +221,7 @@
   retire ({ now, wallTime }: RoundTimes): readonly Job[] {
     const retired: Job[] = []
     for (const job of this.#state.jobs.values()) {
-      if (!job.isFinalStored || job.runs.length > 0 || this.#state.unstoredJobs.has(job.job.id)) continue
+      if (!job.isFinalStored || job.runs.length > 0 || this.#state.isUnstored(job.job.id)) continue
       job.finalSeenAt ??= now
       const age = Math.min(now - job.finalSeenAt, wallTime - (job.finishedAt ?? wallTime))
       if (age > RETENTION_MILLISECONDS) retired.push(job.job)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -19,6 +19,12 @@
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
 
+/** Numbers of the first and the last change of a job that aren't stored. */
+interface UnstoredChanges {
+  readonly first: number
+  readonly last: number
+}
+
 /** Jobs, backend servers, configuration, and changes that are not stored yet. */
 export class PlannerState {
   readonly epoch: Epoch
@@ -42,8 +48,7 @@
   readonly #largestCapacities = new Map<PoolName, Capacity>()
   readonly #meanWorks = new Map<QueueName, number>()
   readonly #meanRunTimes = new Map<QueueName, number>()
-  /** Jobs with unstored progress, with the number of their last change. */
-  readonly #unstoredJobs = new Map<JobId, number>()
+  readonly #unstoredJobs = new Map<JobId, UnstoredChanges>()
   /** Positions of ended runs that are acknowledged once a change is stored. */
   #pendingAcknowledgements: { readonly server: Server, readonly incarnation: number, readonly position: number, readonly change: number }[] = []
   #lastChange = 0
@@ -169,7 +174,8 @@
   /** Marks a job's progress as changed and not stored. */
   markChanged (job: JobState): void {
     this.#lastChange += 1
-    this.#unstoredJobs.set(job.job.id, this.#lastChange)
+    const first = this.#unstoredJobs.get(job.job.id)?.first ?? this.#lastChange
+    this.#unstoredJobs.set(job.job.id, { first, last: this.#lastChange })
   }
 
   /** Acknowledges ended runs up to a position once all changes so far are stored. */
@@ -180,17 +186,29 @@
 
   /** Jobs with unstored progress, with the number of their last change. */
   get unstoredJobs (): ReadonlyMap<JobId, number> {
-    return this.#unstoredJobs
+    return new Map([...this.#unstoredJobs].map(([id, { last }]) => [id, last]))
+  }
+
+  /** Number of jobs with unstored progress. */
+  get unstoredCount (): number {
+    return this.#unstoredJobs.size
+  }
+
+  /** True if a job has unstored progress. */
+  isUnstored (id: JobId): boolean {
+    return this.#unstoredJobs.has(id)
   }
 
   /** Marks the progress of jobs as stored, as of the given changes. */
   markStored (changes: ReadonlyMap<JobId, number>): void {
     for (const [id, change] of changes) {
-      if (this.#unstoredJobs.get(id) === change) this.#unstoredJobs.delete(id)
+      const unstored = this.#unstoredJobs.get(id)
+      if (unstored?.last === change) this.#unstoredJobs.delete(id)
+      else if (unstored !== undefined) this.#unstoredJobs.set(id, { ...unstored, first: Math.max(unstored.first, change + 1) })
       const job = this.jobs.get(id)
       if (job !== undefined && !job.isOpen && !this.#unstoredJobs.has(id)) job.isFinalStored = true
     }
-    const oldest = Math.min(...this.#unstoredJobs.values(), Infinity)
+    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
     for (const { server, incarnation, position, change } of this.#pendingAcknowledgements) {
       if (change < oldest && server.entry.incarnation === incarnation) server.acknowledgedPosition = Math.max(server.acknowledgedPosition, position)
     }
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -38,6 +38,25 @@
       expect(world.servers[0]!.ended).to.have.length(0)
     })
 
+    it('acknowledges no ended run whose job has changed again before it was stored', () => {
+      const world = new World(3)
+      world.planner.submit(job('a', { steps: [step({ count: 2, accelerators: 8 })] }))
+      world.planner.submit(job('b', { steps: [step({ accelerators: 8 })] }))
+      world.settle()
+      const [first, second] = ['a.0.0.0', 'a.0.0.1'].map(name => world.serverRunning(name)!)
+      world.isStoreAvailable = false
+      world.serverRunning('b.0.0.0')!.end('b.0.0.0', 'done')
+      world.settle(1)
+      const written = world.planner.unstoredJobs
+      first!.end('a.0.0.0', 'done')
+      world.settle(1)
+      second!.end('a.0.0.1', 'done')
+      world.settle(1)
+      world.planner.markStored(written)
+      world.settle()
+      expect(first!.ended.map(end => end.task)).to.deep.equal(['a.0.0.0'])
+    })
+
     it('starts a step after all tasks of the steps that it depends on', () => {
       const world = new World(2)
       world.planner.submit(job('a', { steps: [step({ count: 2 }), step({ after: [0] })] }))
