Bound the wait of the in-memory feed by the wait that was asked for

Cause: a test sets the steady clock forward and back while feeds wait; the rest of the wait then came out as 360 s, and the process of the tests of entry stayed alive for six minutes after the last test had passed.

Ruled out: an owner that isn't stopped (its three feeds were the only timers left, by the stack of each timer).

--- a/packages/ports/src/memory-row-store.ts
+++ b/packages/ports/src/memory-row-store.ts
@@ -83,7 +83,7 @@
       }
       waiting.add(done)
     })
-    return await this.changesAfter(table, after, waitMilliseconds - (performance.now() - started))
+    return await this.changesAfter(table, after, waitMilliseconds - Math.max(0, performance.now() - started))
   }
 
   #changes (table: string, after: number): RowChanges {
