Keep the order of succession after a start and while no list of members arrives

Cause: after a restart of all VMs the first to start claimed the planner whatever its weight, since it knew no other VM. An expired list of members had the same effect, and skipped the question whether others reach the owner. Members that had not sent this VM a heartbeat counted as answered by the store, and an owner that still loads never handed over when the store turned it away.

Change: a VM that has just started learns members from the seeds for half a second before it claims; VMs keep their place in the order of succession for 30 s without being heard; the age of the last answer of the store is Infinity until a member says it; an owner that loads hands over as well.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -6,8 +6,8 @@
 import { asFailure } from '@cornelgauge/model'
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
-import { compareSuccession, MemberList, UNWANTED_LIST } from './member-list.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, START_SPREAD_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { compareSuccession, MemberList, NO_VERSION, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { OwnerEvidence } from './owner-evidence.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
@@ -57,6 +57,7 @@
   #sentAsOwner = 0
   readonly #evidence: OwnerEvidence
   #isLeaving = false
+  #startedAt = -Infinity
   #claiming: Promise<void> | undefined
 
   constructor (options: LeadershipOptions) {
@@ -97,6 +98,7 @@
 
   /** Runs leader election until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
+    this.#startedAt = this.#clock.now()
     await this.#discoverOwner(signal)
     while (!signal.aborted) {
       const outcome = this.#ownership === undefined ? await this.#checkOwner(signal) : this.#checkOwnership()
@@ -154,26 +156,51 @@
 
   async #discoverOwner (signal: AbortSignal): Promise<void> {
     while (this.#owner === undefined && !signal.aborted) {
+      let retryMilliseconds = STORE_RETRY_MILLISECONDS
       try {
         const owner = await readOwner(this.#options.store)
-        if (owner === undefined) await this.#claim('no owner yet')
-        else this.adoptOwner(owner)
+        if (owner !== undefined) this.adoptOwner(owner)
+        else if (this.#isTurnAfterStart) await this.#claim('no owner yet')
+        else {
+          await this.#querySeeds()
+          retryMilliseconds = HEARTBEAT_MILLISECONDS
+        }
       } catch (thrown) {
         this.#options.emit('owner-not-read', { details: { failure: asFailure(thrown).code } })
         await this.#querySeeds()
-        if (this.#owner === undefined) await pause(this.#clock, STORE_RETRY_MILLISECONDS, signal)
       }
+      if (this.#owner === undefined) await pause(this.#clock, retryMilliseconds, signal)
     }
   }
 
+  /** Learns the owner and the members from the seeds. */
   async #querySeeds (): Promise<void> {
     const others = this.#options.seeds.filter(address => address !== this.#options.self.address)
     await Promise.all(others.map(async address => {
-      const answer = await this.#sendHeartbeat(address)
-      if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
+      const answer = await this.#sendHeartbeat(address, NO_VERSION)
+      if (answer === undefined) return
+      this.#members.receive(address, answer)
+      if (answer.owner !== undefined) this.adoptOwner(answer.owner)
     }))
   }
 
+  /** True while VMs that started with this one may still be unknown to it. */
+  get #isStarting (): boolean {
+    return this.#clock.now() - this.#startedAt <= STARTUP_MILLISECONDS
+  }
+
+  /** True once none of the VMs before this one in the order of succession has claimed a planner without an owner. */
+  get #isTurnAfterStart (): boolean {
+    return this.#clock.now() - this.#startedAt > STARTUP_MILLISECONDS + this.#turnMilliseconds(this.#members.candidates)
+  }
+
+  /** How long this VM waits for those before it in the order of succession; longer after a start, when one of them may have started later. */
+  #turnMilliseconds (others: readonly Member[]): number {
+    const rank = others.filter(member => compareSuccession(member, this.#options.self) < 0).length
+    const hasJustStarted = this.#clock.now() - this.#startedAt < 2 * STARTUP_MILLISECONDS
+    return rank * SUCCESSION_STEP_MILLISECONDS + (rank > 0 && hasJustStarted ? START_SPREAD_MILLISECONDS : 0)
+  }
+
   /** Adopts an owner learned from the store or from a peer if its epoch is newer. */
   adoptOwner (owner: KnownOwner): void {
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
@@ -199,6 +226,10 @@
     else isAnswered = await Promise.race([this.#sendOwnerHeartbeat(owner), this.#pause(HEARTBEAT_TIMEOUT_MILLISECONDS, signal).then(() => false)])
     if (signal.aborted || this.#owner?.epoch !== owner.epoch) return 'settled'
     if (!this.#evidence.isGone) return isAnswered ? 'settled' : 'in-doubt'
+    if (this.#isStarting) {
+      await this.#querySeeds()
+      return 'settled'
+    }
     await this.#replaceOwner(owner, signal)
     return 'settled'
   }
@@ -215,9 +246,9 @@
       if (this.#clock.now() - startedAt < HEARTBEAT_TIMEOUT_MILLISECONDS) this.#evidence.refuse()
       return false
     }
+    this.#members.receive(address, answer)
     if (answer.isOwner) {
       this.#evidence.hear()
-      this.#members.receive(address, answer)
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
     } else if ((answer.owner?.epoch ?? 0) >= epoch) this.#evidence.giveUp()
     return true
@@ -249,9 +280,8 @@
   /** Claims ownership from a failed owner, unless other VMs still reach it or a VM of lower rank has claimed first. */
   async #replaceOwner (owner: KnownOwner, signal: AbortSignal): Promise<void> {
     if (this.#isLeaving) return
-    const others = this.members.filter(member => member.vm !== owner.vm)
-    const rank = others.filter(member => compareSuccession(member, this.#options.self) < 0).length
-    await this.#pause(rank * SUCCESSION_STEP_MILLISECONDS, signal)
+    const others = this.#members.candidates.filter(member => member.vm !== owner.vm)
+    await this.#pause(this.#turnMilliseconds(others), signal)
     if (signal.aborted || this.#owner?.epoch !== owner.epoch || !this.#evidence.isGone) return
     if (!this.#evidence.hasGivenUp && others.length > 0 && await this.#isReachableElsewhere(others)) {
       this.#evidence.postpone()
@@ -311,7 +341,7 @@
   #checkOwnership (): CheckOutcome {
     this.#evidence.hear()
     this.#confirming ??= this.#confirmOwnership().finally(() => { this.#confirming = undefined })
-    if (!this.#isLoading) this.#handOverIfStoreLost()
+    this.#handOverIfStoreLost()
     return 'settled'
   }
 
@@ -330,21 +360,19 @@
     }
   }
 
-  /** As owner: hands over to a peer that reaches the store if this VM doesn't. */
+  /** As owner, also while it loads: hands over to a peer that reaches the store if this VM doesn't. */
   #handOverIfStoreLost (): void {
     if (this.#options.storeAge() < this.#evidence.scale(STORE_LOST_MILLISECONDS)) return
-    const successor = this.#successors(STORE_LOST_MILLISECONDS)[0]
+    const successor = this.#successors().find(member => this.#members.storeAgeOf(member.vm) < STORE_LOST_MILLISECONDS)
     if (successor === undefined || this.#ownership === undefined) return
     this.#options.peers.call(successor.address, { kind: 'succeed', owner: this.#ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
       .then(() => this.#options.emit('planner-handed-over', { details: { to: successor.vm, epoch: this.#owner?.epoch } }))
       .catch(thrown => this.#options.emit('peer-call-failed', { details: { address: successor.address, kind: 'succeed', failure: asFailure(thrown).code } }))
   }
 
-  /** Candidates for taking over, those with the most recent answer from the store first. */
-  #successors (maximumStoreAge = Infinity): readonly Member[] {
-    return this.#members.recentWithStoreAge
-      .filter(({ storeAge }) => storeAge < maximumStoreAge)
-      .sort((left, right) => left.storeAge - right.storeAge || compareSuccession(left.member, right.member))
-      .map(({ member }) => member)
+  /** Candidates for taking over: first those that the store has answered lately, of these the ones with the most weight. */
+  #successors (): readonly Member[] {
+    const isStoreLost = ({ vm }: Member): boolean => this.#members.storeAgeOf(vm) >= STORE_LOST_MILLISECONDS
+    return [...this.#members.recent].sort((left, right) => Number(isStoreLost(left)) - Number(isStoreLost(right)) || compareSuccession(left, right))
   }
 }
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -31,6 +31,12 @@
 export const SETTLED_TENURE_MILLISECONDS = 5000
 /** Delay per rank in the order of succession, so that the candidates don't all claim at the same time. */
 export const SUCCESSION_STEP_MILLISECONDS = 120
+/** How long a VM that isn't heard of any more keeps its place in the order of succession; each one costs a step of delay. */
+export const SUCCESSION_MEMORY_MILLISECONDS = 30_000
+/** How far apart VMs start that are started together. */
+export const START_SPREAD_MILLISECONDS = 300
+/** How long a VM that has just started waits for heartbeats of VMs that started with it before it claims ownership. */
+export const STARTUP_MILLISECONDS = START_SPREAD_MILLISECONDS + HEARTBEAT_MILLISECONDS
 /** Time since its last contact with the owner after which a VM that reaches no other VM claims ownership: the others may all be down. */
 export const ISOLATED_TAKEOVER_MILLISECONDS = 2500
 /** An owner that neither the store nor a majority of its peers has confirmed for this long stops scheduling. */
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { VmName } from '@cornelgauge/model'
 import type { Clock } from '@cornelgauge/ports'
-import { HEARTBEAT_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS } from './limits.js'
+import { HEARTBEAT_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, SUCCESSION_MEMORY_MILLISECONDS } from './limits.js'
 import type { ListedMembers, Member } from './messages.js'
 
 /** A member with its state. */
@@ -10,7 +10,7 @@
   readonly member: Member
   /** Time of its last heartbeat, or of the owner's last reply that lists it, on the steady clock. */
   readonly heardAt: number
-  /** Milliseconds since the store last answered the member. */
+  /** Milliseconds since the store last answered the member, as it said; Infinity if it didn't. */
   readonly storeAge: number
 }
 
@@ -22,7 +22,7 @@
 }
 
 /** A version that no list has; a VM that sends it receives every list. */
-const NO_VERSION = ''
+export const NO_VERSION = ''
 /** Sent as a version by a VM that needs no list. */
 export const UNWANTED_LIST = 'unwanted'
 
@@ -55,12 +55,22 @@
 
   /** Members with a recent heartbeat. */
   get recent (): readonly Member[] {
-    return this.#recent.map(({ member }) => member)
+    return [...this.#members.values()].filter(member => this.#isRecent(member)).map(({ member }) => member)
   }
 
-  /** Members with a recent heartbeat and the milliseconds since the store last answered them. */
-  get recentWithStoreAge (): readonly { readonly member: Member, readonly storeAge: number }[] {
-    return this.#recent
+  /** Milliseconds since the store last answered a member, as it said in its last heartbeat to this VM; Infinity if it sent none. */
+  storeAgeOf (vm: VmName): number {
+    return this.#members.get(vm)?.storeAge ?? Infinity
+  }
+
+  /**
+   * Other VMs in the order of succession. A VM counts for longer here than as a recent member: replies of
+   * an owner that fails may bring no list for seconds, and the order has to be the same on all VMs.
+   */
+  get candidates (): readonly Member[] {
+    const now = this.#clock.now()
+    const known = [...this.#members.values()].filter(({ heardAt }) => now - heardAt < SUCCESSION_MEMORY_MILLISECONDS)
+    return known.map(({ member }) => member).sort(compareSuccession)
   }
 
   /** Milliseconds since a majority of all members ever known last sent a heartbeat. */
@@ -95,14 +105,10 @@
     if (this.#received?.address !== address) return
     const heardAt = this.#clock.now()
     for (const member of this.#received.members) {
-      if (member.vm !== this.#self.vm) this.#members.set(member.vm, { member, heardAt, storeAge: this.#members.get(member.vm)?.storeAge ?? 0 })
+      if (member.vm !== this.#self.vm) this.#members.set(member.vm, { member, heardAt, storeAge: this.#members.get(member.vm)?.storeAge ?? Infinity })
     }
   }
 
-  get #recent (): readonly KnownMember[] {
-    return [...this.#members.values()].filter(member => this.#isRecent(member))
-  }
-
   #isRecent ({ heardAt }: KnownMember): boolean {
     return this.#clock.now() - heardAt < MEMBER_EXPIRY_MILLISECONDS
   }
