Don't replace an owner that is slow after its claim, nor by each VM in turn

Cause: a heartbeat that failed within 300 ms of being sent counted as a refused connection. On a busy owner the handshake wasn't complete within 600 ms; the connection was given up, and all heartbeats that waited for it failed at once, the last ones within those 300 ms. Also, the silence that counts as a failure was one second however much work a takeover is. Ruled out: rounds (125 ms at most on that VM) and the load of the state (590 ms).

Change: only ECONNREFUSED counts as refused; a connection has 600 ms to open and 1500 ms for its handshake; the required silence is twice as long in the first 5 s after a claim, whose age the owner's replies carry. The wait for one's turn has a limit, so that the loss of many VMs doesn't delay the rest. A heartbeat that fails at once is repeated after 40 ms, since a repetition without a pause kept the loop from everything else.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -3,10 +3,11 @@
  * failed; a conditional write of the owner row in the store decides the next owner.
  */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure } from '@cornelgauge/model'
+import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, START_SPREAD_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
+import { isConnectionRefused } from '@cornelgauge/wire'
+import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_RETRY_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, LONGEST_TURN_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, START_SPREAD_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
 import { compareSuccession, MemberList, NO_VERSION, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { OwnerEvidence } from './owner-evidence.js'
@@ -49,6 +50,8 @@
   #ownership: OwnerRecord | undefined
   /** Aborts when the ownership ends. */
   #tenure = new AbortController()
+  /** Time of its claim, while this VM owns the planner. */
+  #ownedSince = -Infinity
   #isLoading = false
   #loading: Promise<void> | undefined
   #confirming: Promise<void> | undefined
@@ -102,8 +105,8 @@
     await this.#discoverOwner(signal)
     while (!signal.aborted) {
       const outcome = this.#ownership === undefined ? await this.#checkOwner(signal) : this.#checkOwnership()
-      // After an unanswered heartbeat the next one follows without a pause: the first message may just have been lost.
-      if (outcome === 'settled') await this.#pause(HEARTBEAT_MILLISECONDS, signal)
+      // After an unanswered heartbeat the next one follows soon: the first message may just have been lost.
+      await this.#pause(outcome === 'settled' ? HEARTBEAT_MILLISECONDS : HEARTBEAT_RETRY_MILLISECONDS, signal)
     }
     this.#tenure.abort()
     await this.#confirming
@@ -141,6 +144,7 @@
     return {
       kind: 'beat',
       isOwner: this.isOwner,
+      ...(this.isOwner ? { ownedMilliseconds: this.#clock.now() - this.#ownedSince } : {}),
       ...this.#members.listFor(heartbeat.listVersion),
       ownerHeardAge: this.#evidence.heardAge,
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
@@ -198,15 +202,16 @@
   #turnMilliseconds (others: readonly Member[]): number {
     const rank = others.filter(member => compareSuccession(member, this.#options.self) < 0).length
     const hasJustStarted = this.#clock.now() - this.#startedAt < 2 * STARTUP_MILLISECONDS
-    return rank * SUCCESSION_STEP_MILLISECONDS + (rank > 0 && hasJustStarted ? START_SPREAD_MILLISECONDS : 0)
+    return Math.min(rank * SUCCESSION_STEP_MILLISECONDS, LONGEST_TURN_MILLISECONDS) + (rank > 0 && hasJustStarted ? START_SPREAD_MILLISECONDS : 0)
   }
 
   /** Adopts an owner learned from the store or from a peer if its epoch is newer. */
   adoptOwner (owner: KnownOwner): void {
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
     const { vm, address, epoch, version } = owner
+    const isFirst = this.#owner === undefined
     this.#owner = { vm, address, epoch, version }
-    this.#evidence.follow()
+    this.#evidence.follow(isFirst)
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
     this.#endOwnership()
     this.#options.onLost()
@@ -237,18 +242,18 @@
   /** Sends the owner a heartbeat and records its reply, also one that comes after the next heartbeat. */
   async #sendOwnerHeartbeat (owner: KnownOwner): Promise<boolean> {
     const { address, epoch } = owner
-    const startedAt = this.#clock.now()
-    const answer = await this.#sendHeartbeat(address, this.#members.versionFrom(address), this.#evidence.requiredSilence / 2)
+    let isRefused = false
+    const answer = await this.#sendHeartbeat(address, this.#members.versionFrom(address), this.#evidence.requiredSilence / 2, failure => { isRefused = isConnectionRefused(failure) })
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     if (this.#owner?.epoch !== epoch) return true
     if (answer === undefined) {
-      // A connection that fails slowly shows only that the owner is slow.
-      if (this.#clock.now() - startedAt < HEARTBEAT_TIMEOUT_MILLISECONDS) this.#evidence.refuse()
+      // Any other failure, such as a handshake that isn't completed in time, shows only that the owner is slow.
+      if (isRefused) this.#evidence.refuse()
       return false
     }
     this.#members.receive(address, answer)
     if (answer.isOwner) {
-      this.#evidence.hear()
+      this.#evidence.hear(answer.ownedMilliseconds)
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
     } else if ((answer.owner?.epoch ?? 0) >= epoch) this.#evidence.giveUp()
     return true
@@ -266,13 +271,15 @@
     if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
   }
 
-  async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS): Promise<HeartbeatReply | undefined> {
+  async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS, onFailure: (failure: CornelgaugeError) => void = () => {}): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
     const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
     try {
       return await peers.call<'beat'>(address, heartbeat, timeoutMilliseconds)
     } catch (thrown) {
-      emit('peer-call-failed', { details: { address, kind: 'beat', failure: asFailure(thrown).code } })
+      const failure = asFailure(thrown)
+      emit('peer-call-failed', { details: { address, kind: 'beat', failure: failure.code } })
+      onFailure(failure)
       return undefined
     }
   }
@@ -331,6 +338,7 @@
     this.#tenure.abort()
     this.#tenure = tenure
     this.#ownership = owner
+    this.#ownedSince = this.#clock.now()
     this.#isLoading = true
     this.#loading = this.#options.onOwned(owner, tenure.signal)
       .catch(thrown => this.#options.emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } }))
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -21,16 +21,20 @@
 export const HEARTBEAT_MILLISECONDS = 200
 /** Time after which an unanswered heartbeat is repeated, and time limit of calls to members: far above a round trip between failure domains. */
 export const HEARTBEAT_TIMEOUT_MILLISECONDS = 300
+/** Pause before an unanswered heartbeat is repeated. */
+export const HEARTBEAT_RETRY_MILLISECONDS = 40
 /** Consecutive refused heartbeats after which the owner is assumed to be down. */
 export const MISSED_HEARTBEATS = 2
 /** Time without any reply of the owner after which it is assumed to be down; a reply counts for half of it after its heartbeat. */
 export const OWNER_SILENCE_MILLISECONDS = 1000
 /** Upper limit of that time while takeovers follow each other. */
 export const LONGEST_SILENCE_MILLISECONDS = 3000
-/** An owner that is followed for this long ends a chain of takeovers. */
+/** An owner that owns the planner for this long ends a chain of takeovers; before that it loads, and polls all backend servers at once. */
 export const SETTLED_TENURE_MILLISECONDS = 5000
 /** Delay per rank in the order of succession, so that the candidates don't all claim at the same time. */
 export const SUCCESSION_STEP_MILLISECONDS = 120
+/** Upper limit of that delay: beyond it the conditional write alone decides. */
+export const LONGEST_TURN_MILLISECONDS = 2500
 /** How long a VM that isn't heard of any more keeps its place in the order of succession; each one costs a step of delay. */
 export const SUCCESSION_MEMORY_MILLISECONDS = 30_000
 /** How far apart VMs start that are started together. */
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -49,7 +49,8 @@
 
 /** The reply to a request. */
 export type PeerReply =
-  | { readonly kind: 'beat', readonly isOwner: boolean, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
+  /** `ownedMilliseconds`: time since the owner's claim; absent if the replying VM isn't the owner, or runs an earlier release. */
+  | { readonly kind: 'beat', readonly isOwner: boolean, readonly ownedMilliseconds?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
   | { readonly kind: 'taken' }
   | { readonly kind: 'accept', readonly job: Job }
   | { readonly kind: 'phase', readonly phase?: JobPhase }
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -3,9 +3,9 @@
 import { LONGEST_SILENCE_MILLISECONDS, MISSED_HEARTBEATS, OWNER_SILENCE_MILLISECONDS, SETTLED_TENURE_MILLISECONDS } from './limits.js'
 
 /**
- * Collects what a VM knows of the owner that it follows. The silence that counts as a failure
- * doubles with each owner that was replaced soon after its claim, so that takeovers which
- * themselves slow the owner down don't follow each other without end.
+ * Collects what a VM knows of the owner that it follows. A takeover slows the new owner down, so the
+ * silence that counts as a failure is twice as long soon after a claim, and doubles with each owner
+ * that was replaced soon after its own; otherwise takeovers could follow each other without end.
  *
  * @example
  * const evidence = new OwnerEvidence(clock)
@@ -16,7 +16,8 @@
   readonly #clock: Clock
   #heardAt = -Infinity
   #silentSince = -Infinity
-  #followedAt = -Infinity
+  /** When the owner claimed, as far as this VM knows. */
+  #claimedAt = -Infinity
   #shortTenures = 0
   #refusals = 0
   #hasGivenUp = false
@@ -47,21 +48,23 @@
 
   /** A time limit, longer while takeovers follow each other. */
   scale (milliseconds: number): number {
-    const isSettled = this.#clock.now() - this.#followedAt >= SETTLED_TENURE_MILLISECONDS
-    return isSettled ? milliseconds : Math.min(LONGEST_SILENCE_MILLISECONDS, milliseconds * 2 ** this.#shortTenures)
+    const isSettled = this.#clock.now() - this.#claimedAt >= SETTLED_TENURE_MILLISECONDS
+    return isSettled ? milliseconds : Math.min(LONGEST_SILENCE_MILLISECONDS, milliseconds * 2 ** (1 + this.#shortTenures))
   }
 
-  /** Records that this VM follows a new owner. */
-  follow (): void {
+  /** Records that this VM follows a new owner. The first one that it follows may have claimed long ago. */
+  follow (isFirst = false): void {
     const now = this.#clock.now()
-    this.#shortTenures = now - this.#followedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
-    this.#followedAt = now
+    this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
+    this.#claimedAt = isFirst ? -Infinity : now
     this.hear()
   }
 
-  /** Records a reply of the owner. */
-  hear (): void {
-    this.#heardAt = this.#clock.now()
+  /** Records a reply of the owner, with the milliseconds since its claim if it says them. */
+  hear (ownedMilliseconds?: number): void {
+    const now = this.#clock.now()
+    if (ownedMilliseconds !== undefined) this.#claimedAt = now - ownedMilliseconds
+    this.#heardAt = now
     this.postpone()
   }
 
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -20,7 +20,7 @@
 
 /** A connection without traffic for this long is closed; shorter than `MEMBER_EXPIRY_MILLISECONDS`. */
 const DEAD_CONNECTION_MILLISECONDS = 1500
-/** A connection without traffic for this long is probed with a ping. */
+/** A connection without traffic for this long is probed with a ping; one that takes this long to open is given up. */
 const PROBE_MILLISECONDS = 600
 
 /**
@@ -38,7 +38,7 @@
 
   constructor (options: PeersOptions) {
     this.#options = options
-    const limits = { pingAfterMilliseconds: PROBE_MILLISECONDS, deadAfterMilliseconds: DEAD_CONNECTION_MILLISECONDS, handshakeMilliseconds: PROBE_MILLISECONDS }
+    const limits = { pingAfterMilliseconds: PROBE_MILLISECONDS, deadAfterMilliseconds: DEAD_CONNECTION_MILLISECONDS, connectMilliseconds: PROBE_MILLISECONDS, handshakeMilliseconds: DEAD_CONNECTION_MILLISECONDS }
     const shared = { identity: { vm: options.vm }, secrets: [options.secret], clock: options.clock, limits, onEvent: options.onEvent }
     this.#client = new WireClient(shared)
     this.#server = new WireServer({
--- a/packages/entry/test/deployment.ts
+++ b/packages/entry/test/deployment.ts
@@ -42,7 +42,7 @@
     this.leadership = new Leadership({
       self: member,
       seeds,
-      store: deployment.storeFor(),
+      store: deployment.storeFor(this),
       peers: { call: (address: string, request: PeerRequest, timeout: number) => deployment.call(this, address, request, timeout) } as unknown as Peers,
       emit: () => {},
       clock: this.#clock,
@@ -114,15 +114,19 @@
     await Promise.all(this.#running)
   }
 
-  storeFor (): RowStore {
+  storeFor (vm: SimulatedVm): RowStore {
     const view = this.store.view()
+    const reach = async (): Promise<void> => {
+      await pause(this.clock, STORE_LATENCY_MILLISECONDS)
+      if (vm.isDown) throw new CornelgaugeError('timeout')
+    }
     return {
       read: async (table: string, key: string) => {
-        await pause(this.clock, STORE_LATENCY_MILLISECONDS)
+        await reach()
         return await view.read(table, key)
       },
       write: async (transaction: Parameters<RowStore['write']>[0]) => {
-        await pause(this.clock, STORE_LATENCY_MILLISECONDS)
+        await reach()
         return await view.write(transaction)
       }
     } as unknown as RowStore
--- a/packages/entry/test/leadership.test.ts
+++ b/packages/entry/test/leadership.test.ts
@@ -1,5 +1,6 @@
-import { epoch, vmName } from '@cornelgauge/model'
+import { epoch, vmName, type CornelgaugeError } from '@cornelgauge/model'
 import { MemoryRowStore } from '@cornelgauge/ports'
+import { connectionLost } from '@cornelgauge/wire'
 import { expect } from 'chai'
 import { HEARTBEAT_MILLISECONDS } from '../src/limits.js'
 import { Leadership } from '../src/leadership.js'
@@ -72,6 +73,26 @@
     expect(await follow(unreachable, 1500)).to.deep.equal({ epoch: 4, owned: 1 })
   })
 
+  describe('heartbeats whose connection fails at once', () => {
+    const afterOneReply = (failure: CornelgaugeError): Call => {
+      let calls = 0
+      return async () => {
+        calls += 1
+        if (calls === 1) return answerOf(3, true)
+        throw failure
+      }
+    }
+
+    it('show that the owner is down if its host refuses the connection', async () => {
+      const refused = connectionLost('not-connected', false, Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
+      expect(await follow(afterOneReply(refused), 950)).to.deep.equal({ epoch: 4, owned: 1 })
+    })
+
+    it('show nothing if the owner does not complete a handshake in time', async () => {
+      expect(await follow(afterOneReply(connectionLost('not-connected', false)), 950)).to.deep.equal({ epoch: 3, owned: 0 })
+    })
+  })
+
   it('repeats an unanswered heartbeat at once, and considers the owner failed in less than half of the reclaim bound', async () => {
     const calls: { readonly at: number, readonly timeout: number }[] = []
     const unreachable = async (_address: string, _request: PeerRequest, timeout: number): Promise<PeerReply> => {
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -136,7 +136,36 @@
     })
   })
 
+  describe('an owner that has just claimed', () => {
+    it('stays though its load and its first polls keep it from answering for 1.8 s', async () => {
+      const vms = await startSettled([4, 4, 4, 1, 1, 1])
+      deployment.onClaim = vm => { vm.mutedUntil = deployment.clock.now() + 1800 }
+      vms[0]!.isDown = true
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => claim.epoch)).to.deep.equal([1, 2])
+    })
+
+    it('stays as well after a restart of all VMs, which then know no other owner', async () => {
+      deployment = new Deployment([4, 4, 4, ...equalWeights(20)])
+      const { vm, address } = deployment.vms[5]!.member
+      deployment.store.apply({ conditions: [], puts: [{ table: 'owner', key: 'planner', value: { vm, address, epoch: 12, claim: 'earlier' } }] })
+      deployment.onClaim = owner => { pause(deployment.clock, 500).then(() => { owner.mutedUntil = deployment.clock.now() + 1800 }) }
+      await deployment.start(15)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 13]])
+    })
+  })
+
   describe('succession', () => {
+    it('waits no longer for many VMs that are gone at once than for a few', async () => {
+      const vms = await startSettled([8, ...Array.from({ length: 60 }, () => 4), 1, 1, 1])
+      const downAt = deployment.clock.now()
+      vms.slice(0, -3).forEach(vm => { vm.isDown = true })
+      await deployment.clock.advance(10_000)
+      expect(deployment.owners).to.deep.equal(['vm-61'])
+      expect(deployment.claims[1]!.at - downAt).to.be.below(5000)
+    })
+
     it('prefers the VM with most processor and link', async () => {
       const vms = await startSettled([8, 1, 1, 1, 4, 1])
       vms[0]!.isDown = true
--- a/packages/wire/src/handshake.ts
+++ b/packages/wire/src/handshake.ts
@@ -49,7 +49,13 @@
       resolve()
     }
     const link: Link = new Link({ socket, clock, timers, limits, traffic, handlers: {}, onClosed: handleClosed })
-    const cancelDeadline = timers.after(limits.handshakeMilliseconds, () => link.destroy(connectionLost('not-connected', false)))
+    const abandon = (): void => link.destroy(connectionLost('not-connected', false))
+    let cancelDeadline = timers.after(limits.connectMilliseconds, abandon)
+    // The system accepts connections for a busy process, so the handshake takes longer than the connect.
+    socket.once('connect', () => {
+      cancelDeadline()
+      cancelDeadline = timers.after(limits.handshakeMilliseconds, abandon)
+    })
     callbacks.onStarted(link)
     link.setHandlers(handshakeHandlers(link, secret, context, handleOpened))
   })
--- a/packages/wire/src/limits.ts
+++ b/packages/wire/src/limits.ts
@@ -17,7 +17,9 @@
 
 /** Limits that a deployment may set for one client or server. */
 export interface WireLimits {
-  /** Time limit for the handshake, from the opening of the connection. */
+  /** Time limit of a client for a TCP connection to open. */
+  readonly connectMilliseconds: number
+  /** Time limit for the handshake on an open TCP connection. */
   readonly handshakeMilliseconds: number
   /** Time without received bytes after which a ping is sent. */
   readonly pingAfterMilliseconds: number
@@ -37,6 +39,7 @@
 
 /** The limits that apply by default. */
 export const DEFAULT_LIMITS: WireLimits = {
+  connectMilliseconds: 2000,
   handshakeMilliseconds: 2000,
   pingAfterMilliseconds: 1000,
   deadAfterMilliseconds: 3000,
--- a/packages/wire/src/violation.ts
+++ b/packages/wire/src/violation.ts
@@ -39,3 +39,13 @@
 export function withSent (failure: CornelgaugeError, sent: boolean): CornelgaugeError {
   return new CornelgaugeError(failure.code, { detail: failure.message, state: failure.state, members: { ...failure.members, sent }, cause: failure.cause })
 }
+
+/**
+ * True if the peer's host refused the connection: it runs, and no process listens there.
+ *
+ * @example
+ * isConnectionRefused(connectionLost('silence', true)) // false
+ */
+export function isConnectionRefused ({ cause }: CornelgaugeError): boolean {
+  return (cause as { code?: unknown } | undefined)?.code === 'ECONNREFUSED'
+}
