Settle a start without an answer by the next poll instead of a stop

Cause: 'unanswered' was treated as if the start were still under way. Only the answer may be lost.

Change: the run stays unconfirmed, and its backend server is polled at once, without a wait. A report that lists the run confirms it, also its job's phase. One that was sent after the failure and doesn't list it shows that the start may only arrive later: then a stop settles it, and the rest of the gang is stopped too, as before. A run that is confirmed already isn't touched.

The test 'starts the task elsewhere only after a stop is confirmed' expected the stop of a run that exists; it is replaced by five: the run is kept if the next or an earlier poll lists it, a gang is kept together, a start that arrives late runs nowhere twice, and the limit.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -55,6 +55,8 @@
   readonly #stopping = new AbortController()
   readonly #addresses = new Map<ServerId, string>()
   readonly #polledServers = new Set<ServerId>()
+  /** Backend servers that are polled at once because a start wasn't answered. */
+  readonly #settlingServers = new Set<ServerId>()
   readonly #roundTimer: NodeJS.Timeout
   #isRoundDue = false
   #isDeciding = true
@@ -227,6 +229,17 @@
     this.#planner.applyStartOutcome(server, task, run, outcome, performance.now())
     this.#options.emit('task-started', { details: { task, run, server, epoch: this.epoch, outcome, resumed: command.checkpoint !== '' } })
     if (outcome === 'fenced') this.#fence()
+    if (outcome === 'unanswered') this.#settleStarts(server).catch(thrown => this.#crash(thrown))
+  }
+
+  /** Polls a backend server beside its repeated polls, since the one under way may wait for an end and was sent before the start failed. */
+  async #settleStarts (server: ServerId): Promise<void> {
+    if (this.#settlingServers.has(server) || this.#stopping.signal.aborted) return
+    const request = this.#planner.pollRequest(server, performance.now())
+    if (request === undefined) return
+    this.#settlingServers.add(server)
+    await this.#poll(server, { ...request, waitMilliseconds: 0 })
+    this.#settlingServers.delete(server)
   }
 
   #handleStopOutcome (command: StopCommand, outcome: StopOutcome): void {
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -30,7 +30,9 @@
     state.acknowledgeWhenStored(server, last.position)
   }
   for (const run of [...server.runs.values()]) {
-    if (!listed.has(run) && hasEnded(run, report.sentAt)) removeRun(state, server, run)
+    if (listed.has(run)) continue
+    if (hasEnded(run, report.sentAt)) removeRun(state, server, run)
+    else if (run.unansweredAt !== undefined && run.unansweredAt <= report.sentAt) giveUpStart(state, run)
   }
 }
 
@@ -41,8 +43,7 @@
 
 function applyRunning (state: PlannerState, server: Server, entry: ListedRun, now: number): Run {
   const run = server.run(entry.task, entry.run) ?? adoptRun(state, server, entry, now)
-  if (run.state === 'starting') run.state = 'running'
-  run.confirmedAt = Math.min(run.confirmedAt, now)
+  confirmStart(state, run, now)
   if (entry.percent > run.percent) {
     run.percent = entry.percent
     run.progressedAt = now
@@ -55,6 +56,29 @@
   return run
 }
 
+/** Records that a run exists; one that is to be stopped stays so. */
+function confirmStart (state: PlannerState, run: Run, now: number): void {
+  if (run.confirmedAt <= now) return
+  if (run.state === 'starting' || (run.state === 'unconfirmed' && run.stopReason === undefined)) run.state = 'running'
+  run.confirmedAt = now
+  const job = state.task(run.task)?.step.job
+  if (job?.phase === 'queued') job.phase = 'running'
+}
+
+/**
+ * Stops a run whose start wasn't answered and isn't known to have taken effect: it may still arrive,
+ * and a stop that arrives before it prevents it. The rest of its gang doesn't wait for it.
+ *
+ * @example
+ * giveUpStart(state, run)
+ */
+export function giveUpStart (state: PlannerState, run: Run): void {
+  if (run.state !== 'unconfirmed' || run.stopReason !== undefined) return
+  requestStop(run, 'unanswered')
+  const task = state.task(run.task)
+  if (task !== undefined) stopRestOfGang(task, run.run)
+}
+
 /** Adopts a run that an earlier owner started; stops it if its task no longer has to run. */
 function adoptRun (state: PlannerState, server: Server, { task: name, run: number, percent, checkpoint }: ListedRun, now: number): Run {
   const task = state.task(name)
@@ -218,11 +242,8 @@
 
 const START_HANDLERS: Readonly<Record<StartOutcome, StartHandler>> = {
   started: (state, _server, run, now) => {
-    if (run.state === 'starting') run.state = 'running'
-    run.confirmedAt = Math.min(run.confirmedAt, now)
+    confirmStart(state, run, now)
     run.progressedAt = now
-    const job = state.task(run.task)?.step.job
-    if (job?.phase === 'queued') job.phase = 'running'
   },
   'no-room': (state, server, run) => {
     server.hasRefusedForCapacity = true
@@ -233,11 +254,11 @@
     server.lastFailureAt = now
     removeRun(state, server, run)
   },
-  unanswered: (state, _server, run) => {
+  // Only the answer may be lost: the next poll shows whether the run exists.
+  unanswered: (_state, _server, run, now) => {
+    if (run.confirmedAt < Infinity) return
     run.state = 'unconfirmed'
-    run.stopReason ??= 'unanswered'
-    const task = state.task(run.task)
-    if (task !== undefined) stopRestOfGang(task, run.run)
+    run.unansweredAt = now
   },
   fenced: notStarted,
   outdated: notStarted,
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -1,8 +1,8 @@
 /** A scheduling round: decides which runs are stopped, and which tasks are started on which backend servers. */
 import type { AdviseCommand, Command, StartCommand } from './command.js'
-import { EVACUATION_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
+import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
-import { requestStop } from './reports.js'
+import { giveUpStart, requestStop } from './reports.js'
 import type { Server } from './server.js'
 import type { PlannerState } from './state.js'
 
@@ -16,6 +16,7 @@
   for (const server of state.servers.values()) {
     evacuateDraining(server)
     stopStuck(state, server, times.now)
+    giveUpUnsettled(state, server, times.now)
   }
   const commands: (StartCommand | AdviseCommand)[] = []
   new PlacementRound(state, times, commands).place()
@@ -43,11 +44,18 @@
   }
 }
 
+/** Gives up starts without an answer that no poll has settled in time. */
+function giveUpUnsettled (state: PlannerState, server: Server, now: number): void {
+  for (const run of server.runs.values()) {
+    if (run.unansweredAt !== undefined && now - run.unansweredAt > START_SETTLEMENT_MILLISECONDS) giveUpStart(state, run)
+  }
+}
+
 function dueStops (state: PlannerState, now: number): readonly Command[] {
   const stops: Command[] = []
   for (const server of state.servers.values()) {
     for (const run of server.runs.values()) {
-      const isStopPending = run.state === 'stopping' || run.state === 'unconfirmed'
+      const isStopPending = run.state === 'stopping' || (run.state === 'unconfirmed' && run.stopReason !== undefined)
       if (!isStopPending || run.isStopConfirmed || now - run.stopSentAt < STOP_RETRY_MILLISECONDS) continue
       run.stopSentAt = now
       stops.push({ type: 'stop', server: server.id, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -60,7 +60,7 @@
  * - `starting`: the start was sent.
  * - `running`: the backend server has confirmed the start.
  * - `stopping`: a stop has been requested.
- * - `unconfirmed`: the start was not answered and may still be executed; a stop resolves it.
+ * - `unconfirmed`: the start was not answered. The next poll that lists the run confirms it; if none does, a stop resolves it.
  */
 export type RunState = 'starting' | 'running' | 'stopping' | 'unconfirmed'
 
@@ -75,6 +75,8 @@
   readonly startSentAt: number
   /** When the start was confirmed, on our monotonic clock; Infinity before that. */
   confirmedAt: number
+  /** When the start was found to have no answer, on our monotonic clock. */
+  unansweredAt?: number
   /** A stop was confirmed: a start that has not arrived yet can no longer take effect. */
   isStopConfirmed: boolean
   /** When the stop was confirmed. */
