Give a claim its turn of a search before claims that came later

Change: steps that were deferred in the last round come before all others.

Red before: 'give a step its turn although a new one precedes it in each round' (the second round searched for the new step).

--- a/packages/jobs/src/search-turns.ts
+++ b/packages/jobs/src/search-turns.ts
@@ -7,7 +7,8 @@
 
 /**
  * Turns of the steps that need a search. Once a round has reached the limit, the next rounds
- * search for the others first. Until all had their turn, a step keeps the plan of its own.
+ * search for the others first, also before steps that are new since then. Until all had their
+ * turn, a step keeps the plan of its own.
  *
  * @example
  * turns.beginRound()
@@ -18,7 +19,9 @@
   /** Backend servers planned for the steps that had their turn; empty if there was no plan. */
   readonly #planned = new Map<StepState, readonly ServerId[]>()
   #examinations = 0
-  #isAnyDeferred = false
+  /** Steps that had no turn in this round, and in the last one. */
+  #deferred = new Set<StepState>()
+  #deferredBefore: ReadonlySet<StepState> = new Set()
 
   constructor (work: RoundWork) {
     this.#work = work
@@ -26,16 +29,18 @@
 
   /** Begins a round; if no step was deferred in the last one, all have their turn again. */
   beginRound (): void {
-    if (!this.#isAnyDeferred) this.#planned.clear()
-    this.#isAnyDeferred = false
+    if (this.#deferred.size === 0) this.#planned.clear()
+    this.#deferredBefore = this.#deferred
+    this.#deferred = new Set()
     this.#examinations = 0
   }
 
   /** True if a step may be searched for in this round. */
   isNext (step: StepState): boolean {
     if (this.#planned.has(step)) return false
-    if (this.#examinations < MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND) return true
-    this.#isAnyDeferred = true
+    const isTurn = this.#deferredBefore.size === 0 || this.#deferredBefore.has(step)
+    if (isTurn && this.#examinations < MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND) return true
+    this.#deferred.add(step)
     return false
   }
 
