Leave out a delay of the own loop once

A VM that was slow itself so took up to twice as long to see that the owner is silent.

Red before: 'leaves out a delay of two timers once' (with the sum of both delays the owner wasn't gone). After: 31 passing in owner-evidence, ownership and leadership.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -262,7 +262,7 @@
   async #pause (milliseconds: number, signal: AbortSignal): Promise<void> {
     const dueAt = this.#clock.now() + milliseconds
     await pause(this.#clock, milliseconds, signal)
-    this.#evidence.excludeDelay(this.#clock.now() - dueAt)
+    this.#evidence.excludeDelay(dueAt)
   }
 
   /** Sends a heartbeat after which both VMs know the newer owner. */
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -19,6 +19,7 @@
   /** When the owner claimed, as far as this VM knows. */
   #claimedAt = -Infinity
   #shortTenures = 0
+  #excludedUntil = -Infinity
   #refusals = 0
   #hasGivenUp = false
 
@@ -85,8 +86,15 @@
     this.#hasGivenUp = true
   }
 
-  /** Leaves out time in which this VM's own loop was delayed, and replies may have been waiting. */
-  excludeDelay (milliseconds: number): void {
-    if (milliseconds > 0) this.#silentSince += milliseconds
+  /**
+   * Leaves out the time since a timer of this VM was due: its own loop was delayed, and replies may have
+   * been waiting. Time that an overlapping timer has left out already isn't left out again.
+   */
+  excludeDelay (dueAt: number): void {
+    const now = this.#clock.now()
+    const from = Math.max(dueAt, this.#excludedUntil, this.#silentSince)
+    if (now <= from) return
+    this.#silentSince += now - from
+    this.#excludedUntil = now
   }
 }
