Stop no run whose capacity a reclaim doesn't need

Cause: for each target the search stopped groups from the cheapest up until a task fitted; a later one often frees more than was missing, and the cheaper ones before it were stopped for nothing.

Change: of the groups found, the most expensive are kept first if the task fits without them. The exhaustive search of the test does the same in its own words.

Red before: 'does not stop a cheaper one beside it' (two groups were stopped).

--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -5,7 +5,7 @@
 import type { StepState } from './job-state.js'
 import type { ReclaimPlan, VictimGroup } from './reclaim.js'
 import type { RoundWork } from './round-work.js'
-import type { VictimIndex } from './victim-index.js'
+import type { GroupShare, VictimIndex } from './victim-index.js'
 
 /** A target with the groups to stop there, so that one task fits. */
 interface TargetOption {
@@ -106,19 +106,35 @@
     this.#work.add(1)
     if (mostTasksOn(target, this.#step, 1) <= 0) return undefined
     if (countFitting(target, this.#step, 1) > 0) return { target, position, victims: [], cost: 0 }
-    const victims: VictimGroup[] = []
+    const shares: GroupShare[] = []
     const trial: PlacementTarget = { ...target }
-    let cost = 0
-    for (const { group, need } of this.#victims.at(target.server.id)) {
+    for (const share of this.#victims.at(target.server.id)) {
       this.#work.add(1)
-      if (this.#stopped.has(group)) continue
-      victims.push(group)
-      cost += group.cost
-      trial.free = addCapacity(trial.free, need)
-      if (countFitting(trial, this.#step, 1) > 0) return { target, position, victims, cost }
+      if (this.#stopped.has(share.group)) continue
+      shares.push(share)
+      trial.free = addCapacity(trial.free, share.need)
+      if (countFitting(trial, this.#step, 1) > 0) return { target, position, ...this.#withoutNeedless(trial, shares) }
     }
     return undefined
   }
+
+  /** Drops groups, the most expensive first, without which one task still fits: a later one may have freed more than was missing. */
+  #withoutNeedless (target: PlacementTarget, shares: readonly GroupShare[]): { readonly victims: readonly VictimGroup[], readonly cost: number } {
+    const victims: VictimGroup[] = []
+    let cost = 0
+    let { free } = target
+    for (const { group, need } of [...shares].reverse()) {
+      this.#work.add(1)
+      const freeWithout = addCapacity(free, need, -1)
+      if (countFitting({ ...target, free: freeWithout }, this.#step, 1) > 0) {
+        free = freeWithout
+      } else {
+        victims.push(group)
+        cost += group.cost
+      }
+    }
+    return { victims, cost }
+  }
 }
 
 /** Orders by cost, then the fullest, then the first; the best last. */
--- a/packages/jobs/test/reclaim.test.ts
+++ b/packages/jobs/test/reclaim.test.ts
@@ -113,16 +113,52 @@
   for (const group of here.sort((left, right) => left.cost - right.cost)) {
     victims.push(group)
     for (const { run, need } of group.members) if (run.server === target.server.id) trial.free = addCapacity(trial.free, need)
-    if (countFitting(trial, waiting, 1) > 0) return { target, victims, cost: victims.reduce((sum, each) => sum + each.cost, 0) }
+    if (countFitting(trial, waiting, 1) > 0) {
+      const needed = neededOf(target, waiting, victims)
+      return { target, victims: needed, cost: needed.reduce((sum, each) => sum + each.cost, 0) }
+    }
   }
   return undefined
 }
 
+/** Of groups that make room for one task together, those that are needed when the most expensive ones are kept first. */
+function neededOf (target: PlacementTarget, waiting: StepState, groups: readonly VictimGroup[]): readonly VictimGroup[] {
+  let needed = [...groups].reverse()
+  for (const group of [...needed]) {
+    const others = needed.filter(other => other !== group)
+    if (countFitting({ ...target, free: freeAfter(target, others) }, waiting, 1) > 0) needed = others
+  }
+  return needed
+}
+
+function freeAfter (target: PlacementTarget, groups: readonly VictimGroup[]): PlacementTarget['free'] {
+  const needs = groups.flatMap(({ members }) => members.filter(({ run }) => run.server === target.server.id).map(({ need }) => need))
+  return needs.reduce((free, need) => addCapacity(free, need), target.free)
+}
+
 function summaryOf (plan: ReclaimPlan | undefined): { readonly servers: readonly ServerId[], readonly victims: readonly VictimGroup[] } | undefined {
   return plan === undefined ? undefined : { servers: plan.targets.map(target => target.server.id), victims: plan.victims }
 }
 
 describe('planReclaim', () => {
+  describe('with a group that alone frees enough', () => {
+    it('does not stop a cheaper one beside it', () => {
+      const { targets, groups, waiting } = worldOf({
+        servers: 1,
+        perRack: 1,
+        groups: [{ servers: [0], cost: 1, accelerators: 1 }, { servers: [0], cost: 2, accelerators: 4 }, { servers: [0], cost: 3, accelerators: 3 }],
+        count: 1,
+        accelerators: 4,
+        wantsOneRack: false,
+        mayWaitForRack: false,
+        mostPerServer: undefined
+      })
+      const work = new RoundWork()
+      const plan = planReclaim(new CapacitySnapshot(targets, work), waiting, 1, new VictimIndex(groups, work), false)
+      expect(plan?.victims).to.deep.equal([groups[1]])
+    })
+  })
+
   describe('with an index of the running groups', () => {
     it('chooses the targets and victims that an exhaustive search chooses', () => {
       const outcomes = { planned: 0, withVictims: 0, impossible: 0 }
