Don't let a VM that has just started replace an owner that it doesn't know

The owner claimed 1.3 s after the loss of all VMs and loaded; a small VM that had started meanwhile, and read the owner from the store without a reply of it, replaced it after 1.35 s; that one held the planner for 5.5 s without a start.

Cause: the first owner that a VM follows counted as settled, and a VM without a list of members took itself for the first in the order of succession.

Change: an owner counts as new until it says since when it has owned the planner; a VM that knows no other candidate asks the seeds.

Red before: 'does not replace it, though it has had no reply yet and knows no other VM' (claims [1, 2, 3]).

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -209,9 +209,8 @@
   adoptOwner (owner: KnownOwner): void {
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
     const { vm, address, epoch, version } = owner
-    const isFirst = this.#owner === undefined
     this.#owner = { vm, address, epoch, version }
-    this.#evidence.follow(isFirst)
+    this.#evidence.follow()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
     this.#endOwnership()
     this.#options.onLost()
@@ -287,7 +286,7 @@
   /** Claims ownership from a failed owner, unless other VMs still reach it or a VM of lower rank has claimed first. */
   async #replaceOwner (owner: KnownOwner, signal: AbortSignal): Promise<void> {
     if (this.#isLeaving) return
-    const others = this.#members.candidates.filter(member => member.vm !== owner.vm)
+    const others = await this.#otherCandidates(owner)
     await this.#pause(this.#turnMilliseconds(others), signal)
     if (signal.aborted || this.#owner?.epoch !== owner.epoch || !this.#evidence.isGone) return
     if (!this.#evidence.hasGivenUp && others.length > 0 && await this.#isReachableElsewhere(others)) {
@@ -297,6 +296,12 @@
     if (this.#owner?.epoch === owner.epoch) await this.#claim('owner gone')
   }
 
+  /** Candidates other than the owner; a VM that knows none asks the seeds for them. */
+  async #otherCandidates (owner: KnownOwner): Promise<readonly Member[]> {
+    if (this.#members.candidates.every(member => member.vm === owner.vm)) await this.#querySeeds()
+    return this.#members.candidates.filter(member => member.vm !== owner.vm)
+  }
+
   async #isReachableElsewhere (others: readonly Member[]): Promise<boolean> {
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#sendHeartbeat(member.address)))
     for (const answer of answers) if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -53,11 +53,11 @@
     return isSettled ? milliseconds : Math.min(LONGEST_SILENCE_MILLISECONDS, milliseconds * 2 ** (1 + this.#shortTenures))
   }
 
-  /** Records that this VM follows a new owner. The first one that it follows may have claimed long ago. */
-  follow (isFirst = false): void {
+  /** Records that this VM follows a new owner, which may just have claimed until it says otherwise. */
+  follow (): void {
     const now = this.#clock.now()
     this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
-    this.#claimedAt = isFirst ? -Infinity : now
+    this.#claimedAt = now
     this.hear()
   }
 
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -1,8 +1,8 @@
 import { pause } from '@cornelgauge/coordination'
-import { epoch } from '@cornelgauge/model'
+import { epoch, vmName } from '@cornelgauge/model'
 import { expect } from 'chai'
 import { MemberList } from '../src/member-list.js'
-import { Deployment, type SimulatedVm } from './deployment.js'
+import { Deployment, SimulatedVm } from './deployment.js'
 
 /** Time after which an owner of which no packet arrives has been replaced, in milliseconds. */
 const REPLACED_MILLISECONDS = 1500
@@ -156,6 +156,19 @@
     })
   })
 
+  describe('a VM that starts while a new owner is busy', () => {
+    it('does not replace it, though it has had no reply yet and knows no other VM', async () => {
+      const vms = await startSettled([4, 4, ...equalWeights(10)])
+      vms[0]!.isDown = true
+      const late = new SimulatedVm(deployment, { vm: vmName('vm-99'), address: '10.0.0.99:7000', weight: 1 }, [vms[5]!.member.address])
+      deployment.onClaim = owner => { owner.mutedUntil = deployment.clock.now() + 1700 }
+      while (deployment.claims.length < 2) await deployment.clock.advance(20)
+      deployment.add(late)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
+    })
+  })
+
   describe('succession', () => {
     it('waits no longer for many VMs that are gone at once than for a few', async () => {
       const vms = await startSettled([8, ...Array.from({ length: 60 }, () => 4), 1, 1, 1])
