Let a claim wait for capacity only while it can still end in time after the stops

Change: the planner records how long stops take (a decaying maximum), and a claim waits for a quarter of what is left of its objective after the work and a stop, 350 ms at most as before. A rule of its own ('wait-by-slack'), so that replays can leave it out. A pattern with stops of 900 ms joins the replays.

Red before: 'stops others for it at once'.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -14,6 +14,12 @@
 export const STUCK_PERCENT_TIME_FACTOR = 6
 /** How long a claim waits for capacity to become free before runs without checkpoints are stopped for it, in milliseconds: less than the slack of urgent work, far less than the reclaim bound. */
 export const MAXIMUM_RECLAIM_WAIT_MILLISECONDS = 350
+/** Share of the time that a claim can lose after the stops and still end in time for which it waits for capacity. */
+export const RECLAIM_WAIT_SHARE = 0.25
+/** A stop that takes longer than this is an exception, on a backend server that is slow or was unreachable, in milliseconds. */
+export const LONGEST_STOP_MILLISECONDS = 1000
+/** Weight with which a stop that was shorter lowers the longest recent one. */
+export const STOP_TIME_DECAY = 0.01
 /** How long a claim waits for a single rack before it is spread, in milliseconds: leaves time within the reclaim bound for stops, starts and a slow call. */
 export const MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS = 1400
 /** Stop cost up to which a claim does not wait, in server-milliseconds of the most urgent work: one task that has just started. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -6,7 +6,7 @@
 import { dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, FAILURE_AVOIDANCE_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, MAXIMUM_RESERVED_GANGS } from './limits.js'
+import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, FAILURE_AVOIDANCE_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, MAXIMUM_RESERVED_GANGS, RECLAIM_WAIT_SHARE } from './limits.js'
 import { gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
@@ -296,7 +296,7 @@
     if (plan === undefined) return false
     const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
-    const mayWaitForCapacity = this.#readyMilliseconds(tasks[0]!) < MAXIMUM_RECLAIM_WAIT_MILLISECONDS
+    const mayWaitForCapacity = this.#readyMilliseconds(tasks[0]!) < this.#reclaimWaitMilliseconds(candidate)
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
     for (const group of victims) {
       this.#claimVictims?.remove(group)
@@ -309,6 +309,13 @@
     return this.#reserveTargets(plan.targets, step)
   }
 
+  /** How long work waits for capacity before others are stopped for it: less where stops take long, so that it can still end in time. */
+  #reclaimWaitMilliseconds ({ objectiveMilliseconds, remainingMilliseconds }: Candidate): number {
+    if (!this.#state.rules.has('wait-by-slack')) return MAXIMUM_RECLAIM_WAIT_MILLISECONDS
+    const slack = objectiveMilliseconds - remainingMilliseconds - this.#state.stopMilliseconds
+    return Math.min(MAXIMUM_RECLAIM_WAIT_MILLISECONDS, RECLAIM_WAIT_SHARE * slack)
+  }
+
   #victimsFor (candidate: Candidate): VictimIndex {
     const index = (): VictimIndex => new VictimIndex(victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#state.work)
     if (!candidate.isClaim) return index()
--- a/packages/jobs/src/placement-rules.ts
+++ b/packages/jobs/src/placement-rules.ts
@@ -8,6 +8,8 @@
   | 'keep-for-claims'
   /** Preempts less urgent work if the gain exceeds the cost. */
   | 'stop-by-worth'
+  /** Lets a claim wait for capacity only as long as it can still end in time after the stops. */
+  | 'wait-by-slack'
 
 /** All placement rules. */
-export const PLACEMENT_RULES: readonly PlacementRule[] = ['reserve-for-gangs', 'keep-for-claims', 'stop-by-worth']
+export const PLACEMENT_RULES: readonly PlacementRule[] = ['reserve-for-gangs', 'keep-for-claims', 'stop-by-worth', 'wait-by-slack']
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -136,7 +136,11 @@
     if (step.failuresOf(task) >= attempts) endJob(state, step.job, 'failed', 'job-failed', wallTime)
     state.markChanged(step.job)
   },
-  stopped: (_state, _server, task, end) => stopRestOfGang(task, end.run),
+  stopped: (state, server, task, end, report) => {
+    const sentAt = server.run(end.task, end.run)?.firstStopSentAt
+    if (sentAt !== undefined) state.recordStopTime(report.receivedAt - sentAt)
+    stopRestOfGang(task, end.run)
+  },
   lapsed: (_state, _server, task, end) => stopRestOfGang(task, end.run),
   broken: (_state, _server, task, end) => stopRestOfGang(task, end.run),
   alone: (_state, _server, task, end) => stopRestOfGang(task, end.run)
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -58,6 +58,7 @@
       const isStopPending = run.state === 'stopping' || (run.state === 'unconfirmed' && run.stopReason !== undefined)
       if (!isStopPending || run.isStopConfirmed || now - run.stopSentAt < STOP_RETRY_MILLISECONDS) continue
       run.stopSentAt = now
+      run.firstStopSentAt ??= now
       stops.push({ type: 'stop', server: server.id, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
     }
   }
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -89,6 +89,8 @@
   stopReason?: StopReason
   /** When a stop was last sent; unanswered stops are sent again. */
   stopSentAt: number
+  /** When the first stop was sent. */
+  firstStopSentAt?: number
 }
 
 /** A backend server with its runs. */
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -8,7 +8,7 @@
 import type { JobPhase, StepSpecification } from './job.js'
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
-import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE } from './limits.js'
+import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
@@ -48,6 +48,7 @@
   readonly #largestCapacities = new Map<PoolName, Capacity>()
   readonly #meanWorks = new Map<QueueName, number>()
   readonly #meanRunTimes = new Map<QueueName, number>()
+  #stopMilliseconds = 0
   readonly #unstoredJobs = new Map<JobId, UnstoredChanges>()
   /** Positions of ended runs that are acknowledged once a change is stored. */
   #pendingAcknowledgements: { readonly server: Server, readonly incarnation: number, readonly position: number, readonly change: number }[] = []
@@ -139,6 +140,17 @@
     this.#meanRunTimes.set(queue, mean + MOVING_AVERAGE_WEIGHT * (milliseconds - mean))
   }
 
+  /** Returns how long a stop takes at most, in milliseconds, as recent ones have shown; 0 before the first. */
+  get stopMilliseconds (): number {
+    return this.#stopMilliseconds
+  }
+
+  /** Updates that with the duration of one stop. */
+  recordStopTime (milliseconds: number): void {
+    const decayed = this.#stopMilliseconds + STOP_TIME_DECAY * (milliseconds - this.#stopMilliseconds)
+    this.#stopMilliseconds = Math.min(LONGEST_STOP_MILLISECONDS, Math.max(milliseconds, decayed))
+  }
+
   /** Finds a task by name. */
   task (name: TaskName): TaskState | undefined {
     return findJobTask(this.jobs, name)
--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -333,6 +333,49 @@
       expect(world.serverRunning('claim.0.0.0')).not.to.equal(undefined)
     })
 
+    describe('whose tasks are short where a stop takes long', () => {
+      const SHORT_RUN_MILLISECONDS = 300
+      const LONG_STOP_MILLISECONDS = 800
+
+      /** Teaches the planner that urgent tasks are short, and how long a stop takes. */
+      const taughtWorld = (stopMilliseconds: number): World => {
+        const world = new World(1)
+        for (let index = 0; index < 40; index += 1) {
+          world.planner.submit(job(`short-${index}`, { queue: 'urgent' }))
+          world.settle()
+          world.now += SHORT_RUN_MILLISECONDS
+          world.servers[0]!.end(`short-${index}.0.0.0`, 'done')
+          world.settle()
+        }
+        world.planner.submit(job('cancelled', { steps: [step()] }))
+        world.settle()
+        world.planner.cancel(jobId('cancelled'), world.wallTime)
+        world.round()
+        world.now += stopMilliseconds
+        world.settle()
+        return world
+      }
+
+      const stopsForClaim = (world: World): number => {
+        world.planner.submit(job('lent', { steps: [step({ count: 8, isGang: true })] }))
+        while (world.serverRunning('lent.0.0.7') === undefined) world.settle()
+        world.now += 3000
+        world.pollServers()
+        const before = world.stops.length
+        world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', acceptedAt: world.wallTime, steps: [step({ accelerators: 4 })] }))
+        world.settle()
+        return world.stops.length - before
+      }
+
+      it('stops others for it at once', () => {
+        expect(stopsForClaim(taughtWorld(LONG_STOP_MILLISECONDS))).to.equal(8)
+      })
+
+      it('waits for capacity first if stops are short', () => {
+        expect(stopsForClaim(taughtWorld(20))).to.equal(0)
+      })
+    })
+
     it('spreads a claim over racks within the reclaim bound if other claims hold a part of each rack', () => {
       const world = new World(4, { perRack: 2 })
       const [workspace] = CONFIGURATION.workspaces
--- a/packages/load-replay/src/pattern.ts
+++ b/packages/load-replay/src/pattern.ts
@@ -59,6 +59,8 @@
   readonly burst: { readonly factor: number, readonly from: number, readonly milliseconds: number }
   /** Price of one core-second of discarded work. */
   readonly wastePrice: number
+  /** Maximum duration of a stop. */
+  readonly longestStopMilliseconds: number
 }
 
 /** Run time factor of stragglers, and their share of the tasks. */
@@ -80,7 +82,8 @@
   lengthMilliseconds: 34_000,
   rateAmplitude: 0.55,
   periodMilliseconds: 13_000,
-  burst: { factor: 2.2, from: 4000, milliseconds: 6000 }
+  burst: { factor: 2.2, from: 4000, milliseconds: 6000 },
+  longestStopMilliseconds: 200
 } as const
 
 const URGENT = { priority: 0, secondStepShare: 0, accelerators: [1, 2, 4, 8, 8], isGang: true, oneRackShare: 0.8, checkpointShare: 0, dataRackShare: 0, limitedPerServerShare: 0, cancelledShare: 0, attempts: 2, stretch: 1.5, workMilliseconds: 2100, workSigma: 0.5, value: 4, lateValue: 0.8 } as const
@@ -100,6 +103,9 @@
   ]
 }
 
+/** The same day where a stop takes several times as long, as on the large deployment. */
+export const ROTA_SLOW_STOPS: LoadPattern = { ...ROTA, name: 'rota-slow-stops', longestStopMilliseconds: 900 }
+
 /** A busy day of the renewal service. */
 export const RENEWAL: LoadPattern = {
   ...BUSY_DAY,
@@ -129,7 +135,7 @@
   ]
 }
 
-export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN }
+export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN }
 
 /**
  * Multiplies the arrival rates of a pattern.
--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -17,8 +17,6 @@
 const ROUND_INTERVAL_MILLISECONDS = 150
 /** Interval of polls to a backend server on which no run ends, in milliseconds. */
 const POLL_INTERVAL_MILLISECONDS = 1200
-/** Maximum duration of a stop, in milliseconds. */
-const LONGEST_STOP_MILLISECONDS = 200
 /** Time to restore a checkpoint before a run starts to work, in milliseconds. */
 const RESTORE_MILLISECONDS = 600
 /** How long the replay continues after the last arrival, to let late jobs end, in milliseconds. */
@@ -194,7 +192,7 @@
     const run = server.runs.get(command.task)
     this.#timeline.scheduleAfter(CALL_MILLISECONDS, () => this.#notify(() => this.#planner.applyStopOutcome(command.server, command.task, command.run, 'stopped', this.#timeline.now)))
     if (run?.run !== command.run) return
-    this.#timeline.scheduleAfter(this.#random.uniform() * LONGEST_STOP_MILLISECONDS, () => this.#end(server, run, 'stopped'))
+    this.#timeline.scheduleAfter(this.#random.uniform() * this.#pattern.longestStopMilliseconds, () => this.#end(server, run, 'stopped'))
   }
 
   #end (server: SimulatedServer, run: SimulatedRun, how: RunEnd): void {
