Check the fields of peers' messages before they reach the planner

Cause (looked for as 'one malformed message took a whole process down'): a request of a known kind was taken whatever its fields, a reply without any check. A job without steps in a message of kind 'job' ended the planner, members that are no list ended the loop of heartbeats and so the process. A peer of another release may send either.

Change: a check for each kind of request and reply; anything else is a protocol violation, which the caller of the peer logs. The check of a job is the one of the stored record.

--- a/packages/entry/src/job-record.ts
+++ b/packages/entry/src/job-record.ts
@@ -25,24 +25,37 @@
  * const job = decodeJob(row.key, row.value)
  */
 export function decodeJob (key: string, value: RowValue): Job {
-  const record = value as unknown as Partial<Omit<Job, 'id'>> & { format?: unknown }
-  const isValid = record.format === RECORD_FORMAT && typeof record.queue === 'string' && typeof record.pool === 'string' &&
-    typeof record.workspace === 'string' && typeof record.specification === 'string' && typeof record.acceptedAt === 'number' && typeof record.acceptedUnder === 'number' &&
-    Array.isArray(record.steps) && record.steps.length > 0 && record.steps.every(isStep)
-  if (!isValid) throw new CornelgaugeError('record-damaged', { detail: `The record of job ${key} can't be read` })
+  const draft: unknown = value
+  const { format, acceptedUnder } = value
+  if (format !== RECORD_FORMAT || typeof acceptedUnder !== 'number' || !isJobDraft(draft)) {
+    throw new CornelgaugeError('record-damaged', { detail: `The record of job ${key} can't be read` })
+  }
   return {
     id: jobId(key),
-    queue: queueName(record.queue!),
-    pool: poolName(record.pool!),
-    workspace: workspaceName(record.workspace!),
-    specification: record.specification!,
-    steps: record.steps!,
-    acceptedAt: record.acceptedAt!,
-    acceptedUnder: epoch(record.acceptedUnder!),
-    ...(record.schedule === undefined ? {} : { schedule: record.schedule })
+    queue: queueName(draft.queue),
+    pool: poolName(draft.pool),
+    workspace: workspaceName(draft.workspace),
+    specification: draft.specification,
+    steps: draft.steps,
+    acceptedAt: draft.acceptedAt,
+    acceptedUnder: epoch(acceptedUnder),
+    ...(draft.schedule === undefined ? {} : { schedule: draft.schedule })
   }
 }
 
+/**
+ * True if a value has the fields of a job, apart from its id and the epoch under which it was accepted.
+ *
+ * @example
+ * isJobDraft({}) // false
+ */
+export function isJobDraft (value: unknown): value is Omit<Job, 'id' | 'acceptedUnder'> {
+  const draft = value as Partial<Job> | null | undefined
+  return typeof draft?.queue === 'string' && typeof draft.pool === 'string' && typeof draft.workspace === 'string' &&
+    typeof draft.specification === 'string' && typeof draft.acceptedAt === 'number' &&
+    Array.isArray(draft.steps) && draft.steps.length > 0 && draft.steps.every(isStep)
+}
+
 function isStep (value: unknown): value is StepSpecification {
   const step = value as Partial<StepSpecification> | null
   return typeof step?.count === 'number' && typeof step.need?.accelerators === 'number' && Array.isArray(step.after)
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between entry VMs, carried in the extension messages of the inner protocol. */
 import { CornelgaugeError, type Epoch, type VmName } from '@cornelgauge/model'
 import type { Job, JobId, JobPhase, QueueName } from '@cornelgauge/jobs'
+import { isJobDraft } from './job-record.js'
 import type { JobDraft } from './job-store.js'
 
 /** The owner of the planner as known to a VM. */
@@ -56,7 +57,37 @@
   | { readonly kind: 'phase', readonly phase?: JobPhase }
   | { readonly kind: 'queued', readonly count: number }
 
-const REQUEST_KINDS: ReadonlySet<unknown> = new Set<PeerRequest['kind']>(['beat', 'accept', 'job', 'cancel', 'phase', 'queued', 'succeed'])
+type Fields = Readonly<Record<string, unknown>>
+type Check = (fields: Fields) => boolean
+
+const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null
+const isString = (value: unknown): boolean => typeof value === 'string'
+const isNumber = (value: unknown): boolean => typeof value === 'number'
+const isAbsentOr = (check: (value: unknown) => boolean) => (value: unknown): boolean => value === undefined || check(value)
+const isMember = (value: unknown): boolean => isFields(value) && isString(value.vm) && isString(value.address) && isAbsentOr(isNumber)(value.weight)
+const isOwner = (value: unknown): boolean => isFields(value) && isString(value.vm) && isString(value.address) && isNumber(value.epoch) && isNumber(value.version)
+const isDraftWithId = (value: unknown): boolean => isFields(value) && isString(value.id) && isJobDraft(value)
+const isJob = (value: unknown): boolean => isFields(value) && isDraftWithId(value) && isNumber(value.acceptedUnder)
+const areMembers = (value: unknown): boolean => Array.isArray(value) && value.every(isMember)
+
+const REQUEST_CHECKS: Readonly<Record<PeerRequest['kind'], Check>> = {
+  beat: ({ member, owner, storeAge, listVersion }) => isMember(member) && isAbsentOr(isOwner)(owner) && isNumber(storeAge) && isAbsentOr(isString)(listVersion),
+  accept: ({ draft }) => isDraftWithId(draft),
+  job: ({ job }) => isJob(job),
+  cancel: ({ id }) => isString(id),
+  phase: ({ id }) => isString(id),
+  queued: ({ queue }) => isString(queue),
+  succeed: ({ owner }) => isOwner(owner)
+}
+
+const REPLY_CHECKS: Readonly<Record<PeerReply['kind'], Check>> = {
+  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, ownedMilliseconds, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
+    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
+  taken: () => true,
+  accept: ({ job }) => isJob(job),
+  phase: ({ phase }) => isAbsentOr(isString)(phase),
+  queued: ({ count }) => isNumber(count)
+}
 
 /**
  * Reads the request in a peer's message; the peer may run another release.
@@ -66,7 +97,27 @@
  * const request = readPeerRequest(message)
  */
 export function readPeerRequest (message: unknown): PeerRequest {
-  const kind = (message as { kind?: unknown } | null)?.kind
-  if (REQUEST_KINDS.has(kind)) return message as PeerRequest
-  throw new CornelgaugeError('protocol-violation', { detail: `No question of kind ${JSON.stringify(kind)}` })
+  if (hasFieldsOf(REQUEST_CHECKS, message)) return message as unknown as PeerRequest
+  throw new CornelgaugeError('protocol-violation', { detail: `The request of kind ${String(kindOf(message))} can't be read` })
+}
+
+/**
+ * Reads the reply in a peer's message.
+ *
+ * @throws {CornelgaugeError} `protocol-violation`
+ * @example
+ * const reply = readPeerReply(message)
+ */
+export function readPeerReply (message: unknown): PeerReply {
+  if (hasFieldsOf(REPLY_CHECKS, message)) return message as unknown as PeerReply
+  throw new CornelgaugeError('protocol-violation', { detail: `The reply of kind ${String(kindOf(message))} can't be read` })
+}
+
+function hasFieldsOf (checks: Readonly<Record<string, Check>>, message: unknown): message is Fields {
+  const kind = kindOf(message)
+  return isFields(message) && typeof kind === 'string' && Object.hasOwn(checks, kind) && checks[kind]!(message)
+}
+
+function kindOf (message: unknown): unknown {
+  return isFields(message) ? message.kind : undefined
 }
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -1,7 +1,7 @@
 /** Calls between entry VMs. */
 import { CornelgaugeError, fromProblem, type VmName } from '@cornelgauge/model'
 import { parseAddress, WireClient, WireServer, type LogicalClock, type WireEvent } from '@cornelgauge/wire'
-import { readPeerRequest, type PeerReply, type PeerRequest } from './messages.js'
+import { readPeerReply, readPeerRequest, type PeerReply, type PeerRequest } from './messages.js'
 
 /** Handles a peer's request. */
 export type HandlePeerRequest = (request: PeerRequest) => Promise<PeerReply>
@@ -65,7 +65,7 @@
     const reply = await this.#client.call(address, { type: 'extension', message: request }, timeoutMilliseconds)
     if (reply.type === 'problem') throw fromProblem(reply.problem)
     if (reply.type !== 'extension') throw new CornelgaugeError('protocol-violation')
-    return reply.message as Extract<PeerReply, { kind: Kind }>
+    return readPeerReply(reply.message) as Extract<PeerReply, { kind: Kind }>
   }
 
   /** Ends all connections. */
