--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -14,7 +14,7 @@
 export const STUCK_PERCENT_TIME_FACTOR = 6
 /** How long a claim waits for capacity to become free before runs without checkpoints are stopped for it, in milliseconds: less than the slack of urgent work, far less than the reclaim bound. */
 export const MAXIMUM_RECLAIM_WAIT_MILLISECONDS = 350
-/** Share of the time that a claim can lose after the stops and still end in time for which it waits for capacity. */
+/** A claim waits for capacity for this share of the time that it could lose and still end in time after the stops. */
 export const RECLAIM_WAIT_SHARE = 0.25
 /** A stop that takes longer than this is an exception, on a backend server that is slow or was unreachable, in milliseconds. */
 export const LONGEST_STOP_MILLISECONDS = 1000
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -118,7 +118,7 @@
     return undefined
   }
 
-  /** Drops groups, the most expensive first, without which one task still fits: a later one may have freed more than was missing. */
+  /** Drops the groups that one task doesn't need, the most expensive ones first: the last group may have freed more than was missing. */
   #withoutNeedless (target: PlacementTarget, shares: readonly GroupShare[]): { readonly victims: readonly VictimGroup[], readonly cost: number } {
     const victims: VictimGroup[] = []
     let cost = 0
