--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -7,12 +7,13 @@
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { isConnectionRefused } from '@cornelgauge/wire'
-import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_RETRY_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, LONGEST_TURN_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, START_SPREAD_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS, SUCCESSION_STEP_MILLISECONDS } from './limits.js'
-import { compareSuccession, MemberList, NO_VERSION, UNWANTED_LIST } from './member-list.js'
+import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_RETRY_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import { MemberList, NO_VERSION, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { OwnerEvidence } from './owner-evidence.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import type { Peers } from './peers.js'
+import { compareSuccession, turnMilliseconds } from './succession.js'
 
 /** Options of `Leadership`. */
 export interface LeadershipOptions {
@@ -188,21 +189,19 @@
     }))
   }
 
+  get #uptimeMilliseconds (): number {
+    return this.#clock.now() - this.#startedAt
+  }
+
   /** True while VMs that started with this one may still be unknown to it. */
   get #isStarting (): boolean {
-    return this.#clock.now() - this.#startedAt <= STARTUP_MILLISECONDS
+    return this.#uptimeMilliseconds <= STARTUP_MILLISECONDS
   }
 
-  /** True once none of the VMs before this one in the order of succession has claimed a planner without an owner. */
+  /** True once none of the VMs before this one in the order of succession has claimed a planner that never had an owner. */
   get #isTurnAfterStart (): boolean {
-    return this.#clock.now() - this.#startedAt > STARTUP_MILLISECONDS + this.#turnMilliseconds(this.#members.candidates)
-  }
-
-  /** How long this VM waits for those before it in the order of succession; longer after a start, when one of them may have started later. */
-  #turnMilliseconds (others: readonly Member[]): number {
-    const rank = others.filter(member => compareSuccession(member, this.#options.self) < 0).length
-    const hasJustStarted = this.#clock.now() - this.#startedAt < 2 * STARTUP_MILLISECONDS
-    return Math.min(rank * SUCCESSION_STEP_MILLISECONDS, LONGEST_TURN_MILLISECONDS) + (rank > 0 && hasJustStarted ? START_SPREAD_MILLISECONDS : 0)
+    const turn = turnMilliseconds(this.#options.self, this.#members.candidates, this.#uptimeMilliseconds)
+    return this.#uptimeMilliseconds > STARTUP_MILLISECONDS + turn
   }
 
   /** Adopts an owner learned from the store or from a peer if its epoch is newer. */
@@ -287,7 +286,7 @@
   async #replaceOwner (owner: KnownOwner, signal: AbortSignal): Promise<void> {
     if (this.#isLeaving) return
     const others = await this.#otherCandidates(owner)
-    await this.#pause(this.#turnMilliseconds(others), signal)
+    await this.#pause(turnMilliseconds(this.#options.self, others, this.#uptimeMilliseconds), signal)
     if (signal.aborted || this.#owner?.epoch !== owner.epoch || !this.#evidence.isGone) return
     if (!this.#evidence.hasGivenUp && others.length > 0 && await this.#isReachableElsewhere(others)) {
       this.#evidence.postpone()
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@cornelgauge/ports'
 import { HEARTBEAT_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, SUCCESSION_MEMORY_MILLISECONDS } from './limits.js'
 import type { ListedMembers, Member } from './messages.js'
+import { compareSuccession } from './succession.js'
 
 /** A member with its state. */
 interface KnownMember {
@@ -130,13 +131,3 @@
 function keyOf ({ vm, address, weight }: Member): string {
   return `${vm} ${address} ${weight ?? ''}`
 }
-
-/**
- * Order of succession: most weight first, then by name.
- *
- * @example
- * members.sort(compareSuccession)
- */
-export function compareSuccession (left: Member, right: Member): number {
-  return (right.weight ?? 0) - (left.weight ?? 0) || (left.vm < right.vm ? -1 : 1)
-}
