Poll for an unanswered start only while the ownership is confirmed

An owner that was cut off, or paused while its starts were under way, could renew leases after a new owner had begun to count on their end.

Change: one getter is checked before rounds, repeated polls and these polls.

Red before: 'neither polls nor renews leases if its ownership is no longer confirmed' (a poll with a renewal was sent).

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -130,6 +130,11 @@
     return this.#planner.load
   }
 
+  /** True while the ownership was confirmed recently enough to start runs and renew leases. */
+  get #isConfirmed (): boolean {
+    return this.#options.confirmedAge() < OWNER_CONFIRMATION_LIMIT_MILLISECONDS
+  }
+
   /** Confirms with the store that this VM still owns the planner. */
   async confirmOwnership (): Promise<boolean> {
     return await this.#tryStoreCall(() => this.#writer.confirmOwnership())
@@ -186,7 +191,7 @@
 
   #runRound (): void {
     if (!this.#isDeciding || this.#stopping.signal.aborted) return
-    if (this.#options.confirmedAge() < OWNER_CONFIRMATION_LIMIT_MILLISECONDS) {
+    if (this.#isConfirmed) {
       const commands = this.#rounds.measure(() => this.#planner.decide({ now: performance.now(), wallTime: Date.now() }))
       for (const command of commands) this.#perform(command)
     }
@@ -234,7 +239,7 @@
 
   /** Polls a backend server beside its repeated polls, since the one under way may wait for an end and was sent before the start failed. */
   async #settleStarts (server: ServerId): Promise<void> {
-    if (this.#settlingServers.has(server) || this.#stopping.signal.aborted) return
+    if (this.#settlingServers.has(server) || this.#stopping.signal.aborted || !this.#isConfirmed) return
     const request = this.#planner.pollRequest(server, performance.now())
     if (request === undefined) return
     this.#settlingServers.add(server)
@@ -271,7 +276,7 @@
     const { signal } = this.#stopping
     let hasAnswered = false
     while (!signal.aborted) {
-      if (this.#options.confirmedAge() >= OWNER_CONFIRMATION_LIMIT_MILLISECONDS) {
+      if (!this.#isConfirmed) {
         await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
         continue
       }
--- /dev/null
+++ b/packages/entry/test/planner-host.test.ts
@@ -0,0 +1,106 @@
+import { pause, systemClock } from '@cornelgauge/coordination'
+import { vmName, workspaceName } from '@cornelgauge/model'
+import { configurationVersion, jobId, poolName, queueName, serverId, type Configuration, type Job, type ServerEntry, type ServerReport, type StartOutcome } from '@cornelgauge/jobs'
+import { MemoryRowStore } from '@cornelgauge/ports'
+import { expect } from 'chai'
+import type { BackendServerCalls } from '../src/backend-server-calls.js'
+import { JobStore } from '../src/job-store.js'
+import { OWNER_CONFIRMATION_LIMIT_MILLISECONDS } from '../src/limits.js'
+import { claimOwnership, NO_OWNER } from '../src/owner-record.js'
+import { PlannerHost } from '../src/planner-host.js'
+
+const CONFIGURATION: Configuration = {
+  version: configurationVersion(1),
+  queues: [{ name: queueName('check'), host: 'jobs.example', prefix: '/check/', pool: poolName('pool'), priority: 0, attempts: 2, stretch: 2, latencyMilliseconds: 250, timeoutMilliseconds: 3000, isPublic: true }],
+  pools: [{ name: poolName('pool'), maximumConnections: 64, enforcesCapacity: true, isStandby: false }],
+  workspaces: [],
+  limits: { headerBytes: 16_384, bodyBytes: 262_144, headerMilliseconds: 3000, idleMilliseconds: 15_000 }
+}
+
+const SERVER: ServerEntry = {
+  id: serverId('server-0'),
+  pool: poolName('pool'),
+  address: '10.0.0.9:80',
+  failureDomain: 'north',
+  capacity: { processor: 32_000, memory: 64_000, accelerators: 8 },
+  labels: ['r1-0'],
+  rack: 'r1-0',
+  isDraining: false,
+  incarnation: 1
+}
+
+const jobAccepted = (epoch: Job['acceptedUnder']): Job => ({
+  id: jobId('00000000000000a1'),
+  queue: queueName('check'),
+  pool: poolName('pool'),
+  workspace: workspaceName('brno'),
+  specification: 'work',
+  acceptedAt: Date.now(),
+  acceptedUnder: epoch,
+  steps: [{ count: 1, need: { processor: 1000, memory: 1000, accelerators: 1 }, estimateMilliseconds: 0, after: [], savesCheckpoints: true, isGang: false, wantsOneRack: false, allowsCopies: false, isLasting: false, fillsIdleProcessor: false }]
+})
+
+/** A backend server whose starts a test answers, and which records the leases that polls renew. */
+class FakeCalls implements BackendServerCalls {
+  /** Times at which a poll was sent, with true if it renewed leases. */
+  readonly polls: { readonly at: number, readonly renews: boolean }[] = []
+  answerStart: (outcome: StartOutcome) => void = () => {}
+  hasStarted = false
+
+  async poll (_target: unknown, poll: { readonly leaseUntil?: number, readonly waitMilliseconds: number }): Promise<ServerReport> {
+    const sentAt = performance.now()
+    this.polls.push({ at: sentAt, renews: poll.leaseUntil !== undefined })
+    await pause(systemClock, Math.max(5, poll.waitMilliseconds))
+    return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: [], sentAt, receivedAt: performance.now() }
+  }
+
+  start (): Promise<StartOutcome> {
+    this.hasStarted = true
+    return new Promise(resolve => { this.answerStart = resolve })
+  }
+
+  async stop (): Promise<'unanswered'> {
+    return 'unanswered'
+  }
+
+  retainConnections (): void {}
+
+  async close (): Promise<void> {}
+}
+
+describe('the host of a planner', () => {
+  let calls: FakeCalls
+  let host: PlannerHost
+  let confirmedAge: number
+
+  beforeEach(async () => {
+    const store = new MemoryRowStore().view()
+    const owner = await claimOwnership(store, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
+    calls = new FakeCalls()
+    confirmedAge = 0
+    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
+    host.configure(CONFIGURATION)
+    host.updateRegistry([SERVER])
+    host.submit(jobAccepted(owner.epoch))
+    while (!calls.hasStarted) await pause(systemClock, 5)
+  })
+
+  afterEach(() => host.abandon())
+
+  describe('when a start is not answered', () => {
+    it('polls the backend server at once', async () => {
+      const before = calls.polls.length
+      calls.answerStart('unanswered')
+      await pause(systemClock, 50)
+      expect(calls.polls.length).to.equal(before + 1)
+    })
+
+    it('neither polls nor renews leases if its ownership is no longer confirmed', async () => {
+      const before = calls.polls.length
+      confirmedAge = OWNER_CONFIRMATION_LIMIT_MILLISECONDS
+      calls.answerStart('unanswered')
+      await pause(systemClock, 100)
+      expect(calls.polls.slice(before)).to.deep.equal([])
+    })
+  })
+})
