Don't claim the planner on a VM that has begun to leave

Cause: a VM checked that it doesn't leave before it waited for its turn and for the replies of others, which take up to some seconds, and not again before its claim. A VM that was stopped meanwhile became the owner for its last moments, and the others had to find out.

Change: the check is repeated right before the conditional write, whatever the reason of the claim.

Red before: 'does not claim, though it waits for its turn or for replies of others' (a claim after handOver at 2,700 ms).

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -325,6 +325,8 @@
         this.adoptOwner(storedOwner)
         return
       }
+      // The VM may have begun to leave while it waited for its turn.
+      if (this.#isLeaving) return
       const owner = await claimOwnership(store, storedOwner ?? NO_OWNER, self)
       this.adoptOwner(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (storedOwner?.epoch ?? 0) + 1) return
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -169,6 +169,21 @@
     })
   })
 
+  describe('a VM that leaves', () => {
+    it('does not claim, though it waits for its turn or for replies of others', async () => {
+      for (let age = 1000; age < 4000; age += 100) {
+        const vms = await startSettled([4, 2, 1])
+        for (const vm of vms.slice(0, 2)) vm.isDown = true
+        await deployment.clock.advance(age)
+        const claims = deployment.claims.length
+        await vms[2]!.leadership.handOver(async () => {})
+        await deployment.clock.advance(10_000)
+        expect(deployment.claims, `leaving after ${age} ms`).to.have.length(claims)
+        await deployment.stop()
+      }
+    })
+  })
+
   describe('succession', () => {
     it('waits no longer for many VMs that are gone at once than for a few', async () => {
       const vms = await startSettled([8, ...Array.from({ length: 60 }, () => 4), 1, 1, 1])
