Go through unanswered starts only, name what a reclaim requires, and free the feed of clocks

- A round went through all runs to find starts without an answer; the planner now keeps the set of those, which is mostly empty.
- The in-memory feed waits for one timer instead of the rest of a time by the clock; the bound added earlier guarded only against a test that sets the clock.
- Comments reworded: members, silence, age of a claim.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -35,7 +35,7 @@
 export const SUCCESSION_STEP_MILLISECONDS = 120
 /** Upper limit of that delay: beyond it the conditional write alone decides. */
 export const LONGEST_TURN_MILLISECONDS = 2500
-/** How long a VM that isn't heard of any more keeps its place in the order of succession; each one costs a step of delay. */
+/** How long after its last heartbeat a VM keeps its position in the order of succession; a failed VM there delays each one behind it by a step. */
 export const SUCCESSION_MEMORY_MILLISECONDS = 30_000
 /** How far apart VMs start that are started together. */
 export const START_SPREAD_MILLISECONDS = 300
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -100,7 +100,7 @@
     return (this.#received?.address === address ? this.#received.version : undefined) ?? NO_VERSION
   }
 
-  /** Records the owner's list: each member on it sent the owner a heartbeat recently. */
+  /** Records the list of a peer, mostly the owner: each member on it sent that peer a heartbeat recently. */
   receive (address: string, { listVersion, members }: ListedMembers): void {
     if (members !== undefined) this.#received = { address, version: listVersion, members }
     if (this.#received?.address !== address) return
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -19,6 +19,7 @@
   /** When the owner claimed, as far as this VM knows. */
   #claimedAt = -Infinity
   #shortTenures = 0
+  /** End of the last delay that was subtracted. */
   #excludedUntil = -Infinity
   #refusals = 0
   #hasGivenUp = false
@@ -53,7 +54,7 @@
     return isSettled ? milliseconds : Math.min(LONGEST_SILENCE_MILLISECONDS, milliseconds * 2 ** (1 + this.#shortTenures))
   }
 
-  /** Records that this VM follows a new owner, which may just have claimed until it says otherwise. */
+  /** Records that this VM follows a new owner, whose claim counts as recent until a reply contains its age. */
   follow (): void {
     const now = this.#clock.now()
     this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
@@ -61,7 +62,7 @@
     this.hear()
   }
 
-  /** Records a reply of the owner, with the milliseconds since its claim if it says them. */
+  /** Records a reply of the owner, with the milliseconds since its claim; earlier releases don't send them. */
   hear (ownedMilliseconds?: number): void {
     const now = this.#clock.now()
     if (ownedMilliseconds !== undefined) this.#claimedAt = now - ownedMilliseconds
@@ -87,8 +88,8 @@
   }
 
   /**
-   * Leaves out the time since a timer of this VM was due: its own loop was delayed, and replies may have
-   * been waiting. Time that an overlapping timer has left out already isn't left out again.
+   * Subtracts the time since a timer of this VM was due from the silence: its event loop was delayed, and
+   * replies may have been waiting. Of overlapping timers, the same delay is subtracted only once.
    */
   excludeDelay (dueAt: number): void {
     const now = this.#clock.now()
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -113,13 +113,13 @@
       if (this.#stopped.has(share.group)) continue
       shares.push(share)
       trial.free = addCapacity(trial.free, share.need)
-      if (countFitting(trial, this.#step, 1) > 0) return { target, position, ...this.#withoutNeedless(trial, shares) }
+      if (countFitting(trial, this.#step, 1) > 0) return { target, position, ...this.#requiredVictims(trial, shares) }
     }
     return undefined
   }
 
   /** Drops the groups that one task doesn't need, the most expensive ones first: the last group may have freed more than was missing. */
-  #withoutNeedless (target: PlacementTarget, shares: readonly GroupShare[]): { readonly victims: readonly VictimGroup[], readonly cost: number } {
+  #requiredVictims (target: PlacementTarget, shares: readonly GroupShare[]): { readonly victims: readonly VictimGroup[], readonly cost: number } {
     const victims: VictimGroup[] = []
     let cost = 0
     let { free } = target
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -259,10 +259,11 @@
     removeRun(state, server, run)
   },
   // Only the answer may be lost: the next poll shows whether the run exists.
-  unanswered: (_state, _server, run, now) => {
+  unanswered: (state, _server, run, now) => {
     if (run.confirmedAt < Infinity) return
     run.state = 'unconfirmed'
     run.unansweredAt = now
+    state.unsettledRuns.add(run)
   },
   fenced: notStarted,
   outdated: notStarted,
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -16,8 +16,8 @@
   for (const server of state.servers.values()) {
     evacuateDraining(server)
     stopStuck(state, server, times.now)
-    giveUpUnsettled(state, server, times.now)
   }
+  giveUpUnsettled(state, times.now)
   const commands: (StartCommand | AdviseCommand)[] = []
   new PlacementRound(state, times, commands).place()
   return [...dueStops(state, times.now), ...commands]
@@ -45,9 +45,12 @@
 }
 
 /** Gives up starts without an answer that no poll has settled in time. */
-function giveUpUnsettled (state: PlannerState, server: Server, now: number): void {
-  for (const run of server.runs.values()) {
-    if (run.unansweredAt !== undefined && now - run.unansweredAt > START_SETTLEMENT_MILLISECONDS) giveUpStart(state, run)
+function giveUpUnsettled (state: PlannerState, now: number): void {
+  for (const run of state.unsettledRuns) {
+    const isSettled = run.confirmedAt < Infinity || state.servers.get(run.server)?.run(run.task, run.run) !== run
+    if (!isSettled && now - run.unansweredAt! <= START_SETTLEMENT_MILLISECONDS) continue
+    state.unsettledRuns.delete(run)
+    if (!isSettled) giveUpStart(state, run)
   }
 }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -12,7 +12,7 @@
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
-import { Server, type RunEnd, type ServerEntry } from './server.js'
+import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
 
 /** An event of a task or job, for the log. */
 export type PlannerEvent =
@@ -34,6 +34,8 @@
   readonly openJobs = new Set<JobState>()
   readonly servers = new Map<ServerId, Server>()
   configuration: Configuration | undefined
+  /** Runs whose start wasn't answered, until the round in which they are settled or given up. */
+  readonly unsettledRuns = new Set<Run>()
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
--- a/packages/ports/src/memory-row-store.ts
+++ b/packages/ports/src/memory-row-store.ts
@@ -70,20 +70,25 @@
 
   /** Changes to a table after a version; waits until there is one or the time is over. */
   async changesAfter (table: string, after: number, waitMilliseconds: number): Promise<RowChanges> {
-    const found = this.#changes(table, after)
-    if (found.changes.length > 0 || waitMilliseconds <= 0) return found
-    const started = performance.now()
-    await new Promise<void>(resolve => {
-      const timer = setTimeout(done, waitMilliseconds)
-      const waiting = this.#waiters
-      function done (): void {
-        clearTimeout(timer)
-        waiting.delete(done)
-        resolve()
+    let isOver = waitMilliseconds <= 0
+    let wake = (): void => {}
+    const timer = setTimeout(() => {
+      isOver = true
+      wake()
+    }, waitMilliseconds)
+    try {
+      for (;;) {
+        const found = this.#changes(table, after)
+        if (found.changes.length > 0 || isOver) return found
+        await new Promise<void>(resolve => {
+          wake = resolve
+          this.#waiters.add(wake)
+        })
+        this.#waiters.delete(wake)
       }
-      waiting.add(done)
-    })
-    return await this.changesAfter(table, after, waitMilliseconds - Math.max(0, performance.now() - started))
+    } finally {
+      clearTimeout(timer)
+    }
   }
 
   #changes (table: string, after: number): RowChanges {
