--- /dev/null
+++ b/packages/jobs/test/unanswered-starts.test.ts
@@ -0,0 +1,95 @@
+import { expect } from 'chai'
+import { jobId, LEASE_MILLISECONDS, type StartCommand } from '../src/index.js'
+import { job, step, World, type Connectivity } from './world.js'
+
+const phase = (world: World, id: string): string | undefined => world.planner.phaseOf(jobId(id))
+
+describe('planner', () => {
+  describe('when a start is not answered', () => {
+    /** Starts a job on backend servers that have answered a poll and respond to starts in this way. */
+    const worldAfterStart = (connectivity: Connectivity): World => {
+      const world = new World(2)
+      world.pollServers()
+      for (const server of world.servers) server.connectivity = connectivity
+      world.planner.submit(job('a'))
+      world.round()
+      return world
+    }
+
+    it('keeps the run if the next poll lists it', () => {
+      const world = worldAfterStart('loses-start-answers')
+      world.now += 5
+      world.pollServers()
+      world.round(2000)
+      expect(world.starts).to.have.length(1)
+      expect(world.stops).to.have.length(0)
+      expect(phase(world, 'a')).to.equal('running')
+    })
+
+    it('keeps the run if a poll has listed it before the call failed', () => {
+      const world = new World(1)
+      world.planner.submit(job('a'))
+      world.settle()
+      const [{ task, run, server }] = world.starts as [StartCommand]
+      world.planner.applyStartOutcome(server, task, run, 'unanswered', world.now)
+      world.settle()
+      expect(world.stops).to.have.length(0)
+      expect(phase(world, 'a')).to.equal('running')
+    })
+
+    it('keeps a gang together if the answers of some members are lost', () => {
+      const world = new World(4, { accelerators: 1 })
+      world.pollServers()
+      for (const server of world.servers.slice(0, 2)) server.connectivity = 'loses-start-answers'
+      world.planner.submit(job('a', { steps: [step({ count: 4, isGang: true, savesCheckpoints: true })] }))
+      world.settle()
+      world.round(2000)
+      expect(world.starts).to.have.length(4)
+      expect(world.stops).to.have.length(0)
+    })
+
+    it('starts the task elsewhere only after a poll that does not list the run, and a stop that is confirmed', () => {
+      const world = worldAfterStart('delays-starts')
+      expect(world.starts).to.have.length(1)
+      expect(world.round()).to.have.length(0)
+      world.pollServers()
+      const [stop] = world.round().filter(command => command.type === 'stop')
+      expect(stop).to.include({ task: 'a.0.0.0', reason: 'unanswered' })
+      for (const server of world.servers) server.connectivity = 'answers'
+      expect(world.starts).to.have.length(1)
+      world.now += 5
+      world.pollServers()
+      world.round()
+      expect(world.starts).to.have.length(2)
+      for (const server of world.servers) server.delayed.forEach(command => server.start(command))
+      expect(world.servers.filter(server => server.running.size > 0)).to.have.length(1)
+    })
+
+    it('stops the run, and the rest of its gang, if no poll is answered in time', () => {
+      const world = new World(2, { accelerators: 1 })
+      world.pollServers()
+      world.servers[0]!.connectivity = 'delays-starts'
+      world.planner.submit(job('a', { steps: [step({ count: 2, isGang: true, savesCheckpoints: true })] }))
+      world.round()
+      world.servers[0]!.connectivity = 'silent'
+      world.pollServers()
+      world.round(1100)
+      expect(world.stops.map(stop => stop.reason)).to.have.members(['unanswered', 'gang-incomplete'])
+      expect(world.starts).to.have.length(2)
+    })
+
+    it('waits for the lease to expire if the backend server is unreachable', () => {
+      const world = new World(1)
+      world.pollServers()
+      world.planner.submit(job('a'))
+      world.round()
+      world.servers[0]!.connectivity = 'silent'
+      world.pollServers()
+      world.round(LEASE_MILLISECONDS - 500)
+      expect(world.planner.load.runs).to.equal(1)
+      world.pollServers()
+      world.round(1000)
+      expect(world.planner.load.runs).to.equal(0)
+    })
+  })
+})
