--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -72,7 +72,7 @@
     registryUpdated: ({ entries }) => this.#updateRegistry(entries),
     configured: ({ configuration }) => this.#planner.configure(configuration),
     submitted: ({ job }) => this.#submit(job),
-    cancelled: ({ id }) => { this.#planner.cancel(id, Date.now()) },
+    cancelled: ({ id }) => this.#cancel(id),
     tick: () => {}
   }
 
@@ -260,6 +260,10 @@
     this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
   }
 
+  #cancel (id: JobId): void {
+    if (!this.#planner.cancel(id, Date.now())) this.#options.emit('cancellation-of-unknown-job', { details: { job: id } })
+  }
+
   #updateRegistry (entries: readonly ServerEntry[]): void {
     this.#planner.updateServers(entries, performance.now())
     for (const entry of entries) this.#addresses.set(entry.id, entry.address)
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -211,5 +211,12 @@
     sentence: 'The load of the planner and the rounds since the last summary.',
     fields: { epoch: 'fencing epoch', rounds: 'number of rounds', roundMilliseconds: 'their total duration', longestRound: 'duration of the longest one in milliseconds', ...LOAD_FIELDS },
     action: NO_ACTION
+  },
+  'cancellation-of-unknown-job': {
+    number: 1035,
+    level: 'info',
+    sentence: 'The planner has received the cancellation of a job that it doesn\'t know.',
+    fields: { job: 'id of the job' },
+    action: NO_ACTION
   }
 } as const satisfies CatalogueRows
