Don't take the deletion of a cancellation for a cancellation

A caller whose job has the id of one that was cancelled and deleted could see it cancelled: the owner's feed of cancellations reports deleted rows too, and each changed key was passed to the planner. The deletion of the old job's rows and the new job arrive by two feeds, so the deletion may come last.

The new test fails before the change: 'canceled' in place of 'queued'.

--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -142,7 +142,9 @@
       table: CANCELS_TABLE,
       initialSnapshot: { rows: [], version: cancelsVersion },
       onFailure: onFailure(CANCELS_TABLE),
-      onRows: (_rows, _readAt, changed) => changed.forEach(key => host.cancel(jobId(key)))
+      onRows: (rows, _readAt, changed) => {
+        for (const key of changed) if (rows.has(key)) host.cancel(jobId(key))
+      }
     })
     const servers = new TableFollower(store, {
       table: platform.registryTable,
--- /dev/null
+++ b/packages/entry/test/cancellations.test.ts
@@ -0,0 +1,75 @@
+import { epoch, vmName, workspaceName } from '@cornelgauge/model'
+import { jobId, poolName, queueName, type Job } from '@cornelgauge/jobs'
+import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
+import { expect } from 'chai'
+import { encodeJob } from '../src/job-record.js'
+import { JobStore } from '../src/job-store.js'
+import { OwnedPlanner } from '../src/owned-planner.js'
+import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
+import type { PlatformView } from '../src/platform-view.js'
+
+const ID = jobId('00000000000000a1')
+const JOB: Job = {
+  id: ID,
+  queue: queueName('check'),
+  pool: poolName('pool'),
+  workspace: workspaceName('brno'),
+  specification: 'work',
+  acceptedAt: 1000,
+  acceptedUnder: epoch(1),
+  steps: [{ count: 2, need: { processor: 1, memory: 1, accelerators: 1 }, estimateMilliseconds: 0, after: [], savesCheckpoints: false, isGang: false, wantsOneRack: false, allowsCopies: false, isLasting: false, fillsIdleProcessor: false }]
+}
+/** Time within which the owner has read a row that was written, with slack for a busy machine. */
+const FOLLOWED_MILLISECONDS = 5000
+
+describe('the owner of the planner', function () {
+  this.timeout(2 * FOLLOWED_MILLISECONDS)
+  let view: MemoryRowStoreView
+  let owner: OwnerRecord
+  let owned: OwnedPlanner
+  let background: Promise<void>[]
+
+  const accept = async (): Promise<void> => { await view.write({ conditions: [], puts: [{ table: 'jobs', key: ID, value: encodeJob(JOB) }] }) }
+  const cancel = async (): Promise<void> => { await view.write({ conditions: [], puts: [{ table: 'cancels', key: ID, value: {} }] }) }
+  const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds))
+
+  const waitForPhase = async (phase: string): Promise<void> => {
+    const deadline = performance.now() + FOLLOWED_MILLISECONDS
+    while (owned.host?.phaseOf(ID) !== phase && performance.now() < deadline) await pause(20)
+    expect(owned.host?.phaseOf(ID)).to.equal(phase)
+  }
+
+  beforeEach(async () => {
+    view = new MemoryRowStore().view()
+    owner = await claimOwnership(view, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
+    background = []
+    owned = new OwnedPlanner({
+      store: view,
+      jobs: new JobStore(view),
+      platform: { store: view, servers: { retainConnections: () => {}, close: async () => {} }, configurationTable: 'op', readConfiguration: () => undefined, registryTable: 'servers', readRegistry: () => [] } as unknown as PlatformView,
+      emit: () => {},
+      configuration: () => undefined,
+      isCurrent: () => true,
+      peerConfirmationAge: () => 0,
+      onFenced: () => {},
+      runInBackground: work => { background.push(work) }
+    })
+  })
+
+  afterEach(async () => {
+    owned.abandon()
+    await Promise.all(background)
+  })
+
+  describe('when the row of a cancellation is deleted', () => {
+    it('doesn\'t cancel a job that was accepted later under the same id', async () => {
+      await cancel()
+      await owned.takeOver(owner)
+      await accept()
+      await waitForPhase('queued')
+      await view.write({ conditions: [], puts: [], deletions: [{ table: 'cancels', key: ID }] })
+      await pause(200)
+      expect(owned.host?.phaseOf(ID)).to.equal('queued')
+    })
+  })
+})
