Show that a cancellation which arrives before its job is lost

It happens if both rows are written between a new owner's reads of the tables of jobs and of cancellations, if the feed of jobs lags behind that of cancellations, and if the notifications of two VMs arrive in that order.

--- a/packages/entry/test/cancellations.test.ts
+++ b/packages/entry/test/cancellations.test.ts
@@ -61,6 +61,60 @@
     await Promise.all(background)
   })
 
+  describe('when a job is cancelled right after it was accepted', () => {
+    for (const table of ['jobs', 'cancels', 'progress', 'servers']) {
+      it(`cancels it if both happen just before a new owner reads the table of ${table}`, async () => {
+        const readPage = view.readPage.bind(view)
+        let hasWritten = false
+        view.readPage = async (name, range) => {
+          if (name === table && !hasWritten) {
+            hasWritten = true
+            await accept()
+            await cancel()
+          }
+          return await readPage(name, range)
+        }
+        await owned.takeOver(owner)
+        await waitForPhase('canceled')
+      })
+    }
+
+    it('cancels it if the job is accepted before a new owner reads its table, and cancelled after it', async () => {
+      const readPage = view.readPage.bind(view)
+      view.readPage = async (name, range) => {
+        const page = await readPage(name, range)
+        if (name === 'jobs') await cancel()
+        return page
+      }
+      await accept()
+      await owned.takeOver(owner)
+      await waitForPhase('canceled')
+    })
+
+    it('cancels it if the owner reads the cancellation before the job', async () => {
+      const changes = view.changes.bind(view)
+      let releaseJobs = (): void => {}
+      const areJobsReleased = new Promise<void>(resolve => { releaseJobs = resolve })
+      view.changes = async (table, ...rest) => {
+        if (table === 'jobs') await areJobsReleased
+        return await changes(table, ...rest)
+      }
+      await owned.takeOver(owner)
+      await accept()
+      await cancel()
+      await pause(100)
+      releaseJobs()
+      await waitForPhase('canceled')
+    })
+
+    it('cancels it if the owner is notified of the cancellation before it is of the job', async () => {
+      await owned.takeOver(owner)
+      owned.host!.cancel(ID)
+      owned.host!.submit(JOB)
+      await waitForPhase('canceled')
+    })
+  })
+
   describe('when the row of a cancellation is deleted', () => {
     it('doesn\'t cancel a job that was accepted later under the same id', async () => {
       await cancel()
