Keep a cancellation that arrives before its job until the job arrives

A caller whose cancellation was acknowledged with 200 could see the job run to its end. The planner dropped a cancellation of a job that it didn't know, and nothing delivers it again: the job then arrived, and was started like any other. Jobs and cancellations reach an owner by different ways (two reads of tables when it loads, two feeds, notifications of several VMs), and their order isn't kept between them. In the load it takes no fault at all: jobs were read first, so a job accepted and cancelled between the two reads was in neither.

Now the planner keeps such a cancellation for the retention time and applies it when the job is submitted. A load reads cancellations before jobs, so that each one read has its job in the table that is read after it, and all others are among the changes that follow.

Ruled out: one table for both (older releases run beside this one); passing cancellations without a job from the load to the planner, which the order of the reads makes unnecessary.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -94,10 +94,14 @@
     return storedProgress?.hasBegun === true ? 'running' : 'queued'
   }
 
-  /** Reads all jobs, cancellations and progress, for a new owner; one table after the other, since they share the VM's link. */
+  /**
+   * Reads all jobs, cancellations and progress, for a new owner; one table after the other, since they share
+   * the VM's link. Cancellations come first: the jobs of those read here are then read too, and the others
+   * are among the later changes.
+   */
   async load (options: TableReadOptions = {}): Promise<StoredJobs> {
-    const jobs = await readTable(this.#rows, JOBS_TABLE, options)
     const cancels = await readTable(this.#rows, CANCELS_TABLE, options)
+    const jobs = await readTable(this.#rows, JOBS_TABLE, options)
     const progress = await readTable(this.#rows, PROGRESS_TABLE, options)
     const cancelled = new Set(cancels.rows.map(row => row.key))
     const progressRows = new Map(progress.rows.map(row => [row.key, row]))
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -6,6 +6,7 @@
 import { applyAdvice } from './advice.js'
 import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
+import { EarlyCancellations } from './early-cancellations.js'
 import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
 import { JobState } from './job-state.js'
@@ -63,6 +64,7 @@
  */
 export class Planner {
   readonly #state: PlannerState
+  readonly #earlyCancellations = new EarlyCancellations()
   #lastRoundAt: number
 
   /** Rules are disabled only for comparisons. */
@@ -110,18 +112,29 @@
    */
   submit (job: Job): boolean {
     if (job.acceptedUnder > this.epoch) return false
-    if (!this.#state.jobs.has(job.id)) this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    if (this.#state.jobs.has(job.id)) return true
+    this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    const cancelledAt = this.#earlyCancellations.take(job.id)
+    if (cancelledAt !== undefined) this.cancel(job.id, cancelledAt)
     return true
   }
 
-  /** Cancels a job; a job that has ended is not changed. False if the job isn't known. */
+  /**
+   * Cancels a job; a job that has ended is not changed. A job that isn't known yet is cancelled when it is submitted.
+   *
+   * @returns false if the job isn't known yet
+   */
   cancel (id: JobId, wallTime: number): boolean {
     const job = this.#state.jobs.get(id)
-    if (job?.isOpen === true) {
+    if (job === undefined) {
+      this.#earlyCancellations.add(id, wallTime)
+      return false
+    }
+    if (job.isOpen) {
       endJob(this.#state, job, 'canceled', 'cancelled', wallTime)
       this.#state.markChanged(job)
     }
-    return job !== undefined
+    return true
   }
 
   /** Returns a job's phase for callers; undefined if the job isn't known. */
@@ -219,6 +232,7 @@
    * show it: the time of day may be set forward, also on the VM that wrote when a job ended.
    */
   retire ({ now, wallTime }: RoundTimes): readonly Job[] {
+    this.#earlyCancellations.expire(now)
     const retired: Job[] = []
     for (const job of this.#state.jobs.values()) {
       if (!job.isFinalStored || job.runs.length > 0 || this.#state.isUnstored(job.job.id)) continue
