Stop an unanswered start again after its backend server has restarted

A task could run twice, or for a cancelled job until a poll listed it: a start without an answer may arrive seconds later, and a confirmed stop prevents it only in the incarnation that confirmed it. The planner counted that stop for good, also where the backend server had restarted under its id since, and dropped starts that weren't confirmed at once if a poll of the new incarnation was missed.

A server now keeps the starts that it revoked for as long as they may arrive, and the first answer of a new incarnation has them stopped there too, before the task is started again where that is still open. Ruled out: telling incarnations apart in the start's call, since both have the same id.

The two new tests fail before the change (one stop in place of two; a run of a cancelled job that goes on), on a stand-in that forgets its stops when it restarts.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -57,6 +57,8 @@
 export const DISCONNECTED_OWNER_MILLISECONDS = 3000
 /** How long a start without an answer waits for a poll that shows whether the run exists, in milliseconds: several polls, and less than members of a gang wait for each other. */
 export const START_SETTLEMENT_MILLISECONDS = 1000
+/** How long after it was sent a start without an answer may still be carried out, in milliseconds. */
+export const LATE_START_MILLISECONDS = 15_000
 /** Time after which an unanswered stop is sent again, in milliseconds: longer than a call takes. */
 export const STOP_RETRY_MILLISECONDS = 800
 /** A draining backend server is evacuated once it may shut down within this time, in milliseconds: enough for a stop, its answer and a poll. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -4,6 +4,7 @@
 import type { RunNumber, ServerId, TaskName } from './ids.js'
 import type { JobState, TaskState } from './job-state.js'
 import { countedNeed } from './capacity-snapshot.js'
+import { withStopDue } from './revoked-starts.js'
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
 import type { PlannerState } from './state.js'
 
@@ -15,6 +16,7 @@
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
   if (report.incarnation !== server.entry.incarnation) applyRestart(state, server, report.incarnation, report.receivedAt)
+  if (!server.hasAnswered) for (const run of server.revokedStarts.take(report.receivedAt)) server.add(run)
   server.recordAnswer(report.clock, report.receivedAt)
   server.hasRefusedForCapacity = false
   const listed = new Set<Run>()
@@ -31,7 +33,7 @@
   }
   for (const run of [...server.runs.values()]) {
     if (listed.has(run)) continue
-    if (hasEnded(run, report.sentAt)) removeRun(state, server, run)
+    if (hasEnded(run, report.sentAt)) removeUnlisted(state, server, run)
     else if (run.unansweredAt !== undefined && run.unansweredAt <= report.sentAt) giveUpStart(state, run)
   }
 }
@@ -216,17 +218,25 @@
   stopRestOfGang(task, run.run)
 }
 
+/** Removes a run that has ended or can't begin in this incarnation of its backend server. */
+function removeUnlisted (state: PlannerState, server: Server, run: Run): void {
+  if (run.confirmedAt === Infinity) server.revokedStarts.add(run)
+  removeRun(state, server, run)
+}
+
 /**
  * Applies a restart of a backend server. The new incarnation has none of the earlier runs,
- * but starts that weren't confirmed may still reach it.
+ * but starts that weren't confirmed may still reach it, also those whose stop was confirmed.
  *
  * @example
  * applyRestart(state, server, entry.incarnation, now)
  */
 export function applyRestart (state: PlannerState, server: Server, incarnation: number, now: number): void {
-  const confirmedRuns = [...server.runs.values()].filter(run => run.confirmedAt < Infinity)
+  for (const run of [...server.runs.values()]) {
+    if (run.confirmedAt < Infinity) removeRun(state, server, run)
+    else withStopDue(run)
+  }
   server.restart(incarnation, now)
-  for (const run of confirmedRuns) removeRun(state, server, run)
 }
 
 /**
@@ -237,7 +247,7 @@
  */
 export function dropExpired (state: PlannerState, server: Server, now: number): void {
   if (server.missedPolls === 0 || server.leasesExpiredBy > now) return
-  for (const run of [...server.runs.values()]) removeRun(state, server, run)
+  for (const run of [...server.runs.values()]) removeUnlisted(state, server, run)
 }
 
 type StartHandler = (state: PlannerState, server: Server, run: Run, now: number) => void
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -3,6 +3,7 @@
 import type { StopReason } from './command.js'
 import type { PoolName, RunNumber, ServerId, TaskName } from './ids.js'
 import { LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, UNHEALTHY_AFTER_FAILURES } from './limits.js'
+import { RevokedStarts } from './revoked-starts.js'
 
 /** A backend server's entry in the platform's registry. */
 export interface ServerEntry {
@@ -107,6 +108,7 @@
   reportedPosition = 0
   acknowledgedPosition = 0
   readonly runs = new Map<string, Run>()
+  readonly revokedStarts = new RevokedStarts()
   /** Failures since a task last completed there. */
   consecutiveFailures = 0
   lastFailureAt = -Infinity
@@ -171,7 +173,7 @@
     return until
   }
 
-  /** Starts a new incarnation, which resets its clock and its list of ended runs. */
+  /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
     this.entry = { ...this.entry, incarnation }
     this.hasAnswered = false
@@ -180,7 +182,7 @@
     this.#clock = 0
     this.#clockReadAt = -Infinity
     this.#leaseUntil = 0
-    this.#leasesExpiredBy = now
+    this.#leasesExpiredBy = this.runs.size === 0 ? now : now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE
     this.consecutiveFailures = 0
   }
 
--- a/packages/jobs/test/unanswered-starts.test.ts
+++ b/packages/jobs/test/unanswered-starts.test.ts
@@ -65,6 +65,53 @@
       expect(world.servers.filter(server => server.running.size > 0)).to.have.length(1)
     })
 
+    describe('and the backend server restarts before the start arrives', () => {
+      /** The start of a job on the only backend server isn't answered, and its stop is confirmed. */
+      const worldAfterStop = (): World => {
+        const world = new World(1)
+        world.pollServers()
+        world.servers[0]!.connectivity = 'delays-starts'
+        world.planner.submit(job('a'))
+        world.round()
+        world.servers[0]!.connectivity = 'answers'
+        world.now += 5
+        world.pollServers()
+        world.round()
+        expect(world.stops).to.have.length(1)
+        return world
+      }
+
+      const arrive = (world: World): void => world.servers[0]!.delayed.forEach(command => world.servers[0]!.start(command))
+
+      it('has the new incarnation confirm the stop before the task is started again', () => {
+        const world = worldAfterStop()
+        world.servers[0]!.restart()
+        world.now += 5
+        world.pollServers()
+        world.round()
+        expect(world.stops).to.have.length(2)
+        expect(world.starts).to.have.length(1)
+        world.settle()
+        expect(world.starts).to.have.length(2)
+        arrive(world)
+        expect(world.servers[0]!.running.get('a.0.0.0')?.run).to.equal(world.starts[1]!.run)
+      })
+
+      it('stops it in the new incarnation too if the earlier one had confirmed the stop long before', () => {
+        const world = worldAfterStop()
+        world.settle()
+        expect(world.starts).to.have.length(2)
+        world.planner.cancel(jobId('a'), world.wallTime)
+        world.settle()
+        expect(world.planner.load.runs).to.equal(0)
+        world.servers[0]!.restart()
+        world.settle()
+        arrive(world)
+        expect(world.servers[0]!.running.size).to.equal(0)
+        expect(world.planner.load.runs).to.equal(0)
+      })
+    })
+
     it('stops the run, and the rest of its gang, if no poll is answered in time', () => {
       const world = new World(2, { accelerators: 1 })
       world.pollServers()
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -104,6 +104,7 @@
   restart (): void {
     this.incarnation += 1
     this.running.clear()
+    this.#stopped.clear()
     this.ended = []
     this.#endCount = 0
   }
