Notify the owner of a job as it is stored when it is submitted again

A job that had ended could be planned anew by a late repetition of its submission: where the row existed, accept returned the job as the repetition would have stored it, with another time of acceptance and another epoch, and the owner was notified of that. The owner tells a retired job whose rows are about to be deleted from a new one by the time of acceptance, and jobs that an earlier owner may have started by the epoch. The specification could differ too.

accept now returns the stored row, from the conflict or from the read that settled a write without an answer. The two new tests fail before the change.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -25,6 +25,12 @@
   readonly cancelsVersion: number
 }
 
+/** The end of a write: the row is stored, by this write or as it was before. */
+interface SettledWrite {
+  /** The row, unless this write has stored it. */
+  readonly existing?: StoredRow
+}
+
 /** Phase of a job according to the store. */
 export type StoredPhase = JobPhase | 'unknown'
 
@@ -50,13 +56,14 @@
    * the outcome is known. Each write requires that the row doesn't exist yet, so the job is
    * stored at most once.
    *
-   * @returns the job as this call would store it
+   * @returns the job as it is stored
    * @throws {CornelgaugeError} `overloaded` if the job isn't stored and won't be;
-   * `outcome-unknown` if that can't be determined by the deadline (on the steady clock)
+   * `outcome-unknown` if that can't be determined by the deadline (on the steady clock);
+   * `record-damaged` if the row of its id can't be read
    */
   async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number): Promise<Job> {
     let job: Job = { ...draft, acceptedUnder: NO_OWNER.epoch }
-    await this.#writeUntilSettled(JOBS_TABLE, draft.id, deadline, async () => {
+    const { existing } = await this.#writeUntilSettled(JOBS_TABLE, draft.id, deadline, async () => {
       const currentOwner = owner() ?? await readOwner(this.#rows)
       if (currentOwner === undefined) throw new CornelgaugeError('overloaded', { detail: 'The planner has no owner yet' })
       job = { ...draft, acceptedUnder: currentOwner.epoch }
@@ -65,11 +72,13 @@
         conditions: [{ table: JOBS_TABLE, key: job.id, version: 0 }, ownerCondition],
         puts: [{ table: JOBS_TABLE, key: job.id, value: encodeJob(job) }]
       })
-      if (outcome.type === 'written' || outcome.rows.some(row => row.table === JOBS_TABLE)) return true
+      if (outcome.type === 'written') return {}
+      const row = outcome.rows.find(({ table }) => table === JOBS_TABLE)
+      if (row !== undefined) return { existing: row }
       for (const row of outcome.rows) if (row.table === OWNER_TABLE) onOwner(decodeOwner(row))
-      return false
+      return undefined
     })
-    return job
+    return existing === undefined ? job : decodeJob(existing.key, existing.value)
   }
 
   /**
@@ -80,7 +89,7 @@
   async cancel (id: JobId, deadline: number): Promise<void> {
     await this.#writeUntilSettled(CANCELS_TABLE, id, deadline, async () => {
       await this.#rows.write({ conditions: [{ table: CANCELS_TABLE, key: id, version: 0 }], puts: [{ table: CANCELS_TABLE, key: id, value: {} }] })
-      return true
+      return {}
     })
   }
 
@@ -130,14 +139,15 @@
    * refused every attempt, nothing was written, and this is reported to the caller early. No
    * attempt starts that can't end before the deadline, or while the store doesn't answer.
    */
-  async #writeUntilSettled (table: string, key: string, deadline: number, write: () => Promise<boolean>): Promise<void> {
+  async #writeUntilSettled (table: string, key: string, deadline: number, write: () => Promise<SettledWrite | undefined>): Promise<SettledWrite> {
     let isOutcomeUnknown = false
     const refusedDeadline = Math.min(deadline, performance.now() + REFUSED_WRITE_RETRY_MILLISECONDS)
     const lastAttemptAt = deadline - STORE_TIMEOUT_MILLISECONDS
     do {
       try {
-        if (isOutcomeUnknown && await this.#rows.read(table, key) !== undefined) return
-        if (await write()) return
+        const existing = isOutcomeUnknown ? await this.#rows.read(table, key) : undefined
+        const settled = existing === undefined ? await write() : { existing }
+        if (settled !== undefined) return settled
       } catch (thrown) {
         const failure = asFailure(thrown)
         if (failure.code !== 'overloaded') isOutcomeUnknown = true
--- a/packages/entry/test/store.test.ts
+++ b/packages/entry/test/store.test.ts
@@ -1,4 +1,4 @@
-import { epoch, vmName, workspaceName, type CornelgaugeError } from '@cornelgauge/model'
+import { CornelgaugeError, epoch, vmName, workspaceName } from '@cornelgauge/model'
 import { jobId, Planner, poolName, queueName } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
@@ -93,6 +93,26 @@
       expect(store.rows('jobs')[0]!.value.specification).to.equal('work')
     })
 
+    it('is returned as it is stored if it is submitted again, so that the owner isn\'t notified of another one', async () => {
+      const first = await accept(owner)
+      const newer = await claimOwnership(view, owner, OTHER)
+      const again = { ...DRAFT, specification: 'other', acceptedAt: DRAFT.acceptedAt + 1000 }
+      expect(await new JobStore(view).accept(again, () => newer, () => {}, soon())).to.deep.equal(first)
+    })
+
+    it('is returned as it is stored if only a read shows that it exists', async () => {
+      const first = await accept(owner)
+      const write = view.write.bind(view)
+      let attempts = 0
+      view.write = async transaction => {
+        attempts += 1
+        if (attempts === 1) throw new CornelgaugeError('timeout')
+        return await write(transaction)
+      }
+      const again = { ...DRAFT, acceptedAt: DRAFT.acceptedAt + 1000 }
+      expect(await new JobStore(view).accept(again, () => owner, () => {}, performance.now() + 5000)).to.deep.equal(first)
+    })
+
     it('is reported as not stored only if every attempt was refused', async () => {
       view.fault = 'refusing'
       expect(await codeOf(accept(owner))).to.equal('overloaded')
