Block a task while a revoked start of it may begin in a new incarnation

Review of the stop after a restart: the planner had the revoked start stopped in the new incarnation, but the task itself didn't know of it and was started again in the same round, also while a poll listed the late start as running, so two runs of one task could overlap.

The revoked starts of a server are now among the runs of their tasks again as soon as its restart is known. Three new tests fail before the change (a start in place of none).

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -16,7 +16,6 @@
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
   if (report.incarnation !== server.entry.incarnation) applyRestart(state, server, report.incarnation, report.receivedAt)
-  if (!server.hasAnswered) for (const run of server.revokedStarts.take(report.receivedAt)) server.add(run)
   server.recordAnswer(report.clock, report.receivedAt)
   server.hasRefusedForCapacity = false
   const listed = new Set<Run>()
@@ -236,6 +235,10 @@
     if (run.confirmedAt < Infinity) removeRun(state, server, run)
     else withStopDue(run)
   }
+  for (const run of server.revokedStarts.take(now)) {
+    server.add(run)
+    state.task(run.task)?.runs.add(run)
+  }
   server.restart(incarnation, now)
 }
 
--- a/packages/jobs/src/revoked-starts.ts
+++ b/packages/jobs/src/revoked-starts.ts
@@ -8,7 +8,7 @@
  *
  * @example
  * server.revokedStarts.add(run)
- * for (const run of server.revokedStarts.take(now)) server.add(run)
+ * if (hasRestarted) for (const run of server.revokedStarts.take(now)) server.add(run)
  */
 export class RevokedStarts {
   readonly #runs = new Set<Run>()
@@ -19,6 +19,11 @@
     this.#runs.add(run)
   }
 
+  /** True if a start may still arrive. */
+  hasPending (now: number): boolean {
+    return [...this.#runs].some(run => now - run.startSentAt < LATE_START_MILLISECONDS)
+  }
+
   /** Removes and returns the runs whose starts may still arrive, each with its stop due. */
   take (now: number): readonly Run[] {
     const pending = [...this.#runs].filter(run => now - run.startSentAt < LATE_START_MILLISECONDS)
@@ -37,5 +42,6 @@
   run.isStopConfirmed = false
   run.stopConfirmedAt = Infinity
   run.stopSentAt = -Infinity
+  delete run.firstStopSentAt
   return run
 }
--- /dev/null
+++ b/packages/jobs/test/late-starts.test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai'
+import type { Command } from '../src/index.js'
+import { job, World } from './world.js'
+
+const TASK = 'a.0.0.0'
+
+const startsOf = (commands: readonly Command[]): readonly Command[] => commands.filter(command => command.type === 'start')
+
+describe('planner', () => {
+  // A start without an answer may be carried out seconds later, also by the next incarnation of its backend server.
+  describe('when a start was not answered, its stop was confirmed, and the task was started again', () => {
+    let world: World
+
+    /** The first start of the job's only task arrives now. */
+    const arrive = (): void => world.servers[0]!.delayed.forEach(command => world.servers[0]!.start(command))
+
+    /** The backend server restarts: it ends the task's second run, and has forgotten that the first was stopped. */
+    const restart = (): void => {
+      world.servers[0]!.restart()
+      world.now += 5
+    }
+
+    beforeEach(() => {
+      world = new World(1)
+      world.pollServers()
+      world.servers[0]!.connectivity = 'delays-starts'
+      world.planner.submit(job('a'))
+      world.round()
+      world.servers[0]!.connectivity = 'answers'
+      world.now += 5
+      world.pollServers()
+      world.settle()
+      expect(world.starts).to.have.length(2)
+      expect(world.servers[0]!.running.get(TASK)?.run).to.equal(world.starts[1]!.run)
+    })
+
+    describe('and arrives after a restart of the backend server, before its next poll', () => {
+      it('starts the task no third time while the poll lists that run', () => {
+        restart()
+        arrive()
+        world.pollServers()
+        expect(startsOf(world.round())).to.have.length(0)
+      })
+
+      it('runs the task once in the end', () => {
+        restart()
+        arrive()
+        world.pollServers()
+        world.settle()
+        expect(world.servers[0]!.running.size).to.equal(1)
+        expect(world.planner.load.runs).to.equal(1)
+      })
+    })
+
+    describe('and the backend server restarts before it arrives', () => {
+      it('starts the task again only after the new incarnation has confirmed the stop', () => {
+        restart()
+        world.pollServers()
+        const commands = world.round()
+        expect(commands.filter(command => command.type === 'stop')).to.have.length(1)
+        expect(startsOf(commands)).to.have.length(0)
+      })
+    })
+  })
+})
