Keep a backend server while a start that was revoked there may arrive

A server that left the registry and didn't answer was forgotten with the starts that it might still carry out. If it came back under its id, a late start ran there, for a cancelled job too, until a poll listed it: no stop was sent to the new incarnation.

A server is now forgotten only once none of its revoked starts can arrive. The new test fails before the change (one stop in place of two).

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -262,10 +262,11 @@
     }
   }
 
-  /** Removes backend servers that are neither registered nor reachable and have no runs or leases left. */
+  /** Removes backend servers that are neither registered nor reachable and have no runs, leases or late starts left. */
   #forgetServers (now: number): void {
     for (const server of this.#state.servers.values()) {
-      if (!server.isListed && server.runs.size === 0 && server.leasesExpiredBy < now && server.missedPolls > 0) this.#state.servers.delete(server.id)
+      const isGone = !server.isListed && server.missedPolls > 0 && server.leasesExpiredBy < now
+      if (isGone && server.runs.size === 0 && !server.revokedStarts.hasPending(now)) this.#state.servers.delete(server.id)
     }
   }
 }
--- a/packages/jobs/test/late-starts.test.ts
+++ b/packages/jobs/test/late-starts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { Command } from '../src/index.js'
+import { jobId, LEASE_MILLISECONDS, type Command } from '../src/index.js'
 import { job, World } from './world.js'
 
 const TASK = 'a.0.0.0'
@@ -61,5 +61,25 @@
         expect(startsOf(commands)).to.have.length(0)
       })
     })
+
+    describe('and the backend server leaves the registry before it restarts', () => {
+      it('stops it in the new incarnation', () => {
+        const [first] = world.starts
+        const [server] = world.servers
+        world.planner.cancel(jobId('a'), world.wallTime)
+        world.settle()
+        server!.connectivity = 'silent'
+        world.pollServers()
+        world.round(LEASE_MILLISECONDS + 500)
+        world.listServers([])
+        server!.connectivity = 'answers'
+        restart()
+        world.listServers()
+        world.settle()
+        arrive()
+        expect(world.stops.filter(({ run }) => run === first!.run)).to.have.length(2)
+        expect(server!.running.size).to.equal(0)
+      })
+    })
   })
 })
