Ignore the answer to a stop that was sent before a restart

A stop that the earlier incarnation had confirmed was counted for the new one if its answer was handled after the restart. Such a run has no stop sent yet. The new test fails before the change: the task is started again in place of a stop.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -309,7 +309,8 @@
  */
 export function applyStopOutcome (state: PlannerState, id: ServerId, task: TaskName, number: RunNumber, outcome: StopOutcome, now: number): void {
   const run = state.servers.get(id)?.run(task, number)
-  if (run === undefined || outcome !== 'stopped') return
+  // Without a stop sent since the last restart, the answer is of an earlier incarnation.
+  if (run === undefined || outcome !== 'stopped' || run.stopSentAt === -Infinity) return
   run.isStopConfirmed = true
   run.stopConfirmedAt = now
 }
--- a/packages/jobs/test/late-starts.test.ts
+++ b/packages/jobs/test/late-starts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { jobId, LEASE_MILLISECONDS, type Command } from '../src/index.js'
+import { jobId, LEASE_MILLISECONDS, type Command, type StopCommand } from '../src/index.js'
 import { job, World } from './world.js'
 
 const TASK = 'a.0.0.0'
@@ -82,4 +82,30 @@
       })
     })
   })
+
+  describe('when the answer to a stop arrives after a restart of the backend server', () => {
+    it('stops the start that was not answered in the new incarnation too', () => {
+      const world = new World(1)
+      const [server] = world.servers
+      world.pollServers()
+      server!.connectivity = 'delays-starts'
+      world.planner.submit(job('a'))
+      world.round()
+      server!.connectivity = 'answers'
+      world.now += 5
+      world.pollServers()
+      world.now += 5
+      const [stop] = world.planner.decide({ now: world.now, wallTime: world.wallTime }) as [StopCommand]
+      expect(stop.type).to.equal('stop')
+      server!.stop(stop)
+      server!.restart()
+      world.now += 5
+      world.pollServers()
+      world.planner.applyStopOutcome(stop.server, stop.task, stop.run, 'stopped', world.now)
+      world.now += 5
+      world.pollServers()
+      const commands = world.round()
+      expect(commands.map(command => command.type)).to.deep.equal(['stop'])
+    })
+  })
 })
