Wait for the longest lease if a new incarnation may have carried out an earlier start

The end of a start's lease is a time on the clock of the incarnation that it was sent to. A new incarnation's clock has run for less, so it grants the longest lease that it may, 10 s in place of 6 s. A backend server that became unreachable then was counted as empty 4 s too early, and the task was started elsewhere while its run went on.

The new test fails before the change (two starts in place of one).

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -53,6 +53,11 @@
 export const RETENTION_MILLISECONDS = 180_000
 /** Lease of every run, in milliseconds: outlasts a restart of all VMs, and bounds how long an unreachable run blocks its task. */
 export const LEASE_MILLISECONDS = 6000
+/**
+ * Longest lease that a backend server grants, in milliseconds. A start that a new incarnation carries out gets it: its
+ * lease was meant for the clock of the earlier one, which had run for longer.
+ */
+export const LONGEST_LEASE_MILLISECONDS = 10_000
 /** How long a disconnected owner may keep renewing leases, in milliseconds; see the limits of the entry package. */
 export const DISCONNECTED_OWNER_MILLISECONDS = 3000
 /** How long a start without an answer waits for a poll that shows whether the run exists, in milliseconds: several polls, and less than members of a gang wait for each other. */
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -2,7 +2,7 @@
 import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
 import type { StopReason } from './command.js'
 import type { PoolName, RunNumber, ServerId, TaskName } from './ids.js'
-import { LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, UNHEALTHY_AFTER_FAILURES } from './limits.js'
+import { LEASE_MILLISECONDS, LONGEST_LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, UNHEALTHY_AFTER_FAILURES } from './limits.js'
 import { RevokedStarts } from './revoked-starts.js'
 
 /** A backend server's entry in the platform's registry. */
@@ -157,7 +157,7 @@
 
   /** Records an answered poll. The first one fences earlier owners, which can renew no lease from then on. */
   recordAnswer (clock: number, receivedAt: number): void {
-    if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE
+    if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
     this.hasAnswered = true
     this.#clock = clock
     this.#clockReadAt = receivedAt
@@ -182,10 +182,15 @@
     this.#clock = 0
     this.#clockReadAt = -Infinity
     this.#leaseUntil = 0
-    this.#leasesExpiredBy = this.runs.size === 0 ? now : now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE
+    this.#leasesExpiredBy = this.runs.size === 0 ? now : now + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
     this.consecutiveFailures = 0
   }
 
+  /** Longest lease that a run may have which this incarnation began before it answered; those known by then were started in the earlier one. */
+  get #longestGrantedLease (): number {
+    return this.runs.size === 0 ? LEASE_MILLISECONDS : LONGEST_LEASE_MILLISECONDS
+  }
+
   /** Adds a run. */
   add (run: Run): void {
     this.runs.set(runKey(run.task, run.run), run)
--- a/packages/jobs/test/late-starts.test.ts
+++ b/packages/jobs/test/late-starts.test.ts
@@ -3,6 +3,8 @@
 import { job, World } from './world.js'
 
 const TASK = 'a.0.0.0'
+/** Longest lease that backend servers grant, in milliseconds; a new incarnation grants it to a start whose lease was meant for the earlier one's clock, which had run for longer. */
+const LONGEST_LEASE_MILLISECONDS = 10_000
 
 const startsOf = (commands: readonly Command[]): readonly Command[] => commands.filter(command => command.type === 'start')
 
@@ -108,4 +110,27 @@
       expect(commands.map(command => command.type)).to.deep.equal(['stop'])
     })
   })
+
+  describe('when a backend server restarts and lists a start that was not answered by the earlier incarnation', () => {
+    it('doesn\'t start the task elsewhere before the longest lease has expired if the backend server is unreachable from then on', () => {
+      const world = new World(2)
+      world.pollServers()
+      for (const server of world.servers) server.connectivity = 'delays-starts'
+      world.planner.submit(job('a'))
+      world.round()
+      const holder = world.servers.find(server => server.delayed.length > 0)!
+      for (const server of world.servers) server.connectivity = 'answers'
+      holder.restart()
+      holder.start(holder.delayed[0]!)
+      world.now += 5
+      world.pollServers()
+      expect(world.planner.load.runs).to.equal(1)
+      holder.connectivity = 'silent'
+      world.pollServers()
+      world.round(LONGEST_LEASE_MILLISECONDS - 1000)
+      world.pollServers()
+      world.round()
+      expect(world.starts).to.have.length(1)
+    })
+  })
 })
