Ignore a late answer of an earlier incarnation of a backend server

Two polls of a server may be under way at once. An answer of the incarnation before a restart that arrived after the restart was known counted as another restart: the confirmed runs of the new incarnation were removed, and their tasks started a second time.

An answer to a poll that was sent before the restart was known is ignored if it is of another incarnation. The new test fails before the change (two starts in place of one).

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -15,7 +15,11 @@
  * applyReport(state, server, report, Date.now())
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
-  if (report.incarnation !== server.entry.incarnation) applyRestart(state, server, report.incarnation, report.receivedAt)
+  if (report.incarnation !== server.entry.incarnation) {
+    // A poll sent before the restart was known may have been answered by the earlier incarnation.
+    if (report.sentAt < server.restartedAt) return
+    applyRestart(state, server, report.incarnation, report.receivedAt)
+  }
   server.recordAnswer(report.clock, report.receivedAt)
   server.hasRefusedForCapacity = false
   const listed = new Set<Run>()
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -104,6 +104,8 @@
   /** Polls without an answer since the last one that was answered. */
   missedPolls = 0
   lastAnswerAt = -Infinity
+  /** When this owner learned of the last restart. */
+  restartedAt = -Infinity
   /** Highest position of an ended run that was reported, and highest whose effects are stored. */
   reportedPosition = 0
   acknowledgedPosition = 0
@@ -176,6 +178,7 @@
   /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
     this.entry = { ...this.entry, incarnation }
+    this.restartedAt = now
     this.hasAnswered = false
     this.reportedPosition = 0
     this.acknowledgedPosition = 0
