Wait for a restarted backend server's first answer after a takeover

A new owner waits with the jobs of earlier owners until each backend server has answered, or the earlier leases have expired. A restart that only the registry showed ended that wait for the server: its leases counted as expired. But until the first answer carries the new epoch to it, a start of the earlier owner that wasn't answered may still begin there, and the task ran twice.

--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -177,6 +177,8 @@
 
   /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
+    // Until the first answer fences them, earlier owners may still start runs.
+    const areEarlierOwnersFenced = this.hasAnswered || this.restartedAt > -Infinity
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
     this.hasAnswered = false
@@ -185,7 +187,7 @@
     this.#clock = 0
     this.#clockReadAt = -Infinity
     this.#leaseUntil = 0
-    this.#leasesExpiredBy = this.runs.size === 0 ? now : now + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
+    if (areEarlierOwnersFenced) this.#leasesExpiredBy = this.runs.size === 0 ? now : now + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
     this.consecutiveFailures = 0
   }
 
