Compare failures with the attempts of a queue once its settings are known

A task whose last failure was reported to a new owner before it knew the configuration was started once more than its queue allows: the failure was compared with no limit, and never again. The first round after a queue has become known now fails the jobs that have used up their attempts.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -187,6 +187,25 @@
   for (const run of job.runs) requestStop(run, reason)
 }
 
+/**
+ * Fails the open jobs of queues that have just become known and one of whose tasks has used up its
+ * attempts: its last failure may have been reported before.
+ *
+ * @example
+ * failExhausted(state, Date.now())
+ */
+export function failExhausted (state: PlannerState, wallTime: number): void {
+  const queues = state.takeNewQueues()
+  if (queues.size === 0) return
+  for (const job of [...state.openJobs]) {
+    if (!queues.has(job.job.queue)) continue
+    const attempts = state.queueOf(job)?.attempts ?? Infinity
+    if (job.steps.every(step => step.isDone || step.highestFailures < attempts)) continue
+    endJob(state, job, 'failed', 'job-failed', wallTime)
+    state.markChanged(job)
+  }
+}
+
 function setFinalPhase (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
   job.phase = phase
   job.finishedAt = wallTime
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -2,7 +2,7 @@
 import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
-import { giveUpStart, requestStop } from './reports.js'
+import { failExhausted, giveUpStart, requestStop } from './reports.js'
 import type { Server } from './server.js'
 import type { PlannerState } from './state.js'
 
@@ -13,6 +13,7 @@
  * for (const command of decide(state, { now, wallTime })) perform(command)
  */
 export function decide (state: PlannerState, times: RoundTimes): readonly Command[] {
+  failExhausted(state, times.wallTime)
   for (const server of state.servers.values()) {
     evacuateDraining(server)
     stopStuck(state, server, times.now)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -44,6 +44,8 @@
   readonly claimDemand = new ClaimDemand()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
   readonly #queues = new Map<QueueName, Queue>()
+  /** Queues whose settings have become known since the last call of `takeNewQueues`. */
+  #newQueues = new Set<QueueName>()
   /** Jobs whose work is not included in the mean work of their queue yet. */
   readonly #unmeasuredJobs: JobState[] = []
   /** Maximum capacity of a backend server in each pool, per resource. */
@@ -84,7 +86,17 @@
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.configuration = configuration
-    for (const queue of configuration.queues) this.#queues.set(queue.name, queue)
+    for (const queue of configuration.queues) {
+      if (!this.#queues.has(queue.name)) this.#newQueues.add(queue.name)
+      this.#queues.set(queue.name, queue)
+    }
+  }
+
+  /** Returns the queues whose settings have become known since the last call. */
+  takeNewQueues (): ReadonlySet<QueueName> {
+    const queues = this.#newQueues
+    this.#newQueues = new Set()
+    return queues
   }
 
   /** Accelerators guaranteed to all workspaces in total. */
