Show with tests that a task may crash backend servers without limit

A task that crashes each backend server that starts it is started again at once when the server is back or its leases have expired. Only runs that end failed count as attempts; a crash shows as a new incarnation, which removes the runs and counts nothing. The in-memory world and the stand-in of a worker can now crash from a task, before or after the start is answered, and are back after some time under their id with a new incarnation.

--- /dev/null
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -0,0 +1,224 @@
+import { expect } from 'chai'
+import { decodeProgress, encodeProgress, jobId, LEASE_MILLISECONDS, type Job } from '../src/index.js'
+import { play, replaceServer, runsOf, storedJob } from './crash-play.js'
+import { job, step, World, type CrashTime } from './world.js'
+
+const phase = (world: World, id: string): string | undefined => world.planner.phaseOf(jobId(id))
+
+/** Three crashes show that a task crashes its backend servers; it is started once more at most. */
+const MOST_RUNS = 4
+const LONG_ENOUGH_MILLISECONDS = 60_000
+/** The users' limit for waiting work that has room. */
+const STANDSTILL_MILLISECONDS = 3000
+
+const worldWith = (servers: number, work: Job, deadly: readonly string[], crash: CrashTime = 'after-answer'): World => {
+  const world = new World(servers)
+  for (const task of deadly) world.deadlyTasks.set(task, crash)
+  world.planner.submit(work)
+  return world
+}
+
+const gang = (count: number): Job => job('a', { steps: [step({ count, accelerators: 8, isGang: true })] })
+
+describe('a task that crashes backend servers', () => {
+  describe('alone', () => {
+    for (const crash of ['before-answer', 'after-answer'] as const) {
+      it(`is given up if it crashes them ${crash.replace('-', ' its start has an ')}`, () => {
+        const world = worldWith(6, job('a'), ['a.0.0.0'], crash)
+        play(world, LONG_ENOUGH_MILLISECONDS)
+        expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
+        expect(phase(world, 'a')).to.equal('failed')
+      })
+    }
+
+    it('is given up if they are back only after their leases have expired', () => {
+      const world = worldWith(6, job('a'), ['a.0.0.0'])
+      world.crashMilliseconds = LEASE_MILLISECONDS + 3000
+      play(world, LONG_ENOUGH_MILLISECONDS)
+      expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
+      expect(phase(world, 'a')).to.equal('failed')
+    })
+
+    it('is given up if they are back under other ids at their addresses', () => {
+      const world = worldWith(6, job('a'), ['a.0.0.0'])
+      const replaced = new Set<string>()
+      play(world, LONG_ENOUGH_MILLISECONDS, {
+        afterStep: () => {
+          for (const server of world.servers.filter(({ backAt, entry }) => backAt < Infinity && !replaced.has(entry.id))) {
+            replaced.add(server.entry.id)
+            replaceServer(world, server)
+          }
+          world.listServers(world.servers.filter(server => !replaced.has(server.entry.id)).map(server => ({ ...server.entry, incarnation: server.incarnation })))
+        }
+      })
+      expect(replaced.size).to.be.at.least(3)
+      expect(runsOf(world, 'a.0.0.0')).to.be.at.most(MOST_RUNS)
+      expect(phase(world, 'a')).to.equal('failed')
+    })
+
+    it('leaves the backend servers healthy that it has crashed', () => {
+      const world = worldWith(1, job('a'), ['a.0.0.0'])
+      play(world, LONG_ENOUGH_MILLISECONDS)
+      world.planner.submit(job('b'))
+      world.settle()
+      expect(phase(world, 'a')).to.equal('failed')
+      expect(phase(world, 'b')).to.equal('running')
+    })
+
+    it('is started however often if it is long-running', () => {
+      const world = worldWith(6, job('a', { steps: [step({ isLasting: true })] }), ['a.0.0.0'])
+      play(world, LONG_ENOUGH_MILLISECONDS)
+      expect(phase(world, 'a')).to.equal('running')
+      expect(runsOf(world, 'a.0.0.0')).to.be.above(MOST_RUNS)
+    })
+  })
+
+  describe('as a member of a gang', () => {
+    it('has the job given up', () => {
+      const world = worldWith(6, gang(3), ['a.0.0.1'])
+      play(world, LONG_ENOUGH_MILLISECONDS)
+      expect(runsOf(world, 'a.0.0.1')).to.be.within(3, MOST_RUNS)
+      expect(phase(world, 'a')).to.equal('failed')
+    })
+
+    it('counts once a run whose members crash their backend servers at the same moment', () => {
+      const world = worldWith(6, gang(3), ['a.0.0.0', 'a.0.0.1', 'a.0.0.2'])
+      play(world, 5000)
+      expect(phase(world, 'a')).to.equal('running')
+      play(world, LONG_ENOUGH_MILLISECONDS)
+      expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
+      expect(phase(world, 'a')).to.equal('failed')
+    })
+  })
+
+  describe('beside other tasks', () => {
+    const innocent = Array.from({ length: 12 }, (_, index) => job(`innocent-${index}`))
+
+    it('takes none of them with it, and keeps none of them waiting', () => {
+      const world = worldWith(4, job('a'), ['a.0.0.0'])
+      for (const each of innocent) world.planner.submit(each)
+      const lastRunAt = new Map<string, number>()
+      let longestGap = 0
+      play(world, LONG_ENOUGH_MILLISECONDS, {
+        workMilliseconds: 2500,
+        afterStep: () => {
+          for (const { id } of innocent) {
+            if (world.serverRunning(`${id}.0.0.0`) !== undefined || phase(world, id) === 'completed') lastRunAt.set(id, world.now)
+            longestGap = Math.max(longestGap, world.now - (lastRunAt.get(id) ?? 1000))
+          }
+        }
+      })
+      expect(innocent.map(({ id }) => phase(world, id))).to.deep.equal(innocent.map(() => 'completed'))
+      expect(phase(world, 'a')).to.equal('failed')
+      expect(runsOf(world, 'a.0.0.0')).to.be.at.most(MOST_RUNS)
+      expect(longestGap).to.be.below(world.crashMilliseconds + STANDSTILL_MILLISECONDS)
+    })
+
+    it('takes none of them with it where there are several of its kind', () => {
+      const deadly = Array.from({ length: 5 }, (_, index) => job(`deadly-${index}`))
+      const world = new World(8)
+      for (const { id } of deadly) world.deadlyTasks.set(`${id}.0.0.0`, 'after-answer')
+      for (const each of [...innocent.slice(0, 6), ...deadly, ...innocent.slice(6)]) world.planner.submit(each)
+      play(world, LONG_ENOUGH_MILLISECONDS, { workMilliseconds: 2500 })
+      expect(innocent.map(({ id }) => phase(world, id))).to.deep.equal(innocent.map(() => 'completed'))
+      expect(deadly.map(({ id }) => phase(world, id))).to.deep.equal(deadly.map(() => 'failed'))
+      for (const { id } of deadly) expect(runsOf(world, `${id}.0.0.0`)).to.be.at.most(MOST_RUNS)
+    })
+  })
+
+  describe('while the store is away', () => {
+    it('is not started again until its crashes are stored', () => {
+      const world = worldWith(6, job('a'), ['a.0.0.0'])
+      world.isStoreAvailable = false
+      world.planner.submit(job('b'))
+      play(world, LONG_ENOUGH_MILLISECONDS, { workMilliseconds: 2500 })
+      expect(runsOf(world, 'a.0.0.0')).to.equal(2)
+      world.isStoreAvailable = true
+      play(world, LONG_ENOUGH_MILLISECONDS, { workMilliseconds: 2500 })
+      expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
+      expect([phase(world, 'a'), phase(world, 'b')]).to.deep.equal(['failed', 'completed'])
+    })
+  })
+
+  describe('under changing owners', () => {
+    const work = job('a')
+
+    it('is given up if each owner is replaced between a crash and the next start', () => {
+      const world = worldWith(6, work, ['a.0.0.0'])
+      let known = 0
+      let owner = 1
+      play(world, LONG_ENOUGH_MILLISECONDS, {
+        afterStep: () => {
+          const crashed = world.servers.some(server => server.backAt < Infinity)
+          if (crashed || world.crashes === known || phase(world, 'a') === 'failed') return
+          known = world.crashes
+          owner += 1
+          world.takeOver(owner, [storedJob(world, work)])
+        }
+      })
+      expect(owner).to.be.above(3)
+      expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
+      expect(phase(world, 'a')).to.equal('failed')
+    })
+
+    it('is given up after progress that an older release has stored', () => {
+      const world = new World(6)
+      world.deadlyTasks.set('a.0.0.0', 'after-answer')
+      const progress = decodeProgress('{"hasBegun":true,"steps":{"0.0":{"done":[],"failed":{"0":[1000001]}}}}')
+      world.takeOver(2, [{ job: work, isCancelled: false, progress }])
+      play(world, LONG_ENOUGH_MILLISECONDS)
+      expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
+      expect(phase(world, 'a')).to.equal('failed')
+    })
+
+    it('leaves progress that older releases can read', () => {
+      const world = worldWith(6, work, ['a.0.0.0'])
+      play(world, 8000)
+      const { steps } = JSON.parse(encodeProgress(world.planner.progressOf(jobId('a'))!)) as { steps: Record<string, Record<string, unknown>> }
+      expect(Object.keys(steps)).to.deep.equal(['0.0'])
+      expect(steps['0.0']!.done).to.deep.equal([])
+      expect(steps['0.0']!.failed).to.deep.equal({})
+    })
+  })
+})
+
+describe('a crash that no task has caused', () => {
+  const works = Array.from({ length: 6 }, (_, index) => job(`work-${index}`))
+  const phases = (world: World): readonly (string | undefined)[] => works.map(({ id }) => phase(world, id))
+
+  const started = (servers: number): World => {
+    const world = new World(servers)
+    for (const work of works) world.planner.submit(work)
+    play(world, 1000)
+    return world
+  }
+
+  for (const times of [2, 3]) {
+    it(`fails no job if a failure domain loses power ${times} times`, () => {
+      const world = started(4)
+      for (let time = 0; time < times; time += 1) {
+        for (const server of world.servers) server.crash(world.now + world.crashMilliseconds)
+        play(world, world.crashMilliseconds + 2 * STANDSTILL_MILLISECONDS)
+      }
+      expect(phases(world)).not.to.include('failed')
+      play(world, LONG_ENOUGH_MILLISECONDS, { workMilliseconds: 2500 })
+      expect(phases(world)).to.deep.equal(works.map(() => 'completed'))
+    })
+  }
+
+  it('is not assumed if a backend server was only cut off', () => {
+    const world = started(2)
+    for (let time = 0; time < 4; time += 1) {
+      for (const server of world.servers) server.connectivity = 'silent'
+      play(world, LEASE_MILLISECONDS + 1000)
+      for (const server of world.servers) {
+        for (const task of [...server.running.keys()]) server.end(task, 'lapsed')
+        server.connectivity = 'answers'
+      }
+      play(world, 1000)
+    }
+    const progress = works.map(({ id }) => world.planner.progressOf(id)?.steps)
+    expect(progress).to.deep.equal(works.map(() => ({})))
+    expect(phases(world)).to.deep.equal(works.map(() => 'running'))
+  })
+})
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -66,6 +66,9 @@
 /** How a backend server responds to calls; a delayed start isn't answered and has not arrived yet. */
 export type Connectivity = 'answers' | 'silent' | 'loses-start-answers' | 'delays-starts'
 
+/** When a task crashes its backend server: before the start is answered, or after. */
+export type CrashTime = 'before-answer' | 'after-answer'
+
 /** An in-memory backend server. */
 export class FakeServer {
   readonly entry: ServerEntry
@@ -76,8 +79,11 @@
   ended: ListedEnd[] = []
   /** Starts that have not arrived yet. */
   readonly delayed: StartCommand[] = []
+  /** When it is reachable again after a crash, on the world's clock. */
+  backAt = Infinity
   #endCount = 0
   readonly #stopped = new Map<string, number>()
+  readonly #startTimes = new Map<string, number>()
 
   constructor (entry: ServerEntry) {
     this.entry = entry
@@ -107,19 +113,46 @@
     this.ended = []
     this.#endCount = 0
   }
+
+  /** Simulates a crash after which it is unreachable for some time. */
+  crash (backAt: number): void {
+    this.restart()
+    this.connectivity = 'silent'
+    this.backAt = backAt
+  }
+
+  /** Is reachable again once the time after its crash has passed. */
+  recover (now: number): void {
+    if (now < this.backAt) return
+    this.connectivity = 'answers'
+    this.backAt = Infinity
+  }
+
+  /** Returns when a run was first seen here. */
+  startedAt (task: string, run: number, now: number): number {
+    const known = this.#startTimes.get(`${task}#${run}`)
+    if (known === undefined) this.#startTimes.set(`${task}#${run}`, now)
+    return known ?? now
+  }
 }
 
 /** A planner with its backend servers. */
 export class World {
   now = 1000
   planner: Planner
-  readonly servers: readonly FakeServer[]
+  readonly servers: FakeServer[]
   /** Every start command. */
   readonly starts: StartCommand[] = []
   readonly stops: StopCommand[] = []
   readonly adviceRequests: AdviseCommand[] = []
   /** The store accepts writes. */
   isStoreAvailable = true
+  /** Tasks that crash each backend server that starts them. */
+  readonly deadlyTasks = new Map<string, CrashTime>()
+  /** How long a crashed backend server is unreachable. */
+  crashMilliseconds = 3000
+  /** Crashes by tasks so far. */
+  crashes = 0
 
   constructor (servers: number, options: { readonly accelerators?: number, readonly stored?: readonly StoredJob[], readonly epoch?: number, readonly perRack?: number } = {}) {
     const { accelerators = 8, perRack = 8 } = options
@@ -153,6 +186,7 @@
   /** Polls the given backend servers. */
   pollServers (servers: readonly FakeServer[] = this.servers): void {
     for (const server of servers) {
+      server.recover(this.now)
       const request = this.planner.pollRequest(server.entry.id, this.now)
       if (request === undefined) continue
       if (server.connectivity === 'silent') {
@@ -205,7 +239,9 @@
       this.starts.push(command)
       if (server.connectivity === 'delays-starts') server.delayed.push(command)
       else if (server.connectivity !== 'silent') server.start(command)
+      this.#crashBy(command, 'before-answer')
       this.planner.applyStartOutcome(command.server, command.task, command.run, server.connectivity === 'answers' ? 'started' : 'unanswered', this.now)
+      this.#crashBy(command, 'after-answer')
     } else if (command.type === 'stop') {
       this.stops.push(command)
       const isAnswered = server.connectivity !== 'silent'
@@ -214,6 +250,14 @@
     }
   }
 
+  /** Crashes the backend server of a start if its task does that at this time. */
+  #crashBy ({ server: id, task }: StartCommand, time: CrashTime): void {
+    const server = this.#server(id)
+    if (this.deadlyTasks.get(task) !== time || !server.running.has(task)) return
+    server.crash(this.now + this.crashMilliseconds)
+    this.crashes += 1
+  }
+
   #server (id: ServerId): FakeServer {
     return this.servers.find(server => server.entry.id === id)!
   }
