Move stops and the ends of jobs out of reports.ts

No change of behaviour: `requestStop` and its like are in stops.ts, `endJob` and its like in job-end.ts, so that other modules than the reports can end a job without a circular import.

--- /dev/null
+++ b/packages/jobs/src/job-end.ts
@@ -0,0 +1,33 @@
+/** Ends jobs with a final phase. */
+import type { StopReason } from './command.js'
+import type { JobState } from './job-state.js'
+import type { PlannerState } from './state.js'
+import { requestStop } from './stops.js'
+
+/**
+ * Completes a job if all of its steps are done.
+ *
+ * @example
+ * completeIfDone(state, step.job, Date.now())
+ */
+export function completeIfDone (state: PlannerState, job: JobState, wallTime: number): void {
+  if (job.isOpen && job.isDone) setFinalPhase(state, job, 'completed', wallTime)
+}
+
+/**
+ * Ends a job with a final phase and stops its remaining runs.
+ *
+ * @example
+ * endJob(state, job, 'canceled', 'cancelled', Date.now())
+ */
+export function endJob (state: PlannerState, job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
+  setFinalPhase(state, job, phase, wallTime)
+  for (const run of job.runs) requestStop(run, reason)
+}
+
+function setFinalPhase (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
+  job.phase = phase
+  job.finishedAt = wallTime
+  state.openJobs.delete(job)
+  state.recordEvent({ type: 'job-ended', job: job.job.id, phase, milliseconds: wallTime - job.job.acceptedAt })
+}
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -1,11 +1,13 @@
 /** Applies the reports and answers of backend servers to the state. */
-import type { StartOutcome, StopOutcome, StopReason } from './command.js'
+import type { StartOutcome, StopOutcome } from './command.js'
 import { NO_CAPACITY } from './capacity.js'
 import type { RunNumber, ServerId, TaskName } from './ids.js'
-import type { JobState, TaskState } from './job-state.js'
+import { completeIfDone, endJob } from './job-end.js'
+import type { TaskState } from './job-state.js'
 import { countedNeed } from './capacity-snapshot.js'
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
 import type { PlannerState } from './state.js'
+import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
 /**
  * Applies an answer to a poll. Runs that it no longer lists have ended.
@@ -159,53 +161,6 @@
   task?.runs.delete(run)
 }
 
-/** Stops the remaining members of a gang when one of them has ended. */
-function stopRestOfGang (task: TaskState, number: RunNumber): void {
-  if (!task.step.specification.isGang) return
-  for (const member of task.step.tasks) {
-    for (const run of member.runs) if (run.run === number) requestStop(run, 'gang-incomplete')
-  }
-}
-
-function completeIfDone (state: PlannerState, job: JobState, wallTime: number): void {
-  if (job.isOpen && job.isDone) setFinalPhase(state, job, 'completed', wallTime)
-}
-
-/**
- * Ends a job with a final phase and stops its remaining runs.
- *
- * @example
- * endJob(state, job, 'canceled', 'cancelled', Date.now())
- */
-export function endJob (state: PlannerState, job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
-  setFinalPhase(state, job, phase, wallTime)
-  for (const run of job.runs) requestStop(run, reason)
-}
-
-function setFinalPhase (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
-  job.phase = phase
-  job.finishedAt = wallTime
-  state.openJobs.delete(job)
-  state.recordEvent({ type: 'job-ended', job: job.job.id, phase, milliseconds: wallTime - job.job.acceptedAt })
-}
-
-/**
- * Marks a run for stopping; the next round sends the stop.
- *
- * @example
- * requestStop(run, 'reclaimed')
- */
-export function requestStop (run: Run, reason: StopReason): Run {
-  if (run.state === 'stopping') return run
-  run.state = run.state === 'unconfirmed' ? 'unconfirmed' : 'stopping'
-  run.stopReason ??= reason
-  return run
-}
-
-function requestStops (task: TaskState, reason: StopReason, except?: Run): void {
-  for (const run of task.runs) if (run !== except) requestStop(run, reason)
-}
-
 /** Removes a run that is known to have ended, and stops the rest of its gang. */
 function removeRun (state: PlannerState, server: Server, run: Run): void {
   server.remove(run)
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -2,9 +2,10 @@
 import type { AdviseCommand, Command, StartCommand } from './command.js'
 import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
-import { giveUpStart, requestStop } from './reports.js'
+import { giveUpStart } from './reports.js'
 import type { Server } from './server.js'
 import type { PlannerState } from './state.js'
+import { requestStop } from './stops.js'
 
 /**
  * Runs one round. Started runs are in the state at once; the outcomes of the commands are reported later.
