Move eligible targets and waits out of placement-round.ts

No change of behaviour: which backend servers a step may use is in eligible-targets.ts, how long waiting work may wait for something better in waits.ts.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -1,17 +1,18 @@
 /** Places waiting work in the order of its weight. */
-import { targetsWithTicket, requestAdvice, ticketFor } from './advice.js'
+import { requestAdvice, ticketFor } from './advice.js'
 import { addCapacity } from './capacity.js'
 import { claimsOf } from './claims.js'
 import type { AdviseCommand, StartCommand } from './command.js'
+import { EligibleTargets } from './eligible-targets.js'
 import { dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, FAILURE_AVOIDANCE_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, MAXIMUM_RESERVED_GANGS, RECLAIM_WAIT_SHARE } from './limits.js'
+import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
 import { gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
-import { countedNeed, CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
-import { withoutInterference, freeAfterStops, isMostlyIdle, snapshotOf } from './round-snapshots.js'
+import { countedNeed, type CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
+import { freeAfterStops, isMostlyIdle, snapshotOf } from './round-snapshots.js'
 import { remainingMilliseconds, runningGroups } from './running-groups.js'
 import type { SearchTurns } from './search-turns.js'
 import type { Run } from './server.js'
@@ -19,6 +20,7 @@
 import { requestStop } from './stops.js'
 import { VictimIndex } from './victim-index.js'
 import { victimsOf } from './victims.js'
+import { Waits } from './waits.js'
 
 /** Current times for a round. */
 export interface RoundTimes {
@@ -42,8 +44,8 @@
   /** Free capacity now, and after all runs that are being stopped have ended. */
   readonly #current: CapacitySnapshot
   readonly #afterStops: CapacitySnapshot
-  /** Targets without recent failures, once they are needed. */
-  #lowRisk: CapacitySnapshot | undefined
+  readonly #eligible: EligibleTargets
+  readonly #waits: Waits
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
   /** Accelerators of all usable backend servers, free or not. */
@@ -63,6 +65,8 @@
     this.#afterStops = snapshotOf(state, times.now, freeAfterStops)
     this.#claims = claimsOf(state)
     this.#isMostlyIdle = isMostlyIdle(this.#current)
+    this.#waits = new Waits(state, times.now, this.#isMostlyIdle)
+    this.#eligible = new EligibleTargets(state, times.now, this.#current, this.#waits)
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
     this.#lendableAccelerators = state.rules.has('keep-for-claims') ? this.#countLendable() : Infinity
   }
@@ -108,7 +112,7 @@
     for (const task of unit.tasks) task.readySince ??= this.#times.now
     if (step.specification.isGang) this.#placeGang(unit, candidate)
     else this.#placeSingleTasks(unit, candidate)
-    if (this.#isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#requestAdvice(step)
+    if (this.#eligible.isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#requestAdvice(step)
   }
 
   /** Accelerators that are free or cheap to reclaim, minus the expected demand of claims. */
@@ -131,14 +135,14 @@
     const accelerators = unit.tasks.length * need.accelerators
     if (isClaim || savesCheckpoints || accelerators === 0) return true
     // In a mostly idle pool claims find other capacity, unless a gang takes more accelerators than are outside the guarantees.
-    const isBlockingClaims = accelerators > this.#totalAccelerators - this.#state.guaranteedAccelerators && this.#mayWait(unit.tasks[0]!)
+    const isBlockingClaims = accelerators > this.#totalAccelerators - this.#state.guaranteedAccelerators && this.#waits.mayWait(unit.tasks[0]!)
     return accelerators <= this.#lendableAccelerators || (this.#isMostlyIdle && !isBlockingClaims)
   }
 
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     const mayBorrow = this.#mayBorrow(unit, candidate)
-    const targets = mayBorrow ? placeGang(this.#eligibleTargets(step), step, this.#mayWaitForRack(unit, candidate)) : undefined
+    const targets = mayBorrow ? placeGang(this.#eligible.of(step), step, this.#waits.mayWaitForRack(unit, candidate)) : undefined
     if (targets === undefined) {
       if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
       return
@@ -161,55 +165,22 @@
   }
 
   #chooseTarget (step: StepState, task: TaskState): PlacementTarget | undefined {
-    const snapshot = this.#eligibleTargets(step)
+    const snapshot = this.#eligible.of(step)
     const { dataRack } = step.specification
     if (dataRack !== undefined) {
       const inDataRack = snapshot.targets.filter(target => target.server.entry.rack === dataRack)
       const target = placeTasks(snapshot, inDataRack, step, 1)?.[0]
-      const mayWaitForRack = this.#readyMilliseconds(task) < MAXIMUM_DATA_RACK_WAIT_MILLISECONDS
+      const mayWaitForRack = this.#waits.readyMilliseconds(task) < MAXIMUM_DATA_RACK_WAIT_MILLISECONDS
       if (target !== undefined || (mayWaitForRack && inDataRack.length > 0)) return target
     }
     return placeTasks(snapshot, snapshot.targets, step, 1)?.[0]
   }
 
-  #isAdvised (step: StepState): boolean {
-    return this.#state.queueOf(step.job)?.advice !== undefined
-  }
-
   #requestAdvice (step: StepState): void {
-    const command = requestAdvice(step, this.#lowRiskTargets(step), this.#times.now)
+    const command = requestAdvice(step, this.#eligible.lowRisk(step), this.#times.now)
     if (command !== undefined) this.#commands.push(command)
   }
 
-  #eligibleTargets (step: StepState): CapacitySnapshot {
-    const snapshot = withoutInterference(this.#lowRiskTargets(step), step)
-    return this.#isAdvised(step) ? targetsWithTicket(snapshot, step, this.#times.now) : snapshot
-  }
-
-  /** True if a task may wait for a better placement. In a mostly idle pool the wait is limited, since it saves no capacity that other work needs. */
-  #mayWait (task: TaskState): boolean {
-    return !this.#isMostlyIdle || this.#readyMilliseconds(task) < MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS
-  }
-
-  /** How long a task has been ready to start, in milliseconds. */
-  #readyMilliseconds ({ readySince = this.#times.now }: TaskState): number {
-    return this.#times.now - readySince
-  }
-
-  /** A claim waits for a single rack only as long as the reclaim bound allows. */
-  #mayWaitForRack ({ tasks }: StartUnit, { isClaim }: Candidate): boolean {
-    return isClaim ? this.#readyMilliseconds(tasks[0]!) < MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS : this.#mayWait(tasks[0]!)
-  }
-
-  /** Excludes backend servers with recent failures if the step has few attempts left. */
-  #lowRiskTargets (step: StepState): CapacitySnapshot {
-    const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
-    const failures = step.highestFailures
-    if (attempts - failures > 2 || !this.#mayWait(step.tasks[0]!)) return this.#current
-    this.#lowRisk ??= new CapacitySnapshot(this.#current.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#times.now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS), this.#state.work)
-    return this.#lowRisk
-  }
-
   #start (task: TaskState, target: PlacementTarget, run: ReturnType<PlannerState['nextRun']>): void {
     const { server } = target
     const targetAfterStops = this.#afterStops.targetOf(server.id)
@@ -242,7 +213,7 @@
       specification: task.step.job.job.specification,
       leaseUntil: server.extendLease(this.#times.now, LEASE_MILLISECONDS),
       checkpoint: task.checkpoint,
-      ...(this.#isAdvised(task.step) ? { ticket: ticketFor(task.step, target, this.#times.now) } : {})
+      ...(this.#eligible.isAdvised(task.step) ? { ticket: ticketFor(task.step, target, this.#times.now) } : {})
     })
   }
 
@@ -252,7 +223,7 @@
    */
   #reserveForGang ({ step, tasks }: StartUnit): void {
     const isLimitReached = this.#reservedGangs === MAXIMUM_RESERVED_GANGS || !this.#state.rules.has('reserve-for-gangs')
-    if (isLimitReached || this.#isAdvised(step)) return
+    if (isLimitReached || this.#eligible.isAdvised(step)) return
     const turns = this.#state.reservationTurns
     const isReserved = turns.isNext(step)
       ? this.#reserveTargets(turns.search(step, () => this.#planReservation({ step, tasks }))?.targets ?? [], step)
@@ -291,12 +262,12 @@
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
-    const search = (): ReclaimPlan | undefined => planReclaim(this.#afterStops, step, tasks.length, this.#victimsFor(candidate), this.#mayWaitForRack(unit, candidate))
+    const search = (): ReclaimPlan | undefined => planReclaim(this.#afterStops, step, tasks.length, this.#victimsFor(candidate), this.#waits.mayWaitForRack(unit, candidate))
     const plan = candidate.isClaim ? turns.search(step, search) : search()
     if (plan === undefined) return false
     const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
-    const mayWaitForCapacity = this.#readyMilliseconds(tasks[0]!) < this.#reclaimWaitMilliseconds(candidate)
+    const mayWaitForCapacity = this.#waits.readyMilliseconds(tasks[0]!) < this.#waits.reclaimWaitMilliseconds(candidate)
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
     for (const group of victims) {
       this.#claimVictims?.remove(group)
@@ -309,13 +280,6 @@
     return this.#reserveTargets(plan.targets, step)
   }
 
-  /** How long work waits for capacity before others are stopped for it: less where stops take long, so that it can still end in time. */
-  #reclaimWaitMilliseconds ({ objectiveMilliseconds, remainingMilliseconds }: Candidate): number {
-    if (!this.#state.rules.has('wait-by-slack')) return MAXIMUM_RECLAIM_WAIT_MILLISECONDS
-    const slack = objectiveMilliseconds - remainingMilliseconds - this.#state.stopMilliseconds
-    return Math.min(MAXIMUM_RECLAIM_WAIT_MILLISECONDS, RECLAIM_WAIT_SHARE * slack)
-  }
-
   #victimsFor (candidate: Candidate): VictimIndex {
     const index = (): VictimIndex => new VictimIndex(victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#state.work)
     if (!candidate.isClaim) return index()
@@ -326,7 +290,7 @@
   /** Steps that need advice don't preempt: the advice service may refuse the backend servers that stops would free. */
   #mayPreempt (step: StepState, candidate: Candidate): boolean {
     const isLimitReached = this.#preemptionSearches === PREEMPTIONS_PER_ROUND || !this.#state.rules.has('stop-by-worth')
-    if (isLimitReached || this.#isAdvised(step) || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
+    if (isLimitReached || this.#eligible.isAdvised(step) || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
     this.#preemptionSearches += 1
     return true
   }
