Give up a task that crashes the backend servers that start it

Callers see a job whose task, or gang, crashes its backend servers shown as `failed`; before, the task was started again without limit and took down one server after the other, with all that ran beside it.

Cause: only ends `failed` were counted. A crash shows as a new incarnation, which removed the runs and counted nothing.

A run now counts as lost when its server's incarnation changes, or another server takes its address, while it may be executing there: also a start without an answer, and a run whose lease expired before the server was back. It counts nothing if the server was only cut off, is draining, or lists the run. The run numbers are stored in the job's progress (optional field, which earlier releases ignore), so a new owner continues the count. Ruled out: to blame all tasks of a crashed server, which fails innocent work; to tell them apart by time or health, which one crash doesn't show. So after two lost runs a task is started once they are stored, where nothing else runs, and nothing else is started beside it for 10 s. Its runs aren't preempted, and reclaimed by a claim only as the last choice. The job fails when a third run is lost on a server that it had alone, unless others of the failure domain were lost with it, or when a fourth is lost. Long-running tasks are counted and isolated, never given up.

The one on other ids is now two, for a return at once and after the leases have expired. The one on innocent work allowed a gap of 6 s between two runs; the trace of a gap of 6,750 ms shows a start that is not settled, because the server that it was sent to crashes again in the same round. It now allows 3 s without such a start. The one on changing owners asked for three changes of owner; the job fails at the third crash, so it asks for one change after each crash before that.

--- /dev/null
+++ b/packages/entry/src/planner-findings.ts
@@ -0,0 +1,25 @@
+/** Writes the planner's events of tasks and jobs to the log. */
+import type { PlannerEvent } from '@cornelgauge/jobs'
+import type { EmitEvent } from '@cornelgauge/telemetry'
+
+type Emitters = { readonly [Type in PlannerEvent['type']]: (emit: EmitEvent, finding: Extract<PlannerEvent, { readonly type: Type }>) => void }
+
+const EMITTERS: Emitters = {
+  'task-ended': (emit, { type, ...details }) => emit('task-ended', { details }),
+  'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
+  'job-given-up': (emit, { type, ...details }) => emit('job-given-up', { details }),
+  'job-ended': (emit, { type, ...details }) => emit('job-ended', { details })
+}
+
+/**
+ * Writes events of the planner to the log.
+ *
+ * @example
+ * logFindings(emit, planner.drainEvents())
+ */
+export function logFindings (emit: EmitEvent, findings: readonly PlannerEvent[]): void {
+  for (const finding of findings) {
+    const emitter = EMITTERS[finding.type] as (emit: EmitEvent, finding: PlannerEvent) => void
+    emitter(emit, finding)
+  }
+}
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -15,6 +15,7 @@
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
 import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
+import { logFindings } from './planner-findings.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
 import { RetiredJobs } from './retired-jobs.js'
@@ -158,22 +159,10 @@
     if (this.#stopping.signal.aborted) return
     const handler = this.#handlers[event.type] as (event: HostEvent) => void
     handler(event)
-    this.#logFindings()
+    logFindings(this.#options.emit, this.#planner.drainEvents())
     this.#scheduleRound()
   }
 
-  #logFindings (): void {
-    for (const finding of this.#planner.drainEvents()) {
-      if (finding.type === 'task-ended') {
-        const { type, ...details } = finding
-        this.#options.emit('task-ended', { details })
-      } else {
-        const { type, ...details } = finding
-        this.#options.emit('job-ended', { details })
-      }
-    }
-  }
-
   #crash (thrown: unknown): void {
     this.#options.emit('planner-failed', { details: { failure: asFailure(thrown).message } })
     this.#options.onFenced()
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,6 +1,7 @@
 /** State of jobs, steps and tasks in the planner that owns them. */
 import { stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
+import { LossRecord } from './loss-record.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
 
@@ -55,6 +56,8 @@
   readonly tasks: readonly TaskState[]
   /** Backend servers on which the advice service allows or refuses this step. */
   readonly advice = new StepAdvice()
+  /** Runs lost with their backend servers. */
+  readonly losses = new LossRecord()
   #done = 0
 
   constructor (job: JobState, occurrence: number, number: number, specification: StepSpecification) {
@@ -84,6 +87,11 @@
     }
   }
 
+  /** Returns what counts its lost runs together: the index of a task, or 0 for a gang. */
+  unitOf (task: TaskState): number {
+    return this.specification.isGang ? 0 : task.index
+  }
+
   /** Counts the failed runs of a task; in a gang, the failed runs of all its tasks, each run number once. */
   failuresOf (task: TaskState): number {
     if (!this.specification.isGang) return task.failedRuns.size
@@ -100,7 +108,8 @@
 
   get progress (): StepProgress {
     const failed = this.tasks.filter(task => task.failedRuns.size > 0).map(task => [task.index, [...task.failedRuns]])
-    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed) }
+    const lost = this.losses.progress
+    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed), ...(lost === undefined ? {} : { lost }) }
   }
 
   /** Restores stored progress. */
@@ -112,6 +121,7 @@
     for (const [index, runs] of Object.entries(progress.failed)) {
       for (const run of runs) this.tasks[Number(index)]?.failedRuns.add(run)
     }
+    this.losses.restore(progress.lost)
   }
 }
 
@@ -148,7 +158,7 @@
     for (const [occurrence, states] of this.#occurrences) {
       for (const state of states) {
         const progress = state.progress
-        if (progress.done.length > 0 || Object.keys(progress.failed).length > 0) steps[`${occurrence}.${state.number}`] = progress
+        if (progress.done.length > 0 || Object.keys(progress.failed).length > 0 || progress.lost !== undefined) steps[`${occurrence}.${state.number}`] = progress
       }
     }
     return {
--- /dev/null
+++ b/packages/jobs/src/missing-runs.ts
@@ -0,0 +1,43 @@
+/** Remembers runs whose leases have expired while their backend server was unreachable. */
+import type { ServerId } from './ids.js'
+import type { Run, Server } from './server.js'
+
+/** The runs that a backend server had when their leases expired. */
+interface MissingGroup {
+  readonly server: Server
+  readonly runs: readonly Run[]
+}
+
+/**
+ * Runs of unreachable backend servers. They count as lost once the server is back with another
+ * incarnation, or under another id at its address, and as nothing if it was only cut off.
+ *
+ * @example
+ * state.missingRuns.take(server.id)
+ */
+export class MissingRuns {
+  readonly #groups = new Map<ServerId, MissingGroup>()
+
+  /** Adds the runs of a backend server; drops earlier ones that no longer matter. */
+  add (server: Server, runs: readonly Run[], matters: (run: Run) => boolean): void {
+    for (const [id, group] of this.#groups) if (!group.runs.some(matters)) this.#groups.delete(id)
+    this.#groups.set(server.id, { server, runs: [...this.#groups.get(server.id)?.runs ?? [], ...runs] })
+  }
+
+  /** Removes and returns the runs of a backend server. */
+  take (id: ServerId): readonly Run[] {
+    const runs = this.#groups.get(id)?.runs ?? []
+    this.#groups.delete(id)
+    return runs
+  }
+
+  /** True if a run is missing on a backend server. */
+  has (id: ServerId, run: number): boolean {
+    return this.#groups.get(id)?.runs.some(missing => missing.run === run) === true
+  }
+
+  /** The backend servers with missing runs. */
+  get servers (): readonly Server[] {
+    return [...this.#groups.values()].map(({ server }) => server)
+  }
+}
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -4,6 +4,7 @@
 import { claimsOf } from './claims.js'
 import type { AdviseCommand, StartCommand } from './command.js'
 import { EligibleTargets } from './eligible-targets.js'
+import { Isolation } from './isolation.js'
 import { dueAt } from './job.js'
 import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
@@ -46,6 +47,7 @@
   readonly #afterStops: CapacitySnapshot
   readonly #eligible: EligibleTargets
   readonly #waits: Waits
+  readonly #isolation: Isolation
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
   /** Accelerators of all usable backend servers, free or not. */
@@ -66,6 +68,7 @@
     this.#claims = claimsOf(state)
     this.#isMostlyIdle = isMostlyIdle(this.#current)
     this.#waits = new Waits(state, times.now, this.#isMostlyIdle)
+    this.#isolation = new Isolation(state, times.now, this.#waits)
     this.#eligible = new EligibleTargets(state, times.now, this.#current, this.#waits)
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
     this.#lendableAccelerators = state.rules.has('keep-for-claims') ? this.#countLendable() : Infinity
@@ -142,8 +145,10 @@
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     const mayBorrow = this.#mayBorrow(unit, candidate)
-    const targets = mayBorrow ? placeGang(this.#eligible.of(step), step, this.#waits.mayWaitForRack(unit, candidate)) : undefined
+    const mayWait = this.#waits.mayWaitForRack(unit, candidate)
+    const targets = mayBorrow ? this.#isolation.choose(this.#eligible.of(step), unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
     if (targets === undefined) {
+      if (this.#isolation.mayHold(unit)) return
       if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
       return
     }
@@ -155,17 +160,18 @@
     const { step } = unit
     let blocked = 0
     for (const task of unit.tasks) {
-      if (!this.#mayBorrow({ step, tasks: [task] }, candidate)) return
-      const target = this.#chooseTarget(step, task)
-      if (target === undefined) blocked += 1
-      else this.#start(task, target, this.#state.nextRun())
-      if (target === undefined && !candidate.isClaim) break
+      const single = { step, tasks: [task] }
+      if (!this.#mayBorrow(single, candidate)) return
+      const target = this.#isolation.choose(this.#eligible.of(step), single, this.#waits.mayWaitForRack(single, candidate), allowed => this.#chooseTarget(allowed, task))
+      if (target !== undefined) this.#start(task, target, this.#state.nextRun())
+      else if (!this.#isolation.mayHold(single)) blocked += 1
+      if (blocked > 0 && !candidate.isClaim) break
     }
-    if (blocked > 0) this.#reclaim({ step, tasks: unit.tasks.filter(task => task.isWaiting) }, candidate)
+    if (blocked > 0) this.#reclaim({ step, tasks: unit.tasks.filter(task => task.isWaiting && !this.#isolation.mayHold({ step, tasks: [task] })) }, candidate)
   }
 
-  #chooseTarget (step: StepState, task: TaskState): PlacementTarget | undefined {
-    const snapshot = this.#eligible.of(step)
+  #chooseTarget (snapshot: CapacitySnapshot, task: TaskState): PlacementTarget | undefined {
+    const { step } = task
     const { dataRack } = step.specification
     if (dataRack !== undefined) {
       const inDataRack = snapshot.targets.filter(target => target.server.entry.rack === dataRack)
@@ -185,6 +191,7 @@
     const { server } = target
     const targetAfterStops = this.#afterStops.targetOf(server.id)
     if (targetAfterStops !== undefined) this.#afterStops.take(targetAfterStops, task.step)
+    const isolatedUntil = this.#isolation.endFor({ step: task.step, tasks: [task] })
     const started: Run = {
       task: task.name,
       run,
@@ -198,10 +205,12 @@
       percent: 0,
       progressedAt: this.#times.now,
       checkpoint: '',
-      stopSentAt: -Infinity
+      stopSentAt: -Infinity,
+      ...(isolatedUntil === undefined ? {} : { isolatedUntil })
     }
     if (!task.step.specification.savesCheckpoints && !this.#claims.has(task.step.job)) this.#lendableAccelerators -= started.need.accelerators
     server.add(started)
+    this.#isolation.add(server, started)
     if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
     task.runs.add(started)
     task.readySince = undefined
@@ -262,7 +271,8 @@
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
-    const search = (): ReclaimPlan | undefined => planReclaim(this.#afterStops, step, tasks.length, this.#victimsFor(candidate), this.#waits.mayWaitForRack(unit, candidate))
+    const mayWait = this.#waits.mayWaitForRack(unit, candidate)
+    const search = (): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(this.#afterStops) : this.#afterStops, step, tasks.length, this.#victimsFor(candidate), mayWait)
     const plan = candidate.isClaim ? turns.search(step, search) : search()
     if (plan === undefined) return false
     const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -11,6 +11,7 @@
 import { endJob } from './job-end.js'
 import { JobState } from './job-state.js'
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
+import { countReplaced } from './lost-runs.js'
 import type { JobProgress } from './progress.js'
 import { dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
@@ -64,12 +65,12 @@
  */
 export class Planner {
   readonly #state: PlannerState
-  #lastRoundAt: number
+  #lastTimes: RoundTimes
 
   /** Rules are disabled only for comparisons. */
   constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes, rules: readonly PlacementRule[] = PLACEMENT_RULES) {
     this.#state = new PlannerState(epoch, times.now, new Set(rules))
-    this.#lastRoundAt = times.now
+    this.#lastTimes = times
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
       this.#state.addJob(state)
@@ -95,10 +96,12 @@
   updateServers (entries: readonly ServerEntry[], now: number): void {
     const listed = new Map(entries.map(entry => [entry.id, entry]))
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
+    const times = { now, wallTime: this.#wallTimeAt(now) }
+    countReplaced(this.#state, entries.filter(entry => !this.#state.servers.has(entry.id)), times.wallTime)
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
       const hasRestarted = entry.incarnation > server.entry.incarnation
-      if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, now)
+      if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, times)
       server.entry = { ...entry, incarnation: Math.max(entry.incarnation, server.entry.incarnation) }
     }
     this.#forgetServers(now)
@@ -205,8 +208,11 @@
 
   /** Runs one round, which decides what is started and stopped. */
   decide (times: RoundTimes): readonly Command[] {
-    this.#lastRoundAt = times.now
-    for (const server of this.#state.servers.values()) dropExpired(this.#state, server, times.now)
+    this.#lastTimes = times
+    for (const server of this.#state.servers.values()) {
+      server.noteOutage(times.now)
+      dropExpired(this.#state, server, times.now)
+    }
     return decide(this.#state, times)
   }
 
@@ -241,7 +247,7 @@
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
-      jobsRecovering: this.#state.isRecoveryComplete(this.#lastRoundAt) ? 0 : jobs.filter(job => job.isOpen && job.isInherited).length,
+      jobsRecovering: this.#state.isRecoveryComplete(this.#lastTimes.now) ? 0 : jobs.filter(job => job.isOpen && job.isInherited).length,
       serversUnanswered: servers.filter(server => !server.hasAnswered).length,
       serversUsable: usable.length,
       servers: servers.length,
@@ -249,6 +255,10 @@
     }
   }
 
+  #wallTimeAt (now: number): number {
+    return this.#lastTimes.wallTime + now - this.#lastTimes.now
+  }
+
   /** Removes backend servers that are neither registered nor reachable and have no runs or leases left. */
   #forgetServers (now: number): void {
     for (const server of this.#state.servers.values()) {
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -8,6 +8,8 @@
   readonly done: readonly number[]
   /** Numbers of the failed runs, by task index. */
   readonly failed: Readonly<Record<string, readonly number[]>>
+  /** Numbers of the runs lost with their backend servers, by task index, for a gang under 0; earlier releases store none. */
+  readonly lost?: Readonly<Record<string, readonly number[]>>
 }
 
 /** Progress of a job. */
@@ -57,5 +59,9 @@
 
 function isSteps (value: unknown): value is JobProgress['steps'] {
   if (typeof value !== 'object' || value === null) return false
-  return Object.values(value).every(step => Array.isArray(step?.done) && typeof step?.failed === 'object' && step.failed !== null)
+  return Object.values(value).every(step => Array.isArray(step?.done) && typeof step?.failed === 'object' && step.failed !== null && isLost(step.lost))
+}
+
+function isLost (value: unknown): value is StepProgress['lost'] {
+  return value === undefined || (typeof value === 'object' && value !== null && Object.values(value).every(runs => Array.isArray(runs)))
 }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -4,8 +4,11 @@
 import type { RunNumber, ServerId, TaskName } from './ids.js'
 import { completeIfDone, endJob } from './job-end.js'
 import type { TaskState } from './job-state.js'
+import { ISOLATION_MILLISECONDS } from './limits.js'
 import { countedNeed } from './capacity-snapshot.js'
+import type { RoundTimes } from './placement-round.js'
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
+import { correctLoss, countLostRuns, mayExecute, takeLostRuns } from './lost-runs.js'
 import type { PlannerState } from './state.js'
 import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
@@ -16,7 +19,8 @@
  * applyReport(state, server, report, Date.now())
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
-  if (report.incarnation !== server.entry.incarnation) applyRestart(state, server, report.incarnation, report.receivedAt)
+  if (report.incarnation === server.entry.incarnation) state.missingRuns.take(server.id)
+  else applyRestart(state, server, report.incarnation, { now: report.receivedAt, wallTime }, report.running)
   server.recordAnswer(report.clock, report.receivedAt)
   server.hasRefusedForCapacity = false
   const listed = new Set<Run>()
@@ -44,6 +48,7 @@
 }
 
 function applyRunning (state: PlannerState, server: Server, entry: ListedRun, now: number): Run {
+  correctLoss(state, server, entry)
   const run = server.run(entry.task, entry.run) ?? adoptRun(state, server, entry, now)
   confirmStart(state, run, now)
   if (entry.percent > run.percent) {
@@ -97,9 +102,11 @@
     percent,
     progressedAt: now,
     checkpoint,
-    stopSentAt: -Infinity
+    stopSentAt: -Infinity,
+    ...(task?.step.losses.isSuspect(task.step.unitOf(task)) === true ? { isolatedUntil: now + ISOLATION_MILLISECONDS } : {})
   }
   server.add(run)
+  if (run.isolatedUntil !== undefined) state.isolatedRuns.add(run)
   if (task === undefined) return requestStop(run, 'unknown-job')
   task.runs.add(run)
   const { job } = task.step
@@ -172,15 +179,18 @@
 }
 
 /**
- * Applies a restart of a backend server. The new incarnation has none of the earlier runs,
- * but starts that weren't confirmed may still reach it.
+ * Applies a restart of a backend server. The new incarnation has none of the earlier runs, except
+ * those that it lists, but starts that weren't confirmed may still reach it.
  *
  * @example
- * applyRestart(state, server, entry.incarnation, now)
+ * applyRestart(state, server, entry.incarnation, { now, wallTime })
  */
-export function applyRestart (state: PlannerState, server: Server, incarnation: number, now: number): void {
+export function applyRestart (state: PlannerState, server: Server, incarnation: number, { now, wallTime }: RoundTimes, listed: readonly ListedRun[] = []): void {
   const confirmedRuns = [...server.runs.values()].filter(run => run.confirmedAt < Infinity)
+  const isListed = ({ task, run }: Run): boolean => listed.some(entry => entry.task === task && entry.run === run)
+  const lost = takeLostRuns(state, server).filter(run => !isListed(run))
   server.restart(incarnation, now)
+  countLostRuns(state, server, lost, wallTime)
   for (const run of confirmedRuns) removeRun(state, server, run)
 }
 
@@ -191,7 +201,8 @@
  * dropExpired(state, server, now)
  */
 export function dropExpired (state: PlannerState, server: Server, now: number): void {
-  if (server.missedPolls === 0 || server.leasesExpiredBy > now) return
+  if (server.missedPolls === 0 || server.leasesExpiredBy > now || server.runs.size === 0) return
+  state.missingRuns.add(server, mayExecute(server), ({ task }) => state.task(task)?.step.job.isOpen === true)
   for (const run of [...server.runs.values()]) removeRun(state, server, run)
 }
 
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -91,6 +91,8 @@
   stopSentAt: number
   /** When the first stop was sent. */
   firstStopSentAt?: number
+  /** Until when nothing else is started on its backend server, if it is isolated. */
+  readonly isolatedUntil?: number
 }
 
 /** A backend server with its runs. */
@@ -103,6 +105,8 @@
   /** Polls without an answer since the last one that was answered. */
   missedPolls = 0
   lastAnswerAt = -Infinity
+  /** When it was first seen to be unreachable, or to have restarted, in the present or last outage. */
+  outageAt = -Infinity
   /** Highest position of an ended run that was reported, and highest whose effects are stored. */
   reportedPosition = 0
   acknowledgedPosition = 0
@@ -112,6 +116,7 @@
   lastFailureAt = -Infinity
   /** It has refused a start for lack of capacity; no starts until the next poll. */
   hasRefusedForCapacity = false
+  #isOut = false
   #used: Capacity = NO_CAPACITY
   #clock = 0
   #clockReadAt = -Infinity
@@ -161,6 +166,14 @@
     this.#clockReadAt = receivedAt
     this.lastAnswerAt = receivedAt
     this.missedPolls = 0
+    this.#isOut = false
+  }
+
+  /** Notes when an outage is first seen. */
+  noteOutage (now: number): void {
+    if (this.#isOut || this.missedPolls === 0) return
+    this.#isOut = true
+    this.outageAt = now
   }
 
   /** Records that its leases may be extended by this time, and returns their new end on its clock. */
@@ -174,6 +187,7 @@
   /** Starts a new incarnation, which resets its clock and its list of ended runs. */
   restart (incarnation: number, now: number): void {
     this.entry = { ...this.entry, incarnation }
+    if (!this.#isOut) this.outageAt = now
     this.hasAnswered = false
     this.reportedPosition = 0
     this.acknowledgedPosition = 0
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -9,6 +9,7 @@
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
 import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
+import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
@@ -17,6 +18,8 @@
 /** An event of a task or job, for the log. */
 export type PlannerEvent =
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
+  | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
+  | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
 
 /** Numbers of the first and the last change of a job that aren't stored. */
@@ -36,6 +39,10 @@
   configuration: Configuration | undefined
   /** Runs whose start wasn't answered, until the round in which they are settled or given up. */
   readonly unsettledRuns = new Set<Run>()
+  /** Runs that are isolated, until a round in which they have ended or their isolation has. */
+  readonly isolatedRuns = new Set<Run>()
+  /** Runs whose leases have expired while their backend server was unreachable. */
+  readonly missingRuns = new MissingRuns()
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
@@ -185,11 +192,12 @@
     return events
   }
 
-  /** Marks a job's progress as changed and not stored. */
-  markChanged (job: JobState): void {
+  /** Marks a job's progress as changed and not stored. Returns the number of the change. */
+  markChanged (job: JobState): number {
     this.#lastChange += 1
     const first = this.#unstoredJobs.get(job.job.id)?.first ?? this.#lastChange
     this.#unstoredJobs.set(job.job.id, { first, last: this.#lastChange })
+    return this.#lastChange
   }
 
   /** Acknowledges ended runs up to a position once all changes so far are stored. */
@@ -213,6 +221,11 @@
     return this.#unstoredJobs.has(id)
   }
 
+  /** True if a change of a job is stored. */
+  isStored (id: JobId, change: number): boolean {
+    return change < (this.#unstoredJobs.get(id)?.first ?? Infinity)
+  }
+
   /** Marks the progress of jobs as stored, as of the given changes. */
   markStored (changes: ReadonlyMap<JobId, number>): void {
     for (const [id, change] of changes) {
--- a/packages/jobs/src/victims.ts
+++ b/packages/jobs/src/victims.ts
@@ -2,6 +2,7 @@
  * Selects the runs that may be stopped to free capacity, and estimates the cost. Lets
  * urgent work preempt work that can be done later when the pool is full.
  */
+import { isIsolated } from './isolation.js'
 import type { JobState, StepState } from './job-state.js'
 import { MAXIMUM_PREEMPTION_LOSS_MILLISECONDS, WASTE_WEIGHT } from './limits.js'
 import { weightOfPriority, type Candidate } from './order.js'
@@ -10,6 +11,9 @@
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
 
+/** Cost of stopping an isolated run for a claim, above that of all others: its end may show what crashes backend servers. */
+const ISOLATED_STOP_COST = 1e9
+
 /**
  * Returns the groups that may be stopped for a candidate. For a claim: all work that is no
  * claim itself. For other work: less urgent work that loses little, because it has just
@@ -19,10 +23,10 @@
  * const groups = victimsOf(state, claims, candidate, now)
  */
 export function victimsOf (state: PlannerState, claims: ReadonlySet<JobState>, { isClaim, priority }: Candidate, now: number): readonly VictimGroup[] {
-  const costOf = (step: StepState, run: Run): number => stopCost(state, step, run, now)
+  const costOf = (step: StepState, run: Run): number => stopCost(state, step, run, now) + (isIsolated(run, now) ? ISOLATED_STOP_COST : 0)
   if (isClaim) return runningGroups(state, job => !claims.has(job), costOf)
   return runningGroups(state, job => !claims.has(job) && priorityOf(state, job) > priority, costOf)
-    .filter(group => group.members.every(({ task, run }) => lostMilliseconds(task.step, run, now) < MAXIMUM_PREEMPTION_LOSS_MILLISECONDS))
+    .filter(group => group.members.every(({ task, run }) => !isIsolated(run, now) && lostMilliseconds(task.step, run, now) < MAXIMUM_PREEMPTION_LOSS_MILLISECONDS))
 }
 
 /**
--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { decodeProgress, encodeProgress, jobId, LEASE_MILLISECONDS, type Job } from '../src/index.js'
 import { play, replaceServer, runsOf, storedJob } from './crash-play.js'
-import { job, step, World, type CrashTime } from './world.js'
+import { job, step, World, type CrashTime, type FakeServer } from './world.js'
 
 const phase = (world: World, id: string): string | undefined => world.planner.phaseOf(jobId(id))
 
@@ -39,20 +39,38 @@
       expect(phase(world, 'a')).to.equal('failed')
     })
 
-    it('is given up if they are back under other ids at their addresses', () => {
+    for (const [time, milliseconds] of [['at once', 0], ['after their leases have expired', LEASE_MILLISECONDS + 3000]] as const) {
+      it(`is given up if they are back ${time} under other ids at their addresses`, () => {
+        const world = worldWith(6, job('a'), ['a.0.0.0'])
+        const crashedAt = new Map<FakeServer, number>()
+        const replaced = new Set<FakeServer>()
+        play(world, LONG_ENOUGH_MILLISECONDS, {
+          afterStep: () => {
+            for (const server of world.servers.filter(({ backAt }) => backAt < Infinity)) {
+              server.backAt = Infinity
+              crashedAt.set(server, world.now)
+            }
+            for (const [server, at] of crashedAt) {
+              if (replaced.has(server) || world.now < at + milliseconds) continue
+              replaced.add(server)
+              replaceServer(world, server)
+            }
+            world.listServers(world.servers.filter(server => !crashedAt.has(server)).map(server => ({ ...server.entry, incarnation: server.incarnation })))
+          }
+        })
+        expect(replaced.size).to.be.at.least(3)
+        expect(runsOf(world, 'a.0.0.0')).to.be.at.most(MOST_RUNS)
+        expect(phase(world, 'a')).to.equal('failed')
+      })
+    }
+
+    it('is given up if they leave the registry and are back under their ids', () => {
       const world = worldWith(6, job('a'), ['a.0.0.0'])
-      const replaced = new Set<string>()
+      world.crashMilliseconds = LEASE_MILLISECONDS + 3000
       play(world, LONG_ENOUGH_MILLISECONDS, {
-        afterStep: () => {
-          for (const server of world.servers.filter(({ backAt, entry }) => backAt < Infinity && !replaced.has(entry.id))) {
-            replaced.add(server.entry.id)
-            replaceServer(world, server)
-          }
-          world.listServers(world.servers.filter(server => !replaced.has(server.entry.id)).map(server => ({ ...server.entry, incarnation: server.incarnation })))
-        }
+        afterStep: () => world.listServers(world.servers.filter(server => server.backAt === Infinity).map(server => ({ ...server.entry, incarnation: server.incarnation })))
       })
-      expect(replaced.size).to.be.at.least(3)
-      expect(runsOf(world, 'a.0.0.0')).to.be.at.most(MOST_RUNS)
+      expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
       expect(phase(world, 'a')).to.equal('failed')
     })
 
@@ -103,7 +121,8 @@
         workMilliseconds: 2500,
         afterStep: () => {
           for (const { id } of innocent) {
-            if (world.serverRunning(`${id}.0.0.0`) !== undefined || phase(world, id) === 'completed') lastRunAt.set(id, world.now)
+            const isSettling = world.servers.some(server => server.backAt < Infinity && server.entry.id === world.starts.findLast(start => start.task === `${id}.0.0.0`)?.server)
+            if (isSettling || world.serverRunning(`${id}.0.0.0`) !== undefined || phase(world, id) === 'completed') lastRunAt.set(id, world.now)
             longestGap = Math.max(longestGap, world.now - (lastRunAt.get(id) ?? 1000))
           }
         }
@@ -111,7 +130,7 @@
       expect(innocent.map(({ id }) => phase(world, id))).to.deep.equal(innocent.map(() => 'completed'))
       expect(phase(world, 'a')).to.equal('failed')
       expect(runsOf(world, 'a.0.0.0')).to.be.at.most(MOST_RUNS)
-      expect(longestGap).to.be.below(world.crashMilliseconds + STANDSTILL_MILLISECONDS)
+      expect(longestGap).to.be.below(STANDSTILL_MILLISECONDS)
     })
 
     it('takes none of them with it where there are several of its kind', () => {
@@ -156,7 +175,8 @@
           world.takeOver(owner, [storedJob(world, work)])
         }
       })
-      expect(owner).to.be.above(3)
+      expect(world.crashes).to.be.at.least(3)
+      expect(owner).to.equal(world.crashes)
       expect(runsOf(world, 'a.0.0.0')).to.be.within(3, MOST_RUNS)
       expect(phase(world, 'a')).to.equal('failed')
     })
@@ -171,6 +191,12 @@
       expect(phase(world, 'a')).to.equal('failed')
     })
 
+    for (const lost of ['5', 'null', '{"0":5}', '{"0":null}']) {
+      it(`refuses progress with ${lost} as its lost runs`, () => {
+        expect(() => decodeProgress(`{"steps":{"0.0":{"done":[],"failed":{},"lost":${lost}}}}`)).to.throw().with.property('code', 'record-damaged')
+      })
+    }
+
     it('leaves progress that older releases can read', () => {
       const world = worldWith(6, work, ['a.0.0.0'])
       play(world, 8000)
@@ -206,6 +232,19 @@
     })
   }
 
+  it('keeps no task waiting for long that was lost in two outages of its failure domain', () => {
+    const world = new World(4)
+    const tasks = Array.from({ length: 24 }, (_, index) => `wide.0.0.${index}`)
+    world.planner.submit(job('wide', { steps: [step({ count: tasks.length })] }))
+    play(world, 1000)
+    for (let time = 0; time < 2; time += 1) {
+      for (const server of world.servers) server.crash(world.now + world.crashMilliseconds)
+      play(world, world.crashMilliseconds)
+      play(world, STANDSTILL_MILLISECONDS)
+      expect(tasks.filter(task => world.serverRunning(task) === undefined)).to.deep.equal([])
+    }
+  })
+
   it('is not assumed if a backend server was only cut off', () => {
     const world = started(2)
     for (let time = 0; time < 4; time += 1) {
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -211,5 +211,19 @@
     sentence: 'The load of the planner and the rounds since the last summary.',
     fields: { epoch: 'fencing epoch', rounds: 'number of rounds', roundMilliseconds: 'their total duration', longestRound: 'duration of the longest one in milliseconds', ...LOAD_FIELDS },
     action: NO_ACTION
+  },
+  'run-lost-with-server': {
+    number: 1035,
+    level: 'warning',
+    sentence: 'A backend server has crashed or was replaced while a run may have been executing there.',
+    fields: { task: 'task', run: 'run number', server: 'backend server', lostRuns: 'runs of the task, or of its gang, that were lost so; from 2 on it is started where nothing else runs', alone: 'true if nothing else ran there' },
+    action: 'If it recurs for tasks of one job only, inspect the job; if for one backend server or failure domain, inspect that.'
+  },
+  'job-given-up': {
+    number: 1036,
+    level: 'warning',
+    sentence: 'A job fails because a task of it crashes the backend servers that start it.',
+    fields: { job: 'id of the job', task: 'task', lostRuns: 'runs of the task, or of its gang, that were lost with their backend servers' },
+    action: 'Have the job\'s owner correct the task before it is submitted again.'
   }
 } as const satisfies CatalogueRows
