--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -1,12 +1,17 @@
 /** Applies the reports and answers of backend servers to the state. */
-import type { StartOutcome, StopOutcome, StopReason } from './command.js'
+import type { StartOutcome, StopOutcome } from './command.js'
 import { NO_CAPACITY } from './capacity.js'
 import type { RunNumber, ServerId, TaskName } from './ids.js'
-import type { JobState, TaskState } from './job-state.js'
+import { completeIfDone, endJob } from './job-end.js'
+import type { TaskState } from './job-state.js'
+import { ISOLATION_MILLISECONDS } from './limits.js'
 import { countedNeed } from './capacity-snapshot.js'
+import type { RoundTimes } from './placement-round.js'
 import { withStopDue } from './revoked-starts.js'
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
+import { correctLoss, countLostRuns, mayExecute, takeLostRuns } from './lost-runs.js'
 import type { PlannerState } from './state.js'
+import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
 /**
  * Applies an answer to a poll. Runs that it no longer lists have ended.
@@ -15,10 +20,12 @@
  * applyReport(state, server, report, Date.now())
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
-  if (report.incarnation !== server.entry.incarnation) {
+  if (report.incarnation === server.entry.incarnation) {
+    state.missingRuns.take(server.id)
+  } else {
     // A poll sent before the restart was known may have been answered by the earlier incarnation.
     if (report.sentAt < server.restartedAt) return
-    applyRestart(state, server, report.incarnation, report.receivedAt)
+    applyRestart(state, server, report.incarnation, { now: report.receivedAt, wallTime }, report.running)
   }
   server.recordAnswer(report.clock, report.receivedAt)
   server.hasRefusedForCapacity = false
@@ -47,6 +54,7 @@
 }
 
 function applyRunning (state: PlannerState, server: Server, entry: ListedRun, now: number): Run {
+  correctLoss(state, server, entry)
   const run = server.run(entry.task, entry.run) ?? adoptRun(state, server, entry, now)
   confirmStart(state, run, now)
   if (entry.percent > run.percent) {
@@ -100,9 +108,11 @@
     percent,
     progressedAt: now,
     checkpoint,
-    stopSentAt: -Infinity
+    stopSentAt: -Infinity,
+    ...(task?.step.losses.isSuspect(task.step.unitOf(task)) === true ? { isolatedUntil: now + ISOLATION_MILLISECONDS } : {})
   }
   server.add(run)
+  if (run.isolatedUntil !== undefined) state.isolatedRuns.add(run)
   if (task === undefined) return requestStop(run, 'unknown-job')
   task.runs.add(run)
   const { job } = task.step
@@ -164,72 +174,6 @@
   task?.runs.delete(run)
 }
 
-/** Stops the remaining members of a gang when one of them has ended. */
-function stopRestOfGang (task: TaskState, number: RunNumber): void {
-  if (!task.step.specification.isGang) return
-  for (const member of task.step.tasks) {
-    for (const run of member.runs) if (run.run === number) requestStop(run, 'gang-incomplete')
-  }
-}
-
-function completeIfDone (state: PlannerState, job: JobState, wallTime: number): void {
-  if (job.isOpen && job.isDone) setFinalPhase(state, job, 'completed', wallTime)
-}
-
-/**
- * Ends a job with a final phase and stops its remaining runs.
- *
- * @example
- * endJob(state, job, 'canceled', 'cancelled', Date.now())
- */
-export function endJob (state: PlannerState, job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
-  setFinalPhase(state, job, phase, wallTime)
-  for (const run of job.runs) requestStop(run, reason)
-}
-
-/**
- * Fails the open jobs of queues that have just become known and one of whose tasks has used up its
- * attempts: its last failure may have been reported before.
- *
- * @example
- * failExhausted(state, Date.now())
- */
-export function failExhausted (state: PlannerState, wallTime: number): void {
-  const queues = state.takeNewQueues()
-  if (queues.size === 0) return
-  for (const job of [...state.openJobs]) {
-    if (!queues.has(job.job.queue)) continue
-    const attempts = state.queueOf(job)?.attempts ?? Infinity
-    if (job.steps.every(step => step.isDone || step.highestFailures < attempts)) continue
-    endJob(state, job, 'failed', 'job-failed', wallTime)
-    state.markChanged(job)
-  }
-}
-
-function setFinalPhase (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
-  job.phase = phase
-  job.finishedAt = wallTime
-  state.openJobs.delete(job)
-  state.recordEvent({ type: 'job-ended', job: job.job.id, phase, milliseconds: wallTime - job.job.acceptedAt })
-}
-
-/**
- * Marks a run for stopping; the next round sends the stop.
- *
- * @example
- * requestStop(run, 'reclaimed')
- */
-export function requestStop (run: Run, reason: StopReason): Run {
-  if (run.state === 'stopping') return run
-  run.state = run.state === 'unconfirmed' ? 'unconfirmed' : 'stopping'
-  run.stopReason ??= reason
-  return run
-}
-
-function requestStops (task: TaskState, reason: StopReason, except?: Run): void {
-  for (const run of task.runs) if (run !== except) requestStop(run, reason)
-}
-
 /** Removes a run that is known to have ended, and stops the rest of its gang. */
 function removeRun (state: PlannerState, server: Server, run: Run): void {
   server.remove(run)
@@ -247,13 +191,16 @@
 }
 
 /**
- * Applies a restart of a backend server. The new incarnation has none of the earlier runs,
- * but starts that weren't confirmed may still reach it, also those whose stop was confirmed.
+ * Applies a restart of a backend server. The new incarnation has none of the earlier runs, except
+ * those that it lists, but starts that weren't confirmed may still reach it, also those whose stop
+ * was confirmed.
  *
  * @example
- * applyRestart(state, server, entry.incarnation, now)
+ * applyRestart(state, server, entry.incarnation, { now, wallTime })
  */
-export function applyRestart (state: PlannerState, server: Server, incarnation: number, now: number): void {
+export function applyRestart (state: PlannerState, server: Server, incarnation: number, { now, wallTime }: RoundTimes, listed: readonly ListedRun[] = []): void {
+  const isListed = ({ task, run }: Run): boolean => listed.some(entry => entry.task === task && entry.run === run)
+  const lost = takeLostRuns(state, server).filter(run => !isListed(run))
   for (const run of [...server.runs.values()]) {
     if (run.confirmedAt < Infinity) removeRun(state, server, run)
     else withStopDue(run)
@@ -263,6 +210,7 @@
     state.task(run.task)?.runs.add(run)
   }
   server.restart(incarnation, now)
+  countLostRuns(state, server, lost, wallTime)
 }
 
 /**
@@ -272,7 +220,8 @@
  * dropExpired(state, server, now)
  */
 export function dropExpired (state: PlannerState, server: Server, now: number): void {
-  if (server.missedPolls === 0 || server.leasesExpiredBy > now) return
+  if (server.missedPolls === 0 || server.leasesExpiredBy > now || server.runs.size === 0) return
+  state.missingRuns.add(server, mayExecute(server), ({ task }) => state.task(task)?.step.job.isOpen === true)
   for (const run of [...server.runs.values()]) removeUnlisted(state, server, run)
 }
 
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -92,6 +92,8 @@
   stopSentAt: number
   /** When the first stop was sent. */
   firstStopSentAt?: number
+  /** Until when nothing else is started on its backend server, if it is isolated. */
+  readonly isolatedUntil?: number
 }
 
 /** A backend server with its runs. */
@@ -106,6 +108,8 @@
   lastAnswerAt = -Infinity
   /** When this owner learned of the last restart. */
   restartedAt = -Infinity
+  /** When it was first seen to be unreachable, or to have restarted, in the present or last outage. */
+  outageAt = -Infinity
   /** Highest position of an ended run that was reported, and highest whose effects are stored. */
   reportedPosition = 0
   acknowledgedPosition = 0
@@ -116,6 +120,7 @@
   lastFailureAt = -Infinity
   /** It has refused a start for lack of capacity; no starts until the next poll. */
   hasRefusedForCapacity = false
+  #isOut = false
   #used: Capacity = NO_CAPACITY
   #clock = 0
   #clockReadAt = -Infinity
@@ -165,6 +170,14 @@
     this.#clockReadAt = receivedAt
     this.lastAnswerAt = receivedAt
     this.missedPolls = 0
+    this.#isOut = false
+  }
+
+  /** Notes when an outage is first seen. */
+  noteOutage (now: number): void {
+    if (this.#isOut || this.missedPolls === 0) return
+    this.#isOut = true
+    this.outageAt = now
   }
 
   /** Records that its leases may be extended by this time, and returns their new end on its clock. */
@@ -181,6 +194,7 @@
     const areEarlierOwnersFenced = this.hasAnswered || this.restartedAt > -Infinity
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
+    if (!this.#isOut) this.outageAt = now
     this.hasAnswered = false
     this.reportedPosition = 0
     this.acknowledgedPosition = 0
