Test the planner on backend servers whose capacity shrinks and grows

The platform's backend servers may shrink and grow while they run, and a pool may have servers that start whatever they are told to.

--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -1,6 +1,6 @@
 /** In-memory backend servers and a planner that controls them, on a clock that tests advance. */
 import { epoch, workspaceName } from '@cornelgauge/model'
-import { configurationVersion, jobId, Planner, poolName, queueName, serverId, type AdviseCommand, type Command, type Configuration, type Job, type ListedEnd, type ListedRun, type Queue, type RunEnd, type ServerEntry, type ServerId, type StartCommand, type StepSpecification, type StopCommand, type StoredJob } from '../src/index.js'
+import { configurationVersion, jobId, Planner, poolName, queueName, serverId, type AdviseCommand, type Capacity, type Command, type Configuration, type Job, type ListedEnd, type ListedRun, type Queue, type RunEnd, type ServerEntry, type ServerId, type StartCommand, type StepSpecification, type StopCommand, type StoredJob } from '../src/index.js'
 
 const START_TIME = 1_700_000_000_000
 
@@ -76,20 +76,39 @@
   ended: ListedEnd[] = []
   /** Starts that have not arrived yet. */
   readonly delayed: StartCommand[] = []
+  /** Capacity in its registry entry from the next listing on. */
+  capacity: Capacity
+  /** A stopped run ends only in `finishStops`. */
+  stopsSlowly = false
+  /** Called when a start has begun a run. */
+  onRunStarted: (command: StartCommand) => void = () => {}
   #endCount = 0
   readonly #stopped = new Map<string, number>()
+  readonly #stopping = new Set<string>()
 
   constructor (entry: ServerEntry) {
     this.entry = entry
+    this.capacity = entry.capacity
   }
 
-  start ({ task, run }: StartCommand): void {
-    if (run > (this.#stopped.get(task) ?? 0)) this.running.set(task, { task, run, checkpoint: '', percent: 0 })
+  start (command: StartCommand): void {
+    const { task, run } = command
+    if (run <= (this.#stopped.get(task) ?? 0)) return
+    this.running.set(task, { task, run, checkpoint: '', percent: 0 })
+    this.onRunStarted(command)
   }
 
   stop ({ task, run }: StopCommand): void {
     this.#stopped.set(task, run)
-    if (this.running.get(task)?.run === run) this.end(task, 'stopped')
+    if (this.running.get(task)?.run !== run) return
+    if (this.stopsSlowly) this.#stopping.add(task)
+    else this.end(task, 'stopped')
+  }
+
+  /** Ends the runs whose stop was received. */
+  finishStops (): void {
+    for (const task of this.#stopping) if (this.running.has(task)) this.end(task, 'stopped')
+    this.#stopping.clear()
   }
 
   end (task: string, how: RunEnd): void {
@@ -141,12 +160,17 @@
     return START_TIME + this.now
   }
 
+  /** Registry entries of all backend servers. */
+  get entries (): ServerEntry[] {
+    return this.servers.map(server => ({ ...server.entry, capacity: server.capacity, incarnation: server.incarnation }))
+  }
+
   /** Replaces the planner by one of a later owner, with the given stored jobs. */
   takeOver (number: number, stored: readonly StoredJob[]): void {
     this.planner = this.#createPlanner(number, stored)
   }
 
-  listServers (entries = this.servers.map(server => ({ ...server.entry, incarnation: server.incarnation }))): void {
+  listServers (entries = this.entries): void {
     this.planner.updateServers(entries, this.now)
   }
 
@@ -191,7 +215,7 @@
   #createPlanner (number: number, stored: readonly StoredJob[]): Planner {
     const planner = new Planner(epoch(number), stored, { now: this.now, wallTime: this.wallTime })
     planner.configure(CONFIGURATION)
-    planner.updateServers(this.servers.map(server => ({ ...server.entry, incarnation: server.incarnation })), this.now)
+    planner.updateServers(this.entries, this.now)
     return planner
   }
 
