Start nothing beside a run whose need isn't known

A new owner that finds a run of a job it doesn't know stops it, but counted it as needing nothing until the stop was over. A pool whose backend servers start whatever they are told to got more than its capacity; in other pools the start was refused.

Whether the registry shows a larger or smaller capacity meanwhile makes no difference, so the run isn't counted as a whole backend server: one that has such a run isn't usable until the run has ended.

The test failed before: three tasks were started beside six accelerators in use of eight.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -87,6 +87,7 @@
     run: number,
     server: server.id,
     need: task === undefined ? NO_CAPACITY : countedNeed(task.step),
+    isNeedUnknown: task === undefined,
     state: 'running',
     startSentAt: now,
     confirmedAt: now,
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -70,6 +70,8 @@
   readonly run: RunNumber
   readonly server: ServerId
   readonly need: Capacity
+  /** Its job isn't known, so neither is what it needs. */
+  readonly isNeedUnknown?: boolean
   state: RunState
   /** When the start was sent, on our monotonic clock. */
   readonly startSentAt: number
@@ -113,6 +115,8 @@
   /** It has refused a start for lack of capacity; no starts until the next poll. */
   hasRefusedForCapacity = false
   #used: Capacity = NO_CAPACITY
+  /** Runs whose need isn't known: while there are any, neither is what is free. */
+  #runsOfUnknownNeed = 0
   #clock = 0
   #clockReadAt = -Infinity
   #leaseUntil = 0
@@ -140,7 +144,7 @@
 
   /** True if it may get new work. */
   get isUsable (): boolean {
-    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity
+    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && this.#runsOfUnknownNeed === 0
   }
 
   /** True after several consecutive failures. */
@@ -188,11 +192,14 @@
   add (run: Run): void {
     this.runs.set(runKey(run.task, run.run), run)
     this.#used = addCapacity(this.#used, run.need)
+    if (run.isNeedUnknown === true) this.#runsOfUnknownNeed += 1
   }
 
   /** Removes a run. */
   remove (run: Run): void {
-    if (this.runs.delete(runKey(run.task, run.run))) this.#used = addCapacity(this.#used, run.need, -1)
+    if (!this.runs.delete(runKey(run.task, run.run))) return
+    this.#used = addCapacity(this.#used, run.need, -1)
+    if (run.isNeedUnknown === true) this.#runsOfUnknownNeed -= 1
   }
 
   /** Finds a run by its task and number. */
--- a/packages/jobs/test/changing-capacity.test.ts
+++ b/packages/jobs/test/changing-capacity.test.ts
@@ -176,4 +176,28 @@
       expect(record.violations).to.deep.equal([])
     })
   })
+
+  describe('when one runs what an owner doesn\'t know', () => {
+    it('starts nothing there until that has ended, whatever the registry shows', () => {
+      const { world, record } = recordedWorld(1)
+      const [server] = world.servers as [FakeServer]
+      record.submit(job('lost', { steps: [step({ accelerators: 6, savesCheckpoints: true })] }))
+      world.settle()
+      server.stopsSlowly = true
+      world.takeOver(2, [])
+      record.submit(...singles('a', 3, { savesCheckpoints: true }))
+      world.settle(4)
+      expect(server.running.has('lost.0.0.0')).to.equal(true)
+      expect(world.stops.map(stop => stop.reason)).to.include('unknown-job')
+      expect(world.starts).to.have.length(1)
+      record.resize(server, { accelerators: 7 })
+      world.listServers()
+      world.settle()
+      expect(record.violations).to.deep.equal([])
+      server.finishStops()
+      world.settle()
+      expect(server.running).to.have.length(3)
+      expect(record.violations).to.deep.equal([])
+    })
+  })
 })
