Start nothing on a restarted backend server before its entry shows it

An answer to a poll may show a restart before the registry does. The new incarnation may be smaller or have other labels, but it got starts at once, by the capacity and the labels of the one before: beyond the capacity in a pool whose backend servers start whatever they are told to, and in any pool possibly without a label that the step requires.

A backend server is usable only while its entry is that of the incarnation that answers. That costs a restarted one the time until it has registered again and the registry is read.

Two of the three tests failed before: eight tasks were started on four accelerators. The third, a restart that the registry shows first, held.

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -99,6 +99,7 @@
       const hasRestarted = entry.incarnation > server.entry.incarnation
       if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, now)
       server.entry = { ...entry, incarnation: Math.max(entry.incarnation, server.entry.incarnation) }
+      server.listedIncarnation = entry.incarnation
     }
     this.#forgetServers(now)
   }
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -100,6 +100,8 @@
   entry: ServerEntry
   /** It is in the registry. */
   isListed = true
+  /** Incarnation in its registry entry. Its answers may show a newer one first, whose capacity and labels aren't known yet. */
+  listedIncarnation: number
   /** The current incarnation has answered a poll of this owner. */
   hasAnswered = false
   /** Polls without an answer since the last one that was answered. */
@@ -125,6 +127,7 @@
 
   constructor (entry: ServerEntry, leasesExpiredBy: number) {
     this.entry = entry
+    this.listedIncarnation = entry.incarnation
     this.#leasesExpiredBy = leasesExpiredBy
   }
 
@@ -144,7 +147,8 @@
 
   /** True if it may get new work. */
   get isUsable (): boolean {
-    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && this.#runsOfUnknownNeed === 0
+    const isEntryCurrent = this.isListed && this.listedIncarnation === this.entry.incarnation
+    return isEntryCurrent && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && this.#runsOfUnknownNeed === 0
   }
 
   /** True after several consecutive failures. */
--- a/packages/jobs/test/changing-capacity.test.ts
+++ b/packages/jobs/test/changing-capacity.test.ts
@@ -200,4 +200,47 @@
       expect(record.violations).to.deep.equal([])
     })
   })
+
+  describe('when one restarts with another capacity', () => {
+    /** A backend server that has restarted with four accelerators, of which only its answers show the restart. */
+    const restartedWorld = (): { world: World, record: CapacityRecord, server: FakeServer } => {
+      const { world, record } = recordedWorld(1)
+      const [server] = world.servers as [FakeServer]
+      world.settle()
+      server.restart()
+      record.resize(server, { accelerators: 4 })
+      world.pollServers()
+      return { world, record, server }
+    }
+
+    it('starts nothing there before the registry shows the new incarnation', () => {
+      const { world, record, server } = restartedWorld()
+      record.submit(...singles('a', 8))
+      world.settle()
+      world.listServers([{ ...server.entry, incarnation: 1 }])
+      world.settle()
+      expect(world.starts).to.have.length(0)
+    })
+
+    it('starts what fits once the registry shows it', () => {
+      const { world, record, server } = restartedWorld()
+      record.submit(...singles('a', 8))
+      world.settle()
+      world.listServers()
+      world.settle()
+      expect(server.running).to.have.length(4)
+      expect(record.violations).to.deep.equal([])
+    })
+
+    it('starts nothing there before it has answered a poll, if the registry shows it first', () => {
+      const { world, record, server } = restartedWorld()
+      server.restart()
+      world.listServers()
+      record.submit(...singles('a', 8))
+      world.round()
+      expect(world.starts).to.have.length(0)
+      world.settle()
+      expect(server.running).to.have.length(4)
+    })
+  })
 })
