Count what stops really free on a shrunk server as lendable

Work without checkpoints may borrow the accelerators that claims aren't expected to need: those that are free or cheap to reclaim. On a backend server that has shrunk below what it runs, all accelerators of runs with checkpoints counted as cheap to reclaim, though stopping them first has to make up for what is missing. Long work then took what a burst of claims needs, and lost its progress to it.

The accelerators of these runs are added to the free ones, which are negative there, and only a positive sum counts. Where nothing has shrunk the sum is the same as before.

The test failed before: three tasks without checkpoints borrowed the last three usable accelerators, of which half a guarantee of eight was to be kept.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -116,11 +116,12 @@
     const expected = this.#state.claimDemand.observe(acceleratorsOfJobs(this.#claims), this.#state.guaranteedAccelerators, this.#times.now)
     let available = 0
     for (const { server, free } of this.#current.targets) {
-      available += Math.max(0, free.accelerators)
+      let reclaimable = free.accelerators
       for (const run of server.runs.values()) {
         const step = this.#state.task(run.task)?.step
-        if (step?.specification.savesCheckpoints === true && !this.#claims.has(step.job)) available += run.need.accelerators
+        if (step?.specification.savesCheckpoints === true && !this.#claims.has(step.job)) reclaimable += run.need.accelerators
       }
+      available += Math.max(0, reclaimable)
     }
     return available - expected
   }
--- a/packages/jobs/test/changing-capacity.test.ts
+++ b/packages/jobs/test/changing-capacity.test.ts
@@ -243,4 +243,26 @@
       expect(server.running).to.have.length(4)
     })
   })
+
+  describe('when one shrinks that runs work with checkpoints', () => {
+    it('lends no more than stopping that work would make available again', () => {
+      const { world, record } = recordedWorld(2, 8)
+      record.submit(...singles('a', 5))
+      world.settle()
+      record.submit(...singles('b', 11, { savesCheckpoints: true }))
+      world.settle()
+      const shrunk = world.servers.find(server => !server.running.has('a0.0.0.0'))!
+      record.resize(shrunk, { accelerators: 0 })
+      world.listServers()
+      const other = world.servers.find(server => server !== shrunk)!
+      for (const task of [...other.running.keys()].filter(name => name.startsWith('b'))) other.end(task, 'done')
+      record.submit(...singles('c', 3))
+      world.settle()
+      expect(runningOn([shrunk, other])).to.deep.equal([8, 5])
+      record.submit(claim('d', 1, 3))
+      world.settle()
+      expect(world.serverRunning('d.0.0.0')).to.equal(other)
+      expect(world.stops).to.have.length(0)
+    })
+  })
 })
