Don't subtract what a shrunk server lacks from what others have free

A backend server that has shrunk below what it runs has a negative amount of free accelerators. Sums over several ones included it, so one server far below hid what the others had free:

- A pool with most of its usable accelerators free didn't count as mostly idle, and work that fits waited without a limit for a better place, such as a single rack, instead of at most 2.5 s.
- The rack of such a server counted as the fullest one, and a gang took an empty server there instead of filling a smaller gap elsewhere.
- The metric of free accelerators was too low, or negative.

Each server now contributes at least nothing. The same applies to a target that a round has reserved beyond what is free there.

The three tests failed before: a gang still waited after 2.5 s, a gang took the rack of the shrunk server, and -1 accelerators were reported free where 23 were.

--- a/packages/jobs/src/capacity.ts
+++ b/packages/jobs/src/capacity.ts
@@ -71,6 +71,17 @@
   }
 }
 
+/**
+ * Sums the free accelerators of several backend servers. One that has shrunk below what it
+ * runs has none, but takes none from the others.
+ *
+ * @example
+ * sumFreeAccelerators(servers.map(server => server.free))
+ */
+export function sumFreeAccelerators (amounts: readonly Capacity[]): number {
+  return amounts.reduce((sum, { accelerators }) => sum + Math.max(0, accelerators), 0)
+}
+
 function ratio (free: number, need: number): number {
   if (need === 0) return free < 0 ? 0 : Infinity
   return Math.floor(free / need)
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -2,6 +2,7 @@
  * Chooses targets for tasks by best fit: the fullest backend server that still fits. This
  * avoids fragmentation: small tasks spread over many backend servers leave no empty one for gangs.
  */
+import { sumFreeAccelerators } from './capacity.js'
 import { countFitting, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
 import type { StepState } from './job-state.js'
 
@@ -78,7 +79,7 @@
 }
 
 function freeAccelerators (targets: readonly PlacementTarget[]): number {
-  return targets.reduce((sum, target) => sum + target.free.accelerators, 0)
+  return sumFreeAccelerators(targets.map(target => target.free))
 }
 
 /**
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -4,6 +4,7 @@
  */
 import type { Epoch } from '@cornelgauge/model'
 import { applyAdvice } from './advice.js'
+import { sumFreeAccelerators } from './capacity.js'
 import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
@@ -245,7 +246,7 @@
       serversUnanswered: servers.filter(server => !server.hasAnswered).length,
       serversUsable: usable.length,
       servers: servers.length,
-      acceleratorsFree: usable.reduce((sum, server) => sum + server.free.accelerators, 0)
+      acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free))
     }
   }
 
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -1,5 +1,5 @@
 /** Takes the capacity snapshots of a round: free capacity now, and after pending stops. */
-import { addCapacity } from './capacity.js'
+import { addCapacity, sumFreeAccelerators } from './capacity.js'
 import type { StepState } from './job-state.js'
 import { UNHEALTHY_MILLISECONDS } from './limits.js'
 import { CapacitySnapshot } from './capacity-snapshot.js'
@@ -37,7 +37,7 @@
  * isMostlyIdle(snapshot)
  */
 export function isMostlyIdle (snapshot: CapacitySnapshot): boolean {
-  const free = snapshot.targets.reduce((sum, target) => sum + target.free.accelerators, 0)
+  const free = sumFreeAccelerators(snapshot.targets.map(target => target.free))
   const all = snapshot.targets.reduce((sum, target) => sum + target.server.entry.capacity.accelerators, 0)
   return 2 * free >= all
 }
--- a/packages/jobs/test/changing-capacity.test.ts
+++ b/packages/jobs/test/changing-capacity.test.ts
@@ -4,8 +4,8 @@
 import { CONFIGURATION, job, step, World, type FakeServer } from './world.js'
 
 /** Backend servers that have answered a poll, with a record of what exceeds their capacity; workspace `brno` has these accelerators guaranteed. */
-const recordedWorld = (servers: number, guaranteedAccelerators = 0): { world: World, record: CapacityRecord } => {
-  const world = new World(servers)
+const recordedWorld = (servers: number, guaranteedAccelerators = 0, perRack = 8): { world: World, record: CapacityRecord } => {
+  const world = new World(servers, { perRack })
   world.planner.configure({ ...CONFIGURATION, workspaces: CONFIGURATION.workspaces.map(workspace => workspace.name === 'brno' ? { ...workspace, guaranteedAccelerators } : workspace) })
   world.pollServers()
   return { world, record: new CapacityRecord(world) }
@@ -265,4 +265,46 @@
       expect(world.stops).to.have.length(0)
     })
   })
+
+  describe('when one shrinks far below what it runs', () => {
+    /** Two racks of two backend servers each; the first one runs 24 tasks and has shrunk to nothing, the third one runs as many as given. */
+    const overloadedWorld = (tasksOnThird: number): { world: World, record: CapacityRecord, servers: readonly FakeServer[] } => {
+      const { world, record } = recordedWorld(4, 0, 2)
+      const { servers } = world
+      const fill = (server: FakeServer, jobs: readonly Job[]): void => {
+        for (const other of servers) record.resize(other, { accelerators: 0 })
+        record.resize(server, { accelerators: 24 })
+        world.listServers()
+        record.submit(...jobs)
+        world.settle(2)
+      }
+      fill(servers[2]!, singles('a', tasksOnThird))
+      fill(servers[0]!, singles('b', 24))
+      for (const server of servers) record.resize(server, { accelerators: server === servers[0] ? 0 : 8 })
+      world.listServers()
+      return { world, record, servers }
+    }
+
+    it('still counts the free accelerators of the others, so that work that fits does not wait for a better place', () => {
+      const { world, record, servers } = overloadedWorld(1)
+      record.submit(job('c', { steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }))
+      world.settle()
+      expect(phase(world, 'c')).to.equal('queued')
+      world.round(2500)
+      expect(runningOn(servers)).to.deep.equal([24, 1, 1, 1])
+    })
+
+    it('still counts the free accelerators of the others for the metrics', () => {
+      expect(overloadedWorld(1).world.planner.load.acceleratorsFree).to.equal(23)
+    })
+
+    it('still finds the fullest rack that holds a gang', () => {
+      const { world, record, servers } = overloadedWorld(6)
+      record.resize(servers[3]!, { accelerators: 4 })
+      world.listServers()
+      record.submit(job('c', { steps: [step({ count: 2, accelerators: 2, isGang: true, wantsOneRack: true })] }))
+      world.settle()
+      expect(runningOn(servers)).to.deep.equal([24, 0, 7, 1])
+    })
+  })
 })
