Measure work by the present capacity of a pool, not the largest ever

The order of jobs and the cost of stopping runs go by shares of the pool's largest backend server. The largest amount of each resource that any entry ever showed was kept for good: after that server had shrunk or left, needs of its largest resource counted for too little, so jobs that take most of what the others have went first. One wrong entry with an enormous capacity had the same effect for the owner's whole time.

Each reading of the registry now measures the largest registered servers anew. A resource that no server has at the moment keeps its last known amount, so that a need of it isn't free of cost meanwhile. Since the mean work of a queue is relative to the same capacity, it is computed again from all known jobs when that changes; otherwise all jobs of the queue would look larger or smaller than its mean until enough new ones came.

--- a/packages/jobs/src/capacity.ts
+++ b/packages/jobs/src/capacity.ts
@@ -71,6 +71,30 @@
   }
 }
 
+/**
+ * True if two amounts are equal.
+ *
+ * @example
+ * isSameCapacity(NO_CAPACITY, { processor: 0, memory: 0, accelerators: 0 }) // true
+ */
+export function isSameCapacity (left: Capacity, right: Capacity): boolean {
+  return left.processor === right.processor && left.memory === right.memory && left.accelerators === right.accelerators
+}
+
+/**
+ * Returns the present amounts, and the last known one of each resource that is absent at present.
+ *
+ * @example
+ * orLastKnown({ processor: 0, memory: 64_000, accelerators: 8 }, last).processor // last.processor
+ */
+export function orLastKnown (present: Capacity, last: Capacity): Capacity {
+  return {
+    processor: present.processor > 0 ? present.processor : last.processor,
+    memory: present.memory > 0 ? present.memory : last.memory,
+    accelerators: present.accelerators > 0 ? present.accelerators : last.accelerators
+  }
+}
+
 /**
  * Sums the free accelerators of several backend servers. One that has shrunk below what it
  * runs has none, but takes none from the others.
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -1,6 +1,6 @@
 /** The planner's state. */
 import type { Epoch } from '@cornelgauge/model'
-import { dominantShare, largestOf, NO_CAPACITY, type Capacity } from './capacity.js'
+import { dominantShare, isSameCapacity, largestOf, NO_CAPACITY, orLastKnown, type Capacity } from './capacity.js'
 import { findJobTask } from './lookup.js'
 import type { Configuration, Queue } from './configuration.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
@@ -45,8 +45,8 @@
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
   readonly #queues = new Map<QueueName, Queue>()
   /** Jobs whose work is not included in the mean work of their queue yet. */
-  readonly #unmeasuredJobs: JobState[] = []
-  /** Maximum capacity of a backend server in each pool, per resource. */
+  #unmeasuredJobs: JobState[] = []
+  /** Maximum capacity of a registered backend server in each pool, per resource. */
   readonly #largestCapacities = new Map<PoolName, Capacity>()
   readonly #meanWorks = new Map<QueueName, number>()
   readonly #meanRunTimes = new Map<QueueName, number>()
@@ -165,7 +165,6 @@
 
   /** Returns the backend server of an entry; adds it if it is new. */
   registerServer (entry: ServerEntry, now: number): Server {
-    this.#largestCapacities.set(entry.pool, largestOf(this.#largestCapacities.get(entry.pool) ?? NO_CAPACITY, entry.capacity))
     const known = this.servers.get(entry.id)
     if (known !== undefined) return known
     const server = new Server(entry, Math.max(now, this.#inheritedLeasesEndAt))
@@ -173,6 +172,25 @@
     return server
   }
 
+  /** Measures the capacity to which shares and work are relative: the largest of the registered backend servers of each pool. */
+  measurePools (entries: readonly ServerEntry[]): void {
+    const present = new Map<PoolName, Capacity>()
+    for (const { pool, capacity } of entries) present.set(pool, largestOf(present.get(pool) ?? NO_CAPACITY, capacity))
+    for (const [pool, capacity] of present) {
+      const last = this.#largestCapacities.get(pool)
+      const largest = last === undefined ? capacity : orLastKnown(capacity, last)
+      if (last !== undefined && isSameCapacity(largest, last)) continue
+      this.#largestCapacities.set(pool, largest)
+      this.#measureAgain()
+    }
+  }
+
+  /** Forgets the mean works, which are relative to an earlier capacity, so that they are computed again from all known jobs. */
+  #measureAgain (): void {
+    this.#meanWorks.clear()
+    this.#unmeasuredJobs = [...this.jobs.values()]
+  }
+
   /** Records an event for the log. */
   recordEvent (event: PlannerEvent): void {
     this.#events.push(event)
--- a/packages/jobs/test/capacity.test.ts
+++ b/packages/jobs/test/capacity.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { dominantShare, largestOf, timesFitting } from '../src/capacity.js'
+import { dominantShare, isSameCapacity, largestOf, orLastKnown, sumFreeAccelerators, timesFitting } from '../src/capacity.js'
 
 const SERVER = { processor: 32_000, memory: 65_536, accelerators: 8 }
 
@@ -20,4 +20,22 @@
   it('counts how often a need fits by its scarcest resource', () => {
     expect(timesFitting(SERVER, { processor: 1000, memory: 34_000, accelerators: 1 }, 30)).to.equal(1)
   })
+
+  it('fits nothing where more is used than there is, not even a need for other resources', () => {
+    expect(timesFitting({ ...SERVER, accelerators: -1 }, { processor: 1000, memory: 100, accelerators: 0 }, 30)).to.equal(0)
+    expect(timesFitting({ ...SERVER, accelerators: 0 }, { processor: 1000, memory: 100, accelerators: 0 }, 30)).to.equal(30)
+  })
+
+  it('sums free accelerators without those that are missing elsewhere', () => {
+    expect(sumFreeAccelerators([SERVER, { ...SERVER, accelerators: -20 }, SERVER])).to.equal(16)
+  })
+
+  it('compares amounts by every resource', () => {
+    expect(isSameCapacity(SERVER, { ...SERVER })).to.equal(true)
+    for (const resource of ['processor', 'memory', 'accelerators']) expect(isSameCapacity(SERVER, { ...SERVER, [resource]: 1 })).to.equal(false)
+  })
+
+  it('takes the last known amount of a resource that is absent', () => {
+    expect(orLastKnown({ processor: 1000, memory: 0, accelerators: 4 }, SERVER)).to.deep.equal({ processor: 1000, memory: 65_536, accelerators: 4 })
+  })
 })
