Start nothing by an old registry in pools that accept every start

While the registry can't be read, a backend server may have shrunk without the owner knowing it. In a pool whose servers refuse what doesn't fit that is harmless. In one whose servers accept every start the planner went on by the capacity that it knew, for as long as the outage lasted, and brought those that had shrunk over their capacity.

The planner now keeps when the registry was last read. Once that is more than 2 s ago, backend servers of such a pool get no new work until it is read again; what runs there goes on, and nothing is stopped. The bound follows from the platform's: a smaller capacity counts 3 s after its server has reported it, of which a held answer of the store may take 0.4 s and the start's call 0.6 s. Pools that guard their capacity are treated as before.

Ruled out: reading the registry once more before each start, which a store that is down doesn't answer either.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -77,3 +77,8 @@
 export const ADVICE_SPARE_SERVERS = 6
 /** Maximum number of backend servers in one request for advice. */
 export const MAXIMUM_ADVICE_SERVERS = 100
+/**
+ * Age of the registry up to which backend servers that accept every start get any, in milliseconds. A smaller
+ * capacity counts 3 s after its server has reported it; the rest of that is for reading it and for the start's call.
+ */
+export const MAXIMUM_REGISTRY_AGE_MILLISECONDS = 2000
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -95,6 +95,7 @@
   updateServers (entries: readonly ServerEntry[], now: number): void {
     const listed = new Map(entries.map(entry => [entry.id, entry]))
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
+    this.#state.registryReadAt = now
     this.#state.measurePools(entries)
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -1,7 +1,7 @@
 /** Takes the capacity snapshots of a round: free capacity now, and after pending stops. */
 import { addCapacity, sumFreeAccelerators } from './capacity.js'
 import type { StepState } from './job-state.js'
-import { UNHEALTHY_MILLISECONDS } from './limits.js'
+import { MAXIMUM_REGISTRY_AGE_MILLISECONDS, UNHEALTHY_MILLISECONDS } from './limits.js'
 import { CapacitySnapshot } from './capacity-snapshot.js'
 import type { Server } from './server.js'
 import type { PlannerState } from './state.js'
@@ -14,10 +14,18 @@
  */
 export function snapshotOf (state: PlannerState, now: number, freeOf: (server: Server) => Server['free']): CapacitySnapshot {
   const isHealthy = (server: Server): boolean => !server.isUnhealthy || now - server.lastFailureAt > UNHEALTHY_MILLISECONDS
-  const servers = [...state.servers.values()].filter(server => server.isUsable && isHealthy(server))
+  const isCapacityKnown = capacityCheck(state, now)
+  const servers = [...state.servers.values()].filter(server => server.isUsable && isHealthy(server) && isCapacityKnown(server))
   return new CapacitySnapshot(servers.map(server => ({ server, free: freeOf(server), tasksOf: tasksOn(state, server) })), state.work)
 }
 
+/** Returns a check whether the capacity that is known of a backend server still counts. One that refuses starts beyond its capacity checks it itself. */
+function capacityCheck (state: PlannerState, now: number): (server: Server) => boolean {
+  if (now - state.registryReadAt <= MAXIMUM_REGISTRY_AGE_MILLISECONDS) return () => true
+  const guardedPools = new Set(state.configuration?.pools.filter(pool => pool.enforcesCapacity).map(pool => pool.name))
+  return server => guardedPools.has(server.entry.pool)
+}
+
 /**
  * Returns a backend server's free capacity after all runs that are being stopped have ended.
  *
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -34,6 +34,8 @@
   readonly openJobs = new Set<JobState>()
   readonly servers = new Map<ServerId, Server>()
   configuration: Configuration | undefined
+  /** When the registry was last read, on our monotonic clock. */
+  registryReadAt = -Infinity
   /** Runs whose start wasn't answered, until the round in which they are settled or given up. */
   readonly unsettledRuns = new Set<Run>()
   /** Counts the work of its rounds. */
