Wait for the end of a run that was found before its job

A new owner stops a run of a job that it doesn't know. If the job came afterwards, through the feed of jobs or a member's message, its task had no run and was started at once elsewhere, while the first run was still being stopped: two runs of one task, and the end of the first one was applied to a task that ran again.

That happens to a job that is stored just after the new owner has loaded the jobs, and that the earlier owner starts before the new one has polled the backend server; recovery doesn't delay it if all others have answered.

When a job is submitted, runs found before are now assigned to its tasks, so these wait, and a gang waits as a whole. The stops go on.

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -12,7 +12,7 @@
 import { JobState } from './job-state.js'
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
 import type { JobProgress } from './progress.js'
-import { endJob, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
+import { assignUnknownRuns, endJob, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
 import { decide } from './round.js'
@@ -114,7 +114,9 @@
    */
   submit (job: Job): boolean {
     if (job.acceptedUnder > this.epoch) return false
-    if (!this.#state.jobs.has(job.id)) this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    if (this.#state.jobs.has(job.id)) return true
+    this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    assignUnknownRuns(this.#state)
     return true
   }
 
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -107,6 +107,20 @@
   return job.isOpen ? run : requestStop(run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
 }
 
+/**
+ * Assigns the runs that were found before their jobs were known to their tasks. They are being
+ * stopped, and until they have ended their tasks must not run elsewhere.
+ *
+ * @example
+ * assignUnknownRuns(state)
+ */
+export function assignUnknownRuns (state: PlannerState): void {
+  for (const server of state.servers.values()) {
+    if (!server.hasRunsOfUnknownNeed) continue
+    for (const run of server.runs.values()) if (run.isNeedUnknown === true) state.task(run.task)?.runs.add(run)
+  }
+}
+
 function recordCheckpoint (task: TaskState, checkpoint: string): void {
   const sharing = task.step.specification.isGang ? task.step.tasks : [task]
   for (const each of sharing) each.checkpoint = checkpoint
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -70,7 +70,7 @@
   readonly run: RunNumber
   readonly server: ServerId
   readonly need: Capacity
-  /** Its job isn't known, so neither is what it needs. */
+  /** Its job wasn't known when it was found, so neither was what it needs. */
   readonly isNeedUnknown?: boolean
   state: RunState
   /** When the start was sent, on our monotonic clock. */
@@ -145,10 +145,15 @@
     return this.#leasesExpiredBy
   }
 
+  /** True if it has runs of jobs that aren't known, or weren't when the runs were found. */
+  get hasRunsOfUnknownNeed (): boolean {
+    return this.#runsOfUnknownNeed > 0
+  }
+
   /** True if it may get new work. */
   get isUsable (): boolean {
     const isEntryCurrent = this.isListed && this.listedIncarnation === this.entry.incarnation
-    return isEntryCurrent && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && this.#runsOfUnknownNeed === 0
+    return isEntryCurrent && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
   }
 
   /** True after several consecutive failures. */
