Use a restarted backend server at once in pools that guard their capacity

A restarted backend server got no work before its new entry was read. Where servers refuse what exceeds their capacity that wait isn't needed for the capacity: a start that doesn't fit is refused. There only steps that require a label now wait, since the labels of the new incarnation aren't known; in pools whose servers accept every start all steps do.

The tests of changing capacities, and the random runs, now play pools whose servers accept every start, as the rule is about these. The runs read the registry without a change as well, since it may be 2 s old at most there.

--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -63,8 +63,9 @@
  */
 export function mostTasksOn (target: PlacementTarget, step: StepState, limit: number): number {
   const { requiredLabel, mostPerServer } = step.specification
-  if (target.server.entry.pool !== step.job.job.pool) return 0
-  if (requiredLabel !== undefined && !target.server.entry.labels.includes(requiredLabel)) return 0
+  const { server } = target
+  if (server.entry.pool !== step.job.job.pool) return 0
+  if (requiredLabel !== undefined && !(server.isEntryCurrent && server.entry.labels.includes(requiredLabel))) return 0
   return mostPerServer === undefined ? limit : Math.min(limit, mostPerServer - (target.tasksOf.get(step) ?? 0))
 }
 
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -21,9 +21,9 @@
 
 /** Returns a check whether the capacity that is known of a backend server still counts. One that refuses starts beyond its capacity checks it itself. */
 function capacityCheck (state: PlannerState, now: number): (server: Server) => boolean {
-  if (now - state.registryReadAt <= MAXIMUM_REGISTRY_AGE_MILLISECONDS) return () => true
+  const isRegistryCurrent = now - state.registryReadAt <= MAXIMUM_REGISTRY_AGE_MILLISECONDS
   const guardedPools = new Set(state.configuration?.pools.filter(pool => pool.enforcesCapacity).map(pool => pool.name))
-  return server => guardedPools.has(server.entry.pool)
+  return server => guardedPools.has(server.entry.pool) || (isRegistryCurrent && server.isEntryCurrent)
 }
 
 /**
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -150,10 +150,14 @@
     return this.#runsOfUnknownNeed > 0
   }
 
+  /** True if its capacity and labels are those of the incarnation that answers. */
+  get isEntryCurrent (): boolean {
+    return this.listedIncarnation === this.entry.incarnation
+  }
+
   /** True if it may get new work. */
   get isUsable (): boolean {
-    const isEntryCurrent = this.isListed && this.listedIncarnation === this.entry.incarnation
-    return isEntryCurrent && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
+    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
   }
 
   /** True after several consecutive failures. */
--- a/packages/jobs/test/pool-run.ts
+++ b/packages/jobs/test/pool-run.ts
@@ -2,7 +2,7 @@
 import { epoch } from '@cornelgauge/model'
 import { jobId, RUNS_PER_EPOCH, type Job, type StartCommand, type StoredJob } from '../src/index.js'
 import { CapacityRecord } from './capacity-record.js'
-import { job, step, World, type Connectivity, type FakeServer } from './world.js'
+import { CONFIGURATION, job, step, World, type Connectivity, type FakeServer } from './world.js'
 
 /** Clock of the in-memory backend servers, ahead of the world's. */
 const SERVER_CLOCK_OFFSET_MILLISECONDS = 100_000
@@ -32,6 +32,7 @@
   readonly #incidents: readonly Incident[] = [
     [0.7, () => this.#submit()],
     [0.25, () => this.#resize()],
+    [0.3, () => this.#world.listServers()],
     [0.15, () => { this.#anyServer().connectivity = this.#pick(CONNECTIVITIES) }],
     [0.3, () => this.#deliverDelayed(this.#anyServer())],
     [0.6, () => this.#endSome()],
@@ -44,6 +45,7 @@
 
   constructor (seed: number) {
     this.#random = seed
+    this.#configure()
     this.#world.pollServers()
   }
 
@@ -131,6 +133,12 @@
       if (progress !== undefined && this.#chance(0.9)) stored.push({ job: each, isCancelled: this.#cancelled.has(each), progress })
     }
     this.#world.takeOver(this.#epoch, stored)
+    this.#configure()
+  }
+
+  /** Backend servers start whatever they are told to. */
+  #configure (): void {
+    this.#world.planner.configure({ ...CONFIGURATION, pools: CONFIGURATION.pools.map(pool => ({ ...pool, enforcesCapacity: false })) })
   }
 
   #anyServer (): FakeServer {
