--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -4,6 +4,7 @@
  */
 import type { Epoch } from '@cornelgauge/model'
 import { applyAdvice } from './advice.js'
+import { sumFreeAccelerators } from './capacity.js'
 import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import { EarlyCancellations } from './early-cancellations.js'
@@ -14,7 +15,7 @@
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
 import { countReplaced } from './lost-runs.js'
 import type { JobProgress } from './progress.js'
-import { dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
+import { assignUnknownRuns, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
 import { decide } from './round.js'
@@ -98,6 +99,8 @@
   updateServers (entries: readonly ServerEntry[], now: number): void {
     const listed = new Map(entries.map(entry => [entry.id, entry]))
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
+    this.#state.registryReadAt = now
+    this.#state.measurePools(entries)
     const times = { now, wallTime: this.#wallTimeAt(now) }
     countReplaced(this.#state, entries.filter(entry => !this.#state.servers.has(entry.id)), times.wallTime)
     for (const entry of entries) {
@@ -105,6 +108,7 @@
       const hasRestarted = entry.incarnation > server.entry.incarnation
       if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, times)
       server.entry = { ...entry, incarnation: Math.max(entry.incarnation, server.entry.incarnation) }
+      server.listedIncarnation = entry.incarnation
     }
     this.#forgetServers(now)
   }
@@ -118,6 +122,7 @@
     if (job.acceptedUnder > this.epoch) return false
     if (this.#state.jobs.has(job.id)) return true
     this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    assignUnknownRuns(this.#state)
     const cancelledAt = this.#earlyCancellations.take(job.id)
     if (cancelledAt !== undefined) this.cancel(job.id, cancelledAt)
     return true
@@ -265,7 +270,7 @@
       serversUnanswered: servers.filter(server => !server.hasAnswered).length,
       serversUsable: usable.length,
       servers: servers.length,
-      acceleratorsFree: usable.reduce((sum, server) => sum + server.free.accelerators, 0)
+      acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free))
     }
   }
 
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -71,6 +71,8 @@
   readonly run: RunNumber
   readonly server: ServerId
   readonly need: Capacity
+  /** Its job wasn't known when it was found, so neither was what it needs. */
+  readonly isNeedUnknown?: boolean
   state: RunState
   /** When the start was sent, on our monotonic clock. */
   readonly startSentAt: number
@@ -101,6 +103,8 @@
   entry: ServerEntry
   /** It is in the registry. */
   isListed = true
+  /** Incarnation in its registry entry. Its answers may show a newer one first, whose capacity and labels aren't known yet. */
+  listedIncarnation: number
   /** The current incarnation has answered a poll of this owner. */
   hasAnswered = false
   /** Polls without an answer since the last one that was answered. */
@@ -122,6 +126,8 @@
   hasRefusedForCapacity = false
   #isOut = false
   #used: Capacity = NO_CAPACITY
+  /** Runs whose need isn't known: while there are any, neither is what is free. */
+  #runsOfUnknownNeed = 0
   #clock = 0
   #clockReadAt = -Infinity
   #leaseUntil = 0
@@ -130,6 +136,7 @@
 
   constructor (entry: ServerEntry, leasesExpiredBy: number) {
     this.entry = entry
+    this.listedIncarnation = entry.incarnation
     this.#leasesExpiredBy = leasesExpiredBy
   }
 
@@ -147,9 +154,19 @@
     return this.#leasesExpiredBy
   }
 
+  /** True if it has runs of jobs that aren't known, or weren't when the runs were found. */
+  get hasRunsOfUnknownNeed (): boolean {
+    return this.#runsOfUnknownNeed > 0
+  }
+
+  /** True if its capacity and labels are those of the incarnation that answers. */
+  get isEntryCurrent (): boolean {
+    return this.listedIncarnation === this.entry.incarnation
+  }
+
   /** True if it may get new work. */
   get isUsable (): boolean {
-    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity
+    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
   }
 
   /** True after several consecutive failures. */
@@ -214,11 +231,14 @@
   add (run: Run): void {
     this.runs.set(runKey(run.task, run.run), run)
     this.#used = addCapacity(this.#used, run.need)
+    if (run.isNeedUnknown === true) this.#runsOfUnknownNeed += 1
   }
 
   /** Removes a run. */
   remove (run: Run): void {
-    if (this.runs.delete(runKey(run.task, run.run))) this.#used = addCapacity(this.#used, run.need, -1)
+    if (!this.runs.delete(runKey(run.task, run.run))) return
+    this.#used = addCapacity(this.#used, run.need, -1)
+    if (run.isNeedUnknown === true) this.#runsOfUnknownNeed -= 1
   }
 
   /** Finds a run by its task and number. */
