Log each skipped row of the registry once

A row that names no usable backend server left no trace in the log: an operator could not tell a worker whose row was damaged from one that is gone.

The owner's reads now pass through RegistryReader, which emits registry-row-skipped (1035) for each version of such a row once, and not on every read.

--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -14,6 +14,7 @@
 import type { OwnerRecord } from './owner-record.js'
 import { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
+import { RegistryReader } from './registry-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
 import { readTable, type TableReadOptions } from './table-reader.js'
 import { TableFollower } from './table-follower.js'
@@ -45,6 +46,7 @@
  */
 export class OwnedPlanner {
   readonly #options: OwnedPlannerOptions
+  readonly #registry: RegistryReader
   #host: PlannerHost | undefined
   #stoppingHost = new AbortController()
   /** Time on the steady clock when the store last confirmed the ownership. */
@@ -52,6 +54,7 @@
 
   constructor (options: OwnedPlannerOptions) {
     this.#options = options
+    this.#registry = new RegistryReader(options.platform, options.emit)
   }
 
   /** The planner's host, while this VM owns the planner and has loaded its state. */
@@ -88,7 +91,7 @@
     this.#host = host
     const currentConfiguration = configuration()
     if (currentConfiguration !== undefined) host.configure(currentConfiguration)
-    host.updateRegistry(platform.readRegistry(new Map(registry.rows.map(row => [row.key, row.value]))))
+    host.updateRegistry(this.#registry.read(new Map(registry.rows.map(row => [row.key, row.value]))))
     this.#follow(host, stored.jobsVersion, stored.cancelsVersion, registry)
     emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
     for (const record of stored.damaged) emit('record-unreadable', { details: { record } })
@@ -149,7 +152,7 @@
       initialSnapshot: registry,
       pauseMilliseconds: REGISTRY_PAUSE_MILLISECONDS,
       onFailure: onFailure(platform.registryTable),
-      onRows: rows => host.updateRegistry(platform.readRegistry(rows))
+      onRows: rows => host.updateRegistry(this.#registry.read(rows))
     })
     for (const follower of [jobs, cancellations, servers]) background(follower.run(signal))
     background(this.#confirmPeriodically(host, signal))
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -211,5 +211,12 @@
     sentence: 'The load of the planner and the rounds since the last summary.',
     fields: { epoch: 'fencing epoch', rounds: 'number of rounds', roundMilliseconds: 'their total duration', longestRound: 'duration of the longest one in milliseconds', ...LOAD_FIELDS },
     action: NO_ACTION
+  },
+  'registry-row-skipped': {
+    number: 1035,
+    level: 'warning',
+    sentence: 'A row of the registry names no usable backend server and is skipped; the others hold. Logged once for each version of the row.',
+    fields: { row: 'key of the row' },
+    action: 'Find the writer of the row. If it is a backend server, compare the row\'s fields with the ranges of the decoder.'
   }
 } as const satisfies CatalogueRows
