Pass changes again to a listener of a table that threw

A listener that threw while it handled the changes of one read lost them: the follower had already moved on to the version behind them, so a job or a cancellation among them stayed unknown to the owner until the next takeover.

The follower now keeps the keys of changes until the listener has returned, and passes them with those of the next read. The failure is reported as before, and the follower goes on. The new test fails before the change: of the changes 'a' and 'b' only 'b' arrived.

--- a/packages/entry/src/table-follower.ts
+++ b/packages/entry/src/table-follower.ts
@@ -8,7 +8,10 @@
 
 /** Callbacks of a follower. */
 export interface TableListener {
-  /** Called after each read. `rows` has all rows, complete up to `readAt`, the time at which the read began; `changed` has the keys that the read returned. */
+  /**
+   * Called after each read. `rows` has all rows, complete up to `readAt`, the time at which the read began; `changed` has
+   * the keys that the read returned. If it throws, the failure is reported and the next call has the same keys again.
+   */
   readonly onRows: (rows: ReadonlyMap<string, RowValue>, readAt: Moment, changed: readonly string[]) => void
   readonly onFailure: (failure: CornelgaugeError) => void
 }
@@ -34,6 +37,8 @@
   readonly #options: FollowOptions
   #rows = new Map<string, RowValue>()
   #version: number | undefined
+  /** Keys that were read but not passed on, since the listener threw. */
+  readonly #undelivered = new Set<string>()
 
   constructor (store: RowStore, options: FollowOptions) {
     this.#store = store
@@ -50,7 +55,7 @@
       try {
         const changed = this.#version === undefined ? await this.#readAll(signal) : await this.#readChanges(this.#version)
         if (signal.aborted) return
-        this.#options.onRows(this.#rows, readAt, changed)
+        this.#deliver(readAt, changed)
         if (this.#options.pauseMilliseconds !== undefined) await pause(systemClock, this.#options.pauseMilliseconds, signal)
       } catch (thrown) {
         if (signal.aborted) return
@@ -60,6 +65,12 @@
     }
   }
 
+  #deliver (readAt: Moment, changed: readonly string[]): void {
+    for (const key of changed) this.#undelivered.add(key)
+    this.#options.onRows(this.#rows, readAt, [...this.#undelivered])
+    this.#undelivered.clear()
+  }
+
   #fail (failure: CornelgaugeError): void {
     if (failure.code === 'conflict') this.#version = undefined
     this.#options.onFailure(failure)
