Skip registered servers in a pool that nobody has configured

An entry of another writer with a service that isn't named in the configuration was polled for as long as its row stood, and each takeover waited for its answer, at most until all inherited leases had expired, before it started a job of an earlier owner.

The planner took each decoded entry, whatever its pool. It now keeps those in a pool that was configured at any time, or that a job names: jobs of a removed queue still run there. Before the first configuration all are kept. Each other one is logged once by each owner (server-pool-unknown, 1036).

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -163,15 +163,7 @@
   }
 
   #logFindings (): void {
-    for (const finding of this.#planner.drainEvents()) {
-      if (finding.type === 'task-ended') {
-        const { type, ...details } = finding
-        this.#options.emit('task-ended', { details })
-      } else {
-        const { type, ...details } = finding
-        this.#options.emit('job-ended', { details })
-      }
-    }
+    for (const { type, ...details } of this.#planner.drainEvents()) this.#options.emit(type, { details })
   }
 
   #crash (thrown: unknown): void {
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -14,10 +14,11 @@
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
 
-/** An event of a task or job, for the log. */
+/** An event of a task, a job or a backend server, for the log. */
 export type PlannerEvent =
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
+  | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
 /** Numbers of the first and the last change of a job that aren't stored. */
 interface UnstoredChanges {
@@ -44,6 +45,10 @@
   readonly claimDemand = new ClaimDemand()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
   readonly #queues = new Map<QueueName, Queue>()
+  /** All pools ever configured, and those of all jobs: they may have runs. */
+  readonly #pools = new Set<PoolName>()
+  /** Registered backend servers in other pools that were logged. */
+  readonly #strangers = new Set<ServerId>()
   /** Jobs whose work is not included in the mean work of their queue yet. */
   readonly #unmeasuredJobs: JobState[] = []
   /** Maximum capacity of a backend server in each pool, per resource. */
@@ -84,7 +89,11 @@
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.configuration = configuration
-    for (const queue of configuration.queues) this.#queues.set(queue.name, queue)
+    for (const queue of configuration.queues) {
+      this.#queues.set(queue.name, queue)
+      this.#pools.add(queue.pool)
+    }
+    for (const { name } of configuration.pools) this.#pools.add(name)
   }
 
   /** Accelerators guaranteed to all workspaces in total. */
@@ -121,6 +130,7 @@
   /** Adds an accepted job. */
   addJob (job: JobState): void {
     this.jobs.set(job.job.id, job)
+    this.#pools.add(job.job.pool)
     if (job.isOpen) this.openJobs.add(job)
     this.#unmeasuredJobs.push(job)
   }
@@ -163,6 +173,17 @@
     return findJobTask(this.jobs, `${name}.0` as TaskName)?.step
   }
 
+  /** Selects the entries whose pool may have runs; before the first configuration, all. Each other one is logged once. */
+  inKnownPools (entries: readonly ServerEntry[]): readonly ServerEntry[] {
+    if (this.configuration === undefined) return entries
+    return entries.filter(({ id, pool }) => {
+      if (this.#pools.has(pool)) return true
+      if (!this.#strangers.has(id)) this.recordEvent({ type: 'server-pool-unknown', server: id, pool })
+      this.#strangers.add(id)
+      return false
+    })
+  }
+
   /** Returns the backend server of an entry; adds it if it is new. */
   registerServer (entry: ServerEntry, now: number): Server {
     this.#largestCapacities.set(entry.pool, largestOf(this.#largestCapacities.get(entry.pool) ?? NO_CAPACITY, entry.capacity))
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -218,5 +218,12 @@
     sentence: 'A row of the registry names no usable backend server and is skipped; the others hold. Logged once for each version of the row.',
     fields: { row: 'key of the row' },
     action: 'Find the writer of the row. If it is a backend server, compare the row\'s fields with the ranges of the decoder.'
+  },
+  'server-pool-unknown': {
+    number: 1036,
+    level: 'warning',
+    sentence: 'A registered backend server is in a pool that is neither configured nor used by a job; it is skipped until it is. Logged once for each server by each owner.',
+    fields: { server: 'backend server', pool: 'pool' },
+    action: 'Add the pool to the configuration, or find the writer of the row.'
   }
 } as const satisfies CatalogueRows
