Let a server that answers say itself that it has restarted

A row under the id of a live backend server with a later start time, which its next heartbeat overwrites, ended all of its runs for the planner: each task was started a second time while its first run went on.

updateServers applied a restart as soon as the registry had a later start time. It now does so only for a server that hasn't answered its last poll, or none of this owner; the reports of one that answers contain its start time themselves. A restart breaks the poll under way, or its next answer shows it, so one that did happen is still found. The first test under 'under the id of a backend server' fails before the change: two starts of one task. The other two pin that a server that is silent is still restarted by its row, and that a row that is missing for a while ends nothing.

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -97,9 +97,10 @@
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
-      const hasRestarted = entry.incarnation > server.entry.incarnation
+      // While it answers, only its own reports say that it has restarted: the row may be of another writer.
+      const hasRestarted = entry.incarnation > server.entry.incarnation && (!server.hasAnswered || server.missedPolls > 0)
       if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, now)
-      server.entry = { ...entry, incarnation: Math.max(entry.incarnation, server.entry.incarnation) }
+      server.entry = { ...entry, incarnation: server.entry.incarnation }
     }
     this.#forgetServers(now)
   }
--- a/packages/jobs/test/odd-entries.test.ts
+++ b/packages/jobs/test/odd-entries.test.ts
@@ -3,6 +3,9 @@
 import { jobId, poolName, serverId, type ServerEntry } from '../src/index.js'
 import { CONFIGURATION, job, World } from './world.js'
 
+/** Long after every later start time that a test uses, and within the range of start times. */
+const LATER_INCARNATION = 4_000_000_000_000
+
 const entryOf = (world: World, id = 'server-0'): ServerEntry => world.servers.find(server => server.entry.id === id)!.entry
 const current = (world: World): readonly ServerEntry[] => world.servers.map(server => ({ ...server.entry, incarnation: server.incarnation }))
 
@@ -36,4 +39,44 @@
       expect(world.planner.servers).to.include(serverId('stranger'))
     })
   })
+
+  describe('under the id of a backend server', () => {
+    it('with a later start time end no run while the server answers its polls', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      const server = world.serverRunning('a.0.0.0')!
+      world.listServers(current(world).map(entry => entry.id === server.entry.id ? { ...entry, incarnation: LATER_INCARNATION } : entry))
+      world.settle(1)
+      world.listServers()
+      world.settle()
+      expect(world.starts).to.have.length(1)
+      expect(world.planner.drainEvents().filter(event => event.type === 'task-ended')).to.deep.equal([])
+    })
+
+    it('with a later start time end its runs if it doesn\'t answer', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      const server = world.serverRunning('a.0.0.0')!
+      server.restart()
+      server.connectivity = 'silent'
+      world.settle(1)
+      world.listServers()
+      world.settle()
+      expect(world.starts).to.have.length(2)
+    })
+
+    it('that is missing for a while end no run', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      const { entry: { id } } = world.serverRunning('a.0.0.0')!
+      world.listServers(current(world).filter(entry => entry.id !== id))
+      world.settle()
+      world.listServers()
+      world.settle()
+      expect(world.starts).to.have.length(1)
+    })
+  })
 })
