Refuse stored records whose values no job can have

A job row of another writer with a billion tasks, a schedule of 1e12 occurrences or progress of occurrence 1e9 ended the process of each owner that loaded it, one after the other, for lack of memory. A progress record with a number in place of a list of runs failed the load as a whole: the owner then had no planner at all.

The decoders checked a few types and no ranges, and progress was restored for any occurrence. They now check each field: whole numbers where counts are meant, at most as many tasks as a job may have when it is submitted, steps that depend on earlier ones, keys and indexes of at most six digits, and epochs that a double represents. Such a record is damaged as before: it is logged, stays as it is and is left out. Progress of an occurrence beyond the job's is ignored.

--- a/packages/entry/src/job-record.ts
+++ b/packages/entry/src/job-record.ts
@@ -1,6 +1,6 @@
 /** Encodes jobs as rows of the store. */
 import { CornelgaugeError, epoch, workspaceName } from '@cornelgauge/model'
-import { jobId, poolName, queueName, type Job, type StepSpecification } from '@cornelgauge/jobs'
+import { jobId, MAXIMUM_TASKS_PER_JOB, poolName, queueName, type Job, type Schedule, type StepSpecification } from '@cornelgauge/jobs'
 import type { Json, RowValue } from '@cornelgauge/ports'
 
 /** Incremented when older releases can't read the new format. */
@@ -27,7 +27,7 @@
 export function decodeJob (key: string, value: RowValue): Job {
   const draft: unknown = value
   const { format, acceptedUnder } = value
-  if (format !== RECORD_FORMAT || typeof acceptedUnder !== 'number' || !isJobDraft(draft)) {
+  if (format !== RECORD_FORMAT || !isWhole(acceptedUnder) || !isJobDraft(draft)) {
     throw new CornelgaugeError('record-damaged', { detail: `The record of job ${key} can't be read` })
   }
   return {
@@ -51,12 +51,47 @@
  */
 export function isJobDraft (value: unknown): value is Omit<Job, 'id' | 'acceptedUnder'> {
   const draft = value as Partial<Job> | null | undefined
-  return typeof draft?.queue === 'string' && typeof draft.pool === 'string' && typeof draft.workspace === 'string' &&
-    typeof draft.specification === 'string' && typeof draft.acceptedAt === 'number' &&
-    Array.isArray(draft.steps) && draft.steps.length > 0 && draft.steps.every(isStep)
+  return isText(draft?.queue) && isText(draft.pool) && isText(draft.workspace) && isText(draft.specification) &&
+    Number.isFinite(draft.acceptedAt) && isAbsentOr(isSchedule)(draft.schedule) &&
+    Array.isArray(draft.steps) && draft.steps.length > 0 && draft.steps.every(isStep) && countTasks(draft.steps, draft.schedule) <= MAXIMUM_TASKS_PER_JOB
 }
 
-function isStep (value: unknown): value is StepSpecification {
+const isAbsentOr = (check: (value: unknown) => boolean) => (value: unknown): boolean => value === undefined || check(value)
+const isText = (value: unknown): value is string => typeof value === 'string'
+const isFlag = (value: unknown): boolean => typeof value === 'boolean'
+const isWhole = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
+const isCount = (value: unknown): boolean => isWhole(value) && value !== 0
+
+const countTasks = (steps: readonly StepSpecification[], schedule?: Schedule): number =>
+  steps.reduce((sum, step) => sum + step.count, 0) * (schedule?.occurrences ?? 1)
+
+/** Checks of the fields of a step that may be absent. */
+const OPTIONAL_STEP_FIELDS: Readonly<Partial<Record<keyof StepSpecification, (value: unknown) => boolean>>> = {
+  estimateMilliseconds: Number.isFinite,
+  savesCheckpoints: isFlag,
+  isGang: isFlag,
+  wantsOneRack: isFlag,
+  requiredLabel: isText,
+  dataRack: isText,
+  mostPerServer: isCount,
+  allowsCopies: isFlag,
+  isLasting: isFlag,
+  mayBeAway: isWhole,
+  image: isText,
+  tailTargetMilliseconds: isWhole,
+  fillsIdleProcessor: isFlag
+}
+
+function isStep (value: unknown, index: number): value is StepSpecification {
   const step = value as Partial<StepSpecification> | null
-  return typeof step?.count === 'number' && typeof step.need?.accelerators === 'number' && Array.isArray(step.after)
+  const { processor, memory, accelerators } = step?.need ?? {}
+  return isCount(step?.count) && [processor, memory, accelerators].every(isWhole) &&
+    Array.isArray(step?.after) && step.after.every(number => isWhole(number) && number < index) &&
+    Object.entries(OPTIONAL_STEP_FIELDS).every(([name, check]) => isAbsentOr(check)(step[name as keyof StepSpecification]))
+}
+
+function isSchedule (value: unknown): value is Schedule {
+  const schedule = value as Partial<Schedule> | null
+  return isCount(schedule?.occurrences) && Number.isFinite(schedule?.startAt) &&
+    Number.isFinite(schedule?.intervalMilliseconds) && schedule!.intervalMilliseconds! >= 0
 }
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -146,5 +146,5 @@
 }
 
 function progressOf (row: StoredRow | undefined): JobProgress | undefined {
-  return row === undefined ? undefined : decodeProgress(String(row.value.text))
+  return row === undefined ? undefined : decodeProgress(row.value.text)
 }
--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -71,8 +71,13 @@
  */
 export function decodeOwner ({ value, version }: StoredRow): OwnerRecord {
   const { vm, address, epoch: epochNumber, claim } = value as Partial<Record<keyof OwnerRecord, unknown>>
-  if (typeof vm === 'string' && typeof address === 'string' && typeof epochNumber === 'number' && typeof claim === 'string') {
+  if (typeof vm === 'string' && typeof address === 'string' && isEpochNumber(epochNumber) && typeof claim === 'string') {
     return { vm: vm as VmName, address, epoch: epoch(epochNumber), claim, version }
   }
   throw new CornelgaugeError('record-damaged', { detail: 'The owner row can\'t be read' })
 }
+
+/** True for an epoch that a double represents exactly, also after it is incremented. */
+function isEpochNumber (value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0
+}
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -217,7 +217,7 @@
     }
     for (const [key, step] of Object.entries(progress.steps)) {
       const [occurrence, number] = key.split('.').map(Number)
-      this.#stepsOf(occurrence!)[number!]?.restore(step)
+      if (occurrence! < occurrencesOf(this.job)) this.#stepsOf(occurrence!)[number!]?.restore(step)
     }
   }
 }
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -2,6 +2,10 @@
 import { CornelgaugeError } from '@cornelgauge/model'
 import { FINAL_PHASES, type JobPhase } from './job.js'
 
+/** Keys of steps and tasks, with as many digits as a job can have of them. */
+const STEP_KEY = /^\d{1,6}\.\d{1,6}$/
+const INDEX = /^\d{1,6}$/
+
 /** Progress of one step in one occurrence. */
 export interface StepProgress {
   /** Indexes of the completed tasks. */
@@ -39,23 +43,38 @@
  * @example
  * decodeProgress(encodeProgress(progress)).hasBegun
  */
-export function decodeProgress (text: string): JobProgress {
+export function decodeProgress (text: unknown): JobProgress {
+  if (typeof text !== 'string') throw new CornelgaugeError('record-damaged', { detail: 'A progress record has no text' })
+  const value = parse(text) as Partial<JobProgress> | null
+  if (typeof value === 'object' && value !== null && isSteps(value.steps) && isPhase(value.phase) && isTime(value.finishedAt)) {
+    return { ...value, hasBegun: value.hasBegun === true, steps: value.steps }
+  }
+  throw new CornelgaugeError('record-damaged', { detail: 'A progress record lacks its fields' })
+}
+
+function parse (text: string): unknown {
   try {
-    const value = JSON.parse(text) as Partial<JobProgress> | null
-    if (value !== null && typeof value === 'object' && isSteps(value.steps) && isPhase(value.phase)) {
-      return { ...value, hasBegun: value.hasBegun === true, steps: value.steps }
-    }
+    return JSON.parse(text)
   } catch (cause) {
     throw new CornelgaugeError('record-damaged', { detail: 'A progress record is not JSON', cause })
   }
-  throw new CornelgaugeError('record-damaged', { detail: 'A progress record lacks its fields' })
 }
 
 function isPhase (value: unknown): value is JobPhase | undefined {
   return value === undefined || FINAL_PHASES.has(value as JobPhase)
 }
 
+const isTime = (value: unknown): value is number | undefined => value === undefined || Number.isFinite(value)
+const isIndex = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0
+const areIndexes = (value: unknown): value is readonly number[] => Array.isArray(value) && value.every(isIndex)
+
 function isSteps (value: unknown): value is JobProgress['steps'] {
   if (typeof value !== 'object' || value === null) return false
-  return Object.values(value).every(step => Array.isArray(step?.done) && typeof step?.failed === 'object' && step.failed !== null)
+  return Object.entries(value).every(([key, step]) => STEP_KEY.test(key) && isStepProgress(step))
+}
+
+function isStepProgress (value: unknown): value is StepProgress {
+  const { done, failed } = (value ?? {}) as Partial<StepProgress>
+  return areIndexes(done) && typeof failed === 'object' && failed !== null &&
+    Object.entries(failed).every(([index, runs]) => INDEX.test(index) && areIndexes(runs))
 }
