Refuse messages of peers with numbers that aren't whole

A heartbeat that names an owner with the epoch NaN or 2 ** 60 was taken: an epoch that no later one exceeds made the VM ignore every later owner.

The checks took any number. Epochs, versions and counts now have to be whole numbers from 0 that a double represents, and ages can't be NaN; they may still be Infinity, as for an owner that was never heard. The two new cases fail before the change, for requests and for replies.

--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -62,12 +62,14 @@
 
 const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null
 const isString = (value: unknown): boolean => typeof value === 'string'
-const isNumber = (value: unknown): boolean => typeof value === 'number'
+/** Ages may be Infinity: what they count from never happened. */
+const isNumber = (value: unknown): boolean => typeof value === 'number' && !Number.isNaN(value)
+const isWhole = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0
 const isAbsentOr = (check: (value: unknown) => boolean) => (value: unknown): boolean => value === undefined || check(value)
 const isMember = (value: unknown): boolean => isFields(value) && isString(value.vm) && isString(value.address) && isAbsentOr(isNumber)(value.weight)
-const isOwner = (value: unknown): boolean => isFields(value) && isString(value.vm) && isString(value.address) && isNumber(value.epoch) && isNumber(value.version)
+const isOwner = (value: unknown): boolean => isFields(value) && isString(value.vm) && isString(value.address) && isWhole(value.epoch) && isWhole(value.version)
 const isDraftWithId = (value: unknown): boolean => isFields(value) && isString(value.id) && isJobDraft(value)
-const isJob = (value: unknown): boolean => isFields(value) && isDraftWithId(value) && isNumber(value.acceptedUnder)
+const isJob = (value: unknown): boolean => isFields(value) && isDraftWithId(value) && isWhole(value.acceptedUnder)
 const areMembers = (value: unknown): boolean => Array.isArray(value) && value.every(isMember)
 
 const REQUEST_CHECKS: Readonly<Record<PeerRequest['kind'], Check>> = {
@@ -86,7 +88,7 @@
   taken: () => true,
   accept: ({ job }) => isJob(job),
   phase: ({ phase }) => isAbsentOr(isString)(phase),
-  queued: ({ count }) => isNumber(count)
+  queued: ({ count }) => isWhole(count)
 }
 
 /**
--- a/packages/entry/test/messages.test.ts
+++ b/packages/entry/test/messages.test.ts
@@ -37,6 +37,9 @@
   { kind: 'queued', count: 2 }
 ]
 
+/** Fields that are whole numbers from 0. */
+const EXACT_FIELDS: ReadonlySet<string> = new Set(['epoch', 'version', 'acceptedUnder', 'count'])
+
 /** Fields whose absence another release may rely on. */
 const OPTIONAL_FIELDS: ReadonlySet<string> = new Set(['listVersion', 'owner in beat', 'ownedMilliseconds', 'members', 'phase'])
 
@@ -67,6 +70,27 @@
         }
       })
 
+      it('is a protocol violation with a number out of its range', () => {
+        const odd: readonly unknown[] = [NaN, -1, 2 ** 60, 0.5, 1n, '1', -Infinity]
+        const replace = (value: unknown, change: unknown): object[] => typeof value !== 'object' || value === null
+          ? []
+          : Object.entries(value).flatMap(([field, inner]) => [...(EXACT_FIELDS.has(field) ? [change] : []), ...replace(inner, change)].map(each => Object.assign(Array.isArray(value) ? [...value] : { ...value }, { [field]: each })))
+        const { acceptedUnder: _epoch, ...draft } = JOB
+        for (const message of valid.map(each => 'draft' in each ? { ...each, draft } : each)) {
+          for (const change of odd) {
+            for (const changed of replace(message, change)) expect(() => read(changed), JSON.stringify(message)).to.throw(CornelgaugeError).with.property('code', 'protocol-violation')
+          }
+        }
+      })
+
+      it('is a protocol violation with an age that is no number', () => {
+        for (const message of valid) {
+          for (const field of ['storeAge', 'ownerHeardAge', 'ownedMilliseconds'].filter(name => name in message)) {
+            expect(() => read({ ...message, [field]: NaN }), field).to.throw(CornelgaugeError).with.property('code', 'protocol-violation')
+          }
+        }
+      })
+
       it('is a protocol violation, and no other error, whatever a peer sends', () => {
         const kinds = fc.constantFrom('beat', 'accept', 'job', 'cancel', 'phase', 'queued', 'succeed', 'taken', 'constructor', '__proto__')
         const messages = fc.oneof(fc.anything(), fc.tuple(kinds, fc.object()).map(([kind, rest]) => ({ ...rest, kind })))
