Wait for a heartbeat before tasks of a row that can't be read start again

An odd row may stand under the id of a live backend server until that server's next heartbeat. An owner that took over in that time didn't know the server, held the recovery for complete once the others had answered, and started each task that ran there a second time.

The registry's reader now counts the rows without an entry. While there are any, a new owner holds inherited jobs back for 2 s from its start, above the 1.5 s between two heartbeats, and not until all leases have expired: a row that stays delays them no longer.

--- a/packages/entry/src/host-event.ts
+++ b/packages/entry/src/host-event.ts
@@ -1,6 +1,7 @@
 /** Types of the inputs and commands that a planner host handles. */
 import type { CornelgaugeError } from '@cornelgauge/model'
-import type { Advice, AdviseCommand, Command, Configuration, Job, JobId, ServerEntry, ServerId, ServerReport, StartCommand, StartOutcome, StopCommand, StopOutcome } from '@cornelgauge/jobs'
+import type { RegistryReading } from './registry-reader.js'
+import type { Advice, AdviseCommand, Command, Configuration, Job, JobId, ServerId, ServerReport, StartCommand, StartOutcome, StopCommand, StopOutcome } from '@cornelgauge/jobs'
 
 /** An input of the planner; all of them pass through one stream. */
 export type HostEvent =
@@ -9,7 +10,7 @@
   | { readonly type: 'started', readonly command: StartCommand, readonly outcome: StartOutcome }
   | { readonly type: 'stopped', readonly command: StopCommand, readonly outcome: StopOutcome }
   | { readonly type: 'advised', readonly command: AdviseCommand, readonly advice: Advice | undefined }
-  | { readonly type: 'registryUpdated', readonly entries: readonly ServerEntry[] }
+  | { readonly type: 'registryUpdated' } & RegistryReading
   | { readonly type: 'configured', readonly configuration: Configuration }
   | { readonly type: 'submitted', readonly job: Job }
   | { readonly type: 'cancelled', readonly id: JobId }
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -7,7 +7,7 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls } from './backend-server-calls.js'
@@ -17,6 +17,7 @@
 import type { OwnerRecord } from './owner-record.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
+import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
 
@@ -42,7 +43,7 @@
  *
  * @example
  * const host = new PlannerHost(options)
- * host.updateRegistry(entries)
+ * host.updateRegistry(reading)
  * await host.stop()
  */
 export class PlannerHost {
@@ -69,7 +70,7 @@
     started: ({ command, outcome }) => this.#handleStartOutcome(command, outcome),
     stopped: ({ command, outcome }) => this.#handleStopOutcome(command, outcome),
     advised: ({ command, advice }) => this.#planner.applyAdvice(command, advice, performance.now()),
-    registryUpdated: ({ entries }) => this.#updateRegistry(entries),
+    registryUpdated: reading => this.#updateRegistry(reading),
     configured: ({ configuration }) => this.#planner.configure(configuration),
     submitted: ({ job }) => this.#submit(job),
     cancelled: ({ id }) => { this.#planner.cancel(id, Date.now()) },
@@ -106,8 +107,8 @@
   }
 
   /** Replaces the list of registered backend servers. */
-  updateRegistry (entries: readonly ServerEntry[]): void {
-    this.#inbox.put({ type: 'registryUpdated', entries })
+  updateRegistry (reading: RegistryReading): void {
+    this.#inbox.put({ type: 'registryUpdated', ...reading })
   }
 
   submit (job: Job): void {
@@ -252,8 +253,8 @@
     this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
   }
 
-  #updateRegistry (entries: readonly ServerEntry[]): void {
-    this.#planner.updateServers(entries, performance.now())
+  #updateRegistry ({ entries, unreadable }: RegistryReading): void {
+    this.#planner.updateServers(entries, performance.now(), unreadable)
     for (const entry of entries) this.#addresses.set(entry.id, entry.address)
     for (const id of this.#planner.servers) {
       if (this.#polledServers.has(id)) continue
--- a/packages/entry/src/registry-reader.ts
+++ b/packages/entry/src/registry-reader.ts
@@ -4,12 +4,19 @@
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { PlatformView } from './platform-view.js'
 
+/** The registry as read. */
+export interface RegistryReading {
+  readonly entries: readonly ServerEntry[]
+  /** Number of rows without an entry. */
+  readonly unreadable: number
+}
+
 /**
  * Decodes the registry. A row that is skipped is logged once for each version of it that was read.
  *
  * @example
  * const reader = new RegistryReader(platform, emit)
- * host.updateRegistry(reader.read(rows))
+ * const { entries } = reader.read(rows)
  */
 export class RegistryReader {
   readonly #readRegistry: PlatformView['readRegistry']
@@ -22,8 +29,7 @@
     this.#emit = emit
   }
 
-  /** Returns the entries of the usable rows. */
-  read (rows: ReadonlyMap<string, RowValue>): readonly ServerEntry[] {
+  read (rows: ReadonlyMap<string, RowValue>): RegistryReading {
     const entries = this.#readRegistry(rows)
     const usable = new Set(entries.map(entry => entry.id))
     for (const [key, value] of rows) {
@@ -31,6 +37,6 @@
       this.#logged.add(value)
       this.#emit('registry-row-skipped', { details: { row: key } })
     }
-    return entries
+    return { entries, unreadable: rows.size - entries.length }
   }
 }
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -80,7 +80,7 @@
     confirmedAge = 0
     host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
     host.configure(CONFIGURATION)
-    host.updateRegistry([SERVER])
+    host.updateRegistry({ entries: [SERVER], unreadable: 0 })
     host.submit(jobAccepted(owner.epoch))
     while (!calls.hasStarted) await pause(systemClock, 5)
   })
--- a/packages/entry/test/registry-reader.test.ts
+++ b/packages/entry/test/registry-reader.test.ts
@@ -16,7 +16,7 @@
 
   it('returns the usable rows, and logs each version of another row once', () => {
     const rows = new Map<string, RowValue>([['i-0', { isUsable: true }], ['odd', {}]])
-    for (let reads = 0; reads < 3; reads += 1) expect(reader.read(rows).map(entry => entry.id)).to.deep.equal(['i-0'])
+    for (let reads = 0; reads < 3; reads += 1) expect(reader.read(rows)).to.deep.equal({ entries: [{ id: 'i-0' }], unreadable: 1 })
     expect(logged).to.deep.equal([['registry-row-skipped', 'odd']])
     rows.set('odd', {})
     reader.read(rows)
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -77,5 +77,7 @@
 export const ADVICE_SPARE_SERVERS = 6
 /** Maximum number of backend servers in one request for advice. */
 export const MAXIMUM_ADVICE_SERVERS = 100
+/** How long after its start an owner waits for backend servers whose rows it can't read, in milliseconds: a row that another writer has overwritten comes back with the next heartbeat. */
+export const OVERWRITTEN_ROW_MILLISECONDS = 2000
 /** Maximum number of tasks of a job over all steps and occurrences; bounds the memory that one job takes on the owner. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -90,8 +90,12 @@
     this.#state.configure(configuration)
   }
 
-  /** Applies the registry's complete list of backend servers; those in a pool that isn't known are skipped. */
-  updateServers (registered: readonly ServerEntry[], now: number): void {
+  /**
+   * Applies the registry's complete list of backend servers; those in a pool that isn't known are skipped.
+   * `unreadable` counts the rows without an entry, which may hide backend servers for a while.
+   */
+  updateServers (registered: readonly ServerEntry[], now: number, unreadable = 0): void {
+    this.#state.unreadableServers = unreadable
     const entries = this.#state.inKnownPools(registered)
     const listed = new Map(entries.map(entry => [entry.id, entry]))
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -8,7 +8,7 @@
 import type { JobPhase, StepSpecification } from './job.js'
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
-import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
+import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, OVERWRITTEN_ROW_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
@@ -37,6 +37,8 @@
   configuration: Configuration | undefined
   /** Runs whose start wasn't answered, until the round in which they are settled or given up. */
   readonly unsettledRuns = new Set<Run>()
+  /** Number of rows of the registry that can't be read. */
+  unreadableServers = 0
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
@@ -64,11 +66,14 @@
   #runCount = 0
   /** When the leases of all runs of earlier owners have expired at the latest. */
   readonly #inheritedLeasesEndAt: number
+  /** When a backend server whose row another writer has overwritten has written it again at the latest. */
+  readonly #rowsReadableBy: number
   #isRecoveryComplete = false
 
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
     this.rules = rules
+    this.#rowsReadableBy = now + OVERWRITTEN_ROW_MILLISECONDS
     this.#inheritedLeasesEndAt = now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE + DISCONNECTED_OWNER_MILLISECONDS
   }
 
@@ -81,7 +86,8 @@
   /** True once every run of an earlier owner has been reported or its lease has expired. */
   isRecoveryComplete (now: number): boolean {
     if (this.#isRecoveryComplete) return true
-    const isUnresolved = [...this.servers.values()].some(server => !server.hasAnswered && server.leasesExpiredBy > now)
+    const mayMissServers = this.unreadableServers > 0 && now < this.#rowsReadableBy
+    const isUnresolved = mayMissServers || [...this.servers.values()].some(server => !server.hasAnswered && server.leasesExpiredBy > now)
     this.#isRecoveryComplete = this.servers.size > 0 && !isUnresolved
     return this.#isRecoveryComplete || now > this.#inheritedLeasesEndAt
   }
--- a/packages/jobs/test/odd-entries.test.ts
+++ b/packages/jobs/test/odd-entries.test.ts
@@ -1,11 +1,14 @@
 import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
-import { jobId, poolName, serverId, type ServerEntry } from '../src/index.js'
+import { jobId, OVERWRITTEN_ROW_MILLISECONDS, Planner, poolName, serverId, type ServerEntry } from '../src/index.js'
 import { CONFIGURATION, job, World } from './world.js'
 
 /** Long after every later start time that a test uses, and within the range of start times. */
 const LATER_INCARNATION = 4_000_000_000_000
 
+/** Interval of the heartbeats of backend servers. */
+const HEARTBEAT_MILLISECONDS = 1500
+
 const entryOf = (world: World, id = 'server-0'): ServerEntry => world.servers.find(server => server.entry.id === id)!.entry
 const current = (world: World): readonly ServerEntry[] => world.servers.map(server => ({ ...server.entry, incarnation: server.incarnation }))
 
@@ -67,6 +70,43 @@
       expect(world.starts).to.have.length(2)
     })
 
+    describe('while a new owner takes over', () => {
+      /** A world whose task runs on a server that the new owner's first read of the registry doesn't show. */
+      const overtaken = (): { world: World, hidden: readonly ServerEntry[] } => {
+        const world = new World(2)
+        const stored = job('a')
+        world.planner.submit(stored)
+        world.settle()
+        const { entry: { id } } = world.serverRunning('a.0.0.0')!
+        const hidden = current(world).filter(entry => entry.id !== id)
+        world.planner = new Planner(epoch(2), [{ job: stored, isCancelled: false }], { now: world.now, wallTime: world.wallTime })
+        world.planner.configure(CONFIGURATION)
+        return { world, hidden }
+      }
+
+      it('delay inherited jobs until its next heartbeat has overwritten them', () => {
+        const { world, hidden } = overtaken()
+        world.planner.updateServers(hidden, world.now, 1)
+        world.settle()
+        world.round(HEARTBEAT_MILLISECONDS)
+        world.listServers()
+        world.settle()
+        expect(world.starts).to.have.length(1)
+        expect(world.planner.phaseOf(jobId('a'))).to.equal('running')
+      })
+
+      it('delay them no longer if they stay', () => {
+        const { world, hidden } = overtaken()
+        world.servers.find(server => !hidden.some(entry => entry.id === server.entry.id))!.running.clear()
+        world.planner.updateServers(hidden, world.now, 1)
+        world.settle()
+        expect(world.starts).to.have.length(1)
+        world.round(OVERWRITTEN_ROW_MILLISECONDS)
+        world.settle()
+        expect(world.starts).to.have.length(2)
+      })
+    })
+
     it('that is missing for a while end no run', () => {
       const world = new World(2)
       world.planner.submit(job('a'))
