End an ownership whose planner fails to load

An owner whose load threw, for example over a stored record that no decoder had expected, stayed the owner without a planner: it answered heartbeats as the owner, so no other VM claimed, and no task started until its process ended.

The failure was logged as a claim that is retried, but nothing retried it. The owner now ends its ownership as after a failure of a running planner, so that a VM claims it again. The new test fails before the change: one load and one claim in place of two.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -347,10 +347,20 @@
     this.#ownedSince = this.#clock.now()
     this.#isLoading = true
     this.#loading = this.#options.onOwned(owner, tenure.signal)
-      .catch(thrown => this.#options.emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } }))
+      .catch(thrown => {
+        this.#options.emit('planner-claim-failed', { details: { failure: asFailure(thrown).code, reason } })
+        this.#endTenure(tenure)
+      })
       .finally(() => { if (this.#tenure === tenure) this.#isLoading = false })
   }
 
+  /** Ends an ownership without a planner, so that this VM or another one claims it again. */
+  #endTenure (tenure: AbortController): void {
+    if (this.#tenure !== tenure || this.#ownership === undefined) return
+    this.loseOwnership()
+    this.#options.onLost()
+  }
+
   /** As owner: looks for a newer owner, and hands over if the store is lost. */
   #checkOwnership (): CheckOutcome {
     this.#evidence.hear()
