Refuse a job record whose key can't be part of a task's name

A row of another writer with a dot in its key became a job whose tasks' names don't parse: each was started, reported as of an unknown job, stopped and started again, for as long as the row stood.

decodeJob took any key. It now has to be a text without dots and blanks of at most 200 characters; other rows are damaged as before. The new case fails before the change.

--- a/packages/entry/src/job-record.ts
+++ b/packages/entry/src/job-record.ts
@@ -5,6 +5,8 @@
 
 /** Incremented when older releases can't read the new format. */
 const RECORD_FORMAT = 1
+/** Keys that can be part of a task's name, in which a dot separates the parts. */
+const JOB_KEY = /^[^.\s]{1,200}$/
 
 /**
  * Encodes a job as the value of a row.
@@ -27,7 +29,7 @@
 export function decodeJob (key: string, value: RowValue): Job {
   const draft: unknown = value
   const { format, acceptedUnder } = value
-  if (format !== RECORD_FORMAT || !isWhole(acceptedUnder) || !isJobDraft(draft)) {
+  if (!JOB_KEY.test(key) || format !== RECORD_FORMAT || !isWhole(acceptedUnder) || !isJobDraft(draft)) {
     throw new CornelgaugeError('record-damaged', { detail: `The record of job ${key} can't be read` })
   }
   return {
--- a/packages/entry/test/odd-records.test.ts
+++ b/packages/entry/test/odd-records.test.ts
@@ -99,6 +99,10 @@
       })
     }
 
+    it('are damaged with a key that can\'t be part of a task\'s name', () => {
+      for (const key of ['', 'a.b', 'a b', 'a\nb', 'x'.repeat(201)]) expect(codeOf(() => decodeJob(key, RECORD)), key).to.equal('record-damaged')
+    })
+
     it('are damaged or make a job whose state can be built, whatever a field is', () => {
       const change = fc.dictionary(fc.constantFrom(...Object.keys(RECORD), 'schedule'), fc.oneof(fc.jsonValue(), fc.double()))
       const stepChange = fc.dictionary(fc.constantFrom(...Object.keys(STEP), 'image', 'mayBeAway'), fc.oneof(fc.jsonValue(), fc.double()))
