--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -7,7 +7,7 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerEntry, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls } from './backend-server-calls.js'
@@ -15,9 +15,9 @@
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
 import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
-import { logFindings } from './planner-findings.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
+import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
 
@@ -43,7 +43,7 @@
  *
  * @example
  * const host = new PlannerHost(options)
- * host.updateRegistry(entries)
+ * host.updateRegistry(reading)
  * await host.stop()
  */
 export class PlannerHost {
@@ -70,7 +70,7 @@
     started: ({ command, outcome }) => this.#handleStartOutcome(command, outcome),
     stopped: ({ command, outcome }) => this.#handleStopOutcome(command, outcome),
     advised: ({ command, advice }) => this.#planner.applyAdvice(command, advice, performance.now()),
-    registryUpdated: ({ entries }) => this.#updateRegistry(entries),
+    registryUpdated: reading => this.#updateRegistry(reading),
     configured: ({ configuration }) => this.#planner.configure(configuration),
     submitted: ({ job }) => this.#submit(job),
     cancelled: ({ id }) => this.#cancel(id),
@@ -107,8 +107,8 @@
   }
 
   /** Replaces the list of registered backend servers. */
-  updateRegistry (entries: readonly ServerEntry[]): void {
-    this.#inbox.put({ type: 'registryUpdated', entries })
+  updateRegistry (reading: RegistryReading): void {
+    this.#inbox.put({ type: 'registryUpdated', ...reading })
   }
 
   submit (job: Job): void {
@@ -159,10 +159,14 @@
     if (this.#stopping.signal.aborted) return
     const handler = this.#handlers[event.type] as (event: HostEvent) => void
     handler(event)
-    logFindings(this.#options.emit, this.#planner.drainEvents())
+    this.#logFindings()
     this.#scheduleRound()
   }
 
+  #logFindings (): void {
+    for (const { type, ...details } of this.#planner.drainEvents()) this.#options.emit(type, { details })
+  }
+
   #crash (thrown: unknown): void {
     this.#options.emit('planner-failed', { details: { failure: asFailure(thrown).message } })
     this.#options.onFenced()
@@ -253,8 +257,8 @@
     if (!this.#planner.cancel(id, Date.now())) this.#options.emit('cancellation-of-unknown-job', { details: { job: id } })
   }
 
-  #updateRegistry (entries: readonly ServerEntry[]): void {
-    this.#planner.updateServers(entries, performance.now())
+  #updateRegistry ({ entries, unreadable }: RegistryReading): void {
+    this.#planner.updateServers(entries, performance.now(), unreadable)
     for (const entry of entries) this.#addresses.set(entry.id, entry.address)
     for (const id of this.#planner.servers) {
       if (this.#polledServers.has(id)) continue
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -101,3 +101,7 @@
  * capacity counts 3 s after its server has reported it; the rest of that is for reading it and for the start's call.
  */
 export const MAXIMUM_REGISTRY_AGE_MILLISECONDS = 2000
+/** How long after its start an owner waits for backend servers whose rows it can't read, in milliseconds: a row that another writer has overwritten comes back with the next heartbeat. */
+export const OVERWRITTEN_ROW_MILLISECONDS = 2000
+/** Maximum number of tasks of a job over all steps and occurrences; bounds the memory that one job takes on the owner. */
+export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -95,8 +95,13 @@
     this.#state.configure(configuration)
   }
 
-  /** Applies the registry's complete list of backend servers. */
-  updateServers (entries: readonly ServerEntry[], now: number): void {
+  /**
+   * Applies the registry's complete list of backend servers; those in a pool that isn't known are skipped.
+   * `unreadable` counts the rows without an entry, which may hide backend servers for a while.
+   */
+  updateServers (registered: readonly ServerEntry[], now: number, unreadable = 0): void {
+    this.#state.unreadableServers = unreadable
+    const entries = this.#state.inKnownPools(registered)
     const listed = new Map(entries.map(entry => [entry.id, entry]))
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
     this.#state.registryReadAt = now
@@ -105,9 +110,10 @@
     countReplaced(this.#state, entries.filter(entry => !this.#state.servers.has(entry.id)), times.wallTime)
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
-      const hasRestarted = entry.incarnation > server.entry.incarnation
+      // While it answers, only its own reports say that it has restarted: the row may be of another writer.
+      const hasRestarted = entry.incarnation > server.entry.incarnation && (!server.hasAnswered || server.missedPolls > 0)
       if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, times)
-      server.entry = { ...entry, incarnation: Math.max(entry.incarnation, server.entry.incarnation) }
+      server.entry = { ...entry, incarnation: server.entry.incarnation }
       server.listedIncarnation = entry.incarnation
     }
     this.#forgetServers(now)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -8,19 +8,20 @@
 import type { JobPhase, StepSpecification } from './job.js'
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
-import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
+import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, OVERWRITTEN_ROW_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
 
-/** An event of a task or job, for the log. */
+/** An event of a task, a job or a backend server, for the log. */
 export type PlannerEvent =
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
+  | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
 /** Numbers of the first and the last change of a job that aren't stored. */
 interface UnstoredChanges {
@@ -45,6 +46,8 @@
   readonly isolatedRuns = new Set<Run>()
   /** Runs whose leases have expired while their backend server was unreachable. */
   readonly missingRuns = new MissingRuns()
+  /** Number of rows of the registry that can't be read. */
+  unreadableServers = 0
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
@@ -55,6 +58,10 @@
   readonly #queues = new Map<QueueName, Queue>()
   /** Queues whose settings have become known since the last call of `takeNewQueues`. */
   #newQueues = new Set<QueueName>()
+  /** All pools ever configured, and those of all jobs: they may have runs. */
+  readonly #pools = new Set<PoolName>()
+  /** Registered backend servers in other pools, each of which was logged. */
+  readonly #loggedUnknownServers = new Set<ServerId>()
   /** Jobs whose work is not included in the mean work of their queue yet. */
   #unmeasuredJobs: JobState[] = []
   /** Maximum capacity of a registered backend server in each pool, per resource. */
@@ -70,11 +77,14 @@
   #runCount = 0
   /** When the leases of all runs of earlier owners have expired at the latest. */
   readonly #inheritedLeasesEndAt: number
+  /** When a backend server whose row another writer has overwritten has written it again at the latest. */
+  readonly #rowsReadableBy: number
   #isRecoveryComplete = false
 
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
     this.rules = rules
+    this.#rowsReadableBy = now + OVERWRITTEN_ROW_MILLISECONDS
     this.#inheritedLeasesEndAt = now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE + DISCONNECTED_OWNER_MILLISECONDS
   }
 
@@ -87,7 +97,8 @@
   /** True once every run of an earlier owner has been reported or its lease has expired. */
   isRecoveryComplete (now: number): boolean {
     if (this.#isRecoveryComplete) return true
-    const isUnresolved = [...this.servers.values()].some(server => !server.hasAnswered && server.leasesExpiredBy > now)
+    const mayMissServers = this.unreadableServers > 0 && now < this.#rowsReadableBy
+    const isUnresolved = mayMissServers || [...this.servers.values()].some(server => !server.hasAnswered && server.leasesExpiredBy > now)
     this.#isRecoveryComplete = this.servers.size > 0 && !isUnresolved
     return this.#isRecoveryComplete || now > this.#inheritedLeasesEndAt
   }
@@ -98,7 +109,9 @@
     for (const queue of configuration.queues) {
       if (!this.#queues.has(queue.name)) this.#newQueues.add(queue.name)
       this.#queues.set(queue.name, queue)
+      this.#pools.add(queue.pool)
     }
+    for (const { name } of configuration.pools) this.#pools.add(name)
   }
 
   /** Returns the queues whose settings have become known since the last call. */
@@ -142,6 +155,7 @@
   /** Adds an accepted job. */
   addJob (job: JobState): void {
     this.jobs.set(job.job.id, job)
+    this.#pools.add(job.job.pool)
     if (job.isOpen) this.openJobs.add(job)
     this.#unmeasuredJobs.push(job)
   }
@@ -184,6 +198,17 @@
     return findJobTask(this.jobs, `${name}.0` as TaskName)?.step
   }
 
+  /** Selects the entries whose pool may have runs; before the first configuration, all. Each other one is logged once. */
+  inKnownPools (entries: readonly ServerEntry[]): readonly ServerEntry[] {
+    if (this.configuration === undefined) return entries
+    return entries.filter(({ id, pool }) => {
+      if (this.#pools.has(pool)) return true
+      if (!this.#loggedUnknownServers.has(id)) this.recordEvent({ type: 'server-pool-unknown', server: id, pool })
+      this.#loggedUnknownServers.add(id)
+      return false
+    })
+  }
+
   /** Returns the backend server of an entry; adds it if it is new. */
   registerServer (entry: ServerEntry, now: number): Server {
     const known = this.servers.get(entry.id)
