Wait after a takeover for backend servers that the registry lacks

Callers would see a task run twice at the same time: a new owner started it again while a backend server that the registry had dropped still ran it.

Cause: recovery ended once all registered backend servers had answered. The registry drops the entry of one that is cut off from the store, or any entry while the store is down, but its runs go on until their leases expire.

Now the owner stores which backend servers may have runs: those that are registered and don't drain, have runs, haven't answered, or may still get an unanswered start. It writes 32 rows by the hash of the id, in one transaction, when the set changes, on condition of the owner row and of the rows' versions. A new owner loads them; jobs of earlier owners wait until each of these servers has answered, or until the earlier leases have expired. It passes on those that it hasn't found. A server that drains leaves the record with its last run. Without rows, as from an older release, nothing changes; damaged rows are logged and replaced.

Ruled out: recording only polled servers that aren't registered, which misses entries that expire while the store is down; reading deletions from the change feed, whose history is shorter than an outage.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -7,15 +7,17 @@
 import { pause, systemClock } from '@cornelgauge/coordination'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
+import { readServers, type StoredServers } from './server-record.js'
 import { readTable, type TableReadOptions } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
 /** A job without the epoch of the owner under which it is stored. */
 export type JobDraft = Omit<Job, 'acceptedUnder'>
 
-/** All stored jobs. */
+/** All stored jobs, and the backend servers that may run their tasks. */
 export interface StoredJobs {
   readonly jobs: readonly StoredJob[]
+  readonly servers: StoredServers
   /** Versions of the progress rows; the next write of a row is conditional on its version. */
   readonly progressVersions: ReadonlyMap<JobId, number>
   /** Keys of rows that can't be decoded, each with the reason; these rows stay unchanged. */
@@ -104,7 +106,7 @@
   }
 
   /**
-   * Reads all jobs, cancellations and progress, for a new owner; one table after the other, since they share
+   * Reads all jobs, cancellations, progress and recorded backend servers, for a new owner; one table after the other, since they share
    * the VM's link. Cancellations come first: the jobs of those read here are then read too, and the others
    * are among the later changes.
    */
@@ -112,9 +114,10 @@
     const cancels = await readTable(this.#rows, CANCELS_TABLE, options)
     const jobs = await readTable(this.#rows, JOBS_TABLE, options)
     const progress = await readTable(this.#rows, PROGRESS_TABLE, options)
+    const servers = await readServers(this.#rows, options)
     const cancelled = new Set(cancels.rows.map(row => row.key))
     const progressRows = new Map(progress.rows.map(row => [row.key, row]))
-    const damaged: string[] = []
+    const damaged = [...servers.damaged]
     const stored: StoredJob[] = []
     for (const row of jobs.rows) {
       try {
@@ -127,6 +130,7 @@
     }
     return {
       jobs: stored,
+      servers,
       progressVersions: new Map(progress.rows.map(row => [jobId(row.key), row.version])),
       damaged,
       jobsVersion: jobs.version,
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -74,6 +74,11 @@
 export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
+/**
+ * Rows that share the ids of backend servers. All of them fit one transaction of 100 entries, of which each takes
+ * two, and one row holds the ids of 600 backend servers, each of up to 100 bytes.
+ */
+export const SERVER_RECORD_ROWS = 32
 /** Pause between two deletions of jobs whose retention time has passed. */
 export const DELETION_INTERVAL_MILLISECONDS = 1000
 /** Jobs per deletion; the store accepts 100 entries, of which each job takes four and the owner's row one. */
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -19,6 +19,7 @@
 import { ProgressWriter } from './progress-writer.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
+import { ServerRecord } from './server-record.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -49,6 +50,7 @@
   readonly #options: PlannerHostOptions
   readonly #planner: Planner
   readonly #writer: ProgressWriter
+  readonly #serverRecord: ServerRecord
   readonly #rounds: RoundMonitor
   readonly #retired: RetiredJobs
   readonly #inbox = new Inbox<HostEvent>()
@@ -61,6 +63,7 @@
   #isRoundDue = false
   #isDeciding = true
   #saving: Promise<void> | undefined
+  #isRecordingServers = false
   #firstStartAt: number | undefined
 
   readonly #handlers: HostEventHandlers = {
@@ -86,7 +89,9 @@
     this.#options = options
     const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
+    this.#planner.inheritServers(stored.servers.ids)
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
+    this.#serverRecord = new ServerRecord(store, owner, stored.servers)
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
@@ -273,6 +278,15 @@
       this.#pollRepeatedly(id).catch(thrown => this.#crash(thrown))
     }
     this.#options.servers.retainConnections(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
+    this.#recordServers().catch(thrown => this.#crash(thrown))
+  }
+
+  /** Records which backend servers may have runs; a write that fails is made again after the next read of the registry. */
+  async #recordServers (): Promise<void> {
+    if (this.#isRecordingServers) return
+    this.#isRecordingServers = true
+    await this.#tryStoreCall(() => this.#serverRecord.write(this.#planner.serversToRecover(performance.now())))
+    this.#isRecordingServers = false
   }
 
   /** Polls one backend server repeatedly, until the host stops or the planner has removed the server. */
--- a/packages/entry/src/tables.ts
+++ b/packages/entry/src/tables.ts
@@ -9,3 +9,5 @@
 export const CANCELS_TABLE = 'cancels'
 /** Progress of jobs by id; written only by the owner, on condition that the owner row is unchanged. */
 export const PROGRESS_TABLE = 'progress'
+/** Backend servers that may have runs, in a fixed number of rows; written only by the owner, as progress is. */
+export const SERVERS_TABLE = 'run-servers'
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -72,9 +72,11 @@
   let calls: FakeCalls
   let host: PlannerHost
   let confirmedAge: number
+  let rows: MemoryRowStore
 
   beforeEach(async () => {
-    const store = new MemoryRowStore().view()
+    rows = new MemoryRowStore()
+    const store = rows.view()
     const owner = await claimOwnership(store, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
     calls = new FakeCalls()
     confirmedAge = 0
@@ -87,6 +89,27 @@
 
   afterEach(() => host.abandon())
 
+  describe('when the registry changes', () => {
+    const recorded = (): readonly unknown[] => rows.rows('run-servers').flatMap(row => row.value.ids as readonly unknown[])
+    const newestVersion = (): number => Math.max(...rows.rows('run-servers').map(row => row.version))
+
+    it('records the backend servers that may have runs', async () => {
+      expect(recorded()).to.deep.equal([SERVER.id])
+      host.updateRegistry([SERVER, { ...SERVER, id: serverId('server-1') }])
+      await pause(systemClock, 50)
+      expect(recorded()).to.have.members([SERVER.id, 'server-1'])
+    })
+
+    it('records nothing if they stay the same', async () => {
+      const before = newestVersion()
+      for (const processor of [31_000, 30_000]) {
+        host.updateRegistry([{ ...SERVER, capacity: { ...SERVER.capacity, processor } }])
+        await pause(systemClock, 20)
+      }
+      expect(newestVersion()).to.equal(before)
+    })
+  })
+
   describe('when a start is not answered', () => {
     it('polls the backend server at once', async () => {
       const before = calls.polls.length
--- /dev/null
+++ b/packages/entry/test/server-record.test.ts
@@ -0,0 +1,127 @@
+import { serverId, type ServerId } from '@cornelgauge/jobs'
+import { vmName, type CornelgaugeError } from '@cornelgauge/model'
+import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
+import { expect } from 'chai'
+import { JobStore } from '../src/job-store.js'
+import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
+import { readServers, ServerRecord } from '../src/server-record.js'
+
+const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
+const idsOf = (...names: readonly string[]): ReadonlySet<ServerId> => new Set(names.map(serverId))
+const codeOf = (call: Promise<unknown>): Promise<string | undefined> => call.then(() => undefined, thrown => (thrown as CornelgaugeError).code)
+
+describe('the record of backend servers that may have runs', () => {
+  let store: MemoryRowStore
+  let view: MemoryRowStoreView
+  let owner: OwnerRecord
+  let record: ServerRecord
+
+  const storedIds = async (): Promise<readonly ServerId[]> => [...(await new JobStore(view).load()).servers.ids]
+
+  beforeEach(async () => {
+    store = new MemoryRowStore()
+    view = store.view()
+    owner = await claimOwnership(view, NO_OWNER, SELF)
+    record = new ServerRecord(view, owner, await readServers(view))
+  })
+
+  it('is empty if no owner has written it', async () => {
+    expect(await storedIds()).to.deep.equal([])
+  })
+
+  describe('of an owner', () => {
+    it('is loaded by the next one, as last written', async () => {
+      await record.write(idsOf('a', 'b', 'c'))
+      await record.write(idsOf('a', 'c', 'd'))
+      expect(await storedIds()).to.have.members(['a', 'c', 'd'])
+    })
+
+    it('is written only if it has changed, also since an earlier owner', async () => {
+      await record.write(idsOf('a', 'b'))
+      const before = view.calls.write
+      await record.write(idsOf('b', 'a'))
+      await new ServerRecord(view, owner, await readServers(view)).write(idsOf('a', 'b'))
+      expect(view.calls.write).to.equal(before)
+      await record.write(idsOf('a'))
+      expect(view.calls.write).to.equal(before + 1)
+    })
+
+    it('is written in one transaction of at most 100 entries, whose rows hold 65,536 bytes at most, for 19,000 backend servers', async () => {
+      const transactions: { readonly entries: number, readonly bytes: readonly number[] }[] = []
+      const write = view.write.bind(view)
+      view.write = async transaction => {
+        const bytes = transaction.puts.map(put => JSON.stringify(put.value).length)
+        transactions.push({ entries: transaction.conditions.length + transaction.puts.length, bytes })
+        return await write(transaction)
+      }
+      const ids = Array.from({ length: 19_000 }, (_, index) => `server-${String(index).padStart(32, '0')}`)
+      await record.write(idsOf(...ids))
+      expect(transactions).to.have.length(1)
+      expect(transactions[0]!.entries).to.be.at.most(100)
+      expect(Math.max(...transactions[0]!.bytes)).to.be.at.most(65_536)
+      expect((await readServers(view)).ids.size).to.equal(19_000)
+    })
+
+    it('stays as it is if another VM has become the owner', async () => {
+      await record.write(idsOf('a'))
+      await claimOwnership(view, owner, { ...SELF, vm: vmName('vm-b') })
+      expect(await codeOf(record.write(idsOf('b')))).to.equal('stale-epoch')
+      expect(await storedIds()).to.deep.equal(['a'])
+    })
+  })
+
+  describe('after a write without an answer', () => {
+    it('is complete after the next ones', async () => {
+      view.fault = 'losing-answers'
+      expect(await codeOf(record.write(idsOf('a', 'b')))).to.equal('unavailable')
+      view.fault = 'none'
+      await record.write(idsOf('c'))
+      await record.write(idsOf('c'))
+      expect(await storedIds()).to.deep.equal(['c'])
+    })
+
+    it('is written again though the backend servers are those of the write before', async () => {
+      await record.write(idsOf('a'))
+      view.fault = 'losing-answers'
+      await codeOf(record.write(idsOf('a', 'b')))
+      view.fault = 'none'
+      await record.write(idsOf('a'))
+      await record.write(idsOf('a'))
+      expect(await storedIds()).to.deep.equal(['a'])
+    })
+
+    it('is not changed by that write once a later one is stored', async () => {
+      const write = view.write.bind(view)
+      let late = async (): Promise<unknown> => undefined
+      view.write = async transaction => {
+        late = () => write(transaction)
+        throw new Error('No answer')
+      }
+      await record.write(idsOf('a')).catch(() => { /* It is carried out later. */ })
+      view.write = write
+      await record.write(idsOf('a', 'b'))
+      await late()
+      expect(await storedIds()).to.have.members(['a', 'b'])
+    })
+  })
+
+  describe('with a damaged row', () => {
+    it('is reported, and the others are loaded', async () => {
+      await record.write(idsOf('a', 'b', 'c', 'd'))
+      const [row] = store.rows('run-servers').filter(({ value }) => (value.ids as readonly string[]).includes('a'))
+      await view.write({ conditions: [], puts: [{ table: 'run-servers', key: row!.key, value: { ids: 7 } }] })
+      const { servers, damaged } = await new JobStore(view).load()
+      expect(damaged).to.have.length(1)
+      expect(servers.ids.size).to.be.within(1, 3)
+    })
+
+    it('is written anew by the next owner', async () => {
+      await view.write({ conditions: [], puts: [{ table: 'run-servers', key: '0', value: {} }, { table: 'run-servers', key: 'odd', value: { ids: ['x'] } }] })
+      const next = new ServerRecord(view, owner, await readServers(view))
+      await next.write(idsOf('a'))
+      const { ids, damaged } = await readServers(view)
+      expect([...ids]).to.deep.equal(['a'])
+      expect(damaged).to.deep.equal([])
+    })
+  })
+})
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -87,6 +87,19 @@
     return [...this.#state.servers.keys()]
   }
 
+  /**
+   * Adds the backend servers that an earlier owner recorded by `serversToRecover`. Jobs of earlier owners wait
+   * until each of them has answered a poll, also one that isn't registered, or until all earlier leases have expired.
+   */
+  inheritServers (ids: Iterable<ServerId>): void {
+    this.#state.inheritServers(ids)
+  }
+
+  /** Ids of the backend servers that may have runs, which a later owner has to know. */
+  serversToRecover (now: number): ReadonlySet<ServerId> {
+    return this.#state.serversToRecover(now)
+  }
+
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.#state.configure(configuration)
@@ -255,7 +268,7 @@
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
       jobsRecovering: this.#state.isRecoveryComplete(this.#lastRoundAt) ? 0 : jobs.filter(job => job.isOpen && job.isInherited).length,
-      serversUnanswered: servers.filter(server => !server.hasAnswered).length,
+      serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.absentServers(this.#lastRoundAt).size,
       serversUsable: usable.length,
       servers: servers.length,
       acceleratorsFree: usable.reduce((sum, server) => sum + server.free.accelerators, 0)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -147,6 +147,13 @@
     return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity
   }
 
+  /** True if it has runs, may still begin some, or gets new ones. */
+  mayHaveRuns (now: number): boolean {
+    const getsNewRuns = this.isListed && !this.entry.isDraining
+    const isUnresolved = !this.hasAnswered && this.#leasesExpiredBy > now
+    return getsNewRuns || isUnresolved || this.runs.size > 0 || this.revokedStarts.hasPending(now)
+  }
+
   /** True after several consecutive failures. */
   get isUnhealthy (): boolean {
     return this.consecutiveFailures >= UNHEALTHY_AFTER_FAILURES
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -62,6 +62,8 @@
   /** When the leases of all runs of earlier owners have expired at the latest. */
   readonly #inheritedLeasesEndAt: number
   #isRecoveryComplete = false
+  /** Backend servers of earlier owners that the registry has not listed since. */
+  readonly #absentServers = new Set<ServerId>()
 
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
@@ -79,10 +81,27 @@
   isRecoveryComplete (now: number): boolean {
     if (this.#isRecoveryComplete) return true
     const isUnresolved = [...this.servers.values()].some(server => !server.hasAnswered && server.leasesExpiredBy > now)
-    this.#isRecoveryComplete = this.servers.size > 0 && !isUnresolved
+    this.#isRecoveryComplete = this.servers.size > 0 && this.#absentServers.size === 0 && !isUnresolved
     return this.#isRecoveryComplete || now > this.#inheritedLeasesEndAt
   }
 
+  /** Adds backend servers that may have runs of earlier owners, whether they are listed or not. */
+  inheritServers (ids: Iterable<ServerId>): void {
+    for (const id of ids) if (!this.servers.has(id)) this.#absentServers.add(id)
+  }
+
+  /** Backend servers that may have runs of earlier owners, and that the registry has not listed since. */
+  absentServers (now: number): ReadonlySet<ServerId> {
+    return now > this.#inheritedLeasesEndAt ? new Set() : this.#absentServers
+  }
+
+  /** Ids of the backend servers that may have runs of this owner or of earlier ones. */
+  serversToRecover (now: number): ReadonlySet<ServerId> {
+    const ids = new Set(this.absentServers(now))
+    for (const server of this.servers.values()) if (server.mayHaveRuns(now)) ids.add(server.id)
+    return ids
+  }
+
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.configuration = configuration
@@ -178,6 +197,7 @@
   /** Returns the backend server of an entry; adds it if it is new. */
   registerServer (entry: ServerEntry, now: number): Server {
     this.#largestCapacities.set(entry.pool, largestOf(this.#largestCapacities.get(entry.pool) ?? NO_CAPACITY, entry.capacity))
+    this.#absentServers.delete(entry.id)
     const known = this.servers.get(entry.id)
     if (known !== undefined) return known
     const server = new Server(entry, Math.max(now, this.#inheritedLeasesEndAt))
--- a/packages/jobs/test/inherited-jobs.test.ts
+++ b/packages/jobs/test/inherited-jobs.test.ts
@@ -15,7 +15,9 @@
         world.settle()
         const holder = world.serverRunning('a.0.0.0')!
         const others = world.servers.filter(server => server !== holder)
+        const recorded = world.planner.serversToRecover(world.now)
         world.planner = new Planner(epoch(2), [stored()], { now: world.now, wallTime: world.wallTime })
+        world.planner.inheritServers(recorded)
         world.planner.configure(CONFIGURATION)
         world.listServers(others.map(server => server.entry))
         world.settle()
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -103,7 +103,7 @@
   'record-unreadable': {
     number: 1012,
     level: 'error',
-    sentence: 'A stored record can\'t be read; it is left unchanged.',
+    sentence: 'A stored record can\'t be read; it is left unchanged, but a record of backend servers is replaced.',
     fields: { record: 'key of the record and error message' },
     action: 'Inspect the row: another release or another program wrote it.'
   },
@@ -138,7 +138,7 @@
   'progress-not-stored': {
     number: 1024,
     level: 'warning',
-    sentence: 'The progress of jobs could not be stored; the write is retried.',
+    sentence: 'The progress of jobs or the record of backend servers could not be stored; the write is retried.',
     fields: { failure: 'error code', waiting: 'number of jobs with unsaved progress' },
     action: 'If it recurs, check that the VM can reach the store.'
   },
