--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -15,11 +15,13 @@
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
 import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
+import { logFindings } from './planner-findings.js'
 import type { PlatformView } from './platform-view.js'
 import { ProgressWriter } from './progress-writer.js'
 import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
+import { ServerRecord } from './server-record.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -50,6 +52,7 @@
   readonly #options: PlannerHostOptions
   readonly #planner: Planner
   readonly #writer: ProgressWriter
+  readonly #serverRecord: ServerRecord
   readonly #rounds: RoundMonitor
   readonly #retired: RetiredJobs
   readonly #inbox = new Inbox<HostEvent>()
@@ -62,6 +65,7 @@
   #isRoundDue = false
   #isDeciding = true
   #saving: Promise<void> | undefined
+  #isRecordingServers = false
   #firstStartAt: number | undefined
 
   readonly #handlers: HostEventHandlers = {
@@ -87,7 +91,9 @@
     this.#options = options
     const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
+    this.#planner.inheritServers(stored.servers.ids)
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
+    this.#serverRecord = new ServerRecord(store, owner, stored.servers)
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
@@ -159,14 +165,10 @@
     if (this.#stopping.signal.aborted) return
     const handler = this.#handlers[event.type] as (event: HostEvent) => void
     handler(event)
-    this.#logFindings()
+    logFindings(this.#options.emit, this.#planner.drainEvents())
     this.#scheduleRound()
   }
 
-  #logFindings (): void {
-    for (const { type, ...details } of this.#planner.drainEvents()) this.#options.emit(type, { details })
-  }
-
   #crash (thrown: unknown): void {
     this.#options.emit('planner-failed', { details: { failure: asFailure(thrown).message } })
     this.#options.onFenced()
@@ -266,6 +268,15 @@
       this.#pollRepeatedly(id).catch(thrown => this.#crash(thrown))
     }
     this.#options.servers.retainConnections(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
+    this.#recordServers().catch(thrown => this.#crash(thrown))
+  }
+
+  /** Records which backend servers may have runs; a write that fails is made again after the next read of the registry. */
+  async #recordServers (): Promise<void> {
+    if (this.#isRecordingServers) return
+    this.#isRecordingServers = true
+    await this.#tryStoreCall(() => this.#serverRecord.write(this.#planner.serversToRecover(performance.now())))
+    this.#isRecordingServers = false
   }
 
   /** Polls one backend server repeatedly, until the host stops or the planner has removed the server. */
