Share the sample job of the entry package's tests, and reword comments

Four test files had the same job or step. Comments say that a pool's servers accept every start, in place of starting what they are told to.

--- a/packages/entry/test/cancellations.test.ts
+++ b/packages/entry/test/cancellations.test.ts
@@ -1,5 +1,4 @@
-import { epoch, vmName, workspaceName } from '@cornelgauge/model'
-import { jobId, poolName, queueName, type Job } from '@cornelgauge/jobs'
+import { vmName } from '@cornelgauge/model'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { encodeJob } from '../src/job-record.js'
@@ -7,18 +6,9 @@
 import { OwnedPlanner } from '../src/owned-planner.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import type { PlatformView } from '../src/platform-view.js'
+import { JOB } from './sample-job.js'
 
-const ID = jobId('00000000000000a1')
-const JOB: Job = {
-  id: ID,
-  queue: queueName('check'),
-  pool: poolName('pool'),
-  workspace: workspaceName('brno'),
-  specification: 'work',
-  acceptedAt: 1000,
-  acceptedUnder: epoch(1),
-  steps: [{ count: 2, need: { processor: 1, memory: 1, accelerators: 1 }, estimateMilliseconds: 0, after: [], savesCheckpoints: false, isGang: false, wantsOneRack: false, allowsCopies: false, isLasting: false, fillsIdleProcessor: false }]
-}
+const { id: ID } = JOB
 /** Time within which the owner has read a row that was written, with slack for a busy machine. */
 const FOLLOWED_MILLISECONDS = 5000
 
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -1,5 +1,5 @@
-import { CornelgaugeError, epoch, vmName, workspaceName } from '@cornelgauge/model'
-import { encodeProgress, jobId, Planner, poolName, queueName, type Job } from '@cornelgauge/jobs'
+import { CornelgaugeError, epoch, vmName } from '@cornelgauge/model'
+import { encodeProgress, jobId, Planner } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView, type PageRange, type RowStore } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { encodeJob } from '../src/job-record.js'
@@ -11,18 +11,9 @@
 import { ProgressWriter } from '../src/progress-writer.js'
 import { RetiredJobs } from '../src/retired-jobs.js'
 import { readTable } from '../src/table-reader.js'
+import { JOB } from './sample-job.js'
 
-const ID = jobId('00000000000000a1')
-const JOB: Job = {
-  id: ID,
-  queue: queueName('check'),
-  pool: poolName('pool'),
-  workspace: workspaceName('brno'),
-  specification: 'work',
-  acceptedAt: 1000,
-  acceptedUnder: epoch(1),
-  steps: [{ count: 2, need: { processor: 1, memory: 1, accelerators: 1 }, estimateMilliseconds: 0, after: [], savesCheckpoints: false, isGang: false, wantsOneRack: false, allowsCopies: false, isLasting: false, fillsIdleProcessor: false }]
-}
+const { id: ID } = JOB
 const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
 const RETENTION_MILLISECONDS = 180_000
 /** Time for the owner to delete what is due; it does so several times within it. */
--- a/packages/entry/test/odd-records.test.ts
+++ b/packages/entry/test/odd-records.test.ts
@@ -6,22 +6,11 @@
 import { decodeJob } from '../src/job-record.js'
 import { JobStore } from '../src/job-store.js'
 import { decodeOwner } from '../src/owner-record.js'
+import { STEP } from './sample-job.js'
 
 const FUZZ_SEED = 20_261_205
 const FUZZ_RUNS = 3000
 const KEY = '00000000000000a1'
-const STEP = {
-  count: 2,
-  need: { processor: 1, memory: 1, accelerators: 1 },
-  estimateMilliseconds: 0,
-  after: [],
-  savesCheckpoints: false,
-  isGang: false,
-  wantsOneRack: false,
-  allowsCopies: false,
-  isLasting: false,
-  fillsIdleProcessor: false
-}
 const RECORD = { format: 1, queue: 'check', pool: 'pool', workspace: 'brno', specification: 'work', steps: [STEP], acceptedAt: 1000, acceptedUnder: 3 }
 const SCHEDULE = { occurrences: 2, startAt: 1000, intervalMilliseconds: 10 }
 const OWNER = { vm: 'vm-a', address: '10.0.0.1:7000', epoch: 3, claim: 'c' }
--- a/packages/entry/test/store.test.ts
+++ b/packages/entry/test/store.test.ts
@@ -1,33 +1,15 @@
-import { CornelgaugeError, epoch, vmName, workspaceName } from '@cornelgauge/model'
-import { jobId, Planner, poolName, queueName } from '@cornelgauge/jobs'
+import { CornelgaugeError, epoch, vmName } from '@cornelgauge/model'
+import { Planner } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { MonitoredStore } from '../src/monitored-store.js'
-import { JobStore, type JobDraft } from '../src/job-store.js'
+import { JobStore } from '../src/job-store.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import { ProgressWriter } from '../src/progress-writer.js'
+import { JOB } from './sample-job.js'
 
-const ID = jobId('00000000000000a1')
-const DRAFT: JobDraft = {
-  id: ID,
-  queue: queueName('check'),
-  pool: poolName('pool'),
-  workspace: workspaceName('brno'),
-  specification: 'work',
-  acceptedAt: 1000,
-  steps: [{
-    count: 2,
-    need: { processor: 1, memory: 1, accelerators: 1 },
-    estimateMilliseconds: 0,
-    after: [],
-    savesCheckpoints: false,
-    isGang: false,
-    wantsOneRack: false,
-    allowsCopies: false,
-    isLasting: false,
-    fillsIdleProcessor: false
-  }]
-}
+const { acceptedUnder: _acceptedUnder, ...DRAFT } = JOB
+const { id: ID } = DRAFT
 const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
 const OTHER = { vm: vmName('vm-b'), address: '10.0.0.2:7000' }
 
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -2,7 +2,7 @@
 import { job, World } from './world.js'
 
 describe('planner', () => {
-  // The registry and each poll tell the incarnation of a backend server, in no certain order.
+  // The registry and each poll report the incarnation of a backend server, in no certain order.
   describe('when a backend server restarts', () => {
     it('keeps the runs of the new incarnation if an answer of the earlier one arrives later', () => {
       const world = new World(1)
--- a/packages/jobs/test/pool-run.ts
+++ b/packages/jobs/test/pool-run.ts
@@ -136,7 +136,7 @@
     this.#configure()
   }
 
-  /** Backend servers start whatever they are told to. */
+  /** Backend servers accept every start. */
   #configure (): void {
     this.#world.planner.configure({ ...CONFIGURATION, pools: CONFIGURATION.pools.map(pool => ({ ...pool, enforcesCapacity: false })) })
   }
--- a/packages/jobs/test/registry-age.test.ts
+++ b/packages/jobs/test/registry-age.test.ts
@@ -2,7 +2,7 @@
 import { MAXIMUM_REGISTRY_AGE_MILLISECONDS } from '../src/index.js'
 import { CONFIGURATION, job, World } from './world.js'
 
-/** A backend server of a pool that guards its capacity, or starts whatever it is told to. */
+/** A backend server of a pool that guards its capacity, or accepts every start. */
 const worldOfPool = (enforcesCapacity: boolean): World => {
   const world = new World(1)
   world.planner.configure({ ...CONFIGURATION, pools: CONFIGURATION.pools.map(pool => ({ ...pool, enforcesCapacity })) })
@@ -18,7 +18,7 @@
 }
 
 describe('planner while the registry can\'t be read', () => {
-  describe('in a pool whose backend servers start whatever they are told to', () => {
+  describe('in a pool whose backend servers accept every start', () => {
     it('starts work as long as the capacities that it knows still count', () => {
       const world = worldOfPool(false)
       world.listServers()
