--- a/packages/entry/test/odd-records.test.ts
+++ b/packages/entry/test/odd-records.test.ts
@@ -75,7 +75,10 @@
   ['a step that is null', { '0.0': null }]
 ]
 
-describe('records of another writer', () => {
+describe('records of another writer', function () {
+  // Many seeded runs without a pause; their time depends on the machine alone.
+  this.timeout(120_000)
+
   it('are read if they are those of a job, with and without a schedule', () => {
     expect(decodeJob(KEY, RECORD)).to.deep.include({ id: KEY, queue: 'check', acceptedUnder: 3 })
     expect(decodeJob(KEY, { ...RECORD, schedule: SCHEDULE }).schedule).to.deep.equal(SCHEDULE)
--- a/packages/jobs/test/changing-capacity-run.test.ts
+++ b/packages/jobs/test/changing-capacity-run.test.ts
@@ -17,7 +17,10 @@
   })
 })
 
-describe('random runs with capacities that shrink and grow', () => {
+describe('random runs with capacities that shrink and grow', function () {
+  // Many seeded runs without a pause; their time depends on the machine alone.
+  this.timeout(120_000)
+
   for (const seed of [7919, 104_729, 15_485_863, 32_452_843, 49_979_687, 67_867_967]) {
     it(`start nothing beyond the capacity, seed ${seed}`, () => {
       const run = new PoolRun(seed)
