Don't take runs for ended that a list which may be cut doesn't show

Cause: a backend server lists at most 500 ends that aren't acknowledged. The planner removed each run that a report didn't list, so runs that had ended behind the 500th end were started again.

A report now says whether it may lack ends. Nothing is concluded from the runs that such a report doesn't list: not that they have ended, not that their start hasn't arrived, not that they are stuck, and, for a new owner, not that nothing else of earlier owners runs there. The runs keep their capacity until they are listed, which also bounds how many ends pile up.

--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -51,7 +51,7 @@
     const sentAt = performance.now()
     this.polls.push({ at: sentAt, renews: poll.leaseUntil !== undefined })
     await pause(systemClock, Math.max(5, poll.waitMilliseconds))
-    return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: [], sentAt, receivedAt: performance.now() }
+    return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: [], hasMoreEnds: false, sentAt, receivedAt: performance.now() }
   }
 
   start (): Promise<StartOutcome> {
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -14,7 +14,7 @@
 import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
 /**
- * Applies an answer to a poll. Runs that it no longer lists have ended.
+ * Applies an answer to a poll. Runs that a complete report no longer lists have ended.
  *
  * @example
  * applyReport(state, server, report, Date.now())
@@ -29,6 +29,8 @@
   }
   server.recordAnswer(report.clock, report.receivedAt)
   server.hasRefusedForCapacity = false
+  server.hasMoreEnds = report.hasMoreEnds
+  server.hasListedAll ||= !report.hasMoreEnds
   const listed = new Set<Run>()
   for (const entry of report.running) {
     listed.add(applyRunning(state, server, entry, report.receivedAt))
@@ -41,6 +43,7 @@
     server.reportedPosition = last.position
     state.acknowledgeWhenStored(server, last.position)
   }
+  if (report.hasMoreEnds) return
   for (const run of [...server.runs.values()]) {
     if (listed.has(run)) continue
     if (hasEnded(run, report.sentAt)) removeUnlisted(state, server, run)
@@ -48,7 +51,7 @@
   }
 }
 
-/** True if a run that isn't listed has ended: it was confirmed before the poll, or its stop was, so it can no longer start. */
+/** True if a run that a complete report doesn't list has ended: it was confirmed before the poll, or its stop was, so it can no longer start. */
 function hasEnded (run: Run, sentAt: number): boolean {
   return run.confirmedAt < sentAt || (run.isStopConfirmed && run.stopConfirmedAt < sentAt)
 }
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -35,7 +35,8 @@
 
 /** Stops runs without progress, because their backend server may be faulty. */
 function stopStuck (state: PlannerState, server: Server, now: number): void {
-  if (server.missedPolls > 0) return
+  // Runs that seem to stand still may have ended behind a list that was cut.
+  if (server.missedPolls > 0 || server.hasMoreEnds) return
   for (const run of server.runs.values()) {
     const percentMilliseconds = run.percent === 0 ? 0 : (run.progressedAt - run.confirmedAt) / run.percent
     const stallLimit = Math.max(STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR * percentMilliseconds)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -51,6 +51,8 @@
   readonly clock: number
   readonly running: readonly ListedRun[]
   readonly ended: readonly ListedEnd[]
+  /** The list of ends may be cut: further ends follow once these are acknowledged. */
+  readonly hasMoreEnds: boolean
   /** Our monotonic clock when the poll was sent and when its answer was received, in milliseconds. */
   readonly sentAt: number
   readonly receivedAt: number
@@ -107,6 +109,10 @@
   listedIncarnation: number
   /** The current incarnation has answered a poll of this owner. */
   hasAnswered = false
+  /** The last report may lack ends: a run that it doesn't list may have ended or not. */
+  hasMoreEnds = false
+  /** The current incarnation has listed all its runs and ends to this owner. */
+  hasListedAll = false
   /** Polls without an answer since the last one that was answered. */
   missedPolls = 0
   lastAnswerAt = -Infinity
@@ -172,8 +178,21 @@
   /** True if it has runs, may still begin some, or gets new ones. */
   mayHaveRuns (now: number): boolean {
     const getsNewRuns = this.isListed && !this.entry.isDraining
-    const isUnresolved = !this.hasAnswered && this.#leasesExpiredBy > now
-    return getsNewRuns || isUnresolved || this.runs.size > 0 || this.revokedStarts.hasPending(now)
+    return getsNewRuns || this.mayHideRuns(now) || this.runs.size > 0 || this.revokedStarts.hasPending(now)
+  }
+
+  /**
+   * True if it may have runs of earlier owners, or ends of them, that it hasn't listed to this one.
+   * Ends that aren't acknowledged remain after the leases have expired while it is reachable.
+   */
+  mayHideRuns (now: number): boolean {
+    if (this.hasListedAll) return false
+    return this.#leasesExpiredBy > now || this.isListCut
+  }
+
+  /** True if it is reachable, and no report to this owner was complete. */
+  get isListCut (): boolean {
+    return this.hasAnswered && this.missedPolls === 0 && !this.hasListedAll
   }
 
   /** True after several consecutive failures. */
@@ -220,6 +239,8 @@
     this.restartedAt = now
     if (!this.#isOut) this.outageAt = now
     this.hasAnswered = false
+    this.hasMoreEnds = false
+    this.hasListedAll = false
     this.reportedPosition = 0
     this.acknowledgedPosition = 0
     this.#clock = 0
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -96,13 +96,13 @@
     return runNumber(this.epoch * RUNS_PER_EPOCH + this.#runCount)
   }
 
-  /** True once every run of an earlier owner has been reported or its lease has expired. */
+  /** True once every run of an earlier owner has been reported, or its lease has expired and its backend server has no ends left to list. */
   isRecoveryComplete (now: number): boolean {
     if (this.#isRecoveryComplete) return true
     const mayMissServers = this.unreadableServers > 0 && now < this.#rowsReadableBy
-    const isUnresolved = mayMissServers || [...this.servers.values()].some(server => !server.hasAnswered && server.leasesExpiredBy > now)
+    const isUnresolved = mayMissServers || [...this.servers.values()].some(server => server.mayHideRuns(now))
     this.#isRecoveryComplete = this.servers.size > 0 && this.#absentServers.size === 0 && !isUnresolved
-    return this.#isRecoveryComplete || now > this.#inheritedLeasesEndAt
+    return this.#isRecoveryComplete || (now > this.#inheritedLeasesEndAt && ![...this.servers.values()].some(server => server.isListCut))
   }
 
   /** Adds backend servers that may have runs of earlier owners, whether they are listed or not. */
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -15,7 +15,7 @@
       world.planner.submit(job('a'))
       world.settle()
       expect(world.starts).to.have.length(1)
-      world.planner.applyReport(server!.entry.id, { incarnation: 1, clock: 100_000 + sentAt, running: [], ended: [], sentAt, receivedAt: world.now }, world.wallTime)
+      world.planner.applyReport(server!.entry.id, { incarnation: 1, clock: 100_000 + sentAt, running: [], ended: [], hasMoreEnds: false, sentAt, receivedAt: world.now }, world.wallTime)
       world.settle()
       expect(world.starts).to.have.length(1)
     })
--- a/packages/jobs/test/recoverable-servers.test.ts
+++ b/packages/jobs/test/recoverable-servers.test.ts
@@ -115,7 +115,7 @@
       world.listServers([...world.servers.map(each => each.entry), returned])
       world.settle()
       expect(world.starts).to.have.length(0)
-      world.planner.applyReport(GONE, { incarnation: 1, clock: 100_000 + world.now, running: [], ended: [], sentAt: world.now, receivedAt: world.now + 1 }, world.wallTime)
+      world.planner.applyReport(GONE, { incarnation: 1, clock: 100_000 + world.now, running: [], ended: [], hasMoreEnds: false, sentAt: world.now, receivedAt: world.now + 1 }, world.wallTime)
       world.settle()
       expect(world.starts).to.have.length(1)
     })
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -77,6 +77,8 @@
   highestEpoch = 0
   readonly running = new Map<string, ListedRun>()
   ended: ListedEnd[] = []
+  /** Ends that it lists at most in one report. */
+  mostListedEnds = Infinity
   /** Starts that have not arrived yet. */
   readonly delayed: StartCommand[] = []
   /** When it is reachable again after a crash, on the world's clock. */
@@ -220,7 +222,7 @@
       }
       server.highestEpoch = Math.max(server.highestEpoch, this.planner.epoch)
       server.ended = server.ended.filter(end => end.position > request.acknowledgedPosition)
-      this.planner.applyReport(server.entry.id, { incarnation: server.incarnation, clock: 100_000 + this.now, running: [...server.running.values()], ended: [...server.ended], sentAt: this.now, receivedAt: this.now + 1 }, this.wallTime)
+      this.planner.applyReport(server.entry.id, { incarnation: server.incarnation, clock: 100_000 + this.now, running: [...server.running.values()], ended: server.ended.slice(0, server.mostListedEnds), hasMoreEnds: server.ended.length >= server.mostListedEnds, sentAt: this.now, receivedAt: this.now + 1 }, this.wallTime)
     }
   }
 
--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -214,7 +214,7 @@
     const request = this.#planner.pollRequest(id, this.#timeline.now)
     if (request === undefined) return
     const { now } = this.#timeline
-    const report = { incarnation: 1, clock: 1_000_000 + now, running: server.listRunning(now), ended: server.acknowledgeEnded(request.acknowledgedPosition), sentAt: now, receivedAt: now }
+    const report = { incarnation: 1, clock: 1_000_000 + now, running: server.listRunning(now), ended: server.acknowledgeEnded(request.acknowledgedPosition), hasMoreEnds: false, sentAt: now, receivedAt: now }
     this.#notify(() => this.#planner.applyReport(id, report, this.#times.wallTime))
   }
 
