Store the cancellation of an unknown id, and accept no job under it

Callers saw a job run after its cancellation was answered with 410 (UNASKED): its hand-in had no answer, and the store carried the write out 5.8 s later.

Cause: the cancellation of an id that neither the owner nor the store knows was answered and stored nowhere, so the late write met nothing that stops it.

The cancellation is now stored on condition that there is no job, and the row of a job on condition that its id isn't cancelled: of the two, the later one has no effect, whenever the store carries it out. The records last 180 s, and a VM stores 300 of them at most.

Replaced test: "doesn't cancel a job that was accepted later under the same id" put the job while the cancellation was still stored, which now rightly cancels it. The owner now deletes the row first; what is checked is the same.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -7,6 +7,7 @@
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { LogicalClock } from '@cornelgauge/wire'
 import { MonitoredStore } from './monitored-store.js'
+import { CancellationLimit } from './cancellation-limit.js'
 import { CurrentConfiguration } from './current-configuration.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
@@ -52,6 +53,7 @@
   readonly #peers: Peers
   readonly #leadership: Leadership
   readonly #stopping = new AbortController()
+  readonly #unknownCancellations = new CancellationLimit()
   readonly configuration: CurrentConfiguration
   readonly #owned: OwnedPlanner
 
@@ -164,6 +166,7 @@
    * Accepts a job: it is stored when the promise resolves.
    *
    * @throws {CornelgaugeError} `overloaded` if the job isn't stored and won't be,
+   * `id-cancelled` likewise, since its id was cancelled before,
    * `outcome-unknown` if that can't be determined by the deadline on the steady clock
    */
   async submit (draft: JobDraft, deadline: number): Promise<void> {
@@ -171,14 +174,18 @@
   }
 
   /**
-   * Cancels a job.
+   * Cancels a job. If there is none, none is accepted under the id within the retention time.
    *
    * @returns false if there is no such job
    * @throws {CornelgaugeError} as `submit`, or `store-unavailable`
    */
   async cancel (id: JobId, deadline: number): Promise<boolean> {
-    if (await this.phaseOf(id) === undefined) return false
-    await this.#jobs.cancel(id, deadline)
+    if (await this.phaseOf(id) === undefined) {
+      this.#unknownCancellations.admit(performance.now())
+      if (!await this.#jobs.cancelUnknown(id, deadline)) return false
+    } else {
+      await this.#jobs.cancel(id, deadline)
+    }
     this.#notifyOwner({ kind: 'cancel', id })
     return true
   }
@@ -220,8 +227,9 @@
       if (this.#isStoreSilent) throw new CornelgaugeError('overloaded', { detail: 'The store doesn\'t answer this VM' })
       return await this.#storeJob(draft, deadline)
     } catch (thrown) {
-      if (relayPeer === undefined) throw thrown
-      return await this.#relay(relayPeer.address, draft, deadline, asFailure(thrown).code === 'overloaded')
+      const { code } = asFailure(thrown)
+      if (relayPeer === undefined || code === 'id-cancelled') throw thrown
+      return await this.#relay(relayPeer.address, draft, deadline, code === 'overloaded')
     }
   }
 
@@ -239,6 +247,7 @@
     } catch (thrown) {
       const failure = asFailure(thrown)
       this.#options.emit('peer-call-failed', { details: { address, kind: 'accept', failure: failure.code } })
+      if (failure.code === 'id-cancelled') throw failure
       if (isSettled && (failure.code === 'overloaded' || failure.members.sent === false)) throw new CornelgaugeError('overloaded', { detail: 'The store refused this VM, and no other VM could store the job' })
       throw new CornelgaugeError('outcome-unknown')
     }
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -25,12 +25,16 @@
   /** Table versions from which changes of jobs and cancellations are followed. */
   readonly jobsVersion: number
   readonly cancelsVersion: number
+  /** Cancelled ids under which there is no job. */
+  readonly earlyCancellations: readonly JobId[]
 }
 
-/** The end of a write: the row is stored, by this write or as it was before. */
+/** The end of a write: the row is stored, by this write or as it was before, or never will be. */
 interface SettledWrite {
   /** The row, unless this write has stored it. */
   readonly existing?: StoredRow
+  /** The id was cancelled before, so the row isn't stored. */
+  readonly isCancelled?: boolean
 }
 
 /** Phase of a job according to the store. */
@@ -56,30 +60,34 @@
    * Stores a job under the current owner; a job that is already stored stays unchanged.
    * After a write without an answer, the row is read back and the write is repeated until
    * the outcome is known. Each write requires that the row doesn't exist yet, so the job is
-   * stored at most once.
+   * stored at most once, and that the id isn't cancelled, so that a write which is carried out
+   * late has no effect after a cancellation.
    *
    * @returns the job as it is stored
    * @throws {CornelgaugeError} `overloaded` if the job isn't stored and won't be;
+   * `id-cancelled` likewise, since its id was cancelled before;
    * `outcome-unknown` if that can't be determined by the deadline (on the steady clock);
    * `record-damaged` if the row of its id can't be read
    */
   async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number): Promise<Job> {
     let job: Job = { ...draft, acceptedUnder: NO_OWNER.epoch }
-    const { existing } = await this.#writeUntilSettled(JOBS_TABLE, draft.id, deadline, async () => {
+    const { existing, isCancelled } = await this.#writeUntilSettled(JOBS_TABLE, draft.id, deadline, async () => {
       const currentOwner = owner() ?? await readOwner(this.#rows)
       if (currentOwner === undefined) throw new CornelgaugeError('overloaded', { detail: 'The planner has no owner yet' })
       job = { ...draft, acceptedUnder: currentOwner.epoch }
       const ownerCondition = { table: OWNER_TABLE, key: OWNER_KEY, version: currentOwner.version }
       const outcome = await this.#rows.write({
-        conditions: [{ table: JOBS_TABLE, key: job.id, version: 0 }, ownerCondition],
+        conditions: [{ table: JOBS_TABLE, key: job.id, version: 0 }, { table: CANCELS_TABLE, key: job.id, version: 0 }, ownerCondition],
         puts: [{ table: JOBS_TABLE, key: job.id, value: encodeJob(job) }]
       })
       if (outcome.type === 'written') return {}
       const row = outcome.rows.find(({ table }) => table === JOBS_TABLE)
       if (row !== undefined) return { existing: row }
+      if (outcome.rows.some(({ table }) => table === CANCELS_TABLE)) return { isCancelled: true }
       for (const row of outcome.rows) if (row.table === OWNER_TABLE) onOwner(decodeOwner(row))
       return undefined
     })
+    if (isCancelled === true) throw new CornelgaugeError('id-cancelled')
     return existing === undefined ? job : decodeJob(existing.key, existing.value)
   }
 
@@ -95,6 +103,27 @@
     })
   }
 
+  /**
+   * Stores the cancellation of an id under which no job is known. A hand-in without an answer may still
+   * be carried out; it has no effect once the cancellation is stored.
+   *
+   * @returns true if there is a job after all, which is cancelled
+   * @throws {CornelgaugeError} as `accept`, or the store's failure
+   */
+  async cancelUnknown (id: JobId, deadline: number): Promise<boolean> {
+    const put = { table: CANCELS_TABLE, key: id, value: {} }
+    const noCancellation = { table: CANCELS_TABLE, key: id, version: 0 }
+    const { existing } = await this.#writeUntilSettled(CANCELS_TABLE, id, deadline, async () => {
+      const outcome = await this.#rows.write({ conditions: [{ table: JOBS_TABLE, key: id, version: 0 }, noCancellation], puts: [put] })
+      if (outcome.type === 'written') return {}
+      const cancellation = outcome.rows.find(({ table }) => table === CANCELS_TABLE)
+      if (cancellation !== undefined) return { existing: cancellation }
+      await this.#rows.write({ conditions: [noCancellation], puts: [put] })
+      return { existing: outcome.rows[0] }
+    })
+    return existing !== undefined && await this.#rows.read(JOBS_TABLE, id) !== undefined
+  }
+
   /** Reads the phase of a job from the store. */
   async phaseOf (id: JobId): Promise<StoredPhase> {
     const [job, cancel, progress] = await Promise.all([JOBS_TABLE, CANCELS_TABLE, PROGRESS_TABLE].map(table => this.#rows.read(table, id)))
@@ -128,13 +157,15 @@
         damaged.push(`${row.key}: ${asFailure(thrown).message}`)
       }
     }
+    const jobKeys = new Set(jobs.rows.map(row => row.key))
     return {
       jobs: stored,
       servers,
       progressVersions: new Map(progress.rows.map(row => [jobId(row.key), row.version])),
       damaged,
       jobsVersion: jobs.version,
-      cancelsVersion: cancels.version
+      cancelsVersion: cancels.version,
+      earlyCancellations: cancels.rows.filter(row => !jobKeys.has(row.key)).map(row => jobId(row.key))
     }
   }
 
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -83,6 +83,10 @@
 export const DELETION_INTERVAL_MILLISECONDS = 1000
 /** Jobs per deletion; the store accepts 100 entries, of which each job takes four and the owner's row one. */
 export const DELETION_BATCH = 24
+/** Cancellations of unknown ids per deletion; each takes two of the 100 entries, and the owner's row one. */
+export const CANCELLATION_DELETION_BATCH = 45
+/** Cancellations of unknown ids that a VM stores within the retention time; the owner keeps those of all VMs in memory. */
+export const UNKNOWN_CANCELLATIONS = 300
 /** How long the id of a deleted job stays known, so that an earlier read of its row doesn't plan it anew. */
 export const DELETED_ID_MILLISECONDS = 180_000
 
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -92,6 +92,7 @@
     const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
     this.#planner.inheritServers(stored.servers.ids)
+    for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#serverRecord = new ServerRecord(store, owner, stored.servers)
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -83,6 +83,23 @@
     return new Set(deleted)
   }
 
+  /**
+   * Deletes the cancellations of ids under which there is no job. If a job has been accepted under one of them
+   * meanwhile, the others remain too.
+   *
+   * @returns the ids whose cancellations need no further attempt
+   * @throws {CornelgaugeError} as `write`
+   */
+  async deleteCancellations (ids: readonly JobId[]): Promise<ReadonlySet<JobId>> {
+    const conditions = ids.map(key => ({ table: JOBS_TABLE, key, version: 0 }))
+    const deletions = ids.map(key => ({ table: CANCELS_TABLE, key }))
+    const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts: [], deletions })
+    if (outcome.type === 'written') return new Set(ids)
+    this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
+    const keys = new Set(outcome.rows.filter(row => row.table === JOBS_TABLE).map(row => row.key))
+    return new Set(ids.filter(id => keys.has(id)))
+  }
+
   get #ownerCondition (): { table: string, key: string, version: number } {
     return { table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }
   }
--- a/packages/entry/src/retired-jobs.ts
+++ b/packages/entry/src/retired-jobs.ts
@@ -1,7 +1,7 @@
 /** Deletes jobs whose retention time has passed, so that the state that a new owner loads stays bounded. */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import type { Job, JobId, Planner, RoundTimes } from '@cornelgauge/jobs'
-import { DELETED_ID_MILLISECONDS, DELETION_BATCH, DELETION_INTERVAL_MILLISECONDS } from './limits.js'
+import { CANCELLATION_DELETION_BATCH, DELETED_ID_MILLISECONDS, DELETION_BATCH, DELETION_INTERVAL_MILLISECONDS } from './limits.js'
 import type { ProgressWriter } from './progress-writer.js'
 
 /** What the host does about failures. */
@@ -24,6 +24,8 @@
   readonly #writer: ProgressWriter
   /** Retired jobs whose rows aren't known to be deleted yet, with the versions of their progress rows. */
   readonly #due = new Map<JobId, { readonly job: Job, readonly progressVersion: number }>()
+  /** Cancelled ids under which no job has arrived, and whose rows aren't known to be deleted yet. */
+  readonly #dueCancellations = new Set<JobId>()
   /** Jobs whose rows are deleted, in that order, with the time of the deletion on the monotonic clock. */
   readonly #deleted = new Map<JobId, { readonly job: Job, readonly deletedAt: number }>()
 
@@ -40,6 +42,7 @@
         await pause(systemClock, DELETION_INTERVAL_MILLISECONDS, signal)
         if (signal.aborted) return
         await tryStoreCall(() => retired.deleteBatch({ now: performance.now(), wallTime: Date.now() }))
+        await tryStoreCall(() => retired.deleteCancellations(performance.now()))
       }
     }
     run().catch(onCrash)
@@ -69,4 +72,19 @@
       this.#deleted.set(id, { job, deletedAt: now })
     }
   }
+
+  /**
+   * Deletes the rows of cancellations whose jobs can no longer arrive; what fails is tried again with the next call.
+   *
+   * @throws {CornelgaugeError} as `ProgressWriter.deleteCancellations`
+   */
+  async deleteCancellations (now: number): Promise<void> {
+    for (const id of this.#planner.expireCancellations(now)) this.#dueCancellations.add(id)
+    while (this.#dueCancellations.size > 0) {
+      const batch = [...this.#dueCancellations].slice(0, CANCELLATION_DELETION_BATCH)
+      const settled = await this.#writer.deleteCancellations(batch)
+      if (settled.size === 0) return
+      for (const id of settled) this.#dueCancellations.delete(id)
+    }
+  }
 }
--- a/packages/entry/test/cancellations.test.ts
+++ b/packages/entry/test/cancellations.test.ts
@@ -1,7 +1,9 @@
 import { vmName } from '@cornelgauge/model'
+import { RETENTION_MILLISECONDS } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { encodeJob } from '../src/job-record.js'
+import { DELETION_INTERVAL_MILLISECONDS } from '../src/limits.js'
 import { JobStore } from '../src/job-store.js'
 import { OwnedPlanner } from '../src/owned-planner.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
@@ -14,6 +16,7 @@
 
 describe('the owner of the planner', function () {
   this.timeout(2 * FOLLOWED_MILLISECONDS)
+  let store: MemoryRowStore
   let view: MemoryRowStoreView
   let owner: OwnerRecord
   let owned: OwnedPlanner
@@ -30,7 +33,8 @@
   }
 
   beforeEach(async () => {
-    view = new MemoryRowStore().view()
+    store = new MemoryRowStore()
+    view = store.view()
     owner = await claimOwnership(view, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
     background = []
     owned = new OwnedPlanner({
@@ -81,6 +85,13 @@
       await waitForPhase('canceled')
     })
 
+    it('cancels it if only the cancellation was there when the owner loaded', async () => {
+      await cancel()
+      await owned.takeOver(owner)
+      await accept()
+      await waitForPhase('canceled')
+    })
+
     it('cancels it if the owner reads the cancellation before the job', async () => {
       const changes = view.changes.bind(view)
       let releaseJobs = (): void => {}
@@ -109,9 +120,18 @@
     it('doesn\'t cancel a job that was accepted later under the same id', async () => {
       await cancel()
       await owned.takeOver(owner)
+      await pause(2 * DELETION_INTERVAL_MILLISECONDS)
+      const systemNow = performance.now.bind(performance)
+      performance.now = () => systemNow() + 2 * RETENTION_MILLISECONDS
+      try {
+        const deadline = performance.now() + FOLLOWED_MILLISECONDS
+        while (store.rows('cancels').length > 0 && performance.now() < deadline) await pause(20)
+      } finally {
+        performance.now = systemNow
+      }
+      expect(store.rows('cancels')).to.deep.equal([])
       await accept()
       await waitForPhase('queued')
-      await view.write({ conditions: [], puts: [], deletions: [{ table: 'cancels', key: ID }] })
       await pause(200)
       expect(owned.host?.phaseOf(ID)).to.equal('queued')
     })
--- a/packages/entry/test/store.test.ts
+++ b/packages/entry/test/store.test.ts
@@ -1,11 +1,14 @@
 import { CornelgaugeError, epoch, vmName } from '@cornelgauge/model'
-import { Planner } from '@cornelgauge/jobs'
+import { jobId, Planner, RETENTION_MILLISECONDS } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
+import { CancellationLimit } from '../src/cancellation-limit.js'
+import { UNKNOWN_CANCELLATIONS } from '../src/limits.js'
 import { MonitoredStore } from '../src/monitored-store.js'
 import { JobStore } from '../src/job-store.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import { ProgressWriter } from '../src/progress-writer.js'
+import { RetiredJobs } from '../src/retired-jobs.js'
 import { JOB } from './sample-job.js'
 
 const { acceptedUnder: _acceptedUnder, ...DRAFT } = JOB
@@ -103,6 +106,114 @@
     })
   })
 
+  // Guards against a job that runs after its caller was told that there is none.
+  describe('the cancellation of an id without a job', () => {
+    const accept = (): ReturnType<JobStore['accept']> => new JobStore(view).accept(DRAFT, () => owner, () => {}, soon())
+    const cancelUnknown = (): Promise<boolean> => new JobStore(view).cancelUnknown(ID, soon())
+
+    it('keeps a hand-in without an answer from being carried out later', async () => {
+      const write = view.write.bind(view)
+      let carryOut = async (): Promise<unknown> => undefined
+      view.write = async transaction => {
+        carryOut = () => write(transaction)
+        throw new CornelgaugeError('timeout')
+      }
+      expect(await codeOf(accept())).to.equal('outcome-unknown')
+      view.write = write
+      expect(await cancelUnknown()).to.equal(false)
+      await carryOut()
+      expect(store.rows('jobs')).to.deep.equal([])
+    })
+
+    it('keeps the id from being accepted, also by attempts of a hand-in that is under way', async () => {
+      expect(await cancelUnknown()).to.equal(false)
+      expect(await codeOf(accept())).to.equal('id-cancelled')
+      expect(store.rows('jobs')).to.deep.equal([])
+    })
+
+    it('is stored once, however often it is repeated', async () => {
+      await cancelUnknown()
+      expect(await cancelUnknown()).to.equal(false)
+      expect(store.rows('cancels')).to.have.length(1)
+    })
+
+    it('cancels the job if one has been accepted meanwhile', async () => {
+      await accept()
+      expect(await cancelUnknown()).to.equal(true)
+      expect(await new JobStore(view).phaseOf(ID)).to.equal('canceled')
+    })
+
+    it('doesn\'t keep a job from being handed in again that was accepted before it', async () => {
+      const first = await accept()
+      await cancelUnknown()
+      expect(await accept()).to.deep.equal(first)
+    })
+
+    it('has no effect on a job accepted since if it is carried out late itself', async () => {
+      const write = view.write.bind(view)
+      let carryOut = async (): Promise<unknown> => undefined
+      view.write = async transaction => {
+        carryOut = () => write(transaction)
+        throw new CornelgaugeError('timeout')
+      }
+      expect(await codeOf(cancelUnknown())).to.equal('outcome-unknown')
+      view.write = write
+      await accept()
+      await carryOut()
+      expect(await new JobStore(view).phaseOf(ID)).to.equal('queued')
+    })
+
+    it('is loaded by the next owner', async () => {
+      await cancelUnknown()
+      expect((await new JobStore(view).load()).earlyCancellations).to.deep.equal([ID])
+    })
+  })
+
+  describe('cancellations of ids without jobs', () => {
+    const ids = Array.from({ length: 100 }, (_, index) => jobId(index.toString(16).padStart(16, '0')))
+    let planner: Planner
+    let retired: RetiredJobs
+
+    beforeEach(async () => {
+      for (const id of ids) await new JobStore(view).cancelUnknown(id, soon())
+      planner = new Planner(epoch(1), [], { now: 0, wallTime: 0 })
+      for (const id of ids) planner.cancel(id, 0)
+      retired = new RetiredJobs(planner, new ProgressWriter(view, owner, new Map()))
+      await retired.deleteCancellations(0)
+    })
+
+    it('stay while the retention time lasts', async () => {
+      await retired.deleteCancellations(RETENTION_MILLISECONDS)
+      expect(store.rows('cancels')).to.have.length(ids.length)
+    })
+
+    it('are deleted after it, so that the ids can be used again', async () => {
+      await retired.deleteCancellations(RETENTION_MILLISECONDS + 1)
+      expect(store.rows('cancels')).to.deep.equal([])
+    })
+
+    it('are deleted after it though a job has been accepted under one of the ids', async () => {
+      await view.write({ conditions: [], puts: [{ table: 'jobs', key: ids[0]!, value: {} }] })
+      await retired.deleteCancellations(RETENTION_MILLISECONDS + 1)
+      expect(store.rows('cancels').map(row => row.key)).to.deep.equal([ids[0]])
+    })
+
+    it('are deleted by a later call after the store has failed', async () => {
+      view.fault = 'down'
+      expect(await codeOf(retired.deleteCancellations(RETENTION_MILLISECONDS + 1))).to.equal('unavailable')
+      view.fault = 'none'
+      await retired.deleteCancellations(RETENTION_MILLISECONDS + 2)
+      expect(store.rows('cancels')).to.deep.equal([])
+    })
+
+    it('are refused at a VM that has stored too many', () => {
+      const limit = new CancellationLimit()
+      for (let count = 0; count < UNKNOWN_CANCELLATIONS; count += 1) limit.admit(count)
+      expect(() => limit.admit(1000)).to.throw(CornelgaugeError).with.property('code', 'overloaded')
+      limit.admit(RETENTION_MILLISECONDS)
+    })
+  })
+
   describe('progress', () => {
     const planner = (): Planner => {
       const planner = new Planner(epoch(1), [{ job: { ...DRAFT, acceptedUnder: epoch(1) }, isCancelled: false }], { now: 0, wallTime: 0 })
--- a/packages/jobs/src/early-cancellations.ts
+++ b/packages/jobs/src/early-cancellations.ts
@@ -32,11 +32,14 @@
     return wallTime
   }
 
-  /** Removes cancellations whose jobs can no longer arrive. */
-  expire (now: number): void {
+  /** Removes the cancellations whose jobs can no longer arrive, and returns their ids. */
+  expire (now: number): readonly JobId[] {
+    const expired: JobId[] = []
     for (const [id, cancellation] of this.#cancellations) {
       cancellation.seenAt ??= now
-      if (now - cancellation.seenAt > RETENTION_MILLISECONDS) this.#cancellations.delete(id)
+      if (now - cancellation.seenAt > RETENTION_MILLISECONDS) expired.push(id)
     }
+    for (const id of expired) this.#cancellations.delete(id)
+    return expired
   }
 }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -263,7 +263,6 @@
    * show it: the time of day may be set forward, also on the VM that wrote when a job ended.
    */
   retire ({ now, wallTime }: RoundTimes): readonly Job[] {
-    this.#earlyCancellations.expire(now)
     const retired: Job[] = []
     for (const job of this.#state.jobs.values()) {
       if (!job.isFinalStored || job.runs.length > 0 || this.#state.isUnstored(job.job.id)) continue
@@ -275,6 +274,11 @@
     return retired
   }
 
+  /** Removes the cancellations whose jobs haven't arrived within the retention time, and returns their ids. */
+  expireCancellations (now: number): readonly JobId[] {
+    return this.#earlyCancellations.expire(now)
+  }
+
   /** Current load, for logs and metrics. */
   get load (): PlannerLoad {
     const jobs = [...this.#state.openJobs]
--- a/packages/jobs/test/early-cancellations.test.ts
+++ b/packages/jobs/test/early-cancellations.test.ts
@@ -34,10 +34,9 @@
     })
 
     it('doesn\'t cancel a job that is accepted under the same id after the retention time', () => {
-      const retire = (): void => { world.planner.retire({ now: world.now, wallTime: world.wallTime }) }
-      retire()
+      expect(world.planner.expireCancellations(world.now)).to.deep.equal([])
       world.now += RETENTION_MILLISECONDS + 1
-      retire()
+      expect(world.planner.expireCancellations(world.now)).to.deep.equal([ID])
       world.planner.submit(job(ID))
       world.settle()
       expect(world.starts).to.have.length(1)
