Count a crash against a task only if nothing else explains it

Cause: a third loss counted as proof if the task was alone on its server, which isolation sees to, and a fourth needed no proof at all.

A crash is now attributed to a task only if it was alone there or had just started, and no other backend server of the deployment was lost within 2 s. It is judged after these 2 s, and a suspect isn't started before. Two such crashes after three lost runs end the job, or one if all of four runs were lost at their starts. Suspects go to servers that haven't crashed, where there are any. Event 1040 tells each attribution.

Evidence: five of the new tests in crashing-tasks.test.ts failed before; those that bound the starts of a task that crashes its servers pass unchanged.

--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -7,6 +7,7 @@
 const EMITTERS: Emitters = {
   'task-ended': (emit, { type, ...details }) => emit('task-ended', { details }),
   'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
+  'crash-attributed': (emit, { type, ...details }) => emit('crash-attributed', { details }),
   'job-given-up': (emit, { type, ...details }) => emit('job-given-up', { details }),
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
   'server-pool-unknown': (emit, { type, ...details }) => emit('server-pool-unknown', { details })
--- a/packages/jobs/src/isolation.ts
+++ b/packages/jobs/src/isolation.ts
@@ -4,8 +4,9 @@
  * cause, and takes no other work with it.
  */
 import { CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
-import type { StartUnit } from './job-state.js'
+import type { StartUnit, StepState } from './job-state.js'
 import { ISOLATION_MILLISECONDS, MAXIMUM_ISOLATION_WAIT_MILLISECONDS } from './limits.js'
+import { stepsWithOpenCause } from './lost-runs.js'
 import type { Run, Server } from './server.js'
 import type { PlannerState } from './state.js'
 import type { Waits } from './waits.js'
@@ -31,6 +32,8 @@
   readonly #now: number
   readonly #waits: Waits
   readonly #servers = new Set<Server>()
+  /** Steps of which the cause of a crash isn't determined yet. */
+  readonly #withOpenCause: ReadonlySet<StepState>
   /** Snapshots without the isolated backend servers, until there is another one. */
   readonly #excluded = new Map<CapacitySnapshot, CapacitySnapshot>()
 
@@ -38,6 +41,7 @@
     this.#state = state
     this.#now = now
     this.#waits = waits
+    this.#withOpenCause = stepsWithOpenCause(state)
     for (const run of state.isolatedRuns) {
       const server = state.servers.get(run.server)
       if (isIsolated(run, now) && server?.run(run.task, run.run) === run) this.#servers.add(server)
@@ -50,9 +54,9 @@
     return step.losses.isSuspect(step.unitOf(tasks[0]!))
   }
 
-  /** True if a unit isn't to be started yet: its lost runs aren't stored, so that another owner would not know them, or it waits for empty backend servers. */
+  /** True if a unit isn't to be started yet: its lost runs aren't stored, so that another owner would not know them, the cause of its last crash isn't determined, or it waits for empty backend servers. */
   mayHold (unit: StartUnit): boolean {
-    return this.isSuspect(unit) && (!this.#isStored(unit) || this.#mayWait(unit))
+    return this.isSuspect(unit) && (!this.#isReady(unit) || this.#mayWait(unit))
   }
 
   /** Returns when the isolation of a unit that starts now ends; undefined if it isn't isolated. */
@@ -85,13 +89,17 @@
   choose<Targets> (snapshot: CapacitySnapshot, unit: StartUnit, mayWaitForOthers: boolean, place: (allowed: CapacitySnapshot) => Targets | undefined): Targets | undefined {
     const allowed = mayWaitForOthers ? this.exclude(snapshot) : snapshot
     if (!this.isSuspect(unit)) return place(allowed)
-    if (!this.#isStored(unit)) return undefined
+    if (!this.#isReady(unit)) return undefined
     const runsOn = ({ server }: PlacementTarget): number => server.runs.size
     const limits = this.#mayWait(unit) ? [0] : [...new Set(allowed.targets.map(runsOn))].sort((left, right) => left - right)
     for (const limit of limits) {
       const among = allowed.targets.filter(target => runsOn(target) <= limit)
-      const targets = among.length === 0 ? undefined : place(new CapacitySnapshot(among, allowed.work))
-      if (targets !== undefined) return targets
+      // A backend server that has crashed before may do so again without the suspect.
+      const steady = among.filter(({ server }) => server.restarts === 0)
+      for (const choice of steady.length < among.length ? [steady, among] : [among]) {
+        const targets = choice.length === 0 ? undefined : place(new CapacitySnapshot(choice, allowed.work))
+        if (targets !== undefined) return targets
+      }
     }
     return undefined
   }
@@ -100,7 +108,8 @@
     return this.#waits.readyMilliseconds(tasks[0]!) < MAXIMUM_ISOLATION_WAIT_MILLISECONDS
   }
 
-  #isStored ({ step }: StartUnit): boolean {
-    return this.#state.isStored(step.job.job.id, step.losses.change)
+  /** True if the cause of its last crash is determined as far as possible, and its lost runs are stored. */
+  #isReady ({ step }: StartUnit): boolean {
+    return this.#state.isStored(step.job.job.id, step.losses.change) && !this.#withOpenCause.has(step)
   }
 }
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -108,8 +108,7 @@
 
   get progress (): StepProgress {
     const failed = this.tasks.filter(task => task.failedRuns.size > 0).map(task => [task.index, [...task.failedRuns]])
-    const lost = this.losses.progress
-    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed), ...(lost === undefined ? {} : { lost }) }
+    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed), ...this.losses.progress }
   }
 
   /** Restores stored progress. */
@@ -121,7 +120,7 @@
     for (const [index, runs] of Object.entries(progress.failed)) {
       for (const run of runs) this.tasks[Number(index)]?.failedRuns.add(run)
     }
-    this.losses.restore(progress.lost)
+    this.losses.restore(progress)
   }
 }
 
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -10,16 +10,20 @@
 export const UNHEALTHY_MILLISECONDS = 8000
 /** Runs lost with their backend servers from which on a task or gang may be the cause, and is isolated. */
 export const SUSPECT_LOST_RUNS = 2
-/** Lost runs from which on a task or gang is given up if nothing else ran where the last one was lost. */
-export const PROVEN_LOST_RUNS = 3
-/** Lost runs after which a task or gang is given up in any case. */
-export const MOST_LOST_RUNS = 4
+/** Lost runs from which on a task or gang may be given up. */
+export const GIVE_UP_LOST_RUNS = 3
+/** Crashes that only a task can explain from which on its job is given up. */
+export const GIVE_UP_ATTRIBUTED_CRASHES = 2
+/** Lost runs that are remembered for each task or gang. */
+export const REMEMBERED_LOST_RUNS = 4
+/** How long after a start an outage may be due to it, in milliseconds: a process that ends resets its connections at once. */
+export const CRASH_AT_START_MILLISECONDS = 500
 /** How long a task or gang that is to be isolated waits for empty backend servers, in milliseconds: work that fits has to run within 3 s. */
 export const MAXIMUM_ISOLATION_WAIT_MILLISECONDS = 2000
 /** How long nothing else is started beside an isolated run, in milliseconds, so that long runs share their backend servers again. */
 export const ISOLATION_MILLISECONDS = 10_000
-/** Backend servers of one failure domain that become unreachable within this time may have failed together, in milliseconds: a poll, and its timeout. */
-export const DOMAIN_OUTAGE_MILLISECONDS = 2000
+/** Backend servers that become unreachable within this time may have failed together, in milliseconds: a poll, and its timeout. */
+export const OUTAGE_MILLISECONDS = 2000
 /** A run without progress for this long is stuck, in milliseconds: several polls. */
 export const STUCK_MILLISECONDS = 4000
 /** A run is stuck only after this many times its mean time per percent without progress, so that slow runs are not stopped. */
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -1,5 +1,16 @@
 /** Records the runs of a step that were lost with their backend servers. */
-import { MOST_LOST_RUNS, SUSPECT_LOST_RUNS } from './limits.js'
+import { GIVE_UP_ATTRIBUTED_CRASHES, GIVE_UP_LOST_RUNS, REMEMBERED_LOST_RUNS, SUSPECT_LOST_RUNS } from './limits.js'
+
+/** Run numbers by the index of a task or unit. */
+export type RunsByIndex = Readonly<Record<string, readonly number[]>>
+
+/** The lost runs of a step as they are stored; earlier releases store none. */
+export interface StoredLosses {
+  /** Numbers of the runs lost with their backend servers, by task index, for a gang under 0. */
+  readonly lost?: RunsByIndex
+  /** Numbers of the runs whose crash only the task can explain, by task index. */
+  readonly attributed?: RunsByIndex
+}
 
 /**
  * Lost runs by unit: a task, or the gang. A run is counted once, however many of its members
@@ -13,6 +24,10 @@
   readonly #runs = new Map<number, Set<number>>()
   /** Where members of a run were lost, as far as this owner knows. */
   readonly #places = new Map<number, Set<string>>()
+  /** Numbers of the runs whose crash only the task can explain, by task index. */
+  readonly #attributed = new Map<number, Set<number>>()
+  /** Numbers of the runs that were lost when they had just started, as far as this owner knows, by unit. */
+  readonly #lostAtStart = new Map<number, Set<number>>()
   /** Number of the change of the job that includes the last loss. */
   change = 0
 
@@ -24,7 +39,7 @@
     if (runs.has(run)) return false
     this.#runs.set(unit, runs.add(run))
     const [earliest] = runs
-    if (runs.size > MOST_LOST_RUNS) this.#forget(runs, earliest!)
+    if (runs.size > REMEMBERED_LOST_RUNS) this.#forget(runs, earliest!)
     return true
   }
 
@@ -32,6 +47,8 @@
   correct (unit: number, run: number, place: string): boolean {
     const places = this.#places.get(run)
     if (places?.delete(place) !== true || places.size > 0) return false
+    for (const attributed of this.#attributed.values()) attributed.delete(run)
+    this.#lostAtStart.get(unit)?.delete(run)
     return this.#runs.get(unit)?.delete(run) === true
   }
 
@@ -45,20 +62,53 @@
     return this.count(unit) >= SUSPECT_LOST_RUNS
   }
 
-  /** Forgets the earliest run: a long-running task is started however often it was lost. */
+  /** Where members of a run were lost, as far as this owner knows. */
+  placesOf (run: number): ReadonlySet<string> {
+    return this.#places.get(run) ?? new Set()
+  }
+
+  /** Records that only this task can explain the crash in which a run was lost. Returns how many such crashes there are. */
+  attribute (task: number, run: number): number {
+    const runs = this.#attributed.get(task) ?? new Set()
+    this.#attributed.set(task, runs.add(run))
+    return runs.size
+  }
+
+  /** Records that a run was lost when it had just started. */
+  addLossAtStart (unit: number, run: number): void {
+    this.#lostAtStart.set(unit, (this.#lostAtStart.get(unit) ?? new Set<number>()).add(run))
+  }
+
+  /** True if a task has shown to be the cause of the crashes under its unit; one that crashes its backend servers whenever it starts shows it sooner. */
+  isCause (unit: number, task: number): boolean {
+    const count = this.count(unit)
+    const attributed = this.#attributed.get(task)?.size ?? 0
+    const isAlwaysAtStart = count > GIVE_UP_LOST_RUNS && this.#lostAtStart.get(unit)?.size === count
+    return count >= GIVE_UP_LOST_RUNS && (attributed >= GIVE_UP_ATTRIBUTED_CRASHES || (attributed > 0 && isAlwaysAtStart))
+  }
+
+  /** Forgets the earliest run: a task that isn't the cause is started however often it was lost. */
   #forget (runs: Set<number>, earliest: number): void {
     runs.delete(earliest)
     this.#places.delete(earliest)
+    for (const lostAtStart of this.#lostAtStart.values()) lostAtStart.delete(earliest)
   }
 
-  /** The lost runs by unit, in the form that is stored; undefined if there are none. */
-  get progress (): Readonly<Record<string, readonly number[]>> | undefined {
-    const lost = [...this.#runs].filter(([, runs]) => runs.size > 0).map(([unit, runs]) => [unit, [...runs]])
-    return lost.length === 0 ? undefined : Object.fromEntries(lost) as Readonly<Record<string, readonly number[]>>
+  /** The stored form; runs that there are none of are omitted. */
+  get progress (): StoredLosses {
+    const lost = toRecord(this.#runs)
+    const attributed = toRecord(this.#attributed)
+    return { ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }) }
   }
 
   /** Restores the stored form. */
-  restore (lost: Readonly<Record<string, readonly number[]>> = {}): void {
+  restore ({ lost = {}, attributed = {} }: StoredLosses): void {
     for (const [unit, runs] of Object.entries(lost)) this.#runs.set(Number(unit), new Set(runs))
+    for (const [task, runs] of Object.entries(attributed)) this.#attributed.set(Number(task), new Set(runs))
   }
 }
+
+function toRecord (runsByIndex: ReadonlyMap<number, ReadonlySet<number>>): RunsByIndex | undefined {
+  const entries = [...runsByIndex].filter(([, runs]) => runs.size > 0).map(([index, runs]) => [index, [...runs]])
+  return entries.length === 0 ? undefined : Object.fromEntries(entries) as RunsByIndex
+}
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -1,9 +1,13 @@
 /**
- * Counts the runs that are lost with their backend servers. A task that crashes them is given
- * up; one that was only beside it is not, since a suspect is started where nothing else runs.
+ * Counts the runs that are lost with their backend servers, and determines what has crashed them.
+ * A task that crashes its backend servers is given up. One that only ran there is not, however often:
+ * a suspect is started where nothing else runs, and a crash counts against it only if no other
+ * backend server crashed at that time.
  */
-import { DOMAIN_OUTAGE_MILLISECONDS, MOST_LOST_RUNS, PROVEN_LOST_RUNS } from './limits.js'
+import { CRASH_AT_START_MILLISECONDS, OUTAGE_MILLISECONDS } from './limits.js'
 import { endJob } from './job-end.js'
+import type { StepState, TaskState } from './job-state.js'
+import type { RoundTimes } from './placement-round.js'
 import type { ListedRun, Run, Server, ServerEntry } from './server.js'
 import type { PlannerState } from './state.js'
 
@@ -19,38 +23,104 @@
   return server.entry.isDraining ? [] : [...missing, ...mayExecute(server)]
 }
 
+/** A crash of a backend server that one run there may have caused, more likely than any other. */
+export interface Crash {
+  readonly server: Server
+  /** When the backend server was first seen to be unreachable, or to have restarted, on our monotonic clock. */
+  readonly at: number
+  /** The run, or the members of a gang's run that were there. */
+  readonly runs: readonly Run[]
+}
+
 /**
- * Counts lost runs of a backend server, and ends the jobs of which a task is the cause.
+ * Counts lost runs of a backend server. A crash that one of them more likely caused than others is kept until its cause is determined.
  *
  * @example
- * countLostRuns(state, server, takeLostRuns(state, server), Date.now())
+ * countLostRuns(state, server, takeLostRuns(state, server), { now, wallTime })
  */
-export function countLostRuns (state: PlannerState, server: Server, lost: readonly Run[], wallTime: number): void {
+export function countLostRuns (state: PlannerState, server: Server, lost: readonly Run[], times: RoundTimes): void {
+  // Another crash at the address of a server that was replaced is none of that server.
+  if (lost.every(run => isCounted(state, server, run))) return
+  const isAlone = lost.every(other => other.run === lost[0]!.run)
+  server.lostRuns = lost
   for (const run of lost) {
-    const task = state.task(run.task)
-    if (task === undefined || task.isDone || !task.step.job.isOpen) continue
+    const task = openTask(state, run)
+    if (task === undefined) continue
     const { step } = task
     const unit = step.unitOf(task)
+    if (isNew(run, server.outageAt)) step.losses.addLossAtStart(unit, run.run)
     if (!step.losses.add(unit, run.run, placeOf(server, run))) continue
     step.losses.change = state.markChanged(step.job)
-    const lostRuns = step.losses.count(unit)
-    const isAlone = lost.every(other => other.run === run.run)
-    state.recordEvent({ type: 'run-lost-with-server', task: run.task, run: run.run, server: server.id, lostRuns, alone: isAlone })
-    const isProven = lostRuns >= PROVEN_LOST_RUNS && isAlone && !isDomainOutage(state, server, run)
-    if (step.specification.isLasting || !(isProven || lostRuns >= MOST_LOST_RUNS)) continue
-    state.recordEvent({ type: 'job-given-up', job: step.job.job.id, task: run.task, lostRuns })
-    endJob(state, step.job, 'failed', 'job-failed', wallTime)
+    state.recordEvent({ type: 'run-lost-with-server', task: run.task, run: run.run, server: server.id, lostRuns: step.losses.count(unit), alone: isAlone })
+  }
+  const runs = possibleCause(server, lost)
+  if (runs.length > 0) state.crashes.add({ server, at: server.outageAt, runs })
+  determineCauses(state, times)
+}
+
+/**
+ * Determines the cause of each crash that is old enough for others of the same moment to be known, and
+ * ends the jobs of which a task is the cause.
+ *
+ * @example
+ * determineCauses(state, { now, wallTime })
+ */
+export function determineCauses (state: PlannerState, { now, wallTime }: RoundTimes): void {
+  for (const crash of state.crashes) {
+    if (now < crash.at + OUTAGE_MILLISECONDS) continue
+    state.crashes.delete(crash)
+    if (isOutage(state, crash)) continue
+    for (const run of crash.runs) {
+      const task = openTask(state, run)
+      if (task === undefined || task.step.specification.isLasting) continue
+      const { step } = task
+      const unit = step.unitOf(task)
+      const crashes = step.losses.attribute(task.index, run.run)
+      step.losses.change = state.markChanged(step.job)
+      state.recordEvent({ type: 'crash-attributed', task: run.task, run: run.run, server: crash.server.id, crashes })
+      if (!step.losses.isCause(unit, task.index)) continue
+      state.recordEvent({ type: 'job-given-up', job: step.job.job.id, task: run.task, lostRuns: step.losses.count(unit) })
+      endJob(state, step.job, 'failed', 'job-failed', wallTime)
+    }
   }
 }
 
+/**
+ * The steps under which there was a crash whose cause isn't determined yet.
+ *
+ * @example
+ * stepsWithOpenCause(state).has(step)
+ */
+export function stepsWithOpenCause (state: PlannerState): ReadonlySet<StepState> {
+  const steps = new Set<StepState>()
+  for (const { runs } of state.crashes) {
+    for (const run of runs) {
+      const step = state.task(run.task)?.step
+      if (step !== undefined) steps.add(step)
+    }
+  }
+  return steps
+}
+
+/** True if the loss of a run on a backend server is counted. */
+function isCounted (state: PlannerState, server: Server, run: Run): boolean {
+  return state.task(run.task)?.step.losses.placesOf(run.run).has(placeOf(server, run)) === true
+}
+
+/** Finds the task of a run; undefined if nothing of it is left to do. */
+function openTask (state: PlannerState, run: Run): TaskState | undefined {
+  const task = state.task(run.task)
+  return task === undefined || task.isDone || !task.step.job.isOpen ? undefined : task
+}
+
 /**
  * Counts the lost runs of backend servers that new ones have replaced at their addresses, or that
  * were removed and are back under their ids.
  *
  * @example
- * countReplaced(state, entries.filter(entry => !state.servers.has(entry.id)), Date.now())
+ * countReplaced(state, entries.filter(entry => !state.servers.has(entry.id)), { now, wallTime })
  */
-export function countReplaced (state: PlannerState, added: readonly ServerEntry[], wallTime: number): void {
+export function countReplaced (state: PlannerState, added: readonly ServerEntry[], times: RoundTimes): void {
   if (added.length === 0) return
   const byAddress = new Map(added.map(entry => [entry.address, entry]))
   const byId = new Map(added.map(entry => [entry.id, entry]))
@@ -58,7 +128,7 @@
   for (const server of new Set([...state.missingRuns.servers, ...unreachable])) {
     const isReplaced = byAddress.has(server.entry.address) && byAddress.get(server.entry.address)?.id !== server.id
     const isRestarted = (byId.get(server.id)?.incarnation ?? -Infinity) > server.entry.incarnation
-    if (isReplaced || isRestarted) countLostRuns(state, server, takeLostRuns(state, server), wallTime)
+    if (isReplaced || isRestarted) countLostRuns(state, server, takeLostRuns(state, server), times)
   }
 }
 
@@ -88,12 +158,40 @@
   return [...server.runs.values()].filter(run => !run.isStopConfirmed)
 }
 
-/** True if other backend servers of the failure domain, which didn't have the run, became unreachable at about the same time. */
-function isDomainOutage (state: PlannerState, server: Server, { run: number }: Run): boolean {
-  const hadRun = (other: Server): boolean => state.missingRuns.has(other.id, number) || [...other.runs.values()].some(run => run.run === number)
-  for (const other of state.servers.values()) {
-    if (other.id === server.id || other.entry.failureDomain !== server.entry.failureDomain) continue
-    if (Math.abs(other.outageAt - server.outageAt) <= DOMAIN_OUTAGE_MILLISECONDS && !hadRun(other)) return true
-  }
-  return false
+/**
+ * True if other backend servers crashed at about the same time, so that the run need not be the cause. Not so if all
+ * of them had members of the same gang, which was lost as a whole when it started, or if each of the others had a
+ * run that had just started.
+ */
+function isOutage (state: PlannerState, { server, at, runs }: Crash): boolean {
+  const { run: number } = runs[0]!
+  const others = [...state.servers.values()].filter(other => other !== server && Math.abs(other.outageAt - at) <= OUTAGE_MILLISECONDS)
+  const lostAt = others.map(other => ({ other, lost: lostWith(state, other) }))
+  const sharing = lostAt.filter(({ lost }) => lost.some(run => run.run === number))
+  if (lostAt.some(({ other, lost }) => !sharing.some(each => each.other === other) && !hasCrashedAtStart(other, lost))) return true
+  if (sharing.length === 0) return false
+  const members = runs.length + sharing.reduce((sum, { lost }) => sum + lost.filter(run => run.run === number).length, 0)
+  const isWhole = members >= (state.task(runs[0]!.task)?.step.tasks.length ?? Infinity)
+  return !isWhole || runs.some(run => !isNew(run, at))
+}
+
+/** The only run that a backend server had when it crashed, or else the only one that had just started; members of a gang are one run. */
+function possibleCause ({ outageAt }: Server, lost: readonly Run[]): readonly Run[] {
+  const haveOneNumber = (runs: readonly Run[]): boolean => runs.every(({ run }) => run === runs[0]!.run)
+  const started = lost.filter(run => isNew(run, outageAt))
+  return [lost, started].find(haveOneNumber) ?? []
+}
+
+/** The runs that were lost with a backend server in its last outage, or may be so. */
+function lostWith (state: PlannerState, server: Server): readonly Run[] {
+  return server.restartedAt >= server.outageAt ? server.lostRuns : [...state.missingRuns.of(server.id), ...mayExecute(server)]
+}
+
+/** True if a backend server crashed when a run started there. */
+function hasCrashedAtStart ({ outageAt }: Server, lost: readonly Run[]): boolean {
+  return lost.some(run => isNew(run, outageAt))
+}
+
+function isNew ({ startSentAt }: Run, at: number): boolean {
+  return at - startSentAt <= CRASH_AT_START_MILLISECONDS
 }
--- a/packages/jobs/src/missing-runs.ts
+++ b/packages/jobs/src/missing-runs.ts
@@ -26,14 +26,14 @@
 
   /** Removes and returns the runs of a backend server. */
   take (id: ServerId): readonly Run[] {
-    const runs = this.#groups.get(id)?.runs ?? []
+    const runs = this.of(id)
     this.#groups.delete(id)
     return runs
   }
 
-  /** True if a run is missing on a backend server. */
-  has (id: ServerId, run: number): boolean {
-    return this.#groups.get(id)?.runs.some(missing => missing.run === run) === true
+  /** Returns the runs of a backend server. */
+  of (id: ServerId): readonly Run[] {
+    return this.#groups.get(id)?.runs ?? []
   }
 
   /** The backend servers with missing runs. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -120,7 +120,7 @@
     this.#state.registryReadAt = now
     this.#state.measurePools(entries)
     const times = { now, wallTime: this.#wallTimeAt(now) }
-    countReplaced(this.#state, entries.filter(entry => !this.#state.servers.has(entry.id)), times.wallTime)
+    countReplaced(this.#state, entries.filter(entry => !this.#state.servers.has(entry.id)), times)
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
       // While it answers, only its own reports say that it has restarted: the row may be of another writer.
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -1,19 +1,18 @@
 /** Stored progress of a job, from which the next owner continues. */
 import { CornelgaugeError } from '@cornelgauge/model'
 import { FINAL_PHASES, type JobPhase } from './job.js'
+import type { RunsByIndex, StoredLosses } from './loss-record.js'
 
 /** Keys of steps and tasks, with as many digits as a job can have of them. */
 const STEP_KEY = /^\d{1,6}\.\d{1,6}$/
 const INDEX = /^\d{1,6}$/
 
 /** Progress of one step in one occurrence. */
-export interface StepProgress {
+export interface StepProgress extends StoredLosses {
   /** Indexes of the completed tasks. */
   readonly done: readonly number[]
   /** Numbers of the failed runs, by task index. */
-  readonly failed: Readonly<Record<string, readonly number[]>>
-  /** Numbers of the runs lost with their backend servers, by task index, for a gang under 0; earlier releases store none. */
-  readonly lost?: Readonly<Record<string, readonly number[]>>
+  readonly failed: RunsByIndex
 }
 
 /** Progress of a job. */
@@ -76,8 +75,8 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, lost } = (value ?? {}) as Partial<StepProgress>
-  return areIndexes(done) && areRuns(failed) && (lost === undefined || areRuns(lost))
+  const { done, failed, lost = {}, attributed = {} } = (value ?? {}) as Partial<StepProgress>
+  return areIndexes(done) && [failed, lost, attributed].every(areRuns)
 }
 
 /** True for run numbers by task index. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -228,7 +228,7 @@
     state.task(run.task)?.runs.add(run)
   }
   server.restart(incarnation, now)
-  countLostRuns(state, server, lost, wallTime)
+  countLostRuns(state, server, lost, { now, wallTime })
 }
 
 /**
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,6 +3,7 @@
 import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
 import { failExhausted } from './job-end.js'
+import { determineCauses } from './lost-runs.js'
 import { giveUpStart } from './reports.js'
 import type { Server } from './server.js'
 import type { PlannerState } from './state.js'
@@ -16,6 +17,7 @@
  */
 export function decide (state: PlannerState, times: RoundTimes): readonly Command[] {
   failExhausted(state, times.wallTime)
+  determineCauses(state, times)
   for (const server of state.servers.values()) {
     evacuateDraining(server)
     stopStuck(state, server, times.now)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -120,6 +120,10 @@
   restartedAt = -Infinity
   /** When it was first seen to be unreachable, or to have restarted, in the present or last outage. */
   outageAt = -Infinity
+  /** Restarts that this owner has seen. */
+  restarts = 0
+  /** The runs that were lost with its last incarnation. */
+  lostRuns: readonly Run[] = []
   /** Highest position of an ended run that was reported, and highest whose effects are stored. */
   reportedPosition = 0
   acknowledgedPosition = 0
@@ -237,6 +241,7 @@
     const areEarlierOwnersFenced = this.hasAnswered || this.restartedAt > -Infinity
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
+    this.restarts += 1
     if (!this.#isOut) this.outageAt = now
     this.hasAnswered = false
     this.hasMoreEnds = false
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -9,6 +9,7 @@
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
 import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, OVERWRITTEN_ROW_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
+import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
 import { RoundWork } from './round-work.js'
@@ -19,6 +20,7 @@
 export type PlannerEvent =
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
+  | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
@@ -46,6 +48,8 @@
   readonly isolatedRuns = new Set<Run>()
   /** Runs whose leases have expired while their backend server was unreachable. */
   readonly missingRuns = new MissingRuns()
+  /** Crashes whose cause isn't determined yet. */
+  readonly crashes = new Set<Crash>()
   /** Number of rows of the registry that can't be read. */
   unreadableServers = 0
   /** Counts the work of its rounds. */
--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -232,6 +232,94 @@
     })
   }
 
+  // Guards against jobs shown as failed whose tasks only ran on backend servers that crashed together.
+  describe('in waves that each take a share of the backend servers', () => {
+    const SERVERS = 12
+    const WAVES = 6
+    const WAVE_SERVERS = 4
+    /** Picks the backend servers of a wave. */
+    type Pick = (world: World, wave: number) => readonly FakeServer[]
+
+    const playWaves = (work: readonly Job[], pick: Pick): World => {
+      const world = new World(SERVERS)
+      for (const each of work) world.planner.submit(each)
+      play(world, 1000)
+      for (let wave = 0; wave < WAVES; wave += 1) {
+        for (const server of pick(world, wave)) server.crash(world.now + world.crashMilliseconds)
+        play(world, world.crashMilliseconds + 1500)
+      }
+      play(world, LONG_ENOUGH_MILLISECONDS, { workMilliseconds: 2500 })
+      return world
+    }
+    const inTurn: Pick = (world, wave) => world.servers.filter((_, index) => (index + wave * 5) % SERVERS < WAVE_SERVERS)
+    const busiest: Pick = world => [...world.servers].sort((left, right) => right.running.size - left.running.size).slice(0, WAVE_SERVERS)
+
+    for (const [name, pick] of [['in turn', inTurn], ['with the most tasks', busiest]] as const) {
+      it(`fails no job if they take those ${name}`, () => {
+        const tasks = Array.from({ length: 20 }, (_, index) => job(`task-${index}`, { steps: [step({ accelerators: 2 })] }))
+        const world = playWaves(tasks, pick)
+        expect(tasks.map(({ id }) => phase(world, id))).to.deep.equal(tasks.map(() => 'completed'))
+      })
+
+      it(`fails no gang if they take those ${name}`, () => {
+        const gangs = Array.from({ length: 3 }, (_, index) => job(`gang-${index}`, { steps: [step({ count: 3, accelerators: 8, isGang: true })] }))
+        const world = playWaves(gangs, pick)
+        expect(gangs.map(({ id }) => phase(world, id))).not.to.include('failed')
+      })
+    }
+
+    it('fails no job if each is replaced by one under another id at its address', () => {
+      const tasks = Array.from({ length: 10 }, (_, index) => job(`task-${index}`, { steps: [step({ accelerators: 8 })] }))
+      const world = new World(SERVERS)
+      for (const each of tasks) world.planner.submit(each)
+      play(world, 1000)
+      for (let wave = 0; wave < WAVES; wave += 1) {
+        const present = world.servers.filter(({ connectivity }) => connectivity === 'answers')
+        const crashed = present.filter((_, index) => (index + wave * 5) % SERVERS < WAVE_SERVERS)
+        for (const server of crashed) server.crash(Infinity)
+        const listPresent = (): void => world.listServers(world.servers.filter(({ connectivity }) => connectivity === 'answers').map(server => ({ ...server.entry, incarnation: server.incarnation })))
+        listPresent()
+        play(world, 3000)
+        for (const [index, server] of crashed.entries()) {
+          replaceServer(world, server)
+          listPresent()
+          play(world, index === 0 ? 300 : 50)
+        }
+        play(world, 2000)
+      }
+      play(world, LONG_ENOUGH_MILLISECONDS, { workMilliseconds: 2500 })
+      expect(tasks.map(({ id }) => phase(world, id))).to.deep.equal(tasks.map(() => 'completed'))
+      expect(world.planner.drainEvents().filter(event => event.type === 'crash-attributed')).to.deep.equal([])
+    })
+
+    it('doesn\'t keep a task that crashes its backend servers at other times from being given up', () => {
+      const world = new World(SERVERS)
+      const works = [job('a'), ...Array.from({ length: 6 }, (_, index) => job(`task-${index}`))]
+      world.deadlyTasks.set('a.0.0.0', 'after-answer')
+      for (const each of works) world.planner.submit(each)
+      let wave = 0
+      play(world, LONG_ENOUGH_MILLISECONDS, {
+        afterStep: () => {
+          if (world.now < 3000 + wave * 10_000) return
+          wave += 1
+          for (const server of inTurn(world, wave)) server.crash(world.now + world.crashMilliseconds)
+        }
+      })
+      expect(phase(world, 'a')).to.equal('failed')
+      expect(works.slice(1).map(({ id }) => phase(world, id))).not.to.include('failed')
+    })
+  })
+
+  it('is met by a suspect on backend servers that haven\'t crashed, where there are any', () => {
+    const world = new World(4)
+    world.takeOver(2, [{ job: job('a'), isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done: [], failed: {}, lost: { 0: [1, 2] } } } } }])
+    world.pollServers()
+    for (const server of world.servers.slice(0, 3)) server.restart()
+    world.pollServers()
+    play(world, 1000)
+    expect(world.serverRunning('a.0.0.0')).to.equal(world.servers[3])
+  })
+
   it('keeps no task waiting for long that was lost in two outages of its failure domain', () => {
     const world = new World(4)
     const tasks = Array.from({ length: 24 }, (_, index) => `wide.0.0.${index}`)
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -246,5 +246,12 @@
     sentence: 'A registered backend server is in a pool that is neither configured nor used by a job; it is skipped until it is. Logged once for each server by each owner.',
     fields: { server: 'backend server', pool: 'pool' },
     action: 'Add the pool to the configuration, or find the writer of the row.'
+  },
+  'crash-attributed': {
+    number: 1040,
+    level: 'warning',
+    sentence: 'A backend server has crashed on which only this task ran or had just started, and no other crashed at that time.',
+    fields: { task: 'task', run: 'run number', server: 'backend server', crashes: 'such crashes of the task; with the second, after three lost runs, its job fails' },
+    action: 'Nothing at the first; at the second inspect the job.'
   }
 } as const satisfies CatalogueRows
