Keep the terms of a queue with its jobs

Callers saw accepted jobs queued for good (LOST): their queue was removed, and then the owner of the planner changed.

Cause: the priority, attempts and objective of a removed queue were known to the owner that had seen it configured, and to no later one, which skipped its jobs in each round.

A job's row now holds the terms of its queue. They apply where the configuration lacks the queue. Rows without terms are read as before.

--- a/packages/entry/src/job-record.ts
+++ b/packages/entry/src/job-record.ts
@@ -1,6 +1,6 @@
 /** Encodes jobs as rows of the store. */
 import { CornelgaugeError, epoch, workspaceName } from '@cornelgauge/model'
-import { jobId, MAXIMUM_TASKS_PER_JOB, poolName, queueName, type Job, type Schedule, type StepSpecification } from '@cornelgauge/jobs'
+import { jobId, MAXIMUM_TASKS_PER_JOB, poolName, queueName, type Job, type QueueTerms, type Schedule, type StepSpecification } from '@cornelgauge/jobs'
 import type { Json, RowValue } from '@cornelgauge/ports'
 
 /** Incremented when older releases can't read the new format. */
@@ -35,6 +35,7 @@
   return {
     id: jobId(key),
     queue: queueName(draft.queue),
+    ...(draft.terms === undefined ? {} : { terms: draft.terms }),
     pool: poolName(draft.pool),
     workspace: workspaceName(draft.workspace),
     specification: draft.specification,
@@ -53,7 +54,7 @@
  */
 export function isJobDraft (value: unknown): value is Omit<Job, 'id' | 'acceptedUnder'> {
   const draft = value as Partial<Job> | null | undefined
-  return isText(draft?.queue) && isText(draft.pool) && isText(draft.workspace) && isText(draft.specification) &&
+  return isText(draft?.queue) && isText(draft.pool) && isText(draft.workspace) && isText(draft.specification) && isAbsentOr(isTerms)(draft.terms) &&
     Number.isFinite(draft.acceptedAt) && isAbsentOr(isSchedule)(draft.schedule) &&
     Array.isArray(draft.steps) && draft.steps.length > 0 && draft.steps.every(isStep) && countTasks(draft.steps, draft.schedule) <= MAXIMUM_TASKS_PER_JOB
 }
@@ -92,6 +93,16 @@
     Object.entries(OPTIONAL_STEP_FIELDS).every(([name, check]) => isAbsentOr(check)(step[name as keyof StepSpecification]))
 }
 
+function isTerms (value: unknown): value is QueueTerms {
+  const terms = value as Partial<QueueTerms> | null
+  return [terms?.priority, terms?.attempts, terms?.stretch, terms?.latencyMilliseconds].every(Number.isFinite) && isAbsentOr(isAdvice)(terms?.advice)
+}
+
+function isAdvice (value: unknown): boolean {
+  const advice = value as Partial<NonNullable<QueueTerms['advice']>> | null
+  return [advice?.decisionMilliseconds, advice?.perServerMilliseconds, advice?.validMilliseconds].every(Number.isFinite)
+}
+
 function isSchedule (value: unknown): value is Schedule {
   const schedule = value as Partial<Schedule> | null
   return isCount(schedule?.occurrences) && Number.isFinite(schedule?.startAt) &&
--- a/packages/entry/test/store.test.ts
+++ b/packages/entry/test/store.test.ts
@@ -65,6 +65,12 @@
       expect(store.rows('jobs')[0]!.value.acceptedUnder).to.equal(1)
     })
 
+    it('keeps the terms of its queue', async () => {
+      const terms = { priority: 1, attempts: 4, stretch: 3, latencyMilliseconds: 250, advice: { decisionMilliseconds: 20, perServerMilliseconds: 5, validMilliseconds: 3000 } }
+      await new JobStore(view).accept({ ...DRAFT, terms }, () => owner, () => {}, soon())
+      expect((await new JobStore(view).load()).jobs[0]!.job.terms).to.deep.equal(terms)
+    })
+
     it('is stored under the newer owner if the known one has been replaced', async () => {
       const newer = await claimOwnership(view, owner, OTHER)
       let known = owner
--- a/packages/jobs/src/claims.ts
+++ b/packages/jobs/src/claims.ts
@@ -14,7 +14,7 @@
   const claims = new Set<JobState>()
   for (const job of state.openJobs) {
     state.work.add(1)
-    if (state.queueOf(job)?.priority !== 0) continue
+    if (state.termsOf(job)?.priority !== 0) continue
     const need = Math.max(...job.job.steps.map(acceleratorsOf))
     const free = remaining.get(job.job.workspace) ?? 0
     if (need > free) continue
--- a/packages/jobs/src/configuration.ts
+++ b/packages/jobs/src/configuration.ts
@@ -7,13 +7,8 @@
 
 export const configurationVersion = (number: number): ConfigurationVersion => number as ConfigurationVersion
 
-/** A queue, with the host and path prefix under which callers reach it. */
-export interface Queue {
-  readonly name: QueueName
-  readonly host: string
-  /** Path prefix of the queue's requests. */
-  readonly prefix: string
-  readonly pool: PoolName
+/** What a queue says of how its jobs are run. */
+export interface QueueTerms {
   /** 0 is the most urgent. */
   readonly priority: number
   /** Failed runs of a task after which the job fails. */
@@ -22,11 +17,20 @@
   readonly stretch: number
   /** Added to the objective, in milliseconds. */
   readonly latencyMilliseconds: number
+  readonly advice?: AdvicePolicy
+}
+
+/** A queue, with the host and path prefix under which callers reach it. */
+export interface Queue extends QueueTerms {
+  readonly name: QueueName
+  readonly host: string
+  /** Path prefix of the queue's requests. */
+  readonly prefix: string
+  readonly pool: PoolName
   /** Timeout of a caller's request, in milliseconds. */
   readonly timeoutMilliseconds: number
   /** Requests need no key. */
   readonly isPublic: boolean
-  readonly advice?: AdvicePolicy
 }
 
 /** Policy of a queue whose placements an external service has to approve. */
@@ -73,6 +77,16 @@
   readonly limits: RequestLimits
 }
 
+/**
+ * Returns the terms of a queue, which are stored with its jobs.
+ *
+ * @example
+ * termsOf(queue).attempts
+ */
+export function termsOf ({ priority, attempts, stretch, latencyMilliseconds, advice }: Queue): QueueTerms {
+  return { priority, attempts, stretch, latencyMilliseconds, ...(advice === undefined ? {} : { advice }) }
+}
+
 /**
  * Finds the queue for a host and path: the one with the longest matching prefix.
  *
--- a/packages/jobs/src/eligible-targets.ts
+++ b/packages/jobs/src/eligible-targets.ts
@@ -30,7 +30,7 @@
 
   /** True if an outside service decides where the step may run. */
   isAdvised (step: StepState): boolean {
-    return this.#state.queueOf(step.job)?.advice !== undefined
+    return this.#state.termsOf(step.job)?.advice !== undefined
   }
 
   /** Returns the targets on which the step may start. */
@@ -41,7 +41,7 @@
 
   /** Excludes backend servers with recent failures if the step has few attempts left. */
   lowRisk (step: StepState): CapacitySnapshot {
-    const attempts = this.#state.queueOf(step.job)?.attempts ?? Infinity
+    const attempts = this.#state.termsOf(step.job)?.attempts ?? Infinity
     const failures = step.highestFailures
     if (attempts - failures > 2 || !this.#waits.mayWait(step.tasks[0]!)) return this.#snapshot
     this.#lowRisk ??= new CapacitySnapshot(this.#snapshot.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS), this.#state.work)
--- a/packages/jobs/src/job-end.ts
+++ b/packages/jobs/src/job-end.ts
@@ -37,7 +37,7 @@
   if (queues.size === 0) return
   for (const job of [...state.openJobs]) {
     if (!queues.has(job.job.queue)) continue
-    const attempts = state.queueOf(job)?.attempts ?? Infinity
+    const attempts = state.termsOf(job)?.attempts ?? Infinity
     if (job.steps.every(step => step.isDone || step.highestFailures < attempts)) continue
     endJob(state, job, 'failed', 'job-failed', wallTime)
     state.markChanged(job)
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,6 +1,7 @@
 /** Jobs as submitted by callers; immutable. */
 import type { Epoch, WorkspaceName } from '@cornelgauge/model'
 import type { Capacity } from './capacity.js'
+import type { QueueTerms } from './configuration.js'
 import type { JobId, PoolName, QueueName } from './ids.js'
 
 /** A set of identical tasks that become ready together. */
@@ -51,6 +52,8 @@
 export interface Job {
   readonly id: JobId
   readonly queue: QueueName
+  /** Terms of its queue when it was accepted, which hold once the queue has been removed; absent in jobs of earlier releases. */
+  readonly terms?: QueueTerms
   readonly pool: PoolName
   readonly workspace: WorkspaceName
   /** Passed to each task unchanged. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -92,20 +92,21 @@
   }
 
   #candidate (job: JobState): Candidate | undefined {
-    const queue = this.#state.queueOf(job)
+    const terms = this.#state.termsOf(job)
     const steps = job.readySteps().filter(step => step.tasks.some(task => task.isWaiting))
-    if (queue === undefined || steps.length === 0) return undefined
-    const mean = this.#state.meanRunTime(queue.name)
+    if (terms === undefined || steps.length === 0) return undefined
+    const { queue } = job.job
+    const mean = this.#state.meanRunTime(queue)
     const expectedWork = steps.reduce((sum, step) => sum + step.specification.count * this.#state.shareOf(step.specification, job.job.pool), 0) * mean
     return {
       job,
-      priority: queue.priority,
+      priority: terms.priority,
       isClaim: this.#claims.has(job),
       expectedWork,
-      meanWork: this.#state.meanWork(queue.name),
+      meanWork: this.#state.meanWork(queue),
       waitedMilliseconds: Math.max(0, this.#times.wallTime - Math.max(...steps.map(step => dueAt(job.job, step.occurrence)))),
       remainingMilliseconds: chainLength(job, step => !step.isDone) * mean,
-      objectiveMilliseconds: queue.stretch * chainLength(job, () => true) * mean + queue.latencyMilliseconds
+      objectiveMilliseconds: terms.stretch * chainLength(job, () => true) * mean + terms.latencyMilliseconds
     }
   }
 
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -165,7 +165,7 @@
     stopRestOfGang(task, end.run)
     if (step.specification.isLasting || task.isDone || !step.job.isOpen) return
     task.failedRuns.add(end.run)
-    const attempts = state.queueOf(step.job)?.attempts ?? Infinity
+    const attempts = state.termsOf(step.job)?.attempts ?? Infinity
     if (step.failuresOf(task) >= attempts) endJob(state, step.job, 'failed', 'job-failed', wallTime)
     state.markChanged(step.job)
   },
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -2,7 +2,7 @@
 import type { Epoch } from '@cornelgauge/model'
 import { dominantShare, isSameCapacity, largestOf, NO_CAPACITY, orLastKnown, type Capacity } from './capacity.js'
 import { findJobTask } from './lookup.js'
-import type { Configuration, Queue } from './configuration.js'
+import type { Configuration, Queue, QueueTerms } from './configuration.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
 import type { JobPhase, StepSpecification } from './job.js'
@@ -149,9 +149,9 @@
     return (this.configuration?.workspaces ?? []).reduce((sum, workspace) => sum + workspace.guaranteedAccelerators, 0)
   }
 
-  /** Returns the queue of a job, as last configured. */
-  queueOf (job: JobState): Queue | undefined {
-    return this.#queues.get(job.job.queue)
+  /** Returns the terms of a job's queue as last configured, or else those under which the job was accepted. */
+  termsOf ({ job }: JobState): QueueTerms | undefined {
+    return this.#queues.get(job.queue) ?? job.terms
   }
 
   /** Returns the mean run time of a queue's tasks, in milliseconds. */
--- a/packages/jobs/src/victims.ts
+++ b/packages/jobs/src/victims.ts
@@ -42,5 +42,5 @@
 }
 
 function priorityOf (state: PlannerState, job: JobState): number {
-  return state.queueOf(job)?.priority ?? 0
+  return state.termsOf(job)?.priority ?? 0
 }
