Bound what a round does for a job with many occurrences

Callers saw urgent jobs within a guarantee begin late or not at all (RECLAIM): the owner's rounds took up to 6 s with one job of 3,600 occurrences.

Cause: the length of a job's chain listed the steps of all occurrences for each of them, and each occurrence that waited was tried on all servers.

The chain is that of the last occurrence, occurrences that are done aren't examined, and a step that has found no capacity isn't tried again for later occurrences of the same round.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -136,6 +136,8 @@
   /** When this owner first saw the stored final phase, on the monotonic clock. */
   finalSeenAt: number | undefined
   readonly #occurrences = new Map<number, readonly StepState[]>()
+  /** Those that aren't known to be done. */
+  readonly #openOccurrences = new Map<number, readonly StepState[]>()
 
   constructor (job: Job, isInherited: boolean, progress?: JobProgress) {
     this.job = job
@@ -178,6 +180,16 @@
     return [...this.#occurrences.values()].flat()
   }
 
+  /** Steps of the activated occurrences that aren't known to be done, in order. */
+  get openSteps (): readonly StepState[] {
+    return [...this.#openOccurrences.values()].flat()
+  }
+
+  /** Steps of the last activated occurrence. */
+  get lastSteps (): readonly StepState[] {
+    return this.#occurrences.get(this.#occurrences.size - 1) ?? []
+  }
+
   /** Activates the occurrences that are due. */
   activate (wallTime: number): void {
     for (let occurrence = this.#occurrences.size; occurrence < occurrencesOf(this.job); occurrence += 1) {
@@ -189,7 +201,8 @@
   /** Steps that aren't done and whose dependencies are. */
   readySteps (): readonly StepState[] {
     const ready: StepState[] = []
-    for (const steps of this.#occurrences.values()) {
+    for (const [occurrence, steps] of this.#openOccurrences) {
+      if (steps.every(step => step.isDone)) this.#openOccurrences.delete(occurrence)
       for (const step of steps) {
         if (!step.isDone && step.specification.after.every(number => steps[number]?.isDone === true)) ready.push(step)
       }
@@ -214,6 +227,7 @@
     for (let earlier = this.#occurrences.size; earlier < occurrence; earlier += 1) this.#stepsOf(earlier)
     const steps = this.job.steps.map((specification, number) => new StepState(this, occurrence, number, specification))
     this.#occurrences.set(occurrence, steps)
+    this.#openOccurrences.set(occurrence, steps)
     return steps
   }
 
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -87,7 +87,7 @@
       if (candidate !== undefined) candidates.push(candidate)
     }
     for (const candidate of inPlacementOrder(candidates)) {
-      for (const step of candidate.job.readySteps()) this.#placeStep(step, candidate)
+      this.#placeJob(candidate)
     }
   }
 
@@ -110,6 +110,17 @@
     }
   }
 
+  /** Places the ready steps of a job; once a step has found no capacity, not the same step of later occurrences, unless they claim it. */
+  #placeJob (candidate: Candidate): void {
+    const blocked = new Set<number>()
+    for (const step of candidate.job.readySteps()) {
+      if (blocked.has(step.number)) continue
+      this.#placeStep(step, candidate)
+      const mayFitLater = candidate.isClaim || step.specification.mostPerServer !== undefined
+      if (!mayFitLater && step.tasks.some(task => task.isWaiting)) blocked.add(step.number)
+    }
+  }
+
   #placeStep (step: StepState, candidate: Candidate): void {
     const unit = startUnitOf(step)
     if (unit === undefined) return
@@ -315,10 +326,10 @@
   return { step, tasks: waiting }
 }
 
-/** Number of counted steps in the longest chain of dependencies. */
+/** Number of counted steps in the longest chain of dependencies of the last occurrence. */
 function chainLength (job: JobState, isCounted: (step: StepState) => boolean): number {
   const lengths: number[] = []
-  for (const step of job.steps.filter(step => step.occurrence === job.steps.at(-1)?.occurrence)) {
+  for (const step of job.lastSteps) {
     const before = Math.max(0, ...step.specification.after.map(number => lengths[number] ?? 0))
     lengths.push(before + (isCounted(step) ? 1 : 0))
   }
--- a/packages/jobs/src/running-groups.ts
+++ b/packages/jobs/src/running-groups.ts
@@ -21,7 +21,7 @@
   for (const job of state.openJobs) {
     state.work.add(1)
     if (!isIncluded(job)) continue
-    for (const step of job.steps) {
+    for (const step of job.openSteps) {
       state.work.add(step.tasks.length)
       if (!step.specification.isLasting) groups.push(...groupsOf(step, costOf))
     }
--- a/packages/jobs/test/round-work.test.ts
+++ b/packages/jobs/test/round-work.test.ts
@@ -1,6 +1,7 @@
 import { workspaceName } from '@cornelgauge/model'
 import { expect } from 'chai'
-import { jobId } from '../src/index.js'
+import { jobId, type Job } from '../src/index.js'
+import { JobState } from '../src/job-state.js'
 import { CONFIGURATION, job, step, World } from './world.js'
 
 /** Processor time that a round may take on a present-day core, at a microsecond for each examination. */
@@ -33,6 +34,31 @@
     })
   })
 
+  // Guards against rounds of seconds for a job with many occurrences, in which the owner answers nothing.
+  describe('with a job of many occurrences', () => {
+    const OCCURRENCES = 400
+    const often = (tasks: number): Job => job('often', { steps: [step({ count: tasks, need: { processor: 32_000, memory: 1000, accelerators: 0 } })], schedule: { occurrences: OCCURRENCES, startAt: 0, intervalMilliseconds: 1 } })
+
+    it('lists the steps of all of them a few times at most', () => {
+      const world = new World(2)
+      world.planner.submit(often(1))
+      world.settle()
+      const steps = Object.getOwnPropertyDescriptor(JobState.prototype, 'steps')!
+      let reads = 0
+      Object.defineProperty(JobState.prototype, 'steps', { ...steps, get () { reads += 1; return steps.get!.call(this) as unknown } })
+      world.round()
+      Object.defineProperty(JobState.prototype, 'steps', steps)
+      expect(reads).to.be.below(5)
+    })
+
+    it('looks for capacity for the first that waits, not for each', () => {
+      const world = new World(100)
+      world.planner.submit(often(1))
+      world.settle()
+      expect(examinationsOfRound(world, 10)).to.be.below(10 * world.servers.length)
+    })
+  })
+
   describe('with a claim for each two backend servers of a full pool', () => {
     it('has an upper limit, and every claim still starts within the reclaim bound', () => {
       const world = new World(246, { perRack: 12 })
