Give a task more time after a run without progress

Cause: a run that showed no percent for 4 s was stopped as stuck, whatever its length, and the stop counted as a failure of its backend server.

Each such stop doubles the time that the task's next run gets. It counts against the server unless tasks of the step stand still on others too.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -19,6 +19,8 @@
   readonly runs = new Set<Run>()
   /** When it last became ready to start, on the monotonic clock. */
   readySince: number | undefined
+  /** How often a run of it was stopped as stuck. */
+  stalls = 0
 
   constructor (name: TaskName, step: StepState, index: number) {
     this.name = name
@@ -56,6 +58,8 @@
   readonly tasks: readonly TaskState[]
   /** Backend servers on which the advice service allows or refuses this step. */
   readonly advice = new StepAdvice()
+  /** Backend servers on which runs of it were stopped as stuck. */
+  readonly stalledOn = new Set<ServerId>()
   /** Runs lost with their backend servers. */
   readonly losses = new LossRecord()
   #done = 0
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,6 +3,7 @@
 import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
 import { failExhausted } from './job-end.js'
+import type { StepState } from './job-state.js'
 import { determineCauses } from './lost-runs.js'
 import { giveUpStart } from './reports.js'
 import type { Server } from './server.js'
@@ -35,21 +36,35 @@
   for (const run of server.runs.values()) requestStop(run, 'leaving')
 }
 
-/** Stops runs without progress, because their backend server may be faulty. */
+/**
+ * Stops runs without progress: their backend server may be faulty, or they are slower than others. So the
+ * next run of the task gets twice the time.
+ */
 function stopStuck (state: PlannerState, server: Server, now: number): void {
   // Runs that seem to stand still may have ended behind a list that was cut.
   if (server.missedPolls > 0 || server.hasMoreEnds) return
   for (const run of server.runs.values()) {
+    const task = state.task(run.task)
+    if (run.state !== 'running' || run.percent >= WORK_DONE_PERCENT || task?.step.specification.isLasting !== false) continue
     const percentMilliseconds = run.percent === 0 ? 0 : (run.progressedAt - run.confirmedAt) / run.percent
-    const stallLimit = Math.max(STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR * percentMilliseconds)
-    if (run.state !== 'running' || run.percent >= WORK_DONE_PERCENT || now - run.progressedAt < stallLimit) continue
-    if (state.task(run.task)?.step.specification.isLasting !== false) continue
-    server.consecutiveFailures += 1
-    server.lastFailureAt = now
+    const stallLimit = Math.max(STUCK_MILLISECONDS * 2 ** task.stalls, STUCK_PERCENT_TIME_FACTOR * percentMilliseconds)
+    if (now - run.progressedAt < stallLimit) continue
+    if (isServerSuspect(task.step, server)) {
+      server.consecutiveFailures += 1
+      server.lastFailureAt = now
+    }
+    task.stalls += 1
+    task.step.stalledOn.add(server.id)
     requestStop(run, 'stuck')
   }
 }
 
+/** False if the tasks of a step stand still on other backend servers too, and progress on none: then they are slow themselves. */
+function isServerSuspect ({ stalledOn, tasks }: StepState, server: Server): boolean {
+  const hasStalledElsewhere = [...stalledOn].some(id => id !== server.id)
+  return !hasStalledElsewhere || tasks.some(task => task.isDone || [...task.runs].some(run => run.server !== server.id && run.percent > 0))
+}
+
 /** Gives up starts without an answer that no poll has settled in time. */
 function giveUpUnsettled (state: PlannerState, now: number): void {
   for (const run of state.unsettledRuns) {
