Store the completed tasks of a large job as bits

Cause: the progress lists the index of each completed task.

From 5,000 entries on the completed tasks are bits in base64: the most tasks that a job may have, 100,000, take 17 kB. Small jobs are stored as before. Earlier releases refuse to read the new form, under which they would take no task for done; the old form of such a size could not be written at all.

Evidence: large-progress.test.ts. Still open: thousands of tasks of one job that have each failed; their run numbers are listed as before.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,9 +1,11 @@
 /** State of jobs, steps and tasks in the planner that owns them. */
 import { stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
+import { MAXIMUM_LISTED_ENTRIES, STEP_ENTRIES } from './limits.js'
 import { LossRecord } from './loss-record.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
+import { decodeBits, encodeBits } from './task-bits.js'
 
 /** State of one task. */
 export class TaskState {
@@ -166,11 +168,25 @@
         if (progress.done.length > 0 || Object.keys(progress.failed).length > 0 || progress.lost !== undefined) steps[`${occurrence}.${state.number}`] = progress
       }
     }
-    return {
+    const progress = {
       ...(this.isOpen ? {} : { phase: this.phase, finishedAt: this.finishedAt }),
       hasBegun: this.phase !== 'queued',
       steps
     }
+    const listed = Object.values(steps)
+    const entries = listed.reduce((sum, { done }) => sum + done.length, STEP_ENTRIES * listed.length)
+    return entries <= MAXIMUM_LISTED_ENTRIES ? progress : { ...progress, steps: withoutDone(steps), doneBits: encodeBits(this.#doneTasks()) }
+  }
+
+  /** Numbers of the completed tasks, in the order of occurrences, steps and tasks. */
+  * #doneTasks (): Iterable<number> {
+    let number = 0
+    for (const { tasks } of this.steps) {
+      for (const task of tasks) {
+        if (task.isDone) yield number
+        number += 1
+      }
+    }
   }
 
   /** All steps of all occurrences are done. */
@@ -235,6 +251,21 @@
     return steps
   }
 
+  #restoreBits (doneBits: string): void {
+    const tasksPerOccurrence = this.job.steps.reduce((sum, { count }) => sum + count, 0)
+    for (const number of decodeBits(doneBits)) {
+      const occurrence = Math.floor(number / tasksPerOccurrence)
+      if (occurrence >= occurrencesOf(this.job)) return
+      let index = number % tasksPerOccurrence
+      const step = this.#stepsOf(occurrence).find(({ tasks }) => {
+        if (index < tasks.length) return true
+        index -= tasks.length
+        return false
+      })
+      step?.complete(step.tasks[index]!)
+    }
+  }
+
   #restore (progress: JobProgress): void {
     if (progress.hasBegun) this.phase = 'running'
     if (progress.phase !== undefined) {
@@ -246,9 +277,16 @@
       const [occurrence, number] = key.split('.').map(Number)
       if (occurrence! < occurrencesOf(this.job)) this.#stepsOf(occurrence!)[number!]?.restore(step)
     }
+    if (progress.doneBits !== undefined) this.#restoreBits(progress.doneBits)
   }
 }
 
+/** Drops the lists of completed tasks, and the steps that have no other progress. */
+function withoutDone (steps: JobProgress['steps']): JobProgress['steps'] {
+  const rest = Object.entries(steps).map(([key, step]) => [key, { ...step, done: [] }] as const)
+  return Object.fromEntries(rest.filter(([, { failed, lost, attributed }]) => Object.keys(failed).length > 0 || lost !== undefined || attributed !== undefined))
+}
+
 /** Tasks of a step that are to be started; of a gang, all of its tasks. */
 export interface StartUnit {
   readonly step: StepState
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -107,5 +107,9 @@
 export const MAXIMUM_REGISTRY_AGE_MILLISECONDS = 2000
 /** How long after its start an owner waits for backend servers whose rows it can't read, in milliseconds: a row that another writer has overwritten comes back with the next heartbeat. */
 export const OVERWRITTEN_ROW_MILLISECONDS = 2000
+/** Entries up to which completed tasks are stored as lists, of at most 6 characters each; a row of the store has 65,536 bytes. */
+export const MAXIMUM_LISTED_ENTRIES = 5000
+/** Entries that the key and the braces of a step take. */
+export const STEP_ENTRIES = 6
 /** Maximum number of tasks of a job over all steps and occurrences; bounds the memory that one job takes on the owner. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -25,16 +25,25 @@
   readonly hasBegun: boolean
   /** Progress by `occurrence.step`; steps without any are omitted. */
   readonly steps: Readonly<Record<string, StepProgress>>
+  /**
+   * The completed tasks as bits in base64, in the order of occurrences, steps and tasks, where a list of them
+   * would not fit a row of the store; `steps` then lists none.
+   */
+  readonly doneBits?: string
 }
 
+/** The form with bits, under a name that earlier releases refuse to read: they would start the tasks again. */
+type StoredProgress = Omit<JobProgress, 'steps'> & { readonly steps?: JobProgress['steps'], readonly stepsBesideBits?: JobProgress['steps'] }
+
 /**
  * Encodes progress as JSON.
  *
  * @example
  * encodeProgress({ hasBegun: true, steps: {} })
  */
-export function encodeProgress (progress: JobProgress): string {
-  return JSON.stringify(progress)
+export function encodeProgress ({ steps, ...rest }: JobProgress): string {
+  const stored: StoredProgress = rest.doneBits === undefined ? { ...rest, steps } : { ...rest, stepsBesideBits: steps }
+  return JSON.stringify(stored)
 }
 
 /**
@@ -46,9 +55,12 @@
  */
 export function decodeProgress (text: unknown): JobProgress {
   if (typeof text !== 'string') throw new CornelgaugeError('record-damaged', { detail: 'A progress record has no text' })
-  const value = parse(text) as Partial<JobProgress> | null
-  if (typeof value === 'object' && value !== null && isSteps(value.steps) && isPhase(value.phase) && isTime(value.finishedAt)) {
-    return { ...value, hasBegun: value.hasBegun === true, steps: value.steps }
+  const value = parse(text) as Partial<StoredProgress> | null
+  if (typeof value === 'object' && value !== null && isPhase(value.phase) && isTime(value.finishedAt)) {
+    const { steps, stepsBesideBits, ...rest } = value
+    const progress = { ...rest, hasBegun: value.hasBegun === true }
+    if (typeof value.doneBits === 'string' && isSteps(stepsBesideBits)) return { ...progress, steps: stepsBesideBits }
+    if (value.doneBits === undefined && isSteps(steps)) return { ...progress, steps }
   }
   throw new CornelgaugeError('record-damaged', { detail: 'A progress record lacks its fields' })
 }
--- /dev/null
+++ b/packages/jobs/test/large-progress.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai'
+import { decodeProgress, encodeProgress, type Job, type JobProgress } from '../src/index.js'
+import { JobState } from '../src/job-state.js'
+import { decodeBits, encodeBits } from '../src/task-bits.js'
+import { job, step } from './world.js'
+
+/** What a row of the users' store holds, in bytes. */
+const ROW_BYTES = 65_536
+
+const stateOf = (work: Job, progress?: JobProgress): JobState => new JobState(work, true, progress)
+const doneOf = (state: JobState): readonly string[] => state.steps.flatMap(({ tasks }) => tasks.filter(task => task.isDone).map(task => task.name))
+
+/** A job of which each task but every seventh is done, and one has failed. */
+const partlyDone = (work: Job, wallTime = 1e15): JobState => {
+  const state = stateOf(work)
+  state.activate(wallTime)
+  const tasks = state.steps.flatMap(each => each.tasks)
+  tasks.forEach((task, index) => { if (index % 7 !== 0) task.step.complete(task) })
+  tasks[0]!.failedRuns.add(1_000_001)
+  return state
+}
+
+// Guards against progress that no longer fits a row, after which nothing of any job is stored.
+describe('progress of a large job', () => {
+  for (const [name, work] of [
+    ['a hundred thousand tasks', job('a', { steps: [step({ count: 100_000 })] })],
+    ['fifty thousand occurrences of two steps', job('a', { steps: [step(), step({ after: [0] })], schedule: { occurrences: 50_000, startAt: 0, intervalMilliseconds: 1 } })],
+    ['four thousand occurrences of three tasks', job('a', { steps: [step({ count: 3 })], schedule: { occurrences: 4000, startAt: 0, intervalMilliseconds: 1 } })]
+  ] as const) {
+    it(`of ${name} fits a row, and is restored`, () => {
+      const state = partlyDone(work)
+      const text = encodeProgress(state.progress)
+      expect(Buffer.byteLength(text)).to.be.below(ROW_BYTES / 2)
+      const restored = stateOf(work, decodeProgress(text))
+      expect(doneOf(restored)).to.deep.equal(doneOf(state))
+      expect(restored.task(0, 0, 0)!.failedRuns.has(1_000_001)).to.equal(true)
+    })
+  }
+
+  it('can\'t be read by releases that would take none of its tasks for done', () => {
+    const text = encodeProgress(partlyDone(job('a', { steps: [step({ count: 100_000 })] })).progress)
+    expect(JSON.parse(text)).not.to.have.property('steps')
+  })
+
+  it('of a small one stays a list, as earlier releases read it', () => {
+    const { steps, doneBits } = partlyDone(job('a', { steps: [step({ count: 15 })] })).progress
+    expect(doneBits).to.equal(undefined)
+    expect(steps['0.0']!.done).to.deep.equal([1, 2, 3, 4, 5, 6, 8, 9, 10, 11, 12, 13])
+  })
+
+  it('with more bits than tasks, or without the rest, is read as far as possible or refused', () => {
+    const work = job('a', { steps: [step({ count: 3 })] })
+    expect(doneOf(stateOf(work, decodeProgress(JSON.stringify({ doneBits: encodeBits([1, 700]), stepsBesideBits: {} }))))).to.deep.equal(['a.0.0.1'])
+    expect(() => decodeProgress('{"doneBits":"AQ==","steps":{}}')).to.throw().with.property('code', 'record-damaged')
+    expect(() => decodeProgress('{"doneBits":5,"steps":{}}')).to.throw().with.property('code', 'record-damaged')
+  })
+
+  it('keeps sets of numbers as bits', () => {
+    const numbers = Array.from({ length: 300 }, (_, index) => index * 3)
+    expect([...decodeBits(encodeBits(numbers))]).to.deep.equal(numbers)
+  })
+})
