--- /dev/null
+++ b/packages/jobs/src/idle-jobs.ts
@@ -0,0 +1,66 @@
+/** Finds jobs that have nothing running for long though most of the pool is idle, and what they wait for. */
+import type { ServerId, TaskName } from './ids.js'
+import type { JobState, TaskState } from './job-state.js'
+import { IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS } from './limits.js'
+import type { RoundTimes } from './placement-round.js'
+import { isMostlyIdle, snapshotOf } from './round-snapshots.js'
+import type { Run } from './server.js'
+import type { PlannerState } from './state.js'
+
+/**
+ * What a job waits for.
+ * - `recovery`: runs of earlier owners aren't all known yet.
+ * - `queue`: neither the configuration nor the job has the terms of its queue.
+ * - `run`: an earlier run hasn't ended, as far as the planner knows.
+ * - `crash`: backend servers have crashed under it, and it waits for empty ones or for its count to be stored.
+ * - `capacity`: it isn't placed, though most of the pool is idle.
+ */
+export type IdleReason = 'recovery' | 'queue' | 'run' | 'crash' | 'capacity'
+
+/** A job that has nothing running though one of its tasks is ready. */
+interface IdleJob {
+  readonly task: TaskName
+  readonly reason: IdleReason
+  /** Where the run is that it waits for. */
+  readonly server?: ServerId
+}
+
+/** Jobs that have nothing running, with the time since which that is so. */
+export class IdleJobs {
+  readonly #since = new Map<JobState, number>()
+  #checkedAt = -Infinity
+
+  /**
+   * Records an event for each job that is idle for long; looks at them once in a while.
+   *
+   * @example
+   * idleJobs.check(state, { now, wallTime })
+   */
+  check (state: PlannerState, { now, wallTime }: RoundTimes): void {
+    if (now - this.#checkedAt < IDLE_JOB_CHECK_MILLISECONDS) return
+    this.#checkedAt = now
+    const isPoolIdle = isMostlyIdle(snapshotOf(state, now, server => server.free))
+    for (const job of this.#since.keys()) if (!job.isOpen) this.#since.delete(job)
+    for (const job of state.openJobs) {
+      const idle = isPoolIdle ? idleJob(state, job, now) : undefined
+      const since = this.#since.get(job) ?? now
+      if (idle === undefined) this.#since.delete(job)
+      else this.#since.set(job, since)
+      if (idle === undefined || now - since < IDLE_JOB_MILLISECONDS) continue
+      state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, milliseconds: now - since, age: wallTime - job.job.acceptedAt })
+    }
+  }
+}
+
+function idleJob (state: PlannerState, job: JobState, now: number): IdleJob | undefined {
+  const tasks = job.readySteps().flatMap(step => step.tasks.filter(task => !task.isDone))
+  const isActive = (run: Run): boolean => run.state === 'starting' || run.state === 'running'
+  const [first] = tasks
+  if (first === undefined || tasks.some(task => [...task.runs].some(isActive))) return undefined
+  if (job.isInherited && !state.isRecoveryComplete(now)) return { task: first.name, reason: 'recovery' }
+  if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
+  const unresolved = tasks.find(task => task.runs.size > 0)
+  if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
+  const isSuspect = (task: TaskState): boolean => task.step.losses.isSuspect(task.step.unitOf(task))
+  return { task: first.name, reason: tasks.some(isSuspect) ? 'crash' : 'capacity' }
+}
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -18,6 +18,10 @@
 export const REMEMBERED_LOST_RUNS = 4
 /** How long after a start an outage may be due to it, in milliseconds: a process that ends resets its connections at once. */
 export const CRASH_AT_START_MILLISECONDS = 500
+/** How long a job has nothing running in a mostly idle pool before that is logged, in milliseconds: above the users' limit of 3 s. */
+export const IDLE_JOB_MILLISECONDS = 4000
+/** Interval at which such jobs are looked for, in milliseconds. */
+export const IDLE_JOB_CHECK_MILLISECONDS = 2000
 /** How long a task or gang that is to be isolated waits for empty backend servers, in milliseconds: work that fits has to run within 3 s. */
 export const MAXIMUM_ISOLATION_WAIT_MILLISECONDS = 2000
 /** How long nothing else is started beside an isolated run, in milliseconds, so that long runs share their backend servers again. */
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -26,6 +26,7 @@
   giveUpUnsettled(state, times.now)
   const commands: (StartCommand | AdviseCommand)[] = []
   new PlacementRound(state, times, commands).place()
+  state.idleJobs.check(state, times)
   return [...dueStops(state, times.now), ...commands]
 }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -9,6 +9,7 @@
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
 import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, OVERWRITTEN_ROW_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
+import { IdleJobs, type IdleReason } from './idle-jobs.js'
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
@@ -22,6 +23,7 @@
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
+  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
@@ -52,6 +54,8 @@
   readonly crashes = new Set<Crash>()
   /** Number of rows of the registry that can't be read. */
   unreadableServers = 0
+  /** Jobs that have nothing running though most of the pool is idle. */
+  readonly idleJobs = new IdleJobs()
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
