Mend what a second reading of the change found

Cause and change, each with a test where behaviour changes: - A backend server that was replaced twice at its address was judged again if it also had a run of a job that had ended: one counted loss is enough. - Losses at the start of a run were known to one owner only, though a job's end depends on them: they are stored with its progress. - A job's terms were decoded without ranges: a negative priority or no attempts are refused, and a configuration can't yield them. - Repeated cancellations of one unknown id used up the limit of a VM: it counts ids, as it counts rows. - The search for idle jobs listed all tasks and looked at all servers for each job: it stops at the first active run, and logs 20 jobs at most.

Ruled out by reading: nothing else concludes from a cut list.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -181,7 +181,7 @@
    */
   async cancel (id: JobId, deadline: number): Promise<boolean> {
     if (await this.phaseOf(id) === undefined) {
-      this.#unknownCancellations.admit(performance.now())
+      this.#unknownCancellations.admit(id, performance.now())
       if (!await this.#jobs.cancelUnknown(id, deadline)) return false
     } else {
       await this.#jobs.cancel(id, deadline)
--- a/packages/entry/src/job-record.ts
+++ b/packages/entry/src/job-record.ts
@@ -63,6 +63,7 @@
 const isText = (value: unknown): value is string => typeof value === 'string'
 const isFlag = (value: unknown): boolean => typeof value === 'boolean'
 const isWhole = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
+const isAmount = (value: unknown): boolean => Number.isFinite(value) && Number(value) >= 0
 const isCount = (value: unknown): boolean => isWhole(value) && value !== 0
 
 const countTasks = (steps: readonly StepSpecification[], schedule?: Schedule): number =>
@@ -95,12 +96,12 @@
 
 function isTerms (value: unknown): value is QueueTerms {
   const terms = value as Partial<QueueTerms> | null
-  return [terms?.priority, terms?.attempts, terms?.stretch, terms?.latencyMilliseconds].every(Number.isFinite) && isAbsentOr(isAdvice)(terms?.advice)
+  return isWhole(terms?.priority) && isCount(terms.attempts) && [terms.stretch, terms.latencyMilliseconds].every(isAmount) && isAbsentOr(isAdvice)(terms.advice)
 }
 
 function isAdvice (value: unknown): boolean {
   const advice = value as Partial<NonNullable<QueueTerms['advice']>> | null
-  return [advice?.decisionMilliseconds, advice?.perServerMilliseconds, advice?.validMilliseconds].every(Number.isFinite)
+  return [advice?.decisionMilliseconds, advice?.perServerMilliseconds, advice?.validMilliseconds].every(isAmount)
 }
 
 function isSchedule (value: unknown): value is Schedule {
--- a/packages/entry/test/store.test.ts
+++ b/packages/entry/test/store.test.ts
@@ -112,7 +112,7 @@
     })
   })
 
-  // Guards against a job that runs after its caller was told that there is none.
+  // Guards against starting a job after the cancellation of its id was answered with 410.
   describe('the cancellation of an id without a job', () => {
     const accept = (): ReturnType<JobStore['accept']> => new JobStore(view).accept(DRAFT, () => owner, () => {}, soon())
     const cancelUnknown = (): Promise<boolean> => new JobStore(view).cancelUnknown(ID, soon())
@@ -214,9 +214,15 @@
 
     it('are refused at a VM that has stored too many', () => {
       const limit = new CancellationLimit()
-      for (let count = 0; count < UNKNOWN_CANCELLATIONS; count += 1) limit.admit(count)
-      expect(() => limit.admit(1000)).to.throw(CornelgaugeError).with.property('code', 'overloaded')
-      limit.admit(RETENTION_MILLISECONDS)
+      for (let count = 0; count < UNKNOWN_CANCELLATIONS; count += 1) limit.admit(jobId(`id-${count}`), count)
+      expect(() => limit.admit(ID, 1000)).to.throw(CornelgaugeError).with.property('code', 'overloaded')
+      limit.admit(ID, RETENTION_MILLISECONDS)
+    })
+
+    it('count once, however often the same one is repeated', () => {
+      const limit = new CancellationLimit()
+      for (let count = 0; count <= UNKNOWN_CANCELLATIONS; count += 1) limit.admit(ID, count)
+      limit.admit(jobId('another'), 1000)
     })
   })
 
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -1,10 +1,9 @@
 /** Finds jobs that have nothing running for long though most of the pool is idle, and what they wait for. */
 import type { ServerId, TaskName } from './ids.js'
 import type { JobState, TaskState } from './job-state.js'
-import { IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS } from './limits.js'
+import { IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS, MAXIMUM_IDLE_JOBS_LOGGED } from './limits.js'
 import type { RoundTimes } from './placement-round.js'
 import { isMostlyIdle, snapshotOf } from './round-snapshots.js'
-import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
 
 /**
@@ -31,7 +30,7 @@
   #checkedAt = -Infinity
 
   /**
-   * Records an event for each job that is idle for long; looks at them once in a while.
+   * Records an event for each job that has been idle for longer than the limit, and for a limited number of jobs each time.
    *
    * @example
    * idleJobs.check(state, { now, wallTime })
@@ -41,26 +40,36 @@
     this.#checkedAt = now
     const isPoolIdle = isMostlyIdle(snapshotOf(state, now, server => server.free))
     for (const job of this.#since.keys()) if (!job.isOpen) this.#since.delete(job)
+    const isRecoveryComplete = state.isRecoveryComplete(now)
+    let logged = 0
     for (const job of state.openJobs) {
-      const idle = isPoolIdle ? idleJob(state, job, now) : undefined
+      const idle = isPoolIdle ? idleJob(state, job, isRecoveryComplete) : undefined
       const since = this.#since.get(job) ?? now
       if (idle === undefined) this.#since.delete(job)
       else this.#since.set(job, since)
-      if (idle === undefined || now - since < IDLE_JOB_MILLISECONDS) continue
+      if (idle === undefined || now - since < IDLE_JOB_MILLISECONDS || logged === MAXIMUM_IDLE_JOBS_LOGGED) continue
+      logged += 1
       state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, milliseconds: now - since, age: wallTime - job.job.acceptedAt })
     }
   }
 }
 
-function idleJob (state: PlannerState, job: JobState, now: number): IdleJob | undefined {
-  const tasks = job.readySteps().flatMap(step => step.tasks.filter(task => !task.isDone))
-  const isActive = (run: Run): boolean => run.state === 'starting' || run.state === 'running'
-  const [first] = tasks
-  if (first === undefined || tasks.some(task => [...task.runs].some(isActive))) return undefined
-  if (job.isInherited && !state.isRecoveryComplete(now)) return { task: first.name, reason: 'recovery' }
+function idleJob (state: PlannerState, job: JobState, isRecoveryComplete: boolean): IdleJob | undefined {
+  let first: TaskState | undefined
+  let unresolved: TaskState | undefined
+  let isSuspect = false
+  for (const step of job.readySteps()) {
+    for (const task of step.tasks) {
+      if (task.isDone) continue
+      for (const { state } of task.runs) if (state === 'starting' || state === 'running') return undefined
+      first ??= task
+      if (task.runs.size > 0) unresolved ??= task
+      isSuspect ||= step.losses.isSuspect(step.unitOf(task))
+    }
+  }
+  if (first === undefined) return undefined
+  if (job.isInherited && !isRecoveryComplete) return { task: first.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
-  const unresolved = tasks.find(task => task.runs.size > 0)
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
-  const isSuspect = (task: TaskState): boolean => task.step.losses.isSuspect(task.step.unitOf(task))
-  return { task: first.name, reason: tasks.some(isSuspect) ? 'crash' : 'capacity' }
+  return { task: first.name, reason: isSuspect ? 'crash' : 'capacity' }
 }
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -22,6 +22,8 @@
 export const IDLE_JOB_MILLISECONDS = 4000
 /** Interval at which such jobs are looked for, in milliseconds. */
 export const IDLE_JOB_CHECK_MILLISECONDS = 2000
+/** Such jobs that are logged each time. */
+export const MAXIMUM_IDLE_JOBS_LOGGED = 20
 /** How long a task or gang that is to be isolated waits for empty backend servers, in milliseconds: work that fits has to run within 3 s. */
 export const MAXIMUM_ISOLATION_WAIT_MILLISECONDS = 2000
 /** How long nothing else is started beside an isolated run, in milliseconds, so that long runs share their backend servers again. */
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -10,6 +10,8 @@
   readonly lost?: RunsByIndex
   /** Numbers of the runs whose crash only the task can explain, by task index. */
   readonly attributed?: RunsByIndex
+  /** Numbers of the runs that were lost when they had just started, by task index, for a gang under 0. */
+  readonly lostAtStart?: RunsByIndex
 }
 
 /**
@@ -26,7 +28,7 @@
   readonly #places = new Map<number, Set<string>>()
   /** Numbers of the runs whose crash only the task can explain, by task index. */
   readonly #attributed = new Map<number, Set<number>>()
-  /** Numbers of the runs that were lost when they had just started, as far as this owner knows, by unit. */
+  /** Numbers of the runs that were lost when they had just started, by unit. */
   readonly #lostAtStart = new Map<number, Set<number>>()
   /** Number of the change of the job that includes the last loss. */
   change = 0
@@ -98,13 +100,15 @@
   get progress (): StoredLosses {
     const lost = toRecord(this.#runs)
     const attributed = toRecord(this.#attributed)
-    return { ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }) }
+    const lostAtStart = toRecord(this.#lostAtStart)
+    return { ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }), ...(lostAtStart === undefined ? {} : { lostAtStart }) }
   }
 
   /** Restores the stored form. */
-  restore ({ lost = {}, attributed = {} }: StoredLosses): void {
+  restore ({ lost = {}, attributed = {}, lostAtStart = {} }: StoredLosses): void {
     for (const [unit, runs] of Object.entries(lost)) this.#runs.set(Number(unit), new Set(runs))
     for (const [task, runs] of Object.entries(attributed)) this.#attributed.set(Number(task), new Set(runs))
+    for (const [unit, runs] of Object.entries(lostAtStart)) this.#lostAtStart.set(Number(unit), new Set(runs))
   }
 }
 
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -40,7 +40,7 @@
  */
 export function countLostRuns (state: PlannerState, server: Server, lost: readonly Run[], times: RoundTimes): void {
   // Another crash at the address of a server that was replaced is none of that server.
-  if (lost.every(run => isCounted(state, server, run))) return
+  if (lost.length === 0 || lost.some(run => isCounted(state, server, run))) return
   const isAlone = lost.every(other => other.run === lost[0]!.run)
   server.lostRuns = lost
   for (const run of lost) {
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -87,8 +87,8 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, lost = {}, attributed = {} } = (value ?? {}) as Partial<StepProgress>
-  return areIndexes(done) && [failed, lost, attributed].every(areRuns)
+  const { done, failed, lost = {}, attributed = {}, lostAtStart = {} } = (value ?? {}) as Partial<StepProgress>
+  return areIndexes(done) && [failed, lost, attributed, lostAtStart].every(areRuns)
 }
 
 /** True for run numbers by task index. */
--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -191,6 +191,15 @@
       expect(phase(world, 'a')).to.equal('failed')
     })
 
+    it('keeps the losses at the starts for the next owner', () => {
+      const world = worldWith(6, work, ['a.0.0.0'])
+      play(world, 8000)
+      const before = world.planner.progressOf(jobId('a'))!.steps['0.0']!
+      expect(before.lostAtStart?.['0']).to.deep.equal(before.lost?.['0'])
+      world.takeOver(2, [storedJob(world, work)])
+      expect(world.planner.progressOf(jobId('a'))!.steps['0.0']!.lostAtStart).to.deep.equal(before.lostAtStart)
+    })
+
     for (const lost of ['5', 'null', '{"0":5}', '{"0":null}']) {
       it(`refuses progress with ${lost} as its lost runs`, () => {
         expect(() => decodeProgress(`{"steps":{"0.0":{"done":[],"failed":{},"lost":${lost}}}}`)).to.throw().with.property('code', 'record-damaged')
@@ -292,6 +301,27 @@
       expect(world.planner.drainEvents().filter(event => event.type === 'crash-attributed')).to.deep.equal([])
     })
 
+    it('attributes no crash again when the same backend server is replaced twice, also if it had a run of a job that has ended', () => {
+      const world = new World(6)
+      for (const id of ['a', 'b']) world.planner.submit(job(id))
+      play(world, 1000)
+      const holder = world.serverRunning('a.0.0.0')!
+      expect(world.serverRunning('b.0.0.0')).to.equal(holder)
+      holder.stopsSlowly = true
+      world.planner.cancel(jobId('b'), world.wallTime)
+      const others = world.servers.filter(server => server !== holder)
+      for (const server of [holder, others[0]!]) server.crash(Infinity)
+      const list = (...added: readonly FakeServer[]): void => world.listServers([...others.slice(1), ...added].map(server => ({ ...server.entry, incarnation: server.incarnation })))
+      list()
+      play(world, 2500)
+      list(replaceServer(world, holder))
+      play(world, 2500)
+      list(replaceServer(world, holder))
+      play(world, 2500)
+      const attributed = world.planner.drainEvents().filter(event => event.type === 'crash-attributed')
+      expect(attributed).to.deep.equal([])
+    })
+
     it('doesn\'t keep a task that crashes its backend servers at other times from being given up', () => {
       const world = new World(SERVERS)
       const works = [job('a'), ...Array.from({ length: 6 }, (_, index) => job(`task-${index}`))]
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -257,7 +257,7 @@
   'job-idle': {
     number: 1041,
     level: 'warning',
-    sentence: 'A job has nothing running for over 4 s, though a task of it is ready and most of the pool is idle; logged every 2 s.',
+    sentence: 'A job has nothing running for over 4 s, though a task of it is ready and most of the pool is idle; logged every 2 s, for 20 jobs at most.',
     fields: { job: 'id of the job', task: 'a task that is ready', reason: 'what it waits for: recovery: runs of earlier owners are not all known; queue: the terms of its queue are unknown; run: an earlier run has not ended, as far as is known; crash: backend servers have crashed under it; capacity: it is not placed', server: 'where the run is that it waits for', milliseconds: 'how long', age: 'milliseconds since the job was accepted' },
     action: 'For run inspect the backend server; for queue configure the queue again; for capacity compare the needs of the task with what the backend servers have free.'
   }
