Let the test of a server replaced twice fail without its fix

As it was first written, the test passed on the code before the fix: both runs had started together, and the second replacement had the id of the first. It now fails if a crash is judged again ("attributes no crash again"), and passes with the fix of the commit before.

--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -303,20 +303,23 @@
 
     it('attributes no crash again when the same backend server is replaced twice, also if it had a run of a job that has ended', () => {
       const world = new World(6)
-      for (const id of ['a', 'b']) world.planner.submit(job(id))
+      play(world, 2 * LEASE_MILLISECONDS)
+      world.planner.submit(job('b'))
       play(world, 1000)
+      world.planner.submit(job('a'))
+      play(world, 100)
       const holder = world.serverRunning('a.0.0.0')!
       expect(world.serverRunning('b.0.0.0')).to.equal(holder)
-      holder.stopsSlowly = true
       world.planner.cancel(jobId('b'), world.wallTime)
       const others = world.servers.filter(server => server !== holder)
       for (const server of [holder, others[0]!]) server.crash(Infinity)
       const list = (...added: readonly FakeServer[]): void => world.listServers([...others.slice(1), ...added].map(server => ({ ...server.entry, incarnation: server.incarnation })))
       list()
       play(world, 2500)
-      list(replaceServer(world, holder))
-      play(world, 2500)
-      list(replaceServer(world, holder))
+      const replacement = replaceServer(world, holder)
+      list(replacement)
+      play(world, 1000)
+      list(replaceServer(world, replacement))
       play(world, 2500)
       const attributed = world.planner.drainEvents().filter(event => event.type === 'crash-attributed')
       expect(attributed).to.deep.equal([])
