Plan reclaims only where the claim may start

Cause: a step with few attempts left is not started on backend servers with a failure in the last 6 s, but the plan of what to stop for it, and the reservations, counted these. So runs were stopped on a server that the claim then avoided; the plan found it free, stopped nothing else, and kept the other targets reserved until the failure was old enough or the pool idle. The limit on the wait for a single rack did not hold for this wait.

Change: reclaims and reservations search among the targets that placement allows, and a claim avoids recent failures only as long as it waits for a rack. The new test "stops runs only where it may start" failed before.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -42,8 +42,8 @@
 export const LONGEST_STOP_MILLISECONDS = 1000
 /** Weight with which a stop that was shorter lowers the longest recent one. */
 export const STOP_TIME_DECAY = 0.01
-/** How long a claim waits for a single rack before it is spread, in milliseconds: leaves time within the reclaim bound for stops, starts and a slow call. */
-export const MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS = 1400
+/** How long a claim waits for a single rack, or for backend servers without recent failures, in milliseconds: leaves time within the reclaim bound for stops, starts and a slow call. */
+export const MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS = 1400
 /** Stop cost up to which a claim does not wait, in server-milliseconds of the most urgent work: one task that has just started. */
 export const CHEAP_RECLAIM_SERVER_MILLISECONDS = 500
 /** Price of discarded work, added to the weight of the work that has to be repeated. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -46,6 +46,7 @@
   readonly #current: CapacitySnapshot
   readonly #afterStops: CapacitySnapshot
   readonly #eligible: EligibleTargets
+  readonly #eligibleAfterStops: EligibleTargets
   readonly #waits: Waits
   readonly #isolation: Isolation
   readonly #claims: ReadonlySet<JobState>
@@ -69,7 +70,8 @@
     this.#isMostlyIdle = isMostlyIdle(this.#current)
     this.#waits = new Waits(state, times.now, this.#isMostlyIdle)
     this.#isolation = new Isolation(state, times.now, this.#waits)
-    this.#eligible = new EligibleTargets(state, times.now, this.#current, this.#waits)
+    this.#eligible = new EligibleTargets(state, times.now, this.#current)
+    this.#eligibleAfterStops = new EligibleTargets(state, times.now, this.#afterStops)
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
     this.#lendableAccelerators = state.rules.has('keep-for-claims') ? this.#countLendable() : Infinity
   }
@@ -127,7 +129,7 @@
     for (const task of unit.tasks) task.readySince ??= this.#times.now
     if (step.specification.isGang) this.#placeGang(unit, candidate)
     else this.#placeSingleTasks(unit, candidate)
-    if (this.#eligible.isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#requestAdvice(step)
+    if (this.#eligible.isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#requestAdvice(unit, candidate)
   }
 
   /** Accelerators that are free or cheap to reclaim, minus the expected demand of claims. */
@@ -158,8 +160,8 @@
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     const mayBorrow = this.#mayBorrow(unit, candidate)
-    const mayWait = this.#waits.mayWaitForRack(unit, candidate)
-    const targets = mayBorrow ? this.#isolation.choose(this.#eligible.of(step), unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
+    const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
+    const targets = mayBorrow ? this.#isolation.choose(this.#eligible.of(unit, mayWait), unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
     if (targets === undefined) {
       if (this.#isolation.mayHold(unit)) return
       if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
@@ -175,7 +177,8 @@
     for (const task of unit.tasks) {
       const single = { step, tasks: [task] }
       if (!this.#mayBorrow(single, candidate)) return
-      const target = this.#isolation.choose(this.#eligible.of(step), single, this.#waits.mayWaitForRack(single, candidate), allowed => this.#chooseTarget(allowed, task))
+      const mayWait = this.#waits.mayWaitForPlacement(single, candidate)
+      const target = this.#isolation.choose(this.#eligible.of(single, mayWait), single, mayWait, allowed => this.#chooseTarget(allowed, task))
       if (target !== undefined) this.#start(task, target, this.#state.nextRun())
       else if (!this.#isolation.mayHold(single)) blocked += 1
       if (blocked > 0 && !candidate.isClaim) break
@@ -189,14 +192,15 @@
     if (dataRack !== undefined) {
       const inDataRack = snapshot.targets.filter(target => target.server.entry.rack === dataRack)
       const target = placeTasks(snapshot, inDataRack, step, 1)?.[0]
-      const mayWaitForRack = this.#waits.readyMilliseconds(task) < MAXIMUM_DATA_RACK_WAIT_MILLISECONDS
-      if (target !== undefined || (mayWaitForRack && inDataRack.length > 0)) return target
+      const mayWaitForPlacement = this.#waits.readyMilliseconds(task) < MAXIMUM_DATA_RACK_WAIT_MILLISECONDS
+      if (target !== undefined || (mayWaitForPlacement && inDataRack.length > 0)) return target
     }
     return placeTasks(snapshot, snapshot.targets, step, 1)?.[0]
   }
 
-  #requestAdvice (step: StepState): void {
-    const command = requestAdvice(step, this.#eligible.lowRisk(step), this.#times.now)
+  #requestAdvice (unit: StartUnit, candidate: Candidate): void {
+    const targets = this.#eligible.lowRisk(unit, this.#waits.mayWaitForPlacement(unit, candidate))
+    const command = requestAdvice(unit.step, targets, this.#times.now)
     if (command !== undefined) this.#commands.push(command)
   }
 
@@ -253,9 +257,11 @@
     if (isReserved) this.#reservedGangs += 1
   }
 
-  #planReservation ({ step, tasks }: StartUnit): ReclaimPlan | undefined {
+  #planReservation (unit: StartUnit): ReclaimPlan | undefined {
+    const { step, tasks } = unit
+    const targets = this.#eligibleAfterStops.lowRisk(unit, this.#waits.mayWait(tasks[0]!))
     const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
-    return planReclaim(this.#afterStops, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
+    return planReclaim(targets, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
   }
 
   /** Reserves what was planned for a step in its last turn. */
@@ -284,8 +290,9 @@
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
-    const mayWait = this.#waits.mayWaitForRack(unit, candidate)
-    const search = (): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(this.#afterStops) : this.#afterStops, step, tasks.length, this.#victimsFor(candidate), mayWait)
+    const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
+    const targets = this.#eligibleAfterStops.lowRisk(unit, mayWait)
+    const search = (): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, tasks.length, this.#victimsFor(candidate), mayWait)
     const plan = candidate.isClaim ? turns.search(step, search) : search()
     if (plan === undefined) return false
     const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
--- a/packages/jobs/src/waits.ts
+++ b/packages/jobs/src/waits.ts
@@ -1,6 +1,6 @@
 /** How long waiting work may wait for something better than what is free. */
 import type { StartUnit, TaskState } from './job-state.js'
-import { MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, RECLAIM_WAIT_SHARE } from './limits.js'
+import { MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, RECLAIM_WAIT_SHARE } from './limits.js'
 import type { Candidate } from './order.js'
 import type { PlannerState } from './state.js'
 
@@ -31,9 +31,9 @@
     return this.#now - readySince
   }
 
-  /** A claim waits for a single rack only as long as the reclaim bound allows. */
-  mayWaitForRack ({ tasks }: StartUnit, { isClaim }: Candidate): boolean {
-    return isClaim ? this.readyMilliseconds(tasks[0]!) < MAXIMUM_CLAIM_RACK_WAIT_MILLISECONDS : this.mayWait(tasks[0]!)
+  /** A claim waits for a better placement, such as a single rack, only as long as the reclaim bound allows. */
+  mayWaitForPlacement ({ tasks }: StartUnit, { isClaim }: Candidate): boolean {
+    return isClaim ? this.readyMilliseconds(tasks[0]!) < MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS : this.mayWait(tasks[0]!)
   }
 
   /** How long work waits for capacity before others are stopped for it: less where stops take long, so that it can still end in time. */
--- a/packages/jobs/test/claims.test.ts
+++ b/packages/jobs/test/claims.test.ts
@@ -89,6 +89,47 @@
       expect(world.serverRunning('claim.0.0.1')).not.to.equal(undefined)
     })
 
+    // Guards against claims that wait beside servers freed for them, which they avoid for a recent failure.
+    describe('with few attempts left, beside recent failures', () => {
+      const CLAIM = step({ count: 2, accelerators: 8, isGang: true })
+
+      /** A full pool in which the last tasks to end on these backend servers have failed. */
+      const worldWithFailures = (failing: readonly number[]): World => {
+        const world = new World(6)
+        const [workspace] = CONFIGURATION.workspaces
+        world.planner.configure({ ...CONFIGURATION, workspaces: [{ ...workspace!, guaranteedAccelerators: 16 }] })
+        world.planner.submit(job('lent', { steps: [step({ count: 48 })] }))
+        world.settle(10)
+        world.now += 3000
+        for (const { running } of world.servers) for (const [task, run] of running) running.set(task, { ...run, percent: 50 })
+        world.pollServers()
+        for (const server of failing.map(index => world.servers[index]!)) {
+          const [last, ...others] = [...server.running.keys()]
+          for (const task of others) server.end(task, 'done')
+          server.end(last!, 'failed')
+        }
+        world.settle()
+        return world
+      }
+
+      const startsInTime = (world: World): boolean => {
+        const acceptedAt = world.wallTime
+        world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', acceptedAt, steps: [CLAIM] }))
+        while (world.serverRunning('claim.0.0.1') === undefined && world.wallTime < acceptedAt + RECLAIM_MILLISECONDS) world.settle(1)
+        return world.serverRunning('claim.0.0.0') !== undefined && world.serverRunning('claim.0.0.1') !== undefined
+      }
+
+      it('stops runs only where it may start', () => {
+        const world = worldWithFailures([0])
+        expect(startsInTime(world)).to.equal(true)
+        expect(world.stops.filter(({ server }) => server === world.servers[0]!.entry.id)).to.deep.equal([])
+      })
+
+      it('starts within the reclaim bound if there is no backend server without any', () => {
+        expect(startsInTime(worldWithFailures([0, 1, 2, 3, 4, 5]))).to.equal(true)
+      })
+    })
+
     it('stops nothing for urgent work beyond the guarantee that can still wait', () => {
       const world = new World(1)
       world.planner.submit(job('lent', { steps: [step({ count: 8 })] }))
