End the search of a rack that can't be the cheapest

With gangs waiting in a full pool of 245 backend servers, most of a round's time went into the search for what to reserve for them: each rack was searched to its end and the cheapest plan chosen afterwards.

A search now ends once its stops cost as much as the cheapest rack so far, and no rack is searched after one in which nothing has to be stopped. Costs aren't negative and of equal plans the first is chosen, as before, so the plans are the same; the test against the exhaustive search now also compares their costs.

The two new tests fail without the change (80 examinations for 8; 200 for a bound of below 200).

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -288,7 +288,7 @@
     const search = (): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(this.#afterStops) : this.#afterStops, step, tasks.length, this.#victimsFor(candidate), mayWait)
     const plan = candidate.isClaim ? turns.search(step, search) : search()
     if (plan === undefined) return false
-    const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
+    const { cost } = plan
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
     const mayWaitForCapacity = this.#waits.readyMilliseconds(tasks[0]!) < this.#waits.reclaimWaitMilliseconds(candidate)
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -31,6 +31,7 @@
   readonly #targets: PlacementTarget[]
   readonly #positions: ReadonlyMap<ServerId, number>
   readonly #stopped = new Set<VictimGroup>()
+  #cost = 0
   /** Option of each position; undefined where no task fits. */
   readonly #options: (TargetOption | undefined)[]
   /** All options, the best last. */
@@ -46,22 +47,23 @@
     this.#sorted = this.#options.filter(option => option !== undefined).sort(compareWorstFirst)
   }
 
-  /** Chooses targets for `count` tasks; undefined if they don't all fit. */
-  plan (count: number): ReclaimPlan | undefined {
+  /** Chooses targets for `count` tasks; undefined if they don't all fit, or if the stops don't cost less than the limit. */
+  plan (count: number, costLimit = Infinity): ReclaimPlan | undefined {
     const targets: PlacementTarget[] = []
-    while (targets.length < count) {
+    while (targets.length < count && this.#cost < costLimit) {
       const option = this.#sorted.at(-1)
       if (option === undefined) return undefined
       this.#choose(option)
       targets.push(option.target)
     }
-    return { targets, victims: [...this.#stopped] }
+    return this.#cost < costLimit ? { targets, victims: [...this.#stopped], cost: this.#cost } : undefined
   }
 
   #choose ({ position, victims }: TargetOption): void {
     const changed = new Set([position])
     for (const group of victims) {
       this.#stopped.add(group)
+      this.#cost += group.cost
       for (const { run, need } of group.members) {
         const other = this.#positions.get(run.server)
         if (other === undefined) continue
--- a/packages/jobs/src/reclaim.ts
+++ b/packages/jobs/src/reclaim.ts
@@ -22,6 +22,8 @@
 export interface ReclaimPlan {
   readonly targets: readonly PlacementTarget[]
   readonly victims: readonly VictimGroup[]
+  /** Cost of stopping all of them. */
+  readonly cost: number
 }
 
 /**
@@ -37,14 +39,11 @@
   const findSpreadPlan = (): ReclaimPlan | undefined => new ReclaimSearch(snapshot.targets, step, victims, snapshot.work).plan(count)
   if (!step.specification.wantsOneRack) return findSpreadPlan()
   const racks = racksOf(snapshot.targets)
-  const options = racks
-    .map(targets => new ReclaimSearch(targets, step, victims, snapshot.work).plan(count))
-    .filter(option => option !== undefined)
-    .sort((left, right) => costOf(left) - costOf(right))
-  if (options[0] !== undefined) return options[0]
+  let cheapest: ReclaimPlan | undefined
+  for (const targets of racks) {
+    if (cheapest?.cost === 0) break
+    cheapest = new ReclaimSearch(targets, step, victims, snapshot.work).plan(count, cheapest?.cost) ?? cheapest
+  }
+  if (cheapest !== undefined) return cheapest
   return mayWaitForRack && racks.some(targets => couldHold(targets, step)) ? undefined : findSpreadPlan()
 }
-
-function costOf (plan: ReclaimPlan): number {
-  return plan.victims.reduce((sum, group) => sum + group.cost, 0)
-}
--- a/packages/jobs/test/reclaim.test.ts
+++ b/packages/jobs/test/reclaim.test.ts
@@ -74,10 +74,9 @@
 function exhaustivePlan (targets: readonly PlacementTarget[], waiting: StepState, groups: readonly VictimGroup[], mayWaitForRack: boolean): ReclaimPlan | undefined {
   const spread = (): ReclaimPlan | undefined => exhaustivePlanAmong(targets, waiting, groups)
   if (!waiting.specification.wantsOneRack) return spread()
-  const costOf = ({ victims }: ReclaimPlan): number => victims.reduce((sum, group) => sum + group.cost, 0)
   const racks = racksOf(targets)
   const plans = racks.map(rack => exhaustivePlanAmong(rack, waiting, groups)).filter(plan => plan !== undefined)
-  const [cheapest] = plans.sort((left, right) => costOf(left) - costOf(right))
+  const [cheapest] = plans.sort((left, right) => left.cost - right.cost)
   if (cheapest !== undefined) return cheapest
   return mayWaitForRack && racks.some(rack => couldHold(rack, waiting)) ? undefined : spread()
 }
@@ -102,7 +101,7 @@
     snapshot.take(best.target, waiting)
     chosen.push(best.target)
   }
-  return { targets: chosen, victims }
+  return { targets: chosen, victims, cost: victims.reduce((sum, group) => sum + group.cost, 0) }
 }
 
 function exhaustiveOption (target: PlacementTarget, waiting: StepState, remaining: ReadonlySet<VictimGroup>): { readonly target: PlacementTarget, readonly victims: readonly VictimGroup[], readonly cost: number } | undefined {
@@ -159,6 +158,36 @@
     })
   })
 
+  // Guards against rounds that spend a third of their time on racks that can't be chosen.
+  describe('with a rack in which nothing has to be stopped', () => {
+    it('examines no rack behind it', () => {
+      const examinations = (servers: number): number => {
+        const { targets, groups, waiting } = worldOf({ servers, perRack: 4, groups: [], count: 4, accelerators: 8, wantsOneRack: true, mayWaitForRack: true, mostPerServer: undefined })
+        const work = new RoundWork()
+        const snapshot = new CapacitySnapshot(targets, work)
+        const before = work.examinations
+        expect(planReclaim(snapshot, waiting, 4, new VictimIndex(groups, work), true)?.cost).to.equal(0)
+        return work.examinations - before
+      }
+      expect(examinations(40)).to.equal(examinations(4))
+    })
+  })
+
+  describe('with racks that cost the more the later they come', () => {
+    it('ends the search of each at the cost of the first', () => {
+      const racks = 10
+      const groups = Array.from({ length: 4 * racks }, (_, index) => ({ servers: [index], cost: 4 + Math.floor(index / 4), accelerators: 8 }))
+      const { targets, groups: running, waiting } = worldOf({ servers: 4 * racks, perRack: 4, groups, count: 4, accelerators: 8, wantsOneRack: true, mayWaitForRack: true, mostPerServer: undefined })
+      const work = new RoundWork()
+      const snapshot = new CapacitySnapshot(targets, work)
+      const index = new VictimIndex(running, work)
+      const before = work.examinations
+      expect(planReclaim(snapshot, waiting, 4, index, true)?.cost).to.equal(16)
+      // Three examinations for each backend server, and two for each that is chosen: so many if each rack were searched to its end.
+      expect(work.examinations - before).to.be.below(racks * 4 * 5)
+    })
+  })
+
   describe('with an index of the running groups', () => {
     it('chooses the targets and victims that an exhaustive search chooses', () => {
       const outcomes = { planned: 0, withVictims: 0, impossible: 0 }
@@ -169,6 +198,7 @@
         const expected = exhaustivePlan(targets, waiting, groups, drawn.mayWaitForRack)
         expect(summaryOf(plan)?.servers).to.deep.equal(summaryOf(expected)?.servers)
         expect(plan?.victims.map(group => groups.indexOf(group))).to.deep.equal(expected?.victims.map(group => groups.indexOf(group)))
+        expect(plan?.cost).to.equal(expected?.cost)
         if (plan === undefined) outcomes.impossible += 1
         else outcomes.planned += 1
         if (plan !== undefined && plan.victims.length > 0) outcomes.withVictims += 1
