--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -38,7 +38,7 @@
   check (state: PlannerState, { now, wallTime }: RoundTimes): void {
     if (now - this.#checkedAt < IDLE_JOB_CHECK_MILLISECONDS) return
     this.#checkedAt = now
-    const isPoolIdle = isMostlyIdle(snapshotOf(state, now, server => server.free))
+    const isPoolIdle = isMostlyIdle(snapshotOf(state, now))
     for (const job of this.#since.keys()) if (!job.isOpen) this.#since.delete(job)
     const isRecoveryComplete = state.isRecoveryComplete(now)
     let logged = 0
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -13,7 +13,7 @@
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
 import { countedNeed, type CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
-import { freeAfterStops, isMostlyIdle, snapshotOf } from './round-snapshots.js'
+import { isMostlyIdle, snapshotAfterStops, snapshotOf } from './round-snapshots.js'
 import { remainingMilliseconds, runningGroups } from './running-groups.js'
 import type { SearchTurns } from './search-turns.js'
 import type { Run } from './server.js'
@@ -63,8 +63,8 @@
     this.#state = state
     this.#times = times
     this.#commands = commands
-    this.#current = snapshotOf(state, times.now, server => server.free)
-    this.#afterStops = snapshotOf(state, times.now, freeAfterStops)
+    this.#current = snapshotOf(state, times.now)
+    this.#afterStops = snapshotAfterStops(this.#current)
     this.#claims = claimsOf(state)
     this.#isMostlyIdle = isMostlyIdle(this.#current)
     this.#waits = new Waits(state, times.now, this.#isMostlyIdle)
@@ -134,11 +134,10 @@
   #countLendable (): number {
     const expected = this.#state.claimDemand.observe(acceleratorsOfJobs(this.#claims), this.#state.guaranteedAccelerators, this.#times.now)
     let available = 0
-    for (const { server, free } of this.#current.targets) {
+    for (const { free, tasksOf } of this.#current.targets) {
       let reclaimable = free.accelerators
-      for (const run of server.runs.values()) {
-        const step = this.#state.task(run.task)?.step
-        if (step?.specification.savesCheckpoints === true && !this.#claims.has(step.job)) reclaimable += run.need.accelerators
+      for (const [{ job, specification }, count] of tasksOf) {
+        if (specification.savesCheckpoints && !this.#claims.has(job)) reclaimable += count * specification.need.accelerators
       }
       available += Math.max(0, reclaimable)
     }
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -10,13 +10,23 @@
  * Takes a snapshot of the usable, healthy backend servers and their free capacity.
  *
  * @example
- * const snapshot = snapshotOf(state, now, server => server.free)
+ * const snapshot = snapshotOf(state, now)
  */
-export function snapshotOf (state: PlannerState, now: number, freeOf: (server: Server) => Server['free']): CapacitySnapshot {
+export function snapshotOf (state: PlannerState, now: number): CapacitySnapshot {
   const isHealthy = (server: Server): boolean => !server.isUnhealthy || now - server.lastFailureAt > UNHEALTHY_MILLISECONDS
   const isCapacityKnown = capacityCheck(state, now)
   const servers = [...state.servers.values()].filter(server => server.isUsable && isHealthy(server) && isCapacityKnown(server))
-  return new CapacitySnapshot(servers.map(server => ({ server, free: freeOf(server), tasksOf: tasksOn(state, server) })), state.work)
+  return new CapacitySnapshot(servers.map(server => ({ server, free: server.free, tasksOf: tasksOn(state, server) })), state.work)
+}
+
+/**
+ * Takes the snapshot of the same backend servers with the capacity that is free once all runs which are being stopped have ended.
+ *
+ * @example
+ * const afterStops = snapshotAfterStops(snapshotOf(state, now))
+ */
+export function snapshotAfterStops ({ targets, work }: CapacitySnapshot): CapacitySnapshot {
+  return new CapacitySnapshot(targets.map(({ server, tasksOf }) => ({ server, free: freeAfterStops(server), tasksOf: new Map(tasksOf) })), work)
 }
 
 /** Returns a check whether the capacity that is known of a backend server still counts. One that refuses starts beyond its capacity checks it itself. */
@@ -26,13 +36,8 @@
   return server => guardedPools.has(server.entry.pool) || (isRegistryCurrent && server.isEntryCurrent)
 }
 
-/**
- * Returns a backend server's free capacity after all runs that are being stopped have ended.
- *
- * @example
- * const snapshot = snapshotOf(state, now, freeAfterStops)
- */
-export function freeAfterStops (server: Server): Server['free'] {
+/** Returns a backend server's free capacity after all runs that are being stopped have ended. */
+function freeAfterStops (server: Server): Server['free'] {
   let free = server.free
   for (const run of server.runs.values()) if (run.state === 'stopping') free = addCapacity(free, run.need)
   return free
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -45,6 +45,7 @@
   // Runs that seem to stand still may have ended behind a list that was cut.
   if (server.missedPolls > 0 || server.hasMoreEnds) return
   for (const run of server.runs.values()) {
+    if (now - run.progressedAt < STUCK_MILLISECONDS) continue
     const task = state.task(run.task)
     if (run.state !== 'running' || run.percent >= WORK_DONE_PERCENT || task?.step.specification.isLasting !== false) continue
     const percentMilliseconds = run.percent === 0 ? 0 : (run.progressedAt - run.confirmedAt) / run.percent
--- a/packages/jobs/test/round-work.test.ts
+++ b/packages/jobs/test/round-work.test.ts
@@ -1,6 +1,6 @@
 import { epoch, workspaceName } from '@cornelgauge/model'
 import { expect } from 'chai'
-import { jobId, taskName, type Job } from '../src/index.js'
+import { jobId, taskName, type Job, type TaskName } from '../src/index.js'
 import { JobState } from '../src/job-state.js'
 import { PlannerState } from '../src/state.js'
 import { CONFIGURATION, job, step, World } from './world.js'
@@ -53,6 +53,21 @@
       expect(found).to.equal(0)
     })
 
+    it('looks at the task of each run once', () => {
+      const world = new World(20)
+      world.settle()
+      for (let number = 0; number < 20; number += 1) world.planner.submit(job(`running${number}`, { steps: [step({ count: 8 })] }))
+      world.settle()
+      world.pollServers()
+      const find = Object.getOwnPropertyDescriptor(PlannerState.prototype, 'task')!
+      let found = 0
+      Object.defineProperty(PlannerState.prototype, 'task', { ...find, value (this: PlannerState, name: TaskName) { found += 1; return (find.value as PlannerState['task']).call(this, name) } })
+      world.round()
+      Object.defineProperty(PlannerState.prototype, 'task', find)
+      expect(world.planner.load.runs).to.equal(160)
+      expect(found).to.be.at.most(160)
+    })
+
     it('keeps none of the tasks of a job that was removed', () => {
       const state = new PlannerState(epoch(1), 0, new Set())
       const removed = new JobState(job('first'), false)
