List what runs once for all gangs that reserve in a round

Each gang that waited for a reservation listed all running groups and their remaining times again, up to the limit of gangs in a round, though these are the same until work is started or stopped.

The list is now kept within a round, like that for claims, and dropped when work is started or stopped.

The test fails without the change: 1,653 examinations for a second gang, for a bound of 960.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -56,6 +56,8 @@
   #lendableAccelerators: number
   /** What may be stopped for claims, which is the same for all of them until other work starts. */
   #claimVictims: VictimIndex | undefined
+  /** What ends before gangs that reserve, which is the same for all of them until work is started or stopped. */
+  #reservationVictims: VictimIndex | undefined
   #reservedGangs = 0
   #preemptionSearches = 0
 
@@ -224,6 +226,7 @@
     server.add(started)
     this.#isolation.add(server, started)
     if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
+    this.#reservationVictims = undefined
     task.runs.add(started)
     task.readySince = undefined
     this.#commands.push({
@@ -253,8 +256,8 @@
   }
 
   #planReservation ({ step, tasks }: StartUnit): ReclaimPlan | undefined {
-    const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
-    return planReclaim(this.#afterStops, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
+    this.#reservationVictims ??= new VictimIndex(runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now)), this.#state.work)
+    return planReclaim(this.#afterStops, step, tasks.length, this.#reservationVictims, true)
   }
 
   /** Reserves what was planned for a step in its last turn. */
@@ -291,6 +294,7 @@
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
     const mayWaitForCapacity = this.#waits.readyMilliseconds(tasks[0]!) < this.#waits.reclaimWaitMilliseconds(candidate)
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
+    if (victims.length > 0) this.#reservationVictims = undefined
     for (const group of victims) {
       this.#claimVictims?.remove(group)
       for (const { run, need } of group.members) {
--- a/packages/jobs/test/round-work.test.ts
+++ b/packages/jobs/test/round-work.test.ts
@@ -104,6 +104,24 @@
     })
   })
 
+  describe('with gangs that wait in a full pool', () => {
+    const examinationsWith = (gangs: number): number => {
+      const world = new World(40)
+      world.settle()
+      for (let number = 0; number < 320; number += 1) world.planner.submit(job(`running${number}`))
+      world.settle()
+      for (let number = 0; number < gangs; number += 1) world.planner.submit(job(`gang${number}`, { steps: [step({ count: 2, accelerators: 8, isGang: true })] }))
+      world.round(10)
+      return examinationsOfRound(world, 10)
+    }
+
+    it('lists what runs once for all of them', () => {
+      const each = examinationsWith(2) - examinationsWith(1)
+      expect(examinationsWith(2)).to.be.above(examinationsWith(0))
+      expect(each).to.be.below(3 * 320)
+    })
+  })
+
   describe('with a claim for each two backend servers of a full pool', () => {
     it('has an upper limit, and every claim still starts within the reclaim bound', () => {
       const world = new World(246, { perRack: 12 })
