--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -13,7 +13,7 @@
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
 import { countedNeed, type CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
-import { freeAfterStops, isMostlyIdle, snapshotOf } from './round-snapshots.js'
+import { isMostlyIdle, snapshotAfterStops, snapshotOf } from './round-snapshots.js'
 import { remainingMilliseconds, runningGroups } from './running-groups.js'
 import type { SearchTurns } from './search-turns.js'
 import type { Run } from './server.js'
@@ -57,6 +57,8 @@
   #lendableAccelerators: number
   /** What may be stopped for claims, which is the same for all of them until other work starts. */
   #claimVictims: VictimIndex | undefined
+  /** What ends before gangs that reserve, which is the same for all of them until work is started or stopped. */
+  #reservationVictims: VictimIndex | undefined
   #reservedGangs = 0
   #preemptionSearches = 0
 
@@ -64,8 +66,8 @@
     this.#state = state
     this.#times = times
     this.#commands = commands
-    this.#current = snapshotOf(state, times.now, server => server.free)
-    this.#afterStops = snapshotOf(state, times.now, freeAfterStops)
+    this.#current = snapshotOf(state, times.now)
+    this.#afterStops = snapshotAfterStops(this.#current)
     this.#claims = claimsOf(state)
     this.#isMostlyIdle = isMostlyIdle(this.#current)
     this.#waits = new Waits(state, times.now, this.#isMostlyIdle)
@@ -136,11 +138,10 @@
   #countLendable (): number {
     const expected = this.#state.claimDemand.observe(acceleratorsOfJobs(this.#claims), this.#state.guaranteedAccelerators, this.#times.now)
     let available = 0
-    for (const { server, free } of this.#current.targets) {
+    for (const { free, tasksOf } of this.#current.targets) {
       let reclaimable = free.accelerators
-      for (const run of server.runs.values()) {
-        const step = this.#state.task(run.task)?.step
-        if (step?.specification.savesCheckpoints === true && !this.#claims.has(step.job)) reclaimable += run.need.accelerators
+      for (const [{ job, specification }, count] of tasksOf) {
+        if (specification.savesCheckpoints && !this.#claims.has(job)) reclaimable += count * specification.need.accelerators
       }
       available += Math.max(0, reclaimable)
     }
@@ -229,6 +230,7 @@
     server.add(started)
     this.#isolation.add(server, started)
     if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
+    this.#reservationVictims = undefined
     task.runs.add(started)
     task.readySince = undefined
     this.#commands.push({
@@ -259,9 +261,9 @@
 
   #planReservation (unit: StartUnit): ReclaimPlan | undefined {
     const { step, tasks } = unit
+    this.#reservationVictims ??= new VictimIndex(runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now)), this.#state.work)
     const targets = this.#eligibleAfterStops.lowRisk(unit, this.#waits.mayWait(tasks[0]!))
-    const groups = runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now))
-    return planReclaim(targets, step, tasks.length, new VictimIndex(groups, this.#state.work), true)
+    return planReclaim(targets, step, tasks.length, this.#reservationVictims, true)
   }
 
   /** Reserves what was planned for a step in its last turn. */
@@ -295,10 +297,11 @@
     const search = (): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, tasks.length, this.#victimsFor(candidate), mayWait)
     const plan = candidate.isClaim ? turns.search(step, search) : search()
     if (plan === undefined) return false
-    const cost = plan.victims.reduce((sum, group) => sum + group.cost, 0)
+    const { cost } = plan
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
     const mayWaitForCapacity = this.#waits.readyMilliseconds(tasks[0]!) < this.#waits.reclaimWaitMilliseconds(candidate)
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
+    if (victims.length > 0) this.#reservationVictims = undefined
     for (const group of victims) {
       this.#claimVictims?.remove(group)
       for (const { run, need } of group.members) {
