Confirm the ownership after the planner's state is loaded

A VM that was suspended while it loaded took its ownership as confirmed when the load ended. If another VM had claimed meanwhile and no peer had said so yet, it polled and started tasks for up to 2.5 s beside the new owner, also of jobs that were accepted under it.

The load now ends with a read of the owner row. If that names another owner, no planner starts and the ownership is given up; the confirmation counts from before that read. The new test fails without the change: a host was running.

--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -15,7 +15,7 @@
 import { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
 import { RegistryReader } from './registry-reader.js'
-import { CANCELS_TABLE, JOBS_TABLE } from './tables.js'
+import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE } from './tables.js'
 import { readTable, type TableReadOptions } from './table-reader.js'
 import { TableFollower } from './table-follower.js'
 
@@ -36,6 +36,14 @@
   readonly runInBackground: (work: Promise<void>) => void
 }
 
+/** The state with which a planner starts. */
+interface LoadedState {
+  readonly stored: StoredJobs
+  readonly registry: RowSnapshot
+  /** Time on the steady clock at which the ownership was confirmed after all else had been read. */
+  readonly confirmedAt: number
+}
+
 /**
  * Runs the planner from the claim until it is released.
  *
@@ -74,9 +82,9 @@
       return isCurrent(owner)
     }
     const reading = { isWanted: () => isCurrent(owner), signal, onPageFailure }
-    const loaded = await this.#load(reading)
+    const loaded = await this.#load(owner, reading)
     if (loaded === undefined || signal.aborted || !isCurrent(owner)) return
-    const { stored, registry } = loaded
+    const { stored, registry, confirmedAt } = loaded
     const host = new PlannerHost({
       owner,
       stored,
@@ -87,7 +95,7 @@
       confirmedAge: () => Math.min(performance.now() - this.#confirmedAt, followedAge()),
       onFenced: () => this.#handleFenced(host)
     })
-    this.#confirmedAt = performance.now()
+    this.#confirmedAt = confirmedAt
     this.#host = host
     const currentConfiguration = configuration()
     if (currentConfiguration !== undefined) host.configure(currentConfiguration)
@@ -112,12 +120,18 @@
     this.#host = undefined
   }
 
-  /** Reads the stored state; undefined if the ownership is lost. */
-  async #load (reading: TableReadOptions): Promise<{ stored: StoredJobs, registry: RowSnapshot } | undefined> {
-    const { store, jobs, platform, emit } = this.#options
+  /** Reads the stored state, and then whether it is still this VM's; undefined if the ownership is lost. */
+  async #load (owner: OwnerRecord, reading: TableReadOptions): Promise<LoadedState | undefined> {
+    const { store, jobs, platform, emit, onFenced } = this.#options
     try {
       const stored = await jobs.load(reading)
-      return { stored, registry: await readTable(store, platform.registryTable, reading) }
+      const registry = await readTable(store, platform.registryTable, reading)
+      const confirmedAt = performance.now()
+      const { rows } = await readTable(store, OWNER_TABLE, reading)
+      if (rows.find(row => row.key === OWNER_KEY)?.version === owner.version) return { stored, registry, confirmedAt }
+      emit('planner-fenced', { details: { epoch: owner.epoch } })
+      onFenced()
+      return undefined
     } catch (thrown) {
       const failure = asFailure(thrown)
       if (failure.code !== 'not-owner') throw failure
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -27,7 +27,7 @@
   let view: MemoryRowStoreView
   let owner: OwnerRecord
 
-  const ownedPlanner = (isCurrent: () => boolean): OwnedPlanner => new OwnedPlanner({
+  const ownedPlanner = (isCurrent: () => boolean, onFenced = (): void => {}): OwnedPlanner => new OwnedPlanner({
     store: view,
     jobs: new JobStore(view),
     platform: { store: view, servers: { retainConnections: () => {}, close: async () => {} }, configurationTable: 'op', readConfiguration: () => undefined, registryTable: 'servers', readRegistry: () => [] } as unknown as PlatformView,
@@ -35,7 +35,7 @@
     configuration: () => undefined,
     isCurrent,
     peerConfirmationAge: () => 0,
-    onFenced: () => {},
+    onFenced,
     runInBackground: work => { work.catch(() => {}) }
   })
 
@@ -87,6 +87,20 @@
       expect(owned.host).to.equal(undefined)
       expect(readsOf(view) - before).to.equal(1)
     })
+
+    // Guards against an owner that was suspended while it loaded and plans beside the next one.
+    it('starts no planner if another VM has become the owner and this one has not learned it', async () => {
+      const readPage = view.readPage.bind(view)
+      view.readPage = async (table: string, range: PageRange) => {
+        if (table === 'servers') await claimOwnership(store.view(), owner, { ...SELF, vm: vmName('vm-b') })
+        return await readPage(table, range)
+      }
+      let fenced = 0
+      const owned = ownedPlanner(() => true, () => { fenced += 1 })
+      await owned.takeOver(owner)
+      expect(owned.host).to.equal(undefined)
+      expect(fenced).to.equal(1)
+    })
   })
 
   describe('a job that ended longer ago than the retention time', () => {
