Bound a write of progress by its length

45 records of progress were written at a time whatever their length, while a call to the store holds 1 MB. Jobs with thousands of completed tasks make records of up to 30,000 characters: the write is refused, and as the next one has the same jobs, nothing is stored or acknowledged any more, for any job.

A transaction now takes records up to 500,000 characters, or one. The new test fails without the change: 1,140,300 bytes in one call, for 45 jobs with 3,999 of 4,000 tasks done.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -74,6 +74,8 @@
 export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
+/** Characters of progress in one transaction, unless one record alone has more; the store accepts 1 MB, of which base64 takes a third more. */
+export const PROGRESS_BATCH_CHARACTERS = 500_000
 /**
  * Rows that share the ids of backend servers. All of them fit one transaction of 100 entries, of which each takes
  * two, and one row holds the ids of 600 backend servers, each of up to 100 bytes.
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -6,7 +6,7 @@
 import { CornelgaugeError } from '@cornelgauge/model'
 import { encodeProgress, type JobId, type Planner } from '@cornelgauge/jobs'
 import type { RowPut, RowStore, StoredRow, WriteOutcome } from '@cornelgauge/ports'
-import { PROGRESS_BATCH } from './limits.js'
+import { PROGRESS_BATCH, PROGRESS_BATCH_CHARACTERS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
@@ -40,13 +40,8 @@
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
    */
   async write (planner: Planner): Promise<number> {
-    const changes = new Map([...planner.unstoredJobs].slice(0, PROGRESS_BATCH))
+    const { changes, puts } = nextBatch(planner)
     if (changes.size === 0) return 0
-    const puts: ProgressPut[] = [...changes.keys()].map(id => ({
-      table: PROGRESS_TABLE,
-      key: id,
-      value: { text: encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} }) }
-    }))
     let outcome = await this.#transact(puts)
     if (outcome.type === 'conflict') outcome = await this.#transact(puts)
     if (outcome.type === 'conflict') return 0
@@ -125,3 +120,18 @@
     throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${this.#owner.epoch}` })
   }
 }
+
+/** Encodes the progress of the first jobs with unstored changes, as many as one transaction holds, and at least one. */
+function nextBatch (planner: Planner): { readonly changes: ReadonlyMap<JobId, number>, readonly puts: readonly ProgressPut[] } {
+  const changes = new Map<JobId, number>()
+  const puts: ProgressPut[] = []
+  let characters = 0
+  for (const [id, change] of [...planner.unstoredJobs].slice(0, PROGRESS_BATCH)) {
+    const text = encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} })
+    characters += text.length
+    if (puts.length > 0 && characters > PROGRESS_BATCH_CHARACTERS) break
+    changes.set(id, change)
+    puts.push({ table: PROGRESS_TABLE, key: id, value: { text } })
+  }
+  return { changes, puts }
+}
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -202,4 +202,26 @@
       expect(readsOf(view) - before).to.equal(0)
     })
   })
+
+  // Guards against progress that is never stored: a call to the store holds 1 MB, and the same batch is written again.
+  describe('progress of many large jobs', () => {
+    it('is written by calls of at most 1 MB', async () => {
+      const TASKS = 4000
+      const jobs = Array.from({ length: 45 }, (_, index) => ({ ...JOB, id: jobId(`00000000000${index + 10000}`), steps: [{ ...JOB.steps[0]!, count: TASKS }] }))
+      const done = Array.from({ length: TASKS - 1 }, (_, index) => index)
+      const progress = { hasBegun: true, steps: { '0.0': { done, failed: {} } } }
+      const planner = new Planner(epoch(1), jobs.map(job => ({ job, isCancelled: false, progress })), { now: 0, wallTime: 0 })
+      for (const { id } of jobs) planner.cancel(id, 1000)
+      const sizes: number[] = []
+      const write = view.write.bind(view)
+      view.write = async transaction => {
+        sizes.push(transaction.puts.reduce((sum, { value }) => sum + 4 / 3 * JSON.stringify(value).length, 0))
+        return await write(transaction)
+      }
+      const writer = new ProgressWriter(view, owner, new Map())
+      while (planner.unstoredCount > 0) expect(await writer.write(planner)).to.be.above(0)
+      expect(Math.max(...sizes)).to.be.below(1_000_000)
+      expect(store.rows('progress')).to.have.length(jobs.length)
+    })
+  })
 })
