Weigh the crashes under each task against its later runs and the rest of the pool

Cause: two attributed crashes ended a job whatever else crashed, lost runs were summed over the members of a gang, and a later run of the task that outlived its crashes didn't count. The opposite came from the same rule: a task that crashes its backend servers while others crash now and then was started without a bound, since no crash was attributed.

Each task now keeps the crashes of its own backend servers with the time from its start. A run that is listed as at work for longer discards them. The rest is compared with the number of crashes to be expected by coincidence, from the rate over 30 s; at most two starts follow the third crash of a task that crashes each server within 5 s. Crashes are stored as soon as they are counted, and the next owner gives up what its predecessor had no time to. A run that another owner started no longer counts as just started. 1040 tells exposure and background; 1042 is new.

World has a delay after which a task crashes its server.

--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -8,6 +8,7 @@
   'task-ended': (emit, { type, ...details }) => emit('task-ended', { details }),
   'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
   'crash-attributed': (emit, { type, ...details }) => emit('crash-attributed', { details }),
+  'crashes-refuted': (emit, { type, ...details }) => emit('crashes-refuted', { details }),
   'job-given-up': (emit, { type, ...details }) => emit('job-given-up', { details }),
   'job-idle': (emit, { type, ...details }) => emit('job-idle', { details: { ...details, milliseconds: Math.round(details.milliseconds), age: Math.round(details.age) } }),
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
--- /dev/null
+++ b/packages/jobs/src/crash-evidence.ts
@@ -0,0 +1,126 @@
+/** Records, by task, the crashes of backend servers on which it ran: the evidence that the task is their cause. */
+import type { Background } from './crash-history.js'
+import { ALIKE_EXPOSURES_MILLISECONDS, COUNTED_AFTER_CRASHES, CRASH_AT_START_MILLISECONDS, GIVE_UP_ATTRIBUTED_CRASHES, GIVE_UP_CRASHES_AT_START, GIVE_UP_STARTS, MOST_COINCIDENCES, MOST_COINCIDENCES_IF_ALIKE, QUIET_COINCIDENCES, REMEMBERED_CRASHES, SHORT_EXPOSURE_MILLISECONDS } from './limits.js'
+
+/** The crash of a backend server under one task's run. */
+interface TaskCrash {
+  readonly run: number
+  /** Time from the start of the run to the first sign of the crash, in milliseconds; Infinity if another owner started it. */
+  readonly exposure: number
+}
+
+/** Crashes as they are stored: run number and exposure in milliseconds, null if it isn't known, by task index. */
+export type StoredCrashes = Readonly<Record<string, readonly (readonly [number, number | null])[]>>
+
+/**
+ * Crashes by task. Those that a run of the task has outlived are discarded: the task doesn't crash its
+ * backend servers after that time.
+ *
+ * @example
+ * step.losses.evidence.add(task.index, run.run, 1800)
+ */
+export class CrashEvidence {
+  /** By task index and run number. */
+  readonly #crashes = new Map<number, Map<number, TaskCrash>>()
+  /** Runs that ended otherwise since starts are counted, by task index. */
+  readonly #otherEnds = new Map<number, number>()
+
+  /** Adds a crash of the task's own backend server. False if it is known. */
+  add (task: number, run: number, exposure: number): boolean {
+    const crashes = this.#crashes.get(task) ?? new Map<number, TaskCrash>()
+    if (crashes.has(run)) return false
+    this.#crashes.set(task, crashes.set(run, { run, exposure }))
+    const [earliest] = crashes.keys()
+    if (crashes.size > REMEMBERED_CRASHES) crashes.delete(earliest!)
+    return true
+  }
+
+  /** Removes a crash that doesn't count. False if there is none. */
+  remove (task: number, run: number): boolean {
+    const crashes = this.#crashes.get(task)
+    if (crashes?.delete(run) !== true) return false
+    if (crashes.size === 0) this.#crashes.delete(task)
+    if (crashes.size < COUNTED_AFTER_CRASHES) this.#otherEnds.delete(task)
+    return true
+  }
+
+  /** Discards the crashes of a task that one of its runs has outlived, and returns the numbers of their runs. */
+  refute (task: number, workedMilliseconds: number): readonly number[] {
+    const crashes = this.#crashes.get(task)
+    if (crashes === undefined) return []
+    const outlived = [...crashes.values()].filter(({ exposure }) => exposure <= workedMilliseconds).map(({ run }) => run)
+    for (const run of outlived) this.remove(task, run)
+    return outlived
+  }
+
+  /** Counts a run that neither ended in a crash that counts nor has refuted those before. False if starts aren't counted yet. */
+  addOtherEnd (task: number): boolean {
+    if (this.#count(task) < COUNTED_AFTER_CRASHES) return false
+    this.#otherEnds.set(task, (this.#otherEnds.get(task) ?? 0) + 1)
+    return true
+  }
+
+  /** Numbers of the runs of a task that crashes have ended, the earliest first. */
+  runsOf (task: number): readonly number[] {
+    return [...this.#crashes.get(task)?.keys() ?? []]
+  }
+
+  /** Indexes of the tasks with crashes. */
+  get tasks (): readonly number[] {
+    return [...this.#crashes.keys()]
+  }
+
+  /** True if a task that crashes its backend servers may not be started once more. */
+  isExhausted (task: number): boolean {
+    const count = this.#count(task)
+    return count >= COUNTED_AFTER_CRASHES && count + (this.#otherEnds.get(task) ?? 0) >= GIVE_UP_STARTS
+  }
+
+  /**
+   * True if a task has shown to be the cause: it is exhausted, and coincidence doesn't explain its crashes. Crashes
+   * that only the task can explain show it sooner, if few others crash or if all came when it had just started.
+   */
+  isCause (task: number, attributed: ReadonlySet<number>, { crashesPerServerMillisecond, isKnown }: Background): boolean {
+    const crashes = [...this.#crashes.get(task)?.values() ?? []]
+    const exposures = crashes.map(({ exposure }) => exposure)
+    const coincidences = (milliseconds: readonly number[]): number => crashesPerServerMillisecond * milliseconds.reduce((sum, each) => sum + each, 0)
+    if (this.isExhausted(task)) {
+      const areShort = exposures.every(exposure => exposure <= SHORT_EXPOSURE_MILLISECONDS)
+      const known = exposures.filter(Number.isFinite)
+      const areAlike = Math.max(...known) - Math.min(...known) <= ALIKE_EXPOSURES_MILLISECONDS
+      return areShort || coincidences(known) < (areAlike ? MOST_COINCIDENCES_IF_ALIKE : MOST_COINCIDENCES)
+    }
+    const count = crashes.filter(({ run }) => attributed.has(run)).length
+    const areAtStart = exposures.every(exposure => exposure <= CRASH_AT_START_MILLISECONDS)
+    if (areAtStart && count > 0 && crashes.length >= GIVE_UP_CRASHES_AT_START) return true
+    const isQuiet = isKnown && exposures.every(Number.isFinite) && coincidences(exposures) < QUIET_COINCIDENCES
+    return count >= GIVE_UP_ATTRIBUTED_CRASHES && (areAtStart || isQuiet)
+  }
+
+  /** The stored form of the crashes; undefined if there are none. */
+  get progress (): StoredCrashes | undefined {
+    if (this.#crashes.size === 0) return undefined
+    return Object.fromEntries([...this.#crashes].map(([task, crashes]) => [task, [...crashes.values()].map(toStored)]))
+  }
+
+  /** The counted runs that ended otherwise, by task index; undefined if there are none. */
+  get otherEnds (): Readonly<Record<string, number>> | undefined {
+    return this.#otherEnds.size === 0 ? undefined : Object.fromEntries(this.#otherEnds)
+  }
+
+  /** Restores the stored form. */
+  restore (stored: StoredCrashes, otherEnds: Readonly<Record<string, number>>): void {
+    for (const [task, crashes] of Object.entries(stored)) {
+      for (const [run, exposure] of crashes) this.add(Number(task), run, exposure ?? Infinity)
+    }
+    for (const [task, count] of Object.entries(otherEnds)) this.#otherEnds.set(Number(task), count)
+  }
+
+  #count (task: number): number {
+    return this.#crashes.get(task)?.size ?? 0
+  }
+}
+
+function toStored ({ run, exposure }: TaskCrash): readonly [number, number | null] {
+  return [run, Number.isFinite(exposure) ? Math.round(exposure) : null]
+}
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -126,7 +126,7 @@
     for (const [index, runs] of Object.entries(progress.failed)) {
       for (const run of runs) this.tasks[Number(index)]?.failedRuns.add(run)
     }
-    this.losses.restore(progress)
+    this.losses.restore(progress, this.specification.isGang)
   }
 }
 
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -10,10 +10,31 @@
 export const UNHEALTHY_MILLISECONDS = 8000
 /** Runs lost with their backend servers from which on a task or gang may be the cause, and is isolated. */
 export const SUSPECT_LOST_RUNS = 2
-/** Lost runs from which on a task or gang may be given up. */
-export const GIVE_UP_LOST_RUNS = 3
-/** Crashes that only a task can explain from which on its job is given up. */
-export const GIVE_UP_ATTRIBUTED_CRASHES = 2
+/** Crashes that only a task can explain from which on its job is given up, if no other backend server crashes. */
+export const GIVE_UP_ATTRIBUTED_CRASHES = 3
+/** Crashes under a task, all when it had just started, from which on its job is given up. */
+export const GIVE_UP_CRASHES_AT_START = 4
+/** Crashes under a task from which on its starts are counted, since users allow two more. */
+export const COUNTED_AFTER_CRASHES = 3
+/** Crashes and other ends of starts so counted from which on a task is given up. */
+export const GIVE_UP_STARTS = 5
+/** Crashes that are remembered for each task. */
+export const REMEMBERED_CRASHES = 5
+/** Time from a start to a crash up to which coincidence isn't taken for an explanation of crashes that often, in milliseconds. */
+export const SHORT_EXPOSURE_MILLISECONDS = 5000
+/** Crashes that are expected by coincidence in the time that a task was at work, from which on these explain those under it: if all came at about the same time after the start, and if not. */
+export const MOST_COINCIDENCES_IF_ALIKE = 0.5
+export const MOST_COINCIDENCES = 0.05
+/** Range in which the times from start to crash are alike, in milliseconds: a poll, and its timeout. */
+export const ALIKE_EXPOSURES_MILLISECONDS = 2000
+/** Such crashes up to which each crash that only the task can explain counts in full. */
+export const QUIET_COINCIDENCES = 0.01
+/** Other backend servers that crash at the same time from which on a crash isn't counted against the tasks there: more than single crashes in close succession. */
+export const MASS_OUTAGE_SERVERS = 3
+/** How long crashes of other backend servers are remembered, whose rate tells how many come by coincidence, in milliseconds. */
+export const BACKGROUND_MILLISECONDS = 30_000
+/** How much longer than until an earlier crash a run has to work to refute it while it may still crash itself, in milliseconds: tasks don't crash at exactly the same time. */
+export const REFUTATION_MARGIN_MILLISECONDS = 2000
 /** Lost runs that are remembered for each task or gang. */
 export const REMEMBERED_LOST_RUNS = 4
 /** How long after a start an outage may be due to it, in milliseconds: a process that ends resets its connections at once. */
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -1,5 +1,7 @@
 /** Records the runs of a step that were lost with their backend servers. */
-import { GIVE_UP_ATTRIBUTED_CRASHES, GIVE_UP_LOST_RUNS, REMEMBERED_LOST_RUNS, SUSPECT_LOST_RUNS } from './limits.js'
+import { CrashEvidence, type StoredCrashes } from './crash-evidence.js'
+import type { Background } from './crash-history.js'
+import { REMEMBERED_LOST_RUNS, SUSPECT_LOST_RUNS } from './limits.js'
 
 /** Run numbers by the index of a task or unit. */
 export type RunsByIndex = Readonly<Record<string, readonly number[]>>
@@ -12,6 +14,10 @@
   readonly attributed?: RunsByIndex
   /** Numbers of the runs that were lost when they had just started, by task index, for a gang under 0. */
   readonly lostAtStart?: RunsByIndex
+  /** Crashes under each task that no later run has outlived; earlier releases store none. */
+  readonly crashes?: StoredCrashes
+  /** Runs of each task that ended otherwise since its starts are counted. */
+  readonly otherEnds?: Readonly<Record<string, number>>
 }
 
 /**
@@ -30,6 +36,8 @@
   readonly #attributed = new Map<number, Set<number>>()
   /** Numbers of the runs that were lost when they had just started, by unit. */
   readonly #lostAtStart = new Map<number, Set<number>>()
+  /** Crashes by task. */
+  readonly evidence = new CrashEvidence()
   /** Number of the change of the job that includes the last loss. */
   change = 0
 
@@ -71,9 +79,9 @@
 
   /** Records that only this task can explain the crash in which a run was lost. Returns how many such crashes there are. */
   attribute (task: number, run: number): number {
-    const runs = this.#attributed.get(task) ?? new Set()
-    this.#attributed.set(task, runs.add(run))
-    return runs.size
+    const remembered = this.evidence.runsOf(task).filter(each => each === run || this.#attributed.get(task)?.has(each) === true)
+    this.#attributed.set(task, new Set([...remembered, run]))
+    return this.#attributed.get(task)!.size
   }
 
   /** Records that a run was lost when it had just started. */
@@ -81,12 +89,16 @@
     this.#lostAtStart.set(unit, (this.#lostAtStart.get(unit) ?? new Set<number>()).add(run))
   }
 
-  /** True if a task has shown to be the cause of the crashes under its unit; one that crashes its backend servers whenever it starts shows it sooner. */
-  isCause (unit: number, task: number): boolean {
-    const count = this.count(unit)
-    const attributed = this.#attributed.get(task)?.size ?? 0
-    const isAlwaysAtStart = count > GIVE_UP_LOST_RUNS && this.#lostAtStart.get(unit)?.size === count
-    return count >= GIVE_UP_LOST_RUNS && (attributed >= GIVE_UP_ATTRIBUTED_CRASHES || (attributed > 0 && isAlwaysAtStart))
+  /** True if a task has shown to be the cause of the crashes under it. */
+  isCause (task: number, background: Background): boolean {
+    return this.evidence.isCause(task, this.#attributed.get(task) ?? new Set(), background)
+  }
+
+  /** Discards the crashes of a task that one of its runs has outlived, and returns how many. */
+  refute (task: number, workedMilliseconds: number): number {
+    const outlived = this.evidence.refute(task, workedMilliseconds)
+    for (const run of outlived) this.#attributed.get(task)?.delete(run)
+    return outlived.length
   }
 
   /** Forgets the earliest run: a task that isn't the cause is started however often it was lost. */
@@ -101,15 +113,26 @@
     const lost = toRecord(this.#runs)
     const attributed = toRecord(this.#attributed)
     const lostAtStart = toRecord(this.#lostAtStart)
-    return { ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }), ...(lostAtStart === undefined ? {} : { lostAtStart }) }
+    const { progress: crashes, otherEnds } = this.evidence
+    return { ...(otherEnds === undefined ? {} : { otherEnds }), ...(crashes === undefined ? {} : { crashes }), ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }), ...(lostAtStart === undefined ? {} : { lostAtStart }) }
   }
 
   /** Restores the stored form. */
-  restore ({ lost = {}, attributed = {}, lostAtStart = {} }: StoredLosses): void {
+  restore ({ lost = {}, attributed = {}, lostAtStart = {}, crashes, otherEnds = {} }: StoredLosses, isGang: boolean): void {
     for (const [unit, runs] of Object.entries(lost)) this.#runs.set(Number(unit), new Set(runs))
     for (const [task, runs] of Object.entries(attributed)) this.#attributed.set(Number(task), new Set(runs))
     for (const [unit, runs] of Object.entries(lostAtStart)) this.#lostAtStart.set(Number(unit), new Set(runs))
+    this.evidence.restore(crashes ?? earlierCrashes({ lost, attributed, lostAtStart }, isGang), otherEnds)
+  }
+}
+
+/** Crashes from the progress of an earlier release, which doesn't tell which members of a gang were lost with their backend servers, only those that a crash is attributed to. */
+function earlierCrashes ({ lost, attributed, lostAtStart }: Required<Pick<StoredLosses, 'lost' | 'attributed' | 'lostAtStart'>>, isGang: boolean): StoredCrashes {
+  const toCrashes = ([task, runs]: readonly [string, readonly number[]]): readonly [string, readonly (readonly [number, number | null])[]] => {
+    const atStart = lostAtStart[isGang ? '0' : task] ?? []
+    return [task, runs.map(run => [run, atStart.includes(run) ? 0 : null] as const)]
   }
+  return Object.fromEntries(Object.entries(isGang ? attributed : lost).map(toCrashes))
 }
 
 function toRecord (runsByIndex: ReadonlyMap<number, ReadonlySet<number>>): RunsByIndex | undefined {
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -1,12 +1,13 @@
 /**
  * Counts the runs that are lost with their backend servers, and determines what has crashed them.
- * A task that crashes its backend servers is given up. One that only ran there is not, however often:
- * a suspect is started where nothing else runs, and a crash counts against it only if no other
- * backend server crashed at that time.
+ * A task that crashes its backend servers is given up. A suspect is started where nothing else runs; a
+ * crash doesn't count against it if many backend servers crashed at that time, or once a run of the task
+ * has outlived it.
  */
-import { CRASH_AT_START_MILLISECONDS, OUTAGE_MILLISECONDS } from './limits.js'
+import { CRASH_AT_START_MILLISECONDS, MASS_OUTAGE_SERVERS, OUTAGE_MILLISECONDS } from './limits.js'
+import type { Background } from './crash-history.js'
 import { endJob } from './job-end.js'
-import type { StepState, TaskState } from './job-state.js'
+import type { JobState, StepState, TaskState } from './job-state.js'
 import type { RoundTimes } from './placement-round.js'
 import type { ListedRun, Run, Server, ServerEntry } from './server.js'
 import type { PlannerState } from './state.js'
@@ -23,24 +24,28 @@
   return server.entry.isDraining ? [] : [...missing, ...mayExecute(server)]
 }
 
-/** A crash of a backend server that one run there may have caused, more likely than any other. */
+/** A crash of a backend server that runs there may have caused. */
 export interface Crash {
   readonly server: Server
   /** When the backend server was first seen to be unreachable, or to have restarted, on our monotonic clock. */
   readonly at: number
-  /** The run, or the members of a gang's run that were there. */
+  /** The run, or the members of a gang's run, that more likely caused it than any other; empty if there is none. */
   readonly runs: readonly Run[]
+  /** All runs that were lost. */
+  readonly lost: readonly Run[]
 }
 
 /**
- * Counts lost runs of a backend server. A crash that one of them more likely caused than others is kept until its cause is determined.
+ * Counts lost runs of a backend server. The crash is kept until its cause is determined.
  *
  * @example
  * countLostRuns(state, server, takeLostRuns(state, server), { now, wallTime })
  */
 export function countLostRuns (state: PlannerState, server: Server, lost: readonly Run[], times: RoundTimes): void {
   // Another crash at the address of a server that was replaced is none of that server.
-  if (lost.length === 0 || lost.some(run => isCounted(state, server, run))) return
+  if (lost.some(run => isCounted(state, server, run))) return
+  noteCrash(state, server, lost, times.now)
+  if (lost.length === 0) return
   const isAlone = lost.every(other => other.run === lost[0]!.run)
   server.lostRuns = lost
   for (const run of lost) {
@@ -49,12 +54,12 @@
     const { step } = task
     const unit = step.unitOf(task)
     if (isNew(run, server.outageAt)) step.losses.addLossAtStart(unit, run.run)
+    if (!step.specification.isLasting && step.losses.evidence.add(task.index, run.run, exposureOf(run, server.outageAt))) step.losses.change = state.markChanged(step.job)
     if (!step.losses.add(unit, run.run, placeOf(server, run))) continue
     step.losses.change = state.markChanged(step.job)
     state.recordEvent({ type: 'run-lost-with-server', task: run.task, run: run.run, server: server.id, lostRuns: step.losses.count(unit), alone: isAlone })
   }
-  const runs = possibleCause(server, lost)
-  if (runs.length > 0) state.crashes.add({ server, at: server.outageAt, runs })
+  state.crashes.add({ server, at: server.outageAt, runs: possibleCause(server, lost), lost })
   determineCauses(state, times)
 }
 
@@ -69,22 +74,104 @@
   for (const crash of state.crashes) {
     if (now < crash.at + OUTAGE_MILLISECONDS) continue
     state.crashes.delete(crash)
-    if (isOutage(state, crash)) continue
-    for (const run of crash.runs) {
-      const task = openTask(state, run)
-      if (task === undefined || task.step.specification.isLasting) continue
-      const { step } = task
-      const unit = step.unitOf(task)
-      const crashes = step.losses.attribute(task.index, run.run)
-      step.losses.change = state.markChanged(step.job)
-      state.recordEvent({ type: 'crash-attributed', task: run.task, run: run.run, server: crash.server.id, crashes })
-      if (!step.losses.isCause(unit, task.index)) continue
-      state.recordEvent({ type: 'job-given-up', job: step.job.job.id, task: run.task, lostRuns: step.losses.count(unit) })
-      endJob(state, step.job, 'failed', 'job-failed', wallTime)
-    }
+    if (isMassOutage(state, crash)) discard(state, crash)
+    if (crash.runs.length > 0 && !isOutage(state, crash)) attribute(state, crash, now)
+    for (const run of crash.lost) giveUpIfCause(state, run, { now, wallTime })
+  }
+  for (const task of state.exhaustedTasks) {
+    state.exhaustedTasks.delete(task)
+    giveUpIfCause(state, { task }, { now, wallTime })
+  }
+}
+
+/** Records that only these runs can explain a crash. */
+function attribute (state: PlannerState, { server, at, runs }: Crash, now: number): void {
+  for (const run of runs) {
+    const task = openTask(state, run)
+    if (task === undefined || task.step.specification.isLasting) continue
+    const { step } = task
+    const crashes = step.losses.attribute(task.index, run.run)
+    step.losses.change = state.markChanged(step.job)
+    const exposure = exposureOf(run, at)
+    const background = backgroundOf(state, task, now).crashes
+    state.recordEvent({ type: 'crash-attributed', task: run.task, run: run.run, server: server.id, crashes, background, ...(exposure < Infinity ? { exposureMilliseconds: Math.round(exposure) } : {}) })
+  }
+}
+
+/** Discards the crash of a run that did not come at its start: many backend servers crashed at that time. */
+function discard (state: PlannerState, { at, lost }: Crash): void {
+  for (const run of lost) {
+    const task = openTask(state, run)
+    if (task === undefined || isNew(run, at) || !task.step.losses.evidence.remove(task.index, run.run)) continue
+    task.step.losses.evidence.addOtherEnd(task.index)
+    task.step.losses.change = state.markChanged(task.step.job)
   }
 }
 
+/**
+ * Finds the tasks of a stored job that may not be started once more: the earlier owner may not have
+ * determined the cause of the last crash.
+ *
+ * @example
+ * findExhausted(state, job)
+ */
+export function findExhausted (state: PlannerState, job: JobState): void {
+  for (const { losses: { evidence }, tasks } of job.steps) {
+    for (const index of evidence.tasks) if (tasks[index] !== undefined && evidence.isExhausted(index)) state.exhaustedTasks.add(tasks[index].name)
+  }
+}
+
+/** Remembers the crash of a backend server that did not come at the start of a run. */
+function noteCrash (state: PlannerState, server: Server, lost: readonly Run[], now: number): void {
+  if (server.entry.isDraining || hasCrashedAtStart(server, lost)) return
+  state.crashHistory.add({ server: server.id, pool: server.entry.pool, at: server.outageAt, tasks: new Set(lost.map(({ task }) => task)) }, now)
+}
+
+function backgroundOf (state: PlannerState, { name, step }: TaskState, now: number): Background {
+  const { pool } = step.job.job
+  const servers = [...state.servers.values()].filter(({ isListed, entry }) => isListed && entry.pool === pool).length
+  return state.crashHistory.beside(name, pool, servers, now)
+}
+
+function giveUpIfCause (state: PlannerState, run: Pick<Run, 'task'>, { now, wallTime }: RoundTimes): void {
+  const task = openTask(state, run)
+  if (task === undefined || !task.step.losses.isCause(task.index, backgroundOf(state, task, now))) return
+  const { step } = task
+  state.recordEvent({ type: 'job-given-up', job: step.job.job.id, task: run.task, lostRuns: step.losses.count(step.unitOf(task)) })
+  endJob(state, step.job, 'failed', 'job-failed', wallTime)
+  state.markChanged(step.job)
+}
+
+/**
+ * Discards the crashes under earlier runs of a task that this run, which is listed, has outlived.
+ *
+ * @example
+ * refuteCrashes(state, run, REFUTATION_MARGIN_MILLISECONDS)
+ */
+export function refuteCrashes (state: PlannerState, run: Run, margin: number): void {
+  const workedMilliseconds = (run.listedAt ?? -Infinity) - run.confirmedAt
+  const task = workedMilliseconds > margin ? openTask(state, run) : undefined
+  const discarded = task?.step.losses.refute(task.index, workedMilliseconds - margin) ?? 0
+  if (task === undefined || discarded === 0) return
+  task.step.losses.change = state.markChanged(task.step.job)
+  state.recordEvent({ type: 'crashes-refuted', task: run.task, run: run.run, server: run.server, discarded, workedMilliseconds: Math.round(workedMilliseconds) })
+}
+
+/**
+ * Weighs a run that has ended without a crash of its backend server against the crashes under earlier ones.
+ *
+ * @example
+ * weighEnd(state, run)
+ */
+export function weighEnd (state: PlannerState, run: Run): void {
+  if (run.confirmedAt === Infinity) return
+  refuteCrashes(state, run, 0)
+  const task = openTask(state, run)
+  if (task?.step.losses.evidence.addOtherEnd(task.index) !== true) return
+  task.step.losses.change = state.markChanged(task.step.job)
+  if (task.step.losses.evidence.isExhausted(task.index)) state.exhaustedTasks.add(task.name)
+}
+
 /**
  * The steps under which there was a crash whose cause isn't determined yet.
  *
@@ -93,10 +180,10 @@
  */
 export function stepsWithOpenCause (state: PlannerState): ReadonlySet<StepState> {
   const steps = new Set<StepState>()
-  for (const { runs } of state.crashes) {
-    for (const run of runs) {
-      const step = state.task(run.task)?.step
-      if (step !== undefined) steps.add(step)
+  for (const { runs, lost } of state.crashes) {
+    for (const run of lost) {
+      const task = state.task(run.task)
+      if (task !== undefined && (runs.includes(run) || task.step.losses.evidence.isExhausted(task.index))) steps.add(task.step)
     }
   }
   return steps
@@ -108,7 +195,7 @@
 }
 
 /** Finds the task of a run; undefined if nothing of it is left to do. */
-function openTask (state: PlannerState, run: Run): TaskState | undefined {
+function openTask (state: PlannerState, run: Pick<Run, 'task'>): TaskState | undefined {
   const task = state.task(run.task)
   return task === undefined || task.isDone || !task.step.job.isOpen ? undefined : task
 }
@@ -140,7 +227,10 @@
  */
 export function correctLoss (state: PlannerState, server: Server, listed: ListedRun): void {
   const task = state.task(listed.task)
-  if (task === undefined || !task.step.losses.correct(task.step.unitOf(task), listed.run, placeOf(server, listed))) return
+  if (task === undefined) return
+  const { losses } = task.step
+  const isCrash = losses.evidence.remove(task.index, listed.run)
+  if (!losses.correct(task.step.unitOf(task), listed.run, placeOf(server, listed)) && !isCrash) return
   state.markChanged(task.step.job)
 }
 
@@ -175,6 +265,14 @@
   return !isWhole || runs.some(run => !isNew(run, at))
 }
 
+/** True if many other backend servers crashed at about the same time, unless all of them had members of one gang. */
+function isMassOutage (state: PlannerState, { server, at, lost }: Crash): boolean {
+  const others = [...state.servers.values()].filter(other => other !== server && Math.abs(other.outageAt - at) <= OUTAGE_MILLISECONDS)
+  const unexplained = others.map(other => ({ other, lost: lostWith(state, other) })).filter(({ other, lost }) => !hasCrashedAtStart(other, lost))
+  const isShared = (runs: readonly Run[]): boolean => runs.some(({ run }) => lost.some(each => each.run === run))
+  return unexplained.length >= MASS_OUTAGE_SERVERS && unexplained.some(each => !isShared(each.lost))
+}
+
 /** The only run that a backend server had when it crashed, or else the only one that had just started; members of a gang are one run. */
 function possibleCause ({ outageAt }: Server, lost: readonly Run[]): readonly Run[] {
   const haveOneNumber = (runs: readonly Run[]): boolean => runs.every(({ run }) => run === runs[0]!.run)
@@ -192,6 +290,11 @@
   return lost.some(run => isNew(run, outageAt))
 }
 
-function isNew ({ startSentAt }: Run, at: number): boolean {
-  return at - startSentAt <= CRASH_AT_START_MILLISECONDS
+/** Time from the start of a run to the first sign of a crash; Infinity if another owner started it. */
+function exposureOf ({ startSentAt, isAdopted = false }: Run, at: number): number {
+  return isAdopted ? Infinity : Math.max(0, at - startSentAt)
+}
+
+function isNew (run: Run, at: number): boolean {
+  return exposureOf(run, at) <= CRASH_AT_START_MILLISECONDS
 }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -13,7 +13,7 @@
 import { endJob } from './job-end.js'
 import { JobState } from './job-state.js'
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
-import { countReplaced } from './lost-runs.js'
+import { countReplaced, findExhausted } from './lost-runs.js'
 import type { JobProgress } from './progress.js'
 import { assignUnknownRuns, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
@@ -77,6 +77,7 @@
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
       this.#state.addJob(state)
+      findExhausted(this.#state, state)
       if (isCancelled) this.cancel(job.id, times.wallTime)
     }
   }
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -1,5 +1,6 @@
 /** Stored progress of a job, from which the next owner continues. */
 import { CornelgaugeError } from '@cornelgauge/model'
+import type { StoredCrashes } from './crash-evidence.js'
 import { FINAL_PHASES, type JobPhase } from './job.js'
 import type { RunsByIndex, StoredLosses } from './loss-record.js'
 
@@ -87,11 +88,25 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, lost = {}, attributed = {}, lostAtStart = {} } = (value ?? {}) as Partial<StepProgress>
-  return areIndexes(done) && [failed, lost, attributed, lostAtStart].every(areRuns)
+  const { done, failed, lost = {}, attributed = {}, lostAtStart = {}, crashes = {}, otherEnds = {} } = (value ?? {}) as Partial<StepProgress>
+  return areIndexes(done) && [failed, lost, attributed, lostAtStart].every(areRuns) && areCrashes(crashes) && areCounts(otherEnds)
 }
 
 /** True for run numbers by task index. */
 function areRuns (value: unknown): value is StepProgress['failed'] {
   return typeof value === 'object' && value !== null && Object.entries(value).every(([index, runs]) => INDEX.test(index) && areIndexes(runs))
 }
+
+/** True for run numbers with exposures by task index. */
+function areCrashes (value: unknown): value is StoredCrashes {
+  return typeof value === 'object' && value !== null && Object.entries(value).every(([index, crashes]) => INDEX.test(index) && Array.isArray(crashes) && crashes.every(isCrash))
+}
+
+/** True for numbers by task index. */
+function areCounts (value: unknown): value is NonNullable<StepProgress['otherEnds']> {
+  return typeof value === 'object' && value !== null && Object.entries(value).every(([index, count]) => INDEX.test(index) && isIndex(count))
+}
+
+function isCrash (value: unknown): boolean {
+  return Array.isArray(value) && value.length === 2 && isIndex(value[0]) && (value[1] === null || isIndex(value[1]))
+}
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -4,12 +4,12 @@
 import type { RunNumber, ServerId, TaskName } from './ids.js'
 import { completeIfDone, endJob } from './job-end.js'
 import type { TaskState } from './job-state.js'
-import { ISOLATION_MILLISECONDS } from './limits.js'
+import { ISOLATION_MILLISECONDS, REFUTATION_MARGIN_MILLISECONDS } from './limits.js'
 import { countedNeed } from './capacity-snapshot.js'
 import type { RoundTimes } from './placement-round.js'
 import { withStopDue } from './revoked-starts.js'
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
-import { correctLoss, countLostRuns, mayExecute, takeLostRuns } from './lost-runs.js'
+import { correctLoss, countLostRuns, mayExecute, refuteCrashes, takeLostRuns, weighEnd } from './lost-runs.js'
 import type { PlannerState } from './state.js'
 import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
@@ -33,7 +33,7 @@
   server.hasListedAll ||= !report.hasMoreEnds
   const listed = new Set<Run>()
   for (const entry of report.running) {
-    listed.add(applyRunning(state, server, entry, report.receivedAt))
+    listed.add(applyRunning(state, server, entry, report))
   }
   for (const end of report.ended) {
     if (end.position > server.reportedPosition) applyEnd(state, server, end, report, wallTime)
@@ -56,10 +56,12 @@
   return run.confirmedAt < sentAt || (run.isStopConfirmed && run.stopConfirmedAt < sentAt)
 }
 
-function applyRunning (state: PlannerState, server: Server, entry: ListedRun, now: number): Run {
+function applyRunning (state: PlannerState, server: Server, entry: ListedRun, { sentAt, receivedAt: now }: ServerReport): Run {
   correctLoss(state, server, entry)
   const run = server.run(entry.task, entry.run) ?? adoptRun(state, server, entry, now)
   confirmStart(state, run, now)
+  run.listedAt = sentAt
+  refuteCrashes(state, run, REFUTATION_MARGIN_MILLISECONDS)
   if (entry.percent > run.percent) {
     run.percent = entry.percent
     run.progressedAt = now
@@ -105,6 +107,7 @@
     need: task === undefined ? NO_CAPACITY : countedNeed(task.step),
     isNeedUnknown: task === undefined,
     state: 'running',
+    isAdopted: true,
     startSentAt: now,
     confirmedAt: now,
     isStopConfirmed: false,
@@ -188,6 +191,7 @@
     END_HANDLERS[end.how](state, server, task, end, report, wallTime)
   }
   if (run === undefined) return
+  weighEnd(state, run)
   server.remove(run)
   task?.runs.delete(run)
 }
@@ -205,6 +209,7 @@
 /** Removes a run that has ended or can't begin in this incarnation of its backend server. */
 function removeUnlisted (state: PlannerState, server: Server, run: Run): void {
   if (run.confirmedAt === Infinity) server.revokedStarts.add(run)
+  if (server.missedPolls === 0) weighEnd(state, run)
   removeRun(state, server, run)
 }
 
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -96,6 +96,10 @@
   stopSentAt: number
   /** When the first stop was sent. */
   firstStopSentAt?: number
+  /** When the last poll that listed it was sent, on our monotonic clock; absent before the first. */
+  listedAt?: number
+  /** An earlier owner started it, so that its age isn't known. */
+  readonly isAdopted?: boolean
   /** Until when nothing else is started on its backend server, if it is isolated. */
   readonly isolatedUntil?: number
 }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -3,6 +3,7 @@
 import { dominantShare, isSameCapacity, largestOf, NO_CAPACITY, orLastKnown, type Capacity } from './capacity.js'
 import { findJobTask } from './lookup.js'
 import type { Configuration, Queue, QueueTerms } from './configuration.js'
+import { CrashHistory } from './crash-history.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
 import type { JobPhase, StepSpecification } from './job.js'
@@ -21,7 +22,8 @@
 export type PlannerEvent =
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
-  | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number }
+  | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number, readonly exposureMilliseconds?: number, readonly background: number }
+  | { readonly type: 'crashes-refuted', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly discarded: number, readonly workedMilliseconds: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
@@ -52,6 +54,10 @@
   readonly missingRuns = new MissingRuns()
   /** Crashes whose cause isn't determined yet. */
   readonly crashes = new Set<Crash>()
+  /** Tasks that may have been started as often as one that crashes its backend servers may be. */
+  readonly exhaustedTasks = new Set<TaskName>()
+  /** Recent crashes of all backend servers. */
+  readonly crashHistory: CrashHistory
   /** Number of rows of the registry that can't be read. */
   unreadableServers = 0
   /** Jobs that have nothing running though most of the pool is idle. */
@@ -94,6 +100,7 @@
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
     this.rules = rules
+    this.crashHistory = new CrashHistory(now)
     this.#rowsReadableBy = now + OVERWRITTEN_ROW_MILLISECONDS
     this.#inheritedLeasesEndAt = now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE + DISCONNECTED_OWNER_MILLISECONDS
   }
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -66,8 +66,8 @@
 /** How a backend server responds to calls; a delayed start isn't answered and has not arrived yet. */
 export type Connectivity = 'answers' | 'silent' | 'loses-start-answers' | 'delays-starts'
 
-/** When a task crashes its backend server: before the start is answered, or after. */
-export type CrashTime = 'before-answer' | 'after-answer'
+/** When a task crashes its backend server: before the start is answered, after, or so many milliseconds later. */
+export type CrashTime = 'before-answer' | 'after-answer' | number
 
 /** An in-memory backend server. */
 export class FakeServer {
@@ -175,6 +175,8 @@
   crashMilliseconds = 3000
   /** Crashes by tasks so far. */
   crashes = 0
+  /** Runs that crash their backend servers later. */
+  #crashesDue: { readonly start: StartCommand, readonly at: number }[] = []
 
   constructor (servers: number, options: { readonly accelerators?: number, readonly stored?: readonly StoredJob[], readonly epoch?: number, readonly perRack?: number } = {}) {
     const { accelerators = 8, perRack = 8 } = options
@@ -238,6 +240,7 @@
   settle (times = 3): void {
     for (let time = 0; time < times; time += 1) {
       this.round()
+      this.#crashDue()
       this.now += 10
       this.pollServers()
       if (this.isStoreAvailable) this.planner.markStored(this.planner.unstoredJobs)
@@ -278,13 +281,28 @@
   }
 
   /** Crashes the backend server of a start if its task does that at this time. */
-  #crashBy ({ server: id, task }: StartCommand, time: CrashTime): void {
+  #crashBy (start: StartCommand, time: CrashTime): void {
+    const { server: id, task } = start
     const server = this.#server(id)
+    const delay = this.deadlyTasks.get(task)
+    if (typeof delay === 'number' && time === 'after-answer') this.#crashesDue.push({ start, at: this.now + delay })
     if (this.deadlyTasks.get(task) !== time || !server.running.has(task)) return
     server.crash(this.now + this.crashMilliseconds)
     this.crashes += 1
   }
 
+  /** Crashes the backend servers of the runs that are old enough, unless these have ended. */
+  #crashDue (): void {
+    const due = this.#crashesDue.filter(({ at }) => at <= this.now)
+    this.#crashesDue = this.#crashesDue.filter(({ at }) => at > this.now)
+    for (const { start: { server: id, task, run } } of due) {
+      const server = this.#server(id)
+      if (server.running.get(task)?.run !== run) continue
+      server.crash(this.now + this.crashMilliseconds)
+      this.crashes += 1
+    }
+  }
+
   #server (id: ServerId): FakeServer {
     return this.servers.find(server => server.entry.id === id)!
   }
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -251,8 +251,8 @@
     number: 1040,
     level: 'warning',
     sentence: 'A backend server has crashed on which only this task ran or had just started, and no other crashed at that time.',
-    fields: { task: 'task', run: 'run number', server: 'backend server', crashes: 'such crashes of the task; with the second, after three lost runs, its job fails' },
-    action: 'Nothing at the first; at the second inspect the job.'
+    fields: { task: 'task', run: 'run number', server: 'backend server', crashes: 'such crashes of the task that no run of it has outlived; with the third its job fails if no other backend server crashes', exposureMilliseconds: 'time from the start of the run to the first sign of the crash; absent if an earlier owner started it', background: 'crashes of other backend servers in the last 30 s that did not come at the start of a run' },
+    action: 'Nothing at the first; at the second inspect the job, unless background shows that others crash too.'
   },
   'job-idle': {
     number: 1041,
@@ -260,5 +260,12 @@
     sentence: 'A job has nothing running for over 4 s, though a task of it is ready and most of the pool is idle; logged every 2 s, for 20 jobs at most.',
     fields: { job: 'id of the job', task: 'a task that is ready', reason: 'what it waits for: recovery: runs of earlier owners are not all known; queue: the terms of its queue are unknown; run: an earlier run has not ended, as far as is known; crash: backend servers have crashed under it; capacity: it is not placed', server: 'where the run is that it waits for', milliseconds: 'how long', age: 'milliseconds since the job was accepted' },
     action: 'For run inspect the backend server; for queue configure the queue again; for capacity compare the needs of the task with what the backend servers have free.'
+  },
+  'crashes-refuted': {
+    number: 1042,
+    level: 'info',
+    sentence: 'A run of a task was at work for longer than until earlier crashes under the task, which no longer count against it.',
+    fields: { task: 'task', run: 'run number', server: 'backend server', discarded: 'crashes that no longer count', workedMilliseconds: 'how long the run was at work' },
+    action: NO_ACTION
   }
 } as const satisfies CatalogueRows
