--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -79,6 +79,8 @@
  * two, and one row holds the ids of 600 backend servers, each of up to 100 bytes.
  */
 export const SERVER_RECORD_ROWS = 32
+/** Pause before the record of backend servers is written again for one that waits for it, in milliseconds. */
+export const SERVER_RECORD_PAUSE_MILLISECONDS = 100
 /** Pause between two deletions of jobs whose retention time has passed. */
 export const DELETION_INTERVAL_MILLISECONDS = 1000
 /** Jobs per deletion; the store accepts 100 entries, of which each job takes four and the owner's row one. */
--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -9,7 +9,10 @@
   'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
   'crash-attributed': (emit, { type, ...details }) => emit('crash-attributed', { details }),
   'job-given-up': (emit, { type, ...details }) => emit('job-given-up', { details }),
-  'job-idle': (emit, { type, ...details }) => emit('job-idle', { details: { ...details, milliseconds: Math.round(details.milliseconds), age: Math.round(details.age) } }),
+  'job-idle': (emit, { type, waitMilliseconds, ...details }) => {
+    const wait = waitMilliseconds === undefined ? {} : { waitMilliseconds: Math.round(waitMilliseconds) }
+    emit('job-idle', { details: { ...details, ...wait, milliseconds: Math.round(details.milliseconds), age: Math.round(details.age) } })
+  },
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
   'server-pool-unknown': (emit, { type, ...details }) => emit('server-pool-unknown', { details })
 }
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -7,7 +7,7 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome, UNREACHED_SERVER_MILLISECONDS } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls } from './backend-server-calls.js'
@@ -21,7 +21,8 @@
 import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
-import { ServerRecord } from './server-record.js'
+import { earlierRunsOf, ServerRecord } from './server-record.js'
+import { ServerRecorder } from './server-recorder.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -52,7 +53,7 @@
   readonly #options: PlannerHostOptions
   readonly #planner: Planner
   readonly #writer: ProgressWriter
-  readonly #serverRecord: ServerRecord
+  readonly #servers: ServerRecorder
   readonly #rounds: RoundMonitor
   readonly #retired: RetiredJobs
   readonly #inbox = new Inbox<HostEvent>()
@@ -62,10 +63,10 @@
   /** Backend servers that are polled at once because a start wasn't answered. */
   readonly #settlingServers = new Set<ServerId>()
   readonly #roundTimer: NodeJS.Timeout
+  readonly #unreachedTimer: NodeJS.Timeout
   #isRoundDue = false
   #isDeciding = true
   #saving: Promise<void> | undefined
-  #isRecordingServers = false
   #firstStartAt: number | undefined
 
   readonly #handlers: HostEventHandlers = {
@@ -91,10 +92,17 @@
     this.#options = options
     const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
-    this.#planner.inheritServers(stored.servers.ids)
+    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner.epoch))
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
-    this.#serverRecord = new ServerRecord(store, owner, stored.servers)
+    this.#servers = new ServerRecorder({
+      planner: this.#planner,
+      record: new ServerRecord(store, owner, stored.servers),
+      tryStoreCall: call => this.#tryStoreCall(call),
+      onReleased: () => this.#inbox.put({ type: 'tick' }),
+      signal: this.#stopping.signal
+    })
+    this.#unreachedTimer = setTimeout(() => this.#recordServers(), UNREACHED_SERVER_MILLISECONDS + ROUND_INTERVAL_MILLISECONDS)
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
@@ -151,7 +159,7 @@
   /** Stops scheduling immediately and stores the progress that isn't stored yet. */
   async stop (): Promise<void> {
     this.#isDeciding = false
-    clearInterval(this.#roundTimer)
+    this.#clearTimers()
     await this.#saving
     if (!this.#stopping.signal.aborted) await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
     this.#stopping.abort()
@@ -269,15 +277,12 @@
       this.#pollRepeatedly(id).catch(thrown => this.#crash(thrown))
     }
     this.#options.servers.retainConnections(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
-    this.#recordServers().catch(thrown => this.#crash(thrown))
+    this.#recordServers()
   }
 
-  /** Records which backend servers may have runs; a write that fails is made again after the next read of the registry. */
-  async #recordServers (): Promise<void> {
-    if (this.#isRecordingServers) return
-    this.#isRecordingServers = true
-    await this.#tryStoreCall(() => this.#serverRecord.write(this.#planner.serversToRecover(performance.now())))
-    this.#isRecordingServers = false
+  /** Records which backend servers may have runs, if that has changed. */
+  #recordServers (): void {
+    this.#servers.update().catch(thrown => this.#crash(thrown))
   }
 
   /** Polls one backend server repeatedly, until the host stops or the planner has removed the server. */
@@ -291,10 +296,11 @@
       }
       const request = this.#planner.pollRequest(id, performance.now())
       if (request === undefined) break
-      const canWait = hasAnswered && !request.hasUnstoredEnds
+      const canWait = hasAnswered && !request.hasUnstoredEnds && !this.#planner.isWaitingForRecord(id)
       const waitMilliseconds = !canWait ? 0 : request.isIdle ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS
       hasAnswered = await this.#poll(id, { ...request, waitMilliseconds })
       if (!hasAnswered) await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
+      else if (this.#planner.isWaitingForRecord(id)) await this.#servers.release(id)
       else if (request.hasUnstoredEnds) await pause(systemClock, UNSTORED_POLL_PAUSE_MILLISECONDS, signal)
       else await this.#saving
     }
@@ -359,10 +365,15 @@
 
   #halt (): void {
     this.#isDeciding = false
-    clearInterval(this.#roundTimer)
+    this.#clearTimers()
     this.#stopping.abort()
   }
 
+  #clearTimers (): void {
+    clearInterval(this.#roundTimer)
+    clearTimeout(this.#unreachedTimer)
+  }
+
   #target (id: ServerId): { id: ServerId, address: string } {
     return { id, address: this.#addresses.get(id)! }
   }
--- a/packages/entry/src/server-record.ts
+++ b/packages/entry/src/server-record.ts
@@ -1,13 +1,15 @@
 /**
  * Stores which backend servers may have runs, for the next owner: the registry drops the entry
- * of one that is cut off from the store, while its runs go on until their leases expire.
+ * of one that is cut off from the store, while its runs go on until their leases expire. Of those that
+ * an owner hasn't used, it also stores when nothing of earlier owners runs there any more.
  */
-import { serverId, type ServerId } from '@cornelgauge/jobs'
-import { CornelgaugeError, digestOf } from '@cornelgauge/model'
-import type { RowStore, StoredRow } from '@cornelgauge/ports'
+import { serverId, type EarlierRuns, type ServerId } from '@cornelgauge/jobs'
+import { CornelgaugeError, digestOf, type Epoch } from '@cornelgauge/model'
+import type { RowStore } from '@cornelgauge/ports'
 import { SERVER_RECORD_ROWS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
-import { readTable, type TableReadOptions } from './table-reader.js'
+import { decodeServerRow, encodeServerRow, type ServerRow, type StoredBounds } from './server-row.js'
+import { readTable, type StoreClock, type TableReadOptions } from './table-reader.js'
 import { OWNER_KEY, OWNER_TABLE, SERVERS_TABLE } from './tables.js'
 
 /** The backend servers that the last owner recorded. */
@@ -17,16 +19,25 @@
   readonly rows: ReadonlyMap<string, ServerRow>
   /** Keys of rows that can't be decoded, each with the reason; the next write replaces them. */
   readonly damaged: readonly string[]
+  readonly clock?: StoreClock
 }
 
-/** One row, as far as it is known. */
-export interface ServerRow {
+/** A row as this owner knows it. */
+interface KnownRow {
   readonly version: number
-  /** Sorted ids; undefined if the row is damaged or a write of it wasn't answered. */
-  readonly ids: readonly string[] | undefined
+  /** Its content; undefined if it is damaged or a write of it wasn't answered. */
+  readonly content: string | undefined
+  /** Backend servers that it may list as unreached by this owner, also by a write that is carried out later. */
+  readonly unreached: ReadonlySet<ServerId>
 }
 
-const ABSENT_ROW: ServerRow = { version: 0, ids: [] }
+/** A row to be written. */
+interface WantedRow {
+  readonly ids: readonly string[]
+  readonly bounds: ReadonlyMap<string, StoredBounds>
+}
+
+const ABSENT_ROW: KnownRow = { version: 0, content: contentOf([], new Map()), unreached: new Set() }
 const ROW_KEYS = Array.from({ length: SERVER_RECORD_ROWS }, (_, index) => String(index))
 
 /**
@@ -37,92 +48,155 @@
  * const { ids } = await readServers(store)
  */
 export async function readServers (store: RowStore, options: TableReadOptions = {}): Promise<StoredServers> {
-  const { rows } = await readTable(store, SERVERS_TABLE, options)
-  const decoded = new Map(rows.map(row => [row.key, decodeRow(row)]))
+  const { rows, clock } = await readTable(store, SERVERS_TABLE, options)
+  const decoded = new Map(rows.map(row => [row.key, decodeServerRow(row)]))
   return {
     ids: new Set([...decoded.values()].flatMap(({ ids = [] }) => ids.map(serverId))),
     rows: decoded,
-    damaged: [...decoded].filter(([, { ids }]) => ids === undefined).map(([key]) => `${SERVERS_TABLE} ${key}: The record of backend servers can't be read`)
+    damaged: [...decoded].filter(([, { ids }]) => ids === undefined).map(([key]) => `${SERVERS_TABLE} ${key}: The record of backend servers can't be read`),
+    ...(clock === undefined ? {} : { clock })
   }
 }
 
+/**
+ * Returns the bounds that the owner directly before this one stored, on our clock. Those of any other don't count: an owner
+ * in between may have used the backend servers.
+ *
+ * @example
+ * planner.inheritServers(stored.ids, earlierRunsOf(stored, owner.epoch))
+ */
+export function earlierRunsOf ({ rows, clock }: StoredServers, owner: Epoch): ReadonlyMap<ServerId, EarlierRuns> {
+  const bounds = new Map<ServerId, EarlierRuns>()
+  if (clock === undefined) return bounds
+  for (const [id, { until, lastEpoch }] of boundsUnder(rows, owner - 1)) {
+    bounds.set(serverId(id), { until: clock.receivedAt + until - clock.milliseconds, lastEpoch })
+  }
+  return bounds
+}
+
+/** Returns the bounds that an owner stored, on the store's clock. */
+function boundsUnder (rows: StoredServers['rows'], owner: number): ReadonlyMap<string, StoredBounds> {
+  return new Map([...rows.values()].flatMap(({ unreached }) => unreached?.under === owner ? [...unreached.bounds] : []))
+}
+
 /**
  * Writes the backend servers that may have runs, on condition that this VM still owns the planner
  * and that the rows are as its last write left them.
  *
  * @example
  * const record = new ServerRecord(store, owner, await readServers(store))
- * await record.write(planner.serversToRecover(now))
+ * await record.write(ids, planner.unreachedServers(ids, now))
  */
 export class ServerRecord {
   readonly #store: RowStore
   readonly #owner: OwnerRecord
-  readonly #rows: Map<string, ServerRow>
-  /** Ids as stored; undefined while a row isn't known. */
-  #stored: ReadonlySet<ServerId> | undefined
+  readonly #clock: StoreClock | undefined
+  /** Bounds of the owner before, which are passed on as they are. */
+  readonly #inherited: ReadonlyMap<string, StoredBounds>
+  readonly #rows: Map<string, KnownRow>
+  /** Arguments of the last write, if the rows are as it left them. */
+  #stored: { readonly ids: ReadonlySet<ServerId>, readonly unreached: ReadonlyMap<ServerId, EarlierRuns> } | undefined
 
-  constructor (store: RowStore, owner: OwnerRecord, { ids, rows, damaged }: StoredServers) {
+  constructor (store: RowStore, owner: OwnerRecord, { ids, rows, damaged, clock }: StoredServers) {
     this.#store = store
     this.#owner = owner
-    this.#rows = new Map(rows)
-    this.#stored = damaged.length === 0 ? ids : undefined
+    this.#clock = clock
+    this.#inherited = boundsUnder(rows, owner.epoch - 1)
+    this.#rows = new Map([...rows].map(([key, row]) => [key, this.#known(row)]))
+    const isComplete = damaged.length === 0 && this.unreachedServers.size === 0
+    this.#stored = isComplete ? { ids, unreached: new Map() } : undefined
+  }
+
+  /** Backend servers that the record lists as unreached by this owner, or may list. They must not be used. */
+  get unreachedServers (): ReadonlySet<ServerId> {
+    return new Set([...this.#rows.values()].flatMap(({ unreached }) => [...unreached]))
   }
 
   /**
    * Stores the rows that differ, in one transaction. After a write that wasn't answered or found
-   * other versions, the next call writes them again.
+   * other versions, the next call writes them again. From its call on, `unreachedServers` includes those given here.
    *
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
    */
-  async write (ids: ReadonlySet<ServerId>): Promise<void> {
-    if (this.#stored !== undefined && areEqual(ids, this.#stored)) return
-    const keys = new Set([...ROW_KEYS, ...this.#rows.keys()])
-    const wanted = [...idsByRow(ids, keys)].filter(([key, rowIds]) => !areSameLists(rowIds, this.#row(key).ids))
-    const conditions = wanted.map(([key]) => ({ table: SERVERS_TABLE, key, version: this.#row(key).version }))
-    this.#stored = wanted.length === 0 ? ids : undefined
+  async write (ids: ReadonlySet<ServerId>, unreached: ReadonlyMap<ServerId, EarlierRuns> = new Map()): Promise<void> {
+    const recorded = this.#clock === undefined ? new Map() : unreached
+    if (this.#stored !== undefined && areEqual(ids, this.#stored.ids) && areSameBounds(recorded, this.#stored.unreached)) return
+    const rows = this.#rowsOf(ids, recorded)
+    const wanted = [...rows].filter(([key, row]) => contentOf(row.ids, row.bounds) !== this.#row(key).content)
+    this.#stored = wanted.length === 0 ? { ids, unreached: recorded } : undefined
     if (wanted.length === 0) return
-    for (const [key] of wanted) this.#rows.set(key, { ...this.#row(key), ids: undefined })
+    const conditions = wanted.map(([key]) => ({ table: SERVERS_TABLE, key, version: this.#row(key).version }))
+    for (const [key, { bounds }] of wanted) this.#rows.set(key, uncertain(this.#row(key), bounds.keys()))
     const outcome = await this.#store.write({
       conditions: [{ table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }, ...conditions],
-      puts: wanted.map(([key, rowIds]) => ({ table: SERVERS_TABLE, key, value: { ids: rowIds } }))
+      puts: wanted.map(([key, row]) => ({ table: SERVERS_TABLE, key, value: encodeServerRow(row.ids, this.#owner.epoch, row.bounds) }))
     })
     if (outcome.type === 'written') {
-      for (const [key, rowIds] of wanted) this.#rows.set(key, { version: outcome.version, ids: rowIds })
-      this.#stored = ids
+      for (const [key, row] of wanted) this.#rows.set(key, { version: outcome.version, content: contentOf(row.ids, row.bounds), unreached: idsOf(row.bounds.keys()) })
+      this.#stored = { ids, unreached: recorded }
       return
     }
     this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
-    const current = new Map(outcome.rows.filter(row => row.table === SERVERS_TABLE).map(row => [row.key, decodeRow(row)]))
-    for (const [key] of wanted) this.#rows.set(key, current.get(key) ?? ABSENT_ROW)
+    const current = new Map(outcome.rows.filter(row => row.table === SERVERS_TABLE).map(row => [row.key, decodeServerRow(row)]))
+    // An earlier write of a row may still be carried out until a later one is stored.
+    for (const [key] of wanted) this.#rows.set(key, { ...uncertain(this.#row(key), this.#unreachedIn(current.get(key))), version: current.get(key)?.version ?? 0 })
   }
 
-  #row (key: string): ServerRow {
+  #row (key: string): KnownRow {
     return this.#rows.get(key) ?? ABSENT_ROW
   }
 
+  #known (row: ServerRow): KnownRow {
+    const unreached = idsOf(this.#unreachedIn(row))
+    return { version: row.version, content: row.ids === undefined || unreached.size > 0 ? undefined : contentOf(row.ids, new Map()), unreached }
+  }
+
+  /** What a row lists as unreached by this owner; what it lists for others has no effect on the next. */
+  #unreachedIn (row: ServerRow | undefined): Iterable<string> {
+    return row?.unreached?.under === this.#owner.epoch ? row.unreached.bounds.keys() : []
+  }
+
+  /** Content of each row, also of those without any ids. */
+  #rowsOf (ids: ReadonlySet<ServerId>, unreached: ReadonlyMap<ServerId, EarlierRuns>): ReadonlyMap<string, WantedRow> {
+    const rows = new Map([...ROW_KEYS, ...this.#rows.keys()].map(key => [key, { ids: [] as string[], bounds: new Map<string, StoredBounds>() }]))
+    for (const id of [...ids].sort()) {
+      const row = rows.get(String(Number.parseInt(digestOf(id).slice(0, 8), 16) % SERVER_RECORD_ROWS))!
+      row.ids.push(id)
+      const bounds = unreached.get(id)
+      if (bounds !== undefined) row.bounds.set(id, this.#storedBounds(id, bounds))
+    }
+    return rows
+  }
+
+  /** Converts bounds to the store's clock, which is read as whole milliseconds, so that they are no earlier there than on ours. */
+  #storedBounds (id: ServerId, { until, lastEpoch }: EarlierRuns): StoredBounds {
+    const { milliseconds, sentAt } = this.#clock!
+    return { until: Math.min(Math.ceil(milliseconds + 1 + until - sentAt), this.#inherited.get(id)?.until ?? Infinity), lastEpoch }
+  }
+
   #checkOwner (version: number | undefined): void {
     if (version === this.#owner.version) return
     throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${this.#owner.epoch}` })
   }
 }
 
-function decodeRow ({ value, version }: StoredRow): ServerRow {
-  const ids: unknown = value.ids
-  const isValid = Array.isArray(ids) && ids.every(id => typeof id === 'string')
-  return { version, ids: isValid ? ids : undefined }
+/** A row that may hold other content than is known, and may list more backend servers as unreached. */
+function uncertain ({ version, unreached }: KnownRow, more: Iterable<string>): KnownRow {
+  return { version, content: undefined, unreached: new Set([...unreached, ...idsOf(more)]) }
+}
+
+function idsOf (ids: Iterable<string>): ReadonlySet<ServerId> {
+  return new Set([...ids].map(serverId))
 }
 
-/** Sorted ids of each row, also of those without any. */
-function idsByRow (ids: ReadonlySet<ServerId>, keys: ReadonlySet<string>): ReadonlyMap<string, readonly string[]> {
-  const rows = new Map<string, string[]>([...keys].map(key => [key, []]))
-  for (const id of [...ids].sort()) rows.get(String(Number.parseInt(digestOf(id).slice(0, 8), 16) % SERVER_RECORD_ROWS))!.push(id)
-  return rows
+function contentOf (ids: readonly string[], bounds: ReadonlyMap<string, StoredBounds>): string {
+  return JSON.stringify([ids, [...bounds]])
 }
 
 function areEqual (left: ReadonlySet<ServerId>, right: ReadonlySet<ServerId>): boolean {
   return left.size === right.size && [...left].every(id => right.has(id))
 }
 
-function areSameLists (left: readonly string[], right: readonly string[] | undefined): boolean {
-  return right !== undefined && left.length === right.length && left.every((id, index) => id === right[index])
+function areSameBounds (left: ReadonlyMap<ServerId, EarlierRuns>, right: ReadonlyMap<ServerId, EarlierRuns>): boolean {
+  return left.size === right.size && [...left].every(([id, { until, lastEpoch }]) => right.get(id)?.until === until && right.get(id)?.lastEpoch === lastEpoch)
 }
--- /dev/null
+++ b/packages/entry/src/server-recorder.ts
@@ -0,0 +1,70 @@
+/** Keeps the record of backend servers for the next owner up to date, and holds those that it lists as unreached. */
+import { pause, systemClock } from '@cornelgauge/coordination'
+import type { Planner, ServerId } from '@cornelgauge/jobs'
+import { SERVER_RECORD_PAUSE_MILLISECONDS } from './limits.js'
+import type { ServerRecord } from './server-record.js'
+
+/** Options of a recorder. */
+export interface ServerRecorderOptions {
+  readonly planner: Planner
+  readonly record: ServerRecord
+  /** Runs a call to the store; false if it failed, which is logged. */
+  readonly tryStoreCall: (call: () => Promise<void>) => Promise<boolean>
+  /** Called when backend servers may have been released. */
+  readonly onReleased: () => void
+  readonly signal: AbortSignal
+  /** Monotonic time in milliseconds. */
+  readonly now?: () => number
+}
+
+/**
+ * Writes the record one write at a time. A backend server that the stored record may list as unreached by this
+ * owner gets no start and no renewal of its leases until a record without it is stored: the next owner relies on it.
+ *
+ * @example
+ * const recorder = new ServerRecorder(options)
+ * await recorder.update()
+ */
+export class ServerRecorder {
+  readonly #options: Required<ServerRecorderOptions>
+  #updating: Promise<void> | undefined
+
+  constructor (options: ServerRecorderOptions) {
+    this.#options = { now: () => performance.now(), ...options }
+    this.#hold([])
+  }
+
+  /** Writes the record if it has changed. A write that fails is made again by the next call. */
+  async update (): Promise<void> {
+    this.#updating ??= this.#update().finally(() => { this.#updating = undefined })
+    await this.#updating
+  }
+
+  /** Returns once a backend server that has answered may be used, after one attempt at most. */
+  async release (server: ServerId): Promise<void> {
+    const { planner, signal } = this.#options
+    // The write under way may have begun before the answer.
+    await this.#updating
+    if (!planner.isWaitingForRecord(server) || signal.aborted) return
+    await this.update()
+    if (planner.isWaitingForRecord(server)) await pause(systemClock, SERVER_RECORD_PAUSE_MILLISECONDS, signal)
+  }
+
+  async #update (): Promise<void> {
+    const { planner, record, tryStoreCall, onReleased, signal, now } = this.#options
+    if (signal.aborted) return
+    const ids = planner.serversToRecover(now())
+    const unreached = planner.unreachedServers(ids, now())
+    const held = this.#hold(unreached.keys())
+    await tryStoreCall(() => record.write(ids, unreached))
+    if (this.#hold([]) < held) onReleased()
+  }
+
+  /** Holds the backend servers that the record may list as unreached, and more of them. Returns how many. */
+  #hold (more: Iterable<ServerId>): number {
+    const { planner, record } = this.#options
+    const held = new Set([...record.unreachedServers, ...more])
+    planner.holdServers(held)
+    return held.size
+  }
+}
--- /dev/null
+++ b/packages/entry/src/server-row.ts
@@ -0,0 +1,79 @@
+/** The rows that hold which backend servers may have runs. */
+import { epoch, type Epoch } from '@cornelgauge/model'
+import type { RowValue, StoredRow } from '@cornelgauge/ports'
+
+/** Bounds of the runs that earlier owners may have on a backend server. */
+export interface StoredBounds {
+  /** When all of them have ended at the latest, on the store's clock, in whole milliseconds. */
+  readonly until: number
+  /** The last owner that may have started one there. */
+  readonly lastEpoch: Epoch
+}
+
+/** One row, as far as it is known. */
+export interface ServerRow {
+  readonly version: number
+  /** Sorted ids; undefined if the row is damaged. */
+  readonly ids: readonly string[] | undefined
+  /** Bounds for those that an owner has not reached; undefined if there are none, as in rows of earlier releases. */
+  readonly unreached?: {
+    /** Epoch of that owner. */
+    readonly under: Epoch
+    readonly bounds: ReadonlyMap<string, StoredBounds>
+  }
+}
+
+/** Equal bounds share one entry, with the positions of their backend servers among the ids. */
+type WireBounds = readonly [until: number, lastEpoch: number, positions: readonly number[]]
+
+/**
+ * Encodes a row. Earlier releases read only its ids.
+ *
+ * @example
+ * encodeServerRow(['server-1'], owner.epoch, new Map())
+ */
+export function encodeServerRow (ids: readonly string[], owner: Epoch, bounds: ReadonlyMap<string, StoredBounds>): RowValue {
+  if (bounds.size === 0) return { ids }
+  const groups = new Map<string, { readonly until: number, readonly lastEpoch: Epoch, readonly positions: number[] }>()
+  for (const [position, id] of ids.entries()) {
+    const found = bounds.get(id)
+    if (found === undefined) continue
+    const key = `${found.until} ${found.lastEpoch}`
+    const group = groups.get(key) ?? { ...found, positions: [] }
+    group.positions.push(position)
+    groups.set(key, group)
+  }
+  return { ids, unreached: { under: owner, bounds: [...groups.values()].map(({ until, lastEpoch, positions }): WireBounds => [until, lastEpoch, positions]) } }
+}
+
+/**
+ * Decodes a row. Bounds that can't be read count as none.
+ *
+ * @example
+ * const { ids } = decodeServerRow(row)
+ */
+export function decodeServerRow ({ value, version }: StoredRow): ServerRow {
+  const { ids } = value
+  if (!isList(ids, isText)) return { version, ids: undefined }
+  const unreached = (value.unreached ?? {}) as { readonly under?: unknown, readonly bounds?: unknown }
+  if (!isWhole(unreached.under) || !isList(unreached.bounds, isWireBounds)) return { version, ids }
+  const bounds = new Map<string, StoredBounds>()
+  for (const [until, lastEpoch, positions] of unreached.bounds) {
+    for (const position of positions) {
+      const id = ids[position]
+      if (id !== undefined) bounds.set(id, { until, lastEpoch: epoch(lastEpoch) })
+    }
+  }
+  return { version, ids, unreached: { under: epoch(unreached.under), bounds } }
+}
+
+function isList<Entry> (value: unknown, isEntry: (entry: unknown) => entry is Entry): value is readonly Entry[] {
+  return Array.isArray(value) && value.every(isEntry)
+}
+
+const isText = (value: unknown): value is string => typeof value === 'string'
+const isWhole = (value: unknown): value is number => Number.isSafeInteger(value)
+
+function isWireBounds (value: unknown): value is WireBounds {
+  return Array.isArray(value) && isWhole(value[0]) && isWhole(value[1]) && isList(value[2], isWhole)
+}
--- a/packages/entry/src/table-reader.ts
+++ b/packages/entry/src/table-reader.ts
@@ -14,6 +14,19 @@
   readonly onPageFailure?: (failure: CornelgaugeError, receivedRows: number) => boolean
 }
 
+/** The store's clock, as an answer carried it, and when that was asked for and received on ours. */
+export interface StoreClock {
+  readonly milliseconds: number
+  readonly sentAt: number
+  readonly receivedAt: number
+}
+
+/** All rows of a table. */
+export interface TableSnapshot extends RowSnapshot {
+  /** Of the first page; undefined if it had none. */
+  readonly clock?: StoreClock
+}
+
 /**
  * Reads all rows of a table. A page that fails may be read again; the pages before it are kept.
  *
@@ -23,17 +36,18 @@
  * @example
  * const { rows, version } = await readTable(store, 'jobs')
  */
-export async function readTable (store: RowStore, table: string, options: TableReadOptions = {}): Promise<RowSnapshot> {
+export async function readTable (store: RowStore, table: string, options: TableReadOptions = {}): Promise<TableSnapshot> {
   const rows: StoredRow[] = []
-  let version: number | undefined
+  let first: { readonly version: number, readonly clock?: StoreClock } | undefined
   let limit = FIRST_PAGE_ROWS
   for (;;) {
     if (!isNeeded(options)) throw new CornelgaugeError('not-owner', { detail: `The rows of ${table} aren't needed any more` })
+    const sentAt = performance.now()
     const page = await tryPage(store, table, rows, limit, options)
     if (page === undefined) continue
     rows.push(...page.rows)
-    version ??= page.version
-    if (!page.hasMore) return { rows, version }
+    first ??= { version: page.version, ...(page.clock === undefined ? {} : { clock: { milliseconds: page.clock, sentAt, receivedAt: performance.now() } }) }
+    if (!page.hasMore) return { rows, ...first }
     limit = nextLimit(page, limit)
   }
 }
--- /dev/null
+++ b/packages/entry/test/following-owners.test.ts
@@ -0,0 +1,25 @@
+import { expect } from 'chai'
+import { FollowingOwnersPlay } from './following-owners-play.js'
+
+const SEEDS = Array.from({ length: 16 }, (_, index) => 7919 + index)
+const PLAY_MILLISECONDS = 60_000
+
+describe('owners that follow each other while backend servers are cut off', () => {
+  // Guards against a start of a task that runs on a backend server which the last owner had not reached.
+  it('start no task that runs elsewhere', async () => {
+    let trusted = 0
+    for (const seed of SEEDS) {
+      const play = await new FollowingOwnersPlay(seed).run(PLAY_MILLISECONDS)
+      expect(play.doubles, `seed ${seed}`).to.deep.equal([])
+      expect(play.starts).to.be.greaterThan(0)
+      trusted += play.trusted
+    }
+    expect(trusted).to.be.greaterThan(SEEDS.length)
+  })
+
+  it('would start some if they used backend servers that the record lists as unreached', async () => {
+    let doubles = 0
+    for (const seed of SEEDS) doubles += (await new FollowingOwnersPlay(seed, { ignoresRecord: true }).run(PLAY_MILLISECONDS)).doubles.length
+    expect(doubles).to.be.greaterThan(0)
+  })
+})
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -1,12 +1,12 @@
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { vmName, workspaceName } from '@cornelgauge/model'
-import { configurationVersion, jobId, poolName, queueName, serverId, type Configuration, type Job, type ServerEntry, type ServerReport, type StartOutcome } from '@cornelgauge/jobs'
-import { MemoryRowStore } from '@cornelgauge/ports'
+import { CornelgaugeError, vmName, workspaceName } from '@cornelgauge/model'
+import { configurationVersion, jobId, poolName, queueName, serverId, type Configuration, type Job, type ServerEntry, type ServerReport, type StartOutcome, UNREACHED_SERVER_MILLISECONDS } from '@cornelgauge/jobs'
+import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import type { BackendServerCalls } from '../src/backend-server-calls.js'
 import { JobStore } from '../src/job-store.js'
 import { OWNER_CONFIRMATION_LIMIT_MILLISECONDS } from '../src/limits.js'
-import { claimOwnership, NO_OWNER } from '../src/owner-record.js'
+import { claimOwnership, NO_OWNER, readOwner } from '../src/owner-record.js'
 import { PlannerHost } from '../src/planner-host.js'
 
 const CONFIGURATION: Configuration = {
@@ -46,10 +46,12 @@
   readonly polls: { readonly at: number, readonly renews: boolean }[] = []
   answerStart: (outcome: StartOutcome) => void = () => {}
   hasStarted = false
+  isSilent = false
 
   async poll (_target: unknown, poll: { readonly leaseUntil?: number, readonly waitMilliseconds: number }): Promise<ServerReport> {
     const sentAt = performance.now()
     this.polls.push({ at: sentAt, renews: poll.leaseUntil !== undefined })
+    if (this.isSilent) throw new CornelgaugeError('unavailable')
     await pause(systemClock, Math.max(5, poll.waitMilliseconds))
     return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: [], hasMoreEnds: false, sentAt, receivedAt: performance.now() }
   }
@@ -126,4 +128,43 @@
       expect(calls.polls.slice(before)).to.deep.equal([])
     })
   })
+
+  // Guards against starts on a backend server of which the next owner would think that this one hasn't used it.
+  describe('when a backend server answers that it has recorded as unreached', () => {
+    let view: MemoryRowStoreView
+    const unreachedRows = (): number => rows.rows('run-servers').filter(({ value }) => value.unreached !== undefined).length
+
+    beforeEach(async () => {
+      host.abandon()
+      view = rows.view()
+      const owner = await claimOwnership(view, (await readOwner(view))!, { vm: vmName('vm-b'), address: '10.0.0.2:7000' })
+      calls = new FakeCalls()
+      calls.isSilent = true
+      host = new PlannerHost({ owner, stored: await new JobStore(view).load(), store: view, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
+      host.configure(CONFIGURATION)
+      host.updateRegistry({ entries: [SERVER], unreadable: 0 })
+      host.submit(jobAccepted(owner.epoch))
+      expect(unreachedRows()).to.equal(0)
+      await pause(systemClock, UNREACHED_SERVER_MILLISECONDS + 400)
+      expect(unreachedRows()).to.equal(1)
+    })
+
+    it('starts a task there as soon as the record is stored without it', async () => {
+      calls.isSilent = false
+      await pause(systemClock, 600)
+      expect(unreachedRows()).to.equal(0)
+      expect(calls.hasStarted).to.equal(true)
+    })
+
+    it('starts nothing there while the store doesn\'t answer', async () => {
+      view.fault = 'losing-answers'
+      calls.isSilent = false
+      await pause(systemClock, 1000)
+      expect(calls.polls.length).to.be.greaterThan(1)
+      expect(calls.hasStarted).to.equal(false)
+      view.fault = 'none'
+      await pause(systemClock, 800)
+      expect(calls.hasStarted).to.equal(true)
+    })
+  })
 })
--- a/packages/entry/test/server-record.test.ts
+++ b/packages/entry/test/server-record.test.ts
@@ -1,10 +1,10 @@
-import { serverId, type ServerId } from '@cornelgauge/jobs'
-import { vmName, type CornelgaugeError } from '@cornelgauge/model'
+import { serverId, type EarlierRuns, type ServerId } from '@cornelgauge/jobs'
+import { epoch, vmName, type CornelgaugeError } from '@cornelgauge/model'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { JobStore } from '../src/job-store.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
-import { readServers, ServerRecord } from '../src/server-record.js'
+import { earlierRunsOf, readServers, ServerRecord } from '../src/server-record.js'
 
 const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
 const idsOf = (...names: readonly string[]): ReadonlySet<ServerId> => new Set(names.map(serverId))
@@ -70,6 +70,130 @@
     })
   })
 
+  describe('with backend servers that the owner hasn\'t reached', () => {
+    const unreached = (until: number, ...names: readonly string[]): ReadonlyMap<ServerId, EarlierRuns> => new Map(names.map(name => [serverId(name), { until, lastEpoch: epoch(7) }]))
+    const nextOwner = async (): Promise<OwnerRecord> => await claimOwnership(view, owner, { ...SELF, vm: vmName('vm-b') })
+    const boundsFor = async ({ epoch: next }: Pick<OwnerRecord, 'epoch'>): Promise<ReadonlyMap<ServerId, EarlierRuns>> => earlierRunsOf(await readServers(view), next)
+
+    it('gives the next owner their bounds, which come no earlier and at most as much later as calls take', async () => {
+      const until = performance.now() + 5000
+      const readBefore = performance.now()
+      record = new ServerRecord(view, owner, await readServers(view))
+      await record.write(idsOf('a', 'b'), unreached(until, 'a'))
+      const bounds = await boundsFor(await nextOwner())
+      expect([...bounds.keys()]).to.deep.equal(['a'])
+      expect(bounds.get(serverId('a'))!.lastEpoch).to.equal(7)
+      expect(bounds.get(serverId('a'))!.until).to.be.within(until, until + performance.now() - readBefore + 3)
+    })
+
+    it('passes them on as they are under each further owner', async () => {
+      await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
+      const row = (): unknown => store.rows('run-servers').find(({ value }) => value.unreached !== undefined)!.value.unreached
+      const [[until]] = (row() as { readonly bounds: readonly [readonly [number]] }).bounds
+      for (let number = 0; number < 3; number += 1) {
+        owner = await nextOwner()
+        const stored = await readServers(view)
+        await new ServerRecord(view, owner, stored).write(stored.ids, earlierRunsOf(stored, owner.epoch))
+      }
+      expect(row()).to.deep.equal({ under: owner.epoch, bounds: [[until, 7, [0]]] })
+    })
+
+    it('gives no bounds to an owner after an owner that has stored none', async () => {
+      await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
+      owner = await nextOwner()
+      const stored = await readServers(view)
+      await new ServerRecord(view, owner, stored).write(stored.ids)
+      expect((await boundsFor(await nextOwner())).size).to.equal(0)
+    })
+
+    it('gives no bounds if the store didn\'t say what time it is', async () => {
+      const { clock, ...stored } = await readServers(view)
+      record = new ServerRecord(view, owner, stored)
+      await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
+      expect((await boundsFor(await nextOwner())).size).to.equal(0)
+    })
+
+    it('is written again only if they have changed', async () => {
+      const until = performance.now() + 5000
+      await record.write(idsOf('a', 'b'), unreached(until, 'a'))
+      const before = view.calls.write
+      await record.write(idsOf('a', 'b'), unreached(until, 'a'))
+      expect(view.calls.write).to.equal(before)
+      await record.write(idsOf('a', 'b'))
+      expect(view.calls.write).to.equal(before + 1)
+    })
+
+    it('lists them until a record without them is stored', async () => {
+      await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
+      view.fault = 'losing-answers'
+      await codeOf(record.write(idsOf('a')))
+      expect([...record.unreachedServers]).to.deep.equal(['a'])
+      view.fault = 'none'
+      await record.write(idsOf('a'))
+      expect([...record.unreachedServers]).to.deep.equal(['a'])
+      await record.write(idsOf('a'))
+      expect([...record.unreachedServers]).to.deep.equal([])
+      expect((await boundsFor(await nextOwner())).size).to.equal(0)
+    })
+
+    it('lists them from the call on that stores them, also if it isn\'t answered', async () => {
+      view.fault = 'losing-answers'
+      const write = codeOf(record.write(idsOf('a'), unreached(performance.now() + 5000, 'a')))
+      expect([...record.unreachedServers]).to.deep.equal(['a'])
+      await write
+      expect([...record.unreachedServers]).to.deep.equal(['a'])
+    })
+
+    it('lists what an earlier record of the same owner has stored', async () => {
+      await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
+      record = new ServerRecord(view, owner, await readServers(view))
+      expect([...record.unreachedServers]).to.deep.equal(['a'])
+      await record.write(idsOf('a'))
+      expect([...record.unreachedServers]).to.deep.equal([])
+    })
+
+    it('fits its rows and one transaction for 19,000 backend servers, also with long ids', async () => {
+      const ids = Array.from({ length: 19_000 }, (_, index) => `server-${String(index).padStart(60, '0')}`)
+      const write = view.write.bind(view)
+      let entries = 0
+      view.write = async transaction => {
+        entries = transaction.conditions.length + transaction.puts.length
+        return await write(transaction)
+      }
+      await record.write(idsOf(...ids), unreached(performance.now() + 5000, ...ids))
+      expect(entries).to.be.within(1, 100)
+      expect(Math.max(...store.rows('run-servers').map(({ value }) => JSON.stringify(value).length))).to.be.at.most(65_536)
+      expect((await boundsFor(await nextOwner())).size).to.equal(19_000)
+    })
+
+    it('is readable for earlier releases, and theirs without bounds', async () => {
+      await record.write(idsOf('a', 'b'), unreached(performance.now() + 5000, 'a'))
+      const ids = store.rows('run-servers').flatMap(({ value }) => value.ids as readonly string[])
+      expect(ids).to.have.members(['a', 'b'])
+      const [row] = store.rows('run-servers').filter(({ value }) => value.unreached !== undefined)
+      await view.write({ conditions: [], puts: [{ table: 'run-servers', key: row!.key, value: { ids: [...row!.value.ids as readonly string[]] } }] })
+      const next = await nextOwner()
+      const stored = await readServers(view)
+      expect(stored.damaged).to.deep.equal([])
+      expect(earlierRunsOf(stored, next.epoch).size).to.equal(0)
+    })
+
+    it('counts bounds that can\'t be read as none', async () => {
+      await view.write({
+        conditions: [],
+        puts: [
+          { table: 'run-servers', key: '0', value: { ids: ['a'], unreached: 7 } },
+          { table: 'run-servers', key: '1', value: { ids: ['b'], unreached: { under: owner.epoch, bounds: [['soon', 1, [0]]] } } },
+          { table: 'run-servers', key: '2', value: { ids: ['c'], unreached: { under: owner.epoch, bounds: [[1, 1, [5]]] } } }
+        ]
+      })
+      const { ids, damaged } = await readServers(view)
+      expect([...ids]).to.have.members(['a', 'b', 'c'])
+      expect(damaged).to.deep.equal([])
+      expect((await boundsFor(await nextOwner())).size).to.equal(0)
+    })
+  })
+
   describe('after a write without an answer', () => {
     it('is complete after the next ones', async () => {
       view.fault = 'losing-answers'
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -1,4 +1,5 @@
 /** Finds jobs that have nothing running for long though most of the pool is idle, and what they wait for. */
+import type { Epoch } from '@cornelgauge/model'
 import type { ServerId, TaskName } from './ids.js'
 import type { JobState, TaskState } from './job-state.js'
 import { IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS, MAXIMUM_IDLE_JOBS_LOGGED } from './limits.js'
@@ -40,21 +41,22 @@
     this.#checkedAt = now
     const isPoolIdle = isMostlyIdle(snapshotOf(state, now, server => server.free))
     for (const job of this.#since.keys()) if (!job.isOpen) this.#since.delete(job)
-    const isRecoveryComplete = state.isRecoveryComplete(now)
+    const unknownEpoch = state.recovery.latestUnknownEpoch(now)
     let logged = 0
     for (const job of state.openJobs) {
-      const idle = isPoolIdle ? idleJob(state, job, isRecoveryComplete) : undefined
+      const idle = isPoolIdle ? idleJob(state, job, unknownEpoch) : undefined
       const since = this.#since.get(job) ?? now
       if (idle === undefined) this.#since.delete(job)
       else this.#since.set(job, since)
       if (idle === undefined || now - since < IDLE_JOB_MILLISECONDS || logged === MAXIMUM_IDLE_JOBS_LOGGED) continue
       logged += 1
-      state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, milliseconds: now - since, age: wallTime - job.job.acceptedAt })
+      const wait = idle.reason === 'recovery' ? recoveryWait(state, job, now) : {}
+      state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, ...wait, milliseconds: now - since, age: wallTime - job.job.acceptedAt })
     }
   }
 }
 
-function idleJob (state: PlannerState, job: JobState, isRecoveryComplete: boolean): IdleJob | undefined {
+function idleJob (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined): IdleJob | undefined {
   let first: TaskState | undefined
   let unresolved: TaskState | undefined
   let isSuspect = false
@@ -68,8 +70,14 @@
     }
   }
   if (first === undefined) return undefined
-  if (job.isInherited && !isRecoveryComplete) return { task: first.name, reason: 'recovery' }
+  if (job.mayHaveRunsUnder(unknownEpoch)) return { task: first.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
   return { task: first.name, reason: isSuspect ? 'crash' : 'capacity' }
 }
+
+/** Returns which backend servers a job waits for: how many, one of them, and for how long at most. */
+function recoveryWait (state: PlannerState, job: JobState, now: number): { readonly servers: number, readonly server?: ServerId, readonly waitMilliseconds?: number } {
+  const { until, ...servers } = state.recovery.waitOf(job.job.acceptedUnder, now)
+  return { ...servers, ...(until === undefined ? {} : { waitMilliseconds: until - now }) }
+}
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,4 +1,5 @@
 /** State of jobs, steps and tasks in the planner that owns them. */
+import type { Epoch } from '@cornelgauge/model'
 import { stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
 import { MAXIMUM_LISTED_ENTRIES, STEP_ENTRIES } from './limits.js'
@@ -155,6 +156,11 @@
     return this.phase === 'queued' || this.phase === 'running'
   }
 
+  /** True if an owner up to this epoch may have started it; undefined stands for none. */
+  mayHaveRunsUnder (latest: Epoch | undefined): boolean {
+    return this.isInherited && latest !== undefined && this.job.acceptedUnder <= latest
+  }
+
   /** Phase for callers: a final phase only once it is stored. */
   get reportedPhase (): JobPhase {
     return this.isOpen || this.isFinalStored ? this.phase : 'running'
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -77,12 +77,12 @@
   place (): void {
     this.#state.claimTurns.beginRound()
     this.#state.reservationTurns.beginRound()
-    const isRecoveryComplete = this.#state.isRecoveryComplete(this.#times.now)
+    const unknownEpoch = this.#state.recovery.latestUnknownEpoch(this.#times.now)
     const candidates: Candidate[] = []
     for (const job of this.#state.openJobs) {
       this.#state.work.add(1)
-      if (job.isInherited && !isRecoveryComplete) continue
       job.activate(this.#times.wallTime)
+      if (job.mayHaveRunsUnder(unknownEpoch)) continue
       const candidate = this.#candidate(job)
       if (candidate !== undefined) candidates.push(candidate)
     }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -18,6 +18,7 @@
 import { assignUnknownRuns, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
+import type { EarlierRuns } from './recovery.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import { PlannerState, type PlannerEvent } from './state.js'
@@ -91,11 +92,12 @@
   }
 
   /**
-   * Adds the backend servers that an earlier owner recorded by `serversToRecover`. Jobs of earlier owners wait
-   * until each of them has answered a poll, also one that isn't registered, or until all earlier leases have expired.
+   * Adds the backend servers that an earlier owner recorded by `serversToRecover`, and the bounds of the runs there that
+   * the last owner recorded by `unreachedServers`. A job of an earlier owner waits until each of them that may have runs of
+   * it has answered a poll, also one that isn't registered, or until all leases there have expired.
    */
-  inheritServers (ids: Iterable<ServerId>): void {
-    this.#state.inheritServers(ids)
+  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map()): void {
+    this.#state.recovery.inherit(ids, bounds)
   }
 
   /** Ids of the backend servers that may have runs, which a later owner has to know. */
@@ -103,6 +105,25 @@
     return this.#state.serversToRecover(now)
   }
 
+  /**
+   * Of the given backend servers, those that have not answered this owner, with the bounds of the runs that earlier owners
+   * may have there. They hold for the next owner only if this one doesn't use the servers: see `holdServers`.
+   */
+  unreachedServers (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
+    return this.#state.recovery.unreached(ids, now)
+  }
+
+  /** Replaces the backend servers that get no starts and no renewals of leases, since the stored record may list them as unreached. */
+  holdServers (ids: ReadonlySet<ServerId>): void {
+    this.#state.holdServers(ids)
+  }
+
+  /** True if a backend server is held that has answered, so that it is to be removed from the record's unreached ones. */
+  isWaitingForRecord (id: ServerId): boolean {
+    const server = this.#state.servers.get(id)
+    return server?.hasAnswered === true && server.isHeld
+  }
+
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.#state.configure(configuration)
@@ -113,7 +134,7 @@
    * `unreadable` counts the rows without an entry, which may hide backend servers for a while.
    */
   updateServers (registered: readonly ServerEntry[], now: number, unreadable = 0): void {
-    this.#state.unreadableServers = unreadable
+    this.#state.recovery.unreadableServers = unreadable
     const entries = this.#state.inKnownPools(registered)
     const listed = new Map(entries.map(entry => [entry.id, entry]))
     for (const server of this.#state.servers.values()) server.isListed = listed.has(server.id)
@@ -180,7 +201,7 @@
     const server = this.#state.servers.get(id)
     if (server === undefined) return undefined
     // An unanswered renewal may still take effect later. Renewing only after an answered poll lets the leases expire for certain.
-    const canRenew = server.clockAt(now) > 0 && server.runs.size > 0 && server.missedPolls === 0
+    const canRenew = server.clockAt(now) > 0 && server.runs.size > 0 && server.missedPolls === 0 && !server.isHeld
     return {
       address: server.entry.address,
       acknowledgedPosition: server.acknowledgedPosition,
@@ -284,13 +305,14 @@
     const jobs = [...this.#state.openJobs]
     const servers = [...this.#state.servers.values()]
     const usable = servers.filter(server => server.isUsable)
+    const unknownEpoch = this.#state.recovery.latestUnknownEpoch(this.#lastTimes.now)
     return {
       jobsQueued: jobs.filter(job => job.phase === 'queued').length,
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
-      jobsRecovering: this.#state.isRecoveryComplete(this.#lastTimes.now) ? 0 : jobs.filter(job => job.isOpen && job.isInherited).length,
-      serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.absentServers(this.#lastTimes.now).size,
+      jobsRecovering: jobs.filter(job => job.mayHaveRunsUnder(unknownEpoch)).length,
+      serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
       acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free))
--- /dev/null
+++ b/packages/jobs/src/recovery.ts
@@ -0,0 +1,137 @@
+/** Determines which runs of earlier owners this one may not know yet, and until when. */
+import { epoch, type Epoch } from '@cornelgauge/model'
+import type { ServerId } from './ids.js'
+import { DISCONNECTED_OWNER_MILLISECONDS, LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, OVERWRITTEN_ROW_MILLISECONDS, UNREACHED_SERVER_MILLISECONDS } from './limits.js'
+import type { Server } from './server.js'
+
+/** Bounds of the runs that earlier owners may have left on a backend server. */
+export interface EarlierRuns {
+  /** When all of them have ended at the latest, on our monotonic clock, unless this owner renews their leases. */
+  readonly until: number
+  /** The last owner that may have started one there. */
+  readonly lastEpoch: Epoch
+}
+
+/** What jobs of earlier owners wait for. */
+export interface RecoveryWait {
+  /** Number of backend servers whose runs may be unknown. */
+  readonly servers: number
+  /** One of them, with when the wait for it ends at the latest; undefined while its list of ends is cut. */
+  readonly server?: ServerId
+  readonly until?: number
+}
+
+/**
+ * The backend servers on which earlier owners may have runs that this one doesn't know. A job waits
+ * only for those on which an owner may have started it.
+ *
+ * @example
+ * recovery.inherit(ids, bounds)
+ * job.mayHaveRunsUnder(recovery.latestUnknownEpoch(now))
+ */
+export class Recovery {
+  readonly #servers: ReadonlyMap<ServerId, Server>
+  readonly #startedAt: number
+  /** Bounds on a backend server of which nothing is stored. */
+  readonly #unrecorded: EarlierRuns
+  /** When a backend server whose row another writer has overwritten has written it again at the latest. */
+  readonly #rowsReadableBy: number
+  /** Number of rows of the registry that can't be read. */
+  unreadableServers = 0
+  readonly #bounds = new Map<ServerId, EarlierRuns>()
+  /** Backend servers of earlier owners that the registry has not listed since. */
+  readonly #absentServers = new Set<ServerId>()
+  /** When each backend server became known. */
+  readonly #knownSince = new Map<ServerId, number>()
+  /** Backend servers that have answered this owner, which may have used them. */
+  readonly #reachedServers = new Set<ServerId>()
+  #isComplete = false
+
+  constructor (owner: Epoch, now: number, servers: ReadonlyMap<ServerId, Server>) {
+    this.#servers = servers
+    this.#startedAt = now
+    this.#rowsReadableBy = now + OVERWRITTEN_ROW_MILLISECONDS
+    const until = now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE + DISCONNECTED_OWNER_MILLISECONDS
+    this.#unrecorded = { until, lastEpoch: epoch(Math.max(0, owner - 1)) }
+  }
+
+  /** Adds the backend servers that may have runs of earlier owners, whether they are listed or not, and the bounds that are stored. */
+  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>): void {
+    for (const id of ids) {
+      this.#knownSince.set(id, this.#startedAt)
+      if (!this.#servers.has(id)) this.#absentServers.add(id)
+    }
+    for (const [id, { until, lastEpoch }] of bounds) this.#bounds.set(id, { until: Math.min(until, this.#unrecorded.until), lastEpoch })
+  }
+
+  /** Returns the bounds of the runs of earlier owners on a backend server. */
+  boundsOf (id: ServerId): EarlierRuns {
+    return this.#bounds.get(id) ?? this.#unrecorded
+  }
+
+  noteRegistered (id: ServerId, now: number): void {
+    this.#absentServers.delete(id)
+    if (!this.#knownSince.has(id)) this.#knownSince.set(id, now)
+  }
+
+  noteReached (id: ServerId): void {
+    this.#reachedServers.add(id)
+  }
+
+  /** Backend servers that may have runs of earlier owners, and that the registry has not listed since. */
+  absentServers (now: number): readonly ServerId[] {
+    return [...this.#absentServers].filter(id => now <= this.boundsOf(id).until)
+  }
+
+  /** Of the given backend servers, those that have not answered this owner for a while since it knows of them, so that it hasn't used them. */
+  unreached (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
+    const unreached = new Map<ServerId, EarlierRuns>()
+    for (const id of ids) {
+      const isNew = now < (this.#knownSince.get(id) ?? now) + UNREACHED_SERVER_MILLISECONDS
+      if (!isNew && !this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
+    }
+    return unreached
+  }
+
+  /** Epoch of the last owner of which there may be unknown runs; undefined if there are none. */
+  latestUnknownEpoch (now: number): Epoch | undefined {
+    if (this.#isComplete) return undefined
+    if (this.#mayMissServers(now)) return this.#unrecorded.lastEpoch
+    let latest: Epoch | undefined
+    for (const id of this.#unresolvedServers(now)) {
+      const { lastEpoch } = this.boundsOf(id)
+      if (latest === undefined || lastEpoch > latest) latest = lastEpoch
+      if (latest === this.#unrecorded.lastEpoch) return latest
+    }
+    this.#isComplete = latest === undefined && this.#servers.size > 0
+    return latest
+  }
+
+  /** Returns what a job waits for that was accepted under an earlier owner. */
+  waitOf (acceptedUnder: Epoch, now: number): RecoveryWait {
+    const ids = this.#isComplete ? [] : [...this.#unresolvedServers(now)].filter(id => acceptedUnder <= this.boundsOf(id).lastEpoch)
+    const endOf = (id: ServerId): number => this.#endOf(this.#servers.get(id), id)
+    const last = ids.reduce<ServerId | undefined>((latest, id) => latest === undefined || endOf(id) > endOf(latest) ? id : latest, undefined)
+    if (last === undefined) return { servers: 0, ...(this.#mayMissServers(now) ? { until: this.#servers.size === 0 ? this.#unrecorded.until : this.#rowsReadableBy } : {}) }
+    return { servers: ids.length, server: last, ...(endOf(last) === Infinity ? {} : { until: endOf(last) }) }
+  }
+
+  /** True while backend servers may be missing from those that are known. */
+  #mayMissServers (now: number): boolean {
+    const isRegistryEmpty = this.#servers.size === 0 && now <= this.#unrecorded.until
+    return isRegistryEmpty || (this.unreadableServers > 0 && now < this.#rowsReadableBy)
+  }
+
+  * #unresolvedServers (now: number): Iterable<ServerId> {
+    for (const server of this.#servers.values()) {
+      if (server.isListCut || (server.mayHideRuns(now) && now <= this.#endOf(server, server.id))) yield server.id
+    }
+    yield * this.absentServers(now)
+  }
+
+  /** When the wait for a backend server ends at the latest. Once it has answered, the owner may have renewed leases there, so a stored bound no longer holds. */
+  #endOf (server: Server | undefined, id: ServerId): number {
+    if (server?.isListCut === true) return Infinity
+    return this.#reachedServers.has(id) ? this.#unrecorded.until : this.boundsOf(id).until
+  }
+}
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -113,6 +113,8 @@
   hasMoreEnds = false
   /** The current incarnation has listed all its runs and ends to this owner. */
   hasListedAll = false
+  /** It gets no starts and no renewals of leases until the record for the next owner no longer says so. */
+  isHeld = false
   /** Polls without an answer since the last one that was answered. */
   missedPolls = 0
   lastAnswerAt = -Infinity
@@ -176,7 +178,7 @@
 
   /** True if it may get new work. */
   get isUsable (): boolean {
-    return this.isListed && this.hasAnswered && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
+    return this.isListed && this.hasAnswered && !this.isHeld && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
   }
 
   /** True if it has runs, may still begin some, or gets new ones. */
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -8,11 +8,12 @@
 import type { JobPhase, StepSpecification } from './job.js'
 import type { JobState, StepState, TaskState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
-import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, LEASE_MILLISECONDS, DISCONNECTED_OWNER_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, OVERWRITTEN_ROW_MILLISECONDS, MOVING_AVERAGE_WEIGHT, MINIMUM_SERVER_CLOCK_RATE, STOP_TIME_DECAY } from './limits.js'
+import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, MOVING_AVERAGE_WEIGHT, STOP_TIME_DECAY } from './limits.js'
 import { IdleJobs, type IdleReason } from './idle-jobs.js'
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
+import { Recovery } from './recovery.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
@@ -23,7 +24,7 @@
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
-  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly milliseconds: number, readonly age: number }
+  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
@@ -52,8 +53,6 @@
   readonly missingRuns = new MissingRuns()
   /** Crashes whose cause isn't determined yet. */
   readonly crashes = new Set<Crash>()
-  /** Number of rows of the registry that can't be read. */
-  unreadableServers = 0
   /** Jobs that have nothing running though most of the pool is idle. */
   readonly idleJobs = new IdleJobs()
   /** Counts the work of its rounds. */
@@ -83,19 +82,15 @@
   #lastChange = 0
   #events: PlannerEvent[] = []
   #runCount = 0
-  /** When the leases of all runs of earlier owners have expired at the latest. */
-  readonly #inheritedLeasesEndAt: number
-  /** When a backend server whose row another writer has overwritten has written it again at the latest. */
-  readonly #rowsReadableBy: number
-  #isRecoveryComplete = false
-  /** Backend servers of earlier owners that the registry has not listed since. */
-  readonly #absentServers = new Set<ServerId>()
+  /** Runs of earlier owners that may be unknown. */
+  readonly recovery: Recovery
+  /** Backend servers that must not be used. */
+  #heldServers: ReadonlySet<ServerId> = new Set()
 
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
     this.rules = rules
-    this.#rowsReadableBy = now + OVERWRITTEN_ROW_MILLISECONDS
-    this.#inheritedLeasesEndAt = now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE + DISCONNECTED_OWNER_MILLISECONDS
+    this.recovery = new Recovery(epoch, now, this.servers)
   }
 
   /** Returns the next run number, above all numbers of earlier owners. */
@@ -104,28 +99,16 @@
     return runNumber(this.epoch * RUNS_PER_EPOCH + this.#runCount)
   }
 
-  /** True once every run of an earlier owner has been reported, or its lease has expired and its backend server has no ends left to list. */
-  isRecoveryComplete (now: number): boolean {
-    if (this.#isRecoveryComplete) return true
-    const mayMissServers = this.unreadableServers > 0 && now < this.#rowsReadableBy
-    const isUnresolved = mayMissServers || [...this.servers.values()].some(server => server.mayHideRuns(now))
-    this.#isRecoveryComplete = this.servers.size > 0 && this.#absentServers.size === 0 && !isUnresolved
-    return this.#isRecoveryComplete || (now > this.#inheritedLeasesEndAt && ![...this.servers.values()].some(server => server.isListCut))
-  }
-
-  /** Adds backend servers that may have runs of earlier owners, whether they are listed or not. */
-  inheritServers (ids: Iterable<ServerId>): void {
-    for (const id of ids) if (!this.servers.has(id)) this.#absentServers.add(id)
-  }
-
-  /** Backend servers that may have runs of earlier owners, and that the registry has not listed since. */
-  absentServers (now: number): ReadonlySet<ServerId> {
-    return now > this.#inheritedLeasesEndAt ? new Set() : this.#absentServers
+  /** Replaces the backend servers that get no starts and no renewals of leases, however they answer. */
+  holdServers (ids: ReadonlySet<ServerId>): void {
+    if (ids.size === 0 && this.#heldServers.size === 0) return
+    this.#heldServers = ids
+    for (const server of this.servers.values()) server.isHeld = ids.has(server.id)
   }
 
   /** Ids of the backend servers that may have runs of this owner or of earlier ones. */
   serversToRecover (now: number): ReadonlySet<ServerId> {
-    const ids = new Set(this.absentServers(now))
+    const ids = new Set(this.recovery.absentServers(now))
     for (const server of this.servers.values()) if (server.mayHaveRuns(now)) ids.add(server.id)
     return ids
   }
@@ -238,10 +221,11 @@
 
   /** Returns the backend server of an entry; adds it if it is new. */
   registerServer (entry: ServerEntry, now: number): Server {
-    this.#absentServers.delete(entry.id)
+    this.recovery.noteRegistered(entry.id, now)
     const known = this.servers.get(entry.id)
     if (known !== undefined) return known
-    const server = new Server(entry, Math.max(now, this.#inheritedLeasesEndAt))
+    const server = new Server(entry, Math.max(now, this.recovery.boundsOf(entry.id).until))
+    server.isHeld = this.#heldServers.has(entry.id)
     this.servers.set(entry.id, server)
     return server
   }
--- a/packages/ports/src/memory-row-store.ts
+++ b/packages/ports/src/memory-row-store.ts
@@ -24,6 +24,12 @@
   #discardedUpTo = 0
   #version = 0
   readonly #waiters = new Set<() => void>()
+  readonly #clock: () => number
+
+  /** `clock` is the steady clock that pages carry, in milliseconds. */
+  constructor (clock: () => number = () => performance.now()) {
+    this.#clock = clock
+  }
 
   /** Creates the view of one caller. */
   view (): MemoryRowStoreView {
@@ -48,7 +54,7 @@
   page (table: string, { after = '', limit }: PageRange): RowPage {
     const range = this.rows(table).filter(row => row.key > after)
     const rows = range.slice(0, limit)
-    return { rows, version: this.#version, hasMore: rows.length < range.length, bytes: JSON.stringify(rows).length }
+    return { rows, version: this.#version, hasMore: rows.length < range.length, bytes: JSON.stringify(rows).length, clock: this.#clock() }
   }
 
   /** Applies a transaction if its conditions hold. */
--- a/packages/ports/src/row-store.ts
+++ b/packages/ports/src/row-store.ts
@@ -64,6 +64,8 @@
   readonly hasMore: boolean
   /** Length of the page as transferred, in bytes. */
   readonly bytes: number
+  /** The store's steady clock, which all callers share, when it answered, in milliseconds; undefined if it didn't say. */
+  readonly clock?: number
 }
 
 /** One change of a row; without a value the row was deleted. */
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -258,7 +258,7 @@
     number: 1041,
     level: 'warning',
     sentence: 'A job has nothing running for over 4 s, though a task of it is ready and most of the pool is idle; logged every 2 s, for 20 jobs at most.',
-    fields: { job: 'id of the job', task: 'a task that is ready', reason: 'what it waits for: recovery: runs of earlier owners are not all known; queue: the terms of its queue are unknown; run: an earlier run has not ended, as far as is known; crash: backend servers have crashed under it; capacity: it is not placed', server: 'where the run is that it waits for', milliseconds: 'how long', age: 'milliseconds since the job was accepted' },
+    fields: { job: 'id of the job', task: 'a task that is ready', reason: 'what it waits for: recovery: runs of earlier owners are not all known; queue: the terms of its queue are unknown; run: an earlier run has not ended, as far as is known; crash: backend servers have crashed under it; capacity: it is not placed', server: 'where the run is that it waits for; for recovery the backend server that it waits for longest', servers: 'for recovery, the number of backend servers that may have runs of it', waitMilliseconds: 'for recovery, how long it still waits for them at most; absent while a list of ends is cut', milliseconds: 'how long', age: 'milliseconds since the job was accepted' },
     action: 'For run inspect the backend server; for queue configure the queue again; for capacity compare the needs of the task with what the backend servers have free.'
   }
 } as const satisfies CatalogueRows
