End the wait for backend servers that were replaced at their addresses

Jobs of earlier owners waited for the leases on a backend server that had crashed, up to 9.1 s, though another one answered at its address 3 s later. The owner now takes an answer there to a poll that was sent after the earlier server was known, and had last answered, as its end, and tells the next owner that no run is left there.

The new tests in following-owners.test.ts fail without the change (3 of 5; the others guard against too early an end, and one of them fails if the order of the two servers is ignored). A test of recoverable-servers gave one server the address of another that was alive, which two servers can't have at once; it now has an address of its own, and expects what it did.

--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -45,6 +45,8 @@
   readonly #knownSince = new Map<ServerId, number>()
   /** Backend servers that have answered this owner, which may have used them. */
   readonly #reachedServers = new Set<ServerId>()
+  /** The last backend server that has answered this owner at each address, and when it was asked. */
+  readonly #lastAnswers = new Map<string, { readonly id: ServerId, readonly at: number }>()
   #isComplete = false
 
   constructor (owner: Epoch, now: number, servers: ReadonlyMap<ServerId, Server>) {
@@ -74,8 +76,16 @@
     if (!this.#knownSince.has(id)) this.#knownSince.set(id, now)
   }
 
-  noteReached (id: ServerId): void {
+  /** Notes an answer of a backend server to a poll. */
+  noteAnswer ({ id, entry }: Server, askedAt: number): void {
     this.#reachedServers.add(id)
+    if (askedAt >= (this.#lastAnswers.get(entry.address)?.at ?? -Infinity)) this.#lastAnswers.set(entry.address, { id, at: askedAt })
+  }
+
+  /** True if another backend server has answered at its address since it was known and has answered itself, so that it has ended with all its runs. */
+  isReplaced ({ id, entry, lastAnswerAt }: Server): boolean {
+    const last = this.#lastAnswers.get(entry.address)
+    return last !== undefined && last.id !== id && last.at > Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt)
   }
 
   /** Backend servers that may have runs of earlier owners, and that the registry has not listed since. */
@@ -83,12 +93,17 @@
     return [...this.#absentServers].filter(id => now <= this.boundsOf(id).until)
   }
 
-  /** Of the given backend servers, those that have not answered this owner for a while since it knows of them, so that it hasn't used them. */
+  /**
+   * Of the given backend servers, those that this owner hasn't used, since they have not answered for a while since it knows of
+   * them, and those that were replaced, with the bounds for the next owner.
+   */
   unreached (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
     const unreached = new Map<ServerId, EarlierRuns>()
     for (const id of ids) {
+      const server = this.#servers.get(id)
       const isNew = now < (this.#knownSince.get(id) ?? now) + UNREACHED_SERVER_MILLISECONDS
-      if (!isNew && !this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
+      if (server !== undefined && this.isReplaced(server)) unreached.set(id, { until: this.#startedAt, lastEpoch: epoch(0) })
+      else if (!isNew && !this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
     }
     return unreached
   }
@@ -124,7 +139,8 @@
 
   * #unresolvedServers (now: number): Iterable<ServerId> {
     for (const server of this.#servers.values()) {
-      if (server.isListCut || (server.mayHideRuns(now) && now <= this.#endOf(server, server.id))) yield server.id
+      const mayHideRuns = server.mayHideRuns(now) && now <= this.#endOf(server, server.id) && !this.isReplaced(server)
+      if (server.isListCut || mayHideRuns) yield server.id
     }
     yield * this.absentServers(now)
   }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -28,7 +28,7 @@
     applyRestart(state, server, report.incarnation, { now: report.receivedAt, wallTime }, report.running)
   }
   server.recordAnswer(report.clock, report.receivedAt)
-  state.recovery.noteReached(server.id)
+  state.recovery.noteAnswer(server, report.sentAt)
   server.hasRefusedForCapacity = false
   server.hasMoreEnds = report.hasMoreEnds
   server.hasListedAll ||= !report.hasMoreEnds
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -109,7 +109,10 @@
   /** Ids of the backend servers that may have runs of this owner or of earlier ones. */
   serversToRecover (now: number): ReadonlySet<ServerId> {
     const ids = new Set(this.recovery.absentServers(now))
-    for (const server of this.servers.values()) if (server.mayHaveRuns(now)) ids.add(server.id)
+    for (const server of this.servers.values()) {
+      const hasEnded = !server.isListed && this.recovery.isReplaced(server)
+      if (server.mayHaveRuns(now) && !hasEnded) ids.add(server.id)
+    }
     return ids
   }
 
--- a/packages/jobs/test/following-owners.test.ts
+++ b/packages/jobs/test/following-owners.test.ts
@@ -1,7 +1,7 @@
 import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
 import { Planner, serverId, type EarlierRuns, type PlannerEvent, type ServerId, type StoredJob } from '../src/index.js'
-import { CONFIGURATION, job, step, World } from './world.js'
+import { CONFIGURATION, FakeServer, job, step, World } from './world.js'
 
 /** Upper limit of the time from the claim of a new owner until no lease of an earlier one is left. */
 const LEASES_OVER_MILLISECONDS = 9200
@@ -78,7 +78,7 @@
     takeOver(2, storedUnder(1))
     work(2000)
     expect([...bounds.keys()]).to.deep.equal([GONE])
-    world.planner.updateServers([...world.entries, { ...world.entries[0]!, id: GONE }], world.now)
+    world.planner.updateServers([...world.entries, { ...world.entries[0]!, id: GONE, address: '10.0.0.99:80' }], world.now)
     world.planner.applyReport(GONE, { incarnation: 1, clock: 100_000 + world.now, running: [], ended: [], hasMoreEnds: false, sentAt: world.now, receivedAt: world.now + 1 }, world.wallTime)
     work(200)
     expect([...bounds.keys()]).to.deep.equal([])
@@ -98,6 +98,73 @@
     expect(idle!.waitMilliseconds).to.be.within(1000, 5200)
   })
 
+  // Guards against waits for the leases on backend servers that have crashed and are back under other ids.
+  describe('when another backend server answers at the address of one that doesn\'t', () => {
+    let holder: FakeServer
+    let replacement: FakeServer
+
+    beforeEach(() => {
+      world.planner.submit(job('a', { queue: 'urgent' }))
+      world.settle()
+      holder = world.serverRunning('a.0.0.0')!
+      ids = world.planner.serversToRecover(world.now)
+      holder.crash(Infinity)
+      takeOver(2, [{ job: job('a', { queue: 'urgent' }), isCancelled: false }])
+      replacement = new FakeServer({ ...holder.entry, id: serverId('replacement') })
+      work(1000)
+      expect(world.starts).to.have.length(1)
+    })
+
+    it('start jobs at once that may have had runs there', () => {
+      world.servers.push(replacement)
+      world.listServers()
+      work(300)
+      expect(started()).to.deep.equal(['a.0.0.0', 'a.0.0.0'])
+    })
+
+    it('pass it on without runs while it is registered, and not at all afterwards', () => {
+      world.servers.push(replacement)
+      world.listServers()
+      work(1000)
+      expect(ids.has(holder.entry.id)).to.equal(true)
+      expect(bounds.get(holder.entry.id)).to.include({ lastEpoch: epoch(0) })
+      world.servers.splice(world.servers.indexOf(holder), 1)
+      world.listServers()
+      work(200)
+      expect(ids.has(holder.entry.id)).to.equal(false)
+    })
+
+    it('pass on one without runs that they have used before', () => {
+      world.servers.push(replacement)
+      world.listServers()
+      work(300)
+      const user = world.serverRunning('a.0.0.0')!
+      user.crash(Infinity)
+      world.servers.push(new FakeServer({ ...user.entry, id: serverId('second') }))
+      world.listServers()
+      work(300)
+      expect(bounds.get(user.entry.id)).to.include({ lastEpoch: epoch(0) })
+    })
+
+    it('wait on if the other one only is registered there', () => {
+      replacement.connectivity = 'silent'
+      world.servers.push(replacement)
+      world.listServers()
+      work(3000)
+      expect(world.starts).to.have.length(1)
+    })
+
+    it('wait on for one that was registered after the other had answered', () => {
+      const earlier = world.servers.find(server => server !== holder)!
+      const later = new FakeServer({ ...earlier.entry, id: serverId('later') })
+      for (const server of [earlier, later]) server.connectivity = 'silent'
+      world.servers.splice(world.servers.indexOf(holder), 1, later)
+      world.listServers()
+      work(2000)
+      expect(bounds.get(later.entry.id)).to.include({ lastEpoch: epoch(1) })
+    })
+  })
+
   describe('while the list of ends of a backend server is cut', () => {
     beforeEach(() => {
       takeOver(2, storedUnder(1))
--- a/packages/jobs/test/recoverable-servers.test.ts
+++ b/packages/jobs/test/recoverable-servers.test.ts
@@ -111,7 +111,7 @@
     })
 
     it('delay no job once they are registered and have answered', () => {
-      const returned = { ...server.entry, id: GONE }
+      const returned = { ...server.entry, id: GONE, address: '10.0.0.99:80' }
       world.listServers([...world.servers.map(each => each.entry), returned])
       world.settle()
       expect(world.starts).to.have.length(0)
