--- a/packages/entry/test/following-owners.test.ts
+++ b/packages/entry/test/following-owners.test.ts
@@ -3,6 +3,8 @@
 
 const SEEDS = Array.from({ length: 16 }, (_, index) => 7919 + index)
 const PLAY_MILLISECONDS = 60_000
+/** Time limit of a test on a busy machine. */
+const TEST_MILLISECONDS = 60_000
 
 describe('owners that follow each other while backend servers are cut off', () => {
   // Guards against a start of a task that runs on a backend server which the last owner had not reached.
@@ -15,11 +17,11 @@
       trusted += play.trusted
     }
     expect(trusted).to.be.greaterThan(SEEDS.length)
-  })
+  }).timeout(TEST_MILLISECONDS)
 
   it('would start some if they used backend servers that the record lists as unreached', async () => {
     let doubles = 0
     for (const seed of SEEDS) doubles += (await new FollowingOwnersPlay(seed, { ignoresRecord: true }).run(PLAY_MILLISECONDS)).doubles.length
     expect(doubles).to.be.greaterThan(0)
-  })
+  }).timeout(TEST_MILLISECONDS)
 })
