Let backend servers be used whose record the store has refused

A backend server that the record for the next owner may list as unreached is held until a record without it is stored. A write that the store refused without effect counted like one without an answer: a server that answered then got no start and no renewal until the store was back, and its runs lapsed. Found by a review; the new test failed before.

--- a/packages/entry/src/server-record.ts
+++ b/packages/entry/src/server-record.ts
@@ -4,7 +4,7 @@
  * an owner hasn't used, it also stores when nothing of earlier owners runs there any more.
  */
 import { serverId, type EarlierRuns, type ServerId } from '@cornelgauge/jobs'
-import { CornelgaugeError, digestOf, type Epoch } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError, digestOf, type Epoch } from '@cornelgauge/model'
 import type { RowStore } from '@cornelgauge/ports'
 import { SERVER_RECORD_ROWS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
@@ -126,10 +126,15 @@
     this.#stored = wanted.length === 0 ? { ids, unreached: recorded } : undefined
     if (wanted.length === 0) return
     const conditions = wanted.map(([key]) => ({ table: SERVERS_TABLE, key, version: this.#row(key).version }))
+    const before = new Map(wanted.map(([key]) => [key, this.#row(key)]))
     for (const [key, { bounds }] of wanted) this.#rows.set(key, uncertain(this.#row(key), bounds.keys()))
     const outcome = await this.#store.write({
       conditions: [{ table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }, ...conditions],
       puts: wanted.map(([key, row]) => ({ table: SERVERS_TABLE, key, value: encodeServerRow(row.ids, this.#owner.epoch, row.bounds) }))
+    }).catch(thrown => {
+      // A write that was refused has no effect, so the backend servers that it lists may be used.
+      if (asFailure(thrown).code === 'overloaded') for (const [key, row] of before) this.#rows.set(key, row)
+      throw thrown
     })
     if (outcome.type === 'written') {
       for (const [key, row] of wanted) this.#rows.set(key, { version: outcome.version, content: contentOf(row.ids, row.bounds), unreached: idsOf(row.bounds.keys()) })
--- a/packages/entry/test/server-record.test.ts
+++ b/packages/entry/test/server-record.test.ts
@@ -144,6 +144,15 @@
       expect([...record.unreachedServers]).to.deep.equal(['a'])
     })
 
+    it('lists none of them that a refused call would have stored', async () => {
+      view.fault = 'refusing'
+      expect(await codeOf(record.write(idsOf('a'), unreached(performance.now() + 5000, 'a')))).to.equal('overloaded')
+      expect([...record.unreachedServers]).to.deep.equal([])
+      view.fault = 'none'
+      await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
+      expect((await boundsFor(await nextOwner())).size).to.equal(1)
+    })
+
     it('lists what an earlier record of the same owner has stored', async () => {
       await record.write(idsOf('a'), unreached(performance.now() + 5000, 'a'))
       record = new ServerRecord(view, owner, await readServers(view))
