Wait for a cut list of ends until the leases there have expired

A new owner that had reached a backend server with a cut list of ends waited for it 9.1 s from its claim at most, although it renewed the leases there: one missed poll after that time released the inherited jobs, and a task whose end was behind the cut was started again.

--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -145,9 +145,10 @@
     yield * this.absentServers(now)
   }
 
-  /** When the wait for a backend server ends at the latest. Once it has answered, the owner may have renewed leases there, so a stored bound no longer holds. */
+  /** When the wait for a backend server ends at the latest. Once it has answered, the owner may have renewed leases there, so the bounds no longer hold. */
   #endOf (server: Server | undefined, id: ServerId): number {
     if (server?.isListCut === true) return Infinity
-    return this.#reachedServers.has(id) ? this.#unrecorded.until : this.boundsOf(id).until
+    if (!this.#reachedServers.has(id)) return this.boundsOf(id).until
+    return Math.max(this.#unrecorded.until, server?.leasesExpiredBy ?? -Infinity)
   }
 }
--- a/packages/jobs/test/cut-lists.test.ts
+++ b/packages/jobs/test/cut-lists.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { jobId, type StoredJob } from '../src/index.js'
+import { jobId, type StartCommand, type StoredJob } from '../src/index.js'
 import { job, step, World, type FakeServer } from './world.js'
 
 const TASKS = 6
@@ -83,6 +83,20 @@
       expect(world.starts).to.have.length(TASKS)
     })
 
+    it('doesn\'t make it do so for a missed poll while it renews leases there', () => {
+      server.start({ task: 'b.0.0.0', run: 1_000_099 } as unknown as StartCommand)
+      world.takeOver(2, [stored, { job: job('b'), isCancelled: false, progress: { hasBegun: true, steps: {} } }])
+      world.servers.push(new World(2).servers[1]!)
+      for (let time = 0; time < 12; time += 1) {
+        world.now += 1000
+        world.listServers()
+        world.settle()
+      }
+      server.connectivity = 'silent'
+      world.settle()
+      expect(world.starts).to.have.length(TASKS)
+    })
+
     it('keeps the backend server recorded for the next owner while it drains', () => {
       world.listServers(world.entries.map(entry => ({ ...entry, isDraining: true })))
       for (let time = 0; time < 12; time += 1) {
