Count stored bounds below zero as none

A bound before the start of the store's clock, or an epoch below zero, can only be a damaged row; it released the jobs of earlier owners at once. The test has both cases, and failed with them before.

--- a/packages/entry/src/server-row.ts
+++ b/packages/entry/src/server-row.ts
@@ -72,7 +72,7 @@
 }
 
 const isText = (value: unknown): value is string => typeof value === 'string'
-const isWhole = (value: unknown): value is number => Number.isSafeInteger(value)
+const isWhole = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 
 function isWireBounds (value: unknown): value is WireBounds {
   return Array.isArray(value) && isWhole(value[0]) && isWhole(value[1]) && isList(value[2], isWhole)
--- a/packages/entry/test/server-record.test.ts
+++ b/packages/entry/test/server-record.test.ts
@@ -193,11 +193,13 @@
         puts: [
           { table: 'run-servers', key: '0', value: { ids: ['a'], unreached: 7 } },
           { table: 'run-servers', key: '1', value: { ids: ['b'], unreached: { under: owner.epoch, bounds: [['soon', 1, [0]]] } } },
-          { table: 'run-servers', key: '2', value: { ids: ['c'], unreached: { under: owner.epoch, bounds: [[1, 1, [5]]] } } }
+          { table: 'run-servers', key: '2', value: { ids: ['c'], unreached: { under: owner.epoch, bounds: [[1, 1, [5]]] } } },
+          { table: 'run-servers', key: '3', value: { ids: ['d'], unreached: { under: owner.epoch, bounds: [[-1, 1, [0]]] } } },
+          { table: 'run-servers', key: '4', value: { ids: ['e'], unreached: { under: owner.epoch, bounds: [[1, -1, [0]]] } } }
         ]
       })
       const { ids, damaged } = await readServers(view)
-      expect([...ids]).to.have.members(['a', 'b', 'c'])
+      expect([...ids]).to.have.members(['a', 'b', 'c', 'd', 'e'])
       expect(damaged).to.deep.equal([])
       expect((await boundsFor(await nextOwner())).size).to.equal(0)
     })
