--- a/packages/jobs/src/crash-evidence.ts
+++ b/packages/jobs/src/crash-evidence.ts
@@ -79,7 +79,7 @@
   /**
    * True if a task has shown to be the cause: it is exhausted, and coincidence doesn't explain its crashes. Crashes
    * that only the task can explain show it sooner, if few others crash or if all came when it had just started.
-   * The background tells only of recent crashes, so without one under the task just now it explains none.
+   * The background covers recent crashes only, so it is compared with later exposures only right after a crash under the task.
    */
   isCause (task: number, attributed: ReadonlySet<number>, { crashesPerServerMillisecond, isKnown }: Background, hasJustCrashed: boolean): boolean {
     const crashes = [...this.#crashes.get(task)?.values() ?? []]
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -20,7 +20,7 @@
 export const GIVE_UP_STARTS = 5
 /** Crashes that are remembered for each task. */
 export const REMEMBERED_CRASHES = 5
-/** Time from a start to a crash up to which coincidence isn't taken for an explanation of crashes that often, in milliseconds. */
+/** Time from a start to a crash up to which the starts of a task are bounded whatever the background is, in milliseconds. */
 export const SHORT_EXPOSURE_MILLISECONDS = 5000
 /** Crashes that are expected by coincidence in the time that a task was at work, from which on these explain those under it: if all came at about the same time after the start, and if not. */
 export const MOST_COINCIDENCES_IF_ALIKE = 0.5
@@ -31,7 +31,7 @@
 export const QUIET_COINCIDENCES = 0.01
 /** Other backend servers that crash at the same time from which on a crash isn't counted against the tasks there: more than single crashes in close succession. */
 export const MASS_OUTAGE_SERVERS = 3
-/** How long crashes of other backend servers are remembered, whose rate tells how many come by coincidence, in milliseconds. */
+/** Period over which the crash rate of other backend servers is measured, in milliseconds. */
 export const BACKGROUND_MILLISECONDS = 30_000
 /** How much longer than until an earlier crash a run has to work to refute it while it may still crash itself, in milliseconds: tasks don't crash at exactly the same time. */
 export const REFUTATION_MARGIN_MILLISECONDS = 2000
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -114,7 +114,7 @@
     const attributed = toRecord(this.#attributed)
     const lostAtStart = toRecord(this.#lostAtStart)
     const { progress: crashes, otherEnds } = this.evidence
-    // Without any crashes the losses would be taken for those of an earlier release.
+    // Losses without this field are decoded as those of an earlier release.
     const hasCrashes = lost !== undefined || Object.keys(crashes).length > 0
     return { ...(otherEnds === undefined ? {} : { otherEnds }), ...(hasCrashes ? { crashes } : {}), ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }), ...(lostAtStart === undefined ? {} : { lostAtStart }) }
   }
@@ -128,7 +128,7 @@
   }
 }
 
-/** Crashes from the progress of an earlier release, which doesn't tell which members of a gang were lost with their backend servers, only those that a crash is attributed to. */
+/** Crashes from the progress of an earlier release. Of a gang it stores only the members to which a crash was attributed. */
 function earlierCrashes ({ lost, attributed, lostAtStart }: Required<Pick<StoredLosses, 'lost' | 'attributed' | 'lostAtStart'>>, isGang: boolean): StoredCrashes {
   const toCrashes = ([task, runs]: readonly [string, readonly number[]]): readonly [string, readonly (readonly [number, number | null])[]] => {
     const atStart = lostAtStart[isGang ? '0' : task] ?? []
