Log how long a job waits under all owners together

Cause: event 1041 `job-idle` took 4 s of one owner's life, and in a chain of owners each lives about as long, so jobs that waited 26 s over five owners were never logged. Which of more than 20 jobs were logged was left to the order of the map.

Change: the stored progress of a job has `idleSince`, the time of day since which nothing of it runs, while a task of it is ready. It is written with the progress, and causes no write. The next owner restores it; a job that never began counts from its acceptance, or from when it is first due. An owner makes its first check 1 s after its first round, when the backend servers that it reaches have answered, and counts the wait under earlier owners there; later the 4 s count as before, from when it sees the job idle in an idle pool. The event has the field `epoch`, and `milliseconds` is the whole wait. The jobs that have waited longest are logged. Within an owner the wait is on the monotonic clock; a stored time that is still to come is ignored, as is an odd one, for the job is worth more than its log line. Progress of earlier releases has none.

Limits: an owner that lives for less than 1 s after its load logs nothing. A run that began after the last write of the progress, on a backend server that the next owner doesn't reach, isn't known to it, so the wait logged may include that run.

--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -1,9 +1,11 @@
 /** Finds jobs that have nothing running for long though most of the pool is idle, and what they wait for. */
 import type { Epoch } from '@cornelgauge/model'
 import type { ServerId, TaskName } from './ids.js'
+import { dueAt } from './job.js'
 import type { JobState, TaskState } from './job-state.js'
-import { IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS, MAXIMUM_IDLE_JOBS_LOGGED } from './limits.js'
+import { FIRST_IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS, MAXIMUM_IDLE_JOBS_LOGGED } from './limits.js'
 import type { RoundTimes } from './placement-round.js'
+import type { JobProgress } from './progress.js'
 import { isMostlyIdle, snapshotOf } from './round-snapshots.js'
 import type { PlannerState } from './state.js'
 
@@ -25,38 +27,86 @@
   readonly server?: ServerId
 }
 
-/** Jobs that have nothing running, with the time since which that is so. */
+/** Tasks of a job that has nothing running. */
+interface WaitingTasks {
+  readonly first: TaskState
+  /** One with a run that hasn't ended. */
+  readonly unresolved: TaskState | undefined
+  readonly isSuspect: boolean
+}
+
+/** Jobs that have nothing running while most of the pool is idle, with the time since which that is so. */
 export class IdleJobs {
   readonly #since = new Map<JobState, number>()
-  #checkedAt = -Infinity
+  #nextCheckAt: number | undefined
+  /** No check has taken place yet. */
+  #isFirst = true
 
   /**
-   * Records an event for each job that has been idle for longer than the limit, and for a limited number of jobs each time.
+   * Records an event for each job that has been idle for longer than the limit, and for a limited number of jobs each time:
+   * those that have waited longest. The first check counts the time under earlier owners too.
    *
    * @example
    * idleJobs.check(state, { now, wallTime })
    */
   check (state: PlannerState, { now, wallTime }: RoundTimes): void {
-    if (now - this.#checkedAt < IDLE_JOB_CHECK_MILLISECONDS) return
-    this.#checkedAt = now
+    this.#nextCheckAt ??= now + FIRST_IDLE_JOB_CHECK_MILLISECONDS
+    if (now < this.#nextCheckAt) return
+    this.#nextCheckAt = now + IDLE_JOB_CHECK_MILLISECONDS
     const isPoolIdle = isMostlyIdle(snapshotOf(state, now))
     for (const job of this.#since.keys()) if (!job.isOpen) this.#since.delete(job)
     const unknownEpoch = state.recovery.latestUnknownEpoch(now)
-    let logged = 0
+    const found: { readonly job: JobState, readonly idle: IdleJob, readonly milliseconds: number }[] = []
     for (const job of state.openJobs) {
       const idle = isPoolIdle ? idleJob(state, job, unknownEpoch) : undefined
-      const since = this.#since.get(job) ?? now
-      if (idle === undefined) this.#since.delete(job)
-      else this.#since.set(job, since)
-      if (idle === undefined || now - since < IDLE_JOB_MILLISECONDS || logged === MAXIMUM_IDLE_JOBS_LOGGED) continue
-      logged += 1
+      if (idle === undefined) {
+        this.#since.delete(job)
+        continue
+      }
+      job.idleSince ??= now
+      const since = this.#since.get(job) ?? (this.#isFirst ? job.idleSince : now)
+      this.#since.set(job, since)
+      if (now - since >= IDLE_JOB_MILLISECONDS) found.push({ job, idle, milliseconds: now - job.idleSince })
+    }
+    this.#isFirst = false
+    found.sort((one, other) => other.milliseconds - one.milliseconds)
+    for (const { job, idle, milliseconds } of found.slice(0, MAXIMUM_IDLE_JOBS_LOGGED)) {
       const wait = idle.reason === 'recovery' ? recoveryWait(state, job, now) : {}
-      state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, ...wait, milliseconds: now - since, age: wallTime - job.job.acceptedAt })
+      state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, ...wait, epoch: state.epoch, milliseconds, age: wallTime - job.job.acceptedAt })
     }
   }
 }
 
-function idleJob (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined): IdleJob | undefined {
+/**
+ * Returns the time of day since which a job has nothing running, in the form that is stored with its progress;
+ * nothing if it has ended, a task of it runs or none is ready.
+ *
+ * @example
+ * const { idleSince } = storedIdleSince(job, { now, wallTime })
+ */
+export function storedIdleSince (job: JobState, { now, wallTime }: RoundTimes): Pick<JobProgress, 'idleSince'> {
+  if (!job.isOpen || waitingTasks(job) === undefined) return {}
+  job.idleSince ??= now
+  return { idleSince: Math.max(0, Math.round(wallTime - Math.max(0, now - job.idleSince))) }
+}
+
+/**
+ * Sets since when a job has nothing running: one that never began since it was accepted or first due, any other as
+ * an earlier owner stored it. A time that is still to come, after a change of the time of day, counts as unknown.
+ * A run that began after the last write of the progress isn't known before a backend server lists it.
+ *
+ * @example
+ * restoreIdleSince(job, progress?.idleSince, { now, wallTime })
+ */
+export function restoreIdleSince (job: JobState, stored: number | undefined, { now, wallTime }: RoundTimes): void {
+  const firstDueAt = dueAt(job.job, 0)
+  const since = job.phase === 'queued' ? firstDueAt : stored
+  if (since === undefined || since > wallTime || firstDueAt > wallTime) return
+  job.idleSince = now - (wallTime - Math.max(since, firstDueAt))
+}
+
+/** Returns the tasks that a job could run; undefined if one runs or none is ready. */
+function waitingTasks (job: JobState): WaitingTasks | undefined {
   let first: TaskState | undefined
   let unresolved: TaskState | undefined
   let isSuspect = false
@@ -69,7 +119,13 @@
       isSuspect ||= step.losses.isSuspect(step.unitOf(task))
     }
   }
-  if (first === undefined) return undefined
+  return first === undefined ? undefined : { first, unresolved, isSuspect }
+}
+
+function idleJob (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined): IdleJob | undefined {
+  const waiting = waitingTasks(job)
+  if (waiting === undefined) return undefined
+  const { first, unresolved, isSuspect } = waiting
   if (job.mayHaveRunsUnder(unknownEpoch)) return { task: first.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -142,6 +142,8 @@
   isFinalStored = false
   /** When this owner first saw the stored final phase, on the monotonic clock. */
   finalSeenAt: number | undefined
+  /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
+  idleSince: number | undefined
   readonly #occurrences = new Map<number, readonly StepState[]>()
   /** Those that aren't known to be done. */
   readonly #openOccurrences = new Map<number, readonly StepState[]>()
@@ -156,6 +158,12 @@
     return this.phase === 'queued' || this.phase === 'running'
   }
 
+  /** Records that a run of it is known to exist. */
+  noteRunning (): void {
+    if (this.phase === 'queued') this.phase = 'running'
+    this.idleSince = undefined
+  }
+
   /** True if an owner up to this epoch may have started it; undefined stands for none. */
   mayHaveRunsUnder (latest: Epoch | undefined): boolean {
     return this.isInherited && latest !== undefined && this.job.acceptedUnder <= latest
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -8,6 +8,7 @@
 import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import { EarlyCancellations } from './early-cancellations.js'
+import { restoreIdleSince, storedIdleSince } from './idle-jobs.js'
 import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
 import { endJob } from './job-end.js'
@@ -77,6 +78,7 @@
     this.#lastTimes = times
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
+      restoreIdleSince(state, progress?.idleSince, times)
       this.#state.addJob(state)
       findExhausted(this.#state, state)
       if (isCancelled) this.cancel(job.id, times.wallTime)
@@ -162,7 +164,9 @@
   submit (job: Job): boolean {
     if (job.acceptedUnder > this.epoch) return false
     if (this.#state.jobs.has(job.id)) return true
-    this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    const state = new JobState(job, job.acceptedUnder < this.epoch)
+    restoreIdleSince(state, undefined, this.#lastTimes)
+    this.#state.addJob(state)
     assignUnknownRuns(this.#state)
     const cancelledAt = this.#earlyCancellations.take(job.id)
     if (cancelledAt !== undefined) this.cancel(job.id, cancelledAt)
@@ -252,7 +256,8 @@
 
   /** Returns a job's progress in the form that is stored. */
   progressOf (id: JobId): JobProgress | undefined {
-    return this.#state.jobs.get(id)?.progress
+    const job = this.#state.jobs.get(id)
+    return job === undefined ? undefined : { ...job.progress, ...storedIdleSince(job, this.#lastTimes) }
   }
 
   /** Marks the progress of jobs as stored, as of these changes. */
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -22,6 +22,8 @@
   readonly phase?: JobPhase
   /** When the job ended, in milliseconds since 1970. */
   readonly finishedAt?: number
+  /** Since when nothing of the job runs, in milliseconds since 1970; absent while a task runs or none is ready, and in earlier releases. */
+  readonly idleSince?: number
   /** A task of the job has started. */
   readonly hasBegun: boolean
   /** Progress by `occurrence.step`; steps without any are omitted. */
@@ -58,8 +60,9 @@
   if (typeof text !== 'string') throw new CornelgaugeError('record-damaged', { detail: 'A progress record has no text' })
   const value = parse(text) as Partial<StoredProgress> | null
   if (typeof value === 'object' && value !== null && isPhase(value.phase) && isTime(value.finishedAt)) {
-    const { steps, stepsBesideBits, ...rest } = value
-    const progress = { ...rest, hasBegun: value.hasBegun === true }
+    const { steps, stepsBesideBits, idleSince, ...rest } = value
+    // It serves the log only, so an odd value isn't worth the job.
+    const progress = { ...rest, ...(isIndex(idleSince) ? { idleSince } : {}), hasBegun: value.hasBegun === true }
     if (typeof value.doneBits === 'string' && isSteps(stepsBesideBits)) return { ...progress, steps: stepsBesideBits }
     if (value.doneBits === undefined && isSteps(steps)) return { ...progress, steps }
   }
@@ -79,7 +82,7 @@
 }
 
 const isTime = (value: unknown): value is number | undefined => value === undefined || Number.isFinite(value)
-const isIndex = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0
+const isIndex = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 const areIndexes = (value: unknown): value is readonly number[] => Array.isArray(value) && value.every(isIndex)
 
 function isSteps (value: unknown): value is JobProgress['steps'] {
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -80,8 +80,7 @@
   if (run.confirmedAt <= now) return
   if (run.state === 'starting' || (run.state === 'unconfirmed' && run.stopReason === undefined)) run.state = 'running'
   run.confirmedAt = now
-  const job = state.task(run.task)?.step.job
-  if (job?.phase === 'queued') job.phase = 'running'
+  state.task(run.task)?.step.job.noteRunning()
 }
 
 /**
@@ -124,7 +123,7 @@
   if (task === undefined) return requestStop(run, 'unknown-job')
   task.runs.add(run)
   const { job } = task.step
-  if (job.phase === 'queued') job.phase = 'running'
+  job.noteRunning()
   if (task.isDone) return requestStop(run, 'done-elsewhere')
   return job.isOpen ? run : requestStop(run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
 }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -26,7 +26,7 @@
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number, readonly exposureMilliseconds?: number, readonly background: number }
   | { readonly type: 'crashes-refuted', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly discarded: number, readonly workedMilliseconds: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
-  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly milliseconds: number, readonly age: number }
+  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -257,8 +257,8 @@
   'job-idle': {
     number: 1041,
     level: 'warning',
-    sentence: 'A job has nothing running for over 4 s, though a task of it is ready and most of the pool is idle; logged every 2 s, for 20 jobs at most.',
-    fields: { job: 'id of the job', task: 'a task that is ready', reason: 'what it waits for: recovery: runs of earlier owners are not all known; queue: the terms of its queue are unknown; run: an earlier run has not ended, as far as is known; crash: backend servers have crashed under it; capacity: it is not placed', server: 'where the run is that it waits for; for recovery the backend server that it waits for longest', servers: 'for recovery, the number of backend servers that may have runs of it', waitMilliseconds: 'for recovery, how long it still waits for them at most; absent while a list of ends is cut', milliseconds: 'how long', age: 'milliseconds since the job was accepted' },
+    sentence: 'A job has nothing running for over 4 s, though a task of it is ready and most of the pool is idle; logged every 2 s, for the 20 jobs at most that have waited longest.',
+    fields: { job: 'id of the job', task: 'a task that is ready', reason: 'what it waits for: recovery: runs of earlier owners are not all known; queue: the terms of its queue are unknown; run: an earlier run has not ended, as far as is known; crash: backend servers have crashed under it; capacity: it is not placed', server: 'where the run is that it waits for; for recovery the backend server that it waits for longest', servers: 'for recovery, the number of backend servers that may have runs of it', waitMilliseconds: 'for recovery, how long it still waits for them at most; absent while a list of ends is cut', epoch: 'fencing epoch of the owner that logs it; the lines of one job show under which owners it waits', milliseconds: 'how long nothing of it has run, under all owners together', age: 'milliseconds since the job was accepted' },
     action: 'For run inspect the backend server; for queue configure the queue again; for capacity compare the needs of the task with what the backend servers have free.'
   },
   'crashes-refuted': {
