End runs once another backend server answers at their address

Cause: a run on a crashed backend server held its task until its lease had expired, 6.1 s after the last answer, also when another server had taken the address and its answers had shown that the earlier one had ended. Only the waits for earlier owners used that, and the count of lost runs.

Change: a round removes the runs of a server that was replaced, and counts them as lost unless the registration of the new one did so before. Starts that weren't confirmed stay among the revoked ones, so an id that is back has them stopped. A server isn't replaced by an answer from before its last known restart, or if its row names another address than that of its last answer: its runs are where it answered. The runs remain those of its last outage, so a gang that crashes all its servers is still seen as the cause.

--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -282,7 +282,7 @@
 
 /** The runs that were lost with a backend server in its last outage, or may be so. */
 function lostWith (state: PlannerState, server: Server): readonly Run[] {
-  return server.restartedAt >= server.outageAt ? server.lostRuns : [...state.missingRuns.of(server.id), ...mayExecute(server)]
+  return Math.max(server.restartedAt, server.replacedAt) >= server.outageAt ? server.lostRuns : [...state.missingRuns.of(server.id), ...mayExecute(server)]
 }
 
 /** True if a backend server crashed when a run started there. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -15,7 +15,7 @@
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
 import { countReplaced, findExhausted } from './lost-runs.js'
 import type { JobProgress } from './progress.js'
-import { assignUnknownRuns, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
+import { assignUnknownRuns, dropExpired, dropReplaced, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
 import type { EarlierRuns } from './recovery.js'
@@ -270,6 +270,7 @@
     this.#lastTimes = times
     for (const server of this.#state.servers.values()) {
       server.noteOutage(times.now)
+      dropReplaced(this.#state, server, times)
       dropExpired(this.#state, server, times.now)
     }
     return decide(this.#state, times)
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -45,6 +45,8 @@
   readonly #knownSince = new Map<ServerId, number>()
   /** Backend servers that have answered this owner, which may have used them. */
   readonly #reachedServers = new Set<ServerId>()
+  /** Address at which each backend server has last answered this owner. */
+  readonly #answerAddresses = new Map<ServerId, string>()
   /** The last backend server that has answered this owner at each address, and when it was asked. */
   readonly #lastAnswers = new Map<string, { readonly id: ServerId, readonly at: number }>()
   #isComplete = false
@@ -79,13 +81,18 @@
   /** Notes an answer of a backend server to a poll. */
   noteAnswer ({ id, entry }: Server, askedAt: number): void {
     this.#reachedServers.add(id)
+    this.#answerAddresses.set(id, entry.address)
     if (askedAt >= (this.#lastAnswers.get(entry.address)?.at ?? -Infinity)) this.#lastAnswers.set(entry.address, { id, at: askedAt })
   }
 
-  /** True if another backend server has answered at its address since it was known and has answered itself, so that it has ended with all its runs. */
-  isReplaced ({ id, entry, lastAnswerAt }: Server): boolean {
-    const last = this.#lastAnswers.get(entry.address)
-    return last !== undefined && last.id !== id && last.at > Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt)
+  /**
+   * True if another backend server has answered at its address since it was known, has answered itself and was last known to
+   * have restarted, so that it has ended with all its runs. Not so if its row names another address than that of its last answer.
+   */
+  isReplaced ({ id, entry: { address }, lastAnswerAt, restartedAt }: Server): boolean {
+    const last = this.#lastAnswers.get(address)
+    if (last === undefined || last.id === id || (this.#answerAddresses.get(id) ?? address) !== address) return false
+    return last.at > Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt, restartedAt)
   }
 
   /** Backend servers that may have runs of earlier owners, and that the registry has not listed since. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -249,6 +249,24 @@
   for (const run of [...server.runs.values()]) removeUnlisted(state, server, run)
 }
 
+/**
+ * Removes the runs of a backend server that has ended, since another one has answered at its address. Starts that weren't
+ * confirmed may still arrive if it restarts under its id.
+ *
+ * @example
+ * dropReplaced(state, server, { now, wallTime })
+ */
+export function dropReplaced (state: PlannerState, server: Server, times: RoundTimes): void {
+  if (server.runs.size === 0 || !state.recovery.isReplaced(server)) return
+  server.noteReplacement(times.now)
+  const lost = takeLostRuns(state, server)
+  for (const run of [...server.runs.values()]) {
+    if (run.confirmedAt === Infinity) server.revokedStarts.add(run)
+    removeRun(state, server, run)
+  }
+  countLostRuns(state, server, lost, times)
+}
+
 type StartHandler = (state: PlannerState, server: Server, run: Run, now: number) => void
 
 const notStarted: StartHandler = (state, server, run) => removeRun(state, server, run)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -126,9 +126,11 @@
   restartedAt = -Infinity
   /** When it was first seen to be unreachable, or to have restarted, in the present or last outage. */
   outageAt = -Infinity
+  /** When this owner learned that another backend server has taken its address. */
+  replacedAt = -Infinity
   /** Restarts that this owner has seen. */
   restarts = 0
-  /** The runs that were lost with its last incarnation. */
+  /** The runs that were lost with its last incarnation, or with it when it was replaced. */
   lostRuns: readonly Run[] = []
   /** Highest position of an ended run that was reported, and highest whose effects are stored. */
   reportedPosition = 0
@@ -233,6 +235,13 @@
     this.outageAt = now
   }
 
+  /** Notes that another backend server has taken its address, which is the first sign of its outage if it missed no poll before. */
+  noteReplacement (now: number): void {
+    if (!this.#isOut) this.outageAt = now
+    this.#isOut = true
+    this.replacedAt = now
+  }
+
   /** Records that its leases may be extended by this time, and returns their new end on its clock. */
   extendLease (now: number, milliseconds: number): number {
     const until = this.clockAt(now) + milliseconds
