Store all rows of backend servers before an owner uses any

Cause: an owner wrote that it hadn't reached a backend server only after 1.5 s, and bounds counted only under the owner directly after. Owners that lived for less than about 2 s left nothing, so each began the wait of 9.1 s anew.

Change: a backend server counts as unreached from the start until it has answered. The first write of an owner stores all rows with its epoch (`by`), and it uses no backend server before that is stored. So owners after the writer of a row have used none of its servers: the bounds of any writer count, and where there are none the writer is the last owner that may have used a server. `UNREACHED_SERVER_MILLISECONDS` and its timer are gone; a tick repeats the first write until it is stored.

Tests that changed, each as strict: an owner writes all 32 rows once also if nothing has changed (before: nothing), exactly 65 entries (before: at most 100), and a server that its writer may have used has that owner as its last one (before: nothing was known). Unreached from the start replaces "pass on nothing as unreached before they had time".

Tests that fail without each rule (a change of one line each): the chain of ten owners without unreached servers from the start, or if the stored end isn't passed on; "is written in full" if only changed rows are written; "holds all while the store is refusing" if not all are held, or are used before the answer; "hold if owners since have ended before their first write" under the old rule or with the reader's epoch minus one; "say nothing to an owner after one of an earlier release" without recordedSince; "begins with the first owner, and is carried over"; "have bounds of their writer only"; the tables of odd numbers.

--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -12,6 +12,11 @@
   readonly epoch: Epoch
   /** Unique id of the claim; distinguishes the claims of a VM that restarts. */
   readonly claim: string
+  /**
+   * First epoch of an unbroken chain of owners up to this one that store all rows of backend servers before they use any;
+   * undefined in rows of earlier releases.
+   */
+  readonly recordedSince?: Epoch
   /** Version of the row. */
   readonly version: number
 }
@@ -34,22 +39,24 @@
 /**
  * Claims ownership from the stored owner. After a claim without an answer, the row is read
  * back to learn the outcome; a delayed claim can't replace one that was stored before it.
+ * `recordedSince` of the known row is carried over, so it must be of the version that is given.
  *
  * @returns the new owner, which is another VM if its claim came first
  * @throws {CornelgaugeError} the store's failure; the claim may then still take effect
  * @example
  * const owner = await claimOwnership(store, known, { vm, address })
  */
-export async function claimOwnership (store: RowStore, known: Pick<OwnerRecord, 'epoch' | 'version'>, self: Pick<OwnerRecord, 'vm' | 'address'>): Promise<OwnerRecord> {
+export async function claimOwnership (store: RowStore, known: Pick<OwnerRecord, 'epoch' | 'version' | 'recordedSince'>, self: Pick<OwnerRecord, 'vm' | 'address'>): Promise<OwnerRecord> {
   const claim = randomUUID()
   const next = epoch(known.epoch + 1)
-  const value: RowValue = { ...self, epoch: next, claim }
+  const recordedSince = known.recordedSince ?? next
+  const value: RowValue = { vm: self.vm, address: self.address, epoch: next, claim, recordedSince }
   try {
     const outcome = await store.write({
       conditions: [{ table: OWNER_TABLE, key: OWNER_KEY, version: known.version }],
       puts: [{ table: OWNER_TABLE, key: OWNER_KEY, value }]
     })
-    if (outcome.type === 'written') return { ...self, epoch: next, claim, version: outcome.version }
+    if (outcome.type === 'written') return { vm: self.vm, address: self.address, epoch: next, claim, recordedSince, version: outcome.version }
   } catch (thrown) {
     const failure = asFailure(thrown)
     if (failure.code === 'overloaded') throw failure
@@ -63,16 +70,17 @@
 }
 
 /**
- * Decodes the owner from its row.
+ * Decodes the owner from its row. A `recordedSince` that can't be read counts as none.
  *
  * @throws {CornelgaugeError} `record-damaged`
  * @example
  * const owner = decodeOwner(row)
  */
 export function decodeOwner ({ value, version }: StoredRow): OwnerRecord {
-  const { vm, address, epoch: epochNumber, claim } = value as Partial<Record<keyof OwnerRecord, unknown>>
+  const { vm, address, epoch: epochNumber, claim, recordedSince } = value as Partial<Record<keyof OwnerRecord, unknown>>
   if (typeof vm === 'string' && typeof address === 'string' && isEpochNumber(epochNumber) && typeof claim === 'string') {
-    return { vm: vm as VmName, address, epoch: epoch(epochNumber), claim, version }
+    const isChained = isEpochNumber(recordedSince) && recordedSince <= epochNumber
+    return { vm: vm as VmName, address, epoch: epoch(epochNumber), claim, ...(isChained ? { recordedSince: epoch(recordedSince) } : {}), version }
   }
   throw new CornelgaugeError('record-damaged', { detail: 'The owner row can\'t be read' })
 }
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -7,7 +7,7 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome, UNREACHED_SERVER_MILLISECONDS } from '@cornelgauge/jobs'
+import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls } from './backend-server-calls.js'
@@ -63,7 +63,6 @@
   /** Backend servers that are polled at once because a start wasn't answered. */
   readonly #settlingServers = new Set<ServerId>()
   readonly #roundTimer: NodeJS.Timeout
-  readonly #unreachedTimer: NodeJS.Timeout
   #isRoundDue = false
   #isDeciding = true
   #saving: Promise<void> | undefined
@@ -79,7 +78,7 @@
     configured: ({ configuration }) => this.#planner.configure(configuration),
     submitted: ({ job }) => this.#submit(job),
     cancelled: ({ id }) => this.#cancel(id),
-    tick: () => {}
+    tick: () => { if (!this.#servers.hasStored) this.#recordServers() }
   }
 
   readonly #performers: CommandHandlers = {
@@ -92,7 +91,7 @@
     this.#options = options
     const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
-    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner.epoch))
+    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner))
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#servers = new ServerRecorder({
@@ -102,7 +101,6 @@
       onReleased: () => this.#inbox.put({ type: 'tick' }),
       signal: this.#stopping.signal
     })
-    this.#unreachedTimer = setTimeout(() => this.#recordServers(), UNREACHED_SERVER_MILLISECONDS + ROUND_INTERVAL_MILLISECONDS)
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
@@ -159,7 +157,7 @@
   /** Stops scheduling immediately and stores the progress that isn't stored yet. */
   async stop (): Promise<void> {
     this.#isDeciding = false
-    this.#clearTimers()
+    clearInterval(this.#roundTimer)
     await this.#saving
     if (!this.#stopping.signal.aborted) await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
     this.#stopping.abort()
@@ -365,13 +363,8 @@
 
   #halt (): void {
     this.#isDeciding = false
-    this.#clearTimers()
-    this.#stopping.abort()
-  }
-
-  #clearTimers (): void {
     clearInterval(this.#roundTimer)
-    clearTimeout(this.#unreachedTimer)
+    this.#stopping.abort()
   }
 
   #target (id: ServerId): { id: ServerId, address: string } {
--- a/packages/entry/src/server-record.ts
+++ b/packages/entry/src/server-record.ts
@@ -22,10 +22,13 @@
   readonly clock?: StoreClock
 }
 
+/** An owner, as far as it shows which rows hold for it. */
+export type ChainedOwner = Pick<OwnerRecord, 'epoch' | 'recordedSince'>
+
 /** A row as this owner knows it. */
 interface KnownRow {
   readonly version: number
-  /** Its content; undefined if it is damaged or a write of it wasn't answered. */
+  /** Its content; undefined if this owner hasn't stored it yet, or a write of it wasn't answered. */
   readonly content: string | undefined
   /** Backend servers that it may list as unreached by this owner, also by a write that is carried out later. */
   readonly unreached: ReadonlySet<ServerId>
@@ -37,7 +40,7 @@
   readonly bounds: ReadonlyMap<string, StoredBounds>
 }
 
-const ABSENT_ROW: KnownRow = { version: 0, content: contentOf([], new Map()), unreached: new Set() }
+const ABSENT_ROW: KnownRow = { version: 0, content: undefined, unreached: new Set() }
 const ROW_KEYS = Array.from({ length: SERVER_RECORD_ROWS }, (_, index) => String(index))
 
 /**
@@ -59,52 +62,72 @@
 }
 
 /**
- * Returns the bounds that the owner directly before this one stored, on our clock. Those of any other don't count: an owner
- * in between may have used the backend servers.
+ * Returns what the rows say of runs of earlier owners, on our clock. A backend server that the writer of its row may have
+ * used has that owner as the last one, and an infinite `until`: its end isn't stored. Nothing is returned for one that
+ * another owner may have used since.
  *
  * @example
- * planner.inheritServers(stored.ids, earlierRunsOf(stored, owner.epoch))
+ * planner.inheritServers(stored.ids, earlierRunsOf(stored, owner))
  */
-export function earlierRunsOf ({ rows, clock }: StoredServers, owner: Epoch): ReadonlyMap<ServerId, EarlierRuns> {
-  const bounds = new Map<ServerId, EarlierRuns>()
-  if (clock === undefined) return bounds
-  for (const [id, { until, lastEpoch }] of boundsUnder(rows, owner - 1)) {
-    bounds.set(serverId(id), { until: clock.receivedAt + until - clock.milliseconds, lastEpoch })
+export function earlierRunsOf ({ rows, clock }: StoredServers, owner: ChainedOwner): ReadonlyMap<ServerId, EarlierRuns> {
+  const runs = new Map<ServerId, EarlierRuns>()
+  for (const row of rows.values()) {
+    const lastEpoch = lastUserOf(row, owner)
+    if (lastEpoch !== undefined) for (const id of row.ids ?? []) runs.set(serverId(id), { until: Infinity, lastEpoch })
+  }
+  for (const [id, { until, lastEpoch }] of boundsFor(rows, owner)) {
+    runs.set(serverId(id), { until: clock === undefined ? Infinity : clock.receivedAt + until - clock.milliseconds, lastEpoch })
   }
-  return bounds
+  return runs
 }
 
-/** Returns the bounds that an owner stored, on the store's clock. */
-function boundsUnder (rows: StoredServers['rows'], owner: number): ReadonlyMap<string, StoredBounds> {
-  return new Map([...rows.values()].flatMap(({ unreached }) => unreached?.under === owner ? [...unreached.bounds] : []))
+/** Returns the writer of a row if it and all owners between it and this one store their rows before they use a backend server. */
+function lastUserOf ({ by }: ServerRow, { epoch, recordedSince = epoch }: ChainedOwner): Epoch | undefined {
+  return by !== undefined && by >= recordedSince && by < epoch ? by : undefined
+}
+
+/**
+ * Returns the stored bounds that hold for an owner, on the store's clock: those of an owner since which none has used the
+ * backend servers. Without a chain of owners that record them first, this is only the owner directly before.
+ */
+function boundsFor (rows: StoredServers['rows'], owner: ChainedOwner): ReadonlyMap<string, StoredBounds> {
+  return new Map([...rows.values()].flatMap(row => {
+    const lastUser = lastUserOf(row, owner) ?? owner.epoch - 1
+    return row.unreached?.under === lastUser ? [...row.unreached.bounds] : []
+  }))
 }
 
 /**
  * Writes the backend servers that may have runs, on condition that this VM still owns the planner
- * and that the rows are as its last write left them.
+ * and that the rows are as its last write left them. The first write stores all rows, with this owner as the writer: from
+ * then on, the next owner relies on it.
  *
  * @example
  * const record = new ServerRecord(store, owner, await readServers(store))
- * await record.write(ids, planner.unreachedServers(ids, now))
+ * await record.write(ids, planner.unreachedServers(ids))
  */
 export class ServerRecord {
   readonly #store: RowStore
   readonly #owner: OwnerRecord
   readonly #clock: StoreClock | undefined
-  /** Bounds of the owner before, which are passed on as they are. */
+  /** Bounds of earlier owners, which are passed on as they are. */
   readonly #inherited: ReadonlyMap<string, StoredBounds>
   readonly #rows: Map<string, KnownRow>
+  #hasStored = false
   /** Arguments of the last write, if the rows are as it left them. */
   #stored: { readonly ids: ReadonlySet<ServerId>, readonly unreached: ReadonlyMap<ServerId, EarlierRuns> } | undefined
 
-  constructor (store: RowStore, owner: OwnerRecord, { ids, rows, damaged, clock }: StoredServers) {
+  constructor (store: RowStore, owner: OwnerRecord, { rows, clock }: StoredServers) {
     this.#store = store
     this.#owner = owner
     this.#clock = clock
-    this.#inherited = boundsUnder(rows, owner.epoch - 1)
-    this.#rows = new Map([...rows].map(([key, row]) => [key, this.#known(row)]))
-    const isComplete = damaged.length === 0 && this.unreachedServers.size === 0
-    this.#stored = isComplete ? { ids, unreached: new Map() } : undefined
+    this.#inherited = boundsFor(rows, owner)
+    this.#rows = new Map([...rows].map(([key, row]) => [key, { version: row.version, content: undefined, unreached: idsOf(this.#unreachedIn(row)) }]))
+  }
+
+  /** True once this owner has stored all rows. Before, it must use no backend server. */
+  get hasStored (): boolean {
+    return this.#hasStored
   }
 
   /** Backend servers that the record lists as unreached by this owner, or may list. They must not be used. */
@@ -113,7 +136,7 @@
   }
 
   /**
-   * Stores the rows that differ, in one transaction. After a write that wasn't answered or found
+   * Stores the rows that differ, in one transaction; the first time, all of them. After a write that wasn't answered or found
    * other versions, the next call writes them again. From its call on, `unreachedServers` includes those given here.
    *
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
@@ -139,6 +162,7 @@
     if (outcome.type === 'written') {
       for (const [key, row] of wanted) this.#rows.set(key, { version: outcome.version, content: contentOf(row.ids, row.bounds), unreached: idsOf(row.bounds.keys()) })
       this.#stored = { ids, unreached: recorded }
+      this.#hasStored = true
       return
     }
     this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
@@ -151,11 +175,6 @@
     return this.#rows.get(key) ?? ABSENT_ROW
   }
 
-  #known (row: ServerRow): KnownRow {
-    const unreached = idsOf(this.#unreachedIn(row))
-    return { version: row.version, content: row.ids === undefined || unreached.size > 0 ? undefined : contentOf(row.ids, new Map()), unreached }
-  }
-
   /** What a row lists as unreached by this owner; what it lists for others has no effect on the next. */
   #unreachedIn (row: ServerRow | undefined): Iterable<string> {
     return row?.unreached?.under === this.#owner.epoch ? row.unreached.bounds.keys() : []
--- a/packages/entry/src/server-recorder.ts
+++ b/packages/entry/src/server-recorder.ts
@@ -1,6 +1,6 @@
-/** Keeps the record of backend servers for the next owner up to date, and holds those that it lists as unreached. */
+/** Keeps the record of backend servers for the next owner up to date, and holds those that it lists as unreached; all until it is first stored. */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import type { Planner, ServerId } from '@cornelgauge/jobs'
+import { ALL_SERVERS, type Planner, type ServerId } from '@cornelgauge/jobs'
 import { SERVER_RECORD_PAUSE_MILLISECONDS } from './limits.js'
 import type { ServerRecord } from './server-record.js'
 
@@ -19,7 +19,8 @@
 
 /**
  * Writes the record one write at a time. A backend server that the stored record may list as unreached by this
- * owner gets no start and no renewal of its leases until a record without it is stored: the next owner relies on it.
+ * owner gets no start and no renewal of its leases until a record without it is stored: the next owner relies on it. Until
+ * the first record is stored, this holds for all backend servers: the next owner relies on the record before.
  *
  * @example
  * const recorder = new ServerRecorder(options)
@@ -34,6 +35,11 @@
     this.#hold([])
   }
 
+  /** True once the first record is stored. */
+  get hasStored (): boolean {
+    return this.#options.record.hasStored
+  }
+
   /** Writes the record if it has changed. A write that fails is made again by the next call. */
   async update (): Promise<void> {
     this.#updating ??= this.#update().finally(() => { this.#updating = undefined })
@@ -54,16 +60,16 @@
     const { planner, record, tryStoreCall, onReleased, signal, now } = this.#options
     if (signal.aborted) return
     const ids = planner.serversToRecover(now())
-    const unreached = planner.unreachedServers(ids, now())
+    const unreached = planner.unreachedServers(ids)
     const held = this.#hold(unreached.keys())
     await tryStoreCall(() => record.write(ids, unreached))
     if (this.#hold([]) < held) onReleased()
   }
 
-  /** Holds the backend servers that the record may list as unreached, and more of them. Returns how many. */
+  /** Holds the backend servers that the record may list as unreached, and more of them; all before the first record. Returns how many. */
   #hold (more: Iterable<ServerId>): number {
     const { planner, record } = this.#options
-    const held = new Set([...record.unreachedServers, ...more])
+    const held = record.hasStored ? new Set([...record.unreachedServers, ...more]) : ALL_SERVERS
     planner.holdServers(held)
     return held.size
   }
--- a/packages/entry/src/server-row.ts
+++ b/packages/entry/src/server-row.ts
@@ -15,6 +15,8 @@
   readonly version: number
   /** Sorted ids; undefined if the row is damaged. */
   readonly ids: readonly string[] | undefined
+  /** Epoch of the owner that wrote it; undefined in rows of earlier releases. */
+  readonly by?: Epoch
   /** Bounds for those that an owner has not reached; undefined if there are none, as in rows of earlier releases. */
   readonly unreached?: {
     /** Epoch of that owner. */
@@ -27,13 +29,13 @@
 type WireBounds = readonly [until: number, lastEpoch: number, positions: readonly number[]]
 
 /**
- * Encodes a row. Earlier releases read only its ids.
+ * Encodes a row. Earlier releases read `ids`, or `ids` and `unreached`.
  *
  * @example
  * encodeServerRow(['server-1'], owner.epoch, new Map())
  */
 export function encodeServerRow (ids: readonly string[], owner: Epoch, bounds: ReadonlyMap<string, StoredBounds>): RowValue {
-  if (bounds.size === 0) return { ids }
+  if (bounds.size === 0) return { ids, by: owner }
   const groups = new Map<string, { readonly until: number, readonly lastEpoch: Epoch, readonly positions: number[] }>()
   for (const [position, id] of ids.entries()) {
     const found = bounds.get(id)
@@ -43,11 +45,11 @@
     group.positions.push(position)
     groups.set(key, group)
   }
-  return { ids, unreached: { under: owner, bounds: [...groups.values()].map(({ until, lastEpoch, positions }): WireBounds => [until, lastEpoch, positions]) } }
+  return { ids, by: owner, unreached: { under: owner, bounds: [...groups.values()].map(({ until, lastEpoch, positions }): WireBounds => [until, lastEpoch, positions]) } }
 }
 
 /**
- * Decodes a row. Bounds that can't be read count as none.
+ * Decodes a row. Bounds and a writer that can't be read count as none.
  *
  * @example
  * const { ids } = decodeServerRow(row)
@@ -55,8 +57,9 @@
 export function decodeServerRow ({ value, version }: StoredRow): ServerRow {
   const { ids } = value
   if (!isList(ids, isText)) return { version, ids: undefined }
+  const row: ServerRow = { version, ids, ...(isWhole(value.by) ? { by: epoch(value.by) } : {}) }
   const unreached = (value.unreached ?? {}) as { readonly under?: unknown, readonly bounds?: unknown }
-  if (!isWhole(unreached.under) || !isList(unreached.bounds, isWireBounds)) return { version, ids }
+  if (!isWhole(unreached.under) || !isList(unreached.bounds, isWireBounds)) return row
   const bounds = new Map<string, StoredBounds>()
   for (const [until, lastEpoch, positions] of unreached.bounds) {
     for (const position of positions) {
@@ -64,7 +67,7 @@
       if (id !== undefined) bounds.set(id, { until, lastEpoch: epoch(lastEpoch) })
     }
   }
-  return { version, ids, unreached: { under: epoch(unreached.under), bounds } }
+  return { ...row, unreached: { under: epoch(unreached.under), bounds } }
 }
 
 function isList<Entry> (value: unknown, isEntry: (entry: unknown) => entry is Entry): value is readonly Entry[] {
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -103,8 +103,6 @@
 export const LONGEST_LEASE_MILLISECONDS = 10_000
 /** How long a disconnected owner may keep renewing leases, in milliseconds; see the limits of the entry package. */
 export const DISCONNECTED_OWNER_MILLISECONDS = 3000
-/** How long a backend server hasn't answered a new owner until that is recorded for the next one, in milliseconds: above the time limit of a poll, and below the time in which owners follow each other. */
-export const UNREACHED_SERVER_MILLISECONDS = 1500
 /** How long a start without an answer waits for a poll that shows whether the run exists, in milliseconds: several polls, and less than members of a gang wait for each other. */
 export const START_SETTLEMENT_MILLISECONDS = 1000
 /** How long after it was sent a start without an answer may still be carried out, in milliseconds. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -18,7 +18,7 @@
 import { assignUnknownRuns, dropExpired, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
-import type { EarlierRuns } from './recovery.js'
+import type { EarlierRuns, HeldServers } from './recovery.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import { PlannerState, type PlannerEvent } from './state.js'
@@ -110,12 +110,12 @@
    * Of the given backend servers, those that have not answered this owner, with the bounds of the runs that earlier owners
    * may have there. They hold for the next owner only if this one doesn't use the servers: see `holdServers`.
    */
-  unreachedServers (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
-    return this.#state.recovery.unreached(ids, now)
+  unreachedServers (ids: Iterable<ServerId>): ReadonlyMap<ServerId, EarlierRuns> {
+    return this.#state.recovery.unreached(ids)
   }
 
   /** Replaces the backend servers that get no starts and no renewals of leases, since the stored record may list them as unreached. */
-  holdServers (ids: ReadonlySet<ServerId>): void {
+  holdServers (ids: HeldServers): void {
     this.#state.holdServers(ids)
   }
 
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -1,9 +1,15 @@
 /** Determines which runs of earlier owners this one may not know yet, and until when. */
 import { epoch, type Epoch } from '@cornelgauge/model'
 import type { ServerId } from './ids.js'
-import { DISCONNECTED_OWNER_MILLISECONDS, LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, OVERWRITTEN_ROW_MILLISECONDS, UNREACHED_SERVER_MILLISECONDS } from './limits.js'
+import { DISCONNECTED_OWNER_MILLISECONDS, LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, OVERWRITTEN_ROW_MILLISECONDS } from './limits.js'
 import type { Server } from './server.js'
 
+/** Backend servers that must not be used. */
+export type HeldServers = Pick<ReadonlySet<ServerId>, 'has' | 'size'>
+
+/** Holds every backend server, also one that is registered later. */
+export const ALL_SERVERS: HeldServers = { has: () => true, size: Infinity }
+
 /** Bounds of the runs that earlier owners may have left on a backend server. */
 export interface EarlierRuns {
   /** When all of them have ended at the latest, on our monotonic clock, unless this owner renews their leases. */
@@ -93,17 +99,13 @@
     return [...this.#absentServers].filter(id => now <= this.boundsOf(id).until)
   }
 
-  /**
-   * Of the given backend servers, those that this owner hasn't used, since they have not answered for a while since it knows of
-   * them, and those that were replaced, with the bounds for the next owner.
-   */
-  unreached (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
+  /** Of the given backend servers, those that this owner hasn't used, since they have not answered it or were replaced, with the bounds for the next owner. */
+  unreached (ids: Iterable<ServerId>): ReadonlyMap<ServerId, EarlierRuns> {
     const unreached = new Map<ServerId, EarlierRuns>()
     for (const id of ids) {
       const server = this.#servers.get(id)
-      const isNew = now < (this.#knownSince.get(id) ?? now) + UNREACHED_SERVER_MILLISECONDS
       if (server !== undefined && this.isReplaced(server)) unreached.set(id, { until: this.#startedAt, lastEpoch: epoch(0) })
-      else if (!isNew && !this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
+      else if (!this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
     }
     return unreached
   }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -14,7 +14,7 @@
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
-import { Recovery } from './recovery.js'
+import { Recovery, type HeldServers } from './recovery.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
@@ -93,7 +93,7 @@
   /** Runs of earlier owners that may be unknown. */
   readonly recovery: Recovery
   /** Backend servers that must not be used. */
-  #heldServers: ReadonlySet<ServerId> = new Set()
+  #heldServers: HeldServers = new Set<ServerId>()
 
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
@@ -109,7 +109,7 @@
   }
 
   /** Replaces the backend servers that get no starts and no renewals of leases, however they answer. */
-  holdServers (ids: ReadonlySet<ServerId>): void {
+  holdServers (ids: HeldServers): void {
     if (ids.size === 0 && this.#heldServers.size === 0) return
     this.#heldServers = ids
     for (const server of this.servers.values()) server.isHeld = ids.has(server.id)
