--- a/packages/entry/test/following-owners-play.ts
+++ b/packages/entry/test/following-owners-play.ts
@@ -3,7 +3,7 @@
  * runs, owners go on for a while after they were replaced, and answers of the store are lost or its writes late.
  * The backend servers note each start of a task that runs elsewhere.
  */
-import { UNREACHED_SERVER_MILLISECONDS, type StoredJob } from '@cornelgauge/jobs'
+import type { StoredJob } from '@cornelgauge/jobs'
 import { MemoryRowStore, type RowTransaction, type WriteOutcome } from '@cornelgauge/ports'
 import { NO_OWNER } from '../src/owner-record.js'
 import { PlayedOwner, playedJob, STEP_MILLISECONDS, storeClock } from './played-owner.js'
@@ -12,6 +12,8 @@
 const SERVERS = 6
 /** An owner that is cut off from the store and its peers schedules for this long. */
 const DISCONNECTED_MILLISECONDS = 2500
+/** With the fault that ignores the record, an owner writes it for this long. */
+const RECORDED_MILLISECONDS = 3000
 
 /** What a play has shown. */
 export interface PlayResult {
@@ -137,7 +139,7 @@
   async #step (owner: PlayedOwner): Promise<void> {
     // An owner that was replaced without notice is cut off from the store, and from the registry in it.
     const isCurrent = owner === this.#owners.at(-1)
-    const ignoresRecord = this.#fault.ignoresRecord === true && this.#now - owner.claimedAt > 2 * UNREACHED_SERVER_MILLISECONDS
+    const ignoresRecord = this.#fault.ignoresRecord === true && this.#now - owner.claimedAt > RECORDED_MILLISECONDS
     await owner.step(this.#now, { canRead: isCurrent, canRecord: !ignoresRecord, canStoreProgress: isCurrent && !this.#isStoreAway })
   }
 }
--- a/packages/entry/test/played-owner.ts
+++ b/packages/entry/test/played-owner.ts
@@ -54,7 +54,7 @@
 export interface PlayedOwnerOptions {
   readonly vm: string
   /** The owner row as this VM knows it. */
-  readonly known: Pick<OwnerRecord, 'epoch' | 'version'>
+  readonly known: Pick<OwnerRecord, 'epoch' | 'version' | 'recordedSince'>
   readonly now: number
   /** When the clock of the store was asked for, no later than `now`. */
   readonly clockSentAt: number
@@ -106,12 +106,12 @@
   private constructor (options: PlayedOwnerOptions, record: OwnerRecord, stored: Awaited<ReturnType<typeof readServers>>) {
     const { rows, jobs, now, write, forgetsServers = false } = options
     const view = rows.view()
-    const bounds = earlierRunsOf(stored, record.epoch)
+    const bounds = earlierRunsOf(stored, record)
     this.#options = options
     this.#now = now
     this.claimedAt = now
     this.record = record
-    this.trusted = bounds.size
+    this.trusted = [...bounds.values()].filter(({ until }) => until < Infinity).length
     this.planner = new Planner(record.epoch, [...jobs.values()], this.#times)
     if (!forgetsServers) this.planner.inheritServers(stored.ids, bounds)
     this.planner.configure(CONFIGURATION)
