--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -45,6 +45,17 @@
 export const ISOLATED_TAKEOVER_MILLISECONDS = 2500
 /** An owner that neither the store nor a majority of its peers has confirmed for this long stops scheduling. */
 export const OWNER_CONFIRMATION_LIMIT_MILLISECONDS = 2500
+/** How long a start waits for its record, in milliseconds: several writes to a slow store, and far less than its lease. */
+export const START_RECORD_MILLISECONDS = 1500
+/**
+ * How long an owner records all its starts after it could last store so. It covers the time until the next owner's claim, so
+ * that a change of owners doesn't look like an outage of the store; in an outage nothing starts for so long.
+ */
+export const RECORDED_PERIOD_MILLISECONDS = 5000
+/** An owner that a majority of its peers has not confirmed for this long sends no start that isn't recorded. */
+export const UNRECORDED_START_CONFIRMATION_MILLISECONDS = 1000
+/** How long after it was replaced an owner may send such a start at most: the time above, and that of a call. */
+export const REPLACED_OWNER_START_MILLISECONDS = 1500
 /** Interval at which the owner confirms its ownership with the store: several times within the limit above. */
 export const CONFIRM_INTERVAL_MILLISECONDS = 500
 /**
--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -14,6 +14,7 @@
 import type { OwnerRecord } from './owner-record.js'
 import { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
+import { recordedPeriodIn, type RecordedPeriod } from './recorded-starts.js'
 import { RegistryReader } from './registry-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE } from './tables.js'
 import { readTable, type TableReadOptions } from './table-reader.js'
@@ -40,6 +41,7 @@
 interface LoadedState {
   readonly stored: StoredJobs
   readonly registry: RowSnapshot
+  readonly recordedPeriod: RecordedPeriod | undefined
   /** Time on the steady clock at which the ownership was confirmed after all else had been read. */
   readonly confirmedAt: number
 }
@@ -84,7 +86,7 @@
     const reading = { isWanted: () => isCurrent(owner), signal, onPageFailure }
     const loaded = await this.#load(owner, reading)
     if (loaded === undefined || signal.aborted || !isCurrent(owner)) return
-    const { stored, registry, confirmedAt } = loaded
+    const { stored, registry, recordedPeriod, confirmedAt } = loaded
     const host = new PlannerHost({
       owner,
       stored,
@@ -92,6 +94,7 @@
       servers: platform.servers,
       advise: platform.advise,
       emit,
+      recordedPeriod,
       confirmedAge: () => Math.min(performance.now() - this.#confirmedAt, followedAge()),
       onFenced: () => this.#handleFenced(host)
     })
@@ -128,7 +131,7 @@
       const registry = await readTable(store, platform.registryTable, reading)
       const confirmedAt = performance.now()
       const { rows } = await readTable(store, OWNER_TABLE, reading)
-      if (rows.find(row => row.key === OWNER_KEY)?.version === owner.version) return { stored, registry, confirmedAt }
+      if (rows.find(row => row.key === OWNER_KEY)?.version === owner.version) return { stored, registry, recordedPeriod: recordedPeriodIn(rows), confirmedAt }
       emit('planner-fenced', { details: { epoch: owner.epoch } })
       onFenced()
       return undefined
--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -85,6 +85,17 @@
   throw new CornelgaugeError('record-damaged', { detail: 'The owner row can\'t be read' })
 }
 
+/**
+ * Checks that the owner row still has the version of an owner's claim.
+ *
+ * @throws {CornelgaugeError} `stale-epoch`
+ * @example
+ * checkOwner(owner, outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
+ */
+export function checkOwner (owner: Pick<OwnerRecord, 'epoch' | 'version'>, version: number | undefined): void {
+  if (version !== owner.version) throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${owner.epoch}` })
+}
+
 /** True for an epoch that a double represents exactly, also after it is incremented. */
 function isEpochNumber (value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -21,8 +21,10 @@
 import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
+import { areStartsRecorded, RecordedStarts, type RecordedPeriod } from './recorded-starts.js'
 import { earlierRunsOf, ServerRecord } from './server-record.js'
 import { ServerRecorder } from './server-recorder.js'
+import { StartGate } from './start-gate.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -32,6 +34,8 @@
   readonly servers: BackendServerCalls
   readonly advise: PlatformView['advise']
   readonly emit: EmitEvent
+  /** The recorded period that an earlier owner has stored. */
+  readonly recordedPeriod?: RecordedPeriod | undefined
   /** Milliseconds since ownership was last confirmed by the store or by a majority of peers. */
   readonly confirmedAge: () => number
   /** Called when a newer owner was detected; this host has stopped scheduling. */
@@ -54,6 +58,8 @@
   readonly #planner: Planner
   readonly #writer: ProgressWriter
   readonly #servers: ServerRecorder
+  readonly #gate: StartGate
+  readonly #recordedStarts: RecordedStarts
   readonly #rounds: RoundMonitor
   readonly #retired: RetiredJobs
   readonly #inbox = new Inbox<HostEvent>()
@@ -66,6 +72,8 @@
   #isRoundDue = false
   #isDeciding = true
   #saving: Promise<void> | undefined
+  /** The write of progress under way. */
+  #writing: Promise<unknown> | undefined
   #firstStartAt: number | undefined
 
   readonly #handlers: HostEventHandlers = {
@@ -82,7 +90,7 @@
   }
 
   readonly #performers: CommandHandlers = {
-    start: command => this.#start(command),
+    start: async command => { this.#gate.add(command, performance.now()) },
     stop: command => this.#stopRun(command),
     advise: command => this.#advise(command)
   }
@@ -91,7 +99,9 @@
     this.#options = options
     const { owner, stored, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
-    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner))
+    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(options.recordedPeriod, owner, stored.servers.clock))
+    this.#gate = new StartGate(this.#planner)
+    this.#recordedStarts = new RecordedStarts({ store, owner, isRecordComplete: () => this.#planner.isRecordComplete(performance.now()), confirmedAge: options.confirmedAge })
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#servers = new ServerRecorder({
@@ -149,15 +159,21 @@
     return this.#options.confirmedAge() < OWNER_CONFIRMATION_LIMIT_MILLISECONDS
   }
 
+  /** False while the store doesn't record starts. */
+  get #mayStart (): boolean {
+    return !this.#gate.isLate || this.#recordedStarts.mayStartUnrecorded
+  }
+
   /** Confirms with the store that this VM still owns the planner. */
   async confirmOwnership (): Promise<boolean> {
-    return await this.#tryStoreCall(() => this.#writer.confirmOwnership())
+    return await this.#tryStoreCall(() => this.#recordedStarts.confirm())
   }
 
   /** Stops scheduling immediately and stores the progress that isn't stored yet. */
   async stop (): Promise<void> {
     this.#isDeciding = false
     clearInterval(this.#roundTimer)
+    this.#dropStarts(this.#gate.clear())
     await this.#saving
     if (!this.#stopping.signal.aborted) await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
     this.#stopping.abort()
@@ -194,10 +210,26 @@
   #runRound (): void {
     if (!this.#isDeciding || this.#stopping.signal.aborted) return
     if (this.#isConfirmed) {
-      const commands = this.#rounds.measure(() => this.#planner.decide({ now: performance.now(), wallTime: Date.now() }))
+      const commands = this.#rounds.measure(() => this.#planner.decide({ now: performance.now(), wallTime: Date.now() }, this.#mayStart))
       for (const command of commands) this.#perform(command)
     }
     this.#save()
+    this.#sendStarts()
+  }
+
+  /** Sends the starts that are recorded by now, or need not be. */
+  #sendStarts (): void {
+    if (!this.#isDeciding || this.#stopping.signal.aborted || !this.#isConfirmed) return
+    const { due, dropped } = this.#gate.release(performance.now(), this.#recordedStarts.mayStartUnrecorded)
+    for (const command of due) this.#start(command).catch(thrown => this.#crash(thrown))
+    this.#dropStarts(dropped)
+  }
+
+  #dropStarts (commands: readonly StartCommand[]): void {
+    for (const { server, task, run } of commands) {
+      this.#planner.applyStartOutcome(server, task, run, 'unsent', performance.now())
+      this.#options.emit('task-started', { details: { task, run, server, epoch: this.epoch, outcome: 'unsent', resumed: false } })
+    }
   }
 
   #perform (command: Command): void {
@@ -300,7 +332,7 @@
       if (!hasAnswered) await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
       else if (this.#planner.isWaitingForRecord(id)) await this.#servers.release(id)
       else if (request.hasUnstoredEnds) await pause(systemClock, UNSTORED_POLL_PAUSE_MILLISECONDS, signal)
-      else await this.#saving
+      else await this.#writing
     }
     this.#polledServers.delete(id)
   }
@@ -334,7 +366,12 @@
   async #writeAll (): Promise<void> {
     const started = performance.now()
     const isWritten = await this.#tryStoreCall(async () => {
-      while (this.#planner.unstoredCount > 0 && !this.#stopping.signal.aborted) await this.#writer.write(this.#planner)
+      while (this.#planner.unstoredCount > 0 && !this.#stopping.signal.aborted) {
+        const writing = this.#writer.write(this.#planner)
+        this.#writing = writing.catch(() => { /* The failure is handled below. */ })
+        if (await writing > 0) this.#gate.noteStored()
+        this.#sendStarts()
+      }
     })
     const milliseconds = Math.round(performance.now() - started)
     if (isWritten && milliseconds > SLOW_STORE_MILLISECONDS) this.#options.emit('progress-stored-late', { details: { milliseconds } })
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -3,11 +3,10 @@
  * planner and on the versions that its last write left, so a delayed write of an earlier
  * attempt or of an earlier owner has no effect.
  */
-import { CornelgaugeError } from '@cornelgauge/model'
 import { encodeProgress, type JobId, type Planner } from '@cornelgauge/jobs'
 import type { RowPut, RowStore, StoredRow, WriteOutcome } from '@cornelgauge/ports'
 import { PROGRESS_BATCH, PROGRESS_BATCH_CHARACTERS } from './limits.js'
-import type { OwnerRecord } from './owner-record.js'
+import { checkOwner, type OwnerRecord } from './owner-record.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
 /** A row of progress to be written. */
@@ -50,11 +49,6 @@
     return changes.size
   }
 
-  /** Confirms with the store that this VM owns the planner. @throws {CornelgaugeError} `stale-epoch` */
-  async confirmOwnership (): Promise<void> {
-    this.#checkOwner((await this.#store.read(OWNER_TABLE, OWNER_KEY))?.version)
-  }
-
   /** The version of a job's progress row, as last written or loaded; 0 if there is none. */
   progressVersion (id: JobId): number {
     return this.#versions.get(id) ?? 0
@@ -90,7 +84,7 @@
     const deletions = ids.map(key => ({ table: CANCELS_TABLE, key }))
     const outcome = await this.#store.write({ conditions: [this.#ownerCondition, ...conditions], puts: [], deletions })
     if (outcome.type === 'written') return new Set(ids)
-    this.#checkOwner(outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
+    checkOwner(this.#owner, outcome.rows.find(row => row.table === OWNER_TABLE)?.version)
     const keys = new Set(outcome.rows.filter(row => row.table === JOBS_TABLE).map(row => row.key))
     return new Set(ids.filter(id => keys.has(id)))
   }
@@ -111,14 +105,9 @@
 
   /** The versions of progress rows that a conflict reports, once it is clear that this VM still owns the planner. */
   #currentVersions (rows: readonly (StoredRow & { readonly table: string })[]): ReadonlyMap<string, number> {
-    this.#checkOwner(rows.find(row => row.table === OWNER_TABLE)?.version)
+    checkOwner(this.#owner, rows.find(row => row.table === OWNER_TABLE)?.version)
     return new Map(rows.filter(row => row.table === PROGRESS_TABLE).map(row => [row.key, row.version]))
   }
-
-  #checkOwner (version: number | undefined): void {
-    if (version === this.#owner.version) return
-    throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${this.#owner.epoch}` })
-  }
 }
 
 /** Encodes the progress of the first jobs with unstored changes, as many as one transaction holds, and at least one. */
--- a/packages/entry/src/table-reader.ts
+++ b/packages/entry/src/table-reader.ts
@@ -12,6 +12,8 @@
   readonly signal?: AbortSignal
   /** Called for each failure of a page; returns true if the page is to be read again. Without it, each failure is the caller's. */
   readonly onPageFailure?: (failure: CornelgaugeError, receivedRows: number) => boolean
+  /** Monotonic time in milliseconds, with which the store's clock is compared. */
+  readonly now?: () => number
 }
 
 /** The store's clock, as an answer carried it, and when that was asked for and received on ours. */
@@ -37,16 +39,17 @@
  * const { rows, version } = await readTable(store, 'jobs')
  */
 export async function readTable (store: RowStore, table: string, options: TableReadOptions = {}): Promise<TableSnapshot> {
+  const { now = () => performance.now() } = options
   const rows: StoredRow[] = []
   let first: { readonly version: number, readonly clock?: StoreClock } | undefined
   let limit = FIRST_PAGE_ROWS
   for (;;) {
     if (!isNeeded(options)) throw new CornelgaugeError('not-owner', { detail: `The rows of ${table} aren't needed any more` })
-    const sentAt = performance.now()
+    const sentAt = now()
     const page = await tryPage(store, table, rows, limit, options)
     if (page === undefined) continue
     rows.push(...page.rows)
-    first ??= { version: page.version, ...(page.clock === undefined ? {} : { clock: { milliseconds: page.clock, sentAt, receivedAt: performance.now() } }) }
+    first ??= { version: page.version, ...(page.clock === undefined ? {} : { clock: { milliseconds: page.clock, sentAt, receivedAt: now() } }) }
     if (!page.hasMore) return { rows, ...first }
     limit = nextLimit(page, limit)
   }
--- a/packages/entry/src/tables.ts
+++ b/packages/entry/src/tables.ts
@@ -1,8 +1,10 @@
 /** Tables of the entry VMs in the store. */
 
-/** The owner of the planner: one row. */
+/** The owner of the planner. */
 export const OWNER_TABLE = 'owner'
 export const OWNER_KEY = 'planner'
+/** Until when all starts are recorded: one more row of the same table. */
+export const RECORDED_PERIOD_KEY = 'recorded'
 /** Accepted jobs by id; written once, by the entry VM that accepts the job. */
 export const JOBS_TABLE = 'jobs'
 /** Cancellations by job id; written once, by the entry VM that received the cancel request. */
--- a/packages/entry/test/following-owners-play.ts
+++ b/packages/entry/test/following-owners-play.ts
@@ -140,6 +140,6 @@
     // An owner that was replaced without notice is cut off from the store, and from the registry in it.
     const isCurrent = owner === this.#owners.at(-1)
     const ignoresRecord = this.#fault.ignoresRecord === true && this.#now - owner.claimedAt > RECORDED_MILLISECONDS
-    await owner.step(this.#now, { canRead: isCurrent, canRecord: !ignoresRecord, canStoreProgress: isCurrent && !this.#isStoreAway })
+    await owner.step(this.#now, { canRead: isCurrent, canRecord: !ignoresRecord, canStoreProgress: isCurrent && !this.#isStoreAway, confirmedAge: isCurrent ? 0 : this.#now + DISCONNECTED_MILLISECONDS - owner.endsAt })
   }
 }
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'chai'
 import type { BackendServerCalls } from '../src/backend-server-calls.js'
 import { JobStore } from '../src/job-store.js'
-import { OWNER_CONFIRMATION_LIMIT_MILLISECONDS } from '../src/limits.js'
+import { OWNER_CONFIRMATION_LIMIT_MILLISECONDS, RECORDED_PERIOD_MILLISECONDS, START_RECORD_MILLISECONDS } from '../src/limits.js'
 import { claimOwnership, NO_OWNER, readOwner } from '../src/owner-record.js'
 import { PlannerHost } from '../src/planner-host.js'
 
@@ -29,8 +29,8 @@
   incarnation: 1
 }
 
-const jobAccepted = (epoch: Job['acceptedUnder']): Job => ({
-  id: jobId('00000000000000a1'),
+const jobAccepted = (epoch: Job['acceptedUnder'], id = '00000000000000a1'): Job => ({
+  id: jobId(id),
   queue: queueName('check'),
   pool: poolName('pool'),
   workspace: workspaceName('brno'),
@@ -46,6 +46,7 @@
   readonly polls: { readonly at: number, readonly renews: boolean }[] = []
   answerStart: (outcome: StartOutcome) => void = () => {}
   hasStarted = false
+  onStart: () => void = () => {}
   isSilent = false
 
   async poll (_target: unknown, poll: { readonly leaseUntil?: number, readonly waitMilliseconds: number }): Promise<ServerReport> {
@@ -58,6 +59,7 @@
 
   start (): Promise<StartOutcome> {
     this.hasStarted = true
+    this.onStart()
     return new Promise(resolve => { this.answerStart = resolve })
   }
 
@@ -75,14 +77,17 @@
   let host: PlannerHost
   let confirmedAge: number
   let rows: MemoryRowStore
+  let store: MemoryRowStoreView
+  let isFenced: boolean
 
   beforeEach(async () => {
     rows = new MemoryRowStore()
-    const store = rows.view()
+    store = rows.view()
+    isFenced = false
     const owner = await claimOwnership(store, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
     calls = new FakeCalls()
     confirmedAge = 0
-    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
+    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => { isFenced = true } })
     host.configure(CONFIGURATION)
     host.updateRegistry({ entries: [SERVER], unreadable: 0 })
     host.submit(jobAccepted(owner.epoch))
@@ -129,6 +134,39 @@
     })
   })
 
+  describe('when a start is decided', () => {
+    const submitAnother = (): void => {
+      calls.hasStarted = false
+      host.submit(jobAccepted(host.epoch, '00000000000000a2'))
+    }
+
+    it('sends it once the progress is stored that records where the run may be', async () => {
+      let progress: unknown
+      calls.onStart = () => { progress = rows.rows('progress').find(({ key }) => key === '00000000000000a2')?.value.text }
+      submitAnother()
+      while (!calls.hasStarted) await pause(systemClock, 5)
+      expect(JSON.parse(progress as string).steps['0.0'].placements).to.deep.equal({ [SERVER.id]: [0] })
+    })
+
+    // Guards against starts by an owner that was replaced, beside runs that the next one has found.
+    it('sends nothing after another VM has become the owner', async () => {
+      const view = rows.view()
+      await claimOwnership(view, (await readOwner(view))!, { vm: vmName('vm-b'), address: '10.0.0.2:7000' })
+      submitAnother()
+      while (!isFenced) await pause(systemClock, 5)
+      await pause(systemClock, 50)
+      expect(calls.hasStarted).to.equal(false)
+    })
+
+    it('holds it while the store is away, but not for ever', async () => {
+      store.fault = 'refusing'
+      submitAnother()
+      await pause(systemClock, START_RECORD_MILLISECONDS + 300)
+      expect(calls.hasStarted).to.equal(false)
+      while (!calls.hasStarted) await pause(systemClock, 50)
+    }).timeout(4 * RECORDED_PERIOD_MILLISECONDS)
+  })
+
   it('writes its first record again until it is stored, also if no backend server answers', async () => {
     host.abandon()
     const view = rows.view()
--- a/packages/entry/test/played-owner.ts
+++ b/packages/entry/test/played-owner.ts
@@ -3,8 +3,12 @@
 import { configurationVersion, jobId, Planner, poolName, queueName, type Command, type Configuration, type Job, type ServerEntry, type StartCommand, type StopCommand, type StoredJob } from '@cornelgauge/jobs'
 import type { MemoryRowStore, RowTransaction, WriteOutcome } from '@cornelgauge/ports'
 import { claimOwnership, type OwnerRecord } from '../src/owner-record.js'
+import { areStartsRecorded, RecordedStarts, recordedPeriodIn, type RecordedPeriod } from '../src/recorded-starts.js'
 import { earlierRunsOf, readServers, ServerRecord } from '../src/server-record.js'
 import { ServerRecorder } from '../src/server-recorder.js'
+import { StartGate } from '../src/start-gate.js'
+import { readTable } from '../src/table-reader.js'
+import { OWNER_TABLE } from '../src/tables.js'
 import type { PlayedPool, PlayedServer } from './played-server.js'
 
 /** Interval of the rounds. */
@@ -65,7 +69,7 @@
   readonly calls: PlayedCalls
   /** Writes the record of backend servers; the store's own write by default. */
   readonly write?: (transaction: RowTransaction) => Promise<WriteOutcome>
-  /** It knows neither the backend servers of the last owner nor those that it can't reach. */
+  /** It knows nothing of the runs of earlier owners on backend servers that it can't reach. */
   readonly forgetsServers?: boolean
 }
 
@@ -74,6 +78,8 @@
   readonly canRead: boolean
   readonly canRecord: boolean
   readonly canStoreProgress: boolean
+  /** Milliseconds since the store or most members have confirmed the owner; 0 by default. */
+  readonly confirmedAge?: number
 }
 
 /**
@@ -93,31 +99,38 @@
   endsAt = Infinity
   readonly #options: PlayedOwnerOptions
   readonly #recorder: ServerRecorder
+  readonly #gate: StartGate
+  readonly #recordedStarts: RecordedStarts
   #now: number
+  #confirmedAge = 0
 
   static async claim (options: PlayedOwnerOptions): Promise<PlayedOwner> {
     const { rows, known, vm, now, clockSentAt } = options
     const view = rows.view()
     const record = await claimOwnership(view, known, { vm: vmName(vm), address: '10.0.0.1:7000' })
     const stored = { ...await readServers(view), clock: { milliseconds: storeClock(now), sentAt: clockSentAt, receivedAt: now } }
-    return new PlayedOwner(options, record, stored)
+    const { rows: ownerRows } = await readTable(view, OWNER_TABLE)
+    return new PlayedOwner(options, record, stored, recordedPeriodIn(ownerRows))
   }
 
-  private constructor (options: PlayedOwnerOptions, record: OwnerRecord, stored: Awaited<ReturnType<typeof readServers>>) {
+  private constructor (options: PlayedOwnerOptions, record: OwnerRecord, stored: Awaited<ReturnType<typeof readServers>>, period: RecordedPeriod | undefined) {
     const { rows, jobs, now, write, forgetsServers = false } = options
     const view = rows.view()
+    const store = write === undefined ? view : Object.assign(view, { write })
     const bounds = earlierRunsOf(stored, record)
     this.#options = options
     this.#now = now
     this.claimedAt = now
     this.record = record
     this.trusted = [...bounds.values()].filter(({ until }) => until < Infinity).length
-    this.planner = new Planner(record.epoch, [...jobs.values()], this.#times)
-    if (!forgetsServers) this.planner.inheritServers(stored.ids, bounds)
+    this.planner = new Planner(record.epoch, [...jobs.values()].map(job => forgetsServers ? withoutPlacements(job) : job), this.#times)
+    if (!forgetsServers) this.planner.inheritServers(stored.ids, bounds, areStartsRecorded(period, record, stored.clock))
+    this.#gate = new StartGate(this.planner)
+    this.#recordedStarts = new RecordedStarts({ store, owner: record, isRecordComplete: () => this.planner.isRecordComplete(this.#now), confirmedAge: () => this.#confirmedAge, now: () => this.#now })
     this.planner.configure(CONFIGURATION)
     this.#recorder = new ServerRecorder({
       planner: this.planner,
-      record: new ServerRecord(write === undefined ? view : Object.assign(view, { write }), record, stored),
+      record: new ServerRecord(store, record, stored),
       tryStoreCall: async call => await call().then(() => true, () => false),
       onReleased: () => {},
       signal: new AbortController().signal,
@@ -126,17 +139,27 @@
   }
 
   /** Applies the registry, polls, plans, carries out the commands and stores the progress, each when it is due. */
-  async step (now: number, { canRead, canRecord, canStoreProgress }: PlayedStore): Promise<void> {
+  async step (now: number, { canRead, canRecord, canStoreProgress, confirmedAge = 0 }: PlayedStore): Promise<void> {
     const { pool: { servers } } = this.#options
     const age = now - this.claimedAt
     this.#now = now
+    this.#confirmedAge = confirmedAge
     if (canRead && age % STORE_MILLISECONDS === 0) this.planner.updateServers(this.#entries, now)
     if (age % POLL_MILLISECONDS === 0) for (const server of servers) this.#poll(server)
     const isRecordDue = age % STORE_MILLISECONDS === 0 || servers.some(({ entry }) => this.planner.isWaitingForRecord(entry.id))
     if (canRecord && isRecordDue) await this.#recorder.update()
-    for (const command of this.planner.decide(this.#times)) this.#perform(command)
+    if (canRead && canRecord && age % STORE_MILLISECONDS === 0) await this.#recordedStarts.confirm().catch(() => { /* The next call follows. */ })
+    const mayStart = !this.#gate.isLate || this.#recordedStarts.mayStartUnrecorded
+    for (const command of this.planner.decide(this.#times, mayStart)) this.#perform(command)
     this.planner.drainEvents()
     if (canStoreProgress) this.#storeProgress()
+    this.#sendStarts()
+  }
+
+  #sendStarts (): void {
+    const { due, dropped } = this.#gate.release(this.#now, this.#recordedStarts.mayStartUnrecorded)
+    for (const command of due) this.#start(command)
+    for (const { server, task, run } of dropped) this.planner.applyStartOutcome(server, task, run, 'unsent', this.#now)
   }
 
   get #times (): { readonly now: number, readonly wallTime: number } {
@@ -160,7 +183,7 @@
   }
 
   #perform (command: Command): void {
-    if (command.type === 'start') this.#start(command)
+    if (command.type === 'start') this.#gate.add(command, this.#now)
     else if (command.type === 'stop') this.#stop(command)
   }
 
@@ -186,11 +209,20 @@
 
   #storeProgress (): void {
     const { jobs } = this.#options
+    if (this.planner.unstoredCount > 0) this.#gate.noteStored()
     for (const id of this.planner.unstoredJobs.keys()) jobs.set(id, { ...jobs.get(id)!, progress: this.planner.progressOf(id)! })
     this.planner.markStored(this.planner.unstoredJobs)
   }
 }
 
+/** Forgets where the tasks of a job may run. */
+function withoutPlacements (stored: StoredJob): StoredJob {
+  const { progress } = stored
+  if (progress === undefined) return stored
+  const steps = Object.entries(progress.steps).map(([key, { placements, ...step }]) => [key, step] as const)
+  return { ...stored, progress: { ...progress, steps: Object.fromEntries(steps) } }
+}
+
 /**
  * Returns the clock of the store in whole milliseconds.
  *
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -1,5 +1,5 @@
 /** Commands of the planner; its host executes them and reports each outcome back. */
-import type { RunNumber, ServerId, StepName, TaskName } from './ids.js'
+import type { JobId, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 
 /** Why a run is stopped. */
 export type StopReason = 'cancelled' | 'job-failed' | 'gang-incomplete' | 'reclaimed' | 'unanswered' | 'leaving' | 'stuck' | 'done-elsewhere' | 'unknown-job'
@@ -10,6 +10,9 @@
   readonly server: ServerId
   readonly task: TaskName
   readonly run: RunNumber
+  readonly job: JobId
+  /** Number of the change of the job's progress that records where the run may be. */
+  readonly change: number
   readonly specification: string
   /** End of the lease, on the backend server's clock. */
   readonly leaseUntil: number
@@ -44,8 +47,8 @@
 /** Any command of the planner. */
 export type Command = StartCommand | StopCommand | AdviseCommand
 
-/** Outcome of a start command; an `unanswered` one may still be executed. */
-export type StartOutcome = 'started' | 'fenced' | 'outdated' | 'late' | 'no-room' | 'invalid' | 'other-life' | 'no-ticket' | 'unhealthy' | 'unanswered'
+/** Outcome of a start command; an `unanswered` one may still be executed, an `unsent` one was never sent. */
+export type StartOutcome = 'unsent' | 'started' | 'fenced' | 'outdated' | 'late' | 'no-room' | 'invalid' | 'other-life' | 'no-ticket' | 'unhealthy' | 'unanswered'
 
 /** Outcome of a stop command. */
 export type StopOutcome = 'stopped' | 'fenced' | 'other-life' | 'unanswered'
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -30,6 +30,8 @@
 /** Tasks of a job that has nothing running. */
 interface WaitingTasks {
   readonly first: TaskState
+  /** One that earlier owners have recorded on a backend server whose runs aren't known. */
+  readonly recovering: TaskState | undefined
   /** One with a run that hasn't ended. */
   readonly unresolved: TaskState | undefined
   readonly isSuspect: boolean
@@ -71,7 +73,7 @@
     this.#isFirst = false
     found.sort((one, other) => other.milliseconds - one.milliseconds)
     for (const { job, idle, milliseconds } of found.slice(0, MAXIMUM_IDLE_JOBS_LOGGED)) {
-      const wait = idle.reason === 'recovery' ? recoveryWait(state, job, now) : {}
+      const wait = idle.reason === 'recovery' ? recoveryWait(state, job, unknownEpoch, now) : {}
       state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, ...wait, epoch: state.epoch, milliseconds, age: wallTime - job.job.acceptedAt })
     }
   }
@@ -108,6 +110,7 @@
 /** Returns the tasks that a job could run; undefined if one runs or none is ready. */
 function waitingTasks (job: JobState): WaitingTasks | undefined {
   let first: TaskState | undefined
+  let recovering: TaskState | undefined
   let unresolved: TaskState | undefined
   let isSuspect = false
   for (const step of job.readySteps()) {
@@ -115,25 +118,28 @@
       if (task.isDone) continue
       for (const { state } of task.runs) if (state === 'starting' || state === 'running') return undefined
       first ??= task
+      if (task.earlierServers.size > 0) recovering ??= task
       if (task.runs.size > 0) unresolved ??= task
       isSuspect ||= step.losses.isSuspect(step.unitOf(task))
     }
   }
-  return first === undefined ? undefined : { first, unresolved, isSuspect }
+  return first === undefined ? undefined : { first, recovering, unresolved, isSuspect }
 }
 
 function idleJob (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined): IdleJob | undefined {
   const waiting = waitingTasks(job)
   if (waiting === undefined) return undefined
-  const { first, unresolved, isSuspect } = waiting
-  if (job.mayHaveRunsUnder(unknownEpoch)) return { task: first.name, reason: 'recovery' }
+  const { first, recovering, unresolved, isSuspect } = waiting
+  if (state.isRecovering(job, unknownEpoch)) return { task: first.name, reason: 'recovery' }
+  if (recovering !== undefined) return { task: recovering.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
   return { task: first.name, reason: isSuspect ? 'crash' : 'capacity' }
 }
 
 /** Returns which backend servers a job waits for: how many, one of them, and for how long at most. */
-function recoveryWait (state: PlannerState, job: JobState, now: number): { readonly servers: number, readonly server?: ServerId, readonly waitMilliseconds?: number } {
-  const { until, ...servers } = state.recovery.waitOf(job.job.acceptedUnder, now)
+function recoveryWait (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined, now: number): { readonly servers: number, readonly server?: ServerId, readonly waitMilliseconds?: number } {
+  const { recovery } = state
+  const { until, ...servers } = state.isRecovering(job, unknownEpoch) ? recovery.waitOf(job.job.acceptedUnder, now) : recovery.waitFor(job.earlierServers, now)
   return { ...servers, ...(until === undefined ? {} : { waitMilliseconds: until - now }) }
 }
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,8 +1,8 @@
 /** State of jobs, steps and tasks in the planner that owns them. */
 import type { Epoch } from '@cornelgauge/model'
-import { stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
+import { serverId, stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
-import { MAXIMUM_LISTED_ENTRIES, STEP_ENTRIES } from './limits.js'
+import { MAXIMUM_LISTED_ENTRIES, MAXIMUM_LISTED_PLACEMENTS, STEP_ENTRIES } from './limits.js'
 import { LossRecord } from './loss-record.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
@@ -20,6 +20,10 @@
   checkpoint = ''
   /** Runs that may still be executing. */
   readonly runs = new Set<Run>()
+  /** Backend servers on which earlier owners have recorded runs of it that may still be executing. */
+  readonly earlierServers = new Set<ServerId>()
+  /** Backend servers at which a start of it may arrive that was given up. */
+  readonly lateServers = new Set<ServerId>()
   /** When it last became ready to start, on the monotonic clock. */
   readySince: number | undefined
   /** How often a run of it was stopped as stuck. */
@@ -32,7 +36,13 @@
   }
 
   get isWaiting (): boolean {
-    return !this.isDone && this.runs.size === 0
+    return !this.isDone && this.runs.size === 0 && this.earlierServers.size === 0
+  }
+
+  /** Backend servers on which a run of it may be executing, or may begin. */
+  get servers (): Iterable<ServerId> {
+    if (this.runs.size + this.earlierServers.size + this.lateServers.size === 0) return []
+    return new Set([...this.earlierServers, ...this.lateServers, ...[...this.runs].map(({ server }) => server)])
   }
 }
 
@@ -115,7 +125,23 @@
 
   get progress (): StepProgress {
     const failed = this.tasks.filter(task => task.failedRuns.size > 0).map(task => [task.index, [...task.failedRuns]])
-    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed), ...this.losses.progress }
+    const placements = this.#placements
+    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed), ...this.losses.progress, ...(placements.size === 0 ? {} : { placements: Object.fromEntries(placements) }) }
+  }
+
+  /** Indexes of the tasks that may run on each backend server; a task that is done isn't started again, wherever it runs. */
+  get #placements (): ReadonlyMap<ServerId, readonly number[]> {
+    const placements = new Map<ServerId, number[]>()
+    if (!this.job.isOpen) return placements
+    for (const task of this.tasks) {
+      if (task.isDone) continue
+      for (const server of task.servers) {
+        const indexes = placements.get(server)
+        if (indexes === undefined) placements.set(server, [task.index])
+        else indexes.push(task.index)
+      }
+    }
+    return placements
   }
 
   /** Restores stored progress. */
@@ -127,6 +153,12 @@
     for (const [index, runs] of Object.entries(progress.failed)) {
       for (const run of runs) this.tasks[Number(index)]?.failedRuns.add(run)
     }
+    for (const [server, indexes] of Object.entries(progress.placements ?? {})) {
+      for (const index of indexes) {
+        const task = this.tasks[index]
+        if (task?.isDone === false) task.earlierServers.add(serverId(server))
+      }
+    }
     this.losses.restore(progress, this.specification.isGang)
   }
 }
@@ -142,6 +174,8 @@
   isFinalStored = false
   /** When this owner first saw the stored final phase, on the monotonic clock. */
   finalSeenAt: number | undefined
+  /** Earlier owners may have started tasks of it on backend servers that its progress doesn't list. */
+  hasUnlistedRuns = false
   /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
   idleSince: number | undefined
   readonly #occurrences = new Map<number, readonly StepState[]>()
@@ -169,6 +203,11 @@
     return this.isInherited && latest !== undefined && this.job.acceptedUnder <= latest
   }
 
+  /** Backend servers on which earlier owners have recorded runs of it that aren't known yet. */
+  get earlierServers (): readonly ServerId[] {
+    return [...new Set(this.openSteps.flatMap(({ tasks }) => tasks.flatMap(task => [...task.earlierServers])))]
+  }
+
   /** Phase for callers: a final phase only once it is stored. */
   get reportedPhase (): JobPhase {
     return this.isOpen || this.isFinalStored ? this.phase : 'running'
@@ -179,17 +218,20 @@
     for (const [occurrence, states] of this.#occurrences) {
       for (const state of states) {
         const progress = state.progress
-        if (progress.done.length > 0 || Object.keys(progress.failed).length > 0 || progress.lost !== undefined) steps[`${occurrence}.${state.number}`] = progress
+        if (progress.done.length > 0 || Object.keys(progress.failed).length > 0 || progress.lost !== undefined || progress.placements !== undefined) steps[`${occurrence}.${state.number}`] = progress
       }
     }
+    const listed = Object.values(steps)
+    const placements = listed.reduce((sum, step) => sum + Object.keys(step.placements ?? {}).length, 0)
+    const areListed = placements <= MAXIMUM_LISTED_PLACEMENTS
     const progress = {
       ...(this.isOpen ? {} : { phase: this.phase, finishedAt: this.finishedAt }),
+      ...(this.hasUnlistedRuns || !areListed ? { hasUnlistedRuns: true } : {}),
       hasBegun: this.phase !== 'queued',
-      steps
+      steps: areListed ? steps : withoutPlacements(steps)
     }
-    const listed = Object.values(steps)
     const entries = listed.reduce((sum, { done }) => sum + done.length, STEP_ENTRIES * listed.length)
-    return entries <= MAXIMUM_LISTED_ENTRIES ? progress : { ...progress, steps: withoutDone(steps), doneBits: encodeBits(this.#doneTasks()) }
+    return entries <= MAXIMUM_LISTED_ENTRIES ? progress : { ...progress, steps: withoutDone(progress.steps), doneBits: encodeBits(this.#doneTasks()) }
   }
 
   /** Numbers of the completed tasks, in the order of occurrences, steps and tasks. */
@@ -282,6 +324,7 @@
 
   #restore (progress: JobProgress): void {
     if (progress.hasBegun) this.phase = 'running'
+    this.hasUnlistedRuns = progress.hasUnlistedRuns === true
     if (progress.phase !== undefined) {
       this.phase = progress.phase
       this.finishedAt = progress.finishedAt
@@ -292,13 +335,19 @@
       if (occurrence! < occurrencesOf(this.job)) this.#stepsOf(occurrence!)[number!]?.restore(step)
     }
     if (progress.doneBits !== undefined) this.#restoreBits(progress.doneBits)
+    for (const { tasks } of this.steps) for (const task of tasks) if (task.isDone) task.earlierServers.clear()
   }
 }
 
 /** Drops the lists of completed tasks, and the steps that have no other progress. */
 function withoutDone (steps: JobProgress['steps']): JobProgress['steps'] {
   const rest = Object.entries(steps).map(([key, step]) => [key, { ...step, done: [] }] as const)
-  return Object.fromEntries(rest.filter(([, { failed, lost, attributed }]) => Object.keys(failed).length > 0 || lost !== undefined || attributed !== undefined))
+  return Object.fromEntries(rest.filter(([, { failed, lost, attributed, placements }]) => Object.keys(failed).length > 0 || lost !== undefined || attributed !== undefined || placements !== undefined))
+}
+
+/** Drops the backend servers on which tasks may run. */
+function withoutPlacements (steps: JobProgress['steps']): JobProgress['steps'] {
+  return Object.fromEntries(Object.entries(steps).map(([key, { placements, ...step }]) => [key, step]))
 }
 
 /** Tasks of a step that are to be started; of a gang, all of its tasks. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -86,7 +86,7 @@
     for (const job of this.#state.openJobs) {
       this.#state.work.add(1)
       job.activate(this.#times.wallTime)
-      if (job.mayHaveRunsUnder(unknownEpoch)) continue
+      if (this.#state.isRecovering(job, unknownEpoch)) continue
       const candidate = this.#candidate(job)
       if (candidate !== undefined) candidates.push(candidate)
     }
@@ -233,12 +233,15 @@
     this.#reservationVictims = undefined
     task.runs.add(started)
     task.readySince = undefined
+    const { job } = task.step
     this.#commands.push({
       type: 'start',
       server: server.id,
       task: task.name,
       run,
-      specification: task.step.job.job.specification,
+      job: job.job.id,
+      change: this.#state.markChanged(job),
+      specification: job.job.specification,
       leaseUntil: server.extendLease(this.#times.now, LEASE_MILLISECONDS),
       checkpoint: task.checkpoint,
       ...(this.#eligible.isAdvised(task.step) ? { ticket: ticketFor(task.step, target, this.#times.now) } : {})
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -5,7 +5,7 @@
 import type { Epoch } from '@cornelgauge/model'
 import { applyAdvice } from './advice.js'
 import { sumFreeAccelerators } from './capacity.js'
-import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
+import type { Advice, AdviseCommand, Command, StartCommand, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import { EarlyCancellations } from './early-cancellations.js'
 import { restoreIdleSince, storedIdleSince } from './idle-jobs.js'
@@ -99,8 +99,8 @@
    * the last owner recorded by `unreachedServers`. A job of an earlier owner waits until each of them that may have runs of
    * it has answered a poll, also one that isn't registered, or until all leases there have expired.
    */
-  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map()): void {
-    this.#state.recovery.inherit(ids, bounds)
+  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), areStartsRecorded = false): void {
+    this.#state.recovery.inherit(new Set([...ids, ...this.#state.earlierServers]), bounds, areStartsRecorded)
   }
 
   /** Ids of the backend servers that may have runs, which a later owner has to know. */
@@ -228,6 +228,26 @@
     if (server !== undefined) server.missedPolls += 1
   }
 
+  /** True once the progress is stored that records where the run of a start may be. */
+  isRecorded ({ job, change }: StartCommand): boolean {
+    return this.#state.isStored(job, change)
+  }
+
+  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped. */
+  isStartDue ({ server, task, run }: StartCommand): boolean {
+    return this.#state.servers.get(server)?.run(task, run)?.state === 'starting'
+  }
+
+  /** Notes that a start is sent before it is recorded. */
+  noteUnrecordedStart ({ change }: StartCommand): void {
+    this.#state.noteUnrecorded(change)
+  }
+
+  /** True if each run that may be executing is recorded, so that a new owner knows of all starts until now. */
+  isRecordComplete (now: number): boolean {
+    return this.#state.isRecordComplete(now)
+  }
+
   /** Applies the outcome of a start command. */
   applyStartOutcome (id: ServerId, task: TaskName, run: RunNumber, outcome: StartOutcome, now: number): void {
     applyStartOutcome(this.#state, id, task, run, outcome, now)
@@ -270,15 +290,16 @@
     return this.#state.drainEvents()
   }
 
-  /** Runs one round, which decides what is started and stopped. */
-  decide (times: RoundTimes): readonly Command[] {
+  /** Runs one round, which decides what is started and stopped; without `mayStart` it stops only what can't go on. */
+  decide (times: RoundTimes, mayStart = true): readonly Command[] {
     this.#lastTimes = times
+    this.#state.settleEarlierRuns(times.now)
     for (const server of this.#state.servers.values()) {
       server.noteOutage(times.now)
       dropReplaced(this.#state, server, times)
       dropExpired(this.#state, server, times.now)
     }
-    return decide(this.#state, times)
+    return decide(this.#state, times, mayStart)
   }
 
   /** Number of backend servers, running groups and jobs that all rounds so far have examined: their work, whatever the machine. */
@@ -318,7 +339,7 @@
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
-      jobsRecovering: jobs.filter(job => job.mayHaveRunsUnder(unknownEpoch)).length,
+      jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpoch) || job.earlierServers.length > 0).length,
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
--- a/packages/jobs/src/progress.ts
+++ b/packages/jobs/src/progress.ts
@@ -14,6 +14,8 @@
   readonly done: readonly number[]
   /** Numbers of the failed runs, by task index. */
   readonly failed: RunsByIndex
+  /** Indexes of the tasks that may run on each backend server; earlier releases store none. */
+  readonly placements?: Readonly<Record<string, readonly number[]>>
 }
 
 /** Progress of a job. */
@@ -26,6 +28,8 @@
   readonly idleSince?: number
   /** A task of the job has started. */
   readonly hasBegun: boolean
+  /** Tasks may run on backend servers that `placements` don't list, since there are too many of them. */
+  readonly hasUnlistedRuns?: boolean
   /** Progress by `occurrence.step`; steps without any are omitted. */
   readonly steps: Readonly<Record<string, StepProgress>>
   /**
@@ -62,7 +66,7 @@
   if (typeof value === 'object' && value !== null && isPhase(value.phase) && isTime(value.finishedAt)) {
     const { steps, stepsBesideBits, idleSince, ...rest } = value
     // It serves the log only, so an odd value isn't worth the job.
-    const progress = { ...rest, ...(isIndex(idleSince) ? { idleSince } : {}), hasBegun: value.hasBegun === true }
+    const progress = { ...rest, ...(isIndex(idleSince) ? { idleSince } : {}), hasBegun: value.hasBegun === true, ...(value.hasUnlistedRuns === undefined ? {} : { hasUnlistedRuns: true }) }
     if (typeof value.doneBits === 'string' && isSteps(stepsBesideBits)) return { ...progress, steps: stepsBesideBits }
     if (value.doneBits === undefined && isSteps(steps)) return { ...progress, steps }
   }
@@ -91,8 +95,13 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, lost = {}, attributed = {}, lostAtStart = {}, crashes = {}, otherEnds = {} } = (value ?? {}) as Partial<StepProgress>
-  return areIndexes(done) && [failed, lost, attributed, lostAtStart].every(areRuns) && areCrashes(crashes) && areCounts(otherEnds)
+  const { done, failed, placements = {}, lost = {}, attributed = {}, lostAtStart = {}, crashes = {}, otherEnds = {} } = (value ?? {}) as Partial<StepProgress>
+  return areIndexes(done) && [failed, lost, attributed, lostAtStart].every(areRuns) && areCrashes(crashes) && areCounts(otherEnds) && arePlacements(placements)
+}
+
+/** True for task indexes by backend server. */
+function arePlacements (value: unknown): value is NonNullable<StepProgress['placements']> {
+  return typeof value === 'object' && value !== null && Object.values(value).every(areIndexes)
 }
 
 /** True for run numbers by task index. */
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -56,6 +56,7 @@
   /** The last backend server that has answered this owner at each address, and when it was asked. */
   readonly #lastAnswers = new Map<string, { readonly id: ServerId, readonly at: number }>()
   #isComplete = false
+  #areStartsRecorded = false
 
   constructor (owner: Epoch, now: number, servers: ReadonlyMap<ServerId, Server>) {
     this.#servers = servers
@@ -65,8 +66,14 @@
     this.#unrecorded = { until, lastEpoch: epoch(Math.max(0, owner - 1)) }
   }
 
+  /** True if the progress of each job lists where earlier owners may have started its tasks, or says that it doesn't. */
+  get areStartsRecorded (): boolean {
+    return this.#areStartsRecorded
+  }
+
   /** Adds the backend servers that may have runs of earlier owners, whether they are listed or not, and the bounds that are stored. */
-  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>): void {
+  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>, areStartsRecorded: boolean): void {
+    this.#areStartsRecorded = areStartsRecorded
     for (const id of ids) {
       this.#knownSince.set(id, this.#startedAt)
       if (!this.#servers.has(id)) this.#absentServers.add(id)
@@ -117,6 +124,13 @@
     return unreached
   }
 
+  /** True if earlier owners may have runs on a backend server that this one doesn't know. */
+  mayHideRuns (id: ServerId, now: number): boolean {
+    const server = this.#servers.get(id)
+    if (server === undefined) return now <= this.boundsOf(id).until
+    return server.isListCut || (server.mayHideRuns(now) && now <= this.#endOf(server, id) && !this.isReplaced(server))
+  }
+
   /** Epoch of the last owner of which there may be unknown runs; undefined if there are none. */
   latestUnknownEpoch (now: number): Epoch | undefined {
     if (this.#isComplete) return undefined
@@ -133,7 +147,11 @@
 
   /** Returns what a job waits for that was accepted under an earlier owner. */
   waitOf (acceptedUnder: Epoch, now: number): RecoveryWait {
-    const ids = this.#isComplete ? [] : [...this.#unresolvedServers(now)].filter(id => acceptedUnder <= this.boundsOf(id).lastEpoch)
+    return this.waitFor(this.#isComplete ? [] : [...this.#unresolvedServers(now)].filter(id => acceptedUnder <= this.boundsOf(id).lastEpoch), now)
+  }
+
+  /** Returns the wait for these backend servers. */
+  waitFor (ids: readonly ServerId[], now: number): RecoveryWait {
     const endOf = (id: ServerId): number => this.#endOf(this.#servers.get(id), id)
     const last = ids.reduce<ServerId | undefined>((latest, id) => latest === undefined || endOf(id) > endOf(latest) ? id : latest, undefined)
     if (last === undefined) return { servers: 0, ...(this.#mayMissServers(now) ? { until: this.#servers.size === 0 ? this.#unrecorded.until : this.#rowsReadableBy } : {}) }
@@ -147,10 +165,7 @@
   }
 
   * #unresolvedServers (now: number): Iterable<ServerId> {
-    for (const server of this.#servers.values()) {
-      const mayHideRuns = server.mayHideRuns(now) && now <= this.#endOf(server, server.id) && !this.isReplaced(server)
-      if (server.isListCut || mayHideRuns) yield server.id
-    }
+    for (const id of this.#servers.keys()) if (this.mayHideRuns(id, now)) yield id
     yield * this.absentServers(now)
   }
 
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -123,6 +123,7 @@
   if (task === undefined) return requestStop(run, 'unknown-job')
   task.runs.add(run)
   const { job } = task.step
+  if (job.isOpen && !task.isDone && !task.earlierServers.has(server.id)) state.noteUnrecorded(state.markChanged(job))
   job.noteRunning()
   if (task.isDone) return requestStop(run, 'done-elsewhere')
   return job.isOpen ? run : requestStop(run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
@@ -206,9 +207,15 @@
   stopRestOfGang(task, run.run)
 }
 
+/** Remembers a start that is given up, and may still arrive in a later incarnation of its backend server. */
+function revokeStart (state: PlannerState, server: Server, run: Run): void {
+  server.revokedStarts.add(run)
+  state.task(run.task)?.lateServers.add(server.id)
+}
+
 /** Removes a run that has ended or can't begin in this incarnation of its backend server. */
 function removeUnlisted (state: PlannerState, server: Server, run: Run): void {
-  if (run.confirmedAt === Infinity) server.revokedStarts.add(run)
+  if (run.confirmedAt === Infinity) revokeStart(state, server, run)
   if (server.missedPolls === 0) weighEnd(state, run)
   removeRun(state, server, run)
 }
@@ -260,7 +267,7 @@
   server.noteReplacement(times.now)
   const lost = takeLostRuns(state, server)
   for (const run of [...server.runs.values()]) {
-    if (run.confirmedAt === Infinity) server.revokedStarts.add(run)
+    if (run.confirmedAt === Infinity) revokeStart(state, server, run)
     removeRun(state, server, run)
   }
   countLostRuns(state, server, lost, times)
@@ -271,6 +278,7 @@
 const notStarted: StartHandler = (state, server, run) => removeRun(state, server, run)
 
 const START_HANDLERS: Readonly<Record<StartOutcome, StartHandler>> = {
+  unsent: notStarted,
   started: (state, _server, run, now) => {
     confirmStart(state, run, now)
     run.progressedAt = now
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -16,7 +16,7 @@
  * @example
  * for (const command of decide(state, { now, wallTime })) perform(command)
  */
-export function decide (state: PlannerState, times: RoundTimes): readonly Command[] {
+export function decide (state: PlannerState, times: RoundTimes, mayStart = true): readonly Command[] {
   failExhausted(state, times.wallTime)
   determineCauses(state, times)
   for (const server of state.servers.values()) {
@@ -25,7 +25,7 @@
   }
   giveUpUnsettled(state, times.now)
   const commands: (StartCommand | AdviseCommand)[] = []
-  new PlacementRound(state, times, commands).place()
+  if (mayStart) new PlacementRound(state, times, commands).place()
   state.idleJobs.check(state, times)
   return [...dueStops(state, times.now), ...commands]
 }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -92,6 +92,10 @@
   #runCount = 0
   /** Runs of earlier owners that may be unknown. */
   readonly recovery: Recovery
+  /** Tasks with recorded runs of earlier owners, by backend server. */
+  readonly #earlierTasks = new Map<ServerId, Set<TaskState>>()
+  /** Number of the last change with which a run is recorded that was begun before. */
+  #lastUnrecordedChange = 0
   /** Backend servers that must not be used. */
   #heldServers: HeldServers = new Set<ServerId>()
 
@@ -125,6 +129,37 @@
     return ids
   }
 
+  /** True if a job waits for backend servers that may have runs of it which aren't recorded; `unknownEpoch` is `recovery.latestUnknownEpoch`. */
+  isRecovering (job: JobState, unknownEpoch: Epoch | undefined): boolean {
+    if (unknownEpoch === undefined) job.hasUnlistedRuns = false
+    return job.mayHaveRunsUnder(unknownEpoch) && (job.hasUnlistedRuns || !this.recovery.areStartsRecorded)
+  }
+
+  /** Backend servers on which earlier owners have recorded runs that this one doesn't know yet. */
+  get earlierServers (): ReadonlySet<ServerId> {
+    return new Set(this.#earlierTasks.keys())
+  }
+
+  /** Lets the tasks start whose recorded runs are known by now, or have ended. */
+  settleEarlierRuns (now: number): void {
+    for (const [id, tasks] of this.#earlierTasks) {
+      if (this.recovery.mayHideRuns(id, now)) continue
+      this.#earlierTasks.delete(id)
+      for (const task of tasks) task.earlierServers.delete(id)
+    }
+  }
+
+  /** Notes that a run is or may be executing which isn't recorded before this change is stored. */
+  noteUnrecorded (change: number): void {
+    this.#lastUnrecordedChange = Math.max(this.#lastUnrecordedChange, change)
+  }
+
+  /** True if each run that may be executing is recorded, so that the next owner has to look for no others. */
+  isRecordComplete (now: number): boolean {
+    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
+    return this.#lastUnrecordedChange < oldest && (this.recovery.areStartsRecorded || this.recovery.latestUnknownEpoch(now) === undefined)
+  }
+
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.configuration = configuration
@@ -180,6 +215,9 @@
     this.#pools.add(job.job.pool)
     if (job.isOpen) this.openJobs.add(job)
     this.#unmeasuredJobs.push(job)
+    for (const { tasks } of job.openSteps) {
+      for (const task of tasks) for (const id of task.earlierServers) this.#earlierTasks.set(id, (this.#earlierTasks.get(id) ?? new Set<TaskState>()).add(task))
+    }
   }
 
   /** Removes a job that has ended. */
--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -378,7 +378,8 @@
       play(world, 1000)
     }
     const progress = works.map(({ id }) => world.planner.progressOf(id)?.steps)
-    expect(progress).to.deep.equal(works.map(() => ({})))
+    const placementOf = ({ id }: { readonly id: string }): object => ({ [world.serverRunning(`${id}.0.0.0`)!.entry.id]: [0] })
+    expect(progress).to.deep.equal(works.map(work => ({ '0.0': { done: [], failed: {}, placements: placementOf(work) } })))
     expect(phases(world)).to.deep.equal(works.map(() => 'running'))
   })
 })
--- /dev/null
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -0,0 +1,205 @@
+import { epoch } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { decodeProgress, encodeProgress, jobId, MAXIMUM_LISTED_PLACEMENTS, Planner, serverId, type EarlierRuns, type JobProgress, type ServerId, type StartCommand } from '../src/index.js'
+import { CONFIGURATION, job, step, World, type FakeServer } from './world.js'
+
+/** Upper limit of the time from the claim of a new owner until no lease of an earlier one is left. */
+const LEASES_OVER_MILLISECONDS = 9200
+const PAIR = { queue: 'long', steps: [step({ count: 2, accelerators: 8 })] }
+
+describe('the record of starts', () => {
+  let world: World
+  const progress = (id = 'a'): JobProgress => decodeProgress(encodeProgress(world.planner.progressOf(jobId(id))!))
+  const placements = (id = 'a'): unknown => progress(id).steps['0.0']?.placements
+
+  beforeEach(() => {
+    world = new World(3)
+    world.pollServers()
+  })
+
+  describe('in the progress of a job', () => {
+    it('lists where a task may run as soon as its start is decided', () => {
+      world.planner.submit(job('a'))
+      const [start] = world.planner.decide({ now: world.now, wallTime: world.wallTime })
+      expect(start).to.include({ type: 'start', job: 'a' })
+      expect(placements()).to.deep.equal({ [(start as StartCommand).server]: [0] })
+    })
+
+    it('counts a start as recorded once that is stored', () => {
+      world.planner.submit(job('a'))
+      const start = world.planner.decide({ now: world.now, wallTime: world.wallTime })[0] as StartCommand
+      expect(world.planner.isRecorded(start)).to.equal(false)
+      world.planner.markStored(world.planner.unstoredJobs)
+      expect(world.planner.isRecorded(start)).to.equal(true)
+    })
+
+    it('lists a task no more that is done, or whose start was not sent', () => {
+      world.planner.submit(job('a'))
+      world.planner.submit(job('b'))
+      const [a, b] = world.planner.decide({ now: world.now, wallTime: world.wallTime }) as readonly StartCommand[]
+      world.planner.applyStartOutcome(a!.server, a!.task, a!.run, 'unsent', world.now)
+      expect(placements()).to.equal(undefined)
+      world.planner.applyStartOutcome(b!.server, b!.task, b!.run, 'started', world.now)
+      const { entry, running } = world.servers.find(server => server.entry.id === b!.server)!
+      world.planner.applyReport(entry.id, { incarnation: 1, clock: 200_000, running: [...running.values()], ended: [{ position: 1, task: b!.task, run: b!.run, how: 'done', checkpoint: '' }], hasMoreEnds: false, sentAt: world.now, receivedAt: world.now + 1 }, world.wallTime)
+      expect(placements('b')).to.equal(undefined)
+    })
+
+    it('lists a start that was given up, and may still arrive', () => {
+      for (const server of world.servers) server.connectivity = 'delays-starts'
+      world.planner.submit(job('a'))
+      world.settle()
+      const holder = world.servers.find(server => server.delayed.length > 0)!
+      for (const server of world.servers) server.connectivity = server === holder ? 'answers' : 'silent'
+      world.settle(100)
+      expect(world.stops.map(({ server }) => server)).to.include(holder.entry.id)
+      expect(Object.keys(placements() as object)).to.include(holder.entry.id)
+    })
+
+    it('says so if there are more backend servers than it lists', () => {
+      const count = MAXIMUM_LISTED_PLACEMENTS + 1
+      const listed = Array.from({ length: count }, (_, index) => [`server-${index}`, [index]] as const)
+      const wide = job('a', { steps: [step({ count })] })
+      const planner = new Planner(epoch(2), [{ job: wide, isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done: [], failed: {}, placements: Object.fromEntries(listed) } } } }], { now: world.now, wallTime: world.wallTime })
+      expect(planner.progressOf(wide.id)).to.deep.include({ hasUnlistedRuns: true, steps: { '0.0': { done: [], failed: {} } } })
+    })
+
+    const damaged: readonly (readonly [string, unknown])[] = [
+      ['is no object', 'server-0'],
+      ['has tasks that are no list', { 'server-0': 0 }],
+      ['has an index below zero', { 'server-0': [-1] }],
+      ['has an index that is no whole number', { 'server-0': [0.5] }]
+    ]
+    for (const [title, value] of damaged) {
+      it(`is refused if it ${title}`, () => {
+        const text = JSON.stringify({ hasBegun: true, steps: { '0.0': { done: [], failed: {}, placements: value } } })
+        expect(() => decodeProgress(text)).to.throw('lacks its fields')
+      })
+    }
+  })
+
+  describe('for the next owner', () => {
+    let lost: FakeServer
+    let ids: ReadonlySet<ServerId>
+
+    /** Lets the next owner take over with what is stored, while a backend server is out of reach. */
+    const takeOver = (number: number, areStartsRecorded: boolean, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), edit = (stored: JobProgress): JobProgress => stored): void => {
+      const stored = ['a', 'b'].map(id => ({ job: job(id, PAIR), isCancelled: false, progress: edit(progress(id)) }))
+      world.planner = new Planner(epoch(number), stored, { now: world.now, wallTime: world.wallTime })
+      world.planner.inheritServers(ids, bounds, areStartsRecorded)
+      world.planner.configure(CONFIGURATION)
+      world.listServers(world.entries.filter(({ id }) => id !== lost.entry.id))
+    }
+    const starts = (): readonly string[] => world.starts.map(({ task }) => task)
+    /** Lets the owner work; tasks of job b end at once. */
+    const work = (milliseconds: number): void => {
+      for (const end = world.now + milliseconds; world.now < end; world.now += 80) {
+        world.settle(1)
+        world.serverRunning('b.0.0.1')?.end('b.0.0.1', 'done')
+      }
+      world.settle(1)
+    }
+
+    // Job a takes two of the three backend servers, so that one task of job b waits.
+    beforeEach(() => {
+      for (const id of ['a', 'b']) world.planner.submit(job(id, PAIR))
+      world.settle()
+      expect(starts()).to.deep.equal(['a.0.0.0', 'a.0.0.1', 'b.0.0.0'])
+      lost = world.serverRunning('a.0.0.0')!
+      lost.connectivity = 'silent'
+      ids = world.planner.serversToRecover(world.now)
+    })
+
+    // Guards against waits of tasks that the last owner can't have started on a backend server that was lost under it.
+    it('holds only the tasks that are recorded on a backend server that it hasn\'t reached', () => {
+      takeOver(2, true)
+      world.serverRunning('a.0.0.1')!.end('a.0.0.1', 'done')
+      work(500)
+      expect(starts().slice(3)).to.deep.equal(['b.0.0.1'])
+    })
+
+    it('holds them until the leases there have expired', () => {
+      takeOver(2, true)
+      for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
+      work(8900)
+      expect(starts().slice(3)).to.deep.equal(['b.0.0.1'])
+      work(LEASES_OVER_MILLISECONDS - 8800)
+      expect(starts().slice(3)).to.deep.equal(['b.0.0.1', 'a.0.0.0'])
+    })
+
+    it('holds all jobs of earlier owners if starts may be missing', () => {
+      takeOver(2, false)
+      for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
+      work(8900)
+      expect(starts()).to.have.length(3)
+    })
+
+    it('holds all tasks of a job that doesn\'t list all of its runs', () => {
+      takeOver(2, true, new Map(), stored => ({ ...stored, hasUnlistedRuns: true }))
+      for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
+      work(8900)
+      expect(starts()).to.have.length(3)
+      expect(progress('b').hasUnlistedRuns).to.equal(true)
+      work(LEASES_OVER_MILLISECONDS - 8800)
+      expect(starts().slice(3)).to.have.members(['a.0.0.0', 'b.0.0.1'])
+      expect(progress('b').hasUnlistedRuns).to.equal(undefined)
+    })
+
+    it('ends the wait when an earlier owner\'s bound does', () => {
+      takeOver(2, true, new Map([[lost.entry.id, { until: world.now + 2000, lastEpoch: epoch(1) }]]))
+      world.serverRunning('a.0.0.1')!.end('a.0.0.1', 'done')
+      work(1800)
+      expect(starts().slice(3)).to.deep.equal(['b.0.0.1'])
+      work(400)
+      expect(starts().slice(3)).to.deep.equal(['b.0.0.1', 'a.0.0.0'])
+    })
+
+    it('passes on a record of which it knows nothing yet', () => {
+      takeOver(2, true)
+      work(500)
+      expect(placements()).to.deep.include({ [lost.entry.id]: [0] })
+      expect(world.planner.serversToRecover(world.now)).to.include(lost.entry.id)
+    })
+
+    it('is not complete before runs are recorded that were found without it', () => {
+      takeOver(2, true, new Map(), ({ steps, ...stored }) => ({ ...stored, steps: {} }))
+      expect(world.planner.isRecordComplete(world.now)).to.equal(true)
+      world.pollServers()
+      expect(world.planner.isRecordComplete(world.now)).to.equal(false)
+      world.planner.markStored(world.planner.unstoredJobs)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(true)
+    })
+
+    it('is not complete while starts of earlier owners may be missing', () => {
+      takeOver(2, false)
+      work(8900)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(false)
+      work(LEASES_OVER_MILLISECONDS - 8800)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(true)
+    })
+
+    it('is not complete before a start is recorded that was sent without it', () => {
+      world.planner.submit(job('c'))
+      world.isStoreAvailable = false
+      world.servers[2]!.end(world.serverRunning('b.0.0.0') === world.servers[2] ? 'b.0.0.0' : 'a.0.0.1', 'done')
+      world.pollServers()
+      const start = world.planner.decide({ now: world.now + 10, wallTime: world.wallTime })[0] as StartCommand
+      world.planner.noteUnrecordedStart(start)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(false)
+      world.planner.markStored(world.planner.unstoredJobs)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(true)
+    })
+
+    it('has a `job-idle` event that names the backend server for which a task waits', () => {
+      takeOver(2, true)
+      for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
+      const events = []
+      for (let round = 0; round < 80; round += 1) {
+        work(80)
+        events.push(...world.planner.drainEvents())
+      }
+      const idle = events.filter(event => event.type === 'job-idle')
+      expect(idle[0]).to.include({ job: 'a', task: 'a.0.0.0', reason: 'recovery', server: serverId(lost.entry.id), servers: 1, epoch: 2 })
+    })
+  })
+})
