--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -78,16 +78,17 @@
   let confirmedAge: number
   let rows: MemoryRowStore
   let store: MemoryRowStoreView
-  let isFenced: boolean
+  let fenced: Promise<void>
 
   beforeEach(async () => {
     rows = new MemoryRowStore()
     store = rows.view()
-    isFenced = false
+    let handleFenced = (): void => {}
+    fenced = new Promise(resolve => { handleFenced = resolve })
     const owner = await claimOwnership(store, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
     calls = new FakeCalls()
     confirmedAge = 0
-    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => { isFenced = true } })
+    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => handleFenced() })
     host.configure(CONFIGURATION)
     host.updateRegistry({ entries: [SERVER], unreadable: 0 })
     host.submit(jobAccepted(owner.epoch))
@@ -153,7 +154,7 @@
       const view = rows.view()
       await claimOwnership(view, (await readOwner(view))!, { vm: vmName('vm-b'), address: '10.0.0.2:7000' })
       submitAnother()
-      while (!isFenced) await pause(systemClock, 5)
+      await fenced
       await pause(systemClock, 50)
       expect(calls.hasStarted).to.equal(false)
     })
