--- a/packages/entry/src/server-recorder.ts
+++ b/packages/entry/src/server-recorder.ts
@@ -1,7 +1,7 @@
 /** Keeps the record of backend servers for the next owner up to date, and holds those that it lists as unreached; all until it is first stored. */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { ALL_SERVERS, type Planner, type ServerId } from '@cornelgauge/jobs'
-import { SERVER_RECORD_PAUSE_MILLISECONDS } from './limits.js'
+import { BUSY_POLL_WAIT_MILLISECONDS, SERVER_RECORD_PAUSE_MILLISECONDS } from './limits.js'
 import type { ServerRecord } from './server-record.js'
 
 /** Options of a recorder. */
@@ -46,14 +46,19 @@
     await this.#updating
   }
 
-  /** Returns once a backend server that has answered may be used, after one attempt at most. */
+  /**
+   * Returns once a backend server that has answered may be used, or after as long as a poll waits: while the store refuses
+   * writes, the backend servers that wait are polled no more often than others.
+   */
   async release (server: ServerId): Promise<void> {
-    const { planner, signal } = this.#options
+    const { planner, signal, now } = this.#options
+    const end = now() + BUSY_POLL_WAIT_MILLISECONDS
     // The write under way may have begun before the answer.
     await this.#updating
-    if (!planner.isWaitingForRecord(server) || signal.aborted) return
-    await this.update()
-    if (planner.isWaitingForRecord(server)) await pause(systemClock, SERVER_RECORD_PAUSE_MILLISECONDS, signal)
+    while (planner.isWaitingForRecord(server) && !signal.aborted && now() < end) {
+      await this.update()
+      if (planner.isWaitingForRecord(server)) await pause(systemClock, SERVER_RECORD_PAUSE_MILLISECONDS, signal)
+    }
   }
 
   async #update (): Promise<void> {
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -174,6 +174,19 @@
       expect(calls.hasStarted).to.equal(true)
     })
 
+    it('polls it no more often than others while the store refuses writes', async () => {
+      view.fault = 'refusing'
+      calls.isSilent = false
+      await pause(systemClock, 500)
+      const before = calls.polls.length
+      await pause(systemClock, 1500)
+      expect(calls.polls.length - before).to.be.within(1, 2)
+      expect(calls.hasStarted).to.equal(false)
+      view.fault = 'none'
+      await pause(systemClock, 400)
+      expect(calls.hasStarted).to.equal(true)
+    })
+
     it('starts nothing there while the store doesn\'t answer', async () => {
       view.fault = 'losing-answers'
       calls.isSilent = false
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -94,7 +94,7 @@
 
   /**
    * Adds the backend servers that an earlier owner recorded by `serversToRecover`, and the bounds of the runs there that
-   * the last owner recorded by `unreachedServers`. A job of an earlier owner waits until each of them that may have runs of
+   * earlier owners recorded by `unreachedServers`. A job of an earlier owner waits until each of them that may have runs of
    * it has answered a poll, also one that isn't registered, or until all leases there have expired.
    */
   inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map()): void {
