Play owners that follow each other soon

Cause: owners of the play live for 0.5 s or more and write at once, so none of its faults showed whether servers are used before the first record is stored.

Change: the play takes the range of times between two claims, and a fault that uses backend servers before the first record is stored.

--- a/packages/entry/test/following-owners-play.ts
+++ b/packages/entry/test/following-owners-play.ts
@@ -4,7 +4,7 @@
  * The backend servers note each start of a task that runs elsewhere.
  */
 import { vmName, workspaceName } from '@cornelgauge/model'
-import { configurationVersion, jobId, Planner, poolName, queueName, serverId, type Command, type Configuration, type Job, type ListedEnd, type ListedRun, type PollRequest, type ServerEntry, type ServerReport, type StartCommand, type StoredJob } from '@cornelgauge/jobs'
+import { ALL_SERVERS, configurationVersion, jobId, Planner, poolName, queueName, serverId, type Command, type Configuration, type Job, type ListedEnd, type ListedRun, type PollRequest, type ServerEntry, type ServerReport, type StartCommand, type StoredJob } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView, type RowTransaction, type WriteOutcome } from '@cornelgauge/ports'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import { earlierRunsOf, readServers, ServerRecord } from '../src/server-record.js'
@@ -143,8 +143,13 @@
 export interface PlayFault {
   /** Backend servers that the record lists as unreached are used, and the record stays as it is. */
   readonly ignoresRecord?: boolean
+  /** Backend servers are used before the first record of an owner is stored. */
+  readonly usesBeforeRecord?: boolean
 }
 
+/** Shortest and longest time between two claims, in milliseconds. */
+export type TenureRange = readonly [shortest: number, longest: number]
+
 /**
  * Plays owners that follow each other.
  *
@@ -154,6 +159,7 @@
 export class FollowingOwnersPlay {
   readonly #random: Random
   readonly #fault: PlayFault
+  readonly #tenures: TenureRange
   readonly #rows = new MemoryRowStore(() => Math.floor(5_000_000 + this.#now))
   readonly #view: MemoryRowStoreView
   readonly #servers: readonly PlayedServer[]
@@ -167,9 +173,10 @@
   #ownerCount = 0
   #isStoreAway = false
 
-  constructor (seed: number, fault: PlayFault = {}) {
+  constructor (seed: number, fault: PlayFault = {}, tenures: TenureRange = [500, 10_000]) {
     this.#random = seededRandom(seed)
     this.#fault = fault
+    this.#tenures = tenures
     this.#view = this.#rows.view()
     this.#servers = Array.from({ length: SERVERS }, (_, index) => new PlayedServer(index, this.#random))
   }
@@ -183,7 +190,7 @@
       this.#writeLate()
       if (this.#now >= nextOwnerAt) {
         await this.#changeOwner()
-        nextOwnerAt = this.#now + this.#between(500, 10_000)
+        nextOwnerAt = this.#now + this.#between(...this.#tenures)
       }
       this.#submitJob()
       this.#owners = this.#owners.filter(owner => this.#now < owner.endsAt)
@@ -246,6 +253,8 @@
     planner.inheritServers(stored.ids, bounds)
     planner.configure(CONFIGURATION)
     if (this.#fault.ignoresRecord === true) planner.holdServers = () => {}
+    const hold = planner.holdServers.bind(planner)
+    if (this.#fault.usesBeforeRecord === true) planner.holdServers = ids => hold(ids === ALL_SERVERS ? new Set() : ids)
     const write = async (transaction: RowTransaction): Promise<WriteOutcome> => await this.#write(transaction)
     const store = Object.assign(this.#rows.view(), { write })
     const recorder = new ServerRecorder({
--- a/packages/entry/test/following-owners.test.ts
+++ b/packages/entry/test/following-owners.test.ts
@@ -1,8 +1,10 @@
 import { expect } from 'chai'
-import { FollowingOwnersPlay } from './following-owners-play.js'
+import { FollowingOwnersPlay, type TenureRange } from './following-owners-play.js'
 
 const SEEDS = Array.from({ length: 16 }, (_, index) => 7919 + index)
 const PLAY_MILLISECONDS = 60_000
+/** Owners that follow each other soon: many end before their first record is stored. */
+const SHORT_TENURES: TenureRange = [50, 2000]
 /** Time limit of a test on a busy machine. */
 const TEST_MILLISECONDS = 60_000
 
@@ -19,6 +21,24 @@
     expect(trusted).to.be.greaterThan(SEEDS.length)
   }).timeout(TEST_MILLISECONDS)
 
+  // Guards against trust in a row of an earlier owner than the last one, where one in between has used the backend servers.
+  it('start no task that runs elsewhere if they follow each other soon', async () => {
+    let trusted = 0
+    for (const seed of SEEDS) {
+      const play = await new FollowingOwnersPlay(seed, {}, SHORT_TENURES).run(PLAY_MILLISECONDS)
+      expect(play.doubles, `seed ${seed}`).to.deep.equal([])
+      expect(play.starts).to.be.greaterThan(0)
+      trusted += play.trusted
+    }
+    expect(trusted).to.be.greaterThan(SEEDS.length)
+  }).timeout(TEST_MILLISECONDS)
+
+  it('would start some if they used backend servers before their first record is stored', async () => {
+    let doubles = 0
+    for (const seed of SEEDS) doubles += (await new FollowingOwnersPlay(seed, { usesBeforeRecord: true }, SHORT_TENURES).run(PLAY_MILLISECONDS)).doubles.length
+    expect(doubles).to.be.greaterThan(0)
+  }).timeout(TEST_MILLISECONDS)
+
   it('would start some if they used backend servers that the record lists as unreached', async () => {
     let doubles = 0
     for (const seed of SEEDS) doubles += (await new FollowingOwnersPlay(seed, { ignoresRecord: true }).run(PLAY_MILLISECONDS)).doubles.length
