--- a/packages/entry/test/following-owners-play.ts
+++ b/packages/entry/test/following-owners-play.ts
@@ -3,7 +3,7 @@
  * runs, owners go on for a while after they were replaced, and answers of the store are lost or its writes late.
  * The backend servers note each start of a task that runs elsewhere.
  */
-import type { StoredJob } from '@cornelgauge/jobs'
+import { ALL_SERVERS, type StoredJob } from '@cornelgauge/jobs'
 import { MemoryRowStore, type RowTransaction, type WriteOutcome } from '@cornelgauge/ports'
 import { NO_OWNER } from '../src/owner-record.js'
 import { PlayedOwner, playedJob, STEP_MILLISECONDS, storeClock } from './played-owner.js'
@@ -29,8 +29,13 @@
 export interface PlayFault {
   /** Backend servers that the record lists as unreached are used, and the record stays as it is. */
   readonly ignoresRecord?: boolean
+  /** Backend servers are used before the first record of an owner is stored. */
+  readonly usesBeforeRecord?: boolean
 }
 
+/** Shortest and longest time between two claims, in milliseconds. */
+export type TenureRange = readonly [shortest: number, longest: number]
+
 /**
  * Plays owners that follow each other.
  *
@@ -40,6 +45,7 @@
 export class FollowingOwnersPlay {
   readonly #random: Random
   readonly #fault: PlayFault
+  readonly #tenures: TenureRange
   readonly #rows = new MemoryRowStore(() => storeClock(this.#now))
   readonly #pool: PlayedPool
   readonly #jobs = new Map<string, StoredJob>()
@@ -50,9 +56,10 @@
   #ownerCount = 0
   #isStoreAway = false
 
-  constructor (seed: number, fault: PlayFault = {}) {
+  constructor (seed: number, fault: PlayFault = {}, tenures: TenureRange = [500, 10_000]) {
     this.#random = seededRandom(seed)
     this.#fault = fault
+    this.#tenures = tenures
     this.#pool = new PlayedPool(SERVERS, this.#random)
   }
 
@@ -65,7 +72,7 @@
       this.#writeLate()
       if (this.#now >= nextOwnerAt) {
         await this.#changeOwner()
-        nextOwnerAt = this.#now + this.#between(500, 10_000)
+        nextOwnerAt = this.#now + this.#between(...this.#tenures)
       }
       this.#submitJob()
       this.#owners = this.#owners.filter(owner => this.#now < owner.endsAt)
@@ -125,6 +132,11 @@
       owner.planner.holdServers(new Set())
       owner.planner.holdServers = () => {}
     }
+    if (this.#fault.usesBeforeRecord === true) {
+      const hold = owner.planner.holdServers.bind(owner.planner)
+      owner.planner.holdServers = ids => hold(ids === ALL_SERVERS ? new Set() : ids)
+      owner.planner.holdServers(ALL_SERVERS)
+    }
     this.#owners.push(owner)
   }
 
