Report a poll that another backend server has answered as its own failure

A worker answers 421 to calls meant for another one. A poll so answered failed as `unavailable`, like one without an answer, so nobody could see that the server it was meant for no longer has the address.

--- a/packages/entry/src/backend-server-calls.ts
+++ b/packages/entry/src/backend-server-calls.ts
@@ -21,7 +21,8 @@
 
 /**
  * Calls to a backend server. `poll` fails with a `CornelgaugeError`: `stale-epoch` if the
- * server has been called by a newer owner, otherwise `unavailable` or `timeout`.
+ * server has been called by a newer owner, `server-replaced` if another one answers at its address, otherwise
+ * `unavailable` or `timeout`.
  */
 export interface BackendServerCalls {
   poll (target: ServerTarget, poll: ServerPoll, timeoutMilliseconds: number): Promise<ServerReport>
