End runs once another backend server answers polls meant for theirs

Cause: a run on a server whose address another one had taken was held until the other one was registered and had answered polls of its own. Its row comes up to a heartbeat later, and none comes while the store is away; then the lease had to expire. The polls meant for the earlier server were answered 421 all the while.

Its runs are counted once, also when the other one is registered later, and not if it was draining.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -6,7 +6,7 @@
 import { setMaxListeners } from 'node:events'
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
+import { asFailure } from '@cornelgauge/model'
 import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome, UNREACHED_SERVER_MILLISECONDS } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
@@ -71,7 +71,7 @@
 
   readonly #handlers: HostEventHandlers = {
     polled: ({ server, report }) => this.#planner.applyReport(server, report, Date.now()),
-    pollFailed: ({ server, failure }) => this.#handlePollFailure(server, failure),
+    pollFailed: event => this.#handlePollFailure(event),
     started: ({ command, outcome }) => this.#handleStartOutcome(command, outcome),
     stopped: ({ command, outcome }) => this.#handleStopOutcome(command, outcome),
     advised: ({ command, advice }) => this.#planner.applyAdvice(command, advice, performance.now()),
@@ -308,22 +308,24 @@
   }
 
   async #poll (id: ServerId, request: { readonly address: string, readonly acknowledgedPosition: number, readonly leaseUntil: number | undefined, readonly waitMilliseconds: number }): Promise<boolean> {
-    const { acknowledgedPosition, leaseUntil, waitMilliseconds } = request
+    const { address, acknowledgedPosition, leaseUntil, waitMilliseconds } = request
+    const sentAt = performance.now()
     const poll = { epoch: this.epoch, acknowledgedPosition, waitMilliseconds, ...(leaseUntil === undefined ? {} : { leaseUntil }) }
     try {
-      const report = await this.#options.servers.poll({ id, address: request.address }, poll, waitMilliseconds + CALL_SLACK_MILLISECONDS)
+      const report = await this.#options.servers.poll({ id, address }, poll, waitMilliseconds + CALL_SLACK_MILLISECONDS)
       if (this.#stopping.signal.aborted) return false
       this.#handle({ type: 'polled', server: id, report })
       this.#save()
       return true
     } catch (thrown) {
-      if (!this.#stopping.signal.aborted) this.#inbox.put({ type: 'pollFailed', server: id, failure: asFailure(thrown) })
+      if (!this.#stopping.signal.aborted) this.#inbox.put({ type: 'pollFailed', server: id, address, sentAt, failure: asFailure(thrown) })
       return false
     }
   }
 
-  #handlePollFailure (server: ServerId, failure: CornelgaugeError): void {
+  #handlePollFailure ({ server, address, sentAt, failure }: Extract<HostEvent, { type: 'pollFailed' }>): void {
     this.#planner.recordMissedPoll(server)
+    if (failure.code === 'server-replaced') this.#planner.recordReplacement(server, address, sentAt)
     this.#options.emit('look-missed', { details: { server, failure: failure.code } })
     if (failure.code === 'stale-epoch') this.#fence()
   }
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -47,10 +47,13 @@
   answerStart: (outcome: StartOutcome) => void = () => {}
   hasStarted = false
   isSilent = false
+  /** Another backend server answers the polls. */
+  isReplaced = false
 
   async poll (_target: unknown, poll: { readonly leaseUntil?: number, readonly waitMilliseconds: number }): Promise<ServerReport> {
     const sentAt = performance.now()
     this.polls.push({ at: sentAt, renews: poll.leaseUntil !== undefined })
+    if (this.isReplaced) throw new CornelgaugeError('server-replaced')
     if (this.isSilent) throw new CornelgaugeError('unavailable')
     await pause(systemClock, Math.max(5, poll.waitMilliseconds))
     return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: [], hasMoreEnds: false, sentAt, receivedAt: performance.now() }
@@ -75,14 +78,16 @@
   let host: PlannerHost
   let confirmedAge: number
   let rows: MemoryRowStore
+  let events: string[]
 
   beforeEach(async () => {
+    events = []
     rows = new MemoryRowStore()
     const store = rows.view()
     const owner = await claimOwnership(store, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
     calls = new FakeCalls()
     confirmedAge = 0
-    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
+    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: event => { events.push(event) }, confirmedAge: () => confirmedAge, onFenced: () => {} })
     host.configure(CONFIGURATION)
     host.updateRegistry({ entries: [SERVER], unreadable: 0 })
     host.submit(jobAccepted(owner.epoch))
@@ -129,6 +134,22 @@
     })
   })
 
+  // Guards against tasks that wait for the leases on a backend server whose address another one has.
+  describe('when another backend server answers the polls of one with a run', () => {
+    it('logs the run as lost, and starts its task on a third one', async () => {
+      calls.answerStart('started')
+      calls.hasStarted = false
+      await pause(systemClock, 50)
+      calls.isReplaced = true
+      for (const end = performance.now() + 3000; performance.now() < end && !events.includes('run-lost-with-server');) await pause(systemClock, 5)
+      expect(events).to.include('run-lost-with-server')
+      calls.isReplaced = false
+      host.updateRegistry({ entries: [{ ...SERVER, id: serverId('server-1'), address: '10.0.0.9:80' }], unreadable: 0 })
+      for (const end = performance.now() + 3000; performance.now() < end && !calls.hasStarted;) await pause(systemClock, 5)
+      expect(calls.hasStarted).to.equal(true)
+    })
+  })
+
   // Guards against starts on a backend server of which the next owner would think that this one hasn't used it.
   describe('when a backend server answers that it has recorded as unreached', () => {
     let view: MemoryRowStoreView
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -224,6 +224,11 @@
     if (server !== undefined) server.missedPolls += 1
   }
 
+  /** Records that another backend server at this address has answered a poll that was meant for this one. */
+  recordReplacement (id: ServerId, address: string, sentAt: number): void {
+    this.#state.recovery.noteRejection(id, address, sentAt)
+  }
+
   /** Applies the outcome of a start command. */
   applyStartOutcome (id: ServerId, task: TaskName, run: RunNumber, outcome: StartOutcome, now: number): void {
     applyStartOutcome(this.#state, id, task, run, outcome, now)
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -49,6 +49,8 @@
   readonly #answerAddresses = new Map<ServerId, string>()
   /** The last backend server that has answered this owner at each address, and when it was asked. */
   readonly #lastAnswers = new Map<string, { readonly id: ServerId, readonly at: number }>()
+  /** The address at which another backend server has last answered a poll meant for this one, and when it was sent. */
+  readonly #rejectedPolls = new Map<ServerId, { readonly address: string, readonly at: number }>()
   #isComplete = false
 
   constructor (owner: Epoch, now: number, servers: ReadonlyMap<ServerId, Server>) {
@@ -85,14 +87,21 @@
     if (askedAt >= (this.#lastAnswers.get(entry.address)?.at ?? -Infinity)) this.#lastAnswers.set(entry.address, { id, at: askedAt })
   }
 
+  /** Notes that another backend server has answered a poll that was meant for this one. */
+  noteRejection (id: ServerId, address: string, askedAt: number): void {
+    if (askedAt > (this.#rejectedPolls.get(id)?.at ?? -Infinity)) this.#rejectedPolls.set(id, { address, at: askedAt })
+  }
+
   /**
    * True if another backend server has answered at its address since it was known, has answered itself and was last known to
    * have restarted, so that it has ended with all its runs. Not so if its row names another address than that of its last answer.
    */
   isReplaced ({ id, entry: { address }, lastAnswerAt, restartedAt }: Server): boolean {
+    if ((this.#answerAddresses.get(id) ?? address) !== address) return false
     const last = this.#lastAnswers.get(address)
-    if (last === undefined || last.id === id || (this.#answerAddresses.get(id) ?? address) !== address) return false
-    return last.at > Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt, restartedAt)
+    const rejected = this.#rejectedPolls.get(id)
+    const since = Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt, restartedAt)
+    return (last !== undefined && last.id !== id && last.at > since) || (rejected?.address === address && rejected.at > since)
   }
 
   /** Backend servers that may have runs of earlier owners, and that the registry has not listed since. */
--- a/packages/jobs/test/replaced-servers.test.ts
+++ b/packages/jobs/test/replaced-servers.test.ts
@@ -25,6 +25,10 @@
     return world.now - lostAt
   }
 
+  const expectFullWait = (): void => {
+    expect(idleMilliseconds()).to.be.at.least(LEASE_MILLISECONDS)
+  }
+
   const lose = (): void => {
     holder = world.serverRunning(TASK)!
     holder.crash(Infinity)
@@ -105,11 +109,40 @@
     })
   })
 
-  describe('hold their task until the leases have expired', () => {
-    const expectFullWait = (): void => {
-      expect(idleMilliseconds()).to.be.at.least(LEASE_MILLISECONDS)
+  describe('and another one answers polls meant for it, but isn\'t registered', () => {
+    const answerUnlisted = (): FakeServer => {
+      world.answersForOthers = true
+      return replaceServer(world, holder)
     }
 
+    it('hold their task no longer', () => {
+      playOn(GONE_MILLISECONDS)
+      answerUnlisted()
+      expect(idleMilliseconds()).to.be.at.most(GONE_MILLISECONDS + NEXT_START_MILLISECONDS)
+    })
+
+    it('count once as lost, also when the other one is registered later', () => {
+      playOn(GONE_MILLISECONDS)
+      answerUnlisted()
+      playOn(1000)
+      expect(lostRuns()).to.equal(1)
+      listAllBut(holder)
+      playOn(2 * LEASE_MILLISECONDS)
+      expect(lostRuns()).to.equal(1)
+      expect(world.planner.load.runs).to.equal(1)
+    })
+
+    it('don\'t count as lost if it had been drained', () => {
+      world.listServers(world.entries.map(entry => entry.id === holder.entry.id ? { ...entry, incarnation: 1, isDraining: true, remainingMilliseconds: 1000 } : entry))
+      playOn(200)
+      answerUnlisted()
+      expect(idleMilliseconds()).to.be.at.most(500)
+      playOn(1000)
+      expect(lostRuns()).to.equal(0)
+    })
+  })
+
+  describe('hold their task until the leases have expired', () => {
     it('if another one is registered at its address and doesn\'t answer', () => {
       playOn(GONE_MILLISECONDS)
       replace().connectivity = 'silent'
@@ -133,6 +166,14 @@
       expectFullWait()
     })
 
+    for (const [name, address, offset] of [['before it last answered', undefined, -500], ['at another address', '10.9.9.9:80', 500]] as const) {
+      it(`if the other one answered a poll meant for it ${name}`, () => {
+        playOn(1000)
+        world.planner.recordReplacement(holder.entry.id, address ?? holder.entry.address, lostAt + offset)
+        expectFullWait()
+      })
+    }
+
     it('if its row names the address of the other one only since', () => {
       holder.connectivity = 'silent'
       const { address } = world.servers.find(server => server !== holder)!.entry
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -169,6 +169,8 @@
   readonly adviceRequests: AdviseCommand[] = []
   /** The store accepts writes. */
   isStoreAvailable = true
+  /** A backend server answers polls that are meant for a silent one at its address. */
+  answersForOthers = false
   /** Tasks that crash each backend server that starts them. */
   readonly deadlyTasks = new Map<string, CrashTime>()
   /** How long a crashed backend server is unreachable. */
@@ -220,6 +222,8 @@
       if (request === undefined) continue
       if (server.connectivity === 'silent') {
         this.planner.recordMissedPoll(server.entry.id)
+        const { id, address } = server.entry
+        if (this.answersForOthers && this.servers.some(({ entry, connectivity }) => entry.address === address && connectivity !== 'silent')) this.planner.recordReplacement(id, address, this.now)
         continue
       }
       server.highestEpoch = Math.max(server.highestEpoch, this.planner.epoch)
