--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -43,6 +43,8 @@
 export const IDLE_JOB_MILLISECONDS = 4000
 /** Interval at which such jobs are looked for, in milliseconds. */
 export const IDLE_JOB_CHECK_MILLISECONDS = 2000
+/** When an owner first looks for them, in milliseconds after its first round: by then the backend servers that it reaches have answered. */
+export const FIRST_IDLE_JOB_CHECK_MILLISECONDS = 1000
 /** Such jobs that are logged each time. */
 export const MAXIMUM_IDLE_JOBS_LOGGED = 20
 /** How long a task or gang that is to be isolated waits for empty backend servers, in milliseconds: work that fits has to run within 3 s. */
@@ -103,8 +105,6 @@
 export const LONGEST_LEASE_MILLISECONDS = 10_000
 /** How long a disconnected owner may keep renewing leases, in milliseconds; see the limits of the entry package. */
 export const DISCONNECTED_OWNER_MILLISECONDS = 3000
-/** How long a backend server hasn't answered a new owner until that is recorded for the next one, in milliseconds: above the time limit of a poll, and below the time in which owners follow each other. */
-export const UNREACHED_SERVER_MILLISECONDS = 1500
 /** How long a start without an answer waits for a poll that shows whether the run exists, in milliseconds: several polls, and less than members of a gang wait for each other. */
 export const START_SETTLEMENT_MILLISECONDS = 1000
 /** How long after it was sent a start without an answer may still be carried out, in milliseconds. */
@@ -138,6 +138,8 @@
 export const OVERWRITTEN_ROW_MILLISECONDS = 2000
 /** Entries up to which completed tasks are stored as lists, of at most 6 characters each; a row of the store has 65,536 bytes. */
 export const MAXIMUM_LISTED_ENTRIES = 5000
+/** Backend servers up to which progress lists where the tasks of a job may run, each with an id of up to 39 characters and some tasks. */
+export const MAXIMUM_LISTED_PLACEMENTS = 500
 /** Entries that the key and the braces of a step take. */
 export const STEP_ENTRIES = 6
 /** Maximum number of tasks of a job over all steps and occurrences; bounds the memory that one job takes on the owner. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -5,9 +5,10 @@
 import type { Epoch } from '@cornelgauge/model'
 import { applyAdvice } from './advice.js'
 import { sumFreeAccelerators } from './capacity.js'
-import type { Advice, AdviseCommand, Command, StartOutcome, StopOutcome } from './command.js'
+import type { Advice, AdviseCommand, Command, StartCommand, StartOutcome, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import { EarlyCancellations } from './early-cancellations.js'
+import { restoreIdleSince, storedIdleSince } from './idle-jobs.js'
 import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
 import { endJob } from './job-end.js'
@@ -18,7 +19,7 @@
 import { assignUnknownRuns, dropExpired, dropReplaced, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
-import type { EarlierRuns } from './recovery.js'
+import type { EarlierRuns, HeldServers } from './recovery.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import { PlannerState, type PlannerEvent } from './state.js'
@@ -77,6 +78,7 @@
     this.#lastTimes = times
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
+      restoreIdleSince(state, progress?.idleSince, times)
       this.#state.addJob(state)
       findExhausted(this.#state, state)
       if (isCancelled) this.cancel(job.id, times.wallTime)
@@ -97,8 +99,8 @@
    * the last owner recorded by `unreachedServers`. A job of an earlier owner waits until each of them that may have runs of
    * it has answered a poll, also one that isn't registered, or until all leases there have expired.
    */
-  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map()): void {
-    this.#state.recovery.inherit(ids, bounds)
+  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), areStartsRecorded = false): void {
+    this.#state.recovery.inherit(new Set([...ids, ...this.#state.earlierServers]), bounds, areStartsRecorded)
   }
 
   /** Ids of the backend servers that may have runs, which a later owner has to know. */
@@ -110,12 +112,12 @@
    * Of the given backend servers, those that have not answered this owner, with the bounds of the runs that earlier owners
    * may have there. They hold for the next owner only if this one doesn't use the servers: see `holdServers`.
    */
-  unreachedServers (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
-    return this.#state.recovery.unreached(ids, now)
+  unreachedServers (ids: Iterable<ServerId>): ReadonlyMap<ServerId, EarlierRuns> {
+    return this.#state.recovery.unreached(ids)
   }
 
   /** Replaces the backend servers that get no starts and no renewals of leases, since the stored record may list them as unreached. */
-  holdServers (ids: ReadonlySet<ServerId>): void {
+  holdServers (ids: HeldServers): void {
     this.#state.holdServers(ids)
   }
 
@@ -162,7 +164,9 @@
   submit (job: Job): boolean {
     if (job.acceptedUnder > this.epoch) return false
     if (this.#state.jobs.has(job.id)) return true
-    this.#state.addJob(new JobState(job, job.acceptedUnder < this.epoch))
+    const state = new JobState(job, job.acceptedUnder < this.epoch)
+    restoreIdleSince(state, undefined, this.#lastTimes)
+    this.#state.addJob(state)
     assignUnknownRuns(this.#state)
     const cancelledAt = this.#earlyCancellations.take(job.id)
     if (cancelledAt !== undefined) this.cancel(job.id, cancelledAt)
@@ -229,6 +233,26 @@
     this.#state.recovery.noteRejection(id, address, sentAt)
   }
 
+  /** True once the progress is stored that records where the run of a start may be. */
+  isRecorded ({ job, change }: StartCommand): boolean {
+    return this.#state.isStored(job, change)
+  }
+
+  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped. */
+  isStartDue ({ server, task, run }: StartCommand): boolean {
+    return this.#state.servers.get(server)?.run(task, run)?.state === 'starting'
+  }
+
+  /** Notes that a start is sent before it is recorded. */
+  noteUnrecordedStart ({ change }: StartCommand): void {
+    this.#state.noteUnrecorded(change)
+  }
+
+  /** True if each run that may be executing is recorded, so that a new owner knows of all starts until now. */
+  isRecordComplete (now: number): boolean {
+    return this.#state.isRecordComplete(now)
+  }
+
   /** Applies the outcome of a start command. */
   applyStartOutcome (id: ServerId, task: TaskName, run: RunNumber, outcome: StartOutcome, now: number): void {
     applyStartOutcome(this.#state, id, task, run, outcome, now)
@@ -257,7 +281,8 @@
 
   /** Returns a job's progress in the form that is stored. */
   progressOf (id: JobId): JobProgress | undefined {
-    return this.#state.jobs.get(id)?.progress
+    const job = this.#state.jobs.get(id)
+    return job === undefined ? undefined : { ...job.progress, ...storedIdleSince(job, this.#lastTimes) }
   }
 
   /** Marks the progress of jobs as stored, as of these changes. */
@@ -270,15 +295,16 @@
     return this.#state.drainEvents()
   }
 
-  /** Runs one round, which decides what is started and stopped. */
-  decide (times: RoundTimes): readonly Command[] {
+  /** Runs one round, which decides what is started and stopped; without `mayStart` it stops only what can't go on. */
+  decide (times: RoundTimes, mayStart = true): readonly Command[] {
     this.#lastTimes = times
+    this.#state.settleEarlierRuns(times.now)
     for (const server of this.#state.servers.values()) {
       server.noteOutage(times.now)
       dropReplaced(this.#state, server, times)
       dropExpired(this.#state, server, times.now)
     }
-    return decide(this.#state, times)
+    return decide(this.#state, times, mayStart)
   }
 
   /** Number of backend servers, running groups and jobs that all rounds so far have examined: their work, whatever the machine. */
@@ -318,7 +344,7 @@
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
-      jobsRecovering: jobs.filter(job => job.mayHaveRunsUnder(unknownEpoch)).length,
+      jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpoch) || job.earlierServers.length > 0).length,
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -1,9 +1,15 @@
 /** Determines which runs of earlier owners this one may not know yet, and until when. */
 import { epoch, type Epoch } from '@cornelgauge/model'
 import type { ServerId } from './ids.js'
-import { DISCONNECTED_OWNER_MILLISECONDS, LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, OVERWRITTEN_ROW_MILLISECONDS, UNREACHED_SERVER_MILLISECONDS } from './limits.js'
+import { DISCONNECTED_OWNER_MILLISECONDS, LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, OVERWRITTEN_ROW_MILLISECONDS } from './limits.js'
 import type { Server } from './server.js'
 
+/** Backend servers that must not be used. */
+export type HeldServers = Pick<ReadonlySet<ServerId>, 'has' | 'size'>
+
+/** Holds every backend server, also one that is registered later. */
+export const ALL_SERVERS: HeldServers = { has: () => true, size: Infinity }
+
 /** Bounds of the runs that earlier owners may have left on a backend server. */
 export interface EarlierRuns {
   /** When all of them have ended at the latest, on our monotonic clock, unless this owner renews their leases. */
@@ -52,6 +58,7 @@
   /** The address at which another backend server has last answered a poll meant for this one, and when it was sent. */
   readonly #rejectedPolls = new Map<ServerId, { readonly address: string, readonly at: number }>()
   #isComplete = false
+  #areStartsRecorded = false
 
   constructor (owner: Epoch, now: number, servers: ReadonlyMap<ServerId, Server>) {
     this.#servers = servers
@@ -61,8 +68,14 @@
     this.#unrecorded = { until, lastEpoch: epoch(Math.max(0, owner - 1)) }
   }
 
+  /** True if the progress of each job lists where earlier owners may have started its tasks, or says that it doesn't. */
+  get areStartsRecorded (): boolean {
+    return this.#areStartsRecorded
+  }
+
   /** Adds the backend servers that may have runs of earlier owners, whether they are listed or not, and the bounds that are stored. */
-  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>): void {
+  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>, areStartsRecorded: boolean): void {
+    this.#areStartsRecorded = areStartsRecorded
     for (const id of ids) {
       this.#knownSince.set(id, this.#startedAt)
       if (!this.#servers.has(id)) this.#absentServers.add(id)
@@ -109,21 +122,24 @@
     return [...this.#absentServers].filter(id => now <= this.boundsOf(id).until)
   }
 
-  /**
-   * Of the given backend servers, those that this owner hasn't used, since they have not answered for a while since it knows of
-   * them, and those that were replaced, with the bounds for the next owner.
-   */
-  unreached (ids: Iterable<ServerId>, now: number): ReadonlyMap<ServerId, EarlierRuns> {
+  /** Of the given backend servers, those that this owner hasn't used, since they have not answered it or were replaced, with the bounds for the next owner. */
+  unreached (ids: Iterable<ServerId>): ReadonlyMap<ServerId, EarlierRuns> {
     const unreached = new Map<ServerId, EarlierRuns>()
     for (const id of ids) {
       const server = this.#servers.get(id)
-      const isNew = now < (this.#knownSince.get(id) ?? now) + UNREACHED_SERVER_MILLISECONDS
       if (server !== undefined && this.isReplaced(server)) unreached.set(id, { until: this.#startedAt, lastEpoch: epoch(0) })
-      else if (!isNew && !this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
+      else if (!this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
     }
     return unreached
   }
 
+  /** True if earlier owners may have runs on a backend server that this one doesn't know. */
+  mayHideRuns (id: ServerId, now: number): boolean {
+    const server = this.#servers.get(id)
+    if (server === undefined) return now <= this.boundsOf(id).until
+    return server.isListCut || (server.mayHideRuns(now) && now <= this.#endOf(server, id) && !this.isReplaced(server))
+  }
+
   /** Epoch of the last owner of which there may be unknown runs; undefined if there are none. */
   latestUnknownEpoch (now: number): Epoch | undefined {
     if (this.#isComplete) return undefined
@@ -140,7 +156,11 @@
 
   /** Returns what a job waits for that was accepted under an earlier owner. */
   waitOf (acceptedUnder: Epoch, now: number): RecoveryWait {
-    const ids = this.#isComplete ? [] : [...this.#unresolvedServers(now)].filter(id => acceptedUnder <= this.boundsOf(id).lastEpoch)
+    return this.waitFor(this.#isComplete ? [] : [...this.#unresolvedServers(now)].filter(id => acceptedUnder <= this.boundsOf(id).lastEpoch), now)
+  }
+
+  /** Returns the wait for these backend servers. */
+  waitFor (ids: readonly ServerId[], now: number): RecoveryWait {
     const endOf = (id: ServerId): number => this.#endOf(this.#servers.get(id), id)
     const last = ids.reduce<ServerId | undefined>((latest, id) => latest === undefined || endOf(id) > endOf(latest) ? id : latest, undefined)
     if (last === undefined) return { servers: 0, ...(this.#mayMissServers(now) ? { until: this.#servers.size === 0 ? this.#unrecorded.until : this.#rowsReadableBy } : {}) }
@@ -154,10 +174,7 @@
   }
 
   * #unresolvedServers (now: number): Iterable<ServerId> {
-    for (const server of this.#servers.values()) {
-      const mayHideRuns = server.mayHideRuns(now) && now <= this.#endOf(server, server.id) && !this.isReplaced(server)
-      if (server.isListCut || mayHideRuns) yield server.id
-    }
+    for (const id of this.#servers.keys()) if (this.mayHideRuns(id, now)) yield id
     yield * this.absentServers(now)
   }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -14,7 +14,7 @@
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
-import { Recovery } from './recovery.js'
+import { Recovery, type HeldServers } from './recovery.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
@@ -26,7 +26,7 @@
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number, readonly exposureMilliseconds?: number, readonly background: number }
   | { readonly type: 'crashes-refuted', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly discarded: number, readonly workedMilliseconds: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
-  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly milliseconds: number, readonly age: number }
+  | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
@@ -92,8 +92,12 @@
   #runCount = 0
   /** Runs of earlier owners that may be unknown. */
   readonly recovery: Recovery
+  /** Tasks with recorded runs of earlier owners, by backend server. */
+  readonly #earlierTasks = new Map<ServerId, Set<TaskState>>()
+  /** Number of the last change with which a run is recorded that was begun before. */
+  #lastUnrecordedChange = 0
   /** Backend servers that must not be used. */
-  #heldServers: ReadonlySet<ServerId> = new Set()
+  #heldServers: HeldServers = new Set<ServerId>()
 
   constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
     this.epoch = epoch
@@ -109,7 +113,7 @@
   }
 
   /** Replaces the backend servers that get no starts and no renewals of leases, however they answer. */
-  holdServers (ids: ReadonlySet<ServerId>): void {
+  holdServers (ids: HeldServers): void {
     if (ids.size === 0 && this.#heldServers.size === 0) return
     this.#heldServers = ids
     for (const server of this.servers.values()) server.isHeld = ids.has(server.id)
@@ -125,6 +129,37 @@
     return ids
   }
 
+  /** True if a job waits for backend servers that may have runs of it which aren't recorded; `unknownEpoch` is `recovery.latestUnknownEpoch`. */
+  isRecovering (job: JobState, unknownEpoch: Epoch | undefined): boolean {
+    if (unknownEpoch === undefined) job.hasUnlistedRuns = false
+    return job.mayHaveRunsUnder(unknownEpoch) && (job.hasUnlistedRuns || !this.recovery.areStartsRecorded)
+  }
+
+  /** Backend servers on which earlier owners have recorded runs that this one doesn't know yet. */
+  get earlierServers (): ReadonlySet<ServerId> {
+    return new Set(this.#earlierTasks.keys())
+  }
+
+  /** Lets the tasks start whose recorded runs are known by now, or have ended. */
+  settleEarlierRuns (now: number): void {
+    for (const [id, tasks] of this.#earlierTasks) {
+      if (this.recovery.mayHideRuns(id, now)) continue
+      this.#earlierTasks.delete(id)
+      for (const task of tasks) task.earlierServers.delete(id)
+    }
+  }
+
+  /** Notes that a run is or may be executing which isn't recorded before this change is stored. */
+  noteUnrecorded (change: number): void {
+    this.#lastUnrecordedChange = Math.max(this.#lastUnrecordedChange, change)
+  }
+
+  /** True if each run that may be executing is recorded, so that the next owner has to look for no others. */
+  isRecordComplete (now: number): boolean {
+    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
+    return this.#lastUnrecordedChange < oldest && (this.recovery.areStartsRecorded || this.recovery.latestUnknownEpoch(now) === undefined)
+  }
+
   /** Applies the configuration in force. */
   configure (configuration: Configuration): void {
     this.configuration = configuration
@@ -180,6 +215,9 @@
     this.#pools.add(job.job.pool)
     if (job.isOpen) this.openJobs.add(job)
     this.#unmeasuredJobs.push(job)
+    for (const { tasks } of job.openSteps) {
+      for (const task of tasks) for (const id of task.earlierServers) this.#earlierTasks.set(id, (this.#earlierTasks.get(id) ?? new Set<TaskState>()).add(task))
+    }
   }
 
   /** Removes a job that has ended. */
