--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -228,6 +228,11 @@
     if (server !== undefined) server.missedPolls += 1
   }
 
+  /** Records that another backend server at this address has answered a poll that was meant for this one. */
+  recordReplacement (id: ServerId, address: string, sentAt: number): void {
+    this.#state.recovery.noteRejection(id, address, sentAt)
+  }
+
   /** True once the progress is stored that records where the run of a start may be. */
   isRecorded ({ job, change }: StartCommand): boolean {
     return this.#state.isStored(job, change)
