--- a/packages/jobs/test/planner.test.ts
+++ b/packages/jobs/test/planner.test.ts
@@ -193,6 +193,19 @@
       world.round()
       expect(world.starts).to.have.length(2)
     })
+
+    it('starts no task again whose completion it has received but not acknowledged', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      const server = world.serverRunning('a.0.0.0')!
+      server.end('a.0.0.0', 'done')
+      world.pollServers()
+      server.restart()
+      world.settle()
+      expect(world.starts).to.have.length(1)
+      expect(world.planner.phaseOf(jobId('a'))).to.equal('completed')
+    })
   })
 
   describe('when tasks fail', () => {
