Write the progress of other jobs while a write is under way

Change: up to three writes at a time, each of jobs that no other write has under way; versions and marks are by job, so they don't depend on each other.

Tests: "writes a change while another job's write is under way" fails with one write at a time; the others guard one write a job, the limit, and the pause after a failure.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -83,6 +83,8 @@
 export const SLOW_ROUND_MILLISECONDS = 100
 /** Interval at which the owner logs its planner's load and rounds. */
 export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
+/** Writes of progress under way at a time: a start waits for its record. */
+export const CONCURRENT_PROGRESS_WRITES = 3
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
 /** Characters of progress in one transaction, unless one record alone has more; the store accepts 1 MB, of which base64 takes a third more. */
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -13,10 +13,11 @@
 import type { BackendServerCalls } from './backend-server-calls.js'
 import type { StoredJobs } from './job-store.js'
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
-import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, STORE_RETRY_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
+import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { logFindings } from './planner-findings.js'
 import type { PlatformView } from './platform-view.js'
+import { ProgressSaver } from './progress-saver.js'
 import { ProgressWriter } from './progress-writer.js'
 import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
@@ -57,6 +58,7 @@
   readonly #options: PlannerHostOptions
   readonly #planner: Planner
   readonly #writer: ProgressWriter
+  readonly #saver: ProgressSaver
   readonly #servers: ServerRecorder
   readonly #gate: StartGate
   readonly #recordedStarts: RecordedStarts
@@ -71,9 +73,8 @@
   readonly #roundTimer: NodeJS.Timeout
   #isRoundDue = false
   #isDeciding = true
-  #saving: Promise<void> | undefined
-  /** The write of progress under way. */
-  #writing: Promise<unknown> | undefined
+  /** The next round, or the last one. */
+  #round: Promise<void> = Promise.resolve()
   #firstStartAt: number | undefined
 
   readonly #handlers: HostEventHandlers = {
@@ -104,6 +105,14 @@
     this.#recordedStarts = new RecordedStarts({ store, owner, isRecordComplete: () => this.#planner.isRecordComplete(performance.now()), confirmedAge: options.confirmedAge })
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
+    this.#saver = new ProgressSaver({
+      planner: this.#planner,
+      writer: this.#writer,
+      tryStoreCall: call => this.#tryStoreCall(call),
+      onStored: milliseconds => this.#handleStored(milliseconds),
+      onCrash: thrown => this.#crash(thrown),
+      signal: this.#stopping.signal
+    })
     this.#servers = new ServerRecorder({
       planner: this.#planner,
       record: new ServerRecord(store, owner, stored.servers),
@@ -174,7 +183,7 @@
     this.#isDeciding = false
     clearInterval(this.#roundTimer)
     this.#dropStarts(this.#gate.clear())
-    await this.#saving
+    await this.#saver.underWay
     if (!this.#stopping.signal.aborted) await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
     this.#stopping.abort()
   }
@@ -201,10 +210,10 @@
   #scheduleRound (): void {
     if (this.#isRoundDue) return
     this.#isRoundDue = true
-    setTimeout(() => {
+    this.#round = pause(systemClock, this.#rounds.delayMilliseconds).then(() => {
       this.#isRoundDue = false
       this.#runRound()
-    }, this.#rounds.delayMilliseconds)
+    }).catch(thrown => this.#crash(thrown))
   }
 
   #runRound (): void {
@@ -213,7 +222,7 @@
       const commands = this.#rounds.measure(() => this.#planner.decide({ now: performance.now(), wallTime: Date.now() }, this.#mayStart))
       for (const command of commands) this.#perform(command)
     }
-    this.#save()
+    this.#saver.save()
     this.#sendStarts()
   }
 
@@ -332,7 +341,7 @@
       if (!hasAnswered) await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
       else if (this.#planner.isWaitingForRecord(id)) await this.#servers.release(id)
       else if (request.hasUnstoredEnds) await pause(systemClock, UNSTORED_POLL_PAUSE_MILLISECONDS, signal)
-      else await this.#writing
+      else await this.#stored()
     }
     this.#polledServers.delete(id)
   }
@@ -345,7 +354,6 @@
       const report = await this.#options.servers.poll({ id, address }, poll, waitMilliseconds + CALL_SLACK_MILLISECONDS)
       if (this.#stopping.signal.aborted) return false
       this.#handle({ type: 'polled', server: id, report })
-      this.#save()
       return true
     } catch (thrown) {
       if (!this.#stopping.signal.aborted) this.#inbox.put({ type: 'pollFailed', server: id, address, sentAt, failure: asFailure(thrown) })
@@ -360,24 +368,17 @@
     if (failure.code === 'stale-epoch') this.#fence()
   }
 
-  #save (): void {
-    if (this.#saving !== undefined || this.#planner.unstoredCount === 0) return
-    this.#saving = this.#writeAll().finally(() => { this.#saving = undefined })
+  /** Returns once the round after the last event and the write of what it found have ended: ends and the starts that follow them are stored together. */
+  async #stored (): Promise<void> {
+    await this.#round
+    await this.#saver.underWay
   }
 
-  async #writeAll (): Promise<void> {
-    const started = performance.now()
-    const isWritten = await this.#tryStoreCall(async () => {
-      while (this.#planner.unstoredCount > 0 && !this.#stopping.signal.aborted) {
-        const writing = this.#writer.write(this.#planner)
-        this.#writing = writing.catch(() => { /* The failure is handled below. */ })
-        if (await writing > 0) this.#gate.noteStored()
-        this.#sendStarts()
-      }
-    })
-    const milliseconds = Math.round(performance.now() - started)
-    if (isWritten && milliseconds > SLOW_STORE_MILLISECONDS) this.#options.emit('progress-stored-late', { details: { milliseconds } })
-    if (!isWritten) await pause(systemClock, STORE_RETRY_MILLISECONDS, this.#stopping.signal)
+  #handleStored (milliseconds: number): void {
+    if (milliseconds > SLOW_STORE_MILLISECONDS) this.#options.emit('progress-stored-late', { details: { milliseconds: Math.round(milliseconds) } })
+    this.#gate.noteStored()
+    this.#sendStarts()
+    this.#saver.save()
   }
 
   /** Runs a call to the store. `stale-epoch` stops this host; any other failure is logged, and a later attempt follows. */
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -12,6 +12,12 @@
 /** A row of progress to be written. */
 type ProgressPut = RowPut & { readonly key: JobId }
 
+/** Changes of jobs, by their numbers, and the rows that store them. */
+interface ProgressBatch {
+  readonly changes: ReadonlyMap<JobId, number>
+  readonly puts: readonly ProgressPut[]
+}
+
 /**
  * Writes the progress that the planner reports as unstored.
  *
@@ -23,6 +29,8 @@
   readonly #store: RowStore
   readonly #owner: OwnerRecord
   readonly #versions: Map<JobId, number>
+  /** Jobs whose progress is being written. */
+  readonly #inFlight = new Set<JobId>()
 
   constructor (store: RowStore, owner: OwnerRecord, versions: ReadonlyMap<JobId, number>) {
     this.#store = store
@@ -30,8 +38,13 @@
     this.#versions = new Map(versions)
   }
 
+  /** True if there is progress to be written that isn't being written. */
+  hasNext (planner: Planner): boolean {
+    return planner.unstoredCount > this.#inFlight.size
+  }
+
   /**
-   * Stores one batch and marks it as stored in the planner. After a write without an answer the
+   * Stores one batch, of jobs that no other call is writing, and marks it as stored in the planner. After a write without an answer the
    * next one has the same conditions; if the earlier one took effect, the store turns it away
    * with the current rows, and it is made once more with their versions.
    *
@@ -39,8 +52,17 @@
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
    */
   async write (planner: Planner): Promise<number> {
-    const { changes, puts } = nextBatch(planner)
-    if (changes.size === 0) return 0
+    const batch = nextBatch(planner, this.#inFlight)
+    if (batch.changes.size === 0) return 0
+    for (const id of batch.changes.keys()) this.#inFlight.add(id)
+    try {
+      return await this.#writeBatch(planner, batch)
+    } finally {
+      for (const id of batch.changes.keys()) this.#inFlight.delete(id)
+    }
+  }
+
+  async #writeBatch (planner: Planner, { changes, puts }: ProgressBatch): Promise<number> {
     let outcome = await this.#transact(puts)
     if (outcome.type === 'conflict') outcome = await this.#transact(puts)
     if (outcome.type === 'conflict') return 0
@@ -110,12 +132,12 @@
   }
 }
 
-/** Encodes the progress of the first jobs with unstored changes, as many as one transaction holds, and at least one. */
-function nextBatch (planner: Planner): { readonly changes: ReadonlyMap<JobId, number>, readonly puts: readonly ProgressPut[] } {
+/** Encodes the progress of the first jobs with unstored changes that aren't being written, as many as one transaction holds, and at least one. */
+function nextBatch (planner: Planner, inFlight: ReadonlySet<JobId>): ProgressBatch {
   const changes = new Map<JobId, number>()
   const puts: ProgressPut[] = []
   let characters = 0
-  for (const [id, change] of [...planner.unstoredJobs].slice(0, PROGRESS_BATCH)) {
+  for (const [id, change] of [...planner.unstoredJobs].filter(([id]) => !inFlight.has(id)).slice(0, PROGRESS_BATCH)) {
     const text = encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} })
     characters += text.length
     if (puts.length > 0 && characters > PROGRESS_BATCH_CHARACTERS) break
