Mend what the review of recorded starts found

Cause and change, each with a test that fails without it, but for the clock:

- A store that answers reads and refuses or loses writes kept every start waiting for ever: each attempt moved the recorded period on.
- Placements counted little towards the length of a row: with 5,000 tasks done and 300 servers of 8 tasks each it could exceed 65,536 bytes, and the starts of its whole batch would never be recorded.
Placements now count by their length, and completed tasks are stored as bits where both don't fit.
- A start that waited while its backend server restarted under its id was sent with a lease for the earlier clock.
It is dropped.
- A new owner compares the recorded period with the first time that it reads after its claim, not with one after most of its load, so that slow loads make fewer owners wait in full.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -8,7 +8,7 @@
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import { readServers, type StoredServers } from './server-record.js'
-import { readTable, type TableReadOptions } from './table-reader.js'
+import { readTable, type StoreClock, type TableReadOptions } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
 /** A job without the epoch of the owner under which it is stored. */
@@ -27,6 +27,8 @@
   readonly cancelsVersion: number
   /** Cancelled ids under which there is no job. */
   readonly earlyCancellations: readonly JobId[]
+  /** The store's clock as of its first answer; undefined if it gave none. */
+  readonly clock?: StoreClock
 }
 
 /** The end of a write: the row is stored, by this write or as it was before, or never will be. */
@@ -165,7 +167,8 @@
       damaged,
       jobsVersion: jobs.version,
       cancelsVersion: cancels.version,
-      earlyCancellations: cancels.rows.filter(row => !jobKeys.has(row.key)).map(row => jobId(row.key))
+      earlyCancellations: cancels.rows.filter(row => !jobKeys.has(row.key)).map(row => jobId(row.key)),
+      ...(cancels.clock === undefined ? {} : { clock: cancels.clock })
     }
   }
 
--- a/packages/entry/src/recorded-starts.ts
+++ b/packages/entry/src/recorded-starts.ts
@@ -35,7 +35,7 @@
  * an owner that went on for a while after it was replaced, and each owner since has recorded its starts.
  *
  * @example
- * areStartsRecorded(period, owner, stored.servers.clock)
+ * areStartsRecorded(period, owner, stored.clock)
  */
 export function areStartsRecorded (period: RecordedPeriod | undefined, { recordedSince }: OwnerRecord, clock: StoreClock | undefined): boolean {
   if (period === undefined || clock === undefined || recordedSince === undefined || period.under < recordedSince) return false
@@ -47,7 +47,7 @@
 export interface RecordedStartsOptions {
   readonly store: RowStore
   readonly owner: OwnerRecord
-  /** True if each run that may be executing is recorded. */
+  /** True if each run that may be executing is recorded, and the store records starts in time. */
   readonly isRecordComplete: () => boolean
   /** Milliseconds since ownership was last confirmed by the store or by a majority of peers. */
   readonly confirmedAge: () => number
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -187,6 +187,16 @@
       expect(calls.hasStarted).to.equal(false)
       while (!calls.hasStarted) await pause(systemClock, 50)
     }).timeout(4 * RECORDED_PERIOD_MILLISECONDS)
+
+    // Guards against starts that wait for ever for a store that answers reads and refuses writes.
+    it('holds it not for ever while the store refuses only writes', async () => {
+      store.write = async () => { throw new CornelgaugeError('overloaded') }
+      submitAnother()
+      while (!calls.hasStarted) {
+        await host.confirmOwnership()
+        await pause(systemClock, 200)
+      }
+    }).timeout(4 * RECORDED_PERIOD_MILLISECONDS)
   })
 
   it('writes its first record again until it is stored, also if no backend server answers', async () => {
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -2,7 +2,7 @@
 import type { Epoch } from '@cornelgauge/model'
 import { serverId, stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
-import { MAXIMUM_LISTED_ENTRIES, MAXIMUM_LISTED_PLACEMENTS, STEP_ENTRIES } from './limits.js'
+import { ENTRY_CHARACTERS, MAXIMUM_LISTED_ENTRIES, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
 import { LossRecord } from './loss-record.js'
 import type { JobProgress, Placement, StepProgress } from './progress.js'
 import type { Run } from './server.js'
@@ -224,15 +224,15 @@
       }
     }
     const listed = Object.values(steps)
-    const placements = listed.reduce((sum, step) => sum + Object.keys(step.placements ?? {}).length, 0)
-    const areListed = placements <= MAXIMUM_LISTED_PLACEMENTS
+    const placements = listed.reduce((sum, step) => sum + placementEntries(step), 0)
+    const areListed = placements <= MAXIMUM_LISTED_ENTRIES
     const progress = {
       ...(this.isOpen ? {} : { phase: this.phase, finishedAt: this.finishedAt }),
       ...(this.hasUnlistedRuns || !areListed ? { hasUnlistedRuns: true } : {}),
       hasBegun: this.phase !== 'queued',
       steps: areListed ? steps : withoutPlacements(steps)
     }
-    const entries = listed.reduce((sum, { done }) => sum + done.length, STEP_ENTRIES * listed.length)
+    const entries = listed.reduce((sum, { done }) => sum + done.length, STEP_ENTRIES * listed.length + (areListed ? placements : 0))
     return entries <= MAXIMUM_LISTED_ENTRIES ? progress : { ...progress, steps: withoutDone(progress.steps), doneBits: encodeBits(this.#doneTasks()) }
   }
 
@@ -347,6 +347,11 @@
   return Object.fromEntries(rest.filter(([, { failed, lost, attributed, placements }]) => Object.keys(failed).length > 0 || lost !== undefined || attributed !== undefined || placements !== undefined))
 }
 
+/** Counts the entries of a list of tasks that take as much room as the placements of a step. */
+function placementEntries ({ placements = {} }: StepProgress): number {
+  return Object.entries(placements).reduce((sum, [id, { address, tasks }]) => sum + Math.ceil((id.length + address.length + PLACEMENT_CHARACTERS) / ENTRY_CHARACTERS) + tasks.length, 0)
+}
+
 /** Drops the backend servers on which tasks may run. */
 function withoutPlacements (steps: JobProgress['steps']): JobProgress['steps'] {
   return Object.fromEntries(Object.entries(steps).map(([key, { placements, ...step }]) => [key, step]))
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -136,10 +136,11 @@
 export const MAXIMUM_REGISTRY_AGE_MILLISECONDS = 2000
 /** How long after its start an owner waits for backend servers whose rows it can't read, in milliseconds: a row that another writer has overwritten comes back with the next heartbeat. */
 export const OVERWRITTEN_ROW_MILLISECONDS = 2000
-/** Entries up to which completed tasks are stored as lists, of at most 6 characters each; a row of the store has 65,536 bytes. */
+/** Entries up to which completed tasks, and placements, are stored as lists; a row of the store has 65,536 bytes, of which completed tasks as bits take 17 kB. */
 export const MAXIMUM_LISTED_ENTRIES = 5000
-/** Backend servers up to which progress lists where the tasks of a job may run, each with an id of up to 39 characters, its address and some tasks. */
-export const MAXIMUM_LISTED_PLACEMENTS = 300
+/** Characters of one entry at most, and of the names and quotes around the id and the address in a placement. */
+export const ENTRY_CHARACTERS = 6
+export const PLACEMENT_CHARACTERS = 30
 /** Entries that the key and the braces of a step take. */
 export const STEP_ENTRIES = 6
 /** Maximum number of tasks of a job over all steps and occurrences; bounds the memory that one job takes on the owner. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -238,9 +238,11 @@
     return this.#state.isStored(job, change)
   }
 
-  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped. */
-  isStartDue ({ server, task, run }: StartCommand): boolean {
-    return this.#state.servers.get(server)?.run(task, run)?.state === 'starting'
+  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server hasn't restarted, to whose clock its lease refers. */
+  isStartDue ({ server: id, task, run: number }: StartCommand): boolean {
+    const server = this.#state.servers.get(id)
+    const run = server?.run(task, number)
+    return server !== undefined && run?.state === 'starting' && run.startSentAt >= server.restartedAt
   }
 
   /** Notes that a start is sent before it is recorded. */
--- a/packages/jobs/test/recorded-starts.test.ts
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -1,6 +1,6 @@
 import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
-import { decodeProgress, encodeProgress, jobId, MAXIMUM_LISTED_PLACEMENTS, Planner, serverId, type EarlierRuns, type JobProgress, type ServerId, type StartCommand } from '../src/index.js'
+import { decodeProgress, encodeProgress, jobId, Planner, serverId, type EarlierRuns, type JobProgress, type ServerId, type StartCommand } from '../src/index.js'
 import { CONFIGURATION, FakeServer, job, step, World } from './world.js'
 
 /** Upper limit of the time from the claim of a new owner until no lease of an earlier one is left. */
@@ -46,6 +46,16 @@
       expect(placements('b')).to.equal(undefined)
     })
 
+    it('lets no start be sent any more whose backend server has restarted', () => {
+      world.planner.submit(job('a'))
+      const start = world.planner.decide({ now: world.now, wallTime: world.wallTime })[0] as StartCommand
+      expect(world.planner.isStartDue(start)).to.equal(true)
+      world.now += 100
+      world.servers.find(({ entry }) => entry.id === start.server)!.restart()
+      world.pollServers()
+      expect(world.planner.isStartDue(start)).to.equal(false)
+    })
+
     it('lists a start that was given up, and may still arrive', () => {
       for (const server of world.servers) server.connectivity = 'delays-starts'
       world.planner.submit(job('a'))
@@ -58,13 +68,24 @@
     })
 
     it('says so if there are more backend servers than it lists', () => {
-      const count = MAXIMUM_LISTED_PLACEMENTS + 1
+      const count = 800
       const listed = Array.from({ length: count }, (_, index) => [`server-${index}`, { address: `10.0.0.1:${index}`, tasks: [index] }] as const)
       const wide = job('a', { steps: [step({ count })] })
       const planner = new Planner(epoch(2), [{ job: wide, isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done: [], failed: {}, placements: Object.fromEntries(listed) } } } }], { now: world.now, wallTime: world.wallTime })
       expect(planner.progressOf(wide.id)).to.deep.include({ hasUnlistedRuns: true, steps: { '0.0': { done: [], failed: {} } } })
     })
 
+    it('fits a row with many tasks done, and as many placements as it lists', () => {
+      const wide = job('a', { steps: [step({ count: 5000 + 8 * 200 })] })
+      const done = Array.from({ length: 5000 }, (_, index) => index)
+      const listed = Array.from({ length: 200 }, (_, index) => [`server-${index}`.padEnd(39, 'x'), { address: '10.200.100.100:12345', tasks: Array.from({ length: 8 }, (_, task) => 5000 + 8 * index + task) }] as const)
+      const planner = new Planner(epoch(2), [{ job: wide, isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done, failed: {}, placements: Object.fromEntries(listed) } } } }], { now: world.now, wallTime: world.wallTime })
+      const stored = planner.progressOf(wide.id)!
+      expect(Object.keys(stored.steps['0.0']!.placements!)).to.have.length(200)
+      expect(JSON.stringify({ text: encodeProgress(stored) }).length).to.be.below(60_000)
+      expect(decodeProgress(encodeProgress(stored))).to.deep.equal(stored)
+    })
+
     const damaged: readonly (readonly [string, unknown])[] = [
       ['is no object', 'server-0'],
       ['has no placement', { 'server-0': null }],
