Store all progress at a planned stop

Cause: a stop waited for the writes under way and then wrote one batch of 45 jobs.

Change: as many batches as what is unstored then needs. The test of 100 cancelled jobs stored 45 before.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -13,7 +13,7 @@
 import type { BackendServerCalls } from './backend-server-calls.js'
 import type { StoredJobs } from './job-store.js'
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
-import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
+import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, PROGRESS_BATCH, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { logFindings } from './planner-findings.js'
 import type { PlatformView } from './platform-view.js'
@@ -184,7 +184,10 @@
     clearInterval(this.#roundTimer)
     this.#dropStarts(this.#gate.clear())
     await this.#saver.underWay
-    if (!this.#stopping.signal.aborted) await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
+    // Ends go on arriving, so what is unstored by now bounds the number of batches.
+    for (let batches = Math.ceil(this.#planner.unstoredCount / PROGRESS_BATCH); batches > 0 && !this.#stopping.signal.aborted; batches -= 1) {
+      await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
+    }
     this.#stopping.abort()
   }
 
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -156,6 +156,19 @@
     })
   })
 
+  it('stores the progress of all jobs before it stops', async () => {
+    const ids = Array.from({ length: 100 }, (_, index) => `00000000000001${String(index).padStart(2, '0')}`)
+    store.fault = 'refusing'
+    for (const id of ids) {
+      host.submit(jobAccepted(host.epoch, id))
+      host.cancel(jobId(id))
+    }
+    await pause(systemClock, 50)
+    store.fault = 'none'
+    await host.stop()
+    expect(rows.rows('progress').filter(({ key }) => ids.includes(key))).to.have.length(ids.length)
+  })
+
   describe('when a start is decided', () => {
     const submitAnother = (): void => {
       calls.hasStarted = false
