End the mark of unlisted runs once, and state what recordedSince covers

isRecovering, which rounds and log lines ask, changed the job it was asked about. The mark now ends where the recorded runs are settled. Comments only otherwise.

--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -13,8 +13,8 @@
   /** Unique id of the claim; distinguishes the claims of a VM that restarts. */
   readonly claim: string
   /**
-   * First epoch of an unbroken chain of owners up to this one that store all rows of backend servers before they use any;
-   * undefined in rows of earlier releases.
+   * First epoch of an unbroken chain of owners up to this one that store all rows of backend servers before they use any, and
+   * record their starts; undefined in rows of earlier releases.
    */
   readonly recordedSince?: Epoch
   /** Version of the row. */
--- a/packages/entry/src/recorded-starts.ts
+++ b/packages/entry/src/recorded-starts.ts
@@ -1,5 +1,5 @@
 /**
- * Tells the next owner whether it knows of all starts. An owner records each start before it sends it. While the
+ * Stores until when every start is recorded, for the next owner. An owner records each start before it sends it. While the
  * store is away it may send others, but only after a moment that it has stored in advance; while the store answers it
  * moves that moment on. So a new owner that claims before it has to look for no start that isn't recorded.
  */
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -96,6 +96,8 @@
   readonly #earlierServers = new Map<ServerId, string>()
   /** Tasks with such runs, by backend server. */
   readonly #earlierTasks = new Map<ServerId, Set<TaskState>>()
+  /** Jobs that may have runs of earlier owners which their progress doesn't list. */
+  readonly #jobsWithUnlistedRuns = new Set<JobState>()
   /** Number of the last change with which a run is recorded that was begun before. */
   #lastUnrecordedChange = 0
   /** Backend servers that must not be used. */
@@ -133,7 +135,6 @@
 
   /** True if a job waits for backend servers that may have runs of it which aren't recorded; `unknownEpoch` is `recovery.latestUnknownEpoch`. */
   isRecovering (job: JobState, unknownEpoch: Epoch | undefined): boolean {
-    if (unknownEpoch === undefined) job.hasUnlistedRuns = false
     return job.mayHaveRunsUnder(unknownEpoch) && (job.hasUnlistedRuns || !this.recovery.areStartsRecorded)
   }
 
@@ -149,6 +150,10 @@
 
   /** Lets the tasks start whose recorded runs are known by now, or have ended. */
   settleEarlierRuns (now: number): void {
+    if (this.#jobsWithUnlistedRuns.size > 0 && this.recovery.latestUnknownEpoch(now) === undefined) {
+      for (const job of this.#jobsWithUnlistedRuns) job.hasUnlistedRuns = false
+      this.#jobsWithUnlistedRuns.clear()
+    }
     for (const [id, tasks] of this.#earlierTasks) {
       if (this.recovery.mayHideRuns(id, now)) continue
       this.#earlierTasks.delete(id)
@@ -223,6 +228,7 @@
     this.#pools.add(job.job.pool)
     if (job.isOpen) this.openJobs.add(job)
     this.#unmeasuredJobs.push(job)
+    if (job.hasUnlistedRuns) this.#jobsWithUnlistedRuns.add(job)
     for (const { tasks } of job.openSteps) {
       for (const task of tasks) for (const [id, address] of task.earlierServers) this.#addEarlierRun(task, id, address)
     }
