Trust no recorded period that an earlier owner can't have stored

Cause: any end and any epoch was taken from the row. One that is too late, or of the reader's own epoch, would have let the reader take the record for complete.

Two tests fail without it.

--- a/packages/entry/src/recorded-starts.ts
+++ b/packages/entry/src/recorded-starts.ts
@@ -32,13 +32,15 @@
 
 /**
  * True if all starts of the owners before this one are recorded: the period was still to end when this one claimed, also for
- * an owner that went on for a while after it was replaced, and each owner since has recorded its starts.
+ * an owner that went on for a while after it was replaced, and each owner since has recorded its starts. A period that no
+ * earlier owner can have stored counts as none.
  *
  * @example
  * areStartsRecorded(period, owner, stored.clock)
  */
-export function areStartsRecorded (period: RecordedPeriod | undefined, { recordedSince }: OwnerRecord, clock: StoreClock | undefined): boolean {
-  if (period === undefined || clock === undefined || recordedSince === undefined || period.under < recordedSince) return false
+export function areStartsRecorded (period: RecordedPeriod | undefined, owner: OwnerRecord, clock: StoreClock | undefined): boolean {
+  if (period === undefined || clock === undefined || owner.recordedSince === undefined) return false
+  if (period.under < owner.recordedSince || period.under >= owner.epoch || period.until > clock.milliseconds + 1 + RECORDED_PERIOD_MILLISECONDS) return false
   // The store's clock, which is given as whole milliseconds, was read after the claim.
   return clock.milliseconds + 1 + REPLACED_OWNER_START_MILLISECONDS <= period.until
 }
--- a/packages/entry/test/recorded-starts.test.ts
+++ b/packages/entry/test/recorded-starts.test.ts
@@ -93,6 +93,8 @@
       ['nothing if an owner that it has replaced may have gone on after the end', false, stored, successor(3), clockAt(inTime.milliseconds + 1)],
       ['nothing if owners of an earlier release have followed', false, stored, successor(4), inTime],
       ['nothing if the last owner was of an earlier release', false, stored, successor(), inTime],
+      ['nothing if the period ends later than any that was stored before the claim', false, { ...stored, until: inTime.milliseconds + RECORDED_PERIOD_MILLISECONDS + 2 }, successor(3), inTime],
+      ['nothing if the period is of its own epoch', false, { ...stored, under: epoch(5) }, successor(3), inTime],
       ['nothing if none is stored', false, undefined, successor(3), inTime],
       ['nothing if the store gives no time', false, stored, successor(3), undefined]
     ]
