--- a/packages/entry/test/following-owners.test.ts
+++ b/packages/entry/test/following-owners.test.ts
@@ -11,29 +11,24 @@
 const TEST_MILLISECONDS = 60_000
 
 describe('owners that follow each other while backend servers are cut off', () => {
-  // Guards against a start of a task that runs on a backend server which the last owner had not reached.
-  it('start no task that runs elsewhere', async () => {
-    let trusted = 0
-    for (const seed of SEEDS) {
-      const play = await new FollowingOwnersPlay(seed).run(PLAY_MILLISECONDS)
-      expect(play.doubles, `seed ${seed}`).to.deep.equal([])
-      expect(play.starts).to.be.greaterThan(0)
-      trusted += play.trusted
-    }
-    expect(trusted).to.be.greaterThan(SEEDS.length)
-  }).timeout(TEST_MILLISECONDS)
-
-  // Guards against trust in a row of an earlier owner than the last one, where one in between has used the backend servers.
-  it('start no task that runs elsewhere if they follow each other soon', async () => {
-    let trusted = 0
-    for (const seed of SEEDS) {
-      const play = await new FollowingOwnersPlay(seed, {}, SHORT_TENURES).run(PLAY_MILLISECONDS)
-      expect(play.doubles, `seed ${seed}`).to.deep.equal([])
-      expect(play.starts).to.be.greaterThan(0)
-      trusted += play.trusted
-    }
-    expect(trusted).to.be.greaterThan(SEEDS.length)
-  }).timeout(TEST_MILLISECONDS)
+  const cases: readonly (readonly [title: string, tenures?: TenureRange])[] = [
+    // Guards against a start of a task that runs on a backend server which the last owner had not reached.
+    ['start no task that runs elsewhere'],
+    // Guards against trust in a row of an earlier owner than the last one, where one in between has used the backend servers.
+    ['start no task that runs elsewhere if they follow each other soon', SHORT_TENURES]
+  ]
+  for (const [title, tenures] of cases) {
+    it(title, async () => {
+      let trusted = 0
+      for (const seed of SEEDS) {
+        const play = await new FollowingOwnersPlay(seed, {}, tenures).run(PLAY_MILLISECONDS)
+        expect(play.doubles, `seed ${seed}`).to.deep.equal([])
+        expect(play.starts).to.be.greaterThan(0)
+        trusted += play.trusted
+      }
+      expect(trusted).to.be.greaterThan(SEEDS.length)
+    }).timeout(TEST_MILLISECONDS)
+  }
 
   it('would start some if they used backend servers before their first record is stored', async () => {
     let doubles = 0
--- a/packages/entry/test/owner-chain-play.ts
+++ b/packages/entry/test/owner-chain-play.ts
@@ -33,7 +33,7 @@
 /** What a play is made of. */
 export interface ChainOptions {
   readonly seed: number
-  /** How long each owner lives. */
+  /** Time between two claims. */
   readonly ownerMilliseconds: number
   /** How long a lost backend server is cut off: longer than its leases last. */
   readonly lostMilliseconds: number
--- a/packages/entry/test/owner-chain.test.ts
+++ b/packages/entry/test/owner-chain.test.ts
@@ -13,7 +13,7 @@
 /** How long a task may be idle for each loss: the leases of its run, and those that the next owner waits for. */
 const LOSS_MILLISECONDS = LEASES_MILLISECONDS + (LEASES_MILLISECONDS + DISCONNECTED_OWNER_MILLISECONDS) + START_MILLISECONDS
 
-/** How long each owner lives, and how long each lost backend server is cut off. */
+/** Time between two claims, and how long each lost backend server is cut off. */
 const CHAINS = [
   ...[500, 1000, 2000, 4500, 9000, 20_000].map(ownerMilliseconds => ({ ownerMilliseconds, lostMilliseconds: 9000 })),
   // With 9 s they are back before the owner that waits for them ends.
@@ -23,7 +23,7 @@
 // Guards against waits for lost backend servers that each owner begins anew, so that they have no end.
 describe('a chain of owners that each lose a backend server', () => {
   for (const { ownerMilliseconds, lostMilliseconds } of CHAINS) {
-    describe(`for ${lostMilliseconds} ms, and live for ${ownerMilliseconds} ms`, function () {
+    describe(`for ${lostMilliseconds} ms, and are replaced after ${ownerMilliseconds} ms`, function () {
       this.timeout(TEST_MILLISECONDS)
       const plays: (ChainResult & { readonly name: string, readonly duration: number })[] = []
 
--- a/packages/entry/test/played-owner.ts
+++ b/packages/entry/test/played-owner.ts
@@ -17,7 +17,8 @@
 const STORE_MILLISECONDS = 5 * STEP_MILLISECONDS
 const START_TIME = 1_700_000_000_000
 
-const CONFIGURATION: Configuration = {
+/** One queue, `bulk`, on one pool. */
+export const PLAYED_CONFIGURATION: Configuration = {
   version: configurationVersion(1),
   queues: [{ name: queueName('bulk'), host: 'jobs.example', prefix: '/bulk/', pool: poolName('pool'), priority: 1, attempts: 4, stretch: 2, latencyMilliseconds: 250, timeoutMilliseconds: 3000, isPublic: false }],
   pools: [{ name: poolName('pool'), maximumConnections: 64, enforcesCapacity: true, isStandby: false }],
@@ -127,7 +128,7 @@
     if (!forgetsServers) this.planner.inheritServers(stored.ids, bounds, areStartsRecorded(period, record, stored.clock))
     this.#gate = new StartGate(this.planner)
     this.#recordedStarts = new RecordedStarts({ store, owner: record, isRecordComplete: () => this.planner.isRecordComplete(this.#now), confirmedAge: () => this.#confirmedAge, now: () => this.#now })
-    this.planner.configure(CONFIGURATION)
+    this.planner.configure(PLAYED_CONFIGURATION)
     this.#recorder = new ServerRecorder({
       planner: this.planner,
       record: new ServerRecord(store, record, stored),
--- a/packages/entry/test/recorded-rows-chain.test.ts
+++ b/packages/entry/test/recorded-rows-chain.test.ts
@@ -1,4 +1,4 @@
-import { configurationVersion, jobId, Planner, poolName, queueName, serverId, type Configuration, type Job, type ListedRun, type ServerEntry, type ServerId, type StoredJob } from '@cornelgauge/jobs'
+import { jobId, Planner, poolName, queueName, serverId, type Job, type ListedRun, type ServerEntry, type ServerId, type StoredJob } from '@cornelgauge/jobs'
 import { epoch, vmName, workspaceName } from '@cornelgauge/model'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
@@ -6,6 +6,7 @@
 import { earlierRunsOf, readServers, ServerRecord } from '../src/server-record.js'
 import { ServerRecorder } from '../src/server-recorder.js'
 import { claimOfEarlierRelease } from './earlier-release.js'
+import { PLAYED_CONFIGURATION } from './played-owner.js'
 
 const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
 const STEP_MILLISECONDS = 50
@@ -14,14 +15,6 @@
 /** Upper limit of the time from the claim of an owner until no lease of an earlier one is left. */
 const LEASES_OVER_MILLISECONDS = 9200
 
-const CONFIGURATION: Configuration = {
-  version: configurationVersion(1),
-  queues: [{ name: queueName('bulk'), host: 'jobs.example', prefix: '/bulk/', pool: poolName('pool'), priority: 1, attempts: 4, stretch: 2, latencyMilliseconds: 250, timeoutMilliseconds: 3000, isPublic: false }],
-  pools: [{ name: poolName('pool'), maximumConnections: 64, enforcesCapacity: true, isStandby: false }],
-  workspaces: [],
-  limits: { headerBytes: 16_384, bodyBytes: 262_144, headerMilliseconds: 3000, idleMilliseconds: 15_000 }
-}
-
 const entryOf = (index: number): ServerEntry => ({ id: serverId(`server-${index}`), pool: poolName('pool'), address: `10.0.0.${index}:80`, failureDomain: 'north', capacity: { processor: 4000, memory: 64_000, accelerators: 4 }, labels: [`r1-${index}`], rack: `r1-${index}`, isDraining: false, incarnation: 1 })
 
 const jobUnder = (number: number): Job => ({
@@ -54,7 +47,7 @@
     const servers = { ...await readServers(this.view), clock: { milliseconds: STORE_TIME + this.now, sentAt: this.now, receivedAt: this.now } }
     this.planner = new Planner(owner.epoch, stored.map((job): StoredJob => ({ job, isCancelled: false })), { now: this.now, wallTime: START_TIME + this.now })
     this.planner.inheritServers(servers.ids, earlierRunsOf(servers, owner))
-    this.planner.configure(CONFIGURATION)
+    this.planner.configure(PLAYED_CONFIGURATION)
     this.recorder = new ServerRecorder({
       planner: this.planner,
       record: new ServerRecord(this.view, owner, servers),
@@ -115,7 +108,7 @@
     lostAt = chain.now
   })
 
-  it('keep the end of the wait for a backend server that none of them reaches, if each lives for 500 ms', async () => {
+  it('keep the end of the wait for a backend server that none of them reaches, if each is replaced after 500 ms', async () => {
     await chain.takeOver([jobUnder(1)])
     await chain.work(500)
     const [until] = chain.storedEnds
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -43,7 +43,7 @@
 export const IDLE_JOB_MILLISECONDS = 4000
 /** Interval at which such jobs are looked for, in milliseconds. */
 export const IDLE_JOB_CHECK_MILLISECONDS = 2000
-/** When an owner first looks for them, in milliseconds after its first round: by then the backend servers that it reaches have answered. */
+/** When an owner first looks for them, in milliseconds after its first round: by then those backend servers have answered to which it has a connection. */
 export const FIRST_IDLE_JOB_CHECK_MILLISECONDS = 1000
 /** Such jobs that are logged each time. */
 export const MAXIMUM_IDLE_JOBS_LOGGED = 20
--- a/packages/jobs/test/idle-jobs.test.ts
+++ b/packages/jobs/test/idle-jobs.test.ts
@@ -51,7 +51,7 @@
   })
 })
 
-// Guards against waits that are never logged since each owner lives for less than the limit.
+// Guards against waits that are never logged since each owner is replaced before the limit.
 describe('a job that has nothing running under owners that follow each other', () => {
   const waiting = job('waiting', { steps: [step({ accelerators: 9 })] })
   /** Its second step waits. */
@@ -60,7 +60,7 @@
 
   const stored = (each: Job, text = encodeProgress(world.planner.progressOf(each.id)!)): StoredJob => ({ job: each, isCancelled: false, progress: decodeProgress(text) })
 
-  /** Lets an owner live for a while; returns the last lines that it logs. */
+  /** Lets an owner schedule for a while; returns the last lines that it logs. */
   const live = (number: number, jobs: readonly StoredJob[], milliseconds = FIRST_CHECK_MILLISECONDS): ReturnType<typeof idleIn> => {
     world.takeOver(number, jobs)
     return idleIn(world, milliseconds)
