Store no recorded period before the ends of earlier runs are stored

Cause: an owner that has waited for all earlier runs took its record for complete once the runs that it found were stored, but not the ends that backend servers listed. If it was then replaced, the next owner trusted the record, knew neither of the end nor of a placement, and could start a task again that had ended as done. Found by a review, with a script.

Change: all changes up to the end of that wait have to be stored. The test fails without it.

--- a/packages/entry/test/owner-chain-play.ts
+++ b/packages/entry/test/owner-chain-play.ts
@@ -37,6 +37,8 @@
   readonly ownerMilliseconds: number
   /** How long a lost backend server is cut off: longer than its leases last. */
   readonly lostMilliseconds: number
+  /** A time without an owner, after which the last one's record says nothing of the starts before. */
+  readonly gap?: { readonly at: number, readonly milliseconds: number }
   /** Owners know only backend servers that they reach, to show that the play finds a fault. */
   readonly forgetsServers?: boolean
 }
@@ -56,6 +58,7 @@
   readonly #jobs = new Map<string, StoredJob>()
   #now = 0
   #owner: PlayedOwner | undefined
+  #record: PlayedOwner['record'] | typeof NO_OWNER = NO_OWNER
   #owners = 0
   #lossAt = Infinity
   #busyLossAt = -Infinity
@@ -74,8 +77,12 @@
   async run (milliseconds: number): Promise<ChainResult> {
     for (; this.#now < milliseconds; this.#now += STEP_MILLISECONDS) {
       this.#pool.advance(this.#now)
+      if (this.#isInGap) {
+        this.#owner = undefined
+        continue
+      }
       this.#meter.measure(STEP_MILLISECONDS)
-      const hasEnded = this.#now % this.#options.ownerMilliseconds === 0
+      const hasEnded = this.#owner === undefined || this.#now % this.#options.ownerMilliseconds === 0
       const isJobDue = this.#now % SUBMISSION_MILLISECONDS === 0
       const missesJob = hasEnded && isJobDue && this.#owner !== undefined && this.#random() < 0.5
       if (missesJob) this.#acceptJob()
@@ -92,10 +99,15 @@
     return low + (high - low) * this.#random()
   }
 
+  get #isInGap (): boolean {
+    const { gap } = this.#options
+    return gap !== undefined && this.#now >= gap.at && this.#now < gap.at + gap.milliseconds
+  }
+
   async #changeOwner (): Promise<void> {
     this.#owner = await PlayedOwner.claim({
       vm: PLAYED_VMS[this.#owners % PLAYED_VMS.length]!,
-      known: this.#owner?.record ?? NO_OWNER,
+      known: this.#record,
       now: this.#now,
       clockSentAt: this.#now,
       rows: this.#rows,
@@ -104,6 +116,7 @@
       forgetsServers: this.#options.forgetsServers ?? false,
       calls: { isAnswerLost: () => false, runMilliseconds: () => this.#between(1000, 12_000), onUnreachable: ({ task }) => this.#meter.addLoss(task) }
     })
+    this.#record = this.#owner.record
     this.#owners += 1
     this.#lossAt = this.#now + this.#between(0.1, 0.9) * this.#options.ownerMilliseconds
   }
--- a/packages/entry/test/owner-chain.test.ts
+++ b/packages/entry/test/owner-chain.test.ts
@@ -56,6 +56,20 @@
     })
   }
 
+  // Guards against a chain that never has a complete record again, so that all earlier jobs wait under each owner.
+  for (const ownerMilliseconds of [500, 2000, 4500]) {
+    it(`records its starts again after a time without an owner, if they are replaced after ${ownerMilliseconds} ms`, async () => {
+      for (const seed of SEEDS) {
+        const { doubles, idle, tasks, starts } = await new OwnerChainPlay({ seed, ownerMilliseconds, lostMilliseconds: 9000, gap: { at: 20_000, milliseconds: 6000 } }).run(120_000)
+        expect(doubles).to.deep.equal([])
+        expect(idle.withoutLoss, `seed ${seed}, without a loss`).to.be.at.most(LEASES_MILLISECONDS + DISCONNECTED_OWNER_MILLISECONDS + START_MILLISECONDS)
+        expect(idle.perLoss, `seed ${seed}, for a loss`).to.be.at.most(LOSS_MILLISECONDS)
+        expect(tasks).to.be.at.least(200)
+        expect(starts).to.be.at.least(tasks)
+      }
+    }).timeout(TEST_MILLISECONDS)
+  }
+
   it('would start some beside their runs if owners knew only the backend servers that they reach', async () => {
     const { doubles } = await new OwnerChainPlay({ seed: SEEDS[0]!, ownerMilliseconds: 4500, lostMilliseconds: 9000, forgetsServers: true }).run(DURATIONS[0]!)
     expect(doubles).not.to.have.length(0)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -100,6 +100,8 @@
   readonly #jobsWithUnlistedRuns = new Set<JobState>()
   /** Number of the last change with which a run is recorded that was begun before. */
   #lastUnrecordedChange = 0
+  /** All changes up to the end of the wait for earlier runs are among these. */
+  #isRecoveryNoted = false
   /** Backend servers that must not be used. */
   #heldServers: HeldServers = new Set<ServerId>()
 
@@ -169,8 +171,14 @@
 
   /** True if each run that may be executing is recorded, so that the next owner has to look for no others. */
   isRecordComplete (now: number): boolean {
+    if (!this.recovery.areStartsRecorded) {
+      if (this.recovery.latestUnknownEpoch(now) !== undefined) return false
+      // Until now runs without a record may have been found, or ends of them.
+      if (!this.#isRecoveryNoted) this.noteUnrecorded(this.#lastChange)
+      this.#isRecoveryNoted = true
+    }
     const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
-    return this.#lastUnrecordedChange < oldest && (this.recovery.areStartsRecorded || this.recovery.latestUnknownEpoch(now) === undefined)
+    return this.#lastUnrecordedChange < oldest
   }
 
   /** Applies the configuration in force. */
--- a/packages/jobs/test/recorded-starts.test.ts
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -227,6 +227,17 @@
       expect(world.planner.isRecordComplete(world.now)).to.equal(true)
     })
 
+    // Guards against a start of a task whose end, of a run without a record, only the last owner had heard of.
+    it('is not complete before ends of runs are stored that were found without it', () => {
+      takeOver(2, false, new Map(), ({ steps, ...stored }) => ({ ...stored, steps: {} }))
+      for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
+      world.isStoreAvailable = false
+      work(LEASES_OVER_MILLISECONDS)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(false)
+      world.planner.markStored(world.planner.unstoredJobs)
+      expect(world.planner.isRecordComplete(world.now)).to.equal(true)
+    })
+
     it('is not complete before a start is recorded that was sent without it', () => {
       world.planner.submit(job('c'))
       world.isStoreAvailable = false
