review/7: begin the large job in smaller parts

Cause: right after the start of the entry VMs a step of 1056 tasks at once was not always started in time, so that the case couldn't run.

Change: 528 tasks each half second, 6 s after the machines are ready.

--- a/review/7/run.js
+++ b/review/7/run.js
@@ -5,11 +5,13 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
 /** The large job repeats its step until all workers are full. One zone has a third of its tasks. */
-const LARGE = { cpu: 250, mem: 256, times: 16, count: 1056, interval: 1000, work: 30_000 }
+const LARGE = { cpu: 250, mem: 256, times: 32, count: 528, interval: 500, work: 30_000 }
 const LARGE_TASKS = LARGE.times * LARGE.count
 /** Longest wait for the end of its tasks after the crash. */
 const LARGE_MILLISECONDS = 45_000
 const SMALL = { cpu: 2000, mem: 1024, count: 4, work: 800 }
+/** Traffic starts some time after the machines do. */
+const TRAFFIC_MILLISECONDS = 6000
 const DOWN_MILLISECONDS = 4500
 const SMALL_JOBS = 8
 const SMALL_JOB_INTERVAL_MILLISECONDS = 500
@@ -49,6 +51,7 @@
   const deployment = new Deployment({ zones: ZONES, frontsPerZone: 3, workersPerZone: WORKERS_PER_ZONE, capacity: CAPACITY, pool: POOL, configuration, onWorkerEvent: event => work.apply(event) })
   try {
     await deployment.start()
+    await pause(TRAFFIC_MILLISECONDS)
     if (!await deployment.submit(`${PREFIX}${largeId}`, largeJob(Date.now() + 1000), KEY)) throw new Error('the large job was not accepted')
     await deployment.until(() => work.liveByJob.get(largeId) === LARGE_TASKS, 35_000, 'start of all tasks of the large job')
     deployment.note({ type: 'all-tasks-at-work', tasks: LARGE_TASKS })
