--- a/packages/jobs/src/advice.ts
+++ b/packages/jobs/src/advice.ts
@@ -5,7 +5,7 @@
  */
 import type { Advice, AdviseCommand } from './command.js'
 import type { ServerId } from './ids.js'
-import type { StepState } from './job-state.js'
+import type { StepState } from './step-state.js'
 import { ADVICE_RETRY_MILLISECONDS, MAXIMUM_ADVICE_SERVERS, ADVICE_SPARE_SERVERS, TICKET_RESERVE_MILLISECONDS } from './limits.js'
 import { CapacitySnapshot, countFitting, type PlacementTarget } from './capacity-snapshot.js'
 
@@ -39,7 +39,7 @@
  */
 export function requestAdvice (step: StepState, snapshot: CapacitySnapshot, now: number): AdviseCommand | undefined {
   if (now - step.advice.requestedAt < ADVICE_RETRY_MILLISECONDS) return undefined
-  const waiting = step.tasks.filter(task => task.isWaiting).length
+  const waiting = step.waitingCount
   const servers: ServerId[] = []
   let tasks = 0
   for (const target of snapshot.targets) {
--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -1,6 +1,6 @@
 /** Free capacity during one round: a working copy from which placements are subtracted. */
 import { addCapacity, timesFitting, type Capacity } from './capacity.js'
-import type { StepState } from './job-state.js'
+import type { StepState } from './step-state.js'
 import type { ServerId } from './ids.js'
 import type { RoundWork } from './round-work.js'
 import type { Server } from './server.js'
--- a/packages/jobs/src/eligible-targets.ts
+++ b/packages/jobs/src/eligible-targets.ts
@@ -1,10 +1,10 @@
 /** Which backend servers a step may use in a round, whatever capacity is free there. */
 import { targetsWithTicket } from './advice.js'
 import { CapacitySnapshot } from './capacity-snapshot.js'
-import type { StartUnit, StepState } from './job-state.js'
 import { FAILURE_AVOIDANCE_MILLISECONDS } from './limits.js'
 import { withoutInterference } from './round-snapshots.js'
 import type { PlannerState } from './state.js'
+import type { StartUnit, StepState } from './step-state.js'
 
 /**
  * Selects the targets of each step from a snapshot, with which it shares them.
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -2,12 +2,13 @@
 import type { Epoch } from '@cornelgauge/model'
 import type { ServerId, TaskName } from './ids.js'
 import { dueAt } from './job.js'
-import type { JobState, TaskState } from './job-state.js'
+import type { JobState } from './job-state.js'
 import { FIRST_IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_CHECK_MILLISECONDS, IDLE_JOB_MILLISECONDS, MAXIMUM_IDLE_JOBS_LOGGED } from './limits.js'
 import type { RoundTimes } from './placement-round.js'
 import type { JobProgress } from './progress.js'
 import { isMostlyIdle, snapshotOf } from './round-snapshots.js'
 import type { PlannerState } from './state.js'
+import type { TaskState } from './task-state.js'
 
 /**
  * What a job waits for.
@@ -114,13 +115,13 @@
   let unresolved: TaskState | undefined
   let isSuspect = false
   for (const step of job.readySteps()) {
-    for (const task of step.tasks) {
+    first ??= step.firstOpen
+    isSuspect ||= step.hasSuspect
+    for (const task of step.knownTasks) {
       if (task.isDone) continue
       for (const { state } of task.runs) if (state === 'starting' || state === 'running') return undefined
-      first ??= task
       if (task.earlierServers.size > 0) recovering ??= task
       if (task.runs.size > 0) unresolved ??= task
-      isSuspect ||= step.losses.isSuspect(step.unitOf(task))
     }
   }
   return first === undefined ? undefined : { first, recovering, unresolved, isSuspect }
--- a/packages/jobs/src/isolation.ts
+++ b/packages/jobs/src/isolation.ts
@@ -4,11 +4,11 @@
  * cause, and takes no other work with it.
  */
 import { CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
-import type { StartUnit, StepState } from './job-state.js'
 import { ISOLATION_MILLISECONDS, MAXIMUM_ISOLATION_WAIT_MILLISECONDS } from './limits.js'
 import { stepsWithOpenCause } from './lost-runs.js'
 import type { Run, Server } from './server.js'
 import type { PlannerState } from './state.js'
+import type { StartUnit, StepState } from './step-state.js'
 import type { Waits } from './waits.js'
 
 /**
@@ -50,8 +50,8 @@
   }
 
   /** True if backend servers have crashed so often under a unit that it is isolated. */
-  isSuspect ({ step, tasks }: StartUnit): boolean {
-    return step.losses.isSuspect(step.unitOf(tasks[0]!))
+  isSuspect ({ step, first }: StartUnit): boolean {
+    return step.isSuspect(first)
   }
 
   /** True if a unit isn't to be started yet: its lost runs aren't stored, so that another owner would not know them, the cause of its last crash isn't determined, or it waits for empty backend servers. */
@@ -104,8 +104,8 @@
     return undefined
   }
 
-  #mayWait ({ tasks }: StartUnit): boolean {
-    return this.#waits.readyMilliseconds(tasks[0]!) < MAXIMUM_ISOLATION_WAIT_MILLISECONDS
+  #mayWait ({ first }: StartUnit): boolean {
+    return this.#waits.readyMilliseconds(first) < MAXIMUM_ISOLATION_WAIT_MILLISECONDS
   }
 
   /** True if the cause of its last crash is determined as far as possible, and its lost runs are stored. */
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,175 +1,22 @@
-/** State of jobs, steps and tasks in the planner that owns them. */
+/** State of jobs in the planner that owns them. */
 import type { Epoch } from '@cornelgauge/model'
-import { serverId, stepName, taskName, type ServerId, type StepName, type TaskName } from './ids.js'
-import { dueAt, occurrencesOf, type Job, type JobPhase, type StepSpecification } from './job.js'
-import { ENTRY_CHARACTERS, MAXIMUM_LISTED_ENTRIES, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
-import { LossRecord } from './loss-record.js'
-import type { JobProgress, Placement, StepProgress } from './progress.js'
+import type { ServerId } from './ids.js'
+import { dueAt, occurrencesOf, type Job, type JobPhase } from './job.js'
+import { ENTRY_CHARACTERS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
+import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
+import { StepState } from './step-state.js'
 import { decodeBits, encodeBits } from './task-bits.js'
-
-const NO_SERVERS: ReadonlyMap<ServerId, string> = new Map()
-
-/** State of one task. */
-export class TaskState {
-  readonly name: TaskName
-  readonly step: StepState
-  readonly index: number
-  isDone = false
-  /** Numbers of the runs that ended as failed. */
-  readonly failedRuns = new Set<number>()
-  /** Latest checkpoint; empty if there is none. */
-  checkpoint = ''
-  /** Runs that may still be executing. */
-  readonly runs = new Set<Run>()
-  /** Backend servers on which earlier owners have recorded runs of it that may still be executing, with their addresses. */
-  readonly earlierServers = new Map<ServerId, string>()
-  /** Backend servers at which a start of it may arrive that was given up, with their addresses. */
-  readonly lateServers = new Map<ServerId, string>()
-  /** When it last became ready to start, on the monotonic clock. */
-  readySince: number | undefined
-  /** How often a run of it was stopped as stuck. */
-  stalls = 0
-
-  constructor (name: TaskName, step: StepState, index: number) {
-    this.name = name
-    this.step = step
-    this.index = index
-  }
-
-  get isWaiting (): boolean {
-    return !this.isDone && this.runs.size === 0 && this.earlierServers.size === 0
-  }
-
-  /** Backend servers on which a run of it may be executing, or may begin, with their addresses. */
-  get servers (): ReadonlyMap<ServerId, string> {
-    if (this.runs.size + this.earlierServers.size + this.lateServers.size === 0) return NO_SERVERS
-    return new Map([...this.earlierServers, ...this.lateServers, ...[...this.runs].map(({ server, address }) => [server, address] as const)])
-  }
-}
-
-/** Permission to run a step on one incarnation of a backend server. */
-export interface Ticket {
-  readonly text: string
-  readonly incarnation: number
-  /** On the monotonic clock, in milliseconds. */
-  readonly expiresAt: number
-}
-
-/** Answers of the advice service for a step. They never change; only tickets expire. */
-export class StepAdvice {
-  readonly tickets = new Map<ServerId, Ticket>()
-  readonly refused = new Set<ServerId>()
-  /** When advice was last requested; -Infinity once that is answered. */
-  requestedAt = -Infinity
-}
-
-/** State of one step in one occurrence. */
-export class StepState {
-  readonly job: JobState
-  readonly occurrence: number
-  readonly number: number
-  readonly specification: StepSpecification
-  readonly tasks: readonly TaskState[]
-  /** Backend servers on which the advice service allows or refuses this step. */
-  readonly advice = new StepAdvice()
-  /** Backend servers on which runs of it were stopped as stuck. */
-  readonly stalledOn = new Set<ServerId>()
-  /** Runs lost with their backend servers. */
-  readonly losses = new LossRecord()
-  #done = 0
-
-  constructor (job: JobState, occurrence: number, number: number, specification: StepSpecification) {
-    this.job = job
-    this.occurrence = occurrence
-    this.number = number
-    this.specification = specification
-    const nameOf = (index: number): TaskName => taskName({ job: job.job.id, occurrence, step: number, index })
-    this.tasks = Array.from({ length: specification.count }, (_, index) => new TaskState(nameOf(index), this, index))
-  }
-
-  get name (): StepName {
-    return stepName(this.job.job.id, this.occurrence, this.number)
-  }
-
-  get isDone (): boolean {
-    return this.#done === this.tasks.length
-  }
-
-  /** Marks a task as done; in a gang, all tasks. */
-  complete (task: TaskState): void {
-    const ended = this.specification.isGang ? this.tasks : [task]
-    for (const each of ended) {
-      if (each.isDone) continue
-      each.isDone = true
-      this.#done += 1
-    }
-  }
-
-  /** Returns what counts its lost runs together: the index of a task, or 0 for a gang. */
-  unitOf (task: TaskState): number {
-    return this.specification.isGang ? 0 : task.index
-  }
-
-  /** Counts the failed runs of a task; in a gang, the failed runs of all its tasks, each run number once. */
-  failuresOf (task: TaskState): number {
-    if (!this.specification.isGang) return task.failedRuns.size
-    const failedRuns = new Set<number>()
-    for (const each of this.tasks) for (const run of each.failedRuns) failedRuns.add(run)
-    return failedRuns.size
-  }
-
-  /** Highest number of failed runs of any task. */
-  get highestFailures (): number {
-    if (this.specification.isGang) return this.failuresOf(this.tasks[0]!)
-    return this.tasks.reduce((highest, task) => Math.max(highest, task.failedRuns.size), 0)
-  }
-
-  get progress (): StepProgress {
-    const failed = this.tasks.filter(task => task.failedRuns.size > 0).map(task => [task.index, [...task.failedRuns]])
-    const placements = this.#placements
-    return { done: this.tasks.filter(task => task.isDone).map(task => task.index), failed: Object.fromEntries(failed), ...this.losses.progress, ...(placements.size === 0 ? {} : { placements: Object.fromEntries(placements) }) }
-  }
-
-  /** Where tasks may run; one that is done isn't started again, wherever it runs. */
-  get #placements (): ReadonlyMap<ServerId, Placement> {
-    const placements = new Map<ServerId, { readonly address: string, readonly tasks: number[] }>()
-    if (!this.job.isOpen) return placements
-    for (const task of this.tasks) {
-      if (task.isDone) continue
-      for (const [server, address] of task.servers) {
-        const known = placements.get(server)
-        if (known === undefined) placements.set(server, { address, tasks: [task.index] })
-        else known.tasks.push(task.index)
-      }
-    }
-    return placements
-  }
-
-  /** Restores stored progress. */
-  restore (progress: StepProgress): void {
-    for (const index of progress.done) {
-      const task = this.tasks[index]
-      if (task !== undefined) this.complete(task)
-    }
-    for (const [index, runs] of Object.entries(progress.failed)) {
-      for (const run of runs) this.tasks[Number(index)]?.failedRuns.add(run)
-    }
-    for (const [server, { address, tasks }] of Object.entries(progress.placements ?? {})) {
-      for (const index of tasks) {
-        const task = this.tasks[index]
-        if (task?.isDone === false) task.earlierServers.set(serverId(server), address)
-      }
-    }
-    this.losses.restore(progress, this.specification.isGang)
-  }
-}
+import { TaskSet } from './task-set.js'
+import type { TaskState } from './task-state.js'
 
 /** State of one job. */
 export class JobState {
   readonly job: Job
   /** Accepted under an earlier owner, which may have started it. */
   readonly isInherited: boolean
+  /** Its tasks that are done, numbered in the order of occurrences, steps and tasks. */
+  readonly done: TaskSet
   phase: JobPhase = 'queued'
   finishedAt: number | undefined
   /** The final phase is stored and may be reported. */
@@ -180,13 +27,18 @@
   hasUnlistedRuns = false
   /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
   idleSince: number | undefined
-  readonly #occurrences = new Map<number, readonly StepState[]>()
-  /** Those that aren't known to be done. */
-  readonly #openOccurrences = new Map<number, readonly StepState[]>()
+  readonly #tasksPerOccurrence: number
+  /** Steps of the occurrences that are activated and not done, in order. */
+  #occurrences = new Map<number, readonly StepState[]>()
+  /** The first occurrence that may still have to be activated. */
+  #nextOccurrence = 0
+  #lastOccurrence = -1
 
   constructor (job: Job, isInherited: boolean, progress?: JobProgress) {
     this.job = job
     this.isInherited = isInherited
+    this.#tasksPerOccurrence = job.steps.reduce((sum, { count }) => sum + count, 0)
+    this.done = new TaskSet(this.#tasksPerOccurrence * occurrencesOf(job))
     if (progress !== undefined) this.#restore(progress)
   }
 
@@ -207,7 +59,7 @@
 
   /** Backend servers on which earlier owners have recorded runs of it that aren't known yet. */
   get earlierServers (): readonly ServerId[] {
-    return [...new Set(this.openSteps.flatMap(({ tasks }) => tasks.flatMap(task => [...task.earlierServers.keys()])))]
+    return [...new Set(this.#knownTasks.flatMap(task => [...task.earlierServers.keys()]))]
   }
 
   /** Phase for callers: a final phase only once it is stored. */
@@ -216,112 +68,119 @@
   }
 
   get progress (): JobProgress {
-    const steps: Record<string, StepProgress> = {}
-    for (const [occurrence, states] of this.#occurrences) {
-      for (const state of states) {
-        const progress = state.progress
-        if (progress.done.length > 0 || Object.keys(progress.failed).length > 0 || progress.lost !== undefined || progress.placements !== undefined) steps[`${occurrence}.${state.number}`] = progress
-      }
+    const besideDone: Record<string, StepProgress> = {}
+    for (const step of this.steps) {
+      const progress = step.progress
+      if (progress !== undefined) besideDone[stepKey(step)] = { done: [], ...progress }
     }
-    const listed = Object.values(steps)
-    const placements = listed.reduce((sum, step) => sum + placementEntries(step), 0)
+    const placements = Object.values(besideDone).reduce((sum, step) => sum + placementEntries(step), 0)
     const areListed = placements <= MAXIMUM_LISTED_ENTRIES
-    const progress = {
+    const listed = areListed ? besideDone : withoutPlacements(besideDone)
+    const rest = {
       ...(this.isOpen ? {} : { phase: this.phase, finishedAt: this.finishedAt }),
       ...(this.hasUnlistedRuns || !areListed ? { hasUnlistedRuns: true } : {}),
-      hasBegun: this.phase !== 'queued',
-      steps: areListed ? steps : withoutPlacements(steps)
-    }
-    const entries = listed.reduce((sum, { done }) => sum + done.length, STEP_ENTRIES * listed.length + (areListed ? placements : 0))
-    return entries <= MAXIMUM_LISTED_ENTRIES ? progress : { ...progress, steps: withoutDone(progress.steps), doneBits: encodeBits(this.#doneTasks()) }
-  }
-
-  /** Numbers of the completed tasks, in the order of occurrences, steps and tasks. */
-  * #doneTasks (): Iterable<number> {
-    let number = 0
-    for (const { tasks } of this.steps) {
-      for (const task of tasks) {
-        if (task.isDone) yield number
-        number += 1
-      }
+      hasBegun: this.phase !== 'queued'
     }
+    const steps = this.done.size <= MAXIMUM_LISTED_ENTRIES ? this.#withDone(listed) : listed
+    const entries = this.done.size + STEP_ENTRIES * Object.keys(steps).length + (areListed ? placements : 0)
+    return entries <= MAXIMUM_LISTED_ENTRIES ? { ...rest, steps } : { ...rest, steps: listed, doneBits: encodeBits(this.done) }
   }
 
   /** All steps of all occurrences are done. */
   get isDone (): boolean {
-    if (this.#occurrences.size < occurrencesOf(this.job)) return false
-    return [...this.#occurrences.values()].every(steps => steps.every(step => step.isDone))
+    return this.done.size === this.#tasksPerOccurrence * occurrencesOf(this.job)
   }
 
-  /** Steps of all activated occurrences, in order. */
+  /** Steps of the activated occurrences that aren't known to be done, in order. */
   get steps (): readonly StepState[] {
     return [...this.#occurrences.values()].flat()
   }
 
-  /** Steps of the activated occurrences that aren't known to be done, in order. */
-  get openSteps (): readonly StepState[] {
-    return [...this.#openOccurrences.values()].flat()
-  }
-
   /** Steps of the last activated occurrence. */
   get lastSteps (): readonly StepState[] {
-    return this.#occurrences.get(this.#occurrences.size - 1) ?? []
+    return [...this.#occurrences.values()].at(-1) ?? []
   }
 
-  /** Activates the occurrences that are due. */
+  /**
+   * Activates the occurrences that are due, in order, and forgets those that are done. Once a number of steps wait, later
+   * occurrences are activated when earlier ones have started.
+   */
   activate (wallTime: number): void {
-    for (let occurrence = this.#occurrences.size; occurrence < occurrencesOf(this.job); occurrence += 1) {
+    for (const [occurrence, steps] of this.#occurrences) {
+      if (steps.every(step => step.isDone && step.knownCount === 0)) this.#occurrences.delete(occurrence)
+    }
+    if (this.#nextOccurrence === occurrencesOf(this.job)) return
+    const waitingSteps = [...this.#occurrences.values()].filter(steps => readyOf(steps).some(step => step.hasWaiting))
+    let waiting = waitingSteps.length * this.job.steps.length
+    while (waiting < MAXIMUM_OPEN_STEPS && this.#nextOccurrence < occurrencesOf(this.job)) {
+      const occurrence = this.#nextOccurrence
       if (dueAt(this.job, occurrence) > wallTime) return
-      this.#stepsOf(occurrence)
+      if (!this.#occurrences.has(occurrence) && !this.#isOccurrenceDone(occurrence)) waiting += this.#stepsOf(occurrence).length
+      this.#nextOccurrence += 1
     }
   }
 
   /** Steps that aren't done and whose dependencies are. */
   readySteps (): readonly StepState[] {
-    const ready: StepState[] = []
-    for (const [occurrence, steps] of this.#openOccurrences) {
-      if (steps.every(step => step.isDone)) this.#openOccurrences.delete(occurrence)
-      for (const step of steps) {
-        if (!step.isDone && step.specification.after.every(number => steps[number]?.isDone === true)) ready.push(step)
-      }
-    }
-    return ready
+    return [...this.#occurrences.values()].flatMap(readyOf)
   }
 
   /** Looks up a task; activates its occurrence, which an earlier owner may have started. */
   task (occurrence: number, step: number, index: number): TaskState | undefined {
-    if (occurrence >= occurrencesOf(this.job)) return undefined
-    return this.#stepsOf(occurrence)[step]?.tasks[index]
+    if (occurrence >= occurrencesOf(this.job) || step >= this.job.steps.length) return undefined
+    return this.#stepsOf(occurrence)[step]!.task(index)
   }
 
   /** All runs that may still be executing. */
   get runs (): readonly Run[] {
-    return this.steps.flatMap(step => step.tasks.flatMap(task => [...task.runs]))
+    return this.#knownTasks.flatMap(task => [...task.runs])
+  }
+
+  get #knownTasks (): readonly TaskState[] {
+    return this.steps.flatMap(step => [...step.knownTasks])
   }
 
   #stepsOf (occurrence: number): readonly StepState[] {
     const known = this.#occurrences.get(occurrence)
     if (known !== undefined) return known
-    for (let earlier = this.#occurrences.size; earlier < occurrence; earlier += 1) this.#stepsOf(earlier)
-    const steps = this.job.steps.map((specification, number) => new StepState(this, occurrence, number, specification))
+    let firstTask = occurrence * this.#tasksPerOccurrence
+    const steps = this.job.steps.map(({ count }, number) => {
+      const step = new StepState(this, occurrence, number, firstTask)
+      firstTask += count
+      return step
+    })
     this.#occurrences.set(occurrence, steps)
-    this.#openOccurrences.set(occurrence, steps)
+    if (occurrence < this.#lastOccurrence) this.#occurrences = new Map([...this.#occurrences].sort(([left], [right]) => left - right))
+    this.#lastOccurrence = Math.max(this.#lastOccurrence, occurrence)
     return steps
   }
 
-  #restoreBits (doneBits: string): void {
-    const tasksPerOccurrence = this.job.steps.reduce((sum, { count }) => sum + count, 0)
-    for (const number of decodeBits(doneBits)) {
-      const occurrence = Math.floor(number / tasksPerOccurrence)
-      if (occurrence >= occurrencesOf(this.job)) return
-      let index = number % tasksPerOccurrence
-      const step = this.#stepsOf(occurrence).find(({ tasks }) => {
-        if (index < tasks.length) return true
-        index -= tasks.length
-        return false
-      })
-      step?.complete(step.tasks[index]!)
+  #isOccurrenceDone (occurrence: number): boolean {
+    const first = occurrence * this.#tasksPerOccurrence
+    return this.done.nextAbsent(first) >= first + this.#tasksPerOccurrence
+  }
+
+  /** Adds the lists of completed tasks to the progress of steps. */
+  #withDone (progress: JobProgress['steps']): JobProgress['steps'] {
+    const lists = new Map<string, number[]>()
+    for (const number of this.done) {
+      const { key, index } = this.#addressOf(number)
+      const list = lists.get(key)
+      if (list === undefined) lists.set(key, [index])
+      else list.push(index)
     }
+    const steps: Record<string, StepProgress> = { ...progress }
+    for (const [key, done] of lists) steps[key] = { failed: {}, ...steps[key], done }
+    return steps
+  }
+
+  /** Returns the key of a task's step in the progress, and its index there. */
+  #addressOf (number: number): { readonly key: string, readonly index: number } {
+    const occurrence = Math.floor(number / this.#tasksPerOccurrence)
+    let index = number % this.#tasksPerOccurrence
+    let step = 0
+    for (; index >= this.job.steps[step]!.count; step += 1) index -= this.job.steps[step]!.count
+    return { key: `${occurrence}.${step}`, index }
   }
 
   #restore (progress: JobProgress): void {
@@ -332,19 +191,37 @@
       this.finishedAt = progress.finishedAt
       this.isFinalStored = true
     }
-    for (const [key, step] of Object.entries(progress.steps)) {
-      const [occurrence, number] = key.split('.').map(Number)
-      if (occurrence! < occurrencesOf(this.job)) this.#stepsOf(occurrence!)[number!]?.restore(step)
-    }
-    if (progress.doneBits !== undefined) this.#restoreBits(progress.doneBits)
-    for (const { tasks } of this.steps) for (const task of tasks) if (task.isDone) task.earlierServers.clear()
+    const steps = Object.entries(progress.steps).map(([key, step]) => {
+      const [occurrence, number] = key.split('.').map(Number) as [number, number]
+      return { occurrence, number, step }
+    }).filter(({ occurrence, number }) => occurrence < occurrencesOf(this.job) && number < this.job.steps.length)
+    if (progress.doneBits !== undefined) for (const number of decodeBits(progress.doneBits)) this.done.add(number)
+    for (const { occurrence, number, step } of steps) this.#restoreDone(occurrence, number, step.done)
+    for (const { occurrence, number, step } of steps) if (hasMoreThanDone(step)) this.#stepsOf(occurrence)[number]!.restore(step)
+  }
+
+  #restoreDone (occurrence: number, step: number, indexes: readonly number[]): void {
+    const { count, isGang } = this.job.steps[step]!
+    const first = occurrence * this.#tasksPerOccurrence + this.job.steps.slice(0, step).reduce((sum, each) => sum + each.count, 0)
+    const done = indexes.filter(index => index < count)
+    // One end stands for the whole gang.
+    const ended = isGang && done.length > 0 ? Array.from({ length: count }, (_, index) => index) : done
+    for (const index of ended) this.done.add(first + index)
   }
 }
 
-/** Drops the lists of completed tasks, and the steps that have no other progress. */
-function withoutDone (steps: JobProgress['steps']): JobProgress['steps'] {
-  const rest = Object.entries(steps).map(([key, step]) => [key, { ...step, done: [] }] as const)
-  return Object.fromEntries(rest.filter(([, { failed, lost, attributed, placements }]) => Object.keys(failed).length > 0 || lost !== undefined || attributed !== undefined || placements !== undefined))
+function stepKey ({ occurrence, number }: StepState): string {
+  return `${occurrence}.${number}`
+}
+
+/** The steps of an occurrence that aren't done and whose dependencies are. */
+function readyOf (steps: readonly StepState[]): readonly StepState[] {
+  return steps.filter(step => !step.isDone && step.specification.after.every(number => steps[number]?.isDone === true))
+}
+
+/** True if a step's progress has more than the tasks that are done. */
+function hasMoreThanDone ({ done, failed, ...rest }: StepProgress): boolean {
+  return Object.keys(failed).length > 0 || Object.keys(rest).length > 0
 }
 
 /** Counts the entries of a list of tasks that take as much room as the placements of a step. */
@@ -356,9 +233,3 @@
 function withoutPlacements (steps: JobProgress['steps']): JobProgress['steps'] {
   return Object.fromEntries(Object.entries(steps).map(([key, { placements, ...step }]) => [key, step]))
 }
-
-/** Tasks of a step that are to be started; of a gang, all of its tasks. */
-export interface StartUnit {
-  readonly step: StepState
-  readonly tasks: readonly TaskState[]
-}
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -79,6 +79,10 @@
 export const PREEMPTION_DELAY_MILLISECONDS = 1500
 /** Maximum number of preemption plans per round; each one searches all backend servers of the pool. */
 export const PREEMPTIONS_PER_ROUND = 4
+/** Tasks of one step that may find no capacity in a round before it stops looking for any for the others: claims look on, since others may wait for a better placement or be isolated. */
+export const MAXIMUM_BLOCKED_TASKS = 64
+/** Tasks of one step for which one search frees capacity: more than the accelerators of a guarantee. */
+export const MAXIMUM_RECLAIMED_TASKS = 2000
 /** Examinations after which a round begins no further search for claims, or for reservations: a quarter of the 100 ms that a round may take on a present-day core, at a microsecond each. */
 export const MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND = 25_000
 /** Minimum share of the unclaimed guaranteed accelerators that is expected to be claimed before long work ends. */
@@ -143,5 +147,7 @@
 export const PLACEMENT_CHARACTERS = 30
 /** Entries that the key and the braces of a step take. */
 export const STEP_ENTRIES = 6
-/** Maximum number of tasks of a job over all steps and occurrences; bounds the memory that one job takes on the owner. */
+/** Steps of a job's occurrences with waiting tasks at which no further occurrence is activated, however many are due: each step that is activated takes memory. */
+export const MAXIMUM_OPEN_STEPS = 256
+/** Maximum number of tasks of a job over all steps and occurrences; bounds the bits of its tasks, and the work of a round that looks for those that wait. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/lookup.ts
+++ b/packages/jobs/src/lookup.ts
@@ -1,6 +1,7 @@
 /** Finds tasks by name. */
 import { parseTaskName, type JobId, type TaskName } from './ids.js'
-import type { JobState, TaskState } from './job-state.js'
+import type { JobState } from './job-state.js'
+import type { TaskState } from './task-state.js'
 
 /**
  * Returns the task with this name, if its job is known and has such a task.
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -72,6 +72,11 @@
     return this.count(unit) >= SUSPECT_LOST_RUNS
   }
 
+  /** The units of which that is true. */
+  get suspects (): readonly number[] {
+    return [...this.#runs.keys()].filter(unit => this.isSuspect(unit))
+  }
+
   /** Where members of a run were lost, as far as this owner knows. */
   placesOf (run: number): ReadonlySet<string> {
     return this.#places.get(run) ?? new Set()
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -7,10 +7,12 @@
 import { CRASH_AT_START_MILLISECONDS, MASS_OUTAGE_SERVERS, OUTAGE_MILLISECONDS } from './limits.js'
 import type { Background } from './crash-history.js'
 import { endJob } from './job-end.js'
-import type { JobState, StepState, TaskState } from './job-state.js'
+import type { JobState } from './job-state.js'
 import type { RoundTimes } from './placement-round.js'
 import type { ListedRun, Run, Server, ServerEntry } from './server.js'
 import type { PlannerState } from './state.js'
+import type { StepState } from './step-state.js'
+import type { TaskState } from './task-state.js'
 
 /**
  * Removes and returns the runs that a backend server had when its incarnation ended: those that
@@ -116,8 +118,11 @@
  * findExhausted(state, job)
  */
 export function findExhausted (state: PlannerState, job: JobState): void {
-  for (const { losses: { evidence }, tasks } of job.steps) {
-    for (const index of evidence.tasks) if (tasks[index] !== undefined && evidence.isExhausted(index)) state.exhaustedTasks.add(tasks[index].name)
+  for (const step of job.steps) {
+    for (const index of step.tasksWithCrashes) {
+      const task = step.losses.evidence.isExhausted(index) ? step.task(index) : undefined
+      if (task !== undefined) state.exhaustedTasks.add(task.name)
+    }
   }
 }
 
@@ -261,7 +266,7 @@
   if (lostAt.some(({ other, lost }) => !sharing.some(each => each.other === other) && !hasCrashedAtStart(other, lost))) return true
   if (sharing.length === 0) return false
   const members = runs.length + sharing.reduce((sum, { lost }) => sum + lost.filter(run => run.run === number).length, 0)
-  const isWhole = members >= (state.task(runs[0]!.task)?.step.tasks.length ?? Infinity)
+  const isWhole = members >= (state.task(runs[0]!.task)?.step.count ?? Infinity)
   return !isWhole || runs.some(run => !isNew(run, at))
 }
 
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -6,9 +6,9 @@
 import { EligibleTargets } from './eligible-targets.js'
 import { Isolation } from './isolation.js'
 import { dueAt } from './job.js'
-import type { JobState, StartUnit, StepState, TaskState } from './job-state.js'
+import type { JobState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
+import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
 import { gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
@@ -18,7 +18,9 @@
 import type { SearchTurns } from './search-turns.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
+import type { StartUnit, StepState } from './step-state.js'
 import { requestStop } from './stops.js'
+import type { TaskState } from './task-state.js'
 import { VictimIndex } from './victim-index.js'
 import { victimsOf } from './victims.js'
 import { Waits } from './waits.js'
@@ -97,7 +99,7 @@
 
   #candidate (job: JobState): Candidate | undefined {
     const terms = this.#state.termsOf(job)
-    const steps = job.readySteps().filter(step => step.tasks.some(task => task.isWaiting))
+    const steps = job.readySteps().filter(step => step.hasWaiting)
     if (terms === undefined || steps.length === 0) return undefined
     const { queue } = job.job
     const mean = this.#state.meanRunTime(queue)
@@ -121,17 +123,17 @@
       if (blocked.has(step.number)) continue
       this.#placeStep(step, candidate)
       const mayFitLater = candidate.isClaim || step.specification.mostPerServer !== undefined
-      if (!mayFitLater && step.tasks.some(task => task.isWaiting)) blocked.add(step.number)
+      if (!mayFitLater && step.hasWaiting) blocked.add(step.number)
     }
   }
 
   #placeStep (step: StepState, candidate: Candidate): void {
     const unit = startUnitOf(step)
     if (unit === undefined) return
-    for (const task of unit.tasks) task.readySince ??= this.#times.now
+    step.noteReady(this.#times.now)
     if (step.specification.isGang) this.#placeGang(unit, candidate)
     else this.#placeSingleTasks(unit, candidate)
-    if (this.#eligible.isAdvised(step) && step.tasks.some(task => task.isWaiting)) this.#requestAdvice(unit, candidate)
+    if (this.#eligible.isAdvised(step) && step.hasWaiting) this.#requestAdvice(unit, candidate)
   }
 
   /** Accelerators that are free or cheap to reclaim, minus the expected demand of claims. */
@@ -151,10 +153,10 @@
   /** False for work without checkpoints that would take accelerators which claims are expected to need. */
   #mayBorrow (unit: StartUnit, { isClaim }: Candidate): boolean {
     const { savesCheckpoints, need } = unit.step.specification
-    const accelerators = unit.tasks.length * need.accelerators
+    const accelerators = unit.count * need.accelerators
     if (isClaim || savesCheckpoints || accelerators === 0) return true
     // In a mostly idle pool claims find other capacity, unless a gang takes more accelerators than are outside the guarantees.
-    const isBlockingClaims = accelerators > this.#totalAccelerators - this.#state.guaranteedAccelerators && this.#waits.mayWait(unit.tasks[0]!)
+    const isBlockingClaims = accelerators > this.#totalAccelerators - this.#state.guaranteedAccelerators && this.#waits.mayWait(unit.first)
     return accelerators <= this.#lendableAccelerators || (this.#isMostlyIdle && !isBlockingClaims)
   }
 
@@ -169,22 +171,39 @@
       return
     }
     const run = this.#state.nextRun()
-    unit.tasks.forEach((task, index) => this.#start(task, targets[index]!, run))
+    for (const task of step.waitingTasks()) this.#start(task, targets[task.index]!, run)
   }
 
   #placeSingleTasks (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     let blocked = 0
-    for (const task of unit.tasks) {
-      const single = { step, tasks: [task] }
+    for (const task of step.waitingTasks()) {
+      const single = unitOf(task)
       if (!this.#mayBorrow(single, candidate)) return
       const mayWait = this.#waits.mayWaitForPlacement(single, candidate)
       const target = this.#isolation.choose(this.#eligible.of(single, mayWait), single, mayWait, allowed => this.#chooseTarget(allowed, task))
       if (target !== undefined) this.#start(task, target, this.#state.nextRun())
       else if (!this.#isolation.mayHold(single)) blocked += 1
-      if (blocked > 0 && !candidate.isClaim) break
+      if (blocked > 0 && (!candidate.isClaim || blocked === MAXIMUM_BLOCKED_TASKS)) break
     }
-    if (blocked > 0) this.#reclaim({ step, tasks: unit.tasks.filter(task => task.isWaiting && !this.#isolation.mayHold({ step, tasks: [task] })) }, candidate)
+    const remaining = blocked > 0 ? this.#reclaimable(step, candidate) : undefined
+    if (remaining !== undefined) this.#reclaim(remaining, candidate)
+  }
+
+  /** The waiting tasks of a step that aren't held, as many as one search is made for; other work than claims frees capacity for all or none. */
+  #reclaimable (step: StepState, { isClaim }: Candidate): StartUnit | undefined {
+    const unit = startUnitOf(step)
+    if (unit !== undefined && unit.count > MAXIMUM_RECLAIMED_TASKS && !isClaim) return undefined
+    if (unit === undefined || !step.hasSuspect) return unit && { ...unit, count: Math.min(unit.count, MAXIMUM_RECLAIMED_TASKS) }
+    let first: TaskState | undefined
+    let count = 0
+    for (const task of step.waitingTasks()) {
+      if (this.#isolation.mayHold(unitOf(task))) continue
+      first ??= task
+      count += 1
+      if (count === MAXIMUM_RECLAIMED_TASKS) break
+    }
+    return first === undefined ? undefined : { step, first, count }
   }
 
   #chooseTarget (snapshot: CapacitySnapshot, task: TaskState): PlacementTarget | undefined {
@@ -209,7 +228,7 @@
     const { server } = target
     const targetAfterStops = this.#afterStops.targetOf(server.id)
     if (targetAfterStops !== undefined) this.#afterStops.take(targetAfterStops, task.step)
-    const isolatedUntil = this.#isolation.endFor({ step: task.step, tasks: [task] })
+    const isolatedUntil = this.#isolation.endFor(unitOf(task))
     const started: Run = {
       task: task.name,
       run,
@@ -232,6 +251,7 @@
     this.#isolation.add(server, started)
     if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
     this.#reservationVictims = undefined
+    task.step.keep(task)
     task.runs.add(started)
     task.readySince = undefined
     const { job } = task.step
@@ -253,26 +273,27 @@
    * Reserves the backend servers that are expected to become free first for a waiting
    * gang, so that smaller work behind it doesn't take them one by one.
    */
-  #reserveForGang ({ step, tasks }: StartUnit): void {
+  #reserveForGang (unit: StartUnit): void {
+    const { step } = unit
     const isLimitReached = this.#reservedGangs === MAXIMUM_RESERVED_GANGS || !this.#state.rules.has('reserve-for-gangs')
     if (isLimitReached || this.#eligible.isAdvised(step)) return
     const turns = this.#state.reservationTurns
     const isReserved = turns.isNext(step)
-      ? this.#reserveTargets(turns.search(step, () => this.#planReservation({ step, tasks }))?.targets ?? [], step)
-      : this.#reserveAgain({ step, tasks }, turns)
+      ? this.#reserveTargets(turns.search(step, () => this.#planReservation(unit))?.targets ?? [], step)
+      : this.#reserveAgain(unit, turns)
     if (isReserved) this.#reservedGangs += 1
   }
 
   #planReservation (unit: StartUnit): ReclaimPlan | undefined {
-    const { step, tasks } = unit
+    const { step, first, count } = unit
     this.#reservationVictims ??= new VictimIndex(runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now)), this.#state.work)
-    const targets = this.#eligibleAfterStops.lowRisk(unit, this.#waits.mayWait(tasks[0]!))
-    return planReclaim(targets, step, tasks.length, this.#reservationVictims, true)
+    const targets = this.#eligibleAfterStops.lowRisk(unit, this.#waits.mayWait(first))
+    return planReclaim(targets, step, count, this.#reservationVictims, true)
   }
 
   /** Reserves what was planned for a step in its last turn. */
-  #reserveAgain ({ step, tasks }: StartUnit, turns: SearchTurns): boolean {
-    const targets = turns.plannedFor(step).slice(0, tasks.length).map(server => this.#afterStops.targetOf(server))
+  #reserveAgain ({ step, count }: StartUnit, turns: SearchTurns): boolean {
+    const targets = turns.plannedFor(step).slice(0, count).map(server => this.#afterStops.targetOf(server))
     return this.#reserveTargets(targets.filter(target => target !== undefined), step)
   }
 
@@ -292,12 +313,12 @@
    * the chosen targets. False if nothing was reserved.
    */
   #reclaim (unit: StartUnit, candidate: Candidate): boolean {
-    const { step, tasks } = unit
+    const { step, first, count } = unit
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, tasks.length, this.#victimsFor(candidate), mayWait)
+    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, count, this.#victimsFor(candidate), mayWait)
     const lowRisk = this.#eligibleAfterStops.lowRisk(unit, mayWait)
     // A claim that has to use backend servers with recent failures has them freed while it still waits for others.
     const search = (): ReclaimPlan | undefined => planAmong(lowRisk) ?? (candidate.isClaim && lowRisk !== this.#afterStops ? planAmong(this.#afterStops) : undefined)
@@ -305,7 +326,7 @@
     if (plan === undefined) return false
     const { cost } = plan
     if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
-    const mayWaitForCapacity = this.#waits.readyMilliseconds(tasks[0]!) < this.#waits.reclaimWaitMilliseconds(candidate)
+    const mayWaitForCapacity = this.#waits.readyMilliseconds(first) < this.#waits.reclaimWaitMilliseconds(candidate)
     const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
     if (victims.length > 0) this.#reservationVictims = undefined
     for (const group of victims) {
@@ -337,9 +358,15 @@
 
 /** The waiting tasks of a step; of a gang, all tasks or none. */
 function startUnitOf (step: StepState): StartUnit | undefined {
-  const waiting = step.tasks.filter(task => task.isWaiting)
-  if (waiting.length === 0 || (step.specification.isGang && waiting.length < step.tasks.length)) return undefined
-  return { step, tasks: waiting }
+  const first = step.firstWaiting
+  if (first === undefined) return undefined
+  const count = step.waitingCount
+  return step.specification.isGang && count < step.count ? undefined : { step, first, count }
+}
+
+/** A task that starts by itself. */
+function unitOf (task: TaskState): StartUnit {
+  return { step: task.step, first: task, count: 1 }
 }
 
 /** Number of counted steps in the longest chain of dependencies of the last occurrence. */
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -4,7 +4,7 @@
  */
 import { sumFreeAccelerators } from './capacity.js'
 import { countFitting, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
-import type { StepState } from './job-state.js'
+import type { StepState } from './step-state.js'
 
 /**
  * Chooses targets for `count` tasks of a step, one entry per task, and subtracts their
@@ -38,7 +38,7 @@
  * const targets = placeGang(snapshot, step, true)
  */
 export function placeGang (snapshot: CapacitySnapshot, step: StepState, mayWaitForRack: boolean): readonly PlacementTarget[] | undefined {
-  const count = step.tasks.length
+  const count = step.count
   if (!step.specification.wantsOneRack) return placeTasks(snapshot, snapshot.targets, step, count)
   const racks = racksOf(snapshot.targets)
   snapshot.work.add(snapshot.targets.length)
@@ -73,7 +73,7 @@
  * couldHold(rack, step)
  */
 export function couldHold (targets: readonly PlacementTarget[], step: StepState): boolean {
-  const count = step.tasks.length
+  const count = step.count
   const emptyTargets = targets.map(target => ({ ...target, free: target.server.entry.capacity, tasksOf: new Map() }))
   return emptyTargets.reduce((sum, target) => sum + countFitting(target, step, count), 0) >= count
 }
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -2,7 +2,7 @@
 import { addCapacity } from './capacity.js'
 import { countedNeed, countFitting, mostTasksOn, type PlacementTarget } from './capacity-snapshot.js'
 import type { ServerId } from './ids.js'
-import type { StepState } from './job-state.js'
+import type { StepState } from './step-state.js'
 import type { ReclaimPlan, VictimGroup } from './reclaim.js'
 import type { RoundWork } from './round-work.js'
 import type { GroupShare, VictimIndex } from './victim-index.js'
@@ -21,7 +21,7 @@
  * has changed the target or stopped a group.
  *
  * @example
- * const plan = new ReclaimSearch(targets, step, victims, work).plan(step.tasks.length)
+ * const plan = new ReclaimSearch(targets, step, victims, work).plan(step.count)
  */
 export class ReclaimSearch {
   readonly #step: StepState
--- a/packages/jobs/src/reclaim.ts
+++ b/packages/jobs/src/reclaim.ts
@@ -4,11 +4,12 @@
  * work.
  */
 import type { Capacity } from './capacity.js'
-import type { StepState, TaskState } from './job-state.js'
 import { couldHold, racksOf } from './placement.js'
 import type { PlacementTarget, CapacitySnapshot } from './capacity-snapshot.js'
 import { ReclaimSearch } from './reclaim-search.js'
 import type { Run } from './server.js'
+import type { StepState } from './step-state.js'
+import type { TaskState } from './task-state.js'
 import type { VictimIndex } from './victim-index.js'
 
 /** Runs that are stopped together: those of a gang, or a single one. */
@@ -33,7 +34,7 @@
  * could hold it.
  *
  * @example
- * const plan = planReclaim(snapshot, step, step.tasks.length, new VictimIndex(groups, snapshot.work), true)
+ * const plan = planReclaim(snapshot, step, step.count, new VictimIndex(groups, snapshot.work), true)
  */
 export function planReclaim (snapshot: CapacitySnapshot, step: StepState, count: number, victims: VictimIndex, mayWaitForRack: boolean): ReclaimPlan | undefined {
   const findSpreadPlan = (): ReclaimPlan | undefined => new ReclaimSearch(snapshot.targets, step, victims, snapshot.work).plan(count)
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -3,7 +3,6 @@
 import { NO_CAPACITY } from './capacity.js'
 import type { RunNumber, ServerId, TaskName } from './ids.js'
 import { completeIfDone, endJob } from './job-end.js'
-import type { TaskState } from './job-state.js'
 import { ISOLATION_MILLISECONDS, REFUTATION_MARGIN_MILLISECONDS } from './limits.js'
 import { countedNeed } from './capacity-snapshot.js'
 import type { RoundTimes } from './placement-round.js'
@@ -11,6 +10,7 @@
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
 import { correctLoss, countLostRuns, mayExecute, refuteCrashes, takeLostRuns, weighEnd } from './lost-runs.js'
 import type { PlannerState } from './state.js'
+import type { TaskState } from './task-state.js'
 import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
 /**
@@ -70,7 +70,7 @@
   if (entry.checkpoint !== '') {
     run.checkpoint = entry.checkpoint
     const task = state.task(entry.task)
-    if (task !== undefined) recordCheckpoint(task, entry.checkpoint)
+    if (task !== undefined) task.checkpoint = entry.checkpoint
   }
   return run
 }
@@ -117,7 +117,7 @@
     progressedAt: now,
     checkpoint,
     stopSentAt: -Infinity,
-    ...(task?.step.losses.isSuspect(task.step.unitOf(task)) === true ? { isolatedUntil: now + ISOLATION_MILLISECONDS } : {})
+    ...(task?.step.isSuspect(task) === true ? { isolatedUntil: now + ISOLATION_MILLISECONDS } : {})
   }
   server.add(run)
   if (run.isolatedUntil !== undefined) state.isolatedRuns.add(run)
@@ -144,11 +144,6 @@
   }
 }
 
-function recordCheckpoint (task: TaskState, checkpoint: string): void {
-  const sharing = task.step.specification.isGang ? task.step.tasks : [task]
-  for (const each of sharing) each.checkpoint = checkpoint
-}
-
 type EndHandler = (state: PlannerState, server: Server, task: TaskState, end: ListedEnd, report: ServerReport, wallTime: number) => void
 
 const END_HANDLERS: Readonly<Record<RunEnd, EndHandler>> = {
@@ -169,7 +164,7 @@
     server.lastFailureAt = report.receivedAt
     stopRestOfGang(task, end.run)
     if (step.specification.isLasting || task.isDone || !step.job.isOpen) return
-    task.failedRuns.add(end.run)
+    step.addFailure(task, end.run)
     const attempts = state.termsOf(step.job)?.attempts ?? Infinity
     if (step.failuresOf(task) >= attempts) endJob(state, step.job, 'failed', 'job-failed', wallTime)
     state.markChanged(step.job)
@@ -189,13 +184,15 @@
   const run = server.run(end.task, end.run)
   state.recordEvent({ type: 'task-ended', task: end.task, run: end.run, server: server.id, how: end.how })
   if (task !== undefined) {
-    if (end.checkpoint !== '') recordCheckpoint(task, end.checkpoint)
+    if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     END_HANDLERS[end.how](state, server, task, end, report, wallTime)
   }
-  if (run === undefined) return
-  weighEnd(state, run)
-  server.remove(run)
-  task?.runs.delete(run)
+  if (run !== undefined) {
+    weighEnd(state, run)
+    server.remove(run)
+    task?.runs.delete(run)
+  }
+  if (task !== undefined) state.release(task)
 }
 
 /** Removes a run that is known to have ended, and stops the rest of its gang. */
@@ -206,12 +203,13 @@
   if (task === undefined) return
   task.runs.delete(run)
   stopRestOfGang(task, run.run)
+  state.release(task)
 }
 
 /** Remembers a start that is given up, and may still arrive in a later incarnation of its backend server. */
 function revokeStart (state: PlannerState, server: Server, run: Run): void {
   server.revokedStarts.add(run)
-  state.task(run.task)?.lateServers.set(server.id, run.address)
+  state.task(run.task)?.addLateServer(server.id, run.address)
 }
 
 /** Removes a run that has ended or can't begin in this incarnation of its backend server. */
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -1,6 +1,6 @@
 /** Takes the capacity snapshots of a round: free capacity now, and after pending stops. */
 import { addCapacity, sumFreeAccelerators } from './capacity.js'
-import type { StepState } from './job-state.js'
+import type { StepState } from './step-state.js'
 import { MAXIMUM_REGISTRY_AGE_MILLISECONDS, UNHEALTHY_MILLISECONDS } from './limits.js'
 import { CapacitySnapshot } from './capacity-snapshot.js'
 import type { Server } from './server.js'
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -3,11 +3,11 @@
 import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
 import { failExhausted } from './job-end.js'
-import type { StepState } from './job-state.js'
 import { determineCauses } from './lost-runs.js'
 import { giveUpStart } from './reports.js'
 import type { Server } from './server.js'
 import type { PlannerState } from './state.js'
+import type { StepState } from './step-state.js'
 import { requestStop } from './stops.js'
 
 /**
@@ -62,9 +62,9 @@
 }
 
 /** False if the tasks of a step stand still on other backend servers too, and progress on none: then they are slow themselves. */
-function isServerSuspect ({ stalledOn, tasks }: StepState, server: Server): boolean {
+function isServerSuspect ({ stalledOn, hasDone, knownTasks }: StepState, server: Server): boolean {
   const hasStalledElsewhere = [...stalledOn].some(id => id !== server.id)
-  return !hasStalledElsewhere || tasks.some(task => task.isDone || [...task.runs].some(run => run.server !== server.id && run.percent > 0))
+  return !hasStalledElsewhere || hasDone || [...knownTasks].some(({ runs }) => [...runs].some(run => run.server !== server.id && run.percent > 0))
 }
 
 /** Gives up starts without an answer that no poll has settled in time. */
--- a/packages/jobs/src/running-groups.ts
+++ b/packages/jobs/src/running-groups.ts
@@ -1,8 +1,10 @@
 /** Groups the active runs into those that are stopped together, with the cost of stopping them. */
-import type { JobState, StepState, TaskState } from './job-state.js'
+import type { JobState } from './job-state.js'
 import type { VictimGroup } from './reclaim.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
+import type { StepState } from './step-state.js'
+import type { TaskState } from './task-state.js'
 
 /** Time to resume from a checkpoint, in milliseconds. */
 const RESTORE_MILLISECONDS = 600
@@ -21,8 +23,8 @@
   for (const job of state.openJobs) {
     state.work.add(1)
     if (!isIncluded(job)) continue
-    for (const step of job.openSteps) {
-      state.work.add(step.tasks.length)
+    for (const step of job.steps) {
+      state.work.add(step.knownCount)
       if (!step.specification.isLasting) groups.push(...groupsOf(step, costOf))
     }
   }
@@ -55,7 +57,7 @@
 
 function groupsOf (step: StepState, costOf: RunCost): readonly VictimGroup[] {
   const members: { readonly task: TaskState, readonly run: Run, readonly need: Run['need'] }[] = []
-  for (const task of step.tasks) {
+  for (const task of step.knownTasks) {
     for (const run of task.runs) {
       if (run.state === 'running' || run.state === 'starting') members.push({ task, run, need: run.need })
     }
--- a/packages/jobs/src/search-turns.ts
+++ b/packages/jobs/src/search-turns.ts
@@ -1,6 +1,6 @@
 /** Limits the searches for reclaim plans in one round, and gives each waiting step its turn. */
 import type { ServerId } from './ids.js'
-import type { StepState } from './job-state.js'
+import type { StepState } from './step-state.js'
 import { MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND } from './limits.js'
 import type { ReclaimPlan } from './reclaim.js'
 import type { RoundWork } from './round-work.js'
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -7,7 +7,7 @@
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
 import type { JobPhase, StepSpecification } from './job.js'
-import type { JobState, StepState, TaskState } from './job-state.js'
+import type { JobState } from './job-state.js'
 import { ClaimDemand } from './lending.js'
 import { INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS, RUNS_PER_EPOCH, LONGEST_STOP_MILLISECONDS, MOVING_AVERAGE_WEIGHT, STOP_TIME_DECAY } from './limits.js'
 import { IdleJobs, type IdleReason } from './idle-jobs.js'
@@ -18,6 +18,8 @@
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
+import type { StepState } from './step-state.js'
+import type { TaskState } from './task-state.js'
 
 /** An event of a task, a job or a backend server, for the log. */
 export type PlannerEvent =
@@ -75,7 +77,7 @@
   readonly #pools = new Set<PoolName>()
   /** Registered backend servers in other pools, each of which was logged. */
   readonly #loggedUnknownServers = new Set<ServerId>()
-  /** Tasks that were found by name. */
+  /** Tasks that were found by name; their steps keep them too. */
   readonly #tasks = new Map<TaskName, TaskState>()
   /** Jobs whose work is not included in the mean work of their queue yet. */
   #unmeasuredJobs: JobState[] = []
@@ -160,7 +162,7 @@
       if (this.recovery.mayHideRuns(id, now)) continue
       this.#earlierTasks.delete(id)
       this.#earlierServers.delete(id)
-      for (const task of tasks) task.earlierServers.delete(id)
+      for (const task of tasks) task.removeEarlierServer(id)
     }
   }
 
@@ -237,15 +239,15 @@
     if (job.isOpen) this.openJobs.add(job)
     this.#unmeasuredJobs.push(job)
     if (job.hasUnlistedRuns) this.#jobsWithUnlistedRuns.add(job)
-    for (const { tasks } of job.openSteps) {
-      for (const task of tasks) for (const [id, address] of task.earlierServers) this.#addEarlierRun(task, id, address)
+    for (const { knownTasks } of job.steps) {
+      for (const task of knownTasks) for (const [id, address] of task.earlierServers) this.#addEarlierRun(task, id, address)
     }
   }
 
   /** Removes a job that has ended. */
   removeJob (job: JobState): void {
     this.jobs.delete(job.job.id)
-    for (const step of job.steps) for (const { name } of step.tasks) this.#tasks.delete(name)
+    for (const step of job.steps) for (const { name } of step.knownTasks) this.#tasks.delete(name)
   }
 
   /** Updates the mean works; waits for the first backend server, since work is relative to its capacity. */
@@ -285,9 +287,14 @@
     return task
   }
 
+  /** Forgets the state of a task if it is done and runs nowhere. */
+  release (task: TaskState): void {
+    if (task.step.release(task)) this.#tasks.delete(task.name)
+  }
+
   /** Finds a step by name. */
   step (name: StepName): StepState | undefined {
-    return findJobTask(this.jobs, `${name}.0` as TaskName)?.step
+    return this.task(`${name}.0` as TaskName)?.step
   }
 
   /** Selects the entries whose pool may have runs; before the first configuration, all. Each other one is logged once. */
--- /dev/null
+++ b/packages/jobs/src/step-state.ts
@@ -0,0 +1,275 @@
+/**
+ * State of a step in the planner that owns it. Only tasks that have something to remember have a state of their own;
+ * all others are numbers: those that are done are in the job's set, and those that aren't wait.
+ */
+import { serverId, stepName, taskName, type ServerId, type StepName } from './ids.js'
+import type { StepSpecification } from './job.js'
+import type { JobState } from './job-state.js'
+import { LossRecord } from './loss-record.js'
+import type { Placement, StepProgress } from './progress.js'
+import { TaskState } from './task-state.js'
+
+/** Permission to run a step on one incarnation of a backend server. */
+export interface Ticket {
+  readonly text: string
+  readonly incarnation: number
+  /** On the monotonic clock, in milliseconds. */
+  readonly expiresAt: number
+}
+
+/** Answers of the advice service for a step. They never change; only tickets expire. */
+export class StepAdvice {
+  readonly tickets = new Map<ServerId, Ticket>()
+  readonly refused = new Set<ServerId>()
+  /** When advice was last requested; -Infinity once that is answered. */
+  requestedAt = -Infinity
+}
+
+/** State of one step in one occurrence. */
+export class StepState {
+  readonly job: JobState
+  readonly occurrence: number
+  readonly number: number
+  readonly specification: StepSpecification
+  /** Number of its first task among all tasks of the job. */
+  readonly firstTask: number
+  /** When it first became ready to start, on the monotonic clock. */
+  readySince: number | undefined
+  /** Latest checkpoint of its gang; empty if there is none. */
+  gangCheckpoint = ''
+  /** States of the tasks that have something to remember, by index. */
+  readonly #tasks = new Map<number, TaskState>()
+  #done: number
+  #highestFailures = 0
+  #advice: StepAdvice | undefined
+  #stalledOn: Set<ServerId> | undefined
+  #losses: LossRecord | undefined
+
+  constructor (job: JobState, occurrence: number, number: number, firstTask: number) {
+    this.job = job
+    this.occurrence = occurrence
+    this.number = number
+    this.specification = job.job.steps[number]!
+    this.firstTask = firstTask
+    this.#done = job.done.countWithin(firstTask, firstTask + this.count)
+  }
+
+  get name (): StepName {
+    return stepName(this.job.job.id, this.occurrence, this.number)
+  }
+
+  /** Number of its tasks. */
+  get count (): number {
+    return this.specification.count
+  }
+
+  get isDone (): boolean {
+    return this.#done === this.count
+  }
+
+  /** True if a task of it is done. */
+  get hasDone (): boolean {
+    return this.#done > 0
+  }
+
+  /** Backend servers on which the advice service allows or refuses this step. */
+  get advice (): StepAdvice {
+    this.#advice ??= new StepAdvice()
+    return this.#advice
+  }
+
+  /** Backend servers on which runs of it were stopped as stuck. */
+  get stalledOn (): Set<ServerId> {
+    this.#stalledOn ??= new Set()
+    return this.#stalledOn
+  }
+
+  /** Runs lost with their backend servers. */
+  get losses (): LossRecord {
+    this.#losses ??= new LossRecord()
+    return this.#losses
+  }
+
+  isTaskDone (index: number): boolean {
+    return this.job.done.has(this.firstTask + index)
+  }
+
+  /** Returns the state of a task, and keeps it from now on; undefined if there is no such task. */
+  task (index: number): TaskState | undefined {
+    const known = this.#tasks.get(index)
+    if (known !== undefined || index >= this.count) return known
+    const task = this.#createTask(index)
+    this.#tasks.set(index, task)
+    return task
+  }
+
+  /** Keeps the state of a task, which is about to change. */
+  keep (task: TaskState): void {
+    this.#tasks.set(task.index, task)
+  }
+
+  /** Forgets the state of a task that is done and runs nowhere. False if it is still needed. */
+  release (task: TaskState): boolean {
+    if (!task.isDone || task.runs.size > 0) return false
+    this.#tasks.delete(task.index)
+    return true
+  }
+
+  /** The tasks whose states are kept, in no particular order. */
+  get knownTasks (): Iterable<TaskState> {
+    return this.#tasks.values()
+  }
+
+  /** How many these are. */
+  get knownCount (): number {
+    return this.#tasks.size
+  }
+
+  /** The tasks that wait, in order. Each that isn't known yet has a new state, which isn't kept unless `keep` is called. */
+  * waitingTasks (): IterableIterator<TaskState> {
+    for (let index = this.#nextOpen(0); index < this.count; index = this.#nextOpen(index + 1)) {
+      const known = this.#tasks.get(index)
+      if (known === undefined) yield this.#createTask(index)
+      else if (known.isWaiting) yield known
+    }
+  }
+
+  /** True if a task waits. */
+  get hasWaiting (): boolean {
+    return this.firstWaiting !== undefined
+  }
+
+  /** The first task that waits. */
+  get firstWaiting (): TaskState | undefined {
+    const [first] = this.waitingTasks()
+    return first
+  }
+
+  /** Counts the tasks that wait. */
+  get waitingCount (): number {
+    let busy = 0
+    for (const task of this.#tasks.values()) if (!task.isDone && !task.isWaiting) busy += 1
+    return this.count - this.#done - busy
+  }
+
+  /** The first task that isn't done. */
+  get firstOpen (): TaskState | undefined {
+    const index = this.#nextOpen(0)
+    return index < this.count ? this.#tasks.get(index) ?? this.#createTask(index) : undefined
+  }
+
+  /** Notes that its waiting tasks are ready to start. */
+  noteReady (now: number): void {
+    this.readySince ??= now
+    for (const task of this.#tasks.values()) if (task.isWaiting) task.readySince ??= now
+  }
+
+  /** Marks a task as done; in a gang, all tasks. */
+  complete (task: TaskState): void {
+    if (!this.specification.isGang) {
+      this.completeTask(task.index)
+      return
+    }
+    for (let index = 0; index < this.count; index += 1) this.completeTask(index)
+  }
+
+  /** Marks one task as done. */
+  completeTask (index: number): void {
+    if (index < this.count && this.job.done.add(this.firstTask + index)) this.#done += 1
+  }
+
+  /** Adds a run of a task that ended as failed. */
+  addFailure (task: TaskState, run: number): void {
+    this.keep(task)
+    task.addFailedRun(run)
+    this.#highestFailures = Math.max(this.#highestFailures, this.failuresOf(task))
+  }
+
+  /** Returns what counts its lost runs together: the index of a task, or 0 for a gang. */
+  unitOf (task: TaskState): number {
+    return this.specification.isGang ? 0 : task.index
+  }
+
+  /** True if backend servers have crashed so often under a task, or its gang, that it may be the cause. */
+  isSuspect (task: TaskState): boolean {
+    return this.#losses?.isSuspect(this.unitOf(task)) === true
+  }
+
+  /** True if so many have crashed under any of its tasks that aren't done. */
+  get hasSuspect (): boolean {
+    return this.#losses?.suspects.some(unit => !this.isTaskDone(unit)) === true
+  }
+
+  /** Indexes of the tasks under which backend servers have crashed. */
+  get tasksWithCrashes (): readonly number[] {
+    return this.#losses?.evidence.tasks ?? []
+  }
+
+  /** Counts the failed runs of a task; in a gang, the failed runs of all its tasks, each run number once. */
+  failuresOf (task: TaskState): number {
+    if (!this.specification.isGang) return task.failedRuns.size
+    const failedRuns = new Set<number>()
+    for (const each of this.#tasks.values()) for (const run of each.failedRuns) failedRuns.add(run)
+    return failedRuns.size
+  }
+
+  /** Highest number of failed runs of any task. */
+  get highestFailures (): number {
+    return this.#highestFailures
+  }
+
+  /** Its stored form, without the tasks that are done; undefined if there is nothing to store. */
+  get progress (): Omit<StepProgress, 'done'> | undefined {
+    const failed = [...this.#tasks.values()].filter(({ failedRuns }) => failedRuns.size > 0).map(({ index, failedRuns }) => [index, [...failedRuns]])
+    const placements = this.#placements
+    const losses = this.#losses?.progress ?? {}
+    if (failed.length === 0 && placements.size === 0 && Object.keys(losses).length === 0) return undefined
+    return { failed: Object.fromEntries(failed), ...losses, ...(placements.size === 0 ? {} : { placements: Object.fromEntries(placements) }) }
+  }
+
+  /** Where tasks may run; one that is done isn't started again, wherever it runs. */
+  get #placements (): ReadonlyMap<ServerId, Placement> {
+    const placements = new Map<ServerId, { readonly address: string, readonly tasks: number[] }>()
+    if (!this.job.isOpen) return placements
+    for (const task of this.#tasks.values()) {
+      if (task.isDone) continue
+      for (const [server, address] of task.servers) {
+        const known = placements.get(server)
+        if (known === undefined) placements.set(server, { address, tasks: [task.index] })
+        else known.tasks.push(task.index)
+      }
+    }
+    return placements
+  }
+
+  /** Restores its stored form. The tasks that are done have been restored before. */
+  restore (progress: StepProgress): void {
+    for (const [index, runs] of Object.entries(progress.failed)) {
+      const task = this.task(Number(index))
+      if (task !== undefined) for (const run of runs) this.addFailure(task, run)
+    }
+    for (const [server, { address, tasks }] of Object.entries(progress.placements ?? {})) {
+      for (const index of tasks) if (!this.isTaskDone(index)) this.task(index)?.addEarlierServer(serverId(server), address)
+    }
+    const { lost, attributed, lostAtStart, crashes, otherEnds } = progress
+    if ([lost, attributed, lostAtStart, crashes, otherEnds].some(each => each !== undefined)) this.losses.restore(progress, this.specification.isGang)
+  }
+
+  #createTask (index: number): TaskState {
+    return new TaskState(taskName({ job: this.job.job.id, occurrence: this.occurrence, step: this.number, index }), this, index)
+  }
+
+  /** Returns the lowest index from `start` on whose task isn't done; the number of tasks or more if there is none. */
+  #nextOpen (start: number): number {
+    return this.isDone ? this.count : this.job.done.nextAbsent(this.firstTask + start) - this.firstTask
+  }
+}
+
+/** Tasks of a step that are to be started; of a gang, all of its tasks. */
+export interface StartUnit {
+  readonly step: StepState
+  /** The first of them. */
+  readonly first: TaskState
+  /** How many they are. */
+  readonly count: number
+}
--- a/packages/jobs/src/stops.ts
+++ b/packages/jobs/src/stops.ts
@@ -1,8 +1,8 @@
 /** Marks runs for stopping; the next round sends the stops. */
 import type { StopReason } from './command.js'
 import type { RunNumber } from './ids.js'
-import type { TaskState } from './job-state.js'
 import type { Run } from './server.js'
+import type { TaskState } from './task-state.js'
 
 /**
  * Marks a run for stopping; the next round sends the stop.
@@ -35,7 +35,7 @@
  */
 export function stopRestOfGang (task: TaskState, number: RunNumber): void {
   if (!task.step.specification.isGang) return
-  for (const member of task.step.tasks) {
+  for (const member of task.step.knownTasks) {
     for (const run of member.runs) if (run.run === number) requestStop(run, 'gang-incomplete')
   }
 }
--- a/packages/jobs/src/victims.ts
+++ b/packages/jobs/src/victims.ts
@@ -3,13 +3,14 @@
  * urgent work preempt work that can be done later when the pool is full.
  */
 import { isIsolated } from './isolation.js'
-import type { JobState, StepState } from './job-state.js'
+import type { JobState } from './job-state.js'
 import { MAXIMUM_PREEMPTION_LOSS_MILLISECONDS, WASTE_WEIGHT } from './limits.js'
 import { weightOfPriority, type Candidate } from './order.js'
 import type { VictimGroup } from './reclaim.js'
 import { lostMilliseconds, runningGroups } from './running-groups.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
+import type { StepState } from './step-state.js'
 
 /** Cost of stopping an isolated run for a claim, above that of all others: its end may show what crashes backend servers. */
 const ISOLATED_STOP_COST = 1e9
--- a/packages/jobs/src/waits.ts
+++ b/packages/jobs/src/waits.ts
@@ -1,8 +1,9 @@
 /** How long waiting work may wait for something better than what is free. */
-import type { StartUnit, TaskState } from './job-state.js'
 import { MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, RECLAIM_WAIT_SHARE } from './limits.js'
 import type { Candidate } from './order.js'
 import type { PlannerState } from './state.js'
+import type { StartUnit } from './step-state.js'
+import type { TaskState } from './task-state.js'
 
 /**
  * The waits of one round.
@@ -32,8 +33,8 @@
   }
 
   /** A claim waits for a better placement, such as a single rack, only as long as the reclaim bound allows. */
-  mayWaitForPlacement ({ tasks }: StartUnit, { isClaim }: Candidate): boolean {
-    return isClaim ? this.readyMilliseconds(tasks[0]!) < MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS : this.mayWait(tasks[0]!)
+  mayWaitForPlacement ({ first }: StartUnit, { isClaim }: Candidate): boolean {
+    return isClaim ? this.readyMilliseconds(first) < MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS : this.mayWait(first)
   }
 
   /** How long work waits for capacity before others are stopped for it: less where stops take long, so that it can still end in time. */
--- a/packages/jobs/test/large-progress.test.ts
+++ b/packages/jobs/test/large-progress.test.ts
@@ -1,22 +1,24 @@
 import { expect } from 'chai'
-import { decodeProgress, encodeProgress, type Job, type JobProgress } from '../src/index.js'
+import { decodeProgress, encodeProgress, occurrencesOf, type Job, type JobProgress } from '../src/index.js'
 import { JobState } from '../src/job-state.js'
 import { decodeBits, encodeBits } from '../src/task-bits.js'
+import type { TaskState } from '../src/task-state.js'
 import { job, step } from './world.js'
 
 /** What a row of the users' store holds, in bytes. */
 const ROW_BYTES = 65_536
 
 const stateOf = (work: Job, progress?: JobProgress): JobState => new JobState(work, true, progress)
-const doneOf = (state: JobState): readonly string[] => state.steps.flatMap(({ tasks }) => tasks.filter(task => task.isDone).map(task => task.name))
+const tasksOf = (state: JobState): readonly TaskState[] =>
+  Array.from({ length: occurrencesOf(state.job) }, (_, occurrence) => state.job.steps.flatMap(({ count }, number) => Array.from({ length: count }, (_, index) => state.task(occurrence, number, index)!))).flat()
+const doneOf = (state: JobState): readonly string[] => tasksOf(state).filter(task => task.isDone).map(task => task.name)
 
 /** A job of which each task but every seventh is done, and one has failed. */
-const partlyDone = (work: Job, wallTime = 1e15): JobState => {
+const partlyDone = (work: Job): JobState => {
   const state = stateOf(work)
-  state.activate(wallTime)
-  const tasks = state.steps.flatMap(each => each.tasks)
+  const tasks = tasksOf(state)
   tasks.forEach((task, index) => { if (index % 7 !== 0) task.step.complete(task) })
-  tasks[0]!.failedRuns.add(1_000_001)
+  tasks[0]!.step.addFailure(tasks[0]!, 1_000_001)
   return state
 }
 
--- a/packages/jobs/test/reclaim.test.ts
+++ b/packages/jobs/test/reclaim.test.ts
@@ -4,10 +4,11 @@
 import { addCapacity } from '../src/capacity.js'
 import { CapacitySnapshot, countedNeed, countFitting, type PlacementTarget } from '../src/capacity-snapshot.js'
 import { poolName, runNumber, serverId, type ServerId } from '../src/ids.js'
-import { JobState, type StepState } from '../src/job-state.js'
+import { JobState } from '../src/job-state.js'
 import { couldHold, racksOf } from '../src/placement.js'
 import { planReclaim, type ReclaimPlan, type VictimGroup } from '../src/reclaim.js'
 import { RoundWork } from '../src/round-work.js'
+import type { StepState } from '../src/step-state.js'
 import { Server, type Run } from '../src/server.js'
 import { VictimIndex } from '../src/victim-index.js'
 import { job, step } from './world.js'
@@ -56,8 +57,8 @@
     const running = stepOf(`running-${number}`, { count: group.servers.length, accelerators: group.accelerators })
     const members = group.servers.map((index, task) => {
       const server = servers[index % servers.length]!
-      const run: Run = { task: running.tasks[task]!.name, run: runNumber(number), server: server.id, address: server.entry.address, need: countedNeed(running), state: 'running', startSentAt: 0, confirmedAt: 0, isStopConfirmed: false, stopConfirmedAt: Infinity, percent: 0, progressedAt: 0, checkpoint: '', stopSentAt: -Infinity }
-      return { server, member: { task: running.tasks[task]!, run, need: run.need } }
+      const run: Run = { task: running.task(task)!.name, run: runNumber(number), server: server.id, address: server.entry.address, need: countedNeed(running), state: 'running', startSentAt: 0, confirmedAt: 0, isStopConfirmed: false, stopConfirmedAt: Infinity, percent: 0, progressedAt: 0, checkpoint: '', stopSentAt: -Infinity }
+      return { server, member: { task: running.task(task)!, run, need: run.need } }
     }).filter(({ server, member }) => {
       const hasRoom = server.free.accelerators >= member.need.accelerators
       if (hasRoom) server.add(member.run)
@@ -86,7 +87,7 @@
   const remaining = new Set(groups)
   const victims: VictimGroup[] = []
   const chosen: PlacementTarget[] = []
-  while (chosen.length < waiting.tasks.length) {
+  while (chosen.length < waiting.count) {
     const options = snapshot.targets.map(target => exhaustiveOption(target, waiting, remaining)).filter(option => option !== undefined)
     const [best] = options.sort((left, right) => left.cost - right.cost || left.target.free.accelerators - right.target.free.accelerators)
     if (best === undefined) return undefined
--- a/packages/jobs/test/search-turns.test.ts
+++ b/packages/jobs/test/search-turns.test.ts
@@ -2,7 +2,7 @@
 import { MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND } from '../src/limits.js'
 import { RoundWork } from '../src/round-work.js'
 import { SearchTurns } from '../src/search-turns.js'
-import type { StepState } from '../src/job-state.js'
+import type { StepState } from '../src/step-state.js'
 
 const stepNamed = (name: string): StepState => ({ name }) as unknown as StepState
 
