--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -15,6 +15,7 @@
 import type { PeerReply, PeerRequest } from './messages.js'
 import { OwnedPlanner } from './owned-planner.js'
 import { Peers } from './peers.js'
+import { ReportedBacklog } from './reported-backlog.js'
 import type { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
 import { TableFollower } from './table-follower.js'
@@ -32,6 +33,8 @@
   readonly platform: PlatformView
   readonly clock: LogicalClock
   readonly emit: EmitEvent
+  /** What the owner has said of the jobs that wait; a new one unless a test hands it in. */
+  readonly backlog?: ReportedBacklog
 }
 
 type PeerHandlers = { readonly [Kind in PeerRequest['kind']]: (request: Extract<PeerRequest, { kind: Kind }>) => Promise<PeerReply> }
@@ -54,6 +57,7 @@
   readonly #leadership: Leadership
   readonly #stopping = new AbortController()
   readonly #unknownCancellations = new CancellationLimit()
+  readonly #backlog: ReportedBacklog
   readonly configuration: CurrentConfiguration
   readonly #owned: OwnedPlanner
 
@@ -86,6 +90,7 @@
   constructor (options: EntryVmOptions) {
     const { vm, address, seeds, secret, platform, clock, emit, weight } = options
     this.#options = options
+    this.#backlog = options.backlog ?? new ReportedBacklog()
     this.#store = new MonitoredStore(platform.store)
     this.#jobs = new JobStore(this.#store, () => this.#isStoreSilent)
     this.configuration = new CurrentConfiguration(configuration => this.#configure(configuration))
@@ -105,7 +110,9 @@
       emit,
       storeAge: () => this.#store.lastAnswerAge,
       onOwned: (owner, signal) => this.#owned.takeOver(owner, signal),
-      onLost: () => this.#runInBackground(this.#owned.release())
+      onLost: () => this.#runInBackground(this.#owned.release()),
+      waitingJobs: () => this.#owned.host?.waitingJobs,
+      onWaitingJobs: count => this.#backlog.report(count)
     })
     this.#owned = new OwnedPlanner({
       store: this.#store,
@@ -166,11 +173,13 @@
    * Accepts a job: it is stored when the promise resolves.
    *
    * @throws {CornelgaugeError} `overloaded` if the job isn't stored and won't be,
+   * `backlog-full` likewise, since too many jobs wait in the store,
    * `id-cancelled` likewise, since its id was cancelled before,
    * `outcome-unknown` if that can't be determined by the deadline on the steady clock
    */
   async submit (draft: JobDraft, deadline: number): Promise<void> {
-    this.#notifyOwner({ kind: 'job', job: await this.#accept(draft, deadline) })
+    if (this.#backlog.isFull(this.#owned.host?.waitingJobs)) await this.#refuse(draft)
+    else this.#notifyOwner({ kind: 'job', job: await this.#accept(draft, deadline) })
   }
 
   /**
@@ -220,6 +229,19 @@
     return this.#store.lastAnswerAge > STORE_SILENT_MILLISECONDS
   }
 
+  /** Refuses a job since too many wait; one that was accepted before stays accepted. */
+  async #refuse ({ id, queue }: JobDraft): Promise<void> {
+    let stored: Job | undefined
+    try {
+      stored = await this.#jobs.read(id)
+    } catch (thrown) {
+      throw new CornelgaugeError('outcome-unknown', { detail: 'Whether the job was accepted before could not be read', cause: thrown })
+    }
+    if (stored !== undefined) return
+    this.#options.emit('job-refused', { details: { job: id, queue, waiting: this.#owned.host?.waitingJobs ?? this.#backlog.count } })
+    throw new CornelgaugeError('backlog-full')
+  }
+
   /** Stores a job, through another VM if this one can't store it. */
   async #accept (draft: JobDraft, deadline: number): Promise<Job> {
     const relayPeer = this.#leadership.relayPeer
--- /dev/null
+++ b/packages/entry/src/job-intake.ts
@@ -0,0 +1,210 @@
+/** Decides which accepted jobs the planner has, and reads those that wait in the store once there is room for them. */
+import { pause, systemClock } from '@cornelgauge/coordination'
+import { asFailure } from '@cornelgauge/model'
+import { MAXIMUM_PLANNED_LOAD, parseTaskName, type Job, type JobId, type Planner, type PoolName, type QueueName, type ServerReport } from '@cornelgauge/jobs'
+import type { EmitEvent } from '@cornelgauge/telemetry'
+import { comparePlanningOrder, JobBacklog, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
+import { INTAKE_BATCH, STORE_RETRY_MILLISECONDS, TURN_INTERVAL_MILLISECONDS, TURN_JOBS, TURN_MILLISECONDS } from './limits.js'
+
+/** Options of an intake. */
+export interface JobIntakeOptions {
+  readonly planner: Planner
+  /** Reads a stored job; undefined if there is none. Fails as the store does, or with `record-damaged`. */
+  readonly readJob: (id: JobId) => Promise<Job | undefined>
+  readonly emit: EmitEvent
+  /** Called when a job was accepted under a newer owner, which has replaced this one. */
+  readonly onReplaced: () => void
+  /** Called with any unexpected failure. */
+  readonly onCrash: (thrown: unknown) => void
+  readonly signal: AbortSignal
+  /** Monotonic time in milliseconds. */
+  readonly now?: () => number
+}
+
+/** Free planning load from which on there is room for most jobs, so that none has to give way. */
+const MOST_FREE_LOAD = 50
+
+/** A job that the planner has, and that can still be left in the store. */
+type PlannedJob = WaitingJob & { readonly plannedAt: number }
+
+/**
+ * The way of jobs to the planner. What it may plan is bounded; the other jobs wait in the store and come next, in
+ * order, and none is lost. A job of which nothing has started gives way to one that comes before it, and, after some
+ * time, to those that had no turn: it may be one that can't run.
+ *
+ * @example
+ * intake.submit(job)
+ * intake.fill()
+ */
+export class JobIntake {
+  readonly #options: Required<JobIntakeOptions>
+  readonly #backlog = new JobBacklog()
+  /** Jobs that the planner has and that may give way, by pool; those that have started meanwhile are removed when they are met. */
+  readonly #planned = new Map<PoolName, OrderedJobs<PlannedJob>>()
+  /** Jobs that are being read. */
+  readonly #reading = new Set<JobId>()
+  /** Jobs that are needed whatever room there is. */
+  readonly #required = new Set<JobId>()
+  #isFilling = false
+  #nextTurnAt = 0
+
+  /** `waiting` are the jobs that the load has left in the store, `planned` those that the planner has got. */
+  constructor (options: JobIntakeOptions, { waiting, planned }: { readonly waiting: readonly WaitingJob[], readonly planned: readonly Job[] }) {
+    this.#options = { now: () => performance.now(), ...options }
+    for (const entry of waiting) this.#backlog.add(entry)
+    for (const job of planned) if (options.planner.mayRelease(job.id)) this.#notePlanned(waitingJobOf(job))
+  }
+
+  /** Number of jobs that wait in the store. */
+  get waitingCount (): number {
+    return this.#backlog.size
+  }
+
+  /** Counts the jobs of a queue that wait in the store. */
+  waitingIn (queue: QueueName): number {
+    return this.#backlog.countOf(queue)
+  }
+
+  /** Adds a stored job that isn't known; leaves it in the store if there is no room. True if the planner has got it. */
+  submit (job: Job): boolean {
+    const { planner, onReplaced } = this.#options
+    if (job.acceptedUnder > planner.epoch) {
+      onReplaced()
+      return false
+    }
+    if (this.#backlog.has(job.id) || this.#reading.has(job.id)) return false
+    const entry = waitingJobOf(job)
+    if (this.#makeRoom(entry)) return this.#plan(job, entry)
+    this.#backlog.add(entry)
+    return false
+  }
+
+  /** Requires a job that waits in the store, since it was cancelled: it is read at once, and ends. */
+  require (id: JobId): void {
+    if (!this.#backlog.has(id)) return
+    this.#required.add(id)
+    this.fill()
+  }
+
+  /** Begins to read the jobs for which there is room by now. */
+  fill (): void {
+    if (this.#isFilling || this.#backlog.size === 0 || this.#options.signal.aborted) return
+    this.#takeTurns()
+    const batch = this.#nextBatch()
+    if (batch.length === 0) return
+    this.#isFilling = true
+    this.#readAll(batch).catch(this.#options.onCrash).finally(() => { this.#isFilling = false })
+  }
+
+  /**
+   * Reads the jobs of a report's runs and ends that wait in the store: an owner may have started them without a record, and
+   * an end of a job that isn't known would be lost. False if one of them can't be read yet.
+   */
+  async readJobsOf ({ running, ended }: ServerReport): Promise<boolean> {
+    if (this.#backlog.size === 0) return true
+    const ids = new Set([...running, ...ended].map(({ task }) => parseTaskName(task)?.job).filter(id => id !== undefined))
+    const batch = [...ids].map(id => this.#backlog.take(id)).filter(entry => entry !== undefined)
+    const read = await Promise.all(batch.map(entry => this.#read(entry)))
+    return read.every(Boolean)
+  }
+
+  /** The next jobs to be read: those that are required, and as many others as there is room for. */
+  #nextBatch (): readonly WaitingJob[] {
+    const { planner } = this.#options
+    const batch = [...this.#required].slice(0, INTAKE_BATCH).map(id => this.#backlog.take(id)).filter(entry => entry !== undefined)
+    for (const id of [...this.#required].slice(0, INTAKE_BATCH)) this.#required.delete(id)
+    let load = planner.plannedLoad()
+    while (batch.length < INTAKE_BATCH) {
+      const next = this.#backlog.takeNext(pool => planner.plannedLoad(pool), MAXIMUM_PLANNED_LOAD - load)
+      if (next === undefined) break
+      batch.push(next)
+      load += next.load
+    }
+    return batch
+  }
+
+  async #readAll (batch: readonly WaitingJob[]): Promise<void> {
+    const read = await Promise.all(batch.map(entry => this.#read(entry)))
+    if (!read.every(Boolean)) await pause(systemClock, STORE_RETRY_MILLISECONDS, this.#options.signal)
+  }
+
+  /** Reads a job and hands it to the planner; false if it has to be read again. */
+  async #read (entry: WaitingJob): Promise<boolean> {
+    const { readJob, emit, signal } = this.#options
+    this.#reading.add(entry.id)
+    try {
+      const job = await readJob(entry.id)
+      if (job !== undefined && !signal.aborted) this.#plan(job, entry)
+      return true
+    } catch (thrown) {
+      const failure = asFailure(thrown)
+      emit(failure.code === 'record-damaged' ? 'record-unreadable' : 'waiting-job-not-read', { details: failure.code === 'record-damaged' ? { record: `${entry.id}: ${failure.message}` } : { job: entry.id, failure: failure.code } })
+      if (failure.code === 'record-damaged') return true
+      this.#backlog.add(entry)
+      return false
+    } finally {
+      this.#reading.delete(entry.id)
+    }
+  }
+
+  #plan (job: Job, entry: WaitingJob): boolean {
+    const { planner, emit, onReplaced } = this.#options
+    if (!planner.submit(job)) {
+      onReplaced()
+      return false
+    }
+    this.#notePlanned(entry)
+    emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
+    return true
+  }
+
+  #notePlanned (entry: WaitingJob): void {
+    const jobs = this.#planned.get(entry.pool) ?? new OrderedJobs<PlannedJob>()
+    this.#planned.set(entry.pool, jobs)
+    jobs.add({ ...entry, plannedAt: this.#options.now() })
+    if (jobs.size > 2 * MAXIMUM_PLANNED_LOAD) jobs.remove(({ id }) => !this.#options.planner.mayRelease(id))
+  }
+
+  /** True if there is room for a job, also after jobs that come later have given way. */
+  #makeRoom (entry: WaitingJob): boolean {
+    const { planner } = this.#options
+    const first = this.#backlog.firstOf(entry.pool)
+    if (first !== undefined && comparePlanningOrder(first, entry) < 0) return false
+    while (planner.plannedLoad() + entry.load > MAXIMUM_PLANNED_LOAD) {
+      const heaviest = [...this.#planned.keys()].reduce((most, pool) => planner.plannedLoad(pool) > planner.plannedLoad(most) ? pool : most, entry.pool)
+      const isBelowShare = planner.plannedLoad(entry.pool) + entry.load <= MAXIMUM_PLANNED_LOAD / Math.max(1, this.#planned.size)
+      if (!this.#giveWay(isBelowShare ? heaviest : entry.pool, last => isBelowShare || comparePlanningOrder(entry, last) < 0)) return false
+    }
+    return true
+  }
+
+  /** Leaves the last planned job of a pool in the store that hasn't started, if it is to give way. */
+  #giveWay (pool: PoolName, isDue: (last: WaitingJob) => boolean): boolean {
+    const jobs = this.#planned.get(pool)
+    for (let last = jobs?.last; last !== undefined && isDue(last); last = jobs?.last) {
+      jobs!.removeLast()
+      if (this.#options.planner.release(last.id)) {
+        this.#backlog.add(last)
+        return true
+      }
+    }
+    return false
+  }
+
+  /** If there is no room, lets the jobs give way that were planned for some time and of which nothing has started: they come again after the others. */
+  #takeTurns (): void {
+    const { planner } = this.#options
+    const now = this.#options.now()
+    if (now < this.#nextTurnAt || planner.plannedLoad() + MOST_FREE_LOAD <= MAXIMUM_PLANNED_LOAD) return
+    this.#nextTurnAt = now + TURN_INTERVAL_MILLISECONDS
+    for (const jobs of this.#planned.values()) {
+      jobs.remove(({ id }) => !planner.mayRelease(id))
+      let count = 0
+      const isDue = ({ plannedAt }: PlannedJob): boolean => count < TURN_JOBS && now - plannedAt >= TURN_MILLISECONDS && ++count > 0
+      for (const { plannedAt, ...entry } of jobs.remove(isDue)) {
+        planner.release(entry.id)
+        this.#backlog.add({ ...entry, turn: entry.turn + 1 })
+      }
+    }
+  }
+}
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -1,22 +1,22 @@
 /** Stores jobs, cancellations and progress in the platform's store. */
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import { decodeProgress, FINAL_PHASES, jobId, type Job, type JobId, type JobPhase, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
+import { decodeProgress, FINAL_PHASES, jobId, type Job, type JobId, type JobPhase, type JobProgress } from '@cornelgauge/jobs'
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
 import { decodeJob, encodeJob } from './job-record.js'
+import { JobSelection, type SelectedJobs } from './job-selection.js'
 import { REFUSED_WRITE_RETRY_MILLISECONDS, STORE_RETRY_MILLISECONDS, STORE_TIMEOUT_MILLISECONDS } from './limits.js'
 import { pause, systemClock } from '@cornelgauge/coordination'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import { readServers, type StoredServers } from './server-record.js'
-import { readTable, type StoreClock, type TableReadOptions } from './table-reader.js'
+import { readPages, type StoreClock, type TableReadOptions } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
 /** A job without the epoch of the owner under which it is stored. */
 export type JobDraft = Omit<Job, 'acceptedUnder'>
 
-/** All stored jobs, and the backend servers that may run their tasks. */
-export interface StoredJobs {
-  readonly jobs: readonly StoredJob[]
+/** The stored jobs, and the backend servers that may run their tasks. */
+export interface StoredJobs extends SelectedJobs {
   readonly servers: StoredServers
   /** Versions of the progress rows; the next write of a row is conditional on its version. */
   readonly progressVersions: ReadonlyMap<JobId, number>
@@ -137,41 +137,61 @@
   }
 
   /**
-   * Reads all jobs, cancellations, progress and recorded backend servers, for a new owner; one table after the other, since they share
-   * the VM's link. Cancellations come first: the jobs of those read here are then read too, and the others
-   * are among the later changes.
+   * Reads the jobs that a new owner plans, cancellations, progress and recorded backend servers; one table after the other, since
+   * they share the VM's link, and page by page, since the jobs may need more memory than there is. Cancellations come first: the
+   * jobs of those read here are then read too, and the others are among the later changes. Progress comes before
+   * the jobs, as it decides which of them have to be planned; only an owner writes it.
    */
   async load (options: TableReadOptions = {}): Promise<StoredJobs> {
-    const cancels = await readTable(this.#rows, CANCELS_TABLE, options)
-    const jobs = await readTable(this.#rows, JOBS_TABLE, options)
-    const progress = await readTable(this.#rows, PROGRESS_TABLE, options)
-    const servers = await readServers(this.#rows, options)
-    const cancelled = new Set(cancels.rows.map(row => row.key))
-    const progressRows = new Map(progress.rows.map(row => [row.key, row]))
-    const damaged = [...servers.damaged]
-    const stored: StoredJob[] = []
-    for (const row of jobs.rows) {
-      try {
-        const job = decodeJob(row.key, row.value)
-        const storedProgress = progressOf(progressRows.get(row.key))
-        stored.push({ job, isCancelled: cancelled.has(row.key), ...(storedProgress === undefined ? {} : { progress: storedProgress }) })
-      } catch (thrown) {
-        damaged.push(`${row.key}: ${asFailure(thrown).message}`)
+    const cancelled = new Set<string>()
+    const cancels = await readPages(this.#rows, CANCELS_TABLE, rows => { for (const { key } of rows) cancelled.add(key) }, options)
+    const progress = new Map<string, ReadProgress>()
+    const progressVersions = new Map<JobId, number>()
+    await readPages(this.#rows, PROGRESS_TABLE, rows => {
+      for (const row of rows) {
+        progress.set(row.key, readProgress(row))
+        progressVersions.set(jobId(row.key), row.version)
       }
-    }
-    const jobKeys = new Set(jobs.rows.map(row => row.key))
+    }, options)
+    const damaged: string[] = []
+    const selection = new JobSelection()
+    const earlyCancellations = new Set(cancelled)
+    const jobs = await readPages(this.#rows, JOBS_TABLE, rows => {
+      for (const { key, value } of rows) {
+        earlyCancellations.delete(key)
+        try {
+          const stored = progress.get(key)
+          if (stored?.failure !== undefined) throw stored.failure
+          selection.add({ job: decodeJob(key, value), isCancelled: cancelled.has(key), ...(stored?.progress === undefined ? {} : { progress: stored.progress }) })
+        } catch (thrown) {
+          damaged.push(`${key}: ${asFailure(thrown).message}`)
+        }
+        progress.delete(key)
+      }
+    }, options)
+    const servers = await readServers(this.#rows, options)
     return {
-      jobs: stored,
+      ...selection.selected,
       servers,
-      progressVersions: new Map(progress.rows.map(row => [jobId(row.key), row.version])),
-      damaged,
+      progressVersions,
+      damaged: [...servers.damaged, ...damaged],
       jobsVersion: jobs.version,
       cancelsVersion: cancels.version,
-      earlyCancellations: cancels.rows.filter(row => !jobKeys.has(row.key)).map(row => jobId(row.key)),
+      earlyCancellations: [...earlyCancellations].map(jobId),
       ...(cancels.clock === undefined ? {} : { clock: cancels.clock })
     }
   }
 
+  /**
+   * Reads one job; undefined if there is none under this id.
+   *
+   * @throws {CornelgaugeError} `record-damaged`, or the store's failure
+   */
+  async read (id: JobId): Promise<Job | undefined> {
+    const row = await this.#rows.read(JOBS_TABLE, id)
+    return row === undefined ? undefined : decodeJob(row.key, row.value)
+  }
+
   /**
    * Repeats the write of a row until it is answered or the row exists. If the store has
    * refused every attempt, nothing was written, and this is reported to the caller early. No
@@ -197,6 +217,24 @@
   }
 }
 
+/** Progress as read, or why it can't be. */
+interface ReadProgress {
+  readonly progress?: JobProgress
+  readonly failure?: CornelgaugeError
+}
+
+/** Of a job that has ended only the end matters. */
+function readProgress (row: StoredRow): ReadProgress {
+  try {
+    const progress = decodeProgress(row.value.text)
+    if (progress.phase === undefined) return { progress }
+    const { phase, finishedAt } = progress
+    return { progress: { phase, ...(finishedAt === undefined ? {} : { finishedAt }), hasBegun: progress.hasBegun, steps: {} } }
+  } catch (thrown) {
+    return { failure: asFailure(thrown) }
+  }
+}
+
 function progressOf (row: StoredRow | undefined): JobProgress | undefined {
   return row === undefined ? undefined : decodeProgress(row.value.text)
 }
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -30,6 +30,10 @@
   readonly onOwned: (owner: OwnerRecord, signal: AbortSignal) => Promise<void>
   /** Called when another VM has become the owner. */
   readonly onLost: () => void
+  /** As owner: number of accepted jobs that wait in the store; undefined until the planner is loaded. */
+  readonly waitingJobs?: () => number | undefined
+  /** Called with that number as the owner says it. */
+  readonly onWaitingJobs?: (count: number) => void
 }
 
 type HeartbeatRequest = Extract<PeerRequest, { kind: 'beat' }>
@@ -142,10 +146,12 @@
     const { member, storeAge } = heartbeat
     this.#members.add(member, storeAge)
     if (heartbeat.owner !== undefined) this.adoptOwner(heartbeat.owner)
+    const waitingJobs = this.isOwner ? this.#options.waitingJobs?.() : undefined
     return {
       kind: 'beat',
       isOwner: this.isOwner,
       ...(this.isOwner ? { ownedMilliseconds: this.#clock.now() - this.#ownedSince } : {}),
+      ...(waitingJobs === undefined ? {} : { waitingJobs }),
       ...this.#members.listFor(heartbeat.listVersion),
       ownerHeardAge: this.#evidence.heardAge,
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
@@ -252,6 +258,7 @@
     this.#members.receive(address, answer)
     if (answer.isOwner) {
       this.#evidence.hear(answer.ownedMilliseconds)
+      if (answer.waitingJobs !== undefined) this.#options.onWaitingJobs?.(answer.waitingJobs)
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
     } else if ((answer.owner?.epoch ?? 0) >= epoch) this.#evidence.giveUp()
     return true
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -107,6 +107,18 @@
 /** How long the id of a deleted job stays known, so that an earlier read of its row doesn't plan it anew. */
 export const DELETED_ID_MILLISECONDS = 180_000
 
+/** Jobs that wait in the store and are read at a time. */
+export const INTAKE_BATCH = 16
+/** How long a planned job of which nothing starts keeps others waiting in the store, in milliseconds; how often such jobs give way, and how many of a pool each time. */
+export const TURN_MILLISECONDS = 3000
+export const TURN_INTERVAL_MILLISECONDS = 1000
+export const TURN_JOBS = 200
+/** Jobs that wait in the store at which no VM accepts further ones: as many as the target has in half a day. Each takes some 200 bytes of the owner. */
+export const MAXIMUM_WAITING_JOBS = 20_000
+/** How old the owner's count of waiting jobs may be, in milliseconds; without a recent one a VM accepts jobs. */
+export const WAITING_COUNT_AGE_MILLISECONDS = 3000
+/** The `Retry-After` for a job that was refused since too many wait, in seconds. */
+export const WAITING_RETRY_AFTER_SECONDS = 10
 /** Time limit of a call to the owner about a job. */
 export const OWNER_CALL_TIMEOUT_MILLISECONDS = 500
 /** Part of the bound on a revocation that is reserved for the time between the check and the answer. */
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -50,8 +50,11 @@
 
 /** The reply to a request. */
 export type PeerReply =
-  /** `ownedMilliseconds`: time since the owner's claim; absent if the replying VM isn't the owner, or runs an earlier release. */
-  | { readonly kind: 'beat', readonly isOwner: boolean, readonly ownedMilliseconds?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
+  /**
+   * `ownedMilliseconds`: time since the owner's claim; `waitingJobs`: accepted jobs that it has left in the store, once it has
+   * loaded. Absent if the replying VM isn't the owner, or runs an earlier release.
+   */
+  | { readonly kind: 'beat', readonly isOwner: boolean, readonly ownedMilliseconds?: number, readonly waitingJobs?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
   | { readonly kind: 'taken' }
   | { readonly kind: 'accept', readonly job: Job }
   | { readonly kind: 'phase', readonly phase?: JobPhase }
@@ -83,8 +86,8 @@
 }
 
 const REPLY_CHECKS: Readonly<Record<PeerReply['kind'], Check>> = {
-  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, ownedMilliseconds, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
-    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
+  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, ownedMilliseconds, waitingJobs, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
+    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isWhole)(waitingJobs) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
   taken: () => true,
   accept: ({ job }) => isJob(job),
   phase: ({ phase }) => isAbsentOr(isString)(phase),
--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -91,6 +91,7 @@
       owner,
       stored,
       store,
+      readJob: id => this.#options.jobs.read(id),
       servers: platform.servers,
       advise: platform.advise,
       emit,
@@ -104,7 +105,7 @@
     if (currentConfiguration !== undefined) host.configure(currentConfiguration)
     host.updateRegistry(this.#registry.read(new Map(registry.rows.map(row => [row.key, row.value]))))
     this.#follow(host, stored.jobsVersion, stored.cancelsVersion, registry)
-    emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
+    emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, waiting: stored.waiting.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
     for (const record of stored.damaged) emit('record-unreadable', { details: { record } })
   }
 
@@ -150,6 +151,7 @@
     const jobs = new TableFollower(store, {
       table: JOBS_TABLE,
       initialSnapshot: { rows: [], version: jobsVersion },
+      isTransient: true,
       onFailure: onFailure(JOBS_TABLE),
       onRows: (rows, _readAt, changed) => {
         for (const key of changed) {
@@ -161,6 +163,7 @@
     const cancellations = new TableFollower(store, {
       table: CANCELS_TABLE,
       initialSnapshot: { rows: [], version: cancelsVersion },
+      isTransient: true,
       onFailure: onFailure(CANCELS_TABLE),
       onRows: (rows, _readAt, changed) => {
         for (const key of changed) if (rows.has(key)) host.cancel(jobId(key))
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -6,14 +6,17 @@
 import { setMaxListeners } from 'node:events'
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure } from '@cornelgauge/model'
-import { Planner, type Advice, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { asFailure, CornelgaugeError } from '@cornelgauge/model'
+import { Planner, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
+import { callForAdvice } from './advice-call.js'
 import type { BackendServerCalls } from './backend-server-calls.js'
+import { JobIntake } from './job-intake.js'
 import type { StoredJobs } from './job-store.js'
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
 import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, PROGRESS_BATCH, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
+import { ownerLoad, type OwnerLoad } from './owner-load.js'
 import type { OwnerRecord } from './owner-record.js'
 import { logFindings } from './planner-findings.js'
 import type { PlatformView } from './platform-view.js'
@@ -30,8 +33,9 @@
 /** Options of a planner host. */
 export interface PlannerHostOptions {
   readonly owner: OwnerRecord
-  readonly stored: StoredJobs
   readonly store: RowStore
+  /** Reads a job that was left in the store; see `JobIntake`. */
+  readonly readJob: (id: JobId) => Promise<Job | undefined>
   readonly servers: BackendServerCalls
   readonly advise: PlatformView['advise']
   readonly emit: EmitEvent
@@ -56,6 +60,7 @@
  */
 export class PlannerHost {
   readonly #options: PlannerHostOptions
+  readonly #intake: JobIntake
   readonly #planner: Planner
   readonly #writer: ProgressWriter
   readonly #saver: ProgressSaver
@@ -96,11 +101,20 @@
     advise: command => this.#advise(command)
   }
 
-  constructor (options: PlannerHostOptions) {
+  /** `stored` is what the store has; it isn't kept. */
+  constructor ({ stored, ...options }: PlannerHostOptions & { readonly stored: StoredJobs }) {
     this.#options = options
-    const { owner, stored, store, emit } = options
+    const { owner, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
     this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(options.recordedPeriod, owner, stored.clock))
+    this.#intake = new JobIntake({
+      planner: this.#planner,
+      readJob: options.readJob,
+      emit,
+      onReplaced: () => this.#fence(),
+      onCrash: thrown => this.#crash(thrown),
+      signal: this.#stopping.signal
+    }, { waiting: stored.waiting, planned: stored.jobs.map(({ job }) => job) })
     this.#gate = new StartGate(this.#planner)
     this.#recordedStarts = new RecordedStarts({ store, owner, isRecordComplete: () => !this.#gate.isLate && this.#planner.isRecordComplete(performance.now()), confirmedAge: options.confirmedAge })
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
@@ -120,7 +134,7 @@
       onReleased: () => this.#inbox.put({ type: 'tick' }),
       signal: this.#stopping.signal
     })
-    this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.#planner.load })
+    this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.load })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
     this.#retired = RetiredJobs.start(this.#planner, this.#writer, this.#stopping.signal, { tryStoreCall: call => this.#tryStoreCall(call), onCrash: thrown => this.#crash(thrown) })
@@ -156,11 +170,16 @@
   }
 
   queuedIn (queue: QueueName): number {
-    return this.#planner.queuedIn(queue)
+    return this.#planner.queuedIn(queue) + this.#intake.waitingIn(queue)
+  }
+
+  /** Number of jobs that wait in the store. */
+  get waitingJobs (): number {
+    return this.#intake.waitingCount
   }
 
-  get load (): Planner['load'] {
-    return this.#planner.load
+  get load (): OwnerLoad {
+    return ownerLoad(this.#planner.load, this.waitingJobs)
   }
 
   /** True while the ownership was confirmed recently enough to start runs and renew leases. */
@@ -227,6 +246,7 @@
     }
     this.#saver.save()
     this.#sendStarts()
+    this.#intake.fill()
   }
 
   /** Sends the starts that are recorded by now, or need not be. */
@@ -265,13 +285,8 @@
   }
 
   async #advise (command: AdviseCommand): Promise<void> {
-    let advice: Advice | undefined
-    try {
-      advice = await this.#options.advise?.(command.step, command.servers)
-      this.#options.emit('advice-taken', { details: { step: command.step, asked: command.servers.length, allowed: advice?.allowed.length } })
-    } catch (thrown) {
-      this.#options.emit('advice-failed', { details: { step: command.step, failure: asFailure(thrown).code } })
-    }
+    const { advise, emit } = this.#options
+    const advice = await callForAdvice(advise, command, emit)
     this.#inbox.put({ type: 'advised', command, advice })
   }
 
@@ -302,12 +317,12 @@
 
   #submit (job: Job): void {
     if (this.#planner.phaseOf(job.id) !== undefined || this.#retired.has(job)) return
-    if (!this.#planner.submit(job)) return this.#fence()
-    this.#options.emit('job-planned', { details: { job: job.id, queue: job.queue, workspace: job.workspace, age: Date.now() - job.acceptedAt } })
+    this.#intake.submit(job)
   }
 
   #cancel (id: JobId): void {
     if (!this.#planner.cancel(id, Date.now())) this.#options.emit('cancellation-of-unknown-job', { details: { job: id } })
+    this.#intake.require(id)
   }
 
   #updateRegistry ({ entries, unreadable }: RegistryReading): void {
@@ -355,7 +370,9 @@
     const poll = { epoch: this.epoch, acknowledgedPosition, waitMilliseconds, ...(leaseUntil === undefined ? {} : { leaseUntil }) }
     try {
       const report = await this.#options.servers.poll({ id, address }, poll, waitMilliseconds + CALL_SLACK_MILLISECONDS)
+      const areJobsKnown = await this.#intake.readJobsOf(report)
       if (this.#stopping.signal.aborted) return false
+      if (!areJobsKnown) throw new CornelgaugeError('store-unavailable', { detail: 'The jobs of the report could not be read' })
       this.#handle({ type: 'polled', server: id, report })
       return true
     } catch (thrown) {
--- a/packages/entry/src/round-monitor.ts
+++ b/packages/entry/src/round-monitor.ts
@@ -1,7 +1,7 @@
 /** Measures scheduling rounds: logs each slow one, sums up all of them periodically, and limits their share of the event loop's time. */
-import type { PlannerLoad } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, ROUND_DELAY_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from './limits.js'
+import type { OwnerLoad } from './owner-load.js'
 import type { OwnerRecord } from './owner-record.js'
 
 /** Options of a round monitor. */
@@ -9,7 +9,7 @@
   readonly epoch: OwnerRecord['epoch']
   readonly emit: EmitEvent
   /** The planner's load; computed only when an event is logged. */
-  readonly load: () => PlannerLoad
+  readonly load: () => OwnerLoad
   /** Monotonic time in milliseconds. */
   readonly now?: () => number
 }
--- a/packages/entry/src/table-follower.ts
+++ b/packages/entry/src/table-follower.ts
@@ -4,7 +4,7 @@
 import { moment, type Moment } from './elapsed.js'
 import { FEED_WAIT_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { readTable } from './table-reader.js'
+import { readPages } from './table-reader.js'
 
 /** Callbacks of a follower. */
 export interface TableListener {
@@ -21,6 +21,8 @@
   readonly table: string
   /** Pause between two reads; bounds the number of calls for a table that changes often. */
   readonly pauseMilliseconds?: number
+  /** Rows are forgotten once the listener has had them, so that a table of any size can be followed; `rows` then has only those that have changed. */
+  readonly isTransient?: boolean
   /** Rows and version to start from in place of a first read. */
   readonly initialSnapshot?: { readonly rows: readonly StoredRow[], readonly version: number }
 }
@@ -53,7 +55,7 @@
     while (!signal.aborted) {
       const readAt = moment()
       try {
-        const changed = this.#version === undefined ? await this.#readAll(signal) : await this.#readChanges(this.#version)
+        const changed = this.#version === undefined ? await this.#readAll(signal, readAt) : await this.#readChanges(this.#version)
         if (signal.aborted) return
         this.#deliver(readAt, changed)
         if (this.#options.pauseMilliseconds !== undefined) await pause(systemClock, this.#options.pauseMilliseconds, signal)
@@ -69,6 +71,7 @@
     for (const key of changed) this.#undelivered.add(key)
     this.#options.onRows(this.#rows, readAt, [...this.#undelivered])
     this.#undelivered.clear()
+    if (this.#options.isTransient === true) this.#rows.clear()
   }
 
   #fail (failure: CornelgaugeError): void {
@@ -76,8 +79,15 @@
     this.#options.onFailure(failure)
   }
 
-  async #readAll (signal: AbortSignal): Promise<readonly string[]> {
-    const { rows, version } = await readTable(this.#store, this.#options.table, {
+  async #readAll (signal: AbortSignal, readAt: Moment): Promise<readonly string[]> {
+    const rows = new Map<string, RowValue>()
+    const { version } = await readPages(this.#store, this.#options.table, page => {
+      for (const { key, value } of page) rows.set(key, value)
+      if (this.#options.isTransient !== true) return
+      this.#rows = new Map(rows)
+      this.#deliver(readAt, page.map(({ key }) => key))
+      rows.clear()
+    }, {
       // A failure of the first page is thrown: the next attempt then counts the age of the rows from its own start.
       onPageFailure: (failure, receivedRows) => {
         if (receivedRows === 0 || signal.aborted) return false
@@ -85,9 +95,9 @@
         return true
       }
     })
-    this.#rows = new Map(rows.map(row => [row.key, row.value]))
+    this.#rows = rows
     this.#version = version
-    return rows.map(row => row.key)
+    return [...rows.keys()]
   }
 
   async #readChanges (after: number): Promise<readonly string[]> {
--- a/packages/entry/src/table-reader.ts
+++ b/packages/entry/src/table-reader.ts
@@ -1,7 +1,7 @@
 /** Reads whole tables by pages that are short enough to leave room for other calls on a slow link. */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import type { RowPage, RowSnapshot, RowStore, StoredRow } from '@cornelgauge/ports'
+import type { PageRange, RowPage, RowSnapshot, RowStore, StoredRow } from '@cornelgauge/ports'
 import { FIRST_PAGE_ROWS, MAXIMUM_PAGE_ROWS, PAGE_BYTES, STORE_RETRY_MILLISECONDS } from './limits.js'
 
 /** Options of a read. */
@@ -39,18 +39,35 @@
  * const { rows, version } = await readTable(store, 'jobs')
  */
 export async function readTable (store: RowStore, table: string, options: TableReadOptions = {}): Promise<TableSnapshot> {
-  const { now = () => performance.now() } = options
   const rows: StoredRow[] = []
+  const first = await readPages(store, table, page => { rows.push(...page) }, options)
+  return { rows, ...first }
+}
+
+/**
+ * Reads all rows of a table, and hands them on page by page, so that a table of any size takes the memory of one page.
+ *
+ * @returns what `readTable` returns besides the rows
+ * @throws {CornelgaugeError} as `readTable`
+ * @example
+ * const { version } = await readPages(store, 'jobs', rows => { for (const row of rows) add(row) })
+ */
+export async function readPages (store: RowStore, table: string, onRows: (rows: readonly StoredRow[]) => void, options: TableReadOptions = {}): Promise<Omit<TableSnapshot, 'rows'>> {
+  const { now = () => performance.now() } = options
   let first: { readonly version: number, readonly clock?: StoreClock } | undefined
   let limit = FIRST_PAGE_ROWS
+  let received = 0
+  let after: string | undefined
   for (;;) {
     if (!isNeeded(options)) throw new CornelgaugeError('not-owner', { detail: `The rows of ${table} aren't needed any more` })
     const sentAt = now()
-    const page = await tryPage(store, table, rows, limit, options)
+    const page = await tryPage(store, table, { ...(after === undefined ? {} : { after }), limit }, received, options)
     if (page === undefined) continue
-    rows.push(...page.rows)
+    received += page.rows.length
+    after = page.rows.at(-1)?.key ?? after
+    onRows(page.rows)
     first ??= { version: page.version, ...(page.clock === undefined ? {} : { clock: { milliseconds: page.clock, sentAt, receivedAt: now() } }) }
-    if (!page.hasMore) return { rows, ...first }
+    if (!page.hasMore) return first
     limit = nextLimit(page, limit)
   }
 }
@@ -60,14 +77,13 @@
 }
 
 /** Reads one page; undefined if it failed and is to be read again, unless the rows aren't needed any more. */
-async function tryPage (store: RowStore, table: string, rows: readonly StoredRow[], limit: number, options: TableReadOptions): Promise<RowPage | undefined> {
-  const after = rows.at(-1)?.key
+async function tryPage (store: RowStore, table: string, range: PageRange, received: number, options: TableReadOptions): Promise<RowPage | undefined> {
   const { signal, onPageFailure } = options
   try {
-    return await store.readPage(table, after === undefined ? { limit } : { after, limit }, signal === undefined ? {} : { signal })
+    return await store.readPage(table, range, signal === undefined ? {} : { signal })
   } catch (thrown) {
     if (!isNeeded(options)) return undefined
-    if (onPageFailure?.(asFailure(thrown), rows.length) !== true) throw thrown
+    if (onPageFailure?.(asFailure(thrown), received) !== true) throw thrown
     await pause(systemClock, STORE_RETRY_MILLISECONDS, signal)
     return undefined
   }
--- /dev/null
+++ b/packages/entry/test/job-intake.test.ts
@@ -0,0 +1,211 @@
+import { epoch, workspaceName, CornelgaugeError } from '@cornelgauge/model'
+import { configurationVersion, jobId, MAXIMUM_PLANNED_LOAD, Planner, planningLoad, poolName, queueName, type Configuration, type Job, type JobId, type ServerReport, type TaskName } from '@cornelgauge/jobs'
+import { MemoryRowStore } from '@cornelgauge/ports'
+import { expect } from 'chai'
+import { JobIntake } from '../src/job-intake.js'
+import { encodeJob } from '../src/job-record.js'
+import { JobSelection } from '../src/job-selection.js'
+import { JobStore } from '../src/job-store.js'
+import { TURN_INTERVAL_MILLISECONDS, TURN_MILLISECONDS } from '../src/limits.js'
+import { TableFollower } from '../src/table-follower.js'
+import { JOB } from './sample-job.js'
+
+const BULK = { priority: 2, attempts: 4, stretch: 2, latencyMilliseconds: 250 }
+const idOf = (number: number): JobId => jobId(String(number).padStart(16, '0'))
+const jobNumber = (number: number, overrides: Partial<Job> = {}): Job => ({ ...JOB, id: idOf(number), queue: queueName('bulk'), terms: BULK, acceptedAt: 1000 + number, acceptedUnder: epoch(1), ...overrides })
+
+const CONFIGURATION: Configuration = {
+  version: configurationVersion(1),
+  queues: [{ ...BULK, name: queueName('bulk'), host: 'jobs.example', prefix: '/bulk/', pool: JOB.pool, timeoutMilliseconds: 3000, isPublic: true }],
+  pools: [{ name: JOB.pool, maximumConnections: 64, enforcesCapacity: true, isStandby: false }],
+  workspaces: [{ name: workspaceName('brno'), keys: [], guaranteedAccelerators: 0 }],
+  limits: { headerBytes: 16_384, bodyBytes: 262_144, headerMilliseconds: 3000, idleMilliseconds: 15_000 }
+}
+
+/** Ordinary jobs that an owner may plan at most. */
+const MOST_PLANNED = Math.floor(MAXIMUM_PLANNED_LOAD / planningLoad(jobNumber(0)))
+
+/** An owner with what it has stored. */
+class Owner {
+  readonly planner: Planner
+  readonly intake: JobIntake
+  readonly stored: Map<JobId, Job>
+  readonly events: string[] = []
+  isStoreAvailable = true
+  now = 0
+
+  constructor (jobs: readonly Job[]) {
+    this.stored = new Map(jobs.map(job => [job.id, job]))
+    const selection = new JobSelection()
+    for (const job of jobs) selection.add({ job, isCancelled: false })
+    const { jobs: selected, waiting } = selection.selected
+    this.planner = new Planner(epoch(2), selected, { now: 0, wallTime: 0 })
+    this.planner.configure(CONFIGURATION)
+    this.intake = new JobIntake({
+      planner: this.planner,
+      readJob: async id => {
+        if (!this.isStoreAvailable) throw new CornelgaugeError('timeout')
+        return this.stored.get(id)
+      },
+      emit: event => { this.events.push(event) },
+      onReplaced: () => { this.events.push('replaced') },
+      onCrash: thrown => { throw thrown },
+      signal: new AbortController().signal,
+      now: () => this.now
+    }, { waiting, planned: selected.map(({ job }) => job) })
+  }
+
+  isPlanned (number: number): boolean {
+    return this.planner.phaseOf(idOf(number)) !== undefined
+  }
+
+  submit (job: Job): void {
+    this.stored.set(job.id, job)
+    this.intake.submit(job)
+  }
+
+  /** Reads what there is room for. */
+  async fill (times = 1): Promise<void> {
+    for (let time = 0; time < times; time += 1) {
+      this.intake.fill()
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+}
+
+// Guards against owners that end with their heaps full of jobs that others have accepted, or that leave out some of them.
+describe('the intake of jobs', () => {
+  const numbers = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index)
+
+  describe('with more jobs in the store than an owner may plan', () => {
+    it('plans the first ones, and counts the others', () => {
+      const owner = new Owner(numbers(2 * MOST_PLANNED).map(number => jobNumber(number)).reverse())
+      expect(owner.planner.plannedLoad()).to.be.at.most(MAXIMUM_PLANNED_LOAD)
+      expect(numbers(MOST_PLANNED).every(number => owner.isPlanned(number))).to.equal(true)
+      expect(owner.intake.waitingCount).to.equal(MOST_PLANNED)
+      expect(owner.intake.waitingIn(queueName('bulk'))).to.equal(MOST_PLANNED)
+    })
+
+    it('plans each of the others once there is room, in order', async () => {
+      const owner = new Owner(numbers(MOST_PLANNED + 100).map(number => jobNumber(number)))
+      for (const number of numbers(50)) owner.planner.cancel(idOf(number), 0)
+      await owner.fill(10)
+      expect(owner.intake.waitingCount).to.equal(50)
+      expect(owner.isPlanned(MOST_PLANNED + 49)).to.equal(true)
+      expect(owner.isPlanned(MOST_PLANNED + 50)).to.equal(false)
+    })
+
+    it('loses none while the store fails', async () => {
+      const owner = new Owner(numbers(MOST_PLANNED + 10).map(number => jobNumber(number)))
+      for (const number of numbers(20)) owner.planner.cancel(idOf(number), 0)
+      owner.isStoreAvailable = false
+      await owner.fill()
+      expect(owner.intake.waitingCount).to.equal(10)
+      expect(owner.events).to.include('waiting-job-not-read')
+      owner.isStoreAvailable = true
+      await new Promise(resolve => setTimeout(resolve, 150))
+      await owner.fill(3)
+      expect(owner.intake.waitingCount).to.equal(0)
+    })
+
+    it('plans at once what comes before others', () => {
+      const owner = new Owner(numbers(MOST_PLANNED).map(number => jobNumber(number)))
+      owner.submit(jobNumber(999_999, { terms: { ...BULK, priority: 0 } }))
+      expect(owner.isPlanned(999_999)).to.equal(true)
+      expect(owner.isPlanned(MOST_PLANNED - 1)).to.equal(false)
+      expect(owner.intake.waitingCount).to.equal(1)
+    })
+
+    it('doesn\'t let the jobs of one pool hold up those of another', () => {
+      const owner = new Owner(numbers(2 * MOST_PLANNED).map(number => jobNumber(number)))
+      owner.submit(jobNumber(999_999, { pool: poolName('other') }))
+      expect(owner.isPlanned(999_999)).to.equal(true)
+    })
+
+    it('lets jobs of which nothing starts give way to the others, each in turn', async () => {
+      const owner = new Owner(numbers(MOST_PLANNED + 300).map(number => jobNumber(number)))
+      for (let turn = 0; turn < 4; turn += 1) {
+        owner.now += TURN_MILLISECONDS + TURN_INTERVAL_MILLISECONDS
+        await owner.fill(30)
+      }
+      expect(numbers(300).every(number => owner.isPlanned(MOST_PLANNED + number))).to.equal(true)
+      expect(owner.planner.plannedLoad()).to.be.at.most(MAXIMUM_PLANNED_LOAD)
+      expect(owner.intake.waitingCount).to.be.at.least(300)
+    })
+
+    it('ends a waiting job that is cancelled', async () => {
+      const owner = new Owner(numbers(MOST_PLANNED + 10).map(number => jobNumber(number)))
+      owner.planner.cancel(idOf(MOST_PLANNED + 5), 0)
+      owner.intake.require(idOf(MOST_PLANNED + 5))
+      await owner.fill()
+      expect(owner.planner.phaseOf(idOf(MOST_PLANNED + 5))).to.equal('running')
+      owner.planner.markStored(owner.planner.unstoredJobs)
+      expect(owner.planner.phaseOf(idOf(MOST_PLANNED + 5))).to.equal('canceled')
+    })
+  })
+
+  describe('with a report that lists a task of a waiting job', () => {
+    const report = (number: number): ServerReport => ({ incarnation: 1, clock: 1, running: [], ended: [{ position: 1, task: `${idOf(number)}.0.0.0` as TaskName, run: 1_000_001 as never, how: 'done', checkpoint: '' }], hasMoreEnds: false, sentAt: 1, receivedAt: 2 })
+
+    it('reads the job first', async () => {
+      const owner = new Owner(numbers(MOST_PLANNED + 10).map(number => jobNumber(number)))
+      expect(await owner.intake.readJobsOf(report(MOST_PLANNED + 3))).to.equal(true)
+      expect(owner.isPlanned(MOST_PLANNED + 3)).to.equal(true)
+    })
+
+    it('says so if it can\'t be read, so that no end of it is acknowledged', async () => {
+      const owner = new Owner(numbers(MOST_PLANNED + 10).map(number => jobNumber(number)))
+      owner.isStoreAvailable = false
+      expect(await owner.intake.readJobsOf(report(MOST_PLANNED + 3))).to.equal(false)
+      expect(owner.intake.waitingCount).to.equal(10)
+    })
+  })
+
+  it('gives way to a newer owner under which a job was accepted', () => {
+    const owner = new Owner([])
+    owner.submit(jobNumber(1, { acceptedUnder: epoch(3) }))
+    expect(owner.events).to.deep.equal(['replaced'])
+  })
+
+  describe('from the store', () => {
+    it('keeps all jobs that may have runs or ends, however many they are', async () => {
+      const selection = new JobSelection()
+      for (const number of numbers(2 * MOST_PLANNED)) selection.add({ job: jobNumber(number), isCancelled: false, progress: { hasBegun: true, steps: {} } })
+      selection.add({ job: jobNumber(999_999), isCancelled: false })
+      const { jobs, waiting } = selection.selected
+      expect(jobs).to.have.length(2 * MOST_PLANNED)
+      expect(waiting.map(({ id }) => id)).to.deep.equal([idOf(999_999)])
+    })
+
+    it('counts long descriptions, so that few of them are planned at a time', async () => {
+      const steps = Array.from({ length: 300 }, () => JOB.steps[0]!)
+      const store = new MemoryRowStore().view()
+      for (const number of numbers(300)) await store.write({ conditions: [], puts: [{ table: 'jobs', key: idOf(number), value: encodeJob(jobNumber(number, { steps, specification: 'x'.repeat(4000) })) }] })
+      const { jobs, waiting } = await new JobStore(store).load()
+      expect(jobs.length).to.be.below(150)
+      expect(jobs.length + waiting.length).to.equal(300)
+    })
+
+    it('follows a table of any size without keeping its rows', async () => {
+      const store = new MemoryRowStore().view()
+      const stopping = new AbortController()
+      const sizes: number[] = []
+      const delivered = new Set<string>()
+      const follower = new TableFollower(store, {
+        table: 'jobs',
+        isTransient: true,
+        onFailure: () => {},
+        onRows: (rows, _readAt, changed) => {
+          sizes.push(rows.size)
+          for (const key of changed) if (rows.has(key)) delivered.add(key)
+          if (delivered.size === 200) stopping.abort()
+        }
+      })
+      for (const number of numbers(150)) await store.write({ conditions: [], puts: [{ table: 'jobs', key: idOf(number), value: encodeJob(jobNumber(number)) }] })
+      const following = follower.run(stopping.signal)
+      for (const number of numbers(50)) await store.write({ conditions: [], puts: [{ table: 'jobs', key: idOf(1000 + number), value: encodeJob(jobNumber(1000 + number)) }] })
+      await following
+      expect(Math.max(...sizes)).to.be.below(150)
+    })
+  })
+})
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -93,7 +93,7 @@
     const owner = await claimOwnership(store, NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
     calls = new FakeCalls()
     confirmedAge = 0
-    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, servers: calls, advise: undefined, emit: event => { events.push(event) }, confirmedAge: () => confirmedAge, onFenced: () => handleFenced() })
+    host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, readJob: id => new JobStore(store).read(id), servers: calls, advise: undefined, emit: event => { events.push(event) }, confirmedAge: () => confirmedAge, onFenced: () => handleFenced() })
     host.configure(CONFIGURATION)
     host.updateRegistry({ entries: [SERVER], unreadable: 0 })
     host.submit(jobAccepted(owner.epoch))
@@ -218,7 +218,7 @@
     const owner = await claimOwnership(view, (await readOwner(view))!, { vm: vmName('vm-b'), address: '10.0.0.2:7000' })
     calls = new FakeCalls()
     calls.isSilent = true
-    host = new PlannerHost({ owner, stored: await new JobStore(view).load(), store: view, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
+    host = new PlannerHost({ owner, stored: await new JobStore(view).load(), store: view, readJob: id => new JobStore(view).read(id), servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
     host.configure(CONFIGURATION)
     view.fault = 'refusing'
     host.updateRegistry({ entries: [SERVER], unreadable: 0 })
@@ -241,7 +241,7 @@
       const owner = await claimOwnership(view, (await readOwner(view))!, { vm: vmName('vm-b'), address: '10.0.0.2:7000' })
       calls = new FakeCalls()
       calls.isSilent = true
-      host = new PlannerHost({ owner, stored: await new JobStore(view).load(), store: view, servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
+      host = new PlannerHost({ owner, stored: await new JobStore(view).load(), store: view, readJob: id => new JobStore(view).read(id), servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => confirmedAge, onFenced: () => {} })
       host.configure(CONFIGURATION)
       host.updateRegistry({ entries: [SERVER], unreadable: 0 })
       host.submit(jobAccepted(owner.epoch))
--- a/packages/entry/test/round-monitor.test.ts
+++ b/packages/entry/test/round-monitor.test.ts
@@ -1,10 +1,10 @@
 import { epoch } from '@cornelgauge/model'
-import type { PlannerLoad } from '@cornelgauge/jobs'
 import { expect } from 'chai'
 import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, ROUND_DELAY_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from '../src/limits.js'
+import type { OwnerLoad } from '../src/owner-load.js'
 import { RoundMonitor } from '../src/round-monitor.js'
 
-const LOAD: PlannerLoad = { jobsQueued: 3, jobsRunning: 2, jobsRecovering: 0, runs: 9, runsUnresolved: 1, serversUnanswered: 0, serversUsable: 4, servers: 5, acceleratorsFree: 6 }
+const LOAD: OwnerLoad = { jobsQueued: 3, plannedLoad: 0, jobsWaiting: 0, heapMegabytes: 0, heapLimitMegabytes: 0, jobsRunning: 2, jobsRecovering: 0, runs: 9, runsUnresolved: 1, serversUnanswered: 0, serversUsable: 4, servers: 5, acceleratorsFree: 6 }
 
 function monitorOf (): { monitor: RoundMonitor, events: { name: string, details: Readonly<Record<string, unknown>> | undefined }[], runRound: (milliseconds: number) => void } {
   const events: { name: string, details: Readonly<Record<string, unknown>> | undefined }[] = []
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -57,7 +57,7 @@
     if (now < this.#nextCheckAt) return
     this.#nextCheckAt = now + IDLE_JOB_CHECK_MILLISECONDS
     const isPoolIdle = isMostlyIdle(snapshotOf(state, now))
-    for (const job of this.#since.keys()) if (!job.isOpen) this.#since.delete(job)
+    for (const job of this.#since.keys()) if (!state.openJobs.has(job)) this.#since.delete(job)
     const unknownEpoch = state.recovery.latestUnknownEpoch(now)
     const found: { readonly job: JobState, readonly idle: IdleJob, readonly milliseconds: number }[] = []
     for (const job of state.openJobs) {
--- a/packages/jobs/src/job-end.ts
+++ b/packages/jobs/src/job-end.ts
@@ -47,6 +47,6 @@
 function setFinalPhase (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
   job.phase = phase
   job.finishedAt = wallTime
-  state.openJobs.delete(job)
+  state.closeJob(job)
   state.recordEvent({ type: 'job-ended', job: job.job.id, phase, milliseconds: wallTime - job.job.acceptedAt })
 }
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -3,6 +3,7 @@
 import type { ServerId } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase } from './job.js'
 import { ENTRY_CHARACTERS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
+import { endedForm, planningLoad } from './planning-load.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
 import { StepState } from './step-state.js'
@@ -12,11 +13,14 @@
 
 /** State of one job. */
 export class JobState {
-  readonly job: Job
   /** Accepted under an earlier owner, which may have started it. */
   readonly isInherited: boolean
   /** Its tasks that are done, numbered in the order of occurrences, steps and tasks. */
   readonly done: TaskSet
+  /** How much of what an owner can plan it takes. */
+  readonly load: number
+  /** Something of it is stored or to be stored, so that it can't be planned anew from its row alone. */
+  hasProgress: boolean
   phase: JobPhase = 'queued'
   finishedAt: number | undefined
   /** The final phase is stored and may be reported. */
@@ -27,6 +31,7 @@
   hasUnlistedRuns = false
   /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
   idleSince: number | undefined
+  #job: Job
   readonly #tasksPerOccurrence: number
   /** Steps of the occurrences that are activated and not done, in order. */
   #occurrences = new Map<number, readonly StepState[]>()
@@ -35,13 +40,19 @@
   #lastOccurrence = -1
 
   constructor (job: Job, isInherited: boolean, progress?: JobProgress) {
-    this.job = job
+    this.#job = job
+    this.load = planningLoad(job)
+    this.hasProgress = progress !== undefined
     this.isInherited = isInherited
     this.#tasksPerOccurrence = job.steps.reduce((sum, { count }) => sum + count, 0)
     this.done = new TaskSet(this.#tasksPerOccurrence * occurrencesOf(job))
     if (progress !== undefined) this.#restore(progress)
   }
 
+  get job (): Job {
+    return this.#job
+  }
+
   get isOpen (): boolean {
     return this.phase === 'queued' || this.phase === 'running'
   }
@@ -125,6 +136,13 @@
     return [...this.#occurrences.values()].flatMap(readyOf)
   }
 
+  /** Forgets the work of a job that has ended and of which nothing runs. */
+  forgetWork (): void {
+    this.#job = endedForm(this.#job)
+    this.#occurrences.clear()
+    this.#nextOccurrence = occurrencesOf(this.#job)
+  }
+
   /** Looks up a task; activates its occurrence, which an earlier owner may have started. */
   task (occurrence: number, step: number, index: number): TaskState | undefined {
     if (occurrence >= occurrencesOf(this.job) || step >= this.job.steps.length) return undefined
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -79,8 +79,13 @@
 export const PREEMPTION_DELAY_MILLISECONDS = 1500
 /** Maximum number of preemption plans per round; each one searches all backend servers of the pool. */
 export const PREEMPTIONS_PER_ROUND = 4
+/** Starts under way at a time, and stops, over all backend servers and for each: a call that waits for others would use up its time limit. */
+export const MAXIMUM_CALLS_UNDER_WAY = 512
+export const MAXIMUM_CALLS_PER_SERVER = 32
+/** Stops under way for a backend server that has missed polls, so that those for others don't wait for it. */
+export const STOPS_PER_UNREACHABLE_SERVER = 2
 /** Tasks of one step that may find no capacity in a round before it stops looking for any for the others: claims look on, since others may wait for a better placement or be isolated. */
-export const MAXIMUM_BLOCKED_TASKS = 64
+export const MAXIMUM_BLOCKED_TASKS = 8
 /** Tasks of one step for which one search frees capacity: more than the accelerators of a guarantee. */
 export const MAXIMUM_RECLAIMED_TASKS = 2000
 /** Examinations after which a round begins no further search for claims, or for reservations: a quarter of the 100 ms that a round may take on a present-day core, at a microsecond each. */
@@ -149,5 +154,7 @@
 export const STEP_ENTRIES = 6
 /** Steps of a job's occurrences with waiting tasks at which no further occurrence is activated, however many are due: each step that is activated takes memory. */
 export const MAXIMUM_OPEN_STEPS = 256
+/** Planning load of all open jobs that an owner plans at most: a quarter of its heap, and rounds of a present-day core below 50 ms. What exceeds it waits in the store. */
+export const MAXIMUM_PLANNED_LOAD = 4000
 /** Maximum number of tasks of a job over all steps and occurrences; bounds the bits of its tasks, and the work of a round that looks for those that wait. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -9,7 +9,7 @@
 import type { Configuration } from './configuration.js'
 import { EarlyCancellations } from './early-cancellations.js'
 import { restoreIdleSince, storedIdleSince } from './idle-jobs.js'
-import type { JobId, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
+import type { JobId, PoolName, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
 import { endJob } from './job-end.js'
 import { JobState } from './job-state.js'
@@ -47,6 +47,8 @@
 export interface PlannerLoad {
   readonly jobsQueued: number
   readonly jobsRunning: number
+  /** Open jobs in units of an ordinary one; see `planningLoad`. */
+  readonly plannedLoad: number
   readonly runs: number
   /** Runs that are being stopped, or whose start or stop isn't confirmed. */
   readonly runsUnresolved: number
@@ -173,6 +175,28 @@
     return true
   }
 
+  /**
+   * Forgets an open job of which nothing is stored or has started, so that it can be submitted again later.
+   *
+   * @returns false if the job has to stay
+   */
+  release (id: JobId): boolean {
+    if (!this.mayRelease(id)) return false
+    this.#state.removeJob(this.#state.jobs.get(id)!)
+    return true
+  }
+
+  /** True if `release` would forget the job. */
+  mayRelease (id: JobId): boolean {
+    const job = this.#state.jobs.get(id)
+    return job?.isOpen === true && !job.hasProgress
+  }
+
+  /** Planning load of the open jobs of a pool, or of all pools. */
+  plannedLoad (pool?: PoolName): number {
+    return pool === undefined ? this.#state.load : this.#state.loadOf(pool)
+  }
+
   /**
    * Cancels a job; a job that has ended is not changed. A job that isn't known yet is cancelled when it is submitted.
    *
@@ -322,7 +346,11 @@
     const retired: Job[] = []
     for (const job of this.#state.jobs.values()) {
       if (!job.isFinalStored || job.runs.length > 0 || this.#state.isUnstored(job.job.id)) continue
-      job.finalSeenAt ??= now
+      if (job.finalSeenAt === undefined) {
+        this.#state.forgetTasks(job)
+        job.forgetWork()
+        job.finalSeenAt = now
+      }
       const age = Math.min(now - job.finalSeenAt, wallTime - (job.finishedAt ?? wallTime))
       if (age > RETENTION_MILLISECONDS) retired.push(job.job)
     }
@@ -344,6 +372,7 @@
     return {
       jobsQueued: jobs.filter(job => job.phase === 'queued').length,
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
+      plannedLoad: Math.round(this.#state.load),
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
       jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpoch) || job.earlierServers.length > 0).length,
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -79,6 +79,8 @@
   readonly #loggedUnknownServers = new Set<ServerId>()
   /** Tasks that were found by name; their steps keep them too. */
   readonly #tasks = new Map<TaskName, TaskState>()
+  /** Planning load of the open jobs, by pool. */
+  readonly #loads = new Map<PoolName, number>()
   /** Jobs whose work is not included in the mean work of their queue yet. */
   #unmeasuredJobs: JobState[] = []
   /** Maximum capacity of a registered backend server in each pool, per resource. */
@@ -236,7 +238,10 @@
   addJob (job: JobState): void {
     this.jobs.set(job.job.id, job)
     this.#pools.add(job.job.pool)
-    if (job.isOpen) this.openJobs.add(job)
+    if (job.isOpen) {
+      this.openJobs.add(job)
+      this.#addLoad(job, job.load)
+    }
     this.#unmeasuredJobs.push(job)
     if (job.hasUnlistedRuns) this.#jobsWithUnlistedRuns.add(job)
     for (const { knownTasks } of job.steps) {
@@ -244,16 +249,43 @@
     }
   }
 
-  /** Removes a job that has ended. */
+  /** Takes a job that has ended out of the open ones. */
+  closeJob (job: JobState): void {
+    if (this.openJobs.delete(job)) this.#addLoad(job, -job.load)
+  }
+
+  /** Removes a job that has ended, or that is to be planned anew later. */
   removeJob (job: JobState): void {
+    this.closeJob(job)
+    this.forgetTasks(job)
     this.jobs.delete(job.job.id)
+    this.#unmeasuredJobs = this.#unmeasuredJobs.filter(other => other !== job)
+  }
+
+  /** Forgets the tasks of a job that were found by name. */
+  forgetTasks (job: JobState): void {
     for (const step of job.steps) for (const { name } of step.knownTasks) this.#tasks.delete(name)
   }
 
+  /** Planning load of the open jobs of all pools. */
+  get load (): number {
+    return [...this.#loads.values()].reduce((sum, load) => sum + load, 0)
+  }
+
+  /** Planning load of the open jobs of a pool. */
+  loadOf (pool: PoolName): number {
+    return this.#loads.get(pool) ?? 0
+  }
+
+  #addLoad ({ job: { pool } }: JobState, load: number): void {
+    this.#loads.set(pool, this.loadOf(pool) + load)
+  }
+
   /** Updates the mean works; waits for the first backend server, since work is relative to its capacity. */
   #updateMeanWorks (): void {
     if (this.#largestCapacities.size === 0) return
     for (const job of this.#unmeasuredJobs.splice(0)) {
+      if (job.job.steps.length === 0) continue
       const { queue } = job.job
       const work = this.workOf(job)
       const mean = this.#meanWorks.get(queue) ?? work
@@ -352,6 +384,7 @@
 
   /** Marks a job's progress as changed and not stored. Returns the number of the change. */
   markChanged (job: JobState): number {
+    job.hasProgress = true
     this.#lastChange += 1
     const first = this.#unstoredJobs.get(job.job.id)?.first ?? this.#lastChange
     this.#unstoredJobs.set(job.job.id, { first, last: this.#lastChange })
--- a/packages/model/src/errors.ts
+++ b/packages/model/src/errors.ts
@@ -36,6 +36,7 @@
   'promotion-refused': { status: 409, title: 'These bytes are not in force in the trial environment', retry: 'never' },
   overloaded: { status: 503, title: 'The request could not be answered in time and was not accepted', retry: 'after-delay' },
   'id-cancelled': { status: 409, title: 'The id was cancelled before a job was accepted under it; use another id', retry: 'never' },
+  'backlog-full': { status: 429, title: 'Too many accepted jobs wait already; this one was not accepted', retry: 'after-delay' },
   'quota-exceeded': { status: 429, title: 'The workspace is at its limit', retry: 'after-delay' },
   'no-owner': { status: 503, title: 'The cell has no owner at the moment', retry: 'after-delay' },
   'not-owner': { status: 503, title: 'This VM does not own the cell', retry: 'at-once' },
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -5,6 +5,10 @@
 const LOAD_FIELDS = {
   jobsQueued: 'jobs of which no task has started',
   jobsRunning: 'jobs that have started',
+  plannedLoad: 'planning load of the open jobs that the owner has, in units of an ordinary job; it has at most 4,000',
+  jobsWaiting: 'accepted jobs that wait in the store since the owner has as many as it may',
+  heapMegabytes: 'heap in use',
+  heapLimitMegabytes: 'heap with which the process ends',
   jobsRecovering: 'jobs of earlier owners that wait until all of their runs are known',
   runs: 'runs that may be alive',
   runsUnresolved: 'runs that are being stopped, or whose start or stop isn\'t confirmed',
@@ -34,7 +38,7 @@
     number: 1002,
     level: 'info',
     sentence: 'The planner has loaded its stored state and begins to poll the backend servers.',
-    fields: { epoch: 'fencing epoch', jobs: 'number of stored jobs', damaged: 'number of records that can\'t be read', servers: 'number of rows in the registry', milliseconds: 'duration of the load' },
+    fields: { epoch: 'fencing epoch', jobs: 'number of stored jobs that it has loaded', waiting: 'number of those that it has left in the store', damaged: 'number of records that can\'t be read', servers: 'number of rows in the registry', milliseconds: 'duration of the load' },
     action: NO_ACTION
   },
   'planner-first-start': {
@@ -267,5 +271,19 @@
     sentence: 'A run of a task was at work for longer than until earlier crashes under the task, which no longer count against it.',
     fields: { task: 'task', run: 'run number', server: 'backend server', discarded: 'crashes that no longer count', workedMilliseconds: 'how long the run was at work' },
     action: NO_ACTION
+  },
+  'waiting-job-not-read': {
+    number: 1043,
+    level: 'warning',
+    sentence: 'A job that waits in the store could not be read though there is room for it; it is read again.',
+    fields: { job: 'id of the job', failure: 'error code' },
+    action: 'If it recurs, check that the VM can reach the store.'
+  },
+  'job-refused': {
+    number: 1044,
+    level: 'warning',
+    sentence: 'A job was not accepted, since too many accepted ones wait in the store.',
+    fields: { job: 'id of the job', queue: 'queue', waiting: 'how many wait, as the owner said last' },
+    action: 'Find the workspaces that submit them (event job-request-answered), and slow them down or add backend servers.'
   }
 } as const satisfies CatalogueRows
