Limit the starts and stops that are under way

Callers saw accepted jobs of which nothing ran: after 8 s without entry VMs each owner ended with its heap full some 9 s after its claim.

Cause: one round decided all 16,640 starts that fit, and the host sent them at once. The time limit of each counted while it waited for one of four connections, so most expired unsent, were stopped and started again, and each expired call opened a connection pool beside the old one.

Now at most 512 starts and 512 stops are under way, 32 for each backend server; a round places what 40,000 examinations allow, and the next one follows. Where more tasks wait than may be started, each job of a mostly idle pool gets some first.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -7,7 +7,7 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import { Planner, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { LEAST_STARTS_PER_ROUND, Planner, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { callForAdvice } from './advice-call.js'
@@ -243,6 +243,7 @@
     if (this.#isConfirmed) {
       const commands = this.#rounds.measure(() => this.#planner.decide({ now: performance.now(), wallTime: Date.now() }, this.#mayStart))
       for (const command of commands) this.#perform(command)
+      if (commands.length >= LEAST_STARTS_PER_ROUND) this.#scheduleRound()
     }
     this.#saver.save()
     this.#sendStarts()
--- a/packages/jobs/src/eligible-targets.ts
+++ b/packages/jobs/src/eligible-targets.ts
@@ -4,7 +4,8 @@
 import { FAILURE_AVOIDANCE_MILLISECONDS } from './limits.js'
 import { withoutInterference } from './round-snapshots.js'
 import type { PlannerState } from './state.js'
-import type { StartUnit, StepState } from './step-state.js'
+import type { StartUnit } from './start-unit.js'
+import type { StepState } from './step-state.js'
 
 /**
  * Selects the targets of each step from a snapshot, with which it shares them.
--- a/packages/jobs/src/isolation.ts
+++ b/packages/jobs/src/isolation.ts
@@ -8,7 +8,8 @@
 import { stepsWithOpenCause } from './lost-runs.js'
 import type { Run, Server } from './server.js'
 import type { PlannerState } from './state.js'
-import type { StartUnit, StepState } from './step-state.js'
+import type { StartUnit } from './start-unit.js'
+import type { StepState } from './step-state.js'
 import type { Waits } from './waits.js'
 
 /**
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -88,6 +88,9 @@
 export const MAXIMUM_BLOCKED_TASKS = 8
 /** Tasks of one step for which one search frees capacity: more than the accelerators of a guarantee. */
 export const MAXIMUM_RECLAIMED_TASKS = 2000
+/** Examinations of backend servers with which a round places the tasks that it starts; the next round follows at once. It starts a number of tasks in any case. */
+export const MAXIMUM_START_EXAMINATIONS_PER_ROUND = 40_000
+export const LEAST_STARTS_PER_ROUND = 64
 /** Examinations after which a round begins no further search for claims, or for reservations: a quarter of the 100 ms that a round may take on a present-day core, at a microsecond each. */
 export const MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND = 25_000
 /** Minimum share of the unclaimed guaranteed accelerators that is expected to be claimed before long work ends. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -1,6 +1,7 @@
 /** Places waiting work in the order of its weight. */
 import { requestAdvice, ticketFor } from './advice.js'
 import { addCapacity } from './capacity.js'
+import { CallWindow } from './call-window.js'
 import { claimsOf } from './claims.js'
 import type { AdviseCommand, StartCommand } from './command.js'
 import { EligibleTargets } from './eligible-targets.js'
@@ -8,7 +9,7 @@
 import { dueAt } from './job.js'
 import type { JobState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
-import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
+import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
 import { gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
@@ -18,7 +19,8 @@
 import type { SearchTurns } from './search-turns.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
-import type { StartUnit, StepState } from './step-state.js'
+import { startUnitOf, unitOf, type StartUnit } from './start-unit.js'
+import type { StepState } from './step-state.js'
 import { requestStop } from './stops.js'
 import type { TaskState } from './task-state.js'
 import { VictimIndex } from './victim-index.js'
@@ -53,6 +55,12 @@
   readonly #isolation: Isolation
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
+  /** Starts that are under way. */
+  readonly #starting = new CallWindow()
+  /** Tasks that a step without a gang may start. */
+  #mostStartsPerStep = Infinity
+  /** Tasks that this round may still start, since each is placed among all backend servers. */
+  #startsLeft: number
   /** Accelerators of all usable backend servers, free or not. */
   readonly #totalAccelerators: number
   /** Accelerators that work without checkpoints may still borrow. */
@@ -76,6 +84,8 @@
     this.#isolation = new Isolation(state, times.now, this.#waits)
     this.#eligible = new EligibleTargets(state, times.now, this.#current)
     this.#eligibleAfterStops = new EligibleTargets(state, times.now, this.#afterStops)
+    for (const server of state.servers.values()) for (const run of server.runs.values()) if (run.state === 'starting') this.#starting.add(server.id)
+    this.#startsLeft = Math.max(LEAST_STARTS_PER_ROUND, Math.floor(MAXIMUM_START_EXAMINATIONS_PER_ROUND / Math.max(1, this.#current.targets.length)))
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
     this.#lendableAccelerators = state.rules.has('keep-for-claims') ? this.#countLendable() : Infinity
   }
@@ -92,11 +102,36 @@
       const candidate = this.#candidate(job)
       if (candidate !== undefined) candidates.push(candidate)
     }
-    for (const candidate of inPlacementOrder(candidates)) {
+    const ordered = inPlacementOrder(candidates)
+    if (this.#isMostlyIdle && this.#hasMoreThanStarts(ordered)) {
+      this.#mostStartsPerStep = Math.max(1, Math.floor(this.#mostStarts / ordered.length))
+      this.#placeJobs(ordered)
+      this.#mostStartsPerStep = Infinity
+    }
+    this.#placeJobs(ordered)
+  }
+
+  /** Tasks that may be started now; a gang may exceed it. */
+  get #mostStarts (): number {
+    return Math.min(this.#startsLeft, this.#starting.room)
+  }
+
+  #placeJobs (candidates: readonly Candidate[]): void {
+    for (const candidate of candidates) {
+      if (this.#mostStarts <= 0) return
       this.#placeJob(candidate)
     }
   }
 
+  /** True if more tasks wait than may be started now: in an idle pool each job then gets some first, so that none waits for the starts of another. */
+  #hasMoreThanStarts (candidates: readonly Candidate[]): boolean {
+    let waiting = 0
+    return candidates.some(({ job }) => {
+      for (const step of job.readySteps()) waiting += step.waitingCount
+      return waiting > this.#mostStarts
+    })
+  }
+
   #candidate (job: JobState): Candidate | undefined {
     const terms = this.#state.termsOf(job)
     const steps = job.readySteps().filter(step => step.hasWaiting)
@@ -177,13 +212,19 @@
   #placeSingleTasks (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     let blocked = 0
+    let started = 0
     for (const task of step.waitingTasks()) {
+      if (this.#mostStarts <= 0 || started === this.#mostStartsPerStep) return
       const single = unitOf(task)
       if (!this.#mayBorrow(single, candidate)) return
       const mayWait = this.#waits.mayWaitForPlacement(single, candidate)
       const target = this.#isolation.choose(this.#eligible.of(single, mayWait), single, mayWait, allowed => this.#chooseTarget(allowed, task))
-      if (target !== undefined) this.#start(task, target, this.#state.nextRun())
-      else if (!this.#isolation.mayHold(single)) blocked += 1
+      if (target !== undefined) {
+        this.#start(task, target, this.#state.nextRun())
+        started += 1
+      }
+      if (target === undefined && this.#starting.hasFullServers) return
+      if (target === undefined && !this.#isolation.mayHold(single)) blocked += 1
       if (blocked > 0 && (!candidate.isClaim || blocked === MAXIMUM_BLOCKED_TASKS)) break
     }
     const remaining = blocked > 0 ? this.#reclaimable(step, candidate) : undefined
@@ -209,13 +250,14 @@
   #chooseTarget (snapshot: CapacitySnapshot, task: TaskState): PlacementTarget | undefined {
     const { step } = task
     const { dataRack } = step.specification
+    const targets = this.#starting.hasFullServers ? snapshot.targets.filter(({ server }) => this.#starting.hasRoomFor(server.id)) : snapshot.targets
     if (dataRack !== undefined) {
-      const inDataRack = snapshot.targets.filter(target => target.server.entry.rack === dataRack)
+      const inDataRack = targets.filter(target => target.server.entry.rack === dataRack)
       const target = placeTasks(snapshot, inDataRack, step, 1)?.[0]
       const mayWaitForRack = this.#waits.readyMilliseconds(task) < MAXIMUM_DATA_RACK_WAIT_MILLISECONDS
       if (target !== undefined || (mayWaitForRack && inDataRack.length > 0)) return target
     }
-    return placeTasks(snapshot, snapshot.targets, step, 1)?.[0]
+    return placeTasks(snapshot, targets, step, 1)?.[0]
   }
 
   #requestAdvice (unit: StartUnit, candidate: Candidate): void {
@@ -248,6 +290,8 @@
     }
     if (!task.step.specification.savesCheckpoints && !this.#claims.has(task.step.job)) this.#lendableAccelerators -= started.need.accelerators
     server.add(started)
+    this.#starting.add(server.id)
+    this.#startsLeft -= 1
     this.#isolation.add(server, started)
     if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
     this.#reservationVictims = undefined
@@ -356,19 +400,6 @@
   }
 }
 
-/** The waiting tasks of a step; of a gang, all tasks or none. */
-function startUnitOf (step: StepState): StartUnit | undefined {
-  const first = step.firstWaiting
-  if (first === undefined) return undefined
-  const count = step.waitingCount
-  return step.specification.isGang && count < step.count ? undefined : { step, first, count }
-}
-
-/** A task that starts by itself. */
-function unitOf (task: TaskState): StartUnit {
-  return { step: task.step, first: task, count: 1 }
-}
-
 /** Number of counted steps in the longest chain of dependencies of the last occurrence. */
 function chainLength (job: JobState, isCounted: (step: StepState) => boolean): number {
   const lengths: number[] = []
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -1,11 +1,12 @@
 /** A scheduling round: decides which runs are stopped, and which tasks are started on which backend servers. */
+import { CallWindow } from './call-window.js'
 import type { AdviseCommand, Command, StartCommand } from './command.js'
-import { EVACUATION_MILLISECONDS, START_SETTLEMENT_MILLISECONDS, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
+import { EVACUATION_MILLISECONDS, MAXIMUM_CALLS_PER_SERVER, START_SETTLEMENT_MILLISECONDS, STOPS_PER_UNREACHABLE_SERVER, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
 import { failExhausted } from './job-end.js'
 import { determineCauses } from './lost-runs.js'
 import { giveUpStart } from './reports.js'
-import type { Server } from './server.js'
+import type { Run, Server } from './server.js'
 import type { PlannerState } from './state.js'
 import type { StepState } from './step-state.js'
 import { requestStop } from './stops.js'
@@ -77,16 +78,28 @@
   }
 }
 
+/** The stops that are to be sent, or sent again, as many as may be under way. */
 function dueStops (state: PlannerState, now: number): readonly Command[] {
   const stops: Command[] = []
+  const underWay = new CallWindow()
+  const due: Run[] = []
   for (const server of state.servers.values()) {
     for (const run of server.runs.values()) {
       const isStopPending = run.state === 'stopping' || (run.state === 'unconfirmed' && run.stopReason !== undefined)
-      if (!isStopPending || run.isStopConfirmed || now - run.stopSentAt < STOP_RETRY_MILLISECONDS) continue
-      run.stopSentAt = now
-      run.firstStopSentAt ??= now
-      stops.push({ type: 'stop', server: server.id, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
+      if (!isStopPending || run.isStopConfirmed) continue
+      if (now - run.stopSentAt < STOP_RETRY_MILLISECONDS) underWay.add(server.id)
+      else due.push(run)
     }
   }
+  // Those that were never sent come first, then those that have waited longest for an answer.
+  due.sort((left, right) => left.stopSentAt === right.stopSentAt ? 0 : left.stopSentAt - right.stopSentAt)
+  for (const run of due) {
+    const isUnreachable = (state.servers.get(run.server)?.missedPolls ?? 0) > 0
+    if (!underWay.hasRoomFor(run.server, isUnreachable ? STOPS_PER_UNREACHABLE_SERVER : MAXIMUM_CALLS_PER_SERVER)) continue
+    underWay.add(run.server)
+    run.stopSentAt = now
+    run.firstStopSentAt ??= now
+    stops.push({ type: 'stop', server: run.server, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
+  }
   return stops
 }
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -264,12 +264,3 @@
     return this.isDone ? this.count : this.job.done.nextAbsent(this.firstTask + start) - this.firstTask
   }
 }
-
-/** Tasks of a step that are to be started; of a gang, all of its tasks. */
-export interface StartUnit {
-  readonly step: StepState
-  /** The first of them. */
-  readonly first: TaskState
-  /** How many they are. */
-  readonly count: number
-}
--- a/packages/jobs/src/waits.ts
+++ b/packages/jobs/src/waits.ts
@@ -2,7 +2,7 @@
 import { MAXIMUM_CLAIM_PLACEMENT_WAIT_MILLISECONDS, MAXIMUM_IDLE_POOL_WAIT_MILLISECONDS, MAXIMUM_RECLAIM_WAIT_MILLISECONDS, RECLAIM_WAIT_SHARE } from './limits.js'
 import type { Candidate } from './order.js'
 import type { PlannerState } from './state.js'
-import type { StartUnit } from './step-state.js'
+import type { StartUnit } from './start-unit.js'
 import type { TaskState } from './task-state.js'
 
 /**
