Keep the failed and lost runs of a job within its row

Callers saw jobs of which the second step never started: after a crash under 16,896 tasks of one job, nothing of any job was stored any more.

Cause: the lists of failed and lost runs in a job's progress had no bound, and were kept for tasks that were done. The store refused the row with its whole transaction, and ends are acknowledged only up to the oldest unstored change.

Now both are forgotten with the task's end, and what remains takes 12,000 characters: the tasks that failed or were lost most often come first.

--- a/packages/jobs/src/crash-evidence.ts
+++ b/packages/jobs/src/crash-evidence.ts
@@ -55,7 +55,7 @@
 
   /** Counts a run that neither ended in a crash that counts nor has refuted those before. False if starts aren't counted yet. */
   addOtherEnd (task: number): boolean {
-    if (this.#count(task) < COUNTED_AFTER_CRASHES) return false
+    if (this.count(task) < COUNTED_AFTER_CRASHES) return false
     this.#otherEnds.set(task, (this.#otherEnds.get(task) ?? 0) + 1)
     return true
   }
@@ -72,7 +72,7 @@
 
   /** True if a task that crashes its backend servers may not be started once more. */
   isExhausted (task: number): boolean {
-    const count = this.#count(task)
+    const count = this.count(task)
     return count >= COUNTED_AFTER_CRASHES && count + (this.#otherEnds.get(task) ?? 0) >= GIVE_UP_STARTS
   }
 
@@ -99,14 +99,21 @@
     return count >= GIVE_UP_ATTRIBUTED_CRASHES && (areAtStart || isQuiet)
   }
 
-  /** The stored form of the crashes. */
-  get progress (): StoredCrashes {
-    return Object.fromEntries([...this.#crashes].map(([task, crashes]) => [task, [...crashes.values()].map(toStored)]))
+  /** Forgets a task that isn't started any more. */
+  forget (task: number): void {
+    this.#crashes.delete(task)
+    this.#otherEnds.delete(task)
+  }
+
+  /** The stored form of the crashes of the tasks that are to be listed. */
+  progressOf (isListed: (task: number) => boolean): StoredCrashes {
+    return Object.fromEntries([...this.#crashes].filter(([task]) => isListed(task)).map(([task, crashes]) => [task, [...crashes.values()].map(toStored)]))
   }
 
   /** The counted runs that ended otherwise, by task index; undefined if there are none. */
-  get otherEnds (): Readonly<Record<string, number>> | undefined {
-    return this.#otherEnds.size === 0 ? undefined : Object.fromEntries(this.#otherEnds)
+  otherEndsOf (isListed: (task: number) => boolean): Readonly<Record<string, number>> | undefined {
+    const listed = [...this.#otherEnds].filter(([task]) => isListed(task))
+    return listed.length === 0 ? undefined : Object.fromEntries(listed)
   }
 
   /** Restores the stored form. */
@@ -117,7 +124,8 @@
     for (const [task, count] of Object.entries(otherEnds)) this.#otherEnds.set(Number(task), count)
   }
 
-  #count (task: number): number {
+  /** Counts the crashes of a task that weren't discarded. */
+  count (task: number): number {
     return this.#crashes.get(task)?.size ?? 0
   }
 }
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -2,7 +2,7 @@
 import type { Epoch } from '@cornelgauge/model'
 import type { ServerId } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase } from './job.js'
-import { ENTRY_CHARACTERS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
+import { ENTRY_CHARACTERS, FAILURE_CHARACTERS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
 import { endedForm, planningLoad } from './planning-load.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
@@ -80,9 +80,13 @@
 
   get progress (): JobProgress {
     const besideDone: Record<string, StepProgress> = {}
+    let characters = FAILURE_CHARACTERS
     for (const step of this.steps) {
-      const progress = step.progress
-      if (progress !== undefined) besideDone[stepKey(step)] = { done: [], ...progress }
+      const progress = step.progressWithin(characters)
+      if (progress === undefined) continue
+      besideDone[stepKey(step)] = { done: [], ...progress }
+      const { placements, ...failures } = progress
+      characters -= JSON.stringify(failures).length
     }
     const placements = Object.values(besideDone).reduce((sum, step) => sum + placementEntries(step), 0)
     const areListed = placements <= MAXIMUM_LISTED_ENTRIES
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -153,6 +153,8 @@
 /** Characters of one entry at most, and of the names and quotes around the id and the address in a placement. */
 export const ENTRY_CHARACTERS = 6
 export const PLACEMENT_CHARACTERS = 30
+/** Characters that failed runs, and those lost with backend servers, take in a job's progress at most, beside lists of up to 30,000 and the bits of completed tasks. */
+export const FAILURE_CHARACTERS = 12_000
 /** Entries that the key and the braces of a step take. */
 export const STEP_ENTRIES = 6
 /** Steps of a job's occurrences with waiting tasks at which no further occurrence is activated, however many are due: each step that is activated takes memory. */
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -113,12 +113,35 @@
     for (const lostAtStart of this.#lostAtStart.values()) lostAtStart.delete(earliest)
   }
 
-  /** The stored form; runs that there are none of are omitted. */
-  get progress (): StoredLosses {
-    const lost = toRecord(this.#runs)
-    const attributed = toRecord(this.#attributed)
-    const lostAtStart = toRecord(this.#lostAtStart)
-    const { progress: crashes, otherEnds } = this.evidence
+  /** Forgets a task that isn't started any more; of a gang, the unit with its first task. */
+  forgetTask (task: number): void {
+    for (const runs of [this.#runs, this.#attributed, this.#lostAtStart]) runs.delete(task)
+    this.evidence.forget(task)
+  }
+
+  /**
+   * The stored form; runs that there are none of are omitted. If it takes more than so many characters, it lists the tasks
+   * under which most runs were lost: the next owner counts the losses of the others anew.
+   */
+  progressWithin (characters: number): StoredLosses {
+    const whole = this.#progressOf(() => true)
+    if (charactersOf(whole) <= characters) return whole
+    const weightOf = (task: number): number => this.count(task) + this.evidence.count(task)
+    const ranked = [...new Set([...this.#runs.keys(), ...this.evidence.tasks])].sort((left, right) => weightOf(right) - weightOf(left) || left - right)
+    for (let length = Math.floor(characters / TASK_CHARACTERS); length > 0; length = Math.floor(length / 2)) {
+      const listed = new Set(ranked.slice(0, length))
+      const part = this.#progressOf(task => listed.has(task))
+      if (charactersOf(part) <= characters) return part
+    }
+    return {}
+  }
+
+  #progressOf (isListed: (task: number) => boolean): StoredLosses {
+    const lost = toRecord(this.#runs, isListed)
+    const attributed = toRecord(this.#attributed, isListed)
+    const lostAtStart = toRecord(this.#lostAtStart, isListed)
+    const crashes = this.evidence.progressOf(isListed)
+    const otherEnds = this.evidence.otherEndsOf(isListed)
     // Losses without this field are decoded as those of an earlier release.
     const hasCrashes = lost !== undefined || Object.keys(crashes).length > 0
     return { ...(otherEnds === undefined ? {} : { otherEnds }), ...(hasCrashes ? { crashes } : {}), ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }), ...(lostAtStart === undefined ? {} : { lostAtStart }) }
@@ -142,7 +165,12 @@
   return Object.fromEntries(Object.entries(isGang ? attributed : lost).map(toCrashes))
 }
 
-function toRecord (runsByIndex: ReadonlyMap<number, ReadonlySet<number>>): RunsByIndex | undefined {
-  const entries = [...runsByIndex].filter(([, runs]) => runs.size > 0).map(([index, runs]) => [index, [...runs]])
+/** Characters that the losses of one task take at least. */
+const TASK_CHARACTERS = 40
+
+const charactersOf = (losses: StoredLosses): number => JSON.stringify(losses).length
+
+function toRecord (runsByIndex: ReadonlyMap<number, ReadonlySet<number>>, isListed: (task: number) => boolean): RunsByIndex | undefined {
+  const entries = [...runsByIndex].filter(([index, runs]) => runs.size > 0 && isListed(index)).map(([index, runs]) => [index, [...runs]])
   return entries.length === 0 ? undefined : Object.fromEntries(entries) as RunsByIndex
 }
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -5,7 +5,7 @@
 import { serverId, stepName, taskName, type ServerId, type StepName } from './ids.js'
 import type { StepSpecification } from './job.js'
 import type { JobState } from './job-state.js'
-import { LossRecord } from './loss-record.js'
+import { LossRecord, type RunsByIndex } from './loss-record.js'
 import type { Placement, StepProgress } from './progress.js'
 import { TaskState } from './task-state.js'
 
@@ -175,7 +175,9 @@
 
   /** Marks one task as done. */
   completeTask (index: number): void {
-    if (index < this.count && this.job.done.add(this.firstTask + index)) this.#done += 1
+    if (index >= this.count || !this.job.done.add(this.firstTask + index)) return
+    this.#done += 1
+    this.#losses?.forgetTask(index)
   }
 
   /** Adds a run of a task that ended as failed. */
@@ -218,13 +220,30 @@
     return this.#highestFailures
   }
 
-  /** Its stored form, without the tasks that are done; undefined if there is nothing to store. */
-  get progress (): Omit<StepProgress, 'done'> | undefined {
-    const failed = [...this.#tasks.values()].filter(({ failedRuns }) => failedRuns.size > 0).map(({ index, failedRuns }) => [index, [...failedRuns]])
+  /**
+   * Its stored form, without the tasks that are done, and with as many failed and lost runs as so many characters hold;
+   * undefined if there is nothing to store.
+   */
+  progressWithin (characters: number): Omit<StepProgress, 'done'> | undefined {
+    const failed = this.#failedWithin(characters)
     const placements = this.#placements
-    const losses = this.#losses?.progress ?? {}
-    if (failed.length === 0 && placements.size === 0 && Object.keys(losses).length === 0) return undefined
-    return { failed: Object.fromEntries(failed), ...losses, ...(placements.size === 0 ? {} : { placements: Object.fromEntries(placements) }) }
+    const losses = this.#losses?.progressWithin(characters - JSON.stringify(failed).length) ?? {}
+    if (Object.keys(failed).length === 0 && placements.size === 0 && Object.keys(losses).length === 0) return undefined
+    return { failed, ...losses, ...(placements.size === 0 ? {} : { placements: Object.fromEntries(placements) }) }
+  }
+
+  /** The failed runs by task, of those that failed most often if they don't all fit. */
+  #failedWithin (characters: number): RunsByIndex {
+    const tasks = [...this.#tasks.values()].filter(({ failedRuns, isDone }) => failedRuns.size > 0 && !isDone).sort((left, right) => right.failedRuns.size - left.failedRuns.size)
+    const listed: [number, readonly number[]][] = []
+    let rest = characters
+    for (const { index, failedRuns } of tasks) {
+      const runs = [...failedRuns]
+      rest -= JSON.stringify({ [index]: runs }).length
+      if (rest < 0) break
+      listed.push([index, runs])
+    }
+    return Object.fromEntries(listed)
   }
 
   /** Where tasks may run; one that is done isn't started again, wherever it runs. */
--- a/packages/jobs/test/large-progress.test.ts
+++ b/packages/jobs/test/large-progress.test.ts
@@ -57,6 +57,54 @@
     expect(() => decodeProgress('{"doneBits":5,"steps":{}}')).to.throw().with.property('code', 'record-damaged')
   })
 
+  describe('after many of its tasks were lost with their backend servers', () => {
+    const LOST = 20_000
+    const SUSPECT = 90_000
+    const lose = (state: JobState, index: number, run: number): void => {
+      const { step: { losses } } = state.task(0, 0, index)!
+      losses.add(index, run, 'server-0')
+      losses.evidence.add(index, run, 1500)
+      losses.addLossAtStart(index, run)
+      losses.attribute(index, run)
+    }
+
+    for (const [name, done] of [['few of the others are done', 100], ['most of the others are done', 60_000]] as const) {
+      it(`fits a row if ${name}, and keeps those that may be the cause`, () => {
+        const state = stateOf(job('a', { steps: [step({ count: 100_000 })] }))
+        for (let index = 0; index < LOST; index += 1) lose(state, index, 1_000_000 + index)
+        for (let run = 0; run < 3; run += 1) lose(state, SUSPECT, 1_200_000 + run)
+        for (let index = LOST; index < LOST + done; index += 1) state.task(0, 0, index)!.step.completeTask(index)
+        const text = encodeProgress(state.progress)
+        expect(Buffer.byteLength(JSON.stringify({ text }))).to.be.below(ROW_BYTES)
+        const restored = stateOf(state.job, decodeProgress(text))
+        expect(restored.task(0, 0, SUSPECT)!.step.losses.count(SUSPECT)).to.equal(3)
+        expect(restored.done.size).to.equal(done)
+      })
+    }
+
+    it('fits a row if they have failed too, and keeps those that failed most often', () => {
+      const state = stateOf(job('a', { steps: [step({ count: 100_000 })] }))
+      const fail = (index: number, run: number): void => state.task(0, 0, index)!.step.addFailure(state.task(0, 0, index)!, run)
+      for (let index = 0; index < LOST; index += 1) {
+        lose(state, index, 1_000_000 + index)
+        fail(index, 1_100_000 + index)
+      }
+      for (let run = 0; run < 3; run += 1) fail(SUSPECT, 1_200_000 + run)
+      const text = encodeProgress(state.progress)
+      expect(Buffer.byteLength(JSON.stringify({ text }))).to.be.below(ROW_BYTES)
+      expect(stateOf(state.job, decodeProgress(text)).task(0, 0, SUSPECT)!.failedRuns.size).to.equal(3)
+    })
+
+    it('forgets the losses and failures of tasks that are done', () => {
+      const state = stateOf(job('a', { steps: [step({ count: 100 })] }))
+      const task = state.task(0, 0, 7)!
+      lose(state, 7, 1_000_007)
+      task.step.addFailure(task, 1_000_008)
+      task.step.complete(task)
+      expect(state.progress.steps['0.0']).to.deep.equal({ done: [7], failed: {} })
+    })
+  })
+
   it('keeps sets of numbers as bits', () => {
     const numbers = Array.from({ length: 300 }, (_, index) => index * 3)
     expect([...decodeBits(encodeBits(numbers))]).to.deep.equal(numbers)
