--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -128,8 +128,8 @@
     const waitingSteps = [...this.#occurrences.values()].filter(steps => readyOf(steps).some(step => step.hasWaiting))
     const { length } = this.job.steps
     let waiting = waitingSteps.length * length
-    const isLasting = this.job.steps.some(step => step.isLasting)
-    while (waiting < MAXIMUM_OPEN_STEPS && (isLasting || this.#occurrences.size * length < MAXIMUM_ACTIVE_STEPS) && this.#nextOccurrence < occurrencesOf(this.job)) {
+    const mostActive = this.job.steps.some(step => step.isLasting) ? Infinity : MAXIMUM_ACTIVE_STEPS
+    while (waiting < MAXIMUM_OPEN_STEPS && this.#occurrences.size * length < mostActive && this.#nextOccurrence < occurrencesOf(this.job)) {
       const occurrence = this.#nextOccurrence
       if (dueAt(this.job, occurrence) > wallTime) return
       if (!this.#occurrences.has(occurrence) && !this.#isOccurrenceDone(occurrence)) waiting += this.#stepsOf(occurrence).length
