Stop and reserve nothing in the pass that gives each job its first starts

Where more tasks wait than may be started, a round of a mostly idle pool goes over the waiting jobs twice. The first pass now only starts what fits.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -116,6 +116,11 @@
     return Math.min(this.#startsLeft, this.#starting.room)
   }
 
+  /** True while each job gets a few starts first; nothing is stopped or reserved before the second pass. */
+  get #isFirstPass (): boolean {
+    return this.#mostStartsPerStep < Infinity
+  }
+
   #placeJobs (candidates: readonly Candidate[]): void {
     for (const candidate of candidates) {
       if (this.#mostStarts <= 0) return
@@ -201,7 +206,7 @@
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
     const targets = mayBorrow ? this.#isolation.choose(this.#eligible.of(unit, mayWait), unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
     if (targets === undefined) {
-      if (this.#isolation.mayHold(unit)) return
+      if (this.#isFirstPass || this.#isolation.mayHold(unit)) return
       if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
       return
     }
@@ -227,7 +232,7 @@
       if (target === undefined && !this.#isolation.mayHold(single)) blocked += 1
       if (blocked > 0 && (!candidate.isClaim || blocked === MAXIMUM_BLOCKED_TASKS)) break
     }
-    const remaining = blocked > 0 ? this.#reclaimable(step, candidate) : undefined
+    const remaining = blocked > 0 && !this.#isFirstPass ? this.#reclaimable(step, candidate) : undefined
     if (remaining !== undefined) this.#reclaim(remaining, candidate)
   }
 
--- a/packages/jobs/test/calls-under-way.test.ts
+++ b/packages/jobs/test/calls-under-way.test.ts
@@ -58,6 +58,19 @@
       expect(jobs.size).to.equal(50)
     })
 
+    // Guards against stops for twice what urgent work needs, once in each pass over the waiting jobs.
+    it('make urgent work stop no more than it needs', () => {
+      const world = new World(SERVERS)
+      world.settle()
+      world.planner.submit(job('rack', { steps: [step({ count: 64, requiredLabel: 'r1-0' })] }))
+      world.settle(5)
+      expect(world.planner.load.runs).to.equal(64)
+      world.planner.submit(job('many', { steps: [step({ count: SERVERS * TASKS_PER_SERVER, need: NEED })] }))
+      world.planner.submit(job('swap', { queue: 'urgent', acceptedAt: world.wallTime - 3500, steps: [step({ accelerators: 8, isGang: true, requiredLabel: 'r1-0' })] }))
+      for (let round = 0; round < 3; round += 1) world.round(100)
+      expect(world.stops.map(({ task }) => task.split('.')[0])).to.deep.equal(Array.from({ length: 8 }, () => 'rack'))
+    })
+
     it('stop no other work for want of room', () => {
       const world = new World(1, { accelerators: 80 })
       world.settle()
