--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -145,8 +145,11 @@
       return true
     } catch (thrown) {
       const failure = asFailure(thrown)
-      emit(failure.code === 'record-damaged' ? 'record-unreadable' : 'waiting-job-not-read', { details: failure.code === 'record-damaged' ? { record: `${entry.id}: ${failure.message}` } : { job: entry.id, failure: failure.code } })
-      if (failure.code === 'record-damaged') return true
+      if (failure.code === 'record-damaged') {
+        emit('record-unreadable', { details: { record: `${entry.id}: ${failure.message}` } })
+        return true
+      }
+      emit('waiting-job-not-read', { details: { job: entry.id, failure: failure.code } })
       this.#backlog.add(entry)
       return false
     }
