Let the limit of starts fall while they expire, and store fewer jobs a round

Cause: each round gave every job a share of the starts, so it changed the progress of all 130 jobs, which is stored before the starts are sent. That overloaded the owner, and calls that expire cost more than those that are answered: each is stopped, polled for and made again on new connections. With a fixed limit under way the owner didn't get out of it.

Now only a job of which nothing runs gets a start first, one; and the limit is halved while starts expire and rises with each that is answered.

--- a/packages/jobs/src/call-window.ts
+++ b/packages/jobs/src/call-window.ts
@@ -12,9 +12,15 @@
  */
 export class CallWindow {
   readonly #byServer = new Map<ServerId, number>()
+  readonly #limit: number
   #count = 0
   #fullServers = 0
 
+  /** `limit` is that of all backend servers together. */
+  constructor (limit = MAXIMUM_CALLS_UNDER_WAY) {
+    this.#limit = limit
+  }
+
   add (server: ServerId): void {
     const count = (this.#byServer.get(server) ?? 0) + 1
     this.#byServer.set(server, count)
@@ -24,7 +30,7 @@
 
   /** How many further calls may be made. */
   get room (): number {
-    return Math.max(0, MAXIMUM_CALLS_UNDER_WAY - this.#count)
+    return Math.max(0, this.#limit - this.#count)
   }
 
   /** True if no further call is to be made to any backend server. */
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -155,6 +155,14 @@
     return this.#stepsOf(occurrence)[step]!.task(index)
   }
 
+  /** True if a run of it may still be executing. */
+  get hasRuns (): boolean {
+    for (const steps of this.#occurrences.values()) {
+      for (const step of steps) for (const { runs } of step.knownTasks) if (runs.size > 0) return true
+    }
+    return false
+  }
+
   /** All runs that may still be executing. */
   get runs (): readonly Run[] {
     return this.#knownTasks.flatMap(task => [...task.runs])
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -82,6 +82,9 @@
 /** Starts under way at a time, and stops, over all backend servers and for each: a call that waits for others would use up its time limit. */
 export const MAXIMUM_CALLS_UNDER_WAY = 512
 export const MAXIMUM_CALLS_PER_SERVER = 32
+/** Starts under way to which the limit falls while starts aren't answered, and how often it is halved at most, in milliseconds: the time limit of a start. */
+export const LEAST_STARTS_UNDER_WAY = 32
+export const START_LIMIT_INTERVAL_MILLISECONDS = 600
 /** Stops under way for a backend server that has missed polls, so that those for others don't wait for it. */
 export const STOPS_PER_UNREACHABLE_SERVER = 2
 /** Tasks of one step that may find no capacity in a round before it stops looking for any for the others: claims look on, since others may wait for a better placement or be isolated. */
@@ -163,5 +166,5 @@
 export const MAXIMUM_PLANNED_LOAD = 4000
 /** Steps of a job's activated occurrences at which no further one is activated, whether they wait or not; steps that last don't count, since they don't end. */
 export const MAXIMUM_ACTIVE_STEPS = 1024
-/** Maximum number of tasks of a job over all steps and occurrences; bounds the bits of its tasks, and the work of a round that looks for those that wait. */
+/** Maximum number of tasks of a job over all steps and occurrences; it limits the bits that are kept for them, and the work of finding those that wait. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -56,7 +56,7 @@
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
   /** Starts that are under way. */
-  readonly #starting = new CallWindow()
+  readonly #starting: CallWindow
   /** Tasks that a step without a gang may start. */
   #mostStartsPerStep = Infinity
   /** Tasks that this round may still start, since each is placed among all backend servers. */
@@ -84,6 +84,7 @@
     this.#isolation = new Isolation(state, times.now, this.#waits)
     this.#eligible = new EligibleTargets(state, times.now, this.#current)
     this.#eligibleAfterStops = new EligibleTargets(state, times.now, this.#afterStops)
+    this.#starting = new CallWindow(state.startLimit.value)
     for (const server of state.servers.values()) for (const run of server.runs.values()) if (run.state === 'starting') this.#starting.add(server.id)
     this.#startsLeft = Math.max(LEAST_STARTS_PER_ROUND, Math.floor(MAXIMUM_START_EXAMINATIONS_PER_ROUND / Math.max(1, this.#current.targets.length)))
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
@@ -104,8 +105,9 @@
     }
     const ordered = inPlacementOrder(candidates)
     if (this.#isMostlyIdle && this.#hasMoreThanStarts(ordered)) {
-      this.#mostStartsPerStep = Math.max(1, Math.floor(this.#mostStarts / ordered.length))
-      this.#placeJobs(ordered)
+      // One start is enough. More would have the progress of all jobs stored in each round.
+      this.#mostStartsPerStep = 1
+      this.#placeJobs(ordered.filter(({ job }) => !job.hasRuns))
       this.#mostStartsPerStep = Infinity
     }
     this.#placeJobs(ordered)
@@ -116,7 +118,7 @@
     return Math.min(this.#startsLeft, this.#starting.room)
   }
 
-  /** True while each job gets a few starts first; nothing is stopped or reserved before the second pass. */
+  /** True while each job without a run gets its first start; nothing is stopped or reserved before the second pass. */
   get #isFirstPass (): boolean {
     return this.#mostStartsPerStep < Infinity
   }
@@ -128,7 +130,7 @@
     }
   }
 
-  /** True if more tasks wait than may be started now: in an idle pool each job then gets some first, so that none waits for the starts of another. */
+  /** True if more tasks wait than may be started now: in an idle pool each job without a run then gets one first, so that none waits for the starts of another. */
   #hasMoreThanStarts (candidates: readonly Candidate[]): boolean {
     let waiting = 0
     return candidates.some(({ job }) => {
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -318,6 +318,8 @@
 export function applyStartOutcome (state: PlannerState, id: ServerId, task: TaskName, number: RunNumber, outcome: StartOutcome, now: number): void {
   const server = state.servers.get(id)
   const run = server?.run(task, number)
+  if (outcome === 'unanswered') state.startLimit.noteUnanswered(now)
+  else if (outcome !== 'unsent') state.startLimit.noteAnswered()
   if (server !== undefined && run !== undefined) START_HANDLERS[outcome](state, server, run, now)
 }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -18,6 +18,7 @@
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
+import { StartLimit } from './start-limit.js'
 import type { StepState } from './step-state.js'
 import type { TaskState } from './task-state.js'
 
@@ -69,6 +70,8 @@
   readonly claimTurns = new SearchTurns(this.work)
   readonly reservationTurns = new SearchTurns(this.work)
   readonly claimDemand = new ClaimDemand()
+  /** How many starts may be under way. */
+  readonly startLimit = new StartLimit()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
   readonly #queues = new Map<QueueName, Queue>()
   /** Queues whose settings have become known since the last call of `takeNewQueues`. */
--- a/packages/jobs/test/calls-under-way.test.ts
+++ b/packages/jobs/test/calls-under-way.test.ts
@@ -58,6 +58,16 @@
       expect(jobs.size).to.equal(50)
     })
 
+    // Guards against rounds that change the progress of every job, all of which then has to be stored before the starts are sent.
+    it('go to few jobs once each has a run', () => {
+      const world = new World(SERVERS)
+      world.settle()
+      for (let number = 0; number < 50; number += 1) world.planner.submit(job(`a${number}`, { steps: [step({ count: TASKS_PER_SERVER, need: NEED })] }))
+      world.round()
+      const jobs = new Set(world.round().filter(isStart).map(({ job: id }) => id))
+      expect(jobs.size).to.be.within(1, 10)
+    })
+
     // Guards against stops for twice what urgent work needs, once in each pass over the waiting jobs.
     it('make urgent work stop no more than it needs', () => {
       const world = new World(SERVERS)
