Keep a cancelled job required until it is read, and test what the review missed

- A waiting job that was cancelled while the store failed lost its place among those that are read whatever room there is.
The new test failed before.
- That the host waits for a waiting job before it applies a report had no test; the new one fails without the call.
- Comments reworded.

--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -43,7 +43,7 @@
   readonly #planned = new Map<PoolName, OrderedJobs<PlannedJob>>()
   /** Jobs that are being read, each with the end of its read. */
   readonly #reading = new Map<JobId, Promise<boolean>>()
-  /** Jobs that are needed whatever room there is. */
+  /** Jobs that are needed whatever room there is, until they are read. */
   readonly #required = new Set<JobId>()
   #isFilling = false
   #nextTurnAt = 0
@@ -81,7 +81,7 @@
 
   /** Requires a job that waits in the store, since it was cancelled: it is read at once, and ends. */
   require (id: JobId): void {
-    if (!this.#backlog.has(id)) return
+    if (!this.#backlog.has(id) && !this.#reading.has(id)) return
     this.#required.add(id)
     this.fill()
   }
@@ -114,7 +114,6 @@
   #nextBatch (): readonly WaitingJob[] {
     const { planner } = this.#options
     const batch = [...this.#required].slice(0, INTAKE_BATCH).map(id => this.#backlog.take(id)).filter(entry => entry !== undefined)
-    for (const id of [...this.#required].slice(0, INTAKE_BATCH)) this.#required.delete(id)
     let load = planner.plannedLoad()
     while (batch.length < INTAKE_BATCH) {
       const next = this.#backlog.takeNext(pool => planner.plannedLoad(pool), MAXIMUM_PLANNED_LOAD - load)
@@ -133,6 +132,7 @@
   /** Reads a job and hands it to the planner; false if it has to be read again. */
   #read (entry: WaitingJob): Promise<boolean> {
     const read = this.#tryRead(entry).finally(() => this.#reading.delete(entry.id))
+    read.then(isRead => { if (isRead) this.#required.delete(entry.id) }, this.#options.onCrash)
     this.#reading.set(entry.id, read)
     return read
   }
--- a/packages/entry/test/job-intake.test.ts
+++ b/packages/entry/test/job-intake.test.ts
@@ -144,6 +144,18 @@
     })
   })
 
+  it('ends a waiting job that was cancelled while the store failed, though there is no room', async () => {
+    const owner = new Owner(numbers(MOST_PLANNED + 10).map(number => jobNumber(number)))
+    owner.isStoreAvailable = false
+    owner.planner.cancel(idOf(MOST_PLANNED + 5), 0)
+    owner.intake.require(idOf(MOST_PLANNED + 5))
+    await new Promise(resolve => setTimeout(resolve, 150))
+    owner.isStoreAvailable = true
+    await owner.fill(2)
+    expect(owner.isPlanned(MOST_PLANNED + 5)).to.equal(true)
+    expect(owner.intake.waitingCount).to.equal(9)
+  })
+
   describe('with a report that lists a task of a waiting job', () => {
     const report = (number: number): ServerReport => ({ incarnation: 1, clock: 1, running: [], ended: [{ position: 1, task: `${idOf(number)}.0.0.0` as TaskName, run: 1_000_001 as never, how: 'done', checkpoint: '' }], hasMoreEnds: false, sentAt: 1, receivedAt: 2 })
 
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -1,9 +1,10 @@
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { CornelgaugeError, vmName, workspaceName } from '@cornelgauge/model'
-import { configurationVersion, jobId, poolName, queueName, serverId, type Configuration, type Job, type ServerEntry, type ServerReport, type StartOutcome } from '@cornelgauge/jobs'
+import { configurationVersion, jobId, MAXIMUM_PLANNED_LOAD, planningLoad, poolName, queueName, runNumber, serverId, taskName, type Configuration, type Job, type ListedEnd, type ServerEntry, type ServerReport, type StartOutcome } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import type { BackendServerCalls } from '../src/backend-server-calls.js'
+import { encodeJob } from '../src/job-record.js'
 import { JobStore } from '../src/job-store.js'
 import { OWNER_CONFIRMATION_LIMIT_MILLISECONDS, RECORDED_PERIOD_MILLISECONDS, START_RECORD_MILLISECONDS } from '../src/limits.js'
 import { claimOwnership, NO_OWNER, readOwner } from '../src/owner-record.js'
@@ -48,6 +49,8 @@
   hasStarted = false
   onStart: () => void = () => {}
   isSilent = false
+  /** Ends that it lists. */
+  ended: readonly ListedEnd[] = []
   /** Another backend server answers the polls. */
   isReplaced = false
 
@@ -57,7 +60,7 @@
     if (this.isReplaced) throw new CornelgaugeError('server-replaced')
     if (this.isSilent) throw new CornelgaugeError('unavailable')
     await pause(systemClock, Math.max(5, poll.waitMilliseconds))
-    return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: [], hasMoreEnds: false, sentAt, receivedAt: performance.now() }
+    return { incarnation: 1, clock: Math.round(sentAt) + 1, running: [], ended: this.ended, hasMoreEnds: false, sentAt, receivedAt: performance.now() }
   }
 
   start (): Promise<StartOutcome> {
@@ -102,6 +105,27 @@
 
   afterEach(() => host.abandon())
 
+  // Guards against an end that is acknowledged, and lost, since its job waits in the store.
+  describe('when a report lists an end of a job that waits in the store', () => {
+    const WAITING = '00000000000ffff0'
+
+    it('reads the job before it applies the report', async () => {
+      host.abandon()
+      const owner = (await readOwner(store))!
+      const load = planningLoad(jobAccepted(owner.epoch))
+      const ids = Array.from({ length: Math.floor(MAXIMUM_PLANNED_LOAD / load) }, (_, index) => String(index).padStart(16, '0'))
+      for (const id of [...ids, WAITING]) await store.write({ conditions: [], puts: [{ table: 'jobs', key: id, value: encodeJob({ ...jobAccepted(owner.epoch, id), acceptedAt: id === WAITING ? 2 : 1 }) }] })
+      calls = new FakeCalls()
+      calls.ended = [{ position: 1, task: taskName({ job: jobId(WAITING), occurrence: 0, step: 0, index: 0 }), run: runNumber(1_000_001), how: 'done', checkpoint: '' }]
+      host = new PlannerHost({ owner, stored: await new JobStore(store).load(), store, readJob: id => new JobStore(store).read(id), servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => 0, onFenced: () => {} })
+      expect(host.waitingJobs).to.equal(1)
+      host.configure(CONFIGURATION)
+      host.updateRegistry({ entries: [SERVER], unreadable: 0 })
+      while (host.phaseOf(jobId(WAITING)) !== 'completed') await pause(systemClock, 5)
+      expect(host.waitingJobs).to.equal(0)
+    })
+  })
+
   describe('when the registry changes', () => {
     const recorded = (): readonly unknown[] => rows.rows('run-servers').flatMap(row => row.value.ids as readonly unknown[])
     const newestVersion = (): number => Math.max(...rows.rows('run-servers').map(row => row.version))
--- a/packages/jobs/src/planning-load.ts
+++ b/packages/jobs/src/planning-load.ts
@@ -2,7 +2,7 @@
 import { MAXIMUM_ACTIVE_STEPS } from './limits.js'
 import { occurrencesOf, type Job } from './job.js'
 
-/** Bytes of memory that count as one unit; an ordinary job takes less, and a round looks at each job. */
+/** Bytes of memory that count as one unit; an ordinary job takes less, but each round examines it. */
 const UNIT_BYTES = 8000
 /** Bytes of a step as received, and of its state once its occurrence is activated. */
 const STEP_BYTES = 600
--- a/packages/jobs/test/open-tasks.test.ts
+++ b/packages/jobs/test/open-tasks.test.ts
@@ -37,8 +37,8 @@
   describe('in one round', () => {
     const TASKS = 100_000
 
-    /** Counts the tasks that a round looks at. */
-    const tasksLookedAt = (world: World): number => {
+    /** Counts the tasks that a round examines. */
+    const tasksExamined = (world: World): number => {
       const isWaiting = Object.getOwnPropertyDescriptor(TaskState.prototype, 'isWaiting')!
       const isDone = Object.getOwnPropertyDescriptor(TaskState.prototype, 'isDone')!
       const seen = new Set<string>()
@@ -52,14 +52,14 @@
     }
 
     for (const [name, queue] of [['bulk work', 'bulk'], ['claims', 'urgent']] as const) {
-      it(`looks at the tasks that run or start, not at all of ${name}`, () => {
+      it(`examines the tasks that run or start, not all of ${name}`, () => {
         const world = new World(33)
         world.settle()
         for (const id of ['a', 'b']) world.planner.submit(job(id, { queue, workspace: 'brno', steps: [step({ count: TASKS, need: { processor: 4000, memory: 256, accelerators: 0 } })] }))
         world.round()
         const running = world.starts.length
         expect(running).to.be.above(200)
-        expect(tasksLookedAt(world)).to.be.below(2 * running)
+        expect(tasksExamined(world)).to.be.below(2 * running)
       })
     }
   })
