Tell a start that was never sent from one without an answer

Cause: the time limit of a start counted from when it was made, also while it waited for one of the connections to its backend server, and while the event loop of the owner was blocked. A start that was never sent so counted as unanswered: it was polled for, stopped and made again, and each expired call replaced the connection pool, beside a limit of starts that was halved for it.

Change: starts and stops wait for their turn in a queue before the pool. Their time limit begins when they are sent; one that isn't sent in time is 'unsent', so its task waits again at once and nothing has to be stopped. A connection is left to the poll. A time limit that ended while the loop was blocked leaves the call some time for a request that was written only now. The planner's summary (1034) shows where the time of starts goes (record, queue, answer), the share of time in which the loop was busy and the delay of its timers.

--- a/packages/entry/src/backend-server-calls.ts
+++ b/packages/entry/src/backend-server-calls.ts
@@ -20,13 +20,14 @@
 }
 
 /**
- * Calls to a backend server. `poll` fails with a `CornelgaugeError`: `stale-epoch` if the
+ * Calls to a backend server. The time limit of a start or a stop holds for its wait in a queue and, anew, for the call. `poll` fails with a `CornelgaugeError`: `stale-epoch` if the
  * server has been called by a newer owner, `server-replaced` if another one answers at its address, otherwise
  * `unavailable` or `timeout`.
  */
 export interface BackendServerCalls {
   poll (target: ServerTarget, poll: ServerPoll, timeoutMilliseconds: number): Promise<ServerReport>
-  start (target: ServerTarget, command: StartCommand, epoch: Epoch, timeoutMilliseconds: number): Promise<StartOutcome>
+  /** `onSent` is called when the start leaves the queue of its backend server; one that doesn't leave it in time is `unsent`. */
+  start (target: ServerTarget, command: StartCommand, epoch: Epoch, timeoutMilliseconds: number, onSent?: () => void): Promise<StartOutcome>
   stop (target: ServerTarget, task: TaskName, run: RunNumber, epoch: Epoch, timeoutMilliseconds: number): Promise<StopOutcome>
   /** Closes the connections to all addresses but these. */
   retainConnections (addresses: ReadonlySet<string>): void
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** An entry VM: accepts jobs, and runs the planner while it owns it. */
 export * from './backend-server-calls.js'
+export * from './call-queue.js'
 export * from './current-configuration.js'
 export * from './elapsed.js'
 export * from './entry-vm.js'
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -28,7 +28,7 @@
 import { areStartsRecorded, RecordedStarts, type RecordedPeriod } from './recorded-starts.js'
 import { earlierRunsOf, ServerRecord } from './server-record.js'
 import { ServerRecorder } from './server-recorder.js'
-import { StartGate } from './start-gate.js'
+import { StartSender } from './start-sender.js'
 
 /** Options of a planner host. */
 export interface PlannerHostOptions {
@@ -65,7 +65,7 @@
   readonly #writer: ProgressWriter
   readonly #saver: ProgressSaver
   readonly #servers: ServerRecorder
-  readonly #gate: StartGate
+  readonly #starts: StartSender
   readonly #recordedStarts: RecordedStarts
   readonly #rounds: RoundMonitor
   readonly #retired: RetiredJobs
@@ -80,7 +80,6 @@
   #isDeciding = true
   /** The next round, or the last one. */
   #round: Promise<void> = Promise.resolve()
-  #firstStartAt: number | undefined
 
   readonly #handlers: HostEventHandlers = {
     polled: ({ server, report }) => this.#planner.applyReport(server, report, Date.now()),
@@ -96,7 +95,7 @@
   }
 
   readonly #performers: CommandHandlers = {
-    start: async command => { this.#gate.add(command, performance.now()) },
+    start: async command => { this.#starts.add(command) },
     stop: command => this.#stopRun(command),
     advise: command => this.#advise(command)
   }
@@ -115,8 +114,16 @@
       onCrash: thrown => this.#crash(thrown),
       signal: this.#stopping.signal
     }, { waiting: stored.waiting, planned: stored.jobs.map(({ job }) => job) })
-    this.#gate = new StartGate(this.#planner)
-    this.#recordedStarts = new RecordedStarts({ store, owner, isRecordComplete: () => !this.#gate.isLate && this.#planner.isRecordComplete(performance.now()), confirmedAge: options.confirmedAge })
+    this.#starts = new StartSender({
+      planner: this.#planner,
+      epoch: owner.epoch,
+      servers: options.servers,
+      targetOf: id => this.#target(id),
+      emit,
+      onOutcome: (command, outcome) => this.#inbox.put({ type: 'started', command, outcome }),
+      onCrash: thrown => this.#crash(thrown)
+    })
+    this.#recordedStarts = new RecordedStarts({ store, owner, isRecordComplete: () => !this.#starts.isLate && this.#planner.isRecordComplete(performance.now()), confirmedAge: options.confirmedAge })
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#saver = new ProgressSaver({
@@ -134,13 +141,16 @@
       onReleased: () => this.#inbox.put({ type: 'tick' }),
       signal: this.#stopping.signal
     })
-    this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.load })
+    this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.load, startTimes: () => this.#starts.takeTimes() })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
     this.#retired = RetiredJobs.start(this.#planner, this.#writer, this.#stopping.signal, { tryStoreCall: call => this.#tryStoreCall(call), onCrash: thrown => this.#crash(thrown) })
     const events: Stream<HostEvent> = this.#inbox.events
     events.observe(event => this.#handle(event)).catch(thrown => this.#crash(thrown))
-    this.#roundTimer = setInterval(() => this.#inbox.put({ type: 'tick' }), ROUND_INTERVAL_MILLISECONDS)
+    this.#roundTimer = setInterval(() => {
+      this.#rounds.noteTick()
+      this.#inbox.put({ type: 'tick' })
+    }, ROUND_INTERVAL_MILLISECONDS)
   }
 
   /** The owner's epoch, which fences all of this host's calls and writes. */
@@ -189,7 +199,7 @@
 
   /** False while the store doesn't record starts. */
   get #mayStart (): boolean {
-    return !this.#gate.isLate || this.#recordedStarts.mayStartUnrecorded
+    return !this.#starts.isLate || this.#recordedStarts.mayStartUnrecorded
   }
 
   /** Confirms with the store that this VM still owns the planner. */
@@ -201,7 +211,7 @@
   async stop (): Promise<void> {
     this.#isDeciding = false
     clearInterval(this.#roundTimer)
-    this.#dropStarts(this.#gate.clear())
+    this.#starts.clear()
     await this.#saver.underWay
     // Ends go on arriving, so what is unstored by now bounds the number of batches.
     for (let batches = Math.ceil(this.#planner.unstoredCount / PROGRESS_BATCH); batches > 0 && !this.#stopping.signal.aborted; batches -= 1) {
@@ -253,16 +263,7 @@
   /** Sends the starts that are recorded by now, or need not be. */
   #sendStarts (): void {
     if (!this.#isDeciding || this.#stopping.signal.aborted || !this.#isConfirmed) return
-    const { due, dropped } = this.#gate.release(performance.now(), this.#recordedStarts.mayStartUnrecorded)
-    for (const command of due) this.#start(command).catch(thrown => this.#crash(thrown))
-    this.#dropStarts(dropped)
-  }
-
-  #dropStarts (commands: readonly StartCommand[]): void {
-    for (const { server, task, run } of commands) {
-      this.#planner.applyStartOutcome(server, task, run, 'unsent', performance.now())
-      this.#options.emit('task-started', { details: { task, run, server, epoch: this.epoch, outcome: 'unsent', resumed: false } })
-    }
+    this.#starts.release(this.#recordedStarts.mayStartUnrecorded)
   }
 
   #perform (command: Command): void {
@@ -270,16 +271,6 @@
     performer(command).catch(thrown => this.#crash(thrown))
   }
 
-  async #start (command: StartCommand): Promise<void> {
-    const target = this.#target(command.server)
-    if (this.#firstStartAt === undefined) {
-      this.#firstStartAt = performance.now()
-      this.#options.emit('planner-first-start', { details: { epoch: this.epoch, task: command.task } })
-    }
-    const outcome = await this.#options.servers.start(target, command, this.epoch, CALL_SLACK_MILLISECONDS)
-    this.#inbox.put({ type: 'started', command, outcome })
-  }
-
   async #stopRun (command: StopCommand): Promise<void> {
     const outcome = await this.#options.servers.stop(this.#target(command.server), command.task, command.run, this.epoch, CALL_SLACK_MILLISECONDS)
     this.#inbox.put({ type: 'stopped', command, outcome })
@@ -397,7 +388,7 @@
 
   #handleStored (milliseconds: number): void {
     if (milliseconds > SLOW_STORE_MILLISECONDS) this.#options.emit('progress-stored-late', { details: { milliseconds: Math.round(milliseconds) } })
-    this.#gate.noteStored()
+    this.#starts.noteStored()
     this.#sendStarts()
     this.#saver.save()
   }
--- a/packages/entry/src/round-monitor.ts
+++ b/packages/entry/src/round-monitor.ts
@@ -1,8 +1,10 @@
-/** Measures scheduling rounds: logs each slow one, sums up all of them periodically, and limits their share of the event loop's time. */
+/** Measures scheduling rounds and the event loop: logs each slow round, sums up all of them periodically, and limits their share of the event loop's time. */
+import { performance, type EventLoopUtilization } from 'node:perf_hooks'
 import type { EmitEvent } from '@cornelgauge/telemetry'
-import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, ROUND_DELAY_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from './limits.js'
+import { PLANNER_SUMMARY_INTERVAL_MILLISECONDS, ROUND_DELAY_MILLISECONDS, ROUND_INTERVAL_MILLISECONDS, SLOW_ROUND_MILLISECONDS } from './limits.js'
 import type { OwnerLoad } from './owner-load.js'
 import type { OwnerRecord } from './owner-record.js'
+import type { LongestStartTimes } from './start-times.js'
 
 /** Options of a round monitor. */
 export interface RoundMonitorOptions {
@@ -10,6 +12,8 @@
   readonly emit: EmitEvent
   /** The planner's load; computed only when an event is logged. */
   readonly load: () => OwnerLoad
+  /** The longest times of the starts that have ended since it was last called. */
+  readonly startTimes: () => LongestStartTimes
   /** Monotonic time in milliseconds. */
   readonly now?: () => number
 }
@@ -27,10 +31,21 @@
   #milliseconds = 0
   #longest = 0
   #last = 0
+  #tickAt: number
+  #longestDelay = 0
+  #utilization: EventLoopUtilization = performance.eventLoopUtilization()
 
   constructor (options: RoundMonitorOptions) {
     this.#options = { now: () => performance.now(), ...options }
-    this.#summaryAt = this.#options.now() + PLANNER_SUMMARY_INTERVAL_MILLISECONDS
+    this.#tickAt = this.#options.now()
+    this.#summaryAt = this.#tickAt + PLANNER_SUMMARY_INTERVAL_MILLISECONDS
+  }
+
+  /** Notes that the periodic timer of the rounds has fired; it is late while the event loop is busy. */
+  noteTick (): void {
+    const now = this.#options.now()
+    this.#longestDelay = Math.max(this.#longestDelay, now - this.#tickAt - ROUND_INTERVAL_MILLISECONDS)
+    this.#tickAt = now
   }
 
   /** Delay of the next round, in milliseconds: rounds take at most half of the event loop's time, so that calls and heartbeats are answered between them. */
@@ -55,8 +70,12 @@
   }
 
   #summarize (now: number): void {
-    const { epoch, emit, load } = this.#options
-    emit('planner-summary', { details: { epoch, rounds: this.#rounds, roundMilliseconds: Math.round(this.#milliseconds), longestRound: Math.round(this.#longest), ...load() } })
+    const { epoch, emit, load, startTimes } = this.#options
+    const { utilization } = performance.eventLoopUtilization(this.#utilization)
+    const loop = { busyPercent: Math.round(100 * utilization), longestDelay: Math.round(this.#longestDelay) }
+    emit('planner-summary', { details: { epoch, rounds: this.#rounds, roundMilliseconds: Math.round(this.#milliseconds), longestRound: Math.round(this.#longest), ...loop, ...startTimes(), ...load() } })
+    this.#utilization = performance.eventLoopUtilization()
+    this.#longestDelay = 0
     this.#summaryAt = now + PLANNER_SUMMARY_INTERVAL_MILLISECONDS
     this.#rounds = 0
     this.#milliseconds = 0
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -122,7 +122,7 @@
     number: 1021,
     level: 'info',
     sentence: 'A command to start a task has ended.',
-    fields: { task: 'task', run: 'run number', server: 'backend server', epoch: 'fencing epoch', outcome: 'outcome of the command; unsent: it was not recorded in time or its run was no longer needed, so it was not sent', resumed: 'true if the run resumes from a checkpoint' },
+    fields: { task: 'task', run: 'run number', server: 'backend server', epoch: 'fencing epoch', outcome: 'outcome of the command; unsent: it was not recorded in time, its run was no longer needed, or no connection to its backend server was free in time, so it was not sent', resumed: 'true if the run resumes from a checkpoint' },
     action: NO_ACTION
   },
   'task-stopped': {
@@ -213,7 +213,7 @@
     number: 1034,
     level: 'info',
     sentence: 'The load of the planner and the rounds since the last summary.',
-    fields: { epoch: 'fencing epoch', rounds: 'number of rounds', roundMilliseconds: 'their total duration', longestRound: 'duration of the longest one in milliseconds', ...LOAD_FIELDS },
+    fields: { epoch: 'fencing epoch', rounds: 'number of rounds', roundMilliseconds: 'their total duration', longestRound: 'duration of the longest one in milliseconds', busyPercent: 'share of the time in which the event loop was busy', longestDelay: 'longest delay of a timer of the event loop in milliseconds', longestRecordWait: 'longest time that a start has waited for its record in milliseconds', longestQueueWait: 'longest time that one has then waited for a connection to its backend server', longestAnswer: 'longest time from then until its answer or its time limit', ...LOAD_FIELDS },
     action: NO_ACTION
   },
   'cancellation-of-unknown-job': {
