--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -3,14 +3,14 @@
 import type { StepState } from './step-state.js'
 import type { ServerId } from './ids.js'
 import type { RoundWork } from './round-work.js'
-import type { Server } from './server.js'
+import { withTasks, type Server, type TaskCounts } from './server.js'
 
 /** A backend server on which tasks can be placed in a round. */
 export interface PlacementTarget {
   readonly server: Server
   free: Capacity
   /** Number of tasks on it, by step and occurrence. */
-  readonly tasksOf: Map<StepState, number>
+  tasksOf: TaskCounts
 }
 
 /** The backend servers that may get work, with the free capacity of each. */
@@ -34,13 +34,13 @@
 
   /** Copies the snapshot for trial placements. */
   copy (): CapacitySnapshot {
-    return new CapacitySnapshot(this.targets.map(target => ({ ...target, tasksOf: new Map(target.tasksOf) })), this.work)
+    return new CapacitySnapshot(this.targets.map(target => ({ ...target })), this.work)
   }
 
   /** Subtracts one task's need from a target. */
   take (target: PlacementTarget, step: StepState): void {
     target.free = addCapacity(target.free, countedNeed(step), -1)
-    target.tasksOf.set(step, (target.tasksOf.get(step) ?? 0) + 1)
+    target.tasksOf = withTasks(target.tasksOf, step, 1)
   }
 }
 
--- a/packages/jobs/src/crash-evidence.ts
+++ b/packages/jobs/src/crash-evidence.ts
@@ -20,11 +20,17 @@
  * step.losses.evidence.add(task.index, run.run, 1800)
  */
 export class CrashEvidence {
+  readonly #onChange: (task: number) => void
   /** By task index and run number. */
   readonly #crashes = new Map<number, Map<number, TaskCrash>>()
   /** Runs that ended otherwise since starts are counted, by task index. */
   readonly #otherEnds = new Map<number, number>()
 
+  /** `onChange` is called when the crashes of a task, or its runs that ended otherwise, have changed. */
+  constructor (onChange: (task: number) => void = () => {}) {
+    this.#onChange = onChange
+  }
+
   /** Adds a crash of the task's own backend server. False if it is known. */
   add (task: number, run: number, exposure: number): boolean {
     const crashes = this.#crashes.get(task) ?? new Map<number, TaskCrash>()
@@ -32,6 +38,7 @@
     this.#crashes.set(task, crashes.set(run, { run, exposure }))
     const [earliest] = crashes.keys()
     if (crashes.size > REMEMBERED_CRASHES) crashes.delete(earliest!)
+    this.#onChange(task)
     return true
   }
 
@@ -41,6 +48,7 @@
     if (crashes?.delete(run) !== true) return false
     if (crashes.size === 0) this.#crashes.delete(task)
     if (crashes.size < COUNTED_AFTER_CRASHES) this.#otherEnds.delete(task)
+    this.#onChange(task)
     return true
   }
 
@@ -57,6 +65,7 @@
   addOtherEnd (task: number): boolean {
     if (this.count(task) < COUNTED_AFTER_CRASHES) return false
     this.#otherEnds.set(task, (this.#otherEnds.get(task) ?? 0) + 1)
+    this.#onChange(task)
     return true
   }
 
@@ -76,6 +85,11 @@
     return count >= COUNTED_AFTER_CRASHES && count + (this.#otherEnds.get(task) ?? 0) >= GIVE_UP_STARTS
   }
 
+  /** True if there are so many crashes of a task that it may show to be the cause. */
+  maySuffice (task: number): boolean {
+    return this.count(task) >= Math.min(COUNTED_AFTER_CRASHES, GIVE_UP_CRASHES_AT_START, GIVE_UP_ATTRIBUTED_CRASHES)
+  }
+
   /**
    * True if a task has shown to be the cause: it is exhausted, and coincidence doesn't explain its crashes. Crashes
    * that only the task can explain show it sooner, if few others crash or if all came when it had just started.
@@ -103,17 +117,23 @@
   forget (task: number): void {
     this.#crashes.delete(task)
     this.#otherEnds.delete(task)
+    this.#onChange(task)
   }
 
-  /** The stored form of the crashes of the tasks that are to be listed. */
-  progressOf (isListed: (task: number) => boolean): StoredCrashes {
-    return Object.fromEntries([...this.#crashes].filter(([task]) => isListed(task)).map(([task, crashes]) => [task, [...crashes.values()].map(toStored)]))
+  /** The stored form of the crashes of these tasks. */
+  progressOf (tasks: readonly number[]): StoredCrashes {
+    return Object.fromEntries(tasks.filter(task => this.#crashes.has(task)).map(task => [task, [...this.#crashes.get(task)!.values()].map(toStored)]))
   }
 
-  /** The counted runs that ended otherwise, by task index; undefined if there are none. */
-  otherEndsOf (isListed: (task: number) => boolean): Readonly<Record<string, number>> | undefined {
-    const listed = [...this.#otherEnds].filter(([task]) => isListed(task))
-    return listed.length === 0 ? undefined : Object.fromEntries(listed)
+  /** The counted runs of these tasks that ended otherwise, by task index; undefined if there are none. */
+  otherEndsOf (tasks: readonly number[]): Readonly<Record<string, number>> | undefined {
+    const listed = tasks.filter(task => this.#otherEnds.has(task)).map(task => [task, this.#otherEnds.get(task)])
+    return listed.length === 0 ? undefined : Object.fromEntries(listed) as Readonly<Record<string, number>>
+  }
+
+  /** True if there are crashes of a task, or counted ends. */
+  has (task: number): boolean {
+    return this.#crashes.has(task) || this.#otherEnds.has(task)
   }
 
   /** Restores the stored form. */
@@ -121,7 +141,10 @@
     for (const [task, crashes] of Object.entries(stored)) {
       for (const [run, exposure] of crashes) this.add(Number(task), run, exposure ?? Infinity)
     }
-    for (const [task, count] of Object.entries(otherEnds)) this.#otherEnds.set(Number(task), count)
+    for (const [task, count] of Object.entries(otherEnds)) {
+      this.#otherEnds.set(Number(task), count)
+      this.#onChange(Number(task))
+    }
   }
 
   /** Counts the crashes of a task that weren't discarded. */
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -117,8 +117,7 @@
   for (const step of job.readySteps()) {
     first ??= step.firstOpen
     isSuspect ||= step.hasSuspect
-    for (const task of step.knownTasks) {
-      if (task.isDone) continue
+    for (const task of step.placedTasks) {
       for (const { state } of task.runs) if (state === 'starting' || state === 'running') return undefined
       if (task.earlierServers.size > 0) recovering ??= task
       if (task.runs.size > 0) unresolved ??= task
--- a/packages/jobs/src/job-end.ts
+++ b/packages/jobs/src/job-end.ts
@@ -22,7 +22,7 @@
  */
 export function endJob (state: PlannerState, job: JobState, phase: 'failed' | 'canceled', reason: StopReason, wallTime: number): void {
   setFinalPhase(state, job, phase, wallTime)
-  for (const run of job.runs) requestStop(run, reason)
+  for (const run of job.runs) requestStop(state, run, reason)
 }
 
 /**
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -29,6 +29,8 @@
   finalSeenAt: number | undefined
   /** Earlier owners may have started tasks of it on backend servers that its progress doesn't list. */
   hasUnlistedRuns = false
+  /** Number of the change with which its progress was first encoded as having runs that it doesn't list; undefined if it was last encoded otherwise. */
+  unlistedChange: number | undefined
   /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
   idleSince: number | undefined
   #job: Job
@@ -38,6 +40,14 @@
   /** The first occurrence that may still have to be activated. */
   #nextOccurrence = 0
   #lastOccurrence = -1
+  /** Steps with tasks that wait, whether they are ready or not. */
+  readonly #waitingSteps = new Set<StepState>()
+  /** Occurrences of which a step has been finished since the last activation. */
+  readonly #finishedOccurrences = new Set<number>()
+  #runCount = 0
+  #placedCount = 0
+  /** Number of tasks with recorded runs of earlier owners, by backend server. */
+  readonly #earlierServers = new Map<ServerId, number>()
 
   constructor (job: Job, isInherited: boolean, progress?: JobProgress) {
     this.#job = job
@@ -70,7 +80,40 @@
 
   /** Backend servers on which earlier owners have recorded runs of it that aren't known yet. */
   get earlierServers (): readonly ServerId[] {
-    return [...new Set(this.#knownTasks.flatMap(task => [...task.earlierServers.keys()]))]
+    return [...this.#earlierServers.keys()]
+  }
+
+  /** Notes that a task of it has got, or has no longer, a recorded run of an earlier owner on a backend server. */
+  noteEarlierServer (id: ServerId, difference: 1 | -1): void {
+    const count = (this.#earlierServers.get(id) ?? 0) + difference
+    if (count === 0) this.#earlierServers.delete(id)
+    else this.#earlierServers.set(id, count)
+  }
+
+  /** Notes that a run of it has been added or removed. */
+  noteRuns (difference: 1 | -1): void {
+    this.#runCount += difference
+  }
+
+  /** Notes that a task that isn't done may run on a backend server, or may no longer. */
+  notePlaced (difference: 1 | -1): void {
+    this.#placedCount += difference
+  }
+
+  /** Notes that tasks of a step wait, or no longer. */
+  noteWaiting (step: StepState, hasWaiting: boolean): void {
+    if (hasWaiting) this.#waitingSteps.add(step)
+    else this.#waitingSteps.delete(step)
+  }
+
+  /** Notes that a step is finished. */
+  noteFinished ({ occurrence }: StepState): void {
+    this.#finishedOccurrences.add(occurrence)
+  }
+
+  /** True if its progress may list where its tasks may run: it is open, and they aren't too many. */
+  get arePlacementsListed (): boolean {
+    return this.isOpen && this.#placedCount <= MAXIMUM_LISTED_ENTRIES
   }
 
   /** Phase for callers: a final phase only once it is stored. */
@@ -89,7 +132,7 @@
       characters -= JSON.stringify(failures).length
     }
     const placements = Object.values(besideDone).reduce((sum, step) => sum + placementEntries(step), 0)
-    const areListed = placements <= MAXIMUM_LISTED_ENTRIES
+    const areListed = placements <= MAXIMUM_LISTED_ENTRIES && (this.arePlacementsListed || !this.isOpen)
     const listed = areListed ? besideDone : withoutPlacements(besideDone)
     const rest = {
       ...(this.isOpen ? {} : { phase: this.phase, finishedAt: this.finishedAt }),
@@ -113,7 +156,7 @@
 
   /** Steps of the last activated occurrence. */
   get lastSteps (): readonly StepState[] {
-    return [...this.#occurrences.values()].at(-1) ?? []
+    return this.#occurrences.get(this.#lastOccurrence) ?? []
   }
 
   /**
@@ -121,13 +164,10 @@
    * occurrences are activated when earlier ones have started.
    */
   activate (wallTime: number): void {
-    for (const [occurrence, steps] of this.#occurrences) {
-      if (steps.every(step => step.isDone && step.knownCount === 0)) this.#occurrences.delete(occurrence)
-    }
+    this.#forgetFinished()
     if (this.#nextOccurrence === occurrencesOf(this.job)) return
-    const waitingSteps = [...this.#occurrences.values()].filter(steps => readyOf(steps).some(step => step.hasWaiting))
     const { length } = this.job.steps
-    let waiting = waitingSteps.length * length
+    let waiting = new Set(this.#readyWaiting().map(({ occurrence }) => occurrence)).size * length
     const mostActive = this.job.steps.some(step => step.isLasting) ? Infinity : MAXIMUM_ACTIVE_STEPS
     while (waiting < MAXIMUM_OPEN_STEPS && this.#occurrences.size * length < mostActive && this.#nextOccurrence < occurrencesOf(this.job)) {
       const occurrence = this.#nextOccurrence
@@ -142,10 +182,35 @@
     return [...this.#occurrences.values()].flatMap(readyOf)
   }
 
+  /** Those of them with tasks that wait, in order. */
+  waitingSteps (): readonly StepState[] {
+    const steps = this.#readyWaiting()
+    return steps.length < 2 ? steps : steps.sort((left, right) => left.firstTask - right.firstTask)
+  }
+
+  #readyWaiting (): StepState[] {
+    const steps: StepState[] = []
+    for (const step of this.#waitingSteps) if (isReady(step, this.#occurrences.get(step.occurrence)!)) steps.push(step)
+    return steps
+  }
+
+  /** Forgets the occurrences whose steps are all finished. */
+  #forgetFinished (): void {
+    if (this.#finishedOccurrences.size === 0) return
+    for (const occurrence of this.#finishedOccurrences) {
+      if (this.#occurrences.get(occurrence)?.every(step => step.isFinished) === true) this.#occurrences.delete(occurrence)
+    }
+    this.#finishedOccurrences.clear()
+    if (this.#occurrences.has(this.#lastOccurrence)) return
+    this.#lastOccurrence = -1
+    for (const occurrence of this.#occurrences.keys()) this.#lastOccurrence = Math.max(this.#lastOccurrence, occurrence)
+  }
+
   /** Forgets the work of a job that has ended and of which nothing runs. */
   forgetWork (): void {
     this.#job = endedForm(this.#job)
     this.#occurrences.clear()
+    this.#waitingSteps.clear()
     this.#nextOccurrence = occurrencesOf(this.#job)
   }
 
@@ -157,10 +222,7 @@
 
   /** True if a run of it may still be executing. */
   get hasRuns (): boolean {
-    for (const steps of this.#occurrences.values()) {
-      for (const step of steps) for (const { runs } of step.knownTasks) if (runs.size > 0) return true
-    }
-    return false
+    return this.#runCount > 0
   }
 
   /** All runs that may still be executing. */
@@ -182,6 +244,7 @@
       return step
     })
     this.#occurrences.set(occurrence, steps)
+    if (steps.some(step => step.isFinished)) this.#finishedOccurrences.add(occurrence)
     if (occurrence < this.#lastOccurrence) this.#occurrences = new Map([...this.#occurrences].sort(([left], [right]) => left - right))
     this.#lastOccurrence = Math.max(this.#lastOccurrence, occurrence)
     return steps
@@ -248,7 +311,12 @@
 
 /** The steps of an occurrence that aren't done and whose dependencies are. */
 function readyOf (steps: readonly StepState[]): readonly StepState[] {
-  return steps.filter(step => !step.isDone && step.specification.after.every(number => steps[number]?.isDone === true))
+  return steps.filter(step => isReady(step, steps))
+}
+
+/** True if a step of an occurrence isn't done and its dependencies are. */
+function isReady (step: StepState, steps: readonly StepState[]): boolean {
+  return !step.isDone && step.specification.after.every(number => steps[number]?.isDone === true)
 }
 
 /** True if a step's progress has more than the tasks that are done. */
--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -2,6 +2,7 @@
 import { CrashEvidence, type StoredCrashes } from './crash-evidence.js'
 import type { Background } from './crash-history.js'
 import { REMEMBERED_LOST_RUNS, SUSPECT_LOST_RUNS } from './limits.js'
+import { RankedSet } from './ranked-set.js'
 
 /** Run numbers by the index of a task or unit. */
 export type RunsByIndex = Readonly<Record<string, readonly number[]>>
@@ -37,7 +38,11 @@
   /** Numbers of the runs that were lost when they had just started, by unit. */
   readonly #lostAtStart = new Map<number, Set<number>>()
   /** Crashes by task. */
-  readonly evidence = new CrashEvidence()
+  readonly evidence = new CrashEvidence(task => this.#update(task))
+  /** What has lost runs, or crashes, by their number. */
+  readonly #ranked = new RankedSet<number>()
+  /** The units of which so many runs were lost that they may be the cause. */
+  readonly #suspects = new Set<number>()
   /** Number of the change of the job that includes the last loss. */
   change = 0
 
@@ -50,6 +55,7 @@
     this.#runs.set(unit, runs.add(run))
     const [earliest] = runs
     if (runs.size > REMEMBERED_LOST_RUNS) this.#forget(runs, earliest!)
+    this.#update(unit)
     return true
   }
 
@@ -59,7 +65,9 @@
     if (places?.delete(place) !== true || places.size > 0) return false
     for (const attributed of this.#attributed.values()) attributed.delete(run)
     this.#lostAtStart.get(unit)?.delete(run)
-    return this.#runs.get(unit)?.delete(run) === true
+    const isCounted = this.#runs.get(unit)?.delete(run) === true
+    this.#update(unit)
+    return isCounted
   }
 
   /** Counts the lost runs of a unit. */
@@ -73,8 +81,8 @@
   }
 
   /** The units of which that is true. */
-  get suspects (): readonly number[] {
-    return [...this.#runs.keys()].filter(unit => this.isSuspect(unit))
+  get suspects (): Iterable<number> {
+    return this.#suspects
   }
 
   /** Where members of a run were lost, as far as this owner knows. */
@@ -86,12 +94,23 @@
   attribute (task: number, run: number): number {
     const remembered = this.evidence.runsOf(task).filter(each => each === run || this.#attributed.get(task)?.has(each) === true)
     this.#attributed.set(task, new Set([...remembered, run]))
+    this.#update(task)
     return this.#attributed.get(task)!.size
   }
 
   /** Records that a run was lost when it had just started. */
   addLossAtStart (unit: number, run: number): void {
     this.#lostAtStart.set(unit, (this.#lostAtStart.get(unit) ?? new Set<number>()).add(run))
+    this.#update(unit)
+  }
+
+  /** Updates what is derived from the runs and crashes of a task or unit. */
+  #update (task: number): void {
+    if (this.isSuspect(task)) this.#suspects.add(task)
+    else this.#suspects.delete(task)
+    const hasRuns = [this.#runs, this.#attributed, this.#lostAtStart].some(runs => runs.has(task))
+    if (hasRuns || this.evidence.has(task)) this.#ranked.set(task, this.count(task) + this.evidence.count(task))
+    else this.#ranked.delete(task)
   }
 
   /** True if a task has shown to be the cause of the crashes under it. */
@@ -116,6 +135,7 @@
   /** Forgets a task that isn't started any more; of a gang, the unit with its first task. */
   forgetTask (task: number): void {
     for (const runs of [this.#runs, this.#attributed, this.#lostAtStart]) runs.delete(task)
+    // Updates what is derived from all of them.
     this.evidence.forget(task)
   }
 
@@ -124,24 +144,21 @@
    * under which most runs were lost: the next owner counts the losses of the others anew.
    */
   progressWithin (characters: number): StoredLosses {
-    const whole = this.#progressOf(() => true)
-    if (charactersOf(whole) <= characters) return whole
-    const weightOf = (task: number): number => this.count(task) + this.evidence.count(task)
-    const ranked = [...new Set([...this.#runs.keys(), ...this.evidence.tasks])].sort((left, right) => weightOf(right) - weightOf(left) || left - right)
-    for (let length = Math.floor(characters / TASK_CHARACTERS); length > 0; length = Math.floor(length / 2)) {
-      const listed = new Set(ranked.slice(0, length))
-      const part = this.#progressOf(task => listed.has(task))
+    const most = Math.floor(characters / TASK_CHARACTERS)
+    const ranked = this.#ranked.highest(most)
+    for (let length = Math.min(most, ranked.length); length > 0; length = Math.floor(length / 2)) {
+      const part = this.#progressOf(ranked.slice(0, length))
       if (charactersOf(part) <= characters) return part
     }
     return {}
   }
 
-  #progressOf (isListed: (task: number) => boolean): StoredLosses {
-    const lost = toRecord(this.#runs, isListed)
-    const attributed = toRecord(this.#attributed, isListed)
-    const lostAtStart = toRecord(this.#lostAtStart, isListed)
-    const crashes = this.evidence.progressOf(isListed)
-    const otherEnds = this.evidence.otherEndsOf(isListed)
+  #progressOf (tasks: readonly number[]): StoredLosses {
+    const lost = toRecord(this.#runs, tasks)
+    const attributed = toRecord(this.#attributed, tasks)
+    const lostAtStart = toRecord(this.#lostAtStart, tasks)
+    const crashes = this.evidence.progressOf(tasks)
+    const otherEnds = this.evidence.otherEndsOf(tasks)
     // Losses without this field are decoded as those of an earlier release.
     const hasCrashes = lost !== undefined || Object.keys(crashes).length > 0
     return { ...(otherEnds === undefined ? {} : { otherEnds }), ...(hasCrashes ? { crashes } : {}), ...(lost === undefined ? {} : { lost }), ...(attributed === undefined ? {} : { attributed }), ...(lostAtStart === undefined ? {} : { lostAtStart }) }
@@ -153,6 +170,7 @@
     for (const [task, runs] of Object.entries(attributed)) this.#attributed.set(Number(task), new Set(runs))
     for (const [unit, runs] of Object.entries(lostAtStart)) this.#lostAtStart.set(Number(unit), new Set(runs))
     this.evidence.restore(crashes ?? earlierCrashes({ lost, attributed, lostAtStart }, isGang), otherEnds)
+    for (const task of [lost, attributed, lostAtStart].flatMap(runs => Object.keys(runs))) this.#update(Number(task))
   }
 }
 
@@ -170,7 +188,7 @@
 
 const charactersOf = (losses: StoredLosses): number => JSON.stringify(losses).length
 
-function toRecord (runsByIndex: ReadonlyMap<number, ReadonlySet<number>>, isListed: (task: number) => boolean): RunsByIndex | undefined {
-  const entries = [...runsByIndex].filter(([index, runs]) => runs.size > 0 && isListed(index)).map(([index, runs]) => [index, [...runs]])
+function toRecord (runsByIndex: ReadonlyMap<number, ReadonlySet<number>>, tasks: readonly number[]): RunsByIndex | undefined {
+  const entries = tasks.map(task => [task, [...runsByIndex.get(task) ?? []]] as const).filter(([, runs]) => runs.length > 0)
   return entries.length === 0 ? undefined : Object.fromEntries(entries) as RunsByIndex
 }
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -35,6 +35,8 @@
   readonly runs: readonly Run[]
   /** All runs that were lost. */
   readonly lost: readonly Run[]
+  /** Tasks among them that may not be started again before the cause is determined. */
+  readonly held: readonly TaskState[]
 }
 
 /**
@@ -61,7 +63,9 @@
     step.losses.change = state.markChanged(step.job)
     state.recordEvent({ type: 'run-lost-with-server', task: run.task, run: run.run, server: server.id, lostRuns: step.losses.count(unit), alone: isAlone })
   }
-  state.crashes.add({ server, at: server.outageAt, runs: possibleCause(server, lost), lost })
+  const runs = possibleCause(server, lost)
+  const held = lost.map(run => ({ run, task: state.task(run.task) })).filter(({ run, task }) => task !== undefined && (runs.includes(run) || task.step.losses.evidence.isExhausted(task.index)))
+  state.crashes.add({ server, at: server.outageAt, runs, lost, held: held.map(({ task }) => task!) })
   determineCauses(state, times)
 }
 
@@ -140,7 +144,8 @@
 
 function giveUpIfCause (state: PlannerState, run: Pick<Run, 'task'>, { now, wallTime }: RoundTimes, hasJustCrashed: boolean): void {
   const task = openTask(state, run)
-  if (task === undefined || !task.step.losses.isCause(task.index, backgroundOf(state, task, now), hasJustCrashed)) return
+  if (task?.step.losses.evidence.maySuffice(task.index) !== true) return
+  if (!task.step.losses.isCause(task.index, backgroundOf(state, task, now), hasJustCrashed)) return
   const { step } = task
   state.recordEvent({ type: 'job-given-up', job: step.job.job.id, task: run.task, lostRuns: step.losses.count(step.unitOf(task)) })
   endJob(state, step.job, 'failed', 'job-failed', wallTime)
@@ -156,7 +161,7 @@
 export function refuteCrashes (state: PlannerState, run: Run, margin: number): void {
   const workedMilliseconds = (run.listedAt ?? -Infinity) - run.confirmedAt
   const task = workedMilliseconds > margin ? openTask(state, run) : undefined
-  const discarded = task?.step.losses.refute(task.index, workedMilliseconds - margin) ?? 0
+  const discarded = task?.step.knownLosses?.refute(task.index, workedMilliseconds - margin) ?? 0
   if (task === undefined || discarded === 0) return
   task.step.losses.change = state.markChanged(task.step.job)
   state.recordEvent({ type: 'crashes-refuted', task: run.task, run: run.run, server: run.server, discarded, workedMilliseconds: Math.round(workedMilliseconds) })
@@ -172,7 +177,7 @@
   if (run.confirmedAt === Infinity) return
   refuteCrashes(state, run, 0)
   const task = openTask(state, run)
-  if (task?.step.losses.evidence.addOtherEnd(task.index) !== true) return
+  if (task?.step.knownLosses?.evidence.addOtherEnd(task.index) !== true) return
   task.step.losses.change = state.markChanged(task.step.job)
   if (task.step.losses.evidence.isExhausted(task.index)) state.exhaustedTasks.add(task.name)
 }
@@ -185,18 +190,13 @@
  */
 export function stepsWithOpenCause (state: PlannerState): ReadonlySet<StepState> {
   const steps = new Set<StepState>()
-  for (const { runs, lost } of state.crashes) {
-    for (const run of lost) {
-      const task = state.task(run.task)
-      if (task !== undefined && (runs.includes(run) || task.step.losses.evidence.isExhausted(task.index))) steps.add(task.step)
-    }
-  }
+  for (const { held } of state.crashes) for (const { step } of held) steps.add(step)
   return steps
 }
 
 /** True if the loss of a run on a backend server is counted. */
 function isCounted (state: PlannerState, server: Server, run: Run): boolean {
-  return state.task(run.task)?.step.losses.placesOf(run.run).has(placeOf(server, run)) === true
+  return state.task(run.task)?.step.knownLosses?.placesOf(run.run).has(placeOf(server, run)) === true
 }
 
 /** Finds the task of a run; undefined if nothing of it is left to do. */
@@ -232,8 +232,8 @@
  */
 export function correctLoss (state: PlannerState, server: Server, listed: ListedRun): void {
   const task = state.task(listed.task)
-  if (task === undefined) return
-  const { losses } = task.step
+  const losses = task?.step.knownLosses
+  if (task === undefined || losses === undefined) return
   const isCrash = losses.evidence.remove(task.index, listed.run)
   if (!losses.correct(task.step.unitOf(task), listed.run, placeOf(server, listed)) && !isCrash) return
   state.markChanged(task.step.job)
--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -4,6 +4,7 @@
  * lower value, so jobs that can still meet theirs precede it, even at the next lower priority.
  */
 import type { JobState } from './job-state.js'
+import type { StepState } from './step-state.js'
 
 /** Ratio between the weights of a priority and the next lower one. */
 const PRIORITY_FACTOR = 4
@@ -92,3 +93,18 @@
   if (end <= objectiveMilliseconds) return 1
   return end <= EXPIRY_OBJECTIVES * objectiveMilliseconds ? LATE_FACTOR : EXPIRED_FACTOR
 }
+
+/**
+ * Returns the number of counted steps in the longest chain of dependencies of a job's last occurrence.
+ *
+ * @example
+ * chainLength(job, step => !step.isDone)
+ */
+export function chainLength (job: JobState, isCounted: (step: StepState) => boolean): number {
+  const lengths: number[] = []
+  for (const step of job.lastSteps) {
+    const before = Math.max(0, ...step.specification.after.map(number => lengths[number] ?? 0))
+    lengths.push(before + (isCounted(step) ? 1 : 0))
+  }
+  return Math.max(0, ...lengths)
+}
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -10,7 +10,7 @@
 import type { JobState } from './job-state.js'
 import { acceleratorsOfJobs } from './lending.js'
 import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
-import { gainOf, inPlacementOrder, type Candidate } from './order.js'
+import { chainLength, gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
 import { countedNeed, type CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
@@ -85,7 +85,7 @@
     this.#eligible = new EligibleTargets(state, times.now, this.#current)
     this.#eligibleAfterStops = new EligibleTargets(state, times.now, this.#afterStops)
     this.#starting = new CallWindow(state.startLimit.value)
-    for (const server of state.servers.values()) for (const run of server.runs.values()) if (run.state === 'starting') this.#starting.add(server.id)
+    for (const run of state.startsUnderWay()) this.#starting.add(run.server)
     this.#startsLeft = Math.max(LEAST_STARTS_PER_ROUND, Math.floor(MAXIMUM_START_EXAMINATIONS_PER_ROUND / Math.max(1, this.#current.targets.length)))
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
     this.#lendableAccelerators = state.rules.has('keep-for-claims') ? this.#countLendable() : Infinity
@@ -134,14 +134,14 @@
   #hasMoreThanStarts (candidates: readonly Candidate[]): boolean {
     let waiting = 0
     return candidates.some(({ job }) => {
-      for (const step of job.readySteps()) waiting += step.waitingCount
+      for (const step of job.waitingSteps()) waiting += step.waitingCount
       return waiting > this.#mostStarts
     })
   }
 
   #candidate (job: JobState): Candidate | undefined {
     const terms = this.#state.termsOf(job)
-    const steps = job.readySteps().filter(step => step.hasWaiting)
+    const steps = job.waitingSteps()
     if (terms === undefined || steps.length === 0) return undefined
     const { queue } = job.job
     const mean = this.#state.meanRunTime(queue)
@@ -161,7 +161,7 @@
   /** Places the ready steps of a job; once a step has found no capacity, not the same step of later occurrences, unless they claim it. */
   #placeJob (candidate: Candidate): void {
     const blocked = new Set<number>()
-    for (const step of candidate.job.readySteps()) {
+    for (const step of candidate.job.waitingSteps()) {
       if (blocked.has(step.number)) continue
       this.#placeStep(step, candidate)
       const mayFitLater = candidate.isClaim || step.specification.mostPerServer !== undefined
@@ -182,9 +182,9 @@
   #countLendable (): number {
     const expected = this.#state.claimDemand.observe(acceleratorsOfJobs(this.#claims), this.#state.guaranteedAccelerators, this.#times.now)
     let available = 0
-    for (const { free, tasksOf } of this.#current.targets) {
+    for (const { free, server } of this.#current.targets) {
       let reclaimable = free.accelerators
-      for (const [{ job, specification }, count] of tasksOf) {
+      for (const [{ job, specification }, count] of server.acceleratorTasksOf) {
         if (specification.savesCheckpoints && !this.#claims.has(job)) reclaimable += count * specification.need.accelerators
       }
       available += Math.max(0, reclaimable)
@@ -284,6 +284,7 @@
       server: server.id,
       address: server.entry.address,
       need: countedNeed(task.step),
+      step: task.step,
       state: 'starting',
       startSentAt: this.#times.now,
       confirmedAt: Infinity,
@@ -297,13 +298,14 @@
     }
     if (!task.step.specification.savesCheckpoints && !this.#claims.has(task.step.job)) this.#lendableAccelerators -= started.need.accelerators
     server.add(started)
+    this.#state.noteStarting(started)
     this.#starting.add(server.id)
     this.#startsLeft -= 1
     this.#isolation.add(server, started)
     if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
     this.#reservationVictims = undefined
     task.step.keep(task)
-    task.runs.add(started)
+    task.addRun(started)
     task.readySince = undefined
     const { job } = task.step
     this.#commands.push({
@@ -312,7 +314,7 @@
       task: task.name,
       run,
       job: job.job.id,
-      change: this.#state.markChanged(job),
+      change: this.#state.markStarted(job),
       specification: job.job.specification,
       leaseUntil: server.extendLease(this.#times.now, LEASE_MILLISECONDS),
       checkpoint: task.checkpoint,
@@ -383,7 +385,7 @@
     for (const group of victims) {
       this.#claimVictims?.remove(group)
       for (const { run, need } of group.members) {
-        requestStop(run, 'reclaimed')
+        requestStop(this.#state, run, 'reclaimed')
         const target = this.#afterStops.targetOf(run.server)
         if (target !== undefined) target.free = addCapacity(target.free, need)
       }
@@ -406,13 +408,3 @@
     return true
   }
 }
-
-/** Number of counted steps in the longest chain of dependencies of the last occurrence. */
-function chainLength (job: JobState, isCounted: (step: StepState) => boolean): number {
-  const lengths: number[] = []
-  for (const step of job.lastSteps) {
-    const before = Math.max(0, ...step.specification.after.map(number => lengths[number] ?? 0))
-    lengths.push(before + (isCounted(step) ? 1 : 0))
-  }
-  return Math.max(0, ...lengths)
-}
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -4,6 +4,7 @@
  */
 import { sumFreeAccelerators } from './capacity.js'
 import { countFitting, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
+import { NO_TASKS } from './server.js'
 import type { StepState } from './step-state.js'
 
 /**
@@ -15,10 +16,12 @@
  */
 export function placeTasks (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, count: number): readonly PlacementTarget[] | undefined {
   snapshot.work.add(candidates.length)
+  // Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work.
   const fittingTargets = candidates
     .map(target => ({ target, fitting: countFitting(target, step, count) }))
     .filter(offer => offer.fitting > 0)
-    .sort((left, right) => compareCheckpointing(left.target, right.target, step) || compareTightness(left.target, right.target))
+    .map(offer => ({ ...offer, isOfOtherKind: hasWorkWithoutCheckpoints(offer.target) === step.specification.savesCheckpoints }))
+    .sort((left, right) => Number(left.isOfOtherKind) - Number(right.isOfOtherKind) || compareTightness(left.target, right.target))
   if (fittingTargets.reduce((sum, offer) => sum + offer.fitting, 0) < count) return undefined
   const chosen: PlacementTarget[] = []
   for (const { target, fitting } of fittingTargets) {
@@ -74,7 +77,7 @@
  */
 export function couldHold (targets: readonly PlacementTarget[], step: StepState): boolean {
   const count = step.count
-  const emptyTargets = targets.map(target => ({ ...target, free: target.server.entry.capacity, tasksOf: new Map() }))
+  const emptyTargets = targets.map(target => ({ ...target, free: target.server.entry.capacity, tasksOf: NO_TASKS }))
   return emptyTargets.reduce((sum, target) => sum + countFitting(target, step, count), 0) >= count
 }
 
@@ -82,16 +85,6 @@
   return sumFreeAccelerators(targets.map(target => target.free))
 }
 
-/**
- * Prefers backend servers with work of the same kind, with or without checkpoints, so that
- * a claim finds backend servers that can be emptied without losing work.
- */
-function compareCheckpointing (left: PlacementTarget, right: PlacementTarget, step: StepState): number {
-  return step.specification.savesCheckpoints
-    ? Number(hasWorkWithoutCheckpoints(left)) - Number(hasWorkWithoutCheckpoints(right))
-    : Number(hasWorkWithoutCheckpoints(right)) - Number(hasWorkWithoutCheckpoints(left))
-}
-
 function hasWorkWithoutCheckpoints (target: PlacementTarget): boolean {
   for (const step of target.tasksOf.keys()) if (!step.specification.savesCheckpoints) return true
   return false
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -305,10 +305,13 @@
     return this.#state.unstoredCount
   }
 
-  /** Returns a job's progress in the form that is stored. */
+  /** Returns a job's progress in the form that is stored. Starts that follow rely on its being written, or on no write at all. */
   progressOf (id: JobId): JobProgress | undefined {
     const job = this.#state.jobs.get(id)
-    return job === undefined ? undefined : { ...job.progress, ...storedIdleSince(job, this.#lastTimes) }
+    if (job === undefined) return undefined
+    const { progress } = job
+    this.#state.noteEncoded(job, progress.hasUnlistedRuns === true && progress.hasBegun)
+    return { ...progress, ...storedIdleSince(job, this.#lastTimes) }
   }
 
   /** Marks the progress of jobs as stored, as of these changes. */
@@ -345,7 +348,7 @@
   retire ({ now, wallTime }: RoundTimes): readonly Job[] {
     const retired: Job[] = []
     for (const job of this.#state.jobs.values()) {
-      if (!job.isFinalStored || job.runs.length > 0 || this.#state.isUnstored(job.job.id)) continue
+      if (!job.isFinalStored || job.hasRuns || this.#state.isUnstored(job.job.id)) continue
       if (job.finalSeenAt === undefined) {
         this.#state.forgetTasks(job)
         job.forgetWork()
@@ -374,7 +377,7 @@
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       plannedLoad: Math.round(this.#state.load),
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
-      runsUnresolved: servers.reduce((sum, server) => sum + [...server.runs.values()].filter(run => run.state === 'stopping' || run.state === 'unconfirmed').length, 0),
+      runsUnresolved: servers.reduce((sum, server) => sum + server.stops.size, 0) + [...this.#state.unsettledRuns].filter(run => run.state === 'unconfirmed' && run.stopReason === undefined).length,
       jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpoch) || job.earlierServers.length > 0).length,
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -2,6 +2,7 @@
 import { addCapacity } from './capacity.js'
 import { countedNeed, countFitting, mostTasksOn, type PlacementTarget } from './capacity-snapshot.js'
 import type { ServerId } from './ids.js'
+import { withTasks, type TaskCounts } from './server.js'
 import type { StepState } from './step-state.js'
 import type { ReclaimPlan, VictimGroup } from './reclaim.js'
 import type { RoundWork } from './round-work.js'
@@ -77,9 +78,8 @@
   }
 
   /** The tasks on a target with one more of the step; counted only where their number is limited. */
-  #withTask ({ tasksOf }: PlacementTarget): Map<StepState, number> {
-    if (this.#step.specification.mostPerServer === undefined) return tasksOf
-    return new Map(tasksOf).set(this.#step, (tasksOf.get(this.#step) ?? 0) + 1)
+  #withTask ({ tasksOf }: PlacementTarget): TaskCounts {
+    return this.#step.specification.mostPerServer === undefined ? tasksOf : withTasks(tasksOf, this.#step, 1)
   }
 
   #updateOption (position: number): void {
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -92,9 +92,9 @@
  */
 export function giveUpStart (state: PlannerState, run: Run): void {
   if (run.state !== 'unconfirmed' || run.stopReason !== undefined) return
-  requestStop(run, 'unanswered')
+  requestStop(state, run, 'unanswered')
   const task = state.task(run.task)
-  if (task !== undefined) stopRestOfGang(task, run.run)
+  if (task !== undefined) stopRestOfGang(state, task, run.run)
 }
 
 /** Adopts a run that an earlier owner started; stops it if its task no longer has to run. */
@@ -106,6 +106,7 @@
     server: server.id,
     address: server.entry.address,
     need: task === undefined ? NO_CAPACITY : countedNeed(task.step),
+    ...(task === undefined ? {} : { step: task.step }),
     isNeedUnknown: task === undefined,
     state: 'running',
     isAdopted: true,
@@ -121,13 +122,13 @@
   }
   server.add(run)
   if (run.isolatedUntil !== undefined) state.isolatedRuns.add(run)
-  if (task === undefined) return requestStop(run, 'unknown-job')
-  task.runs.add(run)
+  if (task === undefined) return requestStop(state, run, 'unknown-job')
+  task.addRun(run)
   const { job } = task.step
   if (job.isOpen && !task.isDone && !task.earlierServers.has(server.id)) state.noteUnrecorded(state.markChanged(job))
   job.noteRunning()
-  if (task.isDone) return requestStop(run, 'done-elsewhere')
-  return job.isOpen ? run : requestStop(run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
+  if (task.isDone) return requestStop(state, run, 'done-elsewhere')
+  return job.isOpen ? run : requestStop(state, run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
 }
 
 /**
@@ -140,7 +141,12 @@
 export function assignUnknownRuns (state: PlannerState): void {
   for (const server of state.servers.values()) {
     if (!server.hasRunsOfUnknownNeed) continue
-    for (const run of server.runs.values()) if (run.isNeedUnknown === true) state.task(run.task)?.runs.add(run)
+    for (const run of server.runs.values()) {
+      const task = run.isNeedUnknown === true ? state.task(run.task) : undefined
+      if (task === undefined) continue
+      server.setStep(run, task.step)
+      task.addRun(run)
+    }
   }
 }
 
@@ -154,7 +160,7 @@
     if (run !== undefined && run.confirmedAt < report.receivedAt) state.recordRunTime(step.job.job.queue, report.receivedAt - run.confirmedAt)
     if (step.specification.isLasting || task.isDone) return
     step.complete(task)
-    if (!step.specification.isGang) requestStops(task, 'done-elsewhere', run)
+    if (!step.specification.isGang) requestStops(state, task, 'done-elsewhere', run)
     completeIfDone(state, step.job, wallTime)
     state.markChanged(step.job)
   },
@@ -162,7 +168,7 @@
     const { step } = task
     server.consecutiveFailures += 1
     server.lastFailureAt = report.receivedAt
-    stopRestOfGang(task, end.run)
+    stopRestOfGang(state, task, end.run)
     if (step.specification.isLasting || task.isDone || !step.job.isOpen) return
     step.addFailure(task, end.run)
     const attempts = state.termsOf(step.job)?.attempts ?? Infinity
@@ -172,11 +178,11 @@
   stopped: (state, server, task, end, report) => {
     const sentAt = server.run(end.task, end.run)?.firstStopSentAt
     if (sentAt !== undefined) state.recordStopTime(report.receivedAt - sentAt)
-    stopRestOfGang(task, end.run)
+    stopRestOfGang(state, task, end.run)
   },
-  lapsed: (_state, _server, task, end) => stopRestOfGang(task, end.run),
-  broken: (_state, _server, task, end) => stopRestOfGang(task, end.run),
-  alone: (_state, _server, task, end) => stopRestOfGang(task, end.run)
+  lapsed: (state, _server, task, end) => stopRestOfGang(state, task, end.run),
+  broken: (state, _server, task, end) => stopRestOfGang(state, task, end.run),
+  alone: (state, _server, task, end) => stopRestOfGang(state, task, end.run)
 }
 
 function applyEnd (state: PlannerState, server: Server, end: ListedEnd, report: ServerReport, wallTime: number): void {
@@ -190,7 +196,7 @@
   if (run !== undefined) {
     weighEnd(state, run)
     server.remove(run)
-    task?.runs.delete(run)
+    task?.removeRun(run)
   }
   if (task !== undefined) state.release(task)
 }
@@ -201,8 +207,8 @@
   if (run.confirmedAt < Infinity) state.recordEvent({ type: 'task-ended', task: run.task, run: run.run, server: server.id, how: 'gone' })
   const task = state.task(run.task)
   if (task === undefined) return
-  task.runs.delete(run)
-  stopRestOfGang(task, run.run)
+  task.removeRun(run)
+  stopRestOfGang(state, task, run.run)
   state.release(task)
 }
 
@@ -234,9 +240,13 @@
     if (run.confirmedAt < Infinity) removeRun(state, server, run)
     else withStopDue(run)
   }
+  server.stops.resend()
   for (const run of server.revokedStarts.take(now)) {
+    const task = state.task(run.task)
+    if (task === undefined) delete run.step
+    else run.step = task.step
     server.add(run)
-    state.task(run.task)?.runs.add(run)
+    task?.addRun(run)
   }
   server.restart(incarnation, now)
   countLostRuns(state, server, lost, { now, wallTime })
@@ -292,8 +302,9 @@
     removeRun(state, server, run)
   },
   // Only the answer may be lost: the next poll shows whether the run exists.
-  unanswered: (state, _server, run, now) => {
+  unanswered: (state, server, run, now) => {
     if (run.confirmedAt < Infinity) return
+    server.stops.noteUnconfirmed(run)
     run.state = 'unconfirmed'
     run.unansweredAt = now
     state.unsettledRuns.add(run)
@@ -330,9 +341,11 @@
  * applyStopOutcome(state, server.id, task, run, 'stopped', now)
  */
 export function applyStopOutcome (state: PlannerState, id: ServerId, task: TaskName, number: RunNumber, outcome: StopOutcome, now: number): void {
-  const run = state.servers.get(id)?.run(task, number)
+  const server = state.servers.get(id)
+  const run = server?.run(task, number)
   // Without a stop sent since the last restart, the answer is of an earlier incarnation.
   if (run === undefined || outcome !== 'stopped' || run.stopSentAt === -Infinity) return
   run.isStopConfirmed = true
   run.stopConfirmedAt = now
+  server?.stops.noteConfirmed(run)
 }
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -1,5 +1,5 @@
 /** Takes the capacity snapshots of a round: free capacity now, and after pending stops. */
-import { addCapacity, sumFreeAccelerators } from './capacity.js'
+import { sumFreeAccelerators } from './capacity.js'
 import type { StepState } from './step-state.js'
 import { MAXIMUM_REGISTRY_AGE_MILLISECONDS, UNHEALTHY_MILLISECONDS } from './limits.js'
 import { CapacitySnapshot } from './capacity-snapshot.js'
@@ -16,7 +16,7 @@
   const isHealthy = (server: Server): boolean => !server.isUnhealthy || now - server.lastFailureAt > UNHEALTHY_MILLISECONDS
   const isCapacityKnown = capacityCheck(state, now)
   const servers = [...state.servers.values()].filter(server => server.isUsable && isHealthy(server) && isCapacityKnown(server))
-  return new CapacitySnapshot(servers.map(server => ({ server, free: server.free, tasksOf: tasksOn(state, server) })), state.work)
+  return new CapacitySnapshot(servers.map(server => ({ server, free: server.free, tasksOf: server.tasksOf })), state.work)
 }
 
 /**
@@ -26,7 +26,7 @@
  * const afterStops = snapshotAfterStops(snapshotOf(state, now))
  */
 export function snapshotAfterStops ({ targets, work }: CapacitySnapshot): CapacitySnapshot {
-  return new CapacitySnapshot(targets.map(({ server, tasksOf }) => ({ server, free: freeAfterStops(server), tasksOf: new Map(tasksOf) })), work)
+  return new CapacitySnapshot(targets.map(({ server, tasksOf }) => ({ server, free: server.freeAfterStops, tasksOf })), work)
 }
 
 /** Returns a check whether the capacity that is known of a backend server still counts. One that refuses starts beyond its capacity checks it itself. */
@@ -36,13 +36,6 @@
   return server => guardedPools.has(server.entry.pool) || (isRegistryCurrent && server.isEntryCurrent)
 }
 
-/** Returns a backend server's free capacity after all runs that are being stopped have ended. */
-function freeAfterStops (server: Server): Server['free'] {
-  let free = server.free
-  for (const run of server.runs.values()) if (run.state === 'stopping') free = addCapacity(free, run.need)
-  return free
-}
-
 /**
  * True if at least half of the accelerators are free.
  *
@@ -68,14 +61,5 @@
   const isFilling = (other: StepState): boolean => other.specification.fillsIdleProcessor
   const interferes = fillsIdleProcessor ? isServing : tailTargetMilliseconds !== undefined ? isFilling : undefined
   if (interferes === undefined) return snapshot
-  return new CapacitySnapshot(snapshot.targets.filter(target => ![...target.tasksOf.keys()].some(interferes)), snapshot.work)
-}
-
-function tasksOn (state: PlannerState, server: Server): Map<StepState, number> {
-  const counts = new Map<StepState, number>()
-  for (const run of server.runs.values()) {
-    const step = state.task(run.task)?.step
-    if (step !== undefined) counts.set(step, (counts.get(step) ?? 0) + 1)
-  }
-  return counts
+  return new CapacitySnapshot(snapshot.targets.filter(target => !target.tasksOf.keySeq().some(interferes)), snapshot.work)
 }
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -21,7 +21,7 @@
   failExhausted(state, times.wallTime)
   determineCauses(state, times)
   for (const server of state.servers.values()) {
-    evacuateDraining(server)
+    evacuateDraining(state, server)
     stopStuck(state, server, times.now)
   }
   giveUpUnsettled(state, times.now)
@@ -32,10 +32,10 @@
 }
 
 /** Stops all runs on a draining backend server that is about to shut down, while their ends can still be reported. */
-function evacuateDraining (server: Server): void {
+function evacuateDraining (state: PlannerState, server: Server): void {
   const { isDraining, remainingMilliseconds } = server.entry
   if (!isDraining || remainingMilliseconds === undefined || remainingMilliseconds > EVACUATION_MILLISECONDS) return
-  for (const run of server.runs.values()) requestStop(run, 'leaving')
+  for (const run of server.runs.values()) requestStop(state, run, 'leaving')
 }
 
 /**
@@ -44,21 +44,26 @@
  */
 function stopStuck (state: PlannerState, server: Server, now: number): void {
   // Runs that seem to stand still may have ended behind a list that was cut.
-  if (server.missedPolls > 0 || server.hasMoreEnds) return
+  if (server.missedPolls > 0 || server.hasMoreEnds || now < server.nextStuckCheckAt) return
+  // Runs that begin or progress from now on can't be stuck before this.
+  server.nextStuckCheckAt = now + STUCK_MILLISECONDS
   for (const run of server.runs.values()) {
-    if (now - run.progressedAt < STUCK_MILLISECONDS) continue
     const task = state.task(run.task)
-    if (run.state !== 'running' || run.percent >= WORK_DONE_PERCENT || task?.step.specification.isLasting !== false) continue
+    if (run.percent >= WORK_DONE_PERCENT || task?.step.specification.isLasting !== false) continue
     const percentMilliseconds = run.percent === 0 ? 0 : (run.progressedAt - run.confirmedAt) / run.percent
     const stallLimit = Math.max(STUCK_MILLISECONDS * 2 ** task.stalls, STUCK_PERCENT_TIME_FACTOR * percentMilliseconds)
-    if (now - run.progressedAt < stallLimit) continue
+    if (now - run.progressedAt < stallLimit) {
+      server.nextStuckCheckAt = Math.min(server.nextStuckCheckAt, run.progressedAt + stallLimit)
+      continue
+    }
+    if (run.state !== 'running') continue
     if (isServerSuspect(task.step, server)) {
       server.consecutiveFailures += 1
       server.lastFailureAt = now
     }
     task.stalls += 1
     task.step.stalledOn.add(server.id)
-    requestStop(run, 'stuck')
+    requestStop(state, run, 'stuck')
   }
 }
 
@@ -83,21 +88,22 @@
   const stops: Command[] = []
   const underWay = new CallWindow()
   const due: Run[] = []
-  for (const server of state.servers.values()) {
-    for (const run of server.runs.values()) {
-      const isStopPending = run.state === 'stopping' || (run.state === 'unconfirmed' && run.stopReason !== undefined)
-      if (!isStopPending || run.isStopConfirmed) continue
-      if (now - run.stopSentAt < STOP_RETRY_MILLISECONDS) underWay.add(server.id)
+  for (const { id, stops: pending } of state.servers.values()) {
+    for (const run of pending.sent) {
+      if (now - run.stopSentAt < STOP_RETRY_MILLISECONDS) underWay.add(id)
       else due.push(run)
     }
+    due.push(...pending.unsent(MAXIMUM_CALLS_PER_SERVER))
   }
   // Those that were never sent come first, then those that have waited longest for an answer.
   due.sort((left, right) => left.stopSentAt === right.stopSentAt ? 0 : left.stopSentAt - right.stopSentAt)
   for (const run of due) {
-    const isUnreachable = (state.servers.get(run.server)?.missedPolls ?? 0) > 0
+    const server = state.servers.get(run.server)!
+    const isUnreachable = server.missedPolls > 0
     if (!underWay.hasRoomFor(run.server, isUnreachable ? STOPS_PER_UNREACHABLE_SERVER : MAXIMUM_CALLS_PER_SERVER)) continue
     underWay.add(run.server)
     run.stopSentAt = now
+    server.stops.noteSent(run)
     run.firstStopSentAt ??= now
     stops.push({ type: 'stop', server: run.server, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
   }
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -1,9 +1,12 @@
 /** State of one backend server in the planner, and the reports that it sends. */
+import { Map as PersistentMap } from 'immutable'
 import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
 import type { StopReason } from './command.js'
 import type { PoolName, RunNumber, ServerId, TaskName } from './ids.js'
 import { LEASE_MILLISECONDS, LONGEST_LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, UNHEALTHY_AFTER_FAILURES } from './limits.js'
+import { PendingStops } from './pending-stops.js'
 import { RevokedStarts } from './revoked-starts.js'
+import type { StepState } from './step-state.js'
 
 /** A backend server's entry in the platform's registry. */
 export interface ServerEntry {
@@ -75,6 +78,8 @@
   /** Address of the backend server when it was started, or found. */
   readonly address: string
   readonly need: Capacity
+  /** The step of its task, once its job is known. */
+  step?: StepState
   /** Its job wasn't known when it was found, so neither was what it needs. */
   readonly isNeedUnknown?: boolean
   state: RunState
@@ -106,6 +111,11 @@
   readonly isolatedUntil?: number
 }
 
+/** Numbers of tasks by step and occurrence. */
+export type TaskCounts = PersistentMap<StepState, number>
+
+export const NO_TASKS: TaskCounts = PersistentMap()
+
 /** A backend server with its runs. */
 export class Server {
   entry: ServerEntry
@@ -138,7 +148,10 @@
   reportedPosition = 0
   acknowledgedPosition = 0
   readonly runs = new Map<string, Run>()
+  readonly stops = new PendingStops()
   readonly revokedStarts = new RevokedStarts()
+  /** When a run of it may first be stuck, on our monotonic clock. */
+  nextStuckCheckAt = -Infinity
   /** Failures since a task last completed there. */
   consecutiveFailures = 0
   lastFailureAt = -Infinity
@@ -148,6 +161,8 @@
   #used: Capacity = NO_CAPACITY
   /** Runs whose need isn't known: while there are any, neither is what is free. */
   #runsOfUnknownNeed = 0
+  #tasksOf = NO_TASKS
+  #acceleratorTasksOf = NO_TASKS
   #clock = 0
   #clockReadAt = -Infinity
   #leaseUntil = 0
@@ -169,6 +184,21 @@
     return addCapacity(this.entry.capacity, this.#used, -1)
   }
 
+  /** Free capacity once all runs that are being stopped have ended. */
+  get freeAfterStops (): Capacity {
+    return addCapacity(this.free, this.stops.need)
+  }
+
+  /** Number of its runs, by step and occurrence. */
+  get tasksOf (): TaskCounts {
+    return this.#tasksOf
+  }
+
+  /** Those of steps that need accelerators. */
+  get acceleratorTasksOf (): TaskCounts {
+    return this.#acceleratorTasksOf
+  }
+
   /** When the leases of all its runs have expired at the latest, unless they are renewed before. */
   get leasesExpiredBy (): number {
     return this.#leasesExpiredBy
@@ -282,6 +312,21 @@
     this.runs.set(runKey(run.task, run.run), run)
     this.#used = addCapacity(this.#used, run.need)
     if (run.isNeedUnknown === true) this.#runsOfUnknownNeed += 1
+    if (run.stopReason !== undefined) this.stops.add(run)
+    this.#countTask(run, 1)
+  }
+
+  /** Sets the step of a run that was found before its job was known. */
+  setStep (run: Run, step: StepState): void {
+    if (run.step !== undefined) return
+    run.step = step
+    this.#countTask(run, 1)
+  }
+
+  #countTask ({ step }: Run, difference: 1 | -1): void {
+    if (step === undefined) return
+    this.#tasksOf = withTasks(this.#tasksOf, step, difference)
+    if (step.specification.need.accelerators > 0) this.#acceleratorTasksOf = withTasks(this.#acceleratorTasksOf, step, difference)
   }
 
   /** Removes a run. */
@@ -289,6 +334,8 @@
     if (!this.runs.delete(runKey(run.task, run.run))) return
     this.#used = addCapacity(this.#used, run.need, -1)
     if (run.isNeedUnknown === true) this.#runsOfUnknownNeed -= 1
+    this.stops.delete(run)
+    this.#countTask(run, -1)
   }
 
   /** Finds a run by its task and number. */
@@ -297,6 +344,17 @@
   }
 }
 
+/**
+ * Adds to the number of tasks of a step.
+ *
+ * @example
+ * withTasks(target.tasksOf, step, 1)
+ */
+export function withTasks (counts: TaskCounts, step: StepState, difference: number): TaskCounts {
+  const count = (counts.get(step) ?? 0) + difference
+  return count === 0 ? counts.delete(step) : counts.set(step, count)
+}
+
 function runKey (task: TaskName, run: RunNumber): string {
   return `${task}#${run}`
 }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -50,6 +50,8 @@
   configuration: Configuration | undefined
   /** When the registry was last read, on our monotonic clock. */
   registryReadAt = -Infinity
+  /** Runs whose starts are under way, and some that were. */
+  readonly #startingRuns = new Set<Run>()
   /** Runs whose start wasn't answered, until the round in which they are settled or given up. */
   readonly unsettledRuns = new Set<Run>()
   /** Runs that are isolated, until a round in which they have ended or their isolation has. */
@@ -385,6 +387,29 @@
     return events
   }
 
+  /** Adds a run whose start is under way. */
+  noteStarting (run: Run): void {
+    this.#startingRuns.add(run)
+  }
+
+  /** Returns the runs whose starts are under way. */
+  startsUnderWay (): Iterable<Run> {
+    for (const run of this.#startingRuns) if (run.state !== 'starting' || this.servers.get(run.server)?.run(run.task, run.run) !== run) this.#startingRuns.delete(run)
+    return this.#startingRuns
+  }
+
+  /** Marks a job's progress as changed by a start, unless the stored form covers runs that it doesn't list. Returns the number of the change that records it. */
+  markStarted (job: JobState): number {
+    const { unlistedChange } = job
+    return unlistedChange !== undefined && this.isStored(job.job.id, unlistedChange) ? unlistedChange : this.markChanged(job)
+  }
+
+  /** Notes that the progress of a job was encoded with all its changes, and whether this form covers runs that it doesn't list. */
+  noteEncoded (job: JobState, coversUnlisted: boolean): void {
+    if (!coversUnlisted) job.unlistedChange = undefined
+    else job.unlistedChange ??= this.#unstoredJobs.get(job.job.id)?.last
+  }
+
   /** Marks a job's progress as changed and not stored. Returns the number of the change. */
   markChanged (job: JobState): number {
     job.hasProgress = true
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -7,8 +7,13 @@
 import type { JobState } from './job-state.js'
 import { LossRecord, type RunsByIndex } from './loss-record.js'
 import type { Placement, StepProgress } from './progress.js'
+import { RankedSet } from './ranked-set.js'
+import { TaskSet } from './task-set.js'
 import { TaskState } from './task-state.js'
 
+/** Characters that the failed runs of one task take at least. */
+const FAILED_TASK_CHARACTERS = 8
+
 /** Permission to run a step on one incarnation of a backend server. */
 export interface Ticket {
   readonly text: string
@@ -39,6 +44,17 @@
   gangCheckpoint = ''
   /** States of the tasks that have something to remember, by index. */
   readonly #tasks = new Map<number, TaskState>()
+  /** Indexes of the tasks that don't wait: those that are done or may be executing. */
+  readonly #notWaiting: TaskSet
+  /** No task below this index waits, and all below the other are done. */
+  #firstWaiting = 0
+  #firstOpen = 0
+  /** Known tasks that wait and may lack the time since when they do. */
+  readonly #unready = new Set<TaskState>()
+  /** Tasks that aren't done and may run on a backend server. */
+  readonly #placed = new Set<TaskState>()
+  /** Tasks that aren't done, by the number of their failed runs. */
+  readonly #failed = new RankedSet<TaskState>()
   #done: number
   #highestFailures = 0
   #advice: StepAdvice | undefined
@@ -52,6 +68,9 @@
     this.specification = job.job.steps[number]!
     this.firstTask = firstTask
     this.#done = job.done.countWithin(firstTask, firstTask + this.count)
+    this.#notWaiting = new TaskSet(this.count)
+    if (this.#done > 0) for (let index = 0; index < this.count; index += 1) if (this.isTaskDone(index)) this.#notWaiting.add(index)
+    if (this.hasWaiting) job.noteWaiting(this, true)
   }
 
   get name (): StepName {
@@ -84,6 +103,11 @@
     return this.#stalledOn
   }
 
+  /** Runs lost with their backend servers, if any may have been. */
+  get knownLosses (): LossRecord | undefined {
+    return this.#losses
+  }
+
   /** Runs lost with their backend servers. */
   get losses (): LossRecord {
     this.#losses ??= new LossRecord()
@@ -99,69 +123,98 @@
     const known = this.#tasks.get(index)
     if (known !== undefined || index >= this.count) return known
     const task = this.#createTask(index)
-    this.#tasks.set(index, task)
+    this.keep(task)
     return task
   }
 
   /** Keeps the state of a task, which is about to change. */
   keep (task: TaskState): void {
     this.#tasks.set(task.index, task)
+    if (task.isWaiting) this.#unready.add(task)
   }
 
   /** Forgets the state of a task that is done and runs nowhere. False if it is still needed. */
   release (task: TaskState): boolean {
     if (!task.isDone || task.runs.size > 0) return false
     this.#tasks.delete(task.index)
+    if (this.isFinished) this.job.noteFinished(this)
     return true
   }
 
+  /** True if it is done, and no state of a task is kept. */
+  get isFinished (): boolean {
+    return this.isDone && this.#tasks.size === 0
+  }
+
+  /** Notes that a task which is kept has begun or ceased to wait, or to run on a backend server. */
+  noteChanged (task: TaskState): void {
+    const { isWaiting } = task
+    this.#setWaiting(task.index, isWaiting)
+    if (isWaiting) this.#unready.add(task)
+    else this.#unready.delete(task)
+    const isPlaced = !task.isDone && task.hasServers
+    if (isPlaced === this.#placed.has(task)) return
+    if (isPlaced) this.#placed.add(task)
+    else this.#placed.delete(task)
+    this.job.notePlaced(isPlaced ? 1 : -1)
+  }
+
+  #setWaiting (index: number, isWaiting: boolean): void {
+    const hadWaiting = this.hasWaiting
+    if (isWaiting) this.#notWaiting.delete(index)
+    else this.#notWaiting.add(index)
+    if (isWaiting) this.#firstWaiting = Math.min(this.#firstWaiting, index)
+    if (this.hasWaiting !== hadWaiting) this.job.noteWaiting(this, this.hasWaiting)
+  }
+
   /** The tasks whose states are kept, in no particular order. */
   get knownTasks (): Iterable<TaskState> {
     return this.#tasks.values()
   }
 
-  /** How many these are. */
+  /** Its tasks that aren't done and may run on a backend server. */
+  get placedTasks (): Iterable<TaskState> {
+    return this.#placed
+  }
+
+  /** How many of its tasks have states that are kept. */
   get knownCount (): number {
     return this.#tasks.size
   }
 
   /** The tasks that wait, in order. Each that isn't known yet has a new state, which isn't kept unless `keep` is called. */
   * waitingTasks (): IterableIterator<TaskState> {
-    for (let index = this.#nextOpen(0); index < this.count; index = this.#nextOpen(index + 1)) {
-      const known = this.#tasks.get(index)
-      if (known === undefined) yield this.#createTask(index)
-      else if (known.isWaiting) yield known
-    }
+    for (let index = this.#nextWaiting(0); index < this.count; index = this.#nextWaiting(index + 1)) yield this.#tasks.get(index) ?? this.#createTask(index)
   }
 
   /** True if a task waits. */
   get hasWaiting (): boolean {
-    return this.firstWaiting !== undefined
+    return this.waitingCount > 0
   }
 
   /** The first task that waits. */
   get firstWaiting (): TaskState | undefined {
-    const [first] = this.waitingTasks()
-    return first
+    const index = this.#nextWaiting(0)
+    return index < this.count ? this.#tasks.get(index) ?? this.#createTask(index) : undefined
   }
 
-  /** Counts the tasks that wait. */
+  /** Number of the tasks that wait. */
   get waitingCount (): number {
-    let busy = 0
-    for (const task of this.#tasks.values()) if (!task.isDone && !task.isWaiting) busy += 1
-    return this.count - this.#done - busy
+    return this.count - this.#notWaiting.size
   }
 
   /** The first task that isn't done. */
   get firstOpen (): TaskState | undefined {
-    const index = this.#nextOpen(0)
-    return index < this.count ? this.#tasks.get(index) ?? this.#createTask(index) : undefined
+    if (this.isDone) return undefined
+    this.#firstOpen = this.job.done.nextAbsent(this.firstTask + this.#firstOpen) - this.firstTask
+    return this.#tasks.get(this.#firstOpen) ?? this.#createTask(this.#firstOpen)
   }
 
   /** Notes that its waiting tasks are ready to start. */
   noteReady (now: number): void {
     this.readySince ??= now
-    for (const task of this.#tasks.values()) if (task.isWaiting) task.readySince ??= now
+    for (const task of this.#unready) task.readySince ??= now
+    this.#unready.clear()
   }
 
   /** Marks a task as done; in a gang, all tasks. */
@@ -178,12 +231,20 @@
     if (index >= this.count || !this.job.done.add(this.firstTask + index)) return
     this.#done += 1
     this.#losses?.forgetTask(index)
+    this.#setWaiting(index, false)
+    const task = this.#tasks.get(index)
+    if (task !== undefined) {
+      this.noteChanged(task)
+      this.#failed.delete(task)
+    }
+    if (this.isFinished) this.job.noteFinished(this)
   }
 
   /** Adds a run of a task that ended as failed. */
   addFailure (task: TaskState, run: number): void {
     this.keep(task)
     task.addFailedRun(run)
+    if (!task.isDone) this.#failed.set(task, task.failedRuns.size)
     this.#highestFailures = Math.max(this.#highestFailures, this.failuresOf(task))
   }
 
@@ -199,7 +260,8 @@
 
   /** True if so many have crashed under any of its tasks that aren't done. */
   get hasSuspect (): boolean {
-    return this.#losses?.suspects.some(unit => !this.isTaskDone(unit)) === true
+    for (const unit of this.#losses?.suspects ?? []) if (!this.isTaskDone(unit)) return true
+    return false
   }
 
   /** Indexes of the tasks under which backend servers have crashed. */
@@ -211,7 +273,7 @@
   failuresOf (task: TaskState): number {
     if (!this.specification.isGang) return task.failedRuns.size
     const failedRuns = new Set<number>()
-    for (const each of this.#tasks.values()) for (const run of each.failedRuns) failedRuns.add(run)
+    for (const each of this.#failed.highest(this.count)) for (const run of each.failedRuns) failedRuns.add(run)
     return failedRuns.size
   }
 
@@ -234,10 +296,9 @@
 
   /** The failed runs by task, of those that failed most often if they don't all fit. */
   #failedWithin (characters: number): RunsByIndex {
-    const tasks = [...this.#tasks.values()].filter(({ failedRuns, isDone }) => failedRuns.size > 0 && !isDone).sort((left, right) => right.failedRuns.size - left.failedRuns.size)
     const listed: [number, readonly number[]][] = []
     let rest = characters
-    for (const { index, failedRuns } of tasks) {
+    for (const { index, failedRuns } of this.#failed.highest(Math.floor(characters / FAILED_TASK_CHARACTERS))) {
       const runs = [...failedRuns]
       rest -= JSON.stringify({ [index]: runs }).length
       if (rest < 0) break
@@ -249,9 +310,8 @@
   /** Where tasks may run; one that is done isn't started again, wherever it runs. */
   get #placements (): ReadonlyMap<ServerId, Placement> {
     const placements = new Map<ServerId, { readonly address: string, readonly tasks: number[] }>()
-    if (!this.job.isOpen) return placements
-    for (const task of this.#tasks.values()) {
-      if (task.isDone) continue
+    if (!this.job.arePlacementsListed) return placements
+    for (const task of this.#placed) {
       for (const [server, address] of task.servers) {
         const known = placements.get(server)
         if (known === undefined) placements.set(server, { address, tasks: [task.index] })
@@ -278,8 +338,11 @@
     return new TaskState(taskName({ job: this.job.job.id, occurrence: this.occurrence, step: this.number, index }), this, index)
   }
 
-  /** Returns the lowest index from `start` on whose task isn't done; the number of tasks or more if there is none. */
-  #nextOpen (start: number): number {
-    return this.isDone ? this.count : this.job.done.nextAbsent(this.firstTask + start) - this.firstTask
+  /** Returns the lowest index from `start` on whose task waits; the number of tasks or more if there is none. */
+  #nextWaiting (start: number): number {
+    if (!this.hasWaiting) return this.count
+    const index = this.#notWaiting.nextAbsent(Math.max(start, this.#firstWaiting))
+    if (start <= this.#firstWaiting) this.#firstWaiting = index
+    return index
   }
 }
--- a/packages/jobs/src/stops.ts
+++ b/packages/jobs/src/stops.ts
@@ -2,18 +2,21 @@
 import type { StopReason } from './command.js'
 import type { RunNumber } from './ids.js'
 import type { Run } from './server.js'
+import type { PlannerState } from './state.js'
 import type { TaskState } from './task-state.js'
 
 /**
  * Marks a run for stopping; the next round sends the stop.
  *
  * @example
- * requestStop(run, 'reclaimed')
+ * requestStop(state, run, 'reclaimed')
  */
-export function requestStop (run: Run, reason: StopReason): Run {
+export function requestStop (state: PlannerState, run: Run, reason: StopReason): Run {
   if (run.state === 'stopping') return run
   run.state = run.state === 'unconfirmed' ? 'unconfirmed' : 'stopping'
   run.stopReason ??= reason
+  const server = state.servers.get(run.server)
+  if (server?.run(run.task, run.run) === run) server.stops.add(run)
   return run
 }
 
@@ -21,21 +24,21 @@
  * Marks the runs of a task for stopping, except one.
  *
  * @example
- * requestStops(task, 'done-elsewhere', run)
+ * requestStops(state, task, 'done-elsewhere', run)
  */
-export function requestStops (task: TaskState, reason: StopReason, except?: Run): void {
-  for (const run of task.runs) if (run !== except) requestStop(run, reason)
+export function requestStops (state: PlannerState, task: TaskState, reason: StopReason, except?: Run): void {
+  for (const run of task.runs) if (run !== except) requestStop(state, run, reason)
 }
 
 /**
  * Stops the remaining members of a gang when one of them has ended.
  *
  * @example
- * stopRestOfGang(task, end.run)
+ * stopRestOfGang(state, task, end.run)
  */
-export function stopRestOfGang (task: TaskState, number: RunNumber): void {
+export function stopRestOfGang (state: PlannerState, task: TaskState, number: RunNumber): void {
   if (!task.step.specification.isGang) return
   for (const member of task.step.knownTasks) {
-    for (const run of member.runs) if (run.run === number) requestStop(run, 'gang-incomplete')
+    for (const run of member.runs) if (run.run === number) requestStop(state, run, 'gang-incomplete')
   }
 }
--- a/packages/jobs/src/task-set.ts
+++ b/packages/jobs/src/task-set.ts
@@ -34,6 +34,14 @@
     return true
   }
 
+  /** Removes a number. False if it isn't in the set. */
+  delete (number: number): boolean {
+    if (!this.has(number)) return false
+    this.#bytes![Math.floor(number / BITS)]! &= ~(1 << (number % BITS))
+    this.#size -= 1
+    return true
+  }
+
   has (number: number): boolean {
     return ((this.#bytes?.[Math.floor(number / BITS)] ?? 0) & (1 << (number % BITS))) !== 0
   }
--- a/packages/jobs/src/task-state.ts
+++ b/packages/jobs/src/task-state.ts
@@ -11,12 +11,11 @@
   readonly name: TaskName
   readonly step: StepState
   readonly index: number
-  /** Runs that may still be executing. */
-  readonly runs = new Set<Run>()
   /** When it last became ready to start, on the monotonic clock. */
   readySince: number | undefined
   /** How often a run of it was stopped as stuck. */
   stalls = 0
+  readonly #runs = new Set<Run>()
   #checkpoint = ''
   #failedRuns: Set<number> | undefined
   #earlierServers: Map<ServerId, string> | undefined
@@ -34,7 +33,25 @@
   }
 
   get isWaiting (): boolean {
-    return !this.isDone && this.runs.size === 0 && this.earlierServers.size === 0
+    return !this.isDone && this.#runs.size === 0 && this.earlierServers.size === 0
+  }
+
+  /** Runs that may still be executing. */
+  get runs (): ReadonlySet<Run> {
+    return this.#runs
+  }
+
+  addRun (run: Run): void {
+    if (this.#runs.has(run)) return
+    this.#runs.add(run)
+    this.step.job.noteRuns(1)
+    this.step.noteChanged(this)
+  }
+
+  removeRun (run: Run): void {
+    if (!this.#runs.delete(run)) return
+    this.step.job.noteRuns(-1)
+    this.step.noteChanged(this)
   }
 
   /** Numbers of the runs that ended as failed. */
@@ -53,16 +70,26 @@
   }
 
   addEarlierServer (id: ServerId, address: string): void {
+    if (!this.earlierServers.has(id)) this.step.job.noteEarlierServer(id, 1)
     this.#earlierServers = (this.#earlierServers ?? new Map<ServerId, string>()).set(id, address)
+    this.step.noteChanged(this)
   }
 
   removeEarlierServer (id: ServerId): void {
-    this.#earlierServers?.delete(id)
+    if (this.#earlierServers?.delete(id) !== true) return
+    this.step.job.noteEarlierServer(id, -1)
+    this.step.noteChanged(this)
   }
 
   /** Adds a backend server at which a start of it may arrive that was given up. */
   addLateServer (id: ServerId, address: string): void {
     this.#lateServers = (this.#lateServers ?? new Map<ServerId, string>()).set(id, address)
+    this.step.noteChanged(this)
+  }
+
+  /** True if there are any `servers`. */
+  get hasServers (): boolean {
+    return this.#runs.size + this.earlierServers.size + (this.#lateServers?.size ?? 0) > 0
   }
 
   /** Latest checkpoint, which the tasks of a gang share; empty if there is none. */
@@ -77,8 +104,9 @@
 
   /** Backend servers on which a run of it may be executing, or may begin, with their addresses. */
   get servers (): ReadonlyMap<ServerId, string> {
-    const lateServers = this.#lateServers ?? NO_SERVERS
-    if (this.runs.size + this.earlierServers.size + lateServers.size === 0) return NO_SERVERS
-    return new Map([...this.earlierServers, ...lateServers, ...[...this.runs].map(({ server, address }) => [server, address] as const)])
+    if (!this.hasServers) return NO_SERVERS
+    const servers = new Map([...this.earlierServers, ...this.#lateServers ?? NO_SERVERS])
+    for (const { server, address } of this.#runs) servers.set(server, address)
+    return servers
   }
 }
--- a/packages/jobs/test/active-steps.test.ts
+++ b/packages/jobs/test/active-steps.test.ts
@@ -18,7 +18,7 @@
       for (const ready of state.readySteps()) {
         for (const task of ready.waitingTasks()) {
           ready.keep(task)
-          task.runs.add({} as Run)
+          task.addRun({} as Run)
         }
       }
     }
--- a/packages/jobs/test/reclaim.test.ts
+++ b/packages/jobs/test/reclaim.test.ts
@@ -9,7 +9,7 @@
 import { planReclaim, type ReclaimPlan, type VictimGroup } from '../src/reclaim.js'
 import { RoundWork } from '../src/round-work.js'
 import type { StepState } from '../src/step-state.js'
-import { Server, type Run } from '../src/server.js'
+import { NO_TASKS, Server, type Run } from '../src/server.js'
 import { VictimIndex } from '../src/victim-index.js'
 import { job, step } from './world.js'
 
@@ -68,7 +68,7 @@
   })
   const { count, accelerators, wantsOneRack, mostPerServer } = drawn
   const waiting = stepOf('waiting', { count, accelerators, isGang: true, wantsOneRack, ...(mostPerServer === undefined ? {} : { mostPerServer }) })
-  return { targets: servers.map(server => ({ server, free: server.free, tasksOf: new Map() })), groups: groups.filter(group => group.members.length > 0), waiting }
+  return { targets: servers.map(server => ({ server, free: server.free, tasksOf: NO_TASKS })), groups: groups.filter(group => group.members.length > 0), waiting }
 }
 
 /** The plan by exhaustive search: for each task it examines all groups on all targets again. */
