Bound the log lines of runs and the reading of reports

Cause: a line for each start, end and lost run, and a report of all runs of a backend server for each end there.

Change: beyond 100 lines a second the starts, stops, ends and losses of a backend server with the same outcome share a line (1045 to 1048) with the range of their run numbers and of the indexes of their tasks, by which a run is found. Metrics count them as before. A backend server is polled again after 0.2 ms for each run that it lists, beside the wait for the store, which is longer for up to some 50 runs.

Tests: run-log.test.ts for what is new; planner-host.test.ts, 'polls it less often the more they are', fails without the pause (36 ms in place of 1,200).

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -73,6 +73,8 @@
 export const CALL_SLACK_MILLISECONDS = 600
 /** Pause after a failed poll. */
 export const POLL_RETRY_MILLISECONDS = 250
+/** Pause between polls of a backend server for each run that it lists, so that reading the reports takes a bounded share of the event loop's time. */
+export const POLL_PAUSE_PER_RUN_MILLISECONDS = 0.2
 /** Pause between polls while reported task ends haven't been stored yet. */
 export const UNSTORED_POLL_PAUSE_MILLISECONDS = 300
 /** Delay of a scheduling round after an event, so that events close together are handled in one round. */
@@ -81,6 +83,10 @@
 export const ROUND_INTERVAL_MILLISECONDS = 150
 /** A round that blocks the event loop for longer is logged; heartbeats time out after `HEARTBEAT_TIMEOUT_MILLISECONDS`. */
 export const SLOW_ROUND_MILLISECONDS = 100
+/** Lines for single starts, stops, ends and lost runs in an interval, and its length; further ones share lines of at most so many runs. */
+export const RUN_LINES_PER_INTERVAL = 100
+export const RUN_LOG_INTERVAL_MILLISECONDS = 1000
+export const RUNS_PER_LINE = 1000
 /** Interval at which the owner logs its planner's load and rounds. */
 export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
 /** Writes of progress under way at a time: a start waits for its record. */
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -15,7 +15,7 @@
 import { JobIntake } from './job-intake.js'
 import type { StoredJobs } from './job-store.js'
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
-import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, PROGRESS_BATCH, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
+import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, POLL_PAUSE_PER_RUN_MILLISECONDS, PROGRESS_BATCH, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
 import { ownerLoad, type OwnerLoad } from './owner-load.js'
 import type { OwnerRecord } from './owner-record.js'
 import { logFindings } from './planner-findings.js'
@@ -28,6 +28,7 @@
 import { areStartsRecorded, RecordedStarts, type RecordedPeriod } from './recorded-starts.js'
 import { earlierRunsOf, ServerRecord } from './server-record.js'
 import { ServerRecorder } from './server-recorder.js'
+import { RunLog } from './run-log.js'
 import { StartSender } from './start-sender.js'
 
 /** Options of a planner host. */
@@ -66,6 +67,7 @@
   readonly #saver: ProgressSaver
   readonly #servers: ServerRecorder
   readonly #starts: StartSender
+  readonly #log: RunLog
   readonly #recordedStarts: RecordedStarts
   readonly #rounds: RoundMonitor
   readonly #retired: RetiredJobs
@@ -91,7 +93,10 @@
     configured: ({ configuration }) => this.#planner.configure(configuration),
     submitted: ({ job }) => this.#submit(job),
     cancelled: ({ id }) => this.#cancel(id),
-    tick: () => { if (!this.#servers.hasStored) this.#recordServers() }
+    tick: () => {
+      this.#log.flushDue()
+      if (!this.#servers.hasStored) this.#servers.update().catch(thrown => this.#crash(thrown))
+    }
   }
 
   readonly #performers: CommandHandlers = {
@@ -101,7 +106,9 @@
   }
 
   /** `stored` is what the store has; it isn't kept. */
-  constructor ({ stored, ...options }: PlannerHostOptions & { readonly stored: StoredJobs }) {
+  constructor ({ stored, ...given }: PlannerHostOptions & { readonly stored: StoredJobs }) {
+    this.#log = new RunLog(given.emit)
+    const options = { ...given, emit: this.#log.emit }
     this.#options = options
     const { owner, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
@@ -217,6 +224,7 @@
     for (let batches = Math.ceil(this.#planner.unstoredCount / PROGRESS_BATCH); batches > 0 && !this.#stopping.signal.aborted; batches -= 1) {
       await this.#tryStoreCall(async () => { await this.#writer.write(this.#planner) })
     }
+    this.#log.flush()
     this.#stopping.abort()
   }
 
@@ -326,11 +334,6 @@
       this.#pollRepeatedly(id).catch(thrown => this.#crash(thrown))
     }
     this.#options.servers.retainConnections(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
-    this.#recordServers()
-  }
-
-  /** Records which backend servers may have runs, if that has changed. */
-  #recordServers (): void {
     this.#servers.update().catch(thrown => this.#crash(thrown))
   }
 
@@ -346,12 +349,12 @@
       const request = this.#planner.pollRequest(id, performance.now())
       if (request === undefined) break
       const canWait = hasAnswered && !request.hasUnstoredEnds && !this.#planner.isWaitingForRecord(id)
-      const waitMilliseconds = !canWait ? 0 : request.isIdle ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS
+      const waitMilliseconds = !canWait ? 0 : request.runs === 0 ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS
       hasAnswered = await this.#poll(id, { ...request, waitMilliseconds })
       if (!hasAnswered) await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
       else if (this.#planner.isWaitingForRecord(id)) await this.#servers.release(id)
       else if (request.hasUnstoredEnds) await pause(systemClock, UNSTORED_POLL_PAUSE_MILLISECONDS, signal)
-      else await this.#stored()
+      else await Promise.all([this.#stored(), pause(systemClock, POLL_PAUSE_PER_RUN_MILLISECONDS * request.runs, signal)])
     }
     this.#polledServers.delete(id)
   }
@@ -416,6 +419,7 @@
   #halt (): void {
     this.#isDeciding = false
     clearInterval(this.#roundTimer)
+    this.#log.flush()
     this.#stopping.abort()
   }
 
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -40,7 +40,8 @@
   readonly hasUnstoredEnds: boolean
   /** New end of the leases, on the backend server's clock; undefined if they are not renewed. */
   readonly leaseUntil: number | undefined
-  readonly isIdle: boolean
+  /** Number of its runs. */
+  readonly runs: number
 }
 
 /** The planner's load, for logs and metrics. */
@@ -236,7 +237,7 @@
       acknowledgedPosition: server.acknowledgedPosition,
       hasUnstoredEnds: server.reportedPosition > server.acknowledgedPosition,
       leaseUntil: canRenew ? server.extendLease(now, LEASE_MILLISECONDS) : undefined,
-      isIdle: server.runs.size === 0
+      runs: server.runs.size
     }
   }
 
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -1,6 +1,9 @@
 /** Events 10xx: jobs, and the VM that plans them. */
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
 
+/** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
+const RUN_GROUP_FIELDS = { server: 'backend server', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'tasks, with the indexes of those of one step as ranges' } as const
+
 /** Fields of the planner's load. */
 const LOAD_FIELDS = {
   jobsQueued: 'jobs of which no task has started',
@@ -285,5 +288,33 @@
     sentence: 'A job was not accepted, since too many accepted ones wait in the store.',
     fields: { job: 'id of the job', queue: 'queue', waiting: 'how many wait, as the owner said last' },
     action: 'Find the workspaces that submit them (event job-request-answered), and slow them down or add backend servers.'
+  },
+  'tasks-started': {
+    number: 1045,
+    level: 'info',
+    sentence: 'Commands to start tasks have ended, more than have a line of their own (task-started).',
+    fields: { ...RUN_GROUP_FIELDS, epoch: 'fencing epoch', outcome: 'outcome of the commands' },
+    action: NO_ACTION
+  },
+  'tasks-stopped': {
+    number: 1046,
+    level: 'info',
+    sentence: 'Commands to stop tasks have ended, more than have a line of their own (task-stopped).',
+    fields: { ...RUN_GROUP_FIELDS, reason: 'reason for the stops', outcome: 'outcome of the commands' },
+    action: NO_ACTION
+  },
+  'tasks-ended': {
+    number: 1047,
+    level: 'info',
+    sentence: 'Runs have ended, or no longer exist, more than have a line of their own (task-ended).',
+    fields: { ...RUN_GROUP_FIELDS, how: 'outcome as the backend server reports it, or gone' },
+    action: NO_ACTION
+  },
+  'runs-lost-with-server': {
+    number: 1048,
+    level: 'warning',
+    sentence: 'A backend server has crashed or was replaced while runs may have been executing there, more than have a line of their own (run-lost-with-server).',
+    fields: RUN_GROUP_FIELDS,
+    action: 'If it recurs for one backend server or failure domain, inspect that.'
   }
 } as const satisfies CatalogueRows
