Make fewer starts while they expire before they are sent

Change: such a start has the outcome 'expired', which halves the limit of starts as an unanswered one does; 'unsent' stays what the record or the planner has dropped.

Test: start-limit.test.ts, 'is halved too for those that found no free connection in time'; the outcome is new.

--- a/packages/entry/src/backend-server-calls.ts
+++ b/packages/entry/src/backend-server-calls.ts
@@ -26,7 +26,7 @@
  */
 export interface BackendServerCalls {
   poll (target: ServerTarget, poll: ServerPoll, timeoutMilliseconds: number): Promise<ServerReport>
-  /** `onSent` is called when the start leaves the queue of its backend server; one that doesn't leave it in time is `unsent`. */
+  /** `onSent` is called when the start leaves the queue of its backend server; one that doesn't leave it in time is `expired`. */
   start (target: ServerTarget, command: StartCommand, epoch: Epoch, timeoutMilliseconds: number, onSent?: () => void): Promise<StartOutcome>
   stop (target: ServerTarget, task: TaskName, run: RunNumber, epoch: Epoch, timeoutMilliseconds: number): Promise<StopOutcome>
   /** Closes the connections to all addresses but these. */
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -47,8 +47,8 @@
 /** Any command of the planner. */
 export type Command = StartCommand | StopCommand | AdviseCommand
 
-/** Outcome of a start command; an `unanswered` one may still be executed, an `unsent` one was never sent. */
-export type StartOutcome = 'unsent' | 'started' | 'fenced' | 'outdated' | 'late' | 'no-room' | 'invalid' | 'other-life' | 'no-ticket' | 'unhealthy' | 'unanswered'
+/** Outcome of a start command; an `unanswered` one may still be executed, an `unsent` one was never sent, nor was an `expired` one, which found no free connection in time. */
+export type StartOutcome = 'unsent' | 'expired' | 'started' | 'fenced' | 'outdated' | 'late' | 'no-room' | 'invalid' | 'other-life' | 'no-ticket' | 'unhealthy' | 'unanswered'
 
 /** Outcome of a stop command. */
 export type StopOutcome = 'stopped' | 'fenced' | 'other-life' | 'unanswered'
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -288,6 +288,7 @@
 
 const START_HANDLERS: Readonly<Record<StartOutcome, StartHandler>> = {
   unsent: notStarted,
+  expired: notStarted,
   started: (state, _server, run, now) => {
     confirmStart(state, run, now)
     run.progressedAt = now
@@ -320,6 +321,13 @@
   }
 }
 
+/** What an outcome shows of the calls that the owner can make; any other one is an answer. */
+const START_LIMIT_EFFECTS: Readonly<Partial<Record<StartOutcome, (state: PlannerState, now: number) => void>>> = {
+  unsent: () => {},
+  expired: (state, now) => state.startLimit.noteExpired(now),
+  unanswered: (state, now) => state.startLimit.noteExpired(now)
+}
+
 /**
  * Applies the outcome of a start command.
  *
@@ -329,8 +337,9 @@
 export function applyStartOutcome (state: PlannerState, id: ServerId, task: TaskName, number: RunNumber, outcome: StartOutcome, now: number): void {
   const server = state.servers.get(id)
   const run = server?.run(task, number)
-  if (outcome === 'unanswered') state.startLimit.noteUnanswered(now)
-  else if (outcome !== 'unsent') state.startLimit.noteAnswered()
+  const effect = START_LIMIT_EFFECTS[outcome]
+  if (effect === undefined) state.startLimit.noteAnswered()
+  else effect(state, now)
   if (server !== undefined && run !== undefined) START_HANDLERS[outcome](state, server, run, now)
 }
 
--- a/packages/jobs/src/start-limit.ts
+++ b/packages/jobs/src/start-limit.ts
@@ -1,12 +1,12 @@
-/** How many starts may be under way, by how they are answered. */
+/** How many starts may be under way, by how earlier ones were sent and answered. */
 import { LEAST_STARTS_UNDER_WAY, MAXIMUM_CALLS_UNDER_WAY, START_LIMIT_INTERVAL_MILLISECONDS } from './limits.js'
 
 /**
- * A limit that falls while starts aren't answered in time and rises with each that is. Calls that expire cost more than those
+ * A limit that falls while starts aren't sent or answered in time and rises with each that is. Calls that expire cost more than those
  * that are answered, so with a fixed limit an owner without the processor time for it would send ever more of them.
  *
  * @example
- * limit.noteUnanswered(now)
+ * limit.noteExpired(now)
  * limit.value // half of what it was
  */
 export class StartLimit {
@@ -22,7 +22,7 @@
   }
 
   /** Halves the limit, once for all starts that expire at about the same time. */
-  noteUnanswered (now: number): void {
+  noteExpired (now: number): void {
     if (now - this.#halvedAt < START_LIMIT_INTERVAL_MILLISECONDS) return
     this.#halvedAt = now
     this.#value = Math.max(LEAST_STARTS_UNDER_WAY, Math.floor(this.#value / 2))
--- a/packages/jobs/test/start-limit.test.ts
+++ b/packages/jobs/test/start-limit.test.ts
@@ -10,10 +10,10 @@
   let world: World
 
   /** Runs a round, and answers its starts or lets them expire; returns how many they were. */
-  const round = (isAnswered: boolean): number => {
+  const round = (isAnswered: boolean, unanswered: 'unanswered' | 'expired' = 'unanswered'): number => {
     const starts = world.planner.decide({ now: world.now, wallTime: world.wallTime }).filter(command => command.type === 'start')
     world.now += START_LIMIT_INTERVAL_MILLISECONDS
-    for (const { server, task, run } of starts) world.planner.applyStartOutcome(server, task, run, isAnswered ? 'started' : 'unanswered', world.now)
+    for (const { server, task, run } of starts) world.planner.applyStartOutcome(server, task, run, isAnswered ? 'started' : unanswered, world.now)
     return starts.length
   }
 
@@ -28,6 +28,11 @@
     expect(counts).to.deep.equal([512, 256, 128, 64, 32, LEAST_STARTS_UNDER_WAY])
   })
 
+  it('is halved too for those that found no free connection in time', () => {
+    const counts = Array.from({ length: 6 }, () => round(false, 'expired'))
+    expect(counts).to.deep.equal([512, 256, 128, 64, 32, LEAST_STARTS_UNDER_WAY])
+  })
+
   it('rises with each start that is answered, up to the maximum', () => {
     for (let count = 0; count < 5; count += 1) round(false)
     expect(round(true)).to.equal(32)
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -125,7 +125,7 @@
     number: 1021,
     level: 'info',
     sentence: 'A command to start a task has ended.',
-    fields: { task: 'task', run: 'run number', server: 'backend server', epoch: 'fencing epoch', outcome: 'outcome of the command; unsent: it was not recorded in time, its run was no longer needed, or no connection to its backend server was free in time, so it was not sent', resumed: 'true if the run resumes from a checkpoint' },
+    fields: { task: 'task', run: 'run number', server: 'backend server', epoch: 'fencing epoch', outcome: 'outcome of the command; unsent: it was not recorded in time or its run was no longer needed, so it was not sent; expired: no connection to its backend server was free in time, so it was not sent', resumed: 'true if the run resumes from a checkpoint' },
     action: NO_ACTION
   },
   'task-stopped': {
