Rely on the stored form for a start only while too many tasks run to be listed

A start of an inherited job whose progress said that earlier owners may have unlisted runs was covered by that for as long as the job wasn't written again, so a later owner would have waited for all backend servers on its behalf. Found by reading; no run showed it. Now it is covered only while so many tasks of the job may run that none is listed.

Tests: recorded-starts.test.ts, 'of which so many tasks run that it lists none of them': covered without a write, listed again once fewer run, and not covered while a form with placements may be on its way.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -29,7 +29,7 @@
   finalSeenAt: number | undefined
   /** Earlier owners may have started tasks of it on backend servers that its progress doesn't list. */
   hasUnlistedRuns = false
-  /** Number of the change with which its progress was first encoded as having runs that it doesn't list; undefined if it was last encoded otherwise. */
+  /** Number of the change with which its progress was first encoded without placements, since there are too many; undefined if it was last encoded with them. */
   unlistedChange: number | undefined
   /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
   idleSince: number | undefined
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -400,13 +400,14 @@
 
   /** Marks a job's progress as changed by a start, unless the stored form covers runs that it doesn't list. Returns the number of the change that records it. */
   markStarted (job: JobState): number {
-    const { unlistedChange } = job
-    return unlistedChange !== undefined && this.isStored(job.job.id, unlistedChange) ? unlistedChange : this.markChanged(job)
+    const { unlistedChange, arePlacementsListed } = job
+    const isCovered = !arePlacementsListed && unlistedChange !== undefined && this.isStored(job.job.id, unlistedChange)
+    return isCovered ? unlistedChange : this.markChanged(job)
   }
 
-  /** Notes that the progress of a job was encoded with all its changes, and whether this form covers runs that it doesn't list. */
-  noteEncoded (job: JobState, coversUnlisted: boolean): void {
-    if (!coversUnlisted) job.unlistedChange = undefined
+  /** Notes that the progress of a job was encoded with all its changes. If too many of its tasks may run, this form covers starts that it doesn't list. */
+  noteEncoded (job: JobState): void {
+    if (!job.isOpen || job.arePlacementsListed || job.phase === 'queued') job.unlistedChange = undefined
     else job.unlistedChange ??= this.#unstoredJobs.get(job.job.id)?.last
   }
 
--- a/packages/jobs/test/recorded-starts.test.ts
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -75,6 +75,73 @@
       expect(planner.progressOf(wide.id)).to.deep.include({ hasUnlistedRuns: true, steps: { '0.0': { done: [], failed: {} } } })
     })
 
+    describe('of which so many tasks run that it lists none of them', () => {
+      const COUNT = 6000
+      const need = { processor: 10, memory: 10, accelerators: 0 }
+      const nextStart = (): StartCommand => world.round().find(command => command.type === 'start') as StartCommand
+      const endOf = (count: number): void => {
+        const [server] = world.servers
+        for (const task of [...server!.running.keys()].slice(0, count)) server!.end(task, 'done')
+        world.pollServers()
+      }
+      const store = (): void => {
+        const written = world.planner.unstoredJobs
+        progress()
+        world.planner.markStored(written)
+      }
+
+      beforeEach(() => {
+        world.planner.submit(job('a', { steps: [step({ count: COUNT + 10, need })] }))
+        while (world.starts.length < COUNT) {
+          world.round()
+          world.pollServers()
+          store()
+        }
+      })
+
+      // Guards against a row of a large job that is written for each batch of starts, though it says the same each time.
+      it('covers a further start that is decided, without being written again', () => {
+        expect(progress().hasUnlistedRuns).to.equal(true)
+        for (let time = 0; time < 3; time += 1) world.round()
+        store()
+        const { run, ...rest } = world.servers[0]!.running.values().next().value!
+        world.planner.applyReport(world.servers[0]!.entry.id, { incarnation: 1, clock: 200_000, running: [...world.servers[0]!.running.values()].filter(each => each.task !== rest.task), ended: [{ position: 1, task: rest.task, run, how: 'lapsed', checkpoint: '' }], hasMoreEnds: false, sentAt: world.now, receivedAt: world.now + 1 }, world.wallTime)
+        world.servers[0]!.running.delete(rest.task)
+        const start = nextStart()
+        expect(world.planner.isRecorded(start)).to.equal(true)
+        expect(world.planner.unstoredCount).to.equal(0)
+      })
+
+      it('lists a start again once fewer run', () => {
+        store()
+        endOf(1500)
+        store()
+        expect(progress().hasUnlistedRuns).to.equal(undefined)
+        const lapsing = world.servers[1]!
+        const [task] = lapsing.running.keys()
+        lapsing.end(task!, 'lapsed')
+        world.pollServers()
+        const start = nextStart()
+        expect(world.planner.isRecorded(start)).to.equal(false)
+        store()
+        expect(world.planner.isRecorded(start)).to.equal(true)
+      })
+
+      it('doesn\'t cover a start while a form with placements may be on its way to the store', () => {
+        store()
+        endOf(1500)
+        const written = world.planner.unstoredJobs
+        expect(progress().hasUnlistedRuns).to.equal(undefined)
+        const lapsing = world.servers[1]!
+        const [task] = lapsing.running.keys()
+        lapsing.end(task!, 'lapsed')
+        world.pollServers()
+        expect(world.planner.isRecorded(nextStart())).to.equal(false)
+        world.planner.markStored(written)
+        expect(world.planner.unstoredCount).to.equal(1)
+      })
+    })
+
     it('fits a row with many tasks done, and as many placements as it lists', () => {
       const wide = job('a', { steps: [step({ count: 5000 + 8 * 200 })] })
       const done = Array.from({ length: 5000 }, (_, index) => index)
