Don't take crashes at different times after the starts of a task for its own

Cause: three attributed crashes were proof where few other backend servers crash. The background leaves out the crashes under the task itself, so with one job in the pool it is always quiet, and each crash of a busy backend server is one under this task.

Change: such crashes are proof only if they came at about the same time after the starts, as those are that a task causes.

Test: single-crashes.test.ts, 'under the only task of a quiet pool': the case of 12, 5 and 5 s failed before ('failed' in place of 'running'); a task that crashes each time after 5 s still fails its job.

--- a/packages/jobs/src/crash-evidence.ts
+++ b/packages/jobs/src/crash-evidence.ts
@@ -103,14 +103,13 @@
       const known = exposures.filter(Number.isFinite)
       // A run of at least the short exposure refutes those that aren't known.
       if (known.every(exposure => exposure <= SHORT_EXPOSURE_MILLISECONDS)) return true
-      const areAlike = Math.max(...known) - Math.min(...known) <= ALIKE_EXPOSURES_MILLISECONDS
-      return isKnown && hasJustCrashed && coincidences(known) < (areAlike ? MOST_COINCIDENCES_IF_ALIKE : MOST_COINCIDENCES)
+      return isKnown && hasJustCrashed && coincidences(known) < (areAlike(known) ? MOST_COINCIDENCES_IF_ALIKE : MOST_COINCIDENCES)
     }
     const count = crashes.filter(({ run }) => attributed.has(run)).length
     const areAtStart = exposures.every(exposure => exposure <= CRASH_AT_START_MILLISECONDS)
     if (areAtStart && count > 0 && crashes.length >= GIVE_UP_CRASHES_AT_START) return true
     const isQuiet = isKnown && exposures.every(Number.isFinite) && coincidences(exposures) < QUIET_COINCIDENCES
-    return count >= GIVE_UP_ATTRIBUTED_CRASHES && (areAtStart || isQuiet)
+    return count >= GIVE_UP_ATTRIBUTED_CRASHES && (areAtStart || (isQuiet && areAlike(exposures)))
   }
 
   /** Forgets a task that isn't started any more. */
@@ -153,6 +152,11 @@
   }
 }
 
+/** True if crashes came at about the same time after the start. */
+function areAlike (exposures: readonly number[]): boolean {
+  return Math.max(...exposures) - Math.min(...exposures) <= ALIKE_EXPOSURES_MILLISECONDS
+}
+
 function toStored ({ run, exposure }: TaskCrash): readonly [number, number | null] {
   return [run, Number.isFinite(exposure) ? Math.round(exposure) : null]
 }
--- a/packages/jobs/test/single-crashes.test.ts
+++ b/packages/jobs/test/single-crashes.test.ts
@@ -54,6 +54,44 @@
 
 // Guards against sound jobs shown as failed because backend servers crashed under them one after the other.
 describe('single crashes of backend servers', () => {
+  // Guards against a quiet pool taken as proof: with one job in the pool, each crash of a busy backend server is one under it.
+  describe('under the only task of a quiet pool', () => {
+    /** Plays a task that works for a minute, and reports its progress. */
+    const playAtWork = (world: World, milliseconds: number): void => play(world, milliseconds, {
+      afterStep: () => {
+        for (const server of world.servers) {
+          for (const [task, run] of server.running) server.running.set(task, { ...run, percent: Math.min(98, Math.floor((world.now - server.startedAt(task, run.run, world.now)) / 600)) })
+        }
+      }
+    })
+
+    /** Crashes the backend server of the task so long after each of its starts. */
+    const crashAfter = (times: readonly number[]): World => {
+      const world = new World(10)
+      playAtWork(world, 40_000)
+      world.planner.submit(job('a', { steps: [step({ accelerators: 8 })] }))
+      for (const milliseconds of times) {
+        for (let time = 0; world.serverRunning('a.0.0.0') === undefined && time < 400; time += 1) playAtWork(world, 50)
+        playAtWork(world, milliseconds)
+        world.serverRunning('a.0.0.0')!.crash(world.now + DOWN_MILLISECONDS)
+      }
+      playAtWork(world, 10_000)
+      return world
+    }
+
+    for (const times of [[12_000, 5000, 5000], [900, 4000, 2500], [12_000, 4500, 8000]]) {
+      it(`don't fail its job if they come at different times after its starts (${times.join(', ')} ms)`, () => {
+        const world = crashAfter(times)
+        expect(phase(world, 'a')).to.equal('running')
+        expect(world.serverRunning('a.0.0.0')).not.to.equal(undefined)
+      })
+    }
+
+    it('fail its job if each comes at the same time after a start', () => {
+      expect(phase(crashAfter([5000, 5000, 5000]), 'a')).to.equal('failed')
+    })
+  })
+
   describe('under a gang', () => {
     it('don\'t fail it if a member has outlived the earlier crash under it', () => {
       const world = new World(8)
