Check starts again when they are sent, and bound the pause between polls

Found on reading the change again: - A start waited up to 600 ms for a connection after ownership and need were checked, and was sent whatever had happened since.

--- a/packages/entry/src/backend-server-calls.ts
+++ b/packages/entry/src/backend-server-calls.ts
@@ -26,8 +26,8 @@
  */
 export interface BackendServerCalls {
   poll (target: ServerTarget, poll: ServerPoll, timeoutMilliseconds: number): Promise<ServerReport>
-  /** `onSent` is called when the start leaves the queue of its backend server; one that doesn't leave it in time is `expired`. */
-  start (target: ServerTarget, command: StartCommand, epoch: Epoch, timeoutMilliseconds: number, onSent?: () => void): Promise<StartOutcome>
+  /** Once a connection to the backend server is free, `mayBeSent` decides whether the start is still sent; else it is `unsent`. If none is free in time, it is `expired`. */
+  start (target: ServerTarget, command: StartCommand, epoch: Epoch, timeoutMilliseconds: number, mayBeSent?: () => boolean): Promise<StartOutcome>
   stop (target: ServerTarget, task: TaskName, run: RunNumber, epoch: Epoch, timeoutMilliseconds: number): Promise<StopOutcome>
   /** Closes the connections to all addresses but these. */
   retainConnections (addresses: ReadonlySet<string>): void
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -73,8 +73,12 @@
 export const CALL_SLACK_MILLISECONDS = 600
 /** Pause after a failed poll. */
 export const POLL_RETRY_MILLISECONDS = 250
-/** Pause between polls of a backend server for each run that it lists, so that reading the reports takes a bounded share of the event loop's time. */
-export const POLL_PAUSE_PER_RUN_MILLISECONDS = 0.2
+/**
+ * Pause between polls of a backend server for each of its runs and each backend server that is polled, so that reading all reports takes a
+ * bounded share of the event loop's time; and its upper limit, far below the lease that a poll renews.
+ */
+export const POLL_PAUSE_PER_RUN_MILLISECONDS = 0.006
+export const LONGEST_POLL_PAUSE_MILLISECONDS = 500
 /** Pause between polls while reported task ends haven't been stored yet. */
 export const UNSTORED_POLL_PAUSE_MILLISECONDS = 300
 /** Delay of a scheduling round after an event, so that events close together are handled in one round. */
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -1,12 +1,11 @@
 /**
- * Runs the planner on the VM that owns it: polls backend servers, performs the planner's
- * commands and stores progress. All inputs pass through one stream of events, so that the
- * planner handles one at a time.
+ * Runs the planner on the VM that owns it: performs the planner's commands and stores progress.
+ * All inputs pass through one stream of events, so that the planner handles one at a time.
  */
 import { setMaxListeners } from 'node:events'
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure, CornelgaugeError } from '@cornelgauge/model'
+import { asFailure } from '@cornelgauge/model'
 import { LEAST_STARTS_PER_ROUND, Planner, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
@@ -15,7 +14,7 @@
 import { JobIntake } from './job-intake.js'
 import type { StoredJobs } from './job-store.js'
 import type { CommandHandlers, HostEvent, HostEventHandlers } from './host-event.js'
-import { BUSY_POLL_WAIT_MILLISECONDS, CALL_SLACK_MILLISECONDS, IDLE_POLL_WAIT_MILLISECONDS, POLL_RETRY_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, POLL_PAUSE_PER_RUN_MILLISECONDS, PROGRESS_BATCH, ROUND_INTERVAL_MILLISECONDS, UNSTORED_POLL_PAUSE_MILLISECONDS } from './limits.js'
+import { CALL_SLACK_MILLISECONDS, OWNER_CONFIRMATION_LIMIT_MILLISECONDS, PROGRESS_BATCH, ROUND_INTERVAL_MILLISECONDS } from './limits.js'
 import { ownerLoad, type OwnerLoad } from './owner-load.js'
 import type { OwnerRecord } from './owner-record.js'
 import { logFindings } from './planner-findings.js'
@@ -29,6 +28,7 @@
 import { earlierRunsOf, ServerRecord } from './server-record.js'
 import { ServerRecorder } from './server-recorder.js'
 import { RunLog } from './run-log.js'
+import { ServerPolls } from './server-polls.js'
 import { StartSender } from './start-sender.js'
 
 /** Options of a planner host. */
@@ -74,9 +74,7 @@
   readonly #inbox = new Inbox<HostEvent>()
   readonly #stopping = new AbortController()
   readonly #addresses = new Map<ServerId, string>()
-  readonly #polledServers = new Set<ServerId>()
-  /** Backend servers that are polled at once because a start wasn't answered. */
-  readonly #settlingServers = new Set<ServerId>()
+  readonly #polls: ServerPolls
   readonly #roundTimer: NodeJS.Timeout
   #isRoundDue = false
   #isDeciding = true
@@ -127,6 +125,7 @@
       servers: options.servers,
       targetOf: id => this.#target(id),
       emit,
+      maySend: () => this.#maySend,
       onOutcome: (command, outcome) => this.#inbox.put({ type: 'started', command, outcome }),
       onCrash: thrown => this.#crash(thrown)
     })
@@ -148,6 +147,7 @@
       onReleased: () => this.#inbox.put({ type: 'tick' }),
       signal: this.#stopping.signal
     })
+    this.#polls = this.#createPolls()
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.load, startTimes: () => this.#starts.takeTimes() })
     // Each backend server's poll may wait on this signal.
     setMaxListeners(0, this.#stopping.signal)
@@ -160,6 +160,22 @@
     }, ROUND_INTERVAL_MILLISECONDS)
   }
 
+  #createPolls (): ServerPolls {
+    return new ServerPolls({
+      planner: this.#planner,
+      epoch: this.epoch,
+      calls: this.#options.servers,
+      recorder: this.#servers,
+      isConfirmed: () => this.#isConfirmed,
+      readJobsOf: report => this.#intake.readJobsOf(report),
+      stored: () => this.#stored(),
+      onReport: event => this.#handle(event),
+      onFailure: event => this.#inbox.put(event),
+      onCrash: thrown => this.#crash(thrown),
+      signal: this.#stopping.signal
+    })
+  }
+
   /** The owner's epoch, which fences all of this host's calls and writes. */
   get epoch (): OwnerRecord['epoch'] {
     return this.#options.owner.epoch
@@ -209,6 +225,11 @@
     return !this.#starts.isLate || this.#recordedStarts.mayStartUnrecorded
   }
 
+  /** True while this host may send starts. */
+  get #maySend (): boolean {
+    return this.#isDeciding && !this.#stopping.signal.aborted && this.#isConfirmed
+  }
+
   /** Confirms with the store that this VM still owns the planner. */
   async confirmOwnership (): Promise<boolean> {
     return await this.#tryStoreCall(() => this.#recordedStarts.confirm())
@@ -270,7 +291,7 @@
 
   /** Sends the starts that are recorded by now, or need not be. */
   #sendStarts (): void {
-    if (!this.#isDeciding || this.#stopping.signal.aborted || !this.#isConfirmed) return
+    if (!this.#maySend) return
     this.#starts.release(this.#recordedStarts.mayStartUnrecorded)
   }
 
@@ -295,17 +316,7 @@
     this.#planner.applyStartOutcome(server, task, run, outcome, performance.now())
     this.#options.emit('task-started', { details: { task, run, server, epoch: this.epoch, outcome, resumed: command.checkpoint !== '' } })
     if (outcome === 'fenced') this.#fence()
-    if (outcome === 'unanswered') this.#settleStarts(server).catch(thrown => this.#crash(thrown))
-  }
-
-  /** Polls a backend server beside its repeated polls, since the one under way may wait for an end and was sent before the start failed. */
-  async #settleStarts (server: ServerId): Promise<void> {
-    if (this.#settlingServers.has(server) || this.#stopping.signal.aborted || !this.#isConfirmed) return
-    const request = this.#planner.pollRequest(server, performance.now())
-    if (request === undefined) return
-    this.#settlingServers.add(server)
-    await this.#poll(server, { ...request, waitMilliseconds: 0 })
-    this.#settlingServers.delete(server)
+    if (outcome === 'unanswered') this.#polls.settle(server)
   }
 
   #handleStopOutcome (command: StopCommand, outcome: StopOutcome): void {
@@ -328,54 +339,11 @@
   #updateRegistry ({ entries, unreadable }: RegistryReading): void {
     this.#planner.updateServers(entries, performance.now(), unreadable)
     for (const entry of entries) this.#addresses.set(entry.id, entry.address)
-    for (const id of this.#planner.servers) {
-      if (this.#polledServers.has(id)) continue
-      this.#polledServers.add(id)
-      this.#pollRepeatedly(id).catch(thrown => this.#crash(thrown))
-    }
+    this.#polls.add(this.#planner.servers)
     this.#options.servers.retainConnections(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
     this.#servers.update().catch(thrown => this.#crash(thrown))
   }
 
-  /** Polls one backend server repeatedly, until the host stops or the planner has removed the server. */
-  async #pollRepeatedly (id: ServerId): Promise<void> {
-    const { signal } = this.#stopping
-    let hasAnswered = false
-    while (!signal.aborted) {
-      if (!this.#isConfirmed) {
-        await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
-        continue
-      }
-      const request = this.#planner.pollRequest(id, performance.now())
-      if (request === undefined) break
-      const canWait = hasAnswered && !request.hasUnstoredEnds && !this.#planner.isWaitingForRecord(id)
-      const waitMilliseconds = !canWait ? 0 : request.runs === 0 ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS
-      hasAnswered = await this.#poll(id, { ...request, waitMilliseconds })
-      if (!hasAnswered) await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
-      else if (this.#planner.isWaitingForRecord(id)) await this.#servers.release(id)
-      else if (request.hasUnstoredEnds) await pause(systemClock, UNSTORED_POLL_PAUSE_MILLISECONDS, signal)
-      else await Promise.all([this.#stored(), pause(systemClock, POLL_PAUSE_PER_RUN_MILLISECONDS * request.runs, signal)])
-    }
-    this.#polledServers.delete(id)
-  }
-
-  async #poll (id: ServerId, request: { readonly address: string, readonly acknowledgedPosition: number, readonly leaseUntil: number | undefined, readonly waitMilliseconds: number }): Promise<boolean> {
-    const { address, acknowledgedPosition, leaseUntil, waitMilliseconds } = request
-    const sentAt = performance.now()
-    const poll = { epoch: this.epoch, acknowledgedPosition, waitMilliseconds, ...(leaseUntil === undefined ? {} : { leaseUntil }) }
-    try {
-      const report = await this.#options.servers.poll({ id, address }, poll, waitMilliseconds + CALL_SLACK_MILLISECONDS)
-      const areJobsKnown = await this.#intake.readJobsOf(report)
-      if (this.#stopping.signal.aborted) return false
-      if (!areJobsKnown) throw new CornelgaugeError('store-unavailable', { detail: 'The jobs of the report could not be read' })
-      this.#handle({ type: 'polled', server: id, report })
-      return true
-    } catch (thrown) {
-      if (!this.#stopping.signal.aborted) this.#inbox.put({ type: 'pollFailed', server: id, address, sentAt, failure: asFailure(thrown) })
-      return false
-    }
-  }
-
   #handlePollFailure ({ server, address, sentAt, failure }: Extract<HostEvent, { type: 'pollFailed' }>): void {
     this.#planner.recordMissedPoll(server)
     if (failure.code === 'server-replaced') this.#planner.recordReplacement(server, address, sentAt)
--- a/packages/entry/src/start-sender.ts
+++ b/packages/entry/src/start-sender.ts
@@ -14,6 +14,8 @@
   readonly servers: BackendServerCalls
   readonly targetOf: (id: ServerId) => ServerTarget
   readonly emit: EmitEvent
+  /** True while this VM may send starts. */
+  readonly maySend: () => boolean
   /** Called with the outcome of each start that was released. */
   readonly onOutcome: (command: StartCommand, outcome: StartOutcome) => void
   readonly onCrash: (thrown: unknown) => void
@@ -72,12 +74,15 @@
   }
 
   async #send (command: StartCommand): Promise<void> {
-    const { servers, targetOf, epoch, emit, onOutcome } = this.#options
+    const { planner, servers, targetOf, epoch, emit, maySend, onOutcome } = this.#options
     if (!this.#hasSent) emit('planner-first-start', { details: { epoch, task: command.task } })
     this.#hasSent = true
     this.#times.noteReleased(command, performance.now())
-    const onSent = (): void => this.#times.noteSent(command, performance.now())
-    const outcome = await servers.start(targetOf(command.server), command, epoch, CALL_SLACK_MILLISECONDS, onSent)
+    const mayBeSent = (): boolean => {
+      this.#times.noteSent(command, performance.now())
+      return maySend() && planner.isStartDue(command)
+    }
+    const outcome = await servers.start(targetOf(command.server), command, epoch, CALL_SLACK_MILLISECONDS, mayBeSent)
     this.#times.noteEnded(command, performance.now())
     onOutcome(command, outcome)
   }
--- a/packages/entry/src/start-times.ts
+++ b/packages/entry/src/start-times.ts
@@ -1,4 +1,4 @@
-/** Measures where the time of starts goes: the record before the start, the queue of its backend server, and the call. */
+/** Measures how long starts wait for their record, in the queue of their backend server, and for their answer. */
 import type { StartCommand } from '@cornelgauge/jobs'
 
 /** The longest times of some starts, in whole milliseconds. */
--- /dev/null
+++ b/packages/entry/test/server-polls.test.ts
@@ -0,0 +1,62 @@
+import { setMaxListeners } from 'node:events'
+import { epoch } from '@cornelgauge/model'
+import { serverId, type Planner, type ServerId, type ServerReport } from '@cornelgauge/jobs'
+import { expect } from 'chai'
+import type { BackendServerCalls } from '../src/backend-server-calls.js'
+import { LONGEST_POLL_PAUSE_MILLISECONDS, POLL_PAUSE_PER_RUN_MILLISECONDS } from '../src/limits.js'
+import type { ServerRecorder } from '../src/server-recorder.js'
+import { ServerPolls } from '../src/server-polls.js'
+
+const SERVERS = 33
+/** The lease that a poll renews. */
+const LEASE_MILLISECONDS = 6000
+
+// Guards against an owner that does little but read reports: each end at a backend server with many runs was followed by a report of all of them.
+describe('the polls of backend servers', () => {
+  let stopping: AbortController
+
+  beforeEach(() => {
+    stopping = new AbortController()
+    setMaxListeners(0, stopping.signal)
+  })
+  afterEach(() => stopping.abort())
+
+  /** Polls backend servers that answer at once, and returns the pauses between the polls of the first one. */
+  const pausesWith = async (runs: number, count: number): Promise<readonly number[]> => {
+    const ids = Array.from({ length: SERVERS }, (_, index) => serverId(`server-${index}`))
+    const times: number[] = []
+    await new Promise<void>(resolve => {
+      const report: ServerReport = { incarnation: 1, clock: 1, running: [], ended: [], hasMoreEnds: false, sentAt: 0, receivedAt: 0 }
+      const poll = async ({ id }: { readonly id: ServerId }): Promise<ServerReport> => {
+        if (id === ids[0] && times.push(performance.now()) > count) resolve()
+        return report
+      }
+      const pollRequest = (): unknown => ({ address: '10.0.0.1:80', acknowledgedPosition: 0, hasUnstoredEnds: false, leaseUntil: undefined, runs })
+      const polls = new ServerPolls({
+        planner: { pollRequest, isWaitingForRecord: () => false } as unknown as Planner,
+        epoch: epoch(1),
+        calls: { poll } as unknown as BackendServerCalls,
+        recorder: {} as ServerRecorder,
+        isConfirmed: () => true,
+        readJobsOf: async () => true,
+        stored: async () => {},
+        onReport: () => {},
+        onFailure: () => {},
+        onCrash: thrown => { throw thrown },
+        signal: stopping.signal
+      })
+      polls.add(ids)
+    })
+    return times.slice(1).map((time, index) => time - times[index]!)
+  }
+
+  it('follow each other after a pause for all runs that the backend servers list', async () => {
+    const runs = 1000
+    for (const pause of await pausesWith(runs, 3)) expect(pause).to.be.above(0.9 * runs * SERVERS * POLL_PAUSE_PER_RUN_MILLISECONDS)
+  })
+
+  it('renew leases in time however many runs there are', async () => {
+    const runs = 1_000_000
+    for (const pause of await pausesWith(runs, 2)) expect(pause).to.be.within(0.9 * LONGEST_POLL_PAUSE_MILLISECONDS, LEASE_MILLISECONDS)
+  })
+})
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -35,8 +35,8 @@
   readonly runs: readonly Run[]
   /** All runs that were lost. */
   readonly lost: readonly Run[]
-  /** Tasks among them that may not be started again before the cause is determined. */
-  readonly held: readonly TaskState[]
+  /** Steps of which suspects wait until the cause is determined. */
+  readonly held: ReadonlySet<StepState>
 }
 
 /**
@@ -64,8 +64,12 @@
     state.recordEvent({ type: 'run-lost-with-server', task: run.task, run: run.run, server: server.id, lostRuns: step.losses.count(unit), alone: isAlone })
   }
   const runs = possibleCause(server, lost)
-  const held = lost.map(run => ({ run, task: state.task(run.task) })).filter(({ run, task }) => task !== undefined && (runs.includes(run) || task.step.losses.evidence.isExhausted(task.index)))
-  state.crashes.add({ server, at: server.outageAt, runs, lost, held: held.map(({ task }) => task!) })
+  const held = new Set<StepState>()
+  for (const run of lost) {
+    const task = state.task(run.task)
+    if (task !== undefined && (runs.includes(run) || task.step.losses.evidence.isExhausted(task.index))) held.add(task.step)
+  }
+  state.crashes.add({ server, at: server.outageAt, runs, lost, held })
   determineCauses(state, times)
 }
 
@@ -190,7 +194,7 @@
  */
 export function stepsWithOpenCause (state: PlannerState): ReadonlySet<StepState> {
   const steps = new Set<StepState>()
-  for (const { held } of state.crashes) for (const { step } of held) steps.add(step)
+  for (const { held } of state.crashes) for (const step of held) steps.add(step)
   return steps
 }
 
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -306,7 +306,7 @@
     return this.#state.unstoredCount
   }
 
-  /** Returns a job's progress in the form that is stored. Starts that follow rely on its being written, or on no write at all. */
+  /** Returns a job's progress in the form that is stored, and notes whether that lists where its tasks may run: see `markStarted`. */
   progressOf (id: JobId): JobProgress | undefined {
     const job = this.#state.jobs.get(id)
     if (job === undefined) return undefined
--- a/packages/jobs/src/ranked-set.ts
+++ b/packages/jobs/src/ranked-set.ts
@@ -12,10 +12,6 @@
   readonly #ranks = new Map<Member, number>()
   readonly #byRank = new Map<number, Set<Member>>()
 
-  get size (): number {
-    return this.#ranks.size
-  }
-
   /** Adds a member, or changes its rank. */
   set (member: Member, rank: number): void {
     if (this.#ranks.get(member) === rank) return
