--- a/packages/entry/src/run-log.ts
+++ b/packages/entry/src/run-log.ts
@@ -3,7 +3,7 @@
 import { RUN_LINES_PER_INTERVAL, RUN_LOG_INTERVAL_MILLISECONDS, RUNS_PER_LINE } from './limits.js'
 
 /** Events of one run that are logged together at a high rate. */
-type RunEventName = 'task-started' | 'task-stopped' | 'task-ended' | 'run-lost-with-server'
+type RunEventName = 'task-started' | 'task-stopped' | 'task-ended' | 'run-lost-with-server' | 'crashes-refuted'
 
 /** Events of one kind, with the same outcome on the same backend server. */
 interface Group {
@@ -27,13 +27,14 @@
   readonly tasks: string
 }
 
-const RUN_EVENTS: ReadonlySet<string> = new Set<RunEventName>(['task-started', 'task-stopped', 'task-ended', 'run-lost-with-server'])
+const RUN_EVENTS: ReadonlySet<string> = new Set<RunEventName>(['task-started', 'task-stopped', 'task-ended', 'run-lost-with-server', 'crashes-refuted'])
 
 const EMITTERS: { readonly [Name in RunEventName]: (emit: EmitEvent, summary: Summary, result: Readonly<Record<string, unknown>>) => void } = {
   'task-started': (emit, summary, { outcome, epoch }) => emit('tasks-started', { details: { ...summary, outcome, epoch } }),
   'task-stopped': (emit, summary, { outcome, reason }) => emit('tasks-stopped', { details: { ...summary, outcome, reason } }),
   'task-ended': (emit, summary, { how }) => emit('tasks-ended', { details: { ...summary, how } }),
-  'run-lost-with-server': (emit, summary) => emit('runs-lost-with-server', { details: summary })
+  'run-lost-with-server': (emit, summary) => emit('runs-lost-with-server', { details: summary }),
+  'crashes-refuted': (emit, summary) => emit('crashes-refuted-by-runs', { details: summary })
 }
 
 /**
@@ -85,7 +86,7 @@
     return this.#lines <= RUN_LINES_PER_INTERVAL
   }
 
-  #add (name: RunEventName, { task, run, server, resumed, lostRuns, alone, ...result }: Readonly<Record<string, unknown>>): void {
+  #add (name: RunEventName, { task, run, server, resumed, lostRuns, alone, discarded, workedMilliseconds, ...result }: Readonly<Record<string, unknown>>): void {
     const key = `${name} ${String(server)} ${Object.values(result).join(' ')}`
     const number = Number(run)
     const group = this.#groups.get(key) ?? { name, server: String(server), result, tasks: new Map<string, number[]>(), count: 0, firstRun: number, lastRun: number }
--- a/packages/entry/test/run-log.test.ts
+++ b/packages/entry/test/run-log.test.ts
@@ -35,6 +35,7 @@
     start(500, 'unanswered')
     start(600, 'started', 'server-1')
     log.emit('run-lost-with-server', { details: { task: 'b.3.1.5', run: 1_002_000, server: 'server-1', lostRuns: 1, alone: false } })
+    log.emit('crashes-refuted', { details: { task: 'b.3.1.6', run: 1_002_001, server: 'server-1', discarded: 1, workedMilliseconds: 7000 } })
     const before = lines.length
     expect(before).to.equal(RUN_LINES_PER_INTERVAL)
     log.flushDue()
@@ -45,7 +46,8 @@
       { name: 'tasks-started', details: { server: 'server-0', count: 20, firstRun: 1_000_100, lastRun: 1_000_119, tasks: 'a.0.0.100-119', outcome: 'started', epoch: 1 } },
       { name: 'tasks-started', details: { server: 'server-0', count: 1, firstRun: 1_000_500, lastRun: 1_000_500, tasks: 'a.0.0.500', outcome: 'unanswered', epoch: 1 } },
       { name: 'tasks-started', details: { server: 'server-1', count: 1, firstRun: 1_000_600, lastRun: 1_000_600, tasks: 'a.0.0.600', outcome: 'started', epoch: 1 } },
-      { name: 'runs-lost-with-server', details: { server: 'server-1', count: 1, firstRun: 1_002_000, lastRun: 1_002_000, tasks: 'b.3.1.5' } }
+      { name: 'runs-lost-with-server', details: { server: 'server-1', count: 1, firstRun: 1_002_000, lastRun: 1_002_000, tasks: 'b.3.1.5' } },
+      { name: 'crashes-refuted-by-runs', details: { server: 'server-1', count: 1, firstRun: 1_002_001, lastRun: 1_002_001, tasks: 'b.3.1.6' } }
     ])
   })
 
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -316,5 +316,12 @@
     sentence: 'A backend server has crashed or was replaced while runs may have been executing there, more than have a line of their own (run-lost-with-server).',
     fields: RUN_GROUP_FIELDS,
     action: 'If it recurs for one backend server or failure domain, inspect that.'
+  },
+  'crashes-refuted-by-runs': {
+    number: 1049,
+    level: 'info',
+    sentence: 'Runs were at work for longer than until earlier crashes under their tasks, which no longer count against these; more than have a line of their own (crashes-refuted).',
+    fields: RUN_GROUP_FIELDS,
+    action: NO_ACTION
   }
 } as const satisfies CatalogueRows
