Don't isolate tasks that were lost with many backend servers

Cause: a task that is lost twice is started alone on an empty backend server, also if both losses were outages of its whole failure domain. While tasks start all the time, each crash seemed to be due to one of them, so that an outage wasn't seen as one at all.

Change: crashes of three or more other backend servers at that time are an outage, whatever has just started there, and a loss in it that didn't come at the start isn't counted. A suspect that is cleared so is no longer isolated.

--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -70,6 +70,13 @@
     return isCounted
   }
 
+  /** Discounts the loss of a run that the unit hasn't caused. False if it isn't counted. */
+  discount (unit: number, run: number): boolean {
+    if (this.#runs.get(unit)?.delete(run) !== true) return false
+    this.#update(unit)
+    return true
+  }
+
   /** Counts the lost runs of a unit. */
   count (unit: number): number {
     return this.#runs.get(unit)?.size ?? 0
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -108,13 +108,17 @@
   }
 }
 
-/** Discards the crash of a run that did not come at its start: many backend servers crashed at that time. */
+/** Discards the crash and the loss of a run that did not come at its start: many backend servers crashed at that time. */
 function discard (state: PlannerState, { at, lost }: Crash): void {
   for (const run of lost) {
     const task = openTask(state, run)
-    if (task === undefined || isNew(run, at) || !task.step.losses.evidence.remove(task.index, run.run)) continue
-    task.step.losses.evidence.addOtherEnd(task.index)
-    task.step.losses.change = state.markChanged(task.step.job)
+    if (task === undefined || isNew(run, at)) continue
+    const { step } = task
+    const isCrash = step.losses.evidence.remove(task.index, run.run)
+    if (isCrash) step.losses.evidence.addOtherEnd(task.index)
+    const isLoss = step.losses.discount(step.unitOf(task), run.run)
+    if (isCrash || isLoss) step.losses.change = state.markChanged(step.job)
+    if (!step.isSuspect(task)) for (const next of task.runs) state.isolatedRuns.delete(next)
   }
 }
 
@@ -277,9 +281,9 @@
 /** True if many other backend servers crashed at about the same time, unless all of them had members of one gang. */
 function isMassOutage (state: PlannerState, { server, at, lost }: Crash): boolean {
   const others = [...state.servers.values()].filter(other => other !== server && Math.abs(other.outageAt - at) <= OUTAGE_MILLISECONDS)
-  const unexplained = others.map(other => ({ other, lost: lostWith(state, other) })).filter(({ other, lost }) => !hasCrashedAtStart(other, lost))
-  const isShared = (runs: readonly Run[]): boolean => runs.some(({ run }) => lost.some(each => each.run === run))
-  return unexplained.length >= MASS_OUTAGE_SERVERS && unexplained.some(each => !isShared(each.lost))
+  const numbers = new Set(lost.map(({ run }) => run))
+  const isShared = (runs: readonly Run[]): boolean => runs.some(({ run }) => numbers.has(run))
+  return others.length >= MASS_OUTAGE_SERVERS && others.some(other => !isShared(lostWith(state, other)))
 }
 
 /** The only run that a backend server had when it crashed, or else the only one that had just started; members of a gang are one run. */
--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -366,6 +366,29 @@
     }
   })
 
+  // Guards against hundreds of lost tasks that each wait for an empty backend server: while others started, each crash of an outage seemed to be due to them.
+  it('keeps no task waiting for long in a full pool that was lost in two outages of its failure domain, the first while others started', () => {
+    const world = new World(12)
+    const failureDomain = world.servers.slice(0, 4)
+    const occurrences = 12
+    const count = 60
+    // The backend servers have room for all tasks, and for no more.
+    const need = { processor: 32_000 * world.servers.length / (occurrences * count), memory: 100, accelerators: 0 }
+    const work = step({ count, need, estimateMilliseconds: LONG_ENOUGH_MILLISECONDS })
+    world.planner.submit(job('wide', { steps: [work], schedule: { occurrences, startAt: world.wallTime, intervalMilliseconds: 500 } }))
+    const playWithProgress = (milliseconds: number): void => play(world, milliseconds, {
+      afterStep: () => {
+        for (const server of world.servers) for (const run of server.running.values()) server.running.set(run.task, { ...run, percent: Math.floor(world.now / 1000) })
+      }
+    })
+    playWithProgress(3000)
+    for (let time = 0; time < 2; time += 1) {
+      for (const server of failureDomain) server.crash(world.now + world.crashMilliseconds)
+      playWithProgress(world.crashMilliseconds + STANDSTILL_MILLISECONDS)
+    }
+    expect(world.planner.load.runs).to.equal(occurrences * count)
+  })
+
   it('is not assumed if a backend server was only cut off', () => {
     const world = started(2)
     for (let time = 0; time < 4; time += 1) {
