Judge a run that stands still without its step's other tasks

Cause: whether a backend server or the work is slow was found by going over all known tasks of the step, anew for each run that stands still, so the cost of one such run grew with all of a job.

Change: a step keeps on which backend servers its runs have progressed.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -66,6 +66,7 @@
   if (entry.percent > run.percent) {
     run.percent = entry.percent
     run.progressedAt = now
+    run.step?.progressedOn.add(server.id)
   }
   if (entry.checkpoint !== '') {
     run.checkpoint = entry.checkpoint
@@ -124,6 +125,7 @@
   if (run.isolatedUntil !== undefined) state.isolatedRuns.add(run)
   if (task === undefined) return requestStop(state, run, 'unknown-job')
   task.addRun(run)
+  if (percent > 0) task.step.progressedOn.add(server.id)
   const { job } = task.step
   if (job.isOpen && !task.isDone && !task.earlierServers.has(server.id)) state.noteUnrecorded(state.markChanged(job))
   job.noteRunning()
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -5,6 +5,7 @@
 import { PlacementRound, type RoundTimes } from './placement-round.js'
 import { failExhausted } from './job-end.js'
 import { determineCauses } from './lost-runs.js'
+import type { ServerId } from './ids.js'
 import { giveUpStart } from './reports.js'
 import type { Run, Server } from './server.js'
 import type { PlannerState } from './state.js'
@@ -67,10 +68,13 @@
   }
 }
 
-/** False if the tasks of a step stand still on other backend servers too, and progress on none: then they are slow themselves. */
-function isServerSuspect ({ stalledOn, hasDone, knownTasks }: StepState, server: Server): boolean {
-  const hasStalledElsewhere = [...stalledOn].some(id => id !== server.id)
-  return !hasStalledElsewhere || hasDone || [...knownTasks].some(({ runs }) => [...runs].some(run => run.server !== server.id && run.percent > 0))
+/** False if the tasks of a step stand still on other backend servers too, and have progressed on none: then they are slow themselves. */
+function isServerSuspect ({ stalledOn, hasDone, progressedOn }: StepState, server: Server): boolean {
+  return !hasOther(stalledOn, server) || hasDone || hasOther(progressedOn, server)
+}
+
+function hasOther (servers: ReadonlySet<ServerId>, { id }: Server): boolean {
+  return servers.size > (servers.has(id) ? 1 : 0)
 }
 
 /** Gives up starts without an answer that no poll has settled in time. */
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -59,6 +59,7 @@
   #highestFailures = 0
   #advice: StepAdvice | undefined
   #stalledOn: Set<ServerId> | undefined
+  #progressedOn: Set<ServerId> | undefined
   #losses: LossRecord | undefined
 
   constructor (job: JobState, occurrence: number, number: number, firstTask: number) {
@@ -103,6 +104,12 @@
     return this.#stalledOn
   }
 
+  /** Backend servers on which runs of it have progressed. */
+  get progressedOn (): Set<ServerId> {
+    this.#progressedOn ??= new Set()
+    return this.#progressedOn
+  }
+
   /** Runs lost with their backend servers, if any may have been. */
   get knownLosses (): LossRecord | undefined {
     return this.#losses
--- a/packages/jobs/test/large-job-changes.test.ts
+++ b/packages/jobs/test/large-job-changes.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { encodeProgress, jobId } from '../src/index.js'
+import { STUCK_MILLISECONDS } from '../src/limits.js'
 import { entriesRead } from './iteration-meter.js'
 import { job, step, World, type FakeServer } from './world.js'
 
@@ -13,11 +14,11 @@
 const MARGIN = 200
 
 /** A world in which all tasks of one job run. */
-function runningWorld (tasks: number): World {
+function runningWorld (tasks: number, occurrences = OCCURRENCES): World {
   const world = new World(SERVERS)
   world.settle()
   const need = { processor: 10, memory: 10, accelerators: 0 }
-  world.planner.submit(job('a', { steps: [step({ count: tasks / OCCURRENCES, need })], schedule: { occurrences: OCCURRENCES, startAt: 0, intervalMilliseconds: 1 } }))
+  world.planner.submit(job('a', { steps: [step({ count: tasks / occurrences, need })], schedule: { occurrences, startAt: 0, intervalMilliseconds: 1 } }))
   while (world.starts.length < tasks) world.settle(1)
   world.settle()
   return world
@@ -36,6 +37,14 @@
   while (world.planner.load.runs < runs) world.settle(1)
 }
 
+/** Has all tasks progress but those that stand still. */
+function progress (world: World, percent: number, standing: readonly string[]): void {
+  for (const { running } of world.servers) {
+    for (const run of running.values()) if (!standing.includes(run.task)) running.set(run.task, { ...run, percent })
+  }
+  world.pollServers()
+}
+
 const write = (world: World): void => {
   for (const id of world.planner.unstoredJobs.keys()) encodeProgress(world.planner.progressOf(id)!)
   world.planner.markStored(world.planner.unstoredJobs)
@@ -94,4 +103,18 @@
       expect(many).to.be.below(few + MARGIN)
     })
   }
+
+  it('doesn\'t grow with the tasks of a step of which runs stand still on two backend servers', () => {
+    const [few, many] = [OCCURRENCES, 1].map(occurrences => {
+      const world = runningWorld(FEW_TASKS, occurrences)
+      const standing = world.servers.slice(0, 2).map(({ running }) => [...running.keys()][0]!)
+      progress(world, 50, [])
+      for (let percent = 51; percent <= 60; percent += 1) {
+        world.round((STUCK_MILLISECONDS - 1) / 10)
+        progress(world, percent, standing)
+      }
+      return entriesRead(() => { expect(world.round().filter(({ type }) => type === 'stop')).to.have.lengthOf(2) })
+    }) as [number, number]
+    expect(many).to.be.below(few + MARGIN)
+  })
 })
