Start work elsewhere after a start without an answer

Cause: a backend server that answers polls, but leaves starts unanswered, stayed the best choice: the task or gang was started there again and again, each time for the length of a call and a stop, though others had room.

--- a/packages/jobs/src/eligible-targets.ts
+++ b/packages/jobs/src/eligible-targets.ts
@@ -1,7 +1,7 @@
 /** Which backend servers a step may use in a round, whatever capacity is free there. */
 import { targetsWithTicket } from './advice.js'
 import { CapacitySnapshot } from './capacity-snapshot.js'
-import { FAILURE_AVOIDANCE_MILLISECONDS } from './limits.js'
+import { FAILURE_AVOIDANCE_MILLISECONDS, UNANSWERED_START_AVOIDANCE_MILLISECONDS } from './limits.js'
 import { withoutInterference } from './round-snapshots.js'
 import type { PlannerState } from './state.js'
 import type { StartUnit } from './start-unit.js'
@@ -19,6 +19,8 @@
   readonly #snapshot: CapacitySnapshot
   /** Targets without recent failures, once they are needed. */
   #lowRisk: CapacitySnapshot | undefined
+  /** Snapshots without the backend servers that have lately left starts unanswered. */
+  readonly #answering = new Map<CapacitySnapshot, CapacitySnapshot>()
 
   constructor (state: PlannerState, now: number, snapshot: CapacitySnapshot) {
     this.#state = state
@@ -46,4 +48,22 @@
     this.#lowRisk ??= new CapacitySnapshot(this.#snapshot.targets.filter(({ server }) => server.consecutiveFailures === 0 || this.#now - server.lastFailureAt > FAILURE_AVOIDANCE_MILLISECONDS), this.#state.work)
     return this.#lowRisk
   }
+
+  /**
+   * Finds something among these targets, first without the backend servers that have lately left starts unanswered:
+   * the next start there may not be answered either.
+   */
+  search<Found> (snapshot: CapacitySnapshot, find: (among: CapacitySnapshot) => Found | undefined): Found | undefined {
+    const answering = this.#answeringOf(snapshot)
+    return (answering === snapshot ? undefined : find(answering)) ?? find(snapshot)
+  }
+
+  #answeringOf (snapshot: CapacitySnapshot): CapacitySnapshot {
+    const known = this.#answering.get(snapshot)
+    if (known !== undefined) return known
+    const targets = snapshot.targets.filter(({ server }) => this.#now - server.unansweredStartAt >= UNANSWERED_START_AVOIDANCE_MILLISECONDS)
+    const answering = targets.length === snapshot.targets.length ? snapshot : new CapacitySnapshot(targets, snapshot.work)
+    this.#answering.set(snapshot, answering)
+    return answering
+  }
 }
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -202,11 +202,15 @@
     return accelerators <= this.#lendableAccelerators || (this.#isMostlyIdle && !isBlockingClaims)
   }
 
+  #choose<Targets> (unit: StartUnit, mayWait: boolean, place: (allowed: CapacitySnapshot) => Targets | undefined): Targets | undefined {
+    return this.#eligible.search(this.#eligible.of(unit, mayWait), among => this.#isolation.choose(among, unit, mayWait, place))
+  }
+
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     const mayBorrow = this.#mayBorrow(unit, candidate)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const targets = mayBorrow ? this.#isolation.choose(this.#eligible.of(unit, mayWait), unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
+    const targets = mayBorrow ? this.#choose(unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
     if (targets === undefined) {
       if (this.#isFirstPass || this.#isolation.mayHold(unit)) return
       if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
@@ -225,7 +229,7 @@
       const single = unitOf(task)
       if (!this.#mayBorrow(single, candidate)) return
       const mayWait = this.#waits.mayWaitForPlacement(single, candidate)
-      const target = this.#isolation.choose(this.#eligible.of(single, mayWait), single, mayWait, allowed => this.#chooseTarget(allowed, task))
+      const target = this.#choose(single, mayWait, allowed => this.#chooseTarget(allowed, task))
       if (target !== undefined) {
         this.#start(task, target, this.#state.nextRun())
         started += 1
@@ -371,7 +375,7 @@
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, count, this.#victimsFor(candidate), mayWait)
+    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => this.#eligibleAfterStops.search(targets, among => planReclaim(mayWait ? this.#isolation.exclude(among) : among, step, count, this.#victimsFor(candidate), mayWait))
     const lowRisk = this.#eligibleAfterStops.lowRisk(unit, mayWait)
     // A claim that has to use backend servers with recent failures has them freed while it still waits for others.
     const search = (): ReclaimPlan | undefined => planAmong(lowRisk) ?? (candidate.isClaim && lowRisk !== this.#afterStops ? planAmong(this.#afterStops) : undefined)
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -94,6 +94,8 @@
 export function giveUpStart (state: PlannerState, run: Run): void {
   if (run.state !== 'unconfirmed' || run.stopReason !== undefined) return
   requestStop(state, run, 'unanswered')
+  const server = state.servers.get(run.server)
+  if (server !== undefined) server.unansweredStartAt = run.unansweredAt!
   const task = state.task(run.task)
   if (task !== undefined) stopRestOfGang(state, task, run.run)
 }
@@ -291,7 +293,8 @@
 const START_HANDLERS: Readonly<Record<StartOutcome, StartHandler>> = {
   unsent: notStarted,
   expired: notStarted,
-  started: (state, _server, run, now) => {
+  started: (state, server, run, now) => {
+    server.unansweredStartAt = -Infinity
     confirmStart(state, run, now)
     run.progressedAt = now
   },
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -155,6 +155,8 @@
   /** Failures since a task last completed there. */
   consecutiveFailures = 0
   lastFailureAt = -Infinity
+  /** When a start that was given up since was found to have no answer, unless a later one was answered. */
+  unansweredStartAt = -Infinity
   /** It has refused a start for lack of capacity; no starts until the next poll. */
   hasRefusedForCapacity = false
   #isOut = false
--- a/packages/jobs/test/unanswered-starts.test.ts
+++ b/packages/jobs/test/unanswered-starts.test.ts
@@ -125,6 +125,20 @@
       expect(world.starts).to.have.length(2)
     })
 
+    // Guards against work that is started again and again on the same backend server, which answers polls but no starts.
+    for (const [name, overrides] of [['a task', {}], ['a gang', { count: 2, isGang: true }]] as const) {
+      it(`starts ${name} elsewhere, if there is room`, () => {
+        const world = new World(4)
+        world.pollServers()
+        world.planner.submit(job('a', { steps: [step({ accelerators: 8, ...overrides })] }))
+        world.servers[0]!.connectivity = 'delays-starts'
+        world.settle(20)
+        expect(phase(world, 'a')).to.equal('running')
+        expect(world.serverRunning('a.0.0.0')).not.to.be.oneOf([undefined, world.servers[0]])
+        expect(new Set(world.starts.map(start => start.run)).size).to.equal(2)
+      })
+    }
+
     it('waits for the lease to expire if the backend server is unreachable', () => {
       const world = new World(1)
       world.pollServers()
