Don't let work wait anew after a start that came to nothing

Cause: how long a task or gang waits for a better placement, such as a single rack, counted from when it last became ready, and a start without an answer made it ready anew. So a claim whose start came to nothing waited twice, and began later than callers are promised.

Change: a run keeps since when its task had been ready, and gives it back if it never began, unless its backend server may have crashed by it.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -290,6 +290,7 @@
       need: countedNeed(task.step),
       step: task.step,
       state: 'starting',
+      ...(task.readySince === undefined ? {} : { readySince: task.readySince }),
       startSentAt: this.#times.now,
       confirmedAt: Infinity,
       isStopConfirmed: false,
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -212,10 +212,18 @@
   const task = state.task(run.task)
   if (task === undefined) return
   task.removeRun(run)
+  // A start that may have crashed its backend server didn't come to nothing.
+  if (run.confirmedAt === Infinity && server.missedPolls === 0 && server.restartedAt < run.startSentAt) keepReady(task, run)
   stopRestOfGang(state, task, run.run)
   state.release(task)
 }
 
+/** Keeps since when a task, or gang, has been ready of which a start came to nothing. */
+function keepReady (task: TaskState, { readySince }: Run): void {
+  const { step } = task
+  for (const member of step.specification.isGang ? step.knownTasks : [task]) member.readySince = readySince
+}
+
 /** Remembers a start that is given up, and may still arrive in a later incarnation of its backend server. */
 function revokeStart (state: PlannerState, server: Server, run: Run): void {
   server.revokedStarts.add(run)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -83,6 +83,8 @@
   /** Its job wasn't known when it was found, so neither was what it needs. */
   readonly isNeedUnknown?: boolean
   state: RunState
+  /** When its task had become ready to start, on our monotonic clock; absent if an earlier owner started it. */
+  readonly readySince?: number
   /** When the start was sent, on our monotonic clock. */
   readonly startSentAt: number
   /** When the start was confirmed, on our monotonic clock; Infinity before that. */
--- a/packages/jobs/test/unanswered-starts.test.ts
+++ b/packages/jobs/test/unanswered-starts.test.ts
@@ -139,6 +139,22 @@
       })
     }
 
+    // Guards against claims that begin late: after a start that came to nothing, the wait for a better placement began anew.
+    it('doesn\'t wait anew for a better placement', () => {
+      const world = new World(4, { perRack: 2 })
+      for (const rack of ['r1-0', 'r1-1']) world.planner.submit(job(rack, { steps: [step({ requiredLabel: rack })] }))
+      world.settle()
+      const [empty] = world.servers.filter(({ running }) => running.size === 0)
+      empty!.connectivity = 'delays-starts'
+      world.planner.submit(job('a', { steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }))
+      const { length } = world.starts
+      while (world.starts.length === length) world.settle(1)
+      empty!.connectivity = 'answers'
+      world.settle(20)
+      expect(phase(world, 'a')).to.equal('running')
+      expect([0, 1].map(index => world.serverRunning(`a.0.0.${index}`))).not.to.include(undefined)
+    })
+
     it('waits for the lease to expire if the backend server is unreachable', () => {
       const world = new World(1)
       world.pollServers()
