Free other backend servers for a claim whose start had no answer

Cause: a claim whose start isn't answered leaves the capacity free that was made free for it. So its next start went to the same backend server, before any other was freed for it.

Change: a claim uses a backend server that has lately left a start unanswered only if no other can be freed for it.

--- a/packages/jobs/src/eligible-targets.ts
+++ b/packages/jobs/src/eligible-targets.ts
@@ -51,14 +51,16 @@
 
   /**
    * Finds something among these targets, first without the backend servers that have lately left starts unanswered:
-   * the next start there may not be answered either.
+   * the next start there may not be answered either. The others are left out if there `isAnotherWay`.
    */
-  search<Found> (snapshot: CapacitySnapshot, find: (among: CapacitySnapshot) => Found | undefined): Found | undefined {
-    const answering = this.#answeringOf(snapshot)
-    return (answering === snapshot ? undefined : find(answering)) ?? find(snapshot)
+  search<Found> (snapshot: CapacitySnapshot, find: (among: CapacitySnapshot) => Found | undefined, isAnotherWay: () => boolean = () => false): Found | undefined {
+    const answering = this.answering(snapshot)
+    if (answering === snapshot) return find(snapshot)
+    return find(answering) ?? (isAnotherWay() ? undefined : find(snapshot))
   }
 
-  #answeringOf (snapshot: CapacitySnapshot): CapacitySnapshot {
+  /** Returns these targets without the backend servers that have lately left starts unanswered. */
+  answering (snapshot: CapacitySnapshot): CapacitySnapshot {
     const known = this.#answering.get(snapshot)
     if (known !== undefined) return known
     const targets = snapshot.targets.filter(({ server }) => this.#now - server.unansweredStartAt >= UNANSWERED_START_AVOIDANCE_MILLISECONDS)
--- a/packages/jobs/src/lending.ts
+++ b/packages/jobs/src/lending.ts
@@ -3,6 +3,7 @@
  * stopped cheaply. Without that limit a burst of claims finds the pool full of long work
  * without checkpoints, and all of its progress is lost when it is stopped.
  */
+import type { PlacementTarget } from './capacity-snapshot.js'
 import { acceleratorsOf } from './job.js'
 import type { JobState } from './job-state.js'
 import { CLAIM_PEAK_DECAY_MILLISECONDS, MINIMUM_EXPECTED_CLAIM_SHARE } from './limits.js'
@@ -32,3 +33,21 @@
   for (const { job } of jobs) sum += Math.max(...job.steps.map(acceleratorsOf))
   return sum
 }
+
+/**
+ * Counts the accelerators that are free, or held by work that saves checkpoints and is no claim.
+ *
+ * @example
+ * lendableAccelerators(snapshot.targets, claims)
+ */
+export function lendableAccelerators (targets: readonly PlacementTarget[], claims: ReadonlySet<JobState>): number {
+  let available = 0
+  for (const { free, server } of targets) {
+    let reclaimable = free.accelerators
+    for (const [{ job, specification }, count] of server.acceleratorTasksOf) {
+      if (specification.savesCheckpoints && !claims.has(job)) reclaimable += count * specification.need.accelerators
+    }
+    available += Math.max(0, reclaimable)
+  }
+  return available
+}
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -8,7 +8,7 @@
 import { Isolation } from './isolation.js'
 import { dueAt } from './job.js'
 import type { JobState } from './job-state.js'
-import { acceleratorsOfJobs } from './lending.js'
+import { acceleratorsOfJobs, lendableAccelerators } from './lending.js'
 import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
 import { chainLength, gainOf, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
@@ -181,15 +181,7 @@
   /** Accelerators that are free or cheap to reclaim, minus the expected demand of claims. */
   #countLendable (): number {
     const expected = this.#state.claimDemand.observe(acceleratorsOfJobs(this.#claims), this.#state.guaranteedAccelerators, this.#times.now)
-    let available = 0
-    for (const { free, server } of this.#current.targets) {
-      let reclaimable = free.accelerators
-      for (const [{ job, specification }, count] of server.acceleratorTasksOf) {
-        if (specification.savesCheckpoints && !this.#claims.has(job)) reclaimable += count * specification.need.accelerators
-      }
-      available += Math.max(0, reclaimable)
-    }
-    return available - expected
+    return lendableAccelerators(this.#current.targets, this.#claims) - expected
   }
 
   /** False for work without checkpoints that would take accelerators which claims are expected to need. */
@@ -202,15 +194,23 @@
     return accelerators <= this.#lendableAccelerators || (this.#isMostlyIdle && !isBlockingClaims)
   }
 
-  #choose<Targets> (unit: StartUnit, mayWait: boolean, place: (allowed: CapacitySnapshot) => Targets | undefined): Targets | undefined {
-    return this.#eligible.search(this.#eligible.of(unit, mayWait), among => this.#isolation.choose(among, unit, mayWait, place))
+  #choose<Targets> (unit: StartUnit, candidate: Candidate, mayWait: boolean, place: (allowed: CapacitySnapshot) => Targets | undefined): Targets | undefined {
+    const choose = (among: CapacitySnapshot): Targets | undefined => this.#isolation.choose(among, unit, mayWait, place)
+    return this.#eligible.search(this.#eligible.of(unit, mayWait), choose, () => candidate.isClaim && this.#canReclaimElsewhere(unit, candidate, mayWait))
+  }
+
+  /** True if backend servers that answer starts can be freed for a claim, or may be found to be so in the second pass. */
+  #canReclaimElsewhere (unit: StartUnit, candidate: Candidate, mayWait: boolean): boolean {
+    if (this.#isFirstPass) return true
+    const targets = this.#eligibleAfterStops.answering(this.#eligibleAfterStops.lowRisk(unit, mayWait))
+    return this.#planReclaim(unit, candidate, mayWait, targets) !== undefined
   }
 
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
     const mayBorrow = this.#mayBorrow(unit, candidate)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const targets = mayBorrow ? this.#choose(unit, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
+    const targets = mayBorrow ? this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
     if (targets === undefined) {
       if (this.#isFirstPass || this.#isolation.mayHold(unit)) return
       if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
@@ -229,7 +229,7 @@
       const single = unitOf(task)
       if (!this.#mayBorrow(single, candidate)) return
       const mayWait = this.#waits.mayWaitForPlacement(single, candidate)
-      const target = this.#choose(single, mayWait, allowed => this.#chooseTarget(allowed, task))
+      const target = this.#choose(single, candidate, mayWait, allowed => this.#chooseTarget(allowed, task))
       if (target !== undefined) {
         this.#start(task, target, this.#state.nextRun())
         started += 1
@@ -371,12 +371,12 @@
    * the chosen targets. False if nothing was reserved.
    */
   #reclaim (unit: StartUnit, candidate: Candidate): boolean {
-    const { step, first, count } = unit
+    const { step, first } = unit
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => this.#eligibleAfterStops.search(targets, among => planReclaim(mayWait ? this.#isolation.exclude(among) : among, step, count, this.#victimsFor(candidate), mayWait))
+    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => this.#eligibleAfterStops.search(targets, among => this.#planReclaim(unit, candidate, mayWait, among))
     const lowRisk = this.#eligibleAfterStops.lowRisk(unit, mayWait)
     // A claim that has to use backend servers with recent failures has them freed while it still waits for others.
     const search = (): ReclaimPlan | undefined => planAmong(lowRisk) ?? (candidate.isClaim && lowRisk !== this.#afterStops ? planAmong(this.#afterStops) : undefined)
@@ -398,6 +398,10 @@
     return this.#reserveTargets(plan.targets, step)
   }
 
+  #planReclaim ({ step, count }: StartUnit, candidate: Candidate, mayWait: boolean, targets: CapacitySnapshot): ReclaimPlan | undefined {
+    return planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, count, this.#victimsFor(candidate), mayWait)
+  }
+
   #victimsFor (candidate: Candidate): VictimIndex {
     const index = (): VictimIndex => new VictimIndex(victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#state.work)
     if (!candidate.isClaim) return index()
--- a/packages/jobs/test/unanswered-starts.test.ts
+++ b/packages/jobs/test/unanswered-starts.test.ts
@@ -139,6 +139,17 @@
       })
     }
 
+    it('starts a claim elsewhere, though others have to be stopped for it', () => {
+      const world = new World(4)
+      world.planner.submit(job('a', { steps: [step({ count: 24, savesCheckpoints: true })] }))
+      world.settle()
+      const empty = world.servers.find(({ running }) => running.size === 0)!
+      empty.connectivity = 'delays-starts'
+      world.planner.submit(job('b', { queue: 'urgent', workspace: 'brno', steps: [step({ accelerators: 8 })] }))
+      world.settle(120)
+      expect(world.serverRunning('b.0.0.0')).not.to.be.oneOf([undefined, empty])
+    })
+
     // Guards against claims that begin late: after a start that came to nothing, the wait for a better placement began anew.
     it('doesn\'t wait anew for a better placement', () => {
       const world = new World(4, { perRack: 2 })
