Attribute no crash to a task whose loss was discounted

Cause: a crash in an outage was discarded as evidence, and then attributed to the only run there if all other backend servers that crashed had runs that had just started.

Change: only a crash that still counts is attributed.

Result: the new test failed before, with the event for a task that had run for 3 s.

--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -98,7 +98,8 @@
 function attribute (state: PlannerState, { server, at, runs }: Crash, now: number): void {
   for (const run of runs) {
     const task = openTask(state, run)
-    if (task === undefined || task.step.specification.isLasting) continue
+    // A crash that was discarded isn't evidence.
+    if (task === undefined || !task.step.losses.evidence.runsOf(task.index).includes(run.run)) continue
     const { step } = task
     const crashes = step.losses.attribute(task.index, run.run)
     step.losses.change = state.markChanged(step.job)
--- a/packages/jobs/test/crashing-tasks.test.ts
+++ b/packages/jobs/test/crashing-tasks.test.ts
@@ -367,26 +367,45 @@
   })
 
   // Guards against hundreds of lost tasks that each wait for an empty backend server: while others started, each crash of an outage seemed to be due to them.
-  it('keeps no task waiting for long in a full pool that was lost in two outages of its failure domain, the first while others started', () => {
-    const world = new World(12)
-    const failureDomain = world.servers.slice(0, 4)
-    const occurrences = 12
-    const count = 60
-    // The backend servers have room for all tasks, and for no more.
-    const need = { processor: 32_000 * world.servers.length / (occurrences * count), memory: 100, accelerators: 0 }
-    const work = step({ count, need, estimateMilliseconds: LONG_ENOUGH_MILLISECONDS })
-    world.planner.submit(job('wide', { steps: [work], schedule: { occurrences, startAt: world.wallTime, intervalMilliseconds: 500 } }))
-    const playWithProgress = (milliseconds: number): void => play(world, milliseconds, {
-      afterStep: () => {
-        for (const server of world.servers) for (const run of server.running.values()) server.running.set(run.task, { ...run, percent: Math.floor(world.now / 1000) })
+  for (const crashMilliseconds of [500, 3000]) {
+    it(`keeps no task waiting for long in a full pool that was lost in two outages of ${crashMilliseconds} ms of its failure domain, the first while others started`, () => {
+      const world = new World(12)
+      world.crashMilliseconds = crashMilliseconds
+      const failureDomain = world.servers.slice(0, 4)
+      const occurrences = 12
+      const count = 60
+      // The backend servers have room for all tasks, and for no more.
+      const need = { processor: 32_000 * world.servers.length / (occurrences * count), memory: 100, accelerators: 0 }
+      const work = step({ count, need, estimateMilliseconds: LONG_ENOUGH_MILLISECONDS })
+      world.planner.submit(job('wide', { steps: [work], schedule: { occurrences, startAt: world.wallTime, intervalMilliseconds: 500 } }))
+      const playWithProgress = (milliseconds: number): void => play(world, milliseconds, {
+        afterStep: () => {
+          for (const server of world.servers) for (const run of server.running.values()) server.running.set(run.task, { ...run, percent: Math.floor(world.now / 1000) })
+        }
+      })
+      playWithProgress(3000)
+      for (let time = 0; time < 2; time += 1) {
+        for (const server of failureDomain) server.crash(world.now + world.crashMilliseconds)
+        playWithProgress(world.crashMilliseconds + STANDSTILL_MILLISECONDS)
       }
+      expect(world.planner.load.runs).to.equal(occurrences * count)
     })
-    playWithProgress(3000)
-    for (let time = 0; time < 2; time += 1) {
-      for (const server of failureDomain) server.crash(world.now + world.crashMilliseconds)
-      playWithProgress(world.crashMilliseconds + STANDSTILL_MILLISECONDS)
-    }
-    expect(world.planner.load.runs).to.equal(occurrences * count)
+  }
+
+  it('is attributed to no task whose loss is discounted, since others crashed at the starts of theirs', () => {
+    const world = new World(6)
+    world.planner.submit(job('long'))
+    play(world, 3000)
+    const server = world.serverRunning('long.0.0.0')!
+    const others = Array.from({ length: 5 }, (_, index) => job(`new-${index}`, { steps: [step({ accelerators: 8 })] }))
+    for (const each of others) world.planner.submit(each)
+    while (others.some(({ id }) => world.serverRunning(`${id}.0.0.0`) === undefined)) world.settle(1)
+    for (const each of world.servers) each.crash(world.now + world.crashMilliseconds)
+    expect(server.running.size).to.equal(0)
+    play(world, world.crashMilliseconds + STANDSTILL_MILLISECONDS)
+    const attributed = world.planner.drainEvents().filter(event => event.type === 'crash-attributed')
+    expect(attributed.map(event => 'task' in event ? event.task : undefined)).not.to.include('long.0.0.0')
+    expect(world.planner.progressOf(jobId('long'))!.steps['0.0']!.attributed).to.equal(undefined)
   })
 
   it('is not assumed if a backend server was only cut off', () => {
--- a/packages/jobs/test/isolation.test.ts
+++ b/packages/jobs/test/isolation.test.ts
@@ -117,6 +117,22 @@
   })
 })
 
+describe('tasks that are suspects until many backend servers are seen to have crashed', () => {
+  it('are no longer isolated then', () => {
+    const tasks = Array.from({ length: 8 }, (_, index) => index)
+    const lost = Object.fromEntries(tasks.map(index => [index, [1]]))
+    const work = job('a', { steps: [step({ count: tasks.length, accelerators: 3 })] })
+    const world = worldWith(4, [], [{ job: work, isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done: [], failed: {}, lost, crashes: {} } } } }])
+    play(world, 3000)
+    for (const server of world.servers) server.crash(world.now + 500)
+    play(world, 3000)
+    expect(tasks.map(index => serverOf(world, `a.0.0.${index}`))).not.to.include(undefined)
+    world.planner.submit(job('c'))
+    play(world, 500)
+    expect(phase(world, 'c')).to.equal('running')
+  })
+})
+
 describe('a run that is not lost with its backend server', () => {
   const world = (): World => {
     const started = new World(1)
