Search once for each start while backend servers are avoided

Cause: where a backend server that left a start unanswered was the best choice, each start searched twice, among all and without it. A start answered there between the time limit and the poll that settles was forgotten, and a claim that keeps the plan of its last turn took it for one without avoided backend servers.

Change: the next task of a step is searched for among the answering ones first, or among all if those had no room. The times of the last unanswered and the last answered start are compared. A kept plan counts only if it has no avoided backend server.

--- a/packages/jobs/src/eligible-targets.ts
+++ b/packages/jobs/src/eligible-targets.ts
@@ -21,6 +21,8 @@
   #lowRisk: CapacitySnapshot | undefined
   /** Snapshots without the backend servers that have lately left starts unanswered. */
   readonly #answering = new Map<CapacitySnapshot, CapacitySnapshot>()
+  /** By snapshot, the last step for which these were left out, and whether the others had room: its next task is searched for once. */
+  readonly #lastSearches = new Map<CapacitySnapshot, { readonly step: StepState, readonly hasRoom: boolean }>()
 
   constructor (state: PlannerState, now: number, snapshot: CapacitySnapshot) {
     this.#state = state
@@ -50,13 +52,23 @@
   }
 
   /**
-   * Finds something among these targets. If it includes a backend server that has lately left a start unanswered, and may do so
-   * again, looks for something without any. What was found first is used if there is none, unless there `isAnotherWay`.
+   * Finds something for a step among these targets, if possible without a backend server that has lately left a start
+   * unanswered and may do so again. Unless there is another way to find such a thing, one with these backend servers is returned.
    */
-  search<Found> (snapshot: CapacitySnapshot, find: (among: CapacitySnapshot) => Found | undefined, targetsOf: (found: Found) => readonly PlacementTarget[], isAnotherWay: () => boolean = () => false): Found | undefined {
+  search<Found> (step: StepState, snapshot: CapacitySnapshot, find: (among: CapacitySnapshot) => Found | undefined, targetsOf: (found: Found) => readonly PlacementTarget[], hasAnotherWay: () => boolean = () => false): Found | undefined {
+    const last = this.#lastSearches.get(snapshot)
+    const hadRoom = last?.step === step ? last.hasRoom : undefined
+    const findAnswering = (): Found | undefined => {
+      const found = find(this.answering(snapshot))
+      this.#lastSearches.set(snapshot, { step, hasRoom: found !== undefined })
+      return found
+    }
+    const next = hadRoom === true ? findAnswering() : undefined
+    if (next !== undefined) return next
     const found = find(snapshot)
     if (found === undefined || targetsOf(found).every(target => this.#isAnswering(target))) return found
-    return find(this.answering(snapshot)) ?? (isAnotherWay() ? undefined : found)
+    const other = hadRoom === undefined ? findAnswering() : undefined
+    return other ?? (hasAnotherWay() ? undefined : found)
   }
 
   /** Returns these targets without the backend servers that have lately left starts unanswered. */
@@ -69,6 +81,7 @@
   }
 
   #isAnswering ({ server }: PlacementTarget): boolean {
-    return this.#now - server.unansweredStartAt >= UNANSWERED_START_AVOIDANCE_MILLISECONDS
+    const { unansweredStartAt, answeredStartAt } = server
+    return answeredStartAt > unansweredStartAt || this.#now - unansweredStartAt >= UNANSWERED_START_AVOIDANCE_MILLISECONDS
   }
 }
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -4,7 +4,7 @@
 export const MINIMUM_SERVER_CLOCK_RATE = 0.98
 /** Consecutive failures after which a backend server is unhealthy; a single one may be the task's own fault. */
 export const UNHEALTHY_AFTER_FAILURES = 2
-/** How long a backend server that has left a start unanswered is avoided where others have room, in milliseconds: longer than the bounds of waiting work. */
+/** How long a backend server that has left a start unanswered is avoided where others have room, in milliseconds. */
 export const UNANSWERED_START_AVOIDANCE_MILLISECONDS = 4000
 /** How long after a failure a backend server is avoided by tasks with few attempts left, in milliseconds: about one run time. */
 export const FAILURE_AVOIDANCE_MILLISECONDS = 6000
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -196,13 +196,14 @@
 
   #choose<Targets extends PlacementTarget | readonly PlacementTarget[]> (unit: StartUnit, candidate: Candidate, mayWait: boolean, place: (allowed: CapacitySnapshot) => Targets | undefined): Targets | undefined {
     const choose = (among: CapacitySnapshot): Targets | undefined => this.#isolation.choose(among, unit, mayWait, place)
-    return this.#eligible.search(this.#eligible.of(unit, mayWait), choose, targets => [targets].flat(), () => candidate.isClaim && this.#canReclaimElsewhere(unit, candidate, mayWait))
+    return this.#eligible.search(unit.step, this.#eligible.of(unit, mayWait), choose, targets => [targets].flat(), () => candidate.isClaim && this.#canReclaimElsewhere(unit, candidate, mayWait))
   }
 
-  /** True if backend servers that answer starts can be freed for a claim, or may be found to be so in the second pass. */
+  /** True if backend servers that answer starts are being freed for a claim, can be, or may be found to be so in the second pass. */
   #canReclaimElsewhere (unit: StartUnit, candidate: Candidate, mayWait: boolean): boolean {
-    const targets = (): CapacitySnapshot => this.#eligibleAfterStops.answering(this.#eligibleAfterStops.lowRisk(unit, mayWait))
-    return this.#isFirstPass || this.#state.claimTurns.canFind(unit.step, () => this.#planReclaim(unit, candidate, mayWait, targets()))
+    if (this.#isFirstPass) return true
+    const targets = this.#eligibleAfterStops.answering(this.#eligibleAfterStops.lowRisk(unit, mayWait))
+    return this.#state.claimTurns.canPlan(unit.step, targets, () => this.#planReclaim(unit, candidate, mayWait, targets))
   }
 
   #placeGang (unit: StartUnit, candidate: Candidate): void {
@@ -375,7 +376,7 @@
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => this.#eligibleAfterStops.search(targets, among => this.#planReclaim(unit, candidate, mayWait, among), plan => plan.targets)
+    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => this.#eligibleAfterStops.search(step, targets, among => this.#planReclaim(unit, candidate, mayWait, among), plan => plan.targets)
     const lowRisk = this.#eligibleAfterStops.lowRisk(unit, mayWait)
     // A claim that has to use backend servers with recent failures has them freed while it still waits for others.
     const search = (): ReclaimPlan | undefined => planAmong(lowRisk) ?? (candidate.isClaim && lowRisk !== this.#afterStops ? planAmong(this.#afterStops) : undefined)
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -301,8 +301,7 @@
 const START_HANDLERS: Readonly<Record<StartOutcome, StartHandler>> = {
   unsent: notStarted,
   expired: notStarted,
-  started: (state, server, run, now) => {
-    server.unansweredStartAt = -Infinity
+  started: (state, _server, run, now) => {
     confirmStart(state, run, now)
     run.progressedAt = now
   },
@@ -351,8 +350,11 @@
   const server = state.servers.get(id)
   const run = server?.run(task, number)
   const effect = START_LIMIT_EFFECTS[outcome]
-  if (effect === undefined) state.startLimit.noteAnswered()
-  else effect(state, now)
+  if (effect !== undefined) effect(state, now)
+  else {
+    state.startLimit.noteAnswered()
+    if (server !== undefined) server.answeredStartAt = now
+  }
   if (server !== undefined && run !== undefined) START_HANDLERS[outcome](state, server, run, now)
 }
 
--- a/packages/jobs/src/search-turns.ts
+++ b/packages/jobs/src/search-turns.ts
@@ -1,4 +1,5 @@
 /** Limits the searches for reclaim plans in one round, and gives each waiting step its turn. */
+import type { CapacitySnapshot } from './capacity-snapshot.js'
 import type { ServerId } from './ids.js'
 import type { StepState } from './step-state.js'
 import { MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND } from './limits.js'
@@ -18,7 +19,7 @@
   readonly #work: RoundWork
   /** Backend servers planned for the steps that had their turn; empty if there was no plan. */
   readonly #planned = new Map<StepState, readonly ServerId[]>()
-  /** By step, whether a plan was found in this round beside its turn. */
+  /** By step, whether a search that took no turn has found a plan in this round. */
   readonly #canFind = new Map<StepState, boolean>()
   #examinations = 0
   /** Steps that had no turn in this round, and in the last one. */
@@ -54,13 +55,16 @@
     return plan
   }
 
-  /** True if a search finds a plan for a step. It takes no turn, is made once a round, and only if the step has its turn. */
-  canFind (step: StepState, search: () => ReclaimPlan | undefined): boolean {
-    const known = this.#canFind.get(step)
-    if (known !== undefined) return known
-    const isFound = this.isNext(step) ? this.#count(search) !== undefined : this.plannedFor(step).length > 0
-    this.#canFind.set(step, isFound)
-    return isFound
+  /**
+   * True if all backend servers planned for a step are among these, or if nothing is planned and a search finds a plan. The
+   * search takes no turn, but is made only while the step may have one, and once a round.
+   */
+  canPlan (step: StepState, among: Pick<CapacitySnapshot, 'targetOf'>, search: () => ReclaimPlan | undefined): boolean {
+    const planned = this.plannedFor(step)
+    if (planned.length > 0) return planned.every(id => among.targetOf(id) !== undefined)
+    const canFind = this.#canFind.get(step) ?? (this.isNext(step) && this.#count(search) !== undefined)
+    this.#canFind.set(step, canFind)
+    return canFind
   }
 
   #count (search: () => ReclaimPlan | undefined): ReclaimPlan | undefined {
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -157,8 +157,10 @@
   /** Failures since a task last completed there. */
   consecutiveFailures = 0
   lastFailureAt = -Infinity
-  /** When a start that was given up since was found to have no answer, unless a later one was answered. */
+  /** When the last start that was given up since was found to have no answer. */
   unansweredStartAt = -Infinity
+  /** When a start was last answered. */
+  answeredStartAt = -Infinity
   /** It has refused a start for lack of capacity; no starts until the next poll. */
   hasRefusedForCapacity = false
   #isOut = false
--- a/packages/jobs/test/round-work.test.ts
+++ b/packages/jobs/test/round-work.test.ts
@@ -123,12 +123,18 @@
   })
 
   describe('with a claim for each two backend servers of a full pool', () => {
-    it('has an upper limit, and every claim still starts within the reclaim bound', () => {
+    /** A full pool whose workspace may claim all of it. */
+    const fullWorld = (): World => {
       const world = new World(246, { perRack: 12 })
       world.planner.configure({ ...CONFIGURATION, workspaces: [{ name: workspaceName('brno'), keys: [], guaranteedAccelerators: 1968 }] })
       world.settle()
       for (let number = 0; number < 246; number += 1) world.planner.submit(job(`running${number}`, { steps: [step({ count: 8 })] }))
       world.settle()
+      return world
+    }
+
+    /** Submits the claims, plays for as long as they may wait, and returns what the rounds examined. */
+    const examinationsWithClaims = (world: World): readonly number[] => {
       for (let number = 0; number < 123; number += 1) world.planner.submit(job(`claim${number}`, { queue: 'urgent', workspace: 'brno', steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })], acceptedAt: world.wallTime }))
       const rounds: number[] = []
       for (let elapsed = 0; elapsed < RECLAIM_MILLISECONDS; elapsed += ROUND_INTERVAL_MILLISECONDS) {
@@ -136,26 +142,41 @@
         world.pollServers()
         world.planner.markStored(world.planner.unstoredJobs)
       }
-      expect(Math.max(...rounds)).to.be.at.most(ROUND_MILLISECONDS * EXAMINATIONS_PER_MILLISECOND)
+      return rounds
+    }
+
+    it('has an upper limit, and every claim still starts within the reclaim bound', () => {
+      const world = fullWorld()
+      expect(Math.max(...examinationsWithClaims(world))).to.be.at.most(ROUND_MILLISECONDS * EXAMINATIONS_PER_MILLISECOND)
       expect(world.starts.filter(start => start.task.startsWith('claim'))).to.have.length(246)
     })
 
     // Guards against rounds that search twice for each claim, since some backend servers are avoided.
     it('has an upper limit while backend servers leave starts unanswered', () => {
+      const world = fullWorld()
+      for (const server of world.servers.filter((_, index) => index % 10 === 0)) server.connectivity = 'delays-starts'
+      expect(Math.max(...examinationsWithClaims(world))).to.be.at.most(ROUND_MILLISECONDS * EXAMINATIONS_PER_MILLISECOND)
+    })
+  })
+
+  // Guards against rounds that search twice for each start, since some backend servers are avoided.
+  describe('with many tasks that wait in an empty pool', () => {
+    const mostExamined = (unanswering: number): number => {
       const world = new World(246, { perRack: 12 })
-      world.planner.configure({ ...CONFIGURATION, workspaces: [{ name: workspaceName('brno'), keys: [], guaranteedAccelerators: 1968 }] })
-      world.settle()
-      for (let number = 0; number < 246; number += 1) world.planner.submit(job(`running${number}`, { steps: [step({ count: 8 })] }))
       world.settle()
-      for (const server of world.servers.filter((_, index) => index % 10 === 0)) server.connectivity = 'delays-starts'
-      for (let number = 0; number < 123; number += 1) world.planner.submit(job(`claim${number}`, { queue: 'urgent', workspace: 'brno', steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })], acceptedAt: world.wallTime }))
-      const rounds: number[] = []
-      for (let elapsed = 0; elapsed < RECLAIM_MILLISECONDS; elapsed += ROUND_INTERVAL_MILLISECONDS) {
-        rounds.push(examinationsOfRound(world, ROUND_INTERVAL_MILLISECONDS))
+      for (const server of world.servers.slice(0, unanswering)) server.connectivity = 'delays-starts'
+      world.planner.submit(job('a', { steps: [step({ count: 1900 })] }))
+      let most = 0
+      for (let time = 0; time < 20; time += 1) {
+        most = Math.max(most, examinationsOfRound(world, 50))
         world.pollServers()
         world.planner.markStored(world.planner.unstoredJobs)
       }
-      expect(Math.max(...rounds)).to.be.at.most(ROUND_MILLISECONDS * EXAMINATIONS_PER_MILLISECOND)
+      return most
+    }
+
+    it('hardly grows while backend servers leave starts unanswered', () => {
+      expect(mostExamined(24)).to.be.below(1.2 * mostExamined(0))
     })
   })
 })
--- a/packages/jobs/test/search-turns.test.ts
+++ b/packages/jobs/test/search-turns.test.ts
@@ -1,7 +1,11 @@
 import { expect } from 'chai'
+import type { CapacitySnapshot } from '../src/capacity-snapshot.js'
+import { serverId } from '../src/index.js'
 import { MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND } from '../src/limits.js'
+import type { ReclaimPlan } from '../src/reclaim.js'
 import { RoundWork } from '../src/round-work.js'
 import { SearchTurns } from '../src/search-turns.js'
+import type { Server } from '../src/server.js'
 import type { StepState } from '../src/step-state.js'
 
 const stepNamed = (name: string): StepState => ({ name }) as unknown as StepState
@@ -39,4 +43,48 @@
       expect(round(turns, [next!])).to.deep.equal([next])
     })
   })
+
+  describe('asked whether backend servers can be planned for a step', () => {
+    const server = { id: serverId('server') } as Server
+    const plan = { targets: [{ server }], victims: [], cost: 0 } as unknown as ReclaimPlan
+    const among = (...ids: readonly string[]): Pick<CapacitySnapshot, 'targetOf'> => ({ targetOf: id => ids.includes(id) ? plan.targets[0] : undefined })
+
+    it('search once a round, and leave the step its turn', () => {
+      const turns = new SearchTurns(work)
+      const step = stepNamed('a')
+      let searches = 0
+      const search = (): ReclaimPlan => {
+        searches += 1
+        return plan
+      }
+      turns.beginRound()
+      expect([turns.canPlan(step, among(), search), turns.canPlan(step, among(), search)]).to.deep.equal([true, true])
+      expect(searches).to.equal(1)
+      expect(turns.isNext(step)).to.equal(true)
+      turns.beginRound()
+      expect(turns.canPlan(step, among(), search)).to.equal(true)
+      expect(searches).to.equal(2)
+    })
+
+    it('count what the search examines for the limit', () => {
+      const turns = new SearchTurns(work)
+      turns.beginRound()
+      turns.canPlan(stepNamed('a'), among(), () => {
+        work.add(MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND)
+        return plan
+      })
+      expect(turns.isNext(stepNamed('b'))).to.equal(false)
+      expect(turns.canPlan(stepNamed('c'), among(), () => plan)).to.equal(false)
+    })
+
+    // Guards against claims that wait beside a free backend server, though the plan of their last turn includes it.
+    it('say so of a planned step only if all that is planned is among them', () => {
+      const turns = new SearchTurns(work)
+      const step = stepNamed('a')
+      turns.beginRound()
+      turns.search(step, () => plan)
+      expect(turns.canPlan(step, among('server'), () => undefined)).to.equal(true)
+      expect(turns.canPlan(step, among(), () => plan)).to.equal(false)
+    })
+  })
 })
--- a/packages/jobs/test/unanswered-starts.test.ts
+++ b/packages/jobs/test/unanswered-starts.test.ts
@@ -139,6 +139,21 @@
       })
     }
 
+    it('starts a task there again if another start has been answered since', () => {
+      const world = new World(2)
+      world.pollServers()
+      const [first] = world.servers
+      first!.connectivity = 'delays-starts'
+      world.planner.submit(job('a'))
+      world.round()
+      first!.connectivity = 'answers'
+      world.planner.submit(job('b'))
+      world.round()
+      expect(world.serverRunning('b.0.0.0')).to.equal(first)
+      world.settle(20)
+      expect(world.serverRunning('a.0.0.0')).to.equal(first)
+    })
+
     it('starts a claim elsewhere, though others have to be stopped for it', () => {
       const world = new World(4)
       world.planner.submit(job('a', { steps: [step({ count: 24, savesCheckpoints: true })] }))
@@ -150,7 +165,7 @@
       expect(world.serverRunning('b.0.0.0')).not.to.be.oneOf([undefined, empty])
     })
 
-    // Guards against claims that begin late: after a start that came to nothing, the wait for a better placement began anew.
+    // Guards against work that begins late: after a start that came to nothing, the wait for a better placement began anew.
     it('doesn\'t wait anew for a better placement', () => {
       const world = new World(4, { perRack: 2 })
       for (const rack of ['r1-0', 'r1-1']) world.planner.submit(job(rack, { steps: [step({ requiredLabel: rack })] }))
