Log restarts of backend servers, expired leases, and why a run is gone

No line says that an owner takes a backend server to have restarted, nor from what, nor which runs it drops; task-ended with gone has no cause. Change: events 1050 (server-restarted: source, both start times, missed polls, runs dropped and kept, age of the youngest dropped one) and 1051 (server-leases-expired), and the field cause of 1028 and 1047. No decision changes.

--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -6,6 +6,10 @@
 
 const EMITTERS: Emitters = {
   'task-ended': (emit, { type, ...details }) => emit('task-ended', { details }),
+  'server-restarted': (emit, { type, sinceAnswer, youngest, ...details }) => {
+    emit('server-restarted', { details: { ...details, ...roundedWait(sinceAnswer), ...(youngest === undefined ? {} : { youngest: Math.round(youngest) }) } })
+  },
+  'server-leases-expired': (emit, { type, sinceAnswer, ...details }) => emit('server-leases-expired', { details: { ...details, ...roundedWait(sinceAnswer) } }),
   'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
   'crash-attributed': (emit, { type, ...details }) => emit('crash-attributed', { details }),
   'crashes-refuted': (emit, { type, ...details }) => emit('crashes-refuted', { details }),
@@ -18,6 +22,11 @@
   'server-pool-unknown': (emit, { type, ...details }) => emit('server-pool-unknown', { details })
 }
 
+/** Milliseconds since an answer; absent if there was none. */
+function roundedWait (sinceAnswer: number): { readonly sinceAnswer?: number } {
+  return Number.isFinite(sinceAnswer) ? { sinceAnswer: Math.round(sinceAnswer) } : {}
+}
+
 /**
  * Writes events of the planner to the log.
  *
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -152,7 +152,7 @@
       const server = this.#state.registerServer(entry, now)
       // While it answers, only its own reports say that it has restarted: the row may be of another writer.
       const hasRestarted = entry.incarnation > server.entry.incarnation && (!server.hasAnswered || server.missedPolls > 0)
-      if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, times)
+      if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, 'registry', times)
       server.entry = { ...entry, incarnation: server.entry.incarnation }
       server.listedIncarnation = entry.incarnation
     }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -9,7 +9,7 @@
 import { withStopDue } from './revoked-starts.js'
 import type { ListedEnd, ListedRun, Run, RunEnd, Server, ServerReport } from './server.js'
 import { correctLoss, countLostRuns, mayExecute, refuteCrashes, takeLostRuns, weighEnd } from './lost-runs.js'
-import type { PlannerState } from './state.js'
+import type { GoneCause, PlannerState, RestartSource } from './state.js'
 import type { TaskState } from './task-state.js'
 import { requestStop, requestStops, stopRestOfGang } from './stops.js'
 
@@ -25,7 +25,7 @@
   } else {
     // A poll sent before the restart was known may have been answered by the earlier incarnation.
     if (report.sentAt < server.restartedAt) return
-    applyRestart(state, server, report.incarnation, { now: report.receivedAt, wallTime }, report.running)
+    applyRestart(state, server, report.incarnation, 'report', { now: report.receivedAt, wallTime }, report.running)
   }
   server.recordAnswer(report.clock, report.receivedAt)
   state.recovery.noteAnswer(server, report.sentAt)
@@ -47,7 +47,7 @@
   if (report.hasMoreEnds) return
   for (const run of [...server.runs.values()]) {
     if (listed.has(run)) continue
-    if (hasEnded(run, report.sentAt)) removeUnlisted(state, server, run)
+    if (hasEnded(run, report.sentAt)) removeEnded(state, server, run, 'unlisted')
     else if (run.unansweredAt !== undefined && run.unansweredAt <= report.sentAt) giveUpStart(state, run)
   }
 }
@@ -206,9 +206,9 @@
 }
 
 /** Removes a run that is known to have ended, and stops the rest of its gang. */
-function removeRun (state: PlannerState, server: Server, run: Run): void {
+function removeRun (state: PlannerState, server: Server, run: Run, cause: GoneCause): void {
   server.remove(run)
-  if (run.confirmedAt < Infinity) state.recordEvent({ type: 'task-ended', task: run.task, run: run.run, server: server.id, how: 'gone' })
+  if (run.confirmedAt < Infinity) state.recordEvent({ type: 'task-ended', task: run.task, run: run.run, server: server.id, how: 'gone', cause })
   const task = state.task(run.task)
   if (task === undefined) return
   task.removeRun(run)
@@ -231,10 +231,10 @@
 }
 
 /** Removes a run that has ended or can't begin in this incarnation of its backend server. */
-function removeUnlisted (state: PlannerState, server: Server, run: Run): void {
+function removeEnded (state: PlannerState, server: Server, run: Run, cause: GoneCause): void {
   if (run.confirmedAt === Infinity) revokeStart(state, server, run)
   if (server.missedPolls === 0) weighEnd(state, run)
-  removeRun(state, server, run)
+  removeRun(state, server, run, cause)
 }
 
 /**
@@ -243,13 +243,14 @@
  * was confirmed.
  *
  * @example
- * applyRestart(state, server, entry.incarnation, { now, wallTime })
+ * applyRestart(state, server, entry.incarnation, 'registry', { now, wallTime })
  */
-export function applyRestart (state: PlannerState, server: Server, incarnation: number, { now, wallTime }: RoundTimes, listed: readonly ListedRun[] = []): void {
+export function applyRestart (state: PlannerState, server: Server, incarnation: number, source: RestartSource, { now, wallTime }: RoundTimes, listed: readonly ListedRun[] = []): void {
+  noteRestart(state, server, incarnation, source, now)
   const isListed = ({ task, run }: Run): boolean => listed.some(entry => entry.task === task && entry.run === run)
   const lost = takeLostRuns(state, server).filter(run => !isListed(run))
   for (const run of [...server.runs.values()]) {
-    if (run.confirmedAt < Infinity) removeRun(state, server, run)
+    if (run.confirmedAt < Infinity) removeRun(state, server, run, 'restarted')
     else withStopDue(run)
   }
   server.stops.resend()
@@ -264,6 +265,12 @@
   countLostRuns(state, server, lost, { now, wallTime })
 }
 
+function noteRestart (state: PlannerState, { id, entry, missedPolls, lastAnswerAt, runs }: Server, incarnation: number, source: RestartSource, now: number): void {
+  const dropped = [...runs.values()].filter(run => run.confirmedAt < Infinity)
+  const youngest = Math.min(...dropped.map(run => now - run.confirmedAt))
+  state.recordEvent({ type: 'server-restarted', server: id, source, earlier: entry.incarnation, incarnation, missedPolls, sinceAnswer: now - lastAnswerAt, dropped: dropped.length, kept: runs.size - dropped.length, ...(dropped.length === 0 ? {} : { youngest }) })
+}
+
 /**
  * Removes the runs of an unreachable backend server after all its leases have expired.
  *
@@ -273,7 +280,9 @@
 export function dropExpired (state: PlannerState, server: Server, now: number): void {
   if (server.missedPolls === 0 || server.leasesExpiredBy > now || server.runs.size === 0) return
   state.missingRuns.add(server, mayExecute(server), ({ task }) => state.task(task)?.step.job.isOpen === true)
-  for (const run of [...server.runs.values()]) removeUnlisted(state, server, run)
+  const runs = [...server.runs.values()]
+  state.recordEvent({ type: 'server-leases-expired', server: server.id, missedPolls: server.missedPolls, sinceAnswer: now - server.lastAnswerAt, runs: runs.length, unconfirmed: runs.filter(run => run.confirmedAt === Infinity).length })
+  for (const run of runs) removeEnded(state, server, run, 'expired')
 }
 
 /**
@@ -289,14 +298,14 @@
   const lost = takeLostRuns(state, server)
   for (const run of [...server.runs.values()]) {
     if (run.confirmedAt === Infinity) revokeStart(state, server, run)
-    removeRun(state, server, run)
+    removeRun(state, server, run, 'replaced')
   }
   countLostRuns(state, server, lost, times)
 }
 
 type StartHandler = (state: PlannerState, server: Server, run: Run, now: number) => void
 
-const notStarted: StartHandler = (state, server, run) => removeRun(state, server, run)
+const notStarted: StartHandler = (state, server, run) => removeRun(state, server, run, 'unlisted')
 
 const START_HANDLERS: Readonly<Record<StartOutcome, StartHandler>> = {
   unsent: notStarted,
@@ -307,12 +316,12 @@
   },
   'no-room': (state, server, run) => {
     server.hasRefusedForCapacity = true
-    removeRun(state, server, run)
+    removeRun(state, server, run, 'unlisted')
   },
   unhealthy: (state, server, run, now) => {
     server.consecutiveFailures += 1
     server.lastFailureAt = now
-    removeRun(state, server, run)
+    removeRun(state, server, run, 'unlisted')
   },
   // Only the answer may be lost: the next poll shows whether the run exists.
   unanswered: (state, server, run, now) => {
@@ -329,7 +338,7 @@
   'other-life': notStarted,
   'no-ticket': (state, server, run) => {
     state.task(run.task)?.step.advice.tickets.delete(server.id)
-    removeRun(state, server, run)
+    removeRun(state, server, run, 'unlisted')
   }
 }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -22,9 +22,17 @@
 import type { StepState } from './step-state.js'
 import type { TaskState } from './task-state.js'
 
+/** Why a run that no list has as ended is known to be gone: a complete list lacks it, or its backend server has restarted, was replaced, or was unreachable until all leases had expired. */
+export type GoneCause = 'unlisted' | 'restarted' | 'replaced' | 'expired'
+
+/** What has shown a restart: the entry in the registry, or an answer to a poll. */
+export type RestartSource = 'registry' | 'report'
+
 /** An event of a task, a job or a backend server, for the log. */
 export type PlannerEvent =
-  | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone' }
+  | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone', readonly cause?: GoneCause }
+  | { readonly type: 'server-restarted', readonly server: ServerId, readonly source: RestartSource, readonly earlier: number, readonly incarnation: number, readonly missedPolls: number, readonly sinceAnswer: number, readonly dropped: number, readonly kept: number, readonly youngest?: number }
+  | { readonly type: 'server-leases-expired', readonly server: ServerId, readonly missedPolls: number, readonly sinceAnswer: number, readonly runs: number, readonly unconfirmed: number }
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number, readonly exposureMilliseconds?: number, readonly background: number }
   | { readonly type: 'crashes-refuted', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly discarded: number, readonly workedMilliseconds: number }
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -4,6 +4,8 @@
 /** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
 const RUN_GROUP_FIELDS = { server: 'backend server', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'tasks, with the indexes of those of one step as ranges' } as const
 
+const GONE_CAUSE = 'for gone, how that is known: unlisted: a complete list lacks it; restarted, replaced: so was its backend server; expired: that was unreachable until all leases had expired; else absent'
+
 /** Fields of the planner's load. */
 const LOAD_FIELDS = {
   jobsQueued: 'jobs of which no task has started',
@@ -174,7 +176,7 @@
     number: 1028,
     level: 'info',
     sentence: 'A run has ended, or no longer exists.',
-    fields: { task: 'task', run: 'run number', server: 'backend server', how: 'outcome as the backend server reports it; gone: the server no longer reports the run, or its lease has expired' },
+    fields: { task: 'task', run: 'run number', server: 'backend server', how: 'outcome as the backend server reports it; gone: the server no longer reports the run, or its lease has expired', cause: GONE_CAUSE },
     action: NO_ACTION
   },
   'job-ended': {
@@ -307,7 +309,7 @@
     number: 1047,
     level: 'info',
     sentence: 'Runs have ended, or no longer exist, more than have a line of their own (task-ended).',
-    fields: { ...RUN_GROUP_FIELDS, how: 'outcome as the backend server reports it, or gone' },
+    fields: { ...RUN_GROUP_FIELDS, how: 'outcome as the backend server reports it, or gone', cause: GONE_CAUSE },
     action: NO_ACTION
   },
   'runs-lost-with-server': {
@@ -323,5 +325,19 @@
     sentence: 'Runs were at work for longer than until earlier crashes under their tasks, which no longer count against these; more than have a line of their own (crashes-refuted).',
     fields: RUN_GROUP_FIELDS,
     action: NO_ACTION
+  },
+  'server-restarted': {
+    number: 1050,
+    level: 'warning',
+    sentence: 'The planner has learned that a backend server has restarted; runs that the earlier incarnation had confirmed are gone.',
+    fields: { server: 'backend server', source: 'what has shown it: registry, report (an answer to a poll)', earlier: 'start time of the incarnation known until then, in milliseconds since 1970', incarnation: 'start time of the new one', missedPolls: 'polls that it has missed since its last answer', sinceAnswer: 'milliseconds since its last answer; absent if it has not answered this owner', dropped: 'confirmed runs that are gone', kept: 'runs whose starts were never confirmed, which may still begin', youngest: 'milliseconds since the last of the dropped runs was confirmed; absent if there are none' },
+    action: 'If it recurs for one backend server or failure domain, inspect that.'
+  },
+  'server-leases-expired': {
+    number: 1051,
+    level: 'warning',
+    sentence: 'A backend server was unreachable until the leases of all its runs had expired; their tasks may be started again.',
+    fields: { server: 'backend server', missedPolls: 'polls that it has missed since its last answer', sinceAnswer: 'milliseconds since its last answer; absent if it has not answered this owner', runs: 'number of runs', unconfirmed: 'those of them whose starts were never confirmed' },
+    action: 'Check that the VM can reach the backend server.'
   }
 } as const satisfies CatalogueRows
