Poll a backend server at once when its registry entry shows a restart

Cause: while a backend server answers, only its own reports show a restart, and the poll that waits at a process that crashed without a trace ends only at its time limit, up to 2.6 s later. Until then the owner counted on it, and its starts there found another incarnation. Change: an entry with a newer start time than the one that answers, once for each, has the owner poll on a new connection at once. The entry alone still ends no run: it may be another writer's. Tests: the host polls whichever incarnation answers, once for three readings; the planner names the backend server once and keeps its runs. Both failed before.

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -337,9 +337,10 @@
   }
 
   #updateRegistry ({ entries, unreadable }: RegistryReading): void {
-    this.#planner.updateServers(entries, performance.now(), unreadable)
+    const unreported = this.#planner.updateServers(entries, performance.now(), unreadable)
     for (const entry of entries) this.#addresses.set(entry.id, entry.address)
     this.#polls.add(this.#planner.servers)
+    for (const id of unreported) this.#polls.identify(id)
     this.#options.servers.retainConnections(new Set(this.#planner.servers.map(id => this.#addresses.get(id)!)))
     this.#servers.update().catch(thrown => this.#crash(thrown))
   }
--- a/packages/entry/src/server-polls.ts
+++ b/packages/entry/src/server-polls.ts
@@ -34,7 +34,7 @@
 export class ServerPolls {
   readonly #options: ServerPollsOptions
   readonly #servers = new Set<ServerId>()
-  /** Backend servers that are polled at once because a start wasn't answered. */
+  /** Backend servers that are polled at once, because a start wasn't answered or they may have restarted. */
   readonly #settling = new Set<ServerId>()
 
   constructor (options: ServerPollsOptions) {
@@ -52,12 +52,21 @@
 
   /** Polls a backend server beside its repeated polls, since the one under way may wait for an end and was sent before a start failed. */
   settle (id: ServerId): void {
+    this.#pollOnce(id, request => request)
+  }
+
+  /** Polls a backend server beside its repeated polls to learn which incarnation answers now: the one that is known may have ended without a trace. */
+  identify (id: ServerId): void {
+    this.#pollOnce(id, request => ({ ...request, incarnation: undefined }))
+  }
+
+  #pollOnce (id: ServerId, prepare: (request: PollRequest) => PollRequest): void {
     const { planner, isConfirmed, onCrash, signal } = this.#options
     if (this.#settling.has(id) || signal.aborted || !isConfirmed()) return
     const request = planner.pollRequest(id, performance.now())
     if (request === undefined) return
     this.#settling.add(id)
-    this.#poll(id, request, 0).catch(onCrash).finally(() => this.#settling.delete(id))
+    this.#poll(id, prepare(request), 0).catch(onCrash).finally(() => this.#settling.delete(id))
   }
 
   async #repeat (id: ServerId): Promise<void> {
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -44,7 +44,7 @@
 /** A backend server whose starts a test answers, and which records the leases that polls renew. */
 class FakeCalls implements BackendServerCalls {
   /** Times at which a poll was sent, with true if it renewed leases. */
-  readonly polls: { readonly at: number, readonly renews: boolean }[] = []
+  readonly polls: { readonly at: number, readonly renews: boolean, readonly incarnation: number | undefined }[] = []
   answerStart: (outcome: StartOutcome) => void = () => {}
   hasStarted = false
   onStart: () => void = () => {}
@@ -54,9 +54,9 @@
   /** Another backend server answers the polls. */
   isReplaced = false
 
-  async poll (_target: unknown, poll: { readonly leaseUntil?: number, readonly waitMilliseconds: number }): Promise<ServerReport> {
+  async poll (_target: unknown, poll: { readonly incarnation: number | undefined, readonly leaseUntil?: number, readonly waitMilliseconds: number }): Promise<ServerReport> {
     const sentAt = performance.now()
-    this.polls.push({ at: sentAt, renews: poll.leaseUntil !== undefined })
+    this.polls.push({ at: sentAt, renews: poll.leaseUntil !== undefined, incarnation: poll.incarnation })
     if (this.isReplaced) throw new CornelgaugeError('server-replaced')
     if (this.isSilent) throw new CornelgaugeError('unavailable')
     await pause(systemClock, Math.max(5, poll.waitMilliseconds))
@@ -164,6 +164,18 @@
     })
   })
 
+  // Guards against starts that go to an incarnation that has ended, until the poll that waits there reaches its time limit.
+  describe('when the registry shows a restart that the backend server has not reported', () => {
+    it('polls it at once, whichever incarnation answers', async () => {
+      calls.answerStart('started')
+      await pause(systemClock, 50)
+      const before = calls.polls.length
+      for (let reading = 0; reading < 3; reading += 1) host.updateRegistry({ entries: [{ ...SERVER, incarnation: 2 }], unreadable: 0 })
+      await pause(systemClock, 100)
+      expect(calls.polls.slice(before).map(({ incarnation }) => incarnation)).to.deep.equal([undefined])
+    })
+  })
+
   // Guards against tasks that wait for the leases on a backend server whose address another one has.
   describe('when another backend server answers the polls of one with a run', () => {
     it('logs the run as lost, and starts its task on a third one', async () => {
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -140,8 +140,10 @@
   /**
    * Applies the registry's complete list of backend servers; those in a pool that isn't known are skipped.
    * `unreadable` counts the rows without an entry, which may hide backend servers for a while.
+   *
+   * @returns the backend servers whose entries newly show a restart that they have not reported
    */
-  updateServers (registered: readonly ServerEntry[], now: number, unreadable = 0): void {
+  updateServers (registered: readonly ServerEntry[], now: number, unreadable = 0): readonly ServerId[] {
     this.#state.recovery.unreadableServers = unreadable
     const entries = this.#state.inKnownPools(registered)
     const listed = new Map(entries.map(entry => [entry.id, entry]))
@@ -150,15 +152,19 @@
     this.#state.measurePools(entries)
     const times = { now, wallTime: this.#wallTimeAt(now) }
     countReplaced(this.#state, entries.filter(entry => !this.#state.servers.has(entry.id)), times)
+    const unreported: ServerId[] = []
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
       // While it answers, only its own reports say that it has restarted: the row may be of another writer.
-      const hasRestarted = entry.incarnation > server.entry.incarnation && (!server.hasAnswered || server.missedPolls > 0)
+      const showsRestart = entry.incarnation > server.entry.incarnation
+      const hasRestarted = showsRestart && (!server.hasAnswered || server.missedPolls > 0)
+      if (showsRestart && !hasRestarted && entry.incarnation !== server.listedIncarnation) unreported.push(entry.id)
       if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, 'registry', times)
       server.entry = { ...entry, incarnation: server.entry.incarnation }
       server.listedIncarnation = entry.incarnation
     }
     this.#forgetServers(now)
+    return unreported
   }
 
   /**
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -22,6 +22,18 @@
     })
   })
 
+  describe('when the registry shows a restart of a backend server that answers', () => {
+    it('names the backend server once, and keeps its runs', () => {
+      const world = new World(1)
+      world.planner.submit(job('a'))
+      world.settle()
+      const entries = world.entries.map(entry => ({ ...entry, incarnation: 2 }))
+      expect(world.planner.updateServers(entries, world.now)).to.deep.equal([world.servers[0]!.entry.id])
+      expect(world.planner.updateServers(entries, world.now)).to.deep.equal([])
+      expect(world.planner.load.runs).to.equal(1)
+    })
+  })
+
   // Guards against an answer or a silence of an earlier incarnation that counts for the next.
   describe('when an answer of the earlier incarnation arrives after the restart is known', () => {
     let world: World
