Group the backend servers of a round by rack once for all gangs

Cause: each gang that waits for one rack grouped all backend servers by rack, up to three times a round, and copied each of them to tell whether an empty rack could hold it. So this grew with the gangs that wait times all backend servers.

--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -3,7 +3,7 @@
 import type { StepState } from './step-state.js'
 import type { ServerId } from './ids.js'
 import type { RoundWork } from './round-work.js'
-import { withTasks, type Server, type TaskCounts } from './server.js'
+import { NO_TASKS, withTasks, type Server, type TaskCounts } from './server.js'
 
 /** A backend server on which tasks can be placed in a round. */
 export interface PlacementTarget {
@@ -21,6 +21,7 @@
   /** Counts the examinations of its targets. */
   readonly work: RoundWork
   readonly #byServer: ReadonlyMap<ServerId, PlacementTarget>
+  #racks: readonly (readonly PlacementTarget[])[] | undefined
 
   constructor (targets: readonly PlacementTarget[], work: RoundWork) {
     this.targets = targets
@@ -34,6 +35,12 @@
     return this.#byServer.get(server)
   }
 
+  /** Its targets by rack, grouped once for all gangs that wait. */
+  get racks (): readonly (readonly PlacementTarget[])[] {
+    this.#racks ??= racksOf(this.targets)
+    return this.#racks
+  }
+
   /** Copies the snapshot for trial placements. */
   copy (): CapacitySnapshot {
     return new CapacitySnapshot(this.targets.map(target => ({ ...target })), this.work)
@@ -64,12 +71,11 @@
  * @example
  * mostTasksOn(target, step, 5) // 0 without the required label
  */
-export function mostTasksOn (target: PlacementTarget, step: StepState, limit: number): number {
+export function mostTasksOn ({ server, tasksOf }: Pick<PlacementTarget, 'server' | 'tasksOf'>, step: StepState, limit: number): number {
   const { requiredLabel, mostPerServer } = step.specification
-  const { server } = target
   if (server.entry.pool !== step.job.job.pool) return 0
   if (requiredLabel !== undefined && !(server.isEntryCurrent && server.entry.labels.includes(requiredLabel))) return 0
-  return mostPerServer === undefined ? limit : Math.min(limit, mostPerServer - (target.tasksOf.get(step) ?? 0))
+  return mostPerServer === undefined ? limit : Math.min(limit, mostPerServer - (tasksOf.get(step) ?? 0))
 }
 
 /**
@@ -81,3 +87,29 @@
 export function countFitting (target: PlacementTarget, step: StepState, limit: number): number {
   return timesFitting(target.free, countedNeed(step), mostTasksOn(target, step, limit))
 }
+
+/**
+ * Counts how many tasks of a step would fit on an empty backend server, at most `limit`.
+ *
+ * @example
+ * countFittingEmpty(target.server, step, 5)
+ */
+export function countFittingEmpty (server: Server, step: StepState, limit: number): number {
+  return timesFitting(server.entry.capacity, countedNeed(step), mostTasksOn({ server, tasksOf: NO_TASKS }, step, limit))
+}
+
+/**
+ * Groups targets by rack.
+ *
+ * @example
+ * racksOf(snapshot.targets).length
+ */
+export function racksOf (targets: readonly PlacementTarget[]): readonly (readonly PlacementTarget[])[] {
+  const racks = new Map<string, PlacementTarget[]>()
+  for (const target of targets) {
+    const rack = racks.get(target.server.entry.rack)
+    if (rack === undefined) racks.set(target.server.entry.rack, [target])
+    else rack.push(target)
+  }
+  return [...racks.values()]
+}
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -3,8 +3,7 @@
  * avoids fragmentation: small tasks spread over many backend servers leave no empty one for gangs.
  */
 import { sumFreeAccelerators } from './capacity.js'
-import { countFitting, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
-import { NO_TASKS } from './server.js'
+import { countFitting, countFittingEmpty, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
 import type { StepState } from './step-state.js'
 
 /**
@@ -43,7 +42,7 @@
 export function placeGang (snapshot: CapacitySnapshot, step: StepState, mayWaitForRack: boolean): readonly PlacementTarget[] | undefined {
   const count = step.count
   if (!step.specification.wantsOneRack) return placeTasks(snapshot, snapshot.targets, step, count)
-  const racks = racksOf(snapshot.targets)
+  const { racks } = snapshot
   snapshot.work.add(snapshot.targets.length)
   const fitting = racks
     .map(targets => ({ targets, taskCapacity: targets.reduce((sum, target) => sum + countFitting(target, step, count), 0) }))
@@ -53,22 +52,6 @@
   return mayWaitForRack && racks.some(targets => couldHold(targets, step)) ? undefined : placeTasks(snapshot, snapshot.targets, step, count)
 }
 
-/**
- * Groups targets by rack.
- *
- * @example
- * racksOf(snapshot.targets).length
- */
-export function racksOf (targets: readonly PlacementTarget[]): readonly (readonly PlacementTarget[])[] {
-  const racks = new Map<string, PlacementTarget[]>()
-  for (const target of targets) {
-    const rack = racks.get(target.server.entry.rack)
-    if (rack === undefined) racks.set(target.server.entry.rack, [target])
-    else rack.push(target)
-  }
-  return [...racks.values()]
-}
-
 /**
  * True if these targets could hold all tasks of a step if they were empty.
  *
@@ -76,9 +59,11 @@
  * couldHold(rack, step)
  */
 export function couldHold (targets: readonly PlacementTarget[], step: StepState): boolean {
-  const count = step.count
-  const emptyTargets = targets.map(target => ({ ...target, free: target.server.entry.capacity, tasksOf: NO_TASKS, tasksWithoutCheckpoints: 0 }))
-  return emptyTargets.reduce((sum, target) => sum + countFitting(target, step, count), 0) >= count
+  let room = 0
+  return targets.some(({ server }) => {
+    room += countFittingEmpty(server, step, step.count)
+    return room >= step.count
+  })
 }
 
 function freeAccelerators (targets: readonly PlacementTarget[]): number {
--- a/packages/jobs/src/reclaim.ts
+++ b/packages/jobs/src/reclaim.ts
@@ -4,7 +4,7 @@
  * work.
  */
 import type { Capacity } from './capacity.js'
-import { couldHold, racksOf } from './placement.js'
+import { couldHold } from './placement.js'
 import type { PlacementTarget, CapacitySnapshot } from './capacity-snapshot.js'
 import { ReclaimSearch } from './reclaim-search.js'
 import type { Run } from './server.js'
@@ -39,7 +39,7 @@
 export function planReclaim (snapshot: CapacitySnapshot, step: StepState, count: number, victims: VictimIndex, mayWaitForRack: boolean): ReclaimPlan | undefined {
   const findSpreadPlan = (): ReclaimPlan | undefined => new ReclaimSearch(snapshot.targets, step, victims, snapshot.work).plan(count)
   if (!step.specification.wantsOneRack) return findSpreadPlan()
-  const racks = racksOf(snapshot.targets)
+  const { racks } = snapshot
   let cheapest: ReclaimPlan | undefined
   for (const targets of racks) {
     if (cheapest?.cost === 0) break
--- /dev/null
+++ b/packages/jobs/test/placement-work.test.ts
@@ -0,0 +1,55 @@
+import { epoch } from '@cornelgauge/model'
+import { expect } from 'chai'
+import { CapacitySnapshot } from '../src/capacity-snapshot.js'
+import { poolName, serverId } from '../src/ids.js'
+import { JobState } from '../src/job-state.js'
+import { placeGang } from '../src/placement.js'
+import { planReclaim } from '../src/reclaim.js'
+import { RoundWork } from '../src/round-work.js'
+import { NO_TASKS, Server } from '../src/server.js'
+import type { StepState } from '../src/step-state.js'
+import { VictimIndex } from '../src/victim-index.js'
+import { job, step } from './world.js'
+
+const SERVERS = 40
+const PER_RACK = 8
+
+describe('the placement of gangs that want one rack', () => {
+  let rackReads: number
+  let snapshot: CapacitySnapshot
+
+  beforeEach(() => {
+    rackReads = 0
+    const servers = Array.from({ length: SERVERS }, (_, index) => new Server({
+      id: serverId(`server-${index}`),
+      pool: poolName('pool'),
+      address: '',
+      failureDomain: 'north',
+      capacity: { processor: 32_000, memory: 64_000, accelerators: 8 },
+      labels: [],
+      get rack () {
+        rackReads += 1
+        return `rack-${Math.floor(index / PER_RACK)}`
+      },
+      isDraining: false,
+      incarnation: 1
+    }, 0))
+    snapshot = new CapacitySnapshot(servers.map(server => ({ server, free: { processor: 0, memory: 0, accelerators: 0 }, tasksOf: NO_TASKS, tasksWithoutCheckpoints: 0 })), new RoundWork())
+  })
+
+  const gang = (id: string): StepState => {
+    const state = new JobState(job(id, { acceptedUnder: epoch(1), steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }), false)
+    state.activate(Infinity)
+    return state.steps[0]!
+  }
+
+  // Guards against rounds that group all backend servers by rack for each gang that waits.
+  it('groups the backend servers of a round once for all gangs', () => {
+    for (let number = 0; number < 20; number += 1) {
+      const waiting = gang(`gang${number}`)
+      expect(placeGang(snapshot, waiting, true)).to.equal(undefined)
+      expect(planReclaim(snapshot, waiting, 2, new VictimIndex([], snapshot.work), true)).to.equal(undefined)
+    }
+    expect(rackReads).to.be.within(SERVERS, 2 * SERVERS)
+  })
+})
