Place a single task without sorting all backend servers

Cause: for each task the placement made an object for each backend server and sorted all that fit, though it uses the first.

Change: a single task takes the first of the best in one pass; several tasks need no objects for backend servers without room.

--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -15,13 +15,16 @@
  */
 export function placeTasks (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, count: number): readonly PlacementTarget[] | undefined {
   snapshot.work.add(candidates.length)
-  // Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work.
-  const { savesCheckpoints } = step.specification
-  const fittingTargets = candidates
-    .map(target => ({ target, fitting: countFitting(target, step, count), isOfOtherKind: (target.tasksWithoutCheckpoints > 0) === savesCheckpoints }))
-    .filter(offer => offer.fitting > 0)
-    .sort((left, right) => Number(left.isOfOtherKind) - Number(right.isOfOtherKind) || compareTightness(left.target, right.target))
-  if (fittingTargets.reduce((sum, offer) => sum + offer.fitting, 0) < count) return undefined
+  if (count === 1) return placeTask(snapshot, candidates, step)
+  let room = 0
+  const fittingTargets: { readonly target: PlacementTarget, readonly fitting: number }[] = []
+  for (const target of candidates) {
+    const fitting = countFitting(target, step, count)
+    if (fitting > 0) fittingTargets.push({ target, fitting })
+    room += fitting
+  }
+  if (room < count) return undefined
+  fittingTargets.sort((left, right) => compareOffers(left.target, right.target, step))
   const chosen: PlacementTarget[] = []
   for (const { target, fitting } of fittingTargets) {
     for (let taken = 0; taken < fitting && chosen.length < count; taken += 1) {
@@ -32,6 +35,18 @@
   return chosen
 }
 
+/** Chooses the target of one task: of those that fit, the first of the best. */
+function placeTask (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState): readonly PlacementTarget[] | undefined {
+  let best: PlacementTarget | undefined
+  for (const target of candidates) {
+    if (best !== undefined && compareOffers(best, target, step) <= 0) continue
+    if (countFitting(target, step, 1) > 0) best = target
+  }
+  if (best === undefined) return undefined
+  snapshot.take(best, step)
+  return [best]
+}
+
 /**
  * Chooses targets for a gang. A gang that wants one rack gets targets within one rack; it
  * is spread only if it may not wait for a rack, or if no rack could hold it.
@@ -70,6 +85,15 @@
   return sumFreeAccelerators(targets.map(target => target.free))
 }
 
+/** Orders targets for a step. Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work. */
+function compareOffers (left: PlacementTarget, right: PlacementTarget, { specification: { savesCheckpoints } }: StepState): number {
+  return Number(isOfOtherKind(left, savesCheckpoints)) - Number(isOfOtherKind(right, savesCheckpoints)) || compareTightness(left, right)
+}
+
+function isOfOtherKind ({ tasksWithoutCheckpoints }: PlacementTarget, savesCheckpoints: boolean): boolean {
+  return (tasksWithoutCheckpoints > 0) === savesCheckpoints
+}
+
 /** Orders the fullest backend server first, so that empty ones stay empty. */
 function compareTightness (left: PlacementTarget, right: PlacementTarget): number {
   return left.free.accelerators - right.free.accelerators ||
--- a/packages/jobs/test/placement-work.test.ts
+++ b/packages/jobs/test/placement-work.test.ts
@@ -1,9 +1,9 @@
 import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
-import { CapacitySnapshot } from '../src/capacity-snapshot.js'
+import { CapacitySnapshot, type PlacementTarget } from '../src/capacity-snapshot.js'
 import { poolName, serverId } from '../src/ids.js'
 import { JobState } from '../src/job-state.js'
-import { placeGang } from '../src/placement.js'
+import { placeGang, placeTasks } from '../src/placement.js'
 import { planReclaim } from '../src/reclaim.js'
 import { RoundWork } from '../src/round-work.js'
 import { NO_TASKS, Server } from '../src/server.js'
@@ -53,3 +53,32 @@
     expect(rackReads).to.be.within(SERVERS, 2 * SERVERS)
   })
 })
+
+describe('the placement of a single task', () => {
+  // Guards against rounds that sort all backend servers for each task.
+  it('compares each backend server once', () => {
+    let freeReads = 0
+    const targets = Array.from({ length: SERVERS }, (_, index): PlacementTarget => {
+      const capacity = { processor: 32_000, memory: 64_000, accelerators: 8 }
+      const free = { ...capacity, accelerators: 1 + (index * 5) % 8 }
+      const server = new Server({ id: serverId(`server-${index}`), pool: poolName('pool'), address: '', failureDomain: 'north', capacity, labels: [], rack: '', isDraining: false, incarnation: 1 }, 0)
+      return {
+        server,
+        get free () {
+          freeReads += 1
+          return free
+        },
+        set free (value) { Object.defineProperty(this, 'free', { value }) },
+        tasksOf: NO_TASKS,
+        tasksWithoutCheckpoints: index % 3
+      }
+    })
+    const snapshot = new CapacitySnapshot(targets, new RoundWork())
+    const state = new JobState(job('single', { acceptedUnder: epoch(1), steps: [step({ savesCheckpoints: false })] }), false)
+    state.activate(Infinity)
+    const chosen = placeTasks(snapshot, targets, state.steps[0]!, 1)
+    // The first of those that run work of the same kind and have one accelerator left.
+    expect(chosen?.map(({ server }) => server.id)).to.deep.equal(['server-8'])
+    expect(freeReads).to.be.at.most(8 * SERVERS)
+  })
+})
