Search for reclaim plans without copies of targets

Cause: for each group on a backend server a search copied the target, and again for each group that it tried to leave out, and asked each time how many tasks may run there at all.

Change: the search adds up the free capacity, and checks whether one task fits; how many may run there is asked once a target. The exhaustive comparison of reclaim.test.ts covers it as before.

--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -1,6 +1,6 @@
 /** Searches for the cheapest targets of a step among some backend servers, when groups may be stopped. */
-import { addCapacity } from './capacity.js'
-import { countedNeed, countFitting, mostTasksOn, type PlacementTarget } from './capacity-snapshot.js'
+import { addCapacity, fits, type Capacity } from './capacity.js'
+import { countedNeed, mostTasksOn, type PlacementTarget } from './capacity-snapshot.js'
 import type { ServerId } from './ids.js'
 import { withTasks, type TaskCounts } from './server.js'
 import type { StepState } from './step-state.js'
@@ -26,6 +26,8 @@
  */
 export class ReclaimSearch {
   readonly #step: StepState
+  /** What one task takes. */
+  readonly #need: Capacity
   readonly #victims: VictimIndex
   readonly #work: RoundWork
   /** Targets by position, as they are after the choices so far. */
@@ -40,6 +42,7 @@
 
   constructor (among: readonly PlacementTarget[], step: StepState, victims: VictimIndex, work: RoundWork) {
     this.#step = step
+    this.#need = countedNeed(step)
     this.#victims = victims
     this.#work = work
     this.#targets = [...among]
@@ -73,7 +76,7 @@
       }
     }
     const target = this.#targets[position]!
-    this.#targets[position] = { ...target, free: addCapacity(target.free, countedNeed(this.#step), -1), tasksOf: this.#withTask(target) }
+    this.#targets[position] = { ...target, free: addCapacity(target.free, this.#need, -1), tasksOf: this.#withTask(target) }
     for (const each of changed) this.#updateOption(each)
   }
 
@@ -107,28 +110,29 @@
     const target = this.#targets[position]!
     this.#work.add(1)
     if (mostTasksOn(target, this.#step, 1) <= 0) return undefined
-    if (countFitting(target, this.#step, 1) > 0) return { target, position, victims: [], cost: 0 }
+    if (fits(target.free, this.#need)) return { target, position, victims: [], cost: 0 }
     const shares: GroupShare[] = []
-    const trial: PlacementTarget = { ...target }
+    let { free } = target
     for (const share of this.#victims.at(target.server.id)) {
       this.#work.add(1)
       if (this.#stopped.has(share.group)) continue
       shares.push(share)
-      trial.free = addCapacity(trial.free, share.need)
-      if (countFitting(trial, this.#step, 1) > 0) return { target, position, ...this.#requiredVictims(trial, shares) }
+      free = addCapacity(free, share.need)
+      if (fits(free, this.#need)) return { target, position, ...this.#requiredVictims(free, shares) }
     }
     return undefined
   }
 
   /** Drops the groups that one task doesn't need, the most expensive ones first: the last group may have freed more than was missing. */
-  #requiredVictims (target: PlacementTarget, shares: readonly GroupShare[]): { readonly victims: readonly VictimGroup[], readonly cost: number } {
+  #requiredVictims (freeAfterAll: Capacity, shares: readonly GroupShare[]): { readonly victims: readonly VictimGroup[], readonly cost: number } {
     const victims: VictimGroup[] = []
     let cost = 0
-    let { free } = target
-    for (const { group, need } of [...shares].reverse()) {
+    let free = freeAfterAll
+    for (let index = shares.length - 1; index >= 0; index -= 1) {
+      const { group, need } = shares[index]!
       this.#work.add(1)
       const freeWithout = addCapacity(free, need, -1)
-      if (countFitting({ ...target, free: freeWithout }, this.#step, 1) > 0) {
+      if (fits(freeWithout, this.#need)) {
         free = freeWithout
       } else {
         victims.push(group)
