Keep the running groups of each step between rounds

Cause: each search for runs that may be stopped listed all steps, tasks and runs of all open jobs, and summed up their needs by backend server, several times a round: after each start of other work than claims, and for each preemption.

Change: the groups of a step with their needs are kept, and listed anew after one of its runs has begun, ended or is to be stopped. Costs, which depend on the time, are computed as before; what the runs of a step share of it is computed once. The examinations that limit the searches of a round are counted as before, so that no step gets its turn earlier or later.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -154,6 +154,11 @@
     return [...this.#occurrences.values()].flat()
   }
 
+  /** The same steps by occurrence. */
+  get activeOccurrences (): Iterable<readonly StepState[]> {
+    return this.#occurrences.values()
+  }
+
   /** Steps of the last activated occurrence. */
   get lastSteps (): readonly StepState[] {
     return this.#occurrences.get(this.#lastOccurrence) ?? []
--- a/packages/jobs/src/reclaim.ts
+++ b/packages/jobs/src/reclaim.ts
@@ -3,19 +3,15 @@
  * guaranteed accelerators that others have borrowed. Chooses the runs that lose the least
  * work.
  */
-import type { Capacity } from './capacity.js'
 import { couldHold } from './placement.js'
 import type { PlacementTarget, CapacitySnapshot } from './capacity-snapshot.js'
 import { ReclaimSearch } from './reclaim-search.js'
-import type { Run } from './server.js'
+import type { RunningGroup } from './running-group-cache.js'
 import type { StepState } from './step-state.js'
-import type { TaskState } from './task-state.js'
 import type { VictimIndex } from './victim-index.js'
 
-/** Runs that are stopped together: those of a gang, or a single one. */
-export interface VictimGroup {
-  readonly members: readonly { readonly task: TaskState, readonly run: Run, readonly need: Capacity }[]
-  /** Cost of stopping it, in a unit that the caller chooses. */
+/** A running group with the cost of stopping it, in a unit that the caller chooses. */
+export interface VictimGroup extends RunningGroup {
   readonly cost: number
 }
 
--- a/packages/jobs/src/running-groups.ts
+++ b/packages/jobs/src/running-groups.ts
@@ -4,7 +4,6 @@
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
 import type { StepState } from './step-state.js'
-import type { TaskState } from './task-state.js'
 
 /** Time to resume from a checkpoint, in milliseconds. */
 const RESTORE_MILLISECONDS = 600
@@ -23,10 +22,7 @@
   for (const job of state.openJobs) {
     state.work.add(1)
     if (!isIncluded(job)) continue
-    for (const step of job.steps) {
-      state.work.add(step.knownCount)
-      if (!step.specification.isLasting) groups.push(...groupsOf(step, costOf))
-    }
+    for (const steps of job.activeOccurrences) for (const step of steps) addGroupsOf(state, step, costOf, groups)
   }
   return groups
 }
@@ -55,14 +51,12 @@
   return Math.max(0, state.meanRunTime(step.job.job.queue) - elapsed)
 }
 
-function groupsOf (step: StepState, costOf: RunCost): readonly VictimGroup[] {
-  const members: { readonly task: TaskState, readonly run: Run, readonly need: Run['need'] }[] = []
-  for (const task of step.knownTasks) {
-    for (const run of task.runs) {
-      if (run.state === 'running' || run.state === 'starting') members.push({ task, run, need: run.need })
-    }
+function addGroupsOf (state: PlannerState, step: StepState, costOf: RunCost, groups: VictimGroup[]): void {
+  state.work.add(step.knownCount)
+  if (step.knownCount === 0 || step.specification.isLasting) return
+  for (const { members, needs } of state.runningGroups.of(step)) {
+    let cost = 0
+    for (const { run } of members) cost += costOf(step, run)
+    groups.push({ members, needs, cost })
   }
-  if (members.length === 0) return []
-  if (step.specification.isGang) return [{ members, cost: members.reduce((sum, { run }) => sum + costOf(step, run), 0) }]
-  return members.map(member => ({ members: [member], cost: costOf(step, member.run) }))
 }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -16,6 +16,7 @@
 import type { PlacementRule } from './placement-rules.js'
 import { Recovery, type HeldServers } from './recovery.js'
 import { RoundWork } from './round-work.js'
+import { RunningGroupCache } from './running-group-cache.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
 import { StartLimit } from './start-limit.js'
@@ -76,6 +77,7 @@
   readonly idleJobs = new IdleJobs()
   /** Counts the work of its rounds. */
   readonly work = new RoundWork()
+  readonly runningGroups = new RunningGroupCache()
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
   readonly claimTurns = new SearchTurns(this.work)
   readonly reservationTurns = new SearchTurns(this.work)
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -40,6 +40,8 @@
   readonly firstTask: number
   /** When it first became ready to start, on the monotonic clock. */
   readySince: number | undefined
+  /** Counts the changes after which its tasks may have other runs. */
+  runChanges = 0
   /** Latest checkpoint of its gang; empty if there is none. */
   gangCheckpoint = ''
   /** States of the tasks that have something to remember, by index. */
@@ -155,6 +157,7 @@
 
   /** Notes that a task which is kept has begun or ceased to wait, or to run on a backend server. */
   noteChanged (task: TaskState): void {
+    this.runChanges += 1
     const { isWaiting } = task
     this.#setWaiting(task.index, isWaiting)
     if (isWaiting) this.#unready.add(task)
--- a/packages/jobs/src/victim-index.ts
+++ b/packages/jobs/src/victim-index.ts
@@ -1,5 +1,5 @@
 /** Indexes running groups by backend server, so that a search doesn't examine all of them for each one. */
-import { addCapacity, type Capacity } from './capacity.js'
+import type { Capacity } from './capacity.js'
 import type { ServerId } from './ids.js'
 import type { VictimGroup } from './reclaim.js'
 import type { RoundWork } from './round-work.js'
@@ -23,7 +23,7 @@
   constructor (groups: readonly VictimGroup[], work: RoundWork) {
     for (const group of groups) {
       work.add(group.members.length)
-      for (const [server, need] of needsOf(group)) {
+      for (const [server, need] of group.needs) {
         const shares = this.#shares.get(server)
         if (shares === undefined) this.#shares.set(server, [{ group, need }])
         else shares.push({ group, need })
@@ -42,12 +42,3 @@
     for (const { run: { server } } of group.members) this.#shares.set(server, this.at(server).filter(share => share.group !== group))
   }
 }
-
-function needsOf (group: VictimGroup): ReadonlyMap<ServerId, Capacity> {
-  const needs = new Map<ServerId, Capacity>()
-  for (const { run, need } of group.members) {
-    const other = needs.get(run.server)
-    needs.set(run.server, other === undefined ? need : addCapacity(other, need))
-  }
-  return needs
-}
--- a/packages/jobs/src/victims.ts
+++ b/packages/jobs/src/victims.ts
@@ -7,8 +7,7 @@
 import { MAXIMUM_PREEMPTION_LOSS_MILLISECONDS, WASTE_WEIGHT } from './limits.js'
 import { weightOfPriority, type Candidate } from './order.js'
 import type { VictimGroup } from './reclaim.js'
-import { lostMilliseconds, runningGroups } from './running-groups.js'
-import type { Run } from './server.js'
+import { lostMilliseconds, runningGroups, type RunCost } from './running-groups.js'
 import type { PlannerState } from './state.js'
 import type { StepState } from './step-state.js'
 
@@ -24,22 +23,26 @@
  * const groups = victimsOf(state, claims, candidate, now)
  */
 export function victimsOf (state: PlannerState, claims: ReadonlySet<JobState>, { isClaim, priority }: Candidate, now: number): readonly VictimGroup[] {
-  const costOf = (step: StepState, run: Run): number => stopCost(state, step, run, now) + (isIsolated(run, now) ? ISOLATED_STOP_COST : 0)
+  const costOf = stopCosts(state, now)
   if (isClaim) return runningGroups(state, job => !claims.has(job), costOf)
   return runningGroups(state, job => !claims.has(job) && priorityOf(state, job) > priority, costOf)
     .filter(group => group.members.every(({ task, run }) => !isIsolated(run, now) && lostMilliseconds(task.step, run, now) < MAXIMUM_PREEMPTION_LOSS_MILLISECONDS))
 }
 
-/**
- * Estimates the cost of stopping a run, in the unit of `gainOf`: the work to repeat, plus the price of the waste.
- *
- * @example
- * stopCost(state, step, run, now)
- */
-export function stopCost (state: PlannerState, step: StepState, run: Run, now: number): number {
-  const { job } = step
-  const share = state.shareOf(step.specification, job.job.pool)
-  return share * lostMilliseconds(step, run, now) * (weightOfPriority(priorityOf(state, job)) + WASTE_WEIGHT)
+/** Estimates the cost of stopping a run, in the unit of `gainOf`: the work to repeat, plus the price of the waste. What the runs of a step share is computed once for all that follow each other. */
+function stopCosts (state: PlannerState, now: number): RunCost {
+  let known: StepState | undefined
+  let share = 0
+  let weight = 0
+  return (step, run) => {
+    if (step !== known) {
+      const { job } = step
+      share = state.shareOf(step.specification, job.job.pool)
+      weight = weightOfPriority(priorityOf(state, job)) + WASTE_WEIGHT
+      known = step
+    }
+    return share * lostMilliseconds(step, run, now) * weight + (isIsolated(run, now) ? ISOLATED_STOP_COST : 0)
+  }
 }
 
 function priorityOf (state: PlannerState, job: JobState): number {
--- a/packages/jobs/test/reclaim.test.ts
+++ b/packages/jobs/test/reclaim.test.ts
@@ -9,6 +9,7 @@
 import { planReclaim, type ReclaimPlan, type VictimGroup } from '../src/reclaim.js'
 import { RoundWork } from '../src/round-work.js'
 import type { StepState } from '../src/step-state.js'
+import { needsOf } from '../src/running-group-cache.js'
 import { NO_TASKS, Server, type Run } from '../src/server.js'
 import { VictimIndex } from '../src/victim-index.js'
 import { job, step } from './world.js'
@@ -64,7 +65,8 @@
       if (hasRoom) server.add(member.run)
       return hasRoom
     })
-    return { members: members.map(({ member }) => member), cost: group.cost }
+    const own = members.map(({ member }) => member)
+    return { members: own, needs: needsOf(own), cost: group.cost }
   })
   const { count, accelerators, wantsOneRack, mostPerServer } = drawn
   const waiting = stepOf('waiting', { count, accelerators, isGang: true, wantsOneRack, ...(mostPerServer === undefined ? {} : { mostPerServer }) })
--- a/packages/jobs/test/round-work.test.ts
+++ b/packages/jobs/test/round-work.test.ts
@@ -3,6 +3,7 @@
 import { jobId, taskName, type Job, type TaskName } from '../src/index.js'
 import { JobState } from '../src/job-state.js'
 import { PlannerState } from '../src/state.js'
+import { StepState } from '../src/step-state.js'
 import { CONFIGURATION, job, step, World } from './world.js'
 
 /** Processor time that a round may take on a present-day core, at a microsecond for each examination. */
@@ -122,6 +123,42 @@
     })
   })
 
+  // Guards against rounds that list all runs of the pool again for each search.
+  describe('with a gang that waits in a full pool', () => {
+    const fullWorld = (): World => {
+      const world = new World(40)
+      world.settle()
+      for (let number = 0; number < 40; number += 1) world.planner.submit(job(`running${number}`, { steps: [step({ count: 8 })] }))
+      world.settle()
+      world.planner.submit(job('gang', { steps: [step({ count: 2, accelerators: 8, isGang: true })] }))
+      world.round(10)
+      return world
+    }
+
+    /** Runs a round, and returns how often it lists the tasks of a step. */
+    const listsOfRound = (world: World): number => {
+      const known = Object.getOwnPropertyDescriptor(StepState.prototype, 'knownTasks')!
+      let lists = 0
+      Object.defineProperty(StepState.prototype, 'knownTasks', { ...known, get () { lists += 1; return known.get!.call(this) as unknown } })
+      const examined = examinationsOfRound(world, 10)
+      Object.defineProperty(StepState.prototype, 'knownTasks', known)
+      expect(examined).to.be.above(320)
+      return lists
+    }
+
+    it('lists no runs while none begins or ends', () => {
+      expect(listsOfRound(fullWorld())).to.equal(0)
+    })
+
+    it('lists those of one step after a run of it has ended', () => {
+      const world = fullWorld()
+      const [server] = world.servers
+      server!.end([...server!.running.keys()][0]!, 'done')
+      world.pollServers()
+      expect(listsOfRound(world)).to.be.within(1, 2)
+    })
+  })
+
   describe('with a claim for each two backend servers of a full pool', () => {
     /** A full pool whose workspace may claim all of it. */
     const fullWorld = (): World => {
