Sum up the log lines of runs for all backend servers together

Cause: beyond 100 lines a second the log of runs had a line for each outcome on each backend server.

Change: a line has the runs of all backend servers with the same outcome, with the ids of the backend servers before their tasks, up to the length from which the log cuts texts. The field server of these five events becomes servers, a number.

run-log.test.ts has the new form where it had a line for each backend server, with the same runs and fields; a new test counts the lines for one run on each of 246 backend servers, 246 before and at most 8 now, and finds each run in them.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -91,6 +91,8 @@
 export const RUN_LINES_PER_INTERVAL = 100
 export const RUN_LOG_INTERVAL_MILLISECONDS = 1000
 export const RUNS_PER_LINE = 1000
+/** Length of the list of tasks in such a line, unless those on one backend server alone take more; the log cuts texts of over 2000 characters. */
+export const RUN_LINE_CHARACTERS = 1800
 /** Interval at which the owner logs its planner's load and rounds. */
 export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
 /** Writes of progress under way at a time: a start waits for its record. */
--- a/packages/entry/src/run-log.ts
+++ b/packages/entry/src/run-log.ts
@@ -1,16 +1,12 @@
 /** Logs what happens to runs: a line for each up to a rate, and beyond it a line for many. */
 import type { EmitEvent, EventDetails } from '@cornelgauge/telemetry'
-import { RUN_LINES_PER_INTERVAL, RUN_LOG_INTERVAL_MILLISECONDS, RUNS_PER_LINE } from './limits.js'
+import { RUN_LINE_CHARACTERS, RUN_LINES_PER_INTERVAL, RUN_LOG_INTERVAL_MILLISECONDS, RUNS_PER_LINE } from './limits.js'
 
 /** Events of one run that are logged together at a high rate. */
 type RunEventName = 'task-started' | 'task-stopped' | 'task-ended' | 'run-lost-with-server' | 'crashes-refuted'
 
-/** Events of one kind, with the same outcome on the same backend server. */
-interface Group {
-  readonly name: RunEventName
-  readonly server: string
-  /** Outcome and reason, as far as the events have them. */
-  readonly result: Readonly<Record<string, unknown>>
+/** Runs on one backend server, for one line. */
+interface ServerRuns {
   /** Indexes of the tasks by the rest of their names. */
   readonly tasks: Map<string, number[]>
   count: number
@@ -18,9 +14,18 @@
   lastRun: number
 }
 
+/** Events of one kind with the same outcome. */
+interface Group {
+  readonly name: RunEventName
+  /** Outcome and reason, as far as the events have them. */
+  readonly result: Readonly<Record<string, unknown>>
+  readonly servers: Map<string, ServerRuns>
+  count: number
+}
+
 /** What a line has for many runs. */
 interface Summary {
-  readonly server: string
+  readonly servers: number
   readonly count: number
   readonly firstRun: number
   readonly lastRun: number
@@ -87,27 +92,56 @@
   }
 
   #add (name: RunEventName, { task, run, server, resumed, lostRuns, alone, discarded, workedMilliseconds, ...result }: Readonly<Record<string, unknown>>): void {
-    const key = `${name} ${String(server)} ${Object.values(result).join(' ')}`
-    const number = Number(run)
-    const group = this.#groups.get(key) ?? { name, server: String(server), result, tasks: new Map<string, number[]>(), count: 0, firstRun: number, lastRun: number }
+    const key = `${name} ${Object.values(result).join(' ')}`
+    const group = this.#groups.get(key) ?? { name, result, servers: new Map<string, ServerRuns>(), count: 0 }
     this.#groups.set(key, group)
-    const end = String(task).lastIndexOf('.')
-    const step = String(task).slice(0, end)
-    const indexes = group.tasks.get(step)
-    const index = Number(String(task).slice(end + 1))
-    if (indexes === undefined) group.tasks.set(step, [index])
-    else indexes.push(index)
+    addRun(group.servers, String(server), String(task), Number(run))
     group.count += 1
-    group.firstRun = Math.min(group.firstRun, number)
-    group.lastRun = Math.max(group.lastRun, number)
     if (group.count < RUNS_PER_LINE) return
     this.#groups.delete(key)
     this.#write(group)
   }
 
-  #write ({ name, server, result, tasks, count, firstRun, lastRun }: Group): void {
-    const text = [...tasks].map(([step, indexes]) => `${step}.${toRanges(indexes)}`).join(' ')
-    EMITTERS[name](this.#emit, { server, count, firstRun, lastRun, tasks: text }, result)
+  /** Writes as few lines as their length allows. */
+  #write ({ name, servers, result }: Group): void {
+    let line: Summary | undefined
+    for (const [server, runs] of servers) {
+      const next = summaryOf(server, runs)
+      const both = line === undefined ? next : joined(line, next)
+      const isTooLong = line !== undefined && both.tasks.length > RUN_LINE_CHARACTERS
+      if (isTooLong) EMITTERS[name](this.#emit, line!, result)
+      line = isTooLong ? next : both
+    }
+    if (line !== undefined) EMITTERS[name](this.#emit, line, result)
+  }
+}
+
+function addRun (servers: Map<string, ServerRuns>, server: string, task: string, run: number): void {
+  let runs = servers.get(server)
+  if (runs === undefined) servers.set(server, runs = { tasks: new Map<string, number[]>(), count: 0, firstRun: run, lastRun: run })
+  const end = task.lastIndexOf('.')
+  const step = task.slice(0, end)
+  const index = Number(task.slice(end + 1))
+  const indexes = runs.tasks.get(step)
+  if (indexes === undefined) runs.tasks.set(step, [index])
+  else indexes.push(index)
+  runs.count += 1
+  runs.firstRun = Math.min(runs.firstRun, run)
+  runs.lastRun = Math.max(runs.lastRun, run)
+}
+
+function summaryOf (server: string, { tasks, count, firstRun, lastRun }: ServerRuns): Summary {
+  const text = [...tasks].map(([step, indexes]) => `${step}.${toRanges(indexes)}`).join(' ')
+  return { servers: 1, count, firstRun, lastRun, tasks: `${server}: ${text}` }
+}
+
+function joined (line: Summary, next: Summary): Summary {
+  return {
+    servers: line.servers + next.servers,
+    count: line.count + next.count,
+    firstRun: Math.min(line.firstRun, next.firstRun),
+    lastRun: Math.max(line.lastRun, next.lastRun),
+    tasks: `${line.tasks}; ${next.tasks}`
   }
 }
 
--- a/packages/entry/test/run-log.test.ts
+++ b/packages/entry/test/run-log.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { RUN_LINES_PER_INTERVAL, RUN_LOG_INTERVAL_MILLISECONDS, RUNS_PER_LINE } from '../src/limits.js'
+import { RUN_LINE_CHARACTERS, RUN_LINES_PER_INTERVAL, RUN_LOG_INTERVAL_MILLISECONDS, RUNS_PER_LINE } from '../src/limits.js'
 import { RunLog, toRanges } from '../src/run-log.js'
 
 interface Line {
@@ -30,7 +30,7 @@
     expect(lines.at(-1)).to.deep.include({ name: 'task-started' })
   })
 
-  it('has one line for all others with the same outcome on a backend server, by which each is found', () => {
+  it('has one line for all others with the same outcome, in which each is found by its backend server', () => {
     startMany(0, RUN_LINES_PER_INTERVAL + 20)
     start(500, 'unanswered')
     start(600, 'started', 'server-1')
@@ -43,11 +43,10 @@
     now += RUN_LOG_INTERVAL_MILLISECONDS
     log.flushDue()
     expect(lines.slice(before)).to.deep.equal([
-      { name: 'tasks-started', details: { server: 'server-0', count: 20, firstRun: 1_000_100, lastRun: 1_000_119, tasks: 'a.0.0.100-119', outcome: 'started', epoch: 1 } },
-      { name: 'tasks-started', details: { server: 'server-0', count: 1, firstRun: 1_000_500, lastRun: 1_000_500, tasks: 'a.0.0.500', outcome: 'unanswered', epoch: 1 } },
-      { name: 'tasks-started', details: { server: 'server-1', count: 1, firstRun: 1_000_600, lastRun: 1_000_600, tasks: 'a.0.0.600', outcome: 'started', epoch: 1 } },
-      { name: 'runs-lost-with-server', details: { server: 'server-1', count: 1, firstRun: 1_002_000, lastRun: 1_002_000, tasks: 'b.3.1.5' } },
-      { name: 'crashes-refuted-by-runs', details: { server: 'server-1', count: 1, firstRun: 1_002_001, lastRun: 1_002_001, tasks: 'b.3.1.6' } }
+      { name: 'tasks-started', details: { servers: 2, count: 21, firstRun: 1_000_100, lastRun: 1_000_600, tasks: 'server-0: a.0.0.100-119; server-1: a.0.0.600', outcome: 'started', epoch: 1 } },
+      { name: 'tasks-started', details: { servers: 1, count: 1, firstRun: 1_000_500, lastRun: 1_000_500, tasks: 'server-0: a.0.0.500', outcome: 'unanswered', epoch: 1 } },
+      { name: 'runs-lost-with-server', details: { servers: 1, count: 1, firstRun: 1_002_000, lastRun: 1_002_000, tasks: 'server-1: b.3.1.5' } },
+      { name: 'crashes-refuted-by-runs', details: { servers: 1, count: 1, firstRun: 1_002_001, lastRun: 1_002_001, tasks: 'server-1: b.3.1.6' } }
     ])
   })
 
@@ -59,6 +58,19 @@
     expect(lines.at(-1)!.details.count).to.equal(1)
   })
 
+  // Guards against as many lines as there are backend servers, each for a run or two.
+  it('has few lines for one run on each of many backend servers, none of which is cut', () => {
+    startMany(0, RUN_LINES_PER_INTERVAL)
+    for (let server = 0; server < 246; server += 1) start(1000 + 2 * server, 'started', `server-${server}`)
+    log.flush()
+    const sums = lines.slice(RUN_LINES_PER_INTERVAL)
+    expect(sums.length).to.be.within(2, 8)
+    expect(sums.every(({ details }) => String(details.tasks).length <= RUN_LINE_CHARACTERS)).to.equal(true)
+    expect(sums.reduce((sum, { details }) => sum + Number(details.count), 0)).to.equal(246)
+    const listed = sums.flatMap(({ details }) => String(details.tasks).split('; '))
+    expect(listed).to.deep.equal(Array.from({ length: 246 }, (_, server) => `server-${server}: a.0.0.${1000 + 2 * server}`))
+  })
+
   it('passes all other events on', () => {
     startMany(0, RUN_LINES_PER_INTERVAL + 1)
     log.emit('look-missed', { details: { server: 'server-0', failure: 'timeout' } })
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -2,7 +2,7 @@
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
 
 /** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
-const RUN_GROUP_FIELDS = { server: 'backend server', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'tasks, with the indexes of those of one step as ranges' } as const
+const RUN_GROUP_FIELDS = { servers: 'number of backend servers', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'for each backend server its id and the tasks there, with the indexes of those of one step as ranges' } as const
 
 const GONE_CAUSE = 'for gone, how that is known: unlisted: a complete list lacks it; restarted, replaced: so was its backend server; expired: that was unreachable until all leases had expired; else absent'
 
