--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -20,18 +20,19 @@
   readonly targets: readonly PlacementTarget[]
   /** Counts the examinations of its targets. */
   readonly work: RoundWork
-  readonly #byServer: ReadonlyMap<ServerId, PlacementTarget>
+  /** Its targets by backend server, once one is looked up. */
+  #byServer: ReadonlyMap<ServerId, PlacementTarget> | undefined
   #racks: readonly (readonly PlacementTarget[])[] | undefined
 
   constructor (targets: readonly PlacementTarget[], work: RoundWork) {
     this.targets = targets
     this.work = work
     work.add(targets.length)
-    this.#byServer = new Map(targets.map(target => [target.server.id, target]))
   }
 
   /** Returns the target of a backend server; undefined if it may not get work. */
   targetOf (server: ServerId): PlacementTarget | undefined {
+    this.#byServer ??= new Map(this.targets.map(target => [target.server.id, target]))
     return this.#byServer.get(server)
   }
 
--- a/packages/jobs/src/reclaim-search.ts
+++ b/packages/jobs/src/reclaim-search.ts
@@ -68,8 +68,8 @@
     for (const group of victims) {
       this.#stopped.add(group)
       this.#cost += group.cost
-      for (const { run, need } of group.members) {
-        const other = this.#positions.get(run.server)
+      for (const { server, need } of group.needs) {
+        const other = this.#positions.get(server)
         if (other === undefined) continue
         this.#targets[other] = { ...this.#targets[other]!, free: addCapacity(this.#targets[other]!.free, need) }
         changed.add(other)
--- a/packages/jobs/src/running-group-cache.ts
+++ b/packages/jobs/src/running-group-cache.ts
@@ -12,11 +12,17 @@
   readonly need: Capacity
 }
 
+/** What stopping a group frees on one backend server. */
+export interface ServerNeed {
+  readonly server: ServerId
+  readonly need: Capacity
+}
+
 /** Runs that are stopped together: those of a gang, or a single one. */
 export interface RunningGroup {
   readonly members: readonly GroupMember[]
-  /** What stopping them frees on each backend server. */
-  readonly needs: ReadonlyMap<ServerId, Capacity>
+  /** One for each backend server. */
+  readonly needs: readonly ServerNeed[]
 }
 
 interface CachedGroups {
@@ -79,13 +85,14 @@
  * Sums up what stopping the members of a group frees on each backend server.
  *
  * @example
- * needsOf(group.members).get(server.id)
+ * const [{ server, need }] = needsOf(group.members)
  */
-export function needsOf (members: readonly GroupMember[]): ReadonlyMap<ServerId, Capacity> {
+export function needsOf (members: readonly GroupMember[]): readonly ServerNeed[] {
+  if (members.length === 1) return members.map(({ run: { server }, need }) => ({ server, need }))
   const needs = new Map<ServerId, Capacity>()
   for (const { run, need } of members) {
     const other = needs.get(run.server)
     needs.set(run.server, other === undefined ? need : addCapacity(other, need))
   }
-  return needs
+  return [...needs].map(([server, need]) => ({ server, need }))
 }
--- a/packages/jobs/src/victim-index.ts
+++ b/packages/jobs/src/victim-index.ts
@@ -23,7 +23,7 @@
   constructor (groups: readonly VictimGroup[], work: RoundWork) {
     for (const group of groups) {
       work.add(group.members.length)
-      for (const [server, need] of group.needs) {
+      for (const { server, need } of group.needs) {
         const shares = this.#shares.get(server)
         if (shares === undefined) this.#shares.set(server, [{ group, need }])
         else shares.push({ group, need })
@@ -39,6 +39,6 @@
 
   /** Removes a group that is being stopped. */
   remove (group: VictimGroup): void {
-    for (const { run: { server } } of group.members) this.#shares.set(server, this.at(server).filter(share => share.group !== group))
+    for (const { server } of group.needs) this.#shares.set(server, this.at(server).filter(share => share.group !== group))
   }
 }
--- a/packages/jobs/test/placement-work.test.ts
+++ b/packages/jobs/test/placement-work.test.ts
@@ -82,3 +82,33 @@
     expect(freeReads).to.be.at.most(8 * SERVERS)
   })
 })
+
+describe('a snapshot of the capacity', () => {
+  // Guards against rounds that index all backend servers for snapshots in which none is looked up.
+  it('is indexed once a backend server is looked up', () => {
+    let idReads = 0
+    const targets = Array.from({ length: SERVERS }, (_, index): PlacementTarget => {
+      const capacity = { processor: 32_000, memory: 64_000, accelerators: 8 }
+      const entry = {
+        get id () {
+          idReads += 1
+          return serverId(`server-${index}`)
+        },
+        pool: poolName('pool'),
+        address: '',
+        failureDomain: 'north',
+        capacity,
+        labels: [],
+        rack: '',
+        isDraining: false,
+        incarnation: 1
+      }
+      return { server: new Server(entry, 0), free: capacity, tasksOf: NO_TASKS, tasksWithoutCheckpoints: 0 }
+    })
+    const snapshot = new CapacitySnapshot(targets, new RoundWork())
+    expect(idReads).to.equal(0)
+    expect(snapshot.targetOf(serverId('server-7'))).to.equal(targets[7])
+    expect(snapshot.targetOf(serverId('server-40'))).to.equal(undefined)
+    expect(idReads).to.equal(SERVERS)
+  })
+})
