--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -3,8 +3,7 @@
  * avoids fragmentation: small tasks spread over many backend servers leave no empty one for gangs.
  */
 import { sumFreeAccelerators } from './capacity.js'
-import { countFitting, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
-import { NO_TASKS } from './server.js'
+import { countFitting, countFittingEmpty, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
 import type { StepState } from './step-state.js'
 
 /**
@@ -16,13 +15,16 @@
  */
 export function placeTasks (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, count: number): readonly PlacementTarget[] | undefined {
   snapshot.work.add(candidates.length)
-  // Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work.
-  const { savesCheckpoints } = step.specification
-  const fittingTargets = candidates
-    .map(target => ({ target, fitting: countFitting(target, step, count), isOfOtherKind: (target.tasksWithoutCheckpoints > 0) === savesCheckpoints }))
-    .filter(offer => offer.fitting > 0)
-    .sort((left, right) => Number(left.isOfOtherKind) - Number(right.isOfOtherKind) || compareTightness(left.target, right.target))
-  if (fittingTargets.reduce((sum, offer) => sum + offer.fitting, 0) < count) return undefined
+  if (count === 1) return placeTask(snapshot, candidates, step)
+  let room = 0
+  const fittingTargets: { readonly target: PlacementTarget, readonly fitting: number }[] = []
+  for (const target of candidates) {
+    const fitting = countFitting(target, step, count)
+    if (fitting > 0) fittingTargets.push({ target, fitting })
+    room += fitting
+  }
+  if (room < count) return undefined
+  fittingTargets.sort((left, right) => compareOffers(left.target, right.target, step))
   const chosen: PlacementTarget[] = []
   for (const { target, fitting } of fittingTargets) {
     for (let taken = 0; taken < fitting && chosen.length < count; taken += 1) {
@@ -33,6 +35,18 @@
   return chosen
 }
 
+/** Chooses the target of one task: of those that fit, the first of the best. */
+function placeTask (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState): readonly PlacementTarget[] | undefined {
+  let best: PlacementTarget | undefined
+  for (const target of candidates) {
+    if (best !== undefined && compareOffers(best, target, step) <= 0) continue
+    if (countFitting(target, step, 1) > 0) best = target
+  }
+  if (best === undefined) return undefined
+  snapshot.take(best, step)
+  return [best]
+}
+
 /**
  * Chooses targets for a gang. A gang that wants one rack gets targets within one rack; it
  * is spread only if it may not wait for a rack, or if no rack could hold it.
@@ -43,7 +57,7 @@
 export function placeGang (snapshot: CapacitySnapshot, step: StepState, mayWaitForRack: boolean): readonly PlacementTarget[] | undefined {
   const count = step.count
   if (!step.specification.wantsOneRack) return placeTasks(snapshot, snapshot.targets, step, count)
-  const racks = racksOf(snapshot.targets)
+  const { racks } = snapshot
   snapshot.work.add(snapshot.targets.length)
   const fitting = racks
     .map(targets => ({ targets, taskCapacity: targets.reduce((sum, target) => sum + countFitting(target, step, count), 0) }))
@@ -53,22 +67,6 @@
   return mayWaitForRack && racks.some(targets => couldHold(targets, step)) ? undefined : placeTasks(snapshot, snapshot.targets, step, count)
 }
 
-/**
- * Groups targets by rack.
- *
- * @example
- * racksOf(snapshot.targets).length
- */
-export function racksOf (targets: readonly PlacementTarget[]): readonly (readonly PlacementTarget[])[] {
-  const racks = new Map<string, PlacementTarget[]>()
-  for (const target of targets) {
-    const rack = racks.get(target.server.entry.rack)
-    if (rack === undefined) racks.set(target.server.entry.rack, [target])
-    else rack.push(target)
-  }
-  return [...racks.values()]
-}
-
 /**
  * True if these targets could hold all tasks of a step if they were empty.
  *
@@ -76,15 +74,26 @@
  * couldHold(rack, step)
  */
 export function couldHold (targets: readonly PlacementTarget[], step: StepState): boolean {
-  const count = step.count
-  const emptyTargets = targets.map(target => ({ ...target, free: target.server.entry.capacity, tasksOf: NO_TASKS, tasksWithoutCheckpoints: 0 }))
-  return emptyTargets.reduce((sum, target) => sum + countFitting(target, step, count), 0) >= count
+  let room = 0
+  return targets.some(({ server }) => {
+    room += countFittingEmpty(server, step, step.count)
+    return room >= step.count
+  })
 }
 
 function freeAccelerators (targets: readonly PlacementTarget[]): number {
   return sumFreeAccelerators(targets.map(target => target.free))
 }
 
+/** Orders targets for a step. Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work. */
+function compareOffers (left: PlacementTarget, right: PlacementTarget, { specification: { savesCheckpoints } }: StepState): number {
+  return Number(isOfOtherKind(left, savesCheckpoints)) - Number(isOfOtherKind(right, savesCheckpoints)) || compareTightness(left, right)
+}
+
+function isOfOtherKind ({ tasksWithoutCheckpoints }: PlacementTarget, savesCheckpoints: boolean): boolean {
+  return (tasksWithoutCheckpoints > 0) === savesCheckpoints
+}
+
 /** Orders the fullest backend server first, so that empty ones stay empty. */
 function compareTightness (left: PlacementTarget, right: PlacementTarget): number {
   return left.free.accelerators - right.free.accelerators ||
