Limit the gangs that a round places, with turns

Cause: each waiting gang examined every backend server in each round, without a limit a round; only starts and searches for stops had one. 600 gangs that wait in a full pool of 246 backend servers: the largest round examined 167,564 backend servers and groups, 168,284 if the gangs want one rack (round-work.test.ts, above its limit of 100,000). Change: PlacementTurns. Half of the limit is for the gangs first in the order, among them the claims, in each round; the other half goes to gangs that had no turn since the limit was reached, before any that came later. Only placements that find no capacity count, since starts have their own limit. Nothing is stopped for a gang that had no turn, except for a claim. Racks that could hold a gang now count as examined. Weighed: the turns of searches as they are. They would let gangs before others wait for all of these, and one that comes in each round keeps others from a second turn.

--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -98,6 +98,8 @@
 export const LEAST_STARTS_PER_ROUND = 64
 /** Examinations after which a round begins no further search for claims, or for reservations: a quarter of the 100 ms that a round may take on a present-day core, at a microsecond each. */
 export const MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND = 25_000
+/** Examinations after which a round places no further gang that may find no capacity: a tenth of what a round may examine. */
+export const MAXIMUM_GANG_EXAMINATIONS_PER_ROUND = 10_000
 /** Minimum share of the unclaimed guaranteed accelerators that is expected to be claimed before long work ends. */
 export const MINIMUM_EXPECTED_CLAIM_SHARE = 0.5
 /**
--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -108,3 +108,17 @@
   }
   return Math.max(0, ...lengths)
 }
+
+/**
+ * True if more tasks of the candidates wait than may be started.
+ *
+ * @example
+ * hasMoreWaiting(candidates, 64)
+ */
+export function hasMoreWaiting (candidates: readonly Candidate[], mostStarts: number): boolean {
+  let waiting = 0
+  return candidates.some(({ job }) => {
+    for (const step of job.waitingSteps()) waiting += step.waitingCount
+    return waiting > mostStarts
+  })
+}
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -10,7 +10,7 @@
 import type { JobState } from './job-state.js'
 import { acceleratorsOfJobs, lendableAccelerators } from './lending.js'
 import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
-import { chainLength, gainOf, inPlacementOrder, type Candidate } from './order.js'
+import { chainLength, gainOf, hasMoreWaiting, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { planReclaim, type ReclaimPlan } from './reclaim.js'
 import { countedNeed, type CapacitySnapshot, type PlacementTarget } from './capacity-snapshot.js'
@@ -94,6 +94,7 @@
   place (): void {
     this.#state.claimTurns.beginRound()
     this.#state.reservationTurns.beginRound()
+    this.#state.placementTurns.beginRound()
     const unknownEpoch = this.#state.recovery.latestUnknownEpoch(this.#times.now)
     const candidates: Candidate[] = []
     for (const job of this.#state.openJobs) {
@@ -104,13 +105,14 @@
       if (candidate !== undefined) candidates.push(candidate)
     }
     const ordered = inPlacementOrder(candidates)
-    if (this.#isMostlyIdle && this.#hasMoreThanStarts(ordered)) {
+    // In an idle pool each job without a run gets one start first, so that none waits for the starts of another.
+    if (this.#isMostlyIdle && hasMoreWaiting(ordered, this.#mostStarts)) {
       // One start is enough. More would have the progress of all jobs stored in each round.
       this.#mostStartsPerStep = 1
       this.#placeJobs(ordered.filter(({ job }) => !job.hasRuns))
       this.#mostStartsPerStep = Infinity
     }
-    this.#placeJobs(ordered)
+    this.#state.placementTurns.endRound(this.#placeJobs(ordered))
   }
 
   /** Tasks that may be started now; a gang may exceed it. */
@@ -123,19 +125,12 @@
     return this.#mostStartsPerStep < Infinity
   }
 
-  #placeJobs (candidates: readonly Candidate[]): void {
-    for (const candidate of candidates) {
-      if (this.#mostStarts <= 0) return
+  /** False if no more tasks may be started before all candidates had their turn. */
+  #placeJobs (candidates: readonly Candidate[]): boolean {
+    return candidates.every(candidate => {
+      if (this.#mostStarts <= 0) return false
       this.#placeJob(candidate)
-    }
-  }
-
-  /** True if more tasks wait than may be started now: in an idle pool each job without a run then gets one first, so that none waits for the starts of another. */
-  #hasMoreThanStarts (candidates: readonly Candidate[]): boolean {
-    let waiting = 0
-    return candidates.some(({ job }) => {
-      for (const step of job.waitingSteps()) waiting += step.waitingCount
-      return waiting > this.#mostStarts
+      return true
     })
   }
 
@@ -210,10 +205,14 @@
     const { step } = unit
     const mayBorrow = this.#mayBorrow(unit, candidate)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const targets = mayBorrow ? this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait)) : undefined
+    const turns = this.#state.placementTurns
+    const isDeferred = mayBorrow && !turns.isNext(step)
+    const targets = mayBorrow && !isDeferred ? turns.place(step, () => this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait))) : undefined
     if (targets === undefined) {
       if (this.#isFirstPass || this.#isolation.mayHold(unit)) return
-      if (!this.#reclaim(unit, candidate) && !candidate.isClaim) this.#reserveForGang(unit)
+      // Nothing is stopped for a gang that may fit as it is, unless it claims capacity.
+      const isReclaimed = (candidate.isClaim || !isDeferred) && this.#reclaim(unit, candidate)
+      if (!isReclaimed && !candidate.isClaim) this.#reserveForGang(unit)
       return
     }
     const run = this.#state.nextRun()
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -50,7 +50,11 @@
     .filter(rack => rack.taskCapacity >= count)
     .sort((left, right) => freeAccelerators(left.targets) - freeAccelerators(right.targets))
   if (fitting[0] !== undefined) return placeTasks(snapshot, fitting[0].targets, step, count)
-  return mayWaitForRack && racks.some(targets => couldHold(targets, step)) ? undefined : placeTasks(snapshot, snapshot.targets, step, count)
+  const couldWait = mayWaitForRack && racks.some(targets => {
+    snapshot.work.add(targets.length)
+    return couldHold(targets, step)
+  })
+  return couldWait ? undefined : placeTasks(snapshot, snapshot.targets, step, count)
 }
 
 /**
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -14,6 +14,7 @@
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
+import { PlacementTurns } from './placement-turns.js'
 import { Recovery, type HeldServers } from './recovery.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
@@ -79,6 +80,8 @@
   /** Turns of the claims that need capacity of others, and of the gangs that wait for a reservation. */
   readonly claimTurns = new SearchTurns(this.work)
   readonly reservationTurns = new SearchTurns(this.work)
+  /** Turns of the gangs that wait for capacity. */
+  readonly placementTurns = new PlacementTurns(this.work)
   readonly claimDemand = new ClaimDemand()
   /** How many starts may be under way. */
   readonly startLimit = new StartLimit()
--- a/packages/jobs/test/round-work.test.ts
+++ b/packages/jobs/test/round-work.test.ts
@@ -122,6 +122,61 @@
     })
   })
 
+  // Guards against rounds in which each waiting gang examines every backend server.
+  describe('with hundreds of gangs for which no capacity is free', () => {
+    const SERVERS = 246
+    const GANGS = 600
+    const ROUNDS = 100
+    /** Two tasks that fit beside those that run. */
+    const small = step({ count: 2, accelerators: 0, isGang: true })
+
+    const worldWithGangs = (wantsOneRack = true): World => {
+      const world = new World(SERVERS, { perRack: 12 })
+      world.settle()
+      for (let number = 0; number < SERVERS; number += 1) world.planner.submit(job(`running${number}`, { steps: [step({ count: 8, savesCheckpoints: true })] }))
+      world.settle(20)
+      expect(world.starts).to.have.length(8 * SERVERS)
+      for (let number = 0; number < GANGS; number += 1) world.planner.submit(job(`gang${number}`, { steps: [step({ count: 2, accelerators: 8, isGang: true, savesCheckpoints: true, wantsOneRack })] }))
+      return world
+    }
+
+    const playRound = (world: World): number => {
+      const examinations = examinationsOfRound(world, ROUND_INTERVAL_MILLISECONDS)
+      world.pollServers()
+      world.planner.markStored(world.planner.unstoredJobs)
+      return examinations
+    }
+
+    for (const wantsOneRack of [false, true]) {
+      it(`has an upper limit if they ${wantsOneRack ? 'want one rack' : 'may be spread'}`, () => {
+        const world = worldWithGangs(wantsOneRack)
+        const rounds = Array.from({ length: 20 }, () => playRound(world))
+        expect(Math.max(...rounds)).to.be.at.most(ROUND_MILLISECONDS * EXAMINATIONS_PER_MILLISECOND)
+      })
+    }
+
+    it('starts one behind them that fits, though others come in each round', () => {
+      const world = worldWithGangs()
+      playRound(world)
+      world.planner.submit(job('small', { steps: [small] }))
+      let rounds = 0
+      while (!world.starts.some(({ task }) => task.startsWith('small')) && rounds < ROUNDS) {
+        world.planner.submit(job(`later${rounds}`, { queue: 'long', steps: [step({ count: 2, accelerators: 8, isGang: true, savesCheckpoints: true, wantsOneRack: true })] }))
+        playRound(world)
+        rounds += 1
+      }
+      expect(rounds).to.be.below(ROUNDS)
+    })
+
+    it('starts a claim that fits in the next round', () => {
+      const world = worldWithGangs()
+      playRound(world)
+      world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', steps: [small] }))
+      playRound(world)
+      expect(world.starts.filter(({ task }) => task.startsWith('claim'))).to.have.length(2)
+    })
+  })
+
   describe('with a claim for each two backend servers of a full pool', () => {
     /** A full pool whose workspace may claim all of it. */
     const fullWorld = (): World => {
