Lead calls between VMs over the limited links of the stand-in

Cause: in the stand-in's deployment only calls to the store passed the limited link of a VM, so that no test showed heartbeats that wait behind pages of a table, or a VM that its peers don't reach. Change: a VM may listen at another address than the one at which peers reach it, and open its connections from an address of its own (PeerRoute; not a setting).

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -14,7 +14,7 @@
 import { OWNER_CALL_TIMEOUT_MILLISECONDS, RELAY_TIMEOUT_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
 import type { PeerReply, PeerRequest } from './messages.js'
 import { OwnedPlanner } from './owned-planner.js'
-import { Peers } from './peers.js'
+import { Peers, type PeerRoute } from './peers.js'
 import { ReportedBacklog } from './reported-backlog.js'
 import type { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
@@ -25,6 +25,7 @@
   readonly vm: VmName
   /** `ip:port` of the inner protocol. */
   readonly address: string
+  readonly peerRoute?: PeerRoute
   /** Addresses of VMs from which the owner is learned at startup while the store doesn't answer. */
   readonly seeds: readonly string[]
   readonly secret: string
@@ -88,7 +89,7 @@
   }
 
   constructor (options: EntryVmOptions) {
-    const { vm, address, seeds, secret, platform, clock, emit, weight } = options
+    const { vm, address, peerRoute, seeds, secret, platform, clock, emit, weight } = options
     this.#options = options
     this.#backlog = options.backlog ?? new ReportedBacklog()
     this.#store = new MonitoredStore(platform.store)
@@ -97,6 +98,7 @@
     this.#peers = new Peers({
       vm,
       address,
+      ...(peerRoute === undefined ? {} : { route: peerRoute }),
       secret,
       clock,
       handle: request => (this.#peerHandlers[request.kind] as (request: PeerRequest) => Promise<PeerReply>)(request),
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -6,11 +6,20 @@
 /** Handles a peer's request. */
 export type HandlePeerRequest = (request: PeerRequest) => Promise<PeerReply>
 
+/** Where a VM's calls begin and end, if that isn't the address at which its peers reach it. */
+export interface PeerRoute {
+  /** `ip:port` to listen on, to which its connections are forwarded. */
+  readonly listenAddress: string
+  /** `ip` from which it opens connections. */
+  readonly localAddress: string
+}
+
 /** Options of `Peers`. */
 export interface PeersOptions {
   readonly vm: VmName
-  /** `ip:port` to listen on. */
+  /** `ip:port` at which peers reach this VM; it listens there unless a route is given. */
   readonly address: string
+  readonly route?: PeerRoute
   /** Shared secret that both ends of a connection prove to hold; the network itself is private to the deployment. */
   readonly secret: string
   readonly clock: LogicalClock
@@ -40,7 +49,7 @@
     this.#options = options
     const limits = { pingAfterMilliseconds: PROBE_MILLISECONDS, deadAfterMilliseconds: DEAD_CONNECTION_MILLISECONDS, connectMilliseconds: PROBE_MILLISECONDS, handshakeMilliseconds: DEAD_CONNECTION_MILLISECONDS }
     const shared = { identity: { vm: options.vm }, secrets: [options.secret], clock: options.clock, limits, onEvent: options.onEvent }
-    this.#client = new WireClient(shared)
+    this.#client = new WireClient(options.route === undefined ? shared : { ...shared, localAddress: options.route.localAddress })
     this.#server = new WireServer({
       ...shared,
       handle: async (_peer, body) => {
@@ -52,7 +61,8 @@
 
   /** Starts to accept calls. */
   async listen (): Promise<void> {
-    const { host, port } = parseAddress(this.#options.address)
+    const { address, route } = this.#options
+    const { host, port } = parseAddress(route?.listenAddress ?? address)
     await this.#server.listen(host, port)
   }
 
