Hold back VMs of earlier releases that would replace an owner after 600 ms

Cause: releases before replace an owner after two heartbeats without a reply, unless one of the first three VMs that they know has heard of it within 500 ms. VMs of this release, which wait for 1 to 3 s, replied with the time since their own last reply, so they agreed to a takeover that they would not make. Change: heartbeats of these releases carry no weight. The reply to one says that the owner was heard of lately while the replying VM doesn't consider it failed, and lists only VMs of this release, if there are any, so that these are asked. Ruled out: changing what counts as a missed heartbeat there; it is decided by their code alone.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -152,12 +152,21 @@
       isOwner: this.isOwner,
       ...(this.isOwner ? { ownedMilliseconds: this.#clock.now() - this.#ownedSince } : {}),
       ...(waitingJobs === undefined ? {} : { waitingJobs }),
-      ...this.#members.listFor(heartbeat.listVersion),
-      ownerHeardAge: this.#evidence.heardAge,
+      ...this.#members.listFor(heartbeat.listVersion, member),
+      ownerHeardAge: this.#ownerHeardAgeFor(member),
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
     }
   }
 
+  /**
+   * A release that sends no weight replaces an owner that has been silent for 0.6 s, unless one of the VMs that it asks
+   * has heard of it lately. While this VM doesn't consider the owner failed, it says so to such a release.
+   */
+  #ownerHeardAgeFor ({ weight }: Member): number {
+    const { heardAge, isGone } = this.#evidence
+    return weight === undefined && !isGone ? Math.min(heardAge, HEARTBEAT_MILLISECONDS) : heardAge
+  }
+
   /** Claims ownership and loads the planner, as the owner hands over; a repeated request of an earlier owner claims nothing. */
   async takeOver (owner: KnownOwner): Promise<void> {
     this.adoptOwner(owner)
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -34,7 +34,7 @@
  * @example
  * const members = new MemberList(self, clock)
  * members.add(heartbeat.member, heartbeat.storeAge)
- * const reply = members.listFor(heartbeat.listVersion)
+ * const reply = members.listFor(heartbeat.listVersion, heartbeat.member)
  */
 export class MemberList {
   readonly #self: Member
@@ -88,11 +88,17 @@
     this.#members.set(member.vm, { member, storeAge, heardAt: this.#clock.now() })
   }
 
-  /** The list for a peer that has the given version of it; complete for a peer of a release that sends none. */
-  listFor (version: string | undefined): ListedMembers {
+  /**
+   * The list for a peer that has the given version of it, in full for a peer of a release that sends no version. A release
+   * that sends no weight asks the first VMs of its list before it replaces an owner, so it gets only those with a weight,
+   * which wait longer, if there are any.
+   */
+  listFor (version: string | undefined, { weight }: Pick<Member, 'weight'>): ListedMembers {
     this.#updateList()
-    const listVersion = `${this.#instance}:${this.#revision}`
-    return version === listVersion || version === UNWANTED_LIST ? { listVersion } : { listVersion, members: this.#listed }
+    const weighted = weight === undefined ? this.#listed.filter(member => member.weight !== undefined) : []
+    const members = weighted.length > 0 ? weighted : this.#listed
+    const listVersion = `${this.#instance}:${this.#revision}${members === weighted ? ':weighted' : ''}`
+    return version === listVersion || version === UNWANTED_LIST ? { listVersion } : { listVersion, members }
   }
 
   /** The version of the list last received from a peer. */
--- a/packages/entry/test/deployment.ts
+++ b/packages/entry/test/deployment.ts
@@ -108,10 +108,10 @@
     }
   }
 
-  /** Starts one more VM. */
-  add (vm: SimulatedVm): void {
+  /** Starts one more VM, whose leadership runs unless it follows the owner by other rules. */
+  add (vm: SimulatedVm, running = vm.leadership.run(vm.stopping.signal)): void {
     this.vms.push(vm)
-    this.#running.push(vm.leadership.run(vm.stopping.signal))
+    this.#running.push(running)
   }
 
   async stop (): Promise<void> {
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 import { MemberList } from '../src/member-list.js'
 import { Deployment, SimulatedVm } from './deployment.js'
+import { EarlierVm } from './earlier-release.js'
 
 /** Time after which an owner of which no packet arrives has been replaced, in milliseconds. */
 const REPLACED_MILLISECONDS = 1500
@@ -169,6 +170,59 @@
     })
   })
 
+  describe('beside VMs of an earlier release, which miss two heartbeats after 600 ms,', () => {
+    /** Adds four of them to an owner and others of this release, at least one of which is among the three that each asks. */
+    async function startBesideEarlier (vms: number): Promise<readonly SimulatedVm[]> {
+      await startSettled(equalWeights(vms))
+      for (const name of ['earlier-1', 'earlier-2', 'earlier-3', 'earlier-4']) {
+        const vm = new EarlierVm(deployment, name)
+        deployment.add(vm, vm.run())
+      }
+      await deployment.clock.advance(5000)
+      expect(deployment.claims).to.have.length(1)
+      return deployment.vms
+    }
+
+    it('an owner stays that answers nothing for 900 ms', async () => {
+      const [owner] = await startBesideEarlier(2)
+      owner!.mutedUntil = deployment.clock.now() + 900
+      await deployment.clock.advance(5000)
+      expect(deployment.claims).to.have.length(1)
+    })
+
+    it('an owner stays that has just claimed and answers nothing for 1.8 s', async () => {
+      const [first] = await startBesideEarlier(3)
+      deployment.onClaim = vm => { vm.mutedUntil = deployment.clock.now() + 1800 }
+      first!.leadership.handOver(async () => {})
+      await deployment.clock.advance(8000)
+      expect(deployment.claims.map(({ vm }) => vm)).to.deep.equal(['vm-00', 'vm-01'])
+    })
+
+    it('an owner stays that they would replace if they asked each other', async () => {
+      const [owner, other] = await startSettled([1, 1])
+      other!.isDown = true
+      await deployment.clock.advance(7000)
+      for (const name of ['earlier-1', 'earlier-2', 'earlier-3', 'earlier-4', 'earlier-5']) {
+        const vm = new EarlierVm(deployment, name)
+        deployment.add(vm, vm.run())
+      }
+      await deployment.clock.advance(5000)
+      deployment.add(new SimulatedVm(deployment, { vm: vmName('vm-02'), address: '10.0.0.2:7000', weight: 1 }, []))
+      await deployment.clock.advance(10_000)
+      owner!.mutedUntil = deployment.clock.now() + 900
+      await deployment.clock.advance(5000)
+      expect(deployment.claims).to.have.length(1)
+    })
+
+    it('an owner is replaced in time if no packet of it arrives', async () => {
+      const [owner] = await startBesideEarlier(2)
+      const lostAt = deployment.clock.now()
+      owner!.isDown = true
+      await deployment.clock.advance(5000)
+      expect(deployment.claims[1]!.at - lostAt).to.be.below(REPLACED_MILLISECONDS)
+    })
+  })
+
   describe('a VM that leaves', () => {
     it('does not claim, though it waits for its turn or for replies of others', async () => {
       for (let age = 1000; age < 4000; age += 100) {
