Give each step its turn of a search while new ones come in each round

Cause: a step that had its turn got no other until a round in which no step was left out, and steps that were left out together had their turns by their order, new ones first. With one new step in each round, neither happens. Change: the steps that a round left out have their turns first, whatever comes later; then all steps have one again. Result: search-turns.test.ts, 40 rounds with a new step in each and six that wait: the last one had its turn once with three searches a round and never with one; at least four times each now.

--- a/packages/jobs/src/search-turns.ts
+++ b/packages/jobs/src/search-turns.ts
@@ -8,8 +8,8 @@
 
 /**
  * Turns of the steps that need a search. Once a round has reached the limit, the next rounds
- * search for the others first, also before steps that are new since then. Until all had their
- * turn, a step keeps the plan of its own.
+ * search only for those that had no turn in it, until all of them had theirs; then all steps have
+ * one again, also those that are new since. Until its next turn, a step keeps the plan of its last.
  *
  * @example
  * turns.beginRound()
@@ -22,27 +22,32 @@
   /** By step, whether a search that took no turn has found a plan in this round. */
   readonly #canFind = new Map<StepState, boolean>()
   #examinations = 0
-  /** Steps that had no turn in this round, and in the last one. */
+  /** Steps that had their turn in this round. */
+  readonly #searched = new Set<StepState>()
+  /** Steps that had no turn in this round. */
   #deferred = new Set<StepState>()
-  #deferredBefore: ReadonlySet<StepState> = new Set()
+  /** Steps that had no turn since the limit was reached, and still need a search. */
+  #owed = new Set<StepState>()
 
   constructor (work: RoundWork) {
     this.#work = work
   }
 
-  /** Begins a round; if no step was deferred in the last one, all have their turn again. */
+  /** Begins a round; if no step was deferred in the last one, all plans are made anew. */
   beginRound (): void {
     if (this.#deferred.size === 0) this.#planned.clear()
-    this.#deferredBefore = this.#deferred
+    const deferred = this.#deferred
+    this.#owed = this.#owed.size === 0 ? deferred : new Set([...this.#owed].filter(step => deferred.has(step)))
     this.#deferred = new Set()
+    this.#searched.clear()
     this.#canFind.clear()
     this.#examinations = 0
   }
 
   /** True if a step may be searched for in this round. */
   isNext (step: StepState): boolean {
-    if (this.#planned.has(step)) return false
-    const isTurn = this.#deferredBefore.size === 0 || this.#deferredBefore.has(step)
+    if (this.#searched.has(step)) return false
+    const isTurn = this.#owed.size === 0 || this.#owed.has(step)
     if (isTurn && this.#examinations < MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND) return true
     this.#deferred.add(step)
     return false
@@ -51,6 +56,9 @@
   /** Searches for a step, and counts what the search examines. */
   search (step: StepState, search: () => ReclaimPlan | undefined): ReclaimPlan | undefined {
     const plan = this.#count(search)
+    this.#searched.add(step)
+    this.#deferred.delete(step)
+    this.#owed.delete(step)
     this.#planned.set(step, plan?.targets.map(target => target.server.id) ?? [])
     return plan
   }
--- a/packages/jobs/test/search-turns.test.ts
+++ b/packages/jobs/test/search-turns.test.ts
@@ -44,6 +44,39 @@
     })
   })
 
+  // Guards against claims that are searched for only once, or never, while a new one comes in each round.
+  describe('while a new step comes in each round', () => {
+    const ROUNDS = 40
+
+    /** Plays rounds in which the newest of the steps comes first, and returns how often the last one had its turn. */
+    const turnsOfLast = (searchesPerRound: number): number => {
+      const turns = new SearchTurns(work)
+      const last = stepNamed('last')
+      const others = ['a', 'b', 'c', 'd'].map(stepNamed)
+      let count = 0
+      for (let number = 0; number < ROUNDS; number += 1) {
+        others.unshift(stepNamed(`new-${number}`))
+        others.length = 5
+        turns.beginRound()
+        for (const step of [...others, last]) {
+          if (!turns.isNext(step)) continue
+          turns.search(step, () => {
+            work.add(Math.ceil(MAXIMUM_SEARCH_EXAMINATIONS_PER_ROUND / searchesPerRound))
+            return undefined
+          })
+          if (step === last) count += 1
+        }
+      }
+      return count
+    }
+
+    for (const searchesPerRound of [1, 3]) {
+      it(`give an earlier one its turn again and again, with ${searchesPerRound} a round`, () => {
+        expect(turnsOfLast(searchesPerRound)).to.be.at.least(4)
+      })
+    }
+  })
+
   describe('asked whether backend servers can be planned for a step', () => {
     const server = { id: serverId('server') } as Server
     const plan = { targets: [{ server }], victims: [], cost: 0 } as unknown as ReclaimPlan
