Record no run that has ended on a backend server which the next owner may lose

Cause: the progress of a job lists where its tasks may run. A new owner that learned that such a run had ended didn't store this before the task was started again. If the task had to wait, and the backend server was lost later, each owner after that waited for it as if the run might go on.

Change: the job is written again once a recorded run is known to have ended and its task runs nowhere else.

Test: "lists a run no longer that its backend server doesn't, though the task doesn't start again" fails without the change.

--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -177,10 +177,16 @@
       if (this.recovery.mayHideRuns(id, now)) continue
       this.#earlierTasks.delete(id)
       this.#earlierServers.delete(id)
-      for (const task of tasks) task.removeEarlierServer(id)
+      for (const task of tasks) this.#settleEarlierRun(task, id)
     }
   }
 
+  /** Forgets a recorded run of an earlier owner. If it has ended, the record must not list it any longer, or the next owner may wait for it. */
+  #settleEarlierRun (task: TaskState, id: ServerId): void {
+    task.removeEarlierServer(id)
+    if (task.isWaiting && task.step.job.isOpen) this.markChanged(task.step.job)
+  }
+
   /** Notes that a run is or may be executing which isn't recorded before this change is stored. */
   noteUnrecorded (change: number): void {
     this.#lastUnrecordedChange = Math.max(this.#lastUnrecordedChange, change)
--- a/packages/jobs/test/recorded-starts.test.ts
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -317,6 +317,18 @@
       expect(world.planner.isRecordComplete(world.now)).to.equal(true)
     })
 
+    // Guards against a task that waits for a backend server that is lost later, though its run there had ended before.
+    it('lists a run no longer that its backend server doesn\'t, though the task doesn\'t start again', () => {
+      lost.connectivity = 'answers'
+      lost.end('a.0.0.0', 'lapsed')
+      takeOver(2, true)
+      world.listServers()
+      world.pollServers()
+      world.planner.decide({ now: world.now, wallTime: world.wallTime }, false)
+      expect([...world.planner.unstoredJobs.keys()]).to.deep.equal(['a'])
+      expect(placements()).to.deep.equal({ [world.serverRunning('a.0.0.1')!.entry.id]: { address: world.serverRunning('a.0.0.1')!.entry.address, tasks: [1] } })
+    })
+
     it('has a `job-idle` event that names the backend server for which a task waits', () => {
       takeOver(2, true)
       for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
