--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -96,7 +96,12 @@
   if (version !== owner.version) throw new CornelgaugeError('stale-epoch', { detail: `Another VM owns the planner since epoch ${owner.epoch}` })
 }
 
-/** True for an epoch that a double represents exactly, also after it is incremented. */
-function isEpochNumber (value: unknown): value is number {
+/**
+ * True for an epoch that a double represents exactly, also after it is incremented.
+ *
+ * @example
+ * isEpochNumber(row.value.epoch)
+ */
+export function isEpochNumber (value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0
 }
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -24,7 +24,7 @@
 import type { RegistryReading } from './registry-reader.js'
 import { RetiredJobs } from './retired-jobs.js'
 import { RoundMonitor } from './round-monitor.js'
-import { areStartsRecorded, RecordedStarts, type RecordedPeriod } from './recorded-starts.js'
+import { areStartsRecorded, RecordedStarts, unrecordedStartsOf, type RecordedPeriod } from './recorded-starts.js'
 import { earlierRunsOf, ServerRecord } from './server-record.js'
 import { ServerRecorder } from './server-recorder.js'
 import { RunLog } from './run-log.js'
@@ -110,7 +110,8 @@
     this.#options = options
     const { owner, store, emit } = options
     this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
-    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(options.recordedPeriod, owner, stored.clock))
+    const unrecorded = unrecordedStartsOf(options.recordedPeriod, owner, { ...stored.servers, clock: stored.clock })
+    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(options.recordedPeriod, owner, stored.clock), unrecorded)
     this.#intake = new JobIntake({
       planner: this.#planner,
       readJob: options.readJob,
@@ -129,7 +130,7 @@
       onOutcome: (command, outcome) => this.#inbox.put({ type: 'started', command, outcome }),
       onCrash: thrown => this.#crash(thrown)
     })
-    this.#recordedStarts = new RecordedStarts({ store, owner, isRecordComplete: () => !this.#starts.isLate && this.#planner.isRecordComplete(performance.now()), confirmedAge: options.confirmedAge })
+    this.#recordedStarts = this.#createRecordedStarts(unrecorded === undefined ? undefined : options.recordedPeriod?.unrecorded)
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#saver = new ProgressSaver({
@@ -160,6 +161,18 @@
     }, ROUND_INTERVAL_MILLISECONDS)
   }
 
+  #createRecordedStarts (inheritedStarts: RecordedPeriod['unrecorded']): RecordedStarts {
+    const { store, owner, confirmedAge } = this.#options
+    return new RecordedStarts({
+      store,
+      owner,
+      isRecordComplete: () => !this.#starts.isLate && this.#planner.isRecordComplete(performance.now()),
+      unrecordedStarts: () => this.#starts.isLate ? undefined : this.#planner.unrecordedStarts,
+      inheritedStarts,
+      confirmedAge
+    })
+  }
+
   #createPolls (): ServerPolls {
     return new ServerPolls({
       planner: this.#planner,
--- a/packages/entry/src/server-record.ts
+++ b/packages/entry/src/server-record.ts
@@ -3,8 +3,8 @@
  * of one that is cut off from the store, while its runs go on until their leases expire. Of those that
  * an owner hasn't used, it also stores when nothing of earlier owners runs there any more.
  */
-import { serverId, type EarlierRuns, type ServerId } from '@cornelgauge/jobs'
-import { asFailure, CornelgaugeError, digestOf, type Epoch } from '@cornelgauge/model'
+import { serverId, type EarlierRuns, type ServerId, type UnrecordedStarts } from '@cornelgauge/jobs'
+import { asFailure, CornelgaugeError, digestOf, epoch, type Epoch } from '@cornelgauge/model'
 import type { RowStore } from '@cornelgauge/ports'
 import { SERVER_RECORD_ROWS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
@@ -38,8 +38,13 @@
 interface WantedRow {
   readonly ids: readonly string[]
   readonly bounds: ReadonlyMap<string, StoredBounds>
+  readonly settled: { readonly upTo: Epoch, readonly ids: Set<string> }
 }
 
+/** Backend servers whose runs of the owners up to one are all recorded. */
+export type SettledIds = Pick<UnrecordedStarts, 'upTo' | 'settledServers'>
+
+const NONE_SETTLED: SettledIds = { upTo: epoch(0), settledServers: new Set() }
 const ABSENT_ROW: KnownRow = { version: 0, content: undefined, unreached: new Set() }
 const ROW_KEYS = Array.from({ length: SERVER_RECORD_ROWS }, (_, index) => String(index))
 
@@ -81,6 +86,16 @@
   return runs
 }
 
+/**
+ * Returns the backend servers on which all runs of the owners up to one are recorded.
+ *
+ * @example
+ * settledServersIn(stored, period.unrecorded.upTo)
+ */
+export function settledServersIn ({ rows }: StoredServers, upTo: Epoch): ReadonlySet<ServerId> {
+  return idsOf([...rows.values()].flatMap(({ settled }) => settled !== undefined && settled.upTo >= upTo ? [...settled.ids] : []))
+}
+
 /** Returns the writer of a row if it and all owners between it and this one store their rows before they use a backend server. */
 function lastUserOf ({ by }: ServerRow, { epoch, recordedSince = epoch }: ChainedOwner): Epoch | undefined {
   return by !== undefined && by >= recordedSince && by < epoch ? by : undefined
@@ -115,7 +130,7 @@
   readonly #rows: Map<string, KnownRow>
   #hasStored = false
   /** Arguments of the last write, if the rows are as it left them. */
-  #stored: { readonly ids: ReadonlySet<ServerId>, readonly unreached: ReadonlyMap<ServerId, EarlierRuns> } | undefined
+  #stored: { readonly ids: ReadonlySet<ServerId>, readonly unreached: ReadonlyMap<ServerId, EarlierRuns>, readonly settled: SettledIds } | undefined
 
   constructor (store: RowStore, owner: OwnerRecord, { rows, clock }: StoredServers) {
     this.#store = store
@@ -137,31 +152,32 @@
 
   /**
    * Stores the rows that differ, in one transaction; the first time, all of them. After a write that wasn't answered or found
-   * other versions, the next call writes them again. From its call on, `unreachedServers` includes those given here.
+   * other versions, the next call writes them again. From its call on, `unreachedServers` includes those given here. Backend
+   * servers that are settled stay so, and need not be taken out of rows that may still be written.
    *
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
    */
-  async write (ids: ReadonlySet<ServerId>, unreached: ReadonlyMap<ServerId, EarlierRuns> = new Map()): Promise<void> {
+  async write (ids: ReadonlySet<ServerId>, unreached: ReadonlyMap<ServerId, EarlierRuns> = new Map(), settled = NONE_SETTLED): Promise<void> {
     const recorded = this.#clock === undefined ? new Map() : unreached
-    if (this.#stored !== undefined && areEqual(ids, this.#stored.ids) && areSameBounds(recorded, this.#stored.unreached)) return
-    const rows = this.#rowsOf(ids, recorded)
-    const wanted = [...rows].filter(([key, row]) => contentOf(row.ids, row.bounds) !== this.#row(key).content)
-    this.#stored = wanted.length === 0 ? { ids, unreached: recorded } : undefined
+    if (this.#stored !== undefined && areEqual(ids, this.#stored.ids) && areSameBounds(recorded, this.#stored.unreached) && areEqual(settled.settledServers, this.#stored.settled.settledServers)) return
+    const rows = this.#rowsOf(ids, recorded, settled)
+    const wanted = [...rows].filter(([key, row]) => contentOf(row) !== this.#row(key).content)
+    this.#stored = wanted.length === 0 ? { ids, unreached: recorded, settled } : undefined
     if (wanted.length === 0) return
     const conditions = wanted.map(([key]) => ({ table: SERVERS_TABLE, key, version: this.#row(key).version }))
     const before = new Map(wanted.map(([key]) => [key, this.#row(key)]))
     for (const [key, { bounds }] of wanted) this.#rows.set(key, uncertain(this.#row(key), bounds.keys()))
     const outcome = await this.#store.write({
       conditions: [{ table: OWNER_TABLE, key: OWNER_KEY, version: this.#owner.version }, ...conditions],
-      puts: wanted.map(([key, row]) => ({ table: SERVERS_TABLE, key, value: encodeServerRow(row.ids, this.#owner.epoch, row.bounds) }))
+      puts: wanted.map(([key, row]) => ({ table: SERVERS_TABLE, key, value: encodeServerRow(row.ids, this.#owner.epoch, row.bounds, row.settled) }))
     }).catch(thrown => {
       // A write that was refused has no effect, so the backend servers that it lists may be used.
       if (asFailure(thrown).code === 'overloaded') for (const [key, row] of before) this.#rows.set(key, row)
       throw thrown
     })
     if (outcome.type === 'written') {
-      for (const [key, row] of wanted) this.#rows.set(key, { version: outcome.version, content: contentOf(row.ids, row.bounds), unreached: idsOf(row.bounds.keys()) })
-      this.#stored = { ids, unreached: recorded }
+      for (const [key, row] of wanted) this.#rows.set(key, { version: outcome.version, content: contentOf(row), unreached: idsOf(row.bounds.keys()) })
+      this.#stored = { ids, unreached: recorded, settled }
       this.#hasStored = true
       return
     }
@@ -181,11 +197,12 @@
   }
 
   /** Content of each row, also of those without any ids. */
-  #rowsOf (ids: ReadonlySet<ServerId>, unreached: ReadonlyMap<ServerId, EarlierRuns>): ReadonlyMap<string, WantedRow> {
-    const rows = new Map([...ROW_KEYS, ...this.#rows.keys()].map(key => [key, { ids: [] as string[], bounds: new Map<string, StoredBounds>() }]))
+  #rowsOf (ids: ReadonlySet<ServerId>, unreached: ReadonlyMap<ServerId, EarlierRuns>, { upTo, settledServers }: SettledIds): ReadonlyMap<string, WantedRow> {
+    const rows = new Map([...ROW_KEYS, ...this.#rows.keys()].map(key => [key, { ids: [] as string[], bounds: new Map<string, StoredBounds>(), settled: { upTo, ids: new Set<string>() } }]))
     for (const id of [...ids].sort()) {
       const row = rows.get(String(Number.parseInt(digestOf(id).slice(0, 8), 16) % SERVER_RECORD_ROWS))!
       row.ids.push(id)
+      if (settledServers.has(id)) row.settled.ids.add(id)
       const bounds = unreached.get(id)
       if (bounds !== undefined) row.bounds.set(id, this.#storedBounds(id, bounds))
     }
@@ -213,8 +230,8 @@
   return new Set([...ids].map(serverId))
 }
 
-function contentOf (ids: readonly string[], bounds: ReadonlyMap<string, StoredBounds>): string {
-  return JSON.stringify([ids, [...bounds]])
+function contentOf ({ ids, bounds, settled }: WantedRow): string {
+  return JSON.stringify([ids, [...bounds], settled.upTo, [...settled.ids]])
 }
 
 function areEqual (left: ReadonlySet<ServerId>, right: ReadonlySet<ServerId>): boolean {
--- a/packages/entry/src/server-recorder.ts
+++ b/packages/entry/src/server-recorder.ts
@@ -67,7 +67,8 @@
     const ids = planner.serversToRecover(now())
     const unreached = planner.unreachedServers(ids)
     const held = this.#hold(unreached.keys())
-    await tryStoreCall(() => record.write(ids, unreached))
+    const settled = planner.settledServers(ids)
+    await tryStoreCall(() => record.write(ids, unreached, settled))
     if (this.#hold([]) < held) onReleased()
   }
 
--- a/packages/entry/src/server-row.ts
+++ b/packages/entry/src/server-row.ts
@@ -23,10 +23,17 @@
     readonly under: Epoch
     readonly bounds: ReadonlyMap<string, StoredBounds>
   }
+  /** Backend servers on which all runs of the owners up to `upTo` are recorded; undefined if there are none, as in rows of earlier releases. */
+  readonly settled?: {
+    readonly upTo: Epoch
+    readonly ids: ReadonlySet<string>
+  }
 }
 
 /** Equal bounds share one entry, with the positions of their backend servers among the ids. */
 type WireBounds = readonly [until: number, lastEpoch: number, positions: readonly number[]]
+/** The positions of the settled backend servers among the ids. */
+type WireSettled = readonly [upTo: number, positions: readonly number[]]
 
 /**
  * Encodes a row. Earlier releases read `ids`, or `ids` and `unreached`.
@@ -34,8 +41,9 @@
  * @example
  * encodeServerRow(['server-1'], owner.epoch, new Map())
  */
-export function encodeServerRow (ids: readonly string[], owner: Epoch, bounds: ReadonlyMap<string, StoredBounds>): RowValue {
-  if (bounds.size === 0) return { ids, by: owner }
+export function encodeServerRow (ids: readonly string[], owner: Epoch, bounds: ReadonlyMap<string, StoredBounds>, settled?: ServerRow['settled']): RowValue {
+  const row = { ids, by: owner, ...(settled === undefined || settled.ids.size === 0 ? {} : { settled: [settled.upTo, positionsOf(ids, settled.ids)] }) }
+  if (bounds.size === 0) return row
   const groups = new Map<string, { readonly until: number, readonly lastEpoch: Epoch, readonly positions: number[] }>()
   for (const [position, id] of ids.entries()) {
     const found = bounds.get(id)
@@ -45,7 +53,7 @@
     group.positions.push(position)
     groups.set(key, group)
   }
-  return { ids, by: owner, unreached: { under: owner, bounds: [...groups.values()].map(({ until, lastEpoch, positions }): WireBounds => [until, lastEpoch, positions]) } }
+  return { ...row, unreached: { under: owner, bounds: [...groups.values()].map(({ until, lastEpoch, positions }): WireBounds => [until, lastEpoch, positions]) } }
 }
 
 /**
@@ -57,7 +65,7 @@
 export function decodeServerRow ({ value, version }: StoredRow): ServerRow {
   const { ids } = value
   if (!isList(ids, isText)) return { version, ids: undefined }
-  const row: ServerRow = { version, ids, ...(isWhole(value.by) ? { by: epoch(value.by) } : {}) }
+  const row: ServerRow = { version, ids, ...(isWhole(value.by) ? { by: epoch(value.by) } : {}), ...settledIn(ids, value.settled) }
   const unreached = (value.unreached ?? {}) as { readonly under?: unknown, readonly bounds?: unknown }
   if (!isWhole(unreached.under) || !isList(unreached.bounds, isWireBounds)) return row
   const bounds = new Map<string, StoredBounds>()
@@ -70,6 +78,16 @@
   return { ...row, unreached: { under: epoch(unreached.under), bounds } }
 }
 
+function positionsOf (ids: readonly string[], wanted: ReadonlySet<string>): readonly number[] {
+  return [...ids.entries()].filter(([, id]) => wanted.has(id)).map(([position]) => position)
+}
+
+function settledIn (ids: readonly string[], value: unknown): Pick<ServerRow, 'settled'> {
+  if (!isWireSettled(value)) return {}
+  const [upTo, positions] = value
+  return { settled: { upTo: epoch(upTo), ids: new Set(positions.map(position => ids[position]).filter(id => id !== undefined)) } }
+}
+
 function isList<Entry> (value: unknown, isEntry: (entry: unknown) => entry is Entry): value is readonly Entry[] {
   return Array.isArray(value) && value.every(isEntry)
 }
@@ -77,6 +95,10 @@
 const isText = (value: unknown): value is string => typeof value === 'string'
 const isWhole = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 
+function isWireSettled (value: unknown): value is WireSettled {
+  return Array.isArray(value) && isWhole(value[0]) && isList(value[1], isWhole)
+}
+
 function isWireBounds (value: unknown): value is WireBounds {
   return Array.isArray(value) && isWhole(value[0]) && isWhole(value[1]) && isList(value[2], isWhole)
 }
--- a/packages/entry/test/following-owners-play.ts
+++ b/packages/entry/test/following-owners-play.ts
@@ -33,8 +33,10 @@
   readonly usesBeforeRecord?: boolean
 }
 
-/** Shortest and longest time between two claims, in milliseconds. */
-export type TenureRange = readonly [shortest: number, longest: number]
+/** Shortest and longest time, in milliseconds. */
+export type TimeRange = readonly [shortest: number, longest: number]
+
+const NO_GAPS: TimeRange = [0, 0]
 
 /**
  * Plays owners that follow each other.
@@ -45,7 +47,10 @@
 export class FollowingOwnersPlay {
   readonly #random: Random
   readonly #fault: PlayFault
-  readonly #tenures: TenureRange
+  /** Time between a claim and the end of the owner, or the next claim. */
+  readonly #tenures: TimeRange
+  /** Time without an owner. */
+  readonly #gaps: TimeRange
   readonly #rows = new MemoryRowStore(() => storeClock(this.#now))
   readonly #pool: PlayedPool
   readonly #jobs = new Map<string, StoredJob>()
@@ -54,25 +59,35 @@
   #trusted = 0
   #owners: PlayedOwner[] = []
   #ownerCount = 0
+  #hasOwner = false
+  #record: PlayedOwner['record'] | typeof NO_OWNER = NO_OWNER
   #isStoreAway = false
 
-  constructor (seed: number, fault: PlayFault = {}, tenures: TenureRange = [500, 10_000]) {
+  constructor (seed: number, fault: PlayFault = {}, tenures: TimeRange = [500, 10_000], gaps = NO_GAPS) {
     this.#random = seededRandom(seed)
     this.#fault = fault
     this.#tenures = tenures
+    this.#gaps = gaps
     this.#pool = new PlayedPool(SERVERS, this.#random)
   }
 
   async run (milliseconds: number): Promise<PlayResult> {
     let nextOwnerAt = 0
+    let endAt = Infinity
     for (; this.#now < milliseconds; this.#now += STEP_MILLISECONDS) {
       this.#pool.advance(this.#now)
       this.#cutServers()
       if (this.#random() < 0.02) this.#isStoreAway = this.#random() < 0.3
       this.#writeLate()
+      if (this.#now >= endAt) {
+        this.#endOwner()
+        nextOwnerAt = this.#now + (this.#gaps === NO_GAPS ? 0 : this.#between(...this.#gaps))
+        endAt = Infinity
+      }
       if (this.#now >= nextOwnerAt) {
         await this.#changeOwner()
-        nextOwnerAt = this.#now + this.#between(...this.#tenures)
+        nextOwnerAt = Infinity
+        endAt = this.#now + this.#between(...this.#tenures)
       }
       this.#submitJob()
       this.#owners = this.#owners.filter(owner => this.#now < owner.endsAt)
@@ -112,12 +127,15 @@
     return outcome
   }
 
+  #endOwner (): void {
+    this.#owners.at(-1)!.endsAt = this.#now + (this.#random() < 0.7 ? DISCONNECTED_MILLISECONDS : 0)
+    this.#hasOwner = false
+  }
+
   async #changeOwner (): Promise<void> {
-    const last = this.#owners.at(-1)
-    if (last !== undefined) last.endsAt = this.#now + (this.#random() < 0.7 ? DISCONNECTED_MILLISECONDS : 0)
     const owner = await PlayedOwner.claim({
       vm: PLAYED_VMS[this.#ownerCount % PLAYED_VMS.length]!,
-      known: last?.record ?? NO_OWNER,
+      known: this.#record,
       now: this.#now,
       clockSentAt: this.#now - this.#between(0, 50),
       rows: this.#rows,
@@ -127,6 +145,8 @@
       write: async transaction => await this.#write(transaction)
     })
     this.#ownerCount += 1
+    this.#hasOwner = true
+    this.#record = owner.record
     this.#trusted += owner.trusted
     if (this.#fault.ignoresRecord === true) {
       owner.planner.holdServers(new Set())
@@ -141,7 +161,7 @@
   }
 
   #submitJob (): void {
-    const owner = this.#owners.at(-1)
+    const owner = this.#hasOwner ? this.#owners.at(-1) : undefined
     if (owner === undefined || this.#random() > 0.05) return
     const job = playedJob(this.#jobs.size, owner, this.#now)
     this.#jobs.set(job.id, { job, isCancelled: false })
@@ -150,7 +170,7 @@
 
   async #step (owner: PlayedOwner): Promise<void> {
     // An owner that was replaced without notice is cut off from the store, and from the registry in it.
-    const isCurrent = owner === this.#owners.at(-1)
+    const isCurrent = this.#hasOwner && owner === this.#owners.at(-1)
     const ignoresRecord = this.#fault.ignoresRecord === true && this.#now - owner.claimedAt > RECORDED_MILLISECONDS
     await owner.step(this.#now, { canRead: isCurrent, canRecord: !ignoresRecord, canStoreProgress: isCurrent && !this.#isStoreAway, confirmedAge: isCurrent ? 0 : this.#now + DISCONNECTED_MILLISECONDS - owner.endsAt })
   }
--- a/packages/entry/test/owner-chain-play.ts
+++ b/packages/entry/test/owner-chain-play.ts
@@ -1,7 +1,7 @@
 /**
  * Plays owners that follow each other at a fixed interval, each of which loses a backend server of its own: it is cut off
  * from all VMs some time after the claim, and comes back later, when its runs have lapsed. Some owners end before
- * they receive a job that was accepted. The store always answers, and no call between reachable parts is lost.
+ * they receive a job that was accepted. The store answers but for one outage, and no call between reachable parts is lost.
  */
 import type { Job, StoredJob } from '@cornelgauge/jobs'
 import { MemoryRowStore } from '@cornelgauge/ports'
@@ -15,6 +15,11 @@
 const BUSY_LOSS_MILLISECONDS = 2000
 const SUBMISSION_MILLISECONDS = 1000
 const STORE = { canRead: true, canRecord: true, canStoreProgress: true }
+const NO_STORE = { canRead: false, canRecord: false, canStoreProgress: false }
+/** Backend servers are lost this often at the end of an outage of the store. */
+const OUTAGE_LOSS_MILLISECONDS = 500
+/** How long before its end. */
+const OUTAGE_LOSSES_MILLISECONDS = 3000
 
 /** What a play has shown. */
 export interface ChainResult {
@@ -39,8 +44,12 @@
   readonly lostMilliseconds: number
   /** A time without an owner, after which the last one's record says nothing of the starts before. */
   readonly gap?: { readonly at: number, readonly milliseconds: number }
+  /** One owner goes on without the store, and ends with the outage, so that its last starts are recorded nowhere. */
+  readonly outage?: { readonly at: number, readonly milliseconds: number }
   /** Owners know only backend servers that they reach, to show that the play finds a fault. */
   readonly forgetsServers?: boolean
+  /** Owners take all starts for recorded, to show the same. */
+  readonly trustsRecord?: boolean
 }
 
 /**
@@ -82,14 +91,15 @@
         continue
       }
       this.#meter.measure(STEP_MILLISECONDS)
-      const hasEnded = this.#owner === undefined || this.#now % this.#options.ownerMilliseconds === 0
+      const isStoreAway = this.#isStoreAway
+      const hasEnded = this.#owner === undefined || (this.#now % this.#options.ownerMilliseconds === 0 && !isStoreAway)
       const isJobDue = this.#now % SUBMISSION_MILLISECONDS === 0
       const missesJob = hasEnded && isJobDue && this.#owner !== undefined && this.#random() < 0.5
       if (missesJob) this.#acceptJob()
       if (hasEnded) await this.#changeOwner()
-      if (this.#now >= this.#lossAt) this.#loseServer()
+      if (this.#now >= this.#lossAt || this.#isOutageLossDue) this.#loseServer()
       if (isJobDue && !missesJob) this.#submitJob()
-      await this.#owner!.step(this.#now, STORE)
+      await this.#owner!.step(this.#now, isStoreAway ? NO_STORE : STORE)
     }
     const { starts, doubles } = this.#pool
     return { tasks: 2 * this.#jobs.size, starts, doubles, owners: this.#owners, lostServers: this.#lostServers, losses: this.#meter.losses, idle: this.#meter.idleTimes }
@@ -104,6 +114,17 @@
     return gap !== undefined && this.#now >= gap.at && this.#now < gap.at + gap.milliseconds
   }
 
+  get #isStoreAway (): boolean {
+    const { outage } = this.#options
+    return outage !== undefined && this.#now >= outage.at && this.#now < outage.at + outage.milliseconds
+  }
+
+  get #isOutageLossDue (): boolean {
+    const { outage } = this.#options
+    const isEnd = outage !== undefined && this.#now >= outage.at + outage.milliseconds - OUTAGE_LOSSES_MILLISECONDS
+    return this.#isStoreAway && isEnd && this.#now % OUTAGE_LOSS_MILLISECONDS === 0
+  }
+
   async #changeOwner (): Promise<void> {
     this.#owner = await PlayedOwner.claim({
       vm: PLAYED_VMS[this.#owners % PLAYED_VMS.length]!,
@@ -114,6 +135,7 @@
       jobs: this.#jobs,
       pool: this.#pool,
       forgetsServers: this.#options.forgetsServers ?? false,
+      trustsRecord: this.#options.trustsRecord ?? false,
       calls: { isAnswerLost: () => false, runMilliseconds: () => this.#between(1000, 12_000), onUnreachable: ({ task }) => this.#meter.addLoss(task) }
     })
     this.#record = this.#owner.record
@@ -124,7 +146,7 @@
   /** Cuts off one backend server: one with a run if the last of these was lost long enough ago, else one without. */
   #loseServer (): void {
     this.#lossAt = Infinity
-    const wantsBusy = this.#now - this.#busyLossAt >= BUSY_LOSS_MILLISECONDS
+    const wantsBusy = this.#isStoreAway || this.#now - this.#busyLossAt >= BUSY_LOSS_MILLISECONDS
     const reachable = this.#pool.servers.filter(({ isReachable }) => isReachable)
     const wanted = reachable.filter(({ running }) => (running.size > 0) === wantsBusy)
     const choices = wanted.length > 0 ? wanted : reachable
--- a/packages/entry/test/owner-chain.test.ts
+++ b/packages/entry/test/owner-chain.test.ts
@@ -70,6 +70,25 @@
     }).timeout(TEST_MILLISECONDS)
   }
 
+  // Guards against starts beside runs that an owner has started without the store, on backend servers that are lost with it.
+  for (const ownerMilliseconds of [500, 2000]) {
+    it(`starts no task beside a run that is recorded nowhere after an outage of the store, and holds none for long, if they are replaced after ${ownerMilliseconds} ms`, async () => {
+      for (const seed of SEEDS) {
+        const { doubles, idle, losses, starts, tasks } = await new OwnerChainPlay({ seed, ownerMilliseconds, lostMilliseconds: 9000, outage: { at: 20_000, milliseconds: 10_000 } }).run(DURATIONS[0]!)
+        expect(doubles, `seed ${seed}`).to.deep.equal([])
+        expect(losses, `seed ${seed}`).to.be.greaterThan(0)
+        expect(idle.withoutLoss, `seed ${seed}, without a loss`).to.be.at.most(LEASES_MILLISECONDS + DISCONNECTED_OWNER_MILLISECONDS + START_MILLISECONDS)
+        expect(idle.perLoss, `seed ${seed}, for a loss`).to.be.at.most(LOSS_MILLISECONDS)
+        expect(starts).to.be.at.least(tasks)
+      }
+    }).timeout(TEST_MILLISECONDS)
+
+    it(`would start some beside such runs if owners took all starts for recorded, and are replaced after ${ownerMilliseconds} ms`, async () => {
+      const { doubles } = await new OwnerChainPlay({ seed: SEEDS[0]!, ownerMilliseconds, lostMilliseconds: 9000, outage: { at: 20_000, milliseconds: 10_000 }, trustsRecord: true }).run(DURATIONS[0]!)
+      expect(doubles).not.to.have.length(0)
+    }).timeout(TEST_MILLISECONDS)
+  }
+
   it('would start some beside their runs if owners knew only the backend servers that they reach', async () => {
     const { doubles } = await new OwnerChainPlay({ seed: SEEDS[0]!, ownerMilliseconds: 4500, lostMilliseconds: 9000, forgetsServers: true }).run(DURATIONS[0]!)
     expect(doubles).not.to.have.length(0)
--- a/packages/entry/test/played-owner.ts
+++ b/packages/entry/test/played-owner.ts
@@ -3,7 +3,7 @@
 import { configurationVersion, jobId, Planner, poolName, queueName, type Command, type Configuration, type Job, type ServerEntry, type StartCommand, type StopCommand, type StoredJob } from '@cornelgauge/jobs'
 import type { MemoryRowStore, RowTransaction, WriteOutcome } from '@cornelgauge/ports'
 import { claimOwnership, type OwnerRecord } from '../src/owner-record.js'
-import { areStartsRecorded, RecordedStarts, recordedPeriodIn, type RecordedPeriod } from '../src/recorded-starts.js'
+import { areStartsRecorded, RecordedStarts, recordedPeriodIn, unrecordedStartsOf, type RecordedPeriod } from '../src/recorded-starts.js'
 import { earlierRunsOf, readServers, ServerRecord } from '../src/server-record.js'
 import { ServerRecorder } from '../src/server-recorder.js'
 import { StartGate } from '../src/start-gate.js'
@@ -72,6 +72,8 @@
   readonly write?: (transaction: RowTransaction) => Promise<WriteOutcome>
   /** It knows nothing of the runs of earlier owners on backend servers that it can't reach. */
   readonly forgetsServers?: boolean
+  /** It takes all starts of earlier owners for recorded. */
+  readonly trustsRecord?: boolean
 }
 
 /** What an owner can do with the store in a step. */
@@ -115,7 +117,7 @@
   }
 
   private constructor (options: PlayedOwnerOptions, record: OwnerRecord, stored: Awaited<ReturnType<typeof readServers>>, period: RecordedPeriod | undefined) {
-    const { rows, jobs, now, write, forgetsServers = false } = options
+    const { rows, jobs, now, write, forgetsServers = false, trustsRecord = false } = options
     const view = rows.view()
     const store = write === undefined ? view : Object.assign(view, { write })
     const bounds = earlierRunsOf(stored, record)
@@ -125,9 +127,10 @@
     this.record = record
     this.trusted = [...bounds.values()].filter(({ until }) => until < Infinity).length
     this.planner = new Planner(record.epoch, [...jobs.values()].map(job => forgetsServers ? withoutPlacements(job) : job), this.#times)
-    if (!forgetsServers) this.planner.inheritServers(stored.ids, bounds, areStartsRecorded(period, record, stored.clock))
+    const unrecorded = unrecordedStartsOf(period, record, stored)
+    if (!forgetsServers) this.planner.inheritServers(stored.ids, bounds, trustsRecord || areStartsRecorded(period, record, stored.clock), unrecorded)
     this.#gate = new StartGate(this.planner)
-    this.#recordedStarts = new RecordedStarts({ store, owner: record, isRecordComplete: () => this.planner.isRecordComplete(this.#now), confirmedAge: () => this.#confirmedAge, now: () => this.#now })
+    this.#recordedStarts = new RecordedStarts({ store, owner: record, isRecordComplete: () => this.planner.isRecordComplete(this.#now), unrecordedStarts: () => this.#gate.isLate ? undefined : this.planner.unrecordedStarts, inheritedStarts: unrecorded === undefined ? undefined : period?.unrecorded, confirmedAge: () => this.#confirmedAge, now: () => this.#now })
     this.planner.configure(PLAYED_CONFIGURATION)
     this.#recorder = new ServerRecorder({
       planner: this.planner,
--- a/packages/entry/test/recorded-starts.test.ts
+++ b/packages/entry/test/recorded-starts.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import { RECORDED_PERIOD_MILLISECONDS, REPLACED_OWNER_START_MILLISECONDS, UNRECORDED_START_CONFIRMATION_MILLISECONDS } from '../src/limits.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from '../src/owner-record.js'
-import { areStartsRecorded, RecordedStarts, recordedPeriodIn, type RecordedPeriod } from '../src/recorded-starts.js'
+import { areStartsRecorded, RecordedStarts, recordedPeriodIn, unrecordedStartsOf, type RecordedPeriod, type RecordedStartsOptions } from '../src/recorded-starts.js'
 import { readTable } from '../src/table-reader.js'
 import { OWNER_TABLE, RECORDED_PERIOD_KEY } from '../src/tables.js'
 
@@ -19,10 +19,10 @@
   let write: ((transaction: RowTransaction) => Promise<WriteOutcome>) | undefined
 
   const period = async (): Promise<RecordedPeriod | undefined> => recordedPeriodIn((await readTable(rows.view(), OWNER_TABLE)).rows)
-  const recordedStarts = (): RecordedStarts => {
+  const recordedStarts = (more: Partial<RecordedStartsOptions> = {}): RecordedStarts => {
     const view = rows.view()
     const store = write === undefined ? view : Object.assign(view, { write })
-    return new RecordedStarts({ store, owner, isRecordComplete: () => isRecordComplete, confirmedAge: () => confirmedAge, now: () => now })
+    return new RecordedStarts({ store, owner, isRecordComplete: () => isRecordComplete, confirmedAge: () => confirmedAge, now: () => now, ...more })
   }
   const claim = async (): Promise<OwnerRecord> => await claimOwnership(rows.view(), await readOwner(rows.view()) ?? NO_OWNER, { vm: vmName('vm-a'), address: '10.0.0.1:7000' })
 
@@ -48,6 +48,44 @@
     expect(await period()).to.equal(undefined)
   })
 
+  describe('while only starts of earlier owners are missing', () => {
+    const missing = { upTo: epoch(0), until: 8000 }
+    const stored = async (): Promise<RecordedPeriod['unrecorded']> => (await period())?.unrecorded
+
+    beforeEach(() => { isRecordComplete = false })
+
+    it('is stored with these, and as none for earlier releases', async () => {
+      await recordedStarts({ unrecordedStarts: () => missing }).confirm()
+      expect(await period()).to.deep.equal({ under: owner.epoch, until: STORE_CLOCK_OFFSET + now + RECORDED_PERIOD_MILLISECONDS, unrecorded: { upTo: 0, until: STORE_CLOCK_OFFSET + 8000 + 1 } })
+      const { rows: stored } = await readTable(rows.view(), OWNER_TABLE)
+      expect(stored.find(({ key }) => key === RECORDED_PERIOD_KEY)!.value).not.to.have.property('until')
+    })
+
+    it('keeps the end of their runs as first stored', async () => {
+      const starts = recordedStarts({ unrecordedStarts: () => missing })
+      await starts.confirm()
+      const first = await stored()
+      now += 700
+      await starts.confirm()
+      expect(await stored()).to.deep.equal(first)
+      await recordedStarts({ unrecordedStarts: () => ({ ...missing, until: 9000 }), inheritedStarts: first }).confirm()
+      expect(await stored()).to.deep.equal(first)
+    })
+
+    it('is stored without these once they aren\'t missing any more', async () => {
+      const starts = recordedStarts({ unrecordedStarts: () => missing })
+      await starts.confirm()
+      isRecordComplete = true
+      await starts.confirm()
+      expect(await stored()).to.equal(undefined)
+    })
+
+    it('is not stored while starts of this owner are missing too', async () => {
+      await recordedStarts({ unrecordedStarts: () => undefined }).confirm()
+      expect(await period()).to.equal(undefined)
+    })
+  })
+
   it('is stored by no owner that was replaced', async () => {
     const replaced = recordedStarts()
     await claim()
@@ -88,6 +126,13 @@
     const clockAt = (milliseconds: number): { milliseconds: number, sentAt: number, receivedAt: number } => ({ milliseconds, sentAt: 0, receivedAt: 5 })
     const inTime = clockAt(20_000 - REPLACED_OWNER_START_MILLISECONDS - 1)
 
+    const settledRows = new Map([
+      ['0', { version: 1, ids: ['a'], settled: { upTo: epoch(1), ids: new Set(['a']) } }],
+      ['1', { version: 1, ids: ['b', 'd'], settled: { upTo: epoch(2), ids: new Set(['b']) } }],
+      ['2', { version: 1, ids: ['c'], settled: { upTo: epoch(3), ids: new Set(['c']) } }],
+      ['3', { version: 1, ids: ['e'] }]
+    ])
+
     const cases: readonly (readonly [title: string, expected: boolean, ...Parameters<typeof areStartsRecorded>])[] = [
       ['that all starts are recorded if it claimed before the end', true, stored, successor(3), inTime],
       ['nothing if an owner that it has replaced may have gone on after the end', false, stored, successor(3), clockAt(inTime.milliseconds + 1)],
@@ -98,10 +143,19 @@
       ['nothing if none is stored', false, undefined, successor(3), inTime],
       ['nothing if the store gives no time', false, stored, successor(3), undefined]
     ]
-    for (const [title, expected, ...parameters] of cases) it(title, () => { expect(areStartsRecorded(...parameters)).to.equal(expected) })
+    for (const [title, expected, ...parameters] of cases) {
+      it(title, () => { expect(areStartsRecorded(...parameters)).to.equal(expected) })
+      it(`${title}; the same with some that are missing`, () => {
+        const [known, owner, clock] = parameters
+        const partial = known === undefined ? undefined : { ...known, unrecorded: { upTo: epoch(2), until: 21_000 } }
+        expect(areStartsRecorded(partial, owner, clock)).to.equal(false)
+        const starts = unrecordedStartsOf(partial, owner, { ids: new Set(), rows: settledRows, damaged: [], ...(clock === undefined ? {} : { clock }) })
+        expect(starts).to.deep.equal(expected ? { upTo: 2, until: clock!.receivedAt + 21_000 - clock!.milliseconds, settledServers: new Set(['b', 'c']) } : undefined)
+      })
+    }
   })
 
-  const odd: readonly unknown[] = [{}, { under: 1 }, { under: -1, until: 5 }, { under: 1.5, until: 5 }, { under: '1', until: 5 }, { under: 1, until: 'later' }, { under: 1, until: Infinity }]
+  const odd: readonly unknown[] = [{}, { under: 1 }, { under: -1, until: 5 }, { under: 1.5, until: 5 }, { under: '1', until: 5 }, { under: 1, until: 'later' }, { under: 1, until: Infinity }, { under: 1, partialUntil: 5 }, { under: 1, partialUntil: 5, unrecordedUpTo: 1, unrecordedUntil: 5 }, { under: 1, partialUntil: 5, unrecordedUpTo: 0 }, { under: 1, partialUntil: 5, unrecordedUpTo: -1, unrecordedUntil: 5 }]
   for (const value of odd) {
     it(`is unknown if its row is ${JSON.stringify(value)}`, () => {
       expect(recordedPeriodIn([{ key: RECORDED_PERIOD_KEY, value: value as Record<string, never>, version: 1 }])).to.equal(undefined)
--- a/packages/entry/test/server-record.test.ts
+++ b/packages/entry/test/server-record.test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'chai'
 import { JobStore } from '../src/job-store.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
-import { earlierRunsOf, readServers, ServerRecord } from '../src/server-record.js'
+import { earlierRunsOf, readServers, ServerRecord, settledServersIn } from '../src/server-record.js'
 
 const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
 const idsOf = (...names: readonly string[]): ReadonlySet<ServerId> => new Set(names.map(serverId))
@@ -25,6 +25,39 @@
     record = new ServerRecord(view, owner, await readServers(view))
   })
 
+  describe('with backend servers that are settled', () => {
+    const settled = { upTo: epoch(3), settledServers: idsOf('b') }
+
+    it('tells the next owner which, unless starts of later owners are missing', async () => {
+      await record.write(idsOf('a', 'b'), new Map(), settled)
+      const stored = await readServers(view)
+      expect([...settledServersIn(stored, epoch(2))]).to.deep.equal(['b'])
+      expect([...settledServersIn(stored, epoch(3))]).to.deep.equal(['b'])
+      expect([...settledServersIn(stored, epoch(4))]).to.deep.equal([])
+    })
+
+    it('is written again if others are', async () => {
+      await record.write(idsOf('a', 'b'), new Map(), settled)
+      await record.write(idsOf('a', 'b'), new Map(), { ...settled, settledServers: idsOf('a', 'b') })
+      expect([...settledServersIn(await readServers(view), epoch(3))]).to.have.members(['a', 'b'])
+    })
+
+    it('lists none that may not have runs', async () => {
+      await record.write(idsOf('a'), new Map(), settled)
+      expect([...settledServersIn(await readServers(view), epoch(3))]).to.deep.equal([])
+    })
+
+    const odd: readonly unknown[] = [3, [], [3], [3, 0], [-1, [0]], ['3', [0]], [3, [0.5]], [3, ['a']]]
+    for (const value of odd) {
+      it(`counts them as not settled if they are ${JSON.stringify(value)}`, async () => {
+        await view.write({ conditions: [], puts: [{ table: 'run-servers', key: '0', value: { ids: ['a'], by: 1, settled: value as never } }] })
+        const stored = await readServers(view)
+        expect([...stored.ids]).to.deep.equal(['a'])
+        expect([...settledServersIn(stored, epoch(0))]).to.deep.equal([])
+      })
+    }
+  })
+
   it('is empty if no owner has written it', async () => {
     expect(await storedIds()).to.deep.equal([])
   })
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -1,5 +1,4 @@
 /** Finds jobs that have nothing running for long though most of the pool is idle, and what they wait for. */
-import type { Epoch } from '@cornelgauge/model'
 import type { ServerId, TaskName } from './ids.js'
 import { dueAt } from './job.js'
 import type { JobState } from './job-state.js'
@@ -7,6 +6,7 @@
 import type { RoundTimes } from './placement-round.js'
 import type { JobProgress } from './progress.js'
 import { isMostlyIdle, snapshotOf } from './round-snapshots.js'
+import type { UnknownEpochs } from './recovery.js'
 import type { PlannerState } from './state.js'
 import type { TaskState } from './task-state.js'
 
@@ -58,10 +58,10 @@
     this.#nextCheckAt = now + IDLE_JOB_CHECK_MILLISECONDS
     const isPoolIdle = isMostlyIdle(snapshotOf(state, now))
     for (const job of this.#since.keys()) if (!state.openJobs.has(job)) this.#since.delete(job)
-    const unknownEpoch = state.recovery.latestUnknownEpoch(now)
+    const unknownEpochs = state.recovery.unknownEpochs(now)
     const found: { readonly job: JobState, readonly idle: IdleJob, readonly milliseconds: number }[] = []
     for (const job of state.openJobs) {
-      const idle = isPoolIdle ? idleJob(state, job, unknownEpoch) : undefined
+      const idle = isPoolIdle ? idleJob(state, job, unknownEpochs) : undefined
       if (idle === undefined) {
         this.#since.delete(job)
         continue
@@ -74,7 +74,7 @@
     this.#isFirst = false
     found.sort((one, other) => other.milliseconds - one.milliseconds)
     for (const { job, idle, milliseconds } of found.slice(0, MAXIMUM_IDLE_JOBS_LOGGED)) {
-      const wait = idle.reason === 'recovery' ? recoveryWait(state, job, unknownEpoch, now) : {}
+      const wait = idle.reason === 'recovery' ? recoveryWait(state, job, unknownEpochs, now) : {}
       state.recordEvent({ type: 'job-idle', job: job.job.id, ...idle, ...wait, epoch: state.epoch, milliseconds, age: wallTime - job.job.acceptedAt })
     }
   }
@@ -126,11 +126,11 @@
   return first === undefined ? undefined : { first, recovering, unresolved, isSuspect }
 }
 
-function idleJob (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined): IdleJob | undefined {
+function idleJob (state: PlannerState, job: JobState, unknownEpochs: UnknownEpochs): IdleJob | undefined {
   const waiting = waitingTasks(job)
   if (waiting === undefined) return undefined
   const { first, recovering, unresolved, isSuspect } = waiting
-  if (state.isRecovering(job, unknownEpoch)) return { task: first.name, reason: 'recovery' }
+  if (state.isRecovering(job, unknownEpochs)) return { task: first.name, reason: 'recovery' }
   if (recovering !== undefined) return { task: recovering.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
@@ -138,8 +138,8 @@
 }
 
 /** Returns which backend servers a job waits for: how many, one of them, and for how long at most. */
-function recoveryWait (state: PlannerState, job: JobState, unknownEpoch: Epoch | undefined, now: number): { readonly servers: number, readonly server?: ServerId, readonly waitMilliseconds?: number } {
+function recoveryWait (state: PlannerState, job: JobState, unknownEpochs: UnknownEpochs, now: number): { readonly servers: number, readonly server?: ServerId, readonly waitMilliseconds?: number } {
   const { recovery } = state
-  const { until, ...servers } = state.isRecovering(job, unknownEpoch) ? recovery.waitOf(job.job.acceptedUnder, now) : recovery.waitFor(job.earlierServers, now)
+  const { until, ...servers } = state.isRecovering(job, unknownEpochs) ? recovery.waitOf(job.job.acceptedUnder, now) : recovery.waitFor(job.earlierServers, now)
   return { ...servers, ...(until === undefined ? {} : { waitMilliseconds: until - now }) }
 }
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -94,12 +94,12 @@
   place (): void {
     this.#state.claimTurns.beginRound()
     this.#state.reservationTurns.beginRound()
-    const unknownEpoch = this.#state.recovery.latestUnknownEpoch(this.#times.now)
+    const unknownEpochs = this.#state.recovery.unknownEpochs(this.#times.now)
     const candidates: Candidate[] = []
     for (const job of this.#state.openJobs) {
       this.#state.work.add(1)
       job.activate(this.#times.wallTime)
-      if (this.#state.isRecovering(job, unknownEpoch)) continue
+      if (this.#state.isRecovering(job, unknownEpochs)) continue
       const candidate = this.#candidate(job)
       if (candidate !== undefined) candidates.push(candidate)
     }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -19,7 +19,7 @@
 import { assignUnknownRuns, dropExpired, dropReplaced, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
-import type { EarlierRuns, HeldServers } from './recovery.js'
+import type { EarlierRuns, HeldServers, UnrecordedStarts } from './recovery.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import { PlannerState, type PlannerEvent } from './state.js'
@@ -100,10 +100,12 @@
   /**
    * Adds the backend servers that an earlier owner recorded by `serversToRecover`, and the bounds of the runs there that
    * earlier owners recorded by `unreachedServers`. A job of an earlier owner waits until each of them that may have runs of
-   * it has answered a poll, also one that isn't registered, or until all leases there have expired.
+   * it has answered a poll, also one that isn't registered, or until all leases there have expired. If earlier owners have
+   * recorded their starts, all or those after `unrecorded`, this holds only for jobs and servers with others.
    */
-  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), areStartsRecorded = false): void {
-    this.#state.recovery.inherit(ids, bounds, this.#state.earlierServers, areStartsRecorded)
+  inheritServers (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), areStartsRecorded = false, unrecorded?: UnrecordedStarts): void {
+    const { recovery, earlierServers } = this.#state
+    recovery.inherit(ids, bounds, earlierServers, areStartsRecorded ? undefined : unrecorded ?? recovery.unrecordedStarts)
   }
 
   /** Ids of the backend servers that may have runs, which a later owner has to know. */
@@ -116,7 +118,17 @@
    * may have there. They hold for the next owner only if this one doesn't use the servers: see `holdServers`.
    */
   unreachedServers (ids: Iterable<ServerId>): ReadonlyMap<ServerId, EarlierRuns> {
-    return this.#state.recovery.unreached(ids)
+    return this.#state.recorded.unreachedServers(ids, this.#lastTimes.now)
+  }
+
+  /** Of the given backend servers, those whose runs of the owners up to `upTo`, the last one whose starts may be missing in the record, are recorded; undefined if none are missing. */
+  settledServers (ids: Iterable<ServerId>): Pick<UnrecordedStarts, 'upTo' | 'settledServers'> | undefined {
+    return this.#state.recorded.settledServers(ids)
+  }
+
+  /** Starts of earlier owners that a later one has to look for, as long as those of this owner are recorded; undefined else. */
+  get unrecordedStarts (): UnrecordedStarts | undefined {
+    return this.#state.recorded.unrecordedStarts
   }
 
   /** Replaces the backend servers that get no starts and no renewals of leases, since the stored record may list them as unreached. */
@@ -231,7 +243,7 @@
     const server = this.#state.servers.get(id)
     if (server === undefined) return undefined
     // An unanswered renewal may still take effect later. Renewing only after an answered poll lets the leases expire for certain.
-    const canRenew = server.clockAt(now) > 0 && server.runs.size > 0 && server.missedPolls === 0 && !server.isHeld
+    const canRenew = server.clockAt(now) > 0 && server.runs.size > 0 && server.missedPolls === 0 && !server.isHeld && this.#state.recorded.mayRenew(server, now)
     return {
       address: server.entry.address,
       acknowledgedPosition: server.acknowledgedPosition,
@@ -272,12 +284,12 @@
 
   /** Notes that a start is sent before it is recorded. */
   noteUnrecordedStart ({ change }: StartCommand): void {
-    this.#state.noteUnrecorded(change)
+    this.#state.recorded.noteUnrecordedStart(change)
   }
 
   /** True if each run that may be executing is recorded, so that a new owner knows of all starts until now. */
   isRecordComplete (now: number): boolean {
-    return this.#state.isRecordComplete(now)
+    return this.#state.recorded.isComplete(now)
   }
 
   /** Applies the outcome of a start command. */
@@ -371,14 +383,14 @@
     const jobs = [...this.#state.openJobs]
     const servers = [...this.#state.servers.values()]
     const usable = servers.filter(server => server.isUsable)
-    const unknownEpoch = this.#state.recovery.latestUnknownEpoch(this.#lastTimes.now)
+    const unknownEpochs = this.#state.recovery.unknownEpochs(this.#lastTimes.now)
     return {
       jobsQueued: jobs.filter(job => job.phase === 'queued').length,
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
       plannedLoad: Math.round(this.#state.load),
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + server.stops.size, 0) + [...this.#state.unsettledRuns].filter(run => run.state === 'unconfirmed' && run.stopReason === undefined).length,
-      jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpoch) || job.earlierServers.length > 0).length,
+      jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpochs) || job.earlierServers.length > 0).length,
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -18,6 +18,23 @@
   readonly lastEpoch: Epoch
 }
 
+/** Starts of earlier owners that may be missing in the record. */
+export interface UnrecordedStarts {
+  /** The last owner that may have sent one. */
+  readonly upTo: Epoch
+  /** When the runs that they began have ended at the latest, on our monotonic clock, unless a later owner has renewed their leases. */
+  readonly until: number
+  /** Backend servers that have listed all their runs and ends to a later owner, which has stored them. */
+  readonly settledServers: ReadonlySet<ServerId>
+}
+
+/** The last owners of which there may be runs that this one doesn't know; undefined where there are none. */
+export interface UnknownEpochs {
+  readonly latest: Epoch | undefined
+  /** The same for runs that aren't recorded. */
+  readonly unrecorded: Epoch | undefined
+}
+
 /** What jobs of earlier owners wait for. */
 export interface RecoveryWait {
   /** Number of backend servers whose runs may be unknown. */
@@ -33,7 +50,7 @@
  *
  * @example
  * recovery.inherit(ids, bounds)
- * job.mayHaveRunsUnder(recovery.latestUnknownEpoch(now))
+ * job.mayHaveRunsUnder(recovery.unknownEpochs(now).latest)
  */
 export class Recovery {
   readonly #servers: ReadonlyMap<ServerId, Server>
@@ -60,6 +77,8 @@
   /** The address at which another backend server has last answered a poll meant for this one, and when it was sent. */
   readonly #rejectedPolls = new Map<ServerId, { readonly address: string, readonly at: number }>()
   #isComplete = false
+  #unrecordedStarts: UnrecordedStarts | undefined
+  /** No unknown runs are left that aren't recorded. */
   #areStartsRecorded = false
 
   constructor (owner: Epoch, now: number, servers: ReadonlyMap<ServerId, Server>) {
@@ -68,17 +87,18 @@
     this.#rowsReadableBy = now + OVERWRITTEN_ROW_MILLISECONDS
     const until = now + LEASE_MILLISECONDS / MINIMUM_SERVER_CLOCK_RATE + DISCONNECTED_OWNER_MILLISECONDS
     this.#unrecorded = { until, lastEpoch: epoch(Math.max(0, owner - 1)) }
+    this.#unrecordedStarts = { upTo: this.#unrecorded.lastEpoch, until, settledServers: new Set() }
   }
 
-  /** True if the progress of each job lists where earlier owners may have started its tasks, or says that it doesn't. */
-  get areStartsRecorded (): boolean {
-    return this.#areStartsRecorded
+  /** Starts of earlier owners that were missing in the record at the claim; undefined if it lists where all of their tasks may run, or says that it doesn't. */
+  get unrecordedStarts (): UnrecordedStarts | undefined {
+    return this.#unrecordedStarts
   }
 
   /** Adds the backend servers that may have runs of earlier owners, whether they are listed or not, the bounds that are stored, and the addresses of those with recorded runs. */
-  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>, addresses: ReadonlyMap<ServerId, string>, areStartsRecorded: boolean): void {
+  inherit (ids: Iterable<ServerId>, bounds: ReadonlyMap<ServerId, EarlierRuns>, addresses: ReadonlyMap<ServerId, string>, unrecordedStarts: UnrecordedStarts | undefined): void {
     for (const [id, address] of addresses) this.#earlierAddresses.set(id, address)
-    this.#areStartsRecorded = areStartsRecorded
+    this.#unrecordedStarts = unrecordedStarts === undefined ? undefined : { ...unrecordedStarts, until: Math.min(unrecordedStarts.until, this.#unrecorded.until) }
     for (const id of [...ids, ...addresses.keys()]) {
       this.#knownSince.set(id, this.#startedAt)
       if (!this.#servers.has(id)) this.#absentServers.add(id)
@@ -131,13 +151,16 @@
     return last !== undefined && last.id !== id && last.at > this.#startedAt
   }
 
-  /** Of the given backend servers, those that this owner hasn't used, since they have not answered it or were replaced, with the bounds for the next owner. */
-  unreached (ids: Iterable<ServerId>): ReadonlyMap<ServerId, EarlierRuns> {
+  /**
+   * Of the given backend servers, those that this owner hasn't used, since they have not answered it, were replaced, or aren't
+   * to be used yet, with the bounds for the next owner.
+   */
+  unreached (ids: Iterable<ServerId>, mayUse: (id: ServerId) => boolean = () => true): ReadonlyMap<ServerId, EarlierRuns> {
     const unreached = new Map<ServerId, EarlierRuns>()
     for (const id of ids) {
       const server = this.#servers.get(id)
       if (server !== undefined && this.isReplaced(server)) unreached.set(id, { until: this.#startedAt, lastEpoch: epoch(0) })
-      else if (!this.#reachedServers.has(id)) unreached.set(id, this.boundsOf(id))
+      else if (!this.#reachedServers.has(id) || !mayUse(id)) unreached.set(id, this.boundsOf(id))
     }
     return unreached
   }
@@ -149,8 +172,35 @@
     return server.isListCut || (server.mayHideRuns(now) && now <= this.#endOf(server, id) && !this.isReplaced(server))
   }
 
-  /** Epoch of the last owner of which there may be unknown runs; undefined if there are none. */
-  latestUnknownEpoch (now: number): Epoch | undefined {
+  /** Returns the last owners of which there may be unknown runs. */
+  unknownEpochs (now: number): UnknownEpochs {
+    return { latest: this.#latestUnknownEpoch(now), unrecorded: this.latestUnrecordedEpoch(now) }
+  }
+
+  /** True if starts of earlier owners may have been missing in the record at the claim. */
+  get hadEarlierStarts (): boolean {
+    return this.#unrecordedStarts !== undefined && this.#unrecordedStarts.upTo > 0
+  }
+
+  /** Epoch of the last owner of which there may be unknown runs that aren't recorded; undefined, from then on, if there are none. */
+  latestUnrecordedEpoch (now: number): Epoch | undefined {
+    if (this.#unrecordedStarts === undefined || this.#areStartsRecorded) return undefined
+    const { upTo, until, settledServers } = this.#unrecordedStarts
+    if (this.#mayMissServers(now)) return upTo
+    // A start of an earlier owner may still arrive at a settled backend server that restarts, and begins there without a fence.
+    const areSettled = now > until
+    let latest: Epoch | undefined
+    for (const id of this.#unresolvedServers(now)) {
+      if (areSettled && settledServers.has(id)) continue
+      const last = epoch(Math.min(this.boundsOf(id).lastEpoch, upTo))
+      if (latest === undefined || last > latest) latest = last
+      if (latest === upTo) return latest
+    }
+    this.#areStartsRecorded = latest === undefined && this.#servers.size > 0
+    return latest
+  }
+
+  #latestUnknownEpoch (now: number): Epoch | undefined {
     if (this.#isComplete) return undefined
     if (this.#mayMissServers(now)) return this.#unrecorded.lastEpoch
     let latest: Epoch | undefined
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -129,7 +129,7 @@
   task.addRun(run)
   if (percent > 0) task.step.progressedOn.add(server.id)
   const { job } = task.step
-  if (job.isOpen && !task.isDone && !task.earlierServers.has(server.id)) state.noteUnrecorded(state.markChanged(job))
+  if (job.isOpen && !task.isDone && !task.earlierServers.has(server.id)) state.recorded.noteUnrecorded(state.markChanged(job))
   job.noteRunning()
   if (task.isDone) return requestStop(state, run, 'done-elsewhere')
   return job.isOpen ? run : requestStop(state, run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -14,7 +14,8 @@
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
-import { Recovery, type HeldServers } from './recovery.js'
+import { RecordedRuns } from './recorded-runs.js'
+import { Recovery, type HeldServers, type UnknownEpochs } from './recovery.js'
 import { RoundWork } from './round-work.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
@@ -109,16 +110,14 @@
   #runCount = 0
   /** Runs of earlier owners that may be unknown. */
   readonly recovery: Recovery
+  /** Which runs are recorded for the next owner. */
+  readonly recorded: RecordedRuns
   /** Address of each backend server with recorded runs of earlier owners. */
   readonly #earlierServers = new Map<ServerId, string>()
   /** Tasks with such runs, by backend server. */
   readonly #earlierTasks = new Map<ServerId, Set<TaskState>>()
   /** Jobs that may have runs of earlier owners which their progress doesn't list. */
   readonly #jobsWithUnlistedRuns = new Set<JobState>()
-  /** Number of the last change with which a run is recorded that was begun before. */
-  #lastUnrecordedChange = 0
-  /** All changes up to the end of the wait for earlier runs are among these. */
-  #isRecoveryNoted = false
   /** Backend servers that must not be used. */
   #heldServers: HeldServers = new Set<ServerId>()
 
@@ -127,6 +126,7 @@
     this.rules = rules
     this.crashHistory = new CrashHistory(now)
     this.recovery = new Recovery(epoch, now, this.servers)
+    this.recorded = new RecordedRuns(this.recovery, this.servers, () => ({ last: this.#lastChange, oldestUnstored: this.#oldestUnstoredChange }))
   }
 
   /** Returns the next run number, above all numbers of earlier owners. */
@@ -152,9 +152,9 @@
     return ids
   }
 
-  /** True if a job waits for backend servers that may have runs of it which aren't recorded; `unknownEpoch` is `recovery.latestUnknownEpoch`. */
-  isRecovering (job: JobState, unknownEpoch: Epoch | undefined): boolean {
-    return job.mayHaveRunsUnder(unknownEpoch) && (job.hasUnlistedRuns || !this.recovery.areStartsRecorded)
+  /** True if a job waits for backend servers that may have runs of it which aren't recorded; the epochs are `recovery.unknownEpochs`. */
+  isRecovering (job: JobState, { latest, unrecorded }: UnknownEpochs): boolean {
+    return job.mayHaveRunsUnder(unrecorded) || (job.hasUnlistedRuns && job.mayHaveRunsUnder(latest))
   }
 
   /** Backend servers on which earlier owners have recorded runs that this one doesn't know yet, with their addresses. */
@@ -169,7 +169,7 @@
 
   /** Lets the tasks start whose recorded runs are known by now, or have ended. */
   settleEarlierRuns (now: number): void {
-    if (this.#jobsWithUnlistedRuns.size > 0 && this.recovery.latestUnknownEpoch(now) === undefined) {
+    if (this.#jobsWithUnlistedRuns.size > 0 && this.recovery.unknownEpochs(now).latest === undefined) {
       for (const job of this.#jobsWithUnlistedRuns) job.hasUnlistedRuns = false
       this.#jobsWithUnlistedRuns.clear()
     }
@@ -187,21 +187,10 @@
     if (task.isWaiting && task.step.job.isOpen) this.markChanged(task.step.job)
   }
 
-  /** Notes that a run is or may be executing which isn't recorded before this change is stored. */
-  noteUnrecorded (change: number): void {
-    this.#lastUnrecordedChange = Math.max(this.#lastUnrecordedChange, change)
-  }
-
-  /** True if each run that may be executing is recorded, so that the next owner has to look for no others. */
-  isRecordComplete (now: number): boolean {
-    if (!this.recovery.areStartsRecorded) {
-      if (this.recovery.latestUnknownEpoch(now) !== undefined) return false
-      // Until now runs without a record may have been found, or ends of them.
-      if (!this.#isRecoveryNoted) this.noteUnrecorded(this.#lastChange)
-      this.#isRecoveryNoted = true
-    }
-    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
-    return this.#lastUnrecordedChange < oldest
+  get #oldestUnstoredChange (): number {
+    let oldest = Infinity
+    for (const { first } of this.#unstoredJobs.values()) oldest = Math.min(oldest, first)
+    return oldest
   }
 
   /** Applies the configuration in force. */
@@ -469,7 +458,7 @@
       const job = this.jobs.get(id)
       if (job !== undefined && !job.isOpen && !this.#unstoredJobs.has(id)) job.isFinalStored = true
     }
-    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
+    const oldest = this.#oldestUnstoredChange
     for (const { server, incarnation, position, change } of this.#pendingAcknowledgements) {
       if (change < oldest && server.entry.incarnation === incarnation) server.acknowledgedPosition = Math.max(server.acknowledgedPosition, position)
     }
--- a/packages/jobs/test/recorded-starts.test.ts
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -1,6 +1,6 @@
 import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
-import { decodeProgress, encodeProgress, jobId, Planner, serverId, type EarlierRuns, type JobProgress, type ServerId, type StartCommand } from '../src/index.js'
+import { decodeProgress, encodeProgress, jobId, Planner, serverId, type EarlierRuns, type JobProgress, type ServerId, type StartCommand, type UnrecordedStarts } from '../src/index.js'
 import { CONFIGURATION, FakeServer, job, step, World } from './world.js'
 
 /** Upper limit of the time from the claim of a new owner until no lease of an earlier one is left. */
@@ -174,10 +174,10 @@
     let ids: ReadonlySet<ServerId>
 
     /** Lets the next owner take over with what is stored, while a backend server is out of reach. */
-    const takeOver = (number: number, areStartsRecorded: boolean, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), edit = (stored: JobProgress): JobProgress => stored): void => {
+    const takeOver = (number: number, areStartsRecorded: boolean, bounds: ReadonlyMap<ServerId, EarlierRuns> = new Map(), edit = (stored: JobProgress): JobProgress => stored, unrecorded?: UnrecordedStarts): void => {
       const stored = ['a', 'b'].map(id => ({ job: job(id, PAIR), isCancelled: false, progress: edit(progress(id)) }))
       world.planner = new Planner(epoch(number), stored, { now: world.now, wallTime: world.wallTime })
-      world.planner.inheritServers(ids, bounds, areStartsRecorded)
+      world.planner.inheritServers(ids, bounds, areStartsRecorded, unrecorded)
       world.planner.configure(CONFIGURATION)
       world.listServers(world.entries.filter(({ id }) => id !== lost.entry.id))
     }
@@ -329,6 +329,101 @@
       expect(placements()).to.deep.equal({ [world.serverRunning('a.0.0.1')!.entry.id]: { address: world.serverRunning('a.0.0.1')!.entry.address, tasks: [1] } })
     })
 
+    // Guards against waits of all jobs that begin anew under each owner, since one before has left starts without a record.
+    describe('after owners whose starts may be missing', () => {
+      const withoutPlacements = ({ steps, ...stored }: JobProgress): JobProgress => ({ ...stored, steps: {} })
+      const follow = (unrecorded: Partial<UnrecordedStarts>, edit?: (stored: JobProgress) => JobProgress): void => {
+        takeOver(3, false, new Map([[lost.entry.id, { until: Infinity, lastEpoch: epoch(2) }]]), edit, { upTo: epoch(1), until: world.now, settledServers: new Set(), ...unrecorded })
+      }
+      const endOthers = (): void => { for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done') }
+      const leaseOf = (id: ServerId): number | undefined => world.planner.pollRequest(id, world.now)!.leaseUntil
+
+      it('holds their jobs for a backend server that is not settled, whoever has used it last', () => {
+        follow({})
+        endOthers()
+        work(8900)
+        expect(starts()).to.have.length(3)
+        expect(world.planner.isRecordComplete(world.now)).to.equal(false)
+      })
+
+      it('holds only what is recorded on one that is settled', () => {
+        follow({ settledServers: new Set([lost.entry.id]) })
+        endOthers()
+        work(500)
+        expect(starts().slice(3)).to.deep.equal(['b.0.0.1'])
+        expect(world.planner.isRecordComplete(world.now)).to.equal(true)
+      })
+
+      it('holds their jobs for that one too while a late start may have begun there', () => {
+        follow({ settledServers: new Set([lost.entry.id]), until: world.now + 3000 })
+        endOthers()
+        work(2800)
+        expect(starts()).to.have.length(3)
+        work(400)
+        expect(starts().slice(3)).to.deep.equal(['b.0.0.1'])
+      })
+
+      it('starts jobs at once that were accepted under later owners', () => {
+        follow({})
+        world.planner.submit(job('c', { acceptedUnder: epoch(2) }))
+        endOthers()
+        work(500)
+        expect(starts().slice(3)).to.deep.equal(['c.0.0.0'])
+      })
+
+      it('passes a backend server on as unreached, and not as settled, until what it has listed is stored', () => {
+        follow({ until: world.now + 5000 }, withoutPlacements)
+        world.isStoreAvailable = false
+        work(200)
+        const { id } = world.serverRunning('a.0.0.1')!.entry
+        expect([...world.planner.unreachedServers([id]).keys()]).to.deep.equal([id])
+        expect([...world.planner.settledServers([id])!.settledServers]).to.deep.equal([])
+        world.planner.markStored(world.planner.unstoredJobs)
+        expect([...world.planner.unreachedServers([id]).keys()]).to.deep.equal([])
+        expect(world.planner.settledServers([id, lost.entry.id])).to.deep.equal({ upTo: 1, settledServers: new Set([id]) })
+      })
+
+      it('uses a backend server that is not settled after some time all the same', () => {
+        const until = world.now + 5000
+        follow({ until }, withoutPlacements)
+        world.isStoreAvailable = false
+        work(200)
+        const { id } = world.serverRunning('a.0.0.1')!.entry
+        work(5000)
+        expect([...world.planner.unreachedServers([id]).keys()]).to.deep.equal([])
+        expect([...world.planner.settledServers([id])!.settledServers]).to.deep.equal([])
+      })
+
+      it('uses a backend server whose list is cut, which is not settled', () => {
+        const server = world.serverRunning('a.0.0.1')!
+        server.mostListedEnds = 0
+        follow({ until: world.now + 5000 })
+        work(200)
+        const { id } = server.entry
+        expect([...world.planner.unreachedServers([id]).keys()]).to.deep.equal([])
+        expect([...world.planner.settledServers([id])!.settledServers]).to.deep.equal([])
+        expect(leaseOf(id)).to.be.greaterThan(0)
+      })
+
+      // Guards against a run whose lease is renewed though the next owner takes it for ended.
+      it('renews no lease of a late start that a settled backend server has begun after a restart, until it is recorded', () => {
+        const server = world.serverRunning('a.0.0.1')!
+        const { id } = server.entry
+        const until = world.now + 3000
+        follow({ until, settledServers: new Set([id, lost.entry.id]) })
+        work(500)
+        expect(leaseOf(id)).to.be.greaterThan(0)
+        server.incarnation += 1
+        server.running.clear()
+        server.running.set('a.0.0.0', { task: 'a.0.0.0', run: 1_000_099, checkpoint: '', percent: 0 } as never)
+        world.isStoreAvailable = false
+        world.pollServers()
+        expect(leaseOf(id)).to.equal(undefined)
+        world.planner.markStored(world.planner.unstoredJobs)
+        expect(leaseOf(id)).to.be.greaterThan(0)
+      })
+    })
+
     it('has a `job-idle` event that names the backend server for which a task waits', () => {
       takeOver(2, true)
       for (const task of ['a.0.0.1', 'b.0.0.0']) world.serverRunning(task)!.end(task, 'done')
