--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -15,7 +15,8 @@
 import { MissingRuns } from './missing-runs.js'
 import type { PlacementRule } from './placement-rules.js'
 import { PlacementTurns } from './placement-turns.js'
-import { Recovery, type HeldServers } from './recovery.js'
+import { RecordedRuns } from './recorded-runs.js'
+import { Recovery, type HeldServers, type UnknownEpochs } from './recovery.js'
 import { RoundWork } from './round-work.js'
 import { RunningGroupCache } from './running-group-cache.js'
 import { SearchTurns } from './search-turns.js'
@@ -114,16 +115,14 @@
   #runCount = 0
   /** Runs of earlier owners that may be unknown. */
   readonly recovery: Recovery
+  /** Which runs are recorded for the next owner. */
+  readonly recorded: RecordedRuns
   /** Address of each backend server with recorded runs of earlier owners. */
   readonly #earlierServers = new Map<ServerId, string>()
   /** Tasks with such runs, by backend server. */
   readonly #earlierTasks = new Map<ServerId, Set<TaskState>>()
   /** Jobs that may have runs of earlier owners which their progress doesn't list. */
   readonly #jobsWithUnlistedRuns = new Set<JobState>()
-  /** Number of the last change with which a run is recorded that was begun before. */
-  #lastUnrecordedChange = 0
-  /** All changes up to the end of the wait for earlier runs are among these. */
-  #isRecoveryNoted = false
   /** Backend servers that must not be used. */
   #heldServers: HeldServers = new Set<ServerId>()
 
@@ -132,6 +131,7 @@
     this.rules = rules
     this.crashHistory = new CrashHistory(now)
     this.recovery = new Recovery(epoch, now, this.servers)
+    this.recorded = new RecordedRuns(this.recovery, this.servers, () => ({ last: this.#lastChange, oldestUnstored: this.#oldestUnstoredChange }))
   }
 
   /** Returns the next run number, above all numbers of earlier owners. */
@@ -157,9 +157,9 @@
     return ids
   }
 
-  /** True if a job waits for backend servers that may have runs of it which aren't recorded; `unknownEpoch` is `recovery.latestUnknownEpoch`. */
-  isRecovering (job: JobState, unknownEpoch: Epoch | undefined): boolean {
-    return job.mayHaveRunsUnder(unknownEpoch) && (job.hasUnlistedRuns || !this.recovery.areStartsRecorded)
+  /** True if a job waits for backend servers that may have runs of it which aren't recorded; the epochs are `recovery.unknownEpochs`. */
+  isRecovering (job: JobState, { latest, unrecorded }: UnknownEpochs): boolean {
+    return job.mayHaveRunsUnder(unrecorded) || (job.hasUnlistedRuns && job.mayHaveRunsUnder(latest))
   }
 
   /** Backend servers on which earlier owners have recorded runs that this one doesn't know yet, with their addresses. */
@@ -174,7 +174,7 @@
 
   /** Lets the tasks start whose recorded runs are known by now, or have ended. */
   settleEarlierRuns (now: number): void {
-    if (this.#jobsWithUnlistedRuns.size > 0 && this.recovery.latestUnknownEpoch(now) === undefined) {
+    if (this.#jobsWithUnlistedRuns.size > 0 && this.recovery.unknownEpochs(now).latest === undefined) {
       for (const job of this.#jobsWithUnlistedRuns) job.hasUnlistedRuns = false
       this.#jobsWithUnlistedRuns.clear()
     }
@@ -182,25 +182,20 @@
       if (this.recovery.mayHideRuns(id, now)) continue
       this.#earlierTasks.delete(id)
       this.#earlierServers.delete(id)
-      for (const task of tasks) task.removeEarlierServer(id)
+      for (const task of tasks) this.#settleEarlierRun(task, id)
     }
   }
 
-  /** Notes that a run is or may be executing which isn't recorded before this change is stored. */
-  noteUnrecorded (change: number): void {
-    this.#lastUnrecordedChange = Math.max(this.#lastUnrecordedChange, change)
+  /** Forgets a recorded run of an earlier owner. If it has ended, the record must not list it any longer, or the next owner may wait for it. */
+  #settleEarlierRun (task: TaskState, id: ServerId): void {
+    task.removeEarlierServer(id)
+    if (task.isWaiting && task.step.job.isOpen) this.markChanged(task.step.job)
   }
 
-  /** True if each run that may be executing is recorded, so that the next owner has to look for no others. */
-  isRecordComplete (now: number): boolean {
-    if (!this.recovery.areStartsRecorded) {
-      if (this.recovery.latestUnknownEpoch(now) !== undefined) return false
-      // Until now runs without a record may have been found, or ends of them.
-      if (!this.#isRecoveryNoted) this.noteUnrecorded(this.#lastChange)
-      this.#isRecoveryNoted = true
-    }
-    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
-    return this.#lastUnrecordedChange < oldest
+  get #oldestUnstoredChange (): number {
+    let oldest = Infinity
+    for (const { first } of this.#unstoredJobs.values()) oldest = Math.min(oldest, first)
+    return oldest
   }
 
   /** Applies the configuration in force. */
@@ -468,7 +463,7 @@
       const job = this.jobs.get(id)
       if (job !== undefined && !job.isOpen && !this.#unstoredJobs.has(id)) job.isFinalStored = true
     }
-    const oldest = Math.min(...[...this.#unstoredJobs.values()].map(({ first }) => first), Infinity)
+    const oldest = this.#oldestUnstoredChange
     for (const { server, incarnation, position, change } of this.#pendingAcknowledgements) {
       if (change < oldest && server.entry.incarnation === incarnation) server.acknowledgedPosition = Math.max(server.acknowledgedPosition, position)
     }
