--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -48,6 +48,13 @@
   readonly onFenced: () => void
 }
 
+/** Polls that follow a start at once, by its outcome: they show whether its run exists, or which incarnation answers. */
+const POLLS_AFTER_START: Readonly<Partial<Record<StartOutcome, (polls: ServerPolls, server: ServerId) => void>>> = {
+  unanswered: (polls, server) => polls.settle(server),
+  unreached: (polls, server) => polls.identify(server),
+  'other-life': (polls, server) => polls.identify(server)
+}
+
 /** Writes of progress that take longer than this are logged. */
 const SLOW_STORE_MILLISECONDS = 500
 
@@ -329,7 +336,7 @@
     this.#planner.applyStartOutcome(server, task, run, outcome, performance.now())
     this.#options.emit('task-started', { details: { task, run, server, epoch: this.epoch, outcome, resumed: command.checkpoint !== '' } })
     if (outcome === 'fenced') this.#fence()
-    if (outcome === 'unanswered') this.#polls.settle(server)
+    POLLS_AFTER_START[outcome]?.(this.#polls, server)
   }
 
   #handleStopOutcome (command: StopCommand, outcome: StopOutcome): void {
--- a/packages/jobs/src/lost-runs.ts
+++ b/packages/jobs/src/lost-runs.ts
@@ -234,12 +234,12 @@
 }
 
 /**
- * Corrects the count of a run that was assumed lost and is listed by the next incarnation.
+ * Corrects the count of a run that was assumed lost, and is listed by the next incarnation or has never begun.
  *
  * @example
  * correctLoss(state, server, entry)
  */
-export function correctLoss (state: PlannerState, server: Server, listed: ListedRun): void {
+export function correctLoss (state: PlannerState, server: Server, listed: Pick<ListedRun, 'task' | 'run'>): void {
   const task = state.task(listed.task)
   const losses = task?.step.knownLosses
   if (task === undefined || losses === undefined) return
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -168,7 +168,7 @@
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
       // While it answers, only its own reports say that it has restarted: the row may be of another writer.
-      const showsRestart = entry.incarnation > server.entry.incarnation
+      const showsRestart = entry.incarnation > server.entry.incarnation && entry.incarnation !== server.supersededIncarnation
       const hasRestarted = showsRestart && (!server.hasAnswered || server.missedPolls > 0)
       if (showsRestart && !hasRestarted && entry.incarnation !== server.listedIncarnation) unreported.push(entry.id)
       if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, 'registry', times)
@@ -288,7 +288,7 @@
   /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server hasn't restarted, to whose clock its lease refers. */
   isStartDue ({ server: id, incarnation, task, run: number }: StartCommand): boolean {
     const server = this.#state.servers.get(id)
-    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation
+    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation
   }
 
   /** Notes that a start is sent before it is recorded. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -341,7 +341,10 @@
   outdated: notStarted,
   late: notStarted,
   invalid: notStarted,
-  'other-life': notStarted,
+  'other-life': (state, server, run) => {
+    server.hasOtherIncarnation = true
+    removeRun(state, server, run, 'unlisted')
+  },
   'no-ticket': (state, server, run) => {
     state.task(run.task)?.step.advice.tickets.delete(server.id)
     removeRun(state, server, run, 'unlisted')
@@ -370,7 +373,10 @@
   else state.startLimit.noteAnswered()
   if (server === undefined || run === undefined) return
   // The incarnation that has answered is gone, with the run if it has begun.
-  if (run.incarnation !== server.entry.incarnation && outcome !== 'unanswered') return removeRun(state, server, run, 'restarted')
+  if (run.incarnation !== server.entry.incarnation && outcome !== 'unanswered') {
+    if (outcome !== 'started') correctLoss(state, server, run)
+    return removeRun(state, server, run, 'restarted')
+  }
   if (effect === undefined) server.answeredStartAt = now
   START_HANDLERS[outcome](state, server, run, now)
 }
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -165,6 +165,12 @@
   answeredStartAt = -Infinity
   /** It has refused a start for lack of capacity; no starts until the next poll. */
   hasRefusedForCapacity = false
+  /** A start has found another incarnation; no starts until the next poll. */
+  hasOtherIncarnation = false
+  /** Incarnation in the entry that was listed when this one became known: that entry may be older. */
+  supersededIncarnation: number | undefined
+  /** Earlier owners can start nothing in any incarnation that this one has known, since one of them has answered. */
+  #areEarlierOwnersFenced = false
   #isOut = false
   #used: Capacity = NO_CAPACITY
   /** Runs whose need isn't known: while there are any, neither is what is free. */
@@ -230,7 +236,7 @@
 
   /** True if it may get new work. */
   get isUsable (): boolean {
-    return this.isListed && this.hasAnswered && !this.isHeld && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasRunsOfUnknownNeed
+    return this.isListed && this.hasAnswered && !this.isHeld && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasOtherIncarnation && !this.hasRunsOfUnknownNeed
   }
 
   /** True if it has runs, may still begin some, or gets new ones. */
@@ -267,6 +273,8 @@
   recordAnswer (clock: number, receivedAt: number): void {
     if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
     this.hasAnswered = true
+    this.hasOtherIncarnation = false
+    this.#areEarlierOwnersFenced = true
     this.#clock = clock
     this.#clockReadAt = receivedAt
     this.lastAnswerAt = receivedAt
@@ -298,8 +306,7 @@
 
   /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
-    // Until the first answer fences them, earlier owners may still start runs.
-    const areEarlierOwnersFenced = this.hasAnswered || this.restartedAt > -Infinity
+    this.supersededIncarnation = this.listedIncarnation
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
     this.restarts += 1
@@ -312,12 +319,13 @@
     this.#clock = 0
     this.#clockReadAt = -Infinity
     this.#leaseUntil = 0
-    if (areEarlierOwnersFenced) this.#leasesExpiredBy = this.runs.size === 0 ? now : now + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
+    if (this.#areEarlierOwnersFenced) this.#leasesExpiredBy = this.runs.size === 0 ? now : now + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
     this.consecutiveFailures = 0
     this.lastFailureAt = -Infinity
     this.unansweredStartAt = -Infinity
     this.answeredStartAt = -Infinity
     this.hasRefusedForCapacity = false
+    this.hasOtherIncarnation = false
   }
 
   /** Longest lease that a run may have which this incarnation began before it answered; those known by then were started in the earlier one. */
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { jobId, type Command, type StartCommand, type StopCommand } from '../src/index.js'
-import { job, World } from './world.js'
+import { job, step, World, type FakeServer } from './world.js'
 
 describe('planner', () => {
   // The registry and each poll report the incarnation of a backend server, in no certain order.
@@ -104,5 +104,89 @@
       world.listServers()
       expect(world.planner.pollRequest(world.servers[0]!.entry.id, world.now)).to.deep.include({ incarnation: undefined, acknowledgedPosition: 0, leaseUntil: undefined })
     })
+
+    // Guards against a job that fails for crashes under starts that were never carried out.
+    it('counts no loss for a start that neither incarnation has carried out', () => {
+      const [start] = startsOf(decide())
+      restart()
+      world.planner.applyStartOutcome(start!.server, start!.task, start!.run, 'other-life', world.now)
+      expect(world.planner.progressOf(jobId('a'))!.steps).to.deep.equal({})
+    })
+  })
+
+  describe('when a start finds another incarnation', () => {
+    it('starts nothing there until that has answered a poll', () => {
+      const world = new World(1)
+      world.pollServers()
+      world.servers[0]!.restart()
+      world.planner.submit(job('a', { steps: [step({ count: 4 })] }))
+      for (let round = 0; round < 10; round += 1) world.round(4)
+      expect(world.starts).to.have.length(4)
+      world.pollServers()
+      world.round()
+      expect(world.starts).to.have.length(8)
+      expect(world.servers[0]!.running.size).to.equal(4)
+    })
+  })
+
+  describe('when a start is not sent since a new connection was left unanswered', () => {
+    it('starts the task elsewhere, at once', () => {
+      const world = new World(2)
+      world.pollServers()
+      world.planner.submit(job('a'))
+      const decide = (): StartCommand | undefined => {
+        world.now += 10
+        return world.planner.decide({ now: world.now, wallTime: world.wallTime }).find((command): command is StartCommand => command.type === 'start')
+      }
+      const first = decide()!
+      world.planner.applyStartOutcome(first.server, first.task, first.run, 'unreached', world.now)
+      const second = decide()!
+      expect(second.task).to.equal(first.task)
+      expect(second.server).to.not.equal(first.server)
+    })
+  })
+
+  // Guards against what an earlier incarnation has shown that keeps work from the next.
+  describe('when a backend server has refused a start for want of room, and restarts', () => {
+    it('uses the new incarnation as soon as it has answered', () => {
+      const world = new World(1)
+      world.pollServers()
+      world.planner.submit(job('a'))
+      world.now += 10
+      const [start] = world.planner.decide({ now: world.now, wallTime: world.wallTime }) as [StartCommand]
+      world.planner.applyStartOutcome(start.server, start.task, start.run, 'unreached', world.now)
+      world.servers[0]!.restart()
+      world.pollServers()
+      world.round()
+      expect(world.servers[0]!.running.size).to.equal(1)
+    })
+  })
+
+  describe('when the clock of a backend server was set back before its restart, and its entry is the earlier one', () => {
+    it('keeps its runs when a poll is missed', () => {
+      const world = new World(2)
+      const setIncarnation = (server: FakeServer, incarnation: number): void => { server.incarnation = incarnation }
+      for (const server of world.servers) setIncarnation(server, 100)
+      world.listServers()
+      world.pollServers()
+      const earlier = world.entries
+      for (const server of world.servers) {
+        server.restart()
+        setIncarnation(server, 50)
+      }
+      world.now += 10
+      world.pollServers()
+      world.planner.submit(job('a'))
+      world.round()
+      world.now += 10
+      world.pollServers()
+      const holder = world.servers.find(server => server.running.size > 0)!
+      holder.connectivity = 'silent'
+      world.now += 10
+      world.pollServers()
+      world.listServers(earlier)
+      world.settle()
+      expect(world.starts).to.have.length(1)
+    })
   })
 })
