Don't own the planner by a claim that a newer owner has overtaken

Cause: a VM learned from a heartbeat that another VM had claimed after it, and only then came the answer to its own, earlier claim. It took the ownership of that epoch all the same. As it already knew the newer owner, no later news of it ended the ownership.

What callers saw: nothing at first, since its planner isn't loaded under a replaced epoch. But it replied to each heartbeat that it was the owner, so the other VMs, which ask the first ones in the order of succession, took the owner for reachable. When the newer owner failed, none claimed: accepted jobs stayed where they were for as long as that VM ran. In a trial of the test below on the code before, no VM claimed for 20 s, the end of the trial.

Change: a claim that isn't the newest known owner when it is answered makes no owner.

Evidence: packages/entry/test/ownership.test.ts, "makes no owner of a VM that has learned of a newer one meanwhile". Before: expected [ 'vm-01', 'vm-02' ] to deeply equal [ 'vm-02' ].

Why it works: adoptOwner keeps the highest epoch, and all paths to an ownership pass this check after it.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -346,6 +346,8 @@
       const owner = await claimOwnership(store, storedOwner ?? NO_OWNER, self)
       this.adoptOwner(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (storedOwner?.epoch ?? 0) + 1) return
+      // A newer owner may have become known before the answer to the claim.
+      if (this.#owner?.epoch !== owner.epoch) return
       emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(this.#clock.now() - started) } })
       this.#beginTenure(owner, reason)
       if (previous !== undefined && previous.address !== self.address) this.#exchangeOwner(previous.address)
--- a/packages/entry/test/deployment.ts
+++ b/packages/entry/test/deployment.ts
@@ -31,6 +31,8 @@
   mutedUntil = 0
   /** Its process doesn't run before this time. */
   stalledUntil = 0
+  /** The store's answers to its writes arrive this much later. */
+  writeAnswerDelay = 0
   /** Milliseconds since the store last answered it, as it says itself. */
   storeAge = 0
   /** The loads that it has begun, each until its signal aborts. */
@@ -133,7 +135,9 @@
       },
       write: async (transaction: Parameters<RowStore['write']>[0]) => {
         await reach()
-        return await view.write(transaction)
+        const outcome = await view.write(transaction)
+        await pause(this.clock, vm.writeAnswerDelay)
+        return outcome
       }
     } as unknown as RowStore
   }
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -7,6 +7,8 @@
 
 /** Time after which an owner of which no packet arrives has been replaced, in milliseconds. */
 const REPLACED_MILLISECONDS = 1500
+/** The same for one that has just claimed. */
+const RECLAIM_MILLISECONDS = 2700
 
 const equalWeights = (count: number): number[] => Array.from({ length: count }, () => 1)
 
@@ -223,6 +225,32 @@
     })
   })
 
+  describe('a claim that the store answers late', () => {
+    /** The first VM fails, and the second one claims; the third and the fourth learn of the claim from the store before the second one has its answer. */
+    async function claimWithLateAnswer (milliseconds: number): Promise<readonly SimulatedVm[]> {
+      const vms = await startSettled([8, 4, 2, 1])
+      vms[1]!.writeAnswerDelay = milliseconds
+      vms[0]!.isDown = true
+      while (deployment.store.rows('owner')[0]!.value.epoch === 1) await deployment.clock.advance(20)
+      return vms
+    }
+
+    it('makes no owner of a VM that has learned of a newer one meanwhile', async () => {
+      const vms = await claimWithLateAnswer(700)
+      const version = deployment.store.rows('owner')[0]!.version
+      const takeover = vms[2]!.leadership.takeOver({ ...vms[1]!.member, epoch: epoch(2), version })
+      await deployment.clock.advance(3000)
+      await takeover
+      expect(deployment.owners).to.deep.equal(['vm-02'])
+      vms[1]!.writeAnswerDelay = 0
+      const downAt = deployment.clock.now()
+      vms[2]!.isDown = true
+      await deployment.clock.advance(20_000)
+      expect(deployment.claims.map(claim => claim.epoch)).to.deep.equal([1, 3, 4])
+      expect(deployment.claims[2]!.at - downAt).to.be.below(RECLAIM_MILLISECONDS)
+    })
+  })
+
   describe('a VM that leaves', () => {
     it('does not claim, though it waits for its turn or for replies of others', async () => {
       for (let age = 1000; age < 4000; age += 100) {
