Don't have a VM replaced while the store's answer to its claim is in flight

Cause: a VM that names an older owner in its reply isn't given up, as its claim may have succeeded without its knowledge. But the heartbeat itself brought the claim: the VM adopted itself as the owner, and replied that this owner doesn't own the planner. So each VM that read the claim from the store first replaced it at once.

What callers saw: a second change of owners directly after the first one, with a second load of the planner; nothing starts until it ends.

Change: while a claim is under way, a VM doesn't adopt itself from a heartbeat. One that has restarted and has no claim under way still replies that it isn't the owner, and is replaced at once.

Evidence: packages/entry/test/ownership.test.ts, "is not replaced by VMs that reach the claimant before its answer does" (an answer 700 ms late). Before: expected [ [ 'vm-00', 1 ], [ 'vm-02', 3 ] ] to deeply equal [ [ 'vm-00', 1 ], [ 'vm-01', 2 ] ].

Why it works: the reply names the owner that the VM knew before, which neither shows that the claimant is alive nor that it gave up.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -145,7 +145,7 @@
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
     this.#members.add(member, storeAge)
-    if (heartbeat.owner !== undefined) this.adoptOwner(heartbeat.owner)
+    if (heartbeat.owner !== undefined && !this.#mayBeOwnClaim(heartbeat.owner)) this.adoptOwner(heartbeat.owner)
     const waitingJobs = this.isOwner ? this.#options.waitingJobs?.() : undefined
     return {
       kind: 'beat',
@@ -158,6 +158,12 @@
     }
   }
 
+  /** True if an owner that a peer names may be this VM by a claim whose answer is in flight; a reply that names it without owning it has the peer claim. */
+  #mayBeOwnClaim ({ vm, address }: KnownOwner): boolean {
+    const { self } = this.#options
+    return this.#claiming !== undefined && vm === self.vm && address === self.address
+  }
+
   /**
    * A release that sends no weight replaces an owner that has been silent for 0.6 s, unless one of the VMs that it asks
    * has heard of it lately. While this VM doesn't consider the owner failed, it says so to such a release.
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -235,6 +235,12 @@
       return vms
     }
 
+    it('is not replaced by VMs that reach the claimant before its answer does', async () => {
+      await claimWithLateAnswer(700)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
+    })
+
     it('makes no owner of a VM that has learned of a newer one meanwhile', async () => {
       const vms = await claimWithLateAnswer(700)
       const version = deployment.store.rows('owner')[0]!.version
