Send with a heartbeat how old the owner's claim was at its newest reply

A contract change by itself: a heartbeat gets the optional field `ownedMilliseconds`, that of the newest reply of the owner that it names. So an owner can tell, on its own clock, after which of its replies a heartbeat was sent, however late it reads it. Both sides read messages without the field, and earlier releases pass over it. Nothing uses it yet.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -293,7 +293,7 @@
 
   async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS, onFailure: (failure: CornelgaugeError) => void = () => {}): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
-    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
+    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner, ownedMilliseconds: this.#evidence.ownedMilliseconds }) }
     try {
       return await peers.call<'beat'>(address, heartbeat, timeoutMilliseconds)
     } catch (thrown) {
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -34,9 +34,10 @@
   /**
    * Heartbeat of a VM: its name and address, the owner it follows, the milliseconds since the store last
    * answered it, and the version of the receiver's list of members that it has. Earlier releases send no
-   * version and require the list in each reply.
+   * version and require the list in each reply. `ownedMilliseconds` is that of the newest reply of the owner it follows, 0 before
+   * the first: the heartbeat was sent later than that reply. Earlier releases don't send it.
    */
-  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly listVersion?: string }
+  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly listVersion?: string, readonly ownedMilliseconds?: number }
   /** A job from a VM that can't store it; the peer stores it instead. */
   | { readonly kind: 'accept', readonly draft: JobDraft }
   /** Notifies the owner of a stored job. */
@@ -76,7 +77,7 @@
 const areMembers = (value: unknown): boolean => Array.isArray(value) && value.every(isMember)
 
 const REQUEST_CHECKS: Readonly<Record<PeerRequest['kind'], Check>> = {
-  beat: ({ member, owner, storeAge, listVersion }) => isMember(member) && isAbsentOr(isOwner)(owner) && isNumber(storeAge) && isAbsentOr(isString)(listVersion),
+  beat: ({ member, owner, storeAge, listVersion, ownedMilliseconds }) => isMember(member) && isAbsentOr(isOwner)(owner) && isNumber(storeAge) && isAbsentOr(isString)(listVersion) && isAbsentOr(isNumber)(ownedMilliseconds),
   accept: ({ draft }) => isDraftWithId(draft),
   job: ({ job }) => isJob(job),
   cancel: ({ id }) => isString(id),
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -18,6 +18,7 @@
   #silentSince = -Infinity
   /** When the owner claimed, as far as this VM knows. */
   #claimedAt = -Infinity
+  #ownedMilliseconds = 0
   #shortTenures = 0
   /** End of the last delay that was subtracted. */
   #excludedUntil = -Infinity
@@ -33,6 +34,11 @@
     return this.#clock.now() - this.#heardAt
   }
 
+  /** Age of the owner's claim at its newest reply, on its own clock; 0 before the first. */
+  get ownedMilliseconds (): number {
+    return this.#ownedMilliseconds
+  }
+
   /** Milliseconds of silence after which the owner is considered failed. */
   get requiredSilence (): number {
     return this.scale(OWNER_SILENCE_MILLISECONDS)
@@ -59,13 +65,17 @@
     const now = this.#clock.now()
     this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
     this.#claimedAt = now
+    this.#ownedMilliseconds = 0
     this.hear()
   }
 
   /** Records a reply of the owner, with the milliseconds since its claim; earlier releases don't send them. */
   hear (ownedMilliseconds?: number): void {
     const now = this.#clock.now()
-    if (ownedMilliseconds !== undefined) this.#claimedAt = now - ownedMilliseconds
+    if (ownedMilliseconds !== undefined) {
+      this.#claimedAt = now - ownedMilliseconds
+      this.#ownedMilliseconds = Math.max(this.#ownedMilliseconds, ownedMilliseconds)
+    }
     this.#heardAt = now
     this.postpone()
   }
--- a/packages/entry/test/messages.test.ts
+++ b/packages/entry/test/messages.test.ts
@@ -17,7 +17,7 @@
 }
 
 const REQUESTS: readonly object[] = [
-  { kind: 'beat', member: MEMBER, owner: OWNER, storeAge: Infinity, listVersion: 'a' },
+  { kind: 'beat', member: MEMBER, owner: OWNER, storeAge: Infinity, listVersion: 'a', ownedMilliseconds: 10 },
   { kind: 'beat', member: { vm: 'vm-b', address: '10.0.0.2:7000' }, storeAge: 5 },
   { kind: 'accept', draft: JOB },
   { kind: 'job', job: JOB },
