Confirm an owner by heartbeats as of the reply that they follow

Cause: an owner that the store doesn't answer goes on while a majority of its peers confirm it, for 2.5 s after the last heartbeats of most of them. Any heartbeat counted, at the time when it was read. Those that wait in the sockets of a process that doesn't run were read seconds later, from peers that had replaced the owner meanwhile. Heartbeats that name another owner counted too, and so did the lists of members that the former owner had sent.

A new owner waits for the runs on a backend server that it doesn't reach until 9.1 s after its claim, which counts on the former owner renewing no leases from 3 s after that claim on. One that was stopped for some seconds, and that reaches the backend server but not the store, renewed them on waking.

Change: a heartbeat confirms the owner that it names only, and as of the newest reply that its sender had from it, on the owner's clock. A new claim starts without confirmations. Heartbeats of earlier releases, which don't say what they follow, still count when they are read if they name the owner.

Evidence: packages/entry/test/ownership.test.ts. Before: "is not confirmed by heartbeats that waited while its process did not run": expected 10 to be above 3000; "is not confirmed by heartbeats that name an earlier owner": expected 0 to be above 2500.

Why it works: the time in the heartbeat is one that the owner itself has sent, under an epoch that no other claim has; so the sender followed it later than that, whenever the heartbeat arrives.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -99,7 +99,7 @@
     return this.#evidence.heardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
   }
 
-  /** Milliseconds since a majority of peers last sent a heartbeat; the store's confirmation is tracked separately. */
+  /** Milliseconds since a majority of peers were last seen to follow this VM as the owner; the store's confirmation is tracked separately. */
   get peerConfirmationAge (): number {
     return this.#members.majorityAge
   }
@@ -144,7 +144,7 @@
   /** Answers a heartbeat. */
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
-    this.#members.add(member, storeAge)
+    this.#members.add(member, storeAge, this.#confirmationTimeOf(heartbeat))
     if (heartbeat.owner !== undefined && !this.#mayBeOwnClaim(heartbeat.owner)) this.adoptOwner(heartbeat.owner)
     const waitingJobs = this.isOwner ? this.#options.waitingJobs?.() : undefined
     return {
@@ -158,6 +158,16 @@
     }
   }
 
+  /**
+   * A time from which on the sender of a heartbeat has followed this VM as the owner; undefined if it doesn't follow it. Heartbeats wait
+   * in the sockets of a process that doesn't run, so it isn't the time of arrival, unless the sender's release doesn't give a better one.
+   */
+  #confirmationTimeOf ({ owner, ownedMilliseconds }: HeartbeatRequest): number | undefined {
+    if (this.#ownership === undefined || owner?.epoch !== this.#ownership.epoch) return undefined
+    const now = this.#clock.now()
+    return ownedMilliseconds === undefined ? now : Math.min(now, this.#ownedSince + ownedMilliseconds)
+  }
+
   /** True if an owner that a peer names may be this VM by a claim whose answer is in flight; a reply that names it without owning it has the peer claim. */
   #mayBeOwnClaim ({ vm, address }: KnownOwner): boolean {
     const { self } = this.#options
@@ -369,6 +379,7 @@
     this.#tenure = tenure
     this.#ownership = owner
     this.#ownedSince = this.#clock.now()
+    this.#members.dropConfirmations()
     this.#isLoading = true
     this.#loading = this.#options.onOwned(owner, tenure.signal)
       .catch(thrown => {
--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -13,6 +13,8 @@
   readonly heardAt: number
   /** Milliseconds since the store last answered the member, as it said; Infinity if it didn't. */
   readonly storeAge: number
+  /** The latest time at which the member is known to have followed this VM as the owner; -Infinity if it isn't. */
+  readonly confirmedAt: number
 }
 
 /** The list that a peer sent, with its version there. */
@@ -22,6 +24,9 @@
   readonly members: readonly Member[]
 }
 
+/** What is known of a member that has sent no heartbeat. */
+const UNHEARD: Pick<KnownMember, 'storeAge' | 'confirmedAt'> = { storeAge: Infinity, confirmedAt: -Infinity }
+
 /** A version that no list has; a VM that sends it receives every list. */
 export const NO_VERSION = ''
 /** Sent as a version by a VM that needs no list. */
@@ -74,18 +79,23 @@
     return known.map(({ member }) => member).sort(compareSuccession)
   }
 
-  /** Milliseconds since a majority of all members ever known last sent a heartbeat. */
+  /** Milliseconds since a majority of all members ever known were last seen to follow this VM as the owner. */
   get majorityAge (): number {
     const now = this.#clock.now()
-    const ages = [...this.#members.values()].map(({ heardAt }) => now - heardAt).sort((left, right) => left - right)
+    const ages = [...this.#members.values()].map(({ confirmedAt }) => now - confirmedAt).sort((left, right) => left - right)
     return ages.length === 0 ? Infinity : ages[Math.floor(ages.length / 2)]!
   }
 
-  /** Records a heartbeat of a member. */
-  add (member: Member, storeAge: number): void {
+  /** Records a heartbeat of a member, and when the member followed this VM as the owner, if the heartbeat shows it. */
+  add (member: Member, storeAge: number, confirmedAt = -Infinity): void {
     const earlier = this.#members.get(member.vm)
     if (earlier === undefined || !this.#isRecent(earlier) || keyOf(earlier.member) !== keyOf(member)) this.#isListOutdated = true
-    this.#members.set(member.vm, { member, storeAge, heardAt: this.#clock.now() })
+    this.#members.set(member.vm, { member, storeAge, heardAt: this.#clock.now(), confirmedAt: Math.max(confirmedAt, earlier?.confirmedAt ?? -Infinity) })
+  }
+
+  /** Drops the confirmations, which were of an earlier claim. */
+  dropConfirmations (): void {
+    for (const [vm, known] of this.#members) this.#members.set(vm, { ...known, confirmedAt: -Infinity })
   }
 
   /**
@@ -112,7 +122,9 @@
     if (this.#received?.address !== address) return
     const heardAt = this.#clock.now()
     for (const member of this.#received.members) {
-      if (member.vm !== this.#self.vm) this.#members.set(member.vm, { member, heardAt, storeAge: this.#members.get(member.vm)?.storeAge ?? Infinity })
+      if (member.vm === this.#self.vm) continue
+      const { storeAge, confirmedAt } = this.#members.get(member.vm) ?? UNHEARD
+      this.#members.set(member.vm, { member, heardAt, storeAge, confirmedAt })
     }
   }
 
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -1,6 +1,7 @@
 import { pause } from '@cornelgauge/coordination'
 import { epoch, vmName } from '@cornelgauge/model'
 import { expect } from 'chai'
+import { UNRECORDED_START_CONFIRMATION_MILLISECONDS } from '../src/limits.js'
 import { MemberList } from '../src/member-list.js'
 import { Deployment, SimulatedVm } from './deployment.js'
 import { EarlierVm } from './earlier-release.js'
@@ -93,6 +94,30 @@
       expect(deployment.claims).to.have.length(1)
     })
 
+    it('is not confirmed by heartbeats that waited while its process did not run', async () => {
+      const vms = await startSettled(equalWeights(5))
+      const [owner, ...others] = vms
+      expect(owner!.leadership.peerConfirmationAge).to.be.below(UNRECORDED_START_CONFIRMATION_MILLISECONDS)
+      owner!.stalledUntil = deployment.clock.now() + 4000
+      await deployment.clock.advance(1000)
+      for (const vm of others) vm.isDown = true
+      await deployment.clock.advance(3010)
+      expect(owner!.leadership.peerConfirmationAge).to.be.above(3000)
+    })
+
+    it('is not confirmed by heartbeats that name an earlier owner', async () => {
+      const vms = await startSettled(equalWeights(5))
+      const [first, successor, ...others] = vms
+      const earlier = first!.leadership.owner!
+      for (const vm of [first!, ...others]) vm.isDown = true
+      const takeover = successor!.leadership.takeOver(earlier)
+      await deployment.clock.advance(3000)
+      await takeover
+      expect(successor!.leadership.isOwner).to.equal(true)
+      for (const { member } of others) successor!.leadership.answerHeartbeat({ kind: 'beat', member, owner: earlier, storeAge: 0 })
+      expect(successor!.leadership.peerConfirmationAge).to.be.above(2500)
+    })
+
     it('is replaced in time if no packet of it arrives', async () => {
       const vms = await startSettled(equalWeights(8))
       const downAt = deployment.clock.now()
