Say only of an owner that has replied when it was last heard of

Cause: before a VM replaces a silent owner, it asks others whether they have heard of it in the last 0.7 s. A VM that had just learned of the owner, from the store after its own restart or from the question itself, replied that it had heard of it just now.

What callers saw: a failed owner was replaced a second or more later if one of the first three VMs in the order of succession restarted at about the same time; with each further restart in time, later still.

Change: learning of an owner no longer counts as a reply of it. It still starts the silence that counts, and still names the VM to which jobs are led on while the store doesn't answer.

Evidence: packages/entry/test/ownership.test.ts, "has heard nothing of an owner that it knows from the store" (a restart 0.7 s after the owner's failure).

Why it works: what a VM replies about the owner rests on replies of that owner alone, under the epoch that it follows.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -96,7 +96,7 @@
    */
   get relayPeer (): Member | undefined {
     if (this.isOwner) return this.#successors()[0]
-    return this.#evidence.heardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
+    return this.#evidence.contactAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
   }
 
   /** Milliseconds since a majority of peers were last seen to follow this VM as the owner; the store's confirmation is tracked separately. */
@@ -337,7 +337,7 @@
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#sendHeartbeat(member.address)))
     for (const answer of answers) if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     const replies = answers.filter(answer => answer !== undefined)
-    if (replies.length === 0) return this.#evidence.heardAge < ISOLATED_TAKEOVER_MILLISECONDS
+    if (replies.length === 0) return this.#evidence.contactAge < ISOLATED_TAKEOVER_MILLISECONDS
     return replies.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + OWNER_SILENCE_MILLISECONDS / 2)
   }
 
@@ -350,7 +350,7 @@
     const { store, self, emit } = this.#options
     const started = this.#clock.now()
     const previous = this.#owner
-    const silenceMilliseconds = this.#evidence.heardAge
+    const silenceMilliseconds = this.#evidence.contactAge
     try {
       const storedOwner = await readOwner(store)
       if (storedOwner !== undefined && storedOwner.epoch > (previous?.epoch ?? 0)) {
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -14,7 +14,10 @@
  */
 export class OwnerEvidence {
   readonly #clock: Clock
+  /** When the owner last replied. */
   #heardAt = -Infinity
+  /** When this VM began to follow the owner. */
+  #followedAt = -Infinity
   #silentSince = -Infinity
   /** When the owner claimed, as far as this VM knows. */
   #claimedAt = -Infinity
@@ -29,11 +32,16 @@
     this.#clock = clock
   }
 
-  /** Milliseconds since this VM last received a reply of the owner. */
+  /** Milliseconds since this VM last received a reply of the owner; Infinity before the first. */
   get heardAge (): number {
     return this.#clock.now() - this.#heardAt
   }
 
+  /** Milliseconds since this VM last received a reply of the owner, or learned of it. */
+  get contactAge (): number {
+    return this.#clock.now() - Math.max(this.#heardAt, this.#followedAt)
+  }
+
   /** Age of the owner's claim at its newest reply, on its own clock; 0 before the first. */
   get ownedMilliseconds (): number {
     return this.#ownedMilliseconds
@@ -66,7 +74,9 @@
     this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
     this.#claimedAt = now
     this.#ownedMilliseconds = 0
-    this.hear()
+    this.#followedAt = now
+    this.#heardAt = -Infinity
+    this.postpone()
   }
 
   /** Records a reply of the owner, with the milliseconds since its claim; earlier releases don't send them. */
--- a/packages/entry/test/deployment.ts
+++ b/packages/entry/test/deployment.ts
@@ -116,6 +116,16 @@
     this.#running.push(running)
   }
 
+  /** Ends the process of a VM without a word, and starts another one under its name and address. */
+  restart (vm: SimulatedVm): SimulatedVm {
+    vm.isDown = true
+    vm.stopping.abort()
+    const next = new SimulatedVm(this, vm.member, this.vms.slice(0, 3).map(({ member }) => member.address))
+    this.vms[this.vms.indexOf(vm)] = next
+    this.#running.push(next.leadership.run(next.stopping.signal))
+    return next
+  }
+
   async stop (): Promise<void> {
     this.vms.forEach(vm => vm.stopping.abort())
     await this.clock.advance(30_000)
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -282,6 +282,28 @@
     })
   })
 
+  describe('a VM that restarts', () => {
+    it('has heard nothing of an owner that it knows from the store', async () => {
+      const vms = await startSettled([8, 4, 2, 1])
+      const downAt = deployment.clock.now()
+      vms[0]!.isDown = true
+      await deployment.clock.advance(700)
+      deployment.restart(vms[1]!)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => claim.epoch)).to.deep.equal([1, 2])
+      expect(deployment.claims[1]!.at - downAt).to.be.below(REPLACED_MILLISECONDS)
+    })
+
+    it('is replaced at once if it owned the planner', async () => {
+      await startSettled([8, 4, 2, 1])
+      const restartedAt = deployment.clock.now()
+      deployment.restart(deployment.vms[0]!)
+      await deployment.clock.advance(5000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
+      expect(deployment.claims[1]!.at - restartedAt).to.be.below(700)
+    })
+  })
+
   describe('a VM that leaves', () => {
     it('does not claim, though it waits for its turn or for replies of others', async () => {
       for (let age = 1000; age < 4000; age += 100) {
