--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -96,10 +96,10 @@
    */
   get relayPeer (): Member | undefined {
     if (this.isOwner) return this.#successors()[0]
-    return this.#evidence.heardAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
+    return this.#evidence.contactAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
   }
 
-  /** Milliseconds since a majority of peers last sent a heartbeat; the store's confirmation is tracked separately. */
+  /** Milliseconds since a majority of peers were last seen to follow this VM as the owner; the store's confirmation is tracked separately. */
   get peerConfirmationAge (): number {
     return this.#members.majorityAge
   }
@@ -144,8 +144,8 @@
   /** Answers a heartbeat. */
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
-    this.#members.add(member, storeAge)
-    if (heartbeat.owner !== undefined) this.adoptOwner(heartbeat.owner)
+    this.#members.add(member, storeAge, this.#confirmationTimeOf(heartbeat))
+    if (heartbeat.owner !== undefined && !this.#mayBeOwnClaim(heartbeat.owner)) this.adoptOwner(heartbeat.owner)
     const waitingJobs = this.isOwner ? this.#options.waitingJobs?.() : undefined
     return {
       kind: 'beat',
@@ -158,6 +158,22 @@
     }
   }
 
+  /**
+   * A time from which on the sender of a heartbeat has followed this VM as the owner; undefined if it doesn't follow it. Heartbeats wait
+   * in the sockets of a process that doesn't run, so it isn't the time of arrival, unless the sender's release doesn't give a better one.
+   */
+  #confirmationTimeOf ({ owner, ownedMilliseconds }: HeartbeatRequest): number | undefined {
+    if (this.#ownership === undefined || owner?.epoch !== this.#ownership.epoch) return undefined
+    const now = this.#clock.now()
+    return ownedMilliseconds === undefined ? now : Math.min(now, this.#ownedSince + ownedMilliseconds)
+  }
+
+  /** True if an owner that a peer names may be this VM by a claim whose answer is in flight; a reply that names it without owning it has the peer claim. */
+  #mayBeOwnClaim ({ vm, address }: KnownOwner): boolean {
+    const { self } = this.#options
+    return this.#claiming !== undefined && vm === self.vm && address === self.address
+  }
+
   /**
    * A release that sends no weight replaces an owner that has been silent for 0.6 s, unless one of the VMs that it asks
    * has heard of it lately. While this VM doesn't consider the owner failed, it says so to such a release.
@@ -287,7 +303,7 @@
 
   async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS, onFailure: (failure: CornelgaugeError) => void = () => {}): Promise<HeartbeatReply | undefined> {
     const { self, peers, storeAge, emit } = this.#options
-    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner }) }
+    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner, ownedMilliseconds: this.#evidence.ownedMilliseconds }) }
     try {
       return await peers.call<'beat'>(address, heartbeat, timeoutMilliseconds)
     } catch (thrown) {
@@ -321,7 +337,7 @@
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#sendHeartbeat(member.address)))
     for (const answer of answers) if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
     const replies = answers.filter(answer => answer !== undefined)
-    if (replies.length === 0) return this.#evidence.heardAge < ISOLATED_TAKEOVER_MILLISECONDS
+    if (replies.length === 0) return this.#evidence.contactAge < ISOLATED_TAKEOVER_MILLISECONDS
     return replies.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + OWNER_SILENCE_MILLISECONDS / 2)
   }
 
@@ -334,7 +350,7 @@
     const { store, self, emit } = this.#options
     const started = this.#clock.now()
     const previous = this.#owner
-    const silenceMilliseconds = this.#evidence.heardAge
+    const silenceMilliseconds = this.#evidence.contactAge
     try {
       const storedOwner = await readOwner(store)
       if (storedOwner !== undefined && storedOwner.epoch > (previous?.epoch ?? 0)) {
@@ -346,6 +362,8 @@
       const owner = await claimOwnership(store, storedOwner ?? NO_OWNER, self)
       this.adoptOwner(owner)
       if (owner.vm !== self.vm || owner.address !== self.address || owner.epoch !== (storedOwner?.epoch ?? 0) + 1) return
+      // A newer owner may have become known before the answer to the claim.
+      if (this.#owner?.epoch !== owner.epoch) return
       emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(this.#clock.now() - started) } })
       this.#beginTenure(owner, reason)
       if (previous !== undefined && previous.address !== self.address) this.#exchangeOwner(previous.address)
@@ -361,6 +379,7 @@
     this.#tenure = tenure
     this.#ownership = owner
     this.#ownedSince = this.#clock.now()
+    this.#members.dropConfirmations()
     this.#isLoading = true
     this.#loading = this.#options.onOwned(owner, tenure.signal)
       .catch(thrown => {
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -14,10 +14,14 @@
  */
 export class OwnerEvidence {
   readonly #clock: Clock
+  /** When the owner last replied. */
   #heardAt = -Infinity
+  /** When this VM began to follow the owner. */
+  #followedAt = -Infinity
   #silentSince = -Infinity
   /** When the owner claimed, as far as this VM knows. */
   #claimedAt = -Infinity
+  #ownedMilliseconds = 0
   #shortTenures = 0
   /** End of the last delay that was subtracted. */
   #excludedUntil = -Infinity
@@ -28,11 +32,21 @@
     this.#clock = clock
   }
 
-  /** Milliseconds since this VM last received a reply of the owner. */
+  /** Milliseconds since this VM last received a reply of the owner; Infinity before the first. */
   get heardAge (): number {
     return this.#clock.now() - this.#heardAt
   }
 
+  /** Milliseconds since this VM last received a reply of the owner, or learned of it. */
+  get contactAge (): number {
+    return this.#clock.now() - Math.max(this.#heardAt, this.#followedAt)
+  }
+
+  /** Age of the owner's claim at its newest reply, on its own clock; 0 before the first. */
+  get ownedMilliseconds (): number {
+    return this.#ownedMilliseconds
+  }
+
   /** Milliseconds of silence after which the owner is considered failed. */
   get requiredSilence (): number {
     return this.scale(OWNER_SILENCE_MILLISECONDS)
@@ -59,13 +73,19 @@
     const now = this.#clock.now()
     this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
     this.#claimedAt = now
-    this.hear()
+    this.#ownedMilliseconds = 0
+    this.#followedAt = now
+    this.#heardAt = -Infinity
+    this.postpone()
   }
 
   /** Records a reply of the owner, with the milliseconds since its claim; earlier releases don't send them. */
   hear (ownedMilliseconds?: number): void {
     const now = this.#clock.now()
-    if (ownedMilliseconds !== undefined) this.#claimedAt = now - ownedMilliseconds
+    if (ownedMilliseconds !== undefined) {
+      this.#claimedAt = now - ownedMilliseconds
+      this.#ownedMilliseconds = Math.max(this.#ownedMilliseconds, ownedMilliseconds)
+    }
     this.#heardAt = now
     this.postpone()
   }
--- a/packages/entry/test/deployment.ts
+++ b/packages/entry/test/deployment.ts
@@ -31,6 +31,8 @@
   mutedUntil = 0
   /** Its process doesn't run before this time. */
   stalledUntil = 0
+  /** The store's answers to its writes arrive this much later. */
+  writeAnswerDelay = 0
   /** Milliseconds since the store last answered it, as it says itself. */
   storeAge = 0
   /** The loads that it has begun, each until its signal aborts. */
@@ -114,6 +116,16 @@
     this.#running.push(running)
   }
 
+  /** Ends the process of a VM without a word, and starts another one under its name and address. */
+  restart (vm: SimulatedVm): SimulatedVm {
+    vm.isDown = true
+    vm.stopping.abort()
+    const next = new SimulatedVm(this, vm.member, this.vms.slice(0, 3).map(({ member }) => member.address))
+    this.vms[this.vms.indexOf(vm)] = next
+    this.#running.push(next.leadership.run(next.stopping.signal))
+    return next
+  }
+
   async stop (): Promise<void> {
     this.vms.forEach(vm => vm.stopping.abort())
     await this.clock.advance(30_000)
@@ -133,7 +145,9 @@
       },
       write: async (transaction: Parameters<RowStore['write']>[0]) => {
         await reach()
-        return await view.write(transaction)
+        const outcome = await view.write(transaction)
+        await pause(this.clock, vm.writeAnswerDelay)
+        return outcome
       }
     } as unknown as RowStore
   }
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -1,12 +1,15 @@
 import { pause } from '@cornelgauge/coordination'
 import { epoch, vmName } from '@cornelgauge/model'
 import { expect } from 'chai'
+import { UNRECORDED_START_CONFIRMATION_MILLISECONDS } from '../src/limits.js'
 import { MemberList } from '../src/member-list.js'
 import { Deployment, SimulatedVm } from './deployment.js'
 import { EarlierVm } from './earlier-release.js'
 
 /** Time after which an owner of which no packet arrives has been replaced, in milliseconds. */
 const REPLACED_MILLISECONDS = 1500
+/** The same for one that has just claimed. */
+const RECLAIM_MILLISECONDS = 2700
 
 const equalWeights = (count: number): number[] => Array.from({ length: count }, () => 1)
 
@@ -91,6 +94,30 @@
       expect(deployment.claims).to.have.length(1)
     })
 
+    it('is not confirmed by heartbeats that waited while its process did not run', async () => {
+      const vms = await startSettled(equalWeights(5))
+      const [owner, ...others] = vms
+      expect(owner!.leadership.peerConfirmationAge).to.be.below(UNRECORDED_START_CONFIRMATION_MILLISECONDS)
+      owner!.stalledUntil = deployment.clock.now() + 4000
+      await deployment.clock.advance(1000)
+      for (const vm of others) vm.isDown = true
+      await deployment.clock.advance(3010)
+      expect(owner!.leadership.peerConfirmationAge).to.be.above(3000)
+    })
+
+    it('is not confirmed by heartbeats that name an earlier owner', async () => {
+      const vms = await startSettled(equalWeights(5))
+      const [first, successor, ...others] = vms
+      const earlier = first!.leadership.owner!
+      for (const vm of [first!, ...others]) vm.isDown = true
+      const takeover = successor!.leadership.takeOver(earlier)
+      await deployment.clock.advance(3000)
+      await takeover
+      expect(successor!.leadership.isOwner).to.equal(true)
+      for (const { member } of others) successor!.leadership.answerHeartbeat({ kind: 'beat', member, owner: earlier, storeAge: 0 })
+      expect(successor!.leadership.peerConfirmationAge).to.be.above(2500)
+    })
+
     it('is replaced in time if no packet of it arrives', async () => {
       const vms = await startSettled(equalWeights(8))
       const downAt = deployment.clock.now()
@@ -223,6 +250,60 @@
     })
   })
 
+  describe('a claim that the store answers late', () => {
+    /** The first VM fails, and the second one claims; the third and the fourth learn of the claim from the store before the second one has its answer. */
+    async function claimWithLateAnswer (milliseconds: number): Promise<readonly SimulatedVm[]> {
+      const vms = await startSettled([8, 4, 2, 1])
+      vms[1]!.writeAnswerDelay = milliseconds
+      vms[0]!.isDown = true
+      while (deployment.store.rows('owner')[0]!.value.epoch === 1) await deployment.clock.advance(20)
+      return vms
+    }
+
+    it('is not replaced by VMs that reach the claimant before its answer does', async () => {
+      await claimWithLateAnswer(700)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
+    })
+
+    it('makes no owner of a VM that has learned of a newer one meanwhile', async () => {
+      const vms = await claimWithLateAnswer(700)
+      const version = deployment.store.rows('owner')[0]!.version
+      const takeover = vms[2]!.leadership.takeOver({ ...vms[1]!.member, epoch: epoch(2), version })
+      await deployment.clock.advance(3000)
+      await takeover
+      expect(deployment.owners).to.deep.equal(['vm-02'])
+      vms[1]!.writeAnswerDelay = 0
+      const downAt = deployment.clock.now()
+      vms[2]!.isDown = true
+      await deployment.clock.advance(20_000)
+      expect(deployment.claims.map(claim => claim.epoch)).to.deep.equal([1, 3, 4])
+      expect(deployment.claims[2]!.at - downAt).to.be.below(RECLAIM_MILLISECONDS)
+    })
+  })
+
+  describe('a VM that restarts', () => {
+    it('has heard nothing of an owner that it knows from the store', async () => {
+      const vms = await startSettled([8, 4, 2, 1])
+      const downAt = deployment.clock.now()
+      vms[0]!.isDown = true
+      await deployment.clock.advance(700)
+      deployment.restart(vms[1]!)
+      await deployment.clock.advance(10_000)
+      expect(deployment.claims.map(claim => claim.epoch)).to.deep.equal([1, 2])
+      expect(deployment.claims[1]!.at - downAt).to.be.below(REPLACED_MILLISECONDS)
+    })
+
+    it('is replaced at once if it owned the planner', async () => {
+      await startSettled([8, 4, 2, 1])
+      const restartedAt = deployment.clock.now()
+      deployment.restart(deployment.vms[0]!)
+      await deployment.clock.advance(5000)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
+      expect(deployment.claims[1]!.at - restartedAt).to.be.below(700)
+    })
+  })
+
   describe('a VM that leaves', () => {
     it('does not claim, though it waits for its turn or for replies of others', async () => {
       for (let age = 1000; age < 4000; age += 100) {
