End no run by an entry of the registry that was read late

Cause: start times order the incarnations of a backend server only while its VM's clock isn't set back. `updateServers` took an entry with a higher start time, read while polls were missed, for a later incarnation, unless it was the one listed when the current one became known. With the incarnations 10, 50 and 40 in this order, the entry of 50 read after a report of 40 ended the runs of 40.

What callers saw: the task was started elsewhere beside its run (TWICE), as long as that was cut off and went on. Also under the next owner, for runs that it had found.

Change: an entry shows a restart only if the registry has listed the current incarnation before it, and if it names none that is known to have ended. A backend server whose entry skips the current incarnation is still polled at once, as before; if it doesn't answer, its runs hold their tasks until the leases have expired.

Why it works: the registry's rows are read in the order in which they were written, so what follows the row of the current incarnation is of a later one, or was written late by one that has ended.

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -167,13 +167,9 @@
     const unreported: ServerId[] = []
     for (const entry of entries) {
       const server = this.#state.registerServer(entry, now)
-      // While it answers, only its own reports say that it has restarted: the row may be of another writer.
-      const showsRestart = entry.incarnation > server.entry.incarnation && entry.incarnation !== server.supersededIncarnation
-      const hasRestarted = showsRestart && (!server.hasAnswered || server.missedPolls > 0)
-      if (showsRestart && !hasRestarted && entry.incarnation !== server.listedIncarnation) unreported.push(entry.id)
-      if (hasRestarted) applyRestart(this.#state, server, entry.incarnation, 'registry', times)
-      server.entry = { ...entry, incarnation: server.entry.incarnation }
-      server.listedIncarnation = entry.incarnation
+      if (server.hasRestartedAs(entry.incarnation)) applyRestart(this.#state, server, entry.incarnation, 'registry', times)
+      else if (server.mayHaveRestartedAs(entry.incarnation) && entry.incarnation !== server.listedIncarnation) unreported.push(entry.id)
+      server.list(entry)
     }
     this.#forgetServers(now)
     return unreported
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -167,8 +167,10 @@
   hasRefusedForCapacity = false
   /** A start has found another incarnation; no starts until the next poll. */
   hasOtherIncarnation = false
-  /** Incarnation in the entry that was listed when this one became known: that entry may be older. */
-  supersededIncarnation: number | undefined
+  /** Incarnations that have ended. An entry of the registry that names one of them was read late, whatever its start time. */
+  readonly #endedIncarnations = new Set<number>()
+  /** The registry has listed the current incarnation. */
+  #isIncarnationListed = true
   /** Earlier owners can start nothing in any incarnation that this one has known, since one of them has answered. */
   #areEarlierOwnersFenced = false
   #isOut = false
@@ -234,6 +236,26 @@
     return this.listedIncarnation === this.entry.incarnation
   }
 
+  /** True if an entry of the registry with this start time may be of a later incarnation. */
+  mayHaveRestartedAs (incarnation: number): boolean {
+    return incarnation > this.entry.incarnation && !this.#endedIncarnations.has(incarnation)
+  }
+
+  /**
+   * True if such an entry shows that the current incarnation has ended. While that answers, only its own reports say so: the entry
+   * may be of another writer. Before the registry has listed it, the entry may be of an earlier one, if a clock was set back.
+   */
+  hasRestartedAs (incarnation: number): boolean {
+    return this.mayHaveRestartedAs(incarnation) && (!this.hasAnswered || (this.missedPolls > 0 && this.#isIncarnationListed))
+  }
+
+  /** Replaces its entry by the one that is listed, but for the incarnation, which its reports show first. */
+  list (entry: ServerEntry): void {
+    this.entry = { ...entry, incarnation: this.entry.incarnation }
+    this.listedIncarnation = entry.incarnation
+    this.#isIncarnationListed ||= this.isEntryCurrent
+  }
+
   /** True if it may get new work. */
   get isUsable (): boolean {
     return this.isListed && this.hasAnswered && !this.isHeld && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasOtherIncarnation && !this.hasRunsOfUnknownNeed
@@ -306,7 +328,9 @@
 
   /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
-    this.supersededIncarnation = this.listedIncarnation
+    for (const ended of [this.entry.incarnation, this.listedIncarnation]) this.#endedIncarnations.add(ended)
+    this.#endedIncarnations.delete(incarnation)
+    this.#isIncarnationListed = incarnation === this.listedIncarnation
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
     this.restarts += 1
