Count an answer for the address to which its poll was sent

Cause: `noteAnswer` took the address of the entry at the time of the answer. While a poll waits, the registry may come to name the address of another backend server in that entry (a row of another writer), as it is expected to elsewhere (`isReplaced`). The answer to this poll was then noted at the address of the other one, and the run that it listed was recorded there.

What callers saw: the other backend server counted as replaced by the one that had answered, and the one that had answered as replaced by the other once that refused the next poll. The runs of both were dropped, and their tasks started elsewhere beside them (TWICE). The next owner got the wrong address with the runs.

Change: a backend server's entry keeps the address before and when it has changed; an answer counts for the address at the time of its poll.

Evidence: `packages/jobs/test/changed-addresses.test.ts`. Before: "expected [ { type: 'start', …(9) }, …(3) ] to have a length of 2 but got 4", "expected [ { type: 'start', …(9) }, …(2) ] to have a length of 2 but got 3" and "expected { address: '10.0.0.1:80', …(1) } to have property 'address' of '10.0.0.0:80', but got '10.0.0.1:80'".

--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -117,10 +117,12 @@
   }
 
   /** Notes an answer of a backend server to a poll. */
-  noteAnswer ({ id, entry }: Server, askedAt: number): void {
+  noteAnswer (server: Server, askedAt: number): void {
+    const { id } = server
+    const address = server.addressAt(askedAt)
     this.#reachedServers.add(id)
-    this.#answerAddresses.set(id, entry.address)
-    if (askedAt >= (this.#lastAnswers.get(entry.address)?.at ?? -Infinity)) this.#lastAnswers.set(entry.address, { id, at: askedAt })
+    this.#answerAddresses.set(id, address)
+    if (askedAt >= (this.#lastAnswers.get(address)?.at ?? -Infinity)) this.#lastAnswers.set(address, { id, at: askedAt })
   }
 
   /** Notes that another backend server has answered a poll that was meant for this one. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -57,9 +57,10 @@
   return run.confirmedAt < sentAt || (run.isStopConfirmed && run.stopConfirmedAt < sentAt)
 }
 
-function applyRunning (state: PlannerState, server: Server, entry: ListedRun, { sentAt, receivedAt: now }: ServerReport): Run {
+function applyRunning (state: PlannerState, server: Server, entry: ListedRun, report: ServerReport): Run {
+  const { sentAt, receivedAt: now } = report
   correctLoss(state, server, entry)
-  const run = server.run(entry.task, entry.run) ?? adoptRun(state, server, entry, now)
+  const run = server.run(entry.task, entry.run) ?? adoptRun(state, server, entry, report)
   run.incarnation = server.entry.incarnation
   confirmStart(state, run, now)
   run.listedAt = sentAt
@@ -102,13 +103,13 @@
 }
 
 /** Adopts a run that an earlier owner started; stops it if its task no longer has to run. */
-function adoptRun (state: PlannerState, server: Server, { task: name, run: number, percent, checkpoint }: ListedRun, now: number): Run {
+function adoptRun (state: PlannerState, server: Server, { task: name, run: number, percent, checkpoint }: ListedRun, { sentAt, receivedAt: now }: ServerReport): Run {
   const task = state.task(name)
   const run: Run = {
     task: name,
     run: number,
     server: server.id,
-    address: server.entry.address,
+    address: server.addressAt(sentAt),
     incarnation: server.entry.incarnation,
     need: task === undefined ? NO_CAPACITY : countedNeed(task.step),
     ...(task === undefined ? {} : { step: task.step }),
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -173,6 +173,9 @@
   #isIncarnationListed = true
   /** Earlier owners can start nothing in any incarnation that this one has known, since one of them has answered. */
   #areEarlierOwnersFenced = false
+  /** The address in its entry before, and when the present one was first read. */
+  #earlierAddress = ''
+  #addressListedAt = -Infinity
   #isOut = false
   #used: Capacity = NO_CAPACITY
   /** Runs whose need isn't known: while there are any, neither is what is free. */
@@ -250,12 +253,21 @@
   }
 
   /** Replaces its entry by the one that is listed, but for the incarnation, which its reports show first. */
-  list (entry: ServerEntry): void {
+  list (entry: ServerEntry, now: number): void {
+    if (entry.address !== this.entry.address) {
+      this.#earlierAddress = this.entry.address
+      this.#addressListedAt = now
+    }
     this.entry = { ...entry, incarnation: this.entry.incarnation }
     this.listedIncarnation = entry.incarnation
     this.#isIncarnationListed ||= this.isEntryCurrent
   }
 
+  /** Returns the address to which a call was sent at this time. */
+  addressAt (time: number): string {
+    return time < this.#addressListedAt ? this.#earlierAddress : this.entry.address
+  }
+
   /** True if it may get new work. */
   get isUsable (): boolean {
     return this.isListed && this.hasAnswered && !this.isHeld && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasOtherIncarnation && !this.hasRunsOfUnknownNeed
