Take no backend server for replaced at another address than that of its recorded runs

Cause: an owner takes a backend server for ended if another one has answered at its address, unless its entry names another address than that of its last answer. For the next owner, which it hasn't answered yet, nothing tells a wrong address in the entry apart.

What callers saw: the next owner dropped the recorded placements there at once, and started their tasks beside the runs (TWICE).

Change: before the first answer, the address of the recorded runs stands for that of the last answer.

Evidence: `packages/jobs/test/changed-addresses.test.ts`, "when the next owner, which has recorded runs there, first reads the registry". Before: "expected [ { type: 'start', …(9) }, …(2) ] to have a length of 2 but got 3". 551 tests of the package passed, before one was added here.

Cost: a task whose run was recorded at an address that its backend server has left since waits for the leases if that doesn't answer, also if another one answers at the present address.

--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -132,10 +132,11 @@
 
   /**
    * True if another backend server has answered at its address since it was known, has answered itself and was last known to
-   * have restarted, so that it has ended with all its runs. Not so if its row names another address than that of its last answer.
+   * have restarted, so that it has ended with all its runs. Not so if its row names another address than that of its last answer,
+   * or of its recorded runs before the first.
    */
   isReplaced ({ id, entry: { address }, lastAnswerAt, restartedAt }: Server): boolean {
-    if ((this.#answerAddresses.get(id) ?? address) !== address) return false
+    if ((this.#answerAddresses.get(id) ?? this.#earlierAddresses.get(id) ?? address) !== address) return false
     const last = this.#lastAnswers.get(address)
     const rejected = this.#rejectedPolls.get(id)
     const since = Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt, restartedAt)
--- a/packages/jobs/test/changed-addresses.test.ts
+++ b/packages/jobs/test/changed-addresses.test.ts
@@ -52,4 +52,18 @@
       expect(world.planner.progressOf(work.id)!.steps['0.0']!.placements![moved.entry.id]).to.include({ address: moved.entry.address })
     })
   })
+
+  describe('when the next owner, which has recorded runs there, first reads the registry', () => {
+    it('keeps its runs while the other one answers its polls', () => {
+      const { planner, entries } = world
+      const stored = storedJob(world, work)
+      world.takeOver(2, [stored])
+      world.planner.inheritServers(planner.serversToRecover(world.now), new Map(), true)
+      world.listServers(entries.map(entry => entry.id === moved.entry.id ? { ...entry, address: other.entry.address } : entry))
+      world.pollServers(world.servers.filter(server => server !== moved))
+      reject()
+      world.round()
+      expect(world.starts).to.have.length(2)
+    })
+  })
 })
