--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -117,10 +117,12 @@
   }
 
   /** Notes an answer of a backend server to a poll. */
-  noteAnswer ({ id, entry }: Server, askedAt: number): void {
+  noteAnswer (server: Server, askedAt: number): void {
+    const { id } = server
+    const address = server.addressAt(askedAt)
     this.#reachedServers.add(id)
-    this.#answerAddresses.set(id, entry.address)
-    if (askedAt >= (this.#lastAnswers.get(entry.address)?.at ?? -Infinity)) this.#lastAnswers.set(entry.address, { id, at: askedAt })
+    this.#answerAddresses.set(id, address)
+    if (askedAt >= (this.#lastAnswers.get(address)?.at ?? -Infinity)) this.#lastAnswers.set(address, { id, at: askedAt })
   }
 
   /** Notes that another backend server has answered a poll that was meant for this one. */
@@ -130,10 +132,11 @@
 
   /**
    * True if another backend server has answered at its address since it was known, has answered itself and was last known to
-   * have restarted, so that it has ended with all its runs. Not so if its row names another address than that of its last answer.
+   * have restarted, so that it has ended with all its runs. Not so if its row names another address than that of its last answer,
+   * or of its recorded runs before the first.
    */
   isReplaced ({ id, entry: { address }, lastAnswerAt, restartedAt }: Server): boolean {
-    if ((this.#answerAddresses.get(id) ?? address) !== address) return false
+    if ((this.#answerAddresses.get(id) ?? this.#earlierAddresses.get(id) ?? address) !== address) return false
     const last = this.#lastAnswers.get(address)
     const rejected = this.#rejectedPolls.get(id)
     const since = Math.max(this.#knownSince.get(id) ?? Infinity, lastAnswerAt, restartedAt)
