Count an answer of the advice service only for the incarnation that it was requested for

Cause: a ticket is valid for one life of a backend server. The planner noted it for the incarnation that was current when the answer arrived. If a backend server restarted between the request and the answer (up to 5 s), and its report came first, the ticket of the earlier incarnation counted for the new one.

What callers saw: a start with that ticket is refused (409, ticket), which has a price, and its task waits for a second request. A backend server that the answer left out was excluded for good, also if it was down at that time.

Change: the request names the incarnation of each backend server; what an answer says of any other one is ignored, and the request is made again.

--- a/packages/entry/src/advice-call.ts
+++ b/packages/entry/src/advice-call.ts
@@ -12,8 +12,8 @@
  */
 export async function callForAdvice (advise: PlatformView['advise'], { step, servers }: AdviseCommand, emit: EmitEvent): Promise<Advice | undefined> {
   try {
-    const advice = await advise?.(step, servers)
-    emit('advice-taken', { details: { step, asked: servers.length, allowed: advice?.allowed.length } })
+    const advice = await advise?.(step, [...servers.keys()])
+    emit('advice-taken', { details: { step, asked: servers.size, allowed: advice?.allowed.length } })
     return advice
   } catch (thrown) {
     emit('advice-failed', { details: { step, failure: asFailure(thrown).code } })
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -39,7 +39,8 @@
 export interface AdviseCommand {
   readonly type: 'advise'
   readonly step: StepName
-  readonly servers: readonly ServerId[]
+  /** Each with its incarnation: the answer, and a ticket, hold for no other one. */
+  readonly servers: ReadonlyMap<ServerId, number>
 }
 
 /** Answer of the advice service: the allowed backend servers, each with a ticket. */
