Stop one of two runs of a task at once

An owner learns of a second run when a list shows one that an earlier owner had started, or one that has outlived the lease that was counted.

Cause: adoptRun and confirmStart look only at the run that is listed, not at the other runs of its task.

Change: once a report is applied completely, each listed run whose task has another one that isn't being stopped is compared with it (duplicate-runs.ts); all but one are stopped with the reason `duplicate`, and event 1052 names both. Of a gang, whole starts are compared, and members that are found later are stopped too. The kept one is not on a backend server that misses polls: that may have crashed, its leases aren't renewed, and the stop is sent until it answers. Then the further one is kept. A task with one run costs one comparison for each listing.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -2,6 +2,7 @@
 import type { StartOutcome, StopCommand, StopOutcome } from './command.js'
 import { NO_CAPACITY } from './capacity.js'
 import type { RunNumber, ServerId, TaskName } from './ids.js'
+import { stopDuplicates } from './duplicate-runs.js'
 import { completeIfDone, endJob } from './job-end.js'
 import { ISOLATION_MILLISECONDS, REFUTATION_MARGIN_MILLISECONDS } from './limits.js'
 import { countedNeed } from './capacity-snapshot.js'
@@ -44,11 +45,16 @@
     server.reportedPosition = last.position
     state.acknowledgeWhenStored(server, last.position)
   }
-  if (report.hasMoreEnds) return
+  if (!report.hasMoreEnds) settleUnlisted(state, server, listed, report)
+  for (const run of listed) stopDuplicates(state, run)
+}
+
+/** Removes the runs that a complete report shows to have ended, and gives up the starts that it shows not to have begun. */
+function settleUnlisted (state: PlannerState, server: Server, listed: ReadonlySet<Run>, { sentAt }: ServerReport): void {
   for (const run of [...server.runs.values()]) {
     if (listed.has(run)) continue
-    if (hasEnded(run, report.sentAt)) removeEnded(state, server, run, 'unlisted')
-    else if (run.unansweredAt !== undefined && run.unansweredAt <= report.sentAt) giveUpStart(state, run)
+    if (hasEnded(run, sentAt)) removeEnded(state, server, run, 'unlisted')
+    else if (run.unansweredAt !== undefined && run.unansweredAt <= sentAt) giveUpStart(state, run)
   }
 }
 
@@ -317,6 +323,7 @@
     removeRun(state, server, run, 'unlisted')
   },
   started: (state, _server, run, now) => {
+    run.isAnswered = true
     confirmStart(state, run, now)
     run.progressedAt = now
   },
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -91,6 +91,8 @@
   readonly startSentAt: number
   /** When the start was confirmed, on our monotonic clock; Infinity before that. */
   confirmedAt: number
+  /** Its start was answered. */
+  isAnswered?: boolean
   /** When the start was found to have no answer, on our monotonic clock. */
   unansweredAt?: number
   /** A stop was confirmed: a start that has not arrived yet can no longer take effect. */
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -4,6 +4,7 @@
 import { findJobTask } from './lookup.js'
 import type { Configuration, Queue, QueueTerms } from './configuration.js'
 import { CrashHistory } from './crash-history.js'
+import type { RunOrigin } from './duplicate-runs.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
 import type { JobPhase, StepSpecification } from './job.js'
@@ -36,6 +37,7 @@
   | { readonly type: 'task-ended', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly how: RunEnd | 'gone', readonly cause?: GoneCause }
   | { readonly type: 'server-restarted', readonly server: ServerId, readonly source: RestartSource, readonly earlier: number, readonly incarnation: number, readonly missedPolls: number, readonly sinceAnswer: number, readonly dropped: number, readonly kept: number, readonly youngest?: number }
   | { readonly type: 'server-leases-expired', readonly server: ServerId, readonly missedPolls: number, readonly sinceAnswer: number, readonly runs: number, readonly unconfirmed: number }
+  | { readonly type: 'duplicate-run-stopped', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly known: RunOrigin, readonly keptRun: RunNumber, readonly keptServer: ServerId, readonly keptKnown: RunOrigin, readonly members: number }
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number, readonly exposureMilliseconds?: number, readonly background: number }
   | { readonly type: 'crashes-refuted', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly discarded: number, readonly workedMilliseconds: number }
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -6,6 +6,8 @@
 
 const GONE_CAUSE = 'for gone, how that is known: unlisted: a complete list lacks it; restarted, replaced: so was its backend server; expired: that was unreachable until all leases had expired; else absent'
 
+const RUN_ORIGINS = 'answer: its start was answered; list: its start was not, but its backend server has listed it; adopted: listed, and an earlier owner has started it or it was counted as ended; unconfirmed: only its start was sent'
+
 /** Fields of the planner's load. */
 const LOAD_FIELDS = {
   jobsQueued: 'jobs of which no task has started',
@@ -339,5 +341,12 @@
     sentence: 'A backend server was unreachable until the leases of all its runs had expired; their tasks may be started again.',
     fields: { server: 'backend server', missedPolls: 'polls that it has missed since its last answer', sinceAnswer: 'milliseconds since its last answer; absent if it has not answered this owner', runs: 'number of runs', unconfirmed: 'those of them whose starts were never confirmed' },
     action: 'Check that the VM can reach the backend server.'
+  },
+  'duplicate-run-stopped': {
+    number: 1052,
+    level: 'warning',
+    sentence: 'The planner knows of two runs of one task, and stops one of them; of a gang, all members of one start.',
+    fields: { task: 'task; of a gang, one of the tasks', run: 'run number of the one that is stopped', server: 'its backend server', known: `how it became known: ${RUN_ORIGINS}`, keptRun: 'run number of the one that goes on', keptServer: 'its backend server', keptKnown: 'how that became known', members: 'number of runs that are stopped' },
+    action: 'Report it with the lines of both runs and of both backend servers, events 1050 and 1051 among them.'
   }
 } as const satisfies CatalogueRows
