Stop the other start of a gang that is done

When two starts of a gang were known and one of them ended `done`, the members of the other went on to their own end, after the job was shown as completed: the end stops the other runs of a single task, but none of a gang's.

Cause: the handler of `done` calls requestStops for steps without a gang only. Within one start that is right, since its members end together, but not for another start.

Change: the members of other run numbers are stopped too (stopOtherStarts), once, when the gang becomes done.

Evidence: test/duplicate-runs.test.ts, "stops the kept start if the other one ends as done". Before: "expected 1 to equal +0" run numbers left.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -12,7 +12,7 @@
 import { correctLoss, countLostRuns, mayExecute, refuteCrashes, takeLostRuns, weighEnd } from './lost-runs.js'
 import type { GoneCause, PlannerState, RestartSource } from './state.js'
 import type { TaskState } from './task-state.js'
-import { requestStop, requestStops, stopRestOfGang } from './stops.js'
+import { requestStop, requestStops, stopOtherStarts, stopRestOfGang } from './stops.js'
 
 /**
  * Applies an answer to a poll. Runs that a complete report no longer lists have ended.
@@ -172,7 +172,8 @@
     if (run !== undefined && run.confirmedAt < report.receivedAt) state.recordRunTime(step.job.job.queue, report.receivedAt - run.confirmedAt)
     if (step.specification.isLasting || task.isDone) return
     step.complete(task)
-    if (!step.specification.isGang) requestStops(state, task, 'done-elsewhere', run)
+    if (step.specification.isGang) stopOtherStarts(state, task, end.run)
+    else requestStops(state, task, 'done-elsewhere', run)
     completeIfDone(state, step.job, wallTime)
     state.markChanged(step.job)
   },
--- a/packages/jobs/src/stops.ts
+++ b/packages/jobs/src/stops.ts
@@ -42,3 +42,15 @@
     for (const run of member.runs) if (run.run === number) requestStop(state, run, 'gang-incomplete')
   }
 }
+
+/**
+ * Stops the other starts of a gang that is done. The members of the one that has ended so end by themselves.
+ *
+ * @example
+ * stopOtherStarts(state, task, end.run)
+ */
+export function stopOtherStarts (state: PlannerState, task: TaskState, number: RunNumber): void {
+  for (const member of task.step.knownTasks) {
+    for (const run of member.runs) if (run.run !== number) requestStop(state, run, 'done-elsewhere')
+  }
+}
--- a/packages/jobs/test/duplicate-runs.test.ts
+++ b/packages/jobs/test/duplicate-runs.test.ts
@@ -264,4 +264,14 @@
     world.round()
     expect(duplicateStops(world).map(({ task }) => task)).to.have.members([...MEMBERS])
   })
+
+  it('stops the kept start if the other one ends as done', () => {
+    for (const server of others) server.stopsSlowly = true
+    MEMBERS.forEach((name, index) => plant(others[index]!, name, ownRun + 1))
+    world.settle()
+    MEMBERS.forEach((name, index) => others[index]!.end(name, 'done'))
+    world.settle()
+    expect(world.planner.phaseOf(jobId('a'))).to.equal('completed')
+    expect(numbersRunning().size).to.equal(0)
+  })
 })
