Skip answers that were made before one that is applied

A run that had ended was taken as running again, for up to the 2 s that a poll waits: its task wasn't started again meanwhile, or, if it was, the new run counted as the second of two and was stopped.

Cause: polls are made beside the one that waits (ServerPolls.settle, identify), and the jobs of a report may have to be read from the store first. So a report can be applied after one that was made later, and its list of runs was adopted as if it were new.

Change: a report whose clock is lower than that of the last one applied, of the same incarnation, is skipped. Its ends are in the later one, or are listed again until they are acknowledged.

Evidence: test/incarnations.test.ts, "when an answer to a poll arrives after one that was made later". Before: "expected [ { type: 'start', …(9) } ] to have a length of 2 but got 1", and with the stop of second runs "expected [ { type: 'stop', …(5) } ] to have a length of +0 but got 1".

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -15,13 +15,16 @@
 import { requestStop, requestStops, stopOtherStarts, stopRestOfGang } from './stops.js'
 
 /**
- * Applies an answer to a poll. Runs that a complete report no longer lists have ended.
+ * Applies an answer to a poll. Runs that a complete report no longer lists have ended. An answer that was made before one that is
+ * applied shows nothing more.
  *
  * @example
  * applyReport(state, server, report, Date.now())
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
   if (report.incarnation === server.entry.incarnation) {
+    // Its list may have runs that have ended since.
+    if (server.hasAnsweredAfter(report.clock)) return
     state.missingRuns.take(server.id)
   } else {
     // A poll sent before the restart was known may have been answered by the earlier incarnation.
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -271,6 +271,11 @@
     return this.#clock === 0 ? 0 : Math.floor(this.#clock + now - this.#clockReadAt)
   }
 
+  /** True if a later answer of this incarnation is applied than the one with this clock. */
+  hasAnsweredAfter (clock: number): boolean {
+    return clock > 0 && clock < this.#clock
+  }
+
   /** Records an answered poll. The first one fences earlier owners, which can renew no lease from then on. */
   recordAnswer (clock: number, receivedAt: number): void {
     if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { jobId, type Command, type StartCommand, type StopCommand } from '../src/index.js'
+import { jobId, type Command, type ServerReport, type StartCommand, type StopCommand } from '../src/index.js'
 import { job, step, World, type FakeServer } from './world.js'
 
 describe('planner', () => {
@@ -22,6 +22,42 @@
     })
   })
 
+  // Several polls may be under way, and their answers overtake each other.
+  describe('when an answer to a poll arrives after one that was made later', () => {
+    /** A run of the only task is listed in an answer that arrives after its end. */
+    const lateReport = (world: World): ServerReport => {
+      const holder = world.serverRunning('a.0.0.0')!
+      const [run] = holder.running.values()
+      const report = { incarnation: 1, clock: 100_000 + world.now, running: [run!], ended: [], hasMoreEnds: false, sentAt: world.now, receivedAt: world.now + 20 }
+      holder.end('a.0.0.0', 'failed')
+      world.now += 10
+      world.pollServers()
+      return report
+    }
+
+    it('starts the task again at once', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      world.planner.applyReport(world.serverRunning('a.0.0.0')!.entry.id, lateReport(world), world.wallTime)
+      world.round()
+      expect(world.starts).to.have.length(2)
+    })
+
+    it('keeps the next run of the task', () => {
+      const world = new World(2)
+      world.planner.submit(job('a'))
+      world.settle()
+      const { id } = world.serverRunning('a.0.0.0')!.entry
+      const report = lateReport(world)
+      world.round()
+      world.planner.applyReport(id, report, world.wallTime)
+      world.settle()
+      expect(world.stops).to.have.length(0)
+      expect(world.starts).to.have.length(2)
+    })
+  })
+
   describe('when the registry shows a restart of a backend server that answers', () => {
     it('names the backend server once, and keeps its runs', () => {
       const world = new World(1)
