Keep the wait of work whose start was not carried out before a restart

Cause: removeRun keeps the time since when a task has been ready unless its backend server has restarted since the start was sent, since such a start may have crashed it. If the outcome shows that it has not begun, and arrives after the restart is known, that was so too.

Change: all outcomes but `started` and `unanswered` of a start that was meant for an earlier incarnation keep the time, as they do before the restart is known.

Evidence: test/incarnations.test.ts, "lets a gang start without a new wait if a start of it was not carried out". Before: "expected [] to have a length of 2 but got +0" starts.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -236,6 +236,13 @@
   for (const member of step.specification.isGang ? step.knownTasks : [task]) member.readySince = readySince
 }
 
+/** Notes that a run hasn't begun which may have been counted as lost in a restart. */
+function noteNeverBegun (state: PlannerState, server: Server, run: Run): void {
+  correctLoss(state, server, run)
+  const task = state.task(run.task)
+  if (task !== undefined) keepReady(task, run)
+}
+
 /** Remembers a start that is given up, and may still arrive in a later incarnation of its backend server. */
 function revokeStart (state: PlannerState, server: Server, run: Run): void {
   server.revokedStarts.add(run)
@@ -385,8 +392,9 @@
   if (server === undefined || run === undefined) return
   // The incarnation that has answered is gone, with the run if it has begun.
   if (run.incarnation !== server.entry.incarnation && outcome !== 'unanswered') {
-    if (outcome !== 'started') correctLoss(state, server, run)
-    return removeRun(state, server, run, 'restarted')
+    removeRun(state, server, run, 'restarted')
+    if (outcome !== 'started') noteNeverBegun(state, server, run)
+    return
   }
   if (effect === undefined) server.answeredStartAt = now
   START_HANDLERS[outcome](state, server, run, now)
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -141,6 +141,24 @@
       expect(world.planner.pollRequest(world.servers[0]!.entry.id, world.now)).to.deep.include({ incarnation: undefined, acknowledgedPosition: 0, leaseUntil: undefined })
     })
 
+    // Guards against work that begins late: its wait for a better placement began anew.
+    it('lets a gang start without a new wait if a start of it was not carried out', () => {
+      world = new World(4, { perRack: 2 })
+      for (const rack of ['r1-0', 'r1-1']) world.planner.submit(job(rack, { steps: [step({ requiredLabel: rack })] }))
+      world.settle()
+      const [empty] = world.servers.filter(({ running }) => running.size === 0)
+      world.planner.submit(job('b', { steps: [step({ count: 2, accelerators: 8, isGang: true, wantsOneRack: true })] }))
+      let starts: readonly StartCommand[] = []
+      while (starts.length === 0) starts = startsOf(decide())
+      expect(starts).to.have.length(2)
+      empty!.restart()
+      world.now += 10
+      world.pollServers([empty!])
+      for (const { server, task, run } of starts) world.planner.applyStartOutcome(server, task, run, server === empty!.entry.id ? 'other-life' : 'started', world.now)
+      world.settle()
+      expect(world.starts.filter(({ job: id }) => id === 'b')).to.have.length(2)
+    })
+
     // Guards against a job that fails for crashes under starts that were never carried out.
     it('counts no loss for a start that neither incarnation has carried out', () => {
       const [start] = startsOf(decide())
