--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -2,6 +2,7 @@
 import type { StartOutcome, StopCommand, StopOutcome } from './command.js'
 import { NO_CAPACITY } from './capacity.js'
 import type { RunNumber, ServerId, TaskName } from './ids.js'
+import { stopDuplicates } from './duplicate-runs.js'
 import { completeIfDone, endJob } from './job-end.js'
 import { ISOLATION_MILLISECONDS, REFUTATION_MARGIN_MILLISECONDS } from './limits.js'
 import { countedNeed } from './capacity-snapshot.js'
@@ -11,16 +12,19 @@
 import { correctLoss, countLostRuns, mayExecute, refuteCrashes, takeLostRuns, weighEnd } from './lost-runs.js'
 import type { GoneCause, PlannerState, RestartSource } from './state.js'
 import type { TaskState } from './task-state.js'
-import { requestStop, requestStops, stopRestOfGang } from './stops.js'
+import { requestStop, requestStops, stopOtherStarts, stopRestOfGang } from './stops.js'
 
 /**
- * Applies an answer to a poll. Runs that a complete report no longer lists have ended.
+ * Applies an answer to a poll. Runs that a complete report no longer lists have ended. An answer that was made before one that is
+ * applied shows nothing more.
  *
  * @example
  * applyReport(state, server, report, Date.now())
  */
 export function applyReport (state: PlannerState, server: Server, report: ServerReport, wallTime: number): void {
   if (report.incarnation === server.entry.incarnation) {
+    // Its list may have runs that have ended since.
+    if (server.hasAnsweredAfter(report.clock)) return
     state.missingRuns.take(server.id)
   } else {
     // A poll sent before the restart was known may have been answered by the earlier incarnation.
@@ -44,11 +48,16 @@
     server.reportedPosition = last.position
     state.acknowledgeWhenStored(server, last.position)
   }
-  if (report.hasMoreEnds) return
+  if (!report.hasMoreEnds) settleUnlisted(state, server, listed, report)
+  for (const run of listed) stopDuplicates(state, run)
+}
+
+/** Removes the runs that a complete report shows to have ended, and gives up the starts that it shows not to have begun. */
+function settleUnlisted (state: PlannerState, server: Server, listed: ReadonlySet<Run>, { sentAt }: ServerReport): void {
   for (const run of [...server.runs.values()]) {
     if (listed.has(run)) continue
-    if (hasEnded(run, report.sentAt)) removeEnded(state, server, run, 'unlisted')
-    else if (run.unansweredAt !== undefined && run.unansweredAt <= report.sentAt) giveUpStart(state, run)
+    if (hasEnded(run, sentAt)) removeEnded(state, server, run, 'unlisted')
+    else if (run.unansweredAt !== undefined && run.unansweredAt <= sentAt) giveUpStart(state, run)
   }
 }
 
@@ -167,7 +176,8 @@
     if (run !== undefined && run.confirmedAt < report.receivedAt) state.recordRunTime(step.job.job.queue, report.receivedAt - run.confirmedAt)
     if (step.specification.isLasting || task.isDone) return
     step.complete(task)
-    if (!step.specification.isGang) requestStops(state, task, 'done-elsewhere', run)
+    if (step.specification.isGang) stopOtherStarts(state, task, end.run)
+    else requestStops(state, task, 'done-elsewhere', run)
     completeIfDone(state, step.job, wallTime)
     state.markChanged(step.job)
   },
@@ -227,6 +237,13 @@
   for (const member of step.specification.isGang ? step.knownTasks : [task]) member.readySince = readySince
 }
 
+/** Notes that a run hasn't begun which may have been counted as lost in a restart. */
+function noteNeverBegun (state: PlannerState, server: Server, run: Run): void {
+  correctLoss(state, server, run)
+  const task = state.task(run.task)
+  if (task !== undefined) keepReady(task, run)
+}
+
 /** Remembers a start that is given up, and may still arrive in a later incarnation of its backend server. */
 function revokeStart (state: PlannerState, server: Server, run: Run): void {
   server.revokedStarts.add(run)
@@ -318,6 +335,7 @@
     removeRun(state, server, run, 'unlisted')
   },
   started: (state, _server, run, now) => {
+    run.isAnswered = true
     confirmStart(state, run, now)
     run.progressedAt = now
   },
@@ -375,8 +393,9 @@
   if (server === undefined || run === undefined) return
   // The incarnation that has answered is gone, with the run if it has begun.
   if (run.incarnation !== server.entry.incarnation && outcome !== 'unanswered') {
-    if (outcome !== 'started') correctLoss(state, server, run)
-    return removeRun(state, server, run, 'restarted')
+    removeRun(state, server, run, 'restarted')
+    if (outcome !== 'started') noteNeverBegun(state, server, run)
+    return
   }
   if (effect === undefined) server.answeredStartAt = now
   START_HANDLERS[outcome](state, server, run, now)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -91,6 +91,8 @@
   readonly startSentAt: number
   /** When the start was confirmed, on our monotonic clock; Infinity before that. */
   confirmedAt: number
+  /** Its start was answered. */
+  isAnswered?: boolean
   /** When the start was found to have no answer, on our monotonic clock. */
   unansweredAt?: number
   /** A stop was confirmed: a start that has not arrived yet can no longer take effect. */
@@ -303,6 +305,11 @@
     return this.#clock === 0 ? 0 : Math.floor(this.#clock + now - this.#clockReadAt)
   }
 
+  /** True if a later answer of this incarnation is applied than the one with this clock. */
+  hasAnsweredAfter (clock: number): boolean {
+    return clock > 0 && clock < this.#clock
+  }
+
   /** Records an answered poll. The first one fences earlier owners, which can renew no lease from then on. */
   recordAnswer (clock: number, receivedAt: number): void {
     if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
