Hand over to a VM only if it has lately said that the store answers it

Cause: a heartbeat says when the store last answered its sender. That figure counted until the next heartbeat, however long ago the last one was. An owner without the store so kept requesting a VM to take over that had failed or was restarting, as long as that VM counted as a member: 3 s.

What callers saw: no owner with access to the store, so no starts, for up to 3 s more, if the VM of the most weight failed before the owner lost the store.

Change: what a member says of the store counts for 0.5 s, until its next heartbeat is overdue. So at a planned handover, and for jobs that an owner without the store leads on, such members now come last, too.

Evidence: packages/entry/test/ownership.test.ts, "hands over in time though the VM of the most weight failed before, and had said that the store answers it". Before: expected 2356 to be below 500 (ms until the next claim).

Why it works: each heartbeat renews the figure, 0.2 s apart; a process that has ended renews nothing.

--- a/packages/entry/src/member-list.ts
+++ b/packages/entry/src/member-list.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { VmName } from '@cornelgauge/model'
 import type { Clock } from '@cornelgauge/ports'
-import { HEARTBEAT_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, SUCCESSION_MEMORY_MILLISECONDS } from './limits.js'
+import { HEARTBEAT_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, MEMBER_EXPIRY_MILLISECONDS, SUCCESSION_MEMORY_MILLISECONDS } from './limits.js'
 import type { ListedMembers, Member } from './messages.js'
 import { compareSuccession } from './succession.js'
 
@@ -13,6 +13,8 @@
   readonly heardAt: number
   /** Milliseconds since the store last answered the member, as it said; Infinity if it didn't. */
   readonly storeAge: number
+  /** Time of its last heartbeat to this VM itself. */
+  readonly saidAt: number
   /** The latest time at which the member is known to have followed this VM as the owner; -Infinity if it isn't. */
   readonly confirmedAt: number
 }
@@ -25,7 +27,9 @@
 }
 
 /** What is known of a member that has sent no heartbeat. */
-const UNHEARD: Pick<KnownMember, 'storeAge' | 'confirmedAt'> = { storeAge: Infinity, confirmedAt: -Infinity }
+const UNHEARD: Omit<KnownMember, 'member' | 'heardAt'> = { storeAge: Infinity, saidAt: -Infinity, confirmedAt: -Infinity }
+/** How long what a member said of itself counts: until its next heartbeat is overdue. */
+const STATEMENT_AGE_MILLISECONDS = HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS
 
 /** A version that no list has; a VM that sends it receives every list. */
 export const NO_VERSION = ''
@@ -64,9 +68,10 @@
     return [...this.#members.values()].filter(member => this.#isRecent(member)).map(({ member }) => member)
   }
 
-  /** Milliseconds since the store last answered a member, as it said in its last heartbeat to this VM; Infinity if it sent none. */
+  /** Milliseconds since the store last answered a member, as it said in its last heartbeat to this VM; Infinity if it sent none lately. */
   storeAgeOf (vm: VmName): number {
-    return this.#members.get(vm)?.storeAge ?? Infinity
+    const { storeAge, saidAt } = this.#members.get(vm) ?? UNHEARD
+    return this.#clock.now() - saidAt < STATEMENT_AGE_MILLISECONDS ? storeAge : Infinity
   }
 
   /**
@@ -90,7 +95,8 @@
   add (member: Member, storeAge: number, confirmedAt = -Infinity): void {
     const earlier = this.#members.get(member.vm)
     if (earlier === undefined || !this.#isRecent(earlier) || keyOf(earlier.member) !== keyOf(member)) this.#isListOutdated = true
-    this.#members.set(member.vm, { member, storeAge, heardAt: this.#clock.now(), confirmedAt: Math.max(confirmedAt, earlier?.confirmedAt ?? -Infinity) })
+    const now = this.#clock.now()
+    this.#members.set(member.vm, { member, storeAge, saidAt: now, heardAt: now, confirmedAt: Math.max(confirmedAt, earlier?.confirmedAt ?? -Infinity) })
   }
 
   /** Drops the confirmations, which were of an earlier claim. */
@@ -123,8 +129,7 @@
     const heardAt = this.#clock.now()
     for (const member of this.#received.members) {
       if (member.vm === this.#self.vm) continue
-      const { storeAge, confirmedAt } = this.#members.get(member.vm) ?? UNHEARD
-      this.#members.set(member.vm, { member, heardAt, storeAge, confirmedAt })
+      this.#members.set(member.vm, { ...(this.#members.get(member.vm) ?? UNHEARD), member, heardAt })
     }
   }
 
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -143,6 +143,17 @@
       expect(deployment.owners).not.to.include(loading.member.vm)
     })
 
+    it('hands over in time though the VM of the most weight failed before, and had said that the store answers it', async () => {
+      const vms = await startSettled([8, 4, 2, 1])
+      vms[1]!.isDown = true
+      await deployment.clock.advance(600)
+      const lostAt = deployment.clock.now()
+      vms[0]!.storeAge = STORE_LOST_MILLISECONDS
+      await deployment.clock.advance(5000)
+      expect(deployment.claims.map(claim => claim.vm)).to.deep.equal(['vm-00', 'vm-02'])
+      expect(deployment.claims[1]!.at - lostAt).to.be.below(500)
+    })
+
     it('does not hand over to a VM that has not said when the store answered it', async () => {
       const vms = await startSettled([4, 2, 1])
       const [owner, unheard] = [vms[0]!, vms[1]!]
