Read what has arrived before a time limit of the inner protocol passes

Cause: if the event loop of a VM is blocked beyond the time limit of a call, Node.js runs the timer first and reads the sockets after it. The call failed with `timeout` though its reply was there.

What callers saw: a delayed VM took its peers for silent: a job that another VM had stored for it got an unknown outcome, a query by id waited for the store in addition, and a VM about to replace a silent owner counted none of the VMs that it had asked.

Change: the callbacks of time limits run after one more reading of the sockets, as in the queue of calls to backend servers; a reply read there cancels them.

Why it works: an immediate that a timer sets runs after the next poll of the sockets.

--- a/packages/wire/src/timers.ts
+++ b/packages/wire/src/timers.ts
@@ -9,11 +9,15 @@
 /** Cancels a timer; has no effect once it has fired. */
 export type CancelTimer = () => void
 
-/** The timers of the Node.js process. */
+/** The timers of the Node.js process. What arrived while its event loop was blocked is read before a callback runs, and may cancel it. */
 export const SYSTEM_TIMERS: Timers = {
   now: () => performance.now(),
   after: (milliseconds, callback) => {
-    const timer = setTimeout(callback, milliseconds)
-    return () => clearTimeout(timer)
+    let immediate: NodeJS.Immediate | undefined
+    const timer = setTimeout(() => { immediate = setImmediate(callback) }, milliseconds)
+    return () => {
+      clearTimeout(timer)
+      clearImmediate(immediate)
+    }
   }
 }
