Correct a loss that the former owner counted for a run which is found again

Cause: a loss is corrected once its run is listed at the place where it was counted, but places aren't stored. The next owner corrected the crash (`evidence.remove`), not the loss beside it. With two such losses a task is a suspect.

What callers saw: a sound task of which two runs were only cut off, while another backend server was registered at their addresses, was isolated under all later owners: it waited for an empty backend server, and nothing else was started beside it. No job could fail for it, since that takes crashes, not losses.

Change: a run of a single task is one run on one backend server, so a loss without a place is corrected when the run is listed. Of a gang other members may be lost all the same, so its losses stay.

Evidence: `packages/jobs/test/counted-losses.test.ts`, "doesn't count any longer once the next owner finds it". Before: "expected { done: [], failed: {}, …(3) } to not have property 'lost'". Its second test, on gangs, passed before too.

--- a/packages/jobs/src/loss-record.ts
+++ b/packages/jobs/src/loss-record.ts
@@ -45,6 +45,8 @@
   readonly #suspects = new Set<number>()
   /** Number of the change of the job that includes the last loss. */
   change = 0
+  /** The restored losses are those of a gang. */
+  #isGang = false
 
   /** Adds a run that was lost at this place. False if it is counted already. */
   add (unit: number, run: number, place: string): boolean {
@@ -59,10 +61,14 @@
     return true
   }
 
-  /** Corrects the loss of a run that is running at the place after all. True if it no longer counts. */
+  /**
+   * Corrects the loss of a run that is running at the place after all. True if it no longer counts. An earlier owner stored no
+   * places: other members of a gang may have been lost all the same.
+   */
   correct (unit: number, run: number, place: string): boolean {
     const places = this.#places.get(run)
-    if (places?.delete(place) !== true || places.size > 0) return false
+    const isCorrected = places === undefined ? !this.#isGang && this.#runs.get(unit)?.has(run) === true : places.delete(place) && places.size === 0
+    if (!isCorrected) return false
     for (const attributed of this.#attributed.values()) attributed.delete(run)
     this.#lostAtStart.get(unit)?.delete(run)
     const isCounted = this.#runs.get(unit)?.delete(run) === true
@@ -173,6 +179,7 @@
 
   /** Restores the stored form. */
   restore ({ lost = {}, attributed = {}, lostAtStart = {}, crashes, otherEnds = {} }: StoredLosses, isGang: boolean): void {
+    this.#isGang = isGang
     for (const [unit, runs] of Object.entries(lost)) this.#runs.set(Number(unit), new Set(runs))
     for (const [task, runs] of Object.entries(attributed)) this.#attributed.set(Number(task), new Set(runs))
     for (const [unit, runs] of Object.entries(lostAtStart)) this.#lostAtStart.set(Number(unit), new Set(runs))
--- a/packages/jobs/test/counted-losses.test.ts
+++ b/packages/jobs/test/counted-losses.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
-import { jobId, LEASE_MILLISECONDS, type Job } from '../src/index.js'
+import { jobId, LEASE_MILLISECONDS, serverId, type Job } from '../src/index.js'
 import { play, storedJob } from './crash-play.js'
-import { CONFIGURATION, job, World, type FakeServer } from './world.js'
+import { CONFIGURATION, job, step, World, type FakeServer } from './world.js'
 
 const phase = (world: World, id = 'a'): string | undefined => world.planner.phaseOf(jobId(id))
 /** The crashes that count; undefined if there are none. */
@@ -69,6 +69,35 @@
     expect(lossesOf(world)).to.deep.equal(before)
   })
 
+  // Guards against a task that is isolated for runs which were only cut off.
+  describe('that was only cut off, while another backend server was registered at its address', () => {
+    const taskLosses = (world: World): unknown => world.planner.progressOf(jobId('a'))!.steps['0.0']
+
+    /** The next owner finds the runs of a job on a backend server which the last one took for replaced. */
+    const foundAgain = (work: Job, ...lostTasks: readonly string[]): World => {
+      const { world } = started(work)
+      const cut = lostTasks.map(task => world.serverRunning(task)!)
+      for (const server of cut) server.connectivity = 'silent'
+      play(world, 200)
+      const replacements = cut.map(({ entry }) => ({ ...entry, id: serverId(`${entry.id}-next`) }))
+      world.listServers([...world.entries, ...replacements])
+      expect(taskLosses(world)).to.deep.include({ lost: { 0: [1_000_001] } })
+      for (const server of cut.slice(0, 1)) server.connectivity = 'answers'
+      world.takeOver(2, [storedJob(world, work)])
+      play(world, 200)
+      return world
+    }
+
+    it('doesn\'t count any longer once the next owner finds it', () => {
+      expect(taskLosses(foundAgain(job('a'), 'a.0.0.0'))).not.to.have.property('lost')
+    })
+
+    it('counts on if only one of two members of a gang is found that were lost', () => {
+      const gang = job('a', { steps: [step({ count: 2, accelerators: 8, isGang: true })] })
+      expect(taskLosses(foundAgain(gang, 'a.0.0.0', 'a.0.0.1'))).to.deep.include({ lost: { 0: [1_000_001] } })
+    })
+  })
+
   it('has no known age if another owner started it', () => {
     const work = job('a')
     const { world, server } = started(work)
