--- a/packages/entry/test/following-owners-play.ts
+++ b/packages/entry/test/following-owners-play.ts
@@ -31,6 +31,8 @@
   readonly ignoresRecord?: boolean
   /** Backend servers are used before the first record of an owner is stored. */
   readonly usesBeforeRecord?: boolean
+  /** Owners take all starts of earlier ones for recorded. */
+  readonly trustsRecord?: boolean
 }
 
 /** Shortest and longest time, in milliseconds. */
@@ -51,6 +53,8 @@
   readonly #tenures: TimeRange
   /** Time without an owner. */
   readonly #gaps: TimeRange
+  /** The store refuses reads too in its outages. */
+  readonly #refusesReads: boolean
   readonly #rows = new MemoryRowStore(() => storeClock(this.#now))
   readonly #pool: PlayedPool
   readonly #jobs = new Map<string, StoredJob>()
@@ -63,11 +67,12 @@
   #record: PlayedOwner['record'] | typeof NO_OWNER = NO_OWNER
   #isStoreAway = false
 
-  constructor (seed: number, fault: PlayFault = {}, tenures: TimeRange = [500, 10_000], gaps = NO_GAPS) {
+  constructor (seed: number, fault: PlayFault = {}, tenures: TimeRange = [500, 10_000], gaps = NO_GAPS, refusesReads = false) {
     this.#random = seededRandom(seed)
     this.#fault = fault
     this.#tenures = tenures
     this.#gaps = gaps
+    this.#refusesReads = refusesReads
     this.#pool = new PlayedPool(SERVERS, this.#random)
   }
 
@@ -142,7 +147,8 @@
       jobs: this.#jobs,
       pool: this.#pool,
       calls: { isAnswerLost: () => this.#random() < 0.05, runMilliseconds: () => this.#between(1000, 25_000) },
-      write: async transaction => await this.#write(transaction)
+      write: async transaction => await this.#write(transaction),
+      trustsRecord: this.#fault.trustsRecord ?? false
     })
     this.#ownerCount += 1
     this.#hasOwner = true
@@ -172,6 +178,8 @@
     // An owner that was replaced without notice is cut off from the store, and from the registry in it.
     const isCurrent = this.#hasOwner && owner === this.#owners.at(-1)
     const ignoresRecord = this.#fault.ignoresRecord === true && this.#now - owner.claimedAt > RECORDED_MILLISECONDS
-    await owner.step(this.#now, { canRead: isCurrent, canRecord: !ignoresRecord, canStoreProgress: isCurrent && !this.#isStoreAway, confirmedAge: isCurrent ? 0 : this.#now + DISCONNECTED_MILLISECONDS - owner.endsAt })
+    // Only an owner that can't read the store either starts tasks without a record.
+    const canRead = !this.#isStoreAway || !this.#refusesReads
+    await owner.step(this.#now, { canRead: isCurrent && canRead, canRecord: canRead && !ignoresRecord, canStoreProgress: isCurrent && !this.#isStoreAway, confirmedAge: isCurrent ? 0 : this.#now + DISCONNECTED_MILLISECONDS - owner.endsAt })
   }
 }
