Send no start to a backend server that has begun to drain

A start that was decided just before a backend server was known to drain could be sent later than such a server has to carry out any (2 s): it waits up to 1.5 s for its record, 0.6 s for its turn, and 0.6 s for a new connection to answer.

Cause: Planner.isStartDue, which is called at each of these points, looked at the run and the incarnation only.

Change: a start to a backend server that drains isn't due. Its outcome is `unsent`, and its task is free at once.

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -285,10 +285,10 @@
     return this.#state.isStored(job, change)
   }
 
-  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server hasn't restarted, to whose clock its lease refers. */
+  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server neither drains nor has restarted, to whose clock its lease refers. */
   isStartDue ({ server: id, incarnation, task, run: number }: StartCommand): boolean {
     const server = this.#state.servers.get(id)
-    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation
+    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation && !server.entry.isDraining
   }
 
   /** Notes that a start is sent before it is recorded. */
