Stop no runs for a drain of an earlier incarnation

An entry in the registry that is of the earlier incarnation and says that it drains, and that arrives after the new one has answered and runs work, had this work stopped as `leaving`.

Cause: evacuateDraining took the state and the remaining time of the entry for those of the incarnation that answers.

Change: only an entry of the current incarnation has its runs stopped. Nothing is started there until the entry of the new one arrives, as before.

Evidence: test/draining.test.ts, "stops no run of the new one". Before: "expected [ { type: 'stop', …(5) } ] to have a length of +0 but got 1"; "starts nothing there before an entry of the new one" failed for the same cause ("a length of 2 but got 3").

--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -35,7 +35,8 @@
 /** Stops all runs on a draining backend server that is about to shut down, while their ends can still be reported. */
 function evacuateDraining (state: PlannerState, server: Server): void {
   const { isDraining, remainingMilliseconds } = server.entry
-  if (!isDraining || remainingMilliseconds === undefined || remainingMilliseconds > EVACUATION_MILLISECONDS) return
+  // An entry of the earlier incarnation says nothing of the runs of this one.
+  if (!isDraining || !server.isEntryCurrent || remainingMilliseconds === undefined || remainingMilliseconds > EVACUATION_MILLISECONDS) return
   for (const run of server.runs.values()) requestStop(state, run, 'leaving')
 }
 
--- a/packages/jobs/test/draining.test.ts
+++ b/packages/jobs/test/draining.test.ts
@@ -3,7 +3,8 @@
 import { job, World } from './world.js'
 
 /** Entries of all backend servers, which drain. */
-const drainingEntries = (world: World): ServerEntry[] => world.entries.map(entry => ({ ...entry, isDraining: true, remainingMilliseconds: 5000 }))
+const drainingEntries = (world: World, overrides: Partial<ServerEntry> = {}): ServerEntry[] =>
+  world.entries.map(entry => ({ ...entry, isDraining: true, remainingMilliseconds: 5000, ...overrides }))
 
 describe('planner whose backend servers drain', () => {
   // Guards against a start later than a draining backend server has to carry out any: it may wait for its record and a connection.
@@ -19,4 +20,39 @@
       expect(world.planner.isStartDue(start)).to.equal(false)
     })
   })
+
+  describe('when one has restarted, and then an entry of its earlier incarnation shows that it drains', () => {
+    let world: World
+
+    beforeEach(() => {
+      world = new World(1)
+      world.settle()
+      world.servers[0]!.restart()
+      world.settle()
+      world.planner.submit(job('a'))
+      world.settle()
+      expect(world.servers[0]!.running).to.have.length(1)
+      world.listServers(drainingEntries(world, { incarnation: 1, remainingMilliseconds: 500 }))
+    })
+
+    it('stops no run of the new one', () => {
+      world.settle()
+      expect(world.stops).to.have.length(0)
+    })
+
+    it('starts nothing there before an entry of the new one', () => {
+      world.planner.submit(job('b'))
+      world.settle()
+      expect(world.starts).to.have.length(1)
+      world.listServers()
+      world.settle()
+      expect(world.starts).to.have.length(2)
+    })
+
+    it('stops its runs if the new one drains too', () => {
+      world.listServers(drainingEntries(world, { remainingMilliseconds: 500 }))
+      world.settle()
+      expect(world.stops.map(({ reason }) => reason)).to.deep.equal(['leaving'])
+    })
+  })
 })
