Keep no ticket for an incarnation that restarted before the advice came

A backend server that restarted between a request for advice and the answer was sent a start with a ticket of its earlier incarnation, which it refuses: a ticket is valid during one life of a worker.

Cause: applyAdvice noted the ticket for the incarnation that was known when the answer came.

Change: a request names the incarnation of each backend server, and the ticket is noted for that one.

Evidence: test/incarnations.test.ts, "requests advice again before it starts a task there". Before: "expected [ { type: 'start', …(10) } ] to have a length of +0 but got 1".

--- a/packages/jobs/src/advice.ts
+++ b/packages/jobs/src/advice.ts
@@ -40,36 +40,36 @@
 export function requestAdvice (step: StepState, snapshot: CapacitySnapshot, now: number): AdviseCommand | undefined {
   if (now - step.advice.requestedAt < ADVICE_RETRY_MILLISECONDS) return undefined
   const waiting = step.waitingCount
-  const servers: ServerId[] = []
+  const servers = new Map<ServerId, number>()
   let tasks = 0
   for (const target of snapshot.targets) {
     if (step.advice.refused.has(target.server.id)) continue
     const fitting = countFitting(target, step, waiting)
     if (fitting === 0) continue
-    servers.push(target.server.id)
+    servers.set(target.server.id, target.server.entry.incarnation)
     tasks += fitting
-    if (tasks >= waiting && servers.length >= Math.min(waiting, MAXIMUM_ADVICE_SERVERS) + ADVICE_SPARE_SERVERS) break
-    if (servers.length === MAXIMUM_ADVICE_SERVERS) break
+    if (tasks >= waiting && servers.size >= Math.min(waiting, MAXIMUM_ADVICE_SERVERS) + ADVICE_SPARE_SERVERS) break
+    if (servers.size === MAXIMUM_ADVICE_SERVERS) break
   }
-  if (servers.length === 0) return undefined
+  if (servers.size === 0) return undefined
   step.advice.requestedAt = now
-  return { type: 'advise', step: step.name, servers }
+  return { type: 'advise', step: step.name, servers: [...servers.keys()], incarnations: servers }
 }
 
 /**
- * Applies an answer of the advice service; without an answer the request is repeated later.
+ * Applies an answer of the advice service; without an answer the request is repeated later. A backend server that has restarted
+ * since the request needs another ticket.
  *
  * @example
- * applyAdvice(step, command, advice, incarnationOf, now)
+ * applyAdvice(step, command, advice, now)
  */
-export function applyAdvice (step: StepState, { servers }: AdviseCommand, advice: Advice | undefined, incarnationOf: (server: ServerId) => number | undefined, now: number): void {
+export function applyAdvice (step: StepState, { incarnations }: AdviseCommand, advice: Advice | undefined, now: number): void {
   if (advice === undefined) return
   step.advice.requestedAt = -Infinity
   const allowed = new Map(advice.allowed.map(({ server, ticket }) => [server, ticket]))
-  for (const server of servers) {
+  for (const [server, incarnation] of incarnations) {
     const text = allowed.get(server)
-    const incarnation = incarnationOf(server)
     if (text === undefined) step.advice.refused.add(server)
-    else if (incarnation !== undefined) step.advice.tickets.set(server, { text, incarnation, expiresAt: now + advice.validMilliseconds })
+    else step.advice.tickets.set(server, { text, incarnation, expiresAt: now + advice.validMilliseconds })
   }
 }
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -40,6 +40,8 @@
   readonly type: 'advise'
   readonly step: StepName
   readonly servers: readonly ServerId[]
+  /** Start time of the incarnation of each: a ticket is valid for one of them. */
+  readonly incarnations: ReadonlyMap<ServerId, number>
 }
 
 /** Answer of the advice service: the allowed backend servers, each with a ticket. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -314,7 +314,7 @@
   /** Applies the answer to a request for advice; undefined if there was none. */
   applyAdvice (command: AdviseCommand, advice: Advice | undefined, now: number): void {
     const step = this.#state.step(command.step)
-    if (step !== undefined) applyAdvice(step, command, advice, id => this.#state.servers.get(id)?.entry.incarnation, now)
+    if (step !== undefined) applyAdvice(step, command, advice, now)
   }
 
   /** Jobs with unstored progress, with the number of their last change. */
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -168,6 +168,26 @@
     })
   })
 
+  // Guards against a start that is refused since its ticket was given for the earlier incarnation.
+  describe('when a backend server restarts between a request for advice and the answer', () => {
+    it('requests advice again before it starts a task there', () => {
+      const world = new World(1)
+      world.planner.submit(job('a', { queue: 'advised' }))
+      world.settle()
+      const [request] = world.adviceRequests
+      const [server] = world.servers
+      server!.restart()
+      world.settle(1)
+      world.planner.applyAdvice(request!, { allowed: [{ server: server!.entry.id, ticket: 'ticket-1' }], validMilliseconds: 3000 }, world.now)
+      world.settle()
+      expect(world.starts).to.have.length(0)
+      expect(world.adviceRequests).to.have.length(2)
+      world.planner.applyAdvice(world.adviceRequests[1]!, { allowed: [{ server: server!.entry.id, ticket: 'ticket-2' }], validMilliseconds: 3000 }, world.now)
+      world.settle()
+      expect(world.starts.map(({ ticket }) => ticket)).to.deep.equal(['ticket-2'])
+    })
+  })
+
   describe('when a start finds another incarnation', () => {
     it('starts nothing there until that has answered a poll', () => {
       const world = new World(1)
