Pass a claim on that is answered after its VM has begun to leave

Cause: a VM that is to stop hands over what it owns, and claims nothing from then on. A claim that was under way at that moment made it the owner afterwards, when the handover was over.

What callers saw: the planner ran on a process that was about to end, and ended with it: progress that wasn't stored yet was lost to the next owner, which loaded only after missed heartbeats.

Change: if the VM has begun to leave when its claim is answered, it begins no tenure, and requests a successor to take over.

Evidence: packages/entry/test/ownership.test.ts, "is passed on by a VM that has begun to leave meanwhile" (an answer 700 ms late). Before: expected [ [ 'vm-00', 1 ], [ 'vm-01', 2 ] ] to deeply equal [ [ 'vm-00', 1 ], [ 'vm-02', 3 ] ].

Why it works: the check comes after the answer, and nothing is awaited between it and the tenure.

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -124,10 +124,15 @@
     if (ownership === undefined) return
     await stopPlanning()
     this.#endOwnership()
+    await this.#passOn(ownership)
+  }
+
+  /** Requests one VM after the other to take over, until one has. */
+  async #passOn (owner: OwnerRecord): Promise<void> {
     for (const successor of this.#successors()) {
       try {
-        await this.#options.peers.call(successor.address, { kind: 'succeed', owner: ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
-        this.#options.emit('planner-handed-over', { details: { to: successor.vm, epoch: ownership.epoch } })
+        await this.#options.peers.call(successor.address, { kind: 'succeed', owner }, HEARTBEAT_TIMEOUT_MILLISECONDS)
+        this.#options.emit('planner-handed-over', { details: { to: successor.vm, epoch: owner.epoch } })
         return
       } catch (thrown) {
         this.#options.emit('peer-call-failed', { details: { address: successor.address, kind: 'succeed', failure: asFailure(thrown).code } })
@@ -365,6 +370,8 @@
       // A newer owner may have become known before the answer to the claim.
       if (this.#owner?.epoch !== owner.epoch) return
       emit('planner-claimed', { details: { epoch: owner.epoch, reason, previous: storedOwner?.vm, silent: Number.isFinite(silenceMilliseconds) ? Math.round(silenceMilliseconds) : undefined, milliseconds: Math.round(this.#clock.now() - started) } })
+      // The VM may have begun to leave while the answer was in flight.
+      if (this.#isLeaving) return await this.#passOn(owner)
       this.#beginTenure(owner, reason)
       if (previous !== undefined && previous.address !== self.address) this.#exchangeOwner(previous.address)
     } catch (thrown) {
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -277,6 +277,14 @@
       expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
     })
 
+    it('is passed on by a VM that has begun to leave meanwhile', async () => {
+      const vms = await claimWithLateAnswer(700)
+      await vms[1]!.leadership.handOver(async () => {})
+      await deployment.clock.advance(1500)
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-02', 3]])
+      expect(deployment.owners).to.deep.equal(['vm-02'])
+    })
+
     it('makes no owner of a VM that has learned of a newer one meanwhile', async () => {
       const vms = await claimWithLateAnswer(700)
       const version = deployment.store.rows('owner')[0]!.version
