Test a VM that restarts before the store has answered its claim

The row names the VM, whose new process holds nothing of the claim: it replies so, and is replaced within a second, by one claim. The simulated store now gives no answer to a process that has ended meanwhile.

--- a/packages/entry/test/deployment.ts
+++ b/packages/entry/test/deployment.ts
@@ -147,6 +147,7 @@
         await reach()
         const outcome = await view.write(transaction)
         await pause(this.clock, vm.writeAnswerDelay)
+        if (vm.isDown) throw new CornelgaugeError('timeout')
         return outcome
       }
     } as unknown as RowStore
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -323,6 +323,21 @@
     })
   })
 
+  describe('a VM that restarts before the store has answered its claim', () => {
+    it('owns nothing by that claim, and is replaced at once', async () => {
+      const vms = await startSettled([8, 4, 2, 1])
+      vms[1]!.writeAnswerDelay = 700
+      vms[0]!.isDown = true
+      while (deployment.store.rows('owner')[0]!.value.epoch === 1) await deployment.clock.advance(20)
+      const restartedAt = deployment.clock.now()
+      deployment.restart(vms[1]!)
+      await deployment.clock.advance(5000)
+      expect(deployment.claims.map(claim => claim.epoch)).to.deep.equal([1, 3])
+      expect(deployment.claims[1]!.at - restartedAt).to.be.below(1000)
+      expect(deployment.owners).to.have.length(1)
+    })
+  })
+
   describe('a VM that leaves', () => {
     it('does not claim, though it waits for its turn or for replies of others', async () => {
       for (let age = 1000; age < 4000; age += 100) {
