Test that no lease is renewed on a backend server which this owner has settled

Cause: that a lease of a late start isn't renewed before its list is stored rested on one test (with `mayRenew` always true, it alone failed of 554 tests of jobs and 149 of entry), and that covers only what an earlier owner has settled. Without the part of this owner (`#settledServers` in `mayRenew`) no test failed.

Change: the test runs for both, and checks that the backend server is settled.

Evidence: without that part, the new one fails: "expected 107579 to equal undefined". Both pass on the code as it is.

--- a/packages/jobs/test/recorded-starts.test.ts
+++ b/packages/jobs/test/recorded-starts.test.ts
@@ -406,22 +406,25 @@
       })
 
       // Guards against a run whose lease is renewed though the next owner takes it for ended.
-      it('renews no lease of a late start that a settled backend server has begun after a restart, until it is recorded', () => {
-        const server = world.serverRunning('a.0.0.1')!
-        const { id } = server.entry
-        const until = world.now + 3000
-        follow({ until, settledServers: new Set([id, lost.entry.id]) })
-        work(500)
-        expect(leaseOf(id)).to.be.greaterThan(0)
-        server.incarnation += 1
-        server.running.clear()
-        server.running.set('a.0.0.0', { task: 'a.0.0.0', run: 1_000_099, checkpoint: '', percent: 0 } as never)
-        world.isStoreAvailable = false
-        world.pollServers()
-        expect(leaseOf(id)).to.equal(undefined)
-        world.planner.markStored(world.planner.unstoredJobs)
-        expect(leaseOf(id)).to.be.greaterThan(0)
-      })
+      for (const [title, isInherited] of [['a settled backend server', true], ['a backend server that this owner has settled itself', false]] as const) {
+        it(`renews no lease of a late start that ${title} has begun after a restart, until it is recorded`, () => {
+          const server = world.serverRunning('a.0.0.1')!
+          const { id } = server.entry
+          const until = world.now + 3000
+          follow({ until, settledServers: new Set(isInherited ? [id, lost.entry.id] : []) })
+          work(500)
+          expect(leaseOf(id)).to.be.greaterThan(0)
+          expect([...world.planner.settledServers([id])!.settledServers]).to.deep.equal([id])
+          server.incarnation += 1
+          server.running.clear()
+          server.running.set('a.0.0.0', { task: 'a.0.0.0', run: 1_000_099, checkpoint: '', percent: 0 } as never)
+          world.isStoreAvailable = false
+          world.pollServers()
+          expect(leaseOf(id)).to.equal(undefined)
+          world.planner.markStored(world.planner.unstoredJobs)
+          expect(leaseOf(id)).to.be.greaterThan(0)
+        })
+      }
     })
 
     it('has a `job-idle` event that names the backend server for which a task waits', () => {
