Count a crash from the outage that was seen, also once its backend server was forgotten

Cause: a backend server that is removed and doesn't answer is forgotten once its leases have expired. Its runs are remembered, but when its outage was first seen was kept with it. If it is registered again with its earlier entry and then answers as a new incarnation, the crash counted from then on.

What callers saw: a crash with an exposure as long as the backend server was away (16.961 s for a run that had worked for 1 s). A later run of the task that works for less doesn't discard it, so it stays as evidence against a sound job; a crash right at a run's start isn't taken for one.

Change: a backend server that is registered again with remembered runs continues its outage.

Evidence: `packages/jobs/test/forgotten-servers.test.ts`, "as a new incarnation, with the earlier entry". Before: "expected { '0': [ [ 1000001, 16961 ] ] } to deeply equal {}". The other five returns (same or new incarnation, same or other address, after a replacement) passed before. 609 tests of the package pass.

--- a/packages/jobs/src/missing-runs.ts
+++ b/packages/jobs/src/missing-runs.ts
@@ -36,6 +36,11 @@
     return this.#groups.get(id)?.runs ?? []
   }
 
+  /** When the outage of a backend server with missing runs was first seen; undefined if it has none. */
+  outageOf (id: ServerId): number | undefined {
+    return this.#groups.get(id)?.server.outageAt
+  }
+
   /** The backend servers with missing runs. */
   get servers (): readonly Server[] {
     return [...this.#groups.values()].map(({ server }) => server)
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -323,6 +323,12 @@
     this.outageAt = now
   }
 
+  /** Notes that the outage had been seen when it was last known, before it was forgotten. */
+  continueOutage (outageAt: number): void {
+    this.#isOut = true
+    this.outageAt = outageAt
+  }
+
   /** Notes that another backend server has taken its address, which is the first sign of its outage if it missed no poll before. */
   noteReplacement (now: number): void {
     if (!this.#isOut) this.outageAt = now
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -360,6 +360,8 @@
     if (known !== undefined) return known
     const server = new Server(entry, Math.max(now, this.recovery.boundsOf(entry.id).until))
     server.isHeld = this.#heldServers.has(entry.id)
+    const outageAt = this.missingRuns.outageOf(entry.id)
+    if (outageAt !== undefined) server.continueOutage(outageAt)
     this.servers.set(entry.id, server)
     return server
   }
