Wait for the longest lease of runs that the next owner finds

Cause: a start without an answer that a new incarnation begins may have a lease of 10 s, since its end was meant for another clock. The owner that sent it waits for that once the run is listed (`late-starts.test.ts`); the next owner, which doesn't know the start, counted with 6 s from its first list.

Order of events: a start has no answer; its backend server restarts, and begins it; the next owner claims and polls, which lists the run; the backend server is cut off.

Change: the first answer to an owner that lists runs bounds their leases by the longest one; later renewals are bounded as before.

Cost: a backend server that is cut off within about 4 s of its first answer to a new owner holds the tasks of its runs for up to 4 s longer.

Evidence: the test of `late-starts.test.ts` runs under the next owner too.

--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -304,8 +304,9 @@
   }
 
   /** Records an answered poll. The first one fences earlier owners, which can renew no lease from then on. */
-  recordAnswer (clock: number, receivedAt: number): void {
-    if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + this.#longestGrantedLease / MINIMUM_SERVER_CLOCK_RATE
+  recordAnswer (clock: number, receivedAt: number, listedRuns: number): void {
+    // Runs in its first list may be late starts of earlier owners, which were meant for another incarnation.
+    if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + (listedRuns > 0 ? LONGEST_LEASE_MILLISECONDS : this.#longestGrantedLease) / MINIMUM_SERVER_CLOCK_RATE
     this.hasAnswered = true
     this.hasOtherIncarnation = false
     this.#areEarlierOwnersFenced = true
--- a/packages/jobs/test/late-starts.test.ts
+++ b/packages/jobs/test/late-starts.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { jobId, LEASE_MILLISECONDS, type Command, type StopCommand } from '../src/index.js'
+import { storedJob } from './crash-play.js'
 import { job, World } from './world.js'
 
 const TASK = 'a.0.0.0'
@@ -112,25 +113,30 @@
   })
 
   describe('when a backend server restarts and lists a start that was not answered by the earlier incarnation', () => {
-    it('doesn\'t start the task elsewhere before the longest lease has expired if the backend server is unreachable from then on', () => {
-      const world = new World(2)
-      world.pollServers()
-      for (const server of world.servers) server.connectivity = 'delays-starts'
-      world.planner.submit(job('a'))
-      world.round()
-      const holder = world.servers.find(server => server.delayed.length > 0)!
-      for (const server of world.servers) server.connectivity = 'answers'
-      holder.restart()
-      holder.start(holder.delayed[0]!)
-      world.now += 5
-      world.pollServers()
-      expect(world.planner.load.runs).to.equal(1)
-      holder.connectivity = 'silent'
-      world.pollServers()
-      world.round(LONGEST_LEASE_MILLISECONDS - 1000)
-      world.pollServers()
-      world.round()
-      expect(world.starts).to.have.length(1)
-    })
+    // The next owner doesn't know of the start, or for which incarnation it was meant.
+    for (const [title, hasNextOwner] of [['', false], [' under the next owner', true]] as const) {
+      it(`doesn't start the task elsewhere before the longest lease has expired if the backend server is unreachable from then on${title}`, () => {
+        const world = new World(2)
+        world.pollServers()
+        for (const server of world.servers) server.connectivity = 'delays-starts'
+        world.planner.submit(job('a'))
+        world.round()
+        const holder = world.servers.find(server => server.delayed.length > 0)!
+        for (const server of world.servers) server.connectivity = 'answers'
+        const stored = storedJob(world, job('a'))
+        holder.restart()
+        holder.start(holder.delayed[0]!)
+        if (hasNextOwner) world.takeOver(2, [stored])
+        world.now += 5
+        world.pollServers()
+        expect(world.planner.load.runs).to.equal(1)
+        holder.connectivity = 'silent'
+        world.pollServers()
+        world.round(LONGEST_LEASE_MILLISECONDS - 1000)
+        world.pollServers()
+        world.round()
+        expect(world.starts).to.have.length(1)
+      })
+    }
   })
 })
