Poll the incarnation that has answered while its reports can't be applied

Cause: a report that lists jobs which the owner has to read, and can't while the store is out, isn't applied. The planner goes on to expect the earlier incarnation, or none, so that each poll opened a new connection, polled on it, and left it idle for up to 60 s: one connection every 250 ms for each such backend server.

What callers saw: nothing yet; by reading, an owner of 350 such backend servers reaches the 4,100 file descriptors of a VM within about 3 s of an outage of the store.

Change: the repeated polls go to the incarnation whose report could not be applied, without a position or a lease, on the connection to it. A failure still counts for the incarnation that the planner expects.

Evidence: packages/entry/test/server-polls.test.ts, 'go to the incarnation that has answered, without a position or a lease, if the backend server has not answered the owner' and '... has restarted' failed before ("incarnation": [undefined] and 1 in place of 2, with position 5 and lease 7000). That the polls then share one connection is tested in platform/test/incarnation-connections.test.ts.

--- a/packages/entry/src/server-polls.ts
+++ b/packages/entry/src/server-polls.ts
@@ -36,6 +36,8 @@
   readonly #servers = new Set<ServerId>()
   /** Backend servers that are polled at once, because a start wasn't answered or they may have restarted. */
   readonly #settling = new Set<ServerId>()
+  /** Incarnations whose last reports could not be applied. */
+  readonly #unapplied = new Map<ServerId, number>()
 
   constructor (options: ServerPollsOptions) {
     this.#options = options
@@ -81,13 +83,21 @@
       if (request === undefined) break
       const canWait = hasAnswered && !request.hasUnstoredEnds && !planner.isWaitingForRecord(id)
       const waitMilliseconds = !canWait ? 0 : request.runs === 0 ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS
-      hasAnswered = await this.#poll(id, request, waitMilliseconds)
+      hasAnswered = await this.#poll(id, request, waitMilliseconds, this.#redirect(id, request))
       if (!hasAnswered) await pause(systemClock, POLL_RETRY_MILLISECONDS, signal)
       else if (planner.isWaitingForRecord(id)) await recorder.release(id)
       else if (request.hasUnstoredEnds) await pause(systemClock, UNSTORED_POLL_PAUSE_MILLISECONDS, signal)
       else await Promise.all([stored(), pause(systemClock, this.#pauseAfter(request), signal)])
     }
     this.#servers.delete(id)
+    this.#unapplied.delete(id)
+  }
+
+  /** Polls an incarnation of which the planner doesn't know yet, since its reports could not be applied, without a position or a lease: there is a connection to it. */
+  #redirect (id: ServerId, request: PollRequest): PollRequest {
+    const incarnation = this.#unapplied.get(id)
+    if (incarnation === undefined || incarnation === request.incarnation) return request
+    return { ...request, incarnation, acknowledgedPosition: 0, leaseUntil: undefined }
   }
 
   /** How long a backend server isn't polled after its answer. */
@@ -95,19 +105,23 @@
     return Math.min(LONGEST_POLL_PAUSE_MILLISECONDS, POLL_PAUSE_PER_RUN_MILLISECONDS * runs * this.#servers.size)
   }
 
-  async #poll (id: ServerId, { address, incarnation, acknowledgedPosition, leaseUntil }: PollRequest, waitMilliseconds: number): Promise<boolean> {
+  /** Makes one poll; `made` is sent in place of the planner's request, which a failure counts for. */
+  async #poll (id: ServerId, request: PollRequest, waitMilliseconds: number, made = request): Promise<boolean> {
     const { epoch, calls, readJobsOf, onReport, onFailure, signal } = this.#options
     const sentAt = performance.now()
+    const { address, incarnation, acknowledgedPosition, leaseUntil } = made
     const poll = { epoch, incarnation, acknowledgedPosition, waitMilliseconds, ...(leaseUntil === undefined ? {} : { leaseUntil }) }
     try {
       const report = await calls.poll({ id, address }, poll, waitMilliseconds + CALL_SLACK_MILLISECONDS)
       const areJobsKnown = await readJobsOf(report)
       if (signal.aborted) return false
+      if (areJobsKnown) this.#unapplied.delete(id)
+      else this.#unapplied.set(id, report.incarnation)
       if (!areJobsKnown) throw new CornelgaugeError('store-unavailable', { detail: 'The jobs of the report could not be read' })
       onReport({ type: 'polled', server: id, report })
       return true
     } catch (thrown) {
-      if (!signal.aborted) onFailure({ type: 'pollFailed', server: id, address, incarnation, sentAt, failure: asFailure(thrown) })
+      if (!signal.aborted) onFailure({ type: 'pollFailed', server: id, address, incarnation: request.incarnation, sentAt, failure: asFailure(thrown) })
       return false
     }
   }
