--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -141,6 +141,22 @@
       expect(world.planner.pollRequest(world.servers[0]!.entry.id, world.now)).to.deep.include({ incarnation: undefined, acknowledgedPosition: 0, leaseUntil: undefined })
     })
 
+    // Guards against a backend server that is avoided for a start which its earlier incarnation has left unanswered.
+    it('uses the new incarnation though the start was not answered', () => {
+      world = new World(2, { perRack: 1 })
+      world.pollServers()
+      const [server] = world.servers
+      world.planner.submit(job('a', { steps: [step({ dataRack: server!.entry.rack })] }))
+      const [start] = startsOf(decide())
+      restart()
+      world.planner.applyStartOutcome(start!.server, start!.task, start!.run, 'unanswered', world.now)
+      world.now += 10
+      world.pollServers()
+      world.planner.submit(job('b', { steps: [step({ dataRack: server!.entry.rack })] }))
+      world.settle(1)
+      expect(world.serverRunning('b.0.0.0')?.entry.id).to.equal(server!.entry.id)
+    })
+
     // Guards against work that begins late: its wait for a better placement began anew.
     it('lets a gang start without a new wait if a start of it was not carried out', () => {
       world = new World(4, { perRack: 2 })
