Don't have a claimant replaced for what it learns of its claim from replies

Cause: kept a VM with a claim under way from adopting itself as the owner from heartbeats that it receives, not from the replies to its own. After a handover the former owner may read the claim from the store first, and name it in its reply.

What callers saw: the claimant replied that it doesn't own the planner, and was replaced at once: a second change of owners, with a second load of the planner; nothing starts until it ends.

Change: all that peers say of the owner passes the same check.

Evidence: packages/entry/test/ownership.test.ts, "is not replaced since the claimant learns of it from a reply of the former owner". Before, in the review that found it: expected [ [ 'vm-00', 1 ], [ 'vm-00', 3 ] ] to deeply equal [ [ 'vm-00', 1 ], [ 'vm-01', 2 ] ].

--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -150,7 +150,7 @@
   answerHeartbeat (heartbeat: HeartbeatRequest): HeartbeatReply {
     const { member, storeAge } = heartbeat
     this.#members.add(member, storeAge, this.#confirmationTimeOf(heartbeat))
-    if (heartbeat.owner !== undefined && !this.#mayBeOwnClaim(heartbeat.owner)) this.adoptOwner(heartbeat.owner)
+    this.#adoptFromPeer(heartbeat.owner)
     const waitingJobs = this.isOwner ? this.#options.waitingJobs?.() : undefined
     return {
       kind: 'beat',
@@ -173,10 +173,15 @@
     return ownedMilliseconds === undefined ? now : Math.min(now, this.#ownedSince + ownedMilliseconds)
   }
 
-  /** True if an owner that a peer names may be this VM by a claim whose answer is in flight; a reply that names it without owning it has the peer claim. */
-  #mayBeOwnClaim ({ vm, address }: KnownOwner): boolean {
+  /**
+   * Adopts the owner that a peer names, unless it may be this VM by a claim whose answer is in flight: a reply that names it without
+   * owning it has the peer claim.
+   */
+  #adoptFromPeer (owner: KnownOwner | undefined): void {
+    if (owner === undefined) return
     const { self } = this.#options
-    return this.#claiming !== undefined && vm === self.vm && address === self.address
+    const mayBeOwnClaim = this.#claiming !== undefined && owner.vm === self.vm && owner.address === self.address
+    if (!mayBeOwnClaim) this.adoptOwner(owner)
   }
 
   /**
@@ -221,7 +226,7 @@
       const answer = await this.#sendHeartbeat(address, NO_VERSION)
       if (answer === undefined) return
       this.#members.receive(address, answer)
-      if (answer.owner !== undefined) this.adoptOwner(answer.owner)
+      this.#adoptFromPeer(answer.owner)
     }))
   }
 
@@ -278,7 +283,7 @@
     const { address, epoch } = owner
     let isRefused = false
     const answer = await this.#sendHeartbeat(address, this.#members.versionFrom(address), this.#evidence.requiredSilence / 2, failure => { isRefused = isConnectionRefused(failure) })
-    if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
+    this.#adoptFromPeer(answer?.owner)
     if (this.#owner?.epoch !== epoch) return true
     if (answer === undefined) {
       // Any other failure, such as a handshake that isn't completed in time, shows only that the owner is slow.
@@ -303,7 +308,7 @@
   /** Sends a heartbeat after which both VMs know the newer owner. */
   async #exchangeOwner (address: string): Promise<void> {
     const answer = await this.#sendHeartbeat(address)
-    if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
+    this.#adoptFromPeer(answer?.owner)
   }
 
   async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS, onFailure: (failure: CornelgaugeError) => void = () => {}): Promise<HeartbeatReply | undefined> {
@@ -340,7 +345,7 @@
 
   async #isReachableElsewhere (others: readonly Member[]): Promise<boolean> {
     const answers = await Promise.all(others.slice(0, 3).map(member => this.#sendHeartbeat(member.address)))
-    for (const answer of answers) if (answer?.owner !== undefined) this.adoptOwner(answer.owner)
+    for (const answer of answers) this.#adoptFromPeer(answer?.owner)
     const replies = answers.filter(answer => answer !== undefined)
     if (replies.length === 0) return this.#evidence.contactAge < ISOLATED_TAKEOVER_MILLISECONDS
     return replies.some(answer => answer.isOwner || answer.ownerHeardAge < HEARTBEAT_MILLISECONDS + OWNER_SILENCE_MILLISECONDS / 2)
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -277,6 +277,18 @@
       expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
     })
 
+    it('is not replaced since the claimant learns of it from a reply of the former owner', async () => {
+      const vms = await startSettled([8, 4, 2, 1])
+      const [former, claimant] = vms
+      claimant!.writeAnswerDelay = 700
+      const takeover = claimant!.leadership.takeOver(former!.leadership.owner!)
+      while (deployment.store.rows('owner')[0]!.value.epoch === 1) await deployment.clock.advance(20)
+      former!.leadership.adoptOwner({ ...claimant!.member, epoch: epoch(2), version: deployment.store.rows('owner')[0]!.version })
+      await deployment.clock.advance(10_000)
+      await takeover
+      expect(deployment.claims.map(claim => [claim.vm, claim.epoch])).to.deep.equal([['vm-00', 1], ['vm-01', 2]])
+    })
+
     it('is passed on by a VM that has begun to leave meanwhile', async () => {
       const vms = await claimWithLateAnswer(700)
       await vms[1]!.leadership.handOver(async () => {})
