Keep the run whose backend server keeps it, of two runs of a task

Cause: of two runs the one on a backend server that misses polls is stopped, since its lease isn't renewed. A held backend server gets no renewals either, and one that drains ends its runs, but the further run was kept there.

What callers saw: nothing yet. The run that could have ended was stopped, and the kept one lapsed or had to leave: work thrown away.

Change: a backend server that is held or drains counts as one that misses polls.

Evidence: packages/jobs/test/duplicate-runs.test.ts, "stops it there if its lease isn't renewed" and "if that drains".

--- a/packages/jobs/src/duplicate-runs.ts
+++ b/packages/jobs/src/duplicate-runs.ts
@@ -1,6 +1,6 @@
 /** Stops all runs of a task but one if several of them are known. */
 import type { RunNumber } from './ids.js'
-import type { Run } from './server.js'
+import type { Run, Server } from './server.js'
 import type { PlannerState } from './state.js'
 import { requestStop } from './stops.js'
 import type { TaskState } from './task-state.js'
@@ -17,7 +17,8 @@
 /**
  * Stops the other runs of a task if this one, which was listed, is not the only one that goes on. In a gang, whole starts are kept or stopped.
  *
- * A run on a backend server that misses polls is stopped even if it is further: its server may have crashed, and its lease isn't renewed.
+ * A run on a backend server that misses polls, is held or drains is stopped even if it is further: it may have ended, or its lease isn't
+ * renewed, or it has to leave.
  *
  * @example
  * stopDuplicates(state, run)
@@ -47,15 +48,19 @@
 }
 
 /**
- * Orders starts: first one that isn't being stopped, has no member on a backend server that misses polls, is the furthest, has the
+ * Orders starts: first one that isn't being stopped, has only members whose backend servers keep them, is the furthest, has the
  * most confirmed members, is the earliest. A gang with progress is complete, so that counts more than the members that are known.
  */
 function compareStarts (state: PlannerState, left: Start, right: Start): number {
   const isStopping = (start: Start): number => start.some(({ stopReason }) => stopReason !== undefined) ? 1 : 0
-  const mayBeLost = (start: Start): number => start.some(({ server }) => state.servers.get(server)?.missedPolls !== 0) ? 1 : 0
+  const mayEndEarly = (start: Start): number => start.some(({ server }) => !keepsRuns(state.servers.get(server))) ? 1 : 0
   const percent = (start: Start): number => Math.max(...start.map(run => run.percent))
   const confirmed = (start: Start): number => start.filter(({ confirmedAt }) => confirmedAt < Infinity).length
-  return isStopping(left) - isStopping(right) || mayBeLost(left) - mayBeLost(right) || percent(right) - percent(left) || confirmed(right) - confirmed(left) || left[0]!.run - right[0]!.run
+  return isStopping(left) - isStopping(right) || mayEndEarly(left) - mayEndEarly(right) || percent(right) - percent(left) || confirmed(right) - confirmed(left) || left[0]!.run - right[0]!.run
+}
+
+function keepsRuns (server: Server | undefined): boolean {
+  return server !== undefined && server.missedPolls === 0 && !server.isHeld && !server.entry.isDraining
 }
 
 /** Stops a start, and reports it unless members of it are being stopped for the same reason. */
--- a/packages/jobs/test/duplicate-runs.test.ts
+++ b/packages/jobs/test/duplicate-runs.test.ts
@@ -161,6 +161,22 @@
     })
   })
 
+  describe('that is further, on a backend server that can\'t keep it', () => {
+    it('stops it there if its lease isn\'t renewed', () => {
+      world.planner.holdServers(new Set([other.entry.id]))
+      plant(other, TASK, 7, 30)
+      world.settle()
+      expect(runningOn(world)).to.deep.equal([holder.entry.id])
+    })
+
+    it('stops it there if that drains', () => {
+      world.listServers(world.entries.map(entry => entry.id === other.entry.id ? { ...entry, isDraining: true, remainingMilliseconds: 2000 } : entry))
+      plant(other, TASK, 7, 30)
+      world.settle()
+      expect(runningOn(world)).to.deep.equal([holder.entry.id])
+    })
+  })
+
   describe('while the start of another isn\'t answered', () => {
     const worldBeforeOutcome = (): void => {
       world = new World(2, { epoch: 2 })
