Count an answer for the address to which its poll was sent, also on a new connection

Cause: took the address from the time at which the poll was sent. On a new connection that is once it is identified, later than the address was taken from the entry, which may have changed in between.

What callers saw: nothing yet.

Change: the report names the address to which its poll was sent, so the entry need not keep earlier ones.

Evidence: packages/jobs/test/changed-addresses.test.ts, "a poll which was prepared before the change and sent after it".

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -169,7 +169,7 @@
       const server = this.#state.registerServer(entry, now)
       if (server.hasRestartedAs(entry.incarnation)) applyRestart(this.#state, server, entry.incarnation, 'registry', times)
       else if (server.mayHaveRestartedAs(entry.incarnation) && entry.incarnation !== server.listedIncarnation) unreported.push(entry.id)
-      server.list(entry, now)
+      server.list(entry)
     }
     this.#forgetServers(now)
     return unreported
--- a/packages/jobs/src/recovery.ts
+++ b/packages/jobs/src/recovery.ts
@@ -116,10 +116,8 @@
     if (!this.#knownSince.has(id)) this.#knownSince.set(id, now)
   }
 
-  /** Notes an answer of a backend server to a poll. */
-  noteAnswer (server: Server, askedAt: number): void {
-    const { id } = server
-    const address = server.addressAt(askedAt)
+  /** Notes an answer of a backend server to a poll that was sent to this address. */
+  noteAnswer ({ id }: Server, address: string, askedAt: number): void {
     this.#reachedServers.add(id)
     this.#answerAddresses.set(id, address)
     if (askedAt >= (this.#lastAnswers.get(address)?.at ?? -Infinity)) this.#lastAnswers.set(address, { id, at: askedAt })
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -32,7 +32,7 @@
     applyRestart(state, server, report.incarnation, 'report', { now: report.receivedAt, wallTime }, report.running)
   }
   server.recordAnswer(report.clock, report.receivedAt, report.running.length)
-  state.recovery.noteAnswer(server, report.sentAt)
+  state.recovery.noteAnswer(server, addressOf(server, report), report.sentAt)
   server.hasRefusedForCapacity = false
   server.hasMoreEnds = report.hasMoreEnds
   server.hasListedAll ||= !report.hasMoreEnds
@@ -52,6 +52,8 @@
   for (const run of listed) stopDuplicates(state, run)
 }
 
+const addressOf = ({ entry }: Server, { address = entry.address }: ServerReport): string => address
+
 /** Removes the runs that a complete report shows to have ended, and gives up the starts that it shows not to have begun. */
 function settleUnlisted (state: PlannerState, server: Server, listed: ReadonlySet<Run>, { sentAt }: ServerReport): void {
   for (const run of [...server.runs.values()]) {
@@ -112,13 +114,14 @@
 }
 
 /** Adopts a run that an earlier owner started; stops it if its task no longer has to run. */
-function adoptRun (state: PlannerState, server: Server, { task: name, run: number, percent, checkpoint }: ListedRun, { sentAt, receivedAt: now }: ServerReport): Run {
+function adoptRun (state: PlannerState, server: Server, { task: name, run: number, percent, checkpoint }: ListedRun, report: ServerReport): Run {
+  const { receivedAt: now } = report
   const task = state.task(name)
   const run: Run = {
     task: name,
     run: number,
     server: server.id,
-    address: server.addressAt(sentAt),
+    address: addressOf(server, report),
     incarnation: server.entry.incarnation,
     need: task === undefined ? NO_CAPACITY : countedNeed(task.step),
     ...(task === undefined ? {} : { step: task.step }),
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -50,6 +50,8 @@
 /** A backend server's answer to a poll. */
 export interface ServerReport {
   readonly incarnation: number
+  /** Address to which the poll was sent, which may have changed in its entry since; that of its entry if absent. */
+  readonly address?: string
   /** The backend server's monotonic clock, in milliseconds. */
   readonly clock: number
   readonly running: readonly ListedRun[]
@@ -175,9 +177,6 @@
   #isIncarnationListed = true
   /** Earlier owners can start nothing in any incarnation that this one has known, since one of them has answered. */
   #areEarlierOwnersFenced = false
-  /** The address in its entry before, and when the present one was first read. */
-  #earlierAddress = ''
-  #addressListedAt = -Infinity
   #isOut = false
   #used: Capacity = NO_CAPACITY
   /** Runs whose need isn't known: while there are any, neither is what is free. */
@@ -255,21 +254,12 @@
   }
 
   /** Replaces its entry by the one that is listed, but for the incarnation, which its reports show first. */
-  list (entry: ServerEntry, now: number): void {
-    if (entry.address !== this.entry.address) {
-      this.#earlierAddress = this.entry.address
-      this.#addressListedAt = now
-    }
+  list (entry: ServerEntry): void {
     this.entry = { ...entry, incarnation: this.entry.incarnation }
     this.listedIncarnation = entry.incarnation
     this.#isIncarnationListed ||= this.isEntryCurrent
   }
 
-  /** Returns the address to which a call was sent at this time. */
-  addressAt (time: number): string {
-    return time < this.#addressListedAt ? this.#earlierAddress : this.entry.address
-  }
-
   /** True if it may get new work. */
   get isUsable (): boolean {
     return this.isListed && this.hasAnswered && !this.isHeld && !this.entry.isDraining && this.missedPolls === 0 && !this.hasRefusedForCapacity && !this.hasOtherIncarnation && !this.hasRunsOfUnknownNeed
--- a/packages/jobs/test/changed-addresses.test.ts
+++ b/packages/jobs/test/changed-addresses.test.ts
@@ -28,9 +28,10 @@
   describe('and that answers a poll which was sent to its own address before', () => {
     const answerLate = (): void => {
       const sentAt = world.now + 10
+      const { address } = world.planner.pollRequest(moved.entry.id, sentAt)!
       world.now += 20
       listMoved()
-      world.planner.applyReport(moved.entry.id, { incarnation: 1, clock: 100_000 + world.now, running: [...moved.running.values()], ended: [], hasMoreEnds: false, sentAt, receivedAt: world.now }, world.wallTime)
+      world.planner.applyReport(moved.entry.id, { incarnation: 1, address, clock: 100_000 + world.now, running: [...moved.running.values()], ended: [], hasMoreEnds: false, sentAt, receivedAt: world.now }, world.wallTime)
     }
 
     it('keeps its runs when the other one answers its next poll', () => {
@@ -53,6 +54,21 @@
     })
   })
 
+  // A new connection is identified before the poll is sent on it.
+  describe('and that answers a poll which was prepared before the change and sent after it', () => {
+    it('keeps its runs, and leaves the other one its own', () => {
+      const { address } = world.planner.pollRequest(moved.entry.id, world.now)!
+      world.now += 10
+      listMoved()
+      const sentAt = world.now + 10
+      world.now += 20
+      world.planner.applyReport(moved.entry.id, { incarnation: 1, address, clock: 100_000 + world.now, running: [...moved.running.values()], ended: [], hasMoreEnds: false, sentAt, receivedAt: world.now }, world.wallTime)
+      reject()
+      world.round()
+      expect(world.starts).to.have.length(2)
+    })
+  })
+
   describe('when the next owner, which has recorded runs there, first reads the registry', () => {
     it('keeps its runs while the other one answers its polls', () => {
       const { planner, entries } = world
