Don't count a missed poll for a backend server that has answered a later one

Cause: a poll that is meant for no known incarnation (the first ones, and those that identify it) fails after its time limit. Its failure counted though a poll that was sent after it had been answered meanwhile.

What callers saw: nothing yet. The backend server got no starts and no renewals until its next answer, up to 2 s.

Change: a missed poll that was sent before the last one that the incarnation has answered is passed over.

Evidence: packages/jobs/test/incarnations.test.ts, "goes on to use the backend server if a poll fails that was sent before one that it has answered".

--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -366,7 +366,7 @@
   }
 
   #handlePollFailure ({ server, address, incarnation, sentAt, failure }: Extract<HostEvent, { type: 'pollFailed' }>): void {
-    this.#planner.recordMissedPoll(server, incarnation)
+    this.#planner.recordMissedPoll(server, incarnation, sentAt)
     if (failure.code === 'server-replaced') this.#planner.recordReplacement(server, address, sentAt)
     this.#options.emit('look-missed', { details: { server, failure: failure.code } })
     if (failure.code === 'stale-epoch') this.#fence()
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -264,10 +264,11 @@
     if (server !== undefined) applyReport(this.#state, server, report, wallTime)
   }
 
-  /** Records a poll without an answer that was meant for this incarnation. It shows nothing of a later one that has answered since. */
-  recordMissedPoll (id: ServerId, incarnation: number | undefined): void {
+  /** Records a poll without an answer that was meant for this incarnation. It shows nothing of a later one that has answered since, or of one that has answered a later poll. */
+  recordMissedPoll (id: ServerId, incarnation: number | undefined, sentAt = Infinity): void {
     const server = this.#state.servers.get(id)
     if (server === undefined || (server.hasAnswered && incarnation !== undefined && incarnation !== server.entry.incarnation)) return
+    if (sentAt < server.answeredPollAt) return
     server.missedPolls += 1
   }
 
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -31,7 +31,7 @@
     if (report.sentAt < server.restartedAt) return
     applyRestart(state, server, report.incarnation, 'report', { now: report.receivedAt, wallTime }, report.running)
   }
-  server.recordAnswer(report.clock, report.receivedAt, report.running.length)
+  server.recordAnswer(report)
   state.recovery.noteAnswer(server, addressOf(server, report), report.sentAt)
   server.hasRefusedForCapacity = false
   server.hasMoreEnds = report.hasMoreEnds
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -142,6 +142,8 @@
   /** Polls without an answer since the last one that was answered. */
   missedPolls = 0
   lastAnswerAt = -Infinity
+  /** When the last poll that the current incarnation has answered was sent. */
+  answeredPollAt = -Infinity
   /** When this owner learned of the last restart. */
   restartedAt = -Infinity
   /** When it was first seen to be unreachable, or to have restarted, in the present or last outage. */
@@ -301,15 +303,16 @@
   }
 
   /** Records an answered poll. The first one fences earlier owners, which can renew no lease from then on. */
-  recordAnswer (clock: number, receivedAt: number, listedRuns: number): void {
+  recordAnswer ({ clock, sentAt, receivedAt, running }: ServerReport): void {
     // Runs in its first list may be late starts of earlier owners, which were meant for another incarnation.
-    if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + (listedRuns > 0 ? LONGEST_LEASE_MILLISECONDS : this.#longestGrantedLease) / MINIMUM_SERVER_CLOCK_RATE
+    if (!this.hasAnswered) this.#leasesExpiredBy = receivedAt + (running.length > 0 ? LONGEST_LEASE_MILLISECONDS : this.#longestGrantedLease) / MINIMUM_SERVER_CLOCK_RATE
     this.hasAnswered = true
     this.hasOtherIncarnation = false
     this.#areEarlierOwnersFenced = true
     this.#clock = clock
     this.#clockReadAt = receivedAt
     this.lastAnswerAt = receivedAt
+    this.answeredPollAt = Math.max(this.answeredPollAt, sentAt)
     this.missedPolls = 0
     this.#isOut = false
   }
@@ -352,6 +355,7 @@
     this.restarts += 1
     if (!this.#isOut) this.outageAt = now
     this.hasAnswered = false
+    this.answeredPollAt = -Infinity
     this.hasMoreEnds = false
     this.hasListedAll = false
     this.reportedPosition = 0
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -132,6 +132,17 @@
       expect(world.planner.load.serversUsable).to.equal(1)
     })
 
+    it('goes on to use the backend server if a poll fails that was sent before one that it has answered', () => {
+      const [server] = world.servers
+      const { id } = server!.entry
+      const sentAt = world.now
+      restart()
+      world.planner.recordMissedPoll(id, undefined, sentAt)
+      expect(world.planner.load.serversUsable).to.equal(1)
+      world.planner.recordMissedPoll(id, undefined, world.now + 1)
+      expect(world.planner.load.serversUsable).to.equal(0)
+    })
+
     it('sends neither a position nor a lease to a new incarnation that has not answered', () => {
       world.settle()
       world.servers[0]!.connectivity = 'silent'
