Avoid no new incarnation for a start that the earlier one has left unanswered

Cause: a start without an answer is given up when the next report doesn't list its run, and its backend server is then avoided for 4 s where others have room. If that report was the first one of a new incarnation, the start of the earlier one counted for it, after the restart had forgotten what the earlier one had shown.

What callers saw: a backend server that had crashed with a start under way, and was back at once, got no work for 4 s as long as others had room: of a failure domain that is back, those with starts under way.

Change: a start that is given up counts against its backend server only if it was meant for the incarnation that is current.

Evidence: packages/jobs/test/incarnations.test.ts, 'does not prefer others for starts that the earlier incarnation has left unanswered' failed before: expected [ 'server-1' ] to deeply equal [ 'server-0' ]. It also fails without the reset of unansweredStartAt in Server.restart, which no test did. The two tests beside it fail without the resets of consecutiveFailures and of the end of the lease, which no test did either (543 passed with each removed by hand).

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -96,7 +96,7 @@
   if (run.state !== 'unconfirmed' || run.stopReason !== undefined) return
   requestStop(state, run, 'unanswered')
   const server = state.servers.get(run.server)
-  if (server !== undefined) server.unansweredStartAt = run.unansweredAt!
+  if (server?.entry.incarnation === run.incarnation) server.unansweredStartAt = run.unansweredAt!
   const task = state.task(run.task)
   if (task !== undefined) stopRestOfGang(state, task, run.run)
 }
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { jobId, type Command, type StartCommand, type StopCommand } from '../src/index.js'
+import { jobId, type Command, type StartCommand, type StartOutcome, type StopCommand } from '../src/index.js'
 import { job, step, World, type FakeServer } from './world.js'
 
 describe('planner', () => {
@@ -162,6 +162,84 @@
     })
   })
 
+  describe('when a backend server has shown failures, and restarts', () => {
+    let world: World
+
+    /** Lets a start of the next task end with this outcome, without a run; returns the command. */
+    const failStart = (outcome: StartOutcome): StartCommand => {
+      world.now += 10
+      const [start] = world.planner.decide({ now: world.now, wallTime: world.wallTime }).filter((command): command is StartCommand => command.type === 'start')
+      world.planner.applyStartOutcome(start!.server, start!.task, start!.run, outcome, world.now)
+      return start!
+    }
+    const restart = (server: FakeServer): void => {
+      server.restart()
+      world.now += 10
+      world.pollServers()
+    }
+
+    it('starts work on the new incarnation at once, and after one failure of that again', () => {
+      world = new World(1)
+      world.pollServers()
+      world.planner.submit(job('a'))
+      failStart('unhealthy')
+      failStart('unhealthy')
+      world.round()
+      expect(world.starts).to.deep.equal([])
+      restart(world.servers[0]!)
+      failStart('unhealthy')
+      world.round()
+      expect(world.starts).to.have.length(1)
+    })
+
+    it('does not prefer others for starts that the earlier incarnation has left unanswered', () => {
+      for (const isGivenUpBefore of [true, false]) {
+        world = new World(2)
+        world.pollServers()
+        world.planner.submit(job('a'))
+        const first = failStart('unanswered')
+        const server = world.servers.find(({ entry }) => entry.id === first.server)!
+        if (isGivenUpBefore) {
+          world.now += 10
+          world.pollServers()
+        }
+        restart(server)
+        world.settle()
+        expect(world.starts.map(start => start.server)).to.deep.equal([first.server])
+      }
+    })
+
+    it('counts the leases there from the clock of the new incarnation', () => {
+      world = new World(2)
+      const report = (server: FakeServer, incarnation: number, clock: number): void => world.planner.applyReport(server.entry.id, { incarnation, clock, running: [...server.running.values()], ended: [], hasMoreEnds: false, sentAt: world.now, receivedAt: world.now }, world.wallTime)
+      for (const server of world.servers) report(server, 1, 5_000_000)
+      world.planner.submit(job('a'))
+      world.round()
+      world.now += 10
+      for (const server of world.servers) {
+        report(server, 1, 5_000_020)
+        world.planner.pollRequest(server.entry.id, world.now)
+        server.restart()
+        world.now += 10
+        report(server, 2, 1000)
+      }
+      world.round()
+      const holder = world.serverRunning('a.0.0.0')!
+      world.planner.pollRequest(holder.entry.id, world.now)
+      holder.connectivity = 'silent'
+      for (let time = 0; time < 70; time += 1) {
+        world.now += 100
+        for (const server of world.servers) {
+          if (server === holder) world.planner.recordMissedPoll(server.entry.id, 2)
+          else report(server, 2, 1000 + world.now)
+        }
+        world.round(0)
+      }
+      expect(world.serverRunning('a.0.0.0')).to.not.equal(undefined)
+      expect(world.servers.find(server => server !== holder)!.running.size).to.equal(1)
+    })
+  })
+
   describe('when the clock of a backend server was set back before its restart, and its entry is the earlier one', () => {
     it('keeps its runs when a poll is missed', () => {
       const world = new World(2)
