Name the event of two known runs without a path of the platform

The name duplicate-run-stopped contained run-stop, which words.test.ts keeps for the platform's folder; the event is duplicate-run now.

--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -10,7 +10,7 @@
     emit('server-restarted', { details: { ...details, ...roundedWait(sinceAnswer), ...(youngest === undefined ? {} : { youngest: Math.round(youngest) }) } })
   },
   'server-leases-expired': (emit, { type, sinceAnswer, ...details }) => emit('server-leases-expired', { details: { ...details, ...roundedWait(sinceAnswer) } }),
-  'duplicate-run-stopped': (emit, { type, ...details }) => emit('duplicate-run-stopped', { details }),
+  'duplicate-run': (emit, { type, ...details }) => emit('duplicate-run', { details }),
   'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
   'crash-attributed': (emit, { type, ...details }) => emit('crash-attributed', { details }),
   'crashes-refuted': (emit, { type, ...details }) => emit('crashes-refuted', { details }),
--- a/packages/jobs/src/duplicate-runs.ts
+++ b/packages/jobs/src/duplicate-runs.ts
@@ -42,7 +42,11 @@
   if (!task.step.specification.isGang) return [...task.runs].map(run => [run])
   const starts = new Map<RunNumber, Run[]>()
   for (const { runs } of task.step.knownTasks) {
-    for (const run of runs) starts.set(run.run, [...starts.get(run.run) ?? [], run])
+    for (const run of runs) {
+      const members = starts.get(run.run)
+      if (members === undefined) starts.set(run.run, [run])
+      else members.push(run)
+    }
   }
   return [...starts.values()]
 }
@@ -71,7 +75,7 @@
   const [first] = members
   if (first === undefined || isKnown) return
   const keptRun = kept.find(({ task }) => task === first.task) ?? kept[0]!
-  state.recordEvent({ type: 'duplicate-run-stopped', task: first.task, run: first.run, server: first.server, known: originOf(first), keptRun: keptRun.run, keptServer: keptRun.server, keptKnown: originOf(keptRun), members: members.length })
+  state.recordEvent({ type: 'duplicate-run', task: first.task, run: first.run, server: first.server, known: originOf(first), keptRun: keptRun.run, keptServer: keptRun.server, keptKnown: originOf(keptRun), members: members.length })
 }
 
 function originOf ({ confirmedAt, isAdopted, isAnswered }: Run): RunOrigin {
--- a/packages/jobs/test/duplicate-runs.test.ts
+++ b/packages/jobs/test/duplicate-runs.test.ts
@@ -22,7 +22,7 @@
   return [...new Map(stops.map(stop => [`${stop.server} ${stop.task} ${stop.run}`, stop])).values()]
 }
 
-const duplicateEvents = (world: World): PlannerEvent[] => world.planner.drainEvents().filter(({ type }) => type === 'duplicate-run-stopped')
+const duplicateEvents = (world: World): PlannerEvent[] => world.planner.drainEvents().filter(({ type }) => type === 'duplicate-run')
 
 // Guards against two runs of one task that the owner knows of, and lets go on until one of them is done.
 describe('planner that learns of a second run of a task', () => {
@@ -72,7 +72,7 @@
       plant(other, TASK, ownRun + 1)
       world.settle(5)
       expect(duplicateEvents(world)).to.deep.equal([{
-        type: 'duplicate-run-stopped',
+        type: 'duplicate-run',
         task: TASK,
         run: ownRun + 1,
         server: other.entry.id,
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -342,7 +342,7 @@
     fields: { server: 'backend server', missedPolls: 'polls that it has missed since its last answer', sinceAnswer: 'milliseconds since its last answer; absent if it has not answered this owner', runs: 'number of runs', unconfirmed: 'those of them whose starts were never confirmed' },
     action: 'Check that the VM can reach the backend server.'
   },
-  'duplicate-run-stopped': {
+  'duplicate-run': {
     number: 1052,
     level: 'warning',
     sentence: 'The planner knows of two runs of one task, and stops one of them; of a gang, all members of one start.',
