Count a missed poll as before where its incarnation is known

A waiting poll that fails by a reset shows that its process has ended, whatever was sent after it. Only a poll that is meant for no known incarnation is passed over if a later one was answered.

The test of resets covers the new field.

--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -264,12 +264,15 @@
     if (server !== undefined) applyReport(this.#state, server, report, wallTime)
   }
 
-  /** Records a poll without an answer that was meant for this incarnation. It shows nothing of a later one that has answered since, or of one that has answered a later poll. */
+  /**
+   * Records a poll without an answer that was meant for this incarnation. It shows nothing of a later one that has answered since. One
+   * that was meant for no known incarnation shows nothing of one that has answered a later poll.
+   */
   recordMissedPoll (id: ServerId, incarnation: number | undefined, sentAt = Infinity): void {
     const server = this.#state.servers.get(id)
-    if (server === undefined || (server.hasAnswered && incarnation !== undefined && incarnation !== server.entry.incarnation)) return
-    if (sentAt < server.answeredPollAt) return
-    server.missedPolls += 1
+    if (server === undefined) return
+    const isOfEarlier = incarnation === undefined ? sentAt < server.answeredPollAt : server.hasAnswered && incarnation !== server.entry.incarnation
+    if (!isOfEarlier) server.missedPolls += 1
   }
 
   /** Records that another backend server at this address has answered a poll that was meant for this one. */
--- a/packages/jobs/test/restarted-server.test.ts
+++ b/packages/jobs/test/restarted-server.test.ts
@@ -4,7 +4,7 @@
 
 const NOW = 50_000
 /** What a backend server has shown, or was found to do; it holds for one incarnation. */
-const SHOWN = { hasAnswered: true, hasMoreEnds: true, hasListedAll: true, reportedPosition: 7, acknowledgedPosition: 5, consecutiveFailures: 2, lastFailureAt: NOW - 40, unansweredStartAt: NOW - 30, answeredStartAt: NOW - 20, hasRefusedForCapacity: true, hasOtherIncarnation: true } as const
+const SHOWN = { hasAnswered: true, hasMoreEnds: true, hasListedAll: true, reportedPosition: 7, acknowledgedPosition: 5, consecutiveFailures: 2, answeredPollAt: NOW - 60, lastFailureAt: NOW - 40, unansweredStartAt: NOW - 30, answeredStartAt: NOW - 20, hasRefusedForCapacity: true, hasOtherIncarnation: true } as const
 
 // Guards against what one incarnation of a backend server has shown that counts for the next.
 describe('a backend server that has restarted', () => {
@@ -14,7 +14,7 @@
 
   beforeEach(() => {
     server = new Server(entry!, 0)
-    server.recordAnswer(5_000_000, NOW - 100)
+    server.recordAnswer({ incarnation: 1, clock: 5_000_000, running: [], ended: [], hasMoreEnds: false, sentAt: NOW - 110, receivedAt: NOW - 100 })
     Object.assign(server, SHOWN)
     server.restart(2, NOW)
   })
