Ignore entries of all earlier incarnations of a backend server, not only of the last one listed

Cause: the registry's entry counts as a restart while polls are missed, if its incarnation is above the one that answers. When the clock of the machine was set back before a restart, the earlier incarnation is the higher one. The planner remembered a single incarnation to be ignored: the one that was listed when the next one became known. If the entry of the new incarnation was listed before its first answer, that was the new one, and the earlier one was forgotten. A write of the earlier incarnation that the store carries out seconds later ("may be performed seconds later") then lists it again, and the next missed poll made it a restart.

What callers saw: the confirmed runs of the new incarnation were dropped and started elsewhere, so two runs of a task at the same time (TWICE).

Change: a backend server keeps all incarnations that were current or listed before the current one, and entries with these show no restart.

Two tests by hand failed before: "keeps its runs when a poll is missed if its new entry was listed in between" and "... if it has restarted twice", each with "expected [ { type: 'start', …(9) }, …(1) ] to have a length of 1 but got 2". Both pass with the change.

Why it works: an incarnation that was followed by another one has ended, so its entry can only be an old one.

Left: an earlier incarnation that this owner has never known, with a higher start time, still counts as a restart if its entry is written late and a poll is missed.

--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -167,8 +167,8 @@
   hasRefusedForCapacity = false
   /** A start has found another incarnation; no starts until the next poll. */
   hasOtherIncarnation = false
-  /** Incarnation in the entry that was listed when this one became known: that entry may be older. */
-  supersededIncarnation: number | undefined
+  /** Incarnations before the current one, and those that were listed when the next one became known: an entry with one of them may be older. */
+  readonly supersededIncarnations = new Set<number>()
   /** Earlier owners can start nothing in any incarnation that this one has known, since one of them has answered. */
   #areEarlierOwnersFenced = false
   #isOut = false
@@ -306,7 +306,7 @@
 
   /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
-    this.supersededIncarnation = this.listedIncarnation
+    this.supersededIncarnations.add(this.listedIncarnation).add(this.entry.incarnation).delete(incarnation)
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
     this.restarts += 1
--- a/packages/jobs/test/incarnations.test.ts
+++ b/packages/jobs/test/incarnations.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { jobId, type Command, type StartCommand, type StopCommand } from '../src/index.js'
-import { job, step, World, type FakeServer } from './world.js'
+import { jobId, type Command, type ServerEntry, type StartCommand, type StopCommand } from '../src/index.js'
+import { job, step, World } from './world.js'
 
 describe('planner', () => {
   // The registry and each poll report the incarnation of a backend server, in no certain order.
@@ -163,18 +163,17 @@
   })
 
   describe('when the clock of a backend server was set back before its restart, and its entry is the earlier one', () => {
-    it('keeps its runs when a poll is missed', () => {
-      const world = new World(2)
-      const setIncarnation = (server: FakeServer, incarnation: number): void => { server.incarnation = incarnation }
-      for (const server of world.servers) setIncarnation(server, 100)
-      world.listServers()
-      world.pollServers()
-      const earlier = world.entries
+    let world: World
+    let earlier: ServerEntry[]
+    const restartAll = (): void => {
       for (const server of world.servers) {
         server.restart()
-        setIncarnation(server, 50)
+        server.incarnation = 50
       }
       world.now += 10
+    }
+    const expectRunsKept = (): void => {
+      world.now += 10
       world.pollServers()
       world.planner.submit(job('a'))
       world.round()
@@ -187,6 +186,39 @@
       world.listServers(earlier)
       world.settle()
       expect(world.starts).to.have.length(1)
+    }
+
+    beforeEach(() => {
+      world = new World(2)
+      for (const server of world.servers) server.incarnation = 100
+      world.listServers()
+      world.pollServers()
+      earlier = world.entries
+    })
+
+    it('keeps its runs when a poll is missed', () => {
+      restartAll()
+      expectRunsKept()
+    })
+
+    // Guards against a write of the earlier incarnation that is carried out after the first one of the new incarnation.
+    it('keeps its runs when a poll is missed if its new entry was listed in between', () => {
+      restartAll()
+      world.listServers()
+      expectRunsKept()
+    })
+
+    it('keeps its runs when a poll is missed if it has restarted twice', () => {
+      restartAll()
+      world.listServers()
+      world.pollServers()
+      for (const server of world.servers) {
+        server.restart()
+        server.incarnation = 70
+      }
+      world.now += 10
+      world.listServers()
+      expectRunsKept()
     })
   })
 })
