--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -173,8 +173,8 @@
   hasRefusedForCapacity = false
   /** A start has found another incarnation; no starts until the next poll. */
   hasOtherIncarnation = false
-  /** Incarnations that have ended. An entry of the registry that names one of them was read late, whatever its start time. */
-  readonly #endedIncarnations = new Set<number>()
+  /** Highest start time of the incarnations before, and of the entries that were listed when a later one became known. */
+  #highestEarlierIncarnation = -Infinity
   /** The registry has listed the current incarnation. */
   #isIncarnationListed = true
   /** Earlier owners can start nothing in any incarnation that this one has known, since one of them has answered. */
@@ -244,15 +244,17 @@
 
   /** True if an entry of the registry with this start time may be of a later incarnation. */
   mayHaveRestartedAs (incarnation: number): boolean {
-    return incarnation > this.entry.incarnation && !this.#endedIncarnations.has(incarnation)
+    return incarnation > this.entry.incarnation
   }
 
   /**
    * True if such an entry shows that the current incarnation has ended. While that answers, only its own reports say so: the entry
-   * may be of another writer. Before the registry has listed it, the entry may be of an earlier one, if a clock was set back.
+   * may be of another writer. If a clock was set back, or before the registry has listed the current one, the entry may be of an earlier one.
    */
   hasRestartedAs (incarnation: number): boolean {
-    return this.mayHaveRestartedAs(incarnation) && (!this.hasAnswered || (this.missedPolls > 0 && this.#isIncarnationListed))
+    if (!this.mayHaveRestartedAs(incarnation)) return false
+    if (!this.hasAnswered) return true
+    return this.missedPolls > 0 && this.#isIncarnationListed && this.entry.incarnation > this.#highestEarlierIncarnation
   }
 
   /** Replaces its entry by the one that is listed, but for the incarnation, which its reports show first. */
@@ -347,9 +349,8 @@
 
   /** Starts a new incarnation, which resets its clock and its list of ended runs. Starts that aren't confirmed may still begin there. */
   restart (incarnation: number, now: number): void {
-    for (const ended of [this.entry.incarnation, this.listedIncarnation]) this.#endedIncarnations.add(ended)
-    this.#endedIncarnations.delete(incarnation)
     this.#isIncarnationListed = incarnation === this.listedIncarnation
+    this.#highestEarlierIncarnation = Math.max(this.#highestEarlierIncarnation, this.entry.incarnation, this.#isIncarnationListed ? -Infinity : this.listedIncarnation)
     this.entry = { ...this.entry, incarnation }
     this.restartedAt = now
     this.restarts += 1
