Hand the platform's figures for evacuations, checkpoints, stops and claims to the planner

Cause: decisions on evacuations, on whom to stop and on what a claim waits for need bounds that the settings hold, and no code read them. Nothing acts on them yet.

--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -94,6 +94,7 @@
       readJob: id => this.#options.jobs.read(id),
       servers: platform.servers,
       advise: platform.advise,
+      bounds: platform.bounds,
       emit,
       recordedPeriod,
       confirmedAge: () => Math.min(performance.now() - this.#confirmedAt, followedAge()),
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -6,7 +6,7 @@
 import type { Stream } from 'most'
 import { Inbox, pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure } from '@cornelgauge/model'
-import { LEAST_STARTS_PER_ROUND, Planner, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
+import { LEAST_STARTS_PER_ROUND, Planner, PLACEMENT_RULES, type AdviseCommand, type Command, type Configuration, type Job, type JobId, type JobPhase, type OperatingBounds, type QueueName, type ServerId, type StartCommand, type StartOutcome, type StopCommand, type StopOutcome } from '@cornelgauge/jobs'
 import type { RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { callForAdvice } from './advice-call.js'
@@ -39,6 +39,7 @@
   readonly readJob: (id: JobId) => Promise<Job | undefined>
   readonly servers: BackendServerCalls
   readonly advise: PlatformView['advise']
+  readonly bounds?: OperatingBounds | undefined
   readonly emit: EmitEvent
   /** The recorded period that an earlier owner has stored. */
   readonly recordedPeriod?: RecordedPeriod | undefined
@@ -116,7 +117,7 @@
     const options = { ...given, emit: this.#log.emit }
     this.#options = options
     const { owner, store, emit } = options
-    this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() })
+    this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() }, PLACEMENT_RULES, options.bounds)
     const unrecorded = unrecordedStartsOf(options.recordedPeriod, owner, { ...stored.servers, clock: stored.clock })
     this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(options.recordedPeriod, owner, stored.clock), unrecorded)
     this.#intake = new JobIntake({
--- a/packages/entry/src/platform-view.ts
+++ b/packages/entry/src/platform-view.ts
@@ -1,5 +1,5 @@
 /** The interface between an entry VM and the platform that it runs on; an adapter implements it. */
-import type { Advice, Configuration, ServerEntry, ServerId, StepName } from '@cornelgauge/jobs'
+import type { Advice, Configuration, OperatingBounds, ServerEntry, ServerId, StepName } from '@cornelgauge/jobs'
 import type { RowStore, RowValue } from '@cornelgauge/ports'
 import type { BackendServerCalls } from './backend-server-calls.js'
 
@@ -7,6 +7,8 @@
 export interface PlatformView {
   readonly store: RowStore
   readonly servers: BackendServerCalls
+  /** The platform's figures for the planner; none if absent. */
+  readonly bounds?: OperatingBounds
   /** Calls the external service that decides where steps of some queues may run; absent if there is none. */
   readonly advise?: (step: StepName, servers: readonly ServerId[]) => Promise<Advice>
   /** Table of the configuration, and its decoder, which returns undefined if the row isn't usable. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -17,6 +17,7 @@
 import { countReplaced, findExhausted } from './lost-runs.js'
 import type { JobProgress } from './progress.js'
 import { assignUnknownRuns, dropExpired, dropReplaced, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
+import type { OperatingBounds } from './operating-bounds.js'
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
 import type { EarlierRuns, HeldServers, UnrecordedStarts } from './recovery.js'
@@ -78,8 +79,8 @@
   #lastTimes: RoundTimes
 
   /** Rules are disabled only for comparisons. */
-  constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes, rules: readonly PlacementRule[] = PLACEMENT_RULES) {
-    this.#state = new PlannerState(epoch, times.now, new Set(rules))
+  constructor (epoch: Epoch, stored: readonly StoredJob[], times: RoundTimes, rules: readonly PlacementRule[] = PLACEMENT_RULES, bounds: OperatingBounds = {}) {
+    this.#state = new PlannerState(epoch, times.now, new Set(rules), bounds)
     this.#lastTimes = times
     for (const { job, isCancelled, progress } of stored) {
       const state = new JobState(job, job.acceptedUnder < epoch, progress)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -14,6 +14,7 @@
 import { IdleJobs, type IdleReason } from './idle-jobs.js'
 import type { Crash } from './lost-runs.js'
 import { MissingRuns } from './missing-runs.js'
+import type { OperatingBounds } from './operating-bounds.js'
 import type { PlacementRule } from './placement-rules.js'
 import { PlacementTurns } from './placement-turns.js'
 import { RecordedRuns } from './recorded-runs.js'
@@ -56,6 +57,7 @@
 export class PlannerState {
   readonly epoch: Epoch
   readonly rules: ReadonlySet<PlacementRule>
+  readonly bounds: OperatingBounds
   readonly jobs = new Map<JobId, JobState>()
   /** Jobs that have not ended, in the order of `jobs`. */
   readonly openJobs = new Set<JobState>()
@@ -128,9 +130,10 @@
   /** Backend servers that must not be used. */
   #heldServers: HeldServers = new Set<ServerId>()
 
-  constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>) {
+  constructor (epoch: Epoch, now: number, rules: ReadonlySet<PlacementRule>, bounds: OperatingBounds = {}) {
     this.epoch = epoch
     this.rules = rules
+    this.bounds = bounds
     this.crashHistory = new CrashHistory(now)
     this.recovery = new Recovery(epoch, now, this.servers)
     this.recorded = new RecordedRuns(this.recovery, this.servers, () => ({ last: this.#lastChange, oldestUnstored: this.#oldestUnstoredChange }))
