--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -9,6 +9,7 @@
 import { MonitoredStore } from './monitored-store.js'
 import { CancellationLimit } from './cancellation-limit.js'
 import { CurrentConfiguration } from './current-configuration.js'
+import { EvacuationOrders } from './evacuation-orders.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
 import { OWNER_CALL_TIMEOUT_MILLISECONDS, RELAY_TIMEOUT_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
@@ -60,6 +61,7 @@
   readonly #unknownCancellations = new CancellationLimit()
   readonly #backlog: ReportedBacklog
   readonly configuration: CurrentConfiguration
+  readonly #evacuations: EvacuationOrders
   readonly #owned: OwnedPlanner
 
   readonly #peerHandlers: PeerHandlers = {
@@ -116,12 +118,19 @@
       waitingJobs: () => this.#owned.host?.waitingJobs,
       onWaitingJobs: count => this.#backlog.report(count)
     })
+    this.#evacuations = new EvacuationOrders({
+      boundMilliseconds: platform.readEvacuations === undefined ? undefined : platform.bounds?.evacuationMilliseconds,
+      storeAge: () => Math.min(this.#store.lastAnswerAge, this.#leadership.memberStoreAge),
+      onChange: failureDomains => this.#owned.host?.evacuate(failureDomains),
+      onOutdated: milliseconds => { if (this.isOwner) emit('evacuations-unknown', { details: { milliseconds: Math.round(milliseconds) } }) }
+    })
     this.#owned = new OwnedPlanner({
       store: this.#store,
       jobs: this.#jobs,
       platform,
       emit,
       configuration: () => this.configuration.value,
+      evacuations: this.#evacuations,
       isCurrent: owner => this.#leadership.isOwner && this.#leadership.owner?.epoch === owner.epoch && !this.#stopping.signal.aborted,
       peerConfirmationAge: () => this.#leadership.peerConfirmationAge,
       onFenced: () => this.#leadership.loseOwnership(),
@@ -151,7 +160,10 @@
     const { signal } = this.#stopping
     const follower = new TableFollower(this.#store, {
       table: platform.configurationTable,
-      onRows: (rows, readAt) => this.configuration.update(platform.readConfiguration(rows), readAt),
+      onRows: (rows, readAt) => {
+        if (platform.bounds?.evacuationMilliseconds !== undefined && platform.readEvacuations !== undefined) this.#evacuations.update(platform.readEvacuations(rows), readAt)
+        this.configuration.update(platform.readConfiguration(rows), readAt)
+      },
       onFailure: failure => emit('feed-failed', { details: { table: platform.configurationTable, failure: failure.code } })
     })
     this.#runInBackground(follower.run(signal))
--- a/packages/entry/src/host-event.ts
+++ b/packages/entry/src/host-event.ts
@@ -12,6 +12,7 @@
   | { readonly type: 'advised', readonly command: AdviseCommand, readonly advice: Advice | undefined }
   | { readonly type: 'registryUpdated' } & RegistryReading
   | { readonly type: 'configured', readonly configuration: Configuration }
+  | { readonly type: 'evacuated', readonly failureDomains: ReadonlySet<string> }
   | { readonly type: 'submitted', readonly job: Job }
   | { readonly type: 'cancelled', readonly id: JobId }
   | { readonly type: 'tick' }
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -104,6 +104,11 @@
     return this.#members.majorityAge
   }
 
+  /** Milliseconds since the store last answered any member that has lately sent this VM a heartbeat, as it said then; Infinity if there is none. */
+  get memberStoreAge (): number {
+    return this.members.reduce((age, { vm }) => Math.min(age, this.#members.storeAgeOf(vm)), Infinity)
+  }
+
   /** Runs leader election until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     this.#startedAt = this.#clock.now()
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -45,6 +45,8 @@
 export const ISOLATED_TAKEOVER_MILLISECONDS = 2500
 /** An owner that neither the store nor a majority of its peers has confirmed for this long stops scheduling. */
 export const OWNER_CONFIRMATION_LIMIT_MILLISECONDS = 2500
+/** Share of the bound on evacuations for which an owner starts work by orders that it has read before: several calls to the store; the rest is for the call of the start. */
+export const EVACUATION_READING_SHARE = 0.6
 /** How long a start waits for its record, in milliseconds: several writes to a slow store, and far less than its lease. */
 export const START_RECORD_MILLISECONDS = 1500
 /**
--- a/packages/entry/src/owned-planner.ts
+++ b/packages/entry/src/owned-planner.ts
@@ -10,6 +10,7 @@
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob } from './job-record.js'
 import type { JobStore, StoredJobs } from './job-store.js'
+import type { EvacuationOrders } from './evacuation-orders.js'
 import { CONFIRM_INTERVAL_MILLISECONDS, REGISTRY_PAUSE_MILLISECONDS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { PlannerHost } from './planner-host.js'
@@ -27,6 +28,8 @@
   readonly platform: PlatformView
   readonly emit: EmitEvent
   readonly configuration: () => Configuration | undefined
+  /** Absent if there are no evacuations. */
+  readonly evacuations?: EvacuationOrders
   /** True while this VM isn't stopping and knows of no newer owner than this one. */
   readonly isCurrent: (owner: OwnerRecord) => boolean
   /** Milliseconds since a majority of peers last confirmed this owner. */
@@ -77,7 +80,7 @@
     await this.release()
     this.#stoppingHost = new AbortController()
     const signal = ownership === undefined ? this.#stoppingHost.signal : AbortSignal.any([this.#stoppingHost.signal, ownership])
-    const { store, platform, emit, configuration, isCurrent, peerConfirmationAge: followedAge } = this.#options
+    const { store, platform, emit, configuration, evacuations, isCurrent, peerConfirmationAge: followedAge } = this.#options
     const started = performance.now()
     const onPageFailure = (failure: CornelgaugeError): boolean => {
       emit('owner-not-read', { details: { failure: failure.code } })
@@ -95,6 +98,7 @@
       servers: platform.servers,
       advise: platform.advise,
       bounds: platform.bounds,
+      areDomainsKnown: () => evacuations?.mayStart !== false,
       emit,
       recordedPeriod,
       confirmedAge: () => Math.min(performance.now() - this.#confirmedAt, followedAge()),
@@ -105,6 +109,7 @@
     const currentConfiguration = configuration()
     if (currentConfiguration !== undefined) host.configure(currentConfiguration)
     host.updateRegistry(this.#registry.read(new Map(registry.rows.map(row => [row.key, row.value]))))
+    if (evacuations?.failureDomains !== undefined) host.evacuate(evacuations.failureDomains)
     this.#follow(host, stored.jobsVersion, stored.cancelsVersion, registry)
     emit('planner-started', { details: { epoch: owner.epoch, jobs: stored.jobs.length, waiting: stored.waiting.length, damaged: stored.damaged.length, servers: registry.rows.length, milliseconds: Math.round(performance.now() - started) } })
     for (const record of stored.damaged) emit('record-unreadable', { details: { record } })
--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -20,6 +20,8 @@
     emit('job-idle', { details: { ...details, ...wait, milliseconds: Math.round(details.milliseconds), age: Math.round(details.age) } })
   },
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
+  'domain-evacuated': (emit, { type, ...details }) => emit('domain-evacuated', { details }),
+  'domain-in-service': (emit, { type, ...details }) => emit('domain-in-service', { details: { ...details, milliseconds: Math.round(details.milliseconds) } }),
   'server-pool-unknown': (emit, { type, ...details }) => emit('server-pool-unknown', { details })
 }
 
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -41,6 +41,8 @@
   readonly advise: PlatformView['advise']
   readonly bounds?: OperatingBounds | undefined
   readonly emit: EmitEvent
+  /** False while it isn't known in which failure domains work may start; absent if there are no evacuations. */
+  readonly areDomainsKnown?: () => boolean
   /** The recorded period that an earlier owner has stored. */
   readonly recordedPeriod?: RecordedPeriod | undefined
   /** Milliseconds since ownership was last confirmed by the store or by a majority of peers. */
@@ -97,6 +99,7 @@
     advised: ({ command, advice }) => this.#planner.applyAdvice(command, advice, performance.now()),
     registryUpdated: reading => this.#updateRegistry(reading),
     configured: ({ configuration }) => this.#planner.configure(configuration),
+    evacuated: ({ failureDomains }) => this.#planner.evacuate(failureDomains, performance.now()),
     submitted: ({ job }) => this.#submit(job),
     cancelled: ({ id }) => this.#cancel(id),
     tick: () => {
@@ -206,6 +209,11 @@
     this.#inbox.put({ type: 'configured', configuration })
   }
 
+  /** Replaces the failure domains that are evacuated. */
+  evacuate (failureDomains: ReadonlySet<string>): void {
+    this.#inbox.put({ type: 'evacuated', failureDomains })
+  }
+
   /** Replaces the list of registered backend servers. */
   updateRegistry (reading: RegistryReading): void {
     this.#inbox.put({ type: 'registryUpdated', ...reading })
@@ -241,14 +249,18 @@
     return this.#options.confirmedAge() < OWNER_CONFIRMATION_LIMIT_MILLISECONDS
   }
 
-  /** False while the store doesn't record starts. */
+  get #areDomainsKnown (): boolean {
+    return this.#options.areDomainsKnown?.() !== false
+  }
+
+  /** False while the store doesn't record starts, or evacuations aren't known. */
   get #mayStart (): boolean {
-    return !this.#starts.isLate || this.#recordedStarts.mayStartUnrecorded
+    return this.#areDomainsKnown && (!this.#starts.isLate || this.#recordedStarts.mayStartUnrecorded)
   }
 
   /** True while this host may send starts. */
   get #maySend (): boolean {
-    return this.#isDeciding && !this.#stopping.signal.aborted && this.#isConfirmed
+    return this.#isDeciding && !this.#stopping.signal.aborted && this.#isConfirmed && this.#areDomainsKnown
   }
 
   /** Confirms with the store that this VM still owns the planner. */
--- a/packages/entry/src/platform-view.ts
+++ b/packages/entry/src/platform-view.ts
@@ -14,6 +14,8 @@
   /** Table of the configuration, and its decoder, which returns undefined if the row isn't usable. */
   readonly configurationTable: string
   readonly readConfiguration: (rows: ReadonlyMap<string, RowValue>) => Configuration | undefined
+  /** Decodes the failure domains that are evacuated from the rows of that table; absent if there are no evacuations. */
+  readonly readEvacuations?: (rows: ReadonlyMap<string, RowValue>) => ReadonlySet<string>
   /** Table of the registry of backend servers, and its decoder, which skips rows that aren't usable. */
   readonly registryTable: string
   readonly readRegistry: (rows: ReadonlyMap<string, RowValue>) => readonly ServerEntry[]
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -2,7 +2,7 @@
 import type { JobId, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 
 /** Why a run is stopped. */
-export type StopReason = 'cancelled' | 'job-failed' | 'gang-incomplete' | 'reclaimed' | 'unanswered' | 'leaving' | 'stuck' | 'done-elsewhere' | 'duplicate' | 'unknown-job'
+export type StopReason = 'cancelled' | 'job-failed' | 'gang-incomplete' | 'reclaimed' | 'unanswered' | 'leaving' | 'evacuated' | 'stuck' | 'done-elsewhere' | 'duplicate' | 'unknown-job'
 
 /** Starts one run; the outcome is passed to `Planner.applyStartOutcome`. */
 export interface StartCommand {
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -132,6 +132,16 @@
 export const STOP_RETRY_MILLISECONDS = 800
 /** A draining backend server is evacuated once it may shut down within this time, in milliseconds: enough for a stop, its answer and a poll. */
 export const EVACUATION_MILLISECONDS = 1200
+/** How long an order to evacuate a failure domain holds before work is moved, in milliseconds: one that was given by mistake is withdrawn at once. */
+export const EVACUATION_MOVE_DELAY_MILLISECONDS = 1000
+/** Interval between two searches for work to move, in milliseconds: the time of a stop and a start. */
+export const EVACUATION_MOVE_INTERVAL_MILLISECONDS = 500
+/** Runs, or gangs, that are moved at a time. */
+export const EVACUATION_MOVES = 8
+/** Work is moved only if it still takes this many times what its stop costs, since both estimates are rough. */
+export const EVACUATION_MOVE_MARGIN = 4
+/** Share of the accelerators and processors elsewhere that moved work leaves free for work that arrives. */
+export const EVACUATION_FREE_SHARE = 0.25
 /** Assumed run time in a queue without completed runs, in milliseconds. */
 export const INITIAL_RUN_TIME_ESTIMATE_MILLISECONDS = 4000
 /** Weight of the newest value in a queue's moving averages of run time and work. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -8,6 +8,7 @@
 import type { Advice, AdviseCommand, Command, StartCommand, StartOutcome, StopCommand, StopOutcome } from './command.js'
 import type { Configuration } from './configuration.js'
 import { EarlyCancellations } from './early-cancellations.js'
+import { applyEvacuations, runsInEvacuated } from './evacuations.js'
 import { restoreIdleSince, storedIdleSince } from './idle-jobs.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
@@ -62,6 +63,9 @@
   readonly serversUsable: number
   readonly servers: number
   readonly acceleratorsFree: number
+  /** Evacuated failure domains, and the runs that are left there. */
+  readonly domainsEvacuated: number
+  readonly runsEvacuated: number
 }
 
 /**
@@ -150,6 +154,11 @@
     this.#state.configure(configuration)
   }
 
+  /** Replaces the failure domains that are evacuated: nothing is started there. */
+  evacuate (failureDomains: ReadonlySet<string>, now: number): void {
+    applyEvacuations(this.#state, failureDomains, now)
+  }
+
   /**
    * Applies the registry's complete list of backend servers; those in a pool that isn't known are skipped.
    * `unreadable` counts the rows without an entry, which may hide backend servers for a while.
@@ -286,10 +295,10 @@
     return this.#state.isStored(job, change)
   }
 
-  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server neither drains nor has restarted, to whose clock its lease refers. */
+  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server neither drains nor is evacuated nor has restarted, to whose clock its lease refers. */
   isStartDue ({ server: id, incarnation, task, run: number }: StartCommand): boolean {
     const server = this.#state.servers.get(id)
-    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation && !server.entry.isDraining
+    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation && !server.entry.isDraining && !this.#state.evacuations.has(server)
   }
 
   /** Notes that a start is sent before it is recorded. */
@@ -392,7 +401,7 @@
   get load (): PlannerLoad {
     const jobs = [...this.#state.openJobs]
     const servers = [...this.#state.servers.values()]
-    const usable = servers.filter(server => server.isUsable)
+    const usable = servers.filter(server => server.isUsable && !this.#state.evacuations.has(server))
     const unknownEpochs = this.#state.recovery.unknownEpochs(this.#lastTimes.now)
     return {
       jobsQueued: jobs.filter(job => job.phase === 'queued').length,
@@ -404,7 +413,9 @@
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
-      acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free))
+      acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free)),
+      domainsEvacuated: this.#state.evacuations.size,
+      runsEvacuated: runsInEvacuated(this.#state)
     }
   }
 
--- a/packages/jobs/src/round-snapshots.ts
+++ b/packages/jobs/src/round-snapshots.ts
@@ -1,4 +1,4 @@
-/** Takes the capacity snapshots of a round: free capacity now, and after pending stops. */
+/** Takes the capacity snapshots of a round: free capacity now, and after pending stops, without evacuated failure domains. */
 import { sumFreeAccelerators } from './capacity.js'
 import type { StepState } from './step-state.js'
 import { MAXIMUM_REGISTRY_AGE_MILLISECONDS, UNHEALTHY_MILLISECONDS } from './limits.js'
@@ -15,7 +15,7 @@
 export function snapshotOf (state: PlannerState, now: number): CapacitySnapshot {
   const isHealthy = (server: Server): boolean => !server.isUnhealthy || now - server.lastFailureAt > UNHEALTHY_MILLISECONDS
   const isCapacityKnown = capacityCheck(state, now)
-  const servers = [...state.servers.values()].filter(server => server.isUsable && isHealthy(server) && isCapacityKnown(server))
+  const servers = [...state.servers.values()].filter(server => server.isUsable && !state.evacuations.has(server) && isHealthy(server) && isCapacityKnown(server))
   return new CapacitySnapshot(servers.map(server => ({ server, free: server.free, tasksOf: server.tasksOf, tasksWithoutCheckpoints: server.tasksWithoutCheckpoints })), state.work)
 }
 
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -28,6 +28,7 @@
   giveUpUnsettled(state, times.now)
   const commands: (StartCommand | AdviseCommand)[] = []
   if (mayStart) new PlacementRound(state, times, commands).place()
+  if (mayStart) state.evacuations.moves.plan(state, times.now)
   state.idleJobs.check(state, times)
   return [...dueStops(state, times.now), ...commands]
 }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -5,6 +5,7 @@
 import type { Configuration, Queue, QueueTerms } from './configuration.js'
 import { CrashHistory } from './crash-history.js'
 import type { RunOrigin } from './duplicate-runs.js'
+import { Evacuations, type EvacuationEvent } from './evacuations.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, StepName, TaskName } from './ids.js'
 import { runNumber } from './ids.js'
 import type { JobPhase, StepSpecification } from './job.js'
@@ -45,6 +46,7 @@
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
+  | EvacuationEvent
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
 /** Numbers of the first and the last change of a job that aren't stored. */
@@ -90,6 +92,8 @@
   /** Turns of the gangs that wait for capacity. */
   readonly placementTurns = new PlacementTurns(this.work)
   readonly claimDemand = new ClaimDemand()
+  /** Failure domains in which nothing is started. */
+  readonly evacuations = new Evacuations()
   /** How many starts may be under way. */
   readonly startLimit = new StartLimit()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
--- a/packages/jobs/test/restart-play.ts
+++ b/packages/jobs/test/restart-play.ts
@@ -17,6 +17,7 @@
 /** The end comes once nothing is left to do, or no run has begun or ended for some time: longer than the longest work. */
 const CHECK_MILLISECONDS = 5000
 const IDLE_MILLISECONDS = 30_000
+const EVACUATION_SEED_OFFSET = 1_000_000
 
 /** What a play has shown. */
 export interface PlayResult {
@@ -26,6 +27,8 @@
   readonly begun: number
   readonly givenUp: number
   readonly owners: number
+  /** Runs that were moved out of evacuated failure domains. */
+  readonly moved: number
 }
 
 /**
@@ -34,8 +37,8 @@
  * @example
  * playRestarts(17).findings
  */
-export function playRestarts (seed: number): PlayResult {
-  return new RestartPlay(seed).play()
+export function playRestarts (seed: number, hasEvacuations = false): PlayResult {
+  return new RestartPlay(seed, hasEvacuations).play()
 }
 
 /** What a play has most of; each has some of all. */
@@ -43,6 +46,7 @@
 
 class RestartPlay {
   readonly #seed: number
+  readonly #hasEvacuations: boolean
   readonly #emphasis: Emphasis
   readonly #random: SeededRandom
   readonly #time = new VirtualTime()
@@ -54,11 +58,13 @@
   readonly #work = new Map<string, Work>()
   readonly #givenUp = new Set<JobId>()
   readonly #owners: SimulatedOwner[] = []
+  #moved = 0
   /** Share of steps with long work. */
   #longWork = 0
 
-  constructor (seed: number) {
+  constructor (seed: number, hasEvacuations: boolean) {
     this.#seed = seed
+    this.#hasEvacuations = hasEvacuations
     const random = this.#random = new SeededRandom(seed)
     this.#emphasis = random.pick(['none', 'cuts after restarts', 'cuts after restarts', 'owners', 'leases'])
     const time = this.#time
@@ -78,8 +84,12 @@
       configuration: { ...CONFIGURATION, pools: CONFIGURATION.pools.map(pool => ({ ...pool, enforcesCapacity })) },
       mostListedEnds,
       machineAt: address => this.#machines.find(machine => machine.address === address)!,
-      note: (task, text) => oracle.note(task, text),
-      onEvents: events => this.#noteEvents(events)
+      note: (task, text) => {
+        if (text.includes('(evacuated): stopped')) this.#moved += 1
+        oracle.note(task, text)
+      },
+      onEvents: events => this.#noteEvents(events),
+      onEvacuatedStart: ({ task, run, server }) => oracle.noteLeft('EVAC', task, `run ${run} is sent to ${server}, which is evacuated`)
     }
   }
 
@@ -92,12 +102,13 @@
     this.#drawDrains()
     this.#drawCallFaults()
     this.#drawOwnerFaults()
+    if (this.#hasEvacuations) this.#drawEvacuations()
     this.#time.after(CHAOS_MILLISECONDS, () => this.#calm())
     this.#oracle.calmSince = CHAOS_MILLISECONDS + LONGEST_AFTERMATH_MILLISECONDS
     this.#time.run(this.#oracle.calmSince)
     while (this.#isBusy && this.#time.now < this.#oracle.lastChangeAt + IDLE_MILLISECONDS) this.#time.run(this.#time.now + CHECK_MILLISECONDS)
     this.#checkEnd()
-    return { seed: this.#seed, findings: this.#oracle.findings, begun: this.#oracle.begun, givenUp: this.#givenUp.size, owners: this.#owners.length }
+    return { seed: this.#seed, findings: this.#oracle.findings, begun: this.#oracle.begun, givenUp: this.#givenUp.size, owners: this.#owners.length, moved: this.#moved }
   }
 
   /** True while the owner has open jobs or runs. */
@@ -182,6 +193,18 @@
     }
   }
 
+  /** Orders to evacuate failure domains, at times both, some of them withdrawn at once. They are drawn apart, so that a seed's other troubles stay. */
+  #drawEvacuations (): void {
+    const random = new SeededRandom(this.#seed + EVACUATION_SEED_OFFSET)
+    const { evacuated } = this.#store
+    for (let index = 2 + random.below(4); index > 0; index -= 1) {
+      const name = `domain-${random.below(2)}`
+      const at = random.between(1000, CHAOS_MILLISECONDS - 8000)
+      this.#time.after(at, () => { evacuated.add(name) })
+      this.#time.after(at + random.pick([20, 400, 3000, 8000]), () => { evacuated.delete(name) })
+    }
+  }
+
   #drawMachines (domainProbability = 0.4): readonly RestartingMachine[] {
     const domain = this.#random.below(2)
     return this.#random.chance(domainProbability) ? this.#machines.filter(machine => machine.domain === domain) : [this.#random.pick(this.#machines)]
--- a/packages/jobs/test/run-oracle.ts
+++ b/packages/jobs/test/run-oracle.ts
@@ -31,7 +31,7 @@
 
 /** A rule that was broken. */
 export interface Finding {
-  readonly rule: 'TWICE' | 'GANG' | 'LIMIT' | 'LOST' | 'ORPHAN' | 'MIXED'
+  readonly rule: 'TWICE' | 'GANG' | 'LIMIT' | 'LOST' | 'ORPHAN' | 'MIXED' | 'EVAC'
   readonly text: string
 }
 
@@ -127,7 +127,7 @@
   }
 
   /** Reports what is wrong with a task at the end. */
-  noteLeft (rule: 'LOST' | 'ORPHAN' | 'MIXED', task: string, text: string): void {
+  noteLeft (rule: 'LOST' | 'ORPHAN' | 'MIXED' | 'EVAC', task: string, text: string): void {
     this.#report(rule, task, text)
   }
 
--- a/packages/jobs/test/simulated-owner.ts
+++ b/packages/jobs/test/simulated-owner.ts
@@ -33,6 +33,8 @@
   /** Called with what the owner does, for findings. */
   readonly note: (task: string, text: string) => void
   readonly onEvents: (events: readonly PlannerEvent[]) => void
+  /** Called when a start is sent to a failure domain that is evacuated as the owner knows. */
+  readonly onEvacuatedStart?: (command: StartCommand) => void
 }
 
 /** An owner from its claim, which it has just made, to its end. */
@@ -47,6 +49,7 @@
   readonly #polls: SimulatedPolls
   readonly #record: SimulatedRecord
   readonly #addresses = new Map<ServerId, string>()
+  #evacuated: ReadonlySet<string> = new Set()
   readonly #waitingStarts = new Map<StartCommand, number>()
   #isDeciding = true
   #isLate = false
@@ -143,6 +146,8 @@
     if (store.isDown) return
     this.#handle(() => {
       for (const job of store.jobs.values()) if (this.planner.phaseOf(job.id) === undefined && !this.planner.submit(job)) this.end()
+      this.#evacuated = new Set(store.evacuated)
+      this.planner.evacuate(this.#evacuated, this.loop.now)
       for (const id of store.cancelled) this.planner.cancel(id, this.#wallTime)
       const unreported = this.planner.updateServers(store.entries, this.loop.now)
       for (const { id, address } of store.entries) this.#addresses.set(id, address)
@@ -223,10 +228,17 @@
         continue
       }
       if (!isRecorded) this.planner.noteUnrecordedStart(command)
-      this.#calls.start(command, this.#machine(command.server), () => this.#isConfirmed && this.#isDeciding && this.planner.isStartDue(command), outcome => this.#handle(() => this.#applyStart(command, outcome)))
+      this.#calls.start(command, this.#machine(command.server), () => this.#maySend(command), outcome => this.#handle(() => this.#applyStart(command, outcome)))
     }
   }
 
+  #maySend (command: StartCommand): boolean {
+    const maySend = this.#isConfirmed && this.#isDeciding && this.planner.isStartDue(command)
+    const { failureDomain } = this.#context.store.entryOf(command.server) ?? {}
+    if (maySend && failureDomain !== undefined && this.#evacuated.has(failureDomain)) this.#context.onEvacuatedStart?.(command)
+    return maySend
+  }
+
   #applyStart (command: StartCommand, outcome: StartOutcome): void {
     const { task, run, server, incarnation } = command
     this.#context.note(task, `owner ${this.epoch}: start of run ${run} on ${server}@${incarnation}: ${outcome}`)
--- a/packages/jobs/test/simulated-store.ts
+++ b/packages/jobs/test/simulated-store.ts
@@ -46,6 +46,8 @@
   faults: StoreFaults = { answerLost: 0, slow: 0 }
   readonly jobs = new Map<JobId, Job>()
   readonly cancelled = new Set<JobId>()
+  /** Failure domains that the operators have ordered to be evacuated. */
+  readonly evacuated = new Set<string>()
   readonly progress = new Map<JobId, string>()
   servers: ServersRow | undefined
   period: PeriodRow | undefined
@@ -63,6 +65,11 @@
     if (!this.isDown) this.#registry.set(entry.id, { entry, writtenAt: this.#time.now })
   }
 
+  /** The last entry of a backend server. */
+  entryOf (id: ServerId): ServerEntry | undefined {
+    return this.#registry.get(id)?.entry
+  }
+
   get entries (): readonly ServerEntry[] {
     return [...this.#registry.values()].filter(({ writtenAt }) => this.#time.now - writtenAt < ENTRY_EXPIRY_MILLISECONDS).map(({ entry }) => entry)
   }
--- a/packages/jobs/test/world.ts
+++ b/packages/jobs/test/world.ts
@@ -195,13 +195,13 @@
   /** Runs that crash their backend servers later. */
   #crashesDue: { readonly start: StartCommand, readonly at: number }[] = []
 
-  constructor (servers: number, options: { readonly accelerators?: number, readonly stored?: readonly StoredJob[], readonly epoch?: number, readonly perRack?: number } = {}) {
-    const { accelerators = 8, perRack = 8 } = options
+  constructor (servers: number, options: { readonly accelerators?: number, readonly stored?: readonly StoredJob[], readonly epoch?: number, readonly perRack?: number, readonly failureDomains?: readonly string[] } = {}) {
+    const { accelerators = 8, perRack = 8, failureDomains = ['north'] } = options
     this.servers = Array.from({ length: servers }, (_, index) => new FakeServer({
       id: serverId(`server-${index}`),
       pool: poolName('pool'),
       address: `10.0.0.${index}:80`,
-      failureDomain: 'north',
+      failureDomain: failureDomains[index % failureDomains.length]!,
       capacity: { processor: 32_000, memory: 64_000, accelerators },
       labels: [`r1-${Math.floor(index / perRack)}`],
       rack: `r1-${Math.floor(index / perRack)}`,
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -1,5 +1,6 @@
 /** Events 10xx: jobs, and the VM that plans them. */
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
+import { EVACUATION_EVENTS } from './catalogue-evacuations.js'
 
 /** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
 const RUN_GROUP_FIELDS = { servers: 'number of backend servers', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'for each backend server its id and the tasks there, with the indexes of those of one step as ranges' } as const
@@ -22,7 +23,9 @@
   serversUnanswered: 'backend servers that haven\'t answered this owner yet',
   serversUsable: 'backend servers that may get work',
   servers: 'backend servers',
-  acceleratorsFree: 'free accelerators of the usable ones'
+  acceleratorsFree: 'free accelerators of the usable ones',
+  domainsEvacuated: 'evacuated failure domains',
+  runsEvacuated: 'runs that are left there'
 } as const
 
 /** Events 10xx: jobs, and the VM that plans them. */
@@ -348,5 +351,6 @@
     sentence: 'The planner knows of two runs of one task, and stops one of them; of a gang, all members of one start.',
     fields: { task: 'task; of a gang, one of the tasks', run: 'run number of the one that is stopped', server: 'its backend server', known: `how it became known: ${RUN_ORIGINS}`, keptRun: 'run number of the one that goes on', keptServer: 'its backend server', keptKnown: 'how that became known', members: 'number of runs that are stopped' },
     action: 'Report it with the lines of both runs and of both backend servers, events 1050 and 1051 among them.'
-  }
+  },
+  ...EVACUATION_EVENTS
 } as const satisfies CatalogueRows
