--- a/packages/entry/src/evacuation-orders.ts
+++ b/packages/entry/src/evacuation-orders.ts
@@ -2,7 +2,7 @@
  * The evacuation orders as this VM has last read them, and whether it may start work by them. A VM that reads late, or is cut
  * off, can't know which failure domains are open.
  */
-import { elapsedSince, type Moment } from './elapsed.js'
+import { elapsedSince, moment, type Moment } from './elapsed.js'
 import { EVACUATION_READING_SHARE } from './limits.js'
 
 /** Options of the orders of a VM. */
@@ -15,6 +15,8 @@
   readonly onChange: (failureDomains: ReadonlySet<string>) => void
   /** Called when starts begin to be held since the last reading is too old, with its age. */
   readonly onOutdated: (milliseconds: number) => void
+  /** The time by both clocks. */
+  readonly now?: () => Moment
 }
 
 /**
@@ -53,10 +55,10 @@
    * answered neither this VM nor its followers since, as in an outage in which nobody can write one.
    */
   get mayStart (): boolean {
-    const { boundMilliseconds, storeAge, onOutdated } = this.#options
+    const { boundMilliseconds, storeAge, onOutdated, now = moment } = this.#options
     if (boundMilliseconds === undefined) return true
     if (this.#readAt === undefined) return false
-    const age = elapsedSince(this.#readAt)
+    const age = elapsedSince(this.#readAt, now())
     const limit = EVACUATION_READING_SHARE * boundMilliseconds
     if (age <= limit || age - storeAge() <= limit) return true
     if (!this.#isOutdated) onOutdated(age)
--- a/packages/entry/test/planner-host.test.ts
+++ b/packages/entry/test/planner-host.test.ts
@@ -248,6 +248,28 @@
     }).timeout(4 * RECORDED_PERIOD_MILLISECONDS)
   })
 
+  // Guards against starts in an evacuated failure domain by an owner that hasn't read the orders.
+  it('starts nothing while it isn\'t known which failure domains are evacuated, and nothing in one that is', async () => {
+    host.abandon()
+    const view = rows.view()
+    const owner = await claimOwnership(view, (await readOwner(view))!, { vm: vmName('vm-b'), address: '10.0.0.2:7000' })
+    calls = new FakeCalls()
+    let areDomainsKnown = false
+    host = new PlannerHost({ owner, stored: await new JobStore(view).load(), store: view, readJob: id => new JobStore(view).read(id), servers: calls, advise: undefined, emit: () => {}, confirmedAge: () => 0, areDomainsKnown: () => areDomainsKnown, onFenced: () => {} })
+    host.configure(CONFIGURATION)
+    host.updateRegistry({ entries: [SERVER], unreadable: 0 })
+    host.submit(jobAccepted(owner.epoch, '00000000000000a3'))
+    await pause(systemClock, 400)
+    expect(calls.hasStarted).to.equal(false)
+    host.evacuate(new Set([SERVER.failureDomain]))
+    areDomainsKnown = true
+    await pause(systemClock, 400)
+    expect(calls.hasStarted).to.equal(false)
+    host.evacuate(new Set())
+    for (const end = performance.now() + 3000; performance.now() < end && !calls.hasStarted;) await pause(systemClock, 5)
+    expect(calls.hasStarted).to.equal(true)
+  })
+
   it('writes its first record again until it is stored, also if no backend server answers', async () => {
     host.abandon()
     const view = rows.view()
