--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -139,7 +139,7 @@
 /** Runs, or gangs, that are moved at a time. */
 export const EVACUATION_MOVES = 8
 /** Work is moved only if it still takes this many times what its stop costs, since both estimates are rough. */
-export const EVACUATION_MOVE_MARGIN = 4
+export const EVACUATION_MOVE_MARGIN = 8
 /** Share of the accelerators and processors elsewhere that moved work leaves free for work that arrives. */
 export const EVACUATION_FREE_SHARE = 0.25
 /** Assumed run time in a queue without completed runs, in milliseconds. */
