Settle writes within the caller's deadline while the store is away

A VM that knows that its store is away refuses before it writes, or has a VM that reaches the store carry out the write; an attempt of which no byte was sent isn't an unknown outcome; a write that may have been carried out is read back, and repeated under its conditions, until the caller's deadline. A VM remembers for 30 s which outcomes it left unknown and doesn't refuse those ids. The store counts as away after three failures in a row without an answer for 0.3 s, beside the 1.1 s without an answer. Replies to heartbeats carry the age of the owner's last answer from the store, so that no VM relays to one that can't store either. After a failed request for changes the next one isn't held open.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -11,13 +11,14 @@
 import { CurrentConfiguration } from './current-configuration.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
-import { OWNER_CALL_TIMEOUT_MILLISECONDS, RELAY_TIMEOUT_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
+import { OWNER_CALL_TIMEOUT_MILLISECONDS, RELAY_TIMEOUT_MILLISECONDS } from './limits.js'
 import type { PeerReply, PeerRequest } from './messages.js'
 import { OwnedPlanner } from './owned-planner.js'
 import { Peers, type PeerRoute } from './peers.js'
 import { ReportedBacklog } from './reported-backlog.js'
 import type { PlannerHost } from './planner-host.js'
 import type { PlatformView } from './platform-view.js'
+import type { WriteRelay } from './settled-write.js'
 import { TableFollower } from './table-follower.js'
 
 /** Options of an entry VM. */
@@ -93,7 +94,7 @@
     this.#options = options
     this.#backlog = options.backlog ?? new ReportedBacklog()
     this.#store = new MonitoredStore(platform.store)
-    this.#jobs = new JobStore(this.#store, () => this.#isStoreSilent)
+    this.#jobs = new JobStore(this.#store, () => this.#store.isAway)
     this.configuration = new CurrentConfiguration(configuration => this.#configure(configuration))
     this.#peers = new Peers({
       vm,
@@ -131,7 +132,7 @@
 
   /** True if requests can be accepted: a configuration is in force and the store answers. */
   get isReady (): boolean {
-    return this.configuration.value !== undefined && !this.#isStoreSilent && !this.#stopping.signal.aborted
+    return this.configuration.value !== undefined && !this.#store.isSilent && !this.#stopping.signal.aborted
   }
 
   /** True while this VM owns the planner. */
@@ -181,7 +182,7 @@
    */
   async submit (draft: JobDraft, deadline: number): Promise<void> {
     if (this.#backlog.isFull(this.#owned.host?.waitingJobs)) await this.#refuse(draft)
-    else this.#notifyOwner({ kind: 'job', job: await this.#accept(draft, deadline) })
+    else this.#notifyOwner({ kind: 'job', job: await this.#storeJob(draft, deadline, this.#relayOf(draft)) })
   }
 
   /**
@@ -226,11 +227,6 @@
     return answer.count
   }
 
-  /** True if the store hasn't answered this VM within `STORE_SILENT_MILLISECONDS`. */
-  get #isStoreSilent (): boolean {
-    return this.#store.lastAnswerAge > STORE_SILENT_MILLISECONDS
-  }
-
   /** Refuses a job since too many wait; one that was accepted before stays accepted. */
   async #refuse ({ id, queue }: JobDraft): Promise<void> {
     let stored: Job | undefined
@@ -240,40 +236,35 @@
       throw new CornelgaugeError('outcome-unknown', { detail: 'Whether the job was accepted before could not be read', cause: thrown })
     }
     if (stored !== undefined) return
+    if (this.#jobs.isUnsettled(id)) throw new CornelgaugeError('outcome-unknown')
     this.#options.emit('job-refused', { details: { job: id, queue, waiting: this.#owned.host?.waitingJobs ?? this.#backlog.count } })
     throw new CornelgaugeError('backlog-full')
   }
 
-  /** Stores a job, through another VM if this one can't store it. */
-  async #accept (draft: JobDraft, deadline: number): Promise<Job> {
-    const relayPeer = this.#leadership.relayPeer
-    try {
-      if (this.#isStoreSilent) throw new CornelgaugeError('overloaded', { detail: 'The store doesn\'t answer this VM' })
-      return await this.#storeJob(draft, deadline)
-    } catch (thrown) {
-      const { code } = asFailure(thrown)
-      if (relayPeer === undefined || code === 'id-cancelled') throw thrown
-      return await this.#relay(relayPeer.address, draft, deadline, code === 'overloaded')
-    }
+  /** Stores a job; through another VM if a relay is given and this one can't store it. */
+  #storeJob (draft: JobDraft, deadline: number, relay?: WriteRelay<Job>): Promise<Job> {
+    return this.#jobs.accept(draft, () => this.#leadership.owner, owner => this.#leadership.adoptOwner(owner), deadline, relay)
   }
 
-  #storeJob (draft: JobDraft, deadline: number): Promise<Job> {
-    return this.#jobs.accept(draft, () => this.#leadership.owner, owner => this.#leadership.adoptOwner(owner), deadline)
+  #relayOf (draft: JobDraft): WriteRelay<Job> {
+    return {
+      isAvailable: () => this.#leadership.relayPeer !== undefined,
+      call: milliseconds => this.#relay(draft, milliseconds)
+    }
   }
 
   /**
-   * Has another VM store the job. Without an answer the job may have been stored, so the outcome is unknown.
-   * `isSettled` says that this VM's own attempts certainly stored nothing; otherwise the outcome is unknown too.
+   * Has another VM store the job.
+   *
+   * @throws {CornelgaugeError} the failure, with the member `sent` false if that VM was certainly not called
    */
-  async #relay (address: string, draft: JobDraft, deadline: number, isSettled: boolean): Promise<Job> {
+  async #relay (draft: JobDraft, milliseconds: number): Promise<Job> {
+    const address = this.#leadership.relayPeer?.address ?? ''
     try {
-      return (await this.#peers.call<'accept'>(address, { kind: 'accept', draft }, Math.min(RELAY_TIMEOUT_MILLISECONDS, deadline - performance.now()))).job
+      return (await this.#peers.call<'accept'>(address, { kind: 'accept', draft }, Math.min(RELAY_TIMEOUT_MILLISECONDS, milliseconds))).job
     } catch (thrown) {
-      const failure = asFailure(thrown)
-      this.#options.emit('peer-call-failed', { details: { address, kind: 'accept', failure: failure.code } })
-      if (failure.code === 'id-cancelled') throw failure
-      if (isSettled && (failure.code === 'overloaded' || failure.members.sent === false)) throw new CornelgaugeError('overloaded', { detail: 'The store refused this VM, and no other VM could store the job' })
-      throw new CornelgaugeError('outcome-unknown')
+      this.#options.emit('peer-call-failed', { details: { address, kind: 'accept', failure: asFailure(thrown).code } })
+      throw thrown
     }
   }
 
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -4,13 +4,13 @@
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
 import { decodeJob, encodeJob } from './job-record.js'
 import { JobSelection, type SelectedJobs } from './job-selection.js'
-import { REFUSED_WRITE_RETRY_MILLISECONDS, STORE_RETRY_MILLISECONDS, STORE_TIMEOUT_MILLISECONDS } from './limits.js'
-import { pause, systemClock } from '@cornelgauge/coordination'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import { readServers, type StoredServers } from './server-record.js'
+import { settleWrite, type WriteRelay } from './settled-write.js'
 import { readPages, type StoreClock, type TableReadOptions } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
+import { UnsettledWrites } from './unsettled-writes.js'
 
 /** A job without the epoch of the owner under which it is stored. */
 export type JobDraft = Omit<Job, 'acceptedUnder'>
@@ -37,6 +37,8 @@
   readonly existing?: StoredRow
   /** The id was cancelled before, so the row isn't stored. */
   readonly isCancelled?: boolean
+  /** The job as another VM has stored it. */
+  readonly relayed?: Job
 }
 
 /** Phase of a job according to the store. */
@@ -50,18 +52,19 @@
  */
 export class JobStore {
   readonly #rows: RowStore
-  readonly #isSilent: () => boolean
+  readonly #isAway: () => boolean
+  readonly #unsettled = new UnsettledWrites()
 
-  /** `isSilent` returns true if the store hasn't answered this VM for a while. */
-  constructor (rows: RowStore, isSilent: () => boolean = () => false) {
+  /** `isAway` returns true if the store can't be reached from this VM at the moment. */
+  constructor (rows: RowStore, isAway: () => boolean = () => false) {
     this.#rows = rows
-    this.#isSilent = isSilent
+    this.#isAway = isAway
   }
 
   /**
    * Stores a job under the current owner; a job that is already stored stays unchanged.
-   * After a write without an answer, the row is read back and the write is repeated until
-   * the outcome is known. Each write requires that the row doesn't exist yet, so the job is
+   * After a write without an answer, the row is read back and the write is repeated, or left to another VM, until
+   * the outcome is known; see `write-settlement.ts`. Each write requires that the row doesn't exist yet, so the job is
    * stored at most once, and that the id isn't cancelled, so that a write which is carried out
    * late has no effect after a cancellation.
    *
@@ -71,10 +74,10 @@
    * `outcome-unknown` if that can't be determined by the deadline (on the steady clock);
    * `record-damaged` if the row of its id can't be read
    */
-  async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number): Promise<Job> {
+  async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number, relay?: WriteRelay<Job>): Promise<Job> {
     let job: Job = { ...draft, acceptedUnder: NO_OWNER.epoch }
-    const { existing, isCancelled } = await this.#writeUntilSettled(JOBS_TABLE, draft.id, deadline, async () => {
-      const currentOwner = owner() ?? await readOwner(this.#rows)
+    const { existing, isCancelled, relayed } = await this.#settle(JOBS_TABLE, draft.id, deadline, async () => {
+      const currentOwner = owner() ?? await this.#readOwnerBeforeWrite()
       if (currentOwner === undefined) throw new CornelgaugeError('overloaded', { detail: 'The planner has no owner yet' })
       job = { ...draft, acceptedUnder: currentOwner.epoch }
       const ownerCondition = { table: OWNER_TABLE, key: OWNER_KEY, version: currentOwner.version }
@@ -88,18 +91,24 @@
       if (outcome.rows.some(({ table }) => table === CANCELS_TABLE)) return { isCancelled: true }
       for (const row of outcome.rows) if (row.table === OWNER_TABLE) onOwner(decodeOwner(row))
       return undefined
-    })
+    }, relay)
     if (isCancelled === true) throw new CornelgaugeError('id-cancelled')
+    if (relayed !== undefined) return relayed
     return existing === undefined ? job : decodeJob(existing.key, existing.value)
   }
 
+  /** True if this VM has left the outcome of storing a job unknown: the job may still come to be stored. */
+  isUnsettled (id: JobId): boolean {
+    return this.#unsettled.has(JOBS_TABLE, id)
+  }
+
   /**
    * Stores the cancellation of a job.
    *
    * @throws {CornelgaugeError} as `accept`
    */
   async cancel (id: JobId, deadline: number): Promise<void> {
-    await this.#writeUntilSettled(CANCELS_TABLE, id, deadline, async () => {
+    await this.#settle(CANCELS_TABLE, id, deadline, async () => {
       await this.#rows.write({ conditions: [{ table: CANCELS_TABLE, key: id, version: 0 }], puts: [{ table: CANCELS_TABLE, key: id, value: {} }] })
       return {}
     })
@@ -115,7 +124,7 @@
   async cancelUnknown (id: JobId, deadline: number): Promise<boolean> {
     const put = { table: CANCELS_TABLE, key: id, value: {} }
     const noCancellation = { table: CANCELS_TABLE, key: id, version: 0 }
-    const { existing } = await this.#writeUntilSettled(CANCELS_TABLE, id, deadline, async () => {
+    const { existing } = await this.#settle(CANCELS_TABLE, id, deadline, async () => {
       const outcome = await this.#rows.write({ conditions: [{ table: JOBS_TABLE, key: id, version: 0 }, noCancellation], puts: [put] })
       if (outcome.type === 'written') return {}
       const cancellation = outcome.rows.find(({ table }) => table === CANCELS_TABLE)
@@ -182,6 +191,15 @@
     }
   }
 
+  /** @throws {CornelgaugeError} a failure after which nothing was written */
+  async #readOwnerBeforeWrite (): Promise<OwnerRecord | undefined> {
+    try {
+      return await readOwner(this.#rows)
+    } catch (thrown) {
+      throw new CornelgaugeError('overloaded', { detail: 'The owner of the planner could not be read', cause: thrown })
+    }
+  }
+
   /**
    * Reads one job; undefined if there is none under this id.
    *
@@ -192,28 +210,24 @@
     return row === undefined ? undefined : decodeJob(row.key, row.value)
   }
 
-  /**
-   * Repeats the write of a row until it is answered or the row exists. If the store has
-   * refused every attempt, nothing was written, and this is reported to the caller early. No
-   * attempt starts that can't end before the deadline, or while the store doesn't answer.
-   */
-  async #writeUntilSettled (table: string, key: string, deadline: number, write: () => Promise<SettledWrite | undefined>): Promise<SettledWrite> {
-    let isOutcomeUnknown = false
-    const refusedDeadline = Math.min(deadline, performance.now() + REFUSED_WRITE_RETRY_MILLISECONDS)
-    const lastAttemptAt = deadline - STORE_TIMEOUT_MILLISECONDS
-    do {
-      try {
-        const existing = isOutcomeUnknown ? await this.#rows.read(table, key) : undefined
-        const settled = existing === undefined ? await write() : { existing }
-        if (settled !== undefined) return settled
-      } catch (thrown) {
-        const failure = asFailure(thrown)
-        if (failure.code !== 'overloaded') isOutcomeUnknown = true
-        await pause(systemClock, STORE_RETRY_MILLISECONDS)
-      }
-    } while (performance.now() < (isOutcomeUnknown ? lastAttemptAt : refusedDeadline) && !(isOutcomeUnknown && this.#isSilent()))
-    if (isOutcomeUnknown) throw new CornelgaugeError('outcome-unknown')
-    throw new CornelgaugeError('overloaded', { detail: 'The store refused the write' })
+  /** Settles the write of a row; `write` may be repeated, and its row isn't there yet as far as is known. */
+  async #settle (table: string, key: JobId, deadline: number, write: () => Promise<SettledWrite | undefined>, relay?: WriteRelay<Job>): Promise<SettledWrite> {
+    const attempt = async (isOutcomeUnknown: boolean): Promise<SettledWrite | undefined> => {
+      const existing = isOutcomeUnknown ? await this.#rows.read(table, key) : undefined
+      return existing === undefined ? await write() : { existing }
+    }
+    try {
+      return await settleWrite({
+        attempt,
+        relay: relay === undefined ? undefined : { isAvailable: relay.isAvailable, call: async milliseconds => ({ relayed: await relay.call(milliseconds) }) },
+        isStoreAway: this.#isAway,
+        isOutcomeUnknown: this.#unsettled.has(table, key),
+        deadline
+      })
+    } catch (thrown) {
+      if (asFailure(thrown).code === 'outcome-unknown') this.#unsettled.add(table, key)
+      throw thrown
+    }
   }
 }
 
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -64,6 +64,8 @@
   /** Number of heartbeats that this VM has sent to members as the owner. */
   #sentAsOwner = 0
   readonly #evidence: OwnerEvidence
+  /** Milliseconds since the store last answered the owner, as its newest reply says; 0 if its release doesn't send it. */
+  #ownerStoreAge = 0
   #isLeaving = false
   #startedAt = -Infinity
   #claiming: Promise<void> | undefined
@@ -92,11 +94,13 @@
 
   /**
    * A reachable VM that may store a job when this one can't reach the store. For a follower this is
-   * the owner, since an owner that can't reach the store hands over; for the owner it is a successor.
+   * the owner, since an owner that can't reach the store hands over; for the owner it is a successor. None that
+   * the store hasn't answered lately either.
    */
   get relayPeer (): Member | undefined {
-    if (this.isOwner) return this.#successors()[0]
-    return this.#evidence.contactAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS ? this.#owner : undefined
+    if (this.isOwner) return this.#successors().find(({ vm }) => this.#members.storeAgeOf(vm) < STORE_LOST_MILLISECONDS)
+    const isReachable = this.#evidence.contactAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS
+    return isReachable && this.#ownerStoreAge < STORE_LOST_MILLISECONDS ? this.#owner : undefined
   }
 
   /** Milliseconds since a majority of peers were last seen to follow this VM as the owner; the store's confirmation is tracked separately. */
@@ -155,6 +159,7 @@
     return {
       kind: 'beat',
       isOwner: this.isOwner,
+      storeAge: this.#options.storeAge(),
       ...(this.isOwner ? { ownedMilliseconds: this.#clock.now() - this.#ownedSince } : {}),
       ...(waitingJobs === undefined ? {} : { waitingJobs }),
       ...this.#members.listFor(heartbeat.listVersion, member),
@@ -250,6 +255,7 @@
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
     const { vm, address, epoch, version } = owner
     this.#owner = { vm, address, epoch, version }
+    this.#ownerStoreAge = 0
     this.#evidence.follow()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
     this.#endOwnership()
@@ -293,6 +299,7 @@
     this.#members.receive(address, answer)
     if (answer.isOwner) {
       this.#evidence.hear(answer.ownedMilliseconds)
+      this.#ownerStoreAge = answer.storeAge ?? 0
       if (answer.waitingJobs !== undefined) this.#options.onWaitingJobs?.(answer.waitingJobs)
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
     } else if ((answer.owner?.epoch ?? 0) >= epoch) this.#evidence.giveUp()
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -139,6 +139,14 @@
 export const REFUSED_WRITE_RETRY_MILLISECONDS = 250
 /** A store that hasn't answered for this long counts as unreachable: a request for changes is answered every 0.7 s in any case. */
 export const STORE_SILENT_MILLISECONDS = 1100
+/** Calls to the store that failed one after another, without an answer in between, and the time since its last answer, after which it counts as away. */
+export const STORE_AWAY_FAILURES = 3
+export const STORE_AWAY_MILLISECONDS = 300
+/** Time before a caller's deadline after which its write isn't attempted any more: several round trips within the region. */
+export const LAST_ATTEMPT_MILLISECONDS = 100
+/** How long a write without an answer may still be carried out, and for how many such writes a VM remembers that. */
+export const UNSETTLED_WRITE_MILLISECONDS = 30_000
+export const UNSETTLED_WRITES = 2000
 /** Time limit for relaying a job to another VM that stores it: several writes to a store without load. */
 export const RELAY_TIMEOUT_MILLISECONDS = 800
 /** The `Retry-After` that callers get, in seconds. */
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -53,9 +53,10 @@
 export type PeerReply =
   /**
    * `ownedMilliseconds`: time since the owner's claim; `waitingJobs`: accepted jobs that it has left in the store, once it has
-   * loaded. Absent if the replying VM isn't the owner, or runs an earlier release.
+   * loaded. Absent if the replying VM isn't the owner, or runs an earlier release. `storeAge` is as in the request; earlier releases
+   * don't send it.
    */
-  | { readonly kind: 'beat', readonly isOwner: boolean, readonly ownedMilliseconds?: number, readonly waitingJobs?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
+  | { readonly kind: 'beat', readonly isOwner: boolean, readonly storeAge?: number, readonly ownedMilliseconds?: number, readonly waitingJobs?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
   | { readonly kind: 'taken' }
   | { readonly kind: 'accept', readonly job: Job }
   | { readonly kind: 'phase', readonly phase?: JobPhase }
@@ -87,8 +88,8 @@
 }
 
 const REPLY_CHECKS: Readonly<Record<PeerReply['kind'], Check>> = {
-  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, ownedMilliseconds, waitingJobs, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
-    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isWhole)(waitingJobs) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
+  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, storeAge, ownedMilliseconds, waitingJobs, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
+    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(storeAge) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isWhole)(waitingJobs) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
   taken: () => true,
   accept: ({ job }) => isJob(job),
   phase: ({ phase }) => isAbsentOr(isString)(phase),
--- a/packages/entry/src/monitored-store.ts
+++ b/packages/entry/src/monitored-store.ts
@@ -1,7 +1,8 @@
-/** A store wrapper that records when the store last answered. */
+/** A store wrapper that records when the store last answered, and how many calls have failed since. */
 import { asFailure } from '@cornelgauge/model'
 import type { PageRange, RowChanges, RowPage, RowStore, RowTransaction, StoredRow, TransferOptions, WriteOutcome } from '@cornelgauge/ports'
 import { elapsedSince, moment, type Moment } from './elapsed.js'
+import { STORE_AWAY_FAILURES, STORE_AWAY_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
 
 /**
  * Forwards calls to a store and records the time of its last answer.
@@ -13,6 +14,7 @@
 export class MonitoredStore implements RowStore {
   readonly #store: RowStore
   #lastAnswer: Moment | undefined
+  #failuresSinceAnswer = 0
 
   constructor (store: RowStore) {
     this.#store = store
@@ -23,6 +25,16 @@
     return this.#lastAnswer === undefined ? Infinity : elapsedSince(this.#lastAnswer)
   }
 
+  /** True if the store hasn't answered this VM within `STORE_SILENT_MILLISECONDS`. */
+  get isSilent (): boolean {
+    return this.lastAnswerAge > STORE_SILENT_MILLISECONDS
+  }
+
+  /** True if the store is silent, or if calls have only failed for a while: an attempt is then likely to fail too. */
+  get isAway (): boolean {
+    return this.isSilent || (this.#failuresSinceAnswer >= STORE_AWAY_FAILURES && this.lastAnswerAge > STORE_AWAY_MILLISECONDS)
+  }
+
   read (table: string, key: string): Promise<StoredRow | undefined> {
     return this.#timed(() => this.#store.read(table, key))
   }
@@ -44,7 +56,7 @@
     return {
       ...options,
       onProgress: () => {
-        this.#lastAnswer = moment()
+        this.#noteAnswer()
         options.onProgress?.()
       }
     }
@@ -53,11 +65,17 @@
   async #timed<Value> (call: () => Promise<Value>): Promise<Value> {
     try {
       const value = await call()
-      this.#lastAnswer = moment()
+      this.#noteAnswer()
       return value
     } catch (thrown) {
-      if (asFailure(thrown).code === 'conflict') this.#lastAnswer = moment()
+      if (asFailure(thrown).code === 'conflict') this.#noteAnswer()
+      else this.#failuresSinceAnswer += 1
       throw thrown
     }
   }
+
+  #noteAnswer (): void {
+    this.#lastAnswer = moment()
+    this.#failuresSinceAnswer = 0
+  }
 }
--- a/packages/entry/src/table-follower.ts
+++ b/packages/entry/src/table-follower.ts
@@ -39,6 +39,8 @@
   readonly #options: FollowOptions
   #rows = new Map<string, RowValue>()
   #version: number | undefined
+  /** The last call failed. */
+  #hasFailed = false
   /** Keys that were read but not passed on, since the listener threw. */
   readonly #undelivered = new Set<string>()
 
@@ -57,6 +59,7 @@
       try {
         const changed = this.#version === undefined ? await this.#readAll(signal, readAt) : await this.#readChanges(this.#version)
         if (signal.aborted) return
+        this.#hasFailed = false
         this.#deliver(readAt, changed)
         if (this.#options.pauseMilliseconds !== undefined) await pause(systemClock, this.#options.pauseMilliseconds, signal)
       } catch (thrown) {
@@ -75,6 +78,7 @@
   }
 
   #fail (failure: CornelgaugeError): void {
+    this.#hasFailed = true
     if (failure.code === 'conflict') this.#version = undefined
     this.#options.onFailure(failure)
   }
@@ -100,8 +104,9 @@
     return [...rows.keys()]
   }
 
+  /** After a failure the store isn't to hold the request open, so that its return is noticed at once. */
   async #readChanges (after: number): Promise<readonly string[]> {
-    const { changes, version } = await this.#store.changes(this.#options.table, after, FEED_WAIT_MILLISECONDS)
+    const { changes, version } = await this.#store.changes(this.#options.table, after, this.#hasFailed ? 0 : FEED_WAIT_MILLISECONDS)
     for (const { key, value } of changes) {
       if (value === undefined) this.#rows.delete(key)
       else this.#rows.set(key, value)
