Hold capacity that is being freed for the step that it is freed for

Cause: whom a job may have stopped is decided by priority, and the placement order by weight. A late urgent job comes after bulk work, which is placed, and had just these starts stopped in the same round, at no cost; what was freed belonged to nobody, so the next round did the same. In an idle pool the first pass gave starts to jobs that a claim behind it took back in the second.

Starts that aren't confirmed are no victims but for claims. Claims have work stopped in the first pass, too. The parts of a round that stop and reserve are in reclaim-round.ts. The log says for which job each run is stopped (stoppedFor, event 1056).

--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -14,6 +14,7 @@
   'run-lost-with-server': (emit, { type, ...details }) => emit('run-lost-with-server', { details }),
   'crash-attributed': (emit, { type, ...details }) => emit('crash-attributed', { details }),
   'crashes-refuted': (emit, { type, ...details }) => emit('crashes-refuted', { details }),
+  'runs-reclaimed': (emit, { type, ...details }) => emit('runs-reclaimed', { details: { ...details, waitedMilliseconds: Math.round(details.waitedMilliseconds) } }),
   'job-given-up': (emit, { type, ...details }) => emit('job-given-up', { details }),
   'job-idle': (emit, { type, waitMilliseconds, ...details }) => {
     const wait = waitMilliseconds === undefined ? {} : { waitMilliseconds: Math.round(waitMilliseconds) }
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -341,9 +341,9 @@
   }
 
   #handleStopOutcome (command: StopCommand, outcome: StopOutcome): void {
-    const { task, run, server, reason } = command
+    const { task, run, server, reason, stoppedFor } = command
     this.#planner.applyStopOutcome(command, outcome, performance.now())
-    this.#options.emit('task-stopped', { details: { task, run, server, reason, outcome } })
+    this.#options.emit('task-stopped', { details: { task, run, server, reason, ...(stoppedFor === undefined ? {} : { stoppedFor }), outcome } })
     if (outcome === 'fenced') this.#fence()
   }
 
--- a/packages/entry/src/run-log.ts
+++ b/packages/entry/src/run-log.ts
@@ -36,7 +36,7 @@
 
 const EMITTERS: { readonly [Name in RunEventName]: (emit: EmitEvent, summary: Summary, result: Readonly<Record<string, unknown>>) => void } = {
   'task-started': (emit, summary, { outcome, epoch }) => emit('tasks-started', { details: { ...summary, outcome, epoch } }),
-  'task-stopped': (emit, summary, { outcome, reason }) => emit('tasks-stopped', { details: { ...summary, outcome, reason } }),
+  'task-stopped': (emit, summary, { outcome, reason, stoppedFor }) => emit('tasks-stopped', { details: { ...summary, outcome, reason, ...(stoppedFor === undefined ? {} : { stoppedFor }) } }),
   'task-ended': (emit, summary, { how, cause }) => emit('tasks-ended', { details: { ...summary, how, ...(cause === undefined ? {} : { cause }) } }),
   'run-lost-with-server': (emit, summary) => emit('runs-lost-with-server', { details: summary }),
   'crashes-refuted': (emit, summary) => emit('crashes-refuted-by-runs', { details: summary })
--- a/packages/jobs/src/capacity-snapshot.ts
+++ b/packages/jobs/src/capacity-snapshot.ts
@@ -53,6 +53,13 @@
     target.tasksOf = withTasks(target.tasksOf, step, 1)
     if (!step.specification.savesCheckpoints) target.tasksWithoutCheckpoints += 1
   }
+
+  /** Gives back what one task has taken of a target. */
+  giveBack (target: PlacementTarget, step: StepState): void {
+    target.free = addCapacity(target.free, countedNeed(step))
+    target.tasksOf = withTasks(target.tasksOf, step, -1)
+    if (!step.specification.savesCheckpoints) target.tasksWithoutCheckpoints -= 1
+  }
 }
 
 /**
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -33,6 +33,8 @@
   readonly task: TaskName
   readonly run: RunNumber
   readonly reason: StopReason
+  /** The job that gets its capacity, if it is reclaimed. */
+  readonly stoppedFor?: JobId
 }
 
 /** Requests advice on which backend servers a step may run; the answer is passed to `Planner.applyAdvice`. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -1,6 +1,5 @@
 /** Places waiting work in the order of its weight. */
 import { requestAdvice, ticketFor } from './advice.js'
-import { addCapacity } from './capacity.js'
 import { CallWindow } from './call-window.js'
 import { claimsOf } from './claims.js'
 import type { AdviseCommand, StartCommand } from './command.js'
@@ -9,22 +8,18 @@
 import { dueAt } from './job.js'
 import type { JobState } from './job-state.js'
 import { acceleratorsOfJobs, lendableAccelerators } from './lending.js'
-import { CHEAP_RECLAIM_SERVER_MILLISECONDS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND, PREEMPTIONS_PER_ROUND, PREEMPTION_DELAY_MILLISECONDS, PREEMPTION_MARGIN, MAXIMUM_RESERVED_GANGS } from './limits.js'
-import { chainLength, gainOf, hasMoreWaiting, inPlacementOrder, type Candidate } from './order.js'
+import { LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND } from './limits.js'
+import { chainLength, hasMoreWaiting, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
-import { planReclaim, type ReclaimPlan } from './reclaim.js'
+import { ReclaimRound } from './reclaim-round.js'
+import { RoundHolds } from './round-holds.js'
 import type { CapacitySnapshot, PlacementTarget } from './capacity-snapshot.js'
 import { isMostlyIdle, snapshotAfterStops, snapshotOf } from './round-snapshots.js'
-import { remainingMilliseconds, runningGroups } from './running-groups.js'
-import type { SearchTurns } from './search-turns.js'
 import type { PlannerState } from './state.js'
 import { startUnitOf, unitOf, type StartUnit } from './start-unit.js'
 import { startingRun } from './starting-run.js'
 import type { StepState } from './step-state.js'
-import { requestStop } from './stops.js'
 import type { TaskState } from './task-state.js'
-import { VictimIndex } from './victim-index.js'
-import { victimsOf } from './victims.js'
 import { Waits } from './waits.js'
 
 /** Current times for a round. */
@@ -50,7 +45,8 @@
   readonly #current: CapacitySnapshot
   readonly #afterStops: CapacitySnapshot
   readonly #eligible: EligibleTargets
-  readonly #eligibleAfterStops: EligibleTargets
+  readonly #holds: RoundHolds
+  readonly #reclaims: ReclaimRound
   readonly #waits: Waits
   readonly #isolation: Isolation
   readonly #claims: ReadonlySet<JobState>
@@ -65,12 +61,6 @@
   readonly #totalAccelerators: number
   /** Accelerators that work without checkpoints may still borrow. */
   #lendableAccelerators: number
-  /** What may be stopped for claims, which is the same for all of them until other work starts. */
-  #claimVictims: VictimIndex | undefined
-  /** What ends before gangs that reserve, which is the same for all of them until work is started or stopped. */
-  #reservationVictims: VictimIndex | undefined
-  #reservedGangs = 0
-  #preemptionSearches = 0
 
   constructor (state: PlannerState, times: RoundTimes, commands: (StartCommand | AdviseCommand)[]) {
     this.#state = state
@@ -83,11 +73,23 @@
     this.#waits = new Waits(state, times.now, this.#isMostlyIdle)
     this.#isolation = new Isolation(state, times.now, this.#waits)
     this.#eligible = new EligibleTargets(state, times.now, this.#current)
-    this.#eligibleAfterStops = new EligibleTargets(state, times.now, this.#afterStops)
+    this.#holds = new RoundHolds(state.holds, this.#current, this.#afterStops)
+    this.#reclaims = new ReclaimRound({
+      state,
+      now: times.now,
+      current: this.#current,
+      afterStops: this.#afterStops,
+      eligibleAfterStops: new EligibleTargets(state, times.now, this.#afterStops),
+      claims: this.#claims,
+      holds: this.#holds,
+      waits: this.#waits,
+      isolation: this.#isolation
+    })
     this.#starting = new CallWindow(state.startLimit.value)
     for (const run of state.startsUnderWay()) this.#starting.add(run.server)
     this.#startsLeft = Math.max(LEAST_STARTS_PER_ROUND, Math.floor(MAXIMUM_START_EXAMINATIONS_PER_ROUND / Math.max(1, this.#current.targets.length)))
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
+    this.#holds.take(({ job }) => this.#claims.has(job))
     this.#lendableAccelerators = state.rules.has('keep-for-claims') ? this.#countLendable() : Infinity
   }
 
@@ -120,7 +122,7 @@
     return Math.min(this.#startsLeft, this.#starting.room)
   }
 
-  /** True while each job without a run gets its first start; nothing is stopped or reserved before the second pass. */
+  /** True while each job without a run gets its first start; only claims have others stopped before the second pass, so that it starts nothing in their place. */
   get #isFirstPass (): boolean {
     return this.#mostStartsPerStep < Infinity
   }
@@ -129,6 +131,8 @@
   #placeJobs (candidates: readonly Candidate[]): boolean {
     return candidates.every(candidate => {
       if (this.#mostStarts <= 0) return false
+      // Claims come first, and may use what is held for others.
+      if (!candidate.isClaim) this.#holds.take(() => true)
       this.#placeJob(candidate)
       return true
     })
@@ -168,8 +172,10 @@
     const unit = startUnitOf(step)
     if (unit === undefined) return
     step.noteReady(this.#times.now)
+    this.#holds.open(step)
     if (step.specification.isGang) this.#placeGang(unit, candidate)
     else this.#placeSingleTasks(unit, candidate)
+    this.#holds.close(step)
     if (this.#eligible.isAdvised(step) && step.hasWaiting) this.#requestAdvice(unit, candidate)
   }
 
@@ -191,14 +197,7 @@
 
   #choose<Targets extends PlacementTarget | readonly PlacementTarget[]> (unit: StartUnit, candidate: Candidate, mayWait: boolean, place: (allowed: CapacitySnapshot) => Targets | undefined): Targets | undefined {
     const choose = (among: CapacitySnapshot): Targets | undefined => this.#isolation.choose(among, unit, mayWait, place)
-    return this.#eligible.search(unit.step, this.#eligible.of(unit, mayWait), choose, targets => [targets].flat(), () => candidate.isClaim && this.#canReclaimElsewhere(unit, candidate, mayWait))
-  }
-
-  /** True if backend servers that answer starts are being freed for a claim, can be, or may be found to be so in the second pass. */
-  #canReclaimElsewhere (unit: StartUnit, candidate: Candidate, mayWait: boolean): boolean {
-    if (this.#isFirstPass) return true
-    const targets = this.#eligibleAfterStops.answering(this.#eligibleAfterStops.lowRisk(unit, mayWait))
-    return this.#state.claimTurns.canPlan(unit.step, targets, () => this.#planReclaim(unit, candidate, mayWait, targets))
+    return this.#eligible.search(unit.step, this.#eligible.of(unit, mayWait), choose, targets => [targets].flat(), () => candidate.isClaim && this.#reclaims.canReclaimElsewhere(unit, candidate, mayWait))
   }
 
   #placeGang (unit: StartUnit, candidate: Candidate): void {
@@ -209,10 +208,10 @@
     const isDeferred = mayBorrow && !turns.isNext(step)
     const targets = mayBorrow && !isDeferred ? turns.place(step, () => this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait))) : undefined
     if (targets === undefined) {
-      if (this.#isFirstPass || this.#isolation.mayHold(unit)) return
+      if ((this.#isFirstPass && !candidate.isClaim) || this.#isolation.mayHold(unit)) return
       // Nothing is stopped for a gang that may fit as it is, unless it claims capacity.
-      const isReclaimed = (candidate.isClaim || !isDeferred) && this.#reclaim(unit, candidate)
-      if (!isReclaimed && !candidate.isClaim) this.#reserveForGang(unit)
+      const isReclaimed = (candidate.isClaim || !isDeferred) && this.#reclaims.reclaim(unit, candidate)
+      if (!isReclaimed && !candidate.isClaim) this.#reclaims.reserveForGang(unit)
       return
     }
     const run = this.#state.nextRun()
@@ -237,8 +236,8 @@
       if (target === undefined && !this.#isolation.mayHold(single)) blocked += 1
       if (blocked > 0 && (!candidate.isClaim || blocked === MAXIMUM_BLOCKED_TASKS)) break
     }
-    const remaining = blocked > 0 && !this.#isFirstPass ? this.#reclaimable(step, candidate) : undefined
-    if (remaining !== undefined) this.#reclaim(remaining, candidate)
+    const remaining = blocked > 0 && (candidate.isClaim || !this.#isFirstPass) ? this.#reclaimable(step, candidate) : undefined
+    if (remaining !== undefined) this.#reclaims.reclaim(remaining, candidate)
   }
 
   /** The waiting tasks of a step that aren't held, as many as one search is made for; other work than claims frees capacity for all or none. */
@@ -288,8 +287,8 @@
     this.#starting.add(server.id)
     this.#startsLeft -= 1
     this.#isolation.add(server, started)
-    if (!this.#claims.has(task.step.job)) this.#claimVictims = undefined
-    this.#reservationVictims = undefined
+    this.#reclaims.noteStarted(task.step.job)
+    this.#state.holds.noteStarted(task.step, server.id)
     task.step.keep(task)
     task.addRun(started)
     task.readySince = undefined
@@ -308,94 +307,4 @@
       ...(this.#eligible.isAdvised(task.step) ? { ticket: ticketFor(task.step, target, this.#times.now) } : {})
     })
   }
-
-  /**
-   * Reserves the backend servers that are expected to become free first for a waiting
-   * gang, so that smaller work behind it doesn't take them one by one.
-   */
-  #reserveForGang (unit: StartUnit): void {
-    const { step } = unit
-    const isLimitReached = this.#reservedGangs === MAXIMUM_RESERVED_GANGS || !this.#state.rules.has('reserve-for-gangs')
-    if (isLimitReached || this.#eligible.isAdvised(step)) return
-    const turns = this.#state.reservationTurns
-    const isReserved = turns.isNext(step)
-      ? this.#reserveTargets(turns.search(step, () => this.#planReservation(unit))?.targets ?? [], step)
-      : this.#reserveAgain(unit, turns)
-    if (isReserved) this.#reservedGangs += 1
-  }
-
-  #planReservation (unit: StartUnit): ReclaimPlan | undefined {
-    const { step, first, count } = unit
-    this.#reservationVictims ??= new VictimIndex(runningGroups(this.#state, () => true, (other, run) => remainingMilliseconds(this.#state, other, run, this.#times.now)), this.#state.work)
-    const targets = this.#eligibleAfterStops.lowRisk(unit, this.#waits.mayWait(first))
-    return planReclaim(targets, step, count, this.#reservationVictims, true)
-  }
-
-  /** Reserves what was planned for a step in its last turn. */
-  #reserveAgain ({ step, count }: StartUnit, turns: SearchTurns): boolean {
-    const targets = turns.plannedFor(step).slice(0, count).map(server => this.#afterStops.targetOf(server))
-    return this.#reserveTargets(targets.filter(target => target !== undefined), step)
-  }
-
-  /** Reserves targets, so that work later in the order can't use them. False if there are none. */
-  #reserveTargets (targets: readonly PlacementTarget[], step: StepState): boolean {
-    for (const { server } of targets) {
-      const target = this.#current.targetOf(server.id)
-      const targetAfterStops = this.#afterStops.targetOf(server.id)
-      if (target !== undefined) this.#current.take(target, step)
-      if (targetAfterStops !== undefined) this.#afterStops.take(targetAfterStops, step)
-    }
-    return targets.length > 0
-  }
-
-  /**
-   * Stops runs for a claim, or for work that gains more than the stops cost, and reserves
-   * the chosen targets. False if nothing was reserved.
-   */
-  #reclaim (unit: StartUnit, candidate: Candidate): boolean {
-    const { step, first } = unit
-    if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
-    const turns = this.#state.claimTurns
-    if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
-    const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
-    const planAmong = (targets: CapacitySnapshot): ReclaimPlan | undefined => this.#eligibleAfterStops.search(step, targets, among => this.#planReclaim(unit, candidate, mayWait, among), plan => plan.targets)
-    const lowRisk = this.#eligibleAfterStops.lowRisk(unit, mayWait)
-    // A claim that has to use backend servers with recent failures has them freed while it still waits for others.
-    const search = (): ReclaimPlan | undefined => planAmong(lowRisk) ?? (candidate.isClaim && lowRisk !== this.#afterStops ? planAmong(this.#afterStops) : undefined)
-    const plan = candidate.isClaim ? turns.search(step, search) : search()
-    if (plan === undefined) return false
-    const { cost } = plan
-    if (!candidate.isClaim && cost * PREEMPTION_MARGIN > gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS)) return false
-    const mayWaitForCapacity = this.#waits.readyMilliseconds(first) < this.#waits.reclaimWaitMilliseconds(candidate)
-    const victims = cost > CHEAP_RECLAIM_SERVER_MILLISECONDS && mayWaitForCapacity ? [] : plan.victims
-    if (victims.length > 0) this.#reservationVictims = undefined
-    for (const group of victims) {
-      this.#claimVictims?.remove(group)
-      for (const { run, need } of group.members) {
-        requestStop(this.#state, run, 'reclaimed')
-        const target = this.#afterStops.targetOf(run.server)
-        if (target !== undefined) target.free = addCapacity(target.free, need)
-      }
-    }
-    return this.#reserveTargets(plan.targets, step)
-  }
-
-  #planReclaim ({ step, count }: StartUnit, candidate: Candidate, mayWait: boolean, targets: CapacitySnapshot): ReclaimPlan | undefined {
-    return planReclaim(mayWait ? this.#isolation.exclude(targets) : targets, step, count, this.#victimsFor(candidate), mayWait)
-  }
-
-  #victimsFor (candidate: Candidate): VictimIndex {
-    const index = (): VictimIndex => new VictimIndex(victimsOf(this.#state, this.#claims, candidate, this.#times.now), this.#state.work)
-    if (!candidate.isClaim) return index()
-    this.#claimVictims ??= index()
-    return this.#claimVictims
-  }
-
-  /** Steps that need advice don't preempt: the advice service may refuse the backend servers that stops would free. */
-  #mayPreempt (step: StepState, candidate: Candidate): boolean {
-    const isLimitReached = this.#preemptionSearches === PREEMPTIONS_PER_ROUND || !this.#state.rules.has('stop-by-worth')
-    if (isLimitReached || this.#eligible.isAdvised(step) || gainOf(candidate, PREEMPTION_DELAY_MILLISECONDS) <= 0) return false
-    this.#preemptionSearches += 1
-    return true
-  }
 }
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -111,7 +111,7 @@
     run.stopSentAt = now
     server.stops.noteSent(run)
     run.firstStopSentAt ??= now
-    stops.push({ type: 'stop', server: run.server, incarnation: server.entry.incarnation, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered' })
+    stops.push({ type: 'stop', server: run.server, incarnation: server.entry.incarnation, task: run.task, run: run.run, reason: run.stopReason ?? 'unanswered', ...(run.stoppedFor === undefined ? {} : { stoppedFor: run.stoppedFor }) })
   }
   return stops
 }
--- a/packages/jobs/src/server.ts
+++ b/packages/jobs/src/server.ts
@@ -2,7 +2,7 @@
 import { Map as PersistentMap } from 'immutable'
 import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
 import type { StopReason } from './command.js'
-import type { PoolName, RunNumber, ServerId, TaskName } from './ids.js'
+import type { JobId, PoolName, RunNumber, ServerId, TaskName } from './ids.js'
 import { LEASE_MILLISECONDS, LONGEST_LEASE_MILLISECONDS, MINIMUM_SERVER_CLOCK_RATE, UNHEALTHY_AFTER_FAILURES } from './limits.js'
 import { PendingStops } from './pending-stops.js'
 import { RevokedStarts } from './revoked-starts.js'
@@ -107,6 +107,8 @@
   checkpoint: string
   /** Why it is stopped, once a stop has been requested. */
   stopReason?: StopReason
+  /** The job that gets its capacity, if it is reclaimed. */
+  stoppedFor?: JobId
   /** When a stop was last sent; unanswered stops are sent again. */
   stopSentAt: number
   /** When the first stop was sent. */
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -1,5 +1,6 @@
 /** The planner's state. */
 import type { Epoch } from '@cornelgauge/model'
+import { CapacityHolds } from './capacity-holds.js'
 import { dominantShare, isSameCapacity, largestOf, NO_CAPACITY, orLastKnown, type Capacity } from './capacity.js'
 import { findJobTask } from './lookup.js'
 import type { Configuration, Queue, QueueTerms } from './configuration.js'
@@ -17,6 +18,7 @@
 import type { OperatingBounds } from './operating-bounds.js'
 import type { PlacementRule } from './placement-rules.js'
 import { PlacementTurns } from './placement-turns.js'
+import type { ReclaimKind } from './reclaim-record.js'
 import { RecordedRuns } from './recorded-runs.js'
 import { Recovery, type HeldServers, type UnknownEpochs } from './recovery.js'
 import { RoundWork } from './round-work.js'
@@ -42,6 +44,7 @@
   | { readonly type: 'run-lost-with-server', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly lostRuns: number, readonly alone: boolean }
   | { readonly type: 'crash-attributed', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly crashes: number, readonly exposureMilliseconds?: number, readonly background: number }
   | { readonly type: 'crashes-refuted', readonly task: TaskName, readonly run: RunNumber, readonly server: ServerId, readonly discarded: number, readonly workedMilliseconds: number }
+  | { readonly type: 'runs-reclaimed', readonly job: JobId, readonly step: StepName, readonly kind: ReclaimKind, readonly isGang: boolean, readonly tasks: number, readonly accelerators: number, readonly runs: number, readonly servers: number, readonly freed: number, readonly waitedMilliseconds: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
@@ -90,6 +93,8 @@
   /** Turns of the gangs that wait for capacity. */
   readonly placementTurns = new PlacementTurns(this.work)
   readonly claimDemand = new ClaimDemand()
+  /** Capacity that is being freed for waiting steps. */
+  readonly holds = new CapacityHolds()
   /** How many starts may be under way. */
   readonly startLimit = new StartLimit()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
--- a/packages/jobs/src/stops.ts
+++ b/packages/jobs/src/stops.ts
@@ -1,19 +1,20 @@
 /** Marks runs for stopping; the next round sends the stops. */
 import type { StopReason } from './command.js'
-import type { RunNumber } from './ids.js'
+import type { JobId, RunNumber } from './ids.js'
 import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
 import type { TaskState } from './task-state.js'
 
 /**
- * Marks a run for stopping; the next round sends the stop.
+ * Marks a run for stopping; the next round sends the stop. A run that is reclaimed is stopped for another job.
  *
  * @example
- * requestStop(state, run, 'reclaimed')
+ * requestStop(state, run, 'reclaimed', candidate.job.job.id)
  */
-export function requestStop (state: PlannerState, run: Run, reason: StopReason): Run {
+export function requestStop (state: PlannerState, run: Run, reason: StopReason, stoppedFor?: JobId): Run {
   if (run.state === 'stopping') return run
   run.state = run.state === 'unconfirmed' ? 'unconfirmed' : 'stopping'
+  if (run.stopReason === undefined && stoppedFor !== undefined) run.stoppedFor = stoppedFor
   run.stopReason ??= reason
   const server = state.servers.get(run.server)
   if (server?.run(run.task, run.run) === run) server.stops.add(run)
--- a/packages/jobs/src/victims.ts
+++ b/packages/jobs/src/victims.ts
@@ -17,7 +17,7 @@
 /**
  * Returns the groups that may be stopped for a candidate. For a claim: all work that is no
  * claim itself. For other work: less urgent work that loses little, because it has just
- * started or saves checkpoints.
+ * started or saves checkpoints; not what is only being started, which is to run first.
  *
  * @example
  * const groups = victimsOf(state, claims, candidate, now)
@@ -26,7 +26,7 @@
   const costOf = stopCosts(state, now)
   if (isClaim) return runningGroups(state, job => !claims.has(job), costOf)
   return runningGroups(state, job => !claims.has(job) && priorityOf(state, job) > priority, costOf)
-    .filter(group => group.members.every(({ task, run }) => !isIsolated(run, now) && lostMilliseconds(task.step, run, now) < MAXIMUM_PREEMPTION_LOSS_MILLISECONDS))
+    .filter(group => group.members.every(({ task, run }) => run.state === 'running' && !isIsolated(run, now) && lostMilliseconds(task.step, run, now) < MAXIMUM_PREEMPTION_LOSS_MILLISECONDS))
 }
 
 /** Estimates the cost of stopping a run, in the unit of `gainOf`: the work to repeat, plus the price of the waste. What the runs of a step share is computed once for all that follow each other. */
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -136,7 +136,7 @@
     number: 1022,
     level: 'info',
     sentence: 'A command to stop a task has ended.',
-    fields: { task: 'task', run: 'run number', server: 'backend server', reason: 'reason for the stop', outcome: 'outcome of the command' },
+    fields: { task: 'task', run: 'run number', server: 'backend server', reason: 'reason for the stop', stoppedFor: 'for reclaimed, the job that gets the capacity (runs-reclaimed); else absent', outcome: 'outcome of the command' },
     action: NO_ACTION
   },
   'look-missed': {
@@ -304,7 +304,7 @@
     number: 1046,
     level: 'info',
     sentence: 'Commands to stop tasks have ended, more than have a line of their own (task-stopped).',
-    fields: { ...RUN_GROUP_FIELDS, reason: 'reason for the stops', outcome: 'outcome of the commands' },
+    fields: { ...RUN_GROUP_FIELDS, reason: 'reason for the stops', stoppedFor: 'for reclaimed, the job that gets the capacity; else absent', outcome: 'outcome of the commands' },
     action: NO_ACTION
   },
   'tasks-ended': {
@@ -348,5 +348,12 @@
     sentence: 'The planner knows of two runs of one task, and stops one of them; of a gang, all members of one start.',
     fields: { task: 'task; of a gang, one of the tasks', run: 'run number of the one that is stopped', server: 'its backend server', known: `how it became known: ${RUN_ORIGINS}`, keptRun: 'run number of the one that goes on', keptServer: 'its backend server', keptKnown: 'how that became known', members: 'number of runs that are stopped' },
     action: 'Report it with the lines of both runs and of both backend servers, events 1050 and 1051 among them.'
+  },
+  'runs-reclaimed': {
+    number: 1056,
+    level: 'info',
+    sentence: 'The planner has runs stopped so that a waiting job gets their capacity; a task-stopped line with the reason reclaimed follows for each.',
+    fields: { job: 'id of the job that gets the capacity', step: 'its step', kind: 'why it may have others stopped: claim: its workspace\'s guarantee holds it; weight: it gains more than they lose', isGang: 'true if its tasks start all together or not at all', tasks: 'number of tasks for which capacity is held from now on', accelerators: 'accelerators that these need', runs: 'number of runs that are stopped', servers: 'number of their backend servers', freed: 'accelerators that they hold', waitedMilliseconds: 'how long the job had waited' },
+    action: NO_ACTION
   }
 } as const satisfies CatalogueRows
