Bound the connections and bodies of callers by the memory and descriptors of the machine

Cause: readRequestBody kept each part of a body, and with it the read buffer that the part is a view of; an unfinished body or header had no deadline; and nothing bounded connections or the sum of open bodies.

Change: a body is copied into one buffer that grows with what arrives. A budget of bytes (an eighth of the memory) gives up the bodies that hold most for longest, with 503 and Retry-After before anything has run. A guard closes connections past the number that the descriptors and the memory allow, and those whose header or body doesn't arrive in time; never one on which a whole request waits for its answer. Who is given up is decided by pure modules (connection-shedding, body-budget).

Weighed: refusing newcomers at the bound, by which the crowd keeps its places.

--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,6 +1,10 @@
 /** Ports to the platform's services, their HTTP clients and their in-memory implementations. */
 export * from './backend-server.js'
+export * from './body-budget.js'
+export * from './body-buffer.js'
 export * from './clock.js'
+export * from './connection-guard.js'
+export * from './connection-shedding.js'
 export * from './execution-log.js'
 export * from './fault-switch.js'
 export * from './http-backend-server.js'
--- a/packages/ports/src/request-body.ts
+++ b/packages/ports/src/request-body.ts
@@ -1,8 +1,10 @@
 /** Reads the bodies of callers' HTTP requests. */
 import type { IncomingMessage } from 'node:http'
 import { CornelgaugeError } from '@cornelgauge/model'
+import type { HeldBody } from './body-budget.js'
+import { BodyBuffer } from './body-buffer.js'
 
-/** How long the rest of a body over the limit is read and discarded: as long as a caller waits for its response. */
+/** How long the rest of a body that was refused is read and discarded: as long as a caller waits for its response. */
 const DISCARD_MILLISECONDS = 3000
 
 /**
@@ -10,27 +12,37 @@
  * that is still sending receives the response and not a connection reset. For the same
  * reason the connection must not be closed after the response.
  *
- * @throws {CornelgaugeError} `body-too-large`, or `connection-lost` if the caller disconnects
+ * @param held the body's part of a budget, which remains in use after the body was read.
+ * @throws {CornelgaugeError} `body-too-large`, `overloaded` if the budget gives the body up,
+ * or `connection-lost` if the caller disconnects
  * @example
  * const text = await readRequestBody(request, 262_144)
  */
-export function readRequestBody (request: IncomingMessage, maximumBytes: number): Promise<string> {
+export function readRequestBody (request: IncomingMessage, maximumBytes: number, held?: HeldBody): Promise<string> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = []
-    let bytes = 0
+    const buffer = new BodyBuffer(maximumBytes)
     let discardTimer: NodeJS.Timeout | undefined
+    const refuse = (failure: CornelgaugeError): void => {
+      buffer.clear()
+      discardTimer = setTimeout(() => request.destroy(), DISCARD_MILLISECONDS)
+      reject(failure)
+      held?.release()
+    }
+    if (held !== undefined) held.onGivenUp = () => refuse(new CornelgaugeError('overloaded', { detail: 'Too many bodies are open' }))
     request.on('data', (part: Buffer) => {
-      bytes += part.length
-      if (bytes <= maximumBytes) {
-        parts.push(part)
-      } else if (discardTimer === undefined) {
-        discardTimer = setTimeout(() => request.destroy(), DISCARD_MILLISECONDS)
-        reject(new CornelgaugeError('body-too-large', { detail: `The body is over ${maximumBytes} bytes`, members: { maximumBytes } }))
-      }
+      if (discardTimer !== undefined) return
+      const bytes = buffer.heldBytes
+      if (!buffer.append(part)) return refuse(new CornelgaugeError('body-too-large', { detail: `The body is over ${maximumBytes} bytes`, members: { maximumBytes } }))
+      if (buffer.heldBytes !== bytes) held?.resize(buffer.heldBytes)
+    })
+    request.on('end', () => {
+      held?.complete()
+      resolve(buffer.toText())
+      buffer.clear()
     })
-    request.on('end', () => { resolve(Buffer.concat(parts).toString('utf8')) })
     request.on('close', () => {
       clearTimeout(discardTimer)
+      if (!request.complete) held?.release()
       reject(new CornelgaugeError('connection-lost', { detail: 'The caller went away before the end of its body' }))
     })
   })
--- a/packages/telemetry/src/catalogue-requests.ts
+++ b/packages/telemetry/src/catalogue-requests.ts
@@ -65,5 +65,12 @@
     sentence: 'An answer could not be stored; the write is retried before the end is reported to the caller.',
     fields: { failure: 'error code and message' },
     action: 'Check the object store.'
+  },
+  'clients-limited': {
+    number: 422,
+    level: 'warning',
+    sentence: 'Callers have exceeded the limits on connections, bodies or time; at most once a second.',
+    fields: { crowded: 'connections closed for want of room, since the last such event', expired: 'connections closed whose header or body did not arrive in time', bodies: 'bodies given up for want of memory', connections: 'open connections of callers', heldBytes: 'bytes of bodies that are held' },
+    action: 'Find out which callers leave connections or bodies open; if they are within the limits, add VMs or raise the limits.'
   }
 } as const satisfies CatalogueRows
