Bound the searches for room elsewhere for what an evacuation moves

Cause: each run of an evacuated failure domain was examined with all backend servers while none fitted. With 64 runs and 8 backend servers elsewhere a round examined 606 entries; the test's bound is 406.

--- a/packages/jobs/src/evacuation-moves.ts
+++ b/packages/jobs/src/evacuation-moves.ts
@@ -3,13 +3,13 @@
  * capacity that it takes elsewhere is missed by work that arrives. So only work is moved that has long to go and
  * loses little, only into capacity that is free elsewhere, and little at a time; what ends soon ends where it is.
  */
-import { CapacitySnapshot } from './capacity-snapshot.js'
-import { addCapacity, NO_CAPACITY } from './capacity.js'
+import type { CapacitySnapshot } from './capacity-snapshot.js'
+import { addCapacity, NO_CAPACITY, type Capacity } from './capacity.js'
 import { claimsOf } from './claims.js'
 import { EligibleTargets } from './eligible-targets.js'
 import type { PoolName } from './ids.js'
 import { isIsolated } from './isolation.js'
-import { EVACUATION_FREE_SHARE, EVACUATION_MOVE_DELAY_MILLISECONDS, EVACUATION_MOVE_INTERVAL_MILLISECONDS, EVACUATION_MOVE_MARGIN, EVACUATION_MOVES, WORK_DONE_PERCENT } from './limits.js'
+import { EVACUATION_FREE_SHARE, EVACUATION_MOVE_DELAY_MILLISECONDS, EVACUATION_MOVE_INTERVAL_MILLISECONDS, EVACUATION_MOVE_MARGIN, EVACUATION_MOVES, EVACUATION_SEARCHES, WORK_DONE_PERCENT } from './limits.js'
 import { placeGang, placeTasks } from './placement.js'
 import { isMostlyIdle, snapshotOf } from './round-snapshots.js'
 import type { GroupMember, RunningGroup } from './running-group-cache.js'
@@ -44,12 +44,11 @@
     if (this.#underWay.length > 0) return
     const moves = findMoves(state, now).sort((left, right) => left.costShare - right.costShare)
     if (moves.length === 0) return
-    const snapshot = snapshotOf(state, now)
-    const eligible = new EligibleTargets(state, now, snapshot)
+    const room = new RoomElsewhere(state, now)
     let left = EVACUATION_MOVES
     for (const { step, group } of moves) {
       if (left === 0) break
-      if (!fitsElsewhere(eligible, snapshot, step, group)) continue
+      if (!room.take(step, group)) continue
       for (const { run } of group.members) requestStop(state, run, 'evacuated')
       this.#underWay = [...this.#underWay, ...group.members]
       left -= 1
@@ -106,25 +105,36 @@
   return remaining <= 0 ? Infinity : cost / remaining
 }
 
-/** True if a group fits elsewhere beside the moves before it, and enough stays free; its capacity is then taken from the snapshot. */
-function fitsElsewhere (eligible: EligibleTargets, snapshot: CapacitySnapshot, step: StepState, { members }: RunningGroup): boolean {
-  const { job: { job: { pool } }, specification: { isGang, need, savesCheckpoints } } = step
-  // Work that can't be stopped cheaply may have to wait for what it borrows while the pool isn't mostly idle.
-  if (!savesCheckpoints && need.accelerators > 0 && !isMostlyIdle(snapshot)) return false
-  if (!keepsFree(snapshot, pool, need.accelerators * members.length, need.processor * members.length)) return false
-  const allowed = eligible.of({ step, first: members[0]!.task, count: members.length }, true)
-  return (isGang ? placeGang(allowed, step, true) : placeTasks(allowed, allowed.targets, step, 1)) !== undefined
-}
+/** What is free elsewhere, from which the moves of one search are taken. */
+class RoomElsewhere {
+  readonly #snapshot: CapacitySnapshot
+  readonly #eligible: EligibleTargets
+  /** Free and total capacity of each pool. */
+  readonly #pools = new Map<PoolName, { free: Capacity, all: Capacity }>()
+  #searchesLeft = EVACUATION_SEARCHES
+
+  constructor (state: PlannerState, now: number) {
+    this.#snapshot = snapshotOf(state, now)
+    this.#eligible = new EligibleTargets(state, now, this.#snapshot)
+    for (const { free, server: { entry: { pool, capacity } } } of this.#snapshot.targets) {
+      const known = this.#pools.get(pool) ?? { free: NO_CAPACITY, all: NO_CAPACITY }
+      this.#pools.set(pool, { free: addCapacity(known.free, free), all: addCapacity(known.all, capacity) })
+    }
+  }
 
-/** True if a share of a pool stays free without these accelerators and processors. */
-function keepsFree ({ targets, work }: CapacitySnapshot, pool: PoolName, accelerators: number, processor: number): boolean {
-  work.add(targets.length)
-  let free = NO_CAPACITY
-  let all = NO_CAPACITY
-  for (const target of targets) {
-    if (target.server.entry.pool !== pool) continue
-    free = addCapacity(free, target.free)
-    all = addCapacity(all, target.server.entry.capacity)
+  /** True if a group fits beside the moves before it, and enough stays free; its capacity is then taken. */
+  take (step: StepState, { members }: RunningGroup): boolean {
+    const { job: { job: { pool } }, specification: { isGang, need, savesCheckpoints } } = step
+    const capacity = this.#pools.get(pool)
+    // Work that can't be stopped cheaply may have to wait for what it borrows while the pool isn't mostly idle.
+    if (capacity === undefined || this.#searchesLeft === 0 || (!savesCheckpoints && need.accelerators > 0 && !isMostlyIdle(this.#snapshot))) return false
+    const left = members.reduce((free, { run }) => addCapacity(free, run.need, -1), capacity.free)
+    const keepsFree = left.accelerators >= EVACUATION_FREE_SHARE * capacity.all.accelerators && left.processor >= EVACUATION_FREE_SHARE * capacity.all.processor
+    if (!keepsFree) return false
+    this.#searchesLeft -= 1
+    const allowed = this.#eligible.of({ step, first: members[0]!.task, count: members.length }, true)
+    const isPlaced = (isGang ? placeGang(allowed, step, true) : placeTasks(allowed, allowed.targets, step, 1)) !== undefined
+    if (isPlaced) capacity.free = left
+    return isPlaced
   }
-  return free.accelerators - accelerators >= EVACUATION_FREE_SHARE * all.accelerators && free.processor - processor >= EVACUATION_FREE_SHARE * all.processor
 }
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -138,6 +138,8 @@
 export const EVACUATION_MOVE_INTERVAL_MILLISECONDS = 500
 /** Runs, or gangs, that are moved at a time. */
 export const EVACUATION_MOVES = 8
+/** Runs, or gangs, for which room is searched among all backend servers each time. */
+export const EVACUATION_SEARCHES = 32
 /** Work is moved only if it still takes this many times what its stop costs, since both estimates are rough. */
 export const EVACUATION_MOVE_MARGIN = 8
 /** Share of the accelerators and processors elsewhere that moved work leaves free for work that arrives. */
--- a/packages/jobs/test/evacuation.test.ts
+++ b/packages/jobs/test/evacuation.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { PlannerEvent, ServerId, StartCommand } from '../src/index.js'
+import { EVACUATION_SEARCHES, type PlannerEvent, type ServerId, type StartCommand } from '../src/index.js'
 import { CONFIGURATION, job, step, World, type FakeServer } from './world.js'
 
 const BOTH = ['north', 'south']
@@ -218,6 +218,32 @@
       expect(new Set(movedTasks(world)).size).to.equal(12)
     })
 
+    // Guards against rounds that search the whole pool for each run of a large failure domain.
+    it('is searched room for in a bounded number of searches, however much runs there', () => {
+      const world = new World(72, { failureDomains: ['south', ...Array<string>(8).fill('north')], perRack: 1 })
+      world.settle()
+      evacuate(world, 'north')
+      world.planner.submit(job('other', { steps: [step({ count: 8, accelerators: 4, mostPerServer: 1 })] }))
+      world.settle()
+      evacuate(world, 'south')
+      world.planner.submit(job('a', { steps: [step({ count: 64, accelerators: 5, ...long })] }))
+      world.settle(6)
+      expect(runsIn(world, 'north')).to.equal(64)
+      evacuate(world)
+      work(world, 2000)
+      evacuate(world, 'north')
+      work(world, 900)
+      let most = 0
+      for (let time = 0; time < 30; time += 1) {
+        const before = world.planner.examinations
+        world.round()
+        most = Math.max(most, world.planner.examinations - before)
+        world.pollServers()
+      }
+      expect(movedTasks(world)).to.have.length(0)
+      expect(most).to.be.within(8 * EVACUATION_SEARCHES, 8 * EVACUATION_SEARCHES + 150)
+    })
+
     it('stays if all failure domains are evacuated, and new work waits', () => {
       const world = twoDomains()
       world.planner.submit(job('a', { steps: [step({ count: 4, ...long })] }))
