--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -56,7 +56,9 @@
     this.#nextCheckAt ??= now + FIRST_IDLE_JOB_CHECK_MILLISECONDS
     if (now < this.#nextCheckAt) return
     this.#nextCheckAt = now + IDLE_JOB_CHECK_MILLISECONDS
-    const isPoolIdle = isMostlyIdle(snapshotOf(state, now))
+    const snapshot = snapshotOf(state, now)
+    const isEvacuated = state.evacuations.size > 0 && snapshot.targets.length === 0
+    const isPoolIdle = !isEvacuated && isMostlyIdle(snapshot)
     for (const job of this.#since.keys()) if (!state.openJobs.has(job)) this.#since.delete(job)
     const unknownEpochs = state.recovery.unknownEpochs(now)
     const found: { readonly job: JobState, readonly idle: IdleJob, readonly milliseconds: number }[] = []
