Confirm the configuration of VMs that are cut off through their neighbours

A VM whose configuration is older than two unanswered requests for changes now names its version in its heartbeats, and takes over the age that the owner knows, counted from the start of the store's read and with the message's way added; a newer version is fetched by a call of its own. A count is repeated for up to 1.5 s within its deadline.

In messages.test.ts the new messages were added to the samples.

--- a/packages/entry/src/current-configuration.ts
+++ b/packages/entry/src/current-configuration.ts
@@ -23,16 +23,21 @@
     return this.#value
   }
 
-  /** Milliseconds since the start of the last successful read that confirmed or updated it. */
+  /** Milliseconds since the start of the newest successful read that confirmed or updated it. */
   get confirmationAge (): number {
     return this.#confirmedAt === undefined ? Infinity : elapsedSince(this.#confirmedAt)
   }
 
   /** Applies the result of a read that started at `readAt`; undefined means that there is no usable newer configuration. */
   update (configuration: Configuration | undefined, readAt: Moment): void {
-    this.#confirmedAt = readAt
+    this.confirm(readAt)
     if (configuration === undefined || configuration.version <= (this.#value?.version ?? -1)) return
     this.#value = configuration
     this.#onChange(configuration)
   }
+
+  /** Records that a read that started at `readAt` has found no newer configuration; an earlier read than the last one changes nothing. */
+  confirm (readAt: Moment): void {
+    if (elapsedSince(readAt) < this.confirmationAge) this.#confirmedAt = readAt
+  }
 }
--- a/packages/entry/src/elapsed.ts
+++ b/packages/entry/src/elapsed.ts
@@ -28,3 +28,13 @@
 export function elapsedSince (since: Moment, now: Moment = moment()): number {
   return Math.max(now.steady - since.steady, now.wall - since.wall)
 }
+
+/**
+ * The point in time that many milliseconds before another one.
+ *
+ * @example
+ * before(moment(), 500)
+ */
+export function before ({ steady, wall }: Moment, milliseconds: number): Moment {
+  return { steady: steady - milliseconds, wall: wall - milliseconds }
+}
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -2,16 +2,18 @@
  * One entry VM: accepts jobs and queries about them, follows the configuration, and
  * runs the planner or calls the VM that owns it.
  */
+import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, CornelgaugeError, type VmName } from '@cornelgauge/model'
 import type { Configuration, Job, JobId, JobPhase, QueueName } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { LogicalClock } from '@cornelgauge/wire'
 import { MonitoredStore } from './monitored-store.js'
 import { CancellationLimit } from './cancellation-limit.js'
+import { ConfigurationExchange, type ConfigurationRows } from './configuration-exchange.js'
 import { CurrentConfiguration } from './current-configuration.js'
 import { JobStore, type JobDraft } from './job-store.js'
 import { Leadership } from './leadership.js'
-import { OWNER_CALL_TIMEOUT_MILLISECONDS, RELAY_TIMEOUT_MILLISECONDS } from './limits.js'
+import { COUNT_WAIT_MILLISECONDS, OWNER_CALL_TIMEOUT_MILLISECONDS, OWNER_RETRY_MILLISECONDS, RELAY_TIMEOUT_MILLISECONDS } from './limits.js'
 import type { PeerReply, PeerRequest } from './messages.js'
 import { OwnedPlanner } from './owned-planner.js'
 import { Peers, type PeerRoute } from './peers.js'
@@ -61,6 +63,7 @@
   readonly #unknownCancellations = new CancellationLimit()
   readonly #backlog: ReportedBacklog
   readonly configuration: CurrentConfiguration
+  readonly #exchange: ConfigurationExchange
   readonly #owned: OwnedPlanner
 
   readonly #peerHandlers: PeerHandlers = {
@@ -83,6 +86,7 @@
       return { kind: 'phase', ...(phase === undefined ? {} : { phase }) }
     },
     queued: async ({ queue }) => ({ kind: 'queued', count: this.#requireHost().queuedIn(queue) }),
+    configuration: async () => ({ kind: 'configuration', configuration: this.#exchange.rows }),
     succeed: async ({ owner }) => {
       await this.#leadership.takeOver(owner)
       return { kind: 'taken' }
@@ -96,6 +100,7 @@
     this.#store = new MonitoredStore(platform.store)
     this.#jobs = new JobStore(this.#store, () => this.#store.isAway)
     this.configuration = new CurrentConfiguration(configuration => this.#configure(configuration))
+    this.#exchange = new ConfigurationExchange({ current: this.configuration, read: rows => platform.readConfiguration(rows), fetch: address => this.#fetchConfiguration(address) })
     this.#peers = new Peers({
       vm,
       address,
@@ -115,7 +120,8 @@
       onOwned: (owner, signal) => this.#owned.takeOver(owner, signal),
       onLost: () => this.#runInBackground(this.#owned.release()),
       waitingJobs: () => this.#owned.host?.waitingJobs,
-      onWaitingJobs: count => this.#backlog.report(count)
+      onWaitingJobs: count => this.#backlog.report(count),
+      configuration: this.#exchange
     })
     this.#owned = new OwnedPlanner({
       store: this.#store,
@@ -152,7 +158,7 @@
     const { signal } = this.#stopping
     const follower = new TableFollower(this.#store, {
       table: platform.configurationTable,
-      onRows: (rows, readAt) => this.configuration.update(platform.readConfiguration(rows), readAt),
+      onRows: (rows, readAt) => this.#exchange.apply(rows, readAt),
       onFailure: failure => emit('feed-failed', { details: { table: platform.configurationTable, failure: failure.code } })
     })
     this.#runInBackground(follower.run(signal))
@@ -216,15 +222,19 @@
   }
 
   /**
-   * Counts the jobs of a queue of which no step has started.
+   * Counts the jobs of a queue of which no step has started. While the owner changes, the count waits for the new one.
    *
-   * @throws {CornelgaugeError} `no-owner` if the owner can't be reached
+   * @throws {CornelgaugeError} `no-owner` if no owner can be reached by the deadline on the steady clock; at once without one
    */
-  async queuedIn (queue: QueueName): Promise<number> {
-    if (this.#owned.host !== undefined) return this.#owned.host.queuedIn(queue)
-    const answer = await this.#callOwner<'queued'>({ kind: 'queued', queue })
-    if (answer === undefined) throw new CornelgaugeError('no-owner')
-    return answer.count
+  async queuedIn (queue: QueueName, deadline = -Infinity): Promise<number> {
+    const lastCallAt = Math.min(deadline - OWNER_CALL_TIMEOUT_MILLISECONDS, performance.now() + COUNT_WAIT_MILLISECONDS)
+    for (;;) {
+      if (this.#owned.host !== undefined) return this.#owned.host.queuedIn(queue)
+      const answer = await this.#callOwner<'queued'>({ kind: 'queued', queue })
+      if (answer !== undefined) return answer.count
+      if (performance.now() >= lastCallAt || this.#stopping.signal.aborted) throw new CornelgaugeError('no-owner')
+      await pause(systemClock, OWNER_RETRY_MILLISECONDS, this.#stopping.signal)
+    }
   }
 
   /** Refuses a job since too many wait; one that was accepted before stays accepted. */
@@ -273,6 +283,15 @@
     return this.#owned.host
   }
 
+  async #fetchConfiguration (address: string): Promise<ConfigurationRows | undefined> {
+    try {
+      return (await this.#peers.call<'configuration'>(address, { kind: 'configuration' }, OWNER_CALL_TIMEOUT_MILLISECONDS)).configuration
+    } catch (thrown) {
+      this.#options.emit('peer-call-failed', { details: { address, kind: 'configuration', failure: asFailure(thrown).code } })
+      return undefined
+    }
+  }
+
   #configure (configuration: Configuration): void {
     this.#options.emit('configuration-in-force', { details: { version: configuration.version, queues: configuration.queues.length } })
     this.#owned.host?.configure(configuration)
--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -7,6 +7,8 @@
 import type { Clock, RowStore } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { isConnectionRefused } from '@cornelgauge/wire'
+import type { ConfigurationExchange } from './configuration-exchange.js'
+import { moment } from './elapsed.js'
 import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_RETRY_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import { MemberList, NO_VERSION, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
@@ -34,6 +36,8 @@
   readonly waitingJobs?: () => number | undefined
   /** Called with that number as the owner says it. */
   readonly onWaitingJobs?: (count: number) => void
+  /** Passes on what VMs know of the configuration. */
+  readonly configuration?: ConfigurationExchange
 }
 
 type HeartbeatRequest = Extract<PeerRequest, { kind: 'beat' }>
@@ -64,8 +68,6 @@
   /** Number of heartbeats that this VM has sent to members as the owner. */
   #sentAsOwner = 0
   readonly #evidence: OwnerEvidence
-  /** Milliseconds since the store last answered the owner, as its newest reply says; 0 if its release doesn't send it. */
-  #ownerStoreAge = 0
   #isLeaving = false
   #startedAt = -Infinity
   #claiming: Promise<void> | undefined
@@ -98,9 +100,9 @@
    * the store hasn't answered lately either.
    */
   get relayPeer (): Member | undefined {
-    if (this.isOwner) return this.#successors().find(({ vm }) => this.#members.storeAgeOf(vm) < STORE_LOST_MILLISECONDS)
-    const isReachable = this.#evidence.contactAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS
-    return isReachable && this.#ownerStoreAge < STORE_LOST_MILLISECONDS ? this.#owner : undefined
+    if (this.isOwner) return this.#successors().find(member => !this.#isStoreLost(member))
+    const { contactAge, storeAge } = this.#evidence
+    return contactAge < HEARTBEAT_MILLISECONDS + HEARTBEAT_TIMEOUT_MILLISECONDS && storeAge < STORE_LOST_MILLISECONDS ? this.#owner : undefined
   }
 
   /** Milliseconds since a majority of peers were last seen to follow this VM as the owner; the store's confirmation is tracked separately. */
@@ -156,14 +158,16 @@
     this.#members.add(member, storeAge, this.#confirmationTimeOf(heartbeat))
     this.#adoptFromPeer(heartbeat.owner)
     const waitingJobs = this.isOwner ? this.#options.waitingJobs?.() : undefined
+    const configuration = this.#options.configuration?.answer(heartbeat.staleConfiguration)
     return {
       kind: 'beat',
       isOwner: this.isOwner,
       storeAge: this.#options.storeAge(),
       ...(this.isOwner ? { ownedMilliseconds: this.#clock.now() - this.#ownedSince } : {}),
       ...(waitingJobs === undefined ? {} : { waitingJobs }),
+      ...(configuration === undefined ? {} : { configuration }),
       ...this.#members.listFor(heartbeat.listVersion, member),
-      ownerHeardAge: this.#ownerHeardAgeFor(member),
+      ownerHeardAge: this.#evidence.heardAgeFor(member),
       ...(this.#owner === undefined ? {} : { owner: this.#owner })
     }
   }
@@ -189,15 +193,6 @@
     if (!mayBeOwnClaim) this.adoptOwner(owner)
   }
 
-  /**
-   * A release that sends no weight replaces an owner that has been silent for 0.6 s, unless one of the VMs that it asks
-   * has heard of it lately. While this VM doesn't consider the owner failed, it says so to such a release.
-   */
-  #ownerHeardAgeFor ({ weight }: Member): number {
-    const { heardAge, isGone } = this.#evidence
-    return weight === undefined && !isGone ? Math.min(heardAge, HEARTBEAT_MILLISECONDS) : heardAge
-  }
-
   /** Claims ownership and loads the planner, as the owner hands over; a repeated request of an earlier owner claims nothing. */
   async takeOver (owner: KnownOwner): Promise<void> {
     this.adoptOwner(owner)
@@ -255,7 +250,6 @@
     if (this.#owner !== undefined && owner.epoch <= this.#owner.epoch) return
     const { vm, address, epoch, version } = owner
     this.#owner = { vm, address, epoch, version }
-    this.#ownerStoreAge = 0
     this.#evidence.follow()
     if (this.#ownership === undefined || this.#ownership.epoch >= epoch) return
     this.#endOwnership()
@@ -298,8 +292,7 @@
     }
     this.#members.receive(address, answer)
     if (answer.isOwner) {
-      this.#evidence.hear(answer.ownedMilliseconds)
-      this.#ownerStoreAge = answer.storeAge ?? 0
+      this.#evidence.hear(answer.ownedMilliseconds, answer.storeAge)
       if (answer.waitingJobs !== undefined) this.#options.onWaitingJobs?.(answer.waitingJobs)
     // A VM that replies with an older epoch may itself own this one, if the answer to its claim is still in flight.
     } else if ((answer.owner?.epoch ?? 0) >= epoch) this.#evidence.giveUp()
@@ -319,10 +312,14 @@
   }
 
   async #sendHeartbeat (address: string, listVersion = UNWANTED_LIST, timeoutMilliseconds = HEARTBEAT_TIMEOUT_MILLISECONDS, onFailure: (failure: CornelgaugeError) => void = () => {}): Promise<HeartbeatReply | undefined> {
-    const { self, peers, storeAge, emit } = this.#options
-    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner, ownedMilliseconds: this.#evidence.ownedMilliseconds }) }
+    const { self, peers, storeAge, emit, configuration } = this.#options
+    const staleConfiguration = configuration?.staleVersion
+    const sentAt = moment()
+    const heartbeat: HeartbeatRequest = { kind: 'beat', member: self, storeAge: storeAge(), listVersion, ...(this.#owner === undefined ? {} : { owner: this.#owner, ownedMilliseconds: this.#evidence.ownedMilliseconds }), ...(staleConfiguration === undefined ? {} : { staleConfiguration }) }
     try {
-      return await peers.call<'beat'>(address, heartbeat, timeoutMilliseconds)
+      const reply = await peers.call<'beat'>(address, heartbeat, timeoutMilliseconds)
+      configuration?.receive(reply.configuration, sentAt, address)
+      return reply
     } catch (thrown) {
       const failure = asFailure(thrown)
       emit('peer-call-failed', { details: { address, kind: 'beat', failure: failure.code } })
@@ -441,7 +438,7 @@
   /** As owner, also while it loads: hands over to a peer that reaches the store if this VM doesn't. */
   #handOverIfStoreLost (): void {
     if (this.#options.storeAge() < this.#evidence.scale(STORE_LOST_MILLISECONDS)) return
-    const successor = this.#successors().find(member => this.#members.storeAgeOf(member.vm) < STORE_LOST_MILLISECONDS)
+    const successor = this.#successors().find(member => !this.#isStoreLost(member))
     if (successor === undefined || this.#ownership === undefined) return
     this.#options.peers.call(successor.address, { kind: 'succeed', owner: this.#ownership }, HEARTBEAT_TIMEOUT_MILLISECONDS)
       .then(() => this.#options.emit('planner-handed-over', { details: { to: successor.vm, epoch: this.#owner?.epoch } }))
@@ -450,7 +447,10 @@
 
   /** Candidates for taking over: first those that the store has answered lately, of these the ones with the most weight. */
   #successors (): readonly Member[] {
-    const isStoreLost = ({ vm }: Member): boolean => this.#members.storeAgeOf(vm) >= STORE_LOST_MILLISECONDS
-    return [...this.#members.recent].sort((left, right) => Number(isStoreLost(left)) - Number(isStoreLost(right)) || compareSuccession(left, right))
+    return [...this.#members.recent].sort((left, right) => Number(this.#isStoreLost(left)) - Number(this.#isStoreLost(right)) || compareSuccession(left, right))
+  }
+
+  #isStoreLost ({ vm }: Member): boolean {
+    return this.#members.storeAgeOf(vm) >= STORE_LOST_MILLISECONDS
   }
 }
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -133,6 +133,12 @@
 export const WAITING_RETRY_AFTER_SECONDS = 10
 /** Time limit of a call to the owner about a job. */
 export const OWNER_CALL_TIMEOUT_MILLISECONDS = 500
+/** Pause before a call to the owner is repeated at the new one. */
+export const OWNER_RETRY_MILLISECONDS = 100
+/** How long a count waits for an owner that answers: a new one loads for about half a second. */
+export const COUNT_WAIT_MILLISECONDS = 1500
+/** Age of the configuration at which a VM asks others for a smaller one: it is reached only if two requests for changes end without an answer. */
+export const CONFIGURATION_STALE_MILLISECONDS = 2 * FEED_WAIT_MILLISECONDS
 /** Part of the bound on a revocation that is reserved for the time between the check and the answer. */
 export const REVOCATION_RESERVE_MILLISECONDS = 600
 /** How long a write that the store refuses is retried before it is relayed to another VM or reported to the caller. */
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between entry VMs, carried in the extension messages of the inner protocol. */
 import { CornelgaugeError, type Epoch, type VmName } from '@cornelgauge/model'
 import type { Job, JobId, JobPhase, QueueName } from '@cornelgauge/jobs'
+import type { ConfigurationRows, ConfirmedConfiguration } from './configuration-exchange.js'
 import { isJobDraft } from './job-record.js'
 import type { JobDraft } from './job-store.js'
 
@@ -35,9 +36,10 @@
    * Heartbeat of a VM: its name and address, the owner it follows, the milliseconds since the store last
    * answered it, and the version of the receiver's list of members that it has. Earlier releases send no
    * version and require the list in each reply. `ownedMilliseconds` is that of the newest reply of the owner it follows, 0 before
-   * the first: the heartbeat was sent later than that reply. Earlier releases don't send it.
+   * the first: the heartbeat was sent later than that reply. Earlier releases don't send it. `staleConfiguration` is the version of
+   * its configuration, if the store hasn't confirmed it lately.
    */
-  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly listVersion?: string, readonly ownedMilliseconds?: number }
+  | { readonly kind: 'beat', readonly member: Member, readonly owner?: KnownOwner, readonly storeAge: number, readonly listVersion?: string, readonly ownedMilliseconds?: number, readonly staleConfiguration?: number }
   /** A job from a VM that can't store it; the peer stores it instead. */
   | { readonly kind: 'accept', readonly draft: JobDraft }
   /** Notifies the owner of a stored job. */
@@ -46,6 +48,8 @@
   | { readonly kind: 'cancel', readonly id: JobId }
   | { readonly kind: 'phase', readonly id: JobId }
   | { readonly kind: 'queued', readonly queue: QueueName }
+  /** Asks for the receiver's configuration. */
+  | { readonly kind: 'configuration' }
   /** The owner hands over and requests that the receiver claims ownership. */
   | { readonly kind: 'succeed', readonly owner: KnownOwner }
 
@@ -54,13 +58,14 @@
   /**
    * `ownedMilliseconds`: time since the owner's claim; `waitingJobs`: accepted jobs that it has left in the store, once it has
    * loaded. Absent if the replying VM isn't the owner, or runs an earlier release. `storeAge` is as in the request; earlier releases
-   * don't send it.
+   * don't send it. `configuration`: what the replying VM knows of the configuration, if that helps the other one.
    */
-  | { readonly kind: 'beat', readonly isOwner: boolean, readonly storeAge?: number, readonly ownedMilliseconds?: number, readonly waitingJobs?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
+  | { readonly kind: 'beat', readonly isOwner: boolean, readonly storeAge?: number, readonly configuration?: ConfirmedConfiguration, readonly ownedMilliseconds?: number, readonly waitingJobs?: number, readonly owner?: KnownOwner, readonly ownerHeardAge: number } & ListedMembers
   | { readonly kind: 'taken' }
   | { readonly kind: 'accept', readonly job: Job }
   | { readonly kind: 'phase', readonly phase?: JobPhase }
   | { readonly kind: 'queued', readonly count: number }
+  | { readonly kind: 'configuration', readonly configuration: ConfigurationRows }
 
 type Fields = Readonly<Record<string, unknown>>
 type Check = (fields: Fields) => boolean
@@ -77,23 +82,27 @@
 const isJob = (value: unknown): boolean => isFields(value) && isDraftWithId(value) && isWhole(value.acceptedUnder)
 const areMembers = (value: unknown): boolean => Array.isArray(value) && value.every(isMember)
 
+const isConfirmation = (value: unknown): boolean => isFields(value) && isWhole(value.version) && isNumber(value.age) && Number(value.age) >= 0
+
 const REQUEST_CHECKS: Readonly<Record<PeerRequest['kind'], Check>> = {
-  beat: ({ member, owner, storeAge, listVersion, ownedMilliseconds }) => isMember(member) && isAbsentOr(isOwner)(owner) && isNumber(storeAge) && isAbsentOr(isString)(listVersion) && isAbsentOr(isNumber)(ownedMilliseconds),
+  beat: ({ member, owner, storeAge, listVersion, ownedMilliseconds, staleConfiguration }) => isMember(member) && isAbsentOr(isOwner)(owner) && isNumber(storeAge) && isAbsentOr(isString)(listVersion) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isNumber)(staleConfiguration),
   accept: ({ draft }) => isDraftWithId(draft),
   job: ({ job }) => isJob(job),
   cancel: ({ id }) => isString(id),
   phase: ({ id }) => isString(id),
   queued: ({ queue }) => isString(queue),
+  configuration: () => true,
   succeed: ({ owner }) => isOwner(owner)
 }
 
 const REPLY_CHECKS: Readonly<Record<PeerReply['kind'], Check>> = {
-  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, storeAge, ownedMilliseconds, waitingJobs, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
-    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(storeAge) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isWhole)(waitingJobs) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
+  beat: ({ isOwner: claimsToOwn, owner, ownerHeardAge, storeAge, configuration, ownedMilliseconds, waitingJobs, listVersion, members }) => typeof claimsToOwn === 'boolean' && isNumber(ownerHeardAge) &&
+    isAbsentOr(isOwner)(owner) && isAbsentOr(isNumber)(storeAge) && isAbsentOr(isConfirmation)(configuration) && isAbsentOr(isNumber)(ownedMilliseconds) && isAbsentOr(isWhole)(waitingJobs) && isAbsentOr(isString)(listVersion) && isAbsentOr(areMembers)(members),
   taken: () => true,
   accept: ({ job }) => isJob(job),
   phase: ({ phase }) => isAbsentOr(isString)(phase),
-  queued: ({ count }) => isWhole(count)
+  queued: ({ count }) => isWhole(count),
+  configuration: ({ configuration }) => isConfirmation(configuration) && isFields((configuration as Fields).rows)
 }
 
 /**
--- a/packages/entry/src/owner-evidence.ts
+++ b/packages/entry/src/owner-evidence.ts
@@ -1,6 +1,7 @@
 /** Evidence that the owner of the planner has failed, as one VM has seen it. */
 import type { Clock } from '@cornelgauge/ports'
-import { LONGEST_SILENCE_MILLISECONDS, MISSED_HEARTBEATS, OWNER_SILENCE_MILLISECONDS, SETTLED_TENURE_MILLISECONDS } from './limits.js'
+import { HEARTBEAT_MILLISECONDS, LONGEST_SILENCE_MILLISECONDS, MISSED_HEARTBEATS, OWNER_SILENCE_MILLISECONDS, SETTLED_TENURE_MILLISECONDS } from './limits.js'
+import type { Member } from './messages.js'
 
 /**
  * Collects what a VM knows of the owner that it follows. A takeover slows the new owner down, so the
@@ -22,6 +23,8 @@
   /** When the owner claimed, as far as this VM knows. */
   #claimedAt = -Infinity
   #ownedMilliseconds = 0
+  /** Milliseconds since the store last answered the owner, as its newest reply says. */
+  #storeAge = 0
   #shortTenures = 0
   /** End of the last delay that was subtracted. */
   #excludedUntil = -Infinity
@@ -37,6 +40,14 @@
     return this.#clock.now() - this.#heardAt
   }
 
+  /**
+   * The same as said to another VM. A release that sends no weight replaces an owner that has been silent for 0.6 s, unless one of the
+   * VMs that it asks has heard of it lately. While this VM doesn't consider the owner failed, it says so to such a release.
+   */
+  heardAgeFor ({ weight }: Pick<Member, 'weight'>): number {
+    return weight === undefined && !this.isGone ? Math.min(this.heardAge, HEARTBEAT_MILLISECONDS) : this.heardAge
+  }
+
   /** Milliseconds since this VM last received a reply of the owner, or learned of it. */
   get contactAge (): number {
     return this.#clock.now() - Math.max(this.#heardAt, this.#followedAt)
@@ -47,6 +58,11 @@
     return this.#ownedMilliseconds
   }
 
+  /** Milliseconds for which the store hadn't answered the owner at its newest reply; 0 before the first, and if its release doesn't send them. */
+  get storeAge (): number {
+    return this.#storeAge
+  }
+
   /** Milliseconds of silence after which the owner is considered failed. */
   get requiredSilence (): number {
     return this.scale(OWNER_SILENCE_MILLISECONDS)
@@ -74,14 +90,16 @@
     this.#shortTenures = now - this.#claimedAt < SETTLED_TENURE_MILLISECONDS ? this.#shortTenures + 1 : 0
     this.#claimedAt = now
     this.#ownedMilliseconds = 0
+    this.#storeAge = 0
     this.#followedAt = now
     this.#heardAt = -Infinity
     this.postpone()
   }
 
-  /** Records a reply of the owner, with the milliseconds since its claim; earlier releases don't send them. */
-  hear (ownedMilliseconds?: number): void {
+  /** Records a reply of the owner, with the milliseconds since its claim and since the store last answered it; earlier releases don't send them. */
+  hear (ownedMilliseconds?: number, storeAge = 0): void {
     const now = this.#clock.now()
+    this.#storeAge = storeAge
     if (ownedMilliseconds !== undefined) {
       this.#claimedAt = now - ownedMilliseconds
       this.#ownedMilliseconds = Math.max(this.#ownedMilliseconds, ownedMilliseconds)
--- a/packages/entry/test/messages.test.ts
+++ b/packages/entry/test/messages.test.ts
@@ -17,31 +17,33 @@
 }
 
 const REQUESTS: readonly object[] = [
-  { kind: 'beat', member: MEMBER, owner: OWNER, storeAge: Infinity, listVersion: 'a', ownedMilliseconds: 10 },
+  { kind: 'beat', member: MEMBER, owner: OWNER, storeAge: Infinity, listVersion: 'a', ownedMilliseconds: 10, staleConfiguration: -1 },
   { kind: 'beat', member: { vm: 'vm-b', address: '10.0.0.2:7000' }, storeAge: 5 },
   { kind: 'accept', draft: JOB },
   { kind: 'job', job: JOB },
   { kind: 'cancel', id: JOB.id },
   { kind: 'phase', id: JOB.id },
   { kind: 'queued', queue: 'check' },
+  { kind: 'configuration' },
   { kind: 'succeed', owner: OWNER }
 ]
 
 const REPLIES: readonly object[] = [
-  { kind: 'beat', isOwner: true, ownedMilliseconds: 10, owner: OWNER, ownerHeardAge: 0, listVersion: 'a', members: [MEMBER] },
+  { kind: 'beat', isOwner: true, storeAge: 5, configuration: { version: 3, age: 20 }, ownedMilliseconds: 10, owner: OWNER, ownerHeardAge: 0, listVersion: 'a', members: [MEMBER] },
   { kind: 'beat', isOwner: false, ownerHeardAge: Infinity },
   { kind: 'taken' },
   { kind: 'accept', job: JOB },
   { kind: 'phase', phase: 'running' },
   { kind: 'phase' },
-  { kind: 'queued', count: 2 }
+  { kind: 'queued', count: 2 },
+  { kind: 'configuration', configuration: { version: 3, age: 20, rows: { config: { text: 'a' } } } }
 ]
 
 /** Fields that are whole numbers from 0. */
 const EXACT_FIELDS: ReadonlySet<string> = new Set(['epoch', 'version', 'acceptedUnder', 'count'])
 
 /** Fields whose absence another release may rely on. */
-const OPTIONAL_FIELDS: ReadonlySet<string> = new Set(['listVersion', 'owner in beat', 'ownedMilliseconds', 'members', 'phase'])
+const OPTIONAL_FIELDS: ReadonlySet<string> = new Set(['listVersion', 'owner in beat', 'ownedMilliseconds', 'storeAge', 'staleConfiguration', 'configuration in beat', 'members', 'phase'])
 
 const isOptional = (kind: unknown, field: string): boolean => OPTIONAL_FIELDS.has(field) || OPTIONAL_FIELDS.has(`${field} in ${String(kind)}`)
 
@@ -85,14 +87,14 @@
 
       it('is a protocol violation with an age that is no number', () => {
         for (const message of valid) {
-          for (const field of ['storeAge', 'ownerHeardAge', 'ownedMilliseconds'].filter(name => name in message)) {
+          for (const field of ['storeAge', 'ownerHeardAge', 'ownedMilliseconds', 'staleConfiguration'].filter(name => name in message)) {
             expect(() => read({ ...message, [field]: NaN }), field).to.throw(CornelgaugeError).with.property('code', 'protocol-violation')
           }
         }
       })
 
       it('is a protocol violation, and no other error, whatever a peer sends', () => {
-        const kinds = fc.constantFrom('beat', 'accept', 'job', 'cancel', 'phase', 'queued', 'succeed', 'taken', 'constructor', '__proto__')
+        const kinds = fc.constantFrom('beat', 'accept', 'job', 'cancel', 'phase', 'queued', 'configuration', 'succeed', 'taken', 'constructor', '__proto__')
         const messages = fc.oneof(fc.anything(), fc.tuple(kinds, fc.object()).map(([kind, rest]) => ({ ...rest, kind })))
         fc.assert(fc.property(messages, message => {
           try {
