--- a/packages/entry/src/leadership.ts
+++ b/packages/entry/src/leadership.ts
@@ -4,42 +4,17 @@
  */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
-import type { Clock, RowStore } from '@cornelgauge/ports'
-import type { EmitEvent } from '@cornelgauge/telemetry'
+import type { Clock } from '@cornelgauge/ports'
 import { isConnectionRefused } from '@cornelgauge/wire'
-import type { ConfigurationExchange } from './configuration-exchange.js'
 import { moment } from './elapsed.js'
 import { CONFIRM_INTERVAL_MILLISECONDS, HEARTBEAT_MILLISECONDS, HEARTBEAT_RETRY_MILLISECONDS, HEARTBEAT_TIMEOUT_MILLISECONDS, ISOLATED_TAKEOVER_MILLISECONDS, OWNER_SILENCE_MILLISECONDS, STARTUP_MILLISECONDS, STORE_LOST_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import type { LeadershipOptions } from './leadership-options.js'
 import { MemberList, NO_VERSION, UNWANTED_LIST } from './member-list.js'
 import type { KnownOwner, Member, PeerReply, PeerRequest } from './messages.js'
 import { OwnerEvidence } from './owner-evidence.js'
 import { claimOwnership, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
-import type { Peers } from './peers.js'
 import { compareSuccession, turnMilliseconds } from './succession.js'
 
-/** Options of `Leadership`. */
-export interface LeadershipOptions {
-  readonly self: Member
-  readonly seeds: readonly string[]
-  readonly store: RowStore
-  readonly peers: Peers
-  readonly emit: EmitEvent
-  /** The steady clock; the system's unless a test advances its own. */
-  readonly clock?: Clock
-  /** Milliseconds since the store last answered this VM. */
-  readonly storeAge: () => number
-  /** Called when this VM has become the owner, to load the planner; the signal aborts when it no longer is. */
-  readonly onOwned: (owner: OwnerRecord, signal: AbortSignal) => Promise<void>
-  /** Called when another VM has become the owner. */
-  readonly onLost: () => void
-  /** As owner: number of accepted jobs that wait in the store; undefined until the planner is loaded. */
-  readonly waitingJobs?: () => number | undefined
-  /** Called with that number as the owner says it. */
-  readonly onWaitingJobs?: (count: number) => void
-  /** Passes on what VMs know of the configuration. */
-  readonly configuration?: ConfigurationExchange
-}
-
 type HeartbeatRequest = Extract<PeerRequest, { kind: 'beat' }>
 type HeartbeatReply = Extract<PeerReply, { kind: 'beat' }>
 type CheckOutcome = 'settled' | 'in-doubt'
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -24,7 +24,8 @@
 import type { EarlierRuns, HeldServers, UnrecordedStarts } from './recovery.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
-import { PlannerState, type PlannerEvent } from './state.js'
+import type { PlannerEvent } from './planner-event.js'
+import { PlannerState } from './state.js'
 
 /** A job as loaded from the store. */
 export interface StoredJob {
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -1,6 +1,7 @@
 /** Events 10xx: jobs, and the VM that plans them. */
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
 import { EVACUATION_EVENTS } from './catalogue-evacuations.js'
+import { PLACEMENT_EVENTS } from './catalogue-placement.js'
 
 /** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
 const RUN_GROUP_FIELDS = { servers: 'number of backend servers', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'for each backend server its id and the tasks there, with the indexes of those of one step as ranges' } as const
@@ -352,12 +353,6 @@
     fields: { task: 'task; of a gang, one of the tasks', run: 'run number of the one that is stopped', server: 'its backend server', known: `how it became known: ${RUN_ORIGINS}`, keptRun: 'run number of the one that goes on', keptServer: 'its backend server', keptKnown: 'how that became known', members: 'number of runs that are stopped' },
     action: 'Report it with the lines of both runs and of both backend servers, events 1050 and 1051 among them.'
   },
-  'runs-reclaimed': {
-    number: 1056,
-    level: 'info',
-    sentence: 'The planner has runs stopped so that a waiting job gets their capacity; a task-stopped line with the reason reclaimed follows for each.',
-    fields: { job: 'id of the job that gets the capacity', step: 'its step', kind: 'why it may have others stopped: claim: its workspace\'s guarantee holds it; weight: it gains more than they lose', isGang: 'true if its tasks start all together or not at all', tasks: 'number of tasks for which capacity is held from now on', accelerators: 'accelerators that these need', runs: 'number of runs that are stopped', servers: 'number of their backend servers', freed: 'accelerators that they hold', waitedMilliseconds: 'how long the job had waited' },
-    action: NO_ACTION
-  },
+  ...PLACEMENT_EVENTS,
   ...EVACUATION_EVENTS
 } as const satisfies CatalogueRows
