Bound strangers on the inner protocol and clients of the daemon's own interface

Cause: 256 connections that never finish their handshake kept peers out, and a frame that arrived byte by byte was kept as as many chunks. The daemon's own HTTP server bounded neither connections nor the sum of open bodies.

Change: at the bound the oldest connection in its handshake is refused; chunks of an incomplete frame are merged, so that their number is logarithmic; the daemon's server has the guard and the budget too.

Failed before, by the code: a peer that comes after two strangers was refused, and 1,500 bytes were kept in 1,500 chunks.

--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { asFailure, CornelgaugeError, toProblem } from '@cornelgauge/model'
-import { readRequestBody } from '@cornelgauge/ports'
+import { BodyBudget, guardConnections, readRequestBody, type ConnectionLimits, type HeldBody } from '@cornelgauge/ports'
 import type { Address } from './settings.js'
 
 /** Maximum size of a request body. */
@@ -13,6 +13,9 @@
 export const MAXIMUM_DOCUMENT_BODY_BYTES = 1024 * 1024
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000
+/** Bytes of all bodies that are held at a time. */
+const OPEN_BODY_BYTES = 64 * 1024 * 1024
+const CONNECTION_LIMITS: ConnectionLimits = { connections: 1000, headerMilliseconds: HEADERS_TIMEOUT_MILLISECONDS, idleMilliseconds: HEADERS_TIMEOUT_MILLISECONDS, bodyMilliseconds: () => REQUEST_TIMEOUT_MILLISECONDS }
 const PROBLEM_TYPE = 'application/problem+json'
 
 /** A request as passed to a route. */
@@ -45,6 +48,7 @@
 export class HttpServer {
   readonly #routes: readonly Route[]
   readonly #server: Server
+  readonly #bodies = new BodyBudget(() => OPEN_BODY_BYTES, () => performance.now())
   #closing = false
 
   constructor (routes: readonly Route[]) {
@@ -52,6 +56,7 @@
     this.#server = createServer({ headersTimeout: HEADERS_TIMEOUT_MILLISECONDS, requestTimeout: REQUEST_TIMEOUT_MILLISECONDS }, (request, response) => {
       this.#serve(request, response).catch(() => { response.destroy() })
     })
+    guardConnections(this.#server, () => CONNECTION_LIMITS)
   }
 
   /** Starts to accept connections. */
@@ -78,15 +83,17 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const held = this.#bodies.open()
+    response.once('close', held.release)
     try {
-      const routeResponse = await this.#dispatch(request)
+      const routeResponse = await this.#dispatch(request, held)
       this.#send(response, routeResponse)
     } catch (thrown) {
       this.#send(response, problemResponse(asFailure(thrown)))
     }
   }
 
-  #dispatch (request: IncomingMessage): Promise<HttpResponse> {
+  #dispatch (request: IncomingMessage, held: HeldBody): Promise<HttpResponse> {
     const url = urlOf(request)
     const matchingRoutes = this.#routes.map(route => ({ route, parameters: matchPath(route.path, url.pathname) })).filter(match => match.parameters !== undefined)
     const match = matchingRoutes.find(({ route }) => route.method === request.method)
@@ -98,7 +105,7 @@
       parameters: match.parameters!,
       query: url.searchParams,
       header: name => singleHeader(request.headers[name]),
-      body: maximumBytes => readRequestBody(request, maximumBytes)
+      body: maximumBytes => readRequestBody(request, maximumBytes, held)
     })
   }
 
--- a/packages/ports/src/connection-guard.ts
+++ b/packages/ports/src/connection-guard.ts
@@ -14,11 +14,8 @@
   readonly bodyMilliseconds: (request: IncomingMessage) => number
 }
 
-/** Why connections were closed, with their numbers. */
-export interface ClosedConnections {
-  readonly crowded: number
-  readonly expired: number
-}
+/** Connections that were closed: for want of room, or past the time limit of a phase. */
+export type ClosedConnections = Readonly<Record<'crowded' | 'unused' | 'header' | 'body' | 'discarding', number>>
 
 interface Connection {
   readonly socket: Socket
@@ -47,7 +44,7 @@
   readonly #onClosed: () => void
   readonly #now: () => number
   readonly #connections = new Map<Socket, Connection>()
-  readonly #closed = { crowded: 0, expired: 0 }
+  readonly #closed = { crowded: 0, unused: 0, header: 0, body: 0, discarding: 0, idle: 0, answering: 0 }
   #sweepTimer: NodeJS.Timeout | undefined
   /** Time of the last sweep, and the guard's own time then. */
   #sweptAt = 0
@@ -68,7 +65,8 @@
 
   /** Connections closed so far. */
   get closed (): ClosedConnections {
-    return { ...this.#closed }
+    const { crowded, unused, header, body, discarding } = this.#closed
+    return { crowded, unused, header, body, discarding }
   }
 
   #add (socket: Socket): void {
@@ -128,7 +126,7 @@
   }
 
   #expire (connection: Connection): void {
-    this.#closed.expired += 1
+    this.#closed[connection.phase] += 1
     if (connection.phase !== 'discarding' && connection.socket.writable) connection.socket.write(TIMEOUT_RESPONSE)
     this.#close(connection)
   }
--- a/packages/ports/test/connection-guard.test.ts
+++ b/packages/ports/test/connection-guard.test.ts
@@ -5,6 +5,7 @@
 import { readRequestBody } from '../src/request-body.js'
 
 const LIMITS: ConnectionLimits = { connections: 3, headerMilliseconds: 100_000, idleMilliseconds: 100_000, bodyMilliseconds: () => 100_000 }
+const NOTHING_CLOSED = { crowded: 0, unused: 0, header: 0, body: 0, discarding: 0 }
 const HEADER = 'POST / HTTP/1.1\r\nHost: here\r\nContent-Length: 5\r\n\r\n'
 
 describe('the guard of a server\'s connections', function () {
@@ -59,16 +60,16 @@
     while (!waiting.received().endsWith('whole')) await new Promise(resolve => setTimeout(resolve, 5))
   })
 
-  const cases: readonly (readonly [string, string, Partial<ConnectionLimits>])[] = [
-    ['a header that does not end', 'POST / HT', { headerMilliseconds: 0 }],
-    ['a body that does not end', `${HEADER}par`, { bodyMilliseconds: () => 0 }],
-    ['a connection without a byte', '', { idleMilliseconds: 0 }]
+  const cases: readonly (readonly ['header' | 'body' | 'unused', string, Partial<ConnectionLimits>])[] = [
+    ['header', 'POST / HT', { headerMilliseconds: 0 }],
+    ['body', `${HEADER}par`, { bodyMilliseconds: () => 0 }],
+    ['unused', '', { idleMilliseconds: 0 }]
   ]
-  for (const [name, text, changed] of cases) {
-    it(`answers ${name} in time with 408 and closes the connection`, async () => {
+  for (const [phase, text, changed] of cases) {
+    it(`answers a connection past its time for the phase ${phase} with 408 and closes it`, async () => {
       limits = { ...LIMITS, ...changed }
       expect(await (await send(text)).closed).to.match(/^HTTP\/1\.1 408 /)
-      expect(guard.closed).to.deep.equal({ crowded: 0, expired: 1 })
+      expect(guard.closed).to.deep.equal({ ...NOTHING_CLOSED, [phase]: 1 })
     })
   }
 
@@ -80,7 +81,7 @@
     answer()
     while (!waiting.received().endsWith('whole')) await new Promise(resolve => setTimeout(resolve, 5))
     await (await send('POST / HT')).closed
-    expect(guard.closed).to.deep.equal({ crowded: 0, expired: 2 })
+    expect(guard.closed).to.deep.equal({ ...NOTHING_CLOSED, header: 2 })
     expect(guard.connections).to.equal(1)
   })
 })
--- a/packages/telemetry/src/catalogue-requests.ts
+++ b/packages/telemetry/src/catalogue-requests.ts
@@ -70,7 +70,7 @@
     number: 422,
     level: 'warning',
     sentence: 'Callers have exceeded the limits on connections, bodies or time; at most once a second.',
-    fields: { crowded: 'connections closed for want of room, since the last such event', expired: 'connections closed whose header or body did not arrive in time', bodies: 'bodies given up for want of memory', connections: 'open connections of callers', heldBytes: 'bytes of bodies that are held' },
+    fields: { refused: 'numbers since the last such event: crowded (connections closed for want of room), unused, header, body, discarding (connections closed past the time limit of this phase), shed (bodies given up for want of memory)', connections: 'open connections of callers', heldBytes: 'bytes of bodies that are held' },
     action: 'Find out which callers leave connections or bodies open; if they are within the limits, add VMs or raise the limits.'
   }
 } as const satisfies CatalogueRows
--- a/packages/wire/src/frame-decoder.ts
+++ b/packages/wire/src/frame-decoder.ts
@@ -1,7 +1,7 @@
 /**
  * A pure step function that splits a connection's bytes into frames, and the `most`
  * stream built on it. Chunks may end anywhere; the chunks of an incomplete frame are
- * kept in a list and joined only when the frame is complete.
+ * kept in a list, each longer than the one after it, and joined when the frame is complete.
  */
 import type { Socket } from 'node:net'
 import { asFailure, type CornelgaugeError } from '@cornelgauge/model'
@@ -69,11 +69,22 @@
   const chunks = { bytes, earlier: state.chunks }
   const lengthBytes = state.lengthBytes + bytes.length
   if (lengthBytes < state.neededBytes) {
-    return { state: { ...state, chunks, lengthBytes }, output: { frames: [], ended: false } }
+    return { state: { ...state, chunks: mergeSmaller(chunks), lengthBytes }, output: { frames: [], ended: false } }
   }
   return extractFrames(joinChunks(chunks, lengthBytes), limitBytes)
 }
 
+/** Joins the newest chunk with earlier ones that are not longer: the list stays short, however small the chunks are. */
+function mergeSmaller (chunks: Chunks): Chunks {
+  const { bytes, earlier } = chunks
+  if (earlier === undefined || earlier.bytes.length > bytes.length) return chunks
+  // A buffer of its own: one from the shared pool would keep the pool's memory.
+  const merged = Buffer.allocUnsafeSlow(earlier.bytes.length + bytes.length)
+  merged.set(earlier.bytes)
+  merged.set(bytes, earlier.bytes.length)
+  return mergeSmaller({ bytes: merged, earlier: earlier.earlier })
+}
+
 function joinChunks (chunks: Chunks, lengthBytes: number): Buffer {
   if (chunks.earlier === undefined) return chunks.bytes
   const buffers: Buffer[] = []
--- a/packages/wire/src/server-connection.ts
+++ b/packages/wire/src/server-connection.ts
@@ -26,6 +26,7 @@
   #vm: VmName | undefined
   #isDraining = false
   #isPeerDraining = false
+  #isRefused = false
 
   constructor (socket: Socket, context: ServerContext, onClosed: (connection: ServerConnection) => void) {
     const { clock, timers, limits, traffic } = context
@@ -60,8 +61,14 @@
     this.#link.destroy(connectionLost('stopped', false))
   }
 
+  /** True while the peer has not proved that it knows the secret, and was not refused either. */
+  get isInHandshake (): boolean {
+    return this.#vm === undefined && !this.#isRefused
+  }
+
   /** Sends the peer the reason for the refusal and closes the connection. */
   refuse (failure: CornelgaugeError): void {
+    this.#isRefused = true
     this.#report({ type: 'peer-refused', failure })
     this.#link.refuse({ type: 'refused', code: failure.code, detail: failure.message }, failure)
   }
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -113,9 +113,13 @@
   #accept (socket: Socket): void {
     const connection = new ServerConnection(socket, this.#context, closed => this.#remove(closed))
     this.#connections.add(connection)
-    if (this.#connections.size > this.#context.limits.maximumConnections) {
-      connection.refuse(new CornelgaugeError('overloaded', { detail: 'The server has no connection left' }))
-    }
+    if (this.#connections.size > this.#context.limits.maximumConnections) this.#refuseOne()
+  }
+
+  /** Refuses the oldest connection in its handshake, so that strangers can't keep peers out; the newcomer is one of them. */
+  #refuseOne (): void {
+    const oldest = [...this.#connections].find(connection => connection.isInHandshake)
+    oldest?.refuse(new CornelgaugeError('overloaded', { detail: 'The server has no connection left' }))
   }
 
   #remove (connection: ServerConnection): void {
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server, type Socket } from 'node:net'
+import { connect, createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { vmName, type CornelgaugeError } from '@cornelgauge/model'
 import { expect } from 'chai'
@@ -187,6 +187,19 @@
     })
   })
 
+  describe('the connection limit, used up by connections that never finish their handshake', () => {
+    it('refuses the oldest of them and serves a peer that comes later', async () => {
+      const server = await fixture.startServer(replyWithStatus, { limits: { maximumConnections: 2, handshakeMilliseconds: 60_000 } })
+      const [host, port] = server.address.split(':')
+      const strangers = [1, 2].map(() => connect({ host, port: Number(port) }).on('error', () => {}))
+      const closed = Promise.race(strangers.map(stranger => new Promise(resolve => stranger.resume().once('close', resolve))))
+      await until(() => server.statistics.connections === 2)
+      expect(await fixture.createClient().call(server.address, CALL, 5000)).to.deep.equal(STATUS_REPLY)
+      await closed
+      strangers.forEach(stranger => stranger.destroy())
+    })
+  })
+
   describe('silence', () => {
     it('does not end the connection while the peer answers pings', async () => {
       const timers = new VirtualTimers()
--- a/packages/wire/test/frame-decoder.test.ts
+++ b/packages/wire/test/frame-decoder.test.ts
@@ -58,6 +58,16 @@
       expect(frames.map(toPlainJson)).to.deep.equal(FRAMES.map(toPlainJson))
     })
 
+    it('keeps an incomplete frame in few chunks, however small they arrive', () => {
+      let state = INITIAL_DECODER_STATE
+      const frame = encodeFrame({ type: 'part', id: 2, message: 'reply', index: 0, body: Buffer.alloc(1500), logicalTime: 5 })
+      for (const byte of frame.subarray(0, 1500)) state = decodeStep(state, chunk(Buffer.from([byte]))).state
+      let count = 0
+      for (let next = state.chunks; next !== undefined; next = next.earlier) count += 1
+      expect(state.lengthBytes).to.equal(1500)
+      expect(count).to.be.at.most(Math.ceil(Math.log2(1500)))
+    })
+
     it('decodes frames in chunks of arbitrary sizes', () => {
       fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.integer({ min: 1, max: 99 })), sizes => {
         const inputs: DecoderInput[] = []
