Stop nothing for a gang that may not start, and replay the bursts of two more loads

Cause: a gang without checkpoints that would take what claims are expected to need isn't started, but had others stopped for it, round after round. With capacity held for it, that would stand idle.

Change: such a gang is only reserved for, as any other that waits, and its hold is withdrawn. A gang whose turn to be placed has not come keeps its hold. The replay has the patterns dock-planning and return-processing: bursts of urgent and of bulk work, stops of 400 ms, restores of 100 and 250 ms, backend servers of unlike speed.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -209,8 +209,9 @@
     const targets = mayBorrow && !isDeferred ? turns.place(step, () => this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait))) : undefined
     if (targets === undefined) {
       if ((this.#isFirstPass && !candidate.isClaim) || this.#isolation.mayHold(unit)) return
-      // Nothing is stopped for a gang that may fit as it is, unless it claims capacity.
-      const isReclaimed = (candidate.isClaim || !isDeferred) && this.#reclaims.reclaim(unit, candidate)
+      // Nothing is stopped for a gang that may fit as it is, unless it claims capacity, or for one that may not start.
+      if (!mayBorrow) this.#holds.withdraw(step)
+      const isReclaimed = mayBorrow && (candidate.isClaim || !isDeferred) && this.#reclaims.reclaim(unit, candidate, isDeferred)
       if (!isReclaimed && !candidate.isClaim) this.#reclaims.reserveForGang(unit)
       return
     }
--- a/packages/jobs/src/reclaim-round.ts
+++ b/packages/jobs/src/reclaim-round.ts
@@ -115,13 +115,14 @@
 
   /**
    * Stops runs for a claim, or for work that gains more than the stops cost, and holds what
-   * they free for it. False if nothing is held or reserved.
+   * they free for it. False if nothing is held or reserved. `isDeferred` says that the unit hasn't been placed in this
+   * round though it may fit.
    */
-  reclaim (unit: StartUnit, candidate: Candidate): boolean {
+  reclaim (unit: StartUnit, candidate: Candidate, isDeferred = false): boolean {
     const { step, first, count } = unit
     const { holds, waits } = this.#parts
     const wasHeld = holds.has(step)
-    if (holds.suffices(step, count)) return true
+    if (holds.suffices(step, count, isDeferred)) return true
     if (!candidate.isClaim && !this.#mayPreempt(step, candidate)) return false
     const turns = this.#state.claimTurns
     if (candidate.isClaim && !turns.isNext(step)) return this.#reserveAgain(unit, turns)
--- a/packages/jobs/src/round-holds.ts
+++ b/packages/jobs/src/round-holds.ts
@@ -68,12 +68,12 @@
 
   /**
    * True if the capacity that is being freed for a step will do for this many tasks, so that nothing more is freed. If all of it is
-   * free and the tasks weren't placed, something else keeps them from it, and the hold is withdrawn.
+   * free and the tasks weren't placed, though it was their turn, something else keeps them from it, and the hold is withdrawn.
    */
-  suffices (step: StepState, count: number): boolean {
+  suffices (step: StepState, count: number, isDeferred: boolean): boolean {
     const servers = this.#holds.of(step)
     if (servers.length < count) return false
-    if (!this.#fits(this.#current, step, servers)) return true
+    if (isDeferred || !this.#fits(this.#current, step, servers)) return true
     this.withdraw(step)
     return false
   }
--- a/packages/jobs/test/claims.test.ts
+++ b/packages/jobs/test/claims.test.ts
@@ -189,6 +189,15 @@
       expect(world.stops).to.deep.equal([])
     })
 
+    it('stops nothing for work that may not start, since claims are expected to need what it takes', () => {
+      const world = new World(1)
+      world.planner.submit(job('bulk', { steps: [step({ count: 8, savesCheckpoints: true })] }))
+      world.settle(150)
+      world.planner.submit(job('urgent', { queue: 'urgent', acceptedAt: world.wallTime - URGENT_AGE_MILLISECONDS, steps: [step({ count: 3, accelerators: 2, isGang: true })] }))
+      world.settle(30)
+      expect(world.stops).to.deep.equal([])
+    })
+
     it('stops no work without checkpoints that has run for long', () => {
       expect(fullPoolWithUrgentJob(false).stops).to.deep.equal([])
     })
--- a/packages/load-replay/src/pattern.ts
+++ b/packages/load-replay/src/pattern.ts
@@ -41,6 +41,13 @@
   readonly lateValue: number
 }
 
+/** An interval in which the arrival rate of some jobs is multiplied by a factor. */
+export interface Burst {
+  readonly factor: number
+  readonly from: number
+  readonly milliseconds: number
+}
+
 /** A load with the deployment that serves it. */
 export interface LoadPattern {
   readonly name: string
@@ -56,11 +63,15 @@
   readonly rateAmplitude: number
   readonly periodMilliseconds: number
   /** Interval in which the arrival rate of urgent jobs is multiplied by a factor. */
-  readonly burst: { readonly factor: number, readonly from: number, readonly milliseconds: number }
+  readonly burst: Burst
+  /** The same for bulk jobs, if they have a burst of their own. */
+  readonly bulkBurst?: Burst
   /** Price of one core-second of discarded work. */
   readonly wastePrice: number
   /** Maximum duration of a stop. */
   readonly longestStopMilliseconds: number
+  /** Time to restore a checkpoint before a run starts to work, where the platform gives it; else 600. */
+  readonly restoreMilliseconds?: number
 }
 
 /** Run time factor of stragglers, and their share of the tasks. */
@@ -135,7 +146,43 @@
   ]
 }
 
-export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN }
+/** Bursts of urgent and of bulk work on a full pool of 245 backend servers, with gangs of whole ones in a rack, and stops that take 400 ms. */
+export const DOCK_PLANNING: LoadPattern = {
+  ...RENEWAL_GROWN,
+  name: 'dock-planning',
+  servers: 245,
+  serversPerRack: 8,
+  serverSlowness: [1],
+  capacity: { processor: 128_000, memory: 524_288, accelerators: 8 },
+  burst: { factor: 2, from: 4000, milliseconds: 6000 },
+  bulkBurst: { factor: 2.4, from: 6000, milliseconds: 6000 },
+  longestStopMilliseconds: 400,
+  restoreMilliseconds: 100,
+  wastePrice: 0.00056,
+  kinds: [
+    { ...URGENT, name: 'fare-recon', perSecond: 4, workMilliseconds: 2500, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 4, maximumTasks: 30, processor: 15_000, memory: 61_000, failureShare: 0.05, attempts: 4, latencyMilliseconds: 250 },
+    { ...LONG, name: 'rebalance-plan', perSecond: 1.17, workMilliseconds: 8500, runTimeSpread: 0.15, estimateError: 0.5, meanTasks: 9, maximumTasks: 60, processor: 52_000, memory: 270_000, failureShare: 0.02, attempts: 2, lateValue: 0.9 },
+    { ...BULK, name: 'demand-forecast', perSecond: 1.15, workMilliseconds: 7600, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 28, maximumTasks: 180, processor: 11_000, memory: 46_000, failureShare: 0.05, attempts: 4, lateValue: 0.3 }
+  ]
+}
+
+/** The same bursts where saves and restores are quick, and backend servers differ. */
+export const RETURN_PROCESSING: LoadPattern = {
+  ...DOCK_PLANNING,
+  name: 'return-processing',
+  servers: 246,
+  serverSlowness: [1 / 0.6, 1, 1 / 1.6],
+  capacity: { processor: 128_000, memory: 262_144, accelerators: 8 },
+  longestStopMilliseconds: 200,
+  restoreMilliseconds: 250,
+  kinds: [
+    { ...DOCK_PLANNING.kinds[0]!, name: 'draft-preview', perSecond: 4.45, workMilliseconds: 2100, memory: 31_000 },
+    { ...DOCK_PLANNING.kinds[1]!, name: 'bulk-recalc', perSecond: 0.838, workMilliseconds: 9400, memory: 140_000 },
+    { ...DOCK_PLANNING.kinds[2]!, name: 'deduction-check', perSecond: 1.28, workMilliseconds: 5200, memory: 29_000 }
+  ]
+}
+
+export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN, 'dock-planning': DOCK_PLANNING, 'return-processing': RETURN_PROCESSING }
 
 /**
  * Multiplies the arrival rates of a pattern.
--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -17,7 +17,7 @@
 const ROUND_INTERVAL_MILLISECONDS = 150
 /** Interval of polls to a backend server on which no run ends, in milliseconds. */
 const POLL_INTERVAL_MILLISECONDS = 1200
-/** Time to restore a checkpoint before a run starts to work, in milliseconds. */
+/** Time to restore a checkpoint before a run starts to work where the pattern gives none, in milliseconds. */
 const RESTORE_MILLISECONDS = 600
 /** How long the replay continues after the last arrival, to let late jobs end, in milliseconds. */
 const DRAIN_MILLISECONDS = 240_000
@@ -47,7 +47,8 @@
     const entries = serversOf(pattern)
     this.#servers = new Map(entries.map((entry, index) => [entry.id, new SimulatedServer(entry, pattern.serverSlowness[index % pattern.serverSlowness.length]!)]))
     this.#outcomes = new Map(arrivalsOf(pattern, seed).map(arrival => [arrival.job.id, { arrival, wastedCoreSeconds: 0, stops: 0 }]))
-    this.#planner = new Planner(epoch(1), [], this.#times, rules)
+    const { restoreMilliseconds, longestStopMilliseconds } = pattern
+    this.#planner = new Planner(epoch(1), [], this.#times, rules, restoreMilliseconds === undefined ? {} : { restoreMilliseconds, stopMilliseconds: longestStopMilliseconds })
     this.#planner.configure(configurationOf(pattern))
     this.#planner.updateServers(entries, 0)
   }
@@ -73,6 +74,10 @@
     return { now: this.#timeline.now, wallTime: START_TIME + this.#timeline.now }
   }
 
+  get #restoreMilliseconds (): number {
+    return this.#pattern.restoreMilliseconds ?? RESTORE_MILLISECONDS
+  }
+
   get #isFinished (): boolean {
     return this.#timeline.now > this.#pattern.lengthMilliseconds && [...this.#outcomes.values()].every(outcome => outcome.endedAt !== undefined)
   }
@@ -136,7 +141,7 @@
     outcome.startedAt ??= this.#timeline.now
     const members = this.#membersOf(run, address)
     if (outcome.arrival.job.steps[address.step]!.isGang) this.#startGang(members, address)
-    else this.#startWork(server, run, command.checkpoint === '' ? 0 : RESTORE_MILLISECONDS)
+    else this.#startWork(server, run, command.checkpoint === '' ? 0 : this.#restoreMilliseconds)
   }
 
   /** Returns the active runs of a gang with the same run number. */
@@ -154,7 +159,7 @@
     const failing = members.filter(({ run }) => run.plannedEnd === 'failed')
     const memberMilliseconds = members.map(({ run }) => run.endsAfterWork * (isSpread ? SPREAD_FACTOR : 1))
     const milliseconds = failing.length > 0 ? Math.min(...failing.map(({ run }) => run.endsAfterWork)) : Math.max(...memberMilliseconds)
-    const restore = members.some(({ run }) => run.savedWork > 0) ? RESTORE_MILLISECONDS : 0
+    const restore = members.some(({ run }) => run.savedWork > 0) ? this.#restoreMilliseconds : 0
     for (const { run } of members) run.workingSince = this.#timeline.now + restore
     this.#timeline.scheduleAfter(restore + milliseconds, () => {
       if (!members.every(({ server, run }) => server.runs.get(run.task) === run)) return
--- a/packages/load-replay/src/workload.ts
+++ b/packages/load-replay/src/workload.ts
@@ -1,7 +1,7 @@
 /** Draws the jobs and builds the deployment of a replay from a pattern. */
 import { epoch, workspaceName } from '@cornelgauge/model'
 import { configurationVersion, jobId, poolName, queueName, serverId, type Configuration, type Job, type ServerEntry, type StepSpecification } from '@cornelgauge/jobs'
-import { STRAGGLER_FACTOR, STRAGGLER_SHARE, type KindPattern, type LoadPattern } from './pattern.js'
+import { STRAGGLER_FACTOR, STRAGGLER_SHARE, type Burst, type KindPattern, type LoadPattern } from './pattern.js'
 import { Random } from './random.js'
 
 /** A job with data that is hidden from the planner. */
@@ -75,12 +75,17 @@
   return `r1-${Math.floor(index / pattern.serversPerRack)}`
 }
 
+const NO_BURST: Burst = { factor: 1, from: 0, milliseconds: 0 }
+/** Bursts by priority. */
+const BURSTS: Readonly<Record<number, (pattern: LoadPattern) => Burst | undefined>> = { 0: ({ burst }) => burst, 2: ({ bulkBurst }) => bulkBurst }
+
 function drawArrivalTimes (pattern: LoadPattern, kind: KindPattern, random: Random): readonly number[] {
-  const { rateAmplitude, periodMilliseconds, burst, lengthMilliseconds } = pattern
-  const maximumRate = kind.perSecond * (1 + rateAmplitude) * (kind.priority === 0 ? burst.factor : 1)
+  const { rateAmplitude, periodMilliseconds, lengthMilliseconds } = pattern
+  const burst = BURSTS[kind.priority]?.(pattern) ?? NO_BURST
+  const maximumRate = kind.perSecond * (1 + rateAmplitude) * burst.factor
   const times: number[] = []
   for (let time = random.exponential(1000 / maximumRate); time < lengthMilliseconds; time += random.exponential(1000 / maximumRate)) {
-    const isBurst = kind.priority === 0 && time >= burst.from && time < burst.from + burst.milliseconds
+    const isBurst = time >= burst.from && time < burst.from + burst.milliseconds
     const rate = kind.perSecond * (1 + rateAmplitude * Math.sin(2 * Math.PI * time / periodMilliseconds)) * (isBurst ? burst.factor : 1)
     if (random.chance(rate / maximumRate)) times.push(time)
   }
