Learn the speeds of backend servers, and place work by them

Cause: where a third of a pool runs at 1.6 of the usual time, hardly a gang of five that is placed without regard to speed ends in time, though it starts within 40 ms: its slowest member sets its pace.

Change: the planner learns how many times as long as usual tasks take on each backend server, from percentages and ends, against the other runs of the step and the declared estimate. Where one is too slow for a queue of its pool, hasty work gets the fast ones, a gang the rack whose slowest member is the fastest, and other work what only it can use; else placement is as before. load-replay has a pattern of three speeds, and compares the rule place-by-speed.

--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -13,7 +13,7 @@
 /** Value of a completion after `EXPIRY_OBJECTIVES`: above 0, so that such jobs run when nothing else waits. */
 const EXPIRED_FACTOR = 0.01
 /** A completion later than this many times the objective has no value for the caller. */
-const EXPIRY_OBJECTIVES = 3
+export const EXPIRY_OBJECTIVES = 3
 /** Part of a job's value that doesn't depend on its size, as a share of a mean job's value. */
 const FIXED_VALUE_SHARE = 0.3
 /** Upper limit of a job's value, in multiples of a mean job's. */
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -17,6 +17,7 @@
 import { isMostlyIdle, snapshotAfterStops, snapshotOf } from './round-snapshots.js'
 import { remainingMilliseconds, runningGroups } from './running-groups.js'
 import type { SearchTurns } from './search-turns.js'
+import { toleranceOf, type SpeedRank } from './speed-preference.js'
 import type { PlannerState } from './state.js'
 import { startUnitOf, unitOf, type StartUnit } from './start-unit.js'
 import { startingRun } from './starting-run.js'
@@ -207,7 +208,7 @@
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
     const turns = this.#state.placementTurns
     const isDeferred = mayBorrow && !turns.isNext(step)
-    const targets = mayBorrow && !isDeferred ? turns.place(step, () => this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait))) : undefined
+    const targets = mayBorrow && !isDeferred ? turns.place(step, () => this.#choose(unit, candidate, mayWait, allowed => placeGang(allowed, step, mayWait, this.#speedRankFor(step, candidate)))) : undefined
     if (targets === undefined) {
       if (this.#isFirstPass || this.#isolation.mayHold(unit)) return
       // Nothing is stopped for a gang that may fit as it is, unless it claims capacity.
@@ -228,7 +229,7 @@
       const single = unitOf(task)
       if (!this.#mayBorrow(single, candidate)) return
       const mayWait = this.#waits.mayWaitForPlacement(single, candidate)
-      const target = this.#choose(single, candidate, mayWait, allowed => this.#chooseTarget(allowed, task))
+      const target = this.#choose(single, candidate, mayWait, allowed => this.#chooseTarget(allowed, task, candidate))
       if (target !== undefined) {
         this.#start(task, target, this.#state.nextRun())
         started += 1
@@ -257,17 +258,26 @@
     return first === undefined ? undefined : { step, first, count }
   }
 
-  #chooseTarget (snapshot: CapacitySnapshot, task: TaskState): PlacementTarget | undefined {
+  #chooseTarget (snapshot: CapacitySnapshot, task: TaskState, candidate: Candidate): PlacementTarget | undefined {
     const { step } = task
     const { dataRack } = step.specification
     const targets = this.#starting.hasFullServers ? snapshot.targets.filter(({ server }) => this.#starting.hasRoomFor(server.id)) : snapshot.targets
     if (dataRack !== undefined) {
       const inDataRack = targets.filter(target => target.server.entry.rack === dataRack)
-      const target = placeTasks(snapshot, inDataRack, step, 1)?.[0]
+      const target = placeTasks(snapshot, inDataRack, step, 1, this.#speedRankFor(step, candidate, true))?.[0]
       const mayWaitForRack = this.#waits.readyMilliseconds(task) < MAXIMUM_DATA_RACK_WAIT_MILLISECONDS
       if (target !== undefined || (mayWaitForRack && inDataRack.length > 0)) return target
     }
-    return placeTasks(snapshot, targets, step, 1)?.[0]
+    return placeTasks(snapshot, targets, step, 1, this.#speedRankFor(step, candidate))?.[0]
+  }
+
+  /** Ranks the backend servers for a step by their speeds, where these matter. */
+  #speedRankFor ({ specification }: StepState, candidate: Candidate, isNearData = specification.dataRack === undefined): SpeedRank | undefined {
+    const { rules, speeds } = this.#state
+    const terms = rules.has('place-by-speed') ? this.#state.termsOf(candidate.job) : undefined
+    if (terms === undefined) return undefined
+    const pool = speeds.of(candidate.job.job.pool, this.#state, this.#times.now)
+    return isNearData ? pool.rankFor(toleranceOf(candidate, terms.stretch)) : pool.neutralRank
   }
 
   #requestAdvice (unit: StartUnit, candidate: Candidate): void {
--- a/packages/jobs/src/placement-rules.ts
+++ b/packages/jobs/src/placement-rules.ts
@@ -10,6 +10,8 @@
   | 'stop-by-worth'
   /** Lets a claim wait for capacity only as long as it can still end in time after the stops. */
   | 'wait-by-slack'
+  /** Gives hasty work the fast backend servers where others are too slow for it. */
+  | 'place-by-speed'
 
 /** All placement rules. */
-export const PLACEMENT_RULES: readonly PlacementRule[] = ['reserve-for-gangs', 'keep-for-claims', 'stop-by-worth', 'wait-by-slack']
+export const PLACEMENT_RULES: readonly PlacementRule[] = ['reserve-for-gangs', 'keep-for-claims', 'stop-by-worth', 'wait-by-slack', 'place-by-speed']
--- a/packages/jobs/src/placement.ts
+++ b/packages/jobs/src/placement.ts
@@ -1,9 +1,11 @@
 /**
  * Chooses targets for tasks by best fit: the fullest backend server that still fits. This
  * avoids fragmentation: small tasks spread over many backend servers leave no empty one for gangs.
+ * Where the speeds of the backend servers matter, their ranks come first.
  */
 import { sumFreeAccelerators } from './capacity.js'
 import { countFitting, countFittingEmpty, type PlacementTarget, type CapacitySnapshot } from './capacity-snapshot.js'
+import type { SpeedRank } from './speed-preference.js'
 import type { StepState } from './step-state.js'
 
 /**
@@ -13,9 +15,9 @@
  * @example
  * const targets = placeTasks(snapshot, snapshot.targets, step, 3)
  */
-export function placeTasks (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, count: number): readonly PlacementTarget[] | undefined {
+export function placeTasks (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, count: number, rankOf?: SpeedRank): readonly PlacementTarget[] | undefined {
   snapshot.work.add(candidates.length)
-  if (count === 1) return placeTask(snapshot, candidates, step)
+  if (count === 1) return placeTask(snapshot, candidates, step, rankOf)
   let room = 0
   const fittingTargets: { readonly target: PlacementTarget, readonly fitting: number }[] = []
   for (const target of candidates) {
@@ -24,7 +26,7 @@
     room += fitting
   }
   if (room < count) return undefined
-  fittingTargets.sort((left, right) => compareOffers(left.target, right.target, step))
+  fittingTargets.sort((left, right) => compareOffers(left.target, right.target, step, rankOf))
   const chosen: PlacementTarget[] = []
   for (const { target, fitting } of fittingTargets) {
     for (let taken = 0; taken < fitting && chosen.length < count; taken += 1) {
@@ -36,10 +38,10 @@
 }
 
 /** Chooses the target of one task: of those that fit, the first of the best. */
-function placeTask (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState): readonly PlacementTarget[] | undefined {
+function placeTask (snapshot: CapacitySnapshot, candidates: readonly PlacementTarget[], step: StepState, rankOf?: SpeedRank): readonly PlacementTarget[] | undefined {
   let best: PlacementTarget | undefined
   for (const target of candidates) {
-    if (best !== undefined && compareOffers(best, target, step) <= 0) continue
+    if (best !== undefined && compareOffers(best, target, step, rankOf) <= 0) continue
     if (countFitting(target, step, 1) > 0) best = target
   }
   if (best === undefined) return undefined
@@ -49,26 +51,28 @@
 
 /**
  * Chooses targets for a gang. A gang that wants one rack gets targets within one rack; it
- * is spread only if it may not wait for a rack, or if no rack could hold it.
+ * is spread only if it may not wait for a rack, or if no rack could hold it. The slowest
+ * member sets the pace of a gang, so the rack is chosen by that.
  *
  * @example
  * const targets = placeGang(snapshot, step, true)
  */
-export function placeGang (snapshot: CapacitySnapshot, step: StepState, mayWaitForRack: boolean): readonly PlacementTarget[] | undefined {
+export function placeGang (snapshot: CapacitySnapshot, step: StepState, mayWaitForRack: boolean, rankOf?: SpeedRank): readonly PlacementTarget[] | undefined {
   const count = step.count
-  if (!step.specification.wantsOneRack) return placeTasks(snapshot, snapshot.targets, step, count)
+  if (!step.specification.wantsOneRack) return placeTasks(snapshot, snapshot.targets, step, count, rankOf)
   const { racks } = snapshot
   snapshot.work.add(snapshot.targets.length)
   const fitting = racks
     .map(targets => ({ targets, taskCapacity: targets.reduce((sum, target) => sum + countFitting(target, step, count), 0) }))
     .filter(rack => rack.taskCapacity >= count)
-    .sort((left, right) => freeAccelerators(left.targets) - freeAccelerators(right.targets))
-  if (fitting[0] !== undefined) return placeTasks(snapshot, fitting[0].targets, step, count)
+    .map(({ targets }) => ({ targets, slowestRank: slowestRank(targets, step, rankOf) }))
+    .sort((left, right) => left.slowestRank - right.slowestRank || freeAccelerators(left.targets) - freeAccelerators(right.targets))
+  if (fitting[0] !== undefined) return placeTasks(snapshot, fitting[0].targets, step, count, rankOf)
   const couldWait = mayWaitForRack && racks.some(targets => {
     snapshot.work.add(targets.length)
     return couldHold(targets, step)
   })
-  return couldWait ? undefined : placeTasks(snapshot, snapshot.targets, step, count)
+  return couldWait ? undefined : placeTasks(snapshot, snapshot.targets, step, count, rankOf)
 }
 
 /**
@@ -85,13 +89,25 @@
   })
 }
 
+/** The highest rank among the targets that a gang gets of these. */
+function slowestRank (targets: readonly PlacementTarget[], step: StepState, rankOf?: SpeedRank): number {
+  if (rankOf === undefined) return 0
+  const ranked = targets.map(target => ({ rank: rankOf(target.server.id), fitting: countFitting(target, step, step.count) })).sort((left, right) => left.rank - right.rank)
+  let room = 0
+  return ranked.find(({ fitting }) => {
+    room += fitting
+    return room >= step.count
+  })?.rank ?? Infinity
+}
+
 function freeAccelerators (targets: readonly PlacementTarget[]): number {
   return sumFreeAccelerators(targets.map(target => target.free))
 }
 
-/** Orders targets for a step. Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work. */
-function compareOffers (left: PlacementTarget, right: PlacementTarget, { specification: { savesCheckpoints } }: StepState): number {
-  return Number(isOfOtherKind(left, savesCheckpoints)) - Number(isOfOtherKind(right, savesCheckpoints)) || compareTightness(left, right)
+/** Orders targets for a step: by speed where that matters, then by kind. Work of the same kind, with or without checkpoints, is kept together, so that a claim finds backend servers that can be emptied without losing work. */
+function compareOffers (left: PlacementTarget, right: PlacementTarget, { specification: { savesCheckpoints } }: StepState, rankOf?: SpeedRank): number {
+  const bySpeed = rankOf === undefined ? 0 : rankOf(left.server.id) - rankOf(right.server.id)
+  return bySpeed || Number(isOfOtherKind(left, savesCheckpoints)) - Number(isOfOtherKind(right, savesCheckpoints)) || compareTightness(left, right)
 }
 
 function isOfOtherKind ({ tasksWithoutCheckpoints }: PlacementTarget, savesCheckpoints: boolean): boolean {
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -23,6 +23,7 @@
 import type { EarlierRuns, HeldServers, UnrecordedStarts } from './recovery.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
+import type { SpeedBelief } from './server-speed.js'
 import { PlannerState, type PlannerEvent } from './state.js'
 
 /** A job as loaded from the store. */
@@ -358,6 +359,12 @@
     return decide(this.#state, times, mayStart)
   }
 
+  /** Returns the believed speed of a backend server; undefined if it isn't known. */
+  speedOf (id: ServerId): SpeedBelief | undefined {
+    const server = this.#state.servers.get(id)
+    return server && this.#state.speeds.of(server.entry.pool, this.#state, this.#lastTimes.now).beliefOf(id)
+  }
+
   /** Number of backend servers, running groups and jobs that all rounds so far have examined: their work, whatever the machine. */
   get examinations (): number {
     return this.#state.work.examinations
@@ -416,7 +423,9 @@
   #forgetServers (now: number): void {
     for (const server of this.#state.servers.values()) {
       const isGone = !server.isListed && server.missedPolls > 0 && server.leasesExpiredBy < now
-      if (isGone && server.runs.size === 0 && !server.revokedStarts.hasPending(now)) this.#state.servers.delete(server.id)
+      if (!isGone || server.runs.size > 0 || server.revokedStarts.hasPending(now)) continue
+      this.#state.servers.delete(server.id)
+      this.#state.speeds.forget(server.id)
     }
   }
 }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -86,6 +86,7 @@
     const task = state.task(entry.task)
     if (task !== undefined) task.checkpoint = entry.checkpoint
   }
+  state.speeds.noteProgress(server, run, report)
   return run
 }
 
@@ -177,6 +178,7 @@
     server.consecutiveFailures = 0
     const run = server.run(end.task, end.run)
     if (run !== undefined && run.confirmedAt < report.receivedAt) state.recordRunTime(step.job.job.queue, report.receivedAt - run.confirmedAt)
+    if (run !== undefined) state.speeds.noteDone(server, run, report)
     if (step.specification.isLasting || task.isDone) return
     step.complete(task)
     if (step.specification.isGang) stopOtherStarts(state, task, end.run)
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -23,6 +23,7 @@
 import { RunningGroupCache } from './running-group-cache.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
+import { ServerSpeeds } from './server-speeds.js'
 import { StartLimit } from './start-limit.js'
 import type { StepState } from './step-state.js'
 import type { TaskState } from './task-state.js'
@@ -90,6 +91,8 @@
   /** Turns of the gangs that wait for capacity. */
   readonly placementTurns = new PlacementTurns(this.work)
   readonly claimDemand = new ClaimDemand()
+  /** Speeds of the backend servers, as their runs show them. */
+  readonly speeds = new ServerSpeeds()
   /** How many starts may be under way. */
   readonly startLimit = new StartLimit()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
--- a/packages/load-replay/src/pattern.ts
+++ b/packages/load-replay/src/pattern.ts
@@ -135,7 +135,25 @@
   ]
 }
 
-export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN }
+const RETURNS_GUARANTEES = [240, 200, 160, 120, 96, 80, 64, 64, 56, 48]
+
+/** A busy day of the tax return service: backend servers of three speeds, and gangs of urgent work that the slow ones make late. */
+export const RETURNS: LoadPattern = {
+  ...BUSY_DAY,
+  name: 'returns',
+  servers: 246,
+  serverSlowness: [0.6, 1, 1.6],
+  capacity: { processor: 128_000, memory: 262_144, accelerators: 8 },
+  wastePrice: 0.0016,
+  workspaces: RETURNS_GUARANTEES.map((guaranteed, index) => ({ name: `workspace-${index}`, share: guaranteed / RETURNS_GUARANTEES.reduce((sum, each) => sum + each), guaranteed })),
+  kinds: [
+    { ...URGENT, name: 'draft-preview', perSecond: 4.45, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 5.4, maximumTasks: 32, processor: 15_000, memory: 22_000, failureShare: 0.05, attempts: 4, latencyMilliseconds: 250 },
+    { ...LONG, name: 'bulk-recalc', perSecond: 0.84, workMilliseconds: 9400, runTimeSpread: 0.15, estimateError: 0.5, meanTasks: 13, maximumTasks: 78, processor: 52_000, memory: 140_000, failureShare: 0.02, attempts: 2, lateValue: 0.9 },
+    { ...BULK, name: 'deduction-check', perSecond: 1.28, runTimeSpread: 0.15, estimateError: 0.2, meanTasks: 39, maximumTasks: 230, processor: 11_000, memory: 23_000, failureShare: 0.05, attempts: 4, lateValue: 0.3 }
+  ]
+}
+
+export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN, returns: RETURNS }
 
 /**
  * Multiplies the arrival rates of a pattern.
--- a/packages/load-replay/src/replay.ts
+++ b/packages/load-replay/src/replay.ts
@@ -21,6 +21,8 @@
 const RESTORE_MILLISECONDS = 600
 /** How long the replay continues after the last arrival, to let late jobs end, in milliseconds. */
 const DRAIN_MILLISECONDS = 240_000
+/** Interval at which the believed speeds are compared with the simulated ones, in milliseconds. */
+const SPEED_MEASUREMENT_MILLISECONDS = 5000
 const CORES_PER_ACCELERATOR = 8
 
 /**
@@ -38,6 +40,7 @@
   readonly #planner: Planner
   /** Work saved in checkpoints, in milliseconds, by checkpoint. */
   readonly #savedWork = new Map<string, number>()
+  readonly #speedErrors = new Map<number, number>()
   #isRoundDue = false
   #largestRound = 0
 
@@ -60,10 +63,24 @@
       if (cancelAt !== undefined) this.#timeline.schedule(cancelAt, () => this.#cancel(outcome))
     }
     this.#scheduleRounds()
+    for (let at = SPEED_MEASUREMENT_MILLISECONDS; at <= this.#pattern.lengthMilliseconds; at += SPEED_MEASUREMENT_MILLISECONDS) this.#timeline.schedule(at, () => this.#measureSpeeds())
     this.#timeline.run(this.#pattern.lengthMilliseconds + DRAIN_MILLISECONDS)
     return account(this.#pattern, [...this.#outcomes.values()])
   }
 
+  /** Error of the believed speeds, by time: the root of the mean square of the logarithms' errors, over all backend servers. */
+  get speedErrors (): ReadonlyMap<number, number> {
+    return this.#speedErrors
+  }
+
+  #measureSpeeds (): void {
+    const { serverSlowness } = this.#pattern
+    const usual = [...serverSlowness].sort((left, right) => left - right)[Math.floor(serverSlowness.length / 2)]!
+    let sum = 0
+    for (const { entry, slowness } of this.#servers.values()) sum += ((this.#planner.speedOf(entry.id)?.logSlowness ?? 0) - Math.log(slowness / usual)) ** 2
+    this.#speedErrors.set(this.#timeline.now, Math.sqrt(sum / this.#servers.size))
+  }
+
   /** Highest number of examinations in one round. */
   get largestRound (): number {
     return this.#largestRound
