Report slow backend servers, and keep what is known of speeds while a pool idles

And no line said which backend servers were taken for slow.

Change: differences between machines fade over minutes, those of a fault over seconds, and two runs in succession that are far from those before show a change. Event 1053 lists the slow ones; the planner's load counts them.

--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -20,6 +20,7 @@
     emit('job-idle', { details: { ...details, ...wait, milliseconds: Math.round(details.milliseconds), age: Math.round(details.age) } })
   },
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
+  'server-speeds': (emit, { type, ...details }) => emit('server-speeds', { details }),
   'server-pool-unknown': (emit, { type, ...details }) => emit('server-pool-unknown', { details })
 }
 
--- a/packages/entry/test/round-monitor.test.ts
+++ b/packages/entry/test/round-monitor.test.ts
@@ -5,7 +5,7 @@
 import { RoundMonitor } from '../src/round-monitor.js'
 
 const START_TIMES = { longestRecordWait: 20, longestQueueWait: 30, longestAnswer: 40 }
-const LOAD: OwnerLoad = { jobsQueued: 3, plannedLoad: 0, jobsWaiting: 0, heapMegabytes: 0, heapLimitMegabytes: 0, jobsRunning: 2, jobsRecovering: 0, runs: 9, runsUnresolved: 1, serversUnanswered: 0, serversUsable: 4, servers: 5, acceleratorsFree: 6 }
+const LOAD: OwnerLoad = { jobsQueued: 3, plannedLoad: 0, jobsWaiting: 0, heapMegabytes: 0, heapLimitMegabytes: 0, jobsRunning: 2, jobsRecovering: 0, runs: 9, runsUnresolved: 1, serversUnanswered: 0, serversUsable: 4, servers: 5, serversTimed: 3, serversSlow: 1, acceleratorsFree: 6 }
 
 function monitorOf (): { monitor: RoundMonitor, events: { name: string, details: Readonly<Record<string, unknown>> | undefined }[], runRound: (milliseconds: number) => void } {
   const events: { name: string, details: Readonly<Record<string, unknown>> | undefined }[] = []
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -62,6 +62,9 @@
   readonly serversUnanswered: number
   readonly serversUsable: number
   readonly servers: number
+  /** Backend servers whose speed is known to some extent, and those of them that are too slow for the hastiest queue of their pool. */
+  readonly serversTimed: number
+  readonly serversSlow: number
   readonly acceleratorsFree: number
 }
 
@@ -411,6 +414,7 @@
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
+      ...this.#state.speeds.counts,
       acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free))
     }
   }
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -29,6 +29,7 @@
   const commands: (StartCommand | AdviseCommand)[] = []
   if (mayStart) new PlacementRound(state, times, commands).place()
   state.idleJobs.check(state, times)
+  state.speedReport.check(state, times.now)
   return [...dueStops(state, times.now), ...commands]
 }
 
--- a/packages/jobs/src/server-speed.ts
+++ b/packages/jobs/src/server-speed.ts
@@ -8,13 +8,15 @@
 const PRIOR_DEVIATION = 0.4
 /** Runs that are remembered of each backend server. */
 const REMEMBERED_RUNS = 16
-/** Time after which a run counts half. */
-const HALF_LIFE_MILLISECONDS = 30_000
+/** Time after which a run counts half: a difference between machines lasts, and a change shows in the next runs. */
+const HALF_LIFE_MILLISECONDS = 300_000
 /** Slowness from which on a backend server has a fault, which passes: it is soon believed to be usual again unless runs show otherwise. */
 const FAULT_LOG_SLOWNESS = Math.log(2)
 const FAULT_HALF_LIFE_MILLISECONDS = 5000
 /** Deviation from the other runs of a backend server from which on a run is probably slow, or fast, by itself. */
 const OUTLIER_DEVIATION = 0.6
+/** Deviation of two runs in succession from those before from which on the speed has changed. */
+const CHANGE_DEVIATION = Math.log(2)
 const ROUNDS_OF_WEIGHTING = 4
 
 const PRIOR_PRECISION = 1 / PRIOR_DEVIATION ** 2
@@ -43,7 +45,7 @@
  * speed.belief(now).logSlowness // towards Math.log(1.6)
  */
 export class ServerSpeed {
-  /** The last observation of each run, in the order of their first ones. */
+  /** The last observation of each run, in the order of these. */
   readonly #observations = new Map<object, SpeedObservation>()
   #known: SpeedBelief = UNKNOWN_SPEED
   #knownAt = -Infinity
@@ -56,6 +58,8 @@
 
   /** Replaces what a run has shown. */
   observe (run: object, observation: SpeedObservation): void {
+    this.#observations.delete(run)
+    this.#forgetIfChanged(observation)
     this.#observations.set(run, observation)
     for (const oldest of this.#observations.keys()) {
       if (this.#observations.size <= REMEMBERED_RUNS) break
@@ -65,6 +69,17 @@
     this.#isCurrent = false
   }
 
+  /** Forgets all but the last two runs if both are far from those before, on the same side. A single one may be long, or short, by itself. */
+  #forgetIfChanged ({ mean }: SpeedObservation): void {
+    const known = [...this.#observations]
+    const before = medianOf(known.slice(0, -1).map(([, observation]) => observation.mean))
+    const last = known.at(-1)
+    if (known.length < 3 || Math.min(Math.abs(mean - before), Math.abs(last![1].mean - before)) < CHANGE_DEVIATION) return
+    if ((mean > before) !== (last![1].mean > before)) return
+    this.#observations.clear()
+    this.#observations.set(...last!)
+  }
+
   /** Forgets what was seen before its speed has changed. */
   forgetBefore (changedAt: number): void {
     for (const [run, { at }] of this.#observations) if (at <= changedAt) this.#observations.delete(run)
--- a/packages/jobs/src/server-speeds.ts
+++ b/packages/jobs/src/server-speeds.ts
@@ -93,6 +93,12 @@
     return new PoolSpeeds(beliefs, hastiestStretch, all.length)
   }
 
+  /** Counts the backend servers whose speed is known, and those that are too slow, when each pool was last looked at. */
+  get counts (): { readonly serversTimed: number, readonly serversSlow: number } {
+    const pools = [...this.#pools.values()].map(({ speeds }) => speeds)
+    return { serversTimed: pools.reduce((sum, { known }) => sum + known, 0), serversSlow: pools.reduce((sum, { slowServers }) => sum + slowServers.size, 0) }
+  }
+
   /** Forgets a backend server. */
   forget (id: ServerId): void {
     this.#servers.delete(id)
--- a/packages/jobs/src/speed-preference.ts
+++ b/packages/jobs/src/speed-preference.ts
@@ -48,7 +48,7 @@
 export class PoolSpeeds {
   readonly #beliefs: ReadonlyMap<ServerId, SpeedBelief>
   /** The lowest stretch of the pool's queues. */
-  readonly #hastiestStretch: number
+  readonly hastiestStretch: number
   readonly #doSpeedsMatter: boolean
   readonly #ranks = new Map<number, SpeedRank>()
   #neutralRank: SpeedRank | undefined
@@ -56,7 +56,7 @@
   /** Backend servers without a belief count among `servers` only. */
   constructor (beliefs: ReadonlyMap<ServerId, SpeedBelief>, hastiestStretch: number, servers = beliefs.size) {
     this.#beliefs = beliefs
-    this.#hastiestStretch = hastiestStretch
+    this.hastiestStretch = hastiestStretch
     this.#doSpeedsMatter = areSomeTooSlow([...beliefs.values()], hastiestStretch, servers)
   }
 
@@ -69,9 +69,9 @@
     return this.#beliefs.size
   }
 
-  /** Number of those that are too slow for the hastiest queue; 0 while the speeds make no difference. */
-  get tooSlow (): number {
-    return this.#doSpeedsMatter ? [...this.#beliefs.values()].filter(belief => isTooSlow(belief, this.#hastiestStretch)).length : 0
+  /** Those that are too slow for the hastiest queue; none while the speeds make no difference. */
+  get slowServers (): ReadonlyMap<ServerId, SpeedBelief> {
+    return new Map(this.#doSpeedsMatter ? [...this.#beliefs].filter(([, belief]) => isTooSlow(belief, this.hastiestStretch)) : [])
   }
 
   /** Returns the order for work with this tolerance; undefined if all backend servers are fast enough for all queues. */
@@ -88,7 +88,7 @@
   /** Returns the order for work that takes longer than usual in any case, since its data is elsewhere: the slow ones come last. */
   get neutralRank (): SpeedRank | undefined {
     if (!this.#doSpeedsMatter) return undefined
-    this.#neutralRank ??= this.#rankBy(belief => isTooSlow(belief, this.#hastiestStretch) ? 1 : 0)
+    this.#neutralRank ??= this.#rankBy(belief => isTooSlow(belief, this.hastiestStretch) ? 1 : 0)
     return this.#neutralRank
   }
 
@@ -101,8 +101,8 @@
   #rank (belief: SpeedBelief, tolerance: number): number {
     const speedClass = classOf(belief)
     if (isTooSlow(belief, tolerance)) return 2 * CLASSES + speedClass
-    if (tolerance <= this.#hastiestStretch) return speedClass
-    return isTooSlow(belief, this.#hastiestStretch) ? 0 : CLASSES - speedClass
+    if (tolerance <= this.hastiestStretch) return speedClass
+    return isTooSlow(belief, this.hastiestStretch) ? 0 : CLASSES - speedClass
   }
 }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -24,6 +24,7 @@
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type RunEnd, type ServerEntry } from './server.js'
 import { ServerSpeeds } from './server-speeds.js'
+import { SpeedReport } from './speed-report.js'
 import { StartLimit } from './start-limit.js'
 import type { StepState } from './step-state.js'
 import type { TaskState } from './task-state.js'
@@ -46,6 +47,7 @@
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
+  | { readonly type: 'server-speeds', readonly pool: PoolName, readonly known: number, readonly tooSlow: number, readonly stretch: number, readonly slow: string }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
 
 /** Numbers of the first and the last change of a job that aren't stored. */
@@ -93,6 +95,7 @@
   readonly claimDemand = new ClaimDemand()
   /** Speeds of the backend servers, as their runs show them. */
   readonly speeds = new ServerSpeeds()
+  readonly speedReport = new SpeedReport()
   /** How many starts may be under way. */
   readonly startLimit = new StartLimit()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
--- a/packages/jobs/test/speed-preference.test.ts
+++ b/packages/jobs/test/speed-preference.test.ts
@@ -42,7 +42,7 @@
       const pool = poolOf([...usual, ...slownesses])
       expect(pool.rankFor(1.5)).to.equal(undefined)
       expect(pool.neutralRank).to.equal(undefined)
-      expect(pool.tooSlow).to.equal(0)
+      expect(pool.slowServers.size).to.equal(0)
     })
   }
 
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -1,5 +1,6 @@
 /** Events 10xx: jobs, and the VM that plans them. */
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
+import { LOAD_FIELDS } from './planner-load-fields.js'
 
 /** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
 const RUN_GROUP_FIELDS = { servers: 'number of backend servers', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'for each backend server its id and the tasks there, with the indexes of those of one step as ranges' } as const
@@ -8,23 +9,6 @@
 
 const RUN_ORIGINS = 'answer: its start was answered; list: its start was not, but its backend server has listed it; adopted: listed, and an earlier owner has started it or it was counted as ended; unconfirmed: only its start was sent'
 
-/** Fields of the planner's load. */
-const LOAD_FIELDS = {
-  jobsQueued: 'jobs of which no task has started',
-  jobsRunning: 'jobs that have started',
-  plannedLoad: 'planning load of the open jobs that the owner has, in units of an ordinary job; it has at most 4,000',
-  jobsWaiting: 'accepted jobs that wait in the store since the owner has as many as it may',
-  heapMegabytes: 'heap in use',
-  heapLimitMegabytes: 'heap with which the process ends',
-  jobsRecovering: 'jobs of earlier owners that wait until all of their runs are known',
-  runs: 'runs that may be alive',
-  runsUnresolved: 'runs that are being stopped, or whose start or stop isn\'t confirmed',
-  serversUnanswered: 'backend servers that haven\'t answered this owner yet',
-  serversUsable: 'backend servers that may get work',
-  servers: 'backend servers',
-  acceleratorsFree: 'free accelerators of the usable ones'
-} as const
-
 /** Events 10xx: jobs, and the VM that plans them. */
 export const JOB_EVENTS = {
   'planner-claimed': {
@@ -348,5 +332,12 @@
     sentence: 'The planner knows of two runs of one task, and stops one of them; of a gang, all members of one start.',
     fields: { task: 'task; of a gang, one of the tasks', run: 'run number of the one that is stopped', server: 'its backend server', known: `how it became known: ${RUN_ORIGINS}`, keptRun: 'run number of the one that goes on', keptServer: 'its backend server', keptKnown: 'how that became known', members: 'number of runs that are stopped' },
     action: 'Report it with the lines of both runs and of both backend servers, events 1050 and 1051 among them.'
+  },
+  'server-speeds': {
+    number: 1053,
+    level: 'info',
+    sentence: 'The backend servers of a pool that are believed too slow for its hastiest queue have changed. Hasty work avoids them, and other work gets them first. At most once in 5 s for each pool.',
+    fields: { pool: 'pool', known: 'number of backend servers whose speed is known from their runs', tooSlow: 'number of those that are too slow', stretch: 'lowest stretch of the queues of the pool', slow: 'each of them, with how many times as long as usual a task takes there' },
+    action: NO_ACTION
   }
 } as const satisfies CatalogueRows
