Store the speeds of backend servers for the next owner

Cause: an owner that takes over knows no speed.

Change: the owner writes the rounded speeds to one row, on condition that it still is the owner, every 5 s at most, only if they have changed and only where they make a difference; a new owner reads it beside its first round. A new incarnation has none. The tests of the record fail without it: a new owner believes 1 of each backend server.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -143,3 +143,7 @@
 export const RELAY_TIMEOUT_MILLISECONDS = 800
 /** The `Retry-After` that callers get, in seconds. */
 export const RETRY_AFTER_SECONDS = 1
+/** Interval at which changed speeds of backend servers are stored, in milliseconds: a new owner learns as much within a few polls. */
+export const SPEED_RECORD_INTERVAL_MILLISECONDS = 5000
+/** Backend servers whose speeds one row of the store holds. */
+export const SPEED_RECORD_SERVERS = 1000
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -27,6 +27,7 @@
 import { areStartsRecorded, RecordedStarts, unrecordedStartsOf, type RecordedPeriod } from './recorded-starts.js'
 import { earlierRunsOf, ServerRecord } from './server-record.js'
 import { ServerRecorder } from './server-recorder.js'
+import { SpeedRecorder } from './speed-recorder.js'
 import { RunLog } from './run-log.js'
 import { ServerPolls } from './server-polls.js'
 import { StartSender } from './start-sender.js'
@@ -156,6 +157,7 @@
       onReleased: () => this.#inbox.put({ type: 'tick' }),
       signal: this.#stopping.signal
     })
+    SpeedRecorder.start({ planner: this.#planner, store, owner, tryStoreCall: call => this.#tryStoreCall(call), onCrash: thrown => this.#crash(thrown), signal: this.#stopping.signal })
     this.#polls = this.#createPolls()
     this.#rounds = new RoundMonitor({ epoch: owner.epoch, emit, load: () => this.load, startTimes: () => this.#starts.takeTimes() })
     // Each backend server's poll may wait on this signal.
--- a/packages/entry/src/tables.ts
+++ b/packages/entry/src/tables.ts
@@ -13,3 +13,6 @@
 export const PROGRESS_TABLE = 'progress'
 /** Backend servers that may have runs, in a fixed number of rows; written only by the owner, as progress is. */
 export const SERVERS_TABLE = 'run-servers'
+/** Speeds of the backend servers, in one row; written only by the owner, as progress is. */
+export const SPEEDS_TABLE = 'server-speeds'
+export const SPEEDS_KEY = 'all'
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -14,4 +14,5 @@
 export type { RoundTimes } from './placement-round.js'
 export type { PlannerEvent } from './state.js'
 export type { SpeedBelief } from './server-speed.js'
+export type { StoredSpeed } from './server-speeds.js'
 export type { ListedEnd, ListedRun, RunEnd, ServerEntry, ServerReport } from './server.js'
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -24,6 +24,7 @@
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import type { SpeedBelief } from './server-speed.js'
+import type { StoredSpeed } from './server-speeds.js'
 import { PlannerState, type PlannerEvent } from './state.js'
 
 /** A job as loaded from the store. */
@@ -368,6 +369,16 @@
     return server && this.#state.speeds.of(server.entry.pool, this.#state, this.#lastTimes.now).beliefOf(id)
   }
 
+  /** Adds the speeds of backend servers that an earlier owner has stored. */
+  inheritSpeeds (stored: Iterable<StoredSpeed>): void {
+    this.#state.speeds.inherit(stored, this.#lastTimes.now)
+  }
+
+  /** Returns the speeds for the next owner; none while all backend servers are fast enough. */
+  speedsToStore (): readonly StoredSpeed[] {
+    return this.#state.speeds.toStore(this.#lastTimes.now)
+  }
+
   /** Number of backend servers, running groups and jobs that all rounds so far have examined: their work, whatever the machine. */
   get examinations (): number {
     return this.#state.work.examinations
--- a/packages/jobs/src/server-speed.ts
+++ b/packages/jobs/src/server-speed.ts
@@ -80,6 +80,13 @@
     this.#observations.set(...last!)
   }
 
+  /** Adds what an earlier owner has believed, as one run. */
+  inherit ({ logSlowness, deviation }: SpeedBelief, at: number): void {
+    const precision = 1 / deviation ** 2 - PRIOR_PRECISION
+    if (precision <= 0) return
+    this.observe({}, { mean: logSlowness * (precision + PRIOR_PRECISION) / precision, variance: 1 / precision, at })
+  }
+
   /** Forgets what was seen before its speed has changed. */
   forgetBefore (changedAt: number): void {
     for (const [run, { at }] of this.#observations) if (at <= changedAt) this.#observations.delete(run)
--- a/packages/jobs/src/server-speeds.ts
+++ b/packages/jobs/src/server-speeds.ts
@@ -24,6 +24,12 @@
   contribution?: Contribution
 }
 
+/** A speed as it is stored for the next owner. */
+export interface StoredSpeed extends SpeedBelief {
+  readonly id: ServerId
+  readonly incarnation: number
+}
+
 /** The speed of one incarnation of a backend server. */
 interface IncarnationSpeed {
   readonly incarnation: number
@@ -93,6 +99,23 @@
     return new PoolSpeeds(beliefs, hastiestStretch, all.length)
   }
 
+  /** Adds the speeds that an earlier owner has stored. */
+  inherit (stored: Iterable<StoredSpeed>, now: number): void {
+    for (const { id, incarnation, ...belief } of stored) {
+      const known = this.#servers.get(id)
+      const { speed } = known ?? { speed: new ServerSpeed() }
+      if (known === undefined) this.#servers.set(id, { incarnation, speed })
+      if (known === undefined || known.incarnation === incarnation) speed.inherit(belief, now)
+    }
+  }
+
+  /** The speeds for the next owner, those that are known best first; none while they make no difference. */
+  toStore (now: number): readonly StoredSpeed[] {
+    if (![...this.#pools.values()].some(({ speeds }) => speeds.doSpeedsMatter)) return []
+    const stored = [...this.#servers].map(([id, { incarnation, speed }]) => ({ id, incarnation, ...speed.belief(now) }))
+    return stored.filter(({ deviation }) => deviation < UNKNOWN_SPEED.deviation).sort((left, right) => left.deviation - right.deviation)
+  }
+
   /** Counts the backend servers whose speed is known, and those that are too slow, when each pool was last looked at. */
   get counts (): { readonly serversTimed: number, readonly serversSlow: number } {
     const pools = [...this.#pools.values()].map(({ speeds }) => speeds)
--- a/packages/jobs/src/speed-preference.ts
+++ b/packages/jobs/src/speed-preference.ts
@@ -49,7 +49,8 @@
   readonly #beliefs: ReadonlyMap<ServerId, SpeedBelief>
   /** The lowest stretch of the pool's queues. */
   readonly hastiestStretch: number
-  readonly #doSpeedsMatter: boolean
+  /** A backend server is too slow for the hastiest queue. */
+  readonly doSpeedsMatter: boolean
   readonly #ranks = new Map<number, SpeedRank>()
   #neutralRank: SpeedRank | undefined
 
@@ -57,7 +58,7 @@
   constructor (beliefs: ReadonlyMap<ServerId, SpeedBelief>, hastiestStretch: number, servers = beliefs.size) {
     this.#beliefs = beliefs
     this.hastiestStretch = hastiestStretch
-    this.#doSpeedsMatter = areSomeTooSlow([...beliefs.values()], hastiestStretch, servers)
+    this.doSpeedsMatter = areSomeTooSlow([...beliefs.values()], hastiestStretch, servers)
   }
 
   beliefOf (server: ServerId): SpeedBelief {
@@ -71,12 +72,12 @@
 
   /** Those that are too slow for the hastiest queue; none while the speeds make no difference. */
   get slowServers (): ReadonlyMap<ServerId, SpeedBelief> {
-    return new Map(this.#doSpeedsMatter ? [...this.#beliefs].filter(([, belief]) => isTooSlow(belief, this.hastiestStretch)) : [])
+    return new Map(this.doSpeedsMatter ? [...this.#beliefs].filter(([, belief]) => isTooSlow(belief, this.hastiestStretch)) : [])
   }
 
   /** Returns the order for work with this tolerance; undefined if all backend servers are fast enough for all queues. */
   rankFor (tolerance: number): SpeedRank | undefined {
-    if (!this.#doSpeedsMatter) return undefined
+    if (!this.doSpeedsMatter) return undefined
     const limit = TOLERANCE_STEP * Math.round(Math.max(0, Math.min(MAXIMUM_TOLERANCE, tolerance)) / TOLERANCE_STEP)
     const known = this.#ranks.get(limit)
     if (known !== undefined) return known
@@ -87,7 +88,7 @@
 
   /** Returns the order for work that takes longer than usual in any case, since its data is elsewhere: the slow ones come last. */
   get neutralRank (): SpeedRank | undefined {
-    if (!this.#doSpeedsMatter) return undefined
+    if (!this.doSpeedsMatter) return undefined
     this.#neutralRank ??= this.#rankBy(belief => isTooSlow(belief, this.hastiestStretch) ? 1 : 0)
     return this.#neutralRank
   }
--- a/packages/jobs/test/server-speeds.test.ts
+++ b/packages/jobs/test/server-speeds.test.ts
@@ -42,6 +42,20 @@
     })
   })
 
+  it('are handed to the next owner, for the same incarnations', () => {
+    const play = playOf([0.6, 1, 1.6])
+    play.play(20_000)
+    const { world } = play
+    const stored = world.planner.speedsToStore()
+    world.servers[2]!.restart()
+    world.takeOver(2, [])
+    world.planner.configure(UNEVEN_CONFIGURATION)
+    world.planner.inheritSpeeds(stored)
+    world.settle()
+    expect(play.believed(5)).to.be.above(1.35)
+    expect(play.believed(2)).to.be.within(0.8, 1.25)
+  })
+
   describe('of one that turns slow', () => {
     const SLOW = 3
 
