--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -23,6 +23,7 @@
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
   'domain-evacuated': (emit, { type, ...details }) => emit('domain-evacuated', { details }),
   'domain-in-service': (emit, { type, ...details }) => emit('domain-in-service', { details: { ...details, milliseconds: Math.round(details.milliseconds) } }),
+  'server-speeds': (emit, { type, ...details }) => emit('server-speeds', { details }),
   'server-pool-unknown': (emit, { type, ...details }) => emit('server-pool-unknown', { details })
 }
 
--- a/packages/jobs/src/planner-event.ts
+++ b/packages/jobs/src/planner-event.ts
@@ -28,4 +28,5 @@
   | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | EvacuationEvent
+  | { readonly type: 'server-speeds', readonly pool: PoolName, readonly known: number, readonly tooSlow: number, readonly stretch: number, readonly slow: string }
   | { readonly type: 'server-pool-unknown', readonly server: ServerId, readonly pool: PoolName }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -25,6 +25,8 @@
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import type { PlannerEvent } from './planner-event.js'
+import type { SpeedBelief } from './server-speed.js'
+import type { StoredSpeed } from './server-speeds.js'
 import { PlannerState } from './state.js'
 
 /** A job as loaded from the store. */
@@ -63,6 +65,9 @@
   readonly serversUnanswered: number
   readonly serversUsable: number
   readonly servers: number
+  /** Backend servers whose speed is known to some extent, and those of them that are too slow for the hastiest queue of their pool. */
+  readonly serversTimed: number
+  readonly serversSlow: number
   readonly acceleratorsFree: number
   /** Evacuated failure domains, and the runs that are left there. */
   readonly domainsEvacuated: number
@@ -368,6 +373,22 @@
     return decide(this.#state, times, mayStart)
   }
 
+  /** Returns the believed speed of a backend server; undefined if it isn't known. */
+  speedOf (id: ServerId): SpeedBelief | undefined {
+    const server = this.#state.servers.get(id)
+    return server && this.#state.speeds.of(server.entry.pool, this.#state, this.#lastTimes.now).beliefOf(id)
+  }
+
+  /** Adds the speeds of backend servers that an earlier owner has stored. */
+  inheritSpeeds (stored: Iterable<StoredSpeed>): void {
+    this.#state.speeds.inherit(stored, this.#lastTimes.now)
+  }
+
+  /** Returns the speeds for the next owner; none while all backend servers are fast enough. */
+  speedsToStore (): readonly StoredSpeed[] {
+    return this.#state.speeds.toStore(this.#lastTimes.now)
+  }
+
   /** Number of backend servers, running groups and jobs that all rounds so far have examined: their work, whatever the machine. */
   get examinations (): number {
     return this.#state.work.examinations
@@ -414,6 +435,7 @@
       serversUnanswered: servers.filter(server => !server.hasAnswered).length + this.#state.recovery.absentServers(this.#lastTimes.now).length,
       serversUsable: usable.length,
       servers: servers.length,
+      ...this.#state.speeds.counts,
       acceleratorsFree: sumFreeAccelerators(usable.map(server => server.free)),
       domainsEvacuated: this.#state.evacuations.size,
       runsEvacuated: runsInEvacuated(this.#state)
@@ -428,7 +450,9 @@
   #forgetServers (now: number): void {
     for (const server of this.#state.servers.values()) {
       const isGone = !server.isListed && server.missedPolls > 0 && server.leasesExpiredBy < now
-      if (isGone && server.runs.size === 0 && !server.revokedStarts.hasPending(now)) this.#state.servers.delete(server.id)
+      if (!isGone || server.runs.size > 0 || server.revokedStarts.hasPending(now)) continue
+      this.#state.servers.delete(server.id)
+      this.#state.speeds.forget(server.id)
     }
   }
 }
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -30,6 +30,7 @@
   if (mayStart) new PlacementRound(state, times, commands).place()
   if (mayStart) state.evacuations.moves.plan(state, times.now)
   state.idleJobs.check(state, times)
+  state.speedReport.check(state, times.now)
   return [...dueStops(state, times.now), ...commands]
 }
 
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -25,6 +25,8 @@
 import { RunningGroupCache } from './running-group-cache.js'
 import { SearchTurns } from './search-turns.js'
 import { Server, type Run, type ServerEntry } from './server.js'
+import { ServerSpeeds } from './server-speeds.js'
+import { SpeedReport } from './speed-report.js'
 import { StartLimit } from './start-limit.js'
 import type { StepState } from './step-state.js'
 import type { TaskState } from './task-state.js'
@@ -76,6 +78,9 @@
   readonly evacuations = new Evacuations()
   /** Capacity that is being freed for waiting steps. */
   readonly holds = new CapacityHolds()
+  /** Speeds of the backend servers, as their runs show them. */
+  readonly speeds = new ServerSpeeds()
+  readonly speedReport = new SpeedReport()
   /** How many starts may be under way. */
   readonly startLimit = new StartLimit()
   /** All queues ever configured, so that jobs of a removed queue keep its settings. */
--- a/packages/load-replay/src/pattern.ts
+++ b/packages/load-replay/src/pattern.ts
@@ -160,29 +160,31 @@
   restoreMilliseconds: 100,
   wastePrice: 0.00056,
   kinds: [
-    { ...URGENT, name: 'fare-recon', perSecond: 4, workMilliseconds: 2500, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 4, maximumTasks: 30, processor: 15_000, memory: 61_000, failureShare: 0.05, attempts: 4, latencyMilliseconds: 250 },
-    { ...LONG, name: 'rebalance-plan', perSecond: 1.17, workMilliseconds: 8500, runTimeSpread: 0.15, estimateError: 0.5, meanTasks: 9, maximumTasks: 60, processor: 52_000, memory: 270_000, failureShare: 0.02, attempts: 2, lateValue: 0.9 },
-    { ...BULK, name: 'demand-forecast', perSecond: 1.15, workMilliseconds: 7600, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 28, maximumTasks: 180, processor: 11_000, memory: 46_000, failureShare: 0.05, attempts: 4, lateValue: 0.3 }
+    { ...URGENT, name: 'reconciliation', perSecond: 4, workMilliseconds: 2500, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 4, maximumTasks: 30, processor: 15_000, memory: 61_000, failureShare: 0.05, attempts: 4, latencyMilliseconds: 250 },
+    { ...LONG, name: 'van-routes', perSecond: 1.17, workMilliseconds: 8500, runTimeSpread: 0.15, estimateError: 0.5, meanTasks: 9, maximumTasks: 60, processor: 52_000, memory: 270_000, failureShare: 0.02, attempts: 2, lateValue: 0.9 },
+    { ...BULK, name: 'ride-forecast', perSecond: 1.15, workMilliseconds: 7600, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 28, maximumTasks: 180, processor: 11_000, memory: 46_000, failureShare: 0.05, attempts: 4, lateValue: 0.3 }
   ]
 }
 
-/** The same bursts where saves and restores are quick, and backend servers differ. */
-export const RETURN_PROCESSING: LoadPattern = {
-  ...DOCK_PLANNING,
-  name: 'return-processing',
+const RETURNS_GUARANTEES = [240, 200, 160, 120, 96, 80, 64, 64, 56, 48]
+
+/** A busy day of the tax return service: backend servers of three speeds, and gangs of urgent work that the slow ones make late. */
+export const RETURNS: LoadPattern = {
+  ...BUSY_DAY,
+  name: 'returns',
   servers: 246,
-  serverSlowness: [1 / 0.6, 1, 1 / 1.6],
+  serverSlowness: [0.6, 1, 1.6],
   capacity: { processor: 128_000, memory: 262_144, accelerators: 8 },
-  longestStopMilliseconds: 200,
-  restoreMilliseconds: 250,
+  wastePrice: 0.0016,
+  workspaces: RETURNS_GUARANTEES.map((guaranteed, index) => ({ name: `workspace-${index}`, share: guaranteed / RETURNS_GUARANTEES.reduce((sum, each) => sum + each), guaranteed })),
   kinds: [
-    { ...DOCK_PLANNING.kinds[0]!, name: 'draft-preview', perSecond: 4.45, workMilliseconds: 2100, memory: 31_000 },
-    { ...DOCK_PLANNING.kinds[1]!, name: 'bulk-recalc', perSecond: 0.838, workMilliseconds: 9400, memory: 140_000 },
-    { ...DOCK_PLANNING.kinds[2]!, name: 'deduction-check', perSecond: 1.28, workMilliseconds: 5200, memory: 29_000 }
+    { ...URGENT, name: 'preview', perSecond: 4.45, runTimeSpread: 0.3, estimateError: 0.5, meanTasks: 5.4, maximumTasks: 32, processor: 15_000, memory: 22_000, failureShare: 0.05, attempts: 4, latencyMilliseconds: 250 },
+    { ...LONG, name: 'recalculation', perSecond: 0.84, workMilliseconds: 9400, runTimeSpread: 0.15, estimateError: 0.5, meanTasks: 13, maximumTasks: 78, processor: 52_000, memory: 140_000, failureShare: 0.02, attempts: 2, lateValue: 0.9 },
+    { ...BULK, name: 'deductions', perSecond: 1.28, runTimeSpread: 0.15, estimateError: 0.2, meanTasks: 39, maximumTasks: 230, processor: 11_000, memory: 23_000, failureShare: 0.05, attempts: 4, lateValue: 0.3 }
   ]
 }
 
-export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN, 'dock-planning': DOCK_PLANNING, 'return-processing': RETURN_PROCESSING }
+export const PATTERNS: Readonly<Record<string, LoadPattern>> = { rota: ROTA, 'rota-slow-stops': ROTA_SLOW_STOPS, renewal: RENEWAL, 'renewal-grown': RENEWAL_GROWN, 'dock-planning': DOCK_PLANNING, returns: RETURNS }
 
 /**
  * Multiplies the arrival rates of a pattern.
--- a/packages/telemetry/src/catalogue-jobs.ts
+++ b/packages/telemetry/src/catalogue-jobs.ts
@@ -2,6 +2,7 @@
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
 import { EVACUATION_EVENTS } from './catalogue-evacuations.js'
 import { PLACEMENT_EVENTS } from './catalogue-placement.js'
+import { LOAD_FIELDS } from './planner-load-fields.js'
 
 /** Fields of a line for many runs. A run is found by its number between the first and the last one, and by its task. */
 const RUN_GROUP_FIELDS = { servers: 'number of backend servers', count: 'number of runs', firstRun: 'lowest run number', lastRun: 'highest run number', tasks: 'for each backend server its id and the tasks there, with the indexes of those of one step as ranges' } as const
@@ -10,25 +11,6 @@
 
 const RUN_ORIGINS = 'answer: its start was answered; list: its start was not, but its backend server has listed it; adopted: listed, and an earlier owner has started it or it was counted as ended; unconfirmed: only its start was sent'
 
-/** Fields of the planner's load. */
-const LOAD_FIELDS = {
-  jobsQueued: 'jobs of which no task has started',
-  jobsRunning: 'jobs that have started',
-  plannedLoad: 'planning load of the open jobs that the owner has, in units of an ordinary job; it has at most 4,000',
-  jobsWaiting: 'accepted jobs that wait in the store since the owner has as many as it may',
-  heapMegabytes: 'heap in use',
-  heapLimitMegabytes: 'heap with which the process ends',
-  jobsRecovering: 'jobs of earlier owners that wait until all of their runs are known',
-  runs: 'runs that may be alive',
-  runsUnresolved: 'runs that are being stopped, or whose start or stop isn\'t confirmed',
-  serversUnanswered: 'backend servers that haven\'t answered this owner yet',
-  serversUsable: 'backend servers that may get work',
-  servers: 'backend servers',
-  acceleratorsFree: 'free accelerators of the usable ones',
-  domainsEvacuated: 'evacuated failure domains',
-  runsEvacuated: 'runs that are left there'
-} as const
-
 /** Events 10xx: jobs, and the VM that plans them. */
 export const JOB_EVENTS = {
   'planner-claimed': {
