Log how writes were settled and who confirmed a configuration

Event 1301 write-prolonged says for each hand-in or cancellation that its first attempt didn't settle how many attempts and relays there were and how they ended; 1302 configuration-confirmed shows a VM that serves by what another one knows of the configuration.

--- a/packages/entry/src/configuration-exchange.ts
+++ b/packages/entry/src/configuration-exchange.ts
@@ -4,6 +4,7 @@
  */
 import type { Configuration } from '@cornelgauge/jobs'
 import type { RowValue } from '@cornelgauge/ports'
+import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { CurrentConfiguration } from './current-configuration.js'
 import { before, moment, type Moment } from './elapsed.js'
 import { CONFIGURATION_STALE_MILLISECONDS } from './limits.js'
@@ -28,6 +29,7 @@
   readonly read: (rows: ReadonlyMap<string, RowValue>) => Configuration | undefined
   /** Asks the VM at an address for its rows; undefined if it doesn't answer. */
   readonly fetch: (address: string) => Promise<ConfigurationRows | undefined>
+  readonly emit?: EmitEvent
 }
 
 /** The version of a VM that knows no configuration. */
@@ -79,10 +81,17 @@
   /** Takes over what the VM at an address knows, from its reply to a message that was sent at `sentAt`; fetches its rows if they are newer. */
   async receive (confirmed: ConfirmedConfiguration | undefined, sentAt: Moment, address: string): Promise<void> {
     if (confirmed === undefined || confirmed.version < this.#version) return
-    if (confirmed.version === this.#version) this.#options.current.confirm(before(sentAt, confirmed.age))
+    if (confirmed.version === this.#version) this.#confirm(before(sentAt, confirmed.age), address)
     else if (!this.#isFetching) await this.#fetchFrom(address)
   }
 
+  #confirm (readAt: Moment, address: string): void {
+    const { current, emit } = this.#options
+    const age = current.confirmationAge
+    current.confirm(readAt)
+    if (current.confirmationAge < age) emit?.('configuration-confirmed', { details: { version: this.#version, address, age: Math.round(current.confirmationAge), earlier: Math.round(age) } })
+  }
+
   async #fetchFrom (address: string): Promise<void> {
     this.#isFetching = true
     const sentAt = moment()
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -2,6 +2,7 @@
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
 import { decodeProgress, FINAL_PHASES, jobId, type Job, type JobId, type JobPhase, type JobProgress } from '@cornelgauge/jobs'
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
+import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob, encodeJob } from './job-record.js'
 import { JobSelection, type SelectedJobs } from './job-selection.js'
 import type { KnownOwner } from './messages.js'
@@ -53,12 +54,14 @@
 export class JobStore {
   readonly #rows: RowStore
   readonly #isAway: () => boolean
+  readonly #emit: EmitEvent | undefined
   readonly #unsettled = new UnsettledWrites()
 
   /** `isAway` returns true if the store can't be reached from this VM at the moment. */
-  constructor (rows: RowStore, isAway: () => boolean = () => false) {
+  constructor (rows: RowStore, isAway: () => boolean = () => false, emit?: EmitEvent) {
     this.#rows = rows
     this.#isAway = isAway
+    this.#emit = emit
   }
 
   /**
@@ -222,7 +225,8 @@
         relay: relay === undefined ? undefined : { isAvailable: relay.isAvailable, call: async milliseconds => ({ relayed: await relay.call(milliseconds) }) },
         isStoreAway: this.#isAway,
         isOutcomeUnknown: this.#unsettled.has(table, key),
-        deadline
+        deadline,
+        onProlonged: details => this.#emit?.('write-prolonged', { details: { job: key, table, ...details } })
       })
     } catch (thrown) {
       if (asFailure(thrown).code === 'outcome-unknown') this.#unsettled.add(table, key)
--- a/packages/entry/src/settled-write.ts
+++ b/packages/entry/src/settled-write.ts
@@ -1,6 +1,6 @@
 /** Carries a write on until its outcome is settled, as `write-settlement.ts` decides. */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure, CornelgaugeError } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError, type ErrorCode } from '@cornelgauge/model'
 import { LAST_ATTEMPT_MILLISECONDS, REFUSED_WRITE_RETRY_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
 import { nextWriteStep, type WriteOutcomeSoFar, type WriteStep } from './write-settlement.js'
 
@@ -22,6 +22,16 @@
   readonly isOutcomeUnknown?: boolean
   /** The caller's deadline on the steady clock. */
   readonly deadline: number
+  /** Called at the end of a write that wasn't settled by its first attempt. */
+  readonly onProlonged?: ((write: ProlongedWrite) => void) | undefined
+}
+
+/** What became of a write that took more than one attempt. */
+export interface ProlongedWrite {
+  readonly attempts: number
+  readonly relays: number
+  readonly end: ErrorCode | 'settled'
+  readonly milliseconds: number
 }
 
 /** Answers that end a write whose outcome isn't known as success. */
@@ -38,18 +48,31 @@
  * @example
  * const row = await settleWrite({ attempt: () => write(), isStoreAway: () => false, deadline: performance.now() + 3000 })
  */
-export async function settleWrite<Result> ({ attempt, relay, isStoreAway, isOutcomeUnknown = false, deadline }: PendingWrite<Result>): Promise<Result> {
+export async function settleWrite<Result> (write: PendingWrite<Result>): Promise<Result> {
+  const started = performance.now()
+  const counts = { attempts: 0, relays: 0 }
+  let end: ProlongedWrite['end'] = 'settled'
+  try {
+    return await carryOn(write, counts)
+  } catch (thrown) {
+    end = asFailure(thrown).code
+    throw thrown
+  } finally {
+    if (end !== 'settled' || counts.attempts !== 1 || counts.relays > 0) write.onProlonged?.({ ...counts, end, milliseconds: Math.round(performance.now() - started) })
+  }
+}
+
+async function carryOn<Result> ({ attempt, relay, isStoreAway, isOutcomeUnknown = false, deadline }: PendingWrite<Result>, counts: { attempts: number, relays: number }): Promise<Result> {
   let outcome: WriteOutcomeSoFar = isOutcomeUnknown ? 'unknown' : 'undone'
-  let hasRelayed = false
   const lastAttemptAt = { undone: Math.min(deadline, performance.now() + REFUSED_WRITE_RETRY_MILLISECONDS), unknown: deadline - LAST_ATTEMPT_MILLISECONDS }
   for (;;) {
     const now = performance.now()
     const millisecondsLeft = { undone: lastAttemptAt.undone - now, unknown: lastAttemptAt.unknown - now }
-    const canRelay = !hasRelayed && now < deadline && relay?.isAvailable() === true
+    const canRelay = counts.relays === 0 && now < deadline && relay?.isAvailable() === true
     const step = nextWriteStep({ outcome, isStoreAway: isStoreAway(), millisecondsLeft, canRelay })
     const end = ENDS[step]
     if (end !== undefined) throw end()
-    hasRelayed ||= step === 'relay'
+    counts[step === 'relay' ? 'relays' : 'attempts'] += 1
     try {
       const result = step === 'relay' ? await relay!.call(deadline - now) : await endBy(deadline, attempt(outcome === 'unknown'))
       if (result !== undefined) return result
--- a/packages/entry/test/store-away.test.ts
+++ b/packages/entry/test/store-away.test.ts
@@ -26,6 +26,7 @@
   let isAway: boolean
   let jobs: JobStore
   let relayed: number
+  let prolonged: object[]
 
   const accept = async (relay?: WriteRelay<Job>, milliseconds = DEADLINE_MILLISECONDS): Promise<string> => {
     try {
@@ -60,7 +61,16 @@
     view.calls.write = 0
     isAway = false
     relayed = 0
-    jobs = new JobStore(view, () => isAway)
+    prolonged = []
+    jobs = new JobStore(view, () => isAway, (_event, facts) => {
+      const { milliseconds: _time, ...details } = (facts?.details ?? {}) as Record<string, unknown>
+      prolonged.push(details)
+    })
+  })
+
+  it('isn\'t reported to the log if its first attempt settles it', async () => {
+    expect(await accept()).to.equal('accepted')
+    expect(prolonged).to.deep.equal([])
   })
 
   describe('of which nothing was carried out', () => {
@@ -69,6 +79,8 @@
       expect(await accept()).to.equal('overloaded')
       expect(await cancel()).to.equal('overloaded')
       expect(view.calls.write).to.equal(0)
+      const refusal = { job: JOB.id, attempts: 0, relays: 0, end: 'overloaded' }
+      expect(prolonged).to.deep.equal([{ ...refusal, table: 'jobs' }, { ...refusal, table: 'cancels' }])
     })
 
     it('is refused, and not left unknown, if its connections were never opened', async () => {
@@ -80,6 +92,7 @@
       isAway = true
       expect(await accept(neighbour())).to.equal('accepted')
       expect(view.calls.write).to.equal(0)
+      expect(prolonged).to.deep.equal([{ job: JOB.id, table: 'jobs', attempts: 0, relays: 1, end: 'settled' }])
     })
 
     it('is refused if that VM can\'t carry it out either', async () => {
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -2,6 +2,7 @@
  * The event catalogue: each event with its number, its level, its message and the
  * action that an operator should take. `docs/EVENTS.md` is generated from it.
  */
+import { ANSWER_EVENTS } from './catalogue-answers.js'
 import { CELL_EVENTS } from './catalogue-cells.js'
 import { DOCUMENT_EVENTS } from './catalogue-documents.js'
 import type { CatalogueEntry, CatalogueRows } from './catalogue-entry.js'
@@ -32,7 +33,8 @@
   { hundred: 7, title: 'Inner protocol', rows: WIRE_EVENTS },
   { hundred: 8, title: 'Platform faults', rows: PLATFORM_EVENTS },
   { hundred: 9, title: 'Policy', rows: POLICY_EVENTS },
-  { hundred: 10, title: 'Jobs and their planner', rows: JOB_EVENTS }
+  { hundred: 10, title: 'Jobs and their planner', rows: JOB_EVENTS },
+  { hundred: 13, title: 'Answers to callers', rows: ANSWER_EVENTS }
 ]
 
 /** Every event by its name. */
@@ -46,7 +48,8 @@
   ...WIRE_EVENTS,
   ...PLATFORM_EVENTS,
   ...POLICY_EVENTS,
-  ...JOB_EVENTS
+  ...JOB_EVENTS,
+  ...ANSWER_EVENTS
 } as const satisfies CatalogueRows
 
 /** The name of an event. */
