--- a/packages/entry/test/configuration-exchange.test.ts
+++ b/packages/entry/test/configuration-exchange.test.ts
@@ -19,6 +19,7 @@
 class Vm {
   readonly current = new CurrentConfiguration(() => {})
   readonly fetched: string[] = []
+  readonly events: string[] = []
   answer: ConfigurationRows | undefined
   readonly exchange = new ConfigurationExchange({
     current: this.current,
@@ -26,7 +27,8 @@
     fetch: async address => {
       this.fetched.push(address)
       return this.answer
-    }
+    },
+    emit: event => { this.events.push(event) }
   })
 
   constructor (version: number | undefined, age: number) {
@@ -52,6 +54,7 @@
     await vm.ask(new Vm(3, 200), 150)
     expect(vm.current.confirmationAge).to.be.within(350, 350 + TOLERANCE_MILLISECONDS)
     expect(vm.fetched).to.deep.equal([])
+    expect(vm.events).to.deep.equal(['configuration-confirmed'])
   })
 
   it('never gets younger than the read of the store, however many VMs pass it on', async () => {
@@ -65,6 +68,7 @@
   it('keeps its own age if the other VM\'s is larger', async () => {
     const vm = new Vm(3, OLD_MILLISECONDS)
     await vm.ask(new Vm(3, 2 * OLD_MILLISECONDS))
+    expect(vm.events).to.deep.equal([])
     expect(vm.current.confirmationAge).to.be.within(OLD_MILLISECONDS, OLD_MILLISECONDS + TOLERANCE_MILLISECONDS)
   })
 
