Expect the ends of work by its own step and backend server where speeds matter

Cause: one mean a queue stands for tasks whose times differ by more than their declared ones are off.

Change: where a backend server is too slow for a queue of its pool, the order of waiting work, its waits and what ends before a reserving gang rest on the step's declared time, corrected by its queue, and on its runs; for a run without progress, on its backend server. Elsewhere nothing changes.

--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -141,6 +141,7 @@
     if (terms === undefined || steps.length === 0) return undefined
     const { queue } = job.job
     const mean = this.#state.meanRunTime(queue)
+    const expected = steps.reduce((sum, step) => sum + (this.#state.speeds.expectedMilliseconds(step, this.#state, this.#times.now) ?? mean), 0) / steps.length
     const expectedWork = steps.reduce((sum, step) => sum + step.specification.count * this.#state.shareOf(step.specification, job.job.pool), 0) * mean
     return {
       job,
@@ -149,8 +150,8 @@
       expectedWork,
       meanWork: this.#state.meanWork(queue),
       waitedMilliseconds: Math.max(0, this.#times.wallTime - Math.max(...steps.map(step => dueAt(job.job, step.occurrence)))),
-      remainingMilliseconds: chainLength(job, step => !step.isDone) * mean,
-      objectiveMilliseconds: terms.stretch * chainLength(job, () => true) * mean + terms.latencyMilliseconds
+      remainingMilliseconds: chainLength(job, step => !step.isDone) * expected,
+      objectiveMilliseconds: terms.stretch * chainLength(job, () => true) * expected + terms.latencyMilliseconds
     }
   }
 
--- a/packages/jobs/src/running-groups.ts
+++ b/packages/jobs/src/running-groups.ts
@@ -40,7 +40,7 @@
 }
 
 /**
- * Estimates the remaining run time in milliseconds, from its progress or from the mean of its queue.
+ * Estimates the remaining run time in milliseconds, from its progress, from what its step takes on its backend server, or from the mean of its queue.
  *
  * @example
  * remainingMilliseconds(state, step, run, now)
@@ -48,7 +48,8 @@
 export function remainingMilliseconds (state: PlannerState, step: StepState, run: Run, now: number): number {
   const elapsed = Math.max(0, now - run.startSentAt)
   if (run.percent > 0) return elapsed * (100 - run.percent) / run.percent
-  return Math.max(0, state.meanRunTime(step.job.job.queue) - elapsed)
+  const expected = state.speeds.expectedMilliseconds(step, state, now, run.server) ?? state.meanRunTime(step.job.job.queue)
+  return Math.max(0, expected - elapsed)
 }
 
 function addGroupsOf (state: PlannerState, step: StepState, costOf: RunCost, groups: VictimGroup[]): void {
--- a/packages/jobs/src/server-speeds.ts
+++ b/packages/jobs/src/server-speeds.ts
@@ -99,6 +99,17 @@
     return new PoolSpeeds(beliefs, hastiestStretch, all.length)
   }
 
+  /**
+   * Returns how long a task of a step is expected to take on a usual backend server, or on the given one, from the runs of the step
+   * and its corrected declared time. Undefined if none is known, or if the pool's backend servers are fast enough for all queues.
+   */
+  expectedMilliseconds (step: StepState, context: SpeedContext, now: number, server?: ServerId): number | undefined {
+    const speeds = this.of(step.job.job.pool, context, now)
+    if (!speeds.doSpeedsMatter) return undefined
+    const expected = this.#workOf(step).without()
+    return expected && Math.exp(expected.mean + (server === undefined ? 0 : speeds.beliefOf(server).logSlowness))
+  }
+
   /** Adds the speeds that an earlier owner has stored. */
   inherit (stored: Iterable<StoredSpeed>, now: number): void {
     for (const { id, incarnation, ...belief } of stored) {
