Stop unsaved work on a draining backend server once it is known that it won't end there

Cause: a run on a backend server that shuts down goes on until 1.2 s before, also if it saves nothing and is far from its end, and with it all members of its gang.

Change: draining.ts, with what round.ts had for it: a run that saves no checkpoints, and by the progress reported last needs over twice the time that is left until it would be stopped, is stopped at once.

Result: the new case of draining.test.ts fails before (no stop of four).

--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -1,7 +1,8 @@
 /** A scheduling round: decides which runs are stopped, and which tasks are started on which backend servers. */
 import { CallWindow } from './call-window.js'
 import type { AdviseCommand, Command, StartCommand } from './command.js'
-import { EVACUATION_MILLISECONDS, MAXIMUM_CALLS_PER_SERVER, START_SETTLEMENT_MILLISECONDS, STOPS_PER_UNREACHABLE_SERVER, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
+import { evacuateDraining } from './draining.js'
+import { MAXIMUM_CALLS_PER_SERVER, START_SETTLEMENT_MILLISECONDS, STOPS_PER_UNREACHABLE_SERVER, STOP_RETRY_MILLISECONDS, STUCK_MILLISECONDS, STUCK_PERCENT_TIME_FACTOR, WORK_DONE_PERCENT } from './limits.js'
 import { PlacementRound, type RoundTimes } from './placement-round.js'
 import { failExhausted } from './job-end.js'
 import { determineCauses } from './lost-runs.js'
@@ -22,7 +23,7 @@
   failExhausted(state, times.wallTime)
   determineCauses(state, times)
   for (const server of state.servers.values()) {
-    evacuateDraining(state, server)
+    evacuateDraining(state, server, times.now)
     stopStuck(state, server, times.now)
   }
   giveUpUnsettled(state, times.now)
@@ -32,14 +33,6 @@
   return [...dueStops(state, times.now), ...commands]
 }
 
-/** Stops all runs on a draining backend server that is about to shut down, while their ends can still be reported. */
-function evacuateDraining (state: PlannerState, server: Server): void {
-  const { isDraining, remainingMilliseconds } = server.entry
-  // An entry of the earlier incarnation says nothing of the runs of this one.
-  if (!isDraining || !server.isEntryCurrent || remainingMilliseconds === undefined || remainingMilliseconds > EVACUATION_MILLISECONDS) return
-  for (const run of server.runs.values()) requestStop(state, run, 'leaving')
-}
-
 /**
  * Stops runs without progress: their backend server may be faulty, or they are slower than others. So the
  * next run of the task gets twice the time.
--- a/packages/jobs/test/draining.test.ts
+++ b/packages/jobs/test/draining.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { ServerEntry, StartCommand } from '../src/index.js'
-import { job, World } from './world.js'
+import { job, step, World } from './world.js'
 
 /** Entries of all backend servers, which drain. */
 const drainingEntries = (world: World, overrides: Partial<ServerEntry> = {}): ServerEntry[] =>
@@ -55,4 +55,29 @@
       expect(world.stops.map(({ reason }) => reason)).to.deep.equal(['leaving'])
     })
   })
+
+  // Guards against gangs that work on for nothing until their backend server shuts down.
+  describe('when one drains under a gang', () => {
+    const RUN_MILLISECONDS = 2000
+
+    /** Stops of a gang that has got so far in two seconds, when 3 s are left. */
+    const stopsAt = (percent: number, savesCheckpoints: boolean): number => {
+      const world = new World(2)
+      world.planner.submit(job('gang', { steps: [step({ count: 4, isGang: true, savesCheckpoints })] }))
+      world.settle()
+      world.now += RUN_MILLISECONDS
+      for (const { running } of world.servers) for (const [task, run] of running) running.set(task, { ...run, percent })
+      world.pollServers()
+      world.listServers(world.entries.map((entry, index) => index === 0 ? { ...entry, isDraining: true, remainingMilliseconds: 3000 } : entry))
+      world.settle(2)
+      return world.stops.length
+    }
+
+    for (const { percent, savesCheckpoints, stops, title } of [
+      { percent: 20, savesCheckpoints: false, stops: 4, title: 'stops it at once if it won\'t end there' },
+      { percent: 70, savesCheckpoints: false, stops: 0, title: 'lets it go on if it may end there' },
+      { percent: 0, savesCheckpoints: false, stops: 0, title: 'lets it go on if its progress isn\'t known' },
+      { percent: 20, savesCheckpoints: true, stops: 0, title: 'lets it go on if it saves checkpoints' }
+    ]) it(title, () => expect(stopsAt(percent, savesCheckpoints)).to.equal(stops))
+  })
 })
