--- a/packages/entry/src/configuration-exchange.ts
+++ b/packages/entry/src/configuration-exchange.ts
@@ -86,10 +86,10 @@
   }
 
   #confirm (readAt: Moment, address: string): void {
-    const { current, emit } = this.#options
+    const { current, emit = () => {} } = this.#options
     const age = current.confirmationAge
     current.confirm(readAt)
-    if (current.confirmationAge < age) emit?.('configuration-confirmed', { details: { version: this.#version, address, age: Math.round(current.confirmationAge), earlier: Math.round(age) } })
+    if (current.confirmationAge < age) emit('configuration-confirmed', { details: { version: this.#version, address, age: Math.round(current.confirmationAge), earlier: Math.round(age) } })
   }
 
   async #fetchFrom (address: string): Promise<void> {
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -54,11 +54,11 @@
 export class JobStore {
   readonly #rows: RowStore
   readonly #isAway: () => boolean
-  readonly #emit: EmitEvent | undefined
+  readonly #emit: EmitEvent
   readonly #unsettled = new UnsettledWrites()
 
   /** `isAway` returns true if the store can't be reached from this VM at the moment. */
-  constructor (rows: RowStore, isAway: () => boolean = () => false, emit?: EmitEvent) {
+  constructor (rows: RowStore, isAway: () => boolean = () => false, emit: EmitEvent = () => {}) {
     this.#rows = rows
     this.#isAway = isAway
     this.#emit = emit
@@ -226,7 +226,7 @@
         isStoreAway: this.#isAway,
         isOutcomeUnknown: this.#unsettled.has(table, key),
         deadline,
-        onProlonged: details => this.#emit?.('write-prolonged', { details: { job: key, table, ...details } })
+        onProlonged: details => this.#emit('write-prolonged', { details: { job: key, table, ...details } })
       })
     } catch (thrown) {
       if (asFailure(thrown).code === 'outcome-unknown') this.#unsettled.add(table, key)
