--- a/packages/entry/src/configuration-exchange.ts
+++ b/packages/entry/src/configuration-exchange.ts
@@ -27,7 +27,7 @@
   readonly current: CurrentConfiguration
   /** Decodes the rows of the configuration's table. */
   readonly read: (rows: ReadonlyMap<string, RowValue>) => Configuration | undefined
-  /** Asks the VM at an address for its rows; undefined if it doesn't answer. */
+  /** Requests the rows of the VM at an address; undefined if it doesn't answer. */
   readonly fetch: (address: string) => Promise<ConfigurationRows | undefined>
   readonly emit?: EmitEvent
 }
@@ -36,9 +36,9 @@
 const NO_CONFIGURATION = -1
 
 /**
- * Asks other VMs for the age of the configuration while the own one is old, and answers them. An age counts from the start of
+ * Requests the age of the configuration from other VMs while the own one is old, and answers their requests. An age counts from the start of
  * the read that some VM has made, and the way of the message is added to it, so it is never too small, however many VMs pass it on. Heartbeats carry only the age: rows
- * may be long, and a heartbeat that waits for them looks like a failure.
+ * may be long, and a heartbeat that waits for them would count as missed.
  *
  * @example
  * const exchange = new ConfigurationExchange({ current, read, fetch })
@@ -73,7 +73,7 @@
     return isHelpful ? { version, age } : undefined
   }
 
-  /** The rows of this VM, for one that has asked for them. */
+  /** The rows of this VM, for one that has requested them. */
   get rows (): ConfigurationRows {
     return { version: this.#version, age: this.#options.current.confirmationAge, rows: Object.fromEntries(this.#rows) }
   }
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -139,7 +139,7 @@
 export const OWNER_RETRY_MILLISECONDS = 100
 /** How long a count waits for an owner that answers: a new one loads for about half a second. */
 export const COUNT_WAIT_MILLISECONDS = 1500
-/** Age of the configuration at which a VM asks others for a smaller one: it is reached only if two requests for changes end without an answer. */
+/** Age of the configuration at which a VM requests a smaller one from others: it is reached only if two requests for changes end without an answer. */
 export const CONFIGURATION_STALE_MILLISECONDS = 2 * FEED_WAIT_MILLISECONDS
 /** Part of the bound on a revocation that is reserved for the time between the check and the answer. */
 export const REVOCATION_RESERVE_MILLISECONDS = 600
--- a/packages/entry/src/messages.ts
+++ b/packages/entry/src/messages.ts
@@ -48,7 +48,7 @@
   | { readonly kind: 'cancel', readonly id: JobId }
   | { readonly kind: 'phase', readonly id: JobId }
   | { readonly kind: 'queued', readonly queue: QueueName }
-  /** Asks for the receiver's configuration. */
+  /** Requests the receiver's configuration. */
   | { readonly kind: 'configuration' }
   /** The owner hands over and requests that the receiver claims ownership. */
   | { readonly kind: 'succeed', readonly owner: KnownOwner }
--- a/packages/entry/src/write-settlement.ts
+++ b/packages/entry/src/write-settlement.ts
@@ -13,7 +13,7 @@
   readonly isStoreAway: boolean
   /** Milliseconds within which attempts may still begin: until the caller's deadline, less the time of an attempt, or as long as refused ones are repeated. */
   readonly millisecondsLeft: Readonly<Record<WriteOutcomeSoFar, number>>
-  /** Another VM that reaches the store hasn't been asked yet to carry out the write. */
+  /** The write hasn't been relayed yet, and another VM reaches the store. */
   readonly canRelay: boolean
 }
 
@@ -39,7 +39,7 @@
 }
 
 /**
- * Returns the next step for a write. Another VM is asked before anything is given up, and also while the store is away.
+ * Returns the next step for a write. The write is relayed before anything is given up, and also while the store is away.
  *
  * @example
  * nextWriteStep({ outcome: 'undone', isStoreAway: true, millisecondsLeft: { undone: 250, unknown: 2000 }, canRelay: false }) // 'refuse'
--- a/packages/jobs/src/placement-rules.ts
+++ b/packages/jobs/src/placement-rules.ts
@@ -10,7 +10,7 @@
   | 'stop-by-worth'
   /** Lets a claim wait for capacity only as long as it can still end in time after the stops. */
   | 'wait-by-slack'
-  /** Gives hasty work the fast backend servers where others are too slow for it. */
+  /** Gives work with a low stretch the fast backend servers where others are too slow for it. */
   | 'place-by-speed'
 
 /** All placement rules. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -65,7 +65,7 @@
   readonly serversUnanswered: number
   readonly serversUsable: number
   readonly servers: number
-  /** Backend servers whose speed is known to some extent, and those of them that are too slow for the hastiest queue of their pool. */
+  /** Backend servers whose speed is known to some extent, and those of them that are too slow for the queue with the lowest stretch in their pool. */
   readonly serversTimed: number
   readonly serversSlow: number
   readonly acceleratorsFree: number
--- a/packages/jobs/src/server-speed.ts
+++ b/packages/jobs/src/server-speed.ts
@@ -1,6 +1,6 @@
 /**
  * The speed of one backend server, learnt from its runs. It answers a load whose backend servers differ, or turn slow and
- * well again, where nobody is told which.
+ * well again, and no entry of the registry says which.
  */
 import type { Estimate } from './step-work.js'
 
--- a/packages/jobs/src/server-speeds.ts
+++ b/packages/jobs/src/server-speeds.ts
@@ -84,7 +84,7 @@
   }
 
   /** Collects the beliefs of the backend servers with observed runs, relative to the median of the pool. */
-  #believe (pool: PoolName, now: number, servers: Iterable<Server>, hastiestStretch: number): PoolSpeeds {
+  #believe (pool: PoolName, now: number, servers: Iterable<Server>, lowestStretch: number): PoolSpeeds {
     const beliefs = new Map<ServerId, SpeedBelief>()
     const all: number[] = []
     for (const { id, entry } of this.#servers.size === 0 ? [] : servers) {
@@ -96,7 +96,7 @@
     }
     const median = medianOf(all)
     for (const [id, { logSlowness, deviation }] of beliefs) beliefs.set(id, { logSlowness: logSlowness - median, deviation })
-    return new PoolSpeeds(beliefs, hastiestStretch, all.length)
+    return new PoolSpeeds(beliefs, lowestStretch, all.length)
   }
 
   /**
@@ -127,7 +127,7 @@
     return stored.filter(({ deviation }) => deviation < UNKNOWN_SPEED.deviation).sort((left, right) => left.deviation - right.deviation)
   }
 
-  /** Counts the backend servers whose speed is known, and those that are too slow, when each pool was last looked at. */
+  /** Counts the backend servers whose speed is known, and those that are too slow, when the beliefs of each pool were last computed. */
   get counts (): { readonly serversTimed: number, readonly serversSlow: number } {
     const pools = [...this.#pools.values()].map(({ speeds }) => speeds)
     return { serversTimed: pools.reduce((sum, { known }) => sum + known, 0), serversSlow: pools.reduce((sum, { slowServers }) => sum + slowServers.size, 0) }
--- a/packages/jobs/src/speed-preference.ts
+++ b/packages/jobs/src/speed-preference.ts
@@ -1,6 +1,6 @@
 /**
- * Decides which backend servers a queue's work gets first where they differ in speed. It answers a load of hasty work, such as
- * gangs whose slowest member sets their pace, on a pool part of which is too slow for it: hasty work gets the fast ones, and
+ * Decides which backend servers a queue's work gets first where they differ in speed. It answers a load of work with little time, such as
+ * gangs whose slowest member sets their pace, on a pool part of which is too slow for it: that work gets the fast ones, and
  * work that can wait gets those that are too slow for others. Among backend servers of about the same speed, the order is that
  * of a pool whose backend servers are alike, and so it is in a pool that is fast enough for all of its queues.
  */
@@ -48,17 +48,17 @@
 export class PoolSpeeds {
   readonly #beliefs: ReadonlyMap<ServerId, SpeedBelief>
   /** The lowest stretch of the pool's queues. */
-  readonly hastiestStretch: number
-  /** A backend server is too slow for the hastiest queue. */
+  readonly lowestStretch: number
+  /** A backend server is too slow for the queue with the lowest stretch. */
   readonly doSpeedsMatter: boolean
   readonly #ranks = new Map<number, SpeedRank>()
   #neutralRank: SpeedRank | undefined
 
   /** Backend servers without a belief count among `servers` only. */
-  constructor (beliefs: ReadonlyMap<ServerId, SpeedBelief>, hastiestStretch: number, servers = beliefs.size) {
+  constructor (beliefs: ReadonlyMap<ServerId, SpeedBelief>, lowestStretch: number, servers = beliefs.size) {
     this.#beliefs = beliefs
-    this.hastiestStretch = hastiestStretch
-    this.doSpeedsMatter = areSomeTooSlow([...beliefs.values()], hastiestStretch, servers)
+    this.lowestStretch = lowestStretch
+    this.doSpeedsMatter = areSomeTooSlow([...beliefs.values()], lowestStretch, servers)
   }
 
   beliefOf (server: ServerId): SpeedBelief {
@@ -70,9 +70,9 @@
     return this.#beliefs.size
   }
 
-  /** Those that are too slow for the hastiest queue; none while the speeds make no difference. */
+  /** Those that are too slow for the queue with the lowest stretch; none while the speeds make no difference. */
   get slowServers (): ReadonlyMap<ServerId, SpeedBelief> {
-    return new Map(this.doSpeedsMatter ? [...this.#beliefs].filter(([, belief]) => isTooSlow(belief, this.hastiestStretch)) : [])
+    return new Map(this.doSpeedsMatter ? [...this.#beliefs].filter(([, belief]) => isTooSlow(belief, this.lowestStretch)) : [])
   }
 
   /** Returns the order for work with this tolerance; undefined if all backend servers are fast enough for all queues. */
@@ -89,7 +89,7 @@
   /** Returns the order for work that takes longer than usual in any case, since its data is elsewhere: the slow ones come last. */
   get neutralRank (): SpeedRank | undefined {
     if (!this.doSpeedsMatter) return undefined
-    this.#neutralRank ??= this.#rankBy(belief => isTooSlow(belief, this.hastiestStretch) ? 1 : 0)
+    this.#neutralRank ??= this.#rankBy(belief => isTooSlow(belief, this.lowestStretch) ? 1 : 0)
     return this.#neutralRank
   }
 
@@ -102,8 +102,8 @@
   #rank (belief: SpeedBelief, tolerance: number): number {
     const speedClass = classOf(belief)
     if (isTooSlow(belief, tolerance)) return 2 * CLASSES + speedClass
-    if (tolerance <= this.hastiestStretch) return speedClass
-    return isTooSlow(belief, this.hastiestStretch) ? 0 : CLASSES - speedClass
+    if (tolerance <= this.lowestStretch) return speedClass
+    return isTooSlow(belief, this.lowestStretch) ? 0 : CLASSES - speedClass
   }
 }
 
--- a/packages/jobs/src/speed-report.ts
+++ b/packages/jobs/src/speed-report.ts
@@ -26,7 +26,7 @@
       if ((this.#reported.get(name) ?? '') === ids) continue
       this.#reported.set(name, ids)
       const listed = [...slow].map(([id, { logSlowness }]) => `${id}:${Math.exp(logSlowness).toFixed(2)}`).join(' ')
-      state.recordEvent({ type: 'server-speeds', pool: name, known: speeds.known, tooSlow: slow.size, stretch: speeds.hastiestStretch, slow: listed })
+      state.recordEvent({ type: 'server-speeds', pool: name, known: speeds.known, tooSlow: slow.size, stretch: speeds.lowestStretch, slow: listed })
     }
   }
 }
--- a/packages/jobs/test/speed-preference.test.ts
+++ b/packages/jobs/test/speed-preference.test.ts
@@ -7,8 +7,8 @@
 const DEVIATION = 0.1
 
 /** A pool with one backend server for each slowness, named by it. */
-function poolOf (slownesses: readonly number[], hastiestStretch = 1.5): PoolSpeeds {
-  return new PoolSpeeds(new Map(slownesses.map((slowness): [ReturnType<typeof serverId>, SpeedBelief] => [serverId(`${slowness}`), { logSlowness: Math.log(slowness), deviation: DEVIATION }])), hastiestStretch)
+function poolOf (slownesses: readonly number[], lowestStretch = 1.5): PoolSpeeds {
+  return new PoolSpeeds(new Map(slownesses.map((slowness): [ReturnType<typeof serverId>, SpeedBelief] => [serverId(`${slowness}`), { logSlowness: Math.log(slowness), deviation: DEVIATION }])), lowestStretch)
 }
 
 /** The backend servers in the order in which work with this tolerance gets them; those that count alike are joined. */
@@ -23,7 +23,7 @@
 describe('the order of backend servers by speed', () => {
   const THREE_SPEEDS = [0.6, 1, 1.05, 1.7, 5]
 
-  it('gives hasty work the fastest first', () => {
+  it('gives work with a low stretch the fastest first', () => {
     expect(orderOf(THREE_SPEEDS, 1.5)).to.deep.equal(['0.6', '1 1.05', '1.7', '5'])
   })
 
--- a/packages/ports/src/body-budget.ts
+++ b/packages/ports/src/body-budget.ts
@@ -10,7 +10,7 @@
 export interface HeldBody {
   /** Sets the bytes that the body holds; may give up other bodies, or this one. */
   readonly resize: (bytes: number) => void
-  /** The body is whole: its request may run, so it is not given up any more. */
+  /** The body is complete: its request may run, so it is not given up any more. */
   readonly complete: () => void
   /** Called when the body is given up. */
   onGivenUp: () => void
@@ -36,7 +36,7 @@
   readonly #maximumBytes: () => number
   readonly #now: () => number
   readonly #onGivenUp: () => void
-  /** Bodies that are not whole yet. */
+  /** Bodies that are not complete yet. */
   readonly #open = new Set<OpenBody>()
   #heldBytes = 0
   #givenUp = 0
--- a/packages/ports/src/connection-shedding.ts
+++ b/packages/ports/src/connection-shedding.ts
@@ -28,7 +28,7 @@
 /** After closing connections, this share of the bound is in use, so that the next ones arrive without a new choice. */
 const LOW_SHARE = 15 / 16
 
-/** How much the time in a phase counts; a connection on which a whole request waits for its answer is never closed. */
+/** How much the time in a phase counts; a connection on which a complete request waits for its answer is never closed. */
 const WEIGHTS: Readonly<Record<ConnectionPhase, number>> = { discarding: 16, unused: 4, header: 4, body: 4, idle: 1, answering: 0 }
 
 const TIME_LIMITS: Readonly<Record<ConnectionPhase, (limits: PhaseLimits) => number>> = {
--- a/packages/telemetry/src/catalogue-placement.ts
+++ b/packages/telemetry/src/catalogue-placement.ts
@@ -6,7 +6,7 @@
   'server-speeds': {
     number: 1053,
     level: 'info',
-    sentence: 'The backend servers of a pool that are believed too slow for its hastiest queue have changed. Hasty work avoids them, and other work gets them first. At most once in 5 s for each pool.',
+    sentence: 'The backend servers of a pool that are believed too slow for its queue with the lowest stretch have changed. Work of that queue avoids them, and other work gets them first. At most once in 5 s for each pool.',
     fields: { pool: 'pool', known: 'number of backend servers whose speed is known from their runs', tooSlow: 'number of those that are too slow', stretch: 'lowest stretch of the queues of the pool', slow: 'each of them, with how many times as long as usual a task takes there' },
     action: NO_ACTION
   },
--- a/packages/telemetry/src/planner-load-fields.ts
+++ b/packages/telemetry/src/planner-load-fields.ts
@@ -15,7 +15,7 @@
   serversUsable: 'backend servers that may get work',
   servers: 'backend servers',
   serversTimed: 'backend servers whose speed is known from their runs',
-  serversSlow: 'those that are too slow for the hastiest queue of their pool',
+  serversSlow: 'those that are too slow for the queue with the lowest stretch in their pool',
   acceleratorsFree: 'free accelerators of the usable ones',
   domainsEvacuated: 'evacuated failure domains',
   runsEvacuated: 'runs that are left there'
