--- a/review/11/case.js
+++ b/review/11/case.js
@@ -1,5 +1,3 @@
-import { dirname } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { runCase, sleep } from '../harness-3.js'
 
 const MACHINES = 3
@@ -19,7 +17,7 @@
 const IDLE_MILLISECONDS = 3000
 const WATCHED_MILLISECONDS = 30000
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, hasTrouble) => {
+await runCase(new URL('record.txt', import.meta.url), async (deployment, hasTrouble) => {
   const { record, workers, runs } = deployment
   await deployment.start({ machines: MACHINES, workers: Array.from({ length: WORKERS }, () => ({})) })
   const schedules = hasTrouble ? SCHEDULES : SCHEDULES / 2
--- a/review/12/case.js
+++ b/review/12/case.js
@@ -1,5 +1,3 @@
-import { dirname } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { runCase, sleep } from '../harness-3.js'
 
 const MACHINES = 3
@@ -11,7 +9,7 @@
 const EXITS = 3
 const BROKEN_MACHINES = 2
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, hasTrouble) => {
+await runCase(new URL('record.txt', import.meta.url), async (deployment, hasTrouble) => {
   const { record, machines, runs } = deployment
   await deployment.start({ machines: MACHINES, workers: Array.from({ length: WORKERS }, () => ({})) })
   const count = hasTrouble ? MEMBERS : 4
--- a/review/13/case.js
+++ b/review/13/case.js
@@ -1,5 +1,3 @@
-import { dirname } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { runCase, sleep } from '../harness-3.js'
 
 const MACHINES = 3
@@ -12,7 +10,7 @@
 const IDLE_MILLISECONDS = 3000
 const WATCHED_MILLISECONDS = 30000
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, hasTrouble) => {
+await runCase(new URL('record.txt', import.meta.url), async (deployment, hasTrouble) => {
   const { record, store, workers, runs } = deployment
   await deployment.start({ machines: MACHINES, workers: Array.from({ length: WORKERS }, () => ({})) })
   const count = hasTrouble ? OCCURRENCES : OCCURRENCES / 2
--- a/review/harness-3.js
+++ b/review/harness-3.js
@@ -36,7 +36,7 @@
   })
 }
 
-/** Notes of a case, written to `record.txt` in its folder. */
+/** Notes of a case, written to a file once it has ended. */
 export class Record {
   #lines = []
   #startedAt = performance.now()
@@ -50,8 +50,8 @@
     this.#lines.push(`${String(this.now).padStart(7)} ${text}`)
   }
 
-  write (folder) {
-    writeFileSync(join(folder, 'record.txt'), `${this.#lines.join('\n')}\n`)
+  write (file) {
+    writeFileSync(file, `${this.#lines.join('\n')}\n`)
   }
 }
 
@@ -544,23 +544,23 @@
   }
 }
 
-/** Runs a case: `play` returns true if the rule was broken. The exit code is 1 then, 0 if it held, and 2 if the case couldn't run. */
-export async function runCase (folder, play) {
+/** Runs a case and writes its record: `play` returns true if the rule was broken. The exit code is 1 then, 0 if it held, and 2 if the case couldn't run. */
+export async function runCase (recordFile, play) {
   const deployment = new Deployment()
   let code = 2
-  const limit = setTimeout(() => finish(deployment, folder, 2).catch(() => process.exit(2)), 115000)
+  const limit = setTimeout(() => finish(deployment, recordFile, 2).catch(() => process.exit(2)), 115000)
   try {
     code = await play(deployment, process.env.TROUBLE !== '0') ? 1 : 0
   } catch (thrown) {
     deployment.record.note(`the case could not run: ${thrown.message}`)
   }
   clearTimeout(limit)
-  await finish(deployment, folder, code)
+  await finish(deployment, recordFile, code)
 }
 
-async function finish (deployment, folder, code) {
+async function finish (deployment, recordFile, code) {
   await deployment.close()
   deployment.record.note(`exit ${code}`)
-  deployment.record.write(folder)
+  deployment.record.write(recordFile)
   process.exit(code)
 }
