Let schedules give way between their occurrences

Cause: the planning load of a job counted up to 1,024 steps of occurrences that might be active together, 52 units of 4,000 for a schedule that holds one step or none; and a job with progress was never released, though nothing of it runs between two occurrences.

Begun jobs of which nothing runs, and all of whose progress is stored, go back to the store while there is little room, and are read with their progress once they are due. A new owner leaves begun jobs without recorded runs waiting too.

Ruled out: that intake stops at a large job in front (the load is full by what has begun); a larger limit, which only moves the number of schedules.

The check "keeps all jobs that may have runs or ends" said that each begun job is planned whatever the limit. That is the second half of the cause. It is replaced by two: jobs with recorded or unlisted runs are all kept, and begun jobs without any wait beyond the limit, with none lost. Ends that a server lists without a record still have their job read first.

--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -1,7 +1,7 @@
 /** Decides which accepted jobs the planner has, and reads those that wait in the store once there is room for them. */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure } from '@cornelgauge/model'
-import { MAXIMUM_PLANNED_LOAD, parseTaskName, type Job, type JobId, type Planner, type PoolName, type QueueName, type ServerReport } from '@cornelgauge/jobs'
+import { MAXIMUM_PLANNED_LOAD, parseTaskName, storedRestingForm, type Job, type JobId, type JobProgress, type Planner, type PoolName, type QueueName, type RestingJob, type ServerReport } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { comparePlanningOrder, JobBacklog, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
 import { INTAKE_BATCH, STORE_RETRY_MILLISECONDS, TURN_INTERVAL_MILLISECONDS, TURN_JOBS, TURN_MILLISECONDS } from './limits.js'
@@ -11,6 +11,8 @@
   readonly planner: Planner
   /** Reads a stored job; undefined if there is none. Fails as the store does, or with `record-damaged`. */
   readonly readJob: (id: JobId) => Promise<Job | undefined>
+  /** Reads the stored progress of a job; undefined if there is none. Fails as `readJob`. */
+  readonly readProgress: (id: JobId) => Promise<JobProgress | undefined>
   readonly emit: EmitEvent
   /** Called when a job was accepted under a newer owner, which has replaced this one. */
   readonly onReplaced: () => void
@@ -19,6 +21,8 @@
   readonly signal: AbortSignal
   /** Monotonic time in milliseconds. */
   readonly now?: () => number
+  /** Milliseconds since 1970. */
+  readonly wallTime?: () => number
 }
 
 /** Free planning load from which on there is room for most jobs, so that none has to give way. */
@@ -30,7 +34,8 @@
 /**
  * The way of jobs to the planner. What it may plan is bounded; the other jobs wait in the store and come next, in
  * order, and none is lost. A job of which nothing has started gives way to one that comes before it, and, after some
- * time, to those that had no turn: it may be one that can't run.
+ * time, to those that had no turn: it may be one that can't run. So does a job that has begun while nothing of it runs; one
+ * whose next task isn't due yet gives way at once.
  *
  * @example
  * intake.submit(job)
@@ -45,14 +50,17 @@
   readonly #reading = new Map<JobId, Promise<boolean>>()
   /** Jobs that are needed whatever room there is, until they are read. */
   readonly #required = new Set<JobId>()
+  /** Begun jobs of which nothing ran in the last look, with the time since which that is so. */
+  #restingSince = new Map<JobId, number>()
   #isFilling = false
   #nextTurnAt = 0
 
   /** `waiting` are the jobs that the load has left in the store, `planned` those that the planner has got. */
   constructor (options: JobIntakeOptions, { waiting, planned }: { readonly waiting: readonly WaitingJob[], readonly planned: readonly Job[] }) {
-    this.#options = { now: () => performance.now(), ...options }
+    this.#options = { now: () => performance.now(), wallTime: () => Date.now(), ...options }
+    this.#backlog.advance(this.#options.wallTime())
     for (const entry of waiting) this.#backlog.add(entry)
-    for (const job of planned) if (options.planner.mayRelease(job.id)) this.#notePlanned(waitingJobOf(job))
+    for (const job of planned) if (options.planner.mayRelease(job.id)) this.#notePlanned(waitingJobOf(storedRestingForm(job)))
   }
 
   /** Number of jobs that wait in the store. */
@@ -60,7 +68,7 @@
     return this.#backlog.size
   }
 
-  /** Counts the jobs of a queue that wait in the store. */
+  /** Counts the jobs of a queue that wait in the store and of which no task has started. */
   waitingIn (queue: QueueName): number {
     return this.#backlog.countOf(queue)
   }
@@ -73,8 +81,8 @@
       return false
     }
     if (this.#backlog.has(job.id) || this.#reading.has(job.id)) return false
-    const entry = waitingJobOf(job)
-    if (this.#makeRoom(entry)) return this.#plan(job, entry)
+    const entry = waitingJobOf(storedRestingForm(job))
+    if (!this.#isLater(entry) && this.#makeRoom(entry)) return this.#plan(job, entry)
     this.#backlog.add(entry)
     return false
   }
@@ -89,6 +97,7 @@
   /** Begins to read the jobs for which there is room by now. */
   fill (): void {
     if (this.#isFilling || this.#backlog.size === 0 || this.#options.signal.aborted) return
+    this.#backlog.advance(this.#options.wallTime())
     this.#takeTurns()
     const batch = this.#nextBatch()
     if (batch.length === 0) return
@@ -138,10 +147,10 @@
   }
 
   async #tryRead (entry: WaitingJob): Promise<boolean> {
-    const { readJob, emit, signal } = this.#options
+    const { readJob, readProgress, emit, signal } = this.#options
     try {
-      const job = await readJob(entry.id)
-      if (job !== undefined && !signal.aborted) this.#plan(job, entry)
+      const [job, progress] = await Promise.all([readJob(entry.id), entry.hasProgress ? readProgress(entry.id) : undefined])
+      if (job !== undefined && !signal.aborted) this.#plan(job, entry, progress)
       return true
     } catch (thrown) {
       const failure = asFailure(thrown)
@@ -155,9 +164,9 @@
     }
   }
 
-  #plan (job: Job, entry: WaitingJob): boolean {
+  #plan (job: Job, entry: WaitingJob, progress?: JobProgress): boolean {
     const { planner, emit, onReplaced } = this.#options
-    if (!planner.submit(job)) {
+    if (!planner.submit(job, progress, entry.checkpoints)) {
       onReplaced()
       return false
     }
@@ -191,28 +200,65 @@
     const jobs = this.#planned.get(pool)
     for (let last = jobs?.last; last !== undefined && isDue(last); last = jobs?.last) {
       jobs!.removeLast()
-      if (this.#options.planner.release(last.id)) {
-        this.#backlog.add(last)
+      const released = this.#options.planner.release(last.id)
+      if (released !== undefined) {
+        this.#backlog.add({ ...waitingJobOf(released), since: last.since, turn: last.turn })
         return true
       }
     }
     return false
   }
 
-  /** If there is no room, lets the jobs give way that were planned for some time and of which nothing has started: they come again after the others. */
+  /** True for a job that the planner need not have yet, since there is little room. */
+  #isLater ({ dueAt }: WaitingJob): boolean {
+    return dueAt > this.#options.wallTime() + TURN_MILLISECONDS && !this.#hasRoomForMost
+  }
+
+  get #hasRoomForMost (): boolean {
+    return this.#options.planner.plannedLoad() + MOST_FREE_LOAD <= MAXIMUM_PLANNED_LOAD
+  }
+
+  /** If there is no room, lets the jobs give way that were planned for some time and of which nothing has started, or runs: they come again after the others. */
   #takeTurns (): void {
     const { planner } = this.#options
     const now = this.#options.now()
-    if (now < this.#nextTurnAt || planner.plannedLoad() + MOST_FREE_LOAD <= MAXIMUM_PLANNED_LOAD) return
+    if (now < this.#nextTurnAt || this.#hasRoomForMost) return
     this.#nextTurnAt = now + TURN_INTERVAL_MILLISECONDS
+    this.#releaseResting(now)
     for (const jobs of this.#planned.values()) {
       jobs.remove(({ id }) => !planner.mayRelease(id))
       let count = 0
       const isDue = ({ plannedAt }: PlannedJob): boolean => count < TURN_JOBS && now - plannedAt >= TURN_MILLISECONDS && ++count > 0
       for (const { plannedAt, ...entry } of jobs.remove(isDue)) {
-        planner.release(entry.id)
-        this.#backlog.add({ ...entry, turn: entry.turn + 1 })
+        const released = planner.release(entry.id)
+        if (released !== undefined) this.#backlog.add(this.#entryAfterTurn(released, entry.turn + 1))
       }
     }
   }
+
+  /** Lets begun jobs give way of which nothing runs: at once if their next task isn't due soon, else after some time. */
+  #releaseResting (now: number): void {
+    const { planner, wallTime } = this.#options
+    const soon = wallTime() + TURN_MILLISECONDS
+    const restingSince = new Map<JobId, number>()
+    let count = 0
+    const isDue = ({ job, nextDueAt }: RestingJob): boolean => {
+      if (nextDueAt > soon) return true
+      const since = this.#restingSince.get(job.id) ?? now
+      restingSince.set(job.id, since)
+      return now - since >= TURN_MILLISECONDS && ++count <= TURN_JOBS
+    }
+    for (const released of planner.releaseResting(isDue)) this.#backlog.add(this.#entryAfterTurn(released, released.nextDueAt === -Infinity ? 1 : 0))
+    this.#restingSince = restingSince
+  }
+
+  /** The entry of a job that comes again after those that wait already. */
+  #entryAfterTurn (released: RestingJob, turn: number): WaitingJob {
+    const entry = waitingJobOf(released)
+    return { ...entry, since: Math.max(entry.since, this.#options.wallTime()), turn: this.#isDue(released) ? turn : 0 }
+  }
+
+  #isDue ({ nextDueAt }: RestingJob): boolean {
+    return nextDueAt <= this.#options.wallTime()
+  }
 }
--- a/packages/entry/src/job-selection.ts
+++ b/packages/entry/src/job-selection.ts
@@ -1,6 +1,6 @@
 /** Selects, while the store is read page by page, which jobs a new owner plans and which wait in the store. */
-import { endedForm, MAXIMUM_PLANNED_LOAD, planningLoad, type StoredJob } from '@cornelgauge/jobs'
-import { OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
+import { endedForm, MAXIMUM_PLANNED_LOAD, planningLoad, storedRestingForm, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
+import { comparePlanningOrder, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
 
 /** The selected jobs. */
 export interface SelectedJobs {
@@ -10,8 +10,8 @@
 }
 
 /**
- * Keeps the jobs with progress, since runs of them may be executing and ends of them may be listed, and of the others as
- * many as an owner may plan: those that come first. A job that has ended is kept without its description.
+ * Keeps the jobs with recorded runs, and of the others as many as an owner may plan: those that come first. The runs and ends
+ * that a backend server lists without a record have their jobs read then. A job that has ended is kept without its description.
  *
  * @example
  * const selection = new JobSelection()
@@ -20,11 +20,16 @@
  */
 export class JobSelection {
   readonly #jobs = new Map<string, StoredJob>()
-  /** Those that may still have to wait. */
-  readonly #unstarted = new OrderedJobs()
+  /** Those that may still have to wait; the last ones are those that aren't due. */
+  readonly #releasable: OrderedJobs
   readonly #waiting: WaitingJob[] = []
   #load = 0
 
+  constructor (wallTime = Date.now()) {
+    const isLater = ({ dueAt }: WaitingJob): number => dueAt > wallTime ? 1 : 0
+    this.#releasable = new OrderedJobs((entry, other) => isLater(entry) - isLater(other) || comparePlanningOrder(entry, other))
+  }
+
   add (stored: StoredJob): void {
     const { job, progress, isCancelled } = stored
     if (isCancelled || progress?.phase !== undefined) {
@@ -33,9 +38,9 @@
     }
     this.#jobs.set(job.id, stored)
     this.#load += planningLoad(job)
-    if (progress === undefined) this.#unstarted.add(waitingJobOf(job))
-    for (let last = this.#unstarted.last; last !== undefined && this.#load > MAXIMUM_PLANNED_LOAD; last = this.#unstarted.last) {
-      this.#unstarted.removeLast()
+    if (!mayHaveRuns(progress)) this.#releasable.add(waitingJobOf(storedRestingForm(job, progress)))
+    for (let { last } = this.#releasable; last !== undefined && this.#load > MAXIMUM_PLANNED_LOAD; { last } = this.#releasable) {
+      this.#releasable.removeLast()
       this.#jobs.delete(last.id)
       this.#load -= last.load
       this.#waiting.push(last)
@@ -47,3 +52,8 @@
     return { jobs, waiting: this.#waiting }
   }
 }
+
+/** True if progress records runs that may be executing, or that there may be others. */
+function mayHaveRuns (progress: JobProgress | undefined): boolean {
+  return progress !== undefined && (progress.hasUnlistedRuns === true || Object.values(progress.steps).some(({ placements }) => placements !== undefined))
+}
--- a/packages/entry/src/planner-host.ts
+++ b/packages/entry/src/planner-host.ts
@@ -118,15 +118,15 @@
   /** `stored` is what the store has; it isn't kept. */
   constructor ({ stored, ...given }: PlannerHostOptions & { readonly stored: StoredJobs }) {
     this.#log = new RunLog(given.emit)
-    const options = { ...given, emit: this.#log.emit }
-    this.#options = options
-    const { owner, store, emit } = options
-    this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() }, PLACEMENT_RULES, options.bounds)
-    const unrecorded = unrecordedStartsOf(options.recordedPeriod, owner, { ...stored.servers, clock: stored.clock })
-    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(options.recordedPeriod, owner, stored.clock), unrecorded)
+    this.#options = { ...given, emit: this.#log.emit }
+    const { owner, store, emit, readJob, servers, bounds, recordedPeriod } = this.#options
+    this.#planner = new Planner(owner.epoch, stored.jobs, { now: performance.now(), wallTime: Date.now() }, PLACEMENT_RULES, bounds)
+    const unrecorded = unrecordedStartsOf(recordedPeriod, owner, { ...stored.servers, clock: stored.clock })
+    this.#planner.inheritServers(stored.servers.ids, earlierRunsOf(stored.servers, owner), areStartsRecorded(recordedPeriod, owner, stored.clock), unrecorded)
     this.#intake = new JobIntake({
       planner: this.#planner,
-      readJob: options.readJob,
+      readJob,
+      readProgress: id => this.#writer.read(id),
       emit,
       onReplaced: () => this.#fence(),
       onCrash: thrown => this.#crash(thrown),
@@ -135,14 +135,14 @@
     this.#starts = new StartSender({
       planner: this.#planner,
       epoch: owner.epoch,
-      servers: options.servers,
+      servers,
       targetOf: id => this.#target(id),
       emit,
       maySend: () => this.#maySend,
       onOutcome: (command, outcome) => this.#inbox.put({ type: 'started', command, outcome }),
       onCrash: thrown => this.#crash(thrown)
     })
-    this.#recordedStarts = this.#createRecordedStarts(unrecorded === undefined ? undefined : options.recordedPeriod?.unrecorded)
+    this.#recordedStarts = this.#createRecordedStarts(unrecorded === undefined ? undefined : recordedPeriod?.unrecorded)
     for (const id of stored.earlyCancellations) this.#planner.cancel(id, Date.now())
     this.#writer = new ProgressWriter(store, owner, stored.progressVersions)
     this.#saver = new ProgressSaver({
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -3,7 +3,7 @@
  * planner and on the versions that its last write left, so a delayed write of an earlier
  * attempt or of an earlier owner has no effect.
  */
-import { encodeProgress, type JobId, type Planner } from '@cornelgauge/jobs'
+import { decodeProgress, encodeProgress, type JobId, type JobProgress, type Planner } from '@cornelgauge/jobs'
 import type { RowPut, RowStore, StoredRow, WriteOutcome } from '@cornelgauge/ports'
 import { PROGRESS_BATCH, PROGRESS_BATCH_CHARACTERS } from './limits.js'
 import { checkOwner, type OwnerRecord } from './owner-record.js'
@@ -71,6 +71,18 @@
     return changes.size
   }
 
+  /**
+   * Reads the progress of a job that the planner has released; undefined if there is none.
+   *
+   * @throws {CornelgaugeError} `record-damaged`, or the store's failure
+   */
+  async read (id: JobId): Promise<JobProgress | undefined> {
+    const row = await this.#store.read(PROGRESS_TABLE, id)
+    if (row === undefined) return undefined
+    this.#versions.set(id, row.version)
+    return decodeProgress(row.value.text)
+  }
+
   /** The version of a job's progress row, as last written or loaded; 0 if there is none. */
   progressVersion (id: JobId): number {
     return this.#versions.get(id) ?? 0
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -1,6 +1,6 @@
 /** State of jobs in the planner that owns them. */
 import type { Epoch } from '@cornelgauge/model'
-import type { ServerId } from './ids.js'
+import type { ServerId, TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase } from './job.js'
 import { ENTRY_CHARACTERS, FAILURE_CHARACTERS, MAXIMUM_ACTIVE_STEPS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
 import { endedForm, planningLoad } from './planning-load.js'
@@ -164,19 +164,27 @@
     return this.#occurrences.get(this.#lastOccurrence) ?? []
   }
 
+  /** Steps of the activated occurrences, without those of one occurrence. */
+  get overlappingSteps (): number {
+    return Math.max(0, this.#occurrences.size - 1) * this.job.steps.length
+  }
+
   /**
    * Activates the occurrences that are due, in order, and forgets those that are done. Once a number of steps wait, later
-   * occurrences are activated when earlier ones have started.
+   * occurrences are activated when earlier ones have started. One occurrence may always be active, whatever `room` there is
+   * for steps of others.
    */
-  activate (wallTime: number): void {
+  activate (wallTime: number, room = Infinity): void {
     this.#forgetFinished()
     if (this.#nextOccurrence === occurrencesOf(this.job)) return
     const { length } = this.job.steps
+    const mostOverlapping = this.overlappingSteps + room
     let waiting = new Set(this.#readyWaiting().map(({ occurrence }) => occurrence)).size * length
     const mostActive = this.job.steps.some(step => step.isLasting) ? Infinity : MAXIMUM_ACTIVE_STEPS
     while (waiting < MAXIMUM_OPEN_STEPS && this.#occurrences.size * length < mostActive && this.#nextOccurrence < occurrencesOf(this.job)) {
       const occurrence = this.#nextOccurrence
       if (dueAt(this.job, occurrence) > wallTime) return
+      if (this.#occurrences.size > 0 && this.#occurrences.size * length > mostOverlapping) return
       if (!this.#occurrences.has(occurrence) && !this.#isOccurrenceDone(occurrence)) waiting += this.#stepsOf(occurrence).length
       this.#nextOccurrence += 1
     }
@@ -230,6 +238,28 @@
     return this.#runCount > 0
   }
 
+  /** True if a run of it may still be executing or begin, as far as this owner knows. */
+  get mayHaveRuns (): boolean {
+    return this.hasRuns || this.#placedCount > 0 || this.#earlierServers.size > 0 || this.hasUnlistedRuns
+  }
+
+  /** When its next task is due, in milliseconds since 1970; -Infinity if one is ready, or is ready once others end. */
+  get nextDueAt (): number {
+    for (const steps of this.#occurrences.values()) if (steps.some(step => !step.isDone)) return -Infinity
+    const next = Math.floor(this.done.nextAbsent(this.#nextOccurrence * this.#tasksPerOccurrence) / this.#tasksPerOccurrence)
+    return this.job.schedule === undefined || next >= occurrencesOf(this.job) ? -Infinity : dueAt(this.job, next)
+  }
+
+  /** Checkpoints of the tasks that aren't done, by task; one task stands for its gang. */
+  get checkpoints (): ReadonlyMap<TaskName, string> {
+    const checkpoints = new Map<TaskName, string>()
+    for (const step of this.steps) {
+      if (step.gangCheckpoint !== '') checkpoints.set(step.task(0)!.name, step.gangCheckpoint)
+      else for (const task of step.knownTasks) if (!task.isDone && task.checkpoint !== '') checkpoints.set(task.name, task.checkpoint)
+    }
+    return checkpoints
+  }
+
   /** All runs that may still be executing. */
   get runs (): readonly Run[] {
     return this.#knownTasks.flatMap(task => [...task.runs])
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -182,5 +182,7 @@
 export const MAXIMUM_PLANNED_LOAD = 4000
 /** Steps of a job's activated occurrences at which no further one is activated, whether they wait or not; steps that last don't count, since they don't end. */
 export const MAXIMUM_ACTIVE_STEPS = 1024
+/** Steps of activated occurrences beside the first of each job, over all jobs, at which no job activates a further one: each takes 2 to 3 kB of the heap. */
+export const MAXIMUM_OVERLAPPING_STEPS = 20_000
 /** Maximum number of tasks of a job over all steps and occurrences; it limits the bits that are kept for them, and the work of finding those that wait. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -8,7 +8,7 @@
 import { dueAt } from './job.js'
 import type { JobState } from './job-state.js'
 import { acceleratorsOfJobs, lendableAccelerators } from './lending.js'
-import { LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND } from './limits.js'
+import { LEASE_MILLISECONDS, LEAST_STARTS_PER_ROUND, MAXIMUM_BLOCKED_TASKS, MAXIMUM_DATA_RACK_WAIT_MILLISECONDS, MAXIMUM_OVERLAPPING_STEPS, MAXIMUM_RECLAIMED_TASKS, MAXIMUM_START_EXAMINATIONS_PER_ROUND } from './limits.js'
 import { chainLength, hasMoreWaiting, inPlacementOrder, type Candidate } from './order.js'
 import { placeTasks, placeGang } from './placement.js'
 import { ReclaimRound } from './reclaim-round.js'
@@ -100,9 +100,13 @@
     this.#state.placementTurns.beginRound()
     const unknownEpochs = this.#state.recovery.unknownEpochs(this.#times.now)
     const candidates: Candidate[] = []
+    let room = MAXIMUM_OVERLAPPING_STEPS
+    for (const { overlappingSteps } of this.#state.openJobs) room -= overlappingSteps
     for (const job of this.#state.openJobs) {
       this.#state.work.add(1)
-      job.activate(this.#times.wallTime)
+      const { overlappingSteps } = job
+      job.activate(this.#times.wallTime, Math.max(0, room))
+      room -= job.overlappingSteps - overlappingSteps
       if (this.#state.isRecovering(job, unknownEpochs)) continue
       const candidate = this.#candidate(job)
       if (candidate !== undefined) candidates.push(candidate)
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -22,6 +22,7 @@
 import { PLACEMENT_RULES, type PlacementRule } from './placement-rules.js'
 import type { RoundTimes } from './placement-round.js'
 import type { EarlierRuns, HeldServers, UnrecordedStarts } from './recovery.js'
+import { restingForm, restingJobs, type RestingJob } from './resting-jobs.js'
 import { decide } from './round.js'
 import type { ServerEntry, ServerReport } from './server.js'
 import type { PlannerEvent } from './planner-event.js'
@@ -192,16 +193,22 @@
   }
 
   /**
-   * Adds a job; a job that is already known is not changed.
+   * Adds a job, with its progress if it has any; a job that is already known is not changed. `checkpoints` are those with which
+   * it was released.
    *
    * @returns false if it was accepted under a newer owner, which has replaced this one
    */
-  submit (job: Job): boolean {
+  submit (job: Job, progress?: JobProgress, checkpoints: ReadonlyMap<TaskName, string> = new Map()): boolean {
     if (job.acceptedUnder > this.epoch) return false
     if (this.#state.jobs.has(job.id)) return true
-    const state = new JobState(job, job.acceptedUnder < this.epoch)
-    restoreIdleSince(state, undefined, this.#lastTimes)
+    const state = new JobState(job, job.acceptedUnder < this.epoch, progress)
+    restoreIdleSince(state, progress?.idleSince, this.#lastTimes)
     this.#state.addJob(state)
+    findExhausted(this.#state, state)
+    for (const [name, checkpoint] of checkpoints) {
+      const task = this.#state.task(name)
+      if (task !== undefined) task.checkpoint = checkpoint
+    }
     assignUnknownRuns(this.#state)
     const cancelledAt = this.#earlyCancellations.take(job.id)
     if (cancelledAt !== undefined) this.cancel(job.id, cancelledAt)
@@ -211,12 +218,21 @@
   /**
    * Forgets an open job of which nothing is stored or has started, so that it can be submitted again later.
    *
-   * @returns false if the job has to stay
+   * @returns the job; undefined if it has to stay
    */
-  release (id: JobId): boolean {
-    if (!this.mayRelease(id)) return false
-    this.#state.removeJob(this.#state.jobs.get(id)!)
-    return true
+  release (id: JobId): RestingJob | undefined {
+    return this.mayRelease(id) ? this.#forget(this.#state.jobs.get(id)!) : undefined
+  }
+
+  /** Forgets the open jobs that have begun, of which nothing runs and all progress is stored, and that `isDue` selects. They are submitted again later, with their progress. */
+  releaseResting (isDue: (job: RestingJob) => boolean): readonly RestingJob[] {
+    return restingJobs(this.#state).filter(job => isDue(restingForm(job))).map(job => this.#forget(job))
+  }
+
+  #forget (job: JobState): RestingJob {
+    const form = restingForm(job)
+    this.#state.removeJob(job)
+    return form
   }
 
   /** True if `release` would forget the job. */
