Send the starts of a gang as earlier ones are answered

Cause: all members were sent at once. Each took a run, a command, a call and a timer at the same time, and waited for one of three connections to its server; a call that waited for 600 ms expired, and the whole gang with it. Each member that expired had all members looked at twice.

Change: members are decided together, but sent from a list within the limits of other starts, and take turns with these. One gang starts at a time unless all fit the limit. All members are looked at once for each run that breaks.

Ruled out: starting a gang in parts, since its members end `alone`; a longer limit for calls in the queue, which keeps all of them in memory.

--- a/packages/entry/src/call-queue.ts
+++ b/packages/entry/src/call-queue.ts
@@ -3,8 +3,8 @@
 
 /**
  * A queue in front of a number of connections. A call that waits for its turn is known not to have been sent, so
- * the time limit of the call itself begins with its turn. How many wait is up to the callers: the planner limits its starts
- * and stops for each backend server, but for the members of a gang.
+ * the time limit of the call itself begins with its turn. How many wait is up to the callers: starts and stops are limited
+ * for each backend server.
  *
  * @example
  * const queue = new CallQueue(3)
--- a/packages/entry/src/start-sender.ts
+++ b/packages/entry/src/start-sender.ts
@@ -1,10 +1,11 @@
-/** Sends the starts of an owner: each waits for its record, and then for a connection to its backend server. */
+/** Sends the starts of an owner: each waits for its record, for its turn, and then for a connection to its backend server. */
 import type { Epoch } from '@cornelgauge/model'
 import type { Planner, ServerId, StartCommand, StartOutcome } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import type { BackendServerCalls, ServerTarget } from './backend-server-calls.js'
 import { CALL_SLACK_MILLISECONDS } from './limits.js'
 import { StartGate } from './start-gate.js'
+import { StartQueue } from './start-queue.js'
 import { StartTimes, type LongestStartTimes } from './start-times.js'
 
 /** Options of a sender. */
@@ -31,6 +32,7 @@
 export class StartSender {
   readonly #options: StartSenderOptions
   readonly #gate: StartGate
+  readonly #queue = new StartQueue(command => this.#send(command).catch(this.#options.onCrash))
   readonly #times = new StartTimes()
   #hasSent = false
 
@@ -59,13 +61,16 @@
   /** Sends the starts that are recorded by now, or need not be. */
   release (mayStartUnrecorded: boolean): void {
     const { due, dropped } = this.#gate.release(performance.now(), mayStartUnrecorded)
-    for (const command of due) this.#send(command).catch(this.#options.onCrash)
+    for (const command of due) {
+      this.#times.noteReleased(command, performance.now())
+      this.#queue.add(command)
+    }
     this.#drop(dropped)
   }
 
-  /** Drops the starts that haven't been released. */
+  /** Drops the starts that haven't been sent. */
   clear (): void {
-    this.#drop(this.#gate.clear())
+    this.#drop([...this.#gate.clear(), ...this.#queue.clear()])
   }
 
   /** Returns the longest times of the starts that have ended since the last call. */
@@ -77,7 +82,6 @@
     const { planner, servers, targetOf, epoch, emit, maySend, onOutcome } = this.#options
     if (!this.#hasSent) emit('planner-first-start', { details: { epoch, task: command.task } })
     this.#hasSent = true
-    this.#times.noteReleased(command, performance.now())
     const mayBeSent = (): boolean => {
       this.#times.noteSent(command, performance.now())
       return maySend() && planner.isStartDue(command)
--- a/packages/jobs/src/command.ts
+++ b/packages/jobs/src/command.ts
@@ -20,6 +20,8 @@
   readonly leaseUntil: number
   /** Checkpoint to resume from; empty if there is none. */
   readonly checkpoint: string
+  /** The task is a member of a gang, all of which is started at once. */
+  readonly isMember?: true
   /** Permission of the advice service, if the queue needs one. */
   readonly ticket?: string
 }
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -1,4 +1,5 @@
 /** Finds jobs that have nothing running for long though most of the pool is idle, and what they wait for. */
+import { mostGangMembers } from './gang-size.js'
 import type { ServerId, TaskName } from './ids.js'
 import { dueAt } from './job.js'
 import type { JobState } from './job-state.js'
@@ -16,9 +17,10 @@
  * - `queue`: neither the configuration nor the job has the terms of its queue.
  * - `run`: an earlier run hasn't ended, as far as the planner knows.
  * - `crash`: backend servers have crashed under it, and it waits for empty ones or for its count to be stored.
+ * - `size`: its gang has more members than an owner can start while they wait for each other.
  * - `capacity`: it isn't placed, though most of the pool is idle.
  */
-export type IdleReason = 'recovery' | 'queue' | 'run' | 'crash' | 'capacity'
+export type IdleReason = 'recovery' | 'queue' | 'run' | 'crash' | 'size' | 'capacity'
 
 /** A job that has nothing running though one of its tasks is ready. */
 interface IdleJob {
@@ -136,7 +138,8 @@
   if (recovering !== undefined) return { task: recovering.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
-  return { task: first.name, reason: isSuspect ? 'crash' : 'capacity' }
+  const isTooLarge = first.step.specification.isGang && first.step.count > mostGangMembers(state.bounds)
+  return { task: first.name, reason: isSuspect ? 'crash' : isTooLarge ? 'size' : 'capacity' }
 }
 
 /** Returns which backend servers a job waits for: how many, one of them, and for how long at most. */
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -2,6 +2,7 @@
 export * from './capacity.js'
 export * from './command.js'
 export * from './configuration.js'
+export { mostGangMembers } from './gang-size.js'
 export * from './ids.js'
 export * from './job.js'
 export * from './limits.js'
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -184,5 +184,8 @@
 export const MAXIMUM_ACTIVE_STEPS = 1024
 /** Steps of activated occurrences beside the first of each job, over all jobs, at which no job activates a further one: each takes 2 to 3 kB of the heap. */
 export const MAXIMUM_OVERLAPPING_STEPS = 20_000
+/** Members of a gang at most, and those that an owner starts in a second. */
+export const MAXIMUM_GANG_MEMBERS = 2048
+export const GANG_STARTS_PER_SECOND = 500
 /** Maximum number of tasks of a job over all steps and occurrences; it limits the bits that are kept for them, and the work of finding those that wait. */
 export const MAXIMUM_TASKS_PER_JOB = 100_000
--- a/packages/jobs/src/operating-bounds.ts
+++ b/packages/jobs/src/operating-bounds.ts
@@ -18,4 +18,6 @@
   readonly stopMilliseconds?: number
   /** Time within which a claim of guaranteed accelerators has to begin. */
   readonly reclaimMilliseconds?: number
+  /** Time for which the first members of a gang wait for the others. */
+  readonly gangWaitMilliseconds?: number
 }
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -14,8 +14,10 @@
 import { ReclaimRound } from './reclaim-round.js'
 import { RoundHolds } from './round-holds.js'
 import type { CapacitySnapshot, PlacementTarget } from './capacity-snapshot.js'
+import { mostGangMembers } from './gang-size.js'
 import { isMostlyIdle, snapshotAfterStops, snapshotOf } from './round-snapshots.js'
 import { toleranceOf, type SpeedRank } from './speed-preference.js'
+import type { Run } from './server.js'
 import type { PlannerState } from './state.js'
 import { startUnitOf, unitOf, type StartUnit } from './start-unit.js'
 import { startingRun } from './starting-run.js'
@@ -52,8 +54,10 @@
   readonly #isolation: Isolation
   readonly #claims: ReadonlySet<JobState>
   readonly #isMostlyIdle: boolean
-  /** Starts that are under way. */
+  /** Starts that are under way, without those of members of gangs. */
   readonly #starting: CallWindow
+  /** Members of gangs whose starts are under way. */
+  #startingMembers = 0
   /** Tasks that a step without a gang may start. */
   #mostStartsPerStep = Infinity
   /** Tasks that this round may still start, since each is placed among all backend servers. */
@@ -87,7 +91,7 @@
       isolation: this.#isolation
     })
     this.#starting = new CallWindow(state.startLimit.value)
-    for (const run of state.startsUnderWay()) this.#starting.add(run.server)
+    for (const run of state.startsUnderWay()) this.#noteStarting(run)
     this.#startsLeft = Math.max(LEAST_STARTS_PER_ROUND, Math.floor(MAXIMUM_START_EXAMINATIONS_PER_ROUND / Math.max(1, this.#current.targets.length)))
     this.#totalAccelerators = this.#current.targets.reduce((sum, { server }) => sum + server.entry.capacity.accelerators, 0)
     this.#holds.take(({ job }) => this.#claims.has(job))
@@ -122,6 +126,16 @@
     this.#state.placementTurns.endRound(this.#placeJobs(ordered))
   }
 
+  #noteStarting ({ server, step }: Run): void {
+    if (step?.specification.isGang === true) this.#startingMembers += 1
+    else this.#starting.add(server)
+  }
+
+  /** True if a gang may start beside the members that are under way: a single one in any case, since its members need each other. */
+  #hasRoomForMembers ({ count }: StartUnit): boolean {
+    return this.#startingMembers === 0 || this.#startingMembers + count <= this.#state.startLimit.value
+  }
+
   /** Tasks that may be started now; a gang may exceed it. */
   get #mostStarts (): number {
     return Math.min(this.#startsLeft, this.#starting.room)
@@ -208,6 +222,7 @@
 
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
+    if (step.count > mostGangMembers(this.#state.bounds) || !this.#hasRoomForMembers(unit)) return
     const mayBorrow = this.#mayBorrow(unit, candidate)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
     const turns = this.#state.placementTurns
@@ -300,7 +315,7 @@
     if (!task.step.specification.savesCheckpoints && !this.#claims.has(task.step.job)) this.#lendableAccelerators -= started.need.accelerators
     server.add(started)
     this.#state.noteStarting(started)
-    this.#starting.add(server.id)
+    this.#noteStarting(started)
     this.#startsLeft -= 1
     this.#isolation.add(server, started)
     this.#reclaims.noteStarted(task.step.job)
@@ -320,6 +335,7 @@
       incarnation: server.entry.incarnation,
       leaseUntil: server.extendLease(this.#times.now, LEASE_MILLISECONDS),
       checkpoint: task.checkpoint,
+      ...(task.step.specification.isGang ? { isMember: true as const } : {}),
       ...(this.#eligible.isAdvised(task.step) ? { ticket: ticketFor(task.step, target, this.#times.now) } : {})
     })
   }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -13,7 +13,7 @@
 import type { GoneCause, RestartSource } from './planner-event.js'
 import type { PlannerState } from './state.js'
 import type { TaskState } from './task-state.js'
-import { requestStop, requestStops, stopOtherStarts, stopRestOfGang } from './stops.js'
+import { requestStop, requestStops, stopIfIncomplete, stopOtherStarts, stopRestOfGang } from './stops.js'
 
 /**
  * Applies an answer to a poll. Runs that a complete report no longer lists have ended. An answer that was made before one that is
@@ -149,7 +149,7 @@
   if (job.isOpen && !task.isDone && !task.earlierServers.has(server.id)) state.recorded.noteUnrecorded(state.markChanged(job))
   job.noteRunning()
   if (task.isDone) return requestStop(state, run, 'done-elsewhere')
-  return job.isOpen ? run : requestStop(state, run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
+  return job.isOpen ? stopIfIncomplete(state, run) : requestStop(state, run, job.phase === 'canceled' ? 'cancelled' : 'job-failed')
 }
 
 /**
@@ -237,10 +237,12 @@
   state.release(task)
 }
 
-/** Keeps since when a task, or gang, has been ready of which a start came to nothing. */
-function keepReady (task: TaskState, { readySince }: Run): void {
+/** Keeps since when a task, or gang, has been ready of which a start came to nothing; for all members with the first one of their run. */
+function keepReady (task: TaskState, { run, readySince }: Run): void {
   const { step } = task
-  for (const member of step.specification.isGang ? step.knownTasks : [task]) member.readySince = readySince
+  const isFirst = step.specification.isGang && step.unbegunRun !== run
+  if (isFirst) step.unbegunRun = run
+  for (const member of isFirst ? step.knownTasks : [task]) member.readySince = readySince
 }
 
 /** Notes that a run hasn't begun which may have been counted as lost in a restart. */
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -2,7 +2,7 @@
  * State of a step in the planner that owns it. Only tasks that have something to remember have a state of their own;
  * all others are numbers: those that are done are in the job's set, and those that aren't wait.
  */
-import { serverId, stepName, taskName, type ServerId, type StepName } from './ids.js'
+import { serverId, stepName, taskName, type RunNumber, type ServerId, type StepName } from './ids.js'
 import type { StepSpecification } from './job.js'
 import type { JobState } from './job-state.js'
 import { LossRecord, type RunsByIndex } from './loss-record.js'
@@ -44,6 +44,10 @@
   runChanges = 0
   /** Latest checkpoint of its gang; empty if there is none. */
   gangCheckpoint = ''
+  /** The last run of its gang of which a member has ended, so that all others are stopped. */
+  incompleteRun: RunNumber | undefined
+  /** The last run of its gang of which a start came to nothing, so that all members are ready since before it. */
+  unbegunRun: RunNumber | undefined
   /** States of the tasks that have something to remember, by index. */
   readonly #tasks = new Map<number, TaskState>()
   /** Indexes of the tasks that don't wait: those that are done or may be executing. */
--- a/packages/jobs/src/stops.ts
+++ b/packages/jobs/src/stops.ts
@@ -32,18 +32,31 @@
 }
 
 /**
- * Stops the remaining members of a gang when one of them has ended.
+ * Stops the remaining members of a gang when one of them has ended. That is done once for each run, as every member comes
+ * here in the end; members that are found later are stopped by `stopIfIncomplete`.
  *
  * @example
  * stopRestOfGang(state, task, end.run)
  */
 export function stopRestOfGang (state: PlannerState, task: TaskState, number: RunNumber): void {
-  if (!task.step.specification.isGang) return
-  for (const member of task.step.knownTasks) {
+  const { step } = task
+  if (!step.specification.isGang || step.incompleteRun === number) return
+  step.incompleteRun = number
+  for (const member of step.knownTasks) {
     for (const run of member.runs) if (run.run === number) requestStop(state, run, 'gang-incomplete')
   }
 }
 
+/**
+ * Stops a member that has become known after the others of its run were stopped.
+ *
+ * @example
+ * stopIfIncomplete(state, run)
+ */
+export function stopIfIncomplete (state: PlannerState, run: Run): Run {
+  return run.step?.incompleteRun === run.run ? requestStop(state, run, 'gang-incomplete') : run
+}
+
 /**
  * Stops the other starts of a gang that is done. The members of the one that has ended so end by themselves.
  *
