Choose the form of a job's progress by the length of its row

Cause: placements, completed tasks and failures were bounded, each by itself. Entries of steps were not: once placements are too many to be listed, each active step left 38 bytes without content. Nothing bounded the parts together.

Change: the first form that fits a row as it is written is taken: with placements and lists, with bits, without placements, with ever fewer failed and lost runs. Steps without content have no entry. A job whose placements didn't fit isn't listed again until it has a sixteenth fewer.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -2,12 +2,13 @@
 import type { Epoch } from '@cornelgauge/model'
 import type { ServerId, TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase } from './job.js'
-import { ENTRY_CHARACTERS, FAILURE_CHARACTERS, MAXIMUM_ACTIVE_STEPS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, PLACEMENT_CHARACTERS, STEP_ENTRIES } from './limits.js'
+import { LISTED_AGAIN_SHARE, MAXIMUM_ACTIVE_STEPS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, MAXIMUM_PROGRESS_BYTES } from './limits.js'
 import { endedForm, planningLoad } from './planning-load.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
 import { StepState } from './step-state.js'
-import { decodeBits, encodeBits } from './task-bits.js'
+import { storedForm } from './stored-form.js'
+import { decodeBits } from './task-bits.js'
 import { TaskSet } from './task-set.js'
 import type { TaskState } from './task-state.js'
 
@@ -34,7 +35,8 @@
   /** Since when nothing of it runs, on the monotonic clock, as far as known; undefined from the start of a run until that is noticed. */
   idleSince: number | undefined
   #job: Job
-  readonly #tasksPerOccurrence: number
+  /** Number of the tasks of all steps. */
+  readonly tasksPerOccurrence: number
   /** Steps of the occurrences that are activated and not done, in order. */
   #occurrences = new Map<number, readonly StepState[]>()
   /** The first occurrence that may still have to be activated. */
@@ -46,6 +48,8 @@
   readonly #finishedOccurrences = new Set<number>()
   #runCount = 0
   #placedCount = 0
+  /** Placements up to which its progress lists them. */
+  #mostListed = MAXIMUM_LISTED_ENTRIES
   /** Number of tasks with recorded runs of earlier owners, by backend server. */
   readonly #earlierServers = new Map<ServerId, number>()
 
@@ -54,8 +58,8 @@
     this.load = planningLoad(job)
     this.hasProgress = progress !== undefined
     this.isInherited = isInherited
-    this.#tasksPerOccurrence = job.steps.reduce((sum, { count }) => sum + count, 0)
-    this.done = new TaskSet(this.#tasksPerOccurrence * occurrencesOf(job))
+    this.tasksPerOccurrence = job.steps.reduce((sum, { count }) => sum + count, 0)
+    this.done = new TaskSet(this.tasksPerOccurrence * occurrencesOf(job))
     if (progress !== undefined) this.#restore(progress)
   }
 
@@ -113,7 +117,7 @@
 
   /** True if its progress may list where its tasks may run: it is open, and they aren't too many. */
   get arePlacementsListed (): boolean {
-    return this.isOpen && this.#placedCount <= MAXIMUM_LISTED_ENTRIES
+    return this.isOpen && this.#placedCount <= this.#mostListed
   }
 
   /** Phase for callers: a final phase only once it is stored. */
@@ -122,31 +126,21 @@
   }
 
   get progress (): JobProgress {
-    const besideDone: Record<string, StepProgress> = {}
-    let characters = FAILURE_CHARACTERS
-    for (const step of this.steps) {
-      const progress = step.progressWithin(characters)
-      if (progress === undefined) continue
-      besideDone[stepKey(step)] = { done: [], ...progress }
-      const { placements, ...failures } = progress
-      characters -= JSON.stringify(failures).length
-    }
-    const placements = Object.values(besideDone).reduce((sum, step) => sum + placementEntries(step), 0)
-    const areListed = placements <= MAXIMUM_LISTED_ENTRIES && (this.arePlacementsListed || !this.isOpen)
-    const listed = areListed ? besideDone : withoutPlacements(besideDone)
-    const rest = {
-      ...(this.isOpen ? {} : { phase: this.phase, finishedAt: this.finishedAt }),
-      ...(this.hasUnlistedRuns || !areListed ? { hasUnlistedRuns: true } : {}),
-      hasBegun: this.phase !== 'queued'
-    }
-    const steps = this.done.size <= MAXIMUM_LISTED_ENTRIES ? this.#withDone(listed) : listed
-    const entries = this.done.size + STEP_ENTRIES * Object.keys(steps).length + (areListed ? placements : 0)
-    return entries <= MAXIMUM_LISTED_ENTRIES ? { ...rest, steps } : { ...rest, steps: listed, doneBits: encodeBits(this.done) }
+    return this.progressWithin(MAXIMUM_PROGRESS_BYTES)
+  }
+
+  /** Its progress in a form that fits a row of so many bytes. If that doesn't list where its tasks may run, later ones don't either until there are fewer. */
+  progressWithin (mostBytes: number): JobProgress {
+    const wereListed = this.arePlacementsListed
+    const { progress, arePlacementsListed } = storedForm(this, mostBytes)
+    if (arePlacementsListed) this.#mostListed = MAXIMUM_LISTED_ENTRIES
+    else if (wereListed) this.#mostListed = Math.floor(this.#placedCount * LISTED_AGAIN_SHARE)
+    return progress
   }
 
   /** All steps of all occurrences are done. */
   get isDone (): boolean {
-    return this.done.size === this.#tasksPerOccurrence * occurrencesOf(this.job)
+    return this.done.size === this.tasksPerOccurrence * occurrencesOf(this.job)
   }
 
   /** Steps of the activated occurrences that aren't known to be done, in order. */
@@ -246,7 +240,7 @@
   /** When its next task is due, in milliseconds since 1970; -Infinity if one is ready, or is ready once others end. */
   get nextDueAt (): number {
     for (const steps of this.#occurrences.values()) if (steps.some(step => !step.isDone)) return -Infinity
-    const next = Math.floor(this.done.nextAbsent(this.#nextOccurrence * this.#tasksPerOccurrence) / this.#tasksPerOccurrence)
+    const next = Math.floor(this.done.nextAbsent(this.#nextOccurrence * this.tasksPerOccurrence) / this.tasksPerOccurrence)
     return this.job.schedule === undefined || next >= occurrencesOf(this.job) ? -Infinity : dueAt(this.job, next)
   }
 
@@ -272,7 +266,7 @@
   #stepsOf (occurrence: number): readonly StepState[] {
     const known = this.#occurrences.get(occurrence)
     if (known !== undefined) return known
-    let firstTask = occurrence * this.#tasksPerOccurrence
+    let firstTask = occurrence * this.tasksPerOccurrence
     const steps = this.job.steps.map(({ count }, number) => {
       const step = new StepState(this, occurrence, number, firstTask)
       firstTask += count
@@ -286,31 +280,8 @@
   }
 
   #isOccurrenceDone (occurrence: number): boolean {
-    const first = occurrence * this.#tasksPerOccurrence
-    return this.done.nextAbsent(first) >= first + this.#tasksPerOccurrence
-  }
-
-  /** Adds the lists of completed tasks to the progress of steps. */
-  #withDone (progress: JobProgress['steps']): JobProgress['steps'] {
-    const lists = new Map<string, number[]>()
-    for (const number of this.done) {
-      const { key, index } = this.#addressOf(number)
-      const list = lists.get(key)
-      if (list === undefined) lists.set(key, [index])
-      else list.push(index)
-    }
-    const steps: Record<string, StepProgress> = { ...progress }
-    for (const [key, done] of lists) steps[key] = { failed: {}, ...steps[key], done }
-    return steps
-  }
-
-  /** Returns the key of a task's step in the progress, and its index there. */
-  #addressOf (number: number): { readonly key: string, readonly index: number } {
-    const occurrence = Math.floor(number / this.#tasksPerOccurrence)
-    let index = number % this.#tasksPerOccurrence
-    let step = 0
-    for (; index >= this.job.steps[step]!.count; step += 1) index -= this.job.steps[step]!.count
-    return { key: `${occurrence}.${step}`, index }
+    const first = occurrence * this.tasksPerOccurrence
+    return this.done.nextAbsent(first) >= first + this.tasksPerOccurrence
   }
 
   #restore (progress: JobProgress): void {
@@ -332,7 +303,7 @@
 
   #restoreDone (occurrence: number, step: number, indexes: readonly number[]): void {
     const { count, isGang } = this.job.steps[step]!
-    const first = occurrence * this.#tasksPerOccurrence + this.job.steps.slice(0, step).reduce((sum, each) => sum + each.count, 0)
+    const first = occurrence * this.tasksPerOccurrence + this.job.steps.slice(0, step).reduce((sum, each) => sum + each.count, 0)
     const done = indexes.filter(index => index < count)
     // One end stands for the whole gang.
     const ended = isGang && done.length > 0 ? Array.from({ length: count }, (_, index) => index) : done
@@ -340,10 +311,6 @@
   }
 }
 
-function stepKey ({ occurrence, number }: StepState): string {
-  return `${occurrence}.${number}`
-}
-
 /** The steps of an occurrence that aren't done and whose dependencies are. */
 function readyOf (steps: readonly StepState[]): readonly StepState[] {
   return steps.filter(step => isReady(step, steps))
@@ -358,13 +325,3 @@
 function hasMoreThanDone ({ done, failed, ...rest }: StepProgress): boolean {
   return Object.keys(failed).length > 0 || Object.keys(rest).length > 0
 }
-
-/** Counts the entries of a list of tasks that take as much room as the placements of a step. */
-function placementEntries ({ placements = {} }: StepProgress): number {
-  return Object.entries(placements).reduce((sum, [id, { address, tasks }]) => sum + Math.ceil((id.length + address.length + PLACEMENT_CHARACTERS) / ENTRY_CHARACTERS) + tasks.length, 0)
-}
-
-/** Drops the backend servers on which tasks may run. */
-function withoutPlacements (steps: JobProgress['steps']): JobProgress['steps'] {
-  return Object.fromEntries(Object.entries(steps).map(([key, { placements, ...step }]) => [key, step]))
-}
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -169,6 +169,8 @@
 export const OVERWRITTEN_ROW_MILLISECONDS = 2000
 /** Entries up to which completed tasks, and placements, are stored as lists; a row of the store has 65,536 bytes, of which completed tasks as bits take 17 kB. */
 export const MAXIMUM_LISTED_ENTRIES = 5000
+/** Share of the placements that didn't fit from which on they are listed again: without it a job changes its form with each start. */
+export const LISTED_AGAIN_SHARE = 15 / 16
 /** Characters of one entry at most, and of the names and quotes around the id and the address in a placement. */
 export const ENTRY_CHARACTERS = 6
 export const PLACEMENT_CHARACTERS = 30
@@ -176,6 +178,8 @@
 export const FAILURE_CHARACTERS = 12_000
 /** Entries that the key and the braces of a step take. */
 export const STEP_ENTRIES = 6
+/** Bytes of a job's progress at most as the value of a row, which may have 65,536: the time since when nothing runs is added. */
+export const MAXIMUM_PROGRESS_BYTES = 65_000
 /** Steps of a job's occurrences with waiting tasks at which no further occurrence is activated, however many are due: each step that is activated takes memory. */
 export const MAXIMUM_OPEN_STEPS = 256
 /** Planning load of all open jobs that an owner plans at most: a quarter of its heap, and rounds of a present-day core below 50 ms. What exceeds it waits in the store. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -363,8 +363,9 @@
   progressOf (id: JobId): JobProgress | undefined {
     const job = this.#state.jobs.get(id)
     if (job === undefined) return undefined
+    const { progress } = job
     this.#state.noteEncoded(job)
-    return { ...job.progress, ...storedIdleSince(job, this.#lastTimes) }
+    return { ...progress, ...storedIdleSince(job, this.#lastTimes) }
   }
 
   /** Marks the progress of jobs as stored, as of these changes. */
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -301,6 +301,7 @@
    * undefined if there is nothing to store.
    */
   progressWithin (characters: number): Omit<StepProgress, 'done'> | undefined {
+    if (this.#placed.size === 0 && this.#highestFailures === 0 && this.#losses === undefined) return undefined
     const failed = this.#failedWithin(characters)
     const placements = this.#placements
     const losses = this.#losses?.progressWithin(characters - JSON.stringify(failed).length) ?? {}
--- a/packages/jobs/test/large-progress.test.ts
+++ b/packages/jobs/test/large-progress.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { decodeProgress, encodeProgress, occurrencesOf, type Job, type JobProgress } from '../src/index.js'
+import * as fc from 'fast-check'
+import { decodeProgress, encodeProgress, MAXIMUM_TASKS_PER_JOB, occurrencesOf, serverId, type Job, type JobProgress } from '../src/index.js'
 import { JobState } from '../src/job-state.js'
 import { decodeBits, encodeBits } from '../src/task-bits.js'
 import type { TaskState } from '../src/task-state.js'
@@ -11,6 +12,7 @@
 const stateOf = (work: Job, progress?: JobProgress): JobState => new JobState(work, true, progress)
 const tasksOf = (state: JobState): readonly TaskState[] =>
   Array.from({ length: occurrencesOf(state.job) }, (_, occurrence) => state.job.steps.flatMap(({ count }, number) => Array.from({ length: count }, (_, index) => state.task(occurrence, number, index)!))).flat()
+const rowBytesOf = (progress: JobProgress): number => Buffer.byteLength(JSON.stringify({ text: encodeProgress(progress) }))
 const doneOf = (state: JobState): readonly string[] => tasksOf(state).filter(task => task.isDone).map(task => task.name)
 
 /** A job of which each task but every seventh is done, and one has failed. */
@@ -105,6 +107,84 @@
     })
   })
 
+  // Guards against progress that outgrows its row by the entries of steps, each of which has little.
+  describe('with many occurrences that last', () => {
+    const OCCURRENCES = 4000
+    const lasting = job('a', { steps: [step({ isLasting: true })], schedule: { occurrences: OCCURRENCES, startAt: 0, intervalMilliseconds: 1 } })
+    const place = (state: JobState, occurrence: number): void => {
+      state.task(occurrence, 0, 0)!.addEarlierServer(serverId(`server-${occurrence % 6}`), '10.0.0.1:8530')
+    }
+
+    it('fits a row however many of them run, and says if it doesn\'t list where', () => {
+      const state = stateOf(lasting)
+      let wereListed = true
+      for (let occurrence = 0; occurrence < OCCURRENCES; occurrence += 1) {
+        place(state, occurrence)
+        if (occurrence % 50 !== 0) continue
+        const { progress } = state
+        expect(rowBytesOf(progress)).to.be.below(ROW_BYTES)
+        const listed = Object.values(progress.steps).filter(({ placements }) => placements !== undefined).length
+        expect(progress.hasUnlistedRuns === true).to.equal(listed < occurrence + 1)
+        expect(listed).to.be.oneOf([0, occurrence + 1])
+        expect(wereListed || listed === 0).to.equal(true)
+        wereListed = listed > 0
+      }
+      expect(wereListed).to.equal(false)
+    })
+
+    it('lists where they run again once fewer do', () => {
+      const state = stateOf(lasting)
+      for (let occurrence = 0; occurrence < 1000; occurrence += 1) place(state, occurrence)
+      expect(state.progress.hasUnlistedRuns).to.equal(true)
+      expect(state.arePlacementsListed).to.equal(false)
+      for (let occurrence = 100; occurrence < 1000; occurrence += 1) state.task(occurrence, 0, 0)!.removeEarlierServer(serverId(`server-${occurrence % 6}`))
+      expect(state.arePlacementsListed).to.equal(true)
+      expect(Object.keys(state.progress.steps)).to.have.length(100)
+    })
+  })
+
+  it('fits a row whatever has become of its tasks, and loses none that is done', function () {
+    this.timeout(120_000)
+    const event = fc.record({ share: fc.double({ min: 0, max: 1, noNaN: true }), kind: fc.constantFrom('done', 'failed', 'lost', 'placed', 'crashed'), times: fc.integer({ min: 1, max: 6 }), many: fc.constantFrom(1, 50, 1000, 20_000) })
+    const shape = fc.record({ occurrences: fc.constantFrom(1, 7, 1000, 3000), steps: fc.constantFrom(1, 3, 30), count: fc.constantFrom(1, 3, 500), isGang: fc.boolean(), isLasting: fc.boolean() })
+    fc.assert(fc.property(shape, fc.array(event, { maxLength: 12 }), ({ occurrences, steps, count, isGang, isLasting }, events) => {
+      const tasks = occurrences * steps * count
+      fc.pre(tasks <= MAXIMUM_TASKS_PER_JOB)
+      const state = stateOf(job('a', { steps: Array.from({ length: steps }, () => step({ count, isGang, isLasting })), schedule: { occurrences, startAt: 0, intervalMilliseconds: 1 } }))
+      const taskAt = (number: number): TaskState => {
+        const inOccurrence = number % (steps * count)
+        return state.task(Math.floor(number / (steps * count)), Math.floor(inOccurrence / count), inOccurrence % count)!
+      }
+      let run = 1_000_000_000
+      const apply: Readonly<Record<string, (task: TaskState) => void>> = {
+        done: task => task.step.complete(task),
+        failed: task => task.step.addFailure(task, run),
+        lost: task => { task.step.losses.add(task.step.unitOf(task), run, `server-${run}`) },
+        placed: task => task.addEarlierServer(serverId(`server-with-a-long-id-${run % 400}`), '10.120.130.140:28530'),
+        crashed: task => {
+          task.step.losses.evidence.add(task.index, run, 1500)
+          task.step.losses.addLossAtStart(task.step.unitOf(task), run)
+        }
+      }
+      for (const { share, kind, times, many } of events) {
+        const first = Math.floor(share * (tasks - 1))
+        for (let index = first; index < Math.min(tasks, first + many); index += 1) {
+          const task = taskAt(index)
+          for (let time = 0; time < times && !task.isDone; time += 1) {
+            run += 1
+            apply[kind]!(task)
+          }
+        }
+      }
+      const { progress } = state
+      expect(rowBytesOf(progress)).to.be.below(ROW_BYTES)
+      const restored = stateOf(state.job, decodeProgress(encodeProgress(progress)))
+      expect([...restored.done]).to.deep.equal([...state.done])
+      const placed = (job: JobState): readonly string[] => job.steps.flatMap(each => [...each.placedTasks].filter(task => !task.isDone).map(task => task.name)).sort()
+      if (progress.hasUnlistedRuns !== true) expect(placed(restored)).to.deep.equal(placed(state))
+    }), { seed: 20_261_207, numRuns: Number(process.env.PROGRESS_RUNS ?? 60) })
+  })
+
   it('keeps sets of numbers as bits', () => {
     const numbers = Array.from({ length: 300 }, (_, index) => index * 3)
     expect([...decodeBits(encodeBits(numbers))]).to.deep.equal(numbers)
