Let a row that the store refuses for good stop its own job only

Cause: a status that the store client didn't know counted as an outage, also 400, so the same 45 rows were written again without end. An end was acknowledged only after all earlier changes of all jobs, and a start without its record made the owner late, which then starts nothing.

A refused batch is divided until the row is by itself, and its job is left out for 5 s at a time (event 1055): nothing of it starts. Ends wait for the progress of their own jobs. A hand-in whose row is refused is answered with 413 after one attempt.

Ruled out: ending the job (it would be shown as failed without a failed run), and leaving the refused row out of the record of runs, on which the next owner relies.

--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -99,6 +99,8 @@
 export const PLANNER_SUMMARY_INTERVAL_MILLISECONDS = 2000
 /** Writes of progress under way at a time: a start waits for its record. */
 export const CONCURRENT_PROGRESS_WRITES = 3
+/** How long progress that the store has refused for good isn't written, in milliseconds: a later form of it may be shorter. */
+export const REFUSED_PROGRESS_MILLISECONDS = 5000
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
 /** Characters of progress in one transaction, unless one record alone has more; the store accepts 1 MB, of which base64 takes a third more. */
--- a/packages/entry/src/monitored-store.ts
+++ b/packages/entry/src/monitored-store.ts
@@ -1,9 +1,12 @@
 /** A store wrapper that records when the store last answered, and how many calls have failed since. */
-import { asFailure } from '@cornelgauge/model'
+import { asFailure, type ErrorCode } from '@cornelgauge/model'
 import type { PageRange, RowChanges, RowPage, RowStore, RowTransaction, StoredRow, TransferOptions, WriteOutcome } from '@cornelgauge/ports'
 import { elapsedSince, moment, type Moment } from './elapsed.js'
 import { STORE_AWAY_FAILURES, STORE_AWAY_MILLISECONDS, STORE_SILENT_MILLISECONDS } from './limits.js'
 
+/** Failures that are answers of a store which serves calls. */
+const ANSWERS: ReadonlySet<ErrorCode> = new Set<ErrorCode>(['conflict', 'write-refused'])
+
 /**
  * Forwards calls to a store and records the time of its last answer.
  *
@@ -68,7 +71,7 @@
       this.#noteAnswer()
       return value
     } catch (thrown) {
-      if (asFailure(thrown).code === 'conflict') this.#noteAnswer()
+      if (ANSWERS.has(asFailure(thrown).code)) this.#noteAnswer()
       else this.#failuresSinceAnswer += 1
       throw thrown
     }
--- a/packages/entry/src/owner-record.ts
+++ b/packages/entry/src/owner-record.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { asFailure, CornelgaugeError, epoch, type Epoch, type VmName } from '@cornelgauge/model'
 import type { RowStore, RowValue, StoredRow } from '@cornelgauge/ports'
+import { isRefusal } from './store-refusal.js'
 import { OWNER_KEY, OWNER_TABLE } from './tables.js'
 
 /** The stored owner. */
@@ -59,7 +60,7 @@
     if (outcome.type === 'written') return { vm: self.vm, address: self.address, epoch: next, claim, recordedSince, version: outcome.version }
   } catch (thrown) {
     const failure = asFailure(thrown)
-    if (failure.code === 'overloaded') throw failure
+    if (isRefusal(failure)) throw failure
     const owner = await readOwner(store)
     if (owner === undefined || owner.version === known.version) throw failure
     return owner
--- a/packages/entry/src/planner-findings.ts
+++ b/packages/entry/src/planner-findings.ts
@@ -20,6 +20,7 @@
     const wait = waitMilliseconds === undefined ? {} : { waitMilliseconds: Math.round(waitMilliseconds) }
     emit('job-idle', { details: { ...details, ...wait, milliseconds: Math.round(details.milliseconds), age: Math.round(details.age) } })
   },
+  'progress-refused': (emit, { type, ...details }) => emit('progress-refused', { details }),
   'job-ended': (emit, { type, ...details }) => emit('job-ended', { details }),
   'domain-evacuated': (emit, { type, ...details }) => emit('domain-evacuated', { details }),
   'domain-in-service': (emit, { type, ...details }) => emit('domain-in-service', { details: { ...details, milliseconds: Math.round(details.milliseconds) } }),
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -3,9 +3,10 @@
  * planner and on the versions that its last write left, so a delayed write of an earlier
  * attempt or of an earlier owner has no effect.
  */
+import { asFailure } from '@cornelgauge/model'
 import { decodeProgress, encodeProgress, type JobId, type JobProgress, type Planner } from '@cornelgauge/jobs'
 import type { RowPut, RowStore, StoredRow, WriteOutcome } from '@cornelgauge/ports'
-import { PROGRESS_BATCH, PROGRESS_BATCH_CHARACTERS } from './limits.js'
+import { PROGRESS_BATCH, PROGRESS_BATCH_CHARACTERS, REFUSED_PROGRESS_MILLISECONDS } from './limits.js'
 import { checkOwner, type OwnerRecord } from './owner-record.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 
@@ -29,39 +30,67 @@
   readonly #store: RowStore
   readonly #owner: OwnerRecord
   readonly #versions: Map<JobId, number>
+  readonly #now: () => number
   /** Jobs whose progress is being written. */
   readonly #inFlight = new Set<JobId>()
+  /** Jobs whose progress the store has refused, with the time from which on it is written again, on the steady clock. */
+  readonly #refusedUntil = new Map<JobId, number>()
 
-  constructor (store: RowStore, owner: OwnerRecord, versions: ReadonlyMap<JobId, number>) {
+  /** `now` is the steady clock. */
+  constructor (store: RowStore, owner: OwnerRecord, versions: ReadonlyMap<JobId, number>, now = (): number => performance.now()) {
     this.#store = store
     this.#owner = owner
     this.#versions = new Map(versions)
+    this.#now = now
   }
 
   /** True if there is progress to be written that isn't being written. */
   hasNext (planner: Planner): boolean {
-    return planner.unstoredCount > this.#inFlight.size
+    const now = this.#now()
+    for (const [id, until] of this.#refusedUntil) if (until <= now) this.#refusedUntil.delete(id)
+    return planner.unstoredCount > this.#inFlight.size + this.#refusedUntil.size
   }
 
   /**
    * Stores one batch, of jobs that no other call is writing, and marks it as stored in the planner. After a write without an answer the
    * next one has the same conditions; if the earlier one took effect, the store turns it away
-   * with the current rows, and it is made once more with their versions.
+   * with the current rows, and it is made once more with their versions. Rows that the store refuses for good are found by halves,
+   * and left out for some time, while the others are stored.
    *
    * @returns the number of jobs stored
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
    */
   async write (planner: Planner): Promise<number> {
-    const batch = nextBatch(planner, this.#inFlight)
+    const batch = nextBatch(planner, id => this.#inFlight.has(id) || this.#refusedUntil.has(id))
     if (batch.changes.size === 0) return 0
     for (const id of batch.changes.keys()) this.#inFlight.add(id)
     try {
-      return await this.#writeBatch(planner, batch)
+      return await this.#writeApart(planner, batch)
     } finally {
       for (const id of batch.changes.keys()) this.#inFlight.delete(id)
     }
   }
 
+  async #writeApart (planner: Planner, batch: ProgressBatch): Promise<number> {
+    try {
+      return await this.#writeBatch(planner, batch)
+    } catch (thrown) {
+      if (asFailure(thrown).code !== 'write-refused') throw thrown
+      const [one, ...others] = halvesOf(batch)
+      if (others.length === 0) this.#refuse(planner, one!)
+      let stored = 0
+      for (const half of others.length === 0 ? [] : [one!, ...others]) stored += await this.#writeApart(planner, half)
+      return stored
+    }
+  }
+
+  #refuse (planner: Planner, { changes }: ProgressBatch): void {
+    for (const id of changes.keys()) {
+      this.#refusedUntil.set(id, this.#now() + REFUSED_PROGRESS_MILLISECONDS)
+      planner.noteRefused(id)
+    }
+  }
+
   async #writeBatch (planner: Planner, { changes, puts }: ProgressBatch): Promise<number> {
     let outcome = await this.#transact(puts)
     if (outcome.type === 'conflict') outcome = await this.#transact(puts)
@@ -145,11 +174,11 @@
 }
 
 /** Encodes the progress of the first jobs with unstored changes that aren't being written, as many as one transaction holds, and at least one. */
-function nextBatch (planner: Planner, inFlight: ReadonlySet<JobId>): ProgressBatch {
+function nextBatch (planner: Planner, isLeftOut: (id: JobId) => boolean): ProgressBatch {
   const changes = new Map<JobId, number>()
   const puts: ProgressPut[] = []
   let characters = 0
-  for (const [id, change] of [...planner.unstoredJobs].filter(([id]) => !inFlight.has(id)).slice(0, PROGRESS_BATCH)) {
+  for (const [id, change] of [...planner.unstoredJobs].filter(([id]) => !isLeftOut(id)).slice(0, PROGRESS_BATCH)) {
     const text = encodeProgress(planner.progressOf(id) ?? { hasBegun: false, steps: {} })
     characters += text.length
     if (puts.length > 0 && characters > PROGRESS_BATCH_CHARACTERS) break
@@ -158,3 +187,10 @@
   }
   return { changes, puts }
 }
+
+/** Divides a batch in two; one of a single row stays as it is. */
+function halvesOf ({ changes, puts }: ProgressBatch): readonly ProgressBatch[] {
+  const middle = puts.length >> 1
+  const halves = puts.length < 2 ? [puts] : [puts.slice(0, middle), puts.slice(middle)]
+  return halves.map(half => ({ changes: new Map(half.map(({ key }) => [key, changes.get(key)!])), puts: half }))
+}
--- a/packages/entry/src/server-record.ts
+++ b/packages/entry/src/server-record.ts
@@ -9,6 +9,7 @@
 import { SERVER_RECORD_ROWS } from './limits.js'
 import type { OwnerRecord } from './owner-record.js'
 import { decodeServerRow, encodeServerRow, type ServerRow, type StoredBounds } from './server-row.js'
+import { isRefusal } from './store-refusal.js'
 import { readTable, type StoreClock, type TableReadOptions } from './table-reader.js'
 import { OWNER_KEY, OWNER_TABLE, SERVERS_TABLE } from './tables.js'
 
@@ -172,7 +173,7 @@
       puts: wanted.map(([key, row]) => ({ table: SERVERS_TABLE, key, value: encodeServerRow(row.ids, this.#owner.epoch, row.bounds, row.settled) }))
     }).catch(thrown => {
       // A write that was refused has no effect, so the backend servers that it lists may be used.
-      if (asFailure(thrown).code === 'overloaded') for (const [key, row] of before) this.#rows.set(key, row)
+      if (isRefusal(asFailure(thrown))) for (const [key, row] of before) this.#rows.set(key, row)
       throw thrown
     })
     if (outcome.type === 'written') {
--- a/packages/entry/src/settled-write.ts
+++ b/packages/entry/src/settled-write.ts
@@ -2,6 +2,7 @@
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure, CornelgaugeError, type ErrorCode } from '@cornelgauge/model'
 import { LAST_ATTEMPT_MILLISECONDS, REFUSED_WRITE_RETRY_MILLISECONDS, STORE_RETRY_MILLISECONDS } from './limits.js'
+import { isRefusal } from './store-refusal.js'
 import { nextWriteStep, type WriteOutcomeSoFar, type WriteStep } from './write-settlement.js'
 
 /** Another VM that may carry out a write. */
@@ -34,6 +35,9 @@
   readonly milliseconds: number
 }
 
+/** Failures that each further attempt would have too. */
+const FINAL_FAILURES: ReadonlySet<ErrorCode> = new Set<ErrorCode>(['id-cancelled', 'write-refused'])
+
 /** Answers that end a write whose outcome isn't known as success. */
 const ENDS: Readonly<Partial<Record<WriteStep, () => CornelgaugeError>>> = {
   refuse: () => new CornelgaugeError('overloaded', { detail: 'Neither this VM nor another one that it knows could reach the store or have it carry out the write' }),
@@ -44,7 +48,7 @@
  * Repeats a write until its outcome is known, or can't become known before the deadline. Each attempt is conditional, so
  * that the row is written at most once.
  *
- * @throws {CornelgaugeError} `overloaded` if nothing was carried out or will be, `outcome-unknown`, or `id-cancelled`
+ * @throws {CornelgaugeError} `overloaded` if nothing was carried out or will be, `outcome-unknown`, `id-cancelled`, or `write-refused`
  * @example
  * const row = await settleWrite({ attempt: () => write(), isStoreAway: () => false, deadline: performance.now() + 3000 })
  */
@@ -78,7 +82,7 @@
       if (result !== undefined) return result
     } catch (thrown) {
       const failure = asFailure(thrown)
-      if (failure.code === 'id-cancelled') throw failure
+      if (FINAL_FAILURES.has(failure.code)) throw failure
       if (!isCertainlyUndone(failure)) outcome = 'unknown'
       if (step === 'attempt') await pause(systemClock, STORE_RETRY_MILLISECONDS)
     }
@@ -95,6 +99,6 @@
 }
 
 /** True if an attempt that failed so was refused, or not a byte of it was sent. */
-function isCertainlyUndone ({ code, members }: CornelgaugeError): boolean {
-  return code === 'overloaded' || members.sent === false
+function isCertainlyUndone (failure: CornelgaugeError): boolean {
+  return isRefusal(failure) || failure.members.sent === false
 }
--- a/packages/entry/src/start-gate.ts
+++ b/packages/entry/src/start-gate.ts
@@ -60,8 +60,9 @@
     const dropped: StartCommand[] = []
     for (const [command, since] of this.#waiting) {
       const isRecorded = this.#record.isRecorded(command)
-      if (!isRecorded && now - since >= START_RECORD_MILLISECONDS) this.#isLate = true
-      if (!this.#record.isStartDue(command)) {
+      const isDue = this.#record.isStartDue(command)
+      if (isDue && !isRecorded && now - since >= START_RECORD_MILLISECONDS) this.#isLate = true
+      if (!isDue) {
         dropped.push(command)
       } else if (isRecorded) {
         due.push(command)
--- a/packages/entry/test/start-gate.test.ts
+++ b/packages/entry/test/start-gate.test.ts
@@ -41,6 +41,14 @@
     expect(gate.release(1010, false)).to.deep.equal({ due: [], dropped: [first, second] })
   })
 
+  // Guards against an owner that starts nothing any more, since the store refuses the progress of one job.
+  it('isn\'t late for a start that is not needed any more', () => {
+    cancelled.add(first)
+    cancelled.add(second)
+    gate.release(1000 + START_RECORD_MILLISECONDS, false)
+    expect(gate.isLate).to.equal(false)
+  })
+
   it('gives all up when the owner stops', () => {
     expect(gate.clear()).to.deep.equal([first, second])
     recorded.add(first)
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -111,7 +111,7 @@
       const { overlappingSteps } = job
       job.activate(this.#times.wallTime, Math.max(0, room))
       room -= job.overlappingSteps - overlappingSteps
-      if (this.#state.isRecovering(job, unknownEpochs)) continue
+      if (this.#state.isRecovering(job, unknownEpochs) || this.#state.isRefused(job.job.id)) continue
       const candidate = this.#candidate(job)
       if (candidate !== undefined) candidates.push(candidate)
     }
--- a/packages/jobs/src/planner-event.ts
+++ b/packages/jobs/src/planner-event.ts
@@ -26,6 +26,7 @@
   | { readonly type: 'runs-reclaimed', readonly job: JobId, readonly step: StepName, readonly kind: ReclaimKind, readonly isGang: boolean, readonly tasks: number, readonly accelerators: number, readonly runs: number, readonly servers: number, readonly freed: number, readonly waitedMilliseconds: number }
   | { readonly type: 'job-given-up', readonly job: JobId, readonly task: TaskName, readonly lostRuns: number }
   | { readonly type: 'job-idle', readonly job: JobId, readonly task: TaskName, readonly reason: IdleReason, readonly server?: ServerId, readonly servers?: number, readonly waitMilliseconds?: number, readonly epoch: Epoch, readonly milliseconds: number, readonly age: number }
+  | { readonly type: 'progress-refused', readonly job: JobId }
   | { readonly type: 'job-ended', readonly job: JobId, readonly phase: JobPhase, readonly milliseconds: number }
   | EvacuationEvent
   | { readonly type: 'server-speeds', readonly pool: PoolName, readonly known: number, readonly tooSlow: number, readonly stretch: number, readonly slow: string }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -317,10 +317,10 @@
     return this.#state.isStored(job, change)
   }
 
-  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, and the backend server neither drains nor is evacuated nor has restarted, to whose clock its lease refers. */
-  isStartDue ({ server: id, incarnation, task, run: number }: StartCommand): boolean {
+  /** True if a start that wasn't sent yet is still to be sent: its run isn't to be stopped, the store takes its progress, and the backend server neither drains nor is evacuated nor has restarted, to whose clock its lease refers. */
+  isStartDue ({ server: id, incarnation, task, run: number, job }: StartCommand): boolean {
     const server = this.#state.servers.get(id)
-    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation && !server.entry.isDraining && !this.#state.evacuations.has(server)
+    return server?.run(task, number)?.state === 'starting' && server.entry.incarnation === incarnation && !server.hasOtherIncarnation && !server.entry.isDraining && !this.#state.evacuations.has(server) && !this.#state.isRefused(job)
   }
 
   /** Notes that a start is sent before it is recorded. */
@@ -373,6 +373,11 @@
     this.#state.markStored(changes)
   }
 
+  /** Notes that the store has refused the progress of a job for good. Nothing of the job is started until its progress is stored. */
+  noteRefused (id: JobId): void {
+    this.#state.noteRefused(id)
+  }
+
   /** Returns the events of tasks and jobs since the last call, for the log. */
   drainEvents (): readonly PlannerEvent[] {
     return this.#state.drainEvents()
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -1,7 +1,7 @@
 /** Applies the reports and answers of backend servers to the state. */
 import type { StartOutcome, StopCommand, StopOutcome } from './command.js'
 import { NO_CAPACITY } from './capacity.js'
-import type { RunNumber, ServerId, TaskName } from './ids.js'
+import { parseTaskName, type JobId, type RunNumber, type ServerId, type TaskName } from './ids.js'
 import { stopDuplicates } from './duplicate-runs.js'
 import { completeIfDone, endJob } from './job-end.js'
 import { ISOLATION_MILLISECONDS, REFUTATION_MARGIN_MILLISECONDS } from './limits.js'
@@ -47,12 +47,14 @@
   const last = report.ended.at(-1)
   if (last !== undefined && last.position > server.reportedPosition) {
     server.reportedPosition = last.position
-    state.acknowledgeWhenStored(server, last.position)
+    state.acknowledgeWhenStored(server, last.position, jobsOf(report.ended))
   }
   if (!report.hasMoreEnds) settleUnlisted(state, server, listed, report)
   for (const run of listed) stopDuplicates(state, run)
 }
 
+const jobsOf = (ends: readonly ListedEnd[]): ReadonlySet<JobId> => new Set(ends.map(({ task }) => parseTaskName(task)?.job).filter(id => id !== undefined))
+
 const addressOf = ({ entry }: Server, { address = entry.address }: ServerReport): string => address
 
 /** Removes the runs that a complete report shows to have ended, and gives up the starts that it shows not to have begun. */
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -17,6 +17,7 @@
 import { MissingRuns } from './missing-runs.js'
 import type { OperatingBounds } from './operating-bounds.js'
 import type { PlacementRule } from './placement-rules.js'
+import { PendingAcknowledgements } from './pending-acknowledgements.js'
 import { PlacementTurns } from './placement-turns.js'
 import type { PlannerEvent } from './planner-event.js'
 import { RecordedRuns } from './recorded-runs.js'
@@ -103,8 +104,10 @@
   readonly #meanRunTimes = new Map<QueueName, number>()
   #stopMilliseconds = 0
   readonly #unstoredJobs = new Map<JobId, UnstoredChanges>()
-  /** Positions of ended runs that are acknowledged once a change is stored. */
-  #pendingAcknowledgements: { readonly server: Server, readonly incarnation: number, readonly position: number, readonly change: number }[] = []
+  /** Jobs with unstored changes whose progress the store has refused. */
+  readonly #refusedJobs = new Set<JobId>()
+  /** Ended runs that are acknowledged once they are stored. */
+  readonly #acknowledgements = new PendingAcknowledgements()
   #lastChange = 0
   #events: PlannerEvent[] = []
   #runCount = 0
@@ -127,7 +130,7 @@
     this.bounds = bounds
     this.crashHistory = new CrashHistory(now)
     this.recovery = new Recovery(epoch, now, this.servers)
-    this.recorded = new RecordedRuns(this.recovery, this.servers, () => ({ last: this.#lastChange, oldestUnstored: this.#oldestUnstoredChange }))
+    this.recorded = new RecordedRuns(this.recovery, this.servers, () => ({ last: this.#lastChange, oldestUnstored: this.#oldestUnstoredChange() }))
   }
 
   /** Returns the next run number, above all numbers of earlier owners. */
@@ -188,9 +191,9 @@
     if (task.isWaiting && task.step.job.isOpen) this.markChanged(task.step.job)
   }
 
-  get #oldestUnstoredChange (): number {
+  #oldestUnstoredChange (isLeftOut = (_id: JobId): boolean => false): number {
     let oldest = Infinity
-    for (const { first } of this.#unstoredJobs.values()) oldest = Math.min(oldest, first)
+    for (const [id, { first }] of this.#unstoredJobs) if (!isLeftOut(id)) oldest = Math.min(oldest, first)
     return oldest
   }
 
@@ -426,10 +429,27 @@
     return this.#lastChange
   }
 
-  /** Acknowledges ended runs up to a position once all changes so far are stored. */
-  acknowledgeWhenStored (server: Server, position: number): void {
-    if (this.#unstoredJobs.size === 0) server.acknowledgedPosition = Math.max(server.acknowledgedPosition, position)
-    else this.#pendingAcknowledgements.push({ server, incarnation: server.entry.incarnation, position, change: this.#lastChange })
+  /** Acknowledges ended runs up to a position, of these jobs among others, once all changes so far are stored. A refused job holds up only its own ends, and those that a backend server has listed after them. */
+  acknowledgeWhenStored (server: Server, position: number, jobs: ReadonlySet<JobId>): void {
+    this.#acknowledgements.add({ server, incarnation: server.entry.incarnation, position, change: this.#lastChange, jobs })
+    if (this.#unstoredJobs.size === this.#refusedJobs.size) this.#acknowledgeStored()
+  }
+
+  #acknowledgeStored (): void {
+    const oldest = this.#oldestUnstoredChange(id => this.#refusedJobs.has(id))
+    this.#acknowledgements.acknowledge(({ change, jobs }) => change < oldest && [...jobs].every(id => this.isStored(id, change)))
+  }
+
+  /** Notes that the store has refused the progress of a job: nothing of it is started before it is stored. */
+  noteRefused (id: JobId): void {
+    if (!this.#refusedJobs.has(id)) this.recordEvent({ type: 'progress-refused', job: id })
+    this.#refusedJobs.add(id)
+    this.#acknowledgeStored()
+  }
+
+  /** True if the store has refused the progress of a job. */
+  isRefused (id: JobId): boolean {
+    return this.#refusedJobs.has(id)
   }
 
   /** Jobs with unstored progress, with the number of their last change. */
@@ -455,16 +475,13 @@
   /** Marks the progress of jobs as stored, as of the given changes. */
   markStored (changes: ReadonlyMap<JobId, number>): void {
     for (const [id, change] of changes) {
+      this.#refusedJobs.delete(id)
       const unstored = this.#unstoredJobs.get(id)
       if (unstored?.last === change) this.#unstoredJobs.delete(id)
       else if (unstored !== undefined) this.#unstoredJobs.set(id, { ...unstored, first: Math.max(unstored.first, change + 1) })
       const job = this.jobs.get(id)
       if (job !== undefined && !job.isOpen && !this.#unstoredJobs.has(id)) job.isFinalStored = true
     }
-    const oldest = this.#oldestUnstoredChange
-    for (const { server, incarnation, position, change } of this.#pendingAcknowledgements) {
-      if (change < oldest && server.entry.incarnation === incarnation) server.acknowledgedPosition = Math.max(server.acknowledgedPosition, position)
-    }
-    this.#pendingAcknowledgements = this.#pendingAcknowledgements.filter(note => note.change >= oldest)
+    this.#acknowledgeStored()
   }
 }
--- a/packages/model/src/errors.ts
+++ b/packages/model/src/errors.ts
@@ -46,6 +46,7 @@
   'answer-damaged': { status: 502, title: 'The stored answer fails its digest', retry: 'after-delay' },
   'answer-too-large': { status: 502, title: 'The answer is over the limit', retry: 'never' },
   conflict: { status: 409, title: 'A condition of the write did not hold', retry: 'never' },
+  'write-refused': { status: 413, title: 'The store takes no such row; nothing was stored', retry: 'never' },
   unavailable: { status: 503, title: 'The service did not answer', retry: 'after-delay' },
   timeout: { status: 504, title: 'No answer came within the time limit', retry: 'after-delay' },
   'connection-lost': { status: 502, title: 'The connection ended before the answer', retry: 'at-once' },
--- a/packages/telemetry/src/catalogue-placement.ts
+++ b/packages/telemetry/src/catalogue-placement.ts
@@ -1,7 +1,7 @@
-/** Events 1053 to 1059: what placement rests on, and for whom the planner frees capacity. */
+/** Events 1053 to 1059: what placement rests on, for whom the planner frees capacity, and which jobs it leaves out. */
 import { NO_ACTION, type CatalogueRows } from './catalogue-entry.js'
 
-/** Events 1053 to 1059: what placement rests on, and for whom the planner frees capacity. */
+/** Events 1053 to 1059: what placement rests on, for whom the planner frees capacity, and which jobs it leaves out. */
 export const PLACEMENT_EVENTS = {
   'server-speeds': {
     number: 1053,
@@ -10,6 +10,13 @@
     fields: { pool: 'pool', known: 'number of backend servers whose speed is known from their runs', tooSlow: 'number of those that are too slow', stretch: 'lowest stretch of the queues of the pool', slow: 'each of them, with how many times as long as usual a task takes there' },
     action: NO_ACTION
   },
+  'progress-refused': {
+    number: 1055,
+    level: 'error',
+    sentence: 'The store takes no such progress of a job as there is. The progress of others is stored without it; nothing of this job is started until a later form is stored.',
+    fields: { job: 'id of the job' },
+    action: 'Compare the length that the store takes with platform.row_bytes in the settings; then report it.'
+  },
   'runs-reclaimed': {
     number: 1056,
     level: 'info',
