Plan jobs beside those that run

What callers would see: once jobs that run for long take the planning load, all later ones wait for them, however idle the pool is. 108 jobs of 290 steps were enough, of each of which one task runs.

Cause: the same limit held for jobs that wait and for those that run, and the latter can't give way, since runs lead to them.

Change: jobs with runs have a limit of their own, beside that of the others.

Ruled out: leaving jobs with runs in the store until an end is listed, since their leases, checkpoints and progress are followed in between.

--- a/packages/entry/src/job-selection.ts
+++ b/packages/entry/src/job-selection.ts
@@ -1,5 +1,5 @@
 /** Selects, while the store is read page by page, which jobs a new owner plans and which wait in the store. */
-import { endedForm, MAXIMUM_PLANNED_LOAD, planningLoad, storedRestingForm, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
+import { endedForm, MAXIMUM_PLANNED_LOAD, MAXIMUM_RUNNING_LOAD, planningLoad, storedRestingForm, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
 import { comparePlanningOrder, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
 
 /** The selected jobs. */
@@ -24,6 +24,8 @@
   readonly #releasable: OrderedJobs
   readonly #waiting: WaitingJob[] = []
   #load = 0
+  /** That of the jobs with recorded runs. */
+  #runningLoad = 0
 
   constructor (wallTime = Date.now()) {
     const isLater = ({ dueAt }: WaitingJob): number => dueAt > wallTime ? 1 : 0
@@ -37,9 +39,13 @@
       return
     }
     this.#jobs.set(job.id, stored)
-    this.#load += planningLoad(job)
-    if (!mayHaveRuns(progress)) this.#releasable.add(waitingJobOf(storedRestingForm(job, progress)))
-    for (let { last } = this.#releasable; last !== undefined && this.#load > MAXIMUM_PLANNED_LOAD; { last } = this.#releasable) {
+    if (mayHaveRuns(progress)) {
+      this.#runningLoad += planningLoad(job)
+    } else {
+      this.#load += planningLoad(job)
+      this.#releasable.add(waitingJobOf(storedRestingForm(job, progress)))
+    }
+    for (let { last } = this.#releasable; last !== undefined && this.#isFull; { last } = this.#releasable) {
       this.#releasable.removeLast()
       this.#jobs.delete(last.id)
       this.#load -= last.load
@@ -47,6 +53,10 @@
     }
   }
 
+  get #isFull (): boolean {
+    return this.#load + Math.max(0, this.#runningLoad - MAXIMUM_RUNNING_LOAD) > MAXIMUM_PLANNED_LOAD
+  }
+
   get selected (): SelectedJobs {
     const jobs = [...this.#jobs.values()].sort((left, right) => left.job.acceptedAt - right.job.acceptedAt)
     return { jobs, waiting: this.#waiting }
--- a/packages/entry/test/job-intake.test.ts
+++ b/packages/entry/test/job-intake.test.ts
@@ -257,11 +257,11 @@
     it('keeps all jobs with recorded runs, however many they are', async () => {
       const placements = { 'server-1': { address: '10.0.0.1:80', tasks: [0] } }
       const selection = new JobSelection()
-      for (const number of numbers(MOST_PLANNED)) selection.add({ job: jobNumber(number), isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done: [], failed: {}, placements } } } })
-      for (const number of numbers(MOST_PLANNED)) selection.add({ job: jobNumber(MOST_PLANNED + number), isCancelled: false, progress: { hasBegun: true, hasUnlistedRuns: true, steps: {} } })
+      for (const number of numbers(2 * MOST_PLANNED)) selection.add({ job: jobNumber(number), isCancelled: false, progress: { hasBegun: true, steps: { '0.0': { done: [], failed: {}, placements } } } })
+      for (const number of numbers(MOST_PLANNED)) selection.add({ job: jobNumber(2 * MOST_PLANNED + number), isCancelled: false, progress: { hasBegun: true, hasUnlistedRuns: true, steps: {} } })
       selection.add({ job: jobNumber(999_999), isCancelled: false })
       const { jobs, waiting } = selection.selected
-      expect(jobs).to.have.length(2 * MOST_PLANNED)
+      expect(jobs).to.have.length(3 * MOST_PLANNED)
       expect(waiting.map(({ id }) => id)).to.deep.equal([idOf(999_999)])
     })
 
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -184,6 +184,8 @@
 export const MAXIMUM_OPEN_STEPS = 256
 /** Planning load of all open jobs that an owner plans at most: a quarter of its heap, and rounds of a present-day core below 50 ms. What exceeds it waits in the store. */
 export const MAXIMUM_PLANNED_LOAD = 4000
+/** Planning load of jobs with runs that is planned beside that: they can't give way to others, and cost a round little. */
+export const MAXIMUM_RUNNING_LOAD = 6000
 /** Steps of a job's activated occurrences at which no further one is activated, whether they wait or not; steps that last don't count, since they don't end. */
 export const MAXIMUM_ACTIVE_STEPS = 1024
 /** Steps of activated occurrences beside the first of each job, over all jobs, at which no job activates a further one: each takes 2 to 3 kB of the heap. */
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -241,9 +241,9 @@
     return job?.isOpen === true && !job.hasProgress
   }
 
-  /** Planning load of the open jobs of a pool, or of all pools. */
+  /** Planning load of the open jobs of a pool, or of all pools, as far as it counts towards `MAXIMUM_PLANNED_LOAD`. */
   plannedLoad (pool?: PoolName): number {
-    return pool === undefined ? this.#state.load : this.#state.loadOf(pool)
+    return this.#state.loads.counted(pool)
   }
 
   /**
@@ -450,7 +450,7 @@
     return {
       jobsQueued: jobs.filter(job => job.phase === 'queued').length,
       jobsRunning: jobs.filter(job => job.phase === 'running').length,
-      plannedLoad: Math.round(this.#state.load),
+      plannedLoad: Math.round(this.#state.loads.total),
       runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
       runsUnresolved: servers.reduce((sum, server) => sum + server.stops.size, 0) + [...this.#state.unsettledRuns].filter(run => run.state === 'unconfirmed' && run.stopReason === undefined).length,
       jobsRecovering: jobs.filter(job => this.#state.isRecovering(job, unknownEpochs) || job.earlierServers.length > 0).length,
--- a/packages/jobs/src/round.ts
+++ b/packages/jobs/src/round.ts
@@ -20,6 +20,7 @@
  * for (const command of decide(state, { now, wallTime })) perform(command)
  */
 export function decide (state: PlannerState, times: RoundTimes, mayStart = true): readonly Command[] {
+  state.loads.noteRunning(state.openJobs)
   failExhausted(state, times.wallTime)
   determineCauses(state, times)
   for (const server of state.servers.values()) {
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -19,6 +19,7 @@
 import type { PlacementRule } from './placement-rules.js'
 import { PendingAcknowledgements } from './pending-acknowledgements.js'
 import { PlacementTurns } from './placement-turns.js'
+import { PlannedLoads } from './planned-loads.js'
 import type { PlannerEvent } from './planner-event.js'
 import { RecordedRuns } from './recorded-runs.js'
 import { Recovery, type HeldServers, type UnknownEpochs } from './recovery.js'
@@ -94,8 +95,8 @@
   readonly #loggedUnknownServers = new Set<ServerId>()
   /** Tasks that were found by name; their steps keep them too. */
   readonly #tasks = new Map<TaskName, TaskState>()
-  /** Planning load of the open jobs, by pool. */
-  readonly #loads = new Map<PoolName, number>()
+  /** Planning load of the open jobs. */
+  readonly loads = new PlannedLoads()
   /** Jobs whose work is not included in the mean work of their queue yet. */
   #unmeasuredJobs: JobState[] = []
   /** Maximum capacity of a registered backend server in each pool, per resource. */
@@ -252,7 +253,7 @@
     this.#pools.add(job.job.pool)
     if (job.isOpen) {
       this.openJobs.add(job)
-      this.#addLoad(job, job.load)
+      this.loads.add(job)
     }
     this.#unmeasuredJobs.push(job)
     if (job.hasUnlistedRuns) this.#jobsWithUnlistedRuns.add(job)
@@ -263,7 +264,7 @@
 
   /** Takes a job that has ended out of the open ones. */
   closeJob (job: JobState): void {
-    if (this.openJobs.delete(job)) this.#addLoad(job, -job.load)
+    if (this.openJobs.delete(job)) this.loads.remove(job)
   }
 
   /** Removes a job that has ended, or that is to be planned anew later. */
@@ -279,20 +280,6 @@
     for (const step of job.steps) for (const { name } of step.knownTasks) this.#tasks.delete(name)
   }
 
-  /** Planning load of the open jobs of all pools. */
-  get load (): number {
-    return [...this.#loads.values()].reduce((sum, load) => sum + load, 0)
-  }
-
-  /** Planning load of the open jobs of a pool. */
-  loadOf (pool: PoolName): number {
-    return this.#loads.get(pool) ?? 0
-  }
-
-  #addLoad ({ job: { pool } }: JobState, load: number): void {
-    this.#loads.set(pool, this.loadOf(pool) + load)
-  }
-
   /** Updates the mean works; waits for the first backend server, since work is relative to its capacity. */
   #updateMeanWorks (): void {
     if (this.#largestCapacities.size === 0) return
--- a/packages/jobs/src/step-state.ts
+++ b/packages/jobs/src/step-state.ts
@@ -14,6 +14,15 @@
 /** Characters that the failed runs of one task take at least. */
 const FAILED_TASK_CHARACTERS = 8
 
+/** Stand for collections that are made with their first task: most steps have none. Nothing is added to them. */
+const NO_TASKS = new Map<number, TaskState>()
+const NO_TASK_SET = new Set<TaskState>()
+
+/** Adds a task to a set, in place unless it is the shared empty one. */
+function withTask (tasks: Set<TaskState>, task: TaskState): Set<TaskState> {
+  return tasks === NO_TASK_SET ? new Set([task]) : tasks.add(task)
+}
+
 /** Permission to run a step on one incarnation of a backend server. */
 export interface Ticket {
   readonly text: string
@@ -49,18 +58,18 @@
   /** The last run of its gang of which a start came to nothing, so that all members are ready since before it. */
   unbegunRun: RunNumber | undefined
   /** States of the tasks that have something to remember, by index. */
-  readonly #tasks = new Map<number, TaskState>()
+  #tasks = NO_TASKS
   /** Indexes of the tasks that don't wait: those that are done or may be executing. */
   readonly #notWaiting: TaskSet
   /** No task below this index waits, and all below the other are done. */
   #firstWaiting = 0
   #firstOpen = 0
   /** Known tasks that wait and may lack the time since when they do. */
-  readonly #unready = new Set<TaskState>()
+  #unready = NO_TASK_SET
   /** Tasks that aren't done and may run on a backend server. */
-  readonly #placed = new Set<TaskState>()
+  #placed = NO_TASK_SET
   /** Tasks that aren't done, by the number of their failed runs. */
-  readonly #failed = new RankedSet<TaskState>()
+  #failed: RankedSet<TaskState> | undefined
   #done: number
   #highestFailures = 0
   #advice: StepAdvice | undefined
@@ -142,8 +151,9 @@
 
   /** Keeps the state of a task, which is about to change. */
   keep (task: TaskState): void {
+    if (this.#tasks === NO_TASKS) this.#tasks = new Map()
     this.#tasks.set(task.index, task)
-    if (task.isWaiting) this.#unready.add(task)
+    if (task.isWaiting) this.#unready = withTask(this.#unready, task)
   }
 
   /** Forgets the state of a task that is done and runs nowhere. False if it is still needed. */
@@ -164,11 +174,11 @@
     this.runChanges += 1
     const { isWaiting } = task
     this.#setWaiting(task.index, isWaiting)
-    if (isWaiting) this.#unready.add(task)
+    if (isWaiting) this.#unready = withTask(this.#unready, task)
     else this.#unready.delete(task)
     const isPlaced = !task.isDone && task.hasServers
     if (isPlaced === this.#placed.has(task)) return
-    if (isPlaced) this.#placed.add(task)
+    if (isPlaced) this.#placed = withTask(this.#placed, task)
     else this.#placed.delete(task)
     this.job.notePlaced(isPlaced ? 1 : -1)
   }
@@ -228,7 +238,7 @@
   noteReady (now: number): void {
     this.readySince ??= now
     for (const task of this.#unready) task.readySince ??= now
-    this.#unready.clear()
+    this.#unready = NO_TASK_SET
   }
 
   /** Marks a task as done; in a gang, all tasks. */
@@ -249,7 +259,7 @@
     const task = this.#tasks.get(index)
     if (task !== undefined) {
       this.noteChanged(task)
-      this.#failed.delete(task)
+      this.#failed?.delete(task)
     }
     if (this.isFinished) this.job.noteFinished(this)
   }
@@ -258,6 +268,7 @@
   addFailure (task: TaskState, run: number): void {
     this.keep(task)
     task.addFailedRun(run)
+    this.#failed ??= new RankedSet()
     if (!task.isDone) this.#failed.set(task, task.failedRuns.size)
     this.#highestFailures = Math.max(this.#highestFailures, this.failuresOf(task))
   }
@@ -287,7 +298,7 @@
   failuresOf (task: TaskState): number {
     if (!this.specification.isGang) return task.failedRuns.size
     const failedRuns = new Set<number>()
-    for (const each of this.#failed.highest(this.count)) for (const run of each.failedRuns) failedRuns.add(run)
+    for (const each of this.#failed?.highest(this.count) ?? []) for (const run of each.failedRuns) failedRuns.add(run)
     return failedRuns.size
   }
 
@@ -313,7 +324,7 @@
   #failedWithin (characters: number): RunsByIndex {
     const listed: [number, readonly number[]][] = []
     let rest = characters
-    for (const { index, failedRuns } of this.#failed.highest(Math.floor(characters / FAILED_TASK_CHARACTERS))) {
+    for (const { index, failedRuns } of this.#failed?.highest(Math.floor(characters / FAILED_TASK_CHARACTERS)) ?? []) {
       const runs = [...failedRuns]
       rest -= JSON.stringify({ [index]: runs }).length
       if (rest < 0) break
--- a/packages/jobs/src/task-set.ts
+++ b/packages/jobs/src/task-set.ts
@@ -2,6 +2,8 @@
 
 const BITS = 8
 const FULL_BYTE = 0xff
+/** Bytes up to which a list takes less memory than an array of bytes. */
+const SMALL_SET_BYTES = 8
 
 /**
  * Numbers from 0 up to a limit. No memory is taken before the first one is added.
@@ -13,7 +15,7 @@
  */
 export class TaskSet implements Iterable<number> {
   readonly #limit: number
-  #bytes: Uint8Array | undefined
+  #bytes: Uint8Array | number[] | undefined
   #size = 0
 
   /** All numbers are below `limit`. */
@@ -28,7 +30,7 @@
   /** Adds a number. False if it is in the set already, or isn't below the limit. */
   add (number: number): boolean {
     if (number >= this.#limit || this.has(number)) return false
-    this.#bytes ??= new Uint8Array(Math.ceil(this.#limit / BITS))
+    this.#bytes ??= emptyBytes(Math.ceil(this.#limit / BITS))
     this.#bytes[Math.floor(number / BITS)]! |= 1 << (number % BITS)
     this.#size += 1
     return true
@@ -71,3 +73,7 @@
     }
   }
 }
+
+function emptyBytes (length: number): Uint8Array | number[] {
+  return length <= SMALL_SET_BYTES ? Array.from({ length }, () => 0) : new Uint8Array(length)
+}
--- a/packages/telemetry/src/planner-load-fields.ts
+++ b/packages/telemetry/src/planner-load-fields.ts
@@ -4,7 +4,7 @@
 export const LOAD_FIELDS = {
   jobsQueued: 'jobs of which no task has started',
   jobsRunning: 'jobs that have started',
-  plannedLoad: 'planning load of the open jobs that the owner has, in units of an ordinary job; it has at most 4,000',
+  plannedLoad: 'planning load of the open jobs that the owner has, in units of an ordinary job; it has at most 4,000 of jobs of which nothing runs, and 10,000 in all',
   jobsWaiting: 'accepted jobs that wait in the store since the owner has as many as it may',
   heapMegabytes: 'heap in use',
   heapLimitMegabytes: 'heap with which the process ends',
