Bound the progress that a new owner keeps while it loads

What callers would see: owners that end one after the other while they load many jobs with long rows of progress.

Cause: the progress of all open jobs was read, and kept decoded, before the jobs were read and selected.

Change: beyond 8 million characters only what decides the selection is kept. Jobs with recorded runs and cancelled ones have their progress read again, the others wait in the store and are read with it in their turn.

--- a/packages/entry/src/job-selection.ts
+++ b/packages/entry/src/job-selection.ts
@@ -1,5 +1,5 @@
 /** Selects, while the store is read page by page, which jobs a new owner plans and which wait in the store. */
-import { endedForm, MAXIMUM_PLANNED_LOAD, MAXIMUM_RUNNING_LOAD, planningLoad, storedRestingForm, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
+import { endedForm, MAXIMUM_PLANNED_LOAD, MAXIMUM_RUNNING_LOAD, planningLoad, storedRestingForm, type Job, type JobProgress, type StoredJob } from '@cornelgauge/jobs'
 import { comparePlanningOrder, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
 
 /** The selected jobs. */
@@ -53,6 +53,11 @@
     }
   }
 
+  /** Adds a begun job without recorded runs whose progress isn't kept: it is read with it when it comes first. */
+  addWaiting (job: Job, hasBegun: boolean): void {
+    this.#waiting.push(waitingJobOf({ job, hasProgress: true, hasBegun, nextDueAt: -Infinity, checkpoints: new Map() }))
+  }
+
   get #isFull (): boolean {
     return this.#load + Math.max(0, this.#runningLoad - MAXIMUM_RUNNING_LOAD) > MAXIMUM_PLANNED_LOAD
   }
@@ -63,7 +68,12 @@
   }
 }
 
-/** True if progress records runs that may be executing, or that there may be others. */
-function mayHaveRuns (progress: JobProgress | undefined): boolean {
+/**
+ * True if progress records runs that may be executing, or that there may be others.
+ *
+ * @example
+ * mayHaveRuns({ hasBegun: true, steps: {} }) // false
+ */
+export function mayHaveRuns (progress: JobProgress | undefined): boolean {
   return progress !== undefined && (progress.hasUnlistedRuns === true || Object.values(progress.steps).some(({ placements }) => placements !== undefined))
 }
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -4,12 +4,13 @@
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob, encodeJob } from './job-record.js'
-import { JobSelection, type SelectedJobs } from './job-selection.js'
+import { JobSelection, mayHaveRuns, type SelectedJobs } from './job-selection.js'
+import { LOADED_PROGRESS_CHARACTERS } from './limits.js'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import { readServers, type StoredServers } from './server-record.js'
 import { settleWrite, type WriteRelay } from './settled-write.js'
-import { readPages, type StoreClock, type TableReadOptions } from './table-reader.js'
+import { readPages, readRow, type StoreClock, type TableReadOptions } from './table-reader.js'
 import { CANCELS_TABLE, JOBS_TABLE, OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE } from './tables.js'
 import { UnsettledWrites } from './unsettled-writes.js'
 
@@ -152,35 +153,45 @@
    * Reads the jobs that a new owner plans, cancellations, progress and recorded backend servers; one table after the other, since
    * they share the VM's link, and page by page, since the jobs may need more memory than there is. Cancellations come first: the
    * jobs of those read here are then read too, and the others are among the later changes. Progress comes before
-   * the jobs, as it decides which of them have to be planned; only an owner writes it.
+   * the jobs, as it decides which of them have to be planned; only an owner writes it. Beyond some length only what
+   * matters for that is kept of it, and that of jobs with recorded runs is read once more.
    */
   async load (options: TableReadOptions = {}): Promise<StoredJobs> {
     const cancelled = new Set<string>()
     const cancels = await readPages(this.#rows, CANCELS_TABLE, rows => { for (const { key } of rows) cancelled.add(key) }, options)
     const progress = new Map<string, ReadProgress>()
     const progressVersions = new Map<JobId, number>()
+    let characters = 0
     await readPages(this.#rows, PROGRESS_TABLE, rows => {
       for (const row of rows) {
-        progress.set(row.key, readProgress(row))
+        const read = readProgress(row)
+        if (read.progress?.phase === undefined) characters += String(row.value.text).length
+        progress.set(row.key, characters > LOADED_PROGRESS_CHARACTERS ? summaryOf(read) : read)
         progressVersions.set(jobId(row.key), row.version)
       }
     }, options)
     const damaged: string[] = []
     const selection = new JobSelection()
     const earlyCancellations = new Set(cancelled)
+    const withRuns: Job[] = []
+    const select = (job: Job, progress: JobProgress | undefined): void => selection.add({ job, isCancelled: cancelled.has(job.id), ...(progress === undefined ? {} : { progress }) })
     const jobs = await readPages(this.#rows, JOBS_TABLE, rows => {
       for (const { key, value } of rows) {
         earlyCancellations.delete(key)
         try {
           const stored = progress.get(key)
           if (stored?.failure !== undefined) throw stored.failure
-          selection.add({ job: decodeJob(key, value), isCancelled: cancelled.has(key), ...(stored?.progress === undefined ? {} : { progress: stored.progress }) })
+          const job = decodeJob(key, value)
+          if (stored?.summary === undefined) select(job, stored?.progress)
+          else if (stored.summary.hasRuns || cancelled.has(key)) withRuns.push(job)
+          else selection.addWaiting(job, stored.summary.hasBegun)
         } catch (thrown) {
           damaged.push(`${key}: ${asFailure(thrown).message}`)
         }
         progress.delete(key)
       }
     }, options)
+    for (const job of withRuns) select(job, progressOf(await readRow(this.#rows, PROGRESS_TABLE, job.id, options)))
     const servers = await readServers(this.#rows, options)
     return {
       ...selection.selected,
@@ -235,12 +246,20 @@
   }
 }
 
-/** Progress as read, or why it can't be. */
+/** Progress as read, what is kept of it, or why it can't be read. */
 interface ReadProgress {
   readonly progress?: JobProgress
+  readonly summary?: { readonly hasBegun: boolean, readonly hasRuns: boolean }
   readonly failure?: CornelgaugeError
 }
 
+/** What decides whether a job has to be planned; that of one that has ended is short. */
+function summaryOf (read: ReadProgress): ReadProgress {
+  const { progress } = read
+  if (progress === undefined || progress.phase !== undefined) return read
+  return { summary: { hasBegun: progress.hasBegun, hasRuns: mayHaveRuns(progress) } }
+}
+
 /** Of a job that has ended only the end matters. */
 function readProgress (row: StoredRow): ReadProgress {
   try {
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -123,6 +123,8 @@
 /** How long the id of a deleted job stays known, so that an earlier read of its row doesn't plan it anew. */
 export const DELETED_ID_MILLISECONDS = 180_000
 
+/** Characters of the progress of open jobs that a new owner keeps while it loads: an eighth of its heap once it is decoded. */
+export const LOADED_PROGRESS_CHARACTERS = 8_000_000
 /** Jobs that wait in the store and are read at a time. */
 export const INTAKE_BATCH = 16
 /** How long a planned job of which nothing starts keeps others waiting in the store, in milliseconds; how often such jobs give way, and how many of a pool each time. */
--- a/packages/entry/src/table-reader.ts
+++ b/packages/entry/src/table-reader.ts
@@ -72,6 +72,26 @@
   }
 }
 
+/**
+ * Reads one row; undefined if there is none. A read that fails may be repeated.
+ *
+ * @throws {CornelgaugeError} as `readTable`
+ * @example
+ * const row = await readRow(store, 'progress', id)
+ */
+export async function readRow (store: RowStore, table: string, key: string, options: TableReadOptions = {}): Promise<StoredRow | undefined> {
+  const { signal, onPageFailure } = options
+  for (;;) {
+    if (!isNeeded(options)) throw new CornelgaugeError('not-owner', { detail: `The rows of ${table} aren't needed any more` })
+    try {
+      return await store.read(table, key)
+    } catch (thrown) {
+      if (isNeeded(options) && onPageFailure?.(asFailure(thrown), 0) !== true) throw thrown
+      await pause(systemClock, STORE_RETRY_MILLISECONDS, signal)
+    }
+  }
+}
+
 function isNeeded ({ isWanted, signal }: TableReadOptions): boolean {
   return isWanted?.() !== false && signal?.aborted !== true
 }
--- a/packages/entry/test/large-store-play.ts
+++ b/packages/entry/test/large-store-play.ts
@@ -8,18 +8,26 @@
 import { JOB, STEP } from './sample-job.js'
 
 const SPECIFICATION = 'x'.repeat(4000)
+/** Ended occurrences of a schedule, as many as a row lists. */
+const ENDED_OCCURRENCES = 700
 const idOf = (number: number): string => String(number).padStart(16, '0')
 
 /** Jobs that others have accepted, in different shapes. */
 const SHAPES: Readonly<Record<string, { readonly count: number, readonly jobOf: (number: number) => Job }>> = {
   'jobs with long descriptions': { count: 4000, jobOf: number => ({ ...JOB, id: jobId(idOf(number)), specification: SPECIFICATION, steps: Array.from({ length: 200 }, () => STEP) }) },
   'jobs of ordinary size': { count: 60_000, jobOf: number => ({ ...JOB, id: jobId(idOf(number)), specification: SPECIFICATION }) },
+  'begun schedules': { count: 5000, jobOf: number => ({ ...JOB, id: jobId(idOf(number)), schedule: { occurrences: 1440, startAt: 0, intervalMilliseconds: 60_000 } }) },
   'jobs that have ended': { count: 10_000, jobOf: number => ({ ...JOB, id: jobId(idOf(number)), specification: SPECIFICATION, steps: Array.from({ length: 50 }, () => STEP) }) }
 }
 
 const [shape = ''] = process.argv.slice(2)
 const { count, jobOf } = SHAPES[shape]!
-const hasEnded = shape === 'jobs that have ended'
+/** Progress of all jobs of a shape; none of the others. */
+const PROGRESS: Readonly<Record<string, object>> = {
+  'begun schedules': { hasBegun: true, steps: Object.fromEntries(Array.from({ length: ENDED_OCCURRENCES }, (_, occurrence) => [`${occurrence}.0`, { done: [0, 1], failed: {} }])) },
+  'jobs that have ended': { phase: 'completed', finishedAt: 1, hasBegun: true, steps: { '0.0': { done: Array.from({ length: 500 }, (_, index) => index), failed: {} } } }
+}
+const progress = PROGRESS[shape]
 
 /** Makes each page anew, so that the rows take no memory here. */
 class GeneratedStore implements Pick<RowStore, 'read' | 'readPage'> {
@@ -29,13 +37,13 @@
 
   async readPage (table: string, { after, limit }: PageRange): Promise<RowPage> {
     const first = after === undefined ? 0 : Number(after) + 1
-    const length = table === 'jobs' || (table === 'progress' && hasEnded) ? Math.max(0, Math.min(limit, count - first)) : 0
+    const length = table === 'jobs' || (table === 'progress' && progress !== undefined) ? Math.max(0, Math.min(limit, count - first)) : 0
     const rows = Array.from({ length }, (_, index) => this.#row(table, first + index))
     return { rows, version: 1, hasMore: first + length < count && length > 0, bytes: JSON.stringify(rows).length }
   }
 
   #row (table: string, number: number): StoredRow {
-    const value = table === 'jobs' ? encodeJob(jobOf(number)) : { text: JSON.stringify({ phase: 'completed', finishedAt: 1, hasBegun: true, steps: { '0.0': { done: Array.from({ length: 500 }, (_, index) => index), failed: {} } } }) }
+    const value = table === 'jobs' ? encodeJob(jobOf(number)) : { text: JSON.stringify(progress) }
     return { key: idOf(number), value, version: 1 }
   }
 }
--- a/packages/entry/test/large-store.test.ts
+++ b/packages/entry/test/large-store.test.ts
@@ -11,7 +11,7 @@
 
 // Guards against owners that end one after the other while they load what VMs have accepted meanwhile.
 describe('a new owner of a store with more than its heap', () => {
-  for (const [shape, known] of [['jobs with long descriptions', 4000], ['jobs of ordinary size', 60_000], ['jobs that have ended', 10_000]] as const) {
+  for (const [shape, known] of [['jobs with long descriptions', 4000], ['jobs of ordinary size', 60_000], ['jobs that have ended', 10_000], ['begun schedules', 5000]] as const) {
     it(`loads ${shape}`, function () {
       this.timeout(PLAY_TIMEOUT_MILLISECONDS)
       const { status, stdout, stderr } = spawnSync(process.execPath, [`--max-old-space-size=${HEAP_MEGABYTES}`, PLAY, shape], { encoding: 'utf8', timeout: PLAY_TIMEOUT_MILLISECONDS })
--- a/packages/entry/test/loading.test.ts
+++ b/packages/entry/test/loading.test.ts
@@ -1,17 +1,17 @@
 import { CornelgaugeError, epoch, vmName } from '@cornelgauge/model'
-import { encodeProgress, jobId, Planner } from '@cornelgauge/jobs'
+import { encodeProgress, jobId, Planner, type JobId } from '@cornelgauge/jobs'
 import { MemoryRowStore, type MemoryRowStoreView, type PageRange, type RowStore } from '@cornelgauge/ports'
 import { expect } from 'chai'
 import { encodeJob } from '../src/job-record.js'
 import { JobStore } from '../src/job-store.js'
 import { OwnedPlanner } from '../src/owned-planner.js'
-import { DELETION_BATCH } from '../src/limits.js'
+import { DELETION_BATCH, LOADED_PROGRESS_CHARACTERS } from '../src/limits.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import type { PlatformView } from '../src/platform-view.js'
 import { ProgressWriter } from '../src/progress-writer.js'
 import { RetiredJobs } from '../src/retired-jobs.js'
 import { readTable } from '../src/table-reader.js'
-import { JOB } from './sample-job.js'
+import { JOB, STEP } from './sample-job.js'
 
 const { id: ID } = JOB
 const SELF = { vm: vmName('vm-a'), address: '10.0.0.1:7000' }
@@ -46,6 +46,35 @@
     await view.write({ conditions: [], puts: [{ table: 'jobs', key: ID, value: encodeJob(JOB) }] })
   })
 
+  // Guards against owners that end with their heaps full of the progress of jobs that wait.
+  describe('with more progress than a new owner keeps while it loads', () => {
+    const done = Array.from({ length: 5000 }, (_, index) => index)
+    const COUNT = Math.ceil(LOADED_PROGRESS_CHARACTERS / JSON.stringify(done).length) + 10
+    const idOf = (number: number): JobId => jobId(String(number).padStart(16, '0'))
+    const work = { ...JOB, steps: [{ ...STEP, count: 6000 }] }
+    const placements = { 'server-1': { address: '10.0.0.1:80', tasks: [5500] } }
+
+    beforeEach(async () => {
+      for (let number = 0; number < COUNT; number += 1) {
+        const steps = { '0.0': { done, failed: {}, ...(number === COUNT - 1 ? { placements } : {}) } }
+        const puts = [{ table: 'jobs', key: idOf(number), value: encodeJob({ ...work, id: idOf(number) }) }, { table: 'progress', key: idOf(number), value: { text: encodeProgress({ hasBegun: true, steps }) } }]
+        await view.write({ conditions: [], puts: number === COUNT - 2 ? [...puts, { table: 'cancels', key: idOf(number), value: {} }] : puts })
+      }
+    })
+
+    it('leaves the others waiting, and reads that of jobs with runs and of cancelled ones again', async () => {
+      const { jobs, waiting, progressVersions } = await new JobStore(view).load()
+      const loaded = new Map(jobs.map(stored => [stored.job.id, stored]))
+      expect(loaded.get(idOf(COUNT - 1))!.progress!.steps['0.0']).to.deep.equal({ done, failed: {}, placements })
+      expect(loaded.get(idOf(COUNT - 2))).to.deep.include({ isCancelled: true, progress: { hasBegun: true, steps: { '0.0': { done, failed: {} } } } })
+      // Beside them is the job that each of these tests has.
+      expect(jobs.length + waiting.length).to.equal(COUNT + 1)
+      expect(waiting.length).to.be.at.least(1)
+      expect(waiting.every(({ hasProgress, hasBegun }) => hasProgress && hasBegun)).to.equal(true)
+      expect(progressVersions.size).to.equal(COUNT)
+    })
+  })
+
   describe('a read of a table', () => {
     it('continues behind the last page received after a page has failed', async () => {
       const puts = Array.from({ length: 100 }, (_, index) => ({ table: 'progress', key: String(index).padStart(3, '0'), value: {} }))
