Release begun jobs only as far as others need room

Cause: a look under little room released every begun job of which nothing runs, so thousands had to be read again for their next occurrence.

Change: those whose next task is due last give way first, until an eighth of the limit is free, or as much as jobs wait that are due, up to a half.

--- a/packages/entry/src/job-backlog.ts
+++ b/packages/entry/src/job-backlog.ts
@@ -116,6 +116,13 @@
     return this.#entries.size
   }
 
+  /** Planning load of the jobs that are due. */
+  get dueLoad (): number {
+    let load = 0
+    for (const entry of this.#entries.values()) if (entry.dueAt <= this.#wallTime) load += entry.load
+    return load
+  }
+
   has (id: JobId): boolean {
     return this.#entries.has(id)
   }
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -1,7 +1,7 @@
 /** Decides which accepted jobs the planner has, and reads those that wait in the store once there is room for them. */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure } from '@cornelgauge/model'
-import { MAXIMUM_PLANNED_LOAD, parseTaskName, storedRestingForm, type Job, type JobId, type JobProgress, type Planner, type PoolName, type QueueName, type RestingJob, type ServerReport } from '@cornelgauge/jobs'
+import { MAXIMUM_PLANNED_LOAD, parseTaskName, planningLoad, storedRestingForm, type Job, type JobId, type JobProgress, type Planner, type PoolName, type QueueName, type RestingJob, type ServerReport } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { comparePlanningOrder, JobBacklog, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
 import { INTAKE_BATCH, STORE_RETRY_MILLISECONDS, TURN_INTERVAL_MILLISECONDS, TURN_JOBS, TURN_MILLISECONDS } from './limits.js'
@@ -28,6 +28,10 @@
 /** Free planning load from which on there is room for most jobs, so that none has to give way. */
 const MOST_FREE_LOAD = 50
 
+/** Free planning load up to which begun jobs of which nothing runs give way: at least, and as far as jobs wait that are due. */
+const LEAST_FREED_LOAD = MAXIMUM_PLANNED_LOAD / 8
+const MOST_FREED_LOAD = MAXIMUM_PLANNED_LOAD / 2
+
 /** A job that the planner has, and that can still be left in the store. */
 type PlannedJob = WaitingJob & { readonly plannedAt: number }
 
@@ -236,19 +240,28 @@
     }
   }
 
-  /** Lets begun jobs give way of which nothing runs: at once if their next task isn't due soon, else after some time. */
+  /** Lets as many begun jobs give way of which nothing runs as others need room: at once if their next task isn't due soon, else after some time. */
   #releaseResting (now: number): void {
     const { planner, wallTime } = this.#options
     const soon = wallTime() + TURN_MILLISECONDS
     const restingSince = new Map<JobId, number>()
-    let count = 0
-    const isDue = ({ job, nextDueAt }: RestingJob): boolean => {
-      if (nextDueAt > soon) return true
-      const since = this.#restingSince.get(job.id) ?? now
-      restingSince.set(job.id, since)
-      return now - since >= TURN_MILLISECONDS && ++count <= TURN_JOBS
+    const hasRested = ({ job: { id } }: RestingJob): boolean => {
+      const since = this.#restingSince.get(id) ?? now
+      restingSince.set(id, since)
+      return now - since >= TURN_MILLISECONDS
     }
-    for (const released of planner.releaseResting(isDue)) this.#backlog.add(this.#entryAfterTurn(released, released.nextDueAt === -Infinity ? 1 : 0))
+    const released = planner.releaseResting(jobs => {
+      const later = jobs.filter(({ nextDueAt }) => nextDueAt > soon).sort((one, other) => other.nextDueAt - one.nextDueAt)
+      const rested = jobs.filter(({ nextDueAt }) => nextDueAt <= soon).filter(hasRested).slice(0, TURN_JOBS)
+      const freedLoad = Math.min(MOST_FREED_LOAD, Math.max(LEAST_FREED_LOAD, this.#backlog.dueLoad))
+      let excess = planner.plannedLoad() + freedLoad - MAXIMUM_PLANNED_LOAD
+      return [...later, ...rested].filter(({ job }) => {
+        const isNeeded = excess > 0
+        excess -= planningLoad(job)
+        return isNeeded
+      })
+    })
+    for (const job of released) this.#backlog.add(this.#entryAfterTurn(job, job.nextDueAt === -Infinity ? 1 : 0))
     this.#restingSince = restingSince
   }
 
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -224,9 +224,10 @@
     return this.mayRelease(id) ? this.#forget(this.#state.jobs.get(id)!) : undefined
   }
 
-  /** Forgets the open jobs that have begun, of which nothing runs and all progress is stored, and that `isDue` selects. They are submitted again later, with their progress. */
-  releaseResting (isDue: (job: RestingJob) => boolean): readonly RestingJob[] {
-    return restingJobs(this.#state).filter(job => isDue(restingForm(job))).map(job => this.#forget(job))
+  /** Forgets those that are selected of the open jobs that have begun, of which nothing runs and all progress is stored. They are submitted again later, with their progress. */
+  releaseResting (select: (jobs: readonly RestingJob[]) => readonly RestingJob[]): readonly RestingJob[] {
+    const jobs = new Map(restingJobs(this.#state).map(job => [job.job.id, job]))
+    return select([...jobs.values()].map(restingForm)).map(({ job: { id } }) => this.#forget(jobs.get(id)!))
   }
 
   #forget (job: JobState): RestingJob {
