Refuse jobs that no row of the store holds before they are written

Cause: the row of such a job has 4.5 MB, where the store takes 65,536 bytes. It was encoded and sent all the same, and again every 100 ms until the caller's deadline, since the refusal counted as an outage.

--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -5,7 +5,7 @@
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob, encodeJob } from './job-record.js'
 import { JobSelection, mayHaveRuns, type SelectedJobs } from './job-selection.js'
-import { LOADED_PROGRESS_CHARACTERS } from './limits.js'
+import { EPOCH_BYTES, LOADED_PROGRESS_CHARACTERS, MAXIMUM_ROW_BYTES } from './limits.js'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import { readServers, type StoredServers } from './server-record.js'
@@ -57,9 +57,11 @@
   readonly #isAway: () => boolean
   readonly #emit: EmitEvent
   readonly #unsettled = new UnsettledWrites()
+  readonly #rowBytes: number
 
-  /** `isAway` returns true if the store can't be reached from this VM at the moment. */
-  constructor (rows: RowStore, isAway: () => boolean = () => false, emit: EmitEvent = () => {}) {
+  /** `isAway` returns true if the store can't be reached from this VM at the moment; a row has `rowBytes` at most. */
+  constructor (rows: RowStore, isAway: () => boolean = () => false, emit: EmitEvent = () => {}, rowBytes = MAXIMUM_ROW_BYTES) {
+    this.#rowBytes = rowBytes
     this.#rows = rows
     this.#isAway = isAway
     this.#emit = emit
@@ -76,10 +78,13 @@
    * @throws {CornelgaugeError} `overloaded` if the job isn't stored and won't be;
    * `id-cancelled` likewise, since its id was cancelled before;
    * `outcome-unknown` if that can't be determined by the deadline (on the steady clock);
-   * `record-damaged` if the row of its id can't be read
+   * `record-damaged` if the row of its id can't be read;
+   * `write-refused` if its row is longer than the store takes, which is known before it is written
    */
   async accept (draft: JobDraft, owner: () => KnownOwner | undefined, onOwner: (owner: OwnerRecord) => void, deadline: number, relay?: WriteRelay<Job>): Promise<Job> {
     let job: Job = { ...draft, acceptedUnder: NO_OWNER.epoch }
+    const bytes = Buffer.byteLength(JSON.stringify(encodeJob(job))) + EPOCH_BYTES
+    if (bytes > this.#rowBytes) throw new CornelgaugeError('write-refused', { detail: `The job takes ${bytes} bytes in the store, of ${this.#rowBytes}` })
     const { existing, isCancelled, relayed } = await this.#settle(JOBS_TABLE, draft.id, deadline, async () => {
       const currentOwner = owner() ?? await this.#readOwnerBeforeWrite()
       if (currentOwner === undefined) throw new CornelgaugeError('overloaded', { detail: 'The planner has no owner yet' })
--- a/packages/entry/test/refused-rows.test.ts
+++ b/packages/entry/test/refused-rows.test.ts
@@ -7,7 +7,7 @@
 import { MonitoredStore } from '../src/monitored-store.js'
 import { claimOwnership, NO_OWNER, type OwnerRecord } from '../src/owner-record.js'
 import { ProgressWriter } from '../src/progress-writer.js'
-import { JOB } from './sample-job.js'
+import { JOB, STEP } from './sample-job.js'
 
 const { acceptedUnder: _, ...DRAFT } = JOB
 const idOf = (number: number): JobId => jobId(String(number).padStart(16, '0'))
@@ -80,6 +80,15 @@
     expect([code, writes]).to.deep.equal(['write-refused', 1])
   })
 
+  // Guards against rows of many times the length of a request, which are encoded and sent again until the deadline.
+  it('is known before it is written if a job is longer than a row', async () => {
+    const steps = Array.from({ length: 400 }, () => STEP)
+    const long = { ...DRAFT, steps }
+    const codeOf = async (jobs: JobStore): Promise<string> => await jobs.accept(long, () => owner, () => {}, performance.now() + 60_000).then(() => 'accepted', (failure: CornelgaugeError) => failure.code)
+    expect([await codeOf(new JobStore(view)), writes]).to.deep.equal(['write-refused', 0])
+    expect([await codeOf(new JobStore(view, () => false, () => {}, 1_000_000)), writes]).to.deep.equal(['accepted', 1])
+  })
+
   it('doesn\'t make the store count as away', async () => {
     refused.add(DRAFT.id)
     const monitored = new MonitoredStore(view)
