--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -170,7 +170,7 @@
     await readPages(this.#rows, PROGRESS_TABLE, rows => {
       for (const row of rows) {
         const read = readProgress(row)
-        if (read.progress?.phase === undefined) characters += String(row.value.text).length
+        if (read.progress !== undefined && read.progress.phase === undefined) characters += (row.value.text as string).length
         progress.set(row.key, characters > LOADED_PROGRESS_CHARACTERS ? summaryOf(read) : read)
         progressVersions.set(jobId(row.key), row.version)
       }
