Let gangs take turns among their starts, and claims start at once

Cause: the starts of gangs for one backend server were sent in the order in which they were decided, and a gang waited for the one before it. A claim of guaranteed capacity, which has to begin within seconds, so waited for the two seconds of a gang of 1,500.

Change: for a backend server each gang, and the single tasks, take turns. A gang that claims capacity starts beside others; others go on one at a time unless all fit the limit.

--- a/packages/entry/src/start-queue.ts
+++ b/packages/entry/src/start-queue.ts
@@ -1,20 +1,20 @@
 /** Limits the starts that are sent to backend servers at a time. */
-import { MAXIMUM_CALLS_PER_SERVER, MAXIMUM_CALLS_UNDER_WAY, type ServerId, type StartCommand } from '@cornelgauge/jobs'
+import { MAXIMUM_CALLS_PER_SERVER, MAXIMUM_CALLS_UNDER_WAY, type RunNumber, type ServerId, type StartCommand } from '@cornelgauge/jobs'
 
 /** Starts for one backend server. */
 interface ServerStarts {
-  /** Members of gangs, and other starts, in the order in which they were added. */
-  readonly members: StartCommand[]
-  readonly others: StartCommand[]
+  /** Those that wait: of each gang's run by its number, and all others. The first of the next group is sent next. */
+  readonly groups: Map<RunNumber | typeof SINGLE_TASKS, StartCommand[]>
   underWay: number
-  /** The last start was that of a member. */
-  wasMember: boolean
 }
 
+/** Stands for the starts of tasks that are no members of gangs. */
+const SINGLE_TASKS = 'single tasks'
+
 /**
  * The starts that may be sent. The planner decides all members of a gang at once, so they are sent one after the other as
  * earlier ones are answered: a call that waits for others would use up its time limit, and each one that is
- * sent takes memory. For a backend server, members and other starts take turns.
+ * sent takes memory. For a backend server, the gangs and the single tasks take turns, so that a large gang delays none of them.
  *
  * @example
  * const queue = new StartQueue(command => send(command))
@@ -31,21 +31,25 @@
   }
 
   add (command: StartCommand): void {
-    const starts = this.#servers.get(command.server) ?? { members: [], others: [], underWay: 0, wasMember: false }
+    const starts = this.#servers.get(command.server) ?? { groups: new Map(), underWay: 0 }
     this.#servers.set(command.server, starts)
-    if (command.isMember === true) starts.members.push(command)
-    else starts.others.push(command)
+    const group = command.isMember === true ? command.run : SINGLE_TASKS
+    const waiting = starts.groups.get(group)
+    if (waiting === undefined) starts.groups.set(group, [command])
+    else waiting.push(command)
     this.#advance(starts)
   }
 
   /** Removes and returns the starts that haven't been sent. */
   clear (): readonly StartCommand[] {
-    return [...this.#servers.values()].flatMap(({ members, others }) => [...members.splice(0), ...others.splice(0)])
+    const waiting = [...this.#servers.values()].flatMap(({ groups }) => [...groups.values()].flat())
+    for (const { groups } of this.#servers.values()) groups.clear()
+    return waiting
   }
 
   #advance (starts: ServerStarts): void {
     while (starts.underWay < MAXIMUM_CALLS_PER_SERVER && this.#underWay < MAXIMUM_CALLS_UNDER_WAY) {
-      const command = next(starts)
+      const command = takeNext(starts)
       if (command === undefined) return
       starts.underWay += 1
       this.#underWay += 1
@@ -59,14 +63,17 @@
     this.#underWay -= 1
     this.#advance(starts)
     if (wasFull) for (const others of this.#servers.values()) this.#advance(others)
-    if (starts.underWay === 0 && starts.members.length + starts.others.length === 0) this.#servers.delete(server)
+    if (starts.underWay === 0 && starts.groups.size === 0) this.#servers.delete(server)
   }
 }
 
-/** Takes the next start for a backend server: after that of a member one that isn't, and the other way round. */
-function next (starts: ServerStarts): StartCommand | undefined {
-  const [first, second] = starts.wasMember ? [starts.others, starts.members] : [starts.members, starts.others]
-  const command = first.shift() ?? second.shift()
-  if (command !== undefined) starts.wasMember = command.isMember === true
+/** Takes the first start of the group whose turn it is; the group then comes after the others. */
+function takeNext ({ groups }: ServerStarts): StartCommand | undefined {
+  const [next] = groups
+  if (next === undefined) return undefined
+  const [group, waiting] = next
+  const command = waiting.shift()
+  groups.delete(group)
+  if (waiting.length > 0) groups.set(group, waiting)
   return command
 }
--- a/packages/entry/test/start-queue.test.ts
+++ b/packages/entry/test/start-queue.test.ts
@@ -2,12 +2,12 @@
 import { expect } from 'chai'
 import { StartQueue } from '../src/start-queue.js'
 
-const command = (server: number, index: number, isMember: boolean): StartCommand => ({
+const command = (server: number, index: number, isMember: boolean, run = 1): StartCommand => ({
   type: 'start',
   server: serverId(`server-${server}`),
   incarnation: 1,
   task: `00000000000000a1.0.0.${index}` as TaskName,
-  run: runNumber(1),
+  run: runNumber(run),
   job: jobId('00000000000000a1'),
   change: 1,
   specification: '',
@@ -59,6 +59,17 @@
     expect(sent.filter(({ command: { isMember } }) => isMember !== true)).to.have.length(10)
   })
 
+  // Guards against a claim of guaranteed capacity that waits for the starts of a large gang.
+  it('take turns among gangs', async () => {
+    for (let index = 0; index < 500; index += 1) queue.add(command(0, index, true, 1))
+    for (let index = 500; index < 508; index += 1) queue.add(command(0, index, true, 2))
+    for (let end = 0; end < 16; end += 1) {
+      sent[end]!.end()
+      await settle()
+    }
+    expect(sent.filter(({ command: { run } }) => run === 2)).to.have.length(8)
+  })
+
   it('are returned if they are never sent', () => {
     for (let index = 0; index < 100; index += 1) queue.add(command(0, index, index % 2 === 0))
     expect(queue.clear()).to.have.length(100 - MAXIMUM_CALLS_PER_SERVER)
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -131,7 +131,7 @@
     else this.#starting.add(server)
   }
 
-  /** True if a gang may start beside the members that are under way: a single one in any case, since its members need each other. */
+  /** True if a gang that claims no capacity may start beside the members that are under way: a single one in any case, since its members need each other. */
   #hasRoomForMembers ({ count }: StartUnit): boolean {
     return this.#startingMembers === 0 || this.#startingMembers + count <= this.#state.startLimit.value
   }
@@ -222,7 +222,7 @@
 
   #placeGang (unit: StartUnit, candidate: Candidate): void {
     const { step } = unit
-    if (step.count > mostGangMembers(this.#state.bounds) || !this.#hasRoomForMembers(unit)) return
+    if (step.count > mostGangMembers(this.#state.bounds) || !(candidate.isClaim || this.#hasRoomForMembers(unit))) return
     const mayBorrow = this.#mayBorrow(unit, candidate)
     const mayWait = this.#waits.mayWaitForPlacement(unit, candidate)
     const turns = this.#state.placementTurns
--- a/packages/jobs/test/large-gangs.test.ts
+++ b/packages/jobs/test/large-gangs.test.ts
@@ -60,6 +60,13 @@
     expect(new Set(decide().map(({ job: id }) => id)).size).to.equal(1)
   })
 
+  it('don\'t delay one that claims guaranteed capacity', () => {
+    world.planner.submit(gang('large', 1024))
+    decide()
+    world.planner.submit(job('claim', { queue: 'urgent', workspace: 'brno', steps: [step({ count: 8, isGang: true })] }))
+    expect(decide().map(({ job: id }) => id)).to.deep.equal(Array.from({ length: 8 }, () => 'claim'))
+  })
+
   it('start together if all of them fit the limit', () => {
     for (const id of ['a', 'b', 'c', 'd', 'e']) world.planner.submit(gang(id, 100))
     expect(decide().length).to.be.within(400, MAXIMUM_CALLS_UNDER_WAY)
