Fail a job that comes back with its attempts used up

Cause: jobs whose tasks have used up their attempts are failed when the terms of their queue become known.

Change: the same check is made as a job comes back. Checkpoints of a gang are read without a state of its first task being made.

--- a/packages/jobs/src/job-end.ts
+++ b/packages/jobs/src/job-end.ts
@@ -35,13 +35,20 @@
 export function failExhausted (state: PlannerState, wallTime: number): void {
   const queues = state.takeNewQueues()
   if (queues.size === 0) return
-  for (const job of [...state.openJobs]) {
-    if (!queues.has(job.job.queue)) continue
-    const attempts = state.termsOf(job)?.attempts ?? Infinity
-    if (job.steps.every(step => step.isDone || step.highestFailures < attempts)) continue
-    endJob(state, job, 'failed', 'job-failed', wallTime)
-    state.markChanged(job)
-  }
+  for (const job of [...state.openJobs]) if (queues.has(job.job.queue)) failIfExhausted(state, job, wallTime)
+}
+
+/**
+ * Fails an open job one of whose tasks has used up its attempts, as far as the terms of its queue are known.
+ *
+ * @example
+ * failIfExhausted(state, job, Date.now())
+ */
+export function failIfExhausted (state: PlannerState, job: JobState, wallTime: number): void {
+  const attempts = state.termsOf(job)?.attempts ?? Infinity
+  if (!job.isOpen || job.steps.every(step => step.isDone || step.highestFailures < attempts)) return
+  endJob(state, job, 'failed', 'job-failed', wallTime)
+  state.markChanged(job)
 }
 
 function setFinalPhase (state: PlannerState, job: JobState, phase: 'completed' | 'failed' | 'canceled', wallTime: number): void {
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -248,7 +248,8 @@
   get checkpoints (): ReadonlyMap<TaskName, string> {
     const checkpoints = new Map<TaskName, string>()
     for (const step of this.steps) {
-      if (step.gangCheckpoint !== '') checkpoints.set(step.task(0)!.name, step.gangCheckpoint)
+      const { firstOpen, gangCheckpoint } = step
+      if (firstOpen !== undefined && gangCheckpoint !== '') checkpoints.set(firstOpen.name, gangCheckpoint)
       else for (const task of step.knownTasks) if (!task.isDone && task.checkpoint !== '') checkpoints.set(task.name, task.checkpoint)
     }
     return checkpoints
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -12,7 +12,7 @@
 import { restoreIdleSince, storedIdleSince } from './idle-jobs.js'
 import type { JobId, PoolName, QueueName, RunNumber, ServerId, TaskName } from './ids.js'
 import type { Job, JobPhase } from './job.js'
-import { endJob } from './job-end.js'
+import { endJob, failIfExhausted } from './job-end.js'
 import { JobState } from './job-state.js'
 import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
 import { countReplaced, findExhausted } from './lost-runs.js'
@@ -205,6 +205,7 @@
     restoreIdleSince(state, progress?.idleSince, this.#lastTimes)
     this.#state.addJob(state)
     findExhausted(this.#state, state)
+    failIfExhausted(this.#state, state, this.#lastTimes.wallTime)
     for (const [name, checkpoint] of checkpoints) {
       const task = this.#state.task(name)
       if (task !== undefined) task.checkpoint = checkpoint
--- a/packages/jobs/test/schedules-at-rest.test.ts
+++ b/packages/jobs/test/schedules-at-rest.test.ts
@@ -72,23 +72,35 @@
     expect(release()).to.deep.equal([])
   })
 
-  it('keep the checkpoints of what was stopped', () => {
-    submit(daily('a', { steps: [step({ savesCheckpoints: true })] }))
+  for (const [name, isGang] of [['tasks', false], ['gangs', true]] as const) {
+    it(`keep the checkpoints of ${name} that were stopped`, () => {
+      submit(daily('a', { steps: [step({ count: 2, isGang, savesCheckpoints: true })] }))
+      world.settle()
+      const [server] = world.servers
+      for (const [task, run] of [...server!.running]) server!.running.set(task, { ...run, checkpoint: 'saved', percent: 50 })
+      world.pollServers()
+      endAll('stopped')
+      world.pollServers()
+      world.planner.markStored(world.planner.unstoredJobs)
+      const progress = world.planner.progressOf(daily('a').id)!
+      const [released] = release()
+      expect(world.planner.phaseOf(daily('a').id)).to.equal(undefined)
+      world.planner.submit(released!.job, progress, released!.checkpoints)
+      world.settle()
+      expect(world.starts.slice(2).map(({ task, checkpoint }) => `${task} ${checkpoint}`)).to.have.members(['a.0.0.0 saved', 'a.0.0.1 saved'])
+    })
+  }
+})
+
+// Guards against a task that is started once more than its attempts allow, since its job waited while its queue became known.
+describe('a job that comes back with its progress', () => {
+  it('fails if a task has used up its attempts, and starts nothing', () => {
+    const world = new World(1)
     world.settle()
-    const [server] = world.servers
-    const run = server!.running.get('a.0.0.0')!
-    server!.running.set('a.0.0.0', { ...run, checkpoint: 'saved', percent: 50 })
-    world.pollServers()
-    server!.connectivity = 'answers'
-    server!.end('a.0.0.0', 'stopped')
-    world.pollServers()
-    world.planner.markStored(world.planner.unstoredJobs)
-    const progress = world.planner.progressOf(daily('a').id)!
-    const [released] = release()
-    expect([...released!.checkpoints]).to.deep.equal([['a.0.0.0', 'saved']])
-    world.planner.submit(released!.job, progress, released!.checkpoints)
+    world.planner.submit(job('a'), { hasBegun: true, steps: { '0.0': { done: [], failed: { 0: [1, 2, 3, 4] } } } })
     world.settle()
-    expect(world.starts.at(-1)).to.include({ task: 'a.0.0.0', checkpoint: 'saved' })
+    expect(world.starts).to.deep.equal([])
+    expect(world.planner.phaseOf(job('a').id)).to.equal('failed')
   })
 })
 
