--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -1,10 +1,11 @@
 /** Decides which accepted jobs the planner has, and reads those that wait in the store once there is room for them. */
 import { pause, systemClock } from '@cornelgauge/coordination'
 import { asFailure } from '@cornelgauge/model'
-import { MAXIMUM_PLANNED_LOAD, parseTaskName, planningLoad, storedRestingForm, type Job, type JobId, type JobProgress, type Planner, type PoolName, type QueueName, type RestingJob, type ServerReport } from '@cornelgauge/jobs'
+import { MAXIMUM_PLANNED_LOAD, parseTaskName, storedRestingForm, type Job, type JobId, type JobProgress, type Planner, type PoolName, type QueueName, type RestingJob, type ServerReport } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { comparePlanningOrder, JobBacklog, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
 import { INTAKE_BATCH, STORE_RETRY_MILLISECONDS, TURN_INTERVAL_MILLISECONDS, TURN_JOBS, TURN_MILLISECONDS } from './limits.js'
+import { RestingTurns } from './resting-turns.js'
 
 /** Options of an intake. */
 export interface JobIntakeOptions {
@@ -54,8 +55,7 @@
   readonly #reading = new Map<JobId, Promise<boolean>>()
   /** Jobs that are needed whatever room there is, until they are read. */
   readonly #required = new Set<JobId>()
-  /** Begun jobs of which nothing ran in the last look, with the time since which that is so. */
-  #restingSince = new Map<JobId, number>()
+  readonly #resting = new RestingTurns()
   #isFilling = false
   #nextTurnAt = 0
 
@@ -240,38 +240,19 @@
     }
   }
 
-  /** Lets as many begun jobs give way of which nothing runs as others need room: at once if their next task isn't due soon, else after some time. */
+  /** Lets as many begun jobs give way of which nothing runs as others need room. */
   #releaseResting (now: number): void {
     const { planner, wallTime } = this.#options
-    const soon = wallTime() + TURN_MILLISECONDS
-    const restingSince = new Map<JobId, number>()
-    const hasRested = ({ job: { id } }: RestingJob): boolean => {
-      const since = this.#restingSince.get(id) ?? now
-      restingSince.set(id, since)
-      return now - since >= TURN_MILLISECONDS
-    }
-    const released = planner.releaseResting(jobs => {
-      const later = jobs.filter(({ nextDueAt }) => nextDueAt > soon).sort((one, other) => other.nextDueAt - one.nextDueAt)
-      const rested = jobs.filter(({ nextDueAt }) => nextDueAt <= soon).filter(hasRested).slice(0, TURN_JOBS)
-      const freedLoad = Math.min(MOST_FREED_LOAD, Math.max(LEAST_FREED_LOAD, this.#backlog.dueLoad))
-      let excess = planner.plannedLoad() + freedLoad - MAXIMUM_PLANNED_LOAD
-      return [...later, ...rested].filter(({ job }) => {
-        const isNeeded = excess > 0
-        excess -= planningLoad(job)
-        return isNeeded
-      })
-    })
+    const freedLoad = Math.min(MOST_FREED_LOAD, Math.max(LEAST_FREED_LOAD, this.#backlog.dueLoad))
+    const neededLoad = planner.plannedLoad() + freedLoad - MAXIMUM_PLANNED_LOAD
+    const released = planner.releaseResting(jobs => this.#resting.choose(jobs, { now, wallTime: wallTime(), neededLoad }))
     for (const job of released) this.#backlog.add(this.#entryAfterTurn(job, job.nextDueAt === -Infinity ? 1 : 0))
-    this.#restingSince = restingSince
   }
 
   /** The entry of a job that comes again after those that wait already. */
   #entryAfterTurn (released: RestingJob, turn: number): WaitingJob {
     const entry = waitingJobOf(released)
-    return { ...entry, since: Math.max(entry.since, this.#options.wallTime()), turn: this.#isDue(released) ? turn : 0 }
-  }
-
-  #isDue ({ nextDueAt }: RestingJob): boolean {
-    return nextDueAt <= this.#options.wallTime()
+    const now = this.#options.wallTime()
+    return { ...entry, since: Math.max(entry.since, now), turn: entry.dueAt <= now ? turn : 0 }
   }
 }
