Begin no job anew whose progress is missing

Cause: a begun job that waits is read with its progress. Without a row of progress it was planned as a new one, and all its tasks would run again.

--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -1,6 +1,6 @@
 /** Decides which accepted jobs the planner has, and reads those that wait in the store once there is room for them. */
 import { pause, systemClock } from '@cornelgauge/coordination'
-import { asFailure } from '@cornelgauge/model'
+import { asFailure, CornelgaugeError } from '@cornelgauge/model'
 import { MAXIMUM_PLANNED_LOAD, parseTaskName, storedRestingForm, type Job, type JobId, type JobProgress, type Planner, type PoolName, type QueueName, type RestingJob, type ServerReport } from '@cornelgauge/jobs'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { comparePlanningOrder, JobBacklog, OrderedJobs, waitingJobOf, type WaitingJob } from './job-backlog.js'
@@ -154,6 +154,8 @@
     const { readJob, readProgress, emit, signal } = this.#options
     try {
       const [job, progress] = await Promise.all([readJob(entry.id), entry.hasProgress ? readProgress(entry.id) : undefined])
+      // Without its progress the job would begin anew.
+      if (job !== undefined && entry.hasProgress && progress === undefined) throw new CornelgaugeError('record-damaged', { detail: 'The job has begun, and has no progress' })
       if (job !== undefined && !signal.aborted) this.#plan(job, entry, progress)
       return true
     } catch (thrown) {
--- a/packages/entry/test/job-intake.test.ts
+++ b/packages/entry/test/job-intake.test.ts
@@ -229,6 +229,18 @@
       expect(owner.planner.progressOf(idOf(0))).to.deep.include(begun())
     })
 
+    it('doesn\'t begin one anew whose progress is missing, and says so', async () => {
+      const owner = scheduled(MOST_PLANNED + 100)
+      owner.submit(jobNumber(999_999))
+      await owner.fill(3)
+      const [missing] = numbers(MOST_PLANNED + 100).filter(number => !owner.isPlanned(number))
+      owner.progress.delete(idOf(missing!))
+      owner.now = MINUTE
+      await owner.fill(300)
+      expect(owner.isPlanned(missing!)).to.equal(false)
+      expect(owner.events).to.include('record-unreadable')
+    })
+
     it('ends one that waits and is cancelled', async () => {
       const owner = scheduled(MOST_PLANNED + 100)
       owner.submit(jobNumber(999_999))
