Cut progress for the rows that the platform gives

Cause: jobs were checked against `platform.row_bytes`, the progress of a job was cut for 65,536 bytes whatever it says. With shorter rows the store would refuse it for good.

Change: the length of a row is one of the platform's figures that the planner gets, and acceptance and progress both follow it.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -100,7 +100,7 @@
     this.#options = options
     this.#backlog = options.backlog ?? new ReportedBacklog()
     this.#store = new MonitoredStore(platform.store)
-    this.#jobs = new JobStore(this.#store, () => this.#store.isAway, emit, platform.rowBytes)
+    this.#jobs = new JobStore(this.#store, () => this.#store.isAway, emit, platform.bounds?.rowBytes)
     this.configuration = new CurrentConfiguration(configuration => this.#configure(configuration))
     this.#exchange = new ConfigurationExchange({ current: this.configuration, read: rows => platform.readConfiguration(rows), fetch: address => this.#fetchConfiguration(address), emit })
     this.#peers = new Peers({
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -1,11 +1,11 @@
 /** Stores jobs, cancellations and progress in the platform's store. */
 import { asFailure, CornelgaugeError } from '@cornelgauge/model'
-import { decodeProgress, FINAL_PHASES, jobId, type Job, type JobId, type JobPhase, type JobProgress } from '@cornelgauge/jobs'
+import { decodeProgress, FINAL_PHASES, jobId, MAXIMUM_ROW_BYTES, type Job, type JobId, type JobPhase, type JobProgress } from '@cornelgauge/jobs'
 import type { RowStore, StoredRow } from '@cornelgauge/ports'
 import type { EmitEvent } from '@cornelgauge/telemetry'
 import { decodeJob, encodeJob } from './job-record.js'
 import { JobSelection, mayHaveRuns, type SelectedJobs } from './job-selection.js'
-import { EPOCH_BYTES, LOADED_PROGRESS_CHARACTERS, MAXIMUM_ROW_BYTES } from './limits.js'
+import { EPOCH_BYTES, LOADED_PROGRESS_CHARACTERS } from './limits.js'
 import type { KnownOwner } from './messages.js'
 import { decodeOwner, NO_OWNER, readOwner, type OwnerRecord } from './owner-record.js'
 import { readServers, type StoredServers } from './server-record.js'
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -101,8 +101,7 @@
 export const CONCURRENT_PROGRESS_WRITES = 3
 /** How long progress that the store has refused for good isn't written, in milliseconds: a later form of it may be shorter. */
 export const REFUSED_PROGRESS_MILLISECONDS = 5000
-/** Bytes of a row of the store, where the platform doesn't say how many it has, and those that the epoch in the row of a job may take. */
-export const MAXIMUM_ROW_BYTES = 65_536
+/** Bytes that the epoch in the row of a job may take. */
 export const EPOCH_BYTES = 16
 /** Progress records per transaction; the store accepts 100 entries, and each record takes two. */
 export const PROGRESS_BATCH = 45
--- a/packages/entry/src/platform-view.ts
+++ b/packages/entry/src/platform-view.ts
@@ -9,8 +9,6 @@
   readonly servers: BackendServerCalls
   /** The platform's figures for the planner; none if absent. */
   readonly bounds?: OperatingBounds
-  /** Bytes of a row of the store; `MAXIMUM_ROW_BYTES` if absent. */
-  readonly rowBytes?: number
   /** Calls the external service that decides where steps of some queues may run; absent if there is none. */
   readonly advise?: (step: StepName, servers: readonly ServerId[]) => Promise<Advice>
   /** Table of the configuration, and its decoder, which returns undefined if the row isn't usable. */
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -2,7 +2,7 @@
 import type { Epoch } from '@cornelgauge/model'
 import type { ServerId, TaskName } from './ids.js'
 import { dueAt, occurrencesOf, type Job, type JobPhase } from './job.js'
-import { LISTED_AGAIN_SHARE, MAXIMUM_ACTIVE_STEPS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, MAXIMUM_PROGRESS_BYTES } from './limits.js'
+import { LISTED_AGAIN_SHARE, MAXIMUM_ACTIVE_STEPS, MAXIMUM_LISTED_ENTRIES, MAXIMUM_OPEN_STEPS, MAXIMUM_ROW_BYTES, PROGRESS_RESERVE_BYTES } from './limits.js'
 import { endedForm, planningLoad } from './planning-load.js'
 import type { JobProgress, StepProgress } from './progress.js'
 import type { Run } from './server.js'
@@ -126,13 +126,13 @@
   }
 
   get progress (): JobProgress {
-    return this.progressWithin(MAXIMUM_PROGRESS_BYTES)
+    return this.progressWithin(MAXIMUM_ROW_BYTES)
   }
 
   /** Its progress in a form that fits a row of so many bytes. If that doesn't list where its tasks may run, later ones don't either until there are fewer. */
-  progressWithin (mostBytes: number): JobProgress {
+  progressWithin (rowBytes: number): JobProgress {
     const wereListed = this.arePlacementsListed
-    const { progress, arePlacementsListed } = storedForm(this, mostBytes)
+    const { progress, arePlacementsListed } = storedForm(this, rowBytes - PROGRESS_RESERVE_BYTES)
     if (arePlacementsListed) this.#mostListed = MAXIMUM_LISTED_ENTRIES
     else if (wereListed) this.#mostListed = Math.floor(this.#placedCount * LISTED_AGAIN_SHARE)
     return progress
--- a/packages/jobs/src/limits.ts
+++ b/packages/jobs/src/limits.ts
@@ -178,8 +178,10 @@
 export const FAILURE_CHARACTERS = 12_000
 /** Entries that the key and the braces of a step take. */
 export const STEP_ENTRIES = 6
-/** Bytes of a job's progress at most as the value of a row, which may have 65,536: the time since when nothing runs is added. */
-export const MAXIMUM_PROGRESS_BYTES = 65_000
+/** Bytes of a row of the store, where the platform doesn't say how many it has. */
+export const MAXIMUM_ROW_BYTES = 65_536
+/** Those that are left free beside a job's progress in its row, for the time since when nothing of it runs. */
+export const PROGRESS_RESERVE_BYTES = 536
 /** Steps of a job's occurrences with waiting tasks at which no further occurrence is activated, however many are due: each step that is activated takes memory. */
 export const MAXIMUM_OPEN_STEPS = 256
 /** Planning load of all open jobs that an owner plans at most: a quarter of its heap, and rounds of a present-day core below 50 ms. What exceeds it waits in the store. */
--- a/packages/jobs/src/operating-bounds.ts
+++ b/packages/jobs/src/operating-bounds.ts
@@ -20,4 +20,6 @@
   readonly reclaimMilliseconds?: number
   /** Time for which the first members of a gang wait for the others. */
   readonly gangWaitMilliseconds?: number
+  /** Bytes of a row of the store, as whose value the progress of a job is stored; `MAXIMUM_ROW_BYTES` if absent. */
+  readonly rowBytes?: number
 }
--- a/packages/jobs/src/planner.ts
+++ b/packages/jobs/src/planner.ts
@@ -14,7 +14,7 @@
 import type { Job, JobPhase } from './job.js'
 import { endJob, failIfExhausted } from './job-end.js'
 import { JobState } from './job-state.js'
-import { LEASE_MILLISECONDS, RETENTION_MILLISECONDS } from './limits.js'
+import { LEASE_MILLISECONDS, MAXIMUM_ROW_BYTES, RETENTION_MILLISECONDS } from './limits.js'
 import { countReplaced, findExhausted } from './lost-runs.js'
 import type { JobProgress } from './progress.js'
 import { assignUnknownRuns, dropExpired, dropReplaced, applyRestart, applyReport, applyStartOutcome, applyStopOutcome } from './reports.js'
@@ -365,7 +365,7 @@
   progressOf (id: JobId): JobProgress | undefined {
     const job = this.#state.jobs.get(id)
     if (job === undefined) return undefined
-    const { progress } = job
+    const progress = job.progressWithin(this.#state.bounds.rowBytes ?? MAXIMUM_ROW_BYTES)
     this.#state.noteEncoded(job)
     return { ...progress, ...storedIdleSince(job, this.#lastTimes) }
   }
--- a/packages/jobs/test/large-progress.test.ts
+++ b/packages/jobs/test/large-progress.test.ts
@@ -1,6 +1,7 @@
+import { epoch } from '@cornelgauge/model'
 import { expect } from 'chai'
 import * as fc from 'fast-check'
-import { decodeProgress, encodeProgress, MAXIMUM_TASKS_PER_JOB, occurrencesOf, serverId, type Job, type JobProgress } from '../src/index.js'
+import { decodeProgress, encodeProgress, MAXIMUM_TASKS_PER_JOB, occurrencesOf, Planner, serverId, type Job, type JobProgress } from '../src/index.js'
 import { JobState } from '../src/job-state.js'
 import { decodeBits, encodeBits } from '../src/task-bits.js'
 import type { TaskState } from '../src/task-state.js'
@@ -143,6 +144,15 @@
     })
   })
 
+  it('fits a shorter row, as the platform gives it', () => {
+    const work = job('a', { steps: [step({ count: 100_000 })] })
+    const progress = { hasBegun: true, steps: { '0.0': { done: Array.from({ length: 4000 }, (_, index) => index), failed: Object.fromEntries(Array.from({ length: 300 }, (_, index) => [5000 + index, [1_000_001 + index]])) } } }
+    const planner = new Planner(epoch(2), [{ job: work, isCancelled: false, progress }], { now: 0, wallTime: 0 }, undefined, { rowBytes: 8000 })
+    const stored = planner.progressOf(work.id)!
+    expect(rowBytesOf(stored)).to.be.at.most(8000)
+    expect([...stateOf(work, stored).done]).to.deep.equal(progress.steps['0.0'].done)
+  })
+
   it('fits a row whatever has become of its tasks, and loses none that is done', function () {
     this.timeout(120_000)
     const event = fc.record({ share: fc.double({ min: 0, max: 1, noNaN: true }), kind: fc.constantFrom('done', 'failed', 'lost', 'placed', 'crashed'), times: fc.integer({ min: 1, max: 6 }), many: fc.constantFrom(1, 50, 1000, 20_000) })
