Say which jobs wait for their record, and reword what could be misread

A job whose progress the store has refused was logged as idle for want of capacity; event 1041 now has the reason `record`.

--- a/packages/entry/src/job-backlog.ts
+++ b/packages/entry/src/job-backlog.ts
@@ -1,6 +1,6 @@
 /**
  * The jobs that wait in the store, since the owner already plans as many as it may. Of each it keeps an entry of some 200
- * bytes, whatever the size of the job.
+ * bytes, whatever the size of the job, and the checkpoints of its tasks that were stopped and have not been started again.
  */
 import { planningLoad, type JobId, type PoolName, type QueueName, type RestingJob, type TaskName } from '@cornelgauge/jobs'
 
@@ -14,8 +14,9 @@
   readonly since: number
   /** When its next task is due, in milliseconds since 1970; -Infinity if one is. */
   readonly dueAt: number
-  /** Progress of it is stored, and a task of it has started. */
+  /** Progress of it is stored. */
   readonly hasProgress: boolean
+  /** A task of it has started. */
   readonly hasBegun: boolean
   /** Checkpoints that its tasks continue from. */
   readonly checkpoints: ReadonlyMap<TaskName, string>
--- a/packages/entry/src/progress-writer.ts
+++ b/packages/entry/src/progress-writer.ts
@@ -54,8 +54,8 @@
   /**
    * Stores one batch, of jobs that no other call is writing, and marks it as stored in the planner. After a write without an answer the
    * next one has the same conditions; if the earlier one took effect, the store turns it away
-   * with the current rows, and it is made once more with their versions. Rows that the store refuses for good are found by halves,
-   * and left out for some time, while the others are stored.
+   * with the current rows, and it is made once more with their versions. If the store refuses a batch for good, its
+   * halves are written instead, down to single rows; a row that is refused by itself isn't written again for some time.
    *
    * @returns the number of jobs stored
    * @throws {CornelgaugeError} `stale-epoch` if another VM owns the planner, or the store's failure
--- a/packages/jobs/src/idle-jobs.ts
+++ b/packages/jobs/src/idle-jobs.ts
@@ -18,9 +18,10 @@
  * - `run`: an earlier run hasn't ended, as far as the planner knows.
  * - `crash`: backend servers have crashed under it, and it waits for empty ones or for its count to be stored.
  * - `size`: its gang has more members than an owner can start while they wait for each other.
+ * - `record`: the store has refused its progress, without which nothing of it is started.
  * - `capacity`: it isn't placed, though most of the pool is idle.
  */
-export type IdleReason = 'recovery' | 'queue' | 'run' | 'crash' | 'size' | 'capacity'
+export type IdleReason = 'recovery' | 'queue' | 'run' | 'crash' | 'size' | 'record' | 'capacity'
 
 /** A job that has nothing running though one of its tasks is ready. */
 interface IdleJob {
@@ -138,6 +139,7 @@
   if (recovering !== undefined) return { task: recovering.name, reason: 'recovery' }
   if (state.termsOf(job) === undefined) return { task: first.name, reason: 'queue' }
   if (unresolved !== undefined) return { task: unresolved.name, reason: 'run', server: [...unresolved.runs][0]!.server }
+  if (state.isRefused(job.job.id)) return { task: first.name, reason: 'record' }
   const isTooLarge = first.step.specification.isGang && first.step.count > mostGangMembers(state.bounds)
   return { task: first.name, reason: isSuspect ? 'crash' : isTooLarge ? 'size' : 'capacity' }
 }
